Prove ownership, budgets, one pool and generations under interleavings

Cause: the path was whole but nothing was proved under failure.

Added: a world of several daemons' deciding slices over one table service on a fake clock (held-back commits, lost replies, outages), a hypothesis state machine over it, directed tests for each guard, and tools/guards.py, which takes one guard away at a time and expects its proof to fail (make prove-guards).

Found by it and mended: - A holder with an older generation undid a move that a newer one had asked for (moves went back and forth during a roll-out). Pool rows now say under which generation they were decided, and an older one leaves them alone. - The target's holder did not notice an instance moved into its pool until its next commit was refused. It now reloads when a newer view is heard. - A grant was decided on a membership list up to a poll old. It is now read again right before.

Ruled out: the first version of the state machine did not fail without five of the guards: the fake gossip skipped every rumor, and random steps seldom meet the narrow races. The gossip was mended and each guard got a directed test.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test check generate bench-capacity bench-fleet bench-requests docs-check clean
+.PHONY: demo test check prove-guards generate bench-capacity bench-fleet bench-requests docs-check clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -24,6 +24,9 @@
 generate:
 	cd src && python -m grpc_tools.protoc -I. --python_out=. --pyi_out=. --grpclib_python_out=. streamthread/peers/peers.proto
 
+prove-guards: $(STAMP)
+	$(BIN)/python -m tools.guards
+
 bench-capacity: $(STAMP)
 	$(BIN)/python bench/capacity.py
 
--- a/conftest.py
+++ b/conftest.py
@@ -4,6 +4,7 @@
 be skipped, and no more than three may be listed.
 """
 
+import os
 import pathlib
 import typing as t
 
@@ -14,7 +15,13 @@
 MOST_LISTED = 3
 
 hypothesis.settings.register_profile("repeatable", derandomize=True, deadline=None)
-hypothesis.settings.load_profile("repeatable")
+hypothesis.settings.register_profile(
+    "unshrunk",
+    derandomize=True,
+    deadline=None,
+    phases=(hypothesis.Phase.explicit, hypothesis.Phase.generate),
+)
+hypothesis.settings.load_profile(os.environ.get("HYPOTHESIS_PROFILE", "repeatable"))
 
 _skipped: list[str] = []
 
--- a/src/streamthread/configuration/items.py
+++ b/src/streamthread/configuration/items.py
@@ -23,7 +23,6 @@
 __all__ = [
     "Change",
     "HoldSpec",
-    "is_selector",
     "ItemKind",
     "LabelRule",
     "PoolSpec",
@@ -33,6 +32,7 @@
     "WaveSpec",
     "at_least",
     "check_item",
+    "is_selector",
     "item_key",
     "parse_item",
     "split_key",
--- a/src/streamthread/fleet/pools.py
+++ b/src/streamthread/fleet/pools.py
@@ -40,9 +40,14 @@
 
 @attrs.frozen
 class PoolRow:
-    """The members of a pool by instance id."""
+    """The members of a pool by instance id.
+
+    :param generation: of the configuration that it was decided under last; a
+        daemon with an older one leaves the row alone.
+    """
 
     members: dict[str, Member] = attrs.field(factory=dict)
+    generation: int = 0
 
     def granted(self) -> list[str]:
         """Return the members that are granted away."""
@@ -59,7 +64,7 @@
             members.pop(instance_id, None)
         else:
             members[instance_id] = member
-        return PoolRow(members)
+        return attrs.evolve(self, members=members)
 
     def to_json(self) -> JsonObject:
         """Return the row's value."""
--- a/src/streamthread/fleet/service.py
+++ b/src/streamthread/fleet/service.py
@@ -98,6 +98,7 @@
         settings: FleetSettings,
         reports: t.Callable[[str, str], DrainReport | None],
         spread_soon: t.Callable[[], None],
+        clock_s: t.Callable[[], float] = time.monotonic,
     ) -> None:
         super().__init__()
         self.catalog = Catalog()
@@ -111,7 +112,8 @@
         self._settings = settings
         self._reports = reports
         self._spread_soon = spread_soon
-        self._drains = DrainTracker(settings.drain_limit_s)
+        self._clock_s = clock_s
+        self._drains = DrainTracker(settings.drain_limit_s, clock_s)
         self._loaded: dict[str, _LoadedPool] = {}
         self._membership_cursor = 0
         self._membership_at_s: float | None = None
@@ -158,7 +160,7 @@
         """Read what changed in the membership list."""
         changes = await self._platform.membership.changes(self._membership_cursor)
         self._membership_cursor = changes.cursor
-        self._membership_at_s = time.monotonic()
+        self._membership_at_s = self._clock_s()
         for instance in changes.instances:
             self.catalog.put(instance)
 
@@ -166,7 +168,7 @@
         """Whether the membership list was read lately."""
         if self._membership_at_s is None:
             return False
-        return time.monotonic() - self._membership_at_s < self._settings.stale_s
+        return self._clock_s() - self._membership_at_s < self._settings.stale_s
 
     # The loop over the pools held here.
 
@@ -195,16 +197,27 @@
         return held
 
     async def _decide(self, name: str) -> None:
+        """Decide about one pool; a grant is decided on a list read just now."""
         fence = self._leases.fence(pool_key(name))
         loaded = self._loaded.get(name)
-        if loaded is None or loaded.fence != fence:
+        if loaded is None or loaded.fence != fence or self._is_behind(name, loaded):
             loaded = await self._load(name, fence)
-        snapshot = self.snapshot(name, loaded.row)
-        steps = decide_pool(snapshot)
+        if loaded.row.generation > self._configuration.book.generation:
+            await self._configuration.poll_once()
+            return
+        steps = decide_pool(self.snapshot(name, loaded.row))
+        if any(step.kind == StepKind.DRAIN for step in steps):
+            await self.poll_membership()
+            steps = decide_pool(self.snapshot(name, loaded.row))
         if steps:
             await self._carry_out(name, steps)
         await self._request_reboots(name)
 
+    def _is_behind(self, name: str, loaded: _LoadedPool) -> bool:
+        """Whether another holder has moved an instance into the pool."""
+        view = self.views.view(name)
+        return view is not None and view.version > loaded.version
+
     async def _load(self, name: str, fence: Fence) -> _LoadedPool:
         key = pool_key(name)
         rows = await self._platform.tables.get([key])
@@ -222,7 +235,7 @@
             else:
                 self._drains.forget(instance_id)
             if member.state is MemberState.REBOOTING:
-                self._rebooting_since_s.setdefault(instance_id, time.monotonic())
+                self._rebooting_since_s.setdefault(instance_id, self._clock_s())
             else:
                 self._rebooting_since_s.pop(instance_id, None)
         if loaded.version != ABSENT:
@@ -315,7 +328,7 @@
             wanted_by=tuple(self._wanted_by(instance_id)),
             better_pool=should_leave_for(current, self._matching(instance_id, needs)),
             matches_pool=matches,
-            overdue=since_s is not None and time.monotonic() - since_s > limit_s,
+            overdue=since_s is not None and self._clock_s() - since_s > limit_s,
         )
 
     def _wanted_by(self, instance_id: str) -> t.Iterator[str]:
@@ -344,12 +357,16 @@
             if name in self._loaded:
                 await self._commit_leave(name, step)
 
+    def _stamped(self, row: PoolRow) -> PoolRow:
+        """Return a row that says which generation decided."""
+        return attrs.evolve(row, generation=self._configuration.book.generation)
+
     async def _commit_members(self, name: str, steps: list[Step]) -> None:
         loaded = self._loaded[name]
         joins = [step.instance_id for step in steps if step.kind == StepKind.JOIN]
         rows = await self._instance_rows(joins)
         writes: list[Write] = []
-        row = loaded.row
+        row = self._stamped(loaded.row)
         done: list[Step] = []
         for step in steps:
             if step.kind == StepKind.JOIN:
@@ -374,7 +391,7 @@
         loaded = self._loaded[name]
         key, target_key = instance_key(step.instance_id), pool_key(step.move_to)
         rows = await self._platform.tables.get([key, target_key])
-        row = loaded.row.with_member(step.instance_id, None)
+        row = self._stamped(loaded.row.with_member(step.instance_id, None))
         writes = [
             Write(pool_key(name), row.to_json(), loaded.version),
             _assign(step.instance_id, step.move_to, rows.get(key)),
@@ -386,7 +403,7 @@
                 target = PoolRow.from_json(rows[target_key].value)
                 target_version = rows[target_key].version
             member = Member(boot=loaded.row.members[step.instance_id].boot)
-            target = target.with_member(step.instance_id, member)
+            target = self._stamped(target.with_member(step.instance_id, member))
             writes.append(Write(target_key, target.to_json(), target_version))
         committed = await self._commit(name, loaded, row, tuple(writes), [step])
         if committed and step.move_to:
--- a/src/streamthread/leases/committer.py
+++ b/src/streamthread/leases/committer.py
@@ -3,6 +3,7 @@
 import asyncio
 import random
 import time
+import typing as t
 
 import attrs
 
@@ -45,11 +46,20 @@
     sent again: its conditions let it take effect at most once.
 
     :param give_up_s: after this it stays UNKNOWN.
+    :param clock_s: monotonic; replaced, like ``sleep``, in tests.
     """
 
-    def __init__(self, tables: Tables, give_up_s: float = 30.0) -> None:
+    def __init__(
+        self,
+        tables: Tables,
+        give_up_s: float = 30.0,
+        clock_s: t.Callable[[], float] = time.monotonic,
+        sleep: t.Callable[[float], t.Awaitable[None]] = asyncio.sleep,
+    ) -> None:
         self._tables = tables
         self._give_up_s = give_up_s
+        self._clock_s = clock_s
+        self._sleep = sleep
 
     async def commit(
         self, transaction: Transaction, give_up_s: float | None = None
@@ -62,20 +72,20 @@
         if result.outcome is not CommitOutcome.UNKNOWN:
             return result
         limit_s = self._give_up_s if give_up_s is None else give_up_s
-        return await self._settle(transaction, time.monotonic() + limit_s)
+        return await self._settle(transaction, self._clock_s() + limit_s)
 
     async def _settle(
         self, transaction: Transaction, give_up_at_s: float
     ) -> CommitResult:
         backoff = Backoff()
-        while time.monotonic() < give_up_at_s:
+        while self._clock_s() < give_up_at_s:
             try:
                 result = await self._look(transaction)
             except StoreUnavailableError:
                 result = None
             if result is not None:
                 return result
-            await asyncio.sleep(backoff.next_s())
+            await self._sleep(backoff.next_s())
         return CommitResult(CommitOutcome.UNKNOWN)
 
     async def _look(self, transaction: Transaction) -> CommitResult | None:
--- a/src/streamthread/leases/service.py
+++ b/src/streamthread/leases/service.py
@@ -67,11 +67,14 @@
         recorder: Recorder,
         record: LeaseRecord,
         settings: LeaseSettings,
+        clock_s: t.Callable[[], float] = time.monotonic,
+        committer: Committer | None = None,
     ) -> None:
         super().__init__()
         self.record = record
         self.settings = settings
-        self.committer = Committer(tables)
+        self.committer = committer or Committer(tables)
+        self._clock_s = clock_s
         self._tables = tables
         self._recorder = recorder
         self._observer = LeaseObserver(settings.term_s)
@@ -113,7 +116,7 @@
 
     def is_trusted(self) -> bool:
         """Whether this daemon may still rely on its own lease."""
-        return time.monotonic() < self._trusted_until_s
+        return self._clock_s() < self._trusted_until_s
 
     def held_shards(self) -> dict[int, int]:
         """Return the held shards and their epochs."""
@@ -146,7 +149,7 @@
             self._observer.interrupt()
 
     async def _renew(self) -> bool:
-        sent_at_s = time.monotonic()
+        sent_at_s = self._clock_s()
         self.record = attrs.evolve(self.record, counter=self.record.counter + 1)
         key = LEASE_PREFIX + self.record.daemon_id
         write = Write(key, cattrs.unstructure(self.record), self._lease_version)
@@ -167,7 +170,7 @@
     async def _read_and_act(self) -> None:
         lease_rows = await self._tables.scan_all(LEASE_PREFIX)
         shard_rows = await self._tables.scan_all(SHARD_PREFIX)
-        now_s = time.monotonic()
+        now_s = self._clock_s()
         records = [cattrs.structure(row.value, LeaseRecord) for row in lease_rows]
         self._observer.observe(records, now_s)
         self._live = self._observer.live(now_s)
--- /dev/null
+++ b/src/streamthread/maintenance/tests/test_decide.py
@@ -0,0 +1,156 @@
+"""The decision about one pool: budgets, waves, halls."""
+
+import attrs
+import hypothesis
+import hypothesis.strategies as st
+
+from streamthread.fleet import Member
+from streamthread.fleet import MemberState
+from streamthread.fleet import PoolRow
+from streamthread.maintenance import decide_pool
+from streamthread.maintenance import InstanceFacts
+from streamthread.maintenance import PoolSnapshot
+from streamthread.maintenance import StepKind
+from streamthread.maintenance import wave_limit
+from streamthread.maintenance import WaveFacts
+from streamthread.maintenance import WaveProgress
+
+WAVE = "wave/w"
+
+members = st.builds(
+    Member,
+    state=st.sampled_from(MemberState),
+    purpose=st.sampled_from(["", WAVE, "hold/h", "move/x", "move/"]),
+    boot=st.just(1),
+    done=st.sampled_from([(), (WAVE,)]),
+)
+facts = st.builds(
+    InstanceFacts,
+    live=st.booleans(),
+    boot=st.integers(1, 2),
+    hall=st.sampled_from(["hann", "plateau"]),
+    rack=st.just("r"),
+    idle=st.booleans(),
+    wanted_by=st.sampled_from([(), (WAVE,), ("hold/h",), ("hold/h", WAVE)]),
+    better_pool=st.sampled_from(["", "x"]),
+    matches_pool=st.booleans(),
+    overdue=st.booleans(),
+)
+
+
+@st.composite
+def snapshots(draw: st.DrawFn) -> PoolSnapshot:
+    count = draw(st.integers(0, 8))
+    names = [f"i{number}" for number in range(count)]
+    return PoolSnapshot(
+        name="p",
+        row=PoolRow({name: draw(members) for name in names}),
+        min_available=draw(st.integers(0, 6)),
+        target=0,
+        facts={name: draw(facts) for name in names},
+        waves={WAVE: WaveFacts(draw(st.booleans()), 0.1)},
+        fresh=draw(st.booleans()),
+    )
+
+
+def _after(snapshot: PoolSnapshot) -> PoolRow:
+    row = snapshot.row
+    for step in decide_pool(snapshot):
+        row = row.with_member(step.instance_id, step.member)
+    return row
+
+
+def _available(snapshot: PoolSnapshot, row: PoolRow) -> int:
+    return sum(
+        member.state is MemberState.SERVING and snapshot.facts[name].live
+        for name, member in row.members.items()
+    )
+
+
+def _pool(count: int, min_available: int, **changes: object) -> PoolSnapshot:
+    names = [f"i{number}" for number in range(count)]
+    snapshot = PoolSnapshot(
+        name="p",
+        row=PoolRow({name: Member(boot=1) for name in names}),
+        min_available=min_available,
+        target=0,
+        facts={
+            name: InstanceFacts(True, 1, "hann", "r", wanted_by=(WAVE,))
+            for name in names
+        },
+        waves={WAVE: WaveFacts()},
+    )
+    return attrs.evolve(snapshot, **changes)  # type: ignore[arg-type]
+
+
+class TestBudget:
+    @hypothesis.given(snapshots())
+    def test_grants_never_leave_less_than_the_budget(
+        self, snapshot: PoolSnapshot
+    ) -> None:
+        granted = [
+            step
+            for step in decide_pool(snapshot)
+            if step.kind == StepKind.DRAIN and snapshot.facts[step.instance_id].live
+        ]
+        if granted:
+            assert _available(snapshot, _after(snapshot)) >= snapshot.min_available
+
+    @hypothesis.given(snapshots())
+    def test_nothing_is_granted_on_a_stale_membership_list(
+        self, snapshot: PoolSnapshot
+    ) -> None:
+        stale = attrs.evolve(snapshot, fresh=False)
+        kinds = {step.kind for step in decide_pool(stale)}
+        assert StepKind.DRAIN not in kinds
+
+    @hypothesis.given(snapshots())
+    def test_only_idle_instances_are_rebooted_or_moved(
+        self, snapshot: PoolSnapshot
+    ) -> None:
+        for step in decide_pool(snapshot):
+            if step.kind in (StepKind.REBOOT, StepKind.MOVE, StepKind.LEAVE):
+                assert snapshot.facts[step.instance_id].idle
+
+    def test_lost_instance_is_granted_although_nothing_is_left(self) -> None:
+        snapshot = _pool(2, 2)
+        lost = attrs.evolve(snapshot.facts["i1"], live=False)
+        snapshot = attrs.evolve(snapshot, facts={**snapshot.facts, "i1": lost})
+        steps = decide_pool(snapshot)
+        assert [step.instance_id for step in steps] == ["i1"]
+
+
+class TestWave:
+    def test_begins_with_one_and_doubles(self) -> None:
+        assert wave_limit(WaveProgress(0, 0, 0), 0.1) == 1
+        assert wave_limit(WaveProgress(1, 0, 0), 0.1) == 2
+        assert wave_limit(WaveProgress(3, 0, 0), 0.1) == 4
+
+    def test_halts_when_the_canary_does_not_come_back(self) -> None:
+        assert wave_limit(WaveProgress(0, 1, 1), 0.1) == 0
+
+    def test_goes_on_below_the_allowed_fraction(self) -> None:
+        assert wave_limit(WaveProgress(20, 1, 1), 0.1) > 0
+
+    def test_takes_one_hall_at_a_time(self) -> None:
+        halls = {"i0": "hann", "i1": "plateau", "i2": "hann"}
+        snapshot = _pool(3, 0)
+        row = snapshot.row.with_member("i0", Member(boot=1, done=(WAVE,)))
+        snapshot = attrs.evolve(
+            snapshot,
+            row=row,
+            facts={
+                name: attrs.evolve(known, hall=halls[name])
+                for name, known in snapshot.facts.items()
+            },
+        )
+        assert [step.instance_id for step in decide_pool(snapshot)] == ["i2"]
+
+    def test_paused_wave_grants_nothing_and_ends_what_it_began(self) -> None:
+        away = Member(MemberState.REBOOTING, WAVE, 1)
+        snapshot = _pool(3, 0, waves={WAVE: WaveFacts(paused=True)})
+        snapshot = attrs.evolve(snapshot, row=snapshot.row.with_member("i0", away))
+        back = attrs.evolve(snapshot.facts["i0"], boot=2)
+        snapshot = attrs.evolve(snapshot, facts={**snapshot.facts, "i0": back})
+        (step,) = decide_pool(snapshot)
+        assert (step.kind, step.instance_id) == (StepKind.RETURN, "i0")
--- /dev/null
+++ b/tools/guard_list.py
@@ -0,0 +1,119 @@
+"""The guards of the promises, and the tests that prove them."""
+
+import attrs
+
+__all__ = ["GUARDS", "Guard"]
+
+INTERLEAVINGS = "tests/test_fleet_interleavings.py"
+OWNERSHIP = "tests/test_ownership.py"
+
+
+@attrs.frozen
+class Guard:
+    """A piece of the product, and what stands there without it.
+
+    :param file: below ``src/streamthread``.
+    """
+
+    name: str
+    file: str
+    present: str
+    without: str
+    tests: tuple[str, ...]
+
+
+GUARDS = (
+    Guard(
+        "budget",
+        "maintenance/budgets.py",
+        "return max(0, self.available - self.min_available)",
+        "return self.available",
+        (INTERLEAVINGS,),
+    ),
+    Guard(
+        "grant-on-fresh-list",
+        "fleet/service.py",
+        "            await self.poll_membership()\n"
+        "            steps = decide_pool(self.snapshot(name, loaded.row))\n",
+        "            pass\n",
+        (f"{OWNERSHIP}::TestPools",),
+    ),
+    Guard(
+        "one-pool-row",
+        "fleet/service.py",
+        'if known is not None and known.value["pool"]:',
+        "if False:",
+        (f"{OWNERSHIP}::TestPools",),
+    ),
+    Guard(
+        "row-versions",
+        "platform/memory.py",
+        "            (write.key, write.expected_version) for write in "
+        "transaction.writes\n",
+        "",
+        (f"{OWNERSHIP}::TestPools",),
+    ),
+    Guard(
+        "newer-generation-decides",
+        "fleet/service.py",
+        "if loaded.row.generation > self._configuration.book.generation:",
+        "if False:",
+        (f"{OWNERSHIP}::TestPools",),
+    ),
+    Guard(
+        "epoch-fence",
+        "fleet/service.py",
+        "transaction = Transaction(writes, (loaded.fence,))",
+        "transaction = Transaction(writes)",
+        (f"{OWNERSHIP}::TestLateWrite",),
+    ),
+    Guard(
+        "observation-break",
+        "leases/observer.py",
+        "        if self._was_broken(now_s):\n            self._sightings.clear()\n",
+        "",
+        (f"{OWNERSHIP}::TestStoreOutage",),
+    ),
+    Guard(
+        "own-lease-margin",
+        "leases/service.py",
+        "lasts_s = self.settings.term_s - self.settings.margin_s",
+        "lasts_s = self.settings.term_s * 10",
+        (f"{OWNERSHIP}::TestShards",),
+    ),
+    Guard(
+        "settle-by-token",
+        "leases/committer.py",
+        "return row is not None and row.token == transaction.token",
+        "return False",
+        ("src/streamthread/leases/tests/test_committer.py",),
+    ),
+    Guard(
+        "unsafe-parked",
+        "jobs/service.py",
+        "state = JobState.QUEUED if job.spec.repeat_safe else JobState.PARKED",
+        "state = JobState.QUEUED",
+        (f"{OWNERSHIP}::TestUnsafeJob",),
+    ),
+    Guard(
+        "generations-only-up",
+        "configuration/book.py",
+        "if snapshot.generation <= self.generation:",
+        "if False:",
+        ("src/streamthread/configuration/tests/test_book.py",),
+    ),
+    Guard(
+        "digest-follows",
+        "configuration/book.py",
+        "if step.digest != next_digest(self.digest, step.changes):",
+        "if False:",
+        ("src/streamthread/configuration/tests/test_book.py",),
+    ),
+    Guard(
+        "operators-conflict",
+        "configuration/service.py",
+        "        if changed:\n            raise ConflictError(",
+        "        if False:\n            raise ConflictError(",
+        ("src/streamthread/configuration/tests/test_service.py",),
+    ),
+)
--- /dev/null
+++ b/tools/world.py
@@ -0,0 +1,217 @@
+"""Several daemons' deciding slices over one table service, on a fake clock.
+
+No sockets and no tasks of their own: a test says which daemon does what next,
+which commit is held back, and which answer is lost.
+"""
+
+import asyncio
+import typing as t
+
+import attrs
+
+from streamthread.configuration import Change
+from streamthread.configuration import ConfigurationService
+from streamthread.configuration import Proposal
+from streamthread.errors import StoreUnavailableError
+from streamthread.fleet import DrainReport
+from streamthread.fleet.service import FleetService
+from streamthread.fleet.service import FleetSettings
+from streamthread.jobs.service import JobService
+from streamthread.jobs.service import JobSettings
+from streamthread.leases import Committer
+from streamthread.leases import LeaseRecord
+from streamthread.leases import LeaseService
+from streamthread.leases import LeaseSettings
+from streamthread.peers.rumors import RumorBook
+from streamthread.platform import CommitOutcome
+from streamthread.platform import CommitResult
+from streamthread.platform import memory_platform
+from streamthread.platform import MemoryMembership
+from streamthread.platform import MemoryTables
+from streamthread.platform import MemoryWorkers
+from streamthread.platform import Platform
+from streamthread.platform import Row
+from streamthread.platform import Tables
+from streamthread.platform import Transaction
+from streamthread.timeline import Recorder
+
+__all__ = ["Daemon", "FakeClock", "FaultyTables", "World"]
+
+LEASES = LeaseSettings(shard_count=4, renew_s=1.0, term_s=8.0, margin_s=2.0)
+
+
+class FakeClock:
+    """A monotonic clock that tests move."""
+
+    def __init__(self) -> None:
+        self.now_s = 1000.0
+
+    def __call__(self) -> float:
+        """Return the time."""
+        return self.now_s
+
+    async def sleep(self, pause_s: float) -> None:
+        """Move on instead of waiting."""
+        self.now_s += pause_s
+        await asyncio.sleep(0)
+
+
+Observer = t.Callable[["FaultyTables", Transaction], None]
+
+
+class FaultyTables(Tables):
+    """One daemon's way to the shared tables.
+
+    :param before: called with each transaction when the daemon sends it.
+    """
+
+    def __init__(self, tables: MemoryTables, before: Observer) -> None:
+        self.down = False
+        self.lose_replies = 0
+        self.hold_next = False
+        self.held: asyncio.Future[None] | None = None
+        self._tables = tables
+        self._before = before
+
+    async def get(self, keys: t.Sequence[str]) -> dict[str, Row]:
+        """Read, unless the way is down."""
+        self._refuse_if_down()
+        return await self._tables.get(keys)
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 500) -> list[Row]:
+        """Read, unless the way is down."""
+        self._refuse_if_down()
+        return await self._tables.scan(prefix, after, limit)
+
+    async def commit(self, transaction: Transaction) -> CommitResult:
+        """Commit, perhaps late, perhaps without an answer."""
+        self._refuse_if_down()
+        self._before(self, transaction)
+        if self.hold_next:
+            self.hold_next = False
+            self.held = asyncio.get_running_loop().create_future()
+            await self.held
+        result = await self._tables.commit(transaction)
+        if self.lose_replies > 0:
+            self.lose_replies -= 1
+            return CommitResult(CommitOutcome.UNKNOWN)
+        return result
+
+    def release(self) -> None:
+        """Deliver the commit that is held back."""
+        if self.held is not None and not self.held.done():
+            self.held.set_result(None)
+        self.held = None
+
+    def _refuse_if_down(self) -> None:
+        if self.down:
+            raise StoreUnavailableError("down", remedy="wait")
+
+
+@attrs.define
+class Daemon:
+    """The deciding slices of one daemon."""
+
+    tables: FaultyTables
+    leases: LeaseService
+    configuration: ConfigurationService
+    fleet: FleetService
+    jobs: JobService
+    rumors: RumorBook
+    recorder: Recorder
+    running: "asyncio.Task[None] | None" = None
+
+
+class World:
+    """Shared platform and clock, and the daemons on it."""
+
+    def __init__(self, daemons: int, before: Observer = lambda way, sent: None) -> None:
+        self.clock = FakeClock()
+        self.platform = memory_platform()
+        self.tables = t.cast(MemoryTables, self.platform.tables)
+        self.membership = t.cast(MemoryMembership, self.platform.membership)
+        self.workers = t.cast(MemoryWorkers, self.platform.workers)
+        self._before = before
+        self.daemons = [self._make(f"entry-{number}") for number in range(daemons)]
+
+    def _make(self, name: str) -> Daemon:
+        way = FaultyTables(self.tables, self._before)
+        platform = Platform(way, self.platform.objects, self.membership, self.workers)
+        recorder = Recorder(name)
+        record = LeaseRecord(name, f"run-{name}", 0, "", "", "plateau")
+        committer = Committer(way, 5.0, self.clock, self.clock.sleep)
+        leases = LeaseService(way, recorder, record, LEASES, self.clock, committer)
+        configuration = ConfigurationService(platform, committer, recorder, 1.0)
+        rumors = RumorBook()
+        fleet = FleetService(
+            platform,
+            leases,
+            configuration,
+            recorder,
+            rumors,
+            FleetSettings(drain_limit_s=0.0),
+            self._report,
+            lambda: None,
+            self.clock,
+        )
+        jobs = JobService(
+            platform,
+            leases,
+            configuration,
+            recorder,
+            fleet.catalog,
+            fleet.views,
+            JobSettings(),
+        )
+        fleet.busy = jobs.is_busy
+        return Daemon(way, leases, configuration, fleet, jobs, rumors, recorder)
+
+    @staticmethod
+    def _report(daemon_id: str, instance_id: str) -> DrainReport | None:
+        return DrainReport(10**9, 0)
+
+    def gossip(self) -> None:
+        """Have everybody hear every rumor."""
+        for teller in self.daemons:
+            for hearer in self.daemons:
+                for rumor in teller.rumors.news_for("nobody", 0):
+                    hearer.rumors.offer(rumor)
+
+    async def renew(self, daemon: Daemon) -> None:
+        """Run one lease cycle and one read of the configuration."""
+        await daemon.leases.cycle()
+        try:
+            await daemon.configuration.poll_once()
+        except StoreUnavailableError:
+            return
+
+    async def work(self, daemon: Daemon) -> None:
+        """Read membership, decide about the pools and the jobs held."""
+        try:
+            await daemon.fleet.poll_membership()
+        except StoreUnavailableError:
+            return
+        await daemon.fleet.tick()
+        await daemon.jobs.tick()
+
+    async def settle(self, rounds: int = 3) -> None:
+        """Let everybody renew, talk and work a few times."""
+        for _ in range(rounds):
+            self.clock.now_s += LEASES.renew_s
+            for daemon in self.daemons:
+                await self.renew(daemon)
+            self.gossip()
+            for daemon in self.daemons:
+                await self.work(daemon)
+            self.gossip()
+
+    async def apply(self, items: dict[str, t.Any], daemon: int = 0) -> int:
+        """Change the configuration through one daemon."""
+        service = self.daemons[daemon].configuration
+        changes = tuple(Change(key, value) for key, value in items.items())
+        return await service.propose(Proposal(10**9, changes))
+
+    async def rows(self, prefix: str) -> dict[str, Row]:
+        """Return the rows under a prefix, as they are."""
+        rows = await self.tables.scan_all(prefix)
+        return {row.key.removeprefix(prefix): row for row in rows}
