Prove the requests' and configuration's promises on real processes

Cause: the promises about requests, planned stops and configuration had no proof under failure.

Decisions about pools now follow changes (an agenda) instead of going over all pools each tick.

Found and mended: - The links that stood for the peers' ports were never used: entries advertised their own port, so cutting a link cut nothing. Entries now advertise the link. - A new entry could not find its peers while the store was down, since their addresses are lease rows: settings may name seeds. - The planned stop's own waiting was not what kept requests whole: the HTTP library's shutdown waited too. Its time is now 0.1 s, so the proof fails without the wait.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: one program each, JSON lines last."""
--- a/src/streamthread/configuration/book.py
+++ b/src/streamthread/configuration/book.py
@@ -68,7 +68,7 @@
         self.digest = EMPTY_DIGEST
         self.items: dict[str, JsonObject] = {}
         self.changed_at: dict[str, int] = {}
-        self._specs: dict[str, t.Any] = {}
+        self._specs: dict[ItemKind, dict[str, t.Any]] = {}
         self._log: collections.deque[Generation] = collections.deque(
             maxlen=GENERATIONS_KEPT
         )
@@ -117,27 +117,38 @@
 
     def spec(self, key: str, kind: type[S]) -> S | None:
         """Return one parsed item, or None if there is none."""
-        if key not in self.items:
-            return None
-        if key not in self._specs:
-            self._specs[key] = parse_item(key, self.items[key])
-        spec = self._specs[key]
+        item_kind, name = split_key(key)
+        spec = self._parsed(item_kind).get(name)
         return spec if isinstance(spec, kind) else None
 
-    def specs(self, item_kind: ItemKind, kind: type[S]) -> dict[str, S]:
-        """Return all parsed items of one kind by name, in order of name."""
-        prefix = f"{item_kind.value}/"
-        found: dict[str, S] = {}
-        for key in sorted(self.items):
-            if key.startswith(prefix):
-                spec = self.spec(key, kind)
-                if spec is not None:
-                    found[split_key(key)[1]] = spec
-        return found
+    def specs(self, item_kind: ItemKind, kind: type[S]) -> t.Mapping[str, S]:
+        """Return all parsed items of one kind by name, not to be changed."""
+        return self._parsed(item_kind)
+
+    def _parsed(self, item_kind: ItemKind) -> dict[str, t.Any]:
+        """Parse a kind's items once; later changes replace single ones."""
+        if item_kind not in self._specs:
+            prefix = f"{item_kind.value}/"
+            self._specs[item_kind] = {
+                key.removeprefix(prefix): parse_item(key, value)
+                for key, value in sorted(self.items.items())
+                if key.startswith(prefix)
+            }
+        return self._specs[item_kind]
+
+    def _replace_parsed(self, change: Change) -> None:
+        item_kind, name = split_key(change.key)
+        parsed = self._specs.get(item_kind)
+        if parsed is None:
+            return
+        if change.value is None:
+            parsed.pop(name, None)
+        else:
+            parsed[name] = parse_item(change.key, change.value)
 
     def _apply(self, change: Change, number: int) -> None:
         self.changed_at[change.key] = number
-        self._specs.pop(change.key, None)
+        self._replace_parsed(change)
         if change.value is None:
             self.items.pop(change.key, None)
         else:
--- a/src/streamthread/fleet/catalog.py
+++ b/src/streamthread/fleet/catalog.py
@@ -43,13 +43,17 @@
         self._setters: dict[str, LabelSetter] = {}
         self._selectors: dict[str, Selector] = {}
         self._matches: dict[str, set[str]] = collections.defaultdict(set)
+        self._matched_by: dict[str, set[str]] = collections.defaultdict(set)
 
-    def put(self, instance: Instance) -> None:
-        """Add or replace an instance."""
+    def put(self, instance: Instance) -> bool:
+        """Add or replace an instance; return whether anything changed."""
         known = self.instances.get(instance.instance_id)
+        if known == instance:
+            return False
         self.instances[instance.instance_id] = instance
         if known is None or instance_labels(known) != instance_labels(instance):
             self._relabel(instance)
+        return True
 
     def set_labels(self, rule: str, setter: LabelSetter | None) -> None:
         """Add, replace or (with None) remove a rule that sets labels."""
@@ -65,23 +69,34 @@
         """Add, replace or (with None) remove a watched selector."""
         if selector is None:
             self._selectors.pop(key, None)
-            self._matches.pop(key, None)
+            self._forget_matches(key)
             return
         known = self._selectors.get(key)
         if known is selector:
             return
         self._selectors[key] = selector
-        self._matches[key] = {
-            instance_id
-            for instance_id, labels in self._labels.items()
-            if selector.matches(labels)
-        }
+        self._forget_matches(key)
+        for instance_id, labels in self._labels.items():
+            if selector.matches(labels):
+                self._note_match(key, instance_id)
         self.evaluations += len(self._labels)
 
+    def _forget_matches(self, key: str) -> None:
+        for instance_id in self._matches.pop(key, ()):
+            self._matched_by[instance_id].discard(key)
+
+    def _note_match(self, key: str, instance_id: str) -> None:
+        self._matches[key].add(instance_id)
+        self._matched_by[instance_id].add(key)
+
     def matching(self, key: str) -> t.AbstractSet[str]:
         """Return the ids that a watched selector matches."""
         return self._matches.get(key, frozenset())
 
+    def matched_by(self, instance_id: str) -> t.AbstractSet[str]:
+        """Return the keys of the watched selectors that match an instance."""
+        return self._matched_by.get(instance_id, frozenset())
+
     def labels(self, instance_id: str) -> t.Mapping[str, str]:
         """Return an instance's labels with all rules applied."""
         return self._labels.get(instance_id, {})
@@ -99,6 +114,7 @@
         self.evaluations += len(self._selectors)
         for key, selector in self._selectors.items():
             if selector.matches(labels):
-                self._matches[key].add(instance_id)
+                self._note_match(key, instance_id)
             else:
                 self._matches[key].discard(instance_id)
+                self._matched_by[instance_id].discard(key)
--- a/src/streamthread/fleet/service.py
+++ b/src/streamthread/fleet/service.py
@@ -8,7 +8,6 @@
 from mode import Service
 
 from ..configuration import ConfigurationService
-from ..configuration import HoldSpec
 from ..configuration import ItemKind
 from ..configuration import LabelRule
 from ..configuration import PoolSpec
@@ -37,6 +36,7 @@
 from ..platform import Transaction
 from ..platform import Write
 from ..timeline import Recorder
+from .agenda import Agenda
 from .assignment import best_pool
 from .assignment import PoolNeed
 from .assignment import should_leave_for
@@ -55,6 +55,8 @@
 __all__ = ["FleetService", "FleetSettings"]
 
 AREA = "fleet"
+POOL_PREFIX = "pool/"
+SELECTING = frozenset({ItemKind.POOL, ItemKind.WAVE, ItemKind.HOLD})
 JOINS_PER_STEP = MAX_ROWS_PER_TRANSACTION - 1
 
 
@@ -65,6 +67,7 @@
     :param stale_s: a membership list older than this counts as not heard.
     :param drain_limit_s: a silent daemon's requests have ended after this.
     :param reboot_limit_s: a reboot that takes longer counts as failed.
+    :param sweep_s: a pool is looked at so often even if nothing changed.
     """
 
     tick_s: float = 0.5
@@ -72,6 +75,7 @@
     stale_s: float = 10.0
     drain_limit_s: float = 45.0
     reboot_limit_s: float = 600.0
+    sweep_s: float = 30.0
 
 
 @attrs.frozen
@@ -118,6 +122,8 @@
         self._membership_cursor = 0
         self._membership_at_s: float | None = None
         self._rebooting_since_s: dict[str, float] = {}
+        self._agenda = Agenda(settings.sweep_s, clock_s)
+        self.views.listen(self._agenda.add)
         configuration.listen(self._on_configuration)
 
     # Configuration and membership.
@@ -127,13 +133,26 @@
         for key in sorted(book.items if keys is None else keys):
             kind, name = split_key(key)
             if kind is ItemKind.LABELS:
-                rule = book.spec(key, LabelRule)
-                self.catalog.set_labels(name, _label_setter(rule))
-            elif kind in (ItemKind.POOL, ItemKind.WAVE, ItemKind.HOLD):
-                spec = book.spec(key, object)
-                text = spec.selector if spec is not None else None  # type: ignore[attr-defined]
-                selector = None if text is None else Selector.parse(text)
-                self.catalog.watch(key, selector)
+                self.catalog.set_labels(name, _setter(book.spec(key, LabelRule)))
+                self._agenda.add_all()
+            elif kind in SELECTING:
+                self._note_touched(key)
+                self.catalog.watch(key, _selector(book.spec(key, object)))
+                self._note_touched(key)
+
+    def _note_touched(self, key: str) -> None:
+        """Look again at the pools that a changed item is about."""
+        kind, name = split_key(key)
+        if kind is ItemKind.POOL:
+            self._agenda.add(name)
+        for instance_id in self.catalog.matching(key):
+            self._note_instance(instance_id)
+
+    def _note_instance(self, instance_id: str) -> None:
+        self._agenda.add(self.views.pool_of(instance_id))
+        for key in self.catalog.matched_by(instance_id):
+            if key.startswith(POOL_PREFIX):
+                self._agenda.add(key.removeprefix(POOL_PREFIX))
 
     @Service.task
     async def _watch_membership(self) -> None:
@@ -162,7 +181,8 @@
         self._membership_cursor = changes.cursor
         self._membership_at_s = self._clock_s()
         for instance in changes.instances:
-            self.catalog.put(instance)
+            if self.catalog.put(instance):
+                self._note_instance(instance.instance_id)
 
     def membership_is_fresh(self) -> bool:
         """Whether the membership list was read lately."""
@@ -179,21 +199,25 @@
             await self.sleep(self._settings.tick_s)
 
     async def tick(self) -> None:
-        """Decide about every pool held here, once."""
-        for name in self._held_pools():
+        """Decide about the pools held here that may need it."""
+        held = self._held_pools()
+        for name in self._agenda.due(held):
             try:
                 await self._decide(name)
             except (NotHolderError, StoreUnavailableError) as error:
                 self.log.info("pool %s not decided: %s", name, error)
+                self._agenda.add(name)
                 if isinstance(error, StoreUnavailableError):
                     return
 
-    def _held_pools(self) -> list[str]:
+    def _held_pools(self) -> set[str]:
         configured = self._configuration.book.specs(ItemKind.POOL, PoolSpec)
-        names = set(configured) | {view.pool for view in self.views.all()}
-        held = [name for name in sorted(names) if self._leases.holds(pool_key(name))]
-        for name in set(self._loaded) - set(held):
+        names = configured.keys() | self.views.names()
+        held = {name for name in names if self._leases.holds(pool_key(name))}
+        for name in set(self._loaded) - held:
             del self._loaded[name]
+        for name in held - set(self._loaded):
+            self._agenda.add(name)
         return held
 
     async def _decide(self, name: str) -> None:
@@ -203,6 +227,7 @@
         if loaded is None or loaded.fence != fence or self._is_behind(name, loaded):
             loaded = await self._load(name, fence)
         if loaded.row.generation > self._configuration.book.generation:
+            self._agenda.add(name)
             await self._configuration.poll_once()
             return
         steps = decide_pool(self.snapshot(name, loaded.row))
@@ -212,6 +237,9 @@
         if steps:
             await self._carry_out(name, steps)
         await self._request_reboots(name)
+        loaded = self._loaded.get(name)
+        if steps or loaded is None or loaded.row.granted():
+            self._agenda.add(name)
 
     def _is_behind(self, name: str, loaded: _LoadedPool) -> bool:
         """Whether another holder has moved an instance into the pool."""
@@ -303,9 +331,9 @@
     def _matching(
         self, instance_id: str, needs: dict[str, PoolNeed]
     ) -> t.Iterator[PoolNeed]:
-        for name, need in needs.items():
-            if instance_id in self.catalog.matching(pool_key(name)):
-                yield need
+        for key in self.catalog.matched_by(instance_id):
+            if key.startswith(POOL_PREFIX):
+                yield needs[key.removeprefix(POOL_PREFIX)]
 
     def _is_live(self, instance_id: str) -> bool:
         instance = self.catalog.instances.get(instance_id)
@@ -331,13 +359,10 @@
             overdue=since_s is not None and self._clock_s() - since_s > limit_s,
         )
 
-    def _wanted_by(self, instance_id: str) -> t.Iterator[str]:
-        book = self._configuration.book
-        for kind, spec in ((ItemKind.HOLD, HoldSpec), (ItemKind.WAVE, WaveSpec)):
-            for name in book.specs(kind, spec):
-                key = f"{kind.value}/{name}"
-                if instance_id in self.catalog.matching(key):
-                    yield key
+    def _wanted_by(self, instance_id: str) -> list[str]:
+        """Return the holds, then the waves, that select an instance."""
+        keys = self.catalog.matched_by(instance_id)
+        return sorted(key for key in keys if not key.startswith(POOL_PREFIX))
 
     def _is_idle(self, instance_id: str) -> bool:
         if self.busy(instance_id):
@@ -471,12 +496,16 @@
             )
 
 
-def _label_setter(rule: LabelRule | None) -> LabelSetter | None:
+def _setter(rule: LabelRule | None) -> LabelSetter | None:
     if rule is None:
         return None
     return LabelSetter(Selector.parse(rule.selector), rule.set)
 
 
+def _selector(spec: t.Any) -> Selector | None:
+    return None if spec is None else Selector.parse(spec.selector)
+
+
 def _assign(instance_id: str, pool: str, known: Row | None) -> Write:
     version = known.version if known else ABSENT
     return Write(instance_key(instance_id), {"pool": pool}, version)
--- a/src/streamthread/fleet/views.py
+++ b/src/streamthread/fleet/views.py
@@ -39,8 +39,17 @@
         self._rumors = rumors
         self._views: dict[str, PoolView] = {}
         self._pool_of: dict[str, str] = {}
+        self._listeners: list[t.Callable[[str], None]] = []
         rumors.listen(self._on_rumor)
 
+    def listen(self, listener: t.Callable[[str], None]) -> None:
+        """Have a function called with the name of each pool that changed."""
+        self._listeners.append(listener)
+
+    def names(self) -> t.KeysView[str]:
+        """Return the names of all pools that were told of."""
+        return self._views.keys()
+
     def publish(self, pool: str, row: PoolRow, version: int) -> None:
         """Tell everybody of a row that was read or committed."""
         members = [
@@ -87,6 +96,8 @@
         for instance_id in states:
             self._pool_of[instance_id] = view.pool
         self._views[view.pool] = view
+        for listener in self._listeners:
+            listener(view.pool)
 
 
 def view_as_row(view: PoolView) -> PoolRow:
--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -1,6 +1,8 @@
 """Carries out decisions about the jobs of the pools that are held here."""
 
 import asyncio
+import collections
+import time
 import typing as t
 
 import attrs
@@ -53,10 +55,13 @@
 
 @attrs.frozen
 class JobSettings:
-    """Times of the jobs slice."""
+    """Times of the jobs slice.
+
+    :param sweep_s: queued jobs are looked at so often even if nothing changed.
+    """
 
     tick_s: float = 0.5
-    task_poll_s: float = 1.0
+    sweep_s: float = 5.0
 
 
 @attrs.define
@@ -67,14 +72,48 @@
 
 @attrs.define
 class _PoolJobs:
-    """The jobs of one pool, as loaded under one epoch."""
+    """The jobs of one pool, as loaded under one epoch.
+
+    :param changed: whether something changed since the last decision.
+    """
 
     fence: Fence
     jobs: dict[str, _Stored] = attrs.field(factory=dict)
+    current: set[str] = attrs.field(factory=set)
+    queued: set[str] = attrs.field(factory=set)
+    on_worker: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    changed: bool = True
+    decided_at_s: float = 0.0
     unconfirmed: set[str] = attrs.field(factory=set)
     stops: dict[tuple[str, int], bool] = attrs.field(factory=dict)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
 
+    def keep(self, job: Job, version: int) -> Job | None:
+        """Put a job in place of its earlier row; return that."""
+        job_id = job.spec.job_id
+        known = self.jobs.get(job_id)
+        if known is not None and known.job.state is JobState.STARTED:
+            self.on_worker[known.job.worker_id] -= 1
+        if job.state is JobState.STARTED:
+            self.on_worker[job.worker_id] += 1
+        self._index(self.queued, job_id, job.state is JobState.QUEUED)
+        self._index(self.current, job_id, not job.ended)
+        self.jobs[job_id] = _Stored(job, version)
+        self.changed = True
+        return known.job if known else None
+
+    @staticmethod
+    def _index(ids: set[str], job_id: str, belongs: bool) -> None:
+        if belongs:
+            ids.add(job_id)
+        else:
+            ids.discard(job_id)
+
+    def needs_decision(self, now_s: float, sweep_s: float) -> bool:
+        """Whether a decision could do anything."""
+        overdue = bool(self.queued) and now_s - self.decided_at_s >= sweep_s
+        return self.changed or overdue
+
 
 class JobService(Service):
     """Takes jobs in, places them, follows their attempts.
@@ -104,6 +143,7 @@
         self._pools: dict[str, _PoolJobs] = {}
         self._task_cursor = 0
         self._locks: dict[str, asyncio.Lock] = {}
+        views.listen(self._on_view)
 
     # What operators ask.
 
@@ -154,9 +194,7 @@
         jobs = self._pools.get(pool)
         if jobs is None:
             return False
-        if any(stored.job.worker_id == instance_id for stored in _started(jobs)):
-            return True
-        return bool(jobs.stops)
+        return jobs.on_worker[instance_id] > 0 or bool(jobs.stops)
 
     def _check_specs(self, pool: str, specs: t.Sequence[JobSpec]) -> None:
         if self._configuration.book.spec(pool_key(pool), PoolSpec) is None:
@@ -185,7 +223,7 @@
         jobs = _PoolJobs(fence)
         for row in rows:
             job = cattrs.structure(row.value, Job)
-            jobs.jobs[job.spec.job_id] = _Stored(job, row.version)
+            jobs.keep(job, row.version)
             if job.state is JobState.STARTED:
                 jobs.unconfirmed.add(job.spec.job_id)
             elif job.attempt and job.state is not JobState.DONE:
@@ -228,20 +266,31 @@
         async with self._lock(pool):
             jobs = await self._load_if_needed(pool)
             await self._commit(pool, jobs, _ended(jobs, tasks))
-            if self._pools.get(pool) is jobs:
+            if self._pools.get(pool) is jobs and self._is_due(jobs):
                 steps = decide_jobs(self._snapshot(pool, jobs))
                 await self._commit(pool, jobs, steps)
         await self._stop_tasks(jobs)
         await self._start_tasks(pool, jobs)
 
+    def _is_due(self, jobs: _PoolJobs) -> bool:
+        now_s = time.monotonic()
+        due = jobs.needs_decision(now_s, self._settings.sweep_s)
+        if due:
+            jobs.changed = False
+            jobs.decided_at_s = now_s
+        return due
+
+    def _on_view(self, pool: str) -> None:
+        jobs = self._pools.get(pool)
+        if jobs is not None:
+            jobs.changed = True
+
     def _snapshot(self, pool: str, jobs: _PoolJobs) -> JobsSnapshot:
         teams = self._configuration.book.specs(ItemKind.TEAM, TeamSpec)
         quotas = {
             name: spec.cores_quota for name, spec in teams.items() if spec.cores_quota
         }
-        current = tuple(
-            stored.job for stored in jobs.jobs.values() if not stored.job.ended
-        )
+        current = tuple(jobs.jobs[job_id].job for job_id in sorted(jobs.current))
         return JobsSnapshot(current, tuple(self._workers(pool, jobs)), quotas)
 
     def _workers(self, pool: str, jobs: _PoolJobs) -> t.Iterator[WorkerFacts]:
@@ -331,10 +380,9 @@
         job = step.job
         job_id = job.spec.job_id
         known = jobs.jobs.get(job_id)
-        version = (known.version if known else ABSENT) + 1
-        if known is not None and known.job.state is JobState.STARTED:
-            self._note_left_attempt(jobs, known.job, job)
-        jobs.jobs[job_id] = _Stored(job, version)
+        before = jobs.keep(job, (known.version if known else ABSENT) + 1)
+        if before is not None and before.state is JobState.STARTED:
+            self._note_left_attempt(jobs, before, job)
         if job.state is JobState.STARTED:
             jobs.unconfirmed.add(job_id)
         self._recorder.record(
@@ -420,12 +468,6 @@
             jobs.stops.pop(task, None)
 
 
-def _started(jobs: _PoolJobs) -> t.Iterator[_Stored]:
-    for stored in jobs.jobs.values():
-        if stored.job.state is JobState.STARTED:
-            yield stored
-
-
 def _ended(jobs: _PoolJobs, tasks: t.Iterable[Task]) -> list[JobStep]:
     """Return the rows to replace because their attempts have ended."""
     steps: list[JobStep] = []
--- a/src/streamthread/peers/service.py
+++ b/src/streamthread/peers/service.py
@@ -45,6 +45,8 @@
 
     :param fanout: how many peers one round reaches.
     :param min_gap_s: rounds that news start come no faster than this.
+    :param seeds: addresses to ask while no lease names a peer, so that an entry
+        that is new while the store is down finds the others.
     """
 
     key: str
@@ -54,6 +56,7 @@
     fanout: int = 2
     min_gap_s: float = 0.2
     timeout_s: float = 2.0
+    seeds: tuple[str, ...] = ()
 
 
 @attrs.define
@@ -163,11 +166,20 @@
         """Exchange with some peers at once."""
         for update in self._before_round:
             update()
-        peers = self._peers()
+        peers = self._peers() or self._seeds()
         self._drop_links({peer.daemon_id for peer in peers})
         chosen = self._random.sample(peers, min(fanout, len(peers)))
         await asyncio.gather(*(self._try_exchange(peer) for peer in chosen))
 
+    def _seeds(self) -> list[LeaseRecord]:
+        """Return the seeds as if they held leases; their names are not known."""
+        own = f"{self.settings.host}:{self.port}"
+        return [
+            LeaseRecord(f"seed/{address}", "", 0, address, "", "")
+            for address in self.settings.seeds
+            if address != own
+        ]
+
     async def _try_exchange(self, peer: LeaseRecord) -> None:
         try:
             await self.exchange(peer)
--- a/src/streamthread/requests/service.py
+++ b/src/streamthread/requests/service.py
@@ -37,6 +37,8 @@
 CHUNK_BYTES = 64 * 1024
 KEPT_ANSWER_BYTES = 4096
 CONNECT_TIMEOUT_S = 1.0
+SHUTDOWN_TIMEOUT_S = 0.1
+"""After :meth:`RequestService.finish` has waited, nothing should be left."""
 
 _DROPPED_HEADERS = frozenset(
     {
@@ -103,7 +105,12 @@
         )
         app = web.Application(client_max_size=MAX_BODY_BYTES)
         app.router.add_route("*", "/services/{service}/{path:.*}", self._handle_counted)
-        self._runner = web.AppRunner(app, access_log=None, handle_signals=False)
+        self._runner = web.AppRunner(
+            app,
+            access_log=None,
+            handle_signals=False,
+            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+        )
         await self._runner.setup()
         self._site = web.TCPSite(self._runner, self._host, self.port)
         await self._site.start()
--- a/src/streamthread/standins/proxy.py
+++ b/src/streamthread/standins/proxy.py
@@ -40,12 +40,14 @@
 
 
 class Link:
-    """One listening port and its target."""
+    """One listening port and its target, which may be named later."""
 
-    def __init__(self, target_host: str, target_port: int) -> None:
+    def __init__(self) -> None:
         self.faults = LinkFaults()
         self.port = 0
-        self._target = (target_host, target_port)
+        self.bytes_to_target = 0
+        self.bytes_of_answers = 0
+        self._target = ("", 0)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -54,6 +56,10 @@
         self._server = await asyncio.start_server(self._accept, host, 0)
         self.port = self._server.sockets[0].getsockname()[1]
 
+    def set_target(self, host: str, port: int) -> None:
+        """Name the target of new connections."""
+        self._target = (host, port)
+
     def set_faults(self, faults: LinkFaults) -> None:
         """Change the faults; a cut resets what is open."""
         self.faults = faults
@@ -93,6 +99,12 @@
                 self._writers.discard(side)
                 side.close()
 
+    def _count(self, size_bytes: int, answers: bool) -> None:
+        if answers:
+            self.bytes_of_answers += size_bytes
+        else:
+            self.bytes_to_target += size_bytes
+
     async def _pump(
         self,
         reader: asyncio.StreamReader,
@@ -110,6 +122,7 @@
                 if answers and faults.half_close:
                     break
                 passed += len(block)
+                self._count(len(block), answers)
                 limit = faults.reset_after_bytes
                 if answers and limit and passed > limit:
                     writer.transport.abort()
@@ -133,6 +146,7 @@
     async def on_start(self) -> None:
         """Open the control port."""
         app = web.Application()
+        app.router.add_get("/links", self._list)
         app.router.add_post("/links/{name}", self._create)
         app.router.add_post("/links/{name}/faults", self._set_faults)
         self._runner = web.AppRunner(app, access_log=None, handle_signals=False)
@@ -147,11 +161,28 @@
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def _list(self, request: web.Request) -> web.Response:
+        """Return how many bytes each link has carried."""
+        return web.json_response(
+            {
+                name: {
+                    "bytes_to_target": link.bytes_to_target,
+                    "bytes_of_answers": link.bytes_of_answers,
+                }
+                for name, link in self.links.items()
+            }
+        )
+
     async def _create(self, request: web.Request) -> web.Response:
+        """Create a link, or name the target of one."""
         body: JsonObject = await request.json()
-        link = Link(body["host"], body["port"])
-        await link.start(self._host)
-        self.links[request.match_info["name"]] = link
+        name = request.match_info["name"]
+        if name not in self.links:
+            self.links[name] = Link()
+            await self.links[name].start(self._host)
+        link = self.links[name]
+        if "port" in body:
+            link.set_target(body["host"], body["port"])
         return web.json_response({"port": link.port})
 
     async def _set_faults(self, request: web.Request) -> web.Response:
--- /dev/null
+++ b/tests/integration/test_holders.py
@@ -0,0 +1,115 @@
+"""Real entries that hold shards are killed, paused, or lose replies."""
+
+import asyncio
+
+from tools.processes import Cluster
+from tools.processes import eventually
+
+from tests.integration.support import all_shards_held
+from tests.integration.support import holder_of_pool
+from tests.integration.support import members_by_pool
+from tests.integration.support import MIN_AVAILABLE
+from tests.integration.support import renew
+from tests.integration.support import RUNNERS
+from tests.integration.support import served_cluster
+from tests.integration.support import SERVICE
+from tests.integration.support import start_wave
+from tests.integration.support import wave_done
+
+
+class BudgetWatch:
+    """Follows what the platform itself lists as live, and the pool's row."""
+
+    def __init__(self, cluster: Cluster, entry: int) -> None:
+        self.lowest = RUNNERS
+        self._cluster = cluster
+        self._entry = entry
+        self._task = asyncio.create_task(self._watch())
+
+    async def _watch(self) -> None:
+        while True:
+            report = await self._cluster.pool(SERVICE, self._entry)
+            self.lowest = min(self.lowest, report["available"])
+            await asyncio.sleep(0.02)
+
+    async def stop(self) -> int:
+        self._task.cancel()
+        await asyncio.gather(self._task, return_exceptions=True)
+        return self.lowest
+
+
+class TestHolderFailures:
+    async def test_killed_holder_of_a_wave_is_replaced_and_the_wave_ends(self) -> None:
+        async with served_cluster(entries=3) as cluster:
+            holder = await holder_of_pool(cluster)
+            others = [entry for entry in range(3) if entry != holder]
+            watch = BudgetWatch(cluster, others[0])
+            await start_wave(cluster, entry=others[0])
+            await eventually(lambda: _any_away(cluster, others[0]))
+            await cluster.entries[holder].kill()
+            await eventually(lambda: all_shards_held(cluster, others))
+            await eventually(lambda: wave_done(cluster, others[0]), 40)
+            assert await watch.stop() >= MIN_AVAILABLE
+            assert len((await members_by_pool(cluster))[SERVICE]) == RUNNERS
+
+    async def test_paused_holder_that_wakes_changes_nothing_it_no_longer_holds(
+        self,
+    ) -> None:
+        """Its way to the store is slow, so its write arrives after the pause."""
+        async with served_cluster(entries=3, proxied=True) as cluster:
+            holder = await holder_of_pool(cluster)
+            others = [entry for entry in range(3) if entry != holder]
+            await cluster.set_link(f"store-{holder}", delay_s=0.3)
+            await start_wave(cluster, entry=others[0])
+            cluster.entries[holder].pause()
+            await eventually(lambda: all_shards_held(cluster, others))
+            cluster.entries[holder].resume()
+            await cluster.set_link(f"store-{holder}", delay_s=0.0)
+            watch = BudgetWatch(cluster, others[0])
+            await eventually(lambda: wave_done(cluster, others[0]), 40)
+            assert await watch.stop() >= MIN_AVAILABLE
+            assert len((await members_by_pool(cluster))[SERVICE]) == RUNNERS
+            await eventually(lambda: all_shards_held(cluster, range(3)))
+
+    async def test_wave_cuts_no_request_in_flight(self) -> None:
+        async with served_cluster(entries=3) as cluster:
+            stop = asyncio.Event()
+            load = [
+                asyncio.create_task(_renew_all_along(cluster, lane, stop))
+                for lane in range(6)
+            ]
+            await start_wave(cluster)
+            await eventually(lambda: wave_done(cluster), 60)
+            stop.set()
+            outcomes = [outcome for lane in load for outcome in await lane]
+            assert set(outcomes) == {"done"}
+
+    async def test_replies_lost_after_the_commit_change_nothing(self) -> None:
+        async with served_cluster(entries=3) as cluster:
+            await cluster.set_faults(lose_replies=8)
+            await start_wave(cluster)
+            await eventually(lambda: _replies_lost(cluster, 8))
+            await eventually(lambda: wave_done(cluster), 40)
+            events = await cluster.timeline(kind="drain-granted")
+            subjects = [event["subject"] for event in events]
+            assert len(subjects) == len(set(subjects)) == RUNNERS
+
+
+async def _renew_all_along(
+    cluster: Cluster, lane: int, stop: asyncio.Event
+) -> list[str]:
+    """Send slow requests that may not be repeated, one after the other."""
+    outcomes: list[str] = []
+    while not stop.is_set():
+        key = f"{lane}-{len(outcomes)}"
+        outcome, _ = await renew(cluster, key, lane % 3, "renew?delay_ms=700")
+        outcomes.append(outcome)
+    return outcomes
+
+
+async def _any_away(cluster: Cluster, entry: int) -> bool:
+    return bool((await cluster.pool(SERVICE, entry))["available"] < RUNNERS)
+
+
+async def _replies_lost(cluster: Cluster, count: int) -> bool:
+    return bool((await cluster.counters()).get("replies_lost") == count)
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -6,6 +6,7 @@
 
 INTERLEAVINGS = "tests/test_fleet_interleavings.py"
 OWNERSHIP = "tests/test_ownership.py"
+REQUESTS = "tests/integration/test_requests.py"
 
 
 @attrs.frozen
@@ -13,6 +14,7 @@
     """A piece of the product, and what stands there without it.
 
     :param file: below ``src/streamthread``.
+    :param also: a second text of the file, and what stands there without it.
     """
 
     name: str
@@ -20,6 +22,7 @@
     present: str
     without: str
     tests: tuple[str, ...]
+    also: tuple[str, str] = ("", "")
 
 
 GUARDS = (
@@ -116,4 +119,79 @@
         "        if False:\n            raise ConflictError(",
         ("src/streamthread/configuration/tests/test_service.py",),
     ),
+    Guard(
+        "claim-before-dispatch",
+        "requests/service.py",
+        "if result.existing is not None:",
+        "if False:",
+        (f"{REQUESTS}::TestAtMostOnce",),
+    ),
+    Guard(
+        "unsafe-is-not-resent",
+        "requests/service.py",
+        "if not call.repeat_safe or not self._retries.take():",
+        "if not self._retries.take():",
+        (f"{REQUESTS}::TestAtMostOnce",),
+    ),
+    Guard(
+        "not-run-is-certain",
+        "requests/service.py",
+        '        remedy="it may have run; ask the service before sending it again",\n'
+        "        outcome=Outcome.UNKNOWN,\n",
+        '        remedy="",\n        outcome=Outcome.NOT_RUN,\n',
+        (f"{REQUESTS}::TestAtMostOnce",),
+    ),
+    Guard(
+        "break-never-ends-clean",
+        "requests/service.py",
+        "request.transport.abort()",
+        "pass",
+        (f"{REQUESTS}::TestWholeAnswers",),
+    ),
+    Guard(
+        "leaving-by-header",
+        "requests/router.py",
+        "if health.left_boot >= instance.boot:",
+        "if False:",
+        (f"{REQUESTS}::TestLeavingUpstream",),
+    ),
+    Guard(
+        "leaving-by-membership",
+        "requests/router.py",
+        "if instance.status is not InstanceStatus.LIVE:",
+        "if False:",
+        (f"{REQUESTS}::TestLeavingUpstream",),
+    ),
+    Guard(
+        "stop-waits",
+        "entry/daemon.py",
+        "cut = await self.requests.finish(self.settings.finish_s)",
+        "cut = 0",
+        (f"{REQUESTS}::TestPlannedStop",),
+    ),
+    Guard(
+        "drain-waits",
+        "fleet/service.py",
+        "        return self._drains.is_idle(instance_id, daemons, self._reports)",
+        "        return True",
+        ("tests/integration/test_holders.py",),
+    ),
+    Guard(
+        "cut-off-refuses",
+        "entry/daemon.py",
+        "return heard * 2 > self.daemon_count()",
+        "return True",
+        ("tests/integration/test_configuration.py::TestCutOff",),
+    ),
+    Guard(
+        "peers-pass-generations-on",
+        "peers/service.py",
+        "return [generation_record(step) for step in steps]",
+        "return []",
+        ("tests/integration/test_configuration.py::TestRollOut",),
+        (
+            "if reply.generation > self._configuration.book.generation:",
+            "if False:",
+        ),
+    ),
 )
--- a/tools/guards.py
+++ b/tools/guards.py
@@ -49,9 +49,11 @@
 def _remove(guard: Guard, tree: pathlib.Path) -> None:
     path = tree / "src" / "streamthread" / guard.file
     text = path.read_text()
-    if text.count(guard.present) != 1:
-        raise SystemExit(f"{guard.name}: its text is not once in {guard.file}")
-    path.write_text(text.replace(guard.present, guard.without))
+    for present, without in ((guard.present, guard.without), guard.also):
+        if present and text.count(present) != 1:
+            raise SystemExit(f"{guard.name}: its text is not once in {guard.file}")
+        text = text.replace(present, without) if present else text
+    path.write_text(text)
 
 
 def _run(guard: Guard) -> Result:
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -233,10 +233,14 @@
 
     async def _entry_settings(self, number: int) -> Json:
         url = self.platform_url
+        advertised = ""
         if self.proxy is not None:
             port = await self._link(f"store-{number}", url.removeprefix("http://"))
             url = f"http://127.0.0.1:{port}"
+            peer_port = await self._link(f"peer-{number}")
+            advertised = f"127.0.0.1:{peer_port}"
         base: Json = {
+            "advertised_peers_address": advertised,
             "daemon_id": f"entry-{number}",
             "hall": self.plan.halls[number % len(self.plan.halls)],
             "platform": {"kind": "http", "url": url, "timeout_s": 1.0},
@@ -246,15 +250,17 @@
             "linger_s": 0.5,
             "leases": FAST_LEASES,
             "fleet": FAST_FLEET,
-            "jobs": {"tick_s": 0.1, "task_poll_s": 0.1},
+            "jobs": {"tick_s": 0.1, "sweep_s": 1.0},
         }
         return base | self.plan.settings
 
-    async def _link(self, name: str, address: str) -> int:
+    async def _link(self, name: str, address: str = "") -> int:
+        """Create a link of the proxy, or name its target; return its port."""
         assert self.proxy is not None
         host, _, port = address.rpartition(":")
+        body = {"host": host, "port": int(port)} if address else {}
         url = f"http://127.0.0.1:{self.proxy.announced['port']}/links/{name}"
-        answer = await self._post(url, {"host": host, "port": int(port)})
+        answer = await self._post(url, body)
         return int(answer["port"])
 
     @property
