--- a/src/streamthread/configuration/__init__.py
+++ b/src/streamthread/configuration/__init__.py
@@ -8,6 +8,7 @@
 from .checks import BadConfiguration
 from .checks import check_changes
 from .checks import flatten
+from .items import BurstSpec
 from .items import Change
 from .items import HoldSpec
 from .items import item_key
@@ -28,6 +29,7 @@
     "EMPTY_DIGEST",
     "BadConfiguration",
     "Book",
+    "BurstSpec",
     "Change",
     "ConfigurationService",
     "ConfigurationStore",
--- a/src/streamthread/configuration/items.py
+++ b/src/streamthread/configuration/items.py
@@ -5,6 +5,7 @@
 on how many others there are.
 """
 
+import datetime
 import enum
 import typing as t
 
@@ -21,6 +22,7 @@
 from ..structure import structure_errors
 
 __all__ = [
+    "BurstSpec",
     "Change",
     "HoldSpec",
     "ItemKind",
@@ -32,6 +34,7 @@
     "WaveSpec",
     "at_least",
     "check_item",
+    "is_moment",
     "is_selector",
     "item_key",
     "parse_item",
@@ -48,6 +51,7 @@
     LABELS = "labels"
     WAVE = "wave"
     HOLD = "hold"
+    BURST = "burst"
 
 
 def is_selector(instance: t.Any, attribute: t.Any, value: str) -> None:
@@ -73,12 +77,18 @@
     :param min_available: a grant never leaves fewer serving instances.
     :param target: how many instances it wants; 0 takes all that match.
     :param priority: of two pools that an instance matches, the higher takes it.
+    :param group: pools of one group share spares; empty for none.
+    :param spare: whether this pool holds its group's spares; its target follows.
+    :param size_error: the relative error that its declared bursts have shown.
     """
 
     selector: str = attrs.field(validator=is_selector)
     min_available: int = attrs.field(validator=at_least(0))
     target: int = attrs.field(default=0, validator=at_least(0))
     priority: int = 0
+    group: str = ""
+    spare: bool = False
+    size_error: float = attrs.field(default=0.25, validator=at_least(0))
 
 
 @attrs.frozen
@@ -141,7 +151,36 @@
     selector: str = attrs.field(validator=is_selector)
 
 
-ItemSpec = PoolSpec | ServiceSpec | TeamSpec | LabelRule | WaveSpec | HoldSpec
+def is_moment(instance: t.Any, attribute: t.Any, value: str) -> None:
+    """Check that a field holds a date and time with its zone."""
+    try:
+        moment = datetime.datetime.fromisoformat(value)
+    except ValueError:
+        moment = None
+    if moment is None or moment.tzinfo is None:
+        raise SettingsError(
+            f"{value!r} is not a date and time with a zone",
+            remedy="write it like 2026-12-31T08:00:00+00:00",
+            location=attribute.name,
+        )
+
+
+@attrs.frozen
+class BurstSpec:
+    """An entry of the burst calendar: a pool needs more for a time.
+
+    :param instances: how many more than its target.
+    """
+
+    pool: str
+    start: str = attrs.field(validator=is_moment)
+    end: str = attrs.field(validator=is_moment)
+    instances: int = attrs.field(validator=at_least(1))
+
+
+ItemSpec = (
+    PoolSpec | ServiceSpec | TeamSpec | LabelRule | WaveSpec | HoldSpec | BurstSpec
+)
 
 _SPECS: dict[ItemKind, type[t.Any]] = {
     ItemKind.POOL: PoolSpec,
@@ -150,6 +189,7 @@
     ItemKind.LABELS: LabelRule,
     ItemKind.WAVE: WaveSpec,
     ItemKind.HOLD: HoldSpec,
+    ItemKind.BURST: BurstSpec,
 }
 
 
--- a/src/streamthread/entry/daemon.py
+++ b/src/streamthread/entry/daemon.py
@@ -25,6 +25,7 @@
 from ..peers import PeerService
 from ..platform import Platform
 from ..requests import ClaimService
+from ..requests import ClaimSweeper
 from ..requests import RequestService
 from ..requests import Router
 from ..settings import EntrySettings
@@ -109,6 +110,7 @@
         self.claims = ClaimService(
             platform.tables, self.leases.committer, settings.claims, self.daemon_count
         )
+        self.sweeper = ClaimSweeper(platform.tables, self.leases, settings.sweep)
         self.requests = RequestService(
             settings.callers.host,
             settings.callers.port,
@@ -138,6 +140,7 @@
         for service in (self.leases, self.configuration, self.fleet, self.jobs):
             await self.add_runtime_dependency(service)
         await self.add_runtime_dependency(self.claims)
+        await self.add_runtime_dependency(self.sweeper)
         self.recorder.record(AREA, "started", f"entry/{self.settings.daemon_id}")
         if self.settings.configuration:
             self.add_future(self._apply_initial(self.settings.configuration))
@@ -206,12 +209,15 @@
         known = self.peers.rumors.get(key)
         latest = known.version if known is not None else 0
         self._state_version = max(self._state_version, latest) + 1
+        drains = self.router.drain_reports()
+        if known is not None and list(known.daemon.drains) != drains:
+            self.peers.spread_soon()
         state = pb.DaemonState(
             daemon_id=self.settings.daemon_id,
             incarnation=self._incarnation,
             generation=self.configuration.book.generation,
             ready=self.is_ready(),
-            drains=self.router.drain_reports(),
+            drains=drains,
             requests_in_flight=self.requests.in_flight,
         )
         rumor = pb.Rumor(key=key, version=self._state_version, daemon=state)
--- a/src/streamthread/entry/logs.py
+++ b/src/streamthread/entry/logs.py
@@ -2,6 +2,7 @@
 
 import datetime
 import json
+import logging
 import sys
 import typing as t
 
@@ -38,6 +39,7 @@
 def start_logging(daemon_id: str, level: str = "INFO") -> None:
     """Send all logs of the process to standard error as JSON lines."""
     redirect_logging()
+    logging.getLogger().setLevel(level)
     JsonLines(daemon_id, level).push_application()
 
 
--- a/src/streamthread/fleet/assignment.py
+++ b/src/streamthread/fleet/assignment.py
@@ -11,19 +11,24 @@
 class PoolNeed:
     """What a pool wants.
 
-    :param target: how many instances it wants; 0 takes all that match.
+    :param target: how many instances it wants; None takes all that match.
     :param present: how many it has.
     """
 
     name: str
     priority: int
-    target: int
+    target: int | None
     present: int
 
     @property
     def has_room(self) -> bool:
         """Whether it takes one more."""
-        return self.target == 0 or self.present < self.target
+        return self.target is None or self.present < self.target
+
+    @property
+    def has_surplus(self) -> bool:
+        """Whether it has more than it wants."""
+        return self.target is not None and self.present > self.target
 
 
 def best_pool(matching: t.Iterable[PoolNeed]) -> str:
@@ -44,16 +49,19 @@
 def should_leave_for(current: PoolNeed | None, matching: t.Iterable[PoolNeed]) -> str:
     """Return the pool that an instance should move to, or ``""`` to stay.
 
-    An instance that still matches its pool stays, unless a pool of higher
-    priority is below its target: staying costs nothing, a move does.
+    An instance that still matches its pool stays, since staying costs nothing
+    and a move does, unless a pool of higher priority is below its target, or
+    its own pool has more than its target and another has room.
 
     :param current: its present pool, or None if it does not match it any more.
     """
-    others = [need for need in matching if current is None or need.name != current.name]
-    if current is not None:
-        others = [
-            need
-            for need in others
-            if need.priority > current.priority and need.target and need.has_room
-        ]
+    if current is None:
+        return best_pool(matching)
+    others = [
+        need
+        for need in matching
+        if need.name != current.name and need.target is not None
+    ]
+    if not current.has_surplus:
+        others = [need for need in others if need.priority > current.priority]
     return best_pool(others)
--- a/src/streamthread/fleet/service.py
+++ b/src/streamthread/fleet/service.py
@@ -44,12 +44,14 @@
 from .catalog import LabelSetter
 from .drains import DrainReport
 from .drains import DrainTracker
+from .planner import Planner
 from .pools import instance_key
 from .pools import Member
 from .pools import MemberState
 from .pools import pool_key
 from .pools import PoolRow
 from .selectors import Selector
+from .sizing import Weights
 from .views import PoolViews
 
 __all__ = ["FleetService", "FleetSettings"]
@@ -68,6 +70,8 @@
     :param drain_limit_s: a silent daemon's requests have ended after this.
     :param reboot_limit_s: a reboot that takes longer counts as failed.
     :param sweep_s: a pool is looked at so often even if nothing changed.
+    :param buffer_weight: the price of an idle instance for an hour.
+    :param move_weight: the price of a move; the same two in all entries.
     """
 
     tick_s: float = 0.5
@@ -76,6 +80,8 @@
     drain_limit_s: float = 45.0
     reboot_limit_s: float = 600.0
     sweep_s: float = 30.0
+    buffer_weight: float = 1.0
+    move_weight: float = 1.0
 
 
 @attrs.frozen
@@ -123,6 +129,8 @@
         self._membership_at_s: float | None = None
         self._rebooting_since_s: dict[str, float] = {}
         self._agenda = Agenda(settings.sweep_s, clock_s)
+        weights = Weights(settings.buffer_weight, settings.move_weight)
+        self._planner = Planner(configuration.book, weights)
         self.views.listen(self._agenda.add)
         configuration.listen(self._on_configuration)
 
@@ -135,7 +143,11 @@
             if kind is ItemKind.LABELS:
                 self.catalog.set_labels(name, _setter(book.spec(key, LabelRule)))
                 self._agenda.add_all()
+            elif kind is ItemKind.BURST:
+                self._planner.forget()
+                self._agenda.add_all()
             elif kind in SELECTING:
+                self._planner.forget()
                 self._note_touched(key)
                 self.catalog.watch(key, _selector(book.spec(key, object)))
                 self._note_touched(key)
@@ -201,6 +213,8 @@
     async def tick(self) -> None:
         """Decide about the pools held here that may need it."""
         held = self._held_pools()
+        if self._planner.sizes_changed():
+            self._agenda.add_all()
         for name in self._agenda.due(held):
             try:
                 await self._decide(name)
@@ -287,10 +301,9 @@
         """Return what a decision about a pool depends on."""
         book = self._configuration.book
         spec = book.spec(pool_key(name), PoolSpec)
-        needs = self._needs()
-        candidates = self._candidates(name, needs) if spec else []
+        candidates = self._candidates(name) if spec else []
         facts = {
-            instance_id: self._facts(name, instance_id, needs)
+            instance_id: self._facts(name, instance_id)
             for instance_id in [*row.members, *candidates]
             if instance_id in self.catalog.instances
         }
@@ -302,51 +315,53 @@
             name=name,
             row=row,
             min_available=spec.min_available if spec else 0,
-            target=spec.target if spec else 0,
+            target=self._planner.target(name, spec) if spec else None,
             facts=facts,
             waves=waves,
             candidates=tuple(candidates),
             fresh=self.membership_is_fresh(),
         )
 
-    def _needs(self) -> dict[str, PoolNeed]:
-        needs: dict[str, PoolNeed] = {}
-        pools = self._configuration.book.specs(ItemKind.POOL, PoolSpec)
-        for name, spec in pools.items():
-            view = self.views.view(name)
-            present = len(view.states) if view else 0
-            needs[name] = PoolNeed(name, spec.priority, spec.target, present)
-        return needs
+    def _need(self, name: str) -> PoolNeed:
+        spec = self._configuration.book.spec(pool_key(name), PoolSpec)
+        assert spec is not None
+        view = self.views.view(name)
+        present = len(view.states) if view else 0
+        return PoolNeed(name, spec.priority, self._planner.target(name, spec), present)
+
+    def _room(self, name: str) -> int:
+        """Return how many more a pool takes."""
+        if not name:
+            return 0
+        need = self._need(name)
+        return JOINS_PER_STEP if need.target is None else need.target - need.present
 
-    def _candidates(self, name: str, needs: dict[str, PoolNeed]) -> list[str]:
+    def _candidates(self, name: str) -> list[str]:
         free = [
             instance_id
             for instance_id in self.catalog.matching(pool_key(name))
             if not self.views.pool_of(instance_id)
             and self._is_live(instance_id)
-            and best_pool(self._matching(instance_id, needs)) == name
+            and best_pool(self._matching(instance_id)) == name
         ]
         return sorted(free)[:JOINS_PER_STEP]
 
-    def _matching(
-        self, instance_id: str, needs: dict[str, PoolNeed]
-    ) -> t.Iterator[PoolNeed]:
+    def _matching(self, instance_id: str) -> t.Iterator[PoolNeed]:
         for key in self.catalog.matched_by(instance_id):
             if key.startswith(POOL_PREFIX):
-                yield needs[key.removeprefix(POOL_PREFIX)]
+                yield self._need(key.removeprefix(POOL_PREFIX))
 
     def _is_live(self, instance_id: str) -> bool:
         instance = self.catalog.instances.get(instance_id)
         return instance is not None and instance.status is InstanceStatus.LIVE
 
-    def _facts(
-        self, pool: str, instance_id: str, needs: dict[str, PoolNeed]
-    ) -> InstanceFacts:
+    def _facts(self, pool: str, instance_id: str) -> InstanceFacts:
         instance = self.catalog.instances[instance_id]
         matches = instance_id in self.catalog.matching(pool_key(pool))
-        current = needs.get(pool) if matches else None
+        current = self._need(pool) if matches else None
         since_s = self._rebooting_since_s.get(instance_id)
         limit_s = self._settings.reboot_limit_s
+        better = should_leave_for(current, self._matching(instance_id))
         return InstanceFacts(
             live=instance.status is InstanceStatus.LIVE,
             boot=instance.boot,
@@ -354,7 +369,8 @@
             rack=instance.rack,
             idle=self._is_idle(instance_id),
             wanted_by=tuple(self._wanted_by(instance_id)),
-            better_pool=should_leave_for(current, self._matching(instance_id, needs)),
+            better_pool=better,
+            better_pool_room=self._room(better),
             matches_pool=matches,
             overdue=since_s is not None and self._clock_s() - since_s > limit_s,
         )
--- a/src/streamthread/fleet/views.py
+++ b/src/streamthread/fleet/views.py
@@ -39,6 +39,7 @@
         self._rumors = rumors
         self._views: dict[str, PoolView] = {}
         self._pool_of: dict[str, str] = {}
+        self._draining: dict[str, list[str]] = {}
         self._listeners: list[t.Callable[[str], None]] = []
         rumors.listen(self._on_rumor)
 
@@ -75,10 +76,9 @@
 
     def draining(self) -> t.Iterator[tuple[PoolView, str]]:
         """Yield the instances that are being drained, with their views."""
-        for view in self._views.values():
-            for instance_id, state in view.states.items():
-                if state is MemberState.DRAINING:
-                    yield view, instance_id
+        for pool, instance_ids in self._draining.items():
+            for instance_id in instance_ids:
+                yield self._views[pool], instance_id
 
     def _on_rumor(self, rumor: pb.Rumor) -> None:
         if rumor.WhichOneof("body") != "pool":
@@ -96,9 +96,21 @@
         for instance_id in states:
             self._pool_of[instance_id] = view.pool
         self._views[view.pool] = view
+        self._note_draining(view)
         for listener in self._listeners:
             listener(view.pool)
 
+    def _note_draining(self, view: PoolView) -> None:
+        draining = [
+            instance_id
+            for instance_id, state in view.states.items()
+            if state is MemberState.DRAINING
+        ]
+        if draining:
+            self._draining[view.pool] = draining
+        else:
+            self._draining.pop(view.pool, None)
+
 
 def view_as_row(view: PoolView) -> PoolRow:
     """Return a row with the states of a view, for counting."""
--- a/src/streamthread/jobs/rows.py
+++ b/src/streamthread/jobs/rows.py
@@ -59,6 +59,7 @@
     :param attempt: the number of the latest attempt; 0 before the first.
     :param worker_id: where the latest attempt runs or ran.
     :param failed_on: the distinct workers that it failed on.
+    :param submitted_ms: wall time of the submission, which orders the queue.
     """
 
     spec: JobSpec
@@ -67,6 +68,7 @@
     worker_id: str = ""
     reason: str = ""
     failed_on: tuple[str, ...] = ()
+    submitted_ms: int = 0
 
     @property
     def ended(self) -> bool:
--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -60,7 +60,7 @@
     :param sweep_s: queued jobs are looked at so often even if nothing changed.
     """
 
-    tick_s: float = 0.5
+    tick_s: float = 1.0
     sweep_s: float = 5.0
 
 
@@ -157,10 +157,12 @@
         async with self._lock(pool):
             jobs = await self._load_if_needed(pool)
             new: list[JobStep] = []
+            submitted_ms = self._recorder.clock.now().physical_ms
             for spec in specs:
                 known = jobs.jobs.get(spec.job_id)
                 if known is None:
-                    new.append(JobStep(Job(spec), "submitted"))
+                    job = Job(spec, submitted_ms=submitted_ms)
+                    new.append(JobStep(job, "submitted"))
                 elif known.job.spec != spec:
                     raise ConflictError(
                         f"job {spec.job_id!r} exists with other content",
@@ -245,10 +247,19 @@
         try:
             tasks = await self._read_tasks()
             for pool in self._held_pools():
-                await self._decide(pool, tasks)
+                if tasks or self._has_work(pool):
+                    await self._decide(pool, tasks)
         except (NotHolderError, StoreUnavailableError) as error:
             self.log.info("jobs not decided: %s", error)
 
+    def _has_work(self, pool: str) -> bool:
+        """Whether a held pool is not loaded, or something waits in it."""
+        jobs = self._pools.get(pool)
+        if jobs is None or jobs.fence != self._leases.fence(pool_key(pool)):
+            return True
+        waiting = bool(jobs.unconfirmed or jobs.stops)
+        return waiting or self._may_decide(jobs)
+
     async def _read_tasks(self) -> tuple[Task, ...]:
         cursor = self._task_cursor
         changes = await self._platform.workers.task_changes(cursor)
@@ -272,12 +283,14 @@
         await self._stop_tasks(jobs)
         await self._start_tasks(pool, jobs)
 
+    def _may_decide(self, jobs: _PoolJobs) -> bool:
+        return jobs.needs_decision(time.monotonic(), self._settings.sweep_s)
+
     def _is_due(self, jobs: _PoolJobs) -> bool:
-        now_s = time.monotonic()
-        due = jobs.needs_decision(now_s, self._settings.sweep_s)
+        due = self._may_decide(jobs)
         if due:
             jobs.changed = False
-            jobs.decided_at_s = now_s
+            jobs.decided_at_s = time.monotonic()
         return due
 
     def _on_view(self, pool: str) -> None:
@@ -290,8 +303,9 @@
         quotas = {
             name: spec.cores_quota for name, spec in teams.items() if spec.cores_quota
         }
-        current = tuple(jobs.jobs[job_id].job for job_id in sorted(jobs.current))
-        return JobsSnapshot(current, tuple(self._workers(pool, jobs)), quotas)
+        current = [jobs.jobs[job_id].job for job_id in jobs.current]
+        current.sort(key=lambda job: (job.submitted_ms, job.spec.job_id))
+        return JobsSnapshot(tuple(current), tuple(self._workers(pool, jobs)), quotas)
 
     def _workers(self, pool: str, jobs: _PoolJobs) -> t.Iterator[WorkerFacts]:
         view = self._views.view(pool)
--- a/src/streamthread/leases/rendezvous.py
+++ b/src/streamthread/leases/rendezvous.py
@@ -1,5 +1,6 @@
 """Rendezvous hashing: which daemon should hold which shard."""
 
+import functools
 import hashlib
 import typing as t
 
@@ -18,6 +19,7 @@
     return max(names, key=lambda name: (_weight(name, shard), name))
 
 
+@functools.lru_cache(maxsize=65536)
 def shard_of(subject: str, shard_count: int) -> int:
     """Return the shard of a subject such as ``pool/billing``."""
     digest = hashlib.blake2b(subject.encode(), digest_size=8).digest()
--- a/src/streamthread/maintenance/__init__.py
+++ b/src/streamthread/maintenance/__init__.py
@@ -8,10 +8,12 @@
 from .decide import Step
 from .decide import StepKind
 from .decide import WaveFacts
+from .waves import GROWTH
 from .waves import wave_limit
 from .waves import WaveProgress
 
 __all__ = [
+    "GROWTH",
     "Budget",
     "InstanceFacts",
     "PoolSnapshot",
--- a/src/streamthread/maintenance/decide.py
+++ b/src/streamthread/maintenance/decide.py
@@ -46,6 +46,7 @@
 
     :param idle: whether nothing runs on it any more, as confirmed by all.
     :param wanted_by: the waves and holds that select it, holds first.
+    :param better_pool: where it should move, and how many fit in there.
     :param overdue: whether its reboot has taken too long.
     """
 
@@ -56,6 +57,7 @@
     idle: bool = False
     wanted_by: tuple[str, ...] = ()
     better_pool: str = ""
+    better_pool_room: int = 0
     matches_pool: bool = True
     overdue: bool = False
 
@@ -72,6 +74,7 @@
 class PoolSnapshot:
     """Everything that a decision about a pool depends on.
 
+    :param target: how many it wants; None takes all.
     :param candidates: instances in no pool that this pool may take, best first.
     :param fresh: whether the membership list was read lately.
     """
@@ -79,7 +82,7 @@
     name: str
     row: PoolRow
     min_available: int
-    target: int
+    target: int | None
     facts: t.Mapping[str, InstanceFacts]
     waves: t.Mapping[str, WaveFacts] = attrs.field(factory=dict)
     candidates: tuple[str, ...] = ()
@@ -211,10 +214,11 @@
 
 
 class _WaveQuota:
-    """Canary, doubling, halting, and one hall at a time."""
+    """Canary, growth, halting, one hall at a time; no more moves than fit."""
 
     def __init__(self, snapshot: PoolSnapshot) -> None:
         self._left: dict[str, int] = {}
+        self._moving = _moving(snapshot)
         self._halls = {
             snapshot.facts[instance_id].hall
             for instance_id in snapshot.row.granted()
@@ -227,17 +231,31 @@
             self._left[key] = limit - progress.away
 
     def allows(self, purpose: str, facts: InstanceFacts) -> bool:
+        if purpose.startswith(MOVE_PREFIX) and facts.matches_pool:
+            moving = self._moving.get(purpose, 0)
+            return moving < facts.better_pool_room
         if not purpose.startswith(WAVE_PREFIX):
             return True
         one_hall = not self._halls or self._halls == {facts.hall}
         return one_hall and self._left.get(purpose, 0) > 0
 
     def take(self, purpose: str, facts: InstanceFacts) -> None:
+        if purpose.startswith(MOVE_PREFIX):
+            self._moving[purpose] = self._moving.get(purpose, 0) + 1
         if purpose.startswith(WAVE_PREFIX):
             self._halls.add(facts.hall)
             self._left[purpose] -= 1
 
 
+def _moving(snapshot: PoolSnapshot) -> dict[str, int]:
+    """Count the members that are on their way out, by where to."""
+    counts: dict[str, int] = {}
+    for member in snapshot.row.members.values():
+        if member.purpose.startswith(MOVE_PREFIX):
+            counts[member.purpose] = counts.get(member.purpose, 0) + 1
+    return counts
+
+
 def _progress(key: str, snapshot: PoolSnapshot) -> WaveProgress:
     members = snapshot.row.members
     away = [name for name, member in members.items() if member.purpose == key]
@@ -250,7 +268,7 @@
 
 def _joins(snapshot: PoolSnapshot) -> t.Iterator[Step]:
     room = len(snapshot.candidates)
-    if snapshot.target:
+    if snapshot.target is not None:
         present = sum(
             facts.live
             for name, facts in snapshot.facts.items()
--- a/src/streamthread/maintenance/waves.py
+++ b/src/streamthread/maintenance/waves.py
@@ -2,7 +2,10 @@
 
 import attrs
 
-__all__ = ["WaveProgress", "wave_limit"]
+__all__ = ["GROWTH", "WaveProgress", "wave_limit"]
+
+GROWTH = 4
+"""Doubling took 1.1 to 1.2 times as long: docs/design/budgets-and-waves.md."""
 
 
 @attrs.frozen
@@ -18,12 +21,12 @@
 
 
 def wave_limit(progress: WaveProgress, max_failed_fraction: float) -> int:
-    """Return how many may be away: one first, then doubling; 0 when halted.
+    """Return how many may be away: one first, then quickly more; 0 when halted.
 
-    The first instance is the canary. Each instance that came back well allows
-    one more than it, so the number away doubles from batch to batch.
+    The first instance is the canary. Each that came back well allows
+    ``GROWTH`` more, so the number away grows that many times a batch.
     """
     ended = progress.done + progress.failed
     if progress.failed and progress.failed > max_failed_fraction * ended:
         return 0
-    return progress.done + 1
+    return GROWTH * progress.done + 1
--- a/src/streamthread/peers/service.py
+++ b/src/streamthread/peers/service.py
@@ -43,7 +43,7 @@
 class PeerSettings:
     """How the daemons talk to each other.
 
-    :param fanout: how many peers one round reaches.
+    :param fanout: how many peers a round with news reaches; others reach one.
     :param min_gap_s: rounds that news start come no faster than this.
     :param seeds: addresses to ask while no lease names a peer, so that an entry
         that is new while the store is down finds the others.
@@ -53,7 +53,7 @@
     host: str = "127.0.0.1"
     port: int = 0
     exchange_s: float = 1.0
-    fanout: int = 2
+    fanout: int = 3
     min_gap_s: float = 0.2
     timeout_s: float = 2.0
     seeds: tuple[str, ...] = ()
@@ -152,7 +152,7 @@
         while not self.should_stop:
             had_news = self._news.is_set()
             self._news.clear()
-            await self.round(self.settings.fanout + int(had_news))
+            await self.round(self.settings.fanout if had_news else 1)
             await self.sleep(self.settings.min_gap_s)
             await self._wait_for_news(self.settings.exchange_s)
 
--- a/src/streamthread/requests/__init__.py
+++ b/src/streamthread/requests/__init__.py
@@ -11,6 +11,8 @@
 from .router import Router
 from .service import RequestService
 from .slots import SlotQueue
+from .sweeper import ClaimSweeper
+from .sweeper import SweepSettings
 from .upstreams import choose
 from .upstreams import Upstream
 from .upstreams import UpstreamHealth
@@ -20,12 +22,14 @@
     "ClaimService",
     "ClaimSettings",
     "ClaimState",
+    "ClaimSweeper",
     "Outcome",
     "Problem",
     "RequestService",
     "RetryBudget",
     "Router",
     "SlotQueue",
+    "SweepSettings",
     "Upstream",
     "UpstreamHealth",
     "choose",
--- a/src/streamthread/requests/service.py
+++ b/src/streamthread/requests/service.py
@@ -292,7 +292,7 @@
             ) as reply:
                 self._note_signs(upstream, reply)
                 began = True
-                response = await self._stream(request, reply, answer)
+                response = await self._stream(request, reply, answer, call)
                 self._router.note_success(upstream)
                 return response
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -321,8 +321,13 @@
         request: web.Request,
         reply: aiohttp.ClientResponse,
         answer: "_KeptAnswer | None",
+        call: Call,
     ) -> web.StreamResponse:
-        """Pass an answer on as it comes; one that breaks off never ends clean."""
+        """Pass an answer on as it comes; one that breaks off never ends clean.
+
+        A caller that reads too slowly is cut off at the deadline, like a slow
+        upstream: neither keeps a slot for longer.
+        """
         response = web.StreamResponse(status=reply.status)
         for name, value in reply.headers.items():
             if name.lower() not in _DROPPED_HEADERS:
@@ -334,12 +339,13 @@
         if answer is not None:
             answer.begin(reply)
         try:
-            await response.prepare(request)
-            async for chunk in reply.content.iter_chunked(CHUNK_BYTES):
-                if answer is not None:
-                    answer.add(chunk)
-                await response.write(chunk)
-            await response.write_eof()
+            async with asyncio.timeout(max(0.0, call.left_s())):
+                await response.prepare(request)
+                async for chunk in reply.content.iter_chunked(CHUNK_BYTES):
+                    if answer is not None:
+                        answer.add(chunk)
+                    await response.write(chunk)
+                await response.write_eof()
         except (aiohttp.ClientError, OSError, TimeoutError):
             if request.transport is not None:
                 request.transport.abort()
--- /dev/null
+++ b/src/streamthread/requests/sweeper.py
@@ -0,0 +1,90 @@
+"""Deletes claims whose keys nobody will repeat any more."""
+
+import time
+import typing as t
+
+import attrs
+from mode import Service
+
+from ..errors import StoreUnavailableError
+from ..leases import LeaseService
+from ..platform import MAX_ROWS_PER_TRANSACTION
+from ..platform import Row
+from ..platform import Tables
+from ..platform import Transaction
+from ..platform import Write
+
+__all__ = ["ClaimSweeper", "SweepSettings"]
+
+PARTS = 16
+"""The claims are swept in so many parts, by the first hexadecimal digit."""
+
+
+@attrs.frozen
+class SweepSettings:
+    """How old claims go.
+
+    :param kept_s: how long a key is remembered; callers must not repeat later.
+    :param page_every_s: one page of 500 rows is read so often.
+    """
+
+    kept_s: float = 86_400.0
+    page_every_s: float = 5.0
+
+
+class ClaimSweeper(Service):
+    """Goes round the parts of the claims whose shards are held here.
+
+    :param wall_s: the wall clock; retention is long against clocks' differences.
+    """
+
+    def __init__(
+        self,
+        tables: Tables,
+        leases: LeaseService,
+        settings: SweepSettings,
+        wall_s: t.Callable[[], float] = time.time,
+    ) -> None:
+        super().__init__()
+        self.deleted = 0
+        self._tables = tables
+        self._leases = leases
+        self._settings = settings
+        self._wall_s = wall_s
+        self._part = 0
+        self._after = ""
+
+    @Service.task
+    async def _sweep(self) -> None:
+        while not self.should_stop:
+            await self.sleep(self._settings.page_every_s)
+            try:
+                await self.sweep_page()
+            except StoreUnavailableError as error:
+                self.log.info("claims not swept: %s", error)
+
+    async def sweep_page(self) -> None:
+        """Read one page of the part at hand and delete what is old in it."""
+        prefix = f"claim/{self._part:x}"
+        if not self._leases.holds(prefix):
+            self._next_part()
+            return
+        page = await self._tables.scan(prefix, self._after)
+        if not page:
+            self._next_part()
+            return
+        self._after = page[-1].key
+        oldest_kept_s = self._wall_s() - self._settings.kept_s
+        old = [row for row in page if row.value["claimed_at_s"] < oldest_kept_s]
+        for start in range(0, len(old), MAX_ROWS_PER_TRANSACTION):
+            await self._delete(old[start : start + MAX_ROWS_PER_TRANSACTION])
+
+    async def _delete(self, rows: t.Sequence[Row]) -> None:
+        writes = tuple(Write(row.key, None, row.version) for row in rows)
+        result = await self._tables.commit(Transaction(writes))
+        if result.committed:
+            self.deleted += len(rows)
+
+    def _next_part(self) -> None:
+        self._part = (self._part + 1) % PARTS
+        self._after = ""
--- a/src/streamthread/settings/__init__.py
+++ b/src/streamthread/settings/__init__.py
@@ -20,6 +20,7 @@
 from ..peers import PeerSettings
 from ..platform import JsonObject
 from ..requests import ClaimSettings
+from ..requests import SweepSettings
 from ..structure import strict_converter
 from ..structure import structure_errors
 
@@ -88,6 +89,7 @@
     fleet: FleetSettings = attrs.field(factory=FleetSettings)
     jobs: JobSettings = attrs.field(factory=JobSettings)
     claims: ClaimSettings = attrs.field(factory=ClaimSettings)
+    sweep: SweepSettings = attrs.field(factory=SweepSettings)
     configuration: dict[str, t.Any] | None = None
 
 
--- /dev/null
+++ b/tests/test_docs.py
@@ -0,0 +1,44 @@
+"""The pages: links lead somewhere, figures are those that were measured."""
+
+import pathlib
+import re
+
+import pytest
+from tools.capacity_page import PAGE
+from tools.capacity_page import render
+from tools.guard_list import GUARDS
+
+ROOT = pathlib.Path(__file__).parents[1]
+PAGES = sorted([*ROOT.glob("*.md"), *ROOT.glob("docs/**/*.md")])
+LINK = re.compile(r"\]\(([^)#:]+)(?:#[^)]*)?\)")
+
+
+class TestLinks:
+    @pytest.mark.parametrize(
+        "page", PAGES, ids=lambda page: str(page.relative_to(ROOT))
+    )
+    def test_lead_to_files(self, page: pathlib.Path) -> None:
+        targets = LINK.findall(page.read_text())
+        missing = [name for name in targets if not (page.parent / name).exists()]
+        assert missing == []
+
+    def test_every_page_can_be_reached_from_the_index(self) -> None:
+        index = ROOT / "docs" / "index.md"
+        linked = {
+            (index.parent / name).resolve() for name in LINK.findall(index.read_text())
+        }
+        pages = {page for page in PAGES if page.parent != ROOT and page != index}
+        pages.discard(ROOT / "docs" / "capacity.template.md")
+        assert pages - linked == set()
+
+
+class TestCapacityPage:
+    def test_holds_the_measured_figures(self) -> None:
+        assert PAGE.read_text() == render()
+
+
+class TestPromises:
+    def test_name_every_guard(self) -> None:
+        page = (ROOT / "docs" / "promises.md").read_text()
+        missing = [guard.name for guard in GUARDS if f"`{guard.name}`" not in page]
+        assert missing == []
