Test claims, choice, jobs; end reads of reports that are older than the holder

Cause: claims, the choice of upstream, the queue and placement were covered only through real processes; a new holder of jobs read the platform's whole history of task reports again.

Found: asyncio.wait_for of Python 3.11 can swallow a cancellation when its wait ends at the same moment, which left a cancelled waiter in the queue for ever; the waits use asyncio.timeout. A new holder asks for the reports of started attempts only.

--- a/src/streamthread/fleet/service.py
+++ b/src/streamthread/fleet/service.py
@@ -66,7 +66,7 @@
     stale_s: float = 10.0
     drain_limit_s: float = 45.0
     reboot_limit_s: float = 600.0
-    sweep_s: float = 30.0
+    sweep_s: float = 300.0
     buffer_weight: float = 1.0
     move_weight: float = 4.0
 
--- /dev/null
+++ b/src/streamthread/jobs/pool_jobs.py
@@ -0,0 +1,119 @@
+"""The jobs of one pool in the memory of their holder."""
+
+import collections
+import typing as t
+
+import attrs
+
+from ..platform import Fence
+from ..platform import Task
+from ..platform import TaskState
+from .decide import JobStep
+from .quarantine import Quarantine
+from .rows import Job
+from .rows import JobState
+
+__all__ = ["PoolJobs", "StoredJob", "ended_steps"]
+
+
+@attrs.define
+class StoredJob:
+    """A job and the version of its row."""
+
+    job: Job
+    version: int
+
+
+@attrs.define
+class PoolJobs:
+    """The jobs of one pool, as loaded under one epoch.
+
+    :param current: the jobs that have not ended.
+    :param unconfirmed: started jobs whose start was not answered yet.
+    :param stops: attempts to be stopped, and whether with a checkpoint.
+    :param reported: reports of attempts that ran before the jobs were loaded.
+    :param changed: whether something changed since the last decision.
+    """
+
+    fence: Fence
+    jobs: dict[str, StoredJob] = attrs.field(factory=dict)
+    current: set[str] = attrs.field(factory=set)
+    queued: set[str] = attrs.field(factory=set)
+    on_worker: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    changed: bool = True
+    decided_at_s: float = 0.0
+    unconfirmed: set[str] = attrs.field(factory=set)
+    stops: dict[tuple[str, int], bool] = attrs.field(factory=dict)
+    reported: list[Task] = attrs.field(factory=list)
+    quarantine: Quarantine = attrs.field(factory=Quarantine)
+
+    def keep(self, job: Job, version: int) -> Job | None:
+        """Put a job in place of its earlier row; return that."""
+        job_id = job.spec.job_id
+        known = self.jobs.get(job_id)
+        if known is not None and known.job.state is JobState.STARTED:
+            self.on_worker[known.job.worker_id] -= 1
+        if job.state is JobState.STARTED:
+            self.on_worker[job.worker_id] += 1
+        self._index(self.queued, job_id, job.state is JobState.QUEUED)
+        self._index(self.current, job_id, not job.ended)
+        self.jobs[job_id] = StoredJob(job, version)
+        self.changed = True
+        return known.job if known else None
+
+    def replace(self, job: Job, version: int) -> None:
+        """Put in place what was committed here, and note what follows from it."""
+        before = self.keep(job, version)
+        if before is not None and before.state is JobState.STARTED:
+            self._note_left_attempt(before, job)
+        if job.state is JobState.STARTED:
+            self.unconfirmed.add(job.spec.job_id)
+
+    def _note_left_attempt(self, before: Job, after: Job) -> None:
+        """Have the attempt stopped, or its worker trusted less, as it ended."""
+        job_id = before.spec.job_id
+        self.unconfirmed.discard(job_id)
+        if after.state in (JobState.CANCELLED, JobState.QUEUED, JobState.PARKED):
+            checkpoint = after.state is JobState.QUEUED
+            self.stops[(job_id, before.attempt)] = checkpoint
+        if after.state is JobState.DONE:
+            self.quarantine.note(before.worker_id, job_id, succeeded=True)
+        elif before.worker_id in after.failed_on:
+            self.quarantine.note(before.worker_id, job_id, succeeded=False)
+
+    @staticmethod
+    def _index(ids: set[str], job_id: str, belongs: bool) -> None:
+        if belongs:
+            ids.add(job_id)
+        else:
+            ids.discard(job_id)
+
+    def needs_decision(self, now_s: float, sweep_s: float) -> bool:
+        """Whether a decision could do anything."""
+        overdue = bool(self.queued) and now_s - self.decided_at_s >= sweep_s
+        return self.changed or overdue
+
+
+def ended_steps(jobs: PoolJobs, tasks: t.Iterable[Task]) -> list[JobStep]:
+    """Return the rows to replace because their attempts have ended."""
+    steps: list[JobStep] = []
+    for task in tasks:
+        stored = jobs.jobs.get(task.job_id)
+        if stored is None or stored.job.state is not JobState.STARTED:
+            continue
+        if task.attempt != stored.job.attempt or task.state is TaskState.RUNNING:
+            continue
+        steps.append(_after_end(stored.job, task))
+    return steps
+
+
+def _after_end(job: Job, task: Task) -> JobStep:
+    if task.state is TaskState.DONE:
+        return JobStep(attrs.evolve(job, state=JobState.DONE), "done")
+    cause = f"{task.state.value} on {task.worker_id}"
+    failed_on = job.failed_on
+    if task.state is TaskState.FAILED and task.worker_id not in failed_on:
+        failed_on = (*failed_on, task.worker_id)
+    state = JobState.QUEUED if job.spec.repeat_safe else JobState.PARKED
+    ended = attrs.evolve(job, state=state, reason=cause, failed_on=failed_on)
+    return JobStep(ended, cause)
--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -1,7 +1,6 @@
 """Carries out decisions about the jobs of the pools that are held here."""
 
 import asyncio
-import collections
 import time
 import typing as t
 
@@ -34,7 +33,6 @@
 from ..platform import Platform
 from ..platform import Task
 from ..platform import TaskStart
-from ..platform import TaskState
 from ..platform import Transaction
 from ..platform import Write
 from ..timeline import Recorder
@@ -42,7 +40,8 @@
 from .decide import JobsSnapshot
 from .decide import JobStep
 from .decide import WorkerFacts
-from .quarantine import Quarantine
+from .pool_jobs import ended_steps
+from .pool_jobs import PoolJobs
 from .rows import Job
 from .rows import job_key
 from .rows import JobSpec
@@ -51,7 +50,7 @@
 __all__ = ["JobService", "JobSettings"]
 
 AREA = "jobs"
-PARALLEL_STARTS = 20
+PARALLEL_CALLS = 20
 
 
 @attrs.frozen
@@ -65,57 +64,6 @@
     sweep_s: float = 5.0
 
 
-@attrs.define
-class _Stored:
-    job: Job
-    version: int
-
-
-@attrs.define
-class _PoolJobs:
-    """The jobs of one pool, as loaded under one epoch.
-
-    :param changed: whether something changed since the last decision.
-    """
-
-    fence: Fence
-    jobs: dict[str, _Stored] = attrs.field(factory=dict)
-    current: set[str] = attrs.field(factory=set)
-    queued: set[str] = attrs.field(factory=set)
-    on_worker: collections.Counter[str] = attrs.field(factory=collections.Counter)
-    changed: bool = True
-    decided_at_s: float = 0.0
-    unconfirmed: set[str] = attrs.field(factory=set)
-    stops: dict[tuple[str, int], bool] = attrs.field(factory=dict)
-    quarantine: Quarantine = attrs.field(factory=Quarantine)
-
-    def keep(self, job: Job, version: int) -> Job | None:
-        """Put a job in place of its earlier row; return that."""
-        job_id = job.spec.job_id
-        known = self.jobs.get(job_id)
-        if known is not None and known.job.state is JobState.STARTED:
-            self.on_worker[known.job.worker_id] -= 1
-        if job.state is JobState.STARTED:
-            self.on_worker[job.worker_id] += 1
-        self._index(self.queued, job_id, job.state is JobState.QUEUED)
-        self._index(self.current, job_id, not job.ended)
-        self.jobs[job_id] = _Stored(job, version)
-        self.changed = True
-        return known.job if known else None
-
-    @staticmethod
-    def _index(ids: set[str], job_id: str, belongs: bool) -> None:
-        if belongs:
-            ids.add(job_id)
-        else:
-            ids.discard(job_id)
-
-    def needs_decision(self, now_s: float, sweep_s: float) -> bool:
-        """Whether a decision could do anything."""
-        overdue = bool(self.queued) and now_s - self.decided_at_s >= sweep_s
-        return self.changed or overdue
-
-
 class JobService(Service):
     """Takes jobs in, places them, follows their attempts.
 
@@ -143,7 +91,7 @@
         self._views = views
         self._held = held
         self._settings = settings
-        self._pools: dict[str, _PoolJobs] = {}
+        self._pools: dict[str, PoolJobs] = {}
         self._task_cursor = 0
         self._locks: dict[str, asyncio.Lock] = {}
         views.listen(self._on_view)
@@ -219,13 +167,13 @@
 
     # Loading.
 
-    async def _load_if_needed(self, pool: str) -> _PoolJobs:
+    async def _load_if_needed(self, pool: str) -> PoolJobs:
         fence = self._leases.fence(pool_key(pool))
         loaded = self._pools.get(pool)
         if loaded is not None and loaded.fence == fence:
             return loaded
         rows = await self._platform.tables.scan_all(f"job/{pool}/")
-        jobs = _PoolJobs(fence)
+        jobs = PoolJobs(fence)
         for row in rows:
             job = cattrs.structure(row.value, Job)
             jobs.keep(job, row.version)
@@ -233,10 +181,25 @@
                 jobs.unconfirmed.add(job.spec.job_id)
             elif job.attempt and job.state is not JobState.DONE:
                 jobs.stops[(job.spec.job_id, job.attempt)] = False
+        await self._read_reports(jobs)
         self._pools[pool] = jobs
-        self._task_cursor = 0
         return jobs
 
+    async def _read_reports(self, jobs: PoolJobs) -> None:
+        """Ask for each started attempt's report: it may have ended meanwhile."""
+        limit = asyncio.Semaphore(PARALLEL_CALLS)
+
+        async def read(job: Job) -> None:
+            async with limit:
+                task = await self._platform.workers.find_task(
+                    job.spec.job_id, job.attempt
+                )
+            if task is not None:
+                jobs.reported.append(task)
+
+        started = [jobs.jobs[job_id].job for job_id in jobs.unconfirmed]
+        await asyncio.gather(*(read(job) for job in started))
+
     # The loop.
 
     @Service.task
@@ -278,17 +241,19 @@
     async def _decide(self, pool: str, tasks: t.Sequence[Task]) -> None:
         async with self._lock(pool):
             jobs = await self._load_if_needed(pool)
-            await self._commit(pool, jobs, _ended(jobs, tasks))
+            reports = [*jobs.reported, *tasks]
+            jobs.reported.clear()
+            await self._commit(pool, jobs, ended_steps(jobs, reports))
             if self._pools.get(pool) is jobs and self._is_due(jobs):
                 steps = decide_jobs(self._snapshot(pool, jobs))
                 await self._commit(pool, jobs, steps)
         await self._stop_tasks(jobs)
         await self._start_tasks(pool, jobs)
 
-    def _may_decide(self, jobs: _PoolJobs) -> bool:
+    def _may_decide(self, jobs: PoolJobs) -> bool:
         return jobs.needs_decision(time.monotonic(), self._settings.sweep_s)
 
-    def _is_due(self, jobs: _PoolJobs) -> bool:
+    def _is_due(self, jobs: PoolJobs) -> bool:
         due = self._may_decide(jobs)
         if due:
             jobs.changed = False
@@ -300,7 +265,7 @@
         if jobs is not None:
             jobs.changed = True
 
-    def _snapshot(self, pool: str, jobs: _PoolJobs) -> JobsSnapshot:
+    def _snapshot(self, pool: str, jobs: PoolJobs) -> JobsSnapshot:
         teams = self._configuration.book.specs(ItemKind.TEAM, TeamSpec)
         quotas = {
             name: spec.cores_quota for name, spec in teams.items() if spec.cores_quota
@@ -309,7 +274,7 @@
         current.sort(key=lambda job: (job.submitted_ms, job.spec.job_id))
         return JobsSnapshot(tuple(current), tuple(self._workers(pool, jobs)), quotas)
 
-    def _workers(self, pool: str, jobs: _PoolJobs) -> t.Iterator[WorkerFacts]:
+    def _workers(self, pool: str, jobs: PoolJobs) -> t.Iterator[WorkerFacts]:
         view = self._views.view(pool)
         states = view.states if view else {}
         refused = jobs.quarantine.members(list(states))
@@ -332,7 +297,7 @@
     # Commits.
 
     async def _commit_or_raise(
-        self, pool: str, jobs: _PoolJobs, steps: list[JobStep]
+        self, pool: str, jobs: PoolJobs, steps: list[JobStep]
     ) -> None:
         outcome = await self._commit(pool, jobs, steps)
         if outcome is CommitOutcome.CONFLICTED:
@@ -349,7 +314,7 @@
             )
 
     async def _commit(
-        self, pool: str, jobs: _PoolJobs, steps: list[JobStep]
+        self, pool: str, jobs: PoolJobs, steps: list[JobStep]
     ) -> CommitOutcome:
         for start in range(0, len(steps), MAX_ROWS_PER_TRANSACTION):
             chunk = steps[start : start + MAX_ROWS_PER_TRANSACTION]
@@ -366,7 +331,7 @@
         return CommitOutcome.COMMITTED
 
     def _fences(
-        self, pool: str, jobs: _PoolJobs, steps: t.Iterable[JobStep]
+        self, pool: str, jobs: PoolJobs, steps: t.Iterable[JobStep]
     ) -> tuple[Fence, ...]:
         """The shard's epoch; for starts also the pool's row as it was decided on.
 
@@ -386,21 +351,17 @@
                 await asyncio.sleep(self._settings.tick_s)
 
     @staticmethod
-    def _write(pool: str, jobs: _PoolJobs, step: JobStep) -> Write:
+    def _write(pool: str, jobs: PoolJobs, step: JobStep) -> Write:
         job_id = step.job.spec.job_id
         known = jobs.jobs.get(job_id)
         version = known.version if known else ABSENT
         return Write(job_key(pool, job_id), cattrs.unstructure(step.job), version)
 
-    def _keep(self, pool: str, jobs: _PoolJobs, step: JobStep) -> None:
+    def _keep(self, pool: str, jobs: PoolJobs, step: JobStep) -> None:
         job = step.job
         job_id = job.spec.job_id
         known = jobs.jobs.get(job_id)
-        before = jobs.keep(job, (known.version if known else ABSENT) + 1)
-        if before is not None and before.state is JobState.STARTED:
-            self._note_left_attempt(jobs, before, job)
-        if job.state is JobState.STARTED:
-            jobs.unconfirmed.add(job_id)
+        jobs.replace(job, (known.version if known else ABSENT) + 1)
         self._recorder.record(
             AREA,
             f"job-{job.state.value}",
@@ -409,22 +370,10 @@
             epoch=jobs.fence.version,
         )
 
-    @staticmethod
-    def _note_left_attempt(jobs: _PoolJobs, before: Job, after: Job) -> None:
-        job_id = before.spec.job_id
-        jobs.unconfirmed.discard(job_id)
-        if after.state in (JobState.CANCELLED, JobState.QUEUED, JobState.PARKED):
-            checkpoint = after.state is JobState.QUEUED
-            jobs.stops[(job_id, before.attempt)] = checkpoint
-        if after.state is JobState.DONE:
-            jobs.quarantine.note(before.worker_id, job_id, succeeded=True)
-        elif before.worker_id in after.failed_on:
-            jobs.quarantine.note(before.worker_id, job_id, succeeded=False)
-
     # Tasks.
 
-    async def _start_tasks(self, pool: str, jobs: _PoolJobs) -> None:
-        limit = asyncio.Semaphore(PARALLEL_STARTS)
+    async def _start_tasks(self, pool: str, jobs: PoolJobs) -> None:
+        limit = asyncio.Semaphore(PARALLEL_CALLS)
 
         async def start(job: Job) -> None:
             async with limit:
@@ -437,7 +386,7 @@
         ]
         await asyncio.gather(*(start(job) for job in waiting))
 
-    async def _start(self, pool: str, jobs: _PoolJobs, job: Job) -> None:
+    async def _start(self, pool: str, jobs: PoolJobs, job: Job) -> None:
         spec = job.spec
         start = TaskStart(
             spec.job_id,
@@ -458,7 +407,7 @@
         jobs.unconfirmed.discard(spec.job_id)
 
     async def _note_refused(
-        self, pool: str, jobs: _PoolJobs, job: Job, cause: str
+        self, pool: str, jobs: PoolJobs, job: Job, cause: str
     ) -> None:
         """Queue again what the worker certainly did not start."""
         async with self._lock(pool):
@@ -468,7 +417,7 @@
                 await self._commit(pool, jobs, [JobStep(queued, cause)])
                 jobs.stops.pop((job.spec.job_id, job.attempt), None)
 
-    async def _stop_tasks(self, jobs: _PoolJobs) -> None:
+    async def _stop_tasks(self, jobs: PoolJobs) -> None:
         stops = dict(jobs.stops)
         plain = [task for task, checkpoint in stops.items() if not checkpoint]
         try:
@@ -482,28 +431,3 @@
             return
         for task in stops:
             jobs.stops.pop(task, None)
-
-
-def _ended(jobs: _PoolJobs, tasks: t.Iterable[Task]) -> list[JobStep]:
-    """Return the rows to replace because their attempts have ended."""
-    steps: list[JobStep] = []
-    for task in tasks:
-        stored = jobs.jobs.get(task.job_id)
-        if stored is None or stored.job.state is not JobState.STARTED:
-            continue
-        if task.attempt != stored.job.attempt or task.state is TaskState.RUNNING:
-            continue
-        steps.append(_after_end(stored.job, task))
-    return steps
-
-
-def _after_end(job: Job, task: Task) -> JobStep:
-    if task.state is TaskState.DONE:
-        return JobStep(attrs.evolve(job, state=JobState.DONE), "done")
-    cause = f"{task.state.value} on {task.worker_id}"
-    failed_on = job.failed_on
-    if task.state is TaskState.FAILED and task.worker_id not in failed_on:
-        failed_on = (*failed_on, task.worker_id)
-    state = JobState.QUEUED if job.spec.repeat_safe else JobState.PARKED
-    ended = attrs.evolve(job, state=state, reason=cause, failed_on=failed_on)
-    return JobStep(ended, cause)
--- /dev/null
+++ b/src/streamthread/jobs/tests/test_decide.py
@@ -0,0 +1,137 @@
+"""The decision about jobs: room, quotas, urgent ones, those that cannot run."""
+
+import attrs
+import hypothesis
+import hypothesis.strategies as st
+
+from streamthread.jobs import decide_jobs
+from streamthread.jobs import Job
+from streamthread.jobs import JobSpec
+from streamthread.jobs import JobsSnapshot
+from streamthread.jobs import JobState
+from streamthread.jobs import Quarantine
+from streamthread.jobs import WorkerFacts
+
+
+def _spec(name: str, cores: int = 4, **fields: object) -> JobSpec:
+    values = {"repeat_safe": True, "run_s": 600.0, **fields}
+    return JobSpec(name, "p", "team", cores, 1, **values)  # type: ignore[arg-type]
+
+
+def _worker(name: str, cores: int = 8, **fields: object) -> WorkerFacts:
+    values = {"open": True, **fields}
+    return WorkerFacts(name, cores, 100, 0, **values)  # type: ignore[arg-type]
+
+
+def _started(spec: JobSpec, worker: str) -> Job:
+    return Job(spec, JobState.STARTED, 1, worker)
+
+
+jobs = st.lists(
+    st.builds(
+        Job,
+        spec=st.builds(
+            _spec,
+            name=st.uuids().map(str),
+            cores=st.integers(1, 10),
+            urgent=st.booleans(),
+            repeat_safe=st.booleans(),
+        ),
+        state=st.sampled_from([JobState.QUEUED, JobState.STARTED]),
+        attempt=st.just(1),
+        worker_id=st.sampled_from(["w0", "w1", "w2"]),
+    ),
+    max_size=12,
+)
+
+
+class TestPlacement:
+    @hypothesis.given(jobs, st.integers(0, 40))
+    def test_new_starts_fit_and_keep_the_quota(
+        self, given: list[Job], quota: int
+    ) -> None:
+        workers = tuple(_worker(f"w{number}") for number in range(3))
+        snapshot = JobsSnapshot(tuple(given), workers, {"team": quota})
+        after = {job.spec.job_id: job for job in given}
+        starts = []
+        for step in decide_jobs(snapshot):
+            after[step.job.spec.job_id] = step.job
+            if step.job.state is JobState.STARTED:
+                starts.append(step.job)
+        running = [job for job in after.values() if job.state is JobState.STARTED]
+        for worker in {job.worker_id for job in starts}:
+            used = sum(job.spec.cores for job in running if job.worker_id == worker)
+            assert used <= 8
+        if starts:
+            assert sum(job.spec.cores for job in running) <= quota
+
+    @hypothesis.given(jobs)
+    def test_job_that_may_not_be_repeated_is_never_pushed_aside(
+        self, given: list[Job]
+    ) -> None:
+        workers = tuple(_worker(f"w{number}") for number in range(3))
+        for step in decide_jobs(JobsSnapshot(tuple(given), workers)):
+            before = next(job for job in given if job.spec == step.job.spec)
+            if before.state is JobState.STARTED:
+                assert before.spec.repeat_safe
+                assert not before.spec.urgent
+
+    def test_tightest_worker_wins(self) -> None:
+        workers = (_worker("large", 16), _worker("small", 4))
+        (step,) = decide_jobs(JobsSnapshot((Job(_spec("j")),), workers))
+        assert step.job.worker_id == "small"
+
+    def test_urgent_job_has_the_cheapest_pushed_aside(self) -> None:
+        workers = (_worker("w0"), _worker("w1"))
+        running = (
+            _started(_spec("big", 8), "w0"),
+            _started(_spec("a", 4), "w1"),
+            _started(_spec("b", 4), "w1"),
+        )
+        urgent = Job(_spec("now", 4, urgent=True))
+        aside, start = decide_jobs(JobsSnapshot((*running, urgent), workers))
+        assert (aside.job.spec.job_id, aside.job.state) == ("a", JobState.QUEUED)
+        assert (start.job.spec.job_id, start.job.worker_id) == ("now", "w1")
+
+    def test_long_jobs_leave_a_worker_that_leaves(self) -> None:
+        leaving = _worker("w0", open=False, leaving=True)
+        running = (
+            _started(_spec("long"), "w0"),
+            _started(_spec("short", run_s=5.0), "w0"),
+        )
+        (step,) = decide_jobs(JobsSnapshot(running, (leaving,)))
+        assert (step.job.spec.job_id, step.job.state) == ("long", JobState.QUEUED)
+
+
+class TestParking:
+    def test_job_that_fits_nowhere_is_parked_with_the_reason(self) -> None:
+        job = Job(_spec("j", 99))
+        (step,) = decide_jobs(JobsSnapshot((job,), (_worker("w0"),)))
+        assert step.job.state is JobState.PARKED
+        assert "large enough" in step.job.reason
+
+    def test_job_that_failed_on_three_workers_is_parked(self) -> None:
+        job = attrs.evolve(Job(_spec("j")), failed_on=("a", "b", "c"))
+        (step,) = decide_jobs(JobsSnapshot((job,), (_worker("w0"),)))
+        assert step.job.state is JobState.PARKED
+
+    def test_job_waits_while_the_pool_is_empty(self) -> None:
+        assert decide_jobs(JobsSnapshot((Job(_spec("j")),), ())) == []
+
+
+class TestQuarantine:
+    def test_takes_the_worst_up_to_a_fifth_and_never_all(self) -> None:
+        quarantine = Quarantine()
+        workers = [f"w{number}" for number in range(10)]
+        for worker in workers:
+            for number in range(3 + (worker == "w7")):
+                quarantine.note(worker, f"j{number}", succeeded=False)
+        assert quarantine.members(workers) == {"w7", "w0"}
+        assert quarantine.members(["w1"]) == set()
+
+    def test_success_clears(self) -> None:
+        quarantine = Quarantine()
+        for number in range(3):
+            quarantine.note("w0", f"j{number}", succeeded=False)
+        quarantine.note("w0", "j9", succeeded=True)
+        assert quarantine.members(["w0", "w1"]) == set()
--- a/src/streamthread/peers/service.py
+++ b/src/streamthread/peers/service.py
@@ -1,6 +1,7 @@
 """The exchange between daemons: one bounded call carries all soft state."""
 
 import asyncio
+import contextlib
 import json
 import random
 import time
@@ -157,10 +158,9 @@
             await self._wait_for_news(self.settings.exchange_s)
 
     async def _wait_for_news(self, limit_s: float) -> None:
-        try:
-            await asyncio.wait_for(self._news.wait(), limit_s)
-        except TimeoutError:
-            pass
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_s):
+                await self._news.wait()
 
     async def round(self, fanout: int) -> None:
         """Exchange with some peers at once."""
--- a/src/streamthread/requests/service.py
+++ b/src/streamthread/requests/service.py
@@ -197,9 +197,8 @@
 
     async def _claim(self, key: str, claim: Claim, call: Call) -> ClaimResult:
         try:
-            return await asyncio.wait_for(
-                self._claims.claim(key, claim), max(0.0, call.left_s())
-            )
+            async with asyncio.timeout(max(0.0, call.left_s())):
+                return await self._claims.claim(key, claim)
         except (StoreUnavailableError, TimeoutError) as error:
             detail = str(error) or "the key could not be claimed in time"
             raise Problem(
--- a/src/streamthread/requests/slots.py
+++ b/src/streamthread/requests/slots.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import contextlib
 import time
 import typing as t
 
@@ -83,7 +84,6 @@
 
 
 async def _wait(event: asyncio.Event, limit_s: float) -> None:
-    try:
-        await asyncio.wait_for(event.wait(), limit_s)
-    except TimeoutError:
-        pass
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(limit_s):
+            await event.wait()
--- /dev/null
+++ b/src/streamthread/requests/tests/test_choice.py
@@ -0,0 +1,133 @@
+"""Choice of upstream, the queue for slots, the retry budget."""
+
+import asyncio
+import collections
+
+import hypothesis
+import hypothesis.strategies as st
+
+from streamthread.requests import choose
+from streamthread.requests import RetryBudget
+from streamthread.requests import SlotQueue
+from streamthread.requests import Upstream
+from streamthread.requests import UpstreamHealth
+
+Health = dict[str, UpstreamHealth]
+
+loads = st.lists(st.integers(0, 8), min_size=1, max_size=8)
+
+
+def _upstreams(count: int, limit: int = 8) -> list[Upstream]:
+    return [
+        Upstream(f"u{number}", "", "hann" if number % 2 else "plateau", 1, limit)
+        for number in range(count)
+    ]
+
+
+def _health(count: int) -> Health:
+    return {f"u{number}": UpstreamHealth() for number in range(count)}
+
+
+def _eject(health: UpstreamHealth, now_s: float) -> None:
+    while not health.note_failure(now_s):
+        pass
+
+
+class TestChoose:
+    @hypothesis.given(loads)
+    def test_takes_the_least_loaded_and_never_a_full_one(self, load: list[int]) -> None:
+        upstreams, health = _upstreams(len(load)), _health(len(load))
+        for name, count in zip(health, load, strict=True):
+            health[name].in_flight = count
+        chosen = choose(upstreams, health, "hann", now_s=0.0)
+        if min(load) >= 8:
+            assert chosen is None
+        else:
+            assert chosen is not None
+            assert health[chosen.instance_id].in_flight == min(load)
+
+    def test_prefers_the_same_hall_among_equals(self) -> None:
+        for _ in range(20):
+            chosen = choose(_upstreams(4), _health(4), "hann", now_s=0.0)
+            assert chosen is not None and chosen.hall == "hann"
+
+    def test_ejects_what_fails_everything_and_tries_it_again_later(self) -> None:
+        upstreams, health = _upstreams(2), _health(2)
+        _eject(health["u1"], 0.0)
+        assert _names(upstreams, health, 1.0) == {"u0"}
+        assert _names(upstreams, health, 3.0) == {"u0", "u1"}
+        assert health["u1"].note_failure(3.0), "one more failure ejects it again"
+
+    def test_never_ejects_more_than_half(self) -> None:
+        upstreams, health = _upstreams(4), _health(4)
+        for name in ("u0", "u1", "u2"):
+            _eject(health[name], 0.0)
+        assert _names(upstreams, health, 1.0) == set(health)
+
+    def test_full_one_rests_for_a_moment(self) -> None:
+        upstreams, health = _upstreams(2), _health(2)
+        health["u0"].note_full(0.0)
+        assert _names(upstreams, health, 0.0) == {"u1"}
+        assert _names(upstreams, health, 1.0) == {"u0", "u1"}
+
+
+def _names(upstreams: list[Upstream], health: Health, now_s: float) -> set[str]:
+    chosen = [choose(upstreams, health, "surrey", now_s=now_s) for _ in range(60)]
+    return {one.instance_id for one in chosen if one is not None}
+
+
+class TestSlotQueue:
+    async def test_serves_in_order_of_arrival(self) -> None:
+        queue = SlotQueue(limit=10, poll_s=0.01)
+        free = collections.deque[int]()
+        served: list[int] = []
+
+        async def one(number: int) -> None:
+            taken = await queue.take(lambda: free.popleft() if free else None, 1e12)
+            assert taken is not None
+            served.append(number)
+
+        waiting = [asyncio.create_task(one(number)) for number in range(5)]
+        for slot in range(5):
+            await asyncio.sleep(0)
+            free.append(slot)
+            queue.release()
+        await asyncio.gather(*waiting)
+        assert served == [0, 1, 2, 3, 4]
+
+    async def test_gives_up_at_the_deadline(self) -> None:
+        queue = SlotQueue(limit=10, poll_s=0.01)
+        loop = asyncio.get_running_loop()
+        assert await queue.take(lambda: None, loop.time() + 0.05) is None
+        assert len(queue) == 0
+
+    async def test_expected_wait_follows_the_pace(self) -> None:
+        now_s = 0.0
+        queue = SlotQueue(limit=10, poll_s=0.001, clock_s=lambda: now_s)
+        free: list[int] = []
+        tasks = [
+            asyncio.create_task(queue.take(lambda: free.pop() if free else None, 1e9))
+            for _ in range(6)
+        ]
+        await asyncio.sleep(0)
+        for _ in range(4):
+            now_s += 2.0
+            before = len(queue)
+            free.append(1)
+            queue.release()
+            while len(queue) == before:
+                await asyncio.sleep(0)
+        assert queue.expected_wait_s() == 3 * 2.0
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+
+class TestRetryBudget:
+    def test_retries_stay_a_fraction_of_requests(self) -> None:
+        budget = RetryBudget(fraction=0.1, reserve=5.0)
+        taken = 0
+        for _ in range(1000):
+            budget.note_request()
+            taken += budget.take()
+        assert taken <= 1000 * 0.1 + 5
--- a/tests/integration/test_requests.py
+++ b/tests/integration/test_requests.py
@@ -176,6 +176,51 @@
     raise AssertionError("no such metric")
 
 
+class TestMalformedRequests:
+    @pytest.mark.parametrize(
+        "headers",
+        [
+            "Content-Length: 5\r\nTransfer-Encoding: chunked",
+            "Content-Length: 5\r\nContent-Length: 6",
+            "Transfer-Encoding: chunked, identity",
+            f"X-Long: {'x' * 20_000}",
+        ],
+    )
+    async def test_reach_no_upstream(self, headers: str) -> None:
+        async with served_cluster(entries=1, runners=1) as cluster:
+            before = await _started(cluster, f"{SERVICE}-0")
+            host, port = cluster.entries[0].announced["callers"].split(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            path = f"/services/{SERVICE}/x"
+            request = f"POST {path} HTTP/1.1\r\nHost: x\r\n{headers}\r\n\r\n0\r\n\r\n"
+            writer.write(request.encode())
+            status = await reader.readline()
+            assert b" 400 " in status
+            writer.close()
+            assert await _started(cluster, f"{SERVICE}-0") == before
+
+
+class TestSlowCaller:
+    async def test_that_stops_reading_gives_its_slot_back_at_the_deadline(
+        self,
+    ) -> None:
+        async with served_cluster(entries=1, runners=1, slots=1) as cluster:
+            host, port = cluster.entries[0].announced["callers"].split(":")
+            _reader, writer = await asyncio.open_connection(host, int(port))
+            request = (
+                f"GET /services/{SERVICE}/x?size_bytes=200000000 HTTP/1.1\r\n"
+                "Host: x\r\nStreamthread-Deadline-S: 2\r\n\r\n"
+            )
+            writer.write(request.encode())
+            await eventually(lambda: _in_flight(cluster, 1))
+
+            async def served() -> bool:
+                return (await cluster.call(SERVICE, "x"))[0] == 200
+
+            await eventually(served)
+            writer.close()
+
+
 class TestLeavingUpstream:
     @pytest.mark.parametrize("sign", ["header", "membership"])
     async def test_gets_no_new_work_once_its_sign_is_known(self, sign: str) -> None:
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -93,7 +93,7 @@
     ),
     Guard(
         "unsafe-parked",
-        "jobs/service.py",
+        "jobs/pool_jobs.py",
         "state = JobState.QUEUED if job.spec.repeat_safe else JobState.PARKED",
         "state = JobState.QUEUED",
         (f"{OWNERSHIP}::TestUnsafeJob",),
--- a/tools/processes.py
+++ b/tools/processes.py
@@ -342,7 +342,7 @@
     async def apply(self, items: dict[str, Json], entry: int = 0) -> int:
         """Apply items through one entry and return the generation."""
         operators = self.entries[entry].operators
-        present = await operators.get("/configuration")
+        present = await operators.get("/status")
         changes = [{"key": key, "value": value} for key, value in items.items()]
         body = {"base_generation": present["generation"], "changes": changes}
         answer = await operators.post("/configuration", body)
