Deal the slots out to the entries, borrow while nobody waits, tell all of a generation

A generation took up to 1160 ms to all entries by random fan-out.

Change: each entry deals the slots out alike and has its own; others' slots are borrowed while no other entry waits for the service (told in the exchange), with doubling pauses after refusals. The entry that accepts a generation tells all others at once (at most 16), receivers two.

--- a/bench/load.py
+++ b/bench/load.py
@@ -29,6 +29,8 @@
     :param urls: prefixes, used in turn: ``http://host:port/services/x``.
     :param unsafe: send POSTs with a key of their own, repeated elsewhere when
         the outcome is not ``done``.
+    :param repeat_step: a repeat goes so many prefixes further, to another entry
+        of the same service.
     """
 
     urls: tuple[str, ...]
@@ -36,6 +38,7 @@
     duration_s: float
     delay_ms: int
     unsafe: bool = False
+    repeat_step: int = 1
     deadline_s: float = 10.0
     seed: int = 1
     name: str = "load"
@@ -115,7 +118,13 @@
         for attempt in range(3):
             body = f"body of {key}".encode()
             outcome = await self._send(
-                session, number + attempt, due_s, f"{number}", "POST", body, key
+                session,
+                number + attempt * self._plan.repeat_step,
+                due_s,
+                f"{number}",
+                "POST",
+                body,
+                key,
             )
             outcomes.add(outcome)
             if outcome == "done":
--- a/src/streamthread/configuration/service.py
+++ b/src/streamthread/configuration/service.py
@@ -28,6 +28,7 @@
 __all__ = ["ConfigurationService", "Proposal"]
 
 AREA = "configuration"
+ACCEPTED_HERE = "accepted here"
 
 Listener = t.Callable[[t.Collection[str] | None], None]
 """Is given the changed keys, or None when everything may have changed."""
@@ -66,6 +67,8 @@
         self.book = Book()
         self.confirmed_at_s: float | None = None
         self.adopted_at_s = time.monotonic()
+        self.accepted_last = False
+        """Whether the generation in force was accepted by this daemon."""
         self._store = ConfigurationStore(platform, committer)
         self._recorder = recorder
         self._poll_s = poll_s
@@ -106,7 +109,7 @@
                 )
                 result = await self._store.append(head, step)
                 if result.outcome is CommitOutcome.COMMITTED:
-                    self.adopt_steps([step], "accepted here")
+                    self.adopt_steps([step], ACCEPTED_HERE)
                     await self._snapshot_if_due()
                     return step.number
                 if result.outcome is CommitOutcome.UNKNOWN:
@@ -155,6 +158,7 @@
 
     def _announce(self, keys: t.Collection[str] | None, cause: str) -> None:
         self.adopted_at_s = time.monotonic()
+        self.accepted_last = cause == ACCEPTED_HERE
         self._recorder.record(
             AREA,
             "generation-in-force",
--- a/src/streamthread/entry/daemon.py
+++ b/src/streamthread/entry/daemon.py
@@ -105,13 +105,14 @@
         self.desk = JobDesk(self.leases, self.jobs)
         self.desk.peers = self.peers
         self.router = Router(
+            settings.daemon_id,
             settings.hall,
             self.configuration,
             self.fleet.catalog,
             self.fleet.views,
             self.peers.rumors,
             self.recorder,
-            self.daemon_count,
+            self.entries,
             self.peers.spread_soon,
         )
         self.claims = ClaimService(
@@ -190,6 +191,11 @@
 
     # What the slices ask of each other.
 
+    def entries(self) -> tuple[str, ...]:
+        """Return the ids of the live entries, sorted, this one's among them."""
+        others = [peer.daemon_id for peer in self.leases.peers()]
+        return tuple(sorted([*others, self.settings.daemon_id]))
+
     def daemon_count(self) -> int:
         """Return how many daemons share the upstreams and the store."""
         return len(self.leases.peers()) + 1
@@ -228,6 +234,7 @@
             ready=self.is_ready(),
             drains=drains,
             requests_in_flight=self.requests.in_flight,
+            waiting=self.router.waiting(),
         )
         rumor = pb.Rumor(key=key, version=self._state_version, daemon=state)
         self.peers.rumors.offer(rumor)
--- a/src/streamthread/entry/operators.py
+++ b/src/streamthread/entry/operators.py
@@ -162,7 +162,8 @@
     async def _timeline(self, request: web.Request) -> JsonObject:
         """Merge the events of all daemons that answer; name those that do not.
 
-        With ``archived`` in the query, the stored events of all daemons too.
+        With ``archived`` in the query, the stored events of all daemons too; with
+        ``only_here``, the events of this daemon alone.
         """
         event_filter = EventFilter(
             subject=request.query.get("subject", ""),
@@ -172,7 +173,8 @@
         )
         parts = [self._entry.recorder.select(event_filter)]
         silent: list[str] = []
-        for peer in self._entry.leases.peers():
+        only_here = "only_here" in request.query
+        for peer in [] if only_here else self._entry.leases.peers():
             try:
                 parts.append(await self._entry.peers.fetch_events(peer, event_filter))
             except PeerUnavailableError:
--- a/src/streamthread/peers/service.py
+++ b/src/streamthread/peers/service.py
@@ -45,6 +45,7 @@
     """How the daemons talk to each other.
 
     :param fanout: how many peers a round with news reaches; others reach one.
+    :param accepted_fanout: how many the entry tells that accepted a generation.
     :param min_gap_s: rounds that news start come no faster than this.
     :param seeds: addresses to ask while no lease names a peer, so that an entry
         that is new while the store is down finds the others.
@@ -54,7 +55,8 @@
     host: str = "127.0.0.1"
     port: int = 0
     exchange_s: float = 1.0
-    fanout: int = 3
+    fanout: int = 2
+    accepted_fanout: int = 16
     min_gap_s: float = 0.2
     timeout_s: float = 2.0
     seeds: tuple[str, ...] = ()
@@ -117,7 +119,13 @@
         self._random = random.Random(recorder.daemon_id)
         self._news = asyncio.Event()
         self._before_round: list[t.Callable[[], None]] = []
-        configuration.listen(lambda keys: self.spread_soon())
+        self._to_all = False
+        configuration.listen(self._on_configuration)
+
+    def _on_configuration(self, keys: t.Collection[str] | None) -> None:
+        """Tell everybody of what was accepted here; of the rest, a few."""
+        self._to_all = self._to_all or self._configuration.accepted_last
+        self.spread_soon()
 
     def before_round(self, update: t.Callable[[], None]) -> None:
         """Have a function called before each round, to refresh rumors."""
@@ -151,9 +159,12 @@
     @Service.task
     async def _exchange_rounds(self) -> None:
         while not self.should_stop:
-            had_news = self._news.is_set()
+            fanout = self.settings.fanout if self._news.is_set() else 1
+            if self._to_all:
+                fanout = self.settings.accepted_fanout
             self._news.clear()
-            await self.round(self.settings.fanout if had_news else 1)
+            self._to_all = False
+            await self.round(fanout)
             await self.sleep(self.settings.min_gap_s)
             await self._wait_for_news(self.settings.exchange_s)
 
--- a/src/streamthread/requests/__init__.py
+++ b/src/streamthread/requests/__init__.py
@@ -9,15 +9,21 @@
 from .outcomes import Problem
 from .retries import RetryBudget
 from .router import Router
+from .router import Slot
 from .service import RequestService
+from .shares import Borrowing
+from .shares import own_slots
 from .slots import SlotQueue
 from .sweeper import ClaimSweeper
 from .sweeper import SweepSettings
+from .upstreams import Choice
 from .upstreams import choose
 from .upstreams import Upstream
 from .upstreams import UpstreamHealth
 
 __all__ = [
+    "Borrowing",
+    "Choice",
     "Claim",
     "ClaimService",
     "ClaimSettings",
@@ -28,10 +34,12 @@
     "RequestService",
     "RetryBudget",
     "Router",
+    "Slot",
     "SlotQueue",
     "SweepSettings",
     "Upstream",
     "UpstreamHealth",
     "choose",
     "claim_key",
+    "own_slots",
 ]
--- a/src/streamthread/requests/router.py
+++ b/src/streamthread/requests/router.py
@@ -3,6 +3,8 @@
 import time
 import typing as t
 
+import attrs
+
 from ..configuration import ConfigurationService
 from ..configuration import ServiceSpec
 from ..fleet.catalog import Catalog
@@ -14,72 +16,103 @@
 from ..timeline import Recorder
 from .outcomes import Outcome
 from .outcomes import Problem
+from .shares import Borrowing
+from .shares import own_slots
 from .slots import SlotQueue
 from .upstreams import choose
 from .upstreams import Upstream
 from .upstreams import UpstreamHealth
 
-__all__ = ["Router"]
+__all__ = ["Router", "Slot"]
 
 AREA = "requests"
 NO_UPSTREAM_RETRY_S = 2.0
+WAITING_KEPT_S = 1.0
+"""A service counts as waiting for so long after a request waited."""
+
+
+@attrs.frozen
+class Slot:
+    """A slot that a request occupies.
+
+    :param borrowed: it belongs to another entry.
+    """
+
+    service: str
+    upstream: Upstream
+    borrowed: bool
 
 
 class Router:
     """Chooses upstreams and counts what is in flight on them.
 
-    :param daemon_count: how many daemons share the upstreams' connections.
+    :param entry: this entry's id.
+    :param entries: returns the live entries' ids, sorted, this one's among them.
     """
 
     def __init__(
         self,
+        entry: str,
         hall: str,
         configuration: ConfigurationService,
         catalog: Catalog,
         views: PoolViews,
         rumors: RumorBook,
         recorder: Recorder,
-        daemon_count: t.Callable[[], int],
+        entries: t.Callable[[], tuple[str, ...]],
         spread_soon: t.Callable[[], None],
     ) -> None:
+        self._entry = entry
         self._hall = hall
         self._configuration = configuration
         self._catalog = catalog
         self._views = views
         self._rumors = rumors
         self._recorder = recorder
-        self._daemon_count = daemon_count
+        self._entries = entries
         self._spread_soon = spread_soon
         self._health: dict[str, UpstreamHealth] = {}
         self._queues: dict[str, SlotQueue] = {}
+        self._borrowing: dict[str, Borrowing] = {}
+        self._waited_at_s: dict[str, float] = {}
+        self._waiting_at: dict[str, frozenset[str]] = {}
         rumors.listen(self._on_rumor)
 
     # Choice.
 
     async def acquire(
-        self, name: str, spec: ServiceSpec, deadline_at_s: float, tried: set[str]
-    ) -> Upstream:
-        """Return an upstream with a slot taken on it; :meth:`release` it later.
+        self,
+        name: str,
+        spec: ServiceSpec,
+        deadline_at_s: float,
+        tried: set[str],
+        again: bool = False,
+    ) -> Slot:
+        """Return a slot on an upstream; :meth:`release` it later.
 
+        :param tried: the upstreams that refused this request lately.
+        :param again: it was refused, and keeps its place in front.
         :raises Problem: not-run, at once when waiting would be in vain.
         """
         queue = self._queue(name, spec)
-        upstream = None if len(queue) else self._take(name, spec, tried)
-        if upstream is None:
-            self._refuse_hopeless(name, spec, queue, deadline_at_s)
-            upstream = await queue.take(
-                lambda: self._take(name, spec, tried), deadline_at_s
+        slot = self._take(name, spec, tried) if again or not len(queue) else None
+        if slot is None:
+            if not again:
+                self._refuse_hopeless(name, queue, deadline_at_s)
+            self._note_waiting(name)
+            slot = await queue.take(
+                lambda: self._take(name, spec, tried), deadline_at_s, in_front=again
             )
-        if upstream is None:
+        if slot is None:
             raise _overloaded(
                 name, "no upstream had a free slot in time", queue.expected_wait_s()
             )
-        return upstream
+        return slot
 
-    def release(self, name: str, upstream: Upstream) -> None:
+    def release(self, slot: Slot) -> None:
         """Give a slot back."""
-        self._health[upstream.instance_id].in_flight -= 1
-        queue = self._queues.get(name)
+        self._health[slot.upstream.instance_id].in_flight -= 1
+        queue = self._queues.get(slot.service)
         if queue is not None:
             queue.release()
 
@@ -89,21 +122,47 @@
             queue = self._queues[name] = SlotQueue(spec.queue_limit)
         return queue
 
-    def _take(self, name: str, spec: ServiceSpec, tried: set[str]) -> Upstream | None:
+    def _take(self, name: str, spec: ServiceSpec, tried: set[str]) -> Slot | None:
         upstreams = self.upstreams(spec)
         if not upstreams:
             raise _overloaded(name, "no upstream is in service", NO_UPSTREAM_RETRY_S)
-        chosen = choose(upstreams, self._health, self._hall, tried)
+        may_borrow = not self._others_wait(name) and self._borrowing_of(name).may_try(
+            time.monotonic()
+        )
+        chosen = choose(upstreams, self._health, self._hall, tried, may_borrow)
         if chosen is None:
             tried.clear()
             return None
-        self._health[chosen.instance_id].in_flight += 1
-        return chosen
+        self._health[chosen.upstream.instance_id].in_flight += 1
+        return Slot(name, chosen.upstream, chosen.borrowed)
+
+    def _others_wait(self, name: str) -> bool:
+        """Whether another entry lacks slots itself, so that it needs its own."""
+        return any(
+            name in self._waiting_at.get(entry, ())
+            for entry in self._entries()
+            if entry != self._entry
+        )
+
+    def _note_waiting(self, name: str) -> None:
+        """Tell the others soon that requests wait here."""
+        now_s = time.monotonic()
+        if now_s - self._waited_at_s.get(name, -WAITING_KEPT_S) >= WAITING_KEPT_S:
+            self._spread_soon()
+        self._waited_at_s[name] = now_s
+
+    def waiting(self) -> list[str]:
+        """Return the services for which requests waited here lately."""
+        since_s = time.monotonic() - WAITING_KEPT_S
+        return sorted(
+            name for name, at_s in self._waited_at_s.items() if at_s >= since_s
+        )
+
+    def _borrowing_of(self, name: str) -> Borrowing:
+        return self._borrowing.setdefault(name, Borrowing())
 
     @staticmethod
-    def _refuse_hopeless(
-        name: str, spec: ServiceSpec, queue: SlotQueue, deadline_at_s: float
-    ) -> None:
+    def _refuse_hopeless(name: str, queue: SlotQueue, deadline_at_s: float) -> None:
         """Refuse at once what would wait in vain."""
         wait_s = queue.expected_wait_s()
         if queue.is_full:
@@ -117,30 +176,45 @@
         view = self._views.view(spec.pool)
         if view is None:
             return []
-        connections = spec.connections_per_instance // max(1, self._daemon_count())
-        limit = max(1, min(spec.slots_per_instance, connections))
-        return [
-            upstream
+        entries = self._entries()
+        limit = min(
+            spec.slots_per_instance, spec.connections_per_instance // len(entries)
+        )
+        serving = tuple(
+            instance_id
             for instance_id, state in view.states.items()
-            if state is MemberState.SERVING
-            and (upstream := self._upstream(instance_id, limit)) is not None
+            if state is MemberState.SERVING and self._may_serve(instance_id)
+        )
+        own = own_slots(
+            tuple(sorted(serving)), spec.slots_per_instance, entries, self._entry
+        )
+        return [
+            self._upstream(instance_id, max(1, limit), own.get(instance_id, 0))
+            for instance_id in serving
         ]
 
-    def _upstream(self, instance_id: str, limit: int) -> Upstream | None:
+    def _may_serve(self, instance_id: str) -> bool:
         instance = self._catalog.instances.get(instance_id)
         if instance is None or not instance.address:
-            return None
+            return False
         health = self._health.setdefault(instance_id, UpstreamHealth())
         if instance.status is not InstanceStatus.LIVE:
-            return None
-        if health.left_boot >= instance.boot:
-            return None
+            return False
+        return health.left_boot < instance.boot
+
+    def _upstream(self, instance_id: str, limit: int, own: int) -> Upstream:
+        instance = self._catalog.instances[instance_id]
         return Upstream(
-            instance_id, instance.address, instance.hall, instance.boot, limit
+            instance_id, instance.address, instance.hall, instance.boot, limit, own
         )
 
     # Signs of health.
 
+    def note_accepted(self, slot: Slot) -> None:
+        """Note that an upstream took the request."""
+        if slot.borrowed:
+            self._borrowing_of(slot.service).note_taken()
+
     def note_success(self, upstream: Upstream) -> None:
         """Note a whole answer."""
         self._health[upstream.instance_id].note_success()
@@ -153,9 +227,12 @@
                 AREA, "upstream-ejected", f"instance/{upstream.instance_id}", cause
             )
 
-    def note_full(self, upstream: Upstream) -> None:
+    def note_full(self, slot: Slot) -> None:
         """Note a refusal for want of a slot."""
-        self._health[upstream.instance_id].note_full(time.monotonic())
+        now_s = time.monotonic()
+        self._health[slot.upstream.instance_id].note_full(now_s)
+        if slot.borrowed:
+            self._borrowing_of(slot.service).note_refused(now_s)
 
     def note_leaving(self, upstream: Upstream, reason: str) -> None:
         """Note that an upstream said it leaves, and tell the peers."""
@@ -167,8 +244,14 @@
             self._spread_soon()
 
     def _on_rumor(self, rumor: pb.Rumor) -> None:
-        if rumor.WhichOneof("body") != "leaving":
-            return
+        body = rumor.WhichOneof("body")
+        if body == "daemon":
+            waiting = frozenset(rumor.daemon.waiting)
+            self._waiting_at[rumor.daemon.daemon_id] = waiting
+        elif body == "leaving":
+            self._on_leaving(rumor)
+
+    def _on_leaving(self, rumor: pb.Rumor) -> None:
         instance_id = rumor.leaving.instance_id
         health = self._health.setdefault(instance_id, UpstreamHealth())
         health.left_boot = max(health.left_boot, rumor.version)
--- a/src/streamthread/requests/service.py
+++ b/src/streamthread/requests/service.py
@@ -30,7 +30,7 @@
 from .parse import parse_call
 from .retries import RetryBudget
 from .router import Router
-from .upstreams import Upstream
+from .router import Slot
 
 __all__ = ["RequestService"]
 
@@ -249,28 +249,31 @@
         """Try upstreams until one has the request; then stay with it."""
         self._retries.note_request()
         tried: set[str] = set()
+        again = False
         while True:
-            upstream = await self._router.acquire(
-                call.service, call.spec, call.deadline_at_s, tried
+            slot = await self._router.acquire(
+                call.service, call.spec, call.deadline_at_s, tried, again
             )
             try:
-                return await self._send(request, call, upstream, answer)
+                return await self._send(request, call, slot, answer)
             except _NotStartedError:
-                tried.add(upstream.instance_id)
+                tried.add(slot.upstream.instance_id)
             except _LostError as error:
                 if not call.repeat_safe or not self._retries.take():
                     raise _lost(error) from error
-                tried.add(upstream.instance_id)
+                tried.add(slot.upstream.instance_id)
             finally:
-                self._router.release(call.service, upstream)
+                self._router.release(slot)
+            again = True
 
     async def _send(
         self,
         request: web.Request,
         call: Call,
-        upstream: Upstream,
+        slot: Slot,
         answer: "_KeptAnswer | None",
     ) -> web.StreamResponse:
+        upstream = slot.upstream
         assert self._session is not None
         left_s = call.left_s()
         headers = {**call.headers, DEADLINE_HEADER: f"{max(0.0, left_s):.3f}"}
@@ -289,7 +292,7 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as reply:
-                self._note_signs(upstream, reply)
+                self._note_signs(slot, reply)
                 began = True
                 response = await self._stream(request, reply, answer, call)
                 self._router.note_success(upstream)
@@ -303,17 +306,18 @@
             self._router.note_failure(upstream, repr(error))
             raise _LostError(repr(error)) from error
 
-    def _note_signs(self, upstream: Upstream, reply: aiohttp.ClientResponse) -> None:
+    def _note_signs(self, slot: Slot, reply: aiohttp.ClientResponse) -> None:
         """Heed what an upstream says of itself.
 
         :raises _NotStartedError: it says that it did not start the request.
         """
         if LEAVING_HEADER in reply.headers:
-            self._router.note_leaving(upstream, "said so in an answer")
+            self._router.note_leaving(slot.upstream, "said so in an answer")
         if reply.status == 503 and NOT_STARTED_HEADER in reply.headers:
             if LEAVING_HEADER not in reply.headers:
-                self._router.note_full(upstream)
+                self._router.note_full(slot)
             raise _NotStartedError
+        self._router.note_accepted(slot)
 
     async def _stream(
         self,
--- a/src/streamthread/requests/slots.py
+++ b/src/streamthread/requests/slots.py
@@ -54,11 +54,20 @@
             self._waiting[0].set()
 
     async def take(
-        self, try_take: t.Callable[[], T | None], deadline_at_s: float
+        self,
+        try_take: t.Callable[[], T | None],
+        deadline_at_s: float,
+        in_front: bool = False,
     ) -> T | None:
-        """Wait in line until ``try_take`` succeeds; None after the deadline."""
+        """Wait in line until ``try_take`` succeeds; None after the deadline.
+
+        :param in_front: it had its turn already, and was refused.
+        """
         turn = asyncio.Event()
-        self._waiting.append(turn)
+        if in_front:
+            self._waiting.appendleft(turn)
+        else:
+            self._waiting.append(turn)
         try:
             while (left_s := deadline_at_s - self._clock_s()) > 0:
                 is_first = self._waiting[0] is turn
--- a/src/streamthread/requests/upstreams.py
+++ b/src/streamthread/requests/upstreams.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-__all__ = ["Upstream", "UpstreamHealth", "choose"]
+__all__ = ["Choice", "Upstream", "UpstreamHealth", "choose"]
 
 FAILURES_BEFORE_EJECTION = 5
 EJECTION_BASE_S = 2.0
@@ -20,6 +20,8 @@
     """One upstream as it can be chosen.
 
     :param boot: which run of it; a leaving mark holds for one boot.
+    :param limit: the most requests that this entry may have there at once.
+    :param own: how many of its slots belong to this entry.
     """
 
     instance_id: str
@@ -27,6 +29,15 @@
     hall: str
     boot: int
     limit: int
+    own: int
+
+
+@attrs.frozen
+class Choice:
+    """An upstream, and whether the slot there belongs to another entry."""
+
+    upstream: Upstream
+    borrowed: bool
 
 
 @attrs.define
@@ -70,12 +81,14 @@
     health: t.Mapping[str, UpstreamHealth],
     hall: str,
     tried: t.Container[str] = (),
+    may_borrow: bool = True,
     now_s: float | None = None,
-) -> Upstream | None:
+) -> Choice | None:
     """Return the upstream for a request, or None while all are full.
 
-    The least loaded wins; of equals one in the same hall, else one at random.
-    Ejected ones are left out, unless too many would be.
+    Own slots come first: the least loaded upstream wins, of equals one in the
+    same hall, else one at random. Ejected ones are left out, unless too many
+    would be.
     """
     now_s = time.monotonic() if now_s is None else now_s
     usable = [
@@ -85,14 +98,19 @@
         and health[upstream.instance_id].in_flight < upstream.limit
         and health[upstream.instance_id].full_until_s <= now_s
     ]
-    if not usable:
-        return None
 
-    def order(upstream: Upstream) -> tuple[float, bool, float]:
-        load = health[upstream.instance_id].in_flight / upstream.limit
-        return load, upstream.hall != hall, random.random()
+    def load(upstream: Upstream) -> int:
+        return health[upstream.instance_id].in_flight
+
+    def order(upstream: Upstream) -> tuple[int, bool, float]:
+        return load(upstream), upstream.hall != hall, random.random()
 
-    return min(usable, key=order)
+    own = [upstream for upstream in usable if load(upstream) < upstream.own]
+    if own:
+        return Choice(min(own, key=order), borrowed=False)
+    if usable and may_borrow:
+        return Choice(min(usable, key=order), borrowed=True)
+    return None
 
 
 def _not_ejected(
