Refuse what could not end in time; keep the upstreams' list and the tokens

Change: the queue learns how long requests run; one that could not wait and run before its deadline is refused at once with Retry-After. The list of upstreams is kept while nothing changed, and tokens are looked up in a map instead of a map made for each request (950 teams at the planned size).

Ruled out: queue length (60) and its order; borrowing (all wait, so nobody does).

--- a/src/streamthread/fleet/catalog.py
+++ b/src/streamthread/fleet/catalog.py
@@ -39,6 +39,8 @@
     def __init__(self) -> None:
         self.instances: dict[str, Instance] = {}
         self.evaluations = 0
+        self.version = 0
+        """Grows with each change of an instance."""
         self._labels: dict[str, dict[str, str]] = {}
         self._setters: dict[str, LabelSetter] = {}
         self._selectors: dict[str, Selector] = {}
@@ -50,6 +52,7 @@
         known = self.instances.get(instance.instance_id)
         if known == instance:
             return False
+        self.version += 1
         self.instances[instance.instance_id] = instance
         if known is None or instance_labels(known) != instance_labels(instance):
             self._relabel(instance)
--- a/src/streamthread/requests/parse.py
+++ b/src/streamthread/requests/parse.py
@@ -2,11 +2,13 @@
 
 import hashlib
 import time
+import typing as t
 
 import attrs
 from aiohttp import web
 
 from ..configuration import Book
+from ..configuration import ConfigurationService
 from ..configuration import ItemKind
 from ..configuration import ServiceSpec
 from ..configuration import TeamSpec
@@ -16,7 +18,7 @@
 from .outcomes import Problem
 from .outcomes import REPEAT_HEADER
 
-__all__ = ["Call", "parse_call"]
+__all__ = ["Call", "Callers", "parse_call"]
 
 MAX_BODY_BYTES = 1024 * 1024
 MAX_KEY_LENGTH = 200
@@ -52,7 +54,39 @@
         return self.deadline_at_s - time.monotonic()
 
 
-async def parse_call(request: web.Request, book: Book) -> Call:
+class Callers:
+    """Knows the teams by their tokens, as the configuration has them."""
+
+    def __init__(self, configuration: ConfigurationService) -> None:
+        self._book = configuration.book
+        self._teams: dict[str, str] | None = None
+        configuration.listen(self._on_configuration)
+
+    def _on_configuration(self, keys: t.Collection[str] | None) -> None:
+        if keys is None or any(key.startswith("team/") for key in keys):
+            self._teams = None
+
+    def team_of(self, request: web.Request) -> str:
+        """Return the caller's team; without any token configured, none is asked.
+
+        :raises Problem: no team has this token.
+        """
+        if self._teams is None:
+            teams = self._book.specs(ItemKind.TEAM, TeamSpec)
+            self._teams = {spec.token_sha256: name for name, spec in teams.items()}
+            self._teams.pop("", None)
+        if not self._teams:
+            return ""
+        given = request.headers.get("Authorization", "").removeprefix(BEARER)
+        team = self._teams.get(hashlib.sha256(given.encode()).hexdigest())
+        if team is None:
+            raise _refusal(
+                401, "unauthenticated", "no team has this token", "send a valid token"
+            )
+        return team
+
+
+async def parse_call(request: web.Request, book: Book, callers: Callers) -> Call:
     """Check a request and read its body.
 
     :raises Problem: it cannot be carried out as it is; it was not run.
@@ -61,7 +95,7 @@
     spec = book.spec(f"service/{service}", ServiceSpec)
     if spec is None:
         raise _refusal(404, "no-such-service", f"there is no service {service!r}")
-    team = _authenticate(request, book)
+    team = callers.team_of(request)
     deadline_s = _deadline_s(request, spec)
     repeat_safe = _is_repeat_safe(request, spec)
     key = request.headers.get(IDEMPOTENCY_HEADER, "")
@@ -92,22 +126,6 @@
     )
 
 
-def _authenticate(request: web.Request, book: Book) -> str:
-    """Return the caller's team; without any token configured, none is asked."""
-    teams = book.specs(ItemKind.TEAM, TeamSpec)
-    hashes = {spec.token_sha256: name for name, spec in teams.items()}
-    hashes.pop("", None)
-    if not hashes:
-        return ""
-    given = request.headers.get("Authorization", "").removeprefix(BEARER)
-    team = hashes.get(hashlib.sha256(given.encode()).hexdigest())
-    if team is None:
-        raise _refusal(
-            401, "unauthenticated", "no team has this token", "send a valid token"
-        )
-    return team
-
-
 def _deadline_s(request: web.Request, spec: ServiceSpec) -> float:
     text = request.headers.get(DEADLINE_HEADER)
     if text is None:
--- a/src/streamthread/requests/router.py
+++ b/src/streamthread/requests/router.py
@@ -9,6 +9,7 @@
 from ..configuration import ServiceSpec
 from ..fleet.catalog import Catalog
 from ..fleet.pools import MemberState
+from ..fleet.views import PoolView
 from ..fleet.views import PoolViews
 from ..peers import peers_pb2 as pb
 from ..peers.rumors import RumorBook
@@ -75,6 +76,8 @@
         self._queues: dict[str, SlotQueue] = {}
         self._borrowing: dict[str, Borrowing] = {}
         self._waited_at_s: dict[str, float] = {}
+        self._upstreams: dict[str, tuple[t.Any, list[Upstream]]] = {}
+        self._marks = 0
         self._waiting_at: dict[str, frozenset[str]] = {}
         rumors.listen(self._on_rumor)
 
@@ -101,7 +104,9 @@
                 self._refuse_hopeless(name, queue, deadline_at_s)
             self._note_waiting(name)
             slot = await queue.take(
-                lambda: self._take(name, spec, tried), deadline_at_s, in_front=again
+                lambda: self._take(name, spec, tried),
+                deadline_at_s - queue.run_s,
+                in_front=again,
             )
         if slot is None:
             raise _overloaded(
@@ -163,11 +168,11 @@
 
     @staticmethod
     def _refuse_hopeless(name: str, queue: SlotQueue, deadline_at_s: float) -> None:
-        """Refuse at once what would wait in vain."""
+        """Refuse at once what would wait in vain, or run past its deadline."""
         wait_s = queue.expected_wait_s()
         if queue.is_full:
             raise _overloaded(name, "the queue is full", wait_s)
-        if wait_s > deadline_at_s - time.monotonic():
+        if wait_s + queue.run_s > deadline_at_s - time.monotonic():
             cause = "the queue is longer than the deadline allows"
             raise _overloaded(name, cause, wait_s)
 
@@ -176,6 +181,20 @@
         view = self._views.view(spec.pool)
         if view is None:
             return []
+        state = (
+            spec,
+            view.version,
+            self._catalog.version,
+            self._marks,
+            self._entries(),
+        )
+        known = self._upstreams.get(spec.pool)
+        if known is None or known[0] != state:
+            known = (state, self._find_upstreams(spec, view))
+            self._upstreams[spec.pool] = known
+        return known[1]
+
+    def _find_upstreams(self, spec: ServiceSpec, view: PoolView) -> list[Upstream]:
         entries = self._entries()
         limit = min(
             spec.slots_per_instance, spec.connections_per_instance // len(entries)
@@ -215,9 +234,12 @@
         if slot.borrowed:
             self._borrowing_of(slot.service).note_taken()
 
-    def note_success(self, upstream: Upstream) -> None:
-        """Note a whole answer."""
-        self._health[upstream.instance_id].note_success()
+    def note_success(self, slot: Slot, run_s: float) -> None:
+        """Note a whole answer, and how long it took."""
+        self._health[slot.upstream.instance_id].note_success()
+        queue = self._queues.get(slot.service)
+        if queue is not None:
+            queue.note_run(run_s)
 
     def note_failure(self, upstream: Upstream, cause: str) -> None:
         """Note a broken or refused connection."""
@@ -255,6 +277,7 @@
         instance_id = rumor.leaving.instance_id
         health = self._health.setdefault(instance_id, UpstreamHealth())
         health.left_boot = max(health.left_boot, rumor.version)
+        self._marks += 1
         self._recorder.record(
             AREA, "upstream-leaving", f"instance/{instance_id}", rumor.leaving.reason
         )
--- a/src/streamthread/requests/service.py
+++ b/src/streamthread/requests/service.py
@@ -26,6 +26,7 @@
 from .outcomes import problem_response
 from .outcomes import REPLAYED_HEADER
 from .parse import Call
+from .parse import Callers
 from .parse import MAX_BODY_BYTES
 from .parse import parse_call
 from .retries import RetryBudget
@@ -92,6 +93,7 @@
         self._router = router
         self._claims = claims
         self._is_current = is_current
+        self._callers = Callers(configuration)
         self._retries = RetryBudget()
         self._session: aiohttp.ClientSession | None = None
         self._runner: web.AppRunner | None = None
@@ -149,7 +151,7 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         try:
             self._refuse_if_cut_off()
-            call = await parse_call(request, self._configuration.book)
+            call = await parse_call(request, self._configuration.book, self._callers)
             if call.repeat_safe:
                 return await self._carry(request, call)
             return await self._carry_once(request, call)
@@ -283,6 +285,7 @@
             total=max(0.001, left_s), sock_connect=CONNECT_TIMEOUT_S
         )
         began = False
+        sent_at_s = time.monotonic()
         try:
             async with self._session.request(
                 call.method,
@@ -295,7 +298,7 @@
                 self._note_signs(slot, reply)
                 began = True
                 response = await self._stream(request, reply, answer, call)
-                self._router.note_success(upstream)
+                self._router.note_success(slot, time.monotonic() - sent_at_s)
                 return response
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._router.note_failure(upstream, repr(error))
--- a/src/streamthread/requests/slots.py
+++ b/src/streamthread/requests/slots.py
@@ -35,6 +35,7 @@
         self._waiting: collections.deque[asyncio.Event] = collections.deque()
         self._last_taken_s: float | None = None
         self._gap_s = 0.0
+        self._run_s = 0.0
 
     def __len__(self) -> int:
         return len(self._waiting)
@@ -48,6 +49,16 @@
         """Return how long a new arrival would wait, from the drain rate."""
         return (len(self._waiting) + 1) * self._gap_s
 
+    @property
+    def run_s(self) -> float:
+        """How long a request runs once it has a slot, lately."""
+        return self._run_s
+
+    def note_run(self, run_s: float) -> None:
+        """Learn how long requests run, from one that was answered."""
+        weight = RATE_WEIGHT if self._run_s else 1.0
+        self._run_s += weight * (run_s - self._run_s)
+
     def release(self) -> None:
         """Let the first one try, since a slot came free."""
         if self._waiting:
--- a/src/streamthread/requests/tests/test_choice.py
+++ b/src/streamthread/requests/tests/test_choice.py
@@ -2,14 +2,22 @@
 
 import asyncio
 import collections
+import time
 
 import hypothesis
 import hypothesis.strategies as st
+import pytest
+from tools.world import World
 
+from streamthread.configuration import ServiceSpec
+from streamthread.platform import Instance
 from streamthread.requests import Borrowing
 from streamthread.requests import choose
+from streamthread.requests import Outcome
 from streamthread.requests import own_slots
+from streamthread.requests import Problem
 from streamthread.requests import RetryBudget
+from streamthread.requests import Router
 from streamthread.requests import SlotQueue
 from streamthread.requests import Upstream
 from streamthread.requests import UpstreamHealth
@@ -170,6 +178,43 @@
         await asyncio.gather(*tasks, return_exceptions=True)
 
 
+class TestDeadlines:
+    async def test_request_that_could_not_end_in_time_is_refused_at_once(self) -> None:
+        """Its slot would be used in vain: it runs for a second, has half of one."""
+        world = World(1)
+        daemon = world.daemons[0]
+        world.membership.put(
+            Instance("u", "hann", "r", address="127.0.0.1:1", labels={"s": "a"})
+        )
+        await world.settle()
+        await world.apply(
+            {
+                "pool/a": {"selector": "s = a", "min_available": 0},
+                "service/a": {"pool": "a", "slots_per_instance": 1},
+            }
+        )
+        await world.settle()
+        router = Router(
+            "entry-0",
+            "hann",
+            daemon.configuration,
+            daemon.fleet.catalog,
+            daemon.fleet.views,
+            daemon.rumors,
+            daemon.recorder,
+            lambda: ("entry-0",),
+            lambda: None,
+        )
+        spec = daemon.configuration.book.spec("service/a", ServiceSpec)
+        assert spec is not None
+        slot = await router.acquire("a", spec, time.monotonic() + 60, set())
+        router.note_success(slot, 1.0)
+        with pytest.raises(Problem) as caught:
+            await router.acquire("a", spec, time.monotonic() + 0.5, set())
+        assert caught.value.outcome is Outcome.NOT_RUN
+        assert "deadline" in caught.value.detail
+
+
 class TestRetryBudget:
     def test_retries_stay_a_fraction_of_requests(self) -> None:
         budget = RetryBudget(fraction=0.1, reserve=5.0)
