Never say not-run once an answer was lost; forget waves that are gone

A safe request whose first answer was lost and that found no upstream afterwards was told not-run, though it may have run: a broken promise.

Change: once an answer was lost, giving up is unknown.

Proof: the new test fails without the guard (lost-then-refused) and passes with it.

--- a/src/streamthread/leases/service.py
+++ b/src/streamthread/leases/service.py
@@ -12,6 +12,7 @@
 from ..errors import NotHolderError
 from ..errors import StoreUnavailableError
 from ..platform import ABSENT
+from ..platform import CommitResult
 from ..platform import Fence
 from ..platform import MAX_ROWS_PER_TRANSACTION
 from ..platform import Row
@@ -159,8 +160,7 @@
         self.record = attrs.evolve(self.record, counter=self.record.counter + 1)
         key = LEASE_PREFIX + self.record.daemon_id
         write = Write(key, cattrs.unstructure(self.record), self._lease_version)
-        give_up_s = self.settings.term_s / 4
-        result = await self.committer.commit(Transaction((write,)), give_up_s)
+        result = await self._commit(write)
         if not result.committed:
             await self._read_own_row(key)
             return False
@@ -169,6 +169,11 @@
         self._trusted_until_s = sent_at_s + lasts_s
         return True
 
+    async def _commit(self, *writes: Write) -> CommitResult:
+        """Commit, but settle a lost reply only for so long as renewing can wait."""
+        give_up_s = self.settings.term_s / 4
+        return await self.committer.commit(Transaction(writes), give_up_s)
+
     async def _read_own_row(self, key: str) -> None:
         rows = await self._tables.get([key])
         self._lease_version = rows[key].version if key in rows else ABSENT
@@ -275,7 +280,7 @@
         writes = tuple(
             Write(_shard_key(state.shard), value, state.epoch) for state in states
         )
-        result = await self.committer.commit(Transaction(writes))
+        result = await self._commit(*writes)
         return result.committed
 
     def _record_shards(
--- a/src/streamthread/maintenance/decide.py
+++ b/src/streamthread/maintenance/decide.py
@@ -127,7 +127,7 @@
     instance_id: str, member: Member, facts: InstanceFacts, snapshot: PoolSnapshot
 ) -> Step | None:
     if member.state is MemberState.REBOOTING:
-        return _advance_rebooting(instance_id, member, facts)
+        return _advance_rebooting(instance_id, member, facts, snapshot)
     if not _still_wanted(member, facts, snapshot):
         back = Member(boot=facts.boot, done=member.done)
         return Step(StepKind.RETURN, instance_id, back, "no longer asked to leave")
@@ -137,11 +137,12 @@
 
 
 def _advance_rebooting(
-    instance_id: str, member: Member, facts: InstanceFacts
+    instance_id: str, member: Member, facts: InstanceFacts, snapshot: PoolSnapshot
 ) -> Step | None:
     if not facts.live or facts.boot <= member.boot:
         return None
-    back = Member(boot=facts.boot, done=(*member.done, member.purpose))
+    still_there = tuple(key for key in member.done if key in snapshot.waves)
+    back = Member(boot=facts.boot, done=(*still_there, member.purpose))
     return Step(StepKind.RETURN, instance_id, back, f"{member.purpose} is done")
 
 
--- a/src/streamthread/maintenance/tests/test_decide.py
+++ b/src/streamthread/maintenance/tests/test_decide.py
@@ -148,6 +148,15 @@
         snapshot = attrs.evolve(snapshot, row=row, facts=facts)
         assert [step.instance_id for step in decide_pool(snapshot)] == ["i2"]
 
+    def test_waves_that_are_gone_are_forgotten(self) -> None:
+        away = Member(MemberState.REBOOTING, WAVE, 1, ("wave/old",))
+        snapshot = _pool(1, 0)
+        snapshot = attrs.evolve(snapshot, row=PoolRow({"i0": away}))
+        back = attrs.evolve(snapshot.facts["i0"], boot=2)
+        snapshot = attrs.evolve(snapshot, facts={"i0": back})
+        (step,) = decide_pool(snapshot)
+        assert step.member is not None and step.member.done == (WAVE,)
+
     def test_paused_wave_grants_nothing_and_ends_what_it_began(self) -> None:
         away = Member(MemberState.REBOOTING, WAVE, 1)
         snapshot = _pool(3, 0, waves={WAVE: WaveFacts(paused=True)})
--- a/src/streamthread/requests/service.py
+++ b/src/streamthread/requests/service.py
@@ -248,21 +248,31 @@
     async def _carry(
         self, request: web.Request, call: Call, answer: "_KeptAnswer | None" = None
     ) -> web.StreamResponse:
-        """Try upstreams until one has the request; then stay with it."""
+        """Try upstreams until one has the request; then stay with it.
+
+        Once an answer was lost, giving up means unknown, never not-run.
+        """
         self._retries.note_request()
         tried: set[str] = set()
+        lost: _LostError | None = None
         again = False
         while True:
-            slot = await self._router.acquire(
-                call.service, call.spec, call.deadline_at_s, tried, again
-            )
+            try:
+                slot = await self._router.acquire(
+                    call.service, call.spec, call.deadline_at_s, tried, again
+                )
+            except Problem as problem:
+                if lost is not None:
+                    raise _lost_problem(lost) from problem
+                raise
             try:
                 return await self._send(request, call, slot, answer)
             except _NotStartedError:
                 tried.add(slot.upstream.instance_id)
             except _LostError as error:
                 if not call.repeat_safe or not self._retries.take():
-                    raise _lost(error) from error
+                    raise _lost_problem(error) from error
+                lost = error
                 tried.add(slot.upstream.instance_id)
             finally:
                 self._router.release(slot)
@@ -392,7 +402,7 @@
         )
 
 
-def _lost(error: Exception) -> Problem:
+def _lost_problem(error: Exception) -> Problem:
     return Problem(
         status=504,
         kind="answer-lost",
--- a/tests/integration/test_requests.py
+++ b/tests/integration/test_requests.py
@@ -130,6 +130,32 @@
                 return
 
 
+class TestNotRun:
+    async def test_is_not_said_of_a_safe_request_whose_answer_was_lost(self) -> None:
+        """It ran, its answer was lost, and then nobody is left to try again."""
+        async with served_cluster(entries=1, runners=1) as cluster:
+            only = f"{SERVICE}-0"
+            await cluster.set_upstream(only, broken=True)
+            before = await _started(cluster, only)
+            call = asyncio.create_task(cluster.call(SERVICE, "x?delay_ms=1500"))
+            await eventually(lambda: _has_started(cluster, only, before + 1))
+            await cluster.set_status("leaving", only)
+            await eventually(lambda: _is_listed(cluster, only, "leaving"))
+            _, headers, _ = await call
+            assert headers["Streamthread-Outcome"] == "unknown"
+
+
+async def _has_started(cluster: Cluster, instance_id: str, count: int) -> bool:
+    return await _started(cluster, instance_id) >= count
+
+
+async def _is_listed(cluster: Cluster, instance_id: str, status: str) -> bool:
+    found = await cluster.entries[0].operators.get(
+        "/instances", selector=f"instance = {instance_id}"
+    )
+    return bool(found[0]["status"] == status)
+
+
 class TestWholeAnswers:
     async def test_each_caller_gets_its_own_answer(self) -> None:
         async with served_cluster(entries=3) as cluster:
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -141,6 +141,13 @@
         '        remedy="",\n        outcome=Outcome.NOT_RUN,\n',
         (f"{REQUESTS}::TestAtMostOnce",),
     ),
+    Guard(
+        "lost-then-refused",
+        "requests/service.py",
+        "                if lost is not None:\n",
+        "                if False:\n",
+        (f"{REQUESTS}::TestNotRun",),
+    ),
     Guard(
         "break-never-ends-clean",
         "requests/service.py",
