--- a/src/streamthread/entry/operators.py
+++ b/src/streamthread/entry/operators.py
@@ -78,7 +78,7 @@
         app.router.add_post("/jobs", self._api(self._jobs))
         app.router.add_get("/timeline", self._api(self._timeline))
         app.router.add_get("/status", self._api(self._status))
-        app.router.add_get("/explain/{kind}/{name}", self._api(self._explain))
+        app.router.add_get("/explain/{kind}/{name:.+}", self._api(self._explain))
         self._runner = web.AppRunner(app, access_log=None, handle_signals=False)
         await self._runner.setup()
         listen = self._entry.settings.operators
@@ -151,6 +151,8 @@
 
     async def _explain(self, request: web.Request) -> t.Any:
         kind, name = request.match_info["kind"], request.match_info["name"]
+        if kind == "job":
+            return await reports.explain_job(self._entry, name)
         return reports.explain(self._entry, kind, name)
 
     async def _jobs(self, request: web.Request) -> t.Any:
--- a/src/streamthread/entry/reports.py
+++ b/src/streamthread/entry/reports.py
@@ -13,6 +13,8 @@
 from ..fleet.pools import pool_key
 from ..fleet.selectors import Selector
 from ..fleet.views import view_as_row
+from ..jobs import JobState
+from ..jobs.desk import JobsWish
 from ..maintenance import measure_budget
 from ..platform import InstanceStatus
 from ..platform import JsonObject
@@ -21,7 +23,15 @@
 if t.TYPE_CHECKING:
     from .daemon import Entry
 
-__all__ = ["entries", "explain", "instances", "pools", "status", "waves"]
+__all__ = [
+    "entries",
+    "explain",
+    "explain_job",
+    "instances",
+    "pools",
+    "status",
+    "waves",
+]
 
 EXPLAINED_EVENTS = 10
 
@@ -149,7 +159,42 @@
         return _explain_pool(entry, name)
     if kind == "instance":
         return _explain_instance(entry, name)
-    raise NotFoundError(f"nothing to say of {kind!r}", remedy="ask of pool or instance")
+    if kind == "wave":
+        return _explain_wave(entry, name)
+    raise NotFoundError(
+        f"nothing to say of {kind!r}", remedy="ask of pool, instance, wave or job"
+    )
+
+
+async def explain_job(entry: "Entry", name: str) -> JsonObject:
+    """Return where a job stands, and what it waits for.
+
+    :param name: ``POOL/JOB_ID``.
+    :raises NotFoundError: there is no such job.
+    """
+    pool, _, job_id = name.partition("/")
+    answer = await entry.desk.handle(JobsWish(pool, list_jobs=True))
+    for job in answer.jobs:
+        if job.spec.job_id == job_id:
+            return {
+                "job": job_id,
+                "pool": pool,
+                "state": job.state.value,
+                "attempt": job.attempt,
+                "worker": job.worker_id,
+                "reason": job.reason,
+                "failed_on": list(job.failed_on),
+                "waits_for": _JOB_WAITS.get(job.state, ""),
+                "events": _events(entry, job_id),
+            }
+    raise NotFoundError(f"no job {name!r}", remedy="name it POOL/JOB_ID")
+
+
+_JOB_WAITS = {
+    JobState.QUEUED: "a worker with room for it, inside its team's quota",
+    JobState.STARTED: "its worker to report the end",
+    JobState.PARKED: "an operator: it is not run again by itself",
+}
 
 
 def _explain_pool(entry: "Entry", name: str) -> JsonObject:
@@ -161,6 +206,26 @@
     raise NotFoundError(f"no pool {name!r}", remedy="see 'get pools'")
 
 
+def _explain_wave(entry: "Entry", name: str) -> JsonObject:
+    found = [wave for wave in waves(entry) if wave["wave"] == name]
+    if not found:
+        raise NotFoundError(f"no wave {name!r}", remedy="see 'get waves'")
+    report = found[0]
+    key = f"wave/{name}"
+    left = entry.fleet.catalog.matching(key) - {
+        instance_id
+        for view in entry.fleet.views.all()
+        for instance_id in view.done_with(key)
+    }
+    by_pool = _count(entry.fleet.views.pool_of(one) or "no pool" for one in left)
+    waits = "to be resumed" if report["paused"] else "budgets, drains and reboots"
+    return {
+        **report,
+        "left_by_pool": by_pool,
+        "waits_for": f"{waits}; see 'explain pool NAME'" if left else "",
+    }
+
+
 def _explain_instance(entry: "Entry", name: str) -> JsonObject:
     found = instances(entry, f"instance = {name}")
     if not found:
