Standing waves, waves that wait for bursts, fair turns for teams

Cause: every instance is to be maintained once in three weeks, waves made bursts worse, and one team could fill a service's queue.

Waves of a pool pause while the calendar has a burst of it. The queue for slots gives teams turns by their weights. wave pause and resume change the wave from the generation that they read (a lost update before).

--- a/src/streamthread/cli/__init__.py
+++ b/src/streamthread/cli/__init__.py
@@ -130,6 +130,9 @@
     start = actions.add_parser("start")
     start.add_argument("name")
     start.add_argument("--selector", required=True)
+    start.add_argument(
+        "--every-days", type=float, default=0, help="again in each period"
+    )
     start.set_defaults(verb=verbs.wave, action="start")
     for action in ("pause", "resume"):
         parser = actions.add_parser(action)
--- a/src/streamthread/cli/verbs.py
+++ b/src/streamthread/cli/verbs.py
@@ -110,15 +110,17 @@
 
 
 async def _change_item(
-    arguments: Arguments, key: str, value: JsonObject | None
+    arguments: Arguments, key: str, value: JsonObject | None, base: int | None = None
 ) -> Result:
-    """Replace one item, from the generation that the entry has now."""
+    """Replace one item.
+
+    :param base: the generation that the value was made from; None takes the one
+        that the entry has now.
+    """
     client = _client(arguments)
-    present = await client.get("/configuration")
-    body = {
-        "base_generation": present["generation"],
-        "changes": [{"key": key, "value": value}],
-    }
+    if base is None:
+        base = (await client.get("/status"))["generation"]
+    body = {"base_generation": base, "changes": [{"key": key, "value": value}]}
     return Result(await client.post("/configuration", body))
 
 
@@ -154,6 +156,8 @@
     key = f"wave/{arguments.name}"
     if arguments.action == "start":
         value: JsonObject = {"selector": arguments.selector}
+        if arguments.every_days:
+            value["period_days"] = arguments.every_days
         return await _change_item(arguments, key, value)
     present = await _client(arguments).get("/configuration")
     if key not in present["items"]:
@@ -161,7 +165,7 @@
             f"there is no wave {arguments.name!r}", remedy="see 'get waves'"
         )
     value = {**present["items"][key], "paused": arguments.action == "pause"}
-    return await _change_item(arguments, key, value)
+    return await _change_item(arguments, key, value, present["generation"])
 
 
 # Jobs.
--- a/src/streamthread/configuration/items.py
+++ b/src/streamthread/configuration/items.py
@@ -136,12 +136,15 @@
 class WaveSpec:
     """A maintenance wave: each matching instance is rebooted once.
 
+    :param period_days: once in each period of so many days, spread over it, for
+        ever; 0 for a wave that runs once.
     :param max_failed_fraction: a pool halts when more of its reboots fail.
     """
 
     selector: str = attrs.field(validator=is_selector)
     paused: bool = False
     max_failed_fraction: float = attrs.field(default=0.1, validator=at_least(0))
+    period_days: float = attrs.field(default=0.0, validator=at_least(0))
 
 
 @attrs.frozen
--- a/src/streamthread/entry/reports.py
+++ b/src/streamthread/entry/reports.py
@@ -9,6 +9,7 @@
 from ..configuration import PoolSpec
 from ..configuration import WaveSpec
 from ..errors import NotFoundError
+from ..fleet.planner import utc_now
 from ..fleet.pools import MemberState
 from ..fleet.pools import pool_key
 from ..fleet.selectors import Selector
@@ -16,6 +17,7 @@
 from ..jobs import JobState
 from ..jobs.desk import JobsWish
 from ..maintenance import measure_budget
+from ..maintenance import run_key
 from ..platform import InstanceStatus
 from ..platform import JsonObject
 from ..timeline import EventFilter
@@ -104,8 +106,8 @@
     specs = entry.configuration.book.specs(ItemKind.WAVE, WaveSpec)
     found: list[JsonObject] = []
     for name, spec in specs.items():
-        key = f"wave/{name}"
-        selected = entry.fleet.catalog.matching(key)
+        key = run_key(f"wave/{name}", spec.period_days, utc_now())
+        selected = entry.fleet.catalog.matching(f"wave/{name}")
         done = {
             instance_id
             for view in entry.fleet.views.all()
@@ -114,6 +116,7 @@
         found.append(
             {
                 "wave": name,
+                "run": key,
                 "paused": spec.paused,
                 "selected": len(selected),
                 "done": len(done & selected),
@@ -211,11 +214,10 @@
     if not found:
         raise NotFoundError(f"no wave {name!r}", remedy="see 'get waves'")
     report = found[0]
-    key = f"wave/{name}"
-    left = entry.fleet.catalog.matching(key) - {
+    left = entry.fleet.catalog.matching(f"wave/{name}") - {
         instance_id
         for view in entry.fleet.views.all()
-        for instance_id in view.done_with(key)
+        for instance_id in view.done_with(report["run"])
     }
     by_pool = _count(entry.fleet.views.pool_of(one) or "no pool" for one in left)
     waits = "to be resumed" if report["paused"] else "budgets, drains and reboots"
--- a/src/streamthread/fleet/planner.py
+++ b/src/streamthread/fleet/planner.py
@@ -13,12 +13,13 @@
 from .sizing import Sizes
 from .sizing import Weights
 
-__all__ = ["Planner"]
+__all__ = ["Planner", "utc_now"]
 
 PLANNED_EVERY = datetime.timedelta(seconds=10)
 
 
-def _utc_now() -> datetime.datetime:
+def utc_now() -> datetime.datetime:
+    """Return the wall time."""
     return datetime.datetime.now(datetime.UTC)
 
 
@@ -32,7 +33,7 @@
         self,
         book: Book,
         weights: Weights,
-        now: t.Callable[[], datetime.datetime] = _utc_now,
+        now: t.Callable[[], datetime.datetime] = utc_now,
     ) -> None:
         self._book = book
         self._weights = weights
@@ -49,6 +50,19 @@
         before = self._sizes
         return self._plan() != before
 
+    def now(self) -> datetime.datetime:
+        """Return the wall time that plans go by."""
+        return self._now()
+
+    def in_burst(self, name: str) -> bool:
+        """Whether the calendar has a burst of a pool now."""
+        now = self._now()
+        return any(
+            burst.start <= now < burst.end
+            for spec in self._book.specs(ItemKind.BURST, BurstSpec).values()
+            if spec.pool == name and (burst := _burst(spec))
+        )
+
     def target(self, name: str, spec: PoolSpec) -> int | None:
         """Return how many instances a pool wants; None takes all that match."""
         if not spec.group:
--- a/src/streamthread/fleet/service.py
+++ b/src/streamthread/fleet/service.py
@@ -1,6 +1,7 @@
 """Carries out decisions about the pools whose shards are held here."""
 
 import asyncio
+import datetime
 import time
 import typing as t
 
@@ -30,6 +31,7 @@
 from .drains import DrainReport
 from .held import HeldPools
 from .planner import Planner
+from .planner import utc_now
 from .pools import Member
 from .pools import MemberState
 from .pools import pool_key
@@ -89,6 +91,7 @@
         reports: t.Callable[[str, str], DrainReport | None],
         spread_soon: t.Callable[[], None],
         clock_s: t.Callable[[], float] = time.monotonic,
+        wall: t.Callable[[], datetime.datetime] = utc_now,
     ) -> None:
         super().__init__()
         self.catalog = Catalog()
@@ -115,7 +118,7 @@
         self._membership_at_s: float | None = None
         self._agenda = Agenda(settings.sweep_s, clock_s)
         weights = Weights(settings.buffer_weight, settings.move_weight)
-        self._planner = Planner(configuration.book, weights)
+        self._planner = Planner(configuration.book, weights, wall)
         self._snapshots = SnapshotReader(
             configuration.book, self.catalog, self.views, self._planner, self.progress
         )
--- a/src/streamthread/fleet/snapshots.py
+++ b/src/streamthread/fleet/snapshots.py
@@ -6,8 +6,10 @@
 from ..configuration import ItemKind
 from ..configuration import PoolSpec
 from ..configuration import WaveSpec
+from ..maintenance import due_share
 from ..maintenance import InstanceFacts
 from ..maintenance import PoolSnapshot
+from ..maintenance import run_key
 from ..maintenance import WaveFacts
 from ..platform import InstanceStatus
 from .assignment import best_pool
@@ -55,21 +57,28 @@
             for instance_id in [*row.members, *candidates]
             if instance_id in self._catalog.instances
         }
-        waves = {
-            f"wave/{wave}": WaveFacts(wave_spec.paused, wave_spec.max_failed_fraction)
-            for wave, wave_spec in self._book.specs(ItemKind.WAVE, WaveSpec).items()
-        }
         return PoolSnapshot(
             name=name,
             row=row,
             min_available=spec.min_available if spec else 0,
             target=self._planner.target(name, spec) if spec else None,
             facts=facts,
-            waves=waves,
+            waves=self._waves(name),
             candidates=tuple(candidates),
             fresh=fresh,
         )
 
+    def _waves(self, pool: str) -> dict[str, WaveFacts]:
+        """Return the present runs of all waves; in a burst of the pool all pause."""
+        in_burst = self._planner.in_burst(pool)
+        now = self._planner.now()
+        return {
+            run_key(f"wave/{name}", spec.period_days, now): WaveFacts(
+                spec.paused or in_burst, spec.max_failed_fraction
+            )
+            for name, spec in self._book.specs(ItemKind.WAVE, WaveSpec).items()
+        }
+
     def is_live(self, instance_id: str) -> bool:
         """Whether the membership list shows an instance as live."""
         instance = self._catalog.instances.get(instance_id)
@@ -123,7 +132,13 @@
             if key.startswith(POOL_PREFIX):
                 yield self._need(key.removeprefix(POOL_PREFIX))
 
-    def _wanted_by(self, instance_id: str) -> list[str]:
-        """Return the holds, then the waves, that select an instance."""
-        keys = self._catalog.matched_by(instance_id)
-        return sorted(key for key in keys if not key.startswith(POOL_PREFIX))
+    def _wanted_by(self, instance_id: str) -> t.Iterator[str]:
+        """Yield the holds, then the runs of waves, that want an instance now."""
+        now = self._planner.now()
+        for key in sorted(self._catalog.matched_by(instance_id)):
+            wave = self._book.spec(key, WaveSpec)
+            if wave is not None:
+                if due_share(instance_id, wave.period_days, now):
+                    yield run_key(key, wave.period_days, now)
+            elif not key.startswith(POOL_PREFIX):
+                yield key
--- a/src/streamthread/maintenance/__init__.py
+++ b/src/streamthread/maintenance/__init__.py
@@ -8,6 +8,8 @@
 from .decide import Step
 from .decide import StepKind
 from .decide import WaveFacts
+from .standing import due_share
+from .standing import run_key
 from .waves import GROWTH
 from .waves import wave_limit
 from .waves import WaveProgress
@@ -22,6 +24,8 @@
     "WaveFacts",
     "WaveProgress",
     "decide_pool",
+    "due_share",
     "measure_budget",
+    "run_key",
     "wave_limit",
 ]
--- a/src/streamthread/requests/router.py
+++ b/src/streamthread/requests/router.py
@@ -7,6 +7,7 @@
 
 from ..configuration import ConfigurationService
 from ..configuration import ServiceSpec
+from ..configuration import TeamSpec
 from ..fleet.catalog import Catalog
 from ..fleet.pools import MemberState
 from ..fleet.views import PoolView
@@ -90,11 +91,13 @@
         deadline_at_s: float,
         tried: set[str],
         again: bool = False,
+        team: str = "",
     ) -> Slot:
         """Return a slot on an upstream; :meth:`release` it later.
 
         :param tried: the upstreams that refused this request lately.
         :param again: it was refused, and keeps its place in front.
+        :param team: whose request it is; teams wait in fair turns.
         :raises Problem: not-run, at once when waiting would be in vain.
         """
         queue = self._queue(name, spec)
@@ -107,6 +110,8 @@
                 lambda: self._take(name, spec, tried),
                 deadline_at_s - queue.run_s,
                 in_front=again,
+                team=team,
+                weight=self._weight_of(team),
             )
         if slot is None:
             raise _overloaded(
@@ -114,6 +119,10 @@
             )
         return slot
 
+    def _weight_of(self, team: str) -> float:
+        spec = self._configuration.book.spec(f"team/{team}", TeamSpec) if team else None
+        return spec.weight if spec is not None else 1.0
+
     def release(self, slot: Slot) -> None:
         """Give a slot back."""
         self._health[slot.upstream.instance_id].in_flight -= 1
--- a/src/streamthread/requests/service.py
+++ b/src/streamthread/requests/service.py
@@ -259,7 +259,12 @@
         while True:
             try:
                 slot = await self._router.acquire(
-                    call.service, call.spec, call.deadline_at_s, tried, again
+                    call.service,
+                    call.spec,
+                    call.deadline_at_s,
+                    tried,
+                    again,
+                    call.team,
                 )
             except Problem as problem:
                 if lost is not None:
--- a/src/streamthread/requests/slots.py
+++ b/src/streamthread/requests/slots.py
@@ -1,11 +1,14 @@
-"""Waiting for a slot: a bounded queue a service, first come first served."""
+"""Waiting for a slot: a bounded queue a service, fair between teams."""
 
 import asyncio
-import collections
+import bisect
 import contextlib
+import itertools
 import time
 import typing as t
 
+import attrs
+
 __all__ = ["SlotQueue"]
 
 RATE_WEIGHT = 0.1
@@ -13,9 +16,22 @@
 T = t.TypeVar("T")
 
 
+@attrs.define(order=True)
+class _Turn:
+    """One request's place; the smallest is first."""
+
+    tag: float
+    number: int
+    woken: asyncio.Event = attrs.field(factory=asyncio.Event, order=False)
+
+
 class SlotQueue:
     """Requests that wait because all upstreams of a service are full.
 
+    Teams get turns by their weights (start-time fair queueing): a request's tag
+    is one over its team's weight after the team's last, but not before the tag
+    served last. So a team that sends much waits behind its own requests.
+
     Only the first one tries to take a slot: when one comes free here, and now
     and then, since other daemons free slots too.
 
@@ -32,7 +48,10 @@
         self.limit = limit
         self._poll_s = poll_s
         self._clock_s = clock_s
-        self._waiting: collections.deque[asyncio.Event] = collections.deque()
+        self._waiting: list[_Turn] = []
+        self._numbers = itertools.count()
+        self._served_tag = 0.0
+        self._last_tags: dict[str, float] = {}
         self._last_taken_s: float | None = None
         self._gap_s = 0.0
         self._run_s = 0.0
@@ -62,36 +81,51 @@
     def release(self) -> None:
         """Let the first one try, since a slot came free."""
         if self._waiting:
-            self._waiting[0].set()
+            self._waiting[0].woken.set()
 
     async def take(
         self,
         try_take: t.Callable[[], T | None],
         deadline_at_s: float,
         in_front: bool = False,
+        team: str = "",
+        weight: float = 1.0,
     ) -> T | None:
         """Wait in line until ``try_take`` succeeds; None after the deadline.
 
         :param in_front: it had its turn already, and was refused.
         """
-        turn = asyncio.Event()
-        if in_front:
-            self._waiting.appendleft(turn)
-        else:
-            self._waiting.append(turn)
+        tag = self._served_tag if in_front else self._next_tag(team, weight)
+        number = -1 if in_front else next(self._numbers)
+        turn = _Turn(tag, number)
+        bisect.insort(self._waiting, turn)
         try:
             while (left_s := deadline_at_s - self._clock_s()) > 0:
                 is_first = self._waiting[0] is turn
                 if is_first and (taken := try_take()) is not None:
+                    self._served_tag = max(self._served_tag, turn.tag)
                     self._note_taken()
                     return taken
-                turn.clear()
-                await _wait(turn, min(left_s, self._poll_s) if is_first else left_s)
+                turn.woken.clear()
+                pause_s = min(left_s, self._poll_s) if is_first else left_s
+                await _wait(turn.woken, pause_s)
             return None
         finally:
-            self._waiting.remove(turn)
-            self._last_taken_s = self._last_taken_s if self._waiting else None
-            self.release()
+            self._leave(turn)
+
+    def _next_tag(self, team: str, weight: float) -> float:
+        """Return the tag of a team's next request."""
+        begins = max(self._served_tag, self._last_tags.get(team, 0.0))
+        self._last_tags[team] = begins + 1.0 / weight
+        return self._last_tags[team]
+
+    def _leave(self, turn: _Turn) -> None:
+        self._waiting = [waiting for waiting in self._waiting if waiting is not turn]
+        if not self._waiting:
+            self._last_taken_s = None
+            self._served_tag = 0.0
+            self._last_tags.clear()
+        self.release()
 
     def _note_taken(self) -> None:
         """Learn the drain rate, from slots taken while others wait."""
--- a/src/streamthread/requests/tests/test_choice.py
+++ b/src/streamthread/requests/tests/test_choice.py
@@ -150,6 +150,49 @@
         await asyncio.gather(*waiting)
         assert served == [0, 1, 2, 3, 4]
 
+    async def test_teams_take_turns_by_their_weights(self) -> None:
+        """One sends 30 at once, another 10, a third of double weight 20."""
+        queue = SlotQueue(limit=100, poll_s=10.0)
+        free = collections.deque[int]()
+        served: list[str] = []
+
+        async def one(team: str, weight: float) -> None:
+            await queue.take(
+                lambda: free.popleft() if free else None, 1e12, False, team, weight
+            )
+            served.append(team)
+
+        sent = [("much", 1.0)] * 30 + [("little", 1.0)] * 10 + [("heavy", 2.0)] * 20
+        waiting = [asyncio.create_task(one(team, weight)) for team, weight in sent]
+        await asyncio.sleep(0)
+        while len(served) < len(sent):
+            free.append(1)
+            queue.release()
+            await asyncio.sleep(0)
+        await asyncio.gather(*waiting)
+        first = collections.Counter(served[:40])
+        shares = [first["much"], first["little"], first["heavy"] / 2]
+        jain = sum(shares) ** 2 / (3 * sum(share**2 for share in shares))
+        assert jain >= 0.99
+
+    async def test_one_that_was_refused_goes_first(self) -> None:
+        queue = SlotQueue(limit=10, poll_s=10.0)
+        free = collections.deque[int]()
+        served: list[str] = []
+
+        async def one(name: str, in_front: bool) -> None:
+            await queue.take(lambda: free.popleft() if free else None, 1e12, in_front)
+            served.append(name)
+
+        tasks = [asyncio.create_task(one("first", False))]
+        await asyncio.sleep(0)
+        tasks.append(asyncio.create_task(one("refused", True)))
+        await asyncio.sleep(0)
+        free.extend([1, 2])
+        queue.release()
+        await asyncio.gather(*tasks)
+        assert served == ["refused", "first"]
+
     async def test_gives_up_at_the_deadline(self) -> None:
         queue = SlotQueue(limit=10, poll_s=0.01)
         loop = asyncio.get_running_loop()
--- a/tools/world.py
+++ b/tools/world.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import datetime
 import typing as t
 
 import attrs
@@ -14,6 +15,7 @@
 from streamthread.configuration import Proposal
 from streamthread.errors import StoreUnavailableError
 from streamthread.fleet import DrainReport
+from streamthread.fleet.planner import utc_now
 from streamthread.fleet.service import FleetService
 from streamthread.fleet.service import FleetSettings
 from streamthread.jobs.service import JobService
@@ -125,13 +127,19 @@
 class World:
     """Shared platform and clock, and the daemons on it."""
 
-    def __init__(self, daemons: int, before: Observer = lambda way, sent: None) -> None:
+    def __init__(
+        self,
+        daemons: int,
+        before: Observer = lambda way, sent: None,
+        wall: t.Callable[[], datetime.datetime] = utc_now,
+    ) -> None:
         self.clock = FakeClock()
         self.platform = memory_platform()
         self.tables = t.cast(MemoryTables, self.platform.tables)
         self.membership = t.cast(MemoryMembership, self.platform.membership)
         self.workers = t.cast(MemoryWorkers, self.platform.workers)
         self._before = before
+        self._wall = wall
         self.daemons = [self._make(f"entry-{number}") for number in range(daemons)]
 
     def _make(self, name: str) -> Daemon:
@@ -153,6 +161,7 @@
             self._report,
             lambda: None,
             self.clock,
+            self._wall,
         )
         jobs = JobService(
             platform,
