Announce a generation once when a peer is faster than the store

Change: reading the store returns what it adopted itself. The new test fails before the change and passes after.

--- a/src/streamthread/configuration/service.py
+++ b/src/streamthread/configuration/service.py
@@ -23,6 +23,7 @@
 from .checks import check_changes
 from .items import Change
 from .store import ConfigurationStore
+from .store import Head
 from .store import SNAPSHOT_EVERY
 
 __all__ = ["ConfigurationService", "Proposal"]
@@ -190,14 +191,11 @@
         await self._catch_up_to(head)
         self.confirmed_at_s = asked_at_s
 
-    async def _catch_up_to(self, head: t.Any) -> None:
+    async def _catch_up_to(self, head: Head) -> None:
         if head.generation <= self.book.generation:
             return
-        before = self.book.generation
-        steps = await self._store.catch_up(self.book, head)
-        if self.book.generation == before:
-            return
-        if len(steps) == self.book.generation - before:
-            self._announce_steps(steps, "read from the store")
-        else:
+        caught_up = await self._store.catch_up(self.book, head)
+        if caught_up.by_snapshot:
             self._announce(None, "read from the store, with a snapshot")
+        else:
+            self._announce_steps(caught_up.steps, "read from the store")
--- a/src/streamthread/configuration/store.py
+++ b/src/streamthread/configuration/store.py
@@ -37,6 +37,14 @@
     version: int
 
 
+@attrs.frozen
+class CaughtUp:
+    """What a book adopted from the store: a snapshot first, or only steps."""
+
+    steps: tuple[Generation, ...]
+    by_snapshot: bool
+
+
 def _generation_key(number: int) -> str:
     return f"{GENERATION_PREFIX}{number:012d}"
 
@@ -74,11 +82,15 @@
         )
         return await self._committer.commit(transaction)
 
-    async def catch_up(self, book: Book, head: Head) -> list[Generation]:
-        """Bring a book up to the head; return the steps that it adopted."""
+    async def catch_up(self, book: Book, head: Head) -> CaughtUp:
+        """Bring a book up to the head; return what it adopted by that.
+
+        Peers may bring the book further while the store is read.
+        """
         adopted: list[Generation] = []
+        by_snapshot = False
         if head.generation - book.generation > SNAPSHOT_EVERY:
-            await self._adopt_latest_snapshot(book)
+            by_snapshot = await self._adopt_latest_snapshot(book)
         after = _generation_key(book.generation)
         for row in await self._rows_after(after):
             step = _structure(row)
@@ -90,7 +102,7 @@
                 remedy="it is tried again with the next poll",
                 location=GENERATION_PREFIX,
             )
-        return adopted
+        return CaughtUp(tuple(adopted), by_snapshot)
 
     async def _rows_after(self, after: str) -> list[Row]:
         rows: list[Row] = []
@@ -99,13 +111,12 @@
             after = page[-1].key
         return rows
 
-    async def _adopt_latest_snapshot(self, book: Book) -> None:
+    async def _adopt_latest_snapshot(self, book: Book) -> bool:
         keys = await self._platform.objects.list_keys(SNAPSHOT_PREFIX)
-        if not keys:
-            return
-        body = await self._platform.objects.get(keys[-1])
-        if body is not None:
-            book.adopt_snapshot(cattrs.structure(json.loads(body), Snapshot))
+        body = await self._platform.objects.get(keys[-1]) if keys else None
+        if body is None:
+            return False
+        return book.adopt_snapshot(cattrs.structure(json.loads(body), Snapshot))
 
     async def write_snapshot(self, snapshot: Snapshot) -> None:
         """Store a snapshot, then drop the generations long before it."""
--- a/src/streamthread/configuration/tests/test_service.py
+++ b/src/streamthread/configuration/tests/test_service.py
@@ -1,5 +1,7 @@
 """Accepting changes: races, bad input, a store that is down."""
 
+import typing as t
+
 import pytest
 from tools.world import World
 
@@ -81,6 +83,23 @@
 
 
 class TestCatchUp:
+    async def test_peer_that_is_faster_than_the_store_is_announced_once(self) -> None:
+        world = World(2)
+        first, second = (daemon.configuration for daemon in world.daemons)
+        await first.propose(_proposal(0))
+        announced: list[object] = []
+        second.listen(announced.append)
+        way = world.daemons[1].tables
+        read = way.scan
+
+        async def read_while_a_peer_tells(*arguments: t.Any) -> t.Any:
+            second.adopt_steps(first.book.after(0), "from a peer")
+            return await read(*arguments)
+
+        way.scan = read_while_a_peer_tells  # type: ignore[method-assign]
+        await second.poll_once()
+        assert announced == [{"team/t"}]
+
     async def test_newcomer_reads_a_snapshot_and_what_follows(self) -> None:
         world = World(2)
         first, second = (daemon.configuration for daemon in world.daemons)
