--- a/examples/embed_leases.py
+++ b/examples/embed_leases.py
@@ -78,7 +78,7 @@
     print("late write of the first:", refused.outcome.value)
     change = Change("team/audits", {"cores_quota": 8})
     generation = await second.configuration.propose(Proposal(0, (change,)))
-    while first.configuration.book.generation < generation:
+    while first.configuration.active.generation < generation:
         await asyncio.sleep(0.05)
     print("in force at both: generation", generation)
     await second.leases.stop()
--- a/src/streamthread/configuration/__init__.py
+++ b/src/streamthread/configuration/__init__.py
@@ -1,10 +1,10 @@
 """The configuration: items, accepted generations, and what is in force."""
 
-from .book import Book
-from .book import EMPTY_DIGEST
-from .book import Generation
-from .book import next_digest
-from .book import Snapshot
+from .active import ActiveConfiguration
+from .active import EMPTY_DIGEST
+from .active import Generation
+from .active import next_digest
+from .active import Snapshot
 from .checks import BadConfiguration
 from .checks import check_changes
 from .checks import flatten
@@ -27,8 +27,8 @@
 
 __all__ = [
     "EMPTY_DIGEST",
+    "ActiveConfiguration",
     "BadConfiguration",
-    "Book",
     "BurstSpec",
     "Change",
     "ConfigurationService",
--- a/src/streamthread/configuration/book.py
+++ b/src/streamthread/configuration/active.py
@@ -13,7 +13,13 @@
 from .items import parse_item
 from .items import split_key
 
-__all__ = ["EMPTY_DIGEST", "Book", "Generation", "Snapshot", "next_digest"]
+__all__ = [
+    "EMPTY_DIGEST",
+    "ActiveConfiguration",
+    "Generation",
+    "Snapshot",
+    "next_digest",
+]
 
 EMPTY_DIGEST = hashlib.sha256(b"").hexdigest()
 GENERATIONS_KEPT = 500
@@ -56,7 +62,7 @@
     return hashlib.sha256(f"{previous}{body}".encode()).hexdigest()
 
 
-class Book:
+class ActiveConfiguration:
     """Holds the items of the highest generation that was adopted.
 
     Generations only go up: one is adopted if it is the next one and its digest
--- a/src/streamthread/configuration/service.py
+++ b/src/streamthread/configuration/service.py
@@ -16,10 +16,10 @@
 from ..platform import CommitOutcome
 from ..platform import Platform
 from ..timeline import Recorder
-from .book import Book
-from .book import Generation
-from .book import next_digest
-from .book import Snapshot
+from .active import ActiveConfiguration
+from .active import Generation
+from .active import next_digest
+from .active import Snapshot
 from .checks import check_changes
 from .items import Change
 from .store import ConfigurationStore
@@ -65,7 +65,7 @@
         poll_s: float,
     ) -> None:
         super().__init__()
-        self.book = Book()
+        self.active = ActiveConfiguration()
         self.confirmed_at_s: float | None = None
         self.adopted_at_s = time.monotonic()
         self.accepted_last = False
@@ -102,10 +102,10 @@
                 head = await self._store.head()
                 await self._catch_up_to(head)
                 self._refuse_conflict(proposal)
-                check_changes(proposal.changes, self.book.items)
+                check_changes(proposal.changes, self.active.items)
                 step = Generation(
                     head.generation + 1,
-                    next_digest(self.book.digest, proposal.changes),
+                    next_digest(self.active.digest, proposal.changes),
                     proposal.changes,
                 )
                 result = await self._store.append(head, step)
@@ -120,20 +120,22 @@
                     )
 
     def _refuse_conflict(self, proposal: Proposal) -> None:
-        changed = self.book.changed_since(proposal.touched(), proposal.base_generation)
+        changed = self.active.changed_since(
+            proposal.touched(), proposal.base_generation
+        )
         if changed:
             raise ConflictError(
                 f"changed since generation {proposal.base_generation}: "
                 + ", ".join(changed),
-                remedy=f"read generation {self.book.generation} and apply again",
+                remedy=f"read generation {self.active.generation} and apply again",
                 location=changed[0],
             )
 
     async def _snapshot_if_due(self) -> None:
-        if self.book.generation % SNAPSHOT_EVERY:
+        if self.active.generation % SNAPSHOT_EVERY:
             return
         try:
-            await self._store.write_snapshot(self.book.snapshot())
+            await self._store.write_snapshot(self.active.snapshot())
         except StreamthreadError as error:
             self.log.warning("snapshot not written: %s", error)
 
@@ -141,13 +143,13 @@
 
     def adopt_steps(self, steps: t.Iterable[Generation], cause: str) -> bool:
         """Adopt the steps that follow on; return whether any did."""
-        adopted = [step for step in steps if self.book.adopt(step)]
+        adopted = [step for step in steps if self.active.adopt(step)]
         self._announce_steps(adopted, cause)
         return bool(adopted)
 
     def adopt_snapshot(self, snapshot: Snapshot, cause: str) -> bool:
         """Adopt a whole configuration if it is higher."""
-        if not self.book.adopt_snapshot(snapshot):
+        if not self.active.adopt_snapshot(snapshot):
             return False
         self._announce(None, cause)
         return True
@@ -163,9 +165,9 @@
         self._recorder.record(
             AREA,
             "generation-in-force",
-            f"configuration/{self.book.generation}",
+            f"configuration/{self.active.generation}",
             cause,
-            generation=self.book.generation,
+            generation=self.active.generation,
         )
         for listener in self._listeners:
             listener(keys)
@@ -192,9 +194,9 @@
         self.confirmed_at_s = asked_at_s
 
     async def _catch_up_to(self, head: Head) -> None:
-        if head.generation <= self.book.generation:
+        if head.generation <= self.active.generation:
             return
-        caught_up = await self._store.catch_up(self.book, head)
+        caught_up = await self._store.catch_up(self.active, head)
         if caught_up.by_snapshot:
             self._announce(None, "read from the store, with a snapshot")
         else:
--- a/src/streamthread/configuration/store.py
+++ b/src/streamthread/configuration/store.py
@@ -14,9 +14,9 @@
 from ..platform import Row
 from ..platform import Transaction
 from ..platform import Write
-from .book import Book
-from .book import Generation
-from .book import Snapshot
+from .active import ActiveConfiguration
+from .active import Generation
+from .active import Snapshot
 from .items import Change
 
 __all__ = ["SNAPSHOT_EVERY", "ConfigurationStore", "Head"]
@@ -39,7 +39,7 @@
 
 @attrs.frozen
 class CaughtUp:
-    """What a book adopted from the store: a snapshot first, or only steps."""
+    """What was adopted from the store: a snapshot first, or only steps."""
 
     steps: tuple[Generation, ...]
     by_snapshot: bool
@@ -82,23 +82,23 @@
         )
         return await self._committer.commit(transaction)
 
-    async def catch_up(self, book: Book, head: Head) -> CaughtUp:
-        """Bring a book up to the head; return what it adopted by that.
+    async def catch_up(self, active: ActiveConfiguration, head: Head) -> CaughtUp:
+        """Bring the active configuration up to the head; return what it adopted.
 
-        Peers may bring the book further while the store is read.
+        Peers may bring it further while the store is read.
         """
         adopted: list[Generation] = []
         by_snapshot = False
-        if head.generation - book.generation > SNAPSHOT_EVERY:
-            by_snapshot = await self._adopt_latest_snapshot(book)
-        after = _generation_key(book.generation)
+        if head.generation - active.generation > SNAPSHOT_EVERY:
+            by_snapshot = await self._adopt_latest_snapshot(active)
+        after = _generation_key(active.generation)
         for row in await self._rows_after(after):
             step = _structure(row)
-            if step.number <= head.generation and book.adopt(step):
+            if step.number <= head.generation and active.adopt(step):
                 adopted.append(step)
-        if book.generation < head.generation:
+        if active.generation < head.generation:
             raise StoreUnavailableError(
-                f"generations after {book.generation} could not be read",
+                f"generations after {active.generation} could not be read",
                 remedy="it is tried again with the next poll",
                 location=GENERATION_PREFIX,
             )
@@ -111,12 +111,12 @@
             after = page[-1].key
         return rows
 
-    async def _adopt_latest_snapshot(self, book: Book) -> bool:
+    async def _adopt_latest_snapshot(self, active: ActiveConfiguration) -> bool:
         keys = await self._platform.objects.list_keys(SNAPSHOT_PREFIX)
         body = await self._platform.objects.get(keys[-1]) if keys else None
         if body is None:
             return False
-        return book.adopt_snapshot(cattrs.structure(json.loads(body), Snapshot))
+        return active.adopt_snapshot(cattrs.structure(json.loads(body), Snapshot))
 
     async def write_snapshot(self, snapshot: Snapshot) -> None:
         """Store a snapshot, then drop the generations long before it."""
--- a/src/streamthread/configuration/tests/test_service.py
+++ b/src/streamthread/configuration/tests/test_service.py
@@ -29,7 +29,7 @@
             await second.propose(_proposal(0, cores_quota=3))
         assert caught.value.location == "team/t"
         assert "generation 1" in caught.value.remedy
-        assert second.book.items["team/t"] == {"cores_quota": 2}
+        assert second.active.items["team/t"] == {"cores_quota": 2}
 
     async def test_changes_of_other_items_do_not_conflict(self) -> None:
         world = World(2)
@@ -55,7 +55,7 @@
         with pytest.raises(BadConfiguration) as caught:
             await service.propose(Proposal(0, changes))
         assert len(caught.value.exceptions) == 3
-        assert service.book.generation == 0
+        assert service.active.generation == 0
 
     async def test_pool_in_use_cannot_be_deleted(self) -> None:
         service = World(1).daemons[0].configuration
@@ -71,7 +71,7 @@
         daemon.tables.down = True
         with pytest.raises(StoreUnavailableError):
             await daemon.configuration.propose(_proposal(0))
-        assert daemon.configuration.book.generation == 0
+        assert daemon.configuration.active.generation == 0
 
     async def test_lost_reply_is_accepted_once(self) -> None:
         world = World(1)
@@ -93,7 +93,7 @@
         read = way.scan
 
         async def read_while_a_peer_tells(*arguments: t.Any) -> t.Any:
-            second.adopt_steps(first.book.after(0), "from a peer")
+            second.adopt_steps(first.active.after(0), "from a peer")
             return await read(*arguments)
 
         way.scan = read_while_a_peer_tells  # type: ignore[method-assign]
@@ -106,6 +106,6 @@
         for number in range(230):
             await first.propose(_proposal(number, cores_quota=number))
         await second.poll_once()
-        assert second.book.generation == 230
-        assert second.book.digest == first.book.digest
+        assert second.active.generation == 230
+        assert second.active.digest == first.active.digest
         assert len(await world.rows("configuration/generation/")) < 230
--- a/src/streamthread/entry/daemon.py
+++ b/src/streamthread/entry/daemon.py
@@ -16,7 +16,7 @@
 from ..errors import StreamthreadError
 from ..fleet.drains import DrainReport
 from ..fleet.service import FleetService
-from ..jobs.desk import JobDesk
+from ..jobs.router import JobRouter
 from ..jobs.service import JobService
 from ..leases import LeaseRecord
 from ..leases import LeaseService
@@ -102,8 +102,8 @@
             settings.jobs,
         )
         self.fleet.progress.busy = self.jobs.is_busy
-        self.desk = JobDesk(self.leases, self.jobs)
-        self.desk.peers = self.peers
+        self.job_router = JobRouter(self.leases, self.jobs)
+        self.job_router.peers = self.peers
         self.router = Router(
             settings.daemon_id,
             settings.hall,
@@ -207,7 +207,7 @@
         (this one included) were heard lately: while the store is down for all
         nothing new can be accepted. See docs/design/configuration.md.
         """
-        if not self.configuration.book.generation:
+        if not self.configuration.active.generation:
             return False
         if self.configuration.confirmed_age_s() < self.settings.stale_s:
             return True
@@ -230,7 +230,7 @@
         state = pb.DaemonState(
             daemon_id=self.settings.daemon_id,
             incarnation=self._incarnation,
-            generation=self.configuration.book.generation,
+            generation=self.configuration.active.generation,
             ready=self.is_ready(),
             drains=drains,
             requests_in_flight=self.requests.in_flight,
@@ -259,4 +259,4 @@
         return None
 
     async def _serve_jobs(self, value: dict[str, t.Any]) -> dict[str, t.Any]:
-        return await self.desk.serve(value)
+        return await self.job_router.serve(value)
--- a/src/streamthread/entry/metrics.py
+++ b/src/streamthread/entry/metrics.py
@@ -47,7 +47,7 @@
         yield _gauge(
             "streamthread_configuration_generation",
             "The generation in force here.",
-            configuration.book.generation,
+            configuration.active.generation,
         )
         yield _gauge(
             "streamthread_configuration_age_seconds",
--- a/src/streamthread/entry/operators.py
+++ b/src/streamthread/entry/operators.py
@@ -20,7 +20,7 @@
 from ..errors import OutcomeUnknownError
 from ..errors import PeerUnavailableError
 from ..errors import StreamthreadError
-from ..jobs.desk import JobsWish
+from ..jobs.router import JobsWish
 from ..platform import JsonObject
 from ..structure import strict_converter
 from ..structure import structure_errors
@@ -120,11 +120,11 @@
     # Configuration.
 
     async def _get_configuration(self, request: web.Request) -> JsonObject:
-        book = self._entry.configuration.book
+        active = self._entry.configuration.active
         return {
-            "generation": book.generation,
-            "digest": book.digest,
-            "items": book.items,
+            "generation": active.generation,
+            "digest": active.digest,
+            "items": active.items,
         }
 
     async def _propose(self, request: web.Request) -> JsonObject:
@@ -157,7 +157,7 @@
 
     async def _jobs(self, request: web.Request) -> t.Any:
         wish = strict_converter.structure(await request.json(), JobsWish)
-        return cattrs.unstructure(await self._entry.desk.handle(wish))
+        return cattrs.unstructure(await self._entry.job_router.handle(wish))
 
     # Timeline.
 
--- a/src/streamthread/entry/reports.py
+++ b/src/streamthread/entry/reports.py
@@ -15,7 +15,7 @@
 from ..fleet.selectors import Selector
 from ..fleet.views import view_as_row
 from ..jobs import JobState
-from ..jobs.desk import JobsWish
+from ..jobs.router import JobsWish
 from ..maintenance import measure_budget
 from ..maintenance import run_key
 from ..platform import InstanceStatus
@@ -40,7 +40,7 @@
 
 def pools(entry: "Entry") -> list[JsonObject]:
     """Return each pool with its budget."""
-    specs = entry.configuration.book.specs(ItemKind.POOL, PoolSpec)
+    specs = entry.configuration.active.specs(ItemKind.POOL, PoolSpec)
     return [_pool(entry, name, spec) for name, spec in specs.items()]
 
 
@@ -103,7 +103,7 @@
 
 def waves(entry: "Entry") -> list[JsonObject]:
     """Return each wave with how far it is."""
-    specs = entry.configuration.book.specs(ItemKind.WAVE, WaveSpec)
+    specs = entry.configuration.active.specs(ItemKind.WAVE, WaveSpec)
     found: list[JsonObject] = []
     for name, spec in specs.items():
         key = run_key(f"wave/{name}", spec.period_days, utc_now())
@@ -144,7 +144,7 @@
     return {
         "entry": entry.settings.daemon_id,
         "ready": entry.is_ready(),
-        "generation": entry.configuration.book.generation,
+        "generation": entry.configuration.active.generation,
         "lease_trusted": entry.leases.is_trusted(),
         "shards_held": len(entry.leases.held_shards()),
         "peers": sorted(peer.daemon_id for peer in entry.leases.peers()),
@@ -176,7 +176,7 @@
     :raises NotFoundError: there is no such job.
     """
     pool, _, job_id = name.partition("/")
-    answer = await entry.desk.handle(JobsWish(pool, list_jobs=True))
+    answer = await entry.job_router.handle(JobsWish(pool, list_jobs=True))
     for job in answer.jobs:
         if job.spec.job_id == job_id:
             return {
@@ -243,7 +243,7 @@
         **report,
         "matches": [
             pool
-            for pool in entry.configuration.book.specs(ItemKind.POOL, PoolSpec)
+            for pool in entry.configuration.active.specs(ItemKind.POOL, PoolSpec)
             if name in entry.fleet.catalog.matching(pool_key(pool))
         ],
         "waits_for": waits.get(report["state"], ""),
--- a/src/streamthread/fleet/held.py
+++ b/src/streamthread/fleet/held.py
@@ -32,7 +32,7 @@
         state = (
             self._leases.holdings,
             self._leases.is_trusted(),
-            self._configuration.book.generation,
+            self._configuration.active.generation,
             len(self._views.names()),
         )
         if state != self._found_for:
@@ -41,6 +41,6 @@
         return self._names
 
     def _find(self) -> frozenset[str]:
-        configured = self._configuration.book.specs(ItemKind.POOL, PoolSpec)
+        configured = self._configuration.active.specs(ItemKind.POOL, PoolSpec)
         names = configured.keys() | self._views.names()
         return frozenset(name for name in names if self._leases.holds(pool_key(name)))
--- a/src/streamthread/fleet/planner.py
+++ b/src/streamthread/fleet/planner.py
@@ -3,7 +3,7 @@
 import datetime
 import typing as t
 
-from ..configuration import Book
+from ..configuration import ActiveConfiguration
 from ..configuration import BurstSpec
 from ..configuration import ItemKind
 from ..configuration import PoolSpec
@@ -31,11 +31,11 @@
 
     def __init__(
         self,
-        book: Book,
+        active: ActiveConfiguration,
         weights: Weights,
         now: t.Callable[[], datetime.datetime] = utc_now,
     ) -> None:
-        self._book = book
+        self._active = active
         self._weights = weights
         self._now = now
         self._sizes: Sizes | None = None
@@ -59,7 +59,7 @@
         now = self._now()
         return any(
             burst.start <= now < burst.end
-            for spec in self._book.specs(ItemKind.BURST, BurstSpec).values()
+            for spec in self._active.specs(ItemKind.BURST, BurstSpec).values()
             if spec.pool == name and (burst := _burst(spec))
         )
 
@@ -81,9 +81,9 @@
         return self._sizes
 
     def _outlooks(self) -> list[PoolOutlook]:
-        pools = self._book.specs(ItemKind.POOL, PoolSpec)
+        pools = self._active.specs(ItemKind.POOL, PoolSpec)
         bursts: dict[str, list[Burst]] = {}
-        for burst in self._book.specs(ItemKind.BURST, BurstSpec).values():
+        for burst in self._active.specs(ItemKind.BURST, BurstSpec).values():
             bursts.setdefault(burst.pool, []).append(_burst(burst))
         return [
             PoolOutlook(
--- a/src/streamthread/fleet/rows.py
+++ b/src/streamthread/fleet/rows.py
@@ -123,7 +123,7 @@
 
     def _stamped(self, row: PoolRow) -> PoolRow:
         """Return a row that says which generation decided."""
-        return attrs.evolve(row, generation=self._configuration.book.generation)
+        return attrs.evolve(row, generation=self._configuration.active.generation)
 
     async def _commit_members(self, name: str, steps: t.Sequence[Step]) -> None:
         loaded = self._loaded[name]
@@ -200,7 +200,7 @@
             step.kind,
             f"instance/{step.instance_id}",
             f"{pool_key(name)}: {step.cause}{target}",
-            generation=self._configuration.book.generation,
+            generation=self._configuration.active.generation,
             epoch=fence.version,
         )
 
--- a/src/streamthread/fleet/service.py
+++ b/src/streamthread/fleet/service.py
@@ -22,10 +22,9 @@
 from ..maintenance import measure_budget
 from ..maintenance import PoolSnapshot
 from ..maintenance import StepKind
-from ..peers.rumors import RumorBook
+from ..peers.rumors import RumorStore
 from ..platform import Platform
 from ..timeline import Recorder
-from .agenda import Agenda
 from .catalog import Catalog
 from .catalog import LabelSetter
 from .drains import DrainReport
@@ -44,6 +43,7 @@
 from .snapshots import POOL_PREFIX
 from .snapshots import SnapshotReader
 from .views import PoolViews
+from .workqueue import WorkQueue
 
 __all__ = ["FleetService", "FleetSettings"]
 
@@ -86,7 +86,7 @@
         leases: LeaseService,
         configuration: ConfigurationService,
         recorder: Recorder,
-        rumors: RumorBook,
+        rumors: RumorStore,
         settings: FleetSettings,
         reports: t.Callable[[str, str], DrainReport | None],
         spread_soon: t.Callable[[], None],
@@ -116,13 +116,13 @@
         )
         self._membership_cursor = 0
         self._membership_at_s: float | None = None
-        self._agenda = Agenda(settings.sweep_s, clock_s)
+        self._work = WorkQueue(settings.sweep_s, clock_s)
         weights = Weights(settings.buffer_weight, settings.move_weight)
-        self._planner = Planner(configuration.book, weights, wall)
+        self._planner = Planner(configuration.active, weights, wall)
         self._snapshots = SnapshotReader(
-            configuration.book, self.catalog, self.views, self._planner, self.progress
+            configuration.active, self.catalog, self.views, self._planner, self.progress
         )
-        self.views.listen(self._agenda.add)
+        self.views.listen(self._work.add)
         configuration.listen(self._on_configuration)
 
     @property
@@ -133,34 +133,34 @@
     # Configuration and membership.
 
     def _on_configuration(self, keys: t.Collection[str] | None) -> None:
-        book = self._configuration.book
-        for key in sorted(book.items if keys is None else keys):
+        active = self._configuration.active
+        for key in sorted(active.items if keys is None else keys):
             kind, name = split_key(key)
             if kind is ItemKind.LABELS:
-                self.catalog.set_labels(name, _setter(book.spec(key, LabelRule)))
-                self._agenda.add_all()
+                self.catalog.set_labels(name, _setter(active.spec(key, LabelRule)))
+                self._work.add_all()
             elif kind is ItemKind.BURST:
                 self._planner.forget()
-                self._agenda.add_all()
+                self._work.add_all()
             elif kind in SELECTING:
                 self._planner.forget()
                 self._note_touched(key)
-                self.catalog.watch(key, _selector(book.spec(key, object)))
+                self.catalog.watch(key, _selector(active.spec(key, object)))
                 self._note_touched(key)
 
     def _note_touched(self, key: str) -> None:
         """Look again at the pools that a changed item is about."""
         kind, name = split_key(key)
         if kind is ItemKind.POOL:
-            self._agenda.add(name)
+            self._work.add(name)
         for instance_id in self.catalog.matching(key):
             self._note_instance(instance_id)
 
     def _note_instance(self, instance_id: str) -> None:
-        self._agenda.add(self.views.pool_of(instance_id))
+        self._work.add(self.views.pool_of(instance_id))
         for key in self.catalog.matched_by(instance_id):
             if key.startswith(POOL_PREFIX):
-                self._agenda.add(key.removeprefix(POOL_PREFIX))
+                self._work.add(key.removeprefix(POOL_PREFIX))
 
     @Service.task
     async def _watch_membership(self) -> None:
@@ -210,13 +210,13 @@
         """Decide about the pools held here that may need it."""
         held = self._held_pools()
         if self._planner.sizes_changed():
-            self._agenda.add_all()
-        for name in self._agenda.due(held):
+            self._work.add_all()
+        for name in self._work.due(held):
             try:
                 await self._decide(name)
             except (NotHolderError, StoreUnavailableError) as error:
                 self.log.info("pool %s not decided: %s", name, error)
-                self._agenda.add(name)
+                self._work.add(name)
                 if isinstance(error, StoreUnavailableError):
                     return
 
@@ -227,14 +227,14 @@
             for name in set(self._rows.names() - held):
                 self._rows.forget(name)
             for name in held - self._rows.names():
-                self._agenda.add(name)
+                self._work.add(name)
         return held
 
     async def _decide(self, name: str) -> None:
         """Decide about one pool; a grant is decided on a list read just now."""
         loaded = await self._rows.current(name)
-        if loaded.row.generation > self._configuration.book.generation:
-            self._agenda.add(name)
+        if loaded.row.generation > self._configuration.active.generation:
+            self._work.add(name)
             await self._configuration.poll_once()
             return
         steps = decide_pool(self._snapshot(name, loaded))
@@ -247,7 +247,7 @@
         if after is not None:
             await self._request_reboots(after)
         if steps or after is None or after.row.granted():
-            self._agenda.add(name)
+            self._work.add(name)
 
     def _snapshot(self, name: str, loaded: LoadedPool) -> PoolSnapshot:
         fresh = self.membership_is_fresh()
@@ -267,7 +267,7 @@
         for name in self._rows.names():
             loaded = self._rows.get(name)
             assert loaded is not None
-            spec = self._configuration.book.spec(pool_key(name), PoolSpec)
+            spec = self._configuration.active.spec(pool_key(name), PoolSpec)
             least = spec.min_available if spec else 0
             spare[name] = measure_budget(loaded.row, live, fresh, least).grants_left
         return spare
--- a/src/streamthread/fleet/snapshots.py
+++ b/src/streamthread/fleet/snapshots.py
@@ -2,7 +2,7 @@
 
 import typing as t
 
-from ..configuration import Book
+from ..configuration import ActiveConfiguration
 from ..configuration import ItemKind
 from ..configuration import PoolSpec
 from ..configuration import WaveSpec
@@ -33,13 +33,13 @@
 
     def __init__(
         self,
-        book: Book,
+        active: ActiveConfiguration,
         catalog: Catalog,
         views: PoolViews,
         planner: Planner,
         progress: Progress,
     ) -> None:
-        self._book = book
+        self._active = active
         self._catalog = catalog
         self._views = views
         self._planner = planner
@@ -50,7 +50,7 @@
 
         :param fresh: whether the membership list was read lately.
         """
-        spec = self._book.spec(pool_key(name), PoolSpec)
+        spec = self._active.spec(pool_key(name), PoolSpec)
         candidates = self._candidates(name) if spec else []
         facts = {
             instance_id: self._facts(name, instance_id)
@@ -76,7 +76,7 @@
             run_key(f"wave/{name}", spec.period_days, now): WaveFacts(
                 spec.paused or in_burst, spec.max_failed_fraction
             )
-            for name, spec in self._book.specs(ItemKind.WAVE, WaveSpec).items()
+            for name, spec in self._active.specs(ItemKind.WAVE, WaveSpec).items()
         }
 
     def is_live(self, instance_id: str) -> bool:
@@ -103,7 +103,7 @@
         )
 
     def _need(self, name: str) -> PoolNeed:
-        spec = self._book.spec(pool_key(name), PoolSpec)
+        spec = self._active.spec(pool_key(name), PoolSpec)
         assert spec is not None
         view = self._views.view(name)
         present = len(view.states) if view else 0
@@ -136,7 +136,7 @@
         """Yield the holds, then the runs of waves, that want an instance now."""
         now = self._planner.now()
         for key in sorted(self._catalog.matched_by(instance_id)):
-            wave = self._book.spec(key, WaveSpec)
+            wave = self._active.spec(key, WaveSpec)
             if wave is not None:
                 if due_share(instance_id, wave.period_days, now):
                     yield run_key(key, wave.period_days, now)
--- a/src/streamthread/fleet/views.py
+++ b/src/streamthread/fleet/views.py
@@ -5,7 +5,7 @@
 import attrs
 
 from ..peers import peers_pb2 as pb
-from ..peers.rumors import RumorBook
+from ..peers.rumors import RumorStore
 from .pools import Member
 from .pools import MemberState
 from .pools import PoolRow
@@ -35,7 +35,7 @@
 class PoolViews:
     """The newest view of each pool, and which pool each instance is in."""
 
-    def __init__(self, rumors: RumorBook) -> None:
+    def __init__(self, rumors: RumorStore) -> None:
         self._rumors = rumors
         self._views: dict[str, PoolView] = {}
         self._pool_of: dict[str, str] = {}
--- a/src/streamthread/fleet/agenda.py
+++ b/src/streamthread/fleet/workqueue.py
@@ -7,10 +7,10 @@
 import time
 import typing as t
 
-__all__ = ["Agenda"]
+__all__ = ["WorkQueue"]
 
 
-class Agenda:
+class WorkQueue:
     """Pools to look at, and a slow sweep over all as a safety net.
 
     :param sweep_s: each pool is looked at so often even if nothing changed.
--- a/src/streamthread/jobs/desk.py
+++ b/src/streamthread/jobs/router.py
@@ -16,7 +16,7 @@
 from .rows import JobSpec
 from .service import JobService
 
-__all__ = ["JobDesk", "JobsAnswer", "JobsWish"]
+__all__ = ["JobRouter", "JobsAnswer", "JobsWish"]
 
 
 @attrs.frozen
@@ -40,7 +40,7 @@
     remedy: str = ""
 
 
-class JobDesk:
+class JobRouter:
     """Carries a wish out here, or has the holder do it."""
 
     def __init__(self, leases: LeaseService, jobs: JobService) -> None:
--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -150,7 +150,7 @@
         return jobs.on_worker[instance_id] > 0 or bool(jobs.stops)
 
     def _check_specs(self, pool: str, specs: t.Sequence[JobSpec]) -> None:
-        if self._configuration.book.spec(pool_key(pool), PoolSpec) is None:
+        if self._configuration.active.spec(pool_key(pool), PoolSpec) is None:
             raise BadInputError(
                 f"there is no pool {pool!r}", remedy="see 'get pools'", location="pool"
             )
@@ -266,7 +266,7 @@
             jobs.changed = True
 
     def _snapshot(self, pool: str, jobs: PoolJobs) -> JobsSnapshot:
-        teams = self._configuration.book.specs(ItemKind.TEAM, TeamSpec)
+        teams = self._configuration.active.specs(ItemKind.TEAM, TeamSpec)
         quotas = {
             name: spec.cores_quota for name, spec in teams.items() if spec.cores_quota
         }
--- a/src/streamthread/peers/__init__.py
+++ b/src/streamthread/peers/__init__.py
@@ -1,7 +1,7 @@
 """Soft state and single calls between the daemons."""
 
-from .rumors import RumorBook
+from .rumors import RumorStore
 from .service import PeerService
 from .service import PeerSettings
 
-__all__ = ["PeerService", "PeerSettings", "RumorBook"]
+__all__ = ["PeerService", "PeerSettings", "RumorStore"]
--- a/src/streamthread/peers/rumors.py
+++ b/src/streamthread/peers/rumors.py
@@ -6,7 +6,7 @@
 from .peers_pb2 import Offer
 from .peers_pb2 import Rumor
 
-__all__ = ["LARGE_BYTES", "News", "RumorBook"]
+__all__ = ["LARGE_BYTES", "News", "RumorStore"]
 
 LARGE_BYTES = 200
 """A larger rumor is offered first, since the peer may have it from another."""
@@ -19,7 +19,7 @@
     offers: list[Offer]
 
 
-class RumorBook:
+class RumorStore:
     """The newest rumor of each key, and what each peer has not heard yet.
 
     Of two rumors with one key the higher version wins, so late, repeated or
--- a/src/streamthread/peers/service.py
+++ b/src/streamthread/peers/service.py
@@ -10,15 +10,12 @@
 import attrs
 import cattrs
 from grpclib.client import Channel
-from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Server
 from mode import Service
 
-from ..configuration import Change
 from ..configuration import ConfigurationService
-from ..configuration import Generation
 from ..configuration import Snapshot
 from ..errors import PeerUnavailableError
 from ..leases import LeaseRecord
@@ -30,14 +27,14 @@
 from . import peers_pb2 as pb
 from .auth import key_metadata
 from .auth import require_key
-from .peers_grpc import PeersBase
+from .endpoint import JobsHandler
+from .endpoint import PeerEndpoint
+from .messages import generation_of
+from .messages import generation_record
 from .peers_grpc import PeersStub
-from .rumors import RumorBook
+from .rumors import RumorStore
 
-__all__ = ["JobsHandler", "PeerService", "PeerSettings"]
-
-JobsHandler = t.Callable[[JsonObject], t.Awaitable[JsonObject]]
-"""Carries out an operator's wish about jobs, here, as the holder."""
+__all__ = ["PeerService", "PeerSettings"]
 
 
 @attrs.frozen
@@ -75,22 +72,6 @@
     heard_at_s: float = 0.0
 
 
-def generation_record(step: Generation) -> pb.GenerationRecord:
-    """Return a generation as a message."""
-    changes = [[change.key, change.value] for change in step.changes]
-    return pb.GenerationRecord(
-        generation=step.number, digest=step.digest, changes_json=json.dumps(changes)
-    )
-
-
-def generation_of(record: pb.GenerationRecord) -> Generation:
-    """Return the generation in a message."""
-    changes = tuple(
-        Change(key, value) for key, value in json.loads(record.changes_json)
-    )
-    return Generation(record.generation, record.digest, changes)
-
-
 class PeerService(Service):
     """Serves the peers' port and exchanges with a few peers a second.
 
@@ -107,7 +88,7 @@
         jobs: JobsHandler,
     ) -> None:
         super().__init__()
-        self.rumors = RumorBook()
+        self.rumors = RumorStore()
         self.settings = settings
         self.port = 0
         self._incarnation = incarnation
@@ -215,7 +196,7 @@
         """Make one call of an exchange, and take what comes back."""
         request = pb.ExchangeRequest(
             sender=self.sender(),
-            generation=self._configuration.book.generation,
+            generation=self._configuration.active.generation,
             known_incarnation=link.incarnation,
             known_cursor=link.their_cursor,
             **content,
@@ -227,7 +208,7 @@
 
     async def _follow_up(self, link: _Link, peer: LeaseRecord, reply: t.Any) -> None:
         """Send what the peer asked for, and get what it offered, if anything."""
-        mine = self._configuration.book.generation
+        mine = self._configuration.active.generation
         lacking = self.rumors.lacking(reply.offers)
         if reply.generation > mine:
             await self.fetch_snapshot(peer)
@@ -247,7 +228,7 @@
             link.my_cursor_sent = 0
 
     def _generations_after(self, after: int) -> list[pb.GenerationRecord]:
-        steps = self._configuration.book.after(after)
+        steps = self._configuration.active.after(after)
         return [generation_record(step) for step in steps]
 
     def _take(
@@ -265,7 +246,7 @@
 
     def answer(self, request: pb.ExchangeRequest) -> pb.ExchangeReply:
         """Take a peer's news and return ours."""
-        book = self._configuration.book
+        active = self._configuration.active
         self._take(request.sender, request.rumors, request.generations)
         link = self._links.get(request.sender.daemon_id)
         if link is not None:
@@ -275,7 +256,7 @@
         news = self.rumors.news_for(request.sender.daemon_id, after)
         return pb.ExchangeReply(
             sender=self.sender(),
-            generation=book.generation,
+            generation=active.generation,
             cursor=self.rumors.cursor,
             rumors=[*news.rumors, *self.rumors.bodies(request.asked)],
             offers=news.offers,
@@ -350,59 +331,3 @@
     def _drop_links(self, kept: set[str]) -> None:
         for daemon_id in set(self._links) - kept:
             self._links.pop(daemon_id).channel.close()
-
-
-class PeerEndpoint(PeersBase):
-    """The served side of the peers' port."""
-
-    def __init__(
-        self,
-        service: PeerService,
-        recorder: Recorder,
-        configuration: ConfigurationService,
-        jobs: JobsHandler,
-    ) -> None:
-        self._service = service
-        self._recorder = recorder
-        self._configuration = configuration
-        self._jobs = jobs
-
-    async def Exchange(self, stream: t.Any) -> None:  # noqa: N802
-        """Answer an exchange."""
-        request = await _receive(stream)
-        await stream.send_message(self._service.answer(request))
-
-    async def Snapshot(self, stream: t.Any) -> None:  # noqa: N802
-        """Send the whole configuration."""
-        await _receive(stream)
-        snapshot = cattrs.unstructure(self._configuration.book.snapshot())
-        reply = pb.SnapshotReply(
-            sender=self._service.sender(), snapshot_json=json.dumps(snapshot)
-        )
-        await stream.send_message(reply)
-
-    async def Timeline(self, stream: t.Any) -> None:  # noqa: N802
-        """Send the events that match a filter."""
-        request = await _receive(stream)
-        event_filter = cattrs.structure(json.loads(request.filter_json), EventFilter)
-        events = cattrs.unstructure(self._recorder.select(event_filter))
-        reply = pb.TimelineReply(
-            sender=self._service.sender(), events_json=json.dumps(events)
-        )
-        await stream.send_message(reply)
-
-    async def Jobs(self, stream: t.Any) -> None:  # noqa: N802
-        """Carry out a wish about jobs."""
-        request = await _receive(stream)
-        result = await self._jobs(json.loads(request.wish_json))
-        reply = pb.JobsReply(
-            sender=self._service.sender(), result_json=json.dumps(result)
-        )
-        await stream.send_message(reply)
-
-
-async def _receive(stream: t.Any) -> t.Any:
-    request = await stream.recv_message()
-    if request is None:
-        raise GRPCError(Status.INVALID_ARGUMENT, "the call carried no message")
-    return request
--- /dev/null
+++ b/src/streamthread/requests/answers.py
@@ -0,0 +1,117 @@
+"""Passing an upstream's answer on to the caller, whole or visibly broken."""
+
+import asyncio
+
+import aiohttp
+import attrs
+from aiohttp import web
+
+from .claims import Claim
+from .claims import ClaimState
+from .outcomes import LEAVING_HEADER
+from .outcomes import NOT_STARTED_HEADER
+from .outcomes import Outcome
+from .outcomes import OUTCOME_HEADER
+from .parse import Call
+
+__all__ = ["KeptAnswer", "pass_on"]
+
+CHUNK_BYTES = 64 * 1024
+KEPT_ANSWER_BYTES = 4096
+
+_DROPPED_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "date",
+        "keep-alive",
+        "server",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        NOT_STARTED_HEADER.lower(),
+        LEAVING_HEADER.lower(),
+        OUTCOME_HEADER.lower(),
+    }
+)
+
+
+@attrs.define
+class KeptAnswer:
+    """A small answer, kept so that a repeated key gets it again."""
+
+    began: bool = False
+    complete: bool = False
+    status: int = 0
+    content_type: str = ""
+    body: bytearray = attrs.field(factory=bytearray)
+
+    def begin(self, reply: aiohttp.ClientResponse) -> None:
+        """Note the head of the answer."""
+        self.began = True
+        self.status = reply.status
+        self.content_type = reply.headers.get("Content-Type", "")
+
+    def add(self, chunk: bytes) -> None:
+        """Note a part of the body, as long as it is small."""
+        if len(self.body) <= KEPT_ANSWER_BYTES:
+            self.body += chunk
+
+    def concluded(self, claim: Claim) -> Claim:
+        """Return the claim's row after the answer."""
+        kept = self.complete and len(self.body) <= KEPT_ANSWER_BYTES
+        return attrs.evolve(
+            claim,
+            state=ClaimState.DONE if self.began else ClaimState.UNKNOWN,
+            status=self.status,
+            content_type=self.content_type,
+            body_hex=self.body.hex() if kept else None,
+        )
+
+
+async def pass_on(
+    request: web.Request,
+    reply: aiohttp.ClientResponse,
+    call: Call,
+    answer: KeptAnswer | None,
+    close: bool,
+) -> web.StreamResponse:
+    """Pass an answer on as it comes; one that breaks off never ends clean.
+
+    A caller that reads too slowly is cut off at the deadline, like a slow
+    upstream: neither keeps a slot for longer.
+
+    :param answer: keeps a copy, if given.
+    :param close: whether the caller's connection ends with it.
+    """
+    response = _head(reply)
+    if close:
+        response.force_close()
+    if answer is not None:
+        answer.begin(reply)
+    try:
+        async with asyncio.timeout(max(0.0, call.left_s())):
+            await response.prepare(request)
+            async for chunk in reply.content.iter_chunked(CHUNK_BYTES):
+                if answer is not None:
+                    answer.add(chunk)
+                await response.write(chunk)
+            await response.write_eof()
+    except (aiohttp.ClientError, OSError, TimeoutError):
+        if request.transport is not None:
+            request.transport.abort()
+        return response
+    if answer is not None:
+        answer.complete = True
+    return response
+
+
+def _head(reply: aiohttp.ClientResponse) -> web.StreamResponse:
+    response = web.StreamResponse(status=reply.status)
+    for name, value in reply.headers.items():
+        if name.lower() not in _DROPPED_HEADERS:
+            response.headers.add(name, value)
+    response.headers[OUTCOME_HEADER] = Outcome.DONE.value
+    if reply.content_length is not None:
+        response.content_length = reply.content_length
+    return response
--- a/src/streamthread/requests/parse.py
+++ b/src/streamthread/requests/parse.py
@@ -7,7 +7,7 @@
 import attrs
 from aiohttp import web
 
-from ..configuration import Book
+from ..configuration import ActiveConfiguration
 from ..configuration import ConfigurationService
 from ..configuration import ItemKind
 from ..configuration import ServiceSpec
@@ -58,7 +58,7 @@
     """Knows the teams by their tokens, as the configuration has them."""
 
     def __init__(self, configuration: ConfigurationService) -> None:
-        self._book = configuration.book
+        self._active = configuration.active
         self._teams: dict[str, str] | None = None
         configuration.listen(self._on_configuration)
 
@@ -72,7 +72,7 @@
         :raises Problem: no team has this token.
         """
         if self._teams is None:
-            teams = self._book.specs(ItemKind.TEAM, TeamSpec)
+            teams = self._active.specs(ItemKind.TEAM, TeamSpec)
             self._teams = {spec.token_sha256: name for name, spec in teams.items()}
             self._teams.pop("", None)
         if not self._teams:
@@ -86,13 +86,15 @@
         return team
 
 
-async def parse_call(request: web.Request, book: Book, callers: Callers) -> Call:
+async def parse_call(
+    request: web.Request, active: ActiveConfiguration, callers: Callers
+) -> Call:
     """Check a request and read its body.
 
     :raises Problem: it cannot be carried out as it is; it was not run.
     """
     service = request.match_info["service"]
-    spec = book.spec(f"service/{service}", ServiceSpec)
+    spec = active.spec(f"service/{service}", ServiceSpec)
     if spec is None:
         raise _refusal(404, "no-such-service", f"there is no service {service!r}")
     team = callers.team_of(request)
--- a/src/streamthread/requests/router.py
+++ b/src/streamthread/requests/router.py
@@ -13,7 +13,7 @@
 from ..fleet.views import PoolView
 from ..fleet.views import PoolViews
 from ..peers import peers_pb2 as pb
-from ..peers.rumors import RumorBook
+from ..peers.rumors import RumorStore
 from ..platform import InstanceStatus
 from ..timeline import Recorder
 from .outcomes import Outcome
@@ -59,7 +59,7 @@
         configuration: ConfigurationService,
         catalog: Catalog,
         views: PoolViews,
-        rumors: RumorBook,
+        rumors: RumorStore,
         recorder: Recorder,
         entries: t.Callable[[], tuple[str, ...]],
         spread_soon: t.Callable[[], None],
@@ -120,7 +120,9 @@
         return slot
 
     def _weight_of(self, team: str) -> float:
-        spec = self._configuration.book.spec(f"team/{team}", TeamSpec) if team else None
+        spec = (
+            self._configuration.active.spec(f"team/{team}", TeamSpec) if team else None
+        )
         return spec.weight if spec is not None else 1.0
 
     def release(self, slot: Slot) -> None:
--- a/src/streamthread/requests/service.py
+++ b/src/streamthread/requests/service.py
@@ -11,6 +11,8 @@
 
 from ..configuration import ConfigurationService
 from ..errors import StoreUnavailableError
+from .answers import KeptAnswer
+from .answers import pass_on
 from .claims import Claim
 from .claims import claim_key
 from .claims import ClaimResult
@@ -35,28 +37,10 @@
 
 __all__ = ["RequestService"]
 
-CHUNK_BYTES = 64 * 1024
-KEPT_ANSWER_BYTES = 4096
 CONNECT_TIMEOUT_S = 1.0
 SHUTDOWN_TIMEOUT_S = 0.1
 """After :meth:`RequestService.finish` has waited, nothing should be left."""
 
-_DROPPED_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "date",
-        "keep-alive",
-        "server",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        NOT_STARTED_HEADER.lower(),
-        LEAVING_HEADER.lower(),
-        OUTCOME_HEADER.lower(),
-    }
-)
-
 
 class _NotStartedError(Exception):
     """The upstream certainly did not start the request; another may take it."""
@@ -151,7 +135,7 @@
     async def _handle(self, request: web.Request) -> web.StreamResponse:
         try:
             self._refuse_if_cut_off()
-            call = await parse_call(request, self._configuration.book, self._callers)
+            call = await parse_call(request, self._configuration.active, self._callers)
             if call.repeat_safe:
                 return await self._carry(request, call)
             return await self._carry_once(request, call)
@@ -186,7 +170,7 @@
             return self._answer_from(result.existing, claim)
         claim = attrs.evolve(claim, state=ClaimState.UNKNOWN)
         try:
-            answer = _KeptAnswer()
+            answer = KeptAnswer()
             response = await self._carry(request, call, answer)
             claim = answer.concluded(claim)
             return response
@@ -246,7 +230,7 @@
     # Dispatch.
 
     async def _carry(
-        self, request: web.Request, call: Call, answer: "_KeptAnswer | None" = None
+        self, request: web.Request, call: Call, answer: KeptAnswer | None = None
     ) -> web.StreamResponse:
         """Try upstreams until one has the request; then stay with it.
 
@@ -288,7 +272,7 @@
         request: web.Request,
         call: Call,
         slot: Slot,
-        answer: "_KeptAnswer | None",
+        answer: KeptAnswer | None,
     ) -> web.StreamResponse:
         upstream = slot.upstream
         assert self._session is not None
@@ -312,7 +296,7 @@
             ) as reply:
                 self._note_signs(slot, reply)
                 began = True
-                response = await self._stream(request, reply, answer, call)
+                response = await pass_on(request, reply, call, answer, self.stopping)
                 self._router.note_success(slot, time.monotonic() - sent_at_s)
                 return response
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -337,75 +321,6 @@
             raise _NotStartedError
         self._router.note_accepted(slot)
 
-    async def _stream(
-        self,
-        request: web.Request,
-        reply: aiohttp.ClientResponse,
-        answer: "_KeptAnswer | None",
-        call: Call,
-    ) -> web.StreamResponse:
-        """Pass an answer on as it comes; one that breaks off never ends clean.
-
-        A caller that reads too slowly is cut off at the deadline, like a slow
-        upstream: neither keeps a slot for longer.
-        """
-        response = web.StreamResponse(status=reply.status)
-        for name, value in reply.headers.items():
-            if name.lower() not in _DROPPED_HEADERS:
-                response.headers.add(name, value)
-        response.headers[OUTCOME_HEADER] = Outcome.DONE.value
-        if reply.content_length is not None:
-            response.content_length = reply.content_length
-        self._close_if_stopping(response)
-        if answer is not None:
-            answer.begin(reply)
-        try:
-            async with asyncio.timeout(max(0.0, call.left_s())):
-                await response.prepare(request)
-                async for chunk in reply.content.iter_chunked(CHUNK_BYTES):
-                    if answer is not None:
-                        answer.add(chunk)
-                    await response.write(chunk)
-                await response.write_eof()
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            if request.transport is not None:
-                request.transport.abort()
-            return response
-        if answer is not None:
-            answer.complete = True
-        return response
-
-
-@attrs.define
-class _KeptAnswer:
-    """A small answer, kept so that a repeated key gets it again."""
-
-    began: bool = False
-    complete: bool = False
-    status: int = 0
-    content_type: str = ""
-    body: bytearray = attrs.field(factory=bytearray)
-
-    def begin(self, reply: aiohttp.ClientResponse) -> None:
-        self.began = True
-        self.status = reply.status
-        self.content_type = reply.headers.get("Content-Type", "")
-
-    def add(self, chunk: bytes) -> None:
-        if len(self.body) <= KEPT_ANSWER_BYTES:
-            self.body += chunk
-
-    def concluded(self, claim: Claim) -> Claim:
-        """Return the claim's row after the answer."""
-        kept = self.complete and len(self.body) <= KEPT_ANSWER_BYTES
-        return attrs.evolve(
-            claim,
-            state=ClaimState.DONE if self.began else ClaimState.UNKNOWN,
-            status=self.status,
-            content_type=self.content_type,
-            body_hex=self.body.hex() if kept else None,
-        )
-
 
 def _lost_problem(error: Exception) -> Problem:
     return Problem(
--- a/src/streamthread/requests/tests/test_choice.py
+++ b/src/streamthread/requests/tests/test_choice.py
@@ -248,7 +248,7 @@
             lambda: ("entry-0",),
             lambda: None,
         )
-        spec = daemon.configuration.book.spec("service/a", ServiceSpec)
+        spec = daemon.configuration.active.spec("service/a", ServiceSpec)
         assert spec is not None
         slot = await router.acquire("a", spec, time.monotonic() + 60, set())
         router.note_success(slot, 1.0)
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -8,6 +8,7 @@
 import pytest
 from tools.capacity_page import PAGE
 from tools.capacity_page import render
+from tools.guard_list import Guard
 from tools.guard_list import GUARDS
 from tools.references import PAGES as REFERENCES
 
@@ -59,6 +60,20 @@
         assert "late write of the first: conflicted" in done.stdout
 
 
+class TestGuards:
+    @pytest.mark.parametrize("guard", GUARDS, ids=lambda guard: guard.name)
+    def test_stand_in_the_code_once(self, guard: Guard) -> None:
+        text = (ROOT / "src" / "streamthread" / guard.file).read_text()
+        assert text.count(guard.present) == 1
+        assert not guard.also[0] or text.count(guard.also[0]) == 1
+
+    @pytest.mark.parametrize("guard", GUARDS, ids=lambda guard: guard.name)
+    def test_name_tests_that_exist(self, guard: Guard) -> None:
+        for test in guard.tests:
+            path, _, name = test.partition("::")
+            assert name in (ROOT / path).read_text()
+
+
 class TestPromises:
     def test_name_every_guard(self) -> None:
         page = (ROOT / "docs" / "promises.md").read_text()
--- a/tests/test_fleet_interleavings.py
+++ b/tests/test_fleet_interleavings.py
@@ -295,11 +295,11 @@
         if not hasattr(self, "world"):
             return
         for daemon in self.world.daemons:
-            book = daemon.configuration.book
+            active = daemon.configuration.active
             before = getattr(daemon.configuration, "seen_generation", 0)
-            assert book.generation >= before
-            daemon.configuration.seen_generation = book.generation  # type: ignore[attr-defined]
-            self.highest = max(self.highest, book.generation)
+            assert active.generation >= before
+            daemon.configuration.seen_generation = active.generation  # type: ignore[attr-defined]
+            self.highest = max(self.highest, active.generation)
         head = self.run(self.world.tables.get(["configuration/head"]))
         assert head["configuration/head"].value["generation"] >= self.highest
 
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -59,7 +59,7 @@
     Guard(
         "newer-generation-decides",
         "fleet/service.py",
-        "if loaded.row.generation > self._configuration.book.generation:",
+        "if loaded.row.generation > self._configuration.active.generation:",
         "if False:",
         (f"{OWNERSHIP}::TestPools",),
     ),
@@ -100,17 +100,17 @@
     ),
     Guard(
         "generations-only-up",
-        "configuration/book.py",
+        "configuration/active.py",
         "if snapshot.generation <= self.generation:",
         "if False:",
-        ("src/streamthread/configuration/tests/test_book.py",),
+        ("src/streamthread/configuration/tests/test_active.py",),
     ),
     Guard(
         "digest-follows",
-        "configuration/book.py",
+        "configuration/active.py",
         "if step.digest != next_digest(self.digest, step.changes):",
         "if False:",
-        ("src/streamthread/configuration/tests/test_book.py",),
+        ("src/streamthread/configuration/tests/test_active.py",),
     ),
     Guard(
         "operators-conflict",
@@ -150,7 +150,7 @@
     ),
     Guard(
         "break-never-ends-clean",
-        "requests/service.py",
+        "requests/answers.py",
         "request.transport.abort()",
         "pass",
         (f"{REQUESTS}::TestWholeAnswers",),
@@ -158,8 +158,8 @@
     Guard(
         "leaving-by-header",
         "requests/router.py",
-        "if health.left_boot >= instance.boot:",
-        "if False:",
+        "return health.left_boot < instance.boot",
+        "return True",
         (f"{REQUESTS}::TestLeavingUpstream",),
     ),
     Guard(
@@ -197,7 +197,7 @@
         "return []",
         ("tests/integration/test_configuration.py::TestRollOut",),
         (
-            "if reply.generation > self._configuration.book.generation:",
+            "if reply.generation > mine:",
             "if False:",
         ),
     ),
--- a/tools/world.py
+++ b/tools/world.py
@@ -24,7 +24,7 @@
 from streamthread.leases import LeaseRecord
 from streamthread.leases import LeaseService
 from streamthread.leases import LeaseSettings
-from streamthread.peers.rumors import RumorBook
+from streamthread.peers.rumors import RumorStore
 from streamthread.platform import CommitOutcome
 from streamthread.platform import CommitResult
 from streamthread.platform import memory_platform
@@ -119,7 +119,7 @@
     configuration: ConfigurationService
     fleet: FleetService
     jobs: JobService
-    rumors: RumorBook
+    rumors: RumorStore
     recorder: Recorder
     running: "asyncio.Task[None] | None" = None
 
@@ -150,7 +150,7 @@
         committer = Committer(way, 5.0, self.clock, self.clock.sleep)
         leases = LeaseService(way, recorder, record, LEASES, self.clock, committer)
         configuration = ConfigurationService(platform, committer, recorder, 1.0)
-        rumors = RumorBook()
+        rumors = RumorStore()
         fleet = FleetService(
             platform,
             leases,
