Offer again what a failed call left out; stop when a part has failed

Cause, found while reading: an exchange moved its cursors on before the second call that carries large rumors, so a pool's view whose call failed was never sent over that link again (with two entries: never, until its next change). And a task that failed for an unforeseen reason left the daemon half alive, its ports open.

Change: cursors move on when everything has arrived. The daemon notices that a part has crashed, stops in order and ends with status 6; an unreadable answer of one peer does not end the exchange with the others.

--- a/src/streamthread/cli/__init__.py
+++ b/src/streamthread/cli/__init__.py
@@ -2,7 +2,8 @@
 
 Exit status: 0 done; 2 bad input or usage; 3 refused (conflict, not found);
 4 not reached in time, or the entry or store is unavailable; 5 a stop cut
-requests off.
+requests off; 6 a part of the daemon failed for a reason it does not know, and it
+stopped in order so that the platform replaces it.
 """
 
 import argparse
--- a/src/streamthread/cli/run.py
+++ b/src/streamthread/cli/run.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import json
 import pathlib
 import signal
@@ -24,9 +25,17 @@
 from ..standins import RunnerPlan
 from ..standins import UpstreamStandins
 
-__all__ = ["run_entry", "run_platform", "run_proxy", "run_upstreams"]
+__all__ = [
+    "run_entry",
+    "run_platform",
+    "run_proxy",
+    "run_upstreams",
+    "until_signal",
+]
 
 CUT_OFF_STATUS = 5
+CRASHED_STATUS = 6
+CRASH_POLL_S = 0.5
 
 
 def announce(**facts: t.Any) -> None:
@@ -34,12 +43,17 @@
     print(json.dumps(facts), flush=True)
 
 
-async def _until_signal() -> None:
+async def until_signal(service: Service) -> bool:
+    """Wait for a signal to stop; return whether the service crashed before."""
     stopped = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped.set)
-    await stopped.wait()
+    while not stopped.is_set() and not service.crashed:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(CRASH_POLL_S):
+                await stopped.wait()
+    return bool(service.crashed)
 
 
 def run_entry(arguments: argparse.Namespace) -> int:
@@ -76,10 +90,12 @@
         operators=entry.operators.address,
         peers=f"{settings.peers.host}:{entry.peers.port}",
     )
-    await _until_signal()
+    crashed = await until_signal(entry)
     cut = await entry.planned_stop()
     if client is not None:
         await client.close()
+    if crashed:
+        return CRASHED_STATUS
     return CUT_OFF_STATUS if cut else 0
 
 
@@ -118,6 +134,6 @@
 async def _serve(service: Service) -> int:
     await service.start()
     announce(standin=type(service).__name__, port=service.port)
-    await _until_signal()
+    crashed = await until_signal(service)
     await service.stop()
-    return 0
+    return CRASHED_STATUS if crashed else 0
--- a/src/streamthread/peers/service.py
+++ b/src/streamthread/peers/service.py
@@ -177,20 +177,25 @@
             await self.exchange(peer)
         except PeerUnavailableError as error:
             self.log.info("exchange failed: %s", error)
+        except Exception:
+            self.log.exception("unreadable answer from %s", peer.daemon_id)
 
     async def exchange(self, peer: LeaseRecord) -> None:
         """Give one peer our news and take its.
 
+        The cursors move on only when everything has arrived, on both sides.
+
         :raises PeerUnavailableError: it did not answer in time.
         """
         link = self._link(peer)
         cursor = self.rumors.cursor
         news = self.rumors.news_for(peer.daemon_id, link.my_cursor_sent)
         reply = await self._send(link, peer, rumors=news.rumors, offers=news.offers)
-        self._note_incarnation(link, reply.sender.incarnation)
-        link.their_cursor = reply.cursor
-        link.my_cursor_sent = cursor
         await self._follow_up(link, peer, reply)
+        same_run = link.incarnation == reply.sender.incarnation
+        link.incarnation = reply.sender.incarnation
+        link.their_cursor = reply.cursor
+        link.my_cursor_sent = cursor if same_run else 0
 
     async def _send(self, link: _Link, peer: LeaseRecord, **content: t.Any) -> t.Any:
         """Make one call of an exchange, and take what comes back."""
@@ -221,12 +226,6 @@
                 generations=self._generations_after(reply.generation),
             )
 
-    @staticmethod
-    def _note_incarnation(link: _Link, incarnation: str) -> None:
-        if link.incarnation != incarnation:
-            link.incarnation = incarnation
-            link.my_cursor_sent = 0
-
     def _generations_after(self, after: int) -> list[pb.GenerationRecord]:
         steps = self._configuration.active.after(after)
         return [generation_record(step) for step in steps]
