Show the epoch refusing a paused holder on real processes; trust rebooted workers

Cause: the test with the paused holder did not show that the table refused it: its delayed calls timed out before a commit was sent. The platform stand-in can now keep one commit of a pool's row on its way; the test pauses the holder then, lets the others take its shards, and waits until the stand-in has counted a commit refused by a shard's epoch. The other two holder tests go through the proxy too.

--- a/src/streamthread/jobs/quarantine.py
+++ b/src/streamthread/jobs/quarantine.py
@@ -14,6 +14,13 @@
 
     def __init__(self) -> None:
         self._failed_jobs: dict[str, set[str]] = {}
+        self._boots: dict[str, int] = {}
+
+    def note_boot(self, worker_id: str, boot: int) -> None:
+        """Trust a worker again after a reboot."""
+        if self._boots.get(worker_id, boot) != boot:
+            self._failed_jobs.pop(worker_id, None)
+        self._boots[worker_id] = boot
 
     def note(self, worker_id: str, job_id: str, succeeded: bool) -> None:
         """Note the end of an attempt."""
@@ -22,10 +29,6 @@
         else:
             self._failed_jobs.setdefault(worker_id, set()).add(job_id)
 
-    def release(self, worker_id: str) -> None:
-        """Trust a worker again, after its reboot."""
-        self._failed_jobs.pop(worker_id, None)
-
     def members(self, pool_workers: list[str]) -> set[str]:
         """Return the quarantined workers of a pool: the worst, up to the cap."""
         failing = [
--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -277,6 +277,10 @@
     def _workers(self, pool: str, jobs: PoolJobs) -> t.Iterator[WorkerFacts]:
         view = self._views.view(pool)
         states = view.states if view else {}
+        for instance_id in states:
+            if instance_id in self._catalog.instances:
+                boot = self._catalog.instances[instance_id].boot
+                jobs.quarantine.note_boot(instance_id, boot)
         refused = jobs.quarantine.members(list(states))
         for instance_id, state in states.items():
             instance = self._catalog.instances.get(instance_id)
--- a/src/streamthread/jobs/tests/test_decide.py
+++ b/src/streamthread/jobs/tests/test_decide.py
@@ -129,6 +129,16 @@
         assert quarantine.members(workers) == {"w7", "w0"}
         assert quarantine.members(["w1"]) == set()
 
+    def test_reboot_clears(self) -> None:
+        quarantine = Quarantine()
+        quarantine.note_boot("w0", 1)
+        for number in range(3):
+            quarantine.note("w0", f"j{number}", succeeded=False)
+        quarantine.note_boot("w0", 1)
+        assert quarantine.members(["w0", "w1"]) == {"w0"}
+        quarantine.note_boot("w0", 2)
+        assert quarantine.members(["w0", "w1"]) == set()
+
     def test_success_clears(self) -> None:
         quarantine = Quarantine()
         for number in range(3):
--- a/src/streamthread/standins/platform.py
+++ b/src/streamthread/standins/platform.py
@@ -143,9 +143,22 @@
     async def _tables_commit(self, body: JsonObject) -> t.Any:
         transaction = cattrs.structure(body, Transaction)
         self.counters["rows_written"] += len(transaction.writes)
+        await self._hold(transaction)
         result = await self._platform.tables.commit(transaction)
+        if any(key.startswith("shard/") for key in result.conflicting_keys):
+            self.counters["fenced"] += 1
         return cattrs.unstructure(result)
 
+    async def _hold(self, transaction: Transaction) -> None:
+        """Let one commit about a pool be on its way for long, if asked to."""
+        held_s = self.faults.hold_pool_commit_s
+        if held_s and any(
+            write.key.startswith("pool/") for write in transaction.writes
+        ):
+            self.faults.hold_pool_commit_s = 0.0
+            self.counters["held"] += 1
+            await asyncio.sleep(held_s)
+
     async def _objects_put(self, body: JsonObject) -> JsonObject:
         await self._platform.objects.put(body["key"], body["body"].encode())
         return {}
--- a/tests/integration/support.py
+++ b/tests/integration/support.py
@@ -103,6 +103,9 @@
 
 
 async def holder_of_pool(cluster: Cluster, entry: int = 0) -> int:
-    """Return which entry holds the service's pool."""
-    holder = (await cluster.pool(SERVICE, entry))["holder"]
-    return int(holder.removeprefix("entry-"))
+    """Return which entry holds the service's pool, once that is known."""
+
+    async def known() -> str:
+        return str((await cluster.pool(SERVICE, entry))["holder"])
+
+    return int((await eventually(known)).removeprefix("entry-"))
--- a/tests/integration/test_holders.py
+++ b/tests/integration/test_holders.py
@@ -40,7 +40,7 @@
 
 class TestHolderFailures:
     async def test_killed_holder_of_a_wave_is_replaced_and_the_wave_ends(self) -> None:
-        async with served_cluster(entries=3) as cluster:
+        async with served_cluster(entries=3, proxied=True) as cluster:
             holder = await holder_of_pool(cluster)
             others = [entry for entry in range(3) if entry != holder]
             watch = BudgetWatch(cluster, others[0])
@@ -52,20 +52,19 @@
             assert await watch.stop() >= MIN_AVAILABLE
             assert len((await members_by_pool(cluster))[SERVICE]) == RUNNERS
 
-    async def test_paused_holder_that_wakes_changes_nothing_it_no_longer_holds(
-        self,
-    ) -> None:
-        """Its way to the store is slow, so its write arrives after the pause."""
+    async def test_paused_holder_is_refused_by_the_epoch_when_it_wakes(self) -> None:
+        """Its commit is on the way while it is paused and its shards are taken."""
         async with served_cluster(entries=3, proxied=True) as cluster:
             holder = await holder_of_pool(cluster)
             others = [entry for entry in range(3) if entry != holder]
-            await cluster.set_link(f"store-{holder}", delay_s=0.3)
+            await cluster.set_faults(hold_pool_commit_s=6.0)
             await start_wave(cluster, entry=others[0])
+            await eventually(lambda: _counted(cluster, "held"))
             cluster.entries[holder].pause()
             await eventually(lambda: all_shards_held(cluster, others))
-            cluster.entries[holder].resume()
-            await cluster.set_link(f"store-{holder}", delay_s=0.0)
             watch = BudgetWatch(cluster, others[0])
+            await eventually(lambda: _counted(cluster, "fenced"))
+            cluster.entries[holder].resume()
             await eventually(lambda: wave_done(cluster, others[0]), 40)
             assert await watch.stop() >= MIN_AVAILABLE
             assert len((await members_by_pool(cluster))[SERVICE]) == RUNNERS
@@ -85,10 +84,10 @@
             assert set(outcomes) == {"done"}
 
     async def test_replies_lost_after_the_commit_change_nothing(self) -> None:
-        async with served_cluster(entries=3) as cluster:
+        async with served_cluster(entries=3, proxied=True) as cluster:
             await cluster.set_faults(lose_replies=8)
             await start_wave(cluster)
-            await eventually(lambda: _replies_lost(cluster, 8))
+            await eventually(lambda: _counted(cluster, "replies_lost", 8))
             await eventually(lambda: wave_done(cluster), 40)
             events = await cluster.timeline(kind="drain-granted")
             subjects = [event["subject"] for event in events]
@@ -111,5 +110,5 @@
     return bool((await cluster.pool(SERVICE, entry))["available"] < RUNNERS)
 
 
-async def _replies_lost(cluster: Cluster, count: int) -> bool:
-    return bool((await cluster.counters()).get("replies_lost") == count)
+async def _counted(cluster: Cluster, name: str, count: int = 1) -> bool:
+    return bool((await cluster.counters()).get(name, 0) >= count)
