Count what is dropped in the metrics; remove what nothing used

Cause: the counters of dropped events and outcomes could not be seen by anybody, and a search for unused names found an evaluation counter and a reset without use.

--- a/src/streamthread/entry/metrics.py
+++ b/src/streamthread/entry/metrics.py
@@ -31,6 +31,7 @@
         yield from self._configuration()
         yield from self._fleet()
         yield from self._requests()
+        yield self._dropped()
         yield _gauge(
             "streamthread_shards_held",
             "Shards that this daemon holds.",
@@ -42,6 +43,18 @@
             self._entry.leases.is_trusted(),
         )
 
+    def _dropped(self) -> CounterMetricFamily:
+        """Count what bounded memory had to let go."""
+        family = CounterMetricFamily(
+            "streamthread_dropped",
+            "Records dropped because a bounded memory was full.",
+            labels=["what"],
+        )
+        family.add_metric(["events"], self._entry.recorder.dropped)
+        family.add_metric(["archived-events"], self._entry.archive.dropped)
+        family.add_metric(["claim-outcomes"], self._entry.claims.outcomes_dropped)
+        return family
+
     def _configuration(self) -> t.Iterator[GaugeMetricFamily]:
         configuration = self._entry.configuration
         yield _gauge(
--- a/src/streamthread/fleet/catalog.py
+++ b/src/streamthread/fleet/catalog.py
@@ -38,7 +38,6 @@
 
     def __init__(self) -> None:
         self.instances: dict[str, Instance] = {}
-        self.evaluations = 0
         self.version = 0
         """Grows with each change of an instance."""
         self._labels: dict[str, dict[str, str]] = {}
@@ -82,7 +81,6 @@
         for instance_id, labels in self._labels.items():
             if selector.matches(labels):
                 self._note_match(key, instance_id)
-        self.evaluations += len(self._labels)
 
     def _forget_matches(self, key: str) -> None:
         for instance_id in self._matches.pop(key, ()):
@@ -114,7 +112,6 @@
         if labels == self._labels.get(instance_id):
             return
         self._labels[instance_id] = labels
-        self.evaluations += len(self._selectors)
         for key, selector in self._selectors.items():
             if selector.matches(labels):
                 self._note_match(key, instance_id)
--- a/src/streamthread/leases/committer.py
+++ b/src/streamthread/leases/committer.py
@@ -33,10 +33,6 @@
         self._attempt = min(self._attempt + 1, 30)
         return self.jitter.uniform(ceiling_s / 2, ceiling_s)
 
-    def reset(self) -> None:
-        """Start again from the shortest wait."""
-        self._attempt = 0
-
 
 class Committer:
     """The one place that decides what became of a transaction.
