Test that a moved instance is not rebooted again by the same wave

Cause: the fault was mended when the fleet service was split, without a test.

The test fails when the moved member starts without the waves it has been through, and passes as the code is.

--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -210,6 +210,21 @@
         assert sum(daemon.fleet.moves for daemon in world.daemons) == 1
         assert "i0" in (await world.rows("pool/"))[audit].value["members"]
 
+    async def test_moved_instance_is_not_taken_by_the_same_wave_again(self) -> None:
+        world = await _world_with_pool(1)
+        await world.apply({"wave/w": {"selector": ""}})
+        await world.settle(12)
+        boots = {one.instance_id: one.boot for one in world.membership.all()}
+        assert set(boots.values()) == {2}
+        items = {
+            "pool/audit": {"selector": "pool = audit", "min_available": 0},
+            "labels/i0": {"selector": "instance = i0", "set": {"pool": "audit"}},
+        }
+        await world.apply(items)
+        await world.settle(8)
+        assert "i0" in (await world.rows("pool/"))["audit"].value["members"]
+        assert world.membership.find("i0").boot == 2
+
     async def test_instance_that_two_holders_claim_joins_one_pool(self) -> None:
         """One holder has the newer labels, the other has not yet."""
         world = await _world_with_pool()
