Move the entry's providers out of the folder for the users' platform

Cause: the adapter to the users' platform is to be the one folder platform/, holding names, formats and calls. Today that folder holds abstract classes, an in-memory store and an adapter to this repository's own stand-in. Ruled out: a second folder beside it with a longer name; the users ask for platform/ by name. Before and after: the same tests pass; only import paths change. Conclusion: streamthread.providers keeps the abstract classes, platform/ is free.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -38,7 +38,7 @@
 from streamthread.maintenance import InstanceFacts
 from streamthread.maintenance import PoolSnapshot
 from streamthread.maintenance import WaveFacts
-from streamthread.platform import Instance
+from streamthread.providers import Instance
 
 BEGIN = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
 STEP = datetime.timedelta(hours=1)
--- a/examples/embed_leases.py
+++ b/examples/embed_leases.py
@@ -16,10 +16,10 @@
 from streamthread.leases import LeaseService
 from streamthread.leases import LeaseSettings
 from streamthread.leases import new_incarnation
-from streamthread.platform import memory_platform
-from streamthread.platform import Platform
-from streamthread.platform import Transaction
-from streamthread.platform import Write
+from streamthread.providers import memory_platform
+from streamthread.providers import Platform
+from streamthread.providers import Transaction
+from streamthread.providers import Write
 from streamthread.timeline import Recorder
 
 SETTINGS = LeaseSettings(shard_count=8, renew_s=0.1, term_s=1.0, margin_s=0.3)
--- a/src/streamthread/cli/run.py
+++ b/src/streamthread/cli/run.py
@@ -14,9 +14,9 @@
 from ..entry.logs import event_sink
 from ..entry.logs import start_logging
 from ..peers import PeerSettings
-from ..platform import http_platform
-from ..platform import memory_platform
-from ..platform import PlatformClient
+from ..providers import http_platform
+from ..providers import memory_platform
+from ..providers import PlatformClient
 from ..settings import EntrySettings
 from ..settings import load_settings
 from ..settings import PlatformSettings
--- a/src/streamthread/cli/verbs.py
+++ b/src/streamthread/cli/verbs.py
@@ -10,7 +10,7 @@
 
 from ..configuration import flatten
 from ..errors import BadInputError
-from ..platform import JsonObject
+from ..providers import JsonObject
 from ..settings import BadSettings
 from ..settings import check_settings
 from ..settings import load_json
--- a/src/streamthread/configuration/active.py
+++ b/src/streamthread/configuration/active.py
@@ -7,7 +7,7 @@
 
 import attrs
 
-from ..platform import JsonObject
+from ..providers import JsonObject
 from .items import Change
 from .items import ItemKind
 from .items import parse_item
--- a/src/streamthread/configuration/checks.py
+++ b/src/streamthread/configuration/checks.py
@@ -4,7 +4,7 @@
 
 from ..errors import SettingsError
 from ..errors import StreamthreadError
-from ..platform import JsonObject
+from ..providers import JsonObject
 from .items import Change
 from .items import check_item
 from .items import ItemKind
--- a/src/streamthread/configuration/items.py
+++ b/src/streamthread/configuration/items.py
@@ -17,7 +17,7 @@
 from ..errors import SettingsError
 from ..errors import StreamthreadError
 from ..fleet.selectors import Selector
-from ..platform import JsonObject
+from ..providers import JsonObject
 from ..structure import strict_converter
 from ..structure import structure_errors
 
--- a/src/streamthread/configuration/service.py
+++ b/src/streamthread/configuration/service.py
@@ -13,8 +13,8 @@
 from ..errors import StoreUnavailableError
 from ..errors import StreamthreadError
 from ..leases import Committer
-from ..platform import CommitOutcome
-from ..platform import Platform
+from ..providers import CommitOutcome
+from ..providers import Platform
 from ..timeline import Recorder
 from .active import ActiveConfiguration
 from .active import Generation
--- a/src/streamthread/configuration/store.py
+++ b/src/streamthread/configuration/store.py
@@ -8,12 +8,12 @@
 
 from ..errors import StoreUnavailableError
 from ..leases import Committer
-from ..platform import ABSENT
-from ..platform import CommitResult
-from ..platform import Platform
-from ..platform import Row
-from ..platform import Transaction
-from ..platform import Write
+from ..providers import ABSENT
+from ..providers import CommitResult
+from ..providers import Platform
+from ..providers import Row
+from ..providers import Transaction
+from ..providers import Write
 from .active import ActiveConfiguration
 from .active import Generation
 from .active import Snapshot
--- a/src/streamthread/entry/daemon.py
+++ b/src/streamthread/entry/daemon.py
@@ -23,7 +23,7 @@
 from ..leases import new_incarnation
 from ..peers import peers_pb2 as pb
 from ..peers import PeerService
-from ..platform import Platform
+from ..providers import Platform
 from ..requests import ClaimService
 from ..requests import ClaimSweeper
 from ..requests import RequestService
--- a/src/streamthread/entry/operators.py
+++ b/src/streamthread/entry/operators.py
@@ -21,7 +21,7 @@
 from ..errors import PeerUnavailableError
 from ..errors import StreamthreadError
 from ..jobs.router import JobsWish
-from ..platform import JsonObject
+from ..providers import JsonObject
 from ..structure import strict_converter
 from ..structure import structure_errors
 from ..timeline import EventFilter
--- a/src/streamthread/entry/reports.py
+++ b/src/streamthread/entry/reports.py
@@ -18,7 +18,7 @@
 from ..jobs.router import JobsWish
 from ..maintenance import measure_budget
 from ..maintenance import run_key
-from ..platform import JsonObject
+from ..providers import JsonObject
 from ..timeline import EventFilter
 
 if t.TYPE_CHECKING:
--- a/src/streamthread/entry/tests/test_daemon.py
+++ b/src/streamthread/entry/tests/test_daemon.py
@@ -5,7 +5,7 @@
 from streamthread.cli.run import until_signal
 from streamthread.entry import Entry
 from streamthread.peers import PeerSettings
-from streamthread.platform import memory_platform
+from streamthread.providers import memory_platform
 from streamthread.settings import EntrySettings
 from streamthread.settings import PlatformSettings
 
--- a/src/streamthread/fleet/catalog.py
+++ b/src/streamthread/fleet/catalog.py
@@ -7,8 +7,8 @@
 import collections
 import typing as t
 
-from ..platform import Instance
-from ..platform import InstanceStatus
+from ..providers import Instance
+from ..providers import InstanceStatus
 from .selectors import Selector
 
 __all__ = ["Catalog", "LabelSetter", "instance_labels"]
--- a/src/streamthread/fleet/pools.py
+++ b/src/streamthread/fleet/pools.py
@@ -6,7 +6,7 @@
 import attrs
 import cattrs
 
-from ..platform import JsonObject
+from ..providers import JsonObject
 
 __all__ = ["Member", "MemberState", "PoolRow", "instance_key", "pool_key"]
 
--- a/src/streamthread/fleet/service.py
+++ b/src/streamthread/fleet/service.py
@@ -23,7 +23,7 @@
 from ..maintenance import PoolSnapshot
 from ..maintenance import StepKind
 from ..peers.rumors import RumorStore
-from ..platform import Platform
+from ..providers import Platform
 from ..timeline import Recorder
 from .catalog import Catalog
 from .catalog import LabelSetter
--- a/src/streamthread/fleet/snapshots.py
+++ b/src/streamthread/fleet/snapshots.py
@@ -11,7 +11,7 @@
 from ..maintenance import PoolSnapshot
 from ..maintenance import run_key
 from ..maintenance import WaveFacts
-from ..platform import InstanceStatus
+from ..providers import InstanceStatus
 from .assignment import best_pool
 from .assignment import PoolNeed
 from .assignment import should_leave_for
--- a/src/streamthread/fleet/tests/test_sizing.py
+++ b/src/streamthread/fleet/tests/test_sizing.py
@@ -14,7 +14,7 @@
 from streamthread.fleet.sizing import plan_sizes
 from streamthread.fleet.sizing import PoolOutlook
 from streamthread.fleet.sizing import Weights
-from streamthread.platform import Instance
+from streamthread.providers import Instance
 
 DAY = datetime.timedelta(days=1)
 BEGIN = datetime.datetime(2026, 1, 1, tzinfo=datetime.UTC)
--- a/src/streamthread/jobs/pool_jobs.py
+++ b/src/streamthread/jobs/pool_jobs.py
@@ -5,9 +5,9 @@
 
 import attrs
 
-from ..platform import Fence
-from ..platform import Task
-from ..platform import TaskState
+from ..providers import Fence
+from ..providers import Task
+from ..providers import TaskState
 from .decide import JobStep
 from .quarantine import Quarantine
 from .rows import Job
--- a/src/streamthread/jobs/router.py
+++ b/src/streamthread/jobs/router.py
@@ -11,7 +11,7 @@
 from ..fleet.pools import pool_key
 from ..leases import LeaseService
 from ..peers import PeerService
-from ..platform import JsonObject
+from ..providers import JsonObject
 from .rows import Job
 from .rows import JobSpec
 from .service import JobService
--- a/src/streamthread/leases/committer.py
+++ b/src/streamthread/leases/committer.py
@@ -8,12 +8,12 @@
 import attrs
 
 from ..errors import StoreUnavailableError
-from ..platform import CommitOutcome
-from ..platform import CommitResult
-from ..platform import Row
-from ..platform import Tables
-from ..platform import Transaction
-from ..platform import Write
+from ..providers import CommitOutcome
+from ..providers import CommitResult
+from ..providers import Row
+from ..providers import Tables
+from ..providers import Transaction
+from ..providers import Write
 
 __all__ = ["Backoff", "Committer"]
 
--- a/src/streamthread/leases/service.py
+++ b/src/streamthread/leases/service.py
@@ -11,14 +11,14 @@
 
 from ..errors import NotHolderError
 from ..errors import StoreUnavailableError
-from ..platform import ABSENT
-from ..platform import CommitResult
-from ..platform import Fence
-from ..platform import MAX_ROWS_PER_TRANSACTION
-from ..platform import Row
-from ..platform import Tables
-from ..platform import Transaction
-from ..platform import Write
+from ..providers import ABSENT
+from ..providers import CommitResult
+from ..providers import Fence
+from ..providers import MAX_ROWS_PER_TRANSACTION
+from ..providers import Row
+from ..providers import Tables
+from ..providers import Transaction
+from ..providers import Write
 from ..timeline import Recorder
 from .committer import Committer
 from .observer import LeaseObserver
--- a/src/streamthread/leases/tests/test_committer.py
+++ b/src/streamthread/leases/tests/test_committer.py
@@ -8,13 +8,13 @@
 
 from streamthread.errors import StoreUnavailableError
 from streamthread.leases import Committer
-from streamthread.platform import CommitOutcome
-from streamthread.platform import CommitResult
-from streamthread.platform import MemoryTables
-from streamthread.platform import Row
-from streamthread.platform import Tables
-from streamthread.platform import Transaction
-from streamthread.platform import Write
+from streamthread.providers import CommitOutcome
+from streamthread.providers import CommitResult
+from streamthread.providers import MemoryTables
+from streamthread.providers import Row
+from streamthread.providers import Tables
+from streamthread.providers import Transaction
+from streamthread.providers import Write
 
 FAULTS = ("none", "reply-lost", "request-lost", "refused", "late")
 
--- a/src/streamthread/maintenance/tests/test_standing.py
+++ b/src/streamthread/maintenance/tests/test_standing.py
@@ -9,7 +9,7 @@
 from streamthread.maintenance import due_share
 from streamthread.maintenance import run_key
 from streamthread.maintenance.standing import EPOCH
-from streamthread.platform import Instance
+from streamthread.providers import Instance
 
 PERIOD_DAYS = 21.0
 NAMES = [f"worker-{number}" for number in range(20_000)]
--- a/src/streamthread/peers/endpoint.py
+++ b/src/streamthread/peers/endpoint.py
@@ -8,7 +8,7 @@
 from grpclib.exceptions import GRPCError
 
 from ..configuration import ConfigurationService
-from ..platform import JsonObject
+from ..providers import JsonObject
 from ..timeline import EventFilter
 from ..timeline import Recorder
 from . import peers_pb2 as pb
--- a/src/streamthread/peers/service.py
+++ b/src/streamthread/peers/service.py
@@ -19,7 +19,7 @@
 from ..configuration import Snapshot
 from ..errors import PeerUnavailableError
 from ..leases import LeaseRecord
-from ..platform import JsonObject
+from ..providers import JsonObject
 from ..timeline import Event
 from ..timeline import EventFilter
 from ..timeline import HybridTime
--- a/src/streamthread/requests/claims.py
+++ b/src/streamthread/requests/claims.py
@@ -18,13 +18,13 @@
 from ..errors import StoreUnavailableError
 from ..errors import StreamthreadError
 from ..leases import Committer
-from ..platform import ABSENT
-from ..platform import CommitOutcome
-from ..platform import MAX_ROWS_PER_TRANSACTION
-from ..platform import Row
-from ..platform import Tables
-from ..platform import Transaction
-from ..platform import Write
+from ..providers import ABSENT
+from ..providers import CommitOutcome
+from ..providers import MAX_ROWS_PER_TRANSACTION
+from ..providers import Row
+from ..providers import Tables
+from ..providers import Transaction
+from ..providers import Write
 
 __all__ = [
     "Claim",
--- a/src/streamthread/requests/router.py
+++ b/src/streamthread/requests/router.py
@@ -14,7 +14,7 @@
 from ..fleet.views import PoolViews
 from ..peers import peers_pb2 as pb
 from ..peers.rumors import RumorStore
-from ..platform import InstanceStatus
+from ..providers import InstanceStatus
 from ..timeline import Recorder
 from .outcomes import Outcome
 from .outcomes import Problem
--- a/src/streamthread/requests/sweeper.py
+++ b/src/streamthread/requests/sweeper.py
@@ -8,11 +8,11 @@
 
 from ..errors import StoreUnavailableError
 from ..leases import LeaseService
-from ..platform import MAX_ROWS_PER_TRANSACTION
-from ..platform import Row
-from ..platform import Tables
-from ..platform import Transaction
-from ..platform import Write
+from ..providers import MAX_ROWS_PER_TRANSACTION
+from ..providers import Row
+from ..providers import Tables
+from ..providers import Transaction
+from ..providers import Write
 
 __all__ = ["ClaimSweeper", "SweepSettings"]
 
--- a/src/streamthread/requests/tests/test_choice.py
+++ b/src/streamthread/requests/tests/test_choice.py
@@ -10,7 +10,7 @@
 from tools.world import World
 
 from streamthread.configuration import ServiceSpec
-from streamthread.platform import Instance
+from streamthread.providers import Instance
 from streamthread.requests import Borrowing
 from streamthread.requests import choose
 from streamthread.requests import Outcome
--- a/src/streamthread/requests/tests/test_claims.py
+++ b/src/streamthread/requests/tests/test_claims.py
@@ -11,7 +11,7 @@
 
 from streamthread.errors import StoreUnavailableError
 from streamthread.leases import Committer
-from streamthread.platform import MemoryTables
+from streamthread.providers import MemoryTables
 from streamthread.requests import Claim
 from streamthread.requests import claim_key
 from streamthread.requests import ClaimService
--- a/src/streamthread/requests/tests/test_sweeper.py
+++ b/src/streamthread/requests/tests/test_sweeper.py
@@ -2,8 +2,8 @@
 
 from tools.world import World
 
-from streamthread.platform import Transaction
-from streamthread.platform import Write
+from streamthread.providers import Transaction
+from streamthread.providers import Write
 from streamthread.requests import claim_key
 from streamthread.requests import ClaimSweeper
 from streamthread.requests import SweepSettings
--- a/src/streamthread/settings/__init__.py
+++ b/src/streamthread/settings/__init__.py
@@ -18,7 +18,7 @@
 from ..jobs.service import JobSettings
 from ..leases import LeaseSettings
 from ..peers import PeerSettings
-from ..platform import JsonObject
+from ..providers import JsonObject
 from ..requests import ClaimSettings
 from ..requests import SweepSettings
 from ..structure import strict_converter
--- a/src/streamthread/standins/platform.py
+++ b/src/streamthread/standins/platform.py
@@ -15,15 +15,15 @@
 from mode import Service
 
 from ..errors import StreamthreadError
-from ..platform import Instance
-from ..platform import InstanceStatus
-from ..platform import JsonObject
-from ..platform import memory_platform
-from ..platform import MemoryMembership
-from ..platform import MemoryWorkers
-from ..platform import TaskStart
-from ..platform import TaskState
-from ..platform import Transaction
+from ..providers import Instance
+from ..providers import InstanceStatus
+from ..providers import JsonObject
+from ..providers import memory_platform
+from ..providers import MemoryMembership
+from ..providers import MemoryWorkers
+from ..providers import TaskStart
+from ..providers import TaskState
+from ..providers import Transaction
 from .faults import delay
 from .faults import Faults
 from .faults import RateLimit
--- a/src/streamthread/standins/proxy.py
+++ b/src/streamthread/standins/proxy.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 from mode import Service
 
-from ..platform import JsonObject
+from ..providers import JsonObject
 
 __all__ = ["FaultProxy", "Link", "LinkFaults"]
 
--- a/src/streamthread/standins/upstreams.py
+++ b/src/streamthread/standins/upstreams.py
@@ -15,7 +15,7 @@
 from aiohttp import web
 from mode import Service
 
-from ..platform import JsonObject
+from ..providers import JsonObject
 from ..requests.outcomes import IDEMPOTENCY_HEADER
 from ..requests.outcomes import LEAVING_HEADER
 from ..requests.outcomes import NOT_STARTED_HEADER
--- a/src/streamthread/timeline/archive.py
+++ b/src/streamthread/timeline/archive.py
@@ -9,7 +9,7 @@
 from mode import Service
 
 from ..errors import StreamthreadError
-from ..platform import Objects
+from ..providers import Objects
 from .events import Event
 from .events import EventFilter
 
--- a/src/streamthread/timeline/tests/test_timeline.py
+++ b/src/streamthread/timeline/tests/test_timeline.py
@@ -4,7 +4,7 @@
 import hypothesis.strategies as st
 
 from streamthread.errors import StoreUnavailableError
-from streamthread.platform import MemoryObjects
+from streamthread.providers import MemoryObjects
 from streamthread.timeline import Archive
 from streamthread.timeline import ArchiveSettings
 from streamthread.timeline import Event
--- a/tests/test_fleet_interleavings.py
+++ b/tests/test_fleet_interleavings.py
@@ -25,12 +25,12 @@
 from streamthread.fleet import MemberState
 from streamthread.fleet import PoolRow
 from streamthread.jobs import JobSpec
-from streamthread.platform import Instance
-from streamthread.platform import InstanceStatus
-from streamthread.platform import MemoryWorkers
-from streamthread.platform import TaskStart
-from streamthread.platform import TaskState
-from streamthread.platform import Transaction
+from streamthread.providers import Instance
+from streamthread.providers import InstanceStatus
+from streamthread.providers import MemoryWorkers
+from streamthread.providers import TaskStart
+from streamthread.providers import TaskState
+from streamthread.providers import Transaction
 
 REFUSALS = (
     ConflictError,
--- a/tests/test_ownership.py
+++ b/tests/test_ownership.py
@@ -13,12 +13,12 @@
 from streamthread.jobs import JobSpec
 from streamthread.jobs import JobState
 from streamthread.leases import shard_of
-from streamthread.platform import Instance
-from streamthread.platform import InstanceStatus
-from streamthread.platform import TaskStart
-from streamthread.platform import TaskState
-from streamthread.platform import Transaction
-from streamthread.platform import Write
+from streamthread.providers import Instance
+from streamthread.providers import InstanceStatus
+from streamthread.providers import TaskStart
+from streamthread.providers import TaskState
+from streamthread.providers import Transaction
+from streamthread.providers import Write
 from streamthread.timeline import EventFilter
 
 POOL = "billing"
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -50,7 +50,7 @@
     ),
     Guard(
         "row-versions",
-        "platform/memory.py",
+        "providers/memory.py",
         "            (write.key, write.expected_version) for write in "
         "transaction.writes\n",
         "",
--- a/tools/references.py
+++ b/tools/references.py
@@ -11,7 +11,7 @@
 from streamthread.entry import Entry
 from streamthread.entry.metrics import make_registry
 from streamthread.peers import PeerSettings
-from streamthread.platform import memory_platform
+from streamthread.providers import memory_platform
 from streamthread.settings import EntrySettings
 from streamthread.settings import PlatformSettings
 
--- a/tools/world.py
+++ b/tools/world.py
@@ -25,16 +25,16 @@
 from streamthread.leases import LeaseService
 from streamthread.leases import LeaseSettings
 from streamthread.peers.rumors import RumorStore
-from streamthread.platform import CommitOutcome
-from streamthread.platform import CommitResult
-from streamthread.platform import memory_platform
-from streamthread.platform import MemoryMembership
-from streamthread.platform import MemoryTables
-from streamthread.platform import MemoryWorkers
-from streamthread.platform import Platform
-from streamthread.platform import Row
-from streamthread.platform import Tables
-from streamthread.platform import Transaction
+from streamthread.providers import CommitOutcome
+from streamthread.providers import CommitResult
+from streamthread.providers import memory_platform
+from streamthread.providers import MemoryMembership
+from streamthread.providers import MemoryTables
+from streamthread.providers import MemoryWorkers
+from streamthread.providers import Platform
+from streamthread.providers import Row
+from streamthread.providers import Tables
+from streamthread.providers import Transaction
 from streamthread.timeline import Recorder
 
 __all__ = ["Daemon", "FakeClock", "FaultyTables", "World"]
