Move idle machines to the spare pool and back, and run waves of upkeep

Ruled out: a holder a pool; one holder a cell orders all, so that no two holders take turns on a machine that moves.

--- /dev/null
+++ b/src/streamthread/capacity/__init__.py
@@ -0,0 +1,21 @@
+"""How many machines each pool needs, and which move where."""
+
+from .demand import ArrivalRate
+from .demand import pool_demand
+from .plan import CapacitySettings
+from .plan import MachineView
+from .plan import Move
+from .plan import plan_moves
+from .plan import PoolView
+from .plan import target_size
+
+__all__ = [
+    "ArrivalRate",
+    "CapacitySettings",
+    "MachineView",
+    "Move",
+    "PoolView",
+    "plan_moves",
+    "pool_demand",
+    "target_size",
+]
--- /dev/null
+++ b/src/streamthread/capacity/plan.py
@@ -0,0 +1,161 @@
+"""Which machines move between pools: a pure decision over one view."""
+
+import math
+import typing as t
+
+import attrs
+
+from .demand import Demand
+
+__all__ = [
+    "CapacitySettings",
+    "MachineView",
+    "Move",
+    "PoolView",
+    "plan_moves",
+    "target_size",
+]
+
+
+@attrs.frozen
+class CapacitySettings:
+    """The weights between machines held back and moves.
+
+    :param least_machines: a pool keeps at least so many, so that one loss does
+        not stop it.
+    :param headroom_machines: kept free beside the demand, for the first jobs of
+        a burst: a move takes longer than their objective allows.
+    :param demand_margin: how much more than the present demand is provided for.
+    :param idle_s: a machine above the need leaves after being idle for so long;
+        a move out and back costs as much as some 5 s in a pool.
+    :param shrink_s: the need is the highest of so many past seconds.
+    :param most_moves: at once, so that one wrong view does not empty a pool.
+    """
+
+    least_machines: int = 2
+    headroom_machines: float = 0.6
+    demand_margin: float = 1.15
+    idle_s: float = 1.5
+    shrink_s: float = 3.0
+    most_moves: int = 12
+
+
+@attrs.frozen
+class MachineView:
+    """One machine as the decision sees it.
+
+    :param free_to_move: up, idle, and nothing was ordered for it.
+    :param idle_for_s: since when nothing has run there.
+    :param due: it still has to go into upkeep.
+    """
+
+    machine_id: str
+    pool: str
+    rack: str
+    cpu: int
+    memory_mb: int
+    free_to_move: bool
+    usable: bool = True
+    arriving: bool = False
+    idle_for_s: float = 0.0
+    due: bool = False
+
+
+@attrs.frozen
+class PoolView:
+    """One pool and how many machines it should have."""
+
+    name: str
+    is_spare: bool
+    target: int = 0
+
+
+@attrs.frozen
+class Move:
+    """One machine into one pool."""
+
+    machine_id: str
+    source: str
+    target: str
+
+
+def target_size(
+    demand: Demand, cpu: int, memory_mb: int, settings: CapacitySettings
+) -> int:
+    """Return how many machines of a size a demand needs."""
+    by_cpu = demand.cpu * settings.demand_margin / cpu if cpu else 0.0
+    by_memory = (
+        demand.memory_mb * settings.demand_margin / memory_mb if memory_mb else 0
+    )
+    needed = max(by_cpu, by_memory) + settings.headroom_machines
+    return max(settings.least_machines, demand.machines, math.ceil(needed))
+
+
+def plan_moves(
+    pools: t.Sequence[PoolView],
+    machines: t.Sequence[MachineView],
+    settings: CapacitySettings,
+) -> list[Move]:
+    """Return the moves that bring each pool to its size, cheapest first.
+
+    Only idle machines move. A pool that lacks machines gets them from the spare
+    pool, then straight from pools that have idle ones too many. What is idle for
+    a while and needed nowhere goes to the spare pool.
+    """
+    spares = [pool.name for pool in pools if pool.is_spare]
+    lacking = {
+        pool.name: pool.target - _present(pool.name, machines)
+        for pool in pools
+        if not pool.is_spare
+    }
+    available = _from_spares(spares, machines)
+    available += _from_surplus(lacking, machines, settings)
+    moves: list[Move] = []
+    for pool in sorted(lacking, key=lambda name: -lacking[name]):
+        for _ in range(max(0, lacking[pool])):
+            machine = _take(available, pool)
+            if machine is None:
+                break
+            moves.append(Move(machine.machine_id, machine.pool, pool))
+    if spares:
+        moves += [
+            Move(machine.machine_id, machine.pool, spares[0])
+            for machine in available
+            if machine.pool not in spares and machine.idle_for_s >= settings.idle_s
+        ]
+    return moves[: settings.most_moves]
+
+
+def _present(pool: str, machines: t.Iterable[MachineView]) -> int:
+    return sum(
+        machine.pool == pool and (machine.usable or machine.arriving)
+        for machine in machines
+    )
+
+
+def _from_spares(
+    spares: t.Collection[str], machines: t.Iterable[MachineView]
+) -> list[MachineView]:
+    found = [m for m in machines if m.pool in spares and m.free_to_move]
+    return sorted(found, key=lambda machine: (machine.due, machine.machine_id))
+
+
+def _from_surplus(
+    lacking: dict[str, int],
+    machines: t.Sequence[MachineView],
+    settings: CapacitySettings,
+) -> list[MachineView]:
+    """Return the idle machines that pools with too many can give."""
+    found: list[MachineView] = []
+    for pool, missing in lacking.items():
+        idle = [m for m in machines if m.pool == pool and m.free_to_move and m.usable]
+        idle.sort(key=lambda machine: (not machine.due, -machine.idle_for_s))
+        found += idle[: max(0, -missing)]
+    return found
+
+
+def _take(available: list[MachineView], pool: str) -> MachineView | None:
+    for number, machine in enumerate(available):
+        if machine.pool != pool:
+            return available.pop(number)
+    return None
--- a/src/streamthread/holder/context.py
+++ b/src/streamthread/holder/context.py
@@ -14,6 +14,7 @@
 from ..runners import LinkSettings
 from ..scheduler import EngineSettings
 from ..scheduler.orders import OrderSettings
+from .duties import DutySettings
 
 __all__ = ["CellSettings", "HolderContext", "ManifestSource"]
 
@@ -41,6 +42,7 @@
     links: LinkSettings = attrs.field(factory=LinkSettings)
     orders: OrderSettings = attrs.field(factory=OrderSettings)
     engine: EngineSettings = attrs.field(factory=EngineSettings)
+    duties: DutySettings = attrs.field(factory=DutySettings)
 
 
 @attrs.define
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from ..capacity.demand import job_work
 from ..cell import cell_pb2 as pb
 from ..cell import CommitLog
 from ..cell import TABLE_INBOX
@@ -23,6 +24,7 @@
 from ..platform.runners import HoldReply
 from ..platform.store import ABSENT
 from ..platform.store import HistoryGoneError
+from ..platform.store import Page
 from ..platform.store import StoredRow
 from ..runners import LinkOwner
 from ..runners import RunnerLink
@@ -38,6 +40,7 @@
 from ..scheduler.orders import OrderSender
 from ..scheduler.orders import SenderOwner
 from .context import HolderContext
+from .duties import DutyLoop
 from .inbox import InboxEntry
 from .replay import read_jobs
 
@@ -78,6 +81,9 @@
         self.sender = OrderSender(
             context.runners, self.engine, self, self.settings.orders
         )
+        self.duties: DutyLoop | None = None
+        if context.cloud is not None:
+            self.duties = DutyLoop(self, context.cloud, self.settings.duties)
         self._kick = asyncio.Event()
         self._group: asyncio.TaskGroup | None = None
         self._lost: asyncio.Future[None] | None = None
@@ -98,6 +104,8 @@
                 group.create_task(self._watch_inbox())
                 group.create_task(self._schedule())
                 group.create_task(self._forget())
+                if self.duties is not None:
+                    group.create_task(self.duties.run())
         except* NotHolderError as group_error:
             reasons = [str(error) for error in group_error.exceptions]
             log.warning("holder-ends", extra={"token": self.token, "why": reasons})
@@ -137,6 +145,22 @@
             },
         )
 
+    def spawn(self, call: t.Coroutine[t.Any, t.Any, None]) -> None:
+        """Run a call side by side, for as long as the cell is held."""
+        if self._group is None:
+            call.close()
+            return
+        self._group.create_task(call)
+
+    async def read_own(self, table: str) -> Page:
+        """Read one of the cell's tables, however long the store takes."""
+        while True:
+            try:
+                return await self.context.store.read_all(table, self.settings.part)
+            except (StoreUnavailableError, OutcomeUnknownError) as error:
+                log.warning("unreadable", extra={"table": table, "error": str(error)})
+                await asyncio.sleep(RETRY_S)
+
     # Trust.
 
     @property
@@ -241,6 +265,9 @@
             },
         )
         self._schedule_now()
+        if self.duties is not None:
+            work = job_work(job, self.engine.times)
+            self.duties.note_job(job.service, work)
         return job
 
     async def _cancel(self, job: Job) -> pb.CallReply:
