Size pools by the work that is open over the time that it has left

Cause: a pool was sized for all tasks of its open jobs at once, which brought 22 machines for a burst that 10 carry, and machines moved before it was known what ran. Ruled out: averaging arrivals over a longer time; it delays the burst's machines.

--- a/src/streamthread/capacity/demand.py
+++ b/src/streamthread/capacity/demand.py
@@ -11,14 +11,22 @@
 from ..scheduler.model import Occurrence
 from ..scheduler.model import StepRun
 from ..scheduler.model import TaskState
+from ..scheduler.placement import open_chain_s
 
 __all__ = ["ArrivalRate", "Demand", "pool_demand"]
 
-RATE_SPAN_S = 3.0
+RATE_SPAN_S = 2.5
 """Arrivals are averaged over this time: about the length of a job, so that a
 burst shows within a second and one large job does not look like one."""
 
 
+LATE_SPREAD = 1.5
+"""A job that is late already gets room for its work over so many chains."""
+
+LEAST_SPREAD_S = 0.3
+"""Keeps a job that is nearly done from asking for a burst of machines."""
+
+
 @attrs.frozen
 class Demand:
     """Room that is asked for, in thousandths of a core and in megabytes.
@@ -60,47 +68,66 @@
     return total
 
 
-def pool_demand(jobs: t.Iterable[Job]) -> Demand:
-    """Return the room that open jobs ask for now or as soon as a step ends."""
-    cpu = 0.0
-    memory_mb = 0.0
-    machines = 0
-    for job in jobs:
-        for occurrence in job.occurrences.values():
-            now = _open_room(occurrence, ready=True)
-            soon = _open_room(occurrence, ready=False)
-            cpu += max(now.cpu, soon.cpu)
-            memory_mb += max(now.memory_mb, soon.memory_mb)
-            machines = max(machines, now.machines)
-    return Demand(cpu, memory_mb, machines)
+def pool_demand(jobs: t.Iterable[Job], times: RunTimes, now_s: float) -> Demand:
+    """Return the room that open jobs need so as to meet their objectives.
 
+    A job needs its open work, spread evenly over the time that it has left: less
+    room than all of its tasks at once, more as it falls behind.
 
-def _open_room(occurrence: Occurrence, ready: bool) -> Demand:
-    """Return what ready steps ask for, or those that only wait for ready ones."""
-    cpu = 0.0
-    memory_mb = 0.0
+    :param now_s: wall time.
+    """
+    parts = [
+        _occurrence_demand(occurrence, times, now_s)
+        for job in jobs
+        for occurrence in job.occurrences.values()
+    ]
+    return Demand(
+        sum(part.cpu for part in parts),
+        sum(part.memory_mb for part in parts),
+        max((part.machines for part in parts), default=0),
+    )
+
+
+def _occurrence_demand(occurrence: Occurrence, times: RunTimes, now_s: float) -> Demand:
+    cpu = memory_mb = work_cpu_s = work_memory_s = 0.0
     machines = 0
     for step in occurrence.steps:
-        if step.done or not _counts(occurrence, step, ready):
+        if step.done:
             continue
         request = step.request
-        open_count = sum(task.state is not TaskState.DONE for task in step.tasks)
-        cpu += 0 if request.fills else request.cpu * open_count
-        memory_mb += request.memory_mb * open_count
-        if request.most_per_runner:
-            needed = math.ceil(open_count / request.most_per_runner)
-            machines = max(machines, needed)
+        count = sum(task.state is not TaskState.DONE for task in step.tasks)
+        step_cpu = 0.0 if request.fills else float(request.cpu * count)
+        if request.most_per_runner and _is_ready(step):
+            machines = max(machines, math.ceil(count / request.most_per_runner))
+        if request.lasting:
+            cpu += step_cpu
+            memory_mb += request.memory_mb * count
+            continue
+        run_s = times.expect_s(learning_key(step), request.estimate_ms)
+        work_cpu_s += step_cpu * run_s
+        work_memory_s += request.memory_mb * count * run_s
+    if work_cpu_s or work_memory_s:
+        over_s = _time_left_s(occurrence, times, now_s)
+        cpu += work_cpu_s / over_s
+        memory_mb += work_memory_s / over_s
     return Demand(cpu, memory_mb, machines)
 
 
-def _counts(occurrence: Occurrence, step: StepRun, ready: bool) -> bool:
-    earlier = [occurrence.steps[number] for number in step.request.after]
-    if all(other.done for other in earlier):
-        return ready
-    if ready:
-        return False
-    return all(_is_ready_or_done(occurrence, other) for other in earlier)
+def _time_left_s(occurrence: Occurrence, times: RunTimes, now_s: float) -> float:
+    """Return over how long a time's open work is to be spread.
 
-
-def _is_ready_or_done(occurrence: Occurrence, step: StepRun) -> bool:
-    return step.done or all(occurrence.steps[n].done for n in step.request.after)
+    Not less than its longest open chain takes; a time that is late anyway is
+    not hurried further.
+    """
+    job = occurrence.job
+    chain_s = open_chain_s(occurrence, times, only_open=False)
+    open_s = open_chain_s(occurrence, times, only_open=True)
+    objective_s = job.stretch * chain_s + job.target_s
+    left_s = occurrence.due_at_s + objective_s - now_s
+    if left_s < open_s:
+        return max(open_s * LATE_SPREAD, LEAST_SPREAD_S)
+    return max(left_s, LEAST_SPREAD_S)
+
+
+def _is_ready(step: StepRun) -> bool:
+    return all(step.occurrence.steps[n].done for n in step.request.after)
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -51,6 +51,7 @@
 
 log = logbook.Logger("streamthread.duties")
 
+SIZES_LOG_S = 1.0
 TABLE_WAVES = "cell-waves"
 STATUS_TABLE = "status"
 
@@ -65,6 +66,8 @@
         shows no trace of it after so long.
     :param lease_s: a new holder orders nothing sooner, since the cloud does not
         refuse an earlier holder's late orders.
+    :param learn_s: no machine moves sooner after a take-over: until then it is
+        not known what runs where.
     :param arrive_s: a machine that is up may take so long until its runner is
         listed.
     """
@@ -74,6 +77,7 @@
     settle_s: float = 4.0
     lease_s: float = 3.0
     arrive_s: float = 3.0
+    learn_s: float = 3.0
     capacity: CapacitySettings = attrs.field(factory=CapacitySettings)
     upkeep: UpkeepSettings = attrs.field(factory=UpkeepSettings)
 
@@ -115,6 +119,9 @@
         self._arrivals: dict[str, ArrivalRate] = {}
         self._waves: dict[int, WaveProgress] = {}
         self._emptying: set[str] = set()
+        self._demands: dict[str, tuple[int, int, int]] = {}
+        self._began_at_s = time.monotonic()
+        self._logged_at_s = 0.0
         self.moves = 0
         self.upkeeps = 0
 
@@ -208,6 +215,9 @@
         for wave in self._holder.context.documents.waves.values():
             self._work_on_wave(wave, views, targets)
         self._release_unneeded()
+        self._log_sizes(targets, views)
+        if time.monotonic() - self._began_at_s < self._settings.learn_s:
+            return
         pools = [
             PoolView(pool.name, pool.is_spare, self._wanted(pool.name, targets))
             for pool in manifest.pools.values()
@@ -216,6 +226,25 @@
         for move in plan_moves(pools, current, self._settings.capacity):
             self._begin_move(move)
 
+    def _log_sizes(
+        self, targets: dict[str, int], views: dict[str, MachineView]
+    ) -> None:
+        """Say once a second how many machines each pool has and should have."""
+        now_s = time.monotonic()
+        if now_s - self._logged_at_s < SIZES_LOG_S:
+            return
+        self._logged_at_s = now_s
+        sizes = {
+            pool: [
+                target,
+                sum(v.pool == pool and v.usable for v in views.values()),
+                sum(v.pool == pool and v.arriving for v in views.values()),
+                *self._demands.get(pool, ()),
+            ]
+            for pool, target in targets.items()
+        }
+        log.info("pool-sizes", extra={"sizes": sizes})
+
     def _view(self, machine: Machine) -> MachineView:
         now_s = time.monotonic()
         pending = self._pending.get(machine.machine_id)
@@ -279,7 +308,7 @@
     ) -> int:
         sizes = [view for view in views.values() if view.pool == pool]
         sizes = sizes or list(views.values())
-        demand = pool_demand(jobs)
+        demand = pool_demand(jobs, self._holder.engine.times, time.time())
         rate = self._arrivals.get(pool)
         lasting_cpu = _lasting_cpu(jobs)
         arriving = rate.value(now_s) if rate is not None else 0.0
@@ -290,6 +319,7 @@
             min(view.memory_mb for view in sizes),
             self._settings.capacity,
         )
+        self._demands[pool] = (round(demand.cpu), round(arriving), wanted)
         history = self._targets.setdefault(pool, collections.deque())
         history.append((now_s, wanted))
         while history and history[0][0] < now_s - self._settings.capacity.shrink_s:
@@ -557,9 +587,14 @@
 
 
 def _lasting_cpu(jobs: t.Iterable[Job]) -> float:
-    return pool_demand(
-        job for job in jobs if all(step.lasting for step in job.request.steps)
-    ).cpu
+    return float(
+        sum(
+            step.cpu * step.count
+            for job in jobs
+            for step in job.request.steps
+            if step.lasting and not step.fills
+        )
+    )
 
 
 def _others_away(step: StepRun, attempt: Attempt) -> int:
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -8,11 +8,11 @@
 from .fleet import RunnerState
 from .learning import learning_key
 from .learning import RunTimes
-from .model import Job
+from .model import Occurrence
 from .model import StepRun
 from .model import Task
 
-__all__ = ["Placement", "order_steps", "place_step"]
+__all__ = ["Placement", "open_chain_s", "order_steps", "place_step"]
 
 
 @attrs.frozen
@@ -23,16 +23,12 @@
     runner: RunnerState
 
 
-def chain_s(job: Job, times: RunTimes, only_open: bool) -> float:
-    """Return the length of a job's longest chain of (open) steps."""
-    occurrence = next(iter(job.occurrences.values()), None)
-    if occurrence is None:
-        return 0.0
+def open_chain_s(occurrence: Occurrence, times: RunTimes, only_open: bool) -> float:
+    """Return the length of the longest chain of a time's (open) steps."""
     ends: list[float] = []
     for step in occurrence.steps:
-        open_step = not (only_open and step.done)
         own_s = 0.0
-        if open_step and not step.request.lasting:
+        if not (only_open and step.done) and not step.request.lasting:
             own_s = times.expect_s(learning_key(step), step.request.estimate_ms)
         before_s = max((ends[n] for n in step.request.after), default=0.0)
         ends.append(before_s + own_s)
@@ -49,10 +45,10 @@
     job = step.occurrence.job
     if step.request.lasting:
         return (job.priority, 0, 0, step.occurrence.due_at_s)
-    objective_s = job.stretch * chain_s(job, times, only_open=False) + job.target_s
-    latest_start_s = (
-        step.occurrence.due_at_s + objective_s - chain_s(job, times, only_open=True)
-    )
+    chain_s = open_chain_s(step.occurrence, times, only_open=False)
+    open_s = open_chain_s(step.occurrence, times, only_open=True)
+    objective_s = job.stretch * chain_s + job.target_s
+    latest_start_s = step.occurrence.due_at_s + objective_s - open_s
     lost = now_s > latest_start_s
     return (job.priority, 1, lost, latest_start_s)
 
