Add a stand-in of the users' platform and tests of jobs, holders and duties on it

The stand-in speaks the users' pages for store, runners and cloud on loopback, with faults that a test switches. Found by it: a wave never ended where no other machine could come instead, since the pool was never above its size; such a pool now gives a machine at two or more, as it does when two fifths of the wave's time are used.

--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -86,9 +86,12 @@
         self._host = host
         self._port = port
 
-    async def open(self) -> None:
-        """Open the port."""
+    async def open(self) -> str:
+        """Open the port and return its address."""
         await self._server.start(self._host, self._port)
+        sockets = self._server._server.sockets  # type: ignore[union-attr]
+        port = sockets[0].getsockname()[1]
+        return f"{self._host}:{port}"
 
     def close(self) -> None:
         """Close the port."""
@@ -100,7 +103,7 @@
 
     def __init__(self, daemon_id: str, address: str) -> None:
         self._daemon_id = daemon_id
-        self._address = address
+        self.address = address
         self._channels: dict[str, Channel] = {}
         self.calls = 0
 
@@ -161,7 +164,7 @@
             beats.cancel()
 
     async def _beats(self, address: str, token: int, silence_s: float) -> None:
-        request = pb.FollowRequest(daemon_id=self._daemon_id, address=self._address)
+        request = pb.FollowRequest(daemon_id=self._daemon_id, address=self.address)
         try:
             stub = self._stub(address)
             async with stub.Follow.open() as stream:
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -94,7 +94,8 @@
 
     async def on_start(self) -> None:
         """Open the ports and start to follow."""
-        await self.port.open()
+        address = await self.port.open()
+        self.lease.address = self.peers.address = address
         await self.add_runtime_dependency(self.documents)
         await self.add_runtime_dependency(self.front)
         await self.add_runtime_dependency(self.lease)
@@ -104,6 +105,16 @@
         """Whether the platform should send new connections here."""
         return self.documents.manifest is not None and not self.front.stopping
 
+    async def on_stop(self) -> None:
+        """Close the peers' port and all connections."""
+        self.port.close()
+        self.peers.close()
+        await self.store.close()
+        await self.runner_client.close()
+        for client in (self.cloud, self.advice):
+            if client is not None:
+                await client.close()
+
     # The cell.
 
     async def _hold(self, taken: TakenCell) -> None:
--- a/src/streamthread/gateway/front.py
+++ b/src/streamthread/gateway/front.py
@@ -61,23 +61,29 @@
         self._forwarder = forwarder
         self._is_ready = is_ready
         self._runners: list[web.ServerRunner] = []
+        self.callers_address = ""
+        self.readiness_address = ""
         self.stopping = False
         self.in_flight = 0
         self.answers: dict[str, int] = {}
 
     async def on_start(self) -> None:
         """Open both ports."""
-        await self._listen(self._callers, self._serve)
-        await self._listen(self._readiness, self._serve_readiness)
+        self.callers_address = await self._listen(self._callers, self._serve)
+        self.readiness_address = await self._listen(
+            self._readiness, self._serve_readiness
+        )
 
     async def _listen(
         self, address: str, handler: t.Callable[..., t.Awaitable[t.Any]]
-    ) -> None:
+    ) -> str:
         host, port = address.rsplit(":", 1)
         runner = web.ServerRunner(web.Server(handler, access_log=None))
         await runner.setup()
         await web.TCPSite(runner, host, int(port), backlog=1024).start()
         self._runners.append(runner)
+        bound_host, bound_port = runner.addresses[0][:2]
+        return f"{bound_host}:{bound_port}"
 
     async def on_stop(self) -> None:
         """Close both ports."""
--- a/src/streamthread/gateway/main.py
+++ b/src/streamthread/gateway/main.py
@@ -52,6 +52,14 @@
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, _on_reload)
     await daemon.start()
+    log.info(
+        "listening",
+        extra={
+            "callers": daemon.front.callers_address,
+            "readiness": daemon.front.readiness_address,
+            "peers": daemon.peers.address,
+        },
+    )
     crashed = await until_signal(daemon)
     await daemon.planned_stop()
     await daemon.stop()
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -51,6 +51,12 @@
 
 log = logbook.Logger("streamthread.duties")
 
+RELAX_AFTER = 0.4
+"""Once so much of a wave's time is used, a pool may go below its size for it."""
+
+LEAST_LEFT = 2
+"""A pool that has so many machines may give one to a wave that presses."""
+
 SIZES_LOG_S = 1.0
 TABLE_WAVES = "cell-waves"
 STATUS_TABLE = "status"
@@ -360,13 +366,26 @@
         if not left:
             return
         down = sum(self._is_down(machine_id) for machine_id in wave.machine_ids)
-        due = [self._due_machine(m, views, targets) for m in left if m in views]
+        used = (time.time() - progress.first_seen_s) / max(1.0, wave.duration_s)
+        relaxed = used > RELAX_AFTER or not self._can_replace(views, targets)
+        due = [
+            self._due_machine(m, views, targets, relaxed) for m in left if m in views
+        ]
         plan = plan_upkeep(
             WaveView(wave.number, tuple(due), wave.most_at_once - down),
             self._settings.upkeep,
         )
         self._carry_out(wave, plan)
 
+    def _can_replace(
+        self, views: dict[str, MachineView], targets: dict[str, int]
+    ) -> bool:
+        """Whether some pool has a machine that another one could get."""
+        if any(self._is_spare(view.pool) for view in views.values()):
+            return True
+        usable = collections.Counter(v.pool for v in views.values() if v.usable)
+        return any(usable[pool] > target for pool, target in targets.items())
+
     def _is_down(self, machine_id: str) -> bool:
         pending = self._pending.get(machine_id)
         if pending is not None and pending.kind is DutyKind.UPKEEP:
@@ -379,6 +398,7 @@
         machine_id: str,
         views: dict[str, MachineView],
         targets: dict[str, int],
+        relaxed: bool,
     ) -> DueMachine:
         machine = self._machines[machine_id]
         view = views[machine_id]
@@ -387,7 +407,8 @@
         idle = off or (runner is not None and runner.ready and runner.idle)
         usable = sum(v.usable and v.pool == machine.pool for v in views.values())
         target = targets.get(machine.pool, 0)
-        may_empty = usable > target or not view.usable
+        enough = usable > target or (relaxed and usable >= LEAST_LEFT)
+        may_empty = enough or not view.usable
         return DueMachine(
             machine_id=machine_id,
             pool=machine.pool,
--- /dev/null
+++ b/src/streamthread/standins/cell/__init__.py
@@ -0,0 +1,15 @@
+"""Small stand-ins of the users' platform: store, runners and cloud, with faults."""
+
+from .cloud import CloudStandin
+from .runner import RunnerStandin
+from .store import StoreFaults
+from .store import StoreStandin
+from .world import CellWorld
+
+__all__ = [
+    "CellWorld",
+    "CloudStandin",
+    "RunnerStandin",
+    "StoreFaults",
+    "StoreStandin",
+]
--- /dev/null
+++ b/src/streamthread/standins/cell/cloud.py
@@ -0,0 +1,132 @@
+"""The owner of the machines: lists them, moves them, takes them into upkeep."""
+
+import asyncio
+import typing as t
+
+import attrs
+from aiohttp import web
+
+from .port import HttpPort
+from .runner import RunnerStandin
+
+__all__ = ["CloudStandin", "MachineStandin"]
+
+MakeRunner = t.Callable[[str, str], t.Awaitable[RunnerStandin]]
+"""Starts a new life of a machine's runner in a pool."""
+
+
+@attrs.define
+class MachineStandin:
+    """One machine and the runner that lives there."""
+
+    machine_id: str
+    pool: str
+    runner: RunnerStandin | None = None
+    state: str = "up"
+    waves: set[int] = attrs.field(factory=set)
+
+
+@attrs.frozen
+class Duty:
+    """One order that the cloud carried out."""
+
+    kind: str
+    machine_id: str
+    holder: str
+    token: int
+
+
+class CloudStandin:
+    """Machines and their duties.
+
+    :param end_life: takes a runner's entry away when its machine goes down.
+    """
+
+    def __init__(
+        self,
+        make_runner: MakeRunner,
+        end_life: t.Callable[[RunnerStandin], t.Awaitable[None]],
+        move_s: float = 0.1,
+        upkeep_s: float = 0.15,
+    ) -> None:
+        self.machines: dict[str, MachineStandin] = {}
+        self.duties: list[Duty] = []
+        self.most_down = 0
+        self._make_runner = make_runner
+        self._end_life = end_life
+        self._move_s = move_s
+        self._upkeep_s = upkeep_s
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.port = HttpPort(self._serve)
+
+    def down_for_upkeep(self) -> int:
+        """Return how many machines are in upkeep."""
+        return sum(machine.state == "upkeep" for machine in self.machines.values())
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.path == "/-/machines":
+            return self._list()
+        body = await request.json()
+        machine = self.machines.get(body["machine"])
+        if machine is None:
+            return web.Response(status=400)
+        holder = request.headers["Streamthread-Lease-Holder"]
+        token = int(request.headers["Streamthread-Fencing-Token"])
+        if request.path == "/-/machine-move":
+            return self._move(machine, body["pool"], holder, token)
+        return self._upkeep(machine, int(body["wave"]), holder, token)
+
+    def _list(self) -> web.StreamResponse:
+        rows = [
+            {
+                "machine": machine.machine_id,
+                "pool": machine.pool,
+                "state": machine.state,
+                "zone": "here",
+                "labels": ["a", "r1"],
+                "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
+                "id": machine.runner.runner_id if machine.runner else "",
+            }
+            for machine in self.machines.values()
+        ]
+        return web.json_response({"machines": rows, "nextToken": None})
+
+    def _move(
+        self, machine: MachineStandin, pool: str, holder: str, token: int
+    ) -> web.StreamResponse:
+        if machine.pool == pool:
+            return web.json_response({})
+        if machine.state != "up":
+            return web.json_response({"reason": "busy"}, status=409)
+        self.duties.append(Duty("move", machine.machine_id, holder, token))
+        machine.pool = pool
+        self._go(machine, "moving", self._move_s)
+        return web.json_response({})
+
+    def _upkeep(
+        self, machine: MachineStandin, wave: int, holder: str, token: int
+    ) -> web.StreamResponse:
+        if wave in machine.waves:
+            return web.json_response({})
+        if machine.state != "up":
+            return web.json_response({"reason": "busy"}, status=409)
+        self.duties.append(Duty("upkeep", machine.machine_id, holder, token))
+        machine.waves.add(wave)
+        self._go(machine, "upkeep", self._upkeep_s)
+        self.most_down = max(self.most_down, self.down_for_upkeep())
+        return web.json_response({})
+
+    def _go(self, machine: MachineStandin, state: str, for_s: float) -> None:
+        machine.state = state
+        task = asyncio.get_running_loop().create_task(self._come_back(machine, for_s))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _come_back(self, machine: MachineStandin, for_s: float) -> None:
+        if machine.runner is not None:
+            machine.runner.kill()
+            await self._end_life(machine.runner)
+            machine.runner = None
+        await asyncio.sleep(for_s)
+        machine.runner = await self._make_runner(machine.machine_id, machine.pool)
+        machine.state = "up"
--- /dev/null
+++ b/src/streamthread/standins/cell/port.py
@@ -0,0 +1,29 @@
+"""One HTTP port on loopback, chosen by the system."""
+
+import typing as t
+
+from aiohttp import web
+
+__all__ = ["HttpPort"]
+
+Handler = t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]]
+
+
+class HttpPort:
+    """Serves one handler until it is closed."""
+
+    def __init__(self, handler: Handler) -> None:
+        self._runner = web.ServerRunner(web.Server(handler, access_log=None))
+        self.address = ""
+
+    async def open(self, port: int = 0) -> None:
+        """Listen; a port that was used before may be named again."""
+        await self._runner.setup()
+        site = web.TCPSite(self._runner, "127.0.0.1", port, reuse_address=True)
+        await site.start()
+        host, number = self._runner.addresses[0][:2]
+        self.address = f"{host}:{number}"
+
+    async def close(self) -> None:
+        """Close the port and its connections."""
+        await self._runner.cleanup()
--- /dev/null
+++ b/src/streamthread/standins/cell/runner.py
@@ -0,0 +1,244 @@
+"""A runner that speaks the users' pages; tasks say in their spec how they end.
+
+The spec is a JSON object: ``run_s`` how long a task works, ``fail`` how many
+runs of each task end failed first.
+"""
+
+import asyncio
+import json
+import time
+import typing as t
+
+import attrs
+from aiohttp import web
+
+from .port import HttpPort
+
+__all__ = ["RunnerStandin", "StartedRun"]
+
+Json = dict[str, t.Any]
+
+STOP_S = 0.05
+POLL_S = 0.01
+
+
+@attrs.define
+class _Run:
+    task: str
+    run: int
+    spec: Json
+    cpu_s_left: float
+    ends_at_s: float
+    stopping_at_s: float = 0.0
+
+
+@attrs.frozen
+class StartedRun:
+    """One start that a runner carried out."""
+
+    task: str
+    run: int
+    runner_id: str
+    at_s: float
+
+
+@attrs.define
+class RunnerFaults:
+    """What goes wrong; a test changes the fields.
+
+    :param silent: calls get no answer and have no effect.
+    :param late_starts: so many starts get no answer and are carried out after
+        ``late_s``.
+    :param fail_all: every run ends failed at once.
+    """
+
+    silent: bool = False
+    late_starts: int = 0
+    late_s: float = 0.5
+    fail_all: bool = False
+
+
+class RunnerStandin:
+    """One life of a runner.
+
+    :param started: a list, shared by all runners, of what was started.
+    """
+
+    def __init__(
+        self,
+        runner_id: str,
+        service: str,
+        labels: tuple[str, ...],
+        cpu: int,
+        memory_mb: int,
+        started: list[StartedRun],
+        ended: list[tuple[str, int, str, float]],
+    ) -> None:
+        self.runner_id = runner_id
+        self.service = service
+        self.labels = labels
+        self.cpu = cpu
+        self.memory_mb = memory_mb
+        self.faults = RunnerFaults()
+        self.alive = True
+        self.draining = False
+        self.highest_token = 0
+        self._runs: dict[tuple[str, int], _Run] = {}
+        self._closed: dict[str, int] = {}
+        self._ends: list[list[t.Any]] = []
+        self._end_count = 0
+        self._deadline_ms = 0
+        self._failures: dict[str, int] = {}
+        self._started = started
+        self._ended = ended
+        self.port = HttpPort(self._serve)
+
+    def entry(self) -> str:
+        """Return what the runner writes of itself into the store."""
+        return json.dumps(
+            {
+                "service": self.service,
+                "address": self.port.address,
+                "zone": "here",
+                "state": "draining" if self.draining else "ready",
+                "capacity": {"cpu": self.cpu, "memMb": self.memory_mb, "gpu": 0},
+                "labels": list(self.labels),
+                "clockMs": self._clock_ms(),
+            }
+        )
+
+    def running(self) -> list[str]:
+        """Return the tasks that run now."""
+        self._advance()
+        return sorted(task for task, _ in self._runs)
+
+    def kill(self) -> None:
+        """End this life: all that runs dies and nothing answers any more."""
+        now_s = time.monotonic()
+        self.alive = False
+        for run in self._runs.values():
+            self._ended.append((run.task, run.run, "died", now_s))
+        self._runs.clear()
+
+    @staticmethod
+    def _clock_ms() -> int:
+        return int(time.monotonic() * 1000)
+
+    # What happens with time.
+
+    def _advance(self) -> None:
+        now_s = time.monotonic()
+        if self._runs and self._clock_ms() > self._deadline_ms:
+            for run in list(self._runs.values()):
+                self._end(run, "lapsed")
+        for run in list(self._runs.values()):
+            if run.stopping_at_s and now_s >= run.stopping_at_s:
+                self._end(run, "stopped")
+            elif not run.stopping_at_s and now_s >= run.ends_at_s:
+                self._end(run, self._how(run))
+
+    def _how(self, run: _Run) -> str:
+        failed = self._failures.get(run.task, 0)
+        if self.faults.fail_all or failed < int(run.spec.get("fail", 0)):
+            self._failures[run.task] = failed + 1
+            return "failed"
+        return "done"
+
+    def _end(self, run: _Run, how: str) -> None:
+        del self._runs[run.task, run.run]
+        self._closed[run.task] = max(run.run, self._closed.get(run.task, 0))
+        self._end_count += 1
+        self._ends.append([self._end_count, run.task, run.run, how, ""])
+        self._ended.append((run.task, run.run, how, time.monotonic()))
+
+    # The served side.
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        body = await request.json()
+        if self.faults.silent:
+            await asyncio.sleep(3600)
+        if not self.alive:
+            return web.Response(status=421)
+        if request.headers.get("Streamthread-Expect-Instance") != self.runner_id:
+            return web.Response(status=421)
+        self._advance()
+        if body["fencingToken"] < self.highest_token:
+            return self._refuse("fence")
+        self.highest_token = body["fencingToken"]
+        if request.path == "/-/run-start":
+            return await self._start(body)
+        if request.path == "/-/run-stop":
+            return self._stop(body)
+        if request.path == "/-/hold":
+            return await self._hold(body)
+        return web.Response(status=404)
+
+    def _refuse(self, reason: str) -> web.StreamResponse:
+        return web.json_response(
+            {"clockMs": self._clock_ms(), "reason": reason}, status=409
+        )
+
+    def _extend(self, body: Json) -> None:
+        self._deadline_ms = max(self._deadline_ms, body.get("deadlineMs", 0))
+
+    async def _start(self, body: Json) -> web.StreamResponse:
+        if self.faults.late_starts > 0:
+            self.faults.late_starts -= 1
+            asyncio.get_running_loop().create_task(self._start_late(body))
+            await asyncio.sleep(3600)
+        reason = self._try_start(body)
+        if reason:
+            return self._refuse(reason)
+        return web.json_response({"clockMs": self._clock_ms()})
+
+    async def _start_late(self, body: Json) -> None:
+        await asyncio.sleep(self.faults.late_s)
+        if self.alive and body["fencingToken"] >= self.highest_token:
+            self._try_start(body)
+
+    def _try_start(self, body: Json) -> str:
+        """Start a run, or return why not."""
+        task, number = body["task"], body["run"]
+        if (task, number) in self._runs:
+            return ""
+        if number <= self._closed.get(task, 0):
+            return "old"
+        if body["deadlineMs"] < self._clock_ms():
+            return "late"
+        spec = json.loads(body["spec"] or "{}")
+        used = sum(int(run.spec.get("cpu", 0)) for run in self._runs.values())
+        if used + int(spec.get("cpu", 0)) > self.cpu:
+            return "room"
+        self._extend(body)
+        now_s = time.monotonic()
+        run_s = float(spec.get("run_s", 0.1))
+        self._runs[task, number] = _Run(task, number, spec, run_s, now_s + run_s)
+        self._started.append(StartedRun(task, number, self.runner_id, now_s))
+        return ""
+
+    def _stop(self, body: Json) -> web.StreamResponse:
+        task, number = body["task"], body["run"]
+        run = self._runs.get((task, number))
+        if run is None:
+            self._closed[task] = max(number, self._closed.get(task, 0))
+        elif not run.stopping_at_s:
+            run.stopping_at_s = time.monotonic() + STOP_S
+        return web.json_response({"clockMs": self._clock_ms()})
+
+    async def _hold(self, body: Json) -> web.StreamResponse:
+        self._extend(body)
+        self._ends = [end for end in self._ends if end[0] > body["observed"]]
+        until_s = time.monotonic() + body.get("waitMs", 0) / 1000
+        while not self._ends and time.monotonic() < until_s:
+            await asyncio.sleep(POLL_S)
+            self._advance()
+        if not self.alive:
+            return web.Response(status=421)
+        running = [[r.task, r.run, "", 100] for r in self._runs.values()]
+        return web.json_response(
+            {
+                "clockMs": self._clock_ms(),
+                "running": running,
+                "finished": self._ends[:500],
+            }
+        )
--- /dev/null
+++ b/src/streamthread/standins/cell/store.py
@@ -0,0 +1,196 @@
+"""A row store in memory that speaks the users' pages."""
+
+import asyncio
+import time
+import typing as t
+
+import attrs
+from aiohttp import web
+
+from .port import HttpPort
+
+__all__ = ["StoreFaults", "StoreStandin"]
+
+Json = dict[str, t.Any]
+Key = tuple[str, str, str]
+
+
+@attrs.define
+class StoreFaults:
+    """What goes wrong; a test changes the fields.
+
+    :param refuse: status with which every call is refused, or 0.
+    :param silent: calls get no answer and have no effect.
+    :param lose_answers: of the next so many writes the answer is lost, though
+        they take effect.
+    :param late_s: lost writes take effect only after so long.
+    :param delay_s: every answer takes so much longer.
+    :param refused_from: addresses whose calls are refused with 503.
+    """
+
+    refuse: int = 0
+    silent: bool = False
+    lose_answers: int = 0
+    late_s: float = 0.0
+    delay_s: float = 0.0
+    forget_before: int = 0
+
+
+class StoreStandin:
+    """Tables of rows with one version counter, transactions, reads and a feed."""
+
+    def __init__(self) -> None:
+        self.rows: dict[Key, tuple[str, int]] = {}
+        self.faults = StoreFaults()
+        self.version = 0
+        self.writes = 0
+        self.history: list[tuple[int, Key]] = []
+        self._changed = asyncio.Condition()
+        self.port = HttpPort(self._serve)
+
+    # For tests.
+
+    async def put(self, table: str, key: str, value: str, part: str = "") -> None:
+        """Write a row as the operator or a runner would."""
+        async with self._changed:
+            self.version += 1
+            self._set((table, part, key), value)
+            self._changed.notify_all()
+
+    async def drop(self, table: str, key: str, part: str = "") -> None:
+        """Remove a row."""
+        async with self._changed:
+            self.version += 1
+            self._drop((table, part, key))
+            self._changed.notify_all()
+
+    def keys(self, table: str) -> list[str]:
+        """Return the keys of a table."""
+        return sorted(key for name, _, key in self.rows if name == table)
+
+    def _set(self, key: Key, value: str) -> None:
+        self.rows[key] = (value, self.version)
+        self.history.append((self.version, key))
+
+    def _drop(self, key: Key) -> None:
+        if self.rows.pop(key, None) is not None:
+            self.history.append((self.version, key))
+
+    # The served side.
+
+    async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        faults = self.faults
+        if faults.delay_s:
+            await asyncio.sleep(faults.delay_s)
+        if faults.silent:
+            await asyncio.sleep(3600)
+        if faults.refuse:
+            return web.Response(status=faults.refuse)
+        if request.path == "/-/rows-tx":
+            return await self._transact(await _json(request))
+        if request.path == "/-/rows-get":
+            return self._get(request.query)
+        if request.path == "/-/rows-feed":
+            return await self._feed(request.query)
+        return web.Response(status=404)
+
+    async def _transact(self, body: Json) -> web.StreamResponse:
+        self.writes += 1
+        if self.faults.lose_answers > 0:
+            self.faults.lose_answers -= 1
+            asyncio.get_running_loop().create_task(
+                self._apply_late(body, self.faults.late_s)
+            )
+            await asyncio.sleep(3600)
+        status, answer = await self._apply(body)
+        return web.json_response(answer, status=status)
+
+    async def _apply_late(self, body: Json, late_s: float) -> None:
+        await asyncio.sleep(late_s)
+        await self._apply(body)
+
+    async def _apply(self, body: Json) -> tuple[int, Json]:
+        async with self._changed:
+            conditions = body.get("expectedRev", ())
+            if any(self._version_of(row) != row["ver"] for row in conditions):
+                return 412, {"rows": [], "ver": self.version}
+            self.version += 1
+            for row in body.get("put", ()):
+                self._set(_key(row), row["value"])
+            for row in body.get("remove", ()):
+                self._drop(_key(row))
+            self._changed.notify_all()
+        return 200, {"ver": self.version, "now_ms": _now_ms()}
+
+    def _version_of(self, row: Json) -> int:
+        found = self.rows.get(_key(row))
+        return found[1] if found else 0
+
+    def _get(self, query: t.Mapping[str, str]) -> web.StreamResponse:
+        table, part = query["table"], query.get("part", "")
+        limit = int(query.get("limit", 500))
+        names = sorted(
+            key
+            for key in self.rows
+            if key[:2] == (table, part) and key[2] >= query.get("from", "")
+        )
+        return web.json_response(
+            {
+                "rows": [self._row(key) for key in names[:limit]],
+                "more": len(names) > limit,
+                "ver": self.version,
+                "now_ms": _now_ms(),
+            }
+        )
+
+    def _row(self, key: Key) -> Json:
+        found = self.rows.get(key)
+        row: Json = {"table": key[0], "part": key[1], "key": key[2]}
+        if found is None:
+            return row | {"gone": True, "ver": self.version}
+        return row | {"value": found[0], "ver": found[1]}
+
+    async def _feed(self, query: t.Mapping[str, str]) -> web.StreamResponse:
+        table, after = query["table"], int(query["after"])
+        if after < self.faults.forget_before:
+            return web.Response(status=410)
+        until_s = time.monotonic() + int(query.get("waitMs", 0)) / 1000
+        async with self._changed:
+            while not (names := self._changed_since(table, after)):
+                left_s = until_s - time.monotonic()
+                if left_s <= 0:
+                    break
+                try:
+                    async with asyncio.timeout(left_s):
+                        await self._changed.wait()
+                except TimeoutError:
+                    break
+        return web.json_response(
+            {
+                "rows": [self._row(key) for key in names],
+                "ver": self.version,
+                "now_ms": _now_ms(),
+            }
+        )
+
+    def _changed_since(self, table: str, after: int) -> list[Key]:
+        found: dict[Key, None] = {}
+        for version, key in reversed(self.history):
+            if version <= after:
+                break
+            if key[0] == table:
+                found[key] = None
+        return list(reversed(found))
+
+
+def _key(row: Json) -> Key:
+    return row["table"], row.get("part", ""), row["key"]
+
+
+def _now_ms() -> int:
+    return int(time.monotonic() * 1000)
+
+
+async def _json(request: web.BaseRequest) -> Json:
+    value = await request.json()
+    return t.cast(Json, value)
--- /dev/null
+++ b/src/streamthread/standins/cell/world.py
@@ -0,0 +1,138 @@
+"""A small platform in one process: store, cloud, machines and their runners."""
+
+import base64
+import itertools
+import json
+import typing as t
+
+from .cloud import CloudStandin
+from .cloud import MachineStandin
+from .runner import RunnerStandin
+from .runner import StartedRun
+from .store import StoreStandin
+
+__all__ = ["CellWorld"]
+
+SPARE_POOL = "spare"
+
+
+class CellWorld:
+    """Everything that a cell's daemons speak to.
+
+    :param pools: names of the pools and how many machines each has.
+    """
+
+    def __init__(self, pools: t.Mapping[str, int], cpu: int = 16000) -> None:
+        self.store = StoreStandin()
+        self.cloud = CloudStandin(self._make_runner, self._end_life)
+        self.started: list[StartedRun] = []
+        self.ended: list[tuple[str, int, str, float]] = []
+        self.runners: list[RunnerStandin] = []
+        self._pools = dict(pools)
+        self._cpu = cpu
+        self._numbers = itertools.count(1)
+
+    async def open(self) -> None:
+        """Open all ports and write the first manifest."""
+        await self.store.port.open()
+        await self.cloud.port.open()
+        await self.write_manifest(1)
+        for pool, count in self._pools.items():
+            for _ in range(count):
+                await self._add_machine(pool)
+
+    async def close(self) -> None:
+        """Close all ports."""
+        for runner in self.runners:
+            await runner.port.close()
+        await self.cloud.port.close()
+        await self.store.port.close()
+
+    async def _add_machine(self, pool: str) -> None:
+        machine_id = f"m-{next(self._numbers)}"
+        machine = MachineStandin(machine_id, pool)
+        self.cloud.machines[machine_id] = machine
+        machine.runner = await self._make_runner(machine_id, pool)
+
+    async def _make_runner(self, machine_id: str, pool: str) -> RunnerStandin:
+        runner = RunnerStandin(
+            f"i-{next(self._numbers)}",
+            pool,
+            ("a", "r1"),
+            self._cpu,
+            32768,
+            self.started,
+            self.ended,
+        )
+        await runner.port.open()
+        self.runners.append(runner)
+        await self.write_entry(runner)
+        return runner
+
+    async def _end_life(self, runner: RunnerStandin) -> None:
+        await self.store.drop("servers", runner.runner_id)
+
+    async def write_entry(self, runner: RunnerStandin) -> None:
+        """Write a runner's entry as it is now."""
+        await self._put("servers", runner.runner_id, runner.entry())
+
+    async def write_manifest(self, version: int, **route: t.Any) -> None:
+        """Write a manifest: a route a pool, under the host of the pool's name."""
+        routes = [
+            {
+                "name": f"route-{pool}",
+                "host": f"{pool}.example",
+                "pathPrefix": "/jobs/",
+                "service": pool,
+                "maxAttempts": 3,
+                "stretch": 1.6,
+                "targetLatencyMs": 600,
+                **route,
+            }
+            for pool in self._pools
+            if pool != SPARE_POOL
+        ]
+        services = [
+            {"name": pool, "rejectsOverload": True, "spare": pool == SPARE_POOL}
+            for pool in self._pools
+        ]
+        manifest = {"version": version, "routes": routes, "services": services}
+        await self._put("op", "config", json.dumps(manifest))
+
+    async def write_wave(
+        self, number: int, machine_ids: t.Sequence[str], most_at_once: int
+    ) -> None:
+        """Ask for the upkeep of machines."""
+        wave = {
+            "wave": number,
+            "machines": list(machine_ids),
+            "durationS": 20,
+            "maximum": most_at_once,
+        }
+        await self._put("op", f"wave/{number}", json.dumps(wave))
+
+    async def _put(self, table: str, key: str, text: str) -> None:
+        value = base64.b64encode(text.encode()).decode()
+        await self.store.put(table, key, value)
+
+    def wave_state(self, number: int) -> str:
+        """Return what the operator reads of a wave."""
+        row = self.store.rows.get(("status", "", f"wave/{number}"))
+        if row is None:
+            return ""
+        return str(json.loads(base64.b64decode(row[0]))["state"])
+
+    def node_settings(self, daemon_id: str, ip: str = "127.0.0.1") -> str:
+        """Return a daemon's settings file as the platform would lay it down."""
+        return json.dumps(
+            {
+                "node": daemon_id,
+                "zone": "here",
+                "ip": ip,
+                "portRange": [0, 0],
+                "bindAddresses": {"front": f"{ip}:0", "readiness": f"{ip}:0"},
+                "platform": {"address": self.store.port.address},
+                "cloud": {"address": self.cloud.port.address},
+                "bounds": {"graceS": 3, "maxHoldMs": 4000, "leaseMs": 500},
+            }
+        )
--- /dev/null
+++ b/tests/cell/support.py
@@ -0,0 +1,138 @@
+"""A cell's daemons in the test's own loop, against the stand-in platform."""
+
+import asyncio
+import contextlib
+import json
+import time
+import typing as t
+
+import aiohttp
+
+from streamthread.gateway import CellDaemon
+from streamthread.platform.node import decode_node
+from streamthread.standins.cell import CellWorld
+
+WITHIN_S = 20.0
+POLL_S = 0.02
+
+
+async def until(
+    condition: t.Callable[[], t.Any], what: str, within_s: float = WITHIN_S
+) -> t.Any:
+    """Wait until a condition holds and return what it returned."""
+    give_up_at_s = time.monotonic() + within_s
+    while not (found := condition()):
+        assert time.monotonic() < give_up_at_s, f"not within {within_s} s: {what}"
+        await asyncio.sleep(POLL_S)
+    return found
+
+
+def job(run_s: float = 0.1, count: int = 1, **step: t.Any) -> bytes:
+    """Return a job of one step."""
+    spec = {"run_s": run_s, "cpu": step.get("cpu", 100), "fail": step.pop("fail", 0)}
+    steps = [{"count": count, "cpu": 100, "memMb": 10, "estimateMs": 100, **step}]
+    return json.dumps({"spec": json.dumps(spec), "steps": steps}).encode()
+
+
+class Caller:
+    """Speaks to the daemons as the users' clients do."""
+
+    def __init__(self, daemons: t.Sequence[CellDaemon], pool: str) -> None:
+        self._daemons = daemons
+        self._headers = {
+            "Host": f"{pool}.example",
+            "Content-Type": "application/json",
+            "Streamthread-Deadline-Ms": "3000",
+        }
+        self._session = aiohttp.ClientSession()
+
+    async def close(self) -> None:
+        await self._session.close()
+
+    async def call(
+        self, method: str, job_id: str = "", body: bytes = b"", at: int = 0
+    ) -> tuple[int, dict[str, t.Any], dict[str, str]]:
+        url = f"http://{self._daemons[at].front.callers_address}/jobs/{job_id}"
+        async with self._session.request(
+            method, url, data=body, headers=self._headers
+        ) as response:
+            text = await response.read()
+            answer = json.loads(text) if text else {}
+            return response.status, answer, dict(response.headers)
+
+    async def submit(self, job_id: str, body: bytes, at: int = 0) -> int:
+        status, _, _ = await self.call("POST", job_id, body, at)
+        return status
+
+    async def state(self, job_id: str, at: int = 0) -> str:
+        status, answer, _ = await self.call("GET", job_id, at=at)
+        return str(answer.get("state", status))
+
+    async def until_state(self, job_id: str, state: str, at: int = 0) -> None:
+        give_up_at_s = time.monotonic() + WITHIN_S
+        while (seen := await self.state(job_id, at)) != state:
+            assert time.monotonic() < give_up_at_s, f"{job_id} is {seen}, not {state}"
+            await asyncio.sleep(POLL_S)
+
+
+class Cell:
+    """Daemons and their platform."""
+
+    def __init__(self, world: CellWorld, daemons: list[CellDaemon]) -> None:
+        self.world = world
+        self.daemons = daemons
+        self._callers: list[Caller] = []
+
+    def caller(self, pool: str = "desk") -> Caller:
+        caller = Caller(self.daemons, pool)
+        self._callers.append(caller)
+        return caller
+
+    def holder(self) -> CellDaemon | None:
+        for daemon in self.daemons:
+            if daemon.holder is not None and daemon.holder.active:
+                return daemon
+        return None
+
+    async def until_ready(self) -> CellDaemon:
+        """Wait until a holder reaches all runners."""
+
+        def ready() -> CellDaemon | None:
+            daemon = self.holder()
+            if daemon is None or daemon.holder is None:
+                return None
+            runners = daemon.holder.engine.runners.values()
+            alive = [r for r in self.world.runners if r.alive]
+            reached = sum(runner.ready for runner in runners) >= len(alive)
+            known = all(d.is_ready() and d.lease.owner for d in self.daemons)
+            return daemon if reached and known else None
+
+        return t.cast(CellDaemon, await until(ready, "a holder that reaches all"))
+
+    async def close_callers(self) -> None:
+        for caller in self._callers:
+            await caller.close()
+
+
+@contextlib.asynccontextmanager
+async def running_cell(
+    pools: t.Mapping[str, int], daemon_count: int = 1, cpu: int = 16000
+) -> t.AsyncIterator[Cell]:
+    """Run a platform and daemons until the block ends."""
+    world = CellWorld(pools, cpu)
+    await world.open()
+    daemons = [
+        CellDaemon(decode_node(world.node_settings(f"daemon-{number}")))
+        for number in range(daemon_count)
+    ]
+    cell = Cell(world, daemons)
+    try:
+        for daemon in daemons:
+            await daemon.start()
+        yield cell
+    finally:
+        await cell.close_callers()
+        for daemon in daemons:
+            if not daemon.should_stop:
+                await daemon.stop()
+        await world.close()
--- /dev/null
+++ b/tests/cell/test_duties.py
@@ -0,0 +1,61 @@
+"""Moves and upkeep against the stand-in cloud."""
+
+from streamthread.standins.cell import CellWorld
+
+from .support import job
+from .support import running_cell
+from .support import until
+
+
+def _count(world: CellWorld, pool: str) -> int:
+    return sum(m.pool == pool for m in world.cloud.machines.values())
+
+
+class TestCapacity:
+    async def test_idle_machines_go_to_the_spare_pool(self) -> None:
+        async with running_cell({"desk": 5, "spare": 1}) as cell:
+            await cell.until_ready()
+            await until(lambda: _count(cell.world, "spare") == 4, "three are spared")
+            assert _count(cell.world, "desk") == 2
+
+    async def test_a_burst_brings_machines_and_they_leave_again(self) -> None:
+        async with running_cell({"desk": 2, "spare": 4}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            for n in range(5):
+                body = job(run_s=2.0, count=8, cpu=4000)
+                assert await caller.submit(f"{n}" * 16, body) == 200
+            await until(lambda: _count(cell.world, "desk") >= 4, "the pool grows")
+            for n in range(5):
+                await caller.until_state(f"{n}" * 16, "completed")
+            await until(lambda: _count(cell.world, "desk") == 2, "the pool shrinks")
+            assert all(how == "done" for _, _, how, _ in cell.world.ended)
+
+
+class TestWave:
+    async def test_all_machines_go_down_within_the_limit(self) -> None:
+        async with running_cell({"desk": 4, "spare": 2}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            await caller.submit(
+                "a" * 16, job(run_s=60, count=3, longRunning=True, may_miss=1)
+            )
+            await until(lambda: len(cell.world.started) == 3, "all are at work")
+            world = cell.world
+            machine_ids = list(world.cloud.machines)
+            await world.write_wave(1, machine_ids, most_at_once=2)
+            await until(lambda: world.wave_state(1) == "completed", "the wave ends")
+            assert all(1 in m.waves for m in world.cloud.machines.values())
+            assert world.cloud.most_down <= 2
+
+    async def test_is_not_said_to_be_completed_while_a_machine_is_left(self) -> None:
+        async with running_cell({"desk": 2}) as cell:
+            await cell.until_ready()
+            world = cell.world
+            machine_ids = list(world.cloud.machines)
+            await cell.caller().submit("b" * 16, job(run_s=1.5, count=2))
+            await world.write_wave(3, machine_ids, most_at_once=1)
+            await until(lambda: world.wave_state(3) == "running", "it is known")
+            await until(lambda: world.wave_state(3) == "completed", "the wave ends")
+            assert all(3 in m.waves for m in world.cloud.machines.values())
+            assert [how for _, _, how, _ in world.ended] == ["done", "done"]
--- /dev/null
+++ b/tests/cell/test_holders.py
@@ -0,0 +1,113 @@
+"""A holder is lost, and the next one goes on where it was."""
+
+import asyncio
+
+from streamthread.gateway import CellDaemon
+
+from .support import Cell
+from .support import job
+from .support import running_cell
+from .support import until
+
+
+def _others(cell: Cell, daemon: CellDaemon) -> list[int]:
+    return [i for i, other in enumerate(cell.daemons) if other is not daemon]
+
+
+def _new_holder(cell: Cell, old: CellDaemon) -> CellDaemon | None:
+    found = cell.holder()
+    return found if found is not None and found is not old else None
+
+
+class TestTakeOver:
+    async def test_after_an_orderly_stop_nothing_is_lost_or_run_twice(self) -> None:
+        async with running_cell({"desk": 2}, daemon_count=3) as cell:
+            old = await cell.until_ready()
+            at = _others(cell, old)[0]
+            caller = cell.caller()
+            for n in range(6):
+                await caller.submit(f"{n}" * 16, job(run_s=0.6), at=at)
+            stopping = asyncio.ensure_future(old.planned_stop())
+            new = await until(lambda: _new_holder(cell, old), "a new holder")
+            for n in range(6):
+                await caller.until_state(f"{n}" * 16, "completed", at=at)
+            assert len(cell.world.started) == 6
+            assert new.lease.owner is not None and new.lease.owner.token == 2
+            await stopping
+
+    async def test_after_a_crash_runs_go_on(self) -> None:
+        async with running_cell({"desk": 2}, daemon_count=3) as cell:
+            old = await cell.until_ready()
+            at = _others(cell, old)[0]
+            caller = cell.caller()
+            await caller.submit("a" * 16, job(run_s=1.0, count=4), at=at)
+            await until(lambda: len(cell.world.started) == 4, "all tasks start")
+            await old.stop()
+            await until(lambda: _new_holder(cell, old), "a new holder")
+            await caller.until_state("a" * 16, "completed", at=at)
+            assert len(cell.world.started) == 4
+
+    async def test_job_handed_in_without_a_holder_is_kept(self) -> None:
+        async with running_cell({"desk": 1}, daemon_count=2) as cell:
+            old = await cell.until_ready()
+            at = _others(cell, old)[0]
+            cell.daemons[at].lease.stopping = True
+            caller = cell.caller()
+            await old.stop()
+            assert await caller.submit("b" * 16, job(), at=at) == 200
+            cell.daemons[at].lease.stopping = False
+            await caller.until_state("b" * 16, "completed", at=at)
+            assert len(cell.world.started) == 1
+
+    async def test_paused_holder_orders_nothing_once_it_was_replaced(self) -> None:
+        async with running_cell({"desk": 1}, daemon_count=2) as cell:
+            old = await cell.until_ready()
+            assert old.holder is not None
+            store = cell.world.store
+            runner = cell.world.runners[0]
+            # A higher token at the runner is what a successor leaves there.
+            runner.highest_token = 99
+            await until(lambda: old.holder is None, "the fenced holder gives up")
+            assert all(s.runner_id != runner.runner_id for s in cell.world.started)
+            assert store.writes > 0
+
+
+class TestStoreOutage:
+    async def test_runs_outlast_it(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            await caller.submit("c" * 16, job(run_s=2.5))
+            await until(lambda: len(cell.world.started) == 1, "the task starts")
+            cell.world.store.faults.refuse = 503
+            await asyncio.sleep(2.0)
+            cell.world.store.faults.refuse = 0
+            await caller.until_state("c" * 16, "completed")
+            assert [how for _, _, how, _ in cell.world.ended] == ["done"]
+
+    async def test_nothing_starts_that_is_not_recorded(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            cell.world.store.faults.refuse = 503
+            status = await caller.submit("d" * 16, job())
+            assert status == 504
+            assert cell.world.started == []
+            cell.world.store.faults.refuse = 0
+            await caller.until_state("d" * 16, "completed")
+
+
+class TestHistoryForgotten:
+    async def test_a_new_manifest_is_read_whole(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            store = cell.world.store
+            store.faults.forget_before = store.version + 5
+            await cell.world.write_manifest(7)
+            documents = cell.daemons[0].documents
+            await until(
+                lambda: (
+                    documents.manifest is not None and documents.manifest.version == 7
+                ),
+                "the new manifest",
+            )
--- /dev/null
+++ b/tests/cell/test_jobs.py
@@ -0,0 +1,125 @@
+"""Jobs from their hand-in to their end, over real sockets."""
+
+import asyncio
+
+from .support import job
+from .support import running_cell
+from .support import until
+
+
+class TestJob:
+    async def test_runs_and_completes(self) -> None:
+        async with running_cell({"desk": 2}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            assert await caller.submit("a" * 16, job(count=3)) == 200
+            await caller.until_state("a" * 16, "completed")
+            assert len(cell.world.started) == 3
+
+    async def test_handed_in_twice_stays_one(self) -> None:
+        async with running_cell({"desk": 2}, daemon_count=2) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            assert await caller.submit("b" * 16, job()) == 200
+            assert await caller.submit("b" * 16, job(), at=1) == 200
+            await caller.until_state("b" * 16, "completed")
+            assert await caller.submit("b" * 16, job(), at=1) == 200
+            assert len(cell.world.started) == 1
+
+    async def test_steps_wait_for_those_before_them(self) -> None:
+        body = (
+            b'{"spec":"{\\"run_s\\":0.2}","steps":[{"count":2,"cpu":100,"memMb":1},'
+            b'{"count":1,"cpu":100,"memMb":1,"after":[0]}]}'
+        )
+        async with running_cell({"desk": 2}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            await caller.submit("c" * 16, body)
+            await caller.until_state("c" * 16, "completed")
+            ends = {task: at_s for task, _, _, at_s in cell.world.ended}
+            first = max(at_s for task, at_s in ends.items() if ".0.0." in task)
+            second = next(s for s in cell.world.started if ".0.1." in s.task)
+            assert second.at_s >= first
+
+    async def test_failed_task_is_tried_again_up_to_its_attempts(self) -> None:
+        async with running_cell({"desk": 2}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            await caller.submit("d" * 16, job(run_s=0.02, fail=2))
+            await caller.until_state("d" * 16, "completed")
+            await caller.submit("e" * 16, job(run_s=0.02, fail=5))
+            await caller.until_state("e" * 16, "failed")
+            runs = [s.run for s in cell.world.started if s.task.startswith("e")]
+            assert runs == [1, 2, 3]
+
+    async def test_cancelled_job_stops_and_starts_nothing_more(self) -> None:
+        async with running_cell({"desk": 2}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            await caller.submit("f" * 16, job(run_s=30, count=2, longRunning=True))
+            await until(lambda: len(cell.world.started) == 2, "both tasks start")
+            status, _, _ = await caller.call("DELETE", "f" * 16)
+            assert status == 200
+            await until(
+                lambda: not any(r.running() for r in cell.world.runners),
+                "nothing of the job runs",
+            )
+            await caller.until_state("f" * 16, "cancelled")
+            assert len(cell.world.started) == 2
+
+    async def test_unknown_job_and_unknown_queue_are_told_apart(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            caller, stranger = cell.caller(), cell.caller("nobody")
+            assert (await caller.call("GET", "0" * 16))[0] == 410
+            assert (await caller.call("DELETE", "0" * 16))[0] == 410
+            assert (await stranger.call("GET", "0" * 16))[0] == 404
+            assert await stranger.submit("0" * 16, job()) == 404
+
+    async def test_pending_counts_jobs_that_have_not_begun(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            await caller.submit("1" * 16, job(run_s=0.5, cpu=16000))
+            await caller.submit("2" * 16, job(run_s=0.1, cpu=16000))
+            _, answer, _ = await caller.call("GET")
+            assert answer == {"pending": 1}
+            await caller.until_state("2" * 16, "completed")
+
+    async def test_that_is_no_job_is_refused_with_a_time_to_come_back(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            status, _, headers = await cell.caller().call("POST", "3" * 16, b"[]")
+            assert status == 429
+            assert int(headers["Retry-After"]) >= 1
+
+
+class TestLostAnswers:
+    async def test_start_carried_out_late_runs_once(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            cell.world.runners[0].faults.late_starts = 1
+            await caller.submit("4" * 16, job(run_s=0.3))
+            await caller.until_state("4" * 16, "completed")
+            assert len(cell.world.started) == 1
+
+    async def test_commit_without_answer_is_settled(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            cell.world.store.faults.lose_answers = 2
+            assert await caller.submit("5" * 16, job()) == 200
+            await caller.until_state("5" * 16, "completed")
+            assert len(cell.world.started) == 1
+
+    async def test_commit_carried_out_late_changes_nothing(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            cell.world.store.faults.late_s = 1.5
+            cell.world.store.faults.lose_answers = 1
+            assert await caller.submit("6" * 16, job()) == 200
+            await caller.until_state("6" * 16, "completed")
+            await asyncio.sleep(0)
+            assert await caller.state("6" * 16) == "completed"
