Stop at once: loops that wait for the store end with their service

Cause: a stopping daemon waited up to 10 s for its feeds, longer than the platform's grace; the tests on the stand-in took 10 s each. Ruled out: shorter feeds, which would be priced calls. Conclusion: a planned stop ends by itself within the grace.

--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -115,17 +115,20 @@
     # What the store says of the owner.
 
     @Service.task
+    async def _run_watch(self) -> None:
+        await self.wait(self._watch_owner())
+
     async def _watch_owner(self) -> None:
         """Keep the owner row as the store last told it."""
         after = -1
-        while not self.should_stop:
+        while True:
             try:
                 after = await self._watch_once(after)
             except HistoryGoneError:
                 after = -1
             except (StoreUnavailableError, OutcomeUnknownError) as error:
                 log.warning("owner-unreadable", extra={"error": str(error)})
-                await self.sleep(0.2)
+                await asyncio.sleep(0.2)
 
     async def _watch_once(self, after: int) -> int:
         if after < 0:
@@ -157,14 +160,17 @@
     # Following and taking over.
 
     @Service.task
+    async def _run_follow(self) -> None:
+        await self.wait(self._follow())
+
     async def _follow(self) -> None:
         """Follow whoever holds the cell; take over when it may be replaced."""
         await self._known.wait()
-        while not self.should_stop:
+        while True:
             self._changed.clear()
             suspicion = await self._observe()
             if suspicion is Suspicion.NONE or self.stopping:
-                await self.sleep(0.05)
+                await asyncio.sleep(0.05)
                 continue
             taken = await self._take(suspicion)
             if taken is not None:
--- a/src/streamthread/gateway/documents.py
+++ b/src/streamthread/gateway/documents.py
@@ -53,10 +53,13 @@
         self._listeners.append(listener)
 
     @Service.task
+    async def _run(self) -> None:
+        await self.wait(self._watch())
+
     async def _watch(self) -> None:
         after = -1
         failing = False
-        while not self.should_stop:
+        while True:
             try:
                 after = await self._watch_once(after)
                 if failing:
--- a/src/streamthread/gateway/front.py
+++ b/src/streamthread/gateway/front.py
@@ -29,6 +29,8 @@
 
 MOST_BODY_BYTES = 1_000_000
 COME_BACK_S = 1.0
+CLOSE_S = 0.3
+"""Connections get so long to end when the ports close, after the planned stop."""
 
 _KINDS = {"POST": pb.SUBMIT, "GET": pb.STATE, "DELETE": pb.CANCEL}
 
@@ -78,7 +80,9 @@
         self, address: str, handler: t.Callable[..., t.Awaitable[t.Any]]
     ) -> str:
         host, port = address.rsplit(":", 1)
-        runner = web.ServerRunner(web.Server(handler, access_log=None))
+        runner = web.ServerRunner(
+            web.Server(handler, access_log=None), shutdown_timeout=CLOSE_S
+        )
         await runner.setup()
         await web.TCPSite(runner, host, int(port), backlog=1024).start()
         self._runners.append(runner)
--- a/src/streamthread/standins/cell/port.py
+++ b/src/streamthread/standins/cell/port.py
@@ -6,6 +6,9 @@
 
 __all__ = ["HttpPort"]
 
+CLOSE_S = 0.02
+"""Handlers that play dead are cut off at once."""
+
 Handler = t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]]
 
 
@@ -13,7 +16,9 @@
     """Serves one handler until it is closed."""
 
     def __init__(self, handler: Handler) -> None:
-        self._runner = web.ServerRunner(web.Server(handler, access_log=None))
+        self._runner = web.ServerRunner(
+            web.Server(handler, access_log=None), shutdown_timeout=CLOSE_S
+        )
         self.address = ""
 
     async def open(self, port: int = 0) -> None:
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -61,7 +61,9 @@
 class RunnerStandin:
     """One life of a runner.
 
-    :param started: a list, shared by all runners, of what was started.
+    :param started: shared by all runners: what was started.
+    :param ended: shared by all runners: task, run, how and when.
+    :param failures: shared by all runners: how often each task has failed.
     """
 
     def __init__(
@@ -73,6 +75,7 @@
         memory_mb: int,
         started: list[StartedRun],
         ended: list[tuple[str, int, str, float]],
+        failures: dict[str, int],
     ) -> None:
         self.runner_id = runner_id
         self.service = service
@@ -88,7 +91,7 @@
         self._ends: list[list[t.Any]] = []
         self._end_count = 0
         self._deadline_ms = 0
-        self._failures: dict[str, int] = {}
+        self._failures = failures
         self._started = started
         self._ended = ended
         self.port = HttpPort(self._serve)
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -28,6 +28,7 @@
         self.started: list[StartedRun] = []
         self.ended: list[tuple[str, int, str, float]] = []
         self.runners: list[RunnerStandin] = []
+        self._failures: dict[str, int] = {}
         self._pools = dict(pools)
         self._cpu = cpu
         self._numbers = itertools.count(1)
@@ -63,6 +64,7 @@
             32768,
             self.started,
             self.ended,
+            self._failures,
         )
         await runner.port.open()
         self.runners.append(runner)
