--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -86,6 +86,7 @@
     """Follows the cell's holder, and takes over when it is gone.
 
     :param on_taken: called with what was taken; returns when the cell is lost.
+    :param on_replaced: called while holding, when another holder is known.
     """
 
     def __init__(
@@ -98,6 +99,7 @@
         peers: PeerLinks,
         times: LeaseTimes,
         on_taken: t.Callable[[TakenCell], t.Awaitable[None]],
+        on_replaced: t.Callable[[], None],
     ) -> None:
         super().__init__()
         self._store = store
@@ -107,6 +109,7 @@
         self._peers = peers
         self.times = times
         self._on_taken = on_taken
+        self._on_replaced = on_replaced
         self.members = Members(store, part, daemon_id, peers, self.hear)
         self._random = random.Random(incarnation)
         self._owner_version = ABSENT
@@ -183,11 +186,12 @@
             news.released,
             news.successor,
         )
-        if not heard.token or self.holding:
-            return
         rank = (heard.token, heard.released)
-        if known is None or rank > (known.token, known.released):
-            self._set_owner(heard, "peer")
+        if not heard.token or (known and rank <= (known.token, known.released)):
+            return
+        self._set_owner(heard, "peer")
+        if self.holding:
+            self._on_replaced()
 
     def news(self) -> pb.OwnerNews:
         """Return what a peer should know of the holder."""
@@ -216,12 +220,25 @@
 
     async def _observe(self) -> Suspicion:
         """Return once the holder may be replaced, or when it has changed."""
+        suspicion = await self._suspect()
+        if suspicion is not Suspicion.NONE:
+            log.info(
+                "holder-suspected",
+                extra={
+                    "why": suspicion.value,
+                    "holder": self.owner.daemon_id if self.owner else "",
+                    "token": self.owner.token if self.owner else 0,
+                },
+            )
+        return suspicion
+
+    async def _suspect(self) -> Suspicion:
         owner = self.owner
         if owner is None:
             return Suspicion.VACANT
         if owner.released:
             return Suspicion.RELEASED
-        if owner.daemon_id == self._me[0]:
+        if owner.daemon_id == self._me[0] and self.owner is owner:
             return Suspicion.OWN_EARLIER_LIFE
         try:
             await self._peers.follow(
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -72,6 +72,7 @@
             self.peers,
             self.settings.times,
             self._hold,
+            self._on_replaced,
         )
         self.endpoint = CellEndpoint(
             self._handle,
@@ -138,6 +139,10 @@
         finally:
             self.holder = None
 
+    def _on_replaced(self) -> None:
+        if self.holder is not None:
+            self.holder.give_up("a peer names a newer holder")
+
     async def _handle(self, request: pb.CallRequest) -> pb.CallReply:
         if self.holder is None:
             return pb.CallReply(outcome=pb.NOT_HOLDER)
