End a holder that reads in the store or hears from a peer that it was replaced

Cause: the old holder of the new test had read the new owner by itself, so the peer's news told it nothing and it stayed active without trust.

--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -174,6 +174,8 @@
             },
         )
         self._changed.set()
+        if self.holding and (owner.daemon_id, owner.incarnation) != self._me:
+            self._on_replaced()
 
     def hear(self, news: pb.OwnerNews) -> None:
         """Take from a peer who holds the cell, if we do not know better."""
@@ -190,8 +192,6 @@
         if not heard.token or (known and rank <= (known.token, known.released)):
             return
         self._set_owner(heard, "peer")
-        if self.holding:
-            self._on_replaced()
 
     def news(self) -> pb.OwnerNews:
         """Return what a peer should know of the holder."""
