Order no move or upkeep on an old decision; place lasting tasks in need anywhere sound

Ruled out: run-vanished lines, which were stops that came before their starts. Change: an order is checked again right before it is sent; nothing is decided while commits fail; a lasting task that waits for over 1 s may go to a runner that is being emptied.

--- a/src/streamthread/gateway/front.py
+++ b/src/streamthread/gateway/front.py
@@ -40,6 +40,7 @@
     status: int
     body: bytes = b""
     retry_after_s: float = 0.0
+    reason: str = ""
 
 
 class Front(Service):
@@ -118,6 +119,7 @@
                     "method": request.method,
                     "path": request.path,
                     "status": reply.status,
+                    "why": reply.reason,
                     "took_s": round(time.monotonic() - began_at_s, 4),
                 },
             )
@@ -133,7 +135,7 @@
 
     async def _answer(self, request: web.BaseRequest, began_at_s: float) -> _Reply:
         if self._documents.manifest is None:
-            return _Reply(503, retry_after_s=COME_BACK_S)
+            return _Reply(503, retry_after_s=COME_BACK_S, reason="no manifest yet")
         host = (request.headers.get("Host") or "").split(":")[0].lower()
         route = self._documents.find_route(host, request.path)
         if route is None:
@@ -179,5 +181,6 @@
     if reply.outcome == pb.UNKNOWN_JOB:
         return _Reply(404 if call.kind == pb.SUBMIT else 410)
     if reply.outcome == pb.REFUSED:
-        return _Reply(429, retry_after_s=reply.retry_after_s or COME_BACK_S)
-    return _Reply(504)
+        come_back_s = reply.retry_after_s or COME_BACK_S
+        return _Reply(429, retry_after_s=come_back_s, reason=reply.reason)
+    return _Reply(504, reason=reply.reason)
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -213,7 +213,9 @@
 
     def _decide(self) -> None:
         manifest = self._holder.context.documents.manifest
-        if manifest is None or not self._holder.trusted or self._holder.releasing:
+        if manifest is None or self._holder.releasing:
+            return
+        if not self._holder.trusted or self._holder.log.in_trouble():
             return
         self._emptying.clear()
         views = {m.machine_id: self._view(m) for m in self._machines.values()}
@@ -418,7 +420,7 @@
             and machine_id not in self._pending
             and (off or runner is not None),
             may_empty=may_empty,
-            reserved=runner is not None and runner.reserved,
+            reserved=runner is not None and runner.emptying,
             load=float(runner.used_cpu) if runner is not None else 0.0,
         )
 
@@ -431,21 +433,20 @@
             if runner is None:
                 continue
             self._emptying.add(machine.runner_id)
-            if not runner.reserved:
+            if not runner.emptying:
                 log.info(
                     "machine-emptied-for-upkeep",
                     extra={"machine": machine_id, "load": runner.used_cpu},
                 )
-            runner.reserved = True
+            runner.emptying = True
             self._move_lasting_away(runner)
 
     def _release_unneeded(self) -> None:
         """Let machines work again that need not be emptied any more."""
         ordered = {p.runner_before for p in self._pending.values()}
         for runner in self._holder.engine.runners.values():
-            if runner.runner_id in self._emptying or runner.runner_id in ordered:
-                continue
-            runner.reserved = False
+            runner.emptying = runner.runner_id in self._emptying
+            runner.reserved = runner.runner_id in ordered
 
     def _move_lasting_away(self, runner: RunnerState) -> None:
         """Stop lasting tasks there, as far as their steps can miss one more."""
@@ -561,6 +562,13 @@
         call: t.Callable[[], t.Awaitable[DutyReply]],
     ) -> None:
         await self._holder.until_trusted()
+        runner = self._holder.engine.runners.get(machine.runner_id)
+        if self._pending.get(machine.machine_id) is not pending or (
+            runner is not None and not runner.idle
+        ):
+            self._drop(machine, pending, "no longer free")
+            return
+        pending.sent_at_s = time.monotonic()
         try:
             reply = await call()
         except OutcomeUnknownError as error:
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -41,6 +41,8 @@
         runner's clock is so much further; lists are made in whole milliseconds.
     :param penalty_s: how long a runner that failed tasks is used last.
     :param penalty_failures: so many failures within ``penalty_s`` bring that.
+    :param lasting_patience_s: a lasting task that waits for longer may go to a
+        runner that is being emptied.
     :param restart_pause_s: before a lasting task that failed starts again.
     """
 
@@ -49,6 +51,7 @@
     penalty_s: float = 6.0
     penalty_failures: int = 2
     restart_pause_s: float = 0.05
+    lasting_patience_s: float = 1.0
 
 
 @attrs.frozen
@@ -243,6 +246,7 @@
                 "task": attempt.task.name,
                 "run": attempt.run,
                 "runner": runner.runner_id,
+                "phase": attempt.phase.value,
                 "clock_ms": clock_ms,
                 "confirmed_clock_ms": known_ms,
             },
@@ -276,8 +280,7 @@
             },
         )
         self._remove(attempt, runner)
-        if task.state is TaskState.PLACED and not task.attempts:
-            task.state = TaskState.WAITING
+        self._wait_again(task)
         self._changed(task.step.occurrence.job)
 
     def _on_ended(self, runner: RunnerState, ended: EndedRun) -> None:
@@ -389,6 +392,7 @@
     def _wait_again(self, task: Task) -> None:
         if task.state is TaskState.PLACED and not task.attempts:
             task.state = TaskState.WAITING
+            task.waiting_since_s = time.monotonic()
 
     def _lapse(self, attempt: Attempt, runner: RunnerState | None) -> None:
         self._count("lapsed")
@@ -482,17 +486,25 @@
     ) -> list[Attempt]:
         """Place what there is room for in one pool; return the new attempts."""
         runners = usable_runners(self.runners.values(), service)
-        if not runners:
-            return []
         placed: list[Attempt] = []
         for step in order_steps(self.ready_steps(service), self.times, now_s):
             planned: list[tuple[Placement, int]] = []
-            for placement in place_step(step, runners, now_s, tickets(step)):
+            usable = runners
+            if self._in_need(step):
+                usable = usable_runners(self.runners.values(), service, in_need=True)
+            for placement in place_step(step, usable, now_s, tickets(step)):
                 run = _next_run(placement.task)
                 planned.append((placement, run))
             placed.extend(self._plan(p.task, p.runner, run) for p, run in planned)
         return placed
 
+    def _in_need(self, step: StepRun) -> bool:
+        """Whether lasting tasks have waited for so long that any runner will do."""
+        if not step.request.lasting:
+            return False
+        since_s = time.monotonic() - self.settings.lasting_patience_s
+        return any(task.waiting_since_s < since_s for task in step.waiting())
+
     def _plan(self, task: Task, runner: RunnerState, run: int) -> Attempt:
         task.last_run = run
         attempt = Attempt(task, task.last_run, runner.runner_id)
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -15,7 +15,8 @@
 
     :param rack: the label of the rack it stands in.
     :param ready: it may get new tasks: heard lately, held, not draining.
-    :param reserved: it is kept free, to move or to go into upkeep.
+    :param reserved: a move or an upkeep was ordered for its machine.
+    :param emptying: it is to be emptied, so that its machine can go into upkeep.
     :param penalty_until_s: it failed many tasks; used last until then.
     """
 
@@ -31,6 +32,7 @@
     draining: bool = False
     ready: bool = False
     reserved: bool = False
+    emptying: bool = False
     stray_runs: int = 0
     penalty_until_s: float = 0.0
     used_cpu: int = 0
@@ -79,7 +81,11 @@
         )
 
     def usable(self) -> bool:
-        """Whether it may get new tasks at all."""
+        """Whether it may get new tasks."""
+        return self.usable_in_need() and not self.emptying
+
+    def usable_in_need(self) -> bool:
+        """Whether it may get tasks that have waited for too long elsewhere."""
         return (
             self.ready
             and not self.draining
@@ -88,6 +94,12 @@
         )
 
 
-def usable_runners(runners: t.Iterable[RunnerState], service: str) -> list[RunnerState]:
+def usable_runners(
+    runners: t.Iterable[RunnerState], service: str, in_need: bool = False
+) -> list[RunnerState]:
     """Return the runners of a pool that may get new tasks."""
-    return [r for r in runners if r.service == service and r.usable()]
+    return [
+        r
+        for r in runners
+        if r.service == service and (r.usable_in_need() if in_need else r.usable())
+    ]
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -1,6 +1,7 @@
 """Jobs, steps and tasks as the holder keeps them in memory."""
 
 import enum
+import time
 import typing as t
 
 import attrs
@@ -80,6 +81,7 @@
 
     :param last_run: the highest run number that was used.
     :param checkpoint: the newest progress that a runner reported.
+    :param waiting_since_s: on the monotonic clock: since when it has no attempt.
     """
 
     step: "StepRun"
@@ -91,6 +93,7 @@
     attempts: list[Attempt] = attrs.field(factory=list)
     avoid: set[str] = attrs.field(factory=set)
     not_before_s: float = 0.0
+    waiting_since_s: float = attrs.field(factory=time.monotonic)
 
     @property
     def name(self) -> str:
