--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -454,7 +454,8 @@
             step = attempt.task.step
             if not step.request.lasting or attempt.phase is not Phase.CONFIRMED:
                 continue
-            if may_stop_lasting(_others_away(step, attempt), step.request.may_miss):
+            away = self._others_away(step, attempt)
+            if may_stop_lasting(away, step.request.may_miss):
                 log.info(
                     "lasting-task-moved",
                     extra={"task": attempt.task.name, "runner": runner.runner_id},
@@ -462,6 +463,20 @@
                 self._holder.engine.stop(attempt, "upkeep")
                 self._holder.kick()
 
+    def _others_away(self, step: StepRun, attempt: Attempt) -> int:
+        """Return how many other tasks of a step are not surely at work."""
+        others = (task for task in step.tasks if task is not attempt.task)
+        return count_away(
+            any(self._is_at_work(a) for a in task.attempts) for task in others
+        )
+
+    def _is_at_work(self, attempt: Attempt) -> bool:
+        """What a runner said last counts only while it still answers."""
+        runner = self._holder.engine.runners.get(attempt.runner_id)
+        if runner is None or not runner.ready:
+            return False
+        return attempt.phase is Phase.CONFIRMED and attempt.percent >= AT_WORK_PERCENT
+
     def _tell(self, wave: Wave, progress: WaveProgress, left: list[str]) -> None:
         """Write the wave's state for the operator when it has changed."""
         down = any(self._is_down(machine_id) for machine_id in wave.machine_ids)
@@ -626,17 +641,5 @@
     )
 
 
-def _others_away(step: StepRun, attempt: Attempt) -> int:
-    """Return how many other tasks of a step are not at work."""
-    others = (task for task in step.tasks if task is not attempt.task)
-    return count_away(
-        any(
-            a.phase is Phase.CONFIRMED and a.percent >= AT_WORK_PERCENT
-            for a in task.attempts
-        )
-        for task in others
-    )
-
-
 AT_WORK_PERCENT = 100.0
 """A lasting task is at work when its runner says so much."""
--- a/tests/cell/test_duties.py
+++ b/tests/cell/test_duties.py
@@ -59,3 +59,24 @@
             await until(lambda: world.wave_state(3) == "completed", "the wave ends")
             assert all(3 in m.waves for m in world.cloud.machines.values())
             assert [how for _, _, how, _ in world.ended] == ["done", "done"]
+
+
+class TestLastingTasks:
+    async def test_none_is_stopped_while_another_may_be_out_of_reach(self) -> None:
+        async with running_cell({"desk": 3}, cpu=16000) as cell:
+            daemon = await cell.until_ready()
+            world = cell.world
+            body = job(run_s=60, count=3, longRunning=True, may_miss=1, antiAffinity=1)
+            await cell.caller().submit("a" * 16, body)
+            await until(lambda: len(world.started) == 3, "all are at work")
+            holder = daemon.holder
+            assert holder is not None
+            runners = [r for r in world.runners if r.alive]
+            runners[0].faults.silent = True
+            state = holder.engine.runners[runners[0].runner_id]
+            await until(lambda: not state.ready, "the runner counts as silent")
+            machine_ids = [m.machine_id for m in world.cloud.machines.values()]
+            await world.write_wave(1, machine_ids[1:], most_at_once=1)
+            await until(lambda: world.wave_state(1) == "running", "the wave is known")
+            await until(lambda: holder.log.sequence > 25, "some seconds pass")
+            assert not any(how == "stopped" for _, _, how, _ in world.ended)
