Send nothing with a deadline to a silent runner, so that its runs lapse for sure

Ruled out: a task that found no place; the log shows it placed on the dark runner. Change: while a runner is silent it is only looked at, without a deadline; starts wait.

--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -99,6 +99,15 @@
         self._confirmed = 0
         self._synced_since_s = time.monotonic()
 
+    @property
+    def silent(self) -> bool:
+        """Whether the last call got no answer.
+
+        Nothing that carries a deadline may be sent then: each one could extend
+        what runs there, and its end would never be sure.
+        """
+        return self.silent_since_s is not None
+
     async def run(self) -> None:
         """Hold until this life is over."""
         while not self.over:
@@ -118,7 +127,7 @@
             return
         deadline_ms = None
         wait_s = 0.0
-        if self.clock.known:
+        if self.clock.known and not self.silent:
             deadline_ms = self.clock.deadline_ms(time.monotonic(), extend_s)
             wait_s = self._settings.wait_s
         reply = await self._client.hold(
@@ -138,7 +147,7 @@
     async def extend_once(self) -> None:
         """Extend what runs there now, beside the call that may be waiting."""
         extend_s = self._owner.may_extend_s(self._settings.hold_s)
-        if extend_s <= 0 or not self.clock.known or self.over:
+        if extend_s <= 0 or not self.clock.known or self.over or self.silent:
             return
         deadline_ms = self.clock.deadline_ms(time.monotonic(), extend_s)
         try:
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -89,12 +89,12 @@
             link = self._owner.links.get(attempt.runner_id)
             if link is None:
                 return
-            if not link.clock.known:
+            if not link.clock.known or link.silent:
                 await asyncio.sleep(self._settings.retry_s)
                 continue
             await self._owner.until_trusted()
-            if not self._wanted(attempt):
-                return
+            if not self._wanted(attempt) or link.silent:
+                continue
             attempt.phase = Phase.SENT
             try:
                 reply = await self._send_start(attempt, link)
