--- a/src/streamthread/capacity/plan.py
+++ b/src/streamthread/capacity/plan.py
@@ -17,6 +17,10 @@
 ]
 
 
+NEGLIGIBLE = 0.1
+"""Of a machine: so little more does not bring one."""
+
+
 @attrs.frozen
 class CapacitySettings:
     """The weights between machines held back and moves.
@@ -89,7 +93,7 @@
     by_memory = (
         demand.memory_mb * settings.demand_margin / memory_mb if memory_mb else 0
     )
-    needed = max(by_cpu, by_memory) + settings.headroom_machines
+    needed = max(by_cpu, by_memory) + settings.headroom_machines - NEGLIGIBLE
     return max(settings.least_machines, demand.machines, math.ceil(needed))
 
 
--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -157,6 +157,23 @@
                 location=address,
             ) from error
 
+    async def explain(
+        self, address: str, request: pb.ExplainRequest
+    ) -> pb.ExplainReply:
+        """Ask the holder why something is where it is.
+
+        :raises PeerUnavailableError: no answer.
+        """
+        try:
+            return await self._stub(address).Explain(request, timeout=CONNECT_S)
+        except (GRPCError, StreamTerminatedError, OSError, TimeoutError) as error:
+            self._drop(address)
+            raise PeerUnavailableError(
+                f"no answer ({type(error).__name__})",
+                remedy="ask again, or another daemon",
+                location=address,
+            ) from error
+
     async def announce(self, address: str, news: pb.Announcement) -> pb.Announcement:
         """Tell a peer what we know, and return what it knows.
 
--- a/src/streamthread/cli/__init__.py
+++ b/src/streamthread/cli/__init__.py
@@ -16,6 +16,8 @@
 from ..errors import leaf_errors
 from ..errors import NotFoundError
 from ..errors import StreamthreadError
+from ..gateway.main import add_arguments as add_cell_arguments
+from ..gateway.main import run_cell
 from . import run
 from . import verbs
 from .printing import print_value
@@ -60,6 +62,7 @@
     parser.add_argument("--server", default=DEFAULT_SERVER, help="an entry's URL")
     parser.add_argument("--output", choices=("text", "json"), default="text")
     subparsers = parser.add_subparsers(required=True, metavar="VERB")
+    _add_cell(subparsers)
     _add_running(subparsers)
     _add_configuration(subparsers)
     _add_maintenance(subparsers)
@@ -68,6 +71,14 @@
     return parser
 
 
+def _add_cell(subparsers: t.Any) -> None:
+    cell = subparsers.add_parser("cell", help="run a cell's daemon")
+    add_cell_arguments(cell)
+    cell.set_defaults(run=run_cell)
+    runners = subparsers.add_parser("runners", help="the runners of a cell")
+    runners.set_defaults(verb=verbs.runners)
+
+
 def _add_running(subparsers: t.Any) -> None:
     entry = subparsers.add_parser("entry", help="run the entry daemon")
     source = entry.add_mutually_exclusive_group(required=True)
--- a/src/streamthread/cli/verbs.py
+++ b/src/streamthread/cli/verbs.py
@@ -29,6 +29,7 @@
     "job_submit",
     "label",
     "rollout_wait",
+    "runners",
     "status",
     "timeline",
     "undrain",
@@ -234,6 +235,11 @@
     return Result(await _client(arguments).get("/status"))
 
 
+async def runners(arguments: Arguments) -> Result:
+    """Show the runners of a cell, as its holder knows them."""
+    return Result(await _client(arguments).get("/runners"))
+
+
 async def explain(arguments: Arguments) -> Result:
     """Say why something is where it is, and what it waits for."""
     path = f"/explain/{arguments.kind}/{arguments.name}"
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import time
+import typing as t
 
 import attrs
 import logbook
@@ -27,6 +28,8 @@
 from .forwarding import Forwarder
 from .forwarding import ForwardSettings
 from .front import Front
+from .operators import CellOperators
+from .operators import explain_here
 
 __all__ = ["CellDaemon"]
 
@@ -79,9 +82,10 @@
             self._beat,
             self.settings.times.beat_s,
             self._announced,
-            self._explain,
+            self.explain,
         )
         self.port = CellPort(self.endpoint, node.ip, node.peer_ports[0])
+        self.lines_dropped: t.Callable[[], int] = lambda: 0
         self.front = Front(
             node.callers,
             node.readiness,
@@ -96,6 +100,7 @@
             ),
             self.is_ready,
         )
+        self.operators = CellOperators(self, node.ip, node.operators_port)
 
     async def on_start(self) -> None:
         """Open the ports and start to follow."""
@@ -103,6 +108,7 @@
         self.lease.address = self.peers.address = address
         await self.add_runtime_dependency(self.documents)
         await self.add_runtime_dependency(self.front)
+        await self.add_runtime_dependency(self.operators)
         await self.add_runtime_dependency(self.lease)
         log.info("started", extra={"hall": self.node.hall, "address": self.node.ip})
 
@@ -165,8 +171,9 @@
             owner=self.lease.news(),
         )
 
-    def _explain(self, request: pb.ExplainRequest) -> pb.ExplainReply:
-        return pb.ExplainReply(text_json="{}")
+    def explain(self, request: pb.ExplainRequest) -> pb.ExplainReply:
+        """Answer an operator's question as the holder."""
+        return explain_here(self, request)
 
     # A planned stop.
 
--- a/src/streamthread/gateway/front.py
+++ b/src/streamthread/gateway/front.py
@@ -15,6 +15,7 @@
 from ..platform.documents import Route
 from .documents import Documents
 from .forwarding import Forwarder
+from .metrics import answer_histogram
 
 __all__ = ["Front"]
 
@@ -69,6 +70,7 @@
         self.stopping = False
         self.in_flight = 0
         self.answers: dict[str, int] = {}
+        self.answer_s = answer_histogram()
 
     async def on_start(self) -> None:
         """Open both ports."""
@@ -105,6 +107,8 @@
             reply = await self._answer(request, began_at_s)
         finally:
             self.in_flight -= 1
+        took_s = time.monotonic() - began_at_s
+        self.answer_s.labels(request.method).observe(took_s)
         key = f"{request.method} {reply.status}"
         self.answers[key] = self.answers.get(key, 0) + 1
         headers = {}
@@ -120,7 +124,7 @@
                     "path": request.path,
                     "status": reply.status,
                     "why": reply.reason,
-                    "took_s": round(time.monotonic() - began_at_s, 4),
+                    "took_s": round(took_s, 4),
                 },
             )
         response = web.Response(
--- a/src/streamthread/gateway/main.py
+++ b/src/streamthread/gateway/main.py
@@ -5,10 +5,12 @@
 import os
 import pathlib
 import signal
+import sys
 import typing as t
 
 import logbook
 
+from ..errors import leaf_errors
 from ..errors import SettingsError
 from ..platform.node import decode_node
 from ..platform.node import FILE_VARIABLE
@@ -16,17 +18,23 @@
 from ..signals import CRASHED_STATUS
 from ..signals import until_signal
 from .daemon import CellDaemon
+from .logs import BoundedLines
 from .logs import start_cell_logging
 
 __all__ = ["add_arguments", "main", "run_cell"]
 
 log = logbook.Logger("streamthread.gateway")
 
+BAD_INPUT_STATUS = 2
+
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
     """Add what the daemon's command line takes."""
     parser.add_argument("--settings", default="", help=f"else from {FILE_VARIABLE}")
     parser.add_argument("--log-level", default="INFO")
+    parser.add_argument(
+        "--check", action="store_true", help="only print what is wrong with it"
+    )
 
 
 def read_node(settings: str) -> NodeSettings:
@@ -43,12 +51,16 @@
 def run_cell(arguments: argparse.Namespace) -> int:
     """Run the daemon until it is told to stop."""
     node = read_node(arguments.settings)
-    start_cell_logging(node.daemon_id, arguments.log_level)
-    return asyncio.run(_serve(node))
+    if arguments.check:
+        print(f"{node.daemon_id}: the settings are in order")
+        return 0
+    lines = start_cell_logging(node.daemon_id, arguments.log_level)
+    return asyncio.run(_serve(node, lines))
 
 
-async def _serve(node: NodeSettings) -> int:
+async def _serve(node: NodeSettings, lines: BoundedLines) -> int:
     daemon = CellDaemon(node)
+    daemon.lines_dropped = lambda: lines.dropped
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, _on_reload)
     await daemon.start()
@@ -58,6 +70,7 @@
             "callers": daemon.front.callers_address,
             "readiness": daemon.front.readiness_address,
             "peers": daemon.peers.address,
+            "operators": daemon.operators.address,
         },
     )
     crashed = await until_signal(daemon)
@@ -75,4 +88,9 @@
     """Parse the command line and run."""
     parser = argparse.ArgumentParser(prog="streamthread cell", description=__doc__)
     add_arguments(parser)
-    return run_cell(parser.parse_args(argv))
+    try:
+        return run_cell(parser.parse_args(argv))
+    except ExceptionGroup as group:
+        for error in leaf_errors(group):
+            print(f"{error.kind}: {error}", file=sys.stderr)
+        return BAD_INPUT_STATUS
--- /dev/null
+++ b/src/streamthread/gateway/metrics.py
@@ -0,0 +1,171 @@
+"""The metrics of a cell's daemon, read from its parts when they are scraped."""
+
+import time
+import typing as t
+
+from prometheus_client import CollectorRegistry
+from prometheus_client import Histogram
+from prometheus_client import ProcessCollector
+from prometheus_client.core import CounterMetricFamily
+from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.registry import Collector
+
+if t.TYPE_CHECKING:
+    from .daemon import CellDaemon
+
+__all__ = ["answer_histogram", "make_registry"]
+
+ANSWER_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 3.0)
+"""From one commit (7 ms) to the longest that callers wait (3 s)."""
+
+Family = GaugeMetricFamily | CounterMetricFamily
+
+
+def answer_histogram() -> Histogram:
+    """Return the histogram of how long callers wait for answers."""
+    return Histogram(
+        "streamthread_answer_seconds",
+        "From a caller's request to its answer.",
+        ["method"],
+        buckets=ANSWER_BUCKETS_S,
+        registry=None,
+    )
+
+
+def _counts(name: str, text: str, label: str, counts: dict[str, int]) -> Family:
+    family = CounterMetricFamily(name, text, labels=[label])
+    for value, count in counts.items():
+        family.add_metric([value], count)
+    return family
+
+
+class _CellCollector(Collector):
+    """Reads the daemon's parts at each scrape."""
+
+    def __init__(self, daemon: "CellDaemon") -> None:
+        self._daemon = daemon
+
+    def collect(self) -> t.Iterator[Family]:
+        """Yield the present values."""
+        yield from self._front()
+        yield from self._platform()
+        yield from self._lease()
+        if self._daemon.holder is not None:
+            yield from self._holder()
+
+    def _front(self) -> t.Iterator[Family]:
+        front = self._daemon.front
+        yield _counts(
+            "streamthread_answers",
+            "Answers to callers, by method and status.",
+            "answer",
+            front.answers,
+        )
+        yield GaugeMetricFamily(
+            "streamthread_requests_in_flight",
+            "Callers' requests in flight.",
+            value=front.in_flight,
+        )
+        documents = self._daemon.documents
+        version = documents.manifest.version if documents.manifest else 0
+        yield GaugeMetricFamily(
+            "streamthread_manifest_version", "In force here.", value=version
+        )
+        age_s = time.monotonic() - documents.confirmed_at_s
+        yield GaugeMetricFamily(
+            "streamthread_manifest_confirmed_age_seconds",
+            "Since the operator's documents were last read whole.",
+            value=age_s,
+        )
+
+    def _platform(self) -> t.Iterator[Family]:
+        daemon = self._daemon
+        yield _counts(
+            "streamthread_store_calls",
+            "Calls to the store.",
+            "call",
+            daemon.store.calls,
+        )
+        yield _counts(
+            "streamthread_runner_calls",
+            "Calls to runners.",
+            "call",
+            daemon.runner_client.calls,
+        )
+        if daemon.cloud is not None:
+            yield _counts(
+                "streamthread_cloud_calls",
+                "Calls to the machines' owner.",
+                "call",
+                daemon.cloud.calls,
+            )
+        yield CounterMetricFamily(
+            "streamthread_log_lines_dropped",
+            "Log lines over the rate, or that were not taken in time.",
+            value=daemon.lines_dropped(),
+        )
+
+    def _lease(self) -> t.Iterator[Family]:
+        lease = self._daemon.lease
+        yield GaugeMetricFamily(
+            "streamthread_holding", "1 while this daemon holds the cell.", lease.holding
+        )
+        yield CounterMetricFamily(
+            "streamthread_takeovers",
+            "How often this daemon took the cell.",
+            value=lease.takeovers,
+        )
+        token = lease.owner.token if lease.owner is not None else 0
+        yield GaugeMetricFamily(
+            "streamthread_owner_token", "The holder's token, as known here.", token
+        )
+
+    def _holder(self) -> t.Iterator[Family]:
+        holder = self._daemon.holder
+        if holder is None:
+            return
+        engine = holder.engine
+        yield GaugeMetricFamily(
+            "streamthread_trusted",
+            "1 while the holder may rely on holding the cell.",
+            holder.trusted,
+        )
+        yield GaugeMetricFamily(
+            "streamthread_open_jobs",
+            "Jobs of which something may still run.",
+            len(engine.open_jobs()),
+        )
+        yield _counts(
+            "streamthread_runs",
+            "Runs that ended or were refused.",
+            "how",
+            engine.counts,
+        )
+        yield CounterMetricFamily(
+            "streamthread_commits", "Commits of this holder.", value=holder.log.sequence
+        )
+        yield CounterMetricFamily(
+            "streamthread_rows_written",
+            "Rows in these commits.",
+            value=holder.log.rows_written,
+        )
+        silent = sum(link.silent for link in holder.links.values())
+        yield GaugeMetricFamily(
+            "streamthread_runners_silent", "Runners that do not answer.", silent
+        )
+        if holder.duties is not None:
+            yield CounterMetricFamily(
+                "streamthread_machine_moves", "Moves ordered.", holder.duties.moves
+            )
+            yield CounterMetricFamily(
+                "streamthread_upkeeps", "Upkeeps ordered.", holder.duties.upkeeps
+            )
+
+
+def make_registry(daemon: "CellDaemon") -> CollectorRegistry:
+    """Return the registry that the operators' port serves."""
+    registry = CollectorRegistry()
+    registry.register(_CellCollector(daemon))
+    registry.register(daemon.front.answer_s)
+    ProcessCollector(registry=registry)
+    return registry
--- a/src/streamthread/platform/node.py
+++ b/src/streamthread/platform/node.py
@@ -8,7 +8,7 @@
 from ..errors import SettingsError
 from .http import JsonObject
 
-__all__ = ["Bounds", "NodeSettings", "StoreLimits", "decode_node"]
+__all__ = ["BadNodeSettings", "Bounds", "NodeSettings", "StoreLimits", "decode_node"]
 
 FILE_VARIABLE = "STREAMTHREAD_NODE_FILE"
 """The environment variable that holds the settings file's path."""
@@ -49,12 +49,18 @@
     row_bytes: int = 65536
 
 
+OPERATORS_PORT = 9464
+"""Where metrics are served; the deploy file names the same. Exporters of the
+common monitoring systems use this port, and the platform's ports are lower."""
+
+
 @attrs.frozen
 class NodeSettings:
     """What one daemon is told of its place.
 
     :param callers: ``host:port`` at which callers are served.
     :param readiness: ``host:port`` at which the platform asks for readiness.
+    :param operators_port: for metrics and questions; 0 lets the system choose.
     :param peer_ports: the first and the last port for what daemons say to each
         other.
     """
@@ -68,23 +74,77 @@
     store: StoreLimits
     cloud: str = ""
     advice: str = ""
+    operators_port: int = OPERATORS_PORT
     bounds: Bounds = attrs.field(factory=Bounds)
 
 
+class BadNodeSettings(ExceptionGroup[SettingsError]):
+    """All that is wrong with a daemon's settings, at once."""
+
+
 def decode_node(text: str) -> NodeSettings:
     """Decode the settings.
 
-    :raises SettingsError: they are not JSON, or a needed field is missing.
+    :raises BadNodeSettings: they have mistakes; all of them.
     """
     try:
         value = json.loads(text)
-        return _decode(value)
-    except (ValueError, KeyError, TypeError) as error:
-        raise SettingsError(
-            f"cannot be read: {type(error).__name__} {error}",
-            remedy="see the fields in docs/settings-cell.md",
-            location="$",
-        ) from error
+    except ValueError as error:
+        mistake = SettingsError(
+            f"is not JSON: {error}", remedy="mend it at this place", location="$"
+        )
+        raise BadNodeSettings("the settings have mistakes", [mistake]) from error
+    mistakes = list(_mistakes(value))
+    if mistakes:
+        raise BadNodeSettings("the settings have mistakes", mistakes)
+    return _decode(value)
+
+
+_NEEDED: tuple[tuple[str, type], ...] = (
+    ("node", str),
+    ("ip", str),
+    ("bindAddresses.front", str),
+    ("bindAddresses.readiness", str),
+    ("portRange", list),
+    ("platform.address", str),
+)
+
+_NUMBERS = ("platform.writes_per_s", "platform.reads_per_s", "platform.row_bytes")
+
+
+def _mistakes(value: t.Any) -> t.Iterator[SettingsError]:
+    """Yield one error a field that is missing or of the wrong kind."""
+    for path, kind in _NEEDED:
+        found = _find(value, path)
+        if found is None:
+            yield _mistake(path, "is missing", f"give a {kind.__name__}")
+        elif not isinstance(found, kind):
+            yield _mistake(path, "is of the wrong kind", f"give a {kind.__name__}")
+    ports = _find(value, "portRange")
+    if isinstance(ports, list) and not _is_port_range(ports):
+        yield _mistake("portRange", "is no range", "give the first and the last port")
+    bounds = _find(value, "bounds")
+    numbers = [f"bounds.{name}" for name in bounds] if isinstance(bounds, dict) else []
+    for path in (*_NUMBERS, *numbers):
+        found = _find(value, path)
+        if found is not None and not isinstance(found, int | float):
+            yield _mistake(path, "is not a number", "give a number")
+
+
+def _is_port_range(ports: list[t.Any]) -> bool:
+    return len(ports) == 2 and all(isinstance(port, int) for port in ports)
+
+
+def _find(value: t.Any, path: str) -> t.Any:
+    for name in path.split("."):
+        if not isinstance(value, dict):
+            return None
+        value = value.get(name)
+    return value
+
+
+def _mistake(path: str, message: str, remedy: str) -> SettingsError:
+    return SettingsError(message, remedy=remedy, location=f"$.{path}")
 
 
 def _decode(value: JsonObject) -> NodeSettings:
@@ -101,6 +161,7 @@
         store=_decode_store(value["platform"]),
         cloud=cloud.get("address", ""),
         advice=value.get("advice") or "",
+        operators_port=int(value.get("operatorsPort", OPERATORS_PORT)),
         bounds=_decode_bounds(value.get("bounds") or {}),
     )
 
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -132,6 +132,7 @@
                 "zone": "here",
                 "ip": ip,
                 "portRange": [0, 0],
+                "operatorsPort": 0,
                 "bindAddresses": {"front": f"{ip}:0", "readiness": f"{ip}:0"},
                 "platform": {"address": self.store.port.address},
                 "cloud": {"address": self.cloud.port.address},
