Answer at once when the store takes nothing; doubt a holder sooner

Candidates logged a line each 0.1 s during an outage. Change: while commits fail, a new hand-in is refused at once with when to come back (nothing of it was kept, so it never runs); a request gets its final answer within 1.6 s; each request gets one try; a holder stops ordering and lets others take over once a commit is tried for 0.6 s; a refusal after an uncertain try stays uncertain.

--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -98,6 +98,12 @@
             return False
         return time.monotonic() - self.trying_since_s > SLOW_COMMIT_S
 
+    def trouble_s(self) -> float:
+        """Return for how long the present commit has been tried."""
+        if self.trying_since_s is None:
+            return 0.0
+        return time.monotonic() - self.trying_since_s
+
     async def flushed(self) -> None:
         """Return once all that is marked now is durable.
 
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -41,6 +41,9 @@
     """How long the parties rely on each other.
 
     :param trust_s: a holder relies on a confirmed commit for this long.
+    :param doubt_s: a holder whose commit is tried for longer stops ordering, and
+        tells its followers that they may take over: twice what a commit takes
+        while the store is 60 times slower.
     :param silence_s: a follower takes over when the commits stood still for
         longer, on its own clock; above ``trust_s``, so that the old holder has
         stopped by then.
@@ -48,16 +51,19 @@
     :param beat_lost_s: without a beat for longer, the store is asked.
     :param renew_s: a holder commits at least this often.
     :param stagger_s: candidates spread over this time, so that one write wins.
+    :param retry_s: after a failed take-over from a doubtful holder.
     :param feed_wait_s: one call of the feed waits this long for a change.
     """
 
     trust_s: float = 1.3
+    doubt_s: float = 0.6
     silence_s: float = 1.5
     beat_s: float = 0.25
     beat_lost_s: float = 0.7
     renew_s: float = 0.4
     stagger_s: float = 0.12
     feed_wait_s: float = 10.0
+    retry_s: float = 0.2
 
 
 @attrs.frozen
@@ -113,6 +119,7 @@
         self.members = Members(store, part, daemon_id, peers, self.hear)
         self._random = random.Random(incarnation)
         self._owner_version = ABSENT
+        self._told: tuple[Suspicion, Owner | None] = (Suspicion.NONE, None)
         self._changed = asyncio.Event()
         self._known = asyncio.Event()
         self.owner: Owner | None = None
@@ -217,11 +224,16 @@
             taken = await self._take(suspicion)
             if taken is not None:
                 await self._hold(taken)
+            elif self.owner is not None and suspicion is Suspicion.DOUBTFUL:
+                # Most likely the store is down for all of us.
+                await asyncio.sleep(self.times.retry_s)
 
     async def _observe(self) -> Suspicion:
         """Return once the holder may be replaced, or when it has changed."""
         suspicion = await self._suspect()
-        if suspicion is not Suspicion.NONE:
+        known = (suspicion, self.owner)
+        if suspicion is not Suspicion.NONE and known != self._told:
+            self._told = known
             log.info(
                 "holder-suspected",
                 extra={
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -1,6 +1,7 @@
 """Brings a caller's request to the holder, or leaves it in the store."""
 
 import asyncio
+import enum
 import time
 import typing as t
 
@@ -28,6 +29,20 @@
 log = logbook.Logger("streamthread.forwarding")
 
 
+LEAST_HOP_S = 0.1
+"""Every request gets one try, also when its caller will wait no longer."""
+
+COME_BACK_S = 1.0
+
+
+class Kept(enum.Enum):
+    """Whether a change is in the inbox."""
+
+    YES = "yes"
+    NO = "no"
+    UNKNOWN = "unknown"
+
+
 @attrs.frozen
 class ForwardSettings:
     """How a caller's request is brought to the holder.
@@ -35,11 +50,14 @@
     :param hop_s: one try at the holder takes at most this.
     :param inbox_after_s: a change that no holder took for longer goes into the
         inbox, from which the next holder takes it.
+    :param give_up_s: after so long the caller gets its final answer; it may ask
+        again, at any daemon.
     :param retry_s: pause between tries.
     """
 
-    hop_s: float = 1.2
-    inbox_after_s: float = 0.7
+    hop_s: float = 1.0
+    inbox_after_s: float = 0.4
+    give_up_s: float = 1.6
     retry_s: float = 0.06
 
 
@@ -65,44 +83,60 @@
     async def ask(self, request: pb.CallRequest, until_s: float) -> pb.CallReply:
         """Return the holder's answer, or UNCERTAIN when none came in time.
 
-        :param until_s: on the monotonic clock.
+        :param until_s: on the monotonic clock: when the caller stops waiting.
         """
-        inbox_at_s = time.monotonic() + self._settings.inbox_after_s
+        began_at_s = time.monotonic()
+        until_s = min(until_s, began_at_s + self._settings.give_up_s)
+        inbox_at_s = began_at_s + self._settings.inbox_after_s
         changes = request.kind in (pb.SUBMIT, pb.CANCEL)
         uncertain = False
-        while (now_s := time.monotonic()) < until_s:
+        while True:
+            now_s = time.monotonic()
+            left_s = max(until_s - now_s, LEAST_HOP_S)
+            reply = await self._ask_holder(request, left_s)
+            if reply.outcome == pb.UNCERTAIN:
+                uncertain = True
+            elif reply.outcome == pb.REFUSED and uncertain:
+                # An earlier try may have been accepted: it is not surely refused.
+                pass
+            elif reply.outcome != pb.NOT_HOLDER:
+                return reply
+            now_s = time.monotonic()
             if changes and now_s >= inbox_at_s and self._no_holder_here():
-                if await self._leave_in_inbox(request):
+                kept = await self._leave_in_inbox(request)
+                if kept is Kept.YES:
                     return pb.CallReply(outcome=pb.OK, state="pending")
+                if kept is Kept.NO and not uncertain:
+                    return _refused("neither a holder nor the store answers")
                 uncertain = True
-            try:
-                reply = await self._ask_once(request, until_s - now_s)
-            except (PeerUnavailableError, NotHolderError) as error:
-                uncertain = True
-                log.info(
-                    "holder-unanswered",
-                    extra={
-                        "job": request.job_id,
-                        "error": str(error),
-                        "cause": repr(error.__cause__),
-                    },
-                )
-            else:
-                if reply.outcome == pb.UNCERTAIN:
-                    uncertain = True
-                elif reply.outcome != pb.NOT_HOLDER:
-                    return reply
+            if time.monotonic() >= until_s:
+                break
             await asyncio.sleep(self._settings.retry_s)
         if uncertain or not changes:
             return pb.CallReply(outcome=pb.UNCERTAIN, reason="no holder answered")
-        return pb.CallReply(
-            outcome=pb.REFUSED, reason="no holder is known", retry_after_s=1.0
-        )
+        return _refused("no holder is known")
 
     def _no_holder_here(self) -> bool:
         holder = self._holder()
         return holder is None or not holder.active
 
+    async def _ask_holder(self, request: pb.CallRequest, left_s: float) -> pb.CallReply:
+        """Ask the holder once; UNCERTAIN when it may have carried it out."""
+        try:
+            return await self._ask_once(request, left_s)
+        except (PeerUnavailableError, NotHolderError) as error:
+            log.info(
+                "holder-unanswered",
+                extra={
+                    "job": request.job_id,
+                    "error": str(error),
+                    "cause": repr(error.__cause__),
+                },
+            )
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return pb.CallReply(outcome=pb.NOT_HOLDER)
+            return pb.CallReply(outcome=pb.UNCERTAIN)
+
     async def _ask_once(self, request: pb.CallRequest, left_s: float) -> pb.CallReply:
         timeout_s = min(left_s, self._settings.hop_s)
         holder = self._holder()
@@ -119,8 +153,8 @@
             return pb.CallReply(outcome=pb.NOT_HOLDER)
         return await self._peers.call(owner.address, request, timeout_s)
 
-    async def _leave_in_inbox(self, request: pb.CallRequest) -> bool:
-        """Keep a change in the store; return whether it is surely kept."""
+    async def _leave_in_inbox(self, request: pb.CallRequest) -> "Kept":
+        """Keep a change in the store, for the next holder."""
         entry = InboxEntry(request.job_id, request.route, request.job.decode())
         key = inbox_key(entry)
         condition = Condition(TABLE_INBOX, self._part, key, ABSENT)
@@ -131,9 +165,14 @@
             log.warning(
                 "inbox-failed", extra={"job": request.job_id, "error": str(error)}
             )
-            return False
+            sure = isinstance(error, StoreUnavailableError)
+            return Kept.NO if sure else Kept.UNKNOWN
         log.info(
             "left-in-inbox",
             extra={"job": request.job_id, "cancel": entry.is_cancel},
         )
-        return result.committed
+        return Kept.YES if result.committed else Kept.UNKNOWN
+
+
+def _refused(reason: str) -> pb.CallReply:
+    return pb.CallReply(outcome=pb.REFUSED, reason=reason, retry_after_s=COME_BACK_S)
--- /dev/null
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -0,0 +1,102 @@
+"""What a caller is told when holders come and go."""
+
+import time
+import typing as t
+
+from streamthread.cell import cell_pb2 as pb
+from streamthread.errors import OutcomeUnknownError
+from streamthread.errors import PeerUnavailableError
+from streamthread.errors import StoreUnavailableError
+from streamthread.gateway.forwarding import Forwarder
+from streamthread.gateway.forwarding import ForwardSettings
+
+SETTINGS = ForwardSettings(hop_s=0.05, inbox_after_s=0.0, give_up_s=0.15, retry_s=0.01)
+SUBMIT = pb.CallRequest(kind=pb.SUBMIT, route="r", job_id="1" * 16, job=b"{}")
+
+
+class _Owner:
+    address = "peer:1"
+    released = False
+
+
+class _Lease:
+    owner = _Owner()
+    holding = False
+    address = "me:1"
+
+
+class _Peers:
+    """Answers with what a test lists, the last one for ever."""
+
+    def __init__(self, *replies: t.Any) -> None:
+        self._replies = list(replies)
+
+    async def call(self, address: str, request: t.Any, timeout_s: float) -> t.Any:
+        reply = self._replies[0]
+        if len(self._replies) > 1:
+            self._replies.pop(0)
+        if isinstance(reply, Exception):
+            raise reply
+        return reply
+
+
+class _Store:
+    def __init__(self, error: Exception | None = None) -> None:
+        self._error = error
+        self.kept: list[t.Any] = []
+
+    async def transact(self, conditions: t.Any, rows: t.Any) -> t.Any:
+        if self._error is not None:
+            raise self._error
+        self.kept.extend(rows)
+        return type("Result", (), {"committed": True})()
+
+
+def _lost() -> PeerUnavailableError:
+    return PeerUnavailableError("no answer", remedy="-")
+
+
+def _down() -> StoreUnavailableError:
+    return StoreUnavailableError("refused", remedy="-")
+
+
+def _forwarder(peers: _Peers, store: _Store) -> Forwarder:
+    args: t.Any = (_Lease(), peers, store, "main", lambda: None, SETTINGS)
+    return Forwarder(*args)
+
+
+async def _ask(peers: _Peers, store: _Store) -> pb.CallReply:
+    return await _forwarder(peers, store).ask(SUBMIT, time.monotonic() + 3)
+
+
+class TestSubmit:
+    async def test_that_may_have_been_accepted_is_never_called_refused(self) -> None:
+        refused = pb.CallReply(outcome=pb.REFUSED)
+        reply = await _ask(_Peers(_lost(), refused), _Store(_down()))
+        assert reply.outcome == pb.UNCERTAIN
+
+    async def test_that_nobody_can_have_taken_is_refused_at_once(self) -> None:
+        began_at_s = time.monotonic()
+        nobody = pb.CallReply(outcome=pb.NOT_HOLDER)
+        reply = await _ask(_Peers(nobody), _Store(_down()))
+        assert reply.outcome == pb.REFUSED
+        assert reply.retry_after_s > 0
+        assert time.monotonic() - began_at_s < SETTINGS.give_up_s
+
+    async def test_is_left_in_the_inbox_when_no_holder_answers(self) -> None:
+        store = _Store()
+        reply = await _ask(_Peers(_lost()), store)
+        assert reply.outcome == pb.OK
+        assert len(store.kept) == 1
+
+    async def test_whose_inbox_row_may_be_kept_is_uncertain(self) -> None:
+        nobody = pb.CallReply(outcome=pb.NOT_HOLDER)
+        unknown = OutcomeUnknownError("no answer", remedy="-")
+        reply = await _ask(_Peers(nobody), _Store(unknown))
+        assert reply.outcome == pb.UNCERTAIN
+
+    async def test_gets_its_final_answer_long_before_the_caller_gives_up(self) -> None:
+        began_at_s = time.monotonic()
+        reply = await _ask(_Peers(_lost()), _Store(_down()))
+        assert reply.outcome == pb.UNCERTAIN
+        assert time.monotonic() - began_at_s < 1.0
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -57,6 +57,8 @@
 """The queue is looked at this often even when nothing is heard."""
 
 FEED_WAIT_S = 2.0
+STORE_COME_BACK_S = 1.0
+"""When to come back while the store is down: outages last some seconds."""
 
 
 class Holder(LinkOwner, SenderOwner):
@@ -168,8 +170,10 @@
     @property
     def trusted(self) -> bool:
         """Whether a commit was confirmed so lately that nobody took over."""
+        times = self.settings.times
         age_s = time.monotonic() - self.log.confirmed_at_s
-        return age_s < self.settings.times.trust_s and not self.log.lost
+        doubtful = self.log.trouble_s() > times.doubt_s
+        return age_s < times.trust_s and not doubtful and not self.log.lost
 
     async def until_trusted(self) -> None:
         """Return once this daemon may rely on holding the cell."""
@@ -232,6 +236,12 @@
     async def _submit(self, request: pb.CallRequest) -> pb.CallReply:
         job = self.engine.jobs.get(request.job_id)
         if job is None:
+            if not self.trusted or self.log.in_trouble():
+                return pb.CallReply(
+                    outcome=pb.REFUSED,
+                    reason="the store does not take commits",
+                    retry_after_s=STORE_COME_BACK_S,
+                )
             route = self._route(request.route)
             if route is None:
                 return pb.CallReply(outcome=pb.UNKNOWN_JOB, reason="no such queue")
