--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -76,6 +76,11 @@
     taken_at_s: float
 
 
+USUAL_CORES = 1.0
+MOST_HESITATION = 4.0
+"""The smallest machines seen have half a core, the largest twice one."""
+
+
 class Suspicion(enum.Enum):
     """Why the present holder may be replaced."""
 
@@ -91,6 +96,7 @@
 class CellLease(Service):
     """Follows the cell's holder, and takes over when it is gone.
 
+    :param cores: how much processor this daemon has; the holder uses most of all.
     :param on_taken: called with what was taken; returns when the cell is lost.
     :param on_replaced: called while holding, when another holder is known.
     """
@@ -104,6 +110,7 @@
         address: str,
         peers: PeerLinks,
         times: LeaseTimes,
+        cores: float,
         on_taken: t.Callable[[TakenCell], t.Awaitable[None]],
         on_replaced: t.Callable[[], None],
     ) -> None:
@@ -114,6 +121,7 @@
         self.address = address
         self._peers = peers
         self.times = times
+        self._hesitation = min(MOST_HESITATION, USUAL_CORES / cores)
         self._on_taken = on_taken
         self._on_replaced = on_replaced
         self.members = Members(store, part, daemon_id, peers, self.hear)
@@ -344,8 +352,13 @@
             assert self.owner is not None
             if self.owner.successor == self._me[0]:
                 return 0.0
-            return self.times.stagger_s * (2 + self._random.random())
-        return self.times.stagger_s * self._random.random()
+            return self._stagger_s() + 2 * self.times.stagger_s
+        return self._stagger_s()
+
+    def _stagger_s(self) -> float:
+        """Return a random time, longer on small machines: large ones go first."""
+        hesitation = self._hesitation * (1 + self._random.random()) / 2
+        return self.times.stagger_s * hesitation
 
     async def _write_owner(self, owner: Owner, head: Head) -> int | None:
         """Return the rows' version, or None where another daemon has it."""
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -74,6 +74,7 @@
             address,
             self.peers,
             self.settings.times,
+            node.cores,
             self._hold,
             self._on_replaced,
         )
--- a/src/streamthread/platform/node.py
+++ b/src/streamthread/platform/node.py
@@ -60,6 +60,7 @@
 
     :param callers: ``host:port`` at which callers are served.
     :param readiness: ``host:port`` at which the platform asks for readiness.
+    :param cores: how much processor this daemon has.
     :param operators_port: for metrics and questions; 0 lets the system choose.
     :param peer_ports: the first and the last port for what daemons say to each
         other.
@@ -74,6 +75,7 @@
     store: StoreLimits
     cloud: str = ""
     advice: str = ""
+    cores: float = 1.0
     operators_port: int = OPERATORS_PORT
     bounds: Bounds = attrs.field(factory=Bounds)
 
@@ -161,11 +163,18 @@
         store=_decode_store(value["platform"]),
         cloud=cloud.get("address", ""),
         advice=value.get("advice") or "",
+        cores=_cores(value.get("limits") or {}),
         operators_port=int(value.get("operatorsPort", OPERATORS_PORT)),
         bounds=_decode_bounds(value.get("bounds") or {}),
     )
 
 
+def _cores(limits: JsonObject) -> float:
+    """Return how much processor a daemon has: a share of faster cores."""
+    share = float(limits.get("cpuShare", 1.0))
+    return share * float(limits.get("cores", 1)) or 1.0
+
+
 def _decode_store(value: JsonObject) -> StoreLimits:
     return StoreLimits(
         address=value["address"],
