--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -294,15 +294,18 @@
         if ended.checkpoint:
             task.checkpoint = ended.checkpoint
         self._count(f"ended-{ended.kind.value}")
-        log.debug(
-            "run-ended",
-            extra={
-                "task": ended.task,
-                "run": ended.run,
-                "runner": runner.runner_id,
-                "how": ended.kind.value,
-            },
-        )
+        if ended.kind is not EndKind.DONE:
+            log.info(
+                "run-ended",
+                extra={
+                    "task": ended.task,
+                    "run": ended.run,
+                    "runner": runner.runner_id,
+                    "how": ended.kind.value,
+                    "failures": task.failures,
+                    "stop_reason": attempt.stop_reason,
+                },
+            )
         if ended.kind is EndKind.DONE:
             self._on_done(attempt)
         elif ended.kind is EndKind.FAILED:
@@ -376,7 +379,15 @@
                 job.failed = True
                 job.ended_at_s = time.time()
                 self._stop_all(job, "job-failed")
-                log.info("job-failed", extra={"job": job.job_id, "task": task.name})
+                log.info(
+                    "job-failed",
+                    extra={
+                        "job": job.job_id,
+                        "task": task.name,
+                        "failures": task.failures,
+                        "max_attempts": job.max_attempts,
+                    },
+                )
             return
         self._wait_again(task)
 
@@ -419,10 +430,24 @@
             if job.over and job.ended_at_s is None:
                 job.ended_at_s = time.time()
                 self._changed(job)
+                self._tell_ended(job)
         if job.over and not self._has_attempts(job):
             job.occurrences.clear()
             self._open.pop(job.job_id, None)
 
+    @staticmethod
+    def _tell_ended(job: Job) -> None:
+        log.info(
+            "job-ended",
+            extra={
+                "job": job.job_id,
+                "state": job.state.value,
+                "took_s": round(time.time() - job.accepted_at_s, 3),
+                "stretch": job.stretch,
+                "target_s": job.target_s,
+            },
+        )
+
     def _drop_occurrence(self, job: Job, occurrence: Occurrence) -> None:
         held = any(task.attempts for step in occurrence.steps for task in step.tasks)
         if not held:
@@ -496,8 +521,31 @@
                 run = _next_run(placement.task)
                 planned.append((placement, run))
             placed.extend(self._plan(p.task, p.runner, run) for p, run in planned)
+            self._tell_placed(step, planned, len(usable))
         return placed
 
+    @staticmethod
+    def _tell_placed(
+        step: StepRun, planned: list[tuple[Placement, int]], usable: int
+    ) -> None:
+        """Say where tasks go; that a step waits is said once."""
+        left = len(step.waiting())
+        if not planned and (step.told_waiting or not left):
+            return
+        step.told_waiting = left > 0
+        occurrence = step.occurrence
+        log.info(
+            "tasks-placed" if planned else "tasks-wait",
+            extra={
+                "job": occurrence.job.job_id,
+                "step": f"{occurrence.number}.{step.number}",
+                "runs": [[p.task.index, run, p.runner.runner_id] for p, run in planned],
+                "left": left,
+                "usable_runners": usable,
+                "age_s": round(time.time() - occurrence.due_at_s, 3),
+            },
+        )
+
     def _in_need(self, step: StepRun) -> bool:
         """Whether lasting tasks have waited for so long that any runner will do."""
         if not step.request.lasting:
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -120,6 +120,7 @@
     request: StepRequest
     tasks: list[Task] = attrs.field(factory=list)
     done_count: int = 0
+    told_waiting: bool = False
 
     @property
     def done(self) -> bool:
