--- /dev/null
+++ b/src/streamthread/capacity/tests/test_plan.py
@@ -0,0 +1,96 @@
+"""Moves between pools, under any view."""
+
+import collections
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from streamthread.capacity import CapacitySettings
+from streamthread.capacity import MachineView
+from streamthread.capacity import plan_moves
+from streamthread.capacity import PoolView
+from streamthread.capacity import target_size
+from streamthread.capacity.demand import Demand
+
+SETTINGS = CapacitySettings()
+POOLS = ("one", "two", "spare")
+
+machine_lists = st.lists(
+    st.builds(
+        MachineView,
+        machine_id=st.uuids().map(str),
+        pool=st.sampled_from(POOLS),
+        rack=st.just("r"),
+        cpu=st.just(16000),
+        memory_mb=st.just(1000),
+        free_to_move=st.booleans(),
+        usable=st.booleans(),
+        arriving=st.booleans(),
+        idle_for_s=st.floats(0, 10),
+        due=st.booleans(),
+    ),
+    max_size=20,
+    unique_by=lambda machine: machine.machine_id,
+)
+
+
+def _pools(one: int, two: int) -> list[PoolView]:
+    return [
+        PoolView("one", False, one),
+        PoolView("two", False, two),
+        PoolView("spare", True),
+    ]
+
+
+class TestMoves:
+    @given(machine_lists, st.integers(0, 8), st.integers(0, 8))
+    def test_take_only_free_machines_and_each_once(
+        self, machines: list[MachineView], one: int, two: int
+    ) -> None:
+        moves = plan_moves(_pools(one, two), machines, SETTINGS)
+        by_id = {machine.machine_id: machine for machine in machines}
+        assert len({move.machine_id for move in moves}) == len(moves)
+        for move in moves:
+            assert by_id[move.machine_id].free_to_move
+            assert by_id[move.machine_id].pool == move.source != move.target
+
+    @given(machine_lists, st.integers(0, 8), st.integers(0, 8))
+    def test_never_take_a_pool_below_its_size(
+        self, machines: list[MachineView], one: int, two: int
+    ) -> None:
+        moves = plan_moves(_pools(one, two), machines, SETTINGS)
+        leaving = collections.Counter(move.source for move in moves)
+        for pool, target in (("one", one), ("two", two)):
+            present = sum(m.pool == pool and (m.usable or m.arriving) for m in machines)
+            if leaving[pool]:
+                assert present - leaving[pool] >= target
+
+    def test_fill_a_lacking_pool_from_the_spare_one_first(self) -> None:
+        machines = [
+            MachineView("m1", "two", "r", 1, 1, free_to_move=True, idle_for_s=9),
+            MachineView("m2", "spare", "r", 1, 1, free_to_move=True, usable=False),
+        ]
+        (move,) = plan_moves(_pools(1, 1), machines, SETTINGS)
+        assert (move.machine_id, move.target) == ("m2", "one")
+
+    def test_spare_what_is_idle_for_a_while_only(self) -> None:
+        def view(idle_for_s: float) -> MachineView:
+            return MachineView(
+                "m1", "one", "r", 1, 1, free_to_move=True, idle_for_s=idle_for_s
+            )
+
+        assert plan_moves(_pools(0, 0), [view(0.1)], SETTINGS) == []
+        (move,) = plan_moves(_pools(0, 0), [view(5.0)], SETTINGS)
+        assert move.target == "spare"
+
+
+class TestSize:
+    @given(st.floats(0, 1e6), st.floats(0, 1e6))
+    def test_holds_the_demand(self, cpu: float, memory_mb: float) -> None:
+        size = target_size(Demand(cpu, memory_mb), 16000, 32768, SETTINGS)
+        assert size * 16000 >= cpu
+        assert size * 32768 >= memory_mb
+        assert size >= SETTINGS.least_machines
+
+    def test_allows_the_spread_of_lasting_tasks(self) -> None:
+        assert target_size(Demand(0, 0, 7), 16000, 32768, SETTINGS) == 7
--- /dev/null
+++ b/src/streamthread/scheduler/tests/test_engine.py
@@ -0,0 +1,151 @@
+"""The engine under any order of starts, ends, refusals and lost runners."""
+
+import time
+import typing as t
+
+import hypothesis
+from hypothesis import strategies as st
+from hypothesis.stateful import initialize
+from hypothesis.stateful import invariant
+from hypothesis.stateful import rule
+from hypothesis.stateful import RuleBasedStateMachine
+
+from streamthread.platform.callers import JobRequest
+from streamthread.platform.callers import StepRequest
+from streamthread.platform.runners import EndedRun
+from streamthread.platform.runners import EndKind
+from streamthread.platform.runners import HoldReply
+from streamthread.scheduler import Attempt
+from streamthread.scheduler import decode_row
+from streamthread.scheduler import encode_definition
+from streamthread.scheduler import encode_progress
+from streamthread.scheduler import Engine
+from streamthread.scheduler import Job
+from streamthread.scheduler import JobState
+from streamthread.scheduler import restore_progress
+from streamthread.scheduler import RunnerState
+from streamthread.scheduler import TaskState
+
+BODY = (
+    b'{"spec":"x","steps":[{"count":3,"cpu":1000,"memMb":1},'
+    b'{"count":2,"cpu":1000,"memMb":1,"after":[0],"gang":true}]}'
+)
+STEPS = (
+    StepRequest(count=3, cpu=1000, memory_mb=1),
+    StepRequest(count=2, cpu=1000, memory_mb=1, after=(0,), gang=True),
+)
+
+
+class EngineMachine(RuleBasedStateMachine):
+    """Runs one job of two steps through whatever may happen to it."""
+
+    @initialize()
+    def begin(self) -> None:
+        self.engine = Engine(lambda job: None)
+        self.job = Job("a" * 16, "r", "desk", JobRequest("x", STEPS), BODY, time.time())
+        self.job.max_attempts = 3
+        self.engine.add(self.job)
+        self.engine.begin_due(time.time())
+        self.seen: set[tuple[str, int]] = set()
+        self.ended = 0
+        self.lives = 0
+        for _ in range(2):
+            self.new_runner()
+
+    def new_runner(self) -> None:
+        self.lives += 1
+        runner = RunnerState(
+            f"i-{self.lives}", "desk", "x:1", "z", ("a", "r"), 4000, 100, 0
+        )
+        runner.ready = True
+        self.engine.add_runner(runner)
+
+    def attempts(self) -> list[Attempt]:
+        return [
+            attempt
+            for runner in self.engine.runners.values()
+            for attempt in runner.attempts.values()
+        ]
+
+    @rule()
+    def place(self) -> None:
+        for attempt in self.engine.place("desk", time.time(), lambda step: None):
+            key = (attempt.task.name, attempt.run)
+            assert key not in self.seen, "a run number is used once"
+            self.seen.add(key)
+
+    @rule(data=st.data(), kind=st.sampled_from(list(EndKind)))
+    def end(self, data: t.Any, kind: EndKind) -> None:
+        attempts = self.attempts()
+        if not attempts:
+            return
+        attempt = data.draw(st.sampled_from(attempts))
+        self.ended += 1
+        ended = EndedRun(self.ended, attempt.task.name, attempt.run, kind, "")
+        runner = self.engine.runners[attempt.runner_id]
+        self.engine.on_hold(runner, HoldReply(0, (), (ended,)))
+
+    @rule(data=st.data())
+    def refuse(self, data: t.Any) -> None:
+        attempts = self.attempts()
+        if attempts:
+            self.engine.refuse(data.draw(st.sampled_from(attempts)), "room")
+
+    @rule(data=st.data())
+    def lose_runner(self, data: t.Any) -> None:
+        lost = data.draw(st.sampled_from(sorted(self.engine.runners)))
+        self.engine.runner_over(lost, "test")
+        self.new_runner()
+
+    @rule()
+    def cancel(self) -> None:
+        if self.ended > 6:
+            self.engine.cancel(self.job)
+
+    @rule()
+    def take_over(self) -> None:
+        """A new holder reads back what the rows say."""
+        job = decode_row(self.job.job_id, encode_definition(self.job))
+        restore_progress(job, encode_progress(self.job))
+        assert job.state is self.job.state
+        runners = list(self.engine.runners)
+        engine = Engine(lambda job: None)
+        engine.add(job)
+        for runner_id in runners:
+            runner = RunnerState(
+                runner_id, "desk", "x:1", "z", ("a", "r"), 4000, 100, 0
+            )
+            runner.ready = True
+            engine.add_runner(runner)
+        engine.begin_due(time.time())
+        self.engine, self.job = engine, job
+
+    @invariant()
+    def one_run_a_task(self) -> None:
+        for attempt in self.attempts():
+            assert attempt.task.attempts == [attempt]
+            assert attempt.task.state is not TaskState.WAITING
+
+    @invariant()
+    def room_adds_up(self) -> None:
+        for runner in self.engine.runners.values():
+            assert runner.used_cpu == 1000 * len(runner.attempts) <= 4000
+
+    @invariant()
+    def later_steps_wait(self) -> None:
+        for occurrence in self.job.occurrences.values():
+            first, second = occurrence.steps
+            if not first.done:
+                assert not any(task.attempts for task in second.tasks)
+
+    @invariant()
+    def completed_only_when_all_is_done(self) -> None:
+        if self.job.state is JobState.COMPLETED:
+            for occurrence in self.job.occurrences.values():
+                assert occurrence.done
+
+
+TestEngine = EngineMachine.TestCase
+TestEngine.settings = hypothesis.settings(
+    max_examples=60, stateful_step_count=30, deadline=None
+)
--- /dev/null
+++ b/src/streamthread/scheduler/tests/test_placement.py
@@ -0,0 +1,84 @@
+"""Placement under any mix of runners and tasks."""
+
+import collections
+import time
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from streamthread.platform.callers import JobRequest
+from streamthread.platform.callers import StepRequest
+from streamthread.scheduler import Job
+from streamthread.scheduler import RunnerState
+from streamthread.scheduler.placement import place_step
+
+
+def _job(step: StepRequest) -> Job:
+    job = Job("a" * 16, "r", "desk", JobRequest("", (step,)), b"{}", time.time())
+    job.begin(0)
+    return job
+
+
+def _runner(number: int, cpu: int, memory_mb: int, labels: tuple[str, ...]):  # type: ignore[no-untyped-def]
+    runner = RunnerState(
+        f"i-{number}", "desk", "x:1", "z", labels, cpu, memory_mb, gpu=0
+    )
+    runner.ready = True
+    return runner
+
+
+steps = st.builds(
+    StepRequest,
+    count=st.integers(1, 12),
+    cpu=st.integers(0, 4000),
+    memory_mb=st.integers(0, 4000),
+    gang=st.booleans(),
+    requires=st.sampled_from(["", "a", "b"]),
+    most_per_runner=st.integers(0, 3),
+    fills=st.booleans(),
+)
+runner_lists = st.lists(
+    st.tuples(
+        st.integers(0, 8000),
+        st.integers(0, 8000),
+        st.sampled_from([("a", "r1"), ("b", "r2")]),
+    ),
+    max_size=6,
+)
+
+
+class TestPlacement:
+    @given(steps, runner_lists)
+    def test_keeps_room_labels_spread_and_gangs(
+        self, step: StepRequest, shapes: list[tuple[int, int, tuple[str, ...]]]
+    ) -> None:
+        runners = [_runner(n, *shape) for n, shape in enumerate(shapes)]
+        run = _job(step).occurrences[0].steps[0]
+        placed = place_step(run, runners, time.time())
+        counts = collections.Counter(p.runner.runner_id for p in placed)
+        for runner in runners:
+            count = counts[runner.runner_id]
+            cpu = 0 if step.fills else step.cpu
+            assert count * cpu <= runner.cpu or not count
+            assert count * step.memory_mb <= runner.memory_mb or not count
+            if step.most_per_runner:
+                assert count <= step.most_per_runner
+            if count and step.requires:
+                assert step.requires in runner.labels
+        assert len({id(p.task) for p in placed}) == len(placed)
+        if step.gang:
+            assert len(placed) in (0, step.count)
+
+    @given(st.integers(1, 10), st.integers(1, 10))
+    def test_leaves_no_task_waiting_that_fits(self, count: int, room: int) -> None:
+        step = StepRequest(count=count, cpu=1000)
+        run = _job(step).occurrences[0].steps[0]
+        placed = place_step(run, [_runner(1, room * 1000, 10, ("a",))], time.time())
+        assert len(placed) == min(count, room)
+
+    def test_prefers_the_rack_of_the_data(self) -> None:
+        step = StepRequest(count=1, cpu=1, near_rack="r2")
+        run = _job(step).occurrences[0].steps[0]
+        runners = [_runner(1, 10, 10, ("a", "r1")), _runner(2, 99, 10, ("a", "r2"))]
+        (placement,) = place_step(run, runners, time.time())
+        assert placement.runner.rack == "r2"
