--- a/src/streamthread/standins/cell/cloud.py
+++ b/src/streamthread/standins/cell/cloud.py
@@ -122,6 +122,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def restart(self, machine: MachineStandin, for_s: float) -> None:
+        """Let a machine's runner crash; a new life comes later."""
+        self._go(machine, "down", for_s)
+
     async def _come_back(self, machine: MachineStandin, for_s: float) -> None:
         if machine.runner is not None:
             machine.runner.kill()
--- /dev/null
+++ b/tools/soak.py
@@ -0,0 +1,493 @@
+"""A randomized soak: real daemons, faults from outside, promises checked.
+
+The daemons run as processes of their own; the platform is the stand-in, in this
+process; each daemon reaches the store through a proxy of its own. A seed fixes
+which faults come when; what the scheduler of this machine makes of it does not
+repeat. ``python -m tools.soak --seeds 50`` or ``--seed 7 --keep-logs DIR``.
+"""
+
+import argparse
+import asyncio
+import contextlib
+import itertools
+import json
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import time
+import typing as t
+
+import aiohttp
+import attrs
+
+from streamthread.standins.cell import CellWorld
+from streamthread.standins.proxy import Link
+from streamthread.standins.proxy import LinkFaults
+
+__all__ = ["SoakPlan", "run_soak"]
+
+POOLS = {"desk": 4, "audit": 3, "spare": 2}
+SETTLE_S = 25.0
+"""After the last fault, all accepted jobs must end within this time."""
+
+CANCEL_S = 3.0
+"""Nothing of a cancelled job starts later than this after its confirmation."""
+
+OVERLAP_S = 0.02
+"""Two clocks of one process are read some milliseconds apart."""
+
+START_S = 20.0
+
+
+@attrs.frozen
+class SoakPlan:
+    """One seeded run."""
+
+    seed: int
+    daemons: int = 4
+    seconds: float = 12.0
+    faults_per_s: float = 0.7
+    jobs_per_s: float = 4.0
+
+
+@attrs.define
+class _Submitted:
+    """What a caller was told of one job."""
+
+    job_id: str
+    pool: str
+    accepted: bool = False
+    uncertain: bool = False
+    cancelled_at_s: float | None = None
+    states: set[str] = attrs.field(factory=set)
+
+
+class _Daemon:
+    """One daemon's process, settings and its way to the store."""
+
+    def __init__(self, name: str, world: CellWorld, folder: pathlib.Path) -> None:
+        self.name = name
+        self.link = Link()
+        self.callers = ""
+        self.paused = False
+        self._world = world
+        self._settings = folder / f"{name}.json"
+        self._log = folder / f"{name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+        self._reader: asyncio.Task[None] | None = None
+
+    async def prepare(self) -> None:
+        """Open the proxy and write the settings."""
+        await self.link.start("127.0.0.1")
+        host, port = self._world.store.port.address.split(":")
+        self.link.set_target(host, int(port))
+        settings = json.loads(self._world.node_settings(self.name))
+        settings["platform"]["address"] = f"127.0.0.1:{self.link.port}"
+        self._settings.write_text(json.dumps(settings))
+
+    async def start(self) -> None:
+        """Start the process and wait until it listens."""
+        self.callers = ""
+        self.paused = False
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "streamthread.gateway",
+            "--settings",
+            str(self._settings),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        self._reader = asyncio.ensure_future(self._read(self._process))
+        give_up_at_s = time.monotonic() + START_S
+        while not self.callers and time.monotonic() < give_up_at_s:
+            await asyncio.sleep(0.02)
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stdout is not None
+        with self._log.open("ab") as log:
+            async for line in process.stdout:
+                log.write(line)
+                if b'"listening"' in line:
+                    self.callers = json.loads(line)["callers"]
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to our own process, if it lives."""
+        if self._process is not None and self._process.returncode is None:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    async def ended(self) -> None:
+        """Wait for the process to end; kill it where it does not."""
+        if self._process is None:
+            return
+        try:
+            async with asyncio.timeout(10):
+                await self._process.wait()
+        except TimeoutError:
+            self.signal(signal.SIGKILL)
+            await self._process.wait()
+        if self._reader is not None:
+            await self._reader
+
+    async def close(self) -> None:
+        """End the process and the proxy."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        await self.ended()
+        await self.link.close()
+
+
+class _Soak:
+    """One run: daemons, callers, faults and the check at the end."""
+
+    def __init__(self, plan: SoakPlan, folder: pathlib.Path) -> None:
+        self.plan = plan
+        self.random = random.Random(plan.seed)
+        self.world = CellWorld(POOLS)
+        self.daemons = [
+            _Daemon(f"daemon-{n}", self.world, folder) for n in range(plan.daemons)
+        ]
+        self.jobs: dict[str, _Submitted] = {}
+        self.broken: list[str] = []
+        self.faults: list[str] = []
+        self._tasks: set[asyncio.Task[t.Any]] = set()
+        self._busy: set[str] = set()
+        self._session: aiohttp.ClientSession | None = None
+
+    async def run(self) -> None:
+        """Play the plan and check the promises."""
+        await self.world.open()
+        timeout = aiohttp.ClientTimeout(total=5)
+        self._session = aiohttp.ClientSession(timeout=timeout)
+        try:
+            for daemon in self.daemons:
+                await daemon.prepare()
+            await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+            await asyncio.sleep(1.0)
+            await asyncio.gather(self._traffic(), self._trouble())
+            await self._finish_faults()
+            await self._settle()
+            self._check()
+        finally:
+            for task in list(self._tasks):
+                task.cancel()
+            await self._session.close()
+            for daemon in self.daemons:
+                await daemon.close()
+            await self.world.close()
+
+    def _spawn(self, call: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
+        task = asyncio.ensure_future(call)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # Callers.
+
+    async def _traffic(self) -> None:
+        until_s = time.monotonic() + self.plan.seconds
+        while time.monotonic() < until_s:
+            self._spawn(self._one_job())
+            gap_s = self.random.expovariate(self.plan.jobs_per_s)
+            await asyncio.sleep(min(gap_s, 1.0))
+
+    async def _one_job(self) -> None:
+        job_id = f"{self.random.getrandbits(64):016x}"
+        pool = self.random.choice(["desk", "audit"])
+        job = _Submitted(job_id, pool)
+        self.jobs[job_id] = job
+        body = self._body()
+        cancel = self.random.random() < 0.1
+        for _ in range(6):
+            status, _ = await self._call(job, "POST", body)
+            if status == 200:
+                job.accepted = True
+                break
+            if status not in (429, 503):
+                job.uncertain = True
+            await asyncio.sleep(0.5)
+        if job.accepted and cancel:
+            await asyncio.sleep(0.3)
+            for _ in range(6):
+                status, _ = await self._call(job, "DELETE")
+                if status in (200, 410):
+                    job.cancelled_at_s = time.monotonic()
+                    break
+
+    def _body(self) -> bytes:
+        run_s = self.random.choice([0.1, 0.4, 1.0])
+        fail = self.random.choice([0, 0, 0, 1])
+        spec = json.dumps({"run_s": run_s, "fail": fail})
+        steps: list[dict[str, t.Any]] = [
+            {"count": self.random.randint(1, 4), "cpu": 1500, "memMb": 100}
+        ]
+        if self.random.random() < 0.4:
+            steps.append({"count": 2, "cpu": 1500, "memMb": 100, "after": [0]})
+        return json.dumps({"spec": spec, "steps": steps}).encode()
+
+    async def _call(
+        self, job: _Submitted, method: str, body: bytes = b""
+    ) -> tuple[int, str]:
+        """Call any daemon; status 0 where no whole answer came."""
+        assert self._session is not None
+        daemon = self.random.choice(self.daemons)
+        if not daemon.callers:
+            return 503, ""
+        headers = {"Host": f"{job.pool}.example", "Streamthread-Deadline-Ms": "3000"}
+        url = f"http://{daemon.callers}/jobs/{job.job_id}"
+        try:
+            async with self._session.request(
+                method, url, data=body, headers=headers
+            ) as response:
+                text = await response.read()
+                value = json.loads(text) if text else {}
+                return response.status, str(value.get("state", ""))
+        except (aiohttp.ClientError, TimeoutError):
+            return 0, ""
+
+    # Faults.
+
+    async def _trouble(self) -> None:
+        until_s = time.monotonic() + self.plan.seconds
+        kinds = [
+            self._kill,
+            self._stop,
+            self._pause,
+            self._cut_store,
+            self._slow_store,
+            self._store_down,
+            self._lose_answers,
+            self._silent_runner,
+            self._late_starts,
+            self._end_runner,
+            self._wave,
+            self._manifest,
+        ]
+        while time.monotonic() < until_s:
+            await asyncio.sleep(self.random.expovariate(self.plan.faults_per_s))
+            kind = self.random.choice(kinds)
+            self._spawn(kind(self.random.uniform(0.5, 4.0)))
+
+    def _note(self, text: str) -> None:
+        self.faults.append(text)
+
+    async def _with_daemon(
+        self, name: str, act: t.Callable[[_Daemon], t.Awaitable[None]]
+    ) -> None:
+        free = [d for d in self.daemons if d.name not in self._busy]
+        if len(free) < 2:
+            return
+        daemon = self.random.choice(free)
+        self._busy.add(daemon.name)
+        self._note(f"{name} {daemon.name}")
+        try:
+            await act(daemon)
+        finally:
+            self._busy.discard(daemon.name)
+
+    async def _kill(self, for_s: float) -> None:
+        async def act(daemon: _Daemon) -> None:
+            daemon.signal(signal.SIGKILL)
+            await daemon.ended()
+            await asyncio.sleep(for_s / 4)
+            await daemon.start()
+
+        await self._with_daemon("kill", act)
+
+    async def _stop(self, for_s: float) -> None:
+        async def act(daemon: _Daemon) -> None:
+            daemon.signal(signal.SIGTERM)
+            await daemon.ended()
+            await daemon.start()
+
+        await self._with_daemon("stop", act)
+
+    async def _pause(self, for_s: float) -> None:
+        async def act(daemon: _Daemon) -> None:
+            daemon.signal(signal.SIGSTOP)
+            await asyncio.sleep(for_s)
+            daemon.signal(signal.SIGCONT)
+
+        await self._with_daemon("pause", act)
+
+    async def _cut_store(self, for_s: float) -> None:
+        async def act(daemon: _Daemon) -> None:
+            faults = self.random.choice(
+                [
+                    LinkFaults(cut=True),
+                    LinkFaults(blackhole=True),
+                    LinkFaults(drop_answers=True),
+                ]
+            )
+            daemon.link.set_faults(faults)
+            await asyncio.sleep(for_s)
+            daemon.link.set_faults(LinkFaults())
+            daemon.link.reset_all()
+
+        await self._with_daemon("cut store", act)
+
+    async def _slow_store(self, for_s: float) -> None:
+        async def act(daemon: _Daemon) -> None:
+            daemon.link.set_faults(LinkFaults(delay_s=0.2))
+            await asyncio.sleep(for_s)
+            daemon.link.set_faults(LinkFaults())
+
+        await self._with_daemon("slow store", act)
+
+    async def _store_down(self, for_s: float) -> None:
+        self._note("store down")
+        self.world.store.faults.refuse = 503
+        await asyncio.sleep(for_s / 2)
+        self.world.store.faults.refuse = 0
+
+    async def _lose_answers(self, for_s: float) -> None:
+        self._note("lose answers")
+        self.world.store.faults.late_s = for_s / 2
+        self.world.store.faults.lose_answers += 2
+
+    def _living(self) -> list[t.Any]:
+        return [runner for runner in self.world.runners if runner.alive]
+
+    async def _silent_runner(self, for_s: float) -> None:
+        runner = self.random.choice(self._living())
+        self._note(f"silent {runner.runner_id}")
+        runner.faults.silent = True
+        await asyncio.sleep(for_s)
+        runner.faults.silent = False
+
+    async def _late_starts(self, for_s: float) -> None:
+        runner = self.random.choice(self._living())
+        self._note(f"late starts {runner.runner_id}")
+        runner.faults.late_s = for_s
+        runner.faults.late_starts += 2
+
+    async def _end_runner(self, for_s: float) -> None:
+        machine = self.random.choice(
+            [m for m in self.world.cloud.machines.values() if m.state == "up"]
+        )
+        self._note(f"end runner of {machine.machine_id}")
+        self.world.cloud.restart(machine, for_s / 2)
+
+    async def _wave(self, for_s: float) -> None:
+        number = 1 + sum(fault.startswith("wave") for fault in self.faults)
+        self._note(f"wave {number}")
+        machine_ids = sorted(self.world.cloud.machines)
+        chosen = self.random.sample(machine_ids, 3)
+        await self.world.write_wave(number, chosen, most_at_once=2)
+
+    async def _manifest(self, for_s: float) -> None:
+        version = 2 + sum(fault == "manifest" for fault in self.faults)
+        self._note("manifest")
+        await self.world.write_manifest(version, targetLatencyMs=600 + version)
+
+    async def _finish_faults(self) -> None:
+        """Let the faults that are under way end by themselves."""
+        for _ in range(200):
+            if not self._busy and not self._tasks:
+                break
+            await asyncio.sleep(0.1)
+        self.world.store.faults.refuse = 0
+        self.world.store.faults.lose_answers = 0
+
+    # Checks.
+
+    async def _settle(self) -> None:
+        give_up_at_s = time.monotonic() + SETTLE_S
+        open_jobs = [job for job in self.jobs.values() if job.accepted]
+        while open_jobs and time.monotonic() < give_up_at_s:
+            for job in list(open_jobs):
+                status, state = await self._call(job, "GET")
+                if status == 410:
+                    self.broken.append(f"LOST {job.job_id} is not known")
+                    open_jobs.remove(job)
+                if state in ("completed", "failed", "cancelled"):
+                    job.states.add(state)
+                    open_jobs.remove(job)
+            await asyncio.sleep(0.1)
+        for job in open_jobs:
+            self.broken.append(f"LOST {job.job_id} has not ended")
+
+    def _check(self) -> None:
+        self._check_runs()
+        self._check_jobs()
+        if self.world.cloud.most_down > 2 * self._waves():
+            self.broken.append(f"LIMIT {self.world.cloud.most_down} in upkeep")
+
+    def _waves(self) -> int:
+        return sum(fault.startswith("wave") for fault in self.faults)
+
+    def _check_runs(self) -> None:
+        ends = {(task, run): (how, at) for task, run, how, at in self.world.ended}
+        spans: dict[str, list[tuple[float, float, str]]] = {}
+        for started in self.world.started:
+            how, end_s = ends.get((started.task, started.run), ("open", 1e18))
+            spans.setdefault(started.task, []).append((started.at_s, end_s, how))
+        for task, runs in spans.items():
+            runs.sort()
+            for before, after in itertools.pairwise(runs):
+                if after[0] < before[1] - OVERLAP_S:
+                    self.broken.append(f"TWICE {task} ran twice at one time")
+                if before[2] == "done":
+                    self.broken.append(f"TWICE {task} started after it was done")
+
+    def _check_jobs(self) -> None:
+        for started in self.world.started:
+            job = self.jobs.get(started.task.split(".")[0])
+            if job is None:
+                self.broken.append(f"UNASKED {started.task}")
+            elif not job.accepted and not job.uncertain:
+                self.broken.append(f"REFUSED {started.task} was refused")
+            elif job.cancelled_at_s and started.at_s > job.cancelled_at_s + CANCEL_S:
+                self.broken.append(f"UNASKED {started.task} was cancelled")
+        for job in self.jobs.values():
+            if "failed" in job.states:
+                self.broken.append(f"LOST {job.job_id} failed though it can be done")
+            if "cancelled" in job.states and job.cancelled_at_s is None:
+                self.broken.append(f"LOST {job.job_id} was cancelled by nobody")
+
+
+async def run_soak(plan: SoakPlan, folder: pathlib.Path) -> tuple[list[str], list[str]]:
+    """Play one seed; return the broken promises and the faults."""
+    soak = _Soak(plan, folder)
+    await soak.run()
+    return soak.broken, soak.faults
+
+
+async def _run_many(seeds: t.Sequence[int], arguments: argparse.Namespace) -> int:
+    limit = asyncio.Semaphore(arguments.jobs)
+    failed: list[int] = []
+
+    async def one(seed: int) -> None:
+        async with limit:
+            with tempfile.TemporaryDirectory() as scratch:
+                folder = pathlib.Path(arguments.keep_logs or scratch) / str(seed)
+                folder.mkdir(parents=True, exist_ok=True)
+                plan = SoakPlan(seed, seconds=arguments.seconds)
+                broken, faults = await run_soak(plan, folder)
+            print(json.dumps({"seed": seed, "broken": broken, "faults": faults}))
+            sys.stdout.flush()
+            if broken:
+                failed.append(seed)
+
+    await asyncio.gather(*(one(seed) for seed in seeds))
+    print(json.dumps({"seeds": len(seeds), "failed": sorted(failed)}))
+    return 1 if failed else 0
+
+
+def main() -> int:
+    """Play seeds and print a line each."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=1, help="how many, from --seed")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=12.0)
+    parser.add_argument("--jobs", type=int, default=2, help="side by side")
+    parser.add_argument("--keep-logs", default="", help="a folder for the logs")
+    arguments = parser.parse_args()
+    seeds = range(arguments.seed, arguments.seed + arguments.seeds)
+    return asyncio.run(_run_many(seeds, arguments))
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
