--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test check prove-guards generate bench-capacity bench-fleet bench-requests docs-check clean
+.PHONY: demo soak test check prove-guards generate bench-capacity bench-fleet bench-requests docs-check clean
 
 $(STAMP): pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -12,6 +12,10 @@
 
 demo: $(STAMP)
 	$(BIN)/python -m tools.demo
+	$(BIN)/python -m tools.cell_demo
+
+soak: $(STAMP)
+	$(BIN)/python -m tools.soak --seeds 50 --seed $(or $(SEED),1)
 
 test: $(STAMP)
 	$(BIN)/python -m pytest
--- /dev/null
+++ b/tools/cell_demo.py
@@ -0,0 +1,137 @@
+"""A cell in real processes against the stand-in platform, with checks.
+
+Three daemons; a job of two steps; the holder is killed while its tasks run; a
+wave of upkeep takes all machines. Exit status 0 only if every check held.
+"""
+
+import asyncio
+import json
+import pathlib
+import signal
+import sys
+import tempfile
+import time
+import typing as t
+
+import aiohttp
+
+from streamthread.standins.cell import CellWorld
+from tools.soak import Daemon
+
+POOLS = {"desk": 3, "spare": 2}
+DAEMONS = 3
+LIMIT_S = 30.0
+JOB_ID = "5c0e7a21d94b36f8"
+
+
+class _Demo:
+    """The steps, in order."""
+
+    def __init__(self, folder: pathlib.Path) -> None:
+        self.world = CellWorld(POOLS)
+        self.daemons = [
+            Daemon(f"daemon-{n}", self.world, folder) for n in range(DAEMONS)
+        ]
+
+    async def run(self) -> None:
+        await self.world.open()
+        try:
+            for daemon in self.daemons:
+                await daemon.prepare()
+            await asyncio.gather(*(daemon.start() for daemon in self.daemons))
+            _say(f"{DAEMONS} daemons listen, {len(self.world.runners)} runners live")
+            async with aiohttp.ClientSession() as session:
+                await self._steps(session)
+        finally:
+            for daemon in self.daemons:
+                await daemon.close()
+            await self.world.close()
+
+    async def _steps(self, session: aiohttp.ClientSession) -> None:
+        await self._until(lambda: self._submit(session), "the job is accepted")
+        await self._until(self._four_run, "its first step runs: 4 tasks")
+        holder = await self._holder(session)
+        holder.signal(signal.SIGKILL)
+        await holder.ended()
+        _say(f"{holder.name}, which held the cell, is killed")
+        await self._until(
+            lambda: self._is_completed(session), "another daemon completes the job"
+        )
+        runs = [started.run for started in self.world.started]
+        assert runs == [1] * 6, f"each of 6 tasks ran once: {runs}"
+        _say("each of its 6 tasks ran once")
+        machine_ids = sorted(self.world.cloud.machines)
+        await self.world.write_wave(1, machine_ids, most_at_once=2)
+        await self._until(self._wave_done, "the wave is completed")
+        most_down = self.world.cloud.most_down
+        assert most_down <= 2, f"{most_down} machines were down at once"
+        _say(f"{len(machine_ids)} machines had their upkeep, at most 2 at once")
+
+    async def _until(
+        self, condition: t.Callable[[], t.Awaitable[bool]], what: str
+    ) -> None:
+        began_at_s = time.monotonic()
+        while not await condition():
+            assert time.monotonic() - began_at_s < LIMIT_S, f"not so: {what}"
+            await asyncio.sleep(0.05)
+        _say(f"{what} ({time.monotonic() - began_at_s:.2f} s)")
+
+    def _url(self) -> str:
+        alive = next(daemon for daemon in self.daemons if daemon.alive)
+        return f"http://{alive.callers}/jobs/{JOB_ID}"
+
+    async def _submit(self, session: aiohttp.ClientSession) -> bool:
+        spec = json.dumps({"run_s": 1.5})
+        steps: list[dict[str, t.Any]] = [
+            {"count": 4, "cpu": 1000, "memMb": 100},
+            {"count": 2, "cpu": 1000, "memMb": 100, "after": [0]},
+        ]
+        body = json.dumps({"spec": spec, "steps": steps})
+        headers = {"Host": "desk.example"}
+        async with session.post(self._url(), data=body, headers=headers) as response:
+            return response.status == 200
+
+    async def _is_completed(self, session: aiohttp.ClientSession) -> bool:
+        headers = {"Host": "desk.example"}
+        async with session.get(self._url(), headers=headers) as response:
+            if response.status != 200:
+                return False
+            return bool((await response.json())["state"] == "completed")
+
+    async def _four_run(self) -> bool:
+        return len(self.world.started) == 4
+
+    async def _wave_done(self) -> bool:
+        return self.world.wave_state(1) == "completed"
+
+    async def _holder(self, session: aiohttp.ClientSession) -> Daemon:
+        for daemon in self.daemons:
+            async with session.get(f"http://{daemon.operators}/status") as response:
+                if (await response.json())["holding"]:
+                    return daemon
+        raise AssertionError("no daemon holds the cell")
+
+
+def _say(text: str) -> None:
+    print(f"- {text}", flush=True)
+
+
+async def _play(folder: pathlib.Path) -> None:
+    # Built within the loop: the stand-ins' servers belong to it.
+    await _Demo(folder).run()
+
+
+def main() -> int:
+    """Run the demo."""
+    with tempfile.TemporaryDirectory() as scratch:
+        try:
+            asyncio.run(_play(pathlib.Path(scratch)))
+        except AssertionError as error:
+            print(f"FAILED: {error}", file=sys.stderr)
+            return 1
+    print("every check held")
+    return 0
+
+
+if __name__ == "__main__":
+    raise SystemExit(main())
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -26,7 +26,7 @@
 from streamthread.standins.proxy import Link
 from streamthread.standins.proxy import LinkFaults
 
-__all__ = ["SoakPlan", "run_soak"]
+__all__ = ["Daemon", "SoakPlan", "run_soak"]
 
 POOLS = {"desk": 4, "audit": 3, "spare": 2}
 SETTLE_S = 25.0
@@ -64,14 +64,14 @@
     states: set[str] = attrs.field(factory=set)
 
 
-class _Daemon:
+class Daemon:
     """One daemon's process, settings and its way to the store."""
 
     def __init__(self, name: str, world: CellWorld, folder: pathlib.Path) -> None:
         self.name = name
         self.link = Link()
         self.callers = ""
-        self.paused = False
+        self.operators = ""
         self._world = world
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
@@ -90,7 +90,6 @@
     async def start(self) -> None:
         """Start the process and wait until it listens."""
         self.callers = ""
-        self.paused = False
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -111,11 +110,18 @@
             async for line in process.stdout:
                 log.write(line)
                 if b'"listening"' in line:
-                    self.callers = json.loads(line)["callers"]
+                    listening = json.loads(line)
+                    self.callers = listening["callers"]
+                    self.operators = listening["operators"]
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process runs."""
+        return self._process is not None and self._process.returncode is None
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to our own process, if it lives."""
-        if self._process is not None and self._process.returncode is None:
+        if self._process is not None and self.alive:
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
@@ -148,7 +154,7 @@
         self.random = random.Random(plan.seed)
         self.world = CellWorld(POOLS)
         self.daemons = [
-            _Daemon(f"daemon-{n}", self.world, folder) for n in range(plan.daemons)
+            Daemon(f"daemon-{n}", self.world, folder) for n in range(plan.daemons)
         ]
         self.jobs: dict[str, _Submitted] = {}
         self.broken: list[str] = []
@@ -274,7 +280,7 @@
         self.faults.append(text)
 
     async def _with_daemon(
-        self, name: str, act: t.Callable[[_Daemon], t.Awaitable[None]]
+        self, name: str, act: t.Callable[[Daemon], t.Awaitable[None]]
     ) -> None:
         free = [d for d in self.daemons if d.name not in self._busy]
         if len(free) < 2:
@@ -288,7 +294,7 @@
             self._busy.discard(daemon.name)
 
     async def _kill(self, for_s: float) -> None:
-        async def act(daemon: _Daemon) -> None:
+        async def act(daemon: Daemon) -> None:
             daemon.signal(signal.SIGKILL)
             await daemon.ended()
             await asyncio.sleep(for_s / 4)
@@ -297,7 +303,7 @@
         await self._with_daemon("kill", act)
 
     async def _stop(self, for_s: float) -> None:
-        async def act(daemon: _Daemon) -> None:
+        async def act(daemon: Daemon) -> None:
             daemon.signal(signal.SIGTERM)
             await daemon.ended()
             await daemon.start()
@@ -305,7 +311,7 @@
         await self._with_daemon("stop", act)
 
     async def _pause(self, for_s: float) -> None:
-        async def act(daemon: _Daemon) -> None:
+        async def act(daemon: Daemon) -> None:
             daemon.signal(signal.SIGSTOP)
             await asyncio.sleep(for_s)
             daemon.signal(signal.SIGCONT)
@@ -313,7 +319,7 @@
         await self._with_daemon("pause", act)
 
     async def _cut_store(self, for_s: float) -> None:
-        async def act(daemon: _Daemon) -> None:
+        async def act(daemon: Daemon) -> None:
             faults = self.random.choice(
                 [
                     LinkFaults(cut=True),
@@ -329,7 +335,7 @@
         await self._with_daemon("cut store", act)
 
     async def _slow_store(self, for_s: float) -> None:
-        async def act(daemon: _Daemon) -> None:
+        async def act(daemon: Daemon) -> None:
             daemon.link.set_faults(LinkFaults(delay_s=0.2))
             await asyncio.sleep(for_s)
             daemon.link.set_faults(LinkFaults())
