--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -1,6 +1,7 @@
 """Which task goes to which runner: pure decisions over the present state."""
 
 import collections
+import time
 import typing as t
 
 import attrs
@@ -28,6 +29,11 @@
     runner: RunnerState
 
 
+AVOID_PATIENCE_S = 1.5
+"""So long a failed task waits for room on a runner where it has not failed: about
+as long as a task runs."""
+
+
 @attrs.frozen
 class LargestRoom:
     """The most room that any one runner has, of each kind.
@@ -130,12 +136,32 @@
         for runner in runners
         if _suits(step, runner) and (tickets is None or runner.runner_id in tickets)
     ]
+    if not step.request.lasting:
+        suitable = _sound(suitable, now_s)
     placed = _fill(step, waiting, suitable, now_s)
     if step.request.gang and len(placed) < len(waiting):
         return []
     return placed
 
 
+def _sound(runners: list[RunnerState], now_s: float) -> list[RunnerState]:
+    """Leave out runners that failed much lately, while most others did not.
+
+    A runner that fails all at once always has room, and would draw all work.
+    """
+    sound = [runner for runner in runners if runner.penalty_until_s <= now_s]
+    return sound if 2 * len(sound) >= len(runners) else runners
+
+
+def _may_go_back(task: Task, runner: RunnerState, runners: int) -> bool:
+    """Whether a task may run on a runner, where it may have failed before."""
+    if runner.runner_id not in task.avoid or task.step.request.lasting:
+        return True
+    if len(task.avoid) >= runners:
+        return True
+    return time.monotonic() - task.waiting_since_s > AVOID_PATIENCE_S
+
+
 def _suits(step: StepRun, runner: RunnerState) -> bool:
     needs = step.request.requires
     return not needs or needs in runner.labels
@@ -159,6 +185,8 @@
         for runner in runners:
             count = planned[runner.runner_id]
             limit = request.most_per_runner
+            if not _may_go_back(task, runner, len(runners)):
+                continue
             if limit and there[runner.runner_id] + count >= limit:
                 continue
             if not runner.fits(
--- a/src/streamthread/standins/proxy.py
+++ b/src/streamthread/standins/proxy.py
@@ -112,7 +112,8 @@
         answers: bool,
     ) -> None:
         passed = 0
-        with contextlib.suppress(ConnectionError):
+        # The other side may be gone already: then there is nobody to tell.
+        with contextlib.suppress(OSError):
             while block := await reader.read(BLOCK_BYTES):
                 faults = self.faults
                 if faults.delay_s:
