Fetch tickets for queues whose steps only some runners may run

Cause: the contracts of both sites hold advice; a queue with a policy would have had every start turned away.

--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -18,6 +18,7 @@
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..platform.callers import decode_job
+from ..platform.documents import AdvicePolicy
 from ..platform.documents import decode_runner_entry
 from ..platform.documents import Route
 from ..platform.documents import RunnerEntry
@@ -37,8 +38,10 @@
 from ..scheduler import Phase
 from ..scheduler import RunnerState
 from ..scheduler import StepRun
+from ..scheduler.fleet import usable_runners
 from ..scheduler.orders import OrderSender
 from ..scheduler.orders import SenderOwner
+from .advice import AdviceDesk
 from .context import HolderContext
 from .duties import DutyLoop
 from .inbox import InboxEntry
@@ -87,6 +90,14 @@
         self.duties: DutyLoop | None = None
         if context.cloud is not None:
             self.duties = DutyLoop(self, context.cloud, self.settings.duties)
+        self.advice: AdviceDesk | None = None
+        if context.advice is not None:
+            self.advice = AdviceDesk(
+                context.advice,
+                self._policy,
+                lambda pool: usable_runners(self.engine.runners.values(), pool),
+                self.kick,
+            )
         self._kick = asyncio.Event()
         self._group: asyncio.TaskGroup | None = None
         self._lost: asyncio.Future[None] | None = None
@@ -110,6 +121,8 @@
                 group.create_task(self._hold_through_trouble())
                 if self.duties is not None:
                     group.create_task(self.duties.run())
+                if self.advice is not None:
+                    group.create_task(self.advice.run())
         except* NotHolderError as group_error:
             reasons = [str(error) for error in group_error.exceptions]
             log.warning("holder-ends", extra={"token": self.token, "why": reasons})
@@ -290,11 +303,20 @@
             },
         )
         self._schedule_now()
+        self._want_advice(job)
         if self.duties is not None:
             work = job_work(job, self.engine.times)
             self.duties.note_job(job.service, work)
         return job
 
+    def _want_advice(self, job: Job) -> None:
+        """Fetch tickets for all steps now, so that later ones do not wait."""
+        if self.advice is None:
+            return
+        for occurrence in job.occurrences.values():
+            for step in occurrence.steps:
+                self.advice.want(step)
+
     async def _cancel(self, job: Job) -> pb.CallReply:
         if not job.over:
             self.engine.cancel(job)
@@ -344,11 +366,22 @@
         return {runner.service for runner in self.engine.runners.values()}
 
     def _tickets(self, step: StepRun) -> t.Collection[str] | None:
-        return None
+        return None if self.advice is None else self.advice.allowed(step)
 
     def ticket_for(self, attempt: Attempt) -> str:
         """Return the ticket that a start must bring, or an empty text."""
-        return ""
+        if self.advice is None:
+            return ""
+        return self.advice.ticket(attempt.task.step, attempt.runner_id)
+
+    def on_bad_ticket(self, attempt: Attempt) -> None:
+        """Learn that a runner has turned a ticket away."""
+        if self.advice is not None:
+            self.advice.reject(attempt.task.step, attempt.runner_id)
+
+    def _policy(self, route: str) -> AdvicePolicy | None:
+        found = self._route(route)
+        return found.advice if found is not None else None
 
     async def _send_when_durable(
         self,
--- /dev/null
+++ b/src/streamthread/holder/tests/test_advice.py
@@ -0,0 +1,100 @@
+"""Tickets are fetched ahead, used while they hold, and not after a refusal."""
+
+import asyncio
+import time
+import typing as t
+
+from streamthread.errors import StoreUnavailableError
+from streamthread.holder.advice import AdviceDesk
+from streamthread.platform.advice import Advice
+from streamthread.platform.advice import Ticket
+from streamthread.platform.callers import JobRequest
+from streamthread.platform.callers import StepRequest
+from streamthread.platform.documents import AdvicePolicy
+from streamthread.scheduler import Job
+from streamthread.scheduler import RunnerState
+from streamthread.scheduler import StepRun
+
+POLICY = AdvicePolicy(0.01, 0.001, 0.2)
+
+
+class _Client:
+    def __init__(self, failures: int = 0) -> None:
+        self.failures = failures
+        self.steps: list[str] = []
+
+    async def advise(self, step: str, runner_ids: t.Sequence[str]) -> Advice:
+        if self.failures:
+            self.failures -= 1
+            raise StoreUnavailableError("over its rate", remedy="-")
+        self.steps.append(step)
+        return Advice((Ticket(runner_ids[0], "t-1"),), None)
+
+
+def _step() -> StepRun:
+    request = JobRequest("", (StepRequest(),))
+    job = Job("a" * 16, "r", "desk", request, b"", time.time())
+    return job.begin(0).steps[0]
+
+
+def _desk(client: _Client, policy: AdvicePolicy | None = POLICY) -> AdviceDesk:
+    runner = RunnerState("i-1", "desk", "x:1", "z", ("a",), 1, 1, 0)
+    other = RunnerState("i-2", "desk", "x:2", "z", ("a",), 1, 1, 0)
+    return AdviceDesk(
+        t.cast(t.Any, client),
+        lambda route: policy,
+        lambda pool: [runner, other],
+        lambda: None,
+    )
+
+
+async def _until_allowed(desk: AdviceDesk, step: StepRun) -> list[str]:
+    async with asyncio.timeout(5):
+        while not (allowed := desk.allowed(step)):
+            await asyncio.sleep(0.01)
+    return list(allowed)
+
+
+class TestAdvice:
+    async def test_is_not_asked_where_any_runner_will_do(self) -> None:
+        client = _Client()
+        assert _desk(client, policy=None).allowed(_step()) is None
+        assert client.steps == []
+
+    async def test_allows_only_runners_with_tickets(self) -> None:
+        client, step = _Client(), _step()
+        desk = _desk(client)
+        running = asyncio.ensure_future(desk.run())
+        assert desk.allowed(step) == ()
+        assert await _until_allowed(desk, step) == ["i-1"]
+        assert desk.ticket(step, "i-1") == "t-1"
+        assert client.steps == [f"{'a' * 16}.0.0"]
+        running.cancel()
+
+    async def test_is_asked_again_once_tickets_have_run_out(self) -> None:
+        client, step = _Client(), _step()
+        desk = _desk(client)
+        running = asyncio.ensure_future(desk.run())
+        await _until_allowed(desk, step)
+        async with asyncio.timeout(5):
+            while desk.allowed(step):
+                await asyncio.sleep(0.01)
+        await _until_allowed(desk, step)
+        assert len(client.steps) == 2
+        running.cancel()
+
+    async def test_is_asked_again_after_a_refusal(self) -> None:
+        client, step = _Client(failures=2), _step()
+        desk = _desk(client)
+        running = asyncio.ensure_future(desk.run())
+        assert await _until_allowed(desk, step) == ["i-1"]
+        running.cancel()
+
+    async def test_a_ticket_that_was_turned_away_is_not_used_again(self) -> None:
+        client, step = _Client(), _step()
+        desk = _desk(client)
+        running = asyncio.ensure_future(desk.run())
+        await _until_allowed(desk, step)
+        desk.reject(step, "i-1")
+        assert desk.ticket(step, "i-1") == ""
+        running.cancel()
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -52,6 +52,10 @@
     def ticket_for(self, attempt: Attempt) -> str:
         """Return the ticket that a start must bring, or an empty text."""
 
+    @abstractmethod
+    def on_bad_ticket(self, attempt: Attempt) -> None:
+        """Learn that a runner has turned a ticket away."""
+
     @abstractmethod
     def on_fenced(self, link: RunnerLink) -> None:
         """Learn that a runner has seen a higher fencing token."""
@@ -157,6 +161,8 @@
             return True
         if refusal is Refusal.TOO_LATE:
             return False
+        if refusal is Refusal.BAD_TICKET:
+            self._owner.on_bad_ticket(attempt)
         if uncertain:
             # An earlier try may still be carried out: a stop rules that out.
             self._engine.stop(attempt, f"refused-{refusal.value}")
