Slow filling tasks down while a serving one beside them nears its target

Cause: the contracts of both sites hold sharing; nothing paced tasks that fill, so HARM could not have been kept where they come. Weighed: stopping them outright (throws work away) and a proportional controller (the figures are rough and half a second old); additive increase, multiplicative decrease was chosen, and stops at once far over the target.

--- a/src/streamthread/holder/context.py
+++ b/src/streamthread/holder/context.py
@@ -14,6 +14,7 @@
 from ..runners import LinkSettings
 from ..scheduler import EngineSettings
 from ..scheduler.orders import OrderSettings
+from ..sharing import SharingSettings
 from .duties import DutySettings
 
 __all__ = ["CellSettings", "HolderContext", "ManifestSource"]
@@ -43,6 +44,7 @@
     orders: OrderSettings = attrs.field(factory=OrderSettings)
     engine: EngineSettings = attrs.field(factory=EngineSettings)
     duties: DutySettings = attrs.field(factory=DutySettings)
+    sharing: SharingSettings = attrs.field(factory=SharingSettings)
 
 
 @attrs.define
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -41,6 +41,7 @@
 from ..scheduler.fleet import usable_runners
 from ..scheduler.orders import OrderSender
 from ..scheduler.orders import SenderOwner
+from ..sharing import plan_paces
 from .advice import AdviceDesk
 from .context import HolderContext
 from .duties import DutyLoop
@@ -510,6 +511,8 @@
         if self._group is not None:
             for stray in strays:
                 self._group.create_task(self.sender.stop_stray(stray))
+            for order in plan_paces(link.runner, self.settings.sharing):
+                self._group.create_task(self.sender.pace(order.attempt, order.percent))
         if not reply.ended:
             return
         self._schedule_now()
--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -121,7 +121,8 @@
         task.failures = failures
         task.checkpoint = checkpoint
         task.attempts = [
-            Attempt(task, run, runner_id, Phase.SENT) for run, runner_id in attempts
+            Attempt(task, run, runner_id, Phase.SENT, pace_percent=None)
+            for run, runner_id in attempts
         ]
         if task.attempts and task.state is TaskState.WAITING:
             task.state = TaskState.PLACED
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -60,6 +60,8 @@
 
     :param confirmed_clock_ms: the runner's clock when it said that the run is there.
     :param began_at_s: when it was confirmed, on our clock.
+    :param pace_percent: at what share of its speed it works; None: not known,
+        since an earlier holder may have changed it.
     """
 
     task: "Task"
@@ -71,7 +73,7 @@
     began_at_s: float = 0.0
     percent: float = 0.0
     usage: float | None = None
-    pace_percent: int = 100
+    pace_percent: int | None = 100
     stop_reason: str = ""
 
 
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -191,6 +191,38 @@
             attempt.confirmed_clock_ms = reply.clock_ms or 0
             return
 
+    async def pace(self, attempt: Attempt, percent: int) -> None:
+        """Set a run's pace, once; the next list decides anew."""
+        link = self._owner.links.get(attempt.runner_id)
+        if link is None or link.silent:
+            return
+        await self._owner.until_trusted()
+        try:
+            reply = await self._client.pace(
+                link.runner.address,
+                attempt.runner_id,
+                attempt.task.name,
+                attempt.run,
+                percent,
+                self._owner.token,
+                self._settings.answer_s,
+            )
+        except LifeOverError:
+            link.over = True
+            self._owner.on_life_over(link, "another life answered a pace")
+            return
+        except (StoreUnavailableError, OutcomeUnknownError) as error:
+            log.warning(
+                "pace-unanswered",
+                extra={"task": attempt.task.name, "error": str(error)},
+            )
+            attempt.pace_percent = None
+            return
+        if reply.refusal is Refusal.FENCED:
+            self._owner.on_fenced(link)
+        elif reply.refusal is None:
+            attempt.pace_percent = percent
+
     async def stop_stray(self, stray: Stray) -> None:
         """Stop a run that should not be there, once; the lists bring it again."""
         link = self._owner.links.get(stray.runner_id)
