Split the duties: machines, sizes, waves and lasting tasks apart

Cause: holder/duties.py had 645 lines and one class with the list of machines, the pools' sizes, the waves and the orders on the same fields. Change: machines.py keeps the list and what was ordered, sizes.py the pools' sizes, waves.py the waves' progress and decisions, lasting.py how lasting tasks leave a runner; duties.py decides in order and sends. Each takes the parts that it uses; owner.py names what all of them need of the holder, in place of an import that only the type checker saw. DutySettings stands beside CellSettings, which ends the cycle. Dropped: the field `accepted` of a pending duty, which was set and never read.

--- a/src/streamthread/holder/context.py
+++ b/src/streamthread/holder/context.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..capacity import CapacitySettings
 from ..cell import LeaseTimes
 from ..platform.advice import AdviceClient
 from ..platform.cloud import CloudClient
@@ -14,9 +15,9 @@
 from ..runners import LinkSettings
 from ..scheduler import EngineSettings
 from ..scheduler.orders import OrderSettings
-from .duties import DutySettings
+from ..upkeep import UpkeepSettings
 
-__all__ = ["CellSettings", "HolderContext", "ManifestSource"]
+__all__ = ["CellSettings", "DutySettings", "HolderContext", "ManifestSource"]
 
 
 class ManifestSource(t.Protocol):
@@ -26,6 +27,32 @@
     waves: dict[int, Wave]
 
 
+@attrs.frozen
+class DutySettings:
+    """How machines are watched and ordered.
+
+    :param list_s: the list of machines is read this often.
+    :param tick_s: decisions are made this often.
+    :param settle_s: an unanswered duty is taken as not done only when the list
+        shows no trace of it after so long.
+    :param lease_s: a new holder orders nothing sooner, since the cloud does not
+        refuse an earlier holder's late orders.
+    :param learn_s: no machine moves sooner after a take-over: until then it is
+        not known what runs where.
+    :param arrive_s: a machine that is up may take so long until its runner is
+        listed.
+    """
+
+    list_s: float = 0.5
+    tick_s: float = 0.1
+    settle_s: float = 4.0
+    lease_s: float = 3.0
+    arrive_s: float = 3.0
+    learn_s: float = 3.0
+    capacity: CapacitySettings = attrs.field(factory=CapacitySettings)
+    upkeep: UpkeepSettings = attrs.field(factory=UpkeepSettings)
+
+
 @attrs.frozen
 class CellSettings:
     """Figures of one cell.
--- /dev/null
+++ b/src/streamthread/holder/machines.py
@@ -0,0 +1,226 @@
+"""The machines as the cloud lists them, and what was ordered for each."""
+
+import enum
+import time
+
+import attrs
+import logbook
+
+from ..capacity import MachineView
+from ..errors import OutcomeUnknownError
+from ..errors import StoreUnavailableError
+from ..platform.cloud import CloudClient
+from ..platform.cloud import Machine
+from ..platform.cloud import MachineState
+from ..scheduler import Engine
+from ..scheduler import RunnerState
+from .context import DutySettings
+from .context import ManifestSource
+
+__all__ = ["DutyKind", "MachineTable", "PendingDuty"]
+
+log = logbook.Logger("streamthread.duties")
+
+
+class DutyKind(enum.Enum):
+    """What was ordered for a machine."""
+
+    MOVE = "move"
+    UPKEEP = "upkeep"
+
+
+@attrs.define
+class PendingDuty:
+    """A duty that was ordered and whose end the list has not shown yet.
+
+    :param target: the pool that the machine is in afterwards.
+    :param runner_before: the runner that lived there when it was ordered.
+    :param sent_at_s: on the monotonic clock.
+    :param wave: number of the wave that an upkeep belongs to.
+    """
+
+    kind: DutyKind
+    target: str
+    runner_before: str
+    sent_at_s: float
+    wave: int = 0
+
+
+class MachineTable:
+    """All machines of the fleet, at most one pending duty for each.
+
+    :param machines: as the cloud listed them last, by machine id.
+    :param pending: duties whose end the list has not shown yet, by machine id.
+    """
+
+    def __init__(
+        self,
+        engine: Engine,
+        documents: ManifestSource,
+        cloud: CloudClient,
+        settings: DutySettings,
+    ) -> None:
+        self._engine = engine
+        self._documents = documents
+        self._cloud = cloud
+        self._settings = settings
+        self._listed_at_s = 0.0
+        self._idle_since_s: dict[str, float] = {}
+        self._up_since_s: dict[str, float] = {}
+        self.machines: dict[str, Machine] = {}
+        self.pending: dict[str, PendingDuty] = {}
+
+    def runner_of(self, machine: Machine) -> RunnerState | None:
+        """Return the runner that lives on a machine, where it is listed."""
+        return self._engine.runners.get(machine.runner_id)
+
+    def is_spare(self, pool: str) -> bool:
+        """Whether machines of a pool are switched off."""
+        manifest = self._documents.manifest
+        known = manifest.pools.get(pool) if manifest is not None else None
+        return known is not None and known.is_spare
+
+    def is_down(self, machine_id: str) -> bool:
+        """Whether a machine is in upkeep, or its upkeep was ordered."""
+        pending = self.pending.get(machine_id)
+        if pending is not None and pending.kind is DutyKind.UPKEEP:
+            return True
+        machine = self.machines.get(machine_id)
+        return machine is not None and machine.state is MachineState.UPKEEP
+
+    # The list of machines.
+
+    async def refresh(self) -> bool:
+        """Read the list when it is due; return whether it may be relied on."""
+        now_s = time.monotonic()
+        if now_s - self._listed_at_s < self._settings.list_s:
+            return bool(self.machines)
+        try:
+            machines = await self._cloud.machines()
+        except (StoreUnavailableError, OutcomeUnknownError) as error:
+            log.warning("machines-unreadable", extra={"error": str(error)})
+            self._listed_at_s = now_s
+            return False
+        self._listed_at_s = now_s
+        self.machines = {machine.machine_id: machine for machine in machines}
+        for machine in machines:
+            self._settle(machine, now_s)
+        return True
+
+    def _settle(self, machine: Machine, asked_at_s: float) -> None:
+        """Compare a machine with what was ordered for it."""
+        runner = self.runner_of(machine)
+        if runner is not None:
+            runner.machine_id = machine.machine_id
+        if machine.state is not MachineState.UP:
+            self._up_since_s.pop(machine.machine_id, None)
+        else:
+            self._up_since_s.setdefault(machine.machine_id, asked_at_s)
+        pending = self.pending.get(machine.machine_id)
+        if pending is None or asked_at_s < pending.sent_at_s:
+            return
+        if machine.state is not MachineState.UP:
+            return
+        changed = machine.runner_id != pending.runner_before
+        waited = asked_at_s - pending.sent_at_s > self._settings.settle_s
+        if changed or waited:
+            self._end_pending(machine, pending, changed)
+
+    def _end_pending(
+        self, machine: Machine, pending: PendingDuty, changed: bool
+    ) -> None:
+        del self.pending[machine.machine_id]
+        if not changed:
+            self._unreserve(machine)
+        log.info(
+            "duty-ended",
+            extra={
+                "machine": machine.machine_id,
+                "kind": pending.kind.value,
+                "pool": machine.pool,
+                "changed": changed,
+            },
+        )
+
+    # What is ordered.
+
+    def reserve(self, machine: Machine, kind: DutyKind, target: str) -> PendingDuty:
+        """Note an order before it is sent, so that nothing is placed there."""
+        runner = self.runner_of(machine)
+        if runner is not None:
+            runner.reserved = True
+        pending = PendingDuty(kind, target, machine.runner_id, time.monotonic())
+        self.pending[machine.machine_id] = pending
+        return pending
+
+    def may_send(self, machine: Machine, pending: PendingDuty) -> bool:
+        """Whether a noted order still stands and its machine is still idle."""
+        if self.pending.get(machine.machine_id) is not pending:
+            return False
+        runner = self.runner_of(machine)
+        return runner is None or runner.idle
+
+    def drop(self, machine: Machine, pending: PendingDuty, why: str) -> None:
+        """Forget an order that was surely not carried out."""
+        log.info(
+            "duty-refused",
+            extra={
+                "machine": machine.machine_id,
+                "kind": pending.kind.value,
+                "why": why,
+            },
+        )
+        if self.pending.get(machine.machine_id) is pending:
+            del self.pending[machine.machine_id]
+        self._unreserve(machine)
+
+    def _unreserve(self, machine: Machine) -> None:
+        runner = self.runner_of(machine)
+        if runner is not None:
+            runner.reserved = False
+
+    # What the decisions see.
+
+    def view(self, machine: Machine, due: bool) -> MachineView:
+        """Return a machine as the decisions see it.
+
+        :param due: it still has to go into upkeep.
+        """
+        now_s = time.monotonic()
+        pending = self.pending.get(machine.machine_id)
+        runner = self.runner_of(machine)
+        up = machine.state is MachineState.UP and pending is None
+        usable = up and runner is not None and runner.usable()
+        idle = usable and runner is not None and runner.idle
+        off = self.is_spare(machine.pool)
+        if up and runner is None and not off:
+            up_for_s = now_s - self._up_since_s.get(machine.machine_id, now_s)
+            arriving = up_for_s < self._settings.arrive_s
+        else:
+            moving = machine.state is MachineState.MOVING
+            arriving = not usable and (pending is not None or moving)
+        return MachineView(
+            machine_id=machine.machine_id,
+            pool=_pool_after(machine, pending),
+            rack=machine.labels[1] if len(machine.labels) > 1 else "",
+            cpu=machine.cpu,
+            memory_mb=machine.memory_mb,
+            free_to_move=up and (off or idle),
+            usable=usable,
+            arriving=arriving,
+            idle_for_s=self._idle_for_s(machine.machine_id, idle, now_s),
+            due=due,
+        )
+
+    def _idle_for_s(self, machine_id: str, idle: bool, now_s: float) -> float:
+        if not idle:
+            self._idle_since_s[machine_id] = now_s
+            return 0.0
+        return now_s - self._idle_since_s.setdefault(machine_id, now_s)
+
+
+def _pool_after(machine: Machine, pending: PendingDuty | None) -> str:
+    """Return the pool that a machine is in once its pending duty has ended."""
+    if pending is not None and pending.kind is DutyKind.MOVE:
+        return pending.target
+    return machine.pool
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -42,6 +42,7 @@
 from .context import HolderContext
 from .duties import DutyLoop
 from .inbox import InboxEntry
+from .owner import DutyOwner
 from .replay import read_jobs
 
 __all__ = ["Holder"]
@@ -61,7 +62,7 @@
 """When to come back while the store is down: outages last some seconds."""
 
 
-class Holder(LinkOwner, SenderOwner):
+class Holder(LinkOwner, SenderOwner, DutyOwner):
     """Everything that only the cell's holder does, from take-over to loss."""
 
     def __init__(self, context: HolderContext, taken: TakenCell) -> None:
--- /dev/null
+++ b/src/streamthread/holder/waves.py
@@ -0,0 +1,235 @@
+"""Works on the waves of upkeep: what is due, what goes down, what is emptied."""
+
+import asyncio
+import collections
+import time
+import typing as t
+
+import logbook
+
+from ..capacity import MachineView
+from ..errors import OutcomeUnknownError
+from ..errors import StoreUnavailableError
+from ..platform.cloud import MachineState
+from ..platform.documents import encode_wave_status
+from ..platform.documents import Wave
+from ..platform.store import ABSENT
+from ..platform.store import Condition
+from ..platform.store import StoredRow
+from ..upkeep import DueMachine
+from ..upkeep import plan_upkeep
+from ..upkeep import UpkeepPlan
+from ..upkeep import UpkeepSettings
+from ..upkeep import WaveProgress
+from ..upkeep import WaveView
+from .lasting import LastingTasks
+from .machines import MachineTable
+from .owner import DutyOwner
+
+__all__ = ["WaveBook", "WaveWork"]
+
+log = logbook.Logger("streamthread.duties")
+
+RELAX_AFTER = 0.4
+"""Once so much of a wave's time is used, a pool may go below its size for it."""
+
+LEAST_LEFT = 2
+"""A pool that has so many machines may give one to a wave that presses."""
+
+SHORTEST_WAVE_S = 1.0
+"""A wave without a duration counts as this long: its share used is a quotient."""
+
+TABLE_WAVES = "cell-waves"
+STATUS_TABLE = "status"
+
+
+class WaveBook:
+    """Keeps the waves' progress for the next holder, and tells the operator.
+
+    :param retry_s: pause before a state that was not written is tried again.
+    """
+
+    def __init__(self, owner: DutyOwner, retry_s: float) -> None:
+        self._owner = owner
+        self._retry_s = retry_s
+        self._waves: dict[int, WaveProgress] = {}
+
+    async def restore(self) -> None:
+        """Read what the holder before has recorded."""
+        page = await self._owner.read_own(TABLE_WAVES)
+        for row in page.rows:
+            if row.value is not None:
+                progress = WaveProgress.decode(row.value)
+                self._waves[progress.number] = progress
+
+    def progress_of(self, number: int) -> WaveProgress:
+        """Return a wave's progress; a wave that is new begins now."""
+        progress = self._waves.get(number)
+        if progress is None:
+            progress = WaveProgress(number, time.time())
+            self._waves[number] = progress
+            self._record(progress)
+        return progress
+
+    def has_begun(self, number: int, machine_id: str) -> bool:
+        """Whether the platform has accepted a machine's upkeep for a wave."""
+        progress = self._waves.get(number)
+        return progress is not None and machine_id in progress.begun
+
+    def mark_begun(self, number: int, machine_id: str) -> None:
+        """Record that a machine needs no more upkeep for a wave."""
+        progress = self._waves.get(number)
+        if progress is not None:
+            progress.begun.add(machine_id)
+            self._record(progress)
+
+    def tell(self, progress: WaveProgress, completed: bool) -> None:
+        """Write the wave's state for the operator when it has changed."""
+        state = "completed" if completed else "running"
+        if progress.told == state:
+            return
+        progress.told = state
+        log.info("wave-state", extra={"wave": progress.number, "state": state})
+        self._record(progress)
+        self._owner.spawn(self._write_status(progress.number, completed))
+
+    async def _write_status(self, number: int, completed: bool) -> None:
+        key = f"wave/{number}"
+        row = StoredRow(STATUS_TABLE, "", key, encode_wave_status(completed))
+        # A late "running" must not replace "completed".
+        absent = Condition(STATUS_TABLE, "", key, ABSENT)
+        conditions = [] if completed else [absent]
+        while True:
+            await self._owner.until_trusted()
+            try:
+                await self._owner.context.store.transact(conditions, [row])
+                return
+            except (StoreUnavailableError, OutcomeUnknownError) as error:
+                log.warning("wave-state-unwritten", extra={"error": str(error)})
+                await asyncio.sleep(self._retry_s)
+
+    def _record(self, progress: WaveProgress) -> None:
+        self._owner.log.mark(TABLE_WAVES, str(progress.number), progress.encode)
+
+
+class WaveWork:
+    """Decides for each wave what goes down, and empties what is to follow."""
+
+    def __init__(
+        self,
+        owner: DutyOwner,
+        book: WaveBook,
+        table: MachineTable,
+        settings: UpkeepSettings,
+    ) -> None:
+        self._engine = owner.engine
+        self._documents = owner.context.documents
+        self._book = book
+        self._table = table
+        self._settings = settings
+        self._lasting = LastingTasks(owner.engine, owner.kick)
+        self._emptying: set[str] = set()
+
+    # What is due.
+
+    def is_due(self, machine_id: str) -> bool:
+        """Whether some wave still has to take a machine into upkeep."""
+        return any(
+            machine_id in wave.machine_ids
+            and not self._book.has_begun(wave.number, machine_id)
+            for wave in self._documents.waves.values()
+        )
+
+    def is_swapping(self, pool: str) -> bool:
+        """Whether one of a pool's machines is due and nothing is ordered for it."""
+        return any(
+            self.is_due(machine.machine_id)
+            and machine.pool == pool
+            and machine.machine_id not in self._table.pending
+            for machine in self._table.machines.values()
+        )
+
+    # One round of decisions.
+
+    def begin_round(self) -> None:
+        """Forget which machines the last round emptied."""
+        self._emptying.clear()
+
+    def plan(
+        self, wave: Wave, views: dict[str, MachineView], targets: dict[str, int]
+    ) -> UpkeepPlan | None:
+        """Return what to do for a wave now, or None when no machine is left."""
+        progress = self._book.progress_of(wave.number)
+        left = [m for m in wave.machine_ids if m not in progress.begun]
+        down = sum(self._table.is_down(m) for m in wave.machine_ids)
+        self._book.tell(progress, completed=not left and not down)
+        if not left:
+            return None
+        used_s = time.time() - progress.first_seen_s
+        used = used_s / max(SHORTEST_WAVE_S, wave.duration_s)
+        relaxed = used > RELAX_AFTER or not self._can_replace(views, targets)
+        due = [
+            self._due_machine(m, views, targets, relaxed) for m in left if m in views
+        ]
+        return plan_upkeep(
+            WaveView(wave.number, tuple(due), wave.most_at_once - down),
+            self._settings,
+        )
+
+    def empty(self, machine_ids: t.Iterable[str]) -> None:
+        """Place nothing new on machines, and move their lasting tasks away."""
+        for machine_id in machine_ids:
+            runner = self._table.runner_of(self._table.machines[machine_id])
+            if runner is None:
+                continue
+            self._emptying.add(runner.runner_id)
+            if not runner.emptying:
+                log.info(
+                    "machine-emptied-for-upkeep",
+                    extra={"machine": machine_id, "load": runner.used_cpu},
+                )
+            runner.emptying = True
+            self._lasting.move_away(runner)
+
+    def end_round(self) -> None:
+        """Let machines work again that need not be emptied any more."""
+        ordered = {duty.runner_before for duty in self._table.pending.values()}
+        for runner in self._engine.runners.values():
+            runner.emptying = runner.runner_id in self._emptying
+            runner.reserved = runner.runner_id in ordered
+
+    def _can_replace(
+        self, views: dict[str, MachineView], targets: dict[str, int]
+    ) -> bool:
+        """Whether some pool has a machine that another one could get."""
+        if any(self._table.is_spare(view.pool) for view in views.values()):
+            return True
+        usable = collections.Counter(v.pool for v in views.values() if v.usable)
+        return any(usable[pool] > target for pool, target in targets.items())
+
+    def _due_machine(
+        self,
+        machine_id: str,
+        views: dict[str, MachineView],
+        targets: dict[str, int],
+        relaxed: bool,
+    ) -> DueMachine:
+        machine = self._table.machines[machine_id]
+        runner = self._table.runner_of(machine)
+        off = self._table.is_spare(machine.pool)
+        idle = off or (runner is not None and runner.ready and runner.idle)
+        usable = sum(v.usable and v.pool == machine.pool for v in views.values())
+        target = targets.get(machine.pool, 0)
+        enough = usable > target or (relaxed and usable >= LEAST_LEFT)
+        return DueMachine(
+            machine_id=machine_id,
+            pool=machine.pool,
+            idle=idle,
+            off=off,
+            up=machine.state is MachineState.UP
+            and machine_id not in self._table.pending
+            and (off or runner is not None),
+            may_empty=enough or not views[machine_id].usable,
+            reserved=runner is not None and runner.emptying,
+            load=float(runner.used_cpu) if runner is not None else 0.0,
+        )
