Split the engine: the ledger, what runners say, and placement

Change: ledger.py keeps jobs and runners and how tasks change state, outcomes.py takes answers and lists into it, settings.py has the figures; engine.py keeps its calls and the placement. The loop over a job's attempts stood in five places and is now Job.attempts(). The service takes the stops through take_stops(), in place of swapping the engine's list. Ruled out: moving the placement too; it shares most with the engine's own calls.

--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -336,7 +336,7 @@
         placed: list[Attempt] = []
         for service in self._services():
             placed.extend(self.engine.place(service, now_s, self._tickets))
-        stops, self.engine.to_stop = self.engine.to_stop, []
+        stops = self.engine.take_stops()
         if placed or stops:
             self._group.create_task(self._send_when_durable(placed, stops))
         return next_due_s
--- a/src/streamthread/scheduler/__init__.py
+++ b/src/streamthread/scheduler/__init__.py
@@ -5,8 +5,6 @@
 from .codec import encode_progress
 from .codec import restore_progress
 from .engine import Engine
-from .engine import EngineSettings
-from .engine import Stray
 from .fleet import RunnerState
 from .model import Attempt
 from .model import Job
@@ -15,6 +13,8 @@
 from .model import StepRun
 from .model import Task
 from .model import TaskState
+from .outcomes import Stray
+from .settings import EngineSettings
 
 __all__ = [
     "Attempt",
--- /dev/null
+++ b/src/streamthread/scheduler/ledger.py
@@ -0,0 +1,184 @@
+"""All jobs and runners of a cell, and how tasks change between their states."""
+
+import time
+import typing as t
+
+import logbook
+
+from .fleet import RunnerState
+from .model import Attempt
+from .model import Job
+from .model import Occurrence
+from .model import Phase
+from .model import Task
+from .model import TaskState
+
+__all__ = ["Ledger"]
+
+log = logbook.Logger("streamthread.scheduler")
+
+TASK_NAME_PARTS = 4
+"""A task's name on the wire: job, time, step and task, separated by dots."""
+
+
+class Ledger:
+    """What is kept of jobs and runners; each change is told where it is recorded.
+
+    :param changed: called with each job whose progress must be recorded.
+    :param jobs: all jobs that are not forgotten, by job id.
+    :param open: the jobs of which something may still run, by job id.
+    :param runners: the lives of runners that are listed, by runner id.
+    :param counts: how often runs ended, were refused or lapsed.
+    """
+
+    def __init__(self, changed: t.Callable[[Job], None]) -> None:
+        self.changed = changed
+        self.jobs: dict[str, Job] = {}
+        self.open: dict[str, Job] = {}
+        self.runners: dict[str, RunnerState] = {}
+        self.counts: dict[str, int] = {}
+        self._to_stop: list[Attempt] = []
+
+    def count(self, what: str) -> None:
+        """Count one event."""
+        self.counts[what] = self.counts.get(what, 0) + 1
+
+    # Jobs.
+
+    def add(self, job: Job) -> None:
+        """Take a job, new or read back, with the attempts that it brings."""
+        self.jobs[job.job_id] = job
+        if job.over and not job.has_attempts():
+            return
+        self.open[job.job_id] = job
+        for attempt in job.attempts():
+            runner = self.runners.get(attempt.runner_id)
+            if runner is not None:
+                runner.add(attempt.task.name, attempt)
+
+    def forget(self, before_s: float) -> list[Job]:
+        """Drop the jobs that ended before a wall time and return them."""
+        old = [
+            job
+            for job in self.jobs.values()
+            if job.ended_at_s is not None
+            and job.ended_at_s < before_s
+            and not job.has_attempts()
+        ]
+        for job in old:
+            del self.jobs[job.job_id]
+            self.open.pop(job.job_id, None)
+        return old
+
+    def find_task(self, name: str) -> Task | None:
+        """Return a task by its name on the wire, where its job is open."""
+        parts = name.split(".")
+        if len(parts) != TASK_NAME_PARTS:
+            return None
+        job = self.open.get(parts[0])
+        if job is None:
+            return None
+        occurrence = job.occurrences.get(int(parts[1]))
+        if occurrence is None:
+            return None
+        return occurrence.steps[int(parts[2])].tasks[int(parts[3])]
+
+    def settle_job(self, job: Job) -> None:
+        """Close the times and the job that have nothing left to run."""
+        if not job.over:
+            for number, occurrence in list(job.occurrences.items()):
+                if occurrence.done:
+                    job.done_times.add(number)
+                    self._drop_occurrence(job, occurrence)
+            if job.over and job.ended_at_s is None:
+                job.ended_at_s = time.time()
+                self.changed(job)
+                self._tell_ended(job)
+        if job.over and not job.has_attempts():
+            job.occurrences.clear()
+            self.open.pop(job.job_id, None)
+
+    @staticmethod
+    def _tell_ended(job: Job) -> None:
+        log.info(
+            "job-ended",
+            extra={
+                "job": job.job_id,
+                "state": job.state.value,
+                "took_s": round(time.time() - job.accepted_at_s, 3),
+                "stretch": job.stretch,
+                "target_s": job.target_s,
+            },
+        )
+
+    @staticmethod
+    def _drop_occurrence(job: Job, occurrence: Occurrence) -> None:
+        held = any(task.attempts for step in occurrence.steps for task in step.tasks)
+        if not held:
+            del job.occurrences[occurrence.number]
+
+    # Attempts.
+
+    def orphans(self) -> list[Attempt]:
+        """Return the attempts on runners that are not known here."""
+        return [
+            attempt
+            for job in self.open.values()
+            for attempt in job.attempts()
+            if attempt.runner_id not in self.runners
+        ]
+
+    def lapse(self, attempt: Attempt, runner: RunnerState | None) -> None:
+        """An attempt has surely lapsed: its task waits again."""
+        self.count("lapsed")
+        self.remove(attempt, runner)
+        self.wait_again(attempt.task)
+        job = attempt.task.step.occurrence.job
+        self.changed(job)
+        self.settle_job(job)
+
+    @staticmethod
+    def remove(attempt: Attempt, runner: RunnerState | None) -> None:
+        """Take an attempt off its task, and off its runner where it is known."""
+        task = attempt.task
+        if attempt in task.attempts:
+            task.attempts.remove(attempt)
+        if runner is not None:
+            runner.remove(task.name, attempt)
+
+    @staticmethod
+    def wait_again(task: Task) -> None:
+        """Have a task placed anew once it has no attempt."""
+        if task.state is TaskState.PLACED and not task.attempts:
+            task.state = TaskState.WAITING
+            task.waiting_since_s = time.monotonic()
+
+    def mark_done(self, task: Task) -> None:
+        """Count a task as done and stop its other attempts."""
+        if task.state is TaskState.DONE:
+            return
+        task.state = TaskState.DONE
+        task.step.done_count += 1
+        for attempt in task.attempts:
+            self.stop(attempt, "copy-done")
+
+    # Stops.
+
+    def stop(self, attempt: Attempt, reason: str) -> None:
+        """Have a run stopped; its task waits again once it has ended."""
+        if attempt.phase is Phase.STOPPING:
+            return
+        attempt.stop_reason = reason
+        attempt.phase = Phase.STOPPING
+        self._to_stop.append(attempt)
+
+    def stop_all(self, job: Job, reason: str) -> None:
+        """Have all runs of a job stopped."""
+        for attempt in job.attempts():
+            self.stop(attempt, reason)
+        self.settle_job(job)
+
+    def take_stops(self) -> list[Attempt]:
+        """Return the attempts to be stopped that were not returned before."""
+        stops, self._to_stop = self._to_stop, []
+        return stops
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -206,6 +206,17 @@
         """Whether nothing of it is to run any more."""
         return self.cancelled or self.failed or len(self.done_times) == self.times
 
+    def attempts(self) -> t.Iterator[Attempt]:
+        """Yield the attempts of all of its tasks."""
+        for occurrence in self.occurrences.values():
+            for step in occurrence.steps:
+                for task in step.tasks:
+                    yield from task.attempts
+
+    def has_attempts(self) -> bool:
+        """Whether something of it takes room on a runner."""
+        return any(True for _ in self.attempts())
+
     def due_at_s(self, number: int) -> float:
         """Return the wall time at which a time falls due."""
         if self.request.times <= 0:
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -17,9 +17,9 @@
 from ..platform.runners import StartOrder
 from ..runners import RunnerLink
 from .engine import Engine
-from .engine import Stray
 from .model import Attempt
 from .model import Phase
+from .outcomes import Stray
 
 __all__ = ["OrderSender", "OrderSettings", "SenderOwner"]
 
--- /dev/null
+++ b/src/streamthread/scheduler/outcomes.py
@@ -0,0 +1,236 @@
+"""What runners say of their runs, and what follows for tasks and jobs."""
+
+import time
+
+import attrs
+import logbook
+
+from ..platform.runners import EndedRun
+from ..platform.runners import EndKind
+from ..platform.runners import HoldReply
+from .fleet import RunnerState
+from .learning import learning_key
+from .learning import RunTimes
+from .ledger import Ledger
+from .model import Attempt
+from .model import Phase
+from .model import Task
+from .model import TaskState
+from .settings import EngineSettings
+
+__all__ = ["Outcomes", "Stray"]
+
+log = logbook.Logger("streamthread.scheduler")
+
+
+@attrs.frozen
+class Stray:
+    """A run that a runner has and that no attempt of ours explains."""
+
+    runner_id: str
+    task: str
+    run: int
+
+
+class Outcomes:
+    """Takes the runners' answers and lists into the ledger."""
+
+    def __init__(
+        self, ledger: Ledger, times: RunTimes, settings: EngineSettings
+    ) -> None:
+        self._ledger = ledger
+        self._times = times
+        self._settings = settings
+        self._failed_at_s: dict[str, list[float]] = {}
+
+    # Answers to orders.
+
+    def confirm(self, attempt: Attempt, clock_ms: int) -> None:
+        """A runner has said that a run is there."""
+        if attempt.phase is not Phase.STOPPING:
+            attempt.phase = Phase.CONFIRMED
+        attempt.confirmed_clock_ms = clock_ms
+        if not attempt.began_at_s:
+            attempt.began_at_s = time.monotonic()
+        job = attempt.task.step.occurrence.job
+        if not job.begun:
+            job.begun = True
+            self._ledger.changed(job)
+
+    def refuse(self, attempt: Attempt, why: str) -> None:
+        """A runner has said that it did not start a run, and will not."""
+        runner = self._ledger.runners.get(attempt.runner_id)
+        task = attempt.task
+        self._ledger.count(f"refused-{why}")
+        log.info(
+            "start-refused",
+            extra={
+                "task": task.name,
+                "run": attempt.run,
+                "runner": attempt.runner_id,
+                "why": why,
+            },
+        )
+        self._ledger.remove(attempt, runner)
+        self._ledger.wait_again(task)
+        self._ledger.changed(task.step.occurrence.job)
+
+    # The two lists: what runs, and what has ended.
+
+    def on_hold(self, runner: RunnerState, reply: HoldReply) -> list[Stray]:
+        """Take a runner's lists; return the runs that should not be there."""
+        for ended in reply.ended:
+            self._on_ended(runner, ended)
+        listed = {(row.task, row.run): row for row in reply.running}
+        ended_keys = {(row.task, row.run) for row in reply.ended}
+        for key, attempt in list(runner.attempts.items()):
+            row = listed.get(key)
+            if row is not None:
+                self._on_running(attempt, row.checkpoint, row.percent, row.usage)
+            elif key not in ended_keys:
+                self._on_missing(runner, attempt, reply.clock_ms)
+        strays = [
+            Stray(runner.runner_id, row.task, row.run)
+            for key, row in listed.items()
+            if key not in runner.attempts
+        ]
+        runner.stray_runs = len(strays)
+        return strays
+
+    def _on_running(
+        self, attempt: Attempt, checkpoint: str, percent: float, usage: float | None
+    ) -> None:
+        if attempt.phase is Phase.SENT:
+            self.confirm(attempt, 0)
+        attempt.percent = percent
+        attempt.usage = usage
+        task = attempt.task
+        if checkpoint and checkpoint != task.checkpoint:
+            task.checkpoint = checkpoint
+
+    def _on_missing(self, runner: RunnerState, attempt: Attempt, clock_ms: int) -> None:
+        """A run that the runner confirmed is in neither of its newer lists."""
+        if attempt.phase not in (Phase.CONFIRMED, Phase.STOPPING):
+            return
+        known_ms = attempt.confirmed_clock_ms
+        if not known_ms or clock_ms <= known_ms + self._settings.list_slack_ms:
+            return
+        log.warning(
+            "run-vanished",
+            extra={
+                "task": attempt.task.name,
+                "run": attempt.run,
+                "runner": runner.runner_id,
+                "phase": attempt.phase.value,
+                "clock_ms": clock_ms,
+                "confirmed_clock_ms": known_ms,
+            },
+        )
+        self._ledger.lapse(attempt, runner)
+
+    def _on_ended(self, runner: RunnerState, ended: EndedRun) -> None:
+        attempt = runner.attempts.get((ended.task, ended.run))
+        if attempt is None:
+            self._on_unknown_end(ended)
+            return
+        task = attempt.task
+        job = task.step.occurrence.job
+        self._ledger.remove(attempt, runner)
+        if ended.checkpoint:
+            task.checkpoint = ended.checkpoint
+        self._ledger.count(f"ended-{ended.kind.value}")
+        if ended.kind is EndKind.DONE:
+            self._on_done(attempt)
+        else:
+            _tell_not_done(attempt, ended)
+            if ended.kind is EndKind.FAILED:
+                self._on_failed(attempt, runner)
+            else:
+                self._ledger.wait_again(task)
+        self._ledger.changed(job)
+        self._ledger.settle_job(job)
+
+    def _on_unknown_end(self, ended: EndedRun) -> None:
+        """Take a `done` of a task that we know, whoever started the run."""
+        task = self._ledger.find_task(ended.task)
+        if task is None or ended.kind is not EndKind.DONE:
+            return
+        if task.state is TaskState.DONE:
+            return
+        log.info("done-by-other-run", extra={"task": ended.task, "run": ended.run})
+        self._ledger.mark_done(task)
+        job = task.step.occurrence.job
+        self._ledger.changed(job)
+        self._ledger.settle_job(job)
+
+    def _on_done(self, attempt: Attempt) -> None:
+        task = attempt.task
+        if attempt.began_at_s and not task.step.request.lasting:
+            took_s = time.monotonic() - attempt.began_at_s
+            self._times.learn(learning_key(task.step), took_s)
+        if task.step.request.lasting:
+            self._ledger.wait_again(task)
+            return
+        if task.step.request.gang:
+            for member in task.step.tasks:
+                self._ledger.mark_done(member)
+            return
+        self._ledger.mark_done(task)
+
+    def _on_failed(self, attempt: Attempt, runner: RunnerState) -> None:
+        task = attempt.task
+        job = task.step.occurrence.job
+        task.avoid.add(runner.runner_id)
+        self._note_failure(runner)
+        if task.step.request.lasting:
+            task.not_before_s = time.time() + self._settings.restart_pause_s
+            self._ledger.wait_again(task)
+            return
+        task.failures += 1
+        if task.failures >= job.max_attempts and task.state is not TaskState.DONE:
+            self._fail_job(task)
+            return
+        self._ledger.wait_again(task)
+
+    def _fail_job(self, task: Task) -> None:
+        """A task has failed too often: its job has failed, unless it is over."""
+        job = task.step.occurrence.job
+        task.state = TaskState.FAILED
+        if job.over:
+            return
+        job.failed = True
+        job.ended_at_s = time.time()
+        self._ledger.stop_all(job, "job-failed")
+        log.info(
+            "job-failed",
+            extra={
+                "job": job.job_id,
+                "task": task.name,
+                "failures": task.failures,
+                "max_attempts": job.max_attempts,
+            },
+        )
+
+    def _note_failure(self, runner: RunnerState) -> None:
+        """Use a runner last for a while when it fails several tasks."""
+        now_s = time.time()
+        since_s = now_s - self._settings.penalty_s
+        seen = [s for s in self._failed_at_s.get(runner.runner_id, []) if s > since_s]
+        seen.append(now_s)
+        self._failed_at_s[runner.runner_id] = seen
+        if len(seen) >= self._settings.penalty_failures:
+            runner.penalty_until_s = now_s + self._settings.penalty_s
+
+
+def _tell_not_done(attempt: Attempt, ended: EndedRun) -> None:
+    log.info(
+        "run-ended",
+        extra={
+            "task": ended.task,
+            "run": ended.run,
+            "runner": attempt.runner_id,
+            "how": ended.kind.value,
+            "failures": attempt.task.failures,
+            "stop_reason": attempt.stop_reason,
+        },
+    )
--- /dev/null
+++ b/src/streamthread/scheduler/settings.py
@@ -0,0 +1,27 @@
+"""Figures of the scheduler."""
+
+import attrs
+
+__all__ = ["EngineSettings"]
+
+
+@attrs.frozen
+class EngineSettings:
+    """Figures of the scheduler.
+
+    :param early_s: a time may begin so much before it falls due.
+    :param list_slack_ms: a list counts as newer than an answer only if the
+        runner's clock is so much further; lists are made in whole milliseconds.
+    :param penalty_s: how long a runner that failed tasks is used last.
+    :param penalty_failures: so many failures within ``penalty_s`` bring that.
+    :param lasting_patience_s: a lasting task that waits for longer may go to a
+        runner that is being emptied.
+    :param restart_pause_s: before a lasting task that failed starts again.
+    """
+
+    early_s: float = 0.1
+    list_slack_ms: int = 20
+    penalty_s: float = 6.0
+    penalty_failures: int = 2
+    restart_pause_s: float = 0.05
+    lasting_patience_s: float = 1.0
