Name the figures of the cell, and drop what nothing uses

Cause: pauses such as 0.02, 0.05 and 0.25 stood in the code without a name or reason, some constants had neither unit nor reason, and doc comments named fields that do not exist (the version of what was read back, the rack of a runner). Change: each has a constant with its unit and a line on what it is for; the modules' __all__ lists name what other modules use; fields whose clock was unclear say it. Dropped, since nothing read them: placed_at_s and pace_percent of an attempt, tickets of a job, adopted_at_s of the documents, spawn_all in scheduler/orders.py. Conclusion: no value has changed.

--- a/src/streamthread/capacity/demand.py
+++ b/src/streamthread/capacity/demand.py
@@ -13,13 +13,12 @@
 from ..scheduler.model import TaskState
 from ..scheduler.placement import open_chain_s
 
-__all__ = ["ArrivalRate", "Demand", "pool_demand"]
+__all__ = ["ArrivalRate", "Demand", "job_work", "pool_demand"]
 
 RATE_SPAN_S = 2.5
 """Arrivals are averaged over this time: about the length of a job, so that a
 burst shows within a second and one large job does not look like one."""
 
-
 LATE_SPREAD = 1.5
 """A job that is late already gets room for its work over so many chains."""
 
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -68,7 +68,10 @@
 
 @attrs.frozen
 class TakenCell:
-    """What a new holder begins with."""
+    """What a new holder begins with.
+
+    :param taken_at_s: on the monotonic clock: when the take-over was sent.
+    """
 
     owner: Owner
     owner_version: int
@@ -77,8 +80,25 @@
 
 
 USUAL_CORES = 1.0
+"""A daemon with so much processor hesitates for the usual time."""
+
 MOST_HESITATION = 4.0
-"""The smallest machines seen have half a core, the largest twice one."""
+"""Times the usual; the smallest machines seen have half a core."""
+
+OWNER_RETRY_S = 0.2
+"""Pause after the owner row could not be read."""
+
+RECHECK_S = 0.05
+"""Pause before a holder that nothing speaks against is followed anew."""
+
+CLOSED_PORT_S = 0.02
+"""After a closed port, news of another holder gets so long to arrive first."""
+
+HEAD_POLL_S = 0.25
+"""Between two looks at a silent holder's commits: each is a read of the store."""
+
+REFUSED_PAUSE_S = 0.1
+"""Pause after the store refused a take-over: nothing was done."""
 
 
 class Suspicion(enum.Enum):
@@ -157,7 +177,7 @@
                 self._known.set()
             except (StoreUnavailableError, OutcomeUnknownError) as error:
                 log.warning("owner-unreadable", extra={"error": str(error)})
-                await asyncio.sleep(0.2)
+                await asyncio.sleep(OWNER_RETRY_S)
 
     def _adopt(self, row: StoredRow) -> None:
         if row.version <= self._owner_version or row.value is None:
@@ -218,7 +238,7 @@
             self._changed.clear()
             suspicion = await self._observe()
             if suspicion is Suspicion.NONE or self.stopping:
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(RECHECK_S)
                 continue
             taken = await self._take(suspicion)
             if taken is not None:
@@ -265,7 +285,7 @@
 
     async def _confirm_gone(self, owner: Owner) -> Suspicion:
         """The holder's port is closed: its process is gone, or about to be."""
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(CLOSED_PORT_S)
         if self.owner is not owner:
             return Suspicion.NONE
         return Suspicion.PROCESS_GONE
@@ -276,7 +296,7 @@
         since_s = time.monotonic()
         owner = self.owner
         while first is not None and self.owner is owner:
-            await asyncio.sleep(0.25)
+            await asyncio.sleep(HEAD_POLL_S)
             asked_at_s = time.monotonic()
             version = await self._read_head()
             if version != first:
@@ -363,7 +383,7 @@
             if result.committed:
                 return result.version
         except StoreUnavailableError:
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(REFUSED_PAUSE_S)
             return None
         except OutcomeUnknownError:
             log.warning("take-over-unanswered", extra={"token": owner.token})
--- a/src/streamthread/cell/members.py
+++ b/src/streamthread/cell/members.py
@@ -19,6 +19,8 @@
 log = logbook.Logger("streamthread.cell")
 
 RETRY_S = 0.25
+"""Pause before the store, or a peer that did not answer, is tried again."""
+
 ANNOUNCE_TRIES = 12
 """A peer behind a cut is told again for some 12 s: as long as cuts last."""
 
--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -28,6 +28,8 @@
 CONNECT_S = 0.8
 """How long a connection to a peer may take: several round trips of the sites."""
 
+RECONNECT_S = 0.03
+"""Pause after a stream broke, before the owner is looked at again."""
 
 UNANSWERED = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 """What a call to a peer raises that brings no answer."""
@@ -246,4 +248,4 @@
         except (GRPCError, StreamTerminatedError, OSError):
             # Reset or refused by the callee: connect anew, then we know more.
             self._drop(address)
-            await asyncio.sleep(0.03)
+            await asyncio.sleep(RECONNECT_S)
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -39,6 +39,11 @@
 """Six times what the store takes when it is slow (60 times 4 ms)."""
 
 CLOUD_ANSWER_S = 2.0
+"""How long a call to the machines' owner, or for advice, may take."""
+
+STOP_POLL_S = 0.1
+"""How often a planned stop looks whether its time is over."""
+
 STOP_MARGIN_S = 1.2
 """The process ends by itself so long before the platform would kill it."""
 
@@ -187,7 +192,7 @@
         await self._hand_over()
         until_s = began_at_s + self.node.bounds.grace_s - STOP_MARGIN_S
         while time.monotonic() < until_s:
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(STOP_POLL_S)
         log.info("stopped", extra={"in_flight": self.front.in_flight})
 
     async def _hand_over(self) -> None:
--- a/src/streamthread/gateway/documents.py
+++ b/src/streamthread/gateway/documents.py
@@ -33,6 +33,7 @@
 """The table is read whole this often, should the feed have missed something."""
 
 RETRY_S = 0.1
+"""Pause after the store did not answer."""
 
 
 class Documents(Service):
@@ -43,7 +44,6 @@
         self._feed = TableFeed(store, TABLE, "", FEED_WAIT_S)
         self.manifest: Manifest | None = None
         self.waves: dict[int, Wave] = {}
-        self.adopted_at_s = 0.0
         self.confirmed_at_s = 0.0
         self._routes: dict[str, list[Route]] = {}
         self._listeners: list[t.Callable[[], None]] = []
@@ -93,7 +93,6 @@
         if self.manifest is not None and manifest.version <= self.manifest.version:
             return
         self.manifest = manifest
-        self.adopted_at_s = time.monotonic()
         self._routes = _by_host(manifest.routes)
         log.info(
             "manifest-adopted",
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -33,10 +33,11 @@
 """Every request gets one try, also when its caller will wait no longer."""
 
 COME_BACK_S = 1.0
+"""A refused caller is asked to come back after so long."""
 
 
 class Kept(enum.Enum):
-    """Whether a change is in the inbox."""
+    """Whether a change is in the inbox; UNKNOWN: it may be, or get there later."""
 
     YES = "yes"
     NO = "no"
--- a/src/streamthread/gateway/front.py
+++ b/src/streamthread/gateway/front.py
@@ -29,7 +29,18 @@
 """An answer leaves so long before the caller stops waiting."""
 
 MOST_BODY_BYTES = 1_000_000
+"""A longer body is refused with status 413 before it is decoded."""
+
 COME_BACK_S = 1.0
+"""When a caller may come back, where the refusal names no other time."""
+
+BACKLOG = 1024
+"""Connections that the system holds until we take them: a burst of callers."""
+
+FIRST_REFUSAL_STATUS = 429
+"""Answers from this status on are logged: refusals for now and missing answers,
+not mistakes of the caller."""
+
 CLOSE_S = 0.3
 """Connections get so long to end when the ports close, after the planned stop."""
 
@@ -87,7 +98,7 @@
             web.Server(handler, access_log=None), shutdown_timeout=CLOSE_S
         )
         await runner.setup()
-        await web.TCPSite(runner, host, int(port), backlog=1024).start()
+        await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
         self._runners.append(runner)
         bound_host, bound_port = runner.addresses[0][:2]
         return f"{bound_host}:{bound_port}"
@@ -116,7 +127,7 @@
             headers["Retry-After"] = str(max(1, round(reply.retry_after_s)))
         if self.stopping:
             headers["Connection"] = "close"
-        if reply.status >= 429:
+        if reply.status >= FIRST_REFUSAL_STATUS:
             log.info(
                 "caller-refused",
                 extra={
--- a/src/streamthread/gateway/logs.py
+++ b/src/streamthread/gateway/logs.py
@@ -16,6 +16,7 @@
 """More than a calm day writes, and under 1% of a core at 20 us a line."""
 
 STDOUT = 1
+"""The number of the standard output's file descriptor."""
 
 
 class BoundedLines(logbook.Handler):
--- a/src/streamthread/gateway/operators.py
+++ b/src/streamthread/gateway/operators.py
@@ -20,6 +20,7 @@
 __all__ = ["CellOperators"]
 
 CLOSE_S = 0.3
+"""Connections get so long to end when the port closes."""
 
 
 class CellOperators(Service):
--- a/src/streamthread/holder/replay.py
+++ b/src/streamthread/holder/replay.py
@@ -19,10 +19,7 @@
 
 @attrs.frozen
 class Replayed:
-    """What was read back.
-
-    :param version: of the store as of the first page read.
-    """
+    """What was read back, and how long that took."""
 
     jobs: tuple[Job, ...]
     took_s: float
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -54,13 +54,23 @@
 
 SERVERS_TABLE = "servers"
 RETRY_S = 0.1
+"""Pause after the store did not answer."""
+
 TROUBLE_POLL_S = 0.1
+"""How often we look whether commits have begun to fail, or work again."""
+
 TRUST_POLL_S = 0.02
+"""How often a doubtful holder looks whether it may go on: about three commits."""
+
 FORGET_EVERY_S = 1.0
+"""How often ended jobs and lapsed orphans are looked for."""
+
 SCHEDULE_AT_MOST_S = 0.5
 """The queue is looked at this often even when nothing is heard."""
 
 FEED_WAIT_S = 2.0
+"""One call of the runners' feed waits this long for a change."""
+
 STORE_COME_BACK_S = 1.0
 """When to come back while the store is down: outages last some seconds."""
 
--- a/src/streamthread/platform/advice.py
+++ b/src/streamthread/platform/advice.py
@@ -7,9 +7,13 @@
 from .http import HttpCaller
 from .http import refuse_status
 
-__all__ = ["AdviceClient", "Ticket"]
+__all__ = ["Advice", "AdviceClient", "Ticket"]
 
 MOST_RUNNERS_PER_CALL = 100
+"""Ids beyond these are left out of a call."""
+
+CONNECTIONS = 1
+"""The service takes one call at a time from us."""
 
 
 @attrs.frozen
@@ -29,12 +33,16 @@
 
 
 class AdviceClient:
-    """The client of the advice service; it takes one call at a time from us."""
+    """The client of the advice service.
+
+    :param address: ``host:port``.
+    :param timeout_s: how long one call may take.
+    """
 
     def __init__(self, address: str, timeout_s: float) -> None:
         self._url = f"http://{address}/-/advise"
         self._timeout_s = timeout_s
-        self._caller = HttpCaller(1)
+        self._caller = HttpCaller(CONNECTIONS)
         self.calls = 0
 
     async def close(self) -> None:
--- a/src/streamthread/platform/cloud.py
+++ b/src/streamthread/platform/cloud.py
@@ -13,6 +13,8 @@
 __all__ = ["CloudClient", "DutyReply", "Machine", "MachineState"]
 
 CONNECTIONS = 4
+"""For the list and a few duties at once; others wait for a free connection."""
+
 HOLDER_HEADER = "Streamthread-Lease-Holder"
 TOKEN_HEADER = "Streamthread-Fencing-Token"
 
--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -11,7 +11,7 @@
 from ..errors import StoreThrottledError
 from ..errors import StoreUnavailableError
 
-__all__ = ["Answer", "HttpCaller", "JsonObject"]
+__all__ = ["Answer", "HttpCaller", "JsonObject", "refuse_status"]
 
 JsonObject = dict[str, t.Any]
 
--- a/src/streamthread/platform/node.py
+++ b/src/streamthread/platform/node.py
@@ -8,7 +8,15 @@
 from ..errors import SettingsError
 from .http import JsonObject
 
-__all__ = ["BadNodeSettings", "Bounds", "NodeSettings", "StoreLimits", "decode_node"]
+__all__ = [
+    "FILE_VARIABLE",
+    "OPERATORS_PORT",
+    "BadNodeSettings",
+    "Bounds",
+    "NodeSettings",
+    "StoreLimits",
+    "decode_node",
+]
 
 FILE_VARIABLE = "STREAMTHREAD_NODE_FILE"
 """The environment variable that holds the settings file's path."""
@@ -26,6 +34,7 @@
     :param upkeep_s: a machine's upkeep takes this.
     :param lease_s: two holders must not order the same machine within this.
     :param harm_s: a lasting task over its target for longer counts as harmed.
+    :param early_s: a job's time may begin so much before it falls due.
     """
 
     grace_s: float = 6.0
--- a/src/streamthread/platform/runners.py
+++ b/src/streamthread/platform/runners.py
@@ -23,6 +23,11 @@
 ]
 
 CONNECTIONS_PER_RUNNER = 8
+"""One waits in a hold; the others carry starts and stops side by side."""
+
+OTHER_LIFE_STATUS = 421
+"""A runner's answer to a call that is meant for another life."""
+
 EXPECT_HEADER = "Streamthread-Expect-Instance"
 
 
@@ -230,7 +235,7 @@
             timeout_s=timeout_s,
             headers={EXPECT_HEADER: runner_id},
         )
-        if answer.status == 421:
+        if answer.status == OTHER_LIFE_STATUS:
             raise LifeOverError(runner_id)
         if answer.instance_id and answer.instance_id != runner_id:
             raise LifeOverError(runner_id)
--- a/src/streamthread/platform/store.py
+++ b/src/streamthread/platform/store.py
@@ -11,12 +11,28 @@
 from .http import JsonObject
 from .http import refuse_status
 
-__all__ = ["ABSENT", "Condition", "HistoryGoneError", "Page", "RowStore", "StoredRow"]
+__all__ = [
+    "ABSENT",
+    "Condition",
+    "HistoryGoneError",
+    "Page",
+    "RowStore",
+    "StoredRow",
+    "TransactResult",
+]
 
 ABSENT = 0
 """The version of a row that does not exist."""
 
 CONNECTIONS = 8
+"""Each feed keeps one; the others carry commits and reads."""
+
+PAGE_ROWS = 500
+"""The most rows that one read asks for."""
+
+CONDITION_FAILED_STATUS = 412
+HISTORY_GONE_STATUS = 410
+
 FEED_SLACK_S = 1.5
 """How long after its own waiting time the store's answer to a feed may take."""
 
@@ -107,13 +123,13 @@
             "remove": [_name_row(row) for row in drops],
         }
         answer = await self._call("POST", _TRANSACT, "transact", body=body)
-        if answer.status == 412:
+        if answer.status == CONDITION_FAILED_STATUS:
             return TransactResult(committed=False)
         _require_ok(answer, _TRANSACT)
         return TransactResult(committed=True, version=int(answer.body["ver"]))
 
     async def read(
-        self, table: str, part: str, start: str = "", limit: int = 500
+        self, table: str, part: str, start: str = "", limit: int = PAGE_ROWS
     ) -> Page:
         """Return one page of a table's part, by key order."""
         params = {"table": table, "part": part, "limit": str(limit)}
@@ -146,7 +162,7 @@
         answer = await self._call(
             "GET", _FEED, "feed", params=params, timeout_s=wait_s + FEED_SLACK_S
         )
-        if answer.status == 410:
+        if answer.status == HISTORY_GONE_STATUS:
             raise HistoryGoneError
         _require_ok(answer, _FEED)
         return _decode_page(answer.body)
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -228,7 +228,6 @@
     def _plan(self, task: Task, runner: RunnerState, run: int) -> Attempt:
         task.last_run = run
         attempt = Attempt(task, task.last_run, runner.runner_id)
-        attempt.placed_at_s = time.monotonic()
         task.attempts.append(attempt)
         task.state = TaskState.PLACED
         runner.add(task.name, attempt)
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -6,18 +6,18 @@
 
 from .model import Attempt
 
-__all__ = ["RunnerState"]
+__all__ = ["RunnerState", "usable_runners"]
 
 
 @attrs.define(eq=False)
 class RunnerState:
     """One life of a runner, with the room that its attempts take.
 
-    :param rack: the label of the rack it stands in.
     :param ready: it may get new tasks: heard lately, held, not draining.
     :param reserved: a move or an upkeep was ordered for its machine.
     :param emptying: it is to be emptied, so that its machine can go into upkeep.
-    :param penalty_until_s: it failed many tasks; used last until then.
+    :param stray_runs: runs there that no attempt of ours explains.
+    :param penalty_until_s: wall time; it failed many tasks; used last until then.
     """
 
     runner_id: str
--- a/src/streamthread/scheduler/learning.py
+++ b/src/streamthread/scheduler/learning.py
@@ -4,7 +4,7 @@
 
 from .model import StepRun
 
-__all__ = ["RunTimes"]
+__all__ = ["RunTimes", "learning_key"]
 
 WEIGHT = 0.25
 """Of the newest run in the moving mean: four runs outweigh what was before."""
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -59,7 +59,9 @@
     """One run of one task on one runner.
 
     :param confirmed_clock_ms: the runner's clock when it said that the run is there.
-    :param began_at_s: when it was confirmed, on our clock.
+    :param began_at_s: on the monotonic clock: when it was confirmed; 0: not yet.
+    :param percent: of its work, as its runner said last.
+    :param stop_reason: why it is to be stopped; empty while it is not.
     """
 
     task: "Task"
@@ -67,11 +69,9 @@
     runner_id: str
     phase: Phase = Phase.PLANNED
     confirmed_clock_ms: int = 0
-    placed_at_s: float = 0.0
     began_at_s: float = 0.0
     percent: float = 0.0
     usage: float | None = None
-    pace_percent: int = 100
     stop_reason: str = ""
 
 
@@ -81,6 +81,8 @@
 
     :param last_run: the highest run number that was used.
     :param checkpoint: the newest progress that a runner reported.
+    :param avoid: ids of runners on which it failed.
+    :param not_before_s: wall time before which it is not placed.
     :param waiting_since_s: on the monotonic clock: since when it has no attempt.
     """
 
@@ -113,7 +115,10 @@
 
 @attrs.define(eq=False)
 class StepRun:
-    """One step at one time of its job."""
+    """One step at one time of its job.
+
+    :param told_waiting: it was logged that the step waits for room.
+    """
 
     occurrence: "Occurrence"
     number: int
@@ -163,7 +168,9 @@
     :param accepted_at_s: wall time of its acceptance, in seconds since 1970.
     :param occurrences: the times that have begun and are not done.
     :param done_times: numbers of the times that are done.
+    :param begun: a runner has confirmed one of its runs.
     :param ended_at_s: wall time of its end, or None.
+    :param durable: its hand-in is recorded, so it may be acknowledged.
     """
 
     job_id: str
@@ -183,7 +190,6 @@
     failed: bool = False
     ended_at_s: float | None = None
     durable: bool = False
-    tickets: dict[str, t.Any] = attrs.field(factory=dict)
 
     @property
     def times(self) -> int:
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -1,7 +1,6 @@
 """Sends starts and stops until their outcome is known."""
 
 import asyncio
-import typing as t
 from abc import ABC
 from abc import abstractmethod
 
@@ -222,11 +221,3 @@
                 },
             )
         return None
-
-
-def spawn_all(
-    group: asyncio.TaskGroup, calls: t.Iterable[t.Coroutine[t.Any, t.Any, None]]
-) -> None:
-    """Run calls side by side."""
-    for call in calls:
-        group.create_task(call)
--- a/src/streamthread/upkeep/plan.py
+++ b/src/streamthread/upkeep/plan.py
@@ -4,7 +4,15 @@
 
 import attrs
 
-__all__ = ["DueMachine", "UpkeepPlan", "UpkeepSettings", "WaveView", "plan_upkeep"]
+__all__ = [
+    "DueMachine",
+    "UpkeepPlan",
+    "UpkeepSettings",
+    "WaveView",
+    "count_away",
+    "may_stop_lasting",
+    "plan_upkeep",
+]
 
 
 @attrs.frozen
