Take the list of runners out of the holder; keep wire names in platform

Change: holder/listing.py follows the list of runners; a runner's state is made from its entry and a job from its route next to their classes; the bound after which earlier holders' runs have lapsed stood in two places and is now LinkSettings.lapse_bound_s; the names stand in platform/documents.py.

--- a/src/streamthread/gateway/documents.py
+++ b/src/streamthread/gateway/documents.py
@@ -9,11 +9,14 @@
 
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
+from ..platform.documents import CONFIG_KEY
 from ..platform.documents import decode_manifest
 from ..platform.documents import decode_wave
 from ..platform.documents import Manifest
+from ..platform.documents import OPERATOR_TABLE
 from ..platform.documents import Route
 from ..platform.documents import Wave
+from ..platform.documents import WAVE_PREFIX
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
 from ..platform.table_feed import TableFeed
@@ -22,9 +25,6 @@
 
 log = logbook.Logger("streamthread.documents")
 
-TABLE = "op"
-CONFIG_KEY = "config"
-WAVE_PREFIX = "wave/"
 FEED_WAIT_S = 1.0
 """Half of the time in which a change must be in force: a feed may hear nothing
 for a while, and the next call then reads on."""
@@ -41,7 +41,7 @@
 
     def __init__(self, store: RowStore) -> None:
         super().__init__()
-        self._feed = TableFeed(store, TABLE, "", FEED_WAIT_S)
+        self._feed = TableFeed(store, OPERATOR_TABLE, "", FEED_WAIT_S)
         self.manifest: Manifest | None = None
         self.waves: dict[int, Wave] = {}
         self.confirmed_at_s = 0.0
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -17,8 +17,6 @@
 from ..errors import NotHolderError
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
-from ..platform.callers import decode_job
-from ..platform.documents import decode_runner_entry
 from ..platform.documents import Route
 from ..platform.documents import RunnerEntry
 from ..platform.runners import HoldReply
@@ -28,12 +26,12 @@
 from ..platform.table_feed import TableFeed
 from ..runners import LinkOwner
 from ..runners import RunnerLink
-from ..runners import SLOWEST_CLOCK
 from ..scheduler import Attempt
 from ..scheduler import encode_definition
 from ..scheduler import encode_progress
 from ..scheduler import Engine
 from ..scheduler import Job
+from ..scheduler import new_job
 from ..scheduler import Phase
 from ..scheduler import RunnerState
 from ..scheduler import StepRun
@@ -42,6 +40,7 @@
 from .context import HolderContext
 from .duties import DutyLoop
 from .inbox import InboxEntry
+from .listing import RunnerListing
 from .owner import DutyOwner
 from .replay import read_jobs
 
@@ -52,7 +51,6 @@
 Read = t.TypeVar("Read")
 """What one reading of the store returns."""
 
-SERVERS_TABLE = "servers"
 RETRY_S = 0.1
 """Pause after the store did not answer."""
 
@@ -68,9 +66,6 @@
 SCHEDULE_AT_MOST_S = 0.5
 """The queue is looked at this often even when nothing is heard."""
 
-FEED_WAIT_S = 2.0
-"""One call of the runners' feed waits this long for a change."""
-
 STORE_COME_BACK_S = 1.0
 """When to come back while the store is down: outages last some seconds."""
 
@@ -101,6 +96,9 @@
         self.duties: DutyLoop | None = None
         if context.cloud is not None:
             self.duties = DutyLoop(self, context.cloud, self.settings.duties)
+        self._listing = RunnerListing(
+            context.store, self.links, self.settings.list_pause_s, self._add_runner
+        )
         self._kick = asyncio.Event()
         self._group: asyncio.TaskGroup | None = None
         self._lost: asyncio.Future[None] | None = None
@@ -117,7 +115,7 @@
                 group.create_task(self.log.run())
                 await self._replay()
                 self.active = True
-                group.create_task(self._watch_runners())
+                group.create_task(self._listing.run())
                 group.create_task(self._watch_inbox())
                 group.create_task(self._schedule())
                 group.create_task(self._forget())
@@ -285,19 +283,11 @@
         return next((r for r in manifest.routes if r.name == name), None)
 
     def _accept(self, job_id: str, route: Route, body: bytes) -> Job:
-        request = decode_job(body)
-        job = Job(
-            job_id=job_id,
-            route=route.name,
-            service=route.service,
-            request=request,
-            body=body,
-            accepted_at_s=time.time(),
-            priority=route.priority,
-            max_attempts=route.max_attempts,
-            stretch=route.stretch,
-            target_s=route.target_s,
-        )
+        """Take a job; it may be acknowledged once it is durable.
+
+        :raises BadInputError: the body is no job.
+        """
+        job = new_job(job_id, route, body)
         self.engine.add(job)
         self.log.mark(TABLE_JOBS, job_id, lambda: encode_definition(job))
         log.info(
@@ -306,7 +296,7 @@
                 "job": job_id,
                 "route": route.name,
                 "service": route.service,
-                "tasks": sum(step.count for step in request.steps),
+                "tasks": sum(step.count for step in job.request.steps),
                 "token": self.token,
             },
         )
@@ -394,8 +384,7 @@
 
     def _drop_orphans(self) -> None:
         """Runs on runners that were never listed here have lapsed by now."""
-        links = self.settings.links
-        bound_s = links.most_hold_s / SLOWEST_CLOCK + links.answer_s
+        bound_s = self.settings.links.lapse_bound_s
         if time.monotonic() < self.taken.taken_at_s + bound_s:
             return
         for attempt in self.engine.orphans():
@@ -404,55 +393,9 @@
 
     # Runners.
 
-    async def _watch_runners(self) -> None:
-        """Follow the list of runners that the platform keeps."""
-        feed = TableFeed(self.context.store, SERVERS_TABLE, "", FEED_WAIT_S)
-        while True:
-            try:
-                update = await feed.next()
-                if update.whole:
-                    self._drop_unlisted({row.key for row in update.rows})
-                for row in update.rows:
-                    self._on_runner_row(row)
-            except (StoreUnavailableError, OutcomeUnknownError) as error:
-                log.warning("runners-unreadable", extra={"error": str(error)})
-            await asyncio.sleep(self.settings.list_pause_s)
-
-    def _drop_unlisted(self, listed: set[str]) -> None:
-        for runner_id in list(self.links):
-            if runner_id not in listed:
-                self._unlist(runner_id)
-
-    def _on_runner_row(self, row: StoredRow) -> None:
-        if row.value is None:
-            self._unlist(row.key)
-            return
-        entry = decode_runner_entry(row.key, row.value)
-        link = self.links.get(row.key)
-        if link is None:
-            self._add_runner(entry)
-            return
-        link.listed = True
-        if entry.draining and not link.runner.draining:
-            log.info("runner-draining", extra={"runner": row.key})
-            link.runner.draining = True
-        elif not entry.draining:
-            link.runner.draining = False
-
     def _add_runner(self, entry: RunnerEntry) -> None:
         assert self._group is not None
-        runner = RunnerState(
-            runner_id=entry.runner_id,
-            service=entry.service,
-            address=entry.address,
-            zone=entry.zone,
-            labels=entry.labels,
-            cpu=entry.cpu,
-            memory_mb=entry.memory_mb,
-            gpu=entry.gpu,
-            machine_id=entry.machine_id,
-            draining=entry.draining,
-        )
+        runner = RunnerState.from_entry(entry)
         self.engine.add_runner(runner)
         link = RunnerLink(
             runner,
@@ -478,13 +421,6 @@
             elif attempt.phase is Phase.STOPPING:
                 self._group.create_task(self.sender.stop(attempt))
 
-    def _unlist(self, runner_id: str) -> None:
-        link = self.links.get(runner_id)
-        if link is not None and link.listed:
-            log.info("runner-unlisted", extra={"runner": runner_id})
-            link.listed = False
-            link.runner.ready = False
-
     async def on_lists(self, link: RunnerLink, reply: HoldReply) -> None:
         """Take a runner's lists; return once the ends are durable."""
         strays = self.engine.on_hold(link.runner, reply)
--- a/src/streamthread/holder/waves.py
+++ b/src/streamthread/holder/waves.py
@@ -12,7 +12,9 @@
 from ..errors import StoreUnavailableError
 from ..platform.cloud import MachineState
 from ..platform.documents import encode_wave_status
+from ..platform.documents import STATUS_TABLE
 from ..platform.documents import Wave
+from ..platform.documents import WAVE_PREFIX
 from ..platform.store import ABSENT
 from ..platform.store import Condition
 from ..platform.store import StoredRow
@@ -40,7 +42,7 @@
 """A wave without a duration counts as this long: its share used is a quotient."""
 
 TABLE_WAVES = "cell-waves"
-STATUS_TABLE = "status"
+"""One row a wave, under its number: its progress, for the next holder."""
 
 
 class WaveBook:
@@ -94,7 +96,7 @@
         self._owner.spawn(self._write_status(progress.number, completed))
 
     async def _write_status(self, number: int, completed: bool) -> None:
-        key = f"wave/{number}"
+        key = f"{WAVE_PREFIX}{number}"
         row = StoredRow(STATUS_TABLE, "", key, encode_wave_status(completed))
         # A late "running" must not replace "completed".
         absent = Condition(STATUS_TABLE, "", key, ABSENT)
--- a/src/streamthread/platform/documents.py
+++ b/src/streamthread/platform/documents.py
@@ -8,6 +8,11 @@
 from .http import JsonObject
 
 __all__ = [
+    "CONFIG_KEY",
+    "OPERATOR_TABLE",
+    "RUNNERS_TABLE",
+    "STATUS_TABLE",
+    "WAVE_PREFIX",
     "AdvicePolicy",
     "Manifest",
     "Pool",
@@ -20,6 +25,21 @@
     "encode_wave_status",
 ]
 
+OPERATOR_TABLE = "op"
+"""What the operator writes: the manifest and the waves."""
+
+CONFIG_KEY = "config"
+"""The manifest's row."""
+
+WAVE_PREFIX = "wave/"
+"""Before a wave's number: its row's key, and that of its state."""
+
+STATUS_TABLE = "status"
+"""What the operator reads: the waves' states."""
+
+RUNNERS_TABLE = "servers"
+"""One row a runner, under its id, written by the runner itself."""
+
 
 @attrs.frozen
 class AdvicePolicy:
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -45,6 +45,11 @@
     start_within_s: float = 2.5
     retry_s: float = 0.1
 
+    @property
+    def lapse_bound_s(self) -> float:
+        """After a take-over, what earlier holders held has lapsed by then."""
+        return self.most_hold_s / SLOWEST_CLOCK + self.answer_s
+
 
 class LinkOwner(ABC):
     """What a link needs of the holder."""
@@ -207,10 +212,7 @@
         if self.clock.known:
             lapsed = self.clock.all_lapsed(now_s)
         else:
-            bound_s = (
-                self._settings.most_hold_s / SLOWEST_CLOCK + self._settings.answer_s
-            )
-            lapsed = now_s > self._taken_at_s + bound_s
+            lapsed = now_s > self._taken_at_s + self._settings.lapse_bound_s
         if not lapsed:
             return
         if self.listed:
--- a/src/streamthread/scheduler/__init__.py
+++ b/src/streamthread/scheduler/__init__.py
@@ -9,6 +9,7 @@
 from .model import Attempt
 from .model import Job
 from .model import JobState
+from .model import new_job
 from .model import Phase
 from .model import StepRun
 from .model import Task
@@ -31,5 +32,6 @@
     "decode_row",
     "encode_definition",
     "encode_progress",
+    "new_job",
     "restore_progress",
 ]
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..platform.documents import RunnerEntry
 from .model import Attempt
 
 __all__ = ["RunnerState", "usable_runners"]
@@ -40,6 +41,22 @@
     used_gpu: int = 0
     attempts: dict[tuple[str, int], Attempt] = attrs.field(factory=dict)
 
+    @classmethod
+    def from_entry(cls, entry: RunnerEntry) -> "RunnerState":
+        """Return a life of a runner as it describes itself; it is not ready yet."""
+        return cls(
+            runner_id=entry.runner_id,
+            service=entry.service,
+            address=entry.address,
+            zone=entry.zone,
+            labels=entry.labels,
+            cpu=entry.cpu,
+            memory_mb=entry.memory_mb,
+            gpu=entry.gpu,
+            machine_id=entry.machine_id,
+            draining=entry.draining,
+        )
+
     @property
     def rack(self) -> str:
         """The rack's label: runners carry their kind first, then their rack."""
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -6,8 +6,10 @@
 
 import attrs
 
+from ..platform.callers import decode_job
 from ..platform.callers import JobRequest
 from ..platform.callers import StepRequest
+from ..platform.documents import Route
 
 __all__ = [
     "Attempt",
@@ -18,6 +20,7 @@
     "StepRun",
     "Task",
     "TaskState",
+    "new_job",
     "task_name",
 ]
 
@@ -239,3 +242,22 @@
             occurrence.steps.append(step)
         self.occurrences[number] = occurrence
         return occurrence
+
+
+def new_job(job_id: str, route: Route, body: bytes) -> Job:
+    """Return the job that a caller hands in at a route now.
+
+    :raises BadInputError: the body is no job.
+    """
+    return Job(
+        job_id=job_id,
+        route=route.name,
+        service=route.service,
+        request=decode_job(body),
+        body=body,
+        accepted_at_s=time.time(),
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        target_s=route.target_s,
+    )
