Shorten long functions, and drop leftovers of the stand-ins

Change: the search for the best runner, the moves to pools that lack machines, whether an answer is final, and how responses are made are functions of their own; the daemon makes its lease and its front in two. A start that was not sent and one without an answer now share the pause at the loop's end.

--- a/src/streamthread/capacity/plan.py
+++ b/src/streamthread/capacity/plan.py
@@ -116,13 +116,7 @@
     }
     available = _from_spares(spares, machines)
     available += _from_surplus(lacking, machines, settings)
-    moves: list[Move] = []
-    for pool in sorted(lacking, key=lambda name: -lacking[name]):
-        for _ in range(max(0, lacking[pool])):
-            machine = _take(available, pool)
-            if machine is None:
-                break
-            moves.append(Move(machine.machine_id, machine.pool, pool))
+    moves = _moves_to_lacking(lacking, available)
     if spares:
         moves += [
             Move(machine.machine_id, machine.pool, spares[0])
@@ -160,6 +154,20 @@
     return found
 
 
+def _moves_to_lacking(
+    lacking: dict[str, int], available: list[MachineView]
+) -> list[Move]:
+    """Take machines off those available, for the pool that lacks most first."""
+    moves: list[Move] = []
+    for pool in sorted(lacking, key=lambda name: -lacking[name]):
+        for _ in range(max(0, lacking[pool])):
+            machine = _take(available, pool)
+            if machine is None:
+                break
+            moves.append(Move(machine.machine_id, machine.pool, pool))
+    return moves
+
+
 def _take(available: list[MachineView], pool: str) -> MachineView | None:
     for number, machine in enumerate(available):
         if machine.pool != pool:
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -320,12 +320,8 @@
             return None
         if not await self._reread_owner() or self.owner is not owner:
             return None
-        mine = Owner(
-            self._me[0],
-            self._me[1],
-            self.address,
-            token=(owner.token if owner else 0) + 1,
-        )
+        token = (owner.token if owner else 0) + 1
+        mine = Owner(*self._me, self.address, token)
         head = Head(new_nonce(), mine.token)
         began_at_s = time.monotonic()
         version = await self._write_owner(mine, head)
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -71,42 +71,49 @@
         self.documents = Documents(self.store)
         self.peers = PeerLinks(node.daemon_id, address)
         self.holder: Holder | None = None
-        self.lease = CellLease(
+        self.lease = self._make_lease(address)
+        self.endpoint = CellEndpoint(
+            self._handle,
+            self._beat,
+            self.settings.times.beat_s,
+            self._announced,
+            self.explain,
+        )
+        self.port = CellPort(self.endpoint, node.ip, node.peer_ports[0])
+        self.lines_dropped: t.Callable[[], int] = lambda: 0
+        self.front = self._make_front()
+        self.operators = CellOperators(self, node.ip, node.operators_port)
+
+    def _make_lease(self, address: str) -> CellLease:
+        return CellLease(
             self.store,
             self.settings.part,
-            node.daemon_id,
+            self.node.daemon_id,
             new_nonce(),
             address,
             self.peers,
             self.settings.times,
-            node.cores,
+            self.node.cores,
             self._hold,
             self._on_replaced,
         )
-        self.endpoint = CellEndpoint(
-            self._handle,
-            self._beat,
-            self.settings.times.beat_s,
-            self._announced,
-            self.explain,
+
+    def _make_front(self) -> Front:
+        forwarder = Forwarder(
+            self.lease,
+            self.peers,
+            self.store,
+            self.settings.part,
+            lambda: self.holder,
+            ForwardSettings(),
         )
-        self.port = CellPort(self.endpoint, node.ip, node.peer_ports[0])
-        self.lines_dropped: t.Callable[[], int] = lambda: 0
-        self.front = Front(
-            node.callers,
-            node.readiness,
+        return Front(
+            self.node.callers,
+            self.node.readiness,
             self.documents,
-            Forwarder(
-                self.lease,
-                self.peers,
-                self.store,
-                self.settings.part,
-                lambda: self.holder,
-                ForwardSettings(),
-            ),
+            forwarder,
             self.is_ready,
         )
-        self.operators = CellOperators(self, node.ip, node.operators_port)
 
     async def on_start(self) -> None:
         """Open the ports and start to follow."""
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -95,13 +95,9 @@
             now_s = time.monotonic()
             left_s = max(until_s - now_s, LEAST_HOP_S)
             reply = await self._ask_holder(request, left_s)
-            if reply.outcome == pb.UNCERTAIN:
-                uncertain = True
-            elif reply.outcome == pb.REFUSED and uncertain:
-                # An earlier try may have been accepted: it is not surely refused.
-                pass
-            elif reply.outcome != pb.NOT_HOLDER:
+            if _is_final(reply, uncertain):
                 return reply
+            uncertain = uncertain or reply.outcome == pb.UNCERTAIN
             now_s = time.monotonic()
             if changes and now_s >= inbox_at_s and self._no_holder_here():
                 kept = await self._leave_in_inbox(request)
@@ -175,5 +171,16 @@
         return Kept.YES if result.committed else Kept.UNKNOWN
 
 
+def _is_final(reply: pb.CallReply, uncertain: bool) -> bool:
+    """Whether a caller may be told this answer.
+
+    :param uncertain: an earlier try may have been accepted, so that a refusal of
+        this one does not say that the request is surely refused.
+    """
+    if reply.outcome == pb.REFUSED:
+        return not uncertain
+    return reply.outcome not in (pb.UNCERTAIN, pb.NOT_HOLDER)
+
+
 def _refused(reason: str) -> pb.CallReply:
     return pb.CallReply(outcome=pb.REFUSED, reason=reason, retry_after_s=COME_BACK_S)
--- a/src/streamthread/gateway/front.py
+++ b/src/streamthread/gateway/front.py
@@ -122,11 +122,6 @@
         self.answer_s.labels(request.method).observe(took_s)
         key = f"{request.method} {reply.status}"
         self.answers[key] = self.answers.get(key, 0) + 1
-        headers = {}
-        if reply.retry_after_s:
-            headers["Retry-After"] = str(max(1, round(reply.retry_after_s)))
-        if self.stopping:
-            headers["Connection"] = "close"
         if reply.status >= FIRST_REFUSAL_STATUS:
             log.info(
                 "caller-refused",
@@ -138,6 +133,15 @@
                     "took_s": round(took_s, 4),
                 },
             )
+        return self._encode(reply)
+
+    def _encode(self, reply: _Reply) -> web.Response:
+        """Return the response; while stopping, it ends its connection."""
+        headers = {}
+        if reply.retry_after_s:
+            headers["Retry-After"] = str(max(1, round(reply.retry_after_s)))
+        if self.stopping:
+            headers["Connection"] = "close"
         response = web.Response(
             status=reply.status,
             body=reply.body,
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -10,6 +10,8 @@
 from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.registry import Collector
 
+from ..holder import Holder
+
 if t.TYPE_CHECKING:
     from .daemon import CellDaemon
 
@@ -51,7 +53,7 @@
         yield from self._platform()
         yield from self._lease()
         if self._daemon.holder is not None:
-            yield from self._holder()
+            yield from self._holder(self._daemon.holder)
 
     def _front(self) -> t.Iterator[Family]:
         front = self._daemon.front
@@ -120,10 +122,7 @@
             "streamthread_owner_token", "The holder's token, as known here.", token
         )
 
-    def _holder(self) -> t.Iterator[Family]:
-        holder = self._daemon.holder
-        if holder is None:
-            return
+    def _holder(self, holder: Holder) -> t.Iterator[Family]:
         engine = holder.engine
         yield GaugeMetricFamily(
             "streamthread_trusted",
@@ -153,13 +152,18 @@
         yield GaugeMetricFamily(
             "streamthread_runners_silent", "Runners that do not answer.", silent
         )
-        if holder.duties is not None:
-            yield CounterMetricFamily(
-                "streamthread_machine_moves", "Moves ordered.", holder.duties.moves
-            )
-            yield CounterMetricFamily(
-                "streamthread_upkeeps", "Upkeeps ordered.", holder.duties.upkeeps
-            )
+        yield from self._duties(holder)
+
+    @staticmethod
+    def _duties(holder: Holder) -> t.Iterator[Family]:
+        if holder.duties is None:
+            return
+        yield CounterMetricFamily(
+            "streamthread_machine_moves", "Moves ordered.", holder.duties.moves
+        )
+        yield CounterMetricFamily(
+            "streamthread_upkeeps", "Upkeeps ordered.", holder.duties.upkeeps
+        )
 
 
 def make_registry(daemon: "CellDaemon") -> CollectorRegistry:
--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -85,12 +85,7 @@
                 async with self._open().request(
                     method, url, data=data, headers=all_headers, params=params
                 ) as response:
-                    text = await response.read()
-                    return Answer(
-                        response.status,
-                        _decode(text),
-                        response.headers.get(INSTANCE_HEADER, ""),
-                    )
+                    return await _read_answer(response)
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError(
                 str(error), remedy=_WAIT, location=url
@@ -101,6 +96,12 @@
             ) from error
 
 
+async def _read_answer(response: aiohttp.ClientResponse) -> Answer:
+    text = await response.read()
+    instance_id = response.headers.get(INSTANCE_HEADER, "")
+    return Answer(response.status, _decode(text), instance_id)
+
+
 def _decode(text: bytes) -> JsonObject:
     if not text:
         return {}
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -98,21 +98,19 @@
             try:
                 reply = await self._send_start(attempt, link)
             except LifeOverError:
-                link.over = True
-                self._owner.on_life_over(link, "another life answered a start")
+                self._end_life(link, "another life answered a start")
                 return
             except StoreUnavailableError:
-                await asyncio.sleep(self._settings.retry_s)
-                continue
+                # It was surely not sent.
+                reply = None
             except OutcomeUnknownError:
                 uncertain = True
+                reply = None
                 log.warning(
                     "start-unanswered",
                     extra={"task": attempt.task.name, "runner": attempt.runner_id},
                 )
-                await asyncio.sleep(self._settings.retry_s)
-                continue
-            if self._take_answer(attempt, link, reply, uncertain):
+            if reply is not None and self._take_answer(attempt, link, reply, uncertain):
                 return
             await asyncio.sleep(self._settings.retry_s)
 
@@ -166,6 +164,10 @@
         self._owner.kick()
         return True
 
+    def _end_life(self, link: RunnerLink, why: str) -> None:
+        link.over = True
+        self._owner.on_life_over(link, why)
+
     # Stops.
 
     async def stop(self, attempt: Attempt) -> None:
@@ -209,8 +211,7 @@
                 self._settings.answer_s,
             )
         except LifeOverError:
-            link.over = True
-            self._owner.on_life_over(link, "another life answered a stop")
+            self._end_life(link, "another life answered a stop")
         except (StoreUnavailableError, OutcomeUnknownError) as error:
             log.warning(
                 "stop-unanswered",
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -100,28 +100,11 @@
     now_s: float,
 ) -> list[Placement]:
     """Place task by task, with the room that earlier ones of this call take."""
-    request = step.request
-    cpu = 0 if request.fills else request.cpu
     planned: collections.Counter[str] = collections.Counter()
     there = _count_per_runner(step)
     placed: list[Placement] = []
     for task in waiting:
-        best: RunnerState | None = None
-        best_cost: tuple[t.Any, ...] = ()
-        for runner in runners:
-            count = planned[runner.runner_id]
-            limit = request.most_per_runner
-            if limit and there[runner.runner_id] + count >= limit:
-                continue
-            if not runner.fits(
-                cpu * (count + 1),
-                request.memory_mb * (count + 1),
-                request.gpu * (count + 1),
-            ):
-                continue
-            cost = _cost(task, runner, cpu * count, now_s, placed)
-            if best is None or cost < best_cost:
-                best, best_cost = runner, cost
+        best = _best_runner(task, runners, there, planned, now_s, placed)
         if best is None:
             if not task.avoid:
                 break
@@ -131,6 +114,40 @@
     return placed
 
 
+def _best_runner(
+    task: Task,
+    runners: t.Sequence[RunnerState],
+    there: collections.Counter[str],
+    planned: collections.Counter[str],
+    now_s: float,
+    placed: t.Sequence[Placement],
+) -> RunnerState | None:
+    """Return the runner with room for one more task that costs least.
+
+    :param there: how many of the step's tasks each runner has.
+    :param planned: how many more it gets by this call.
+    """
+    request = task.step.request
+    cpu = 0 if request.fills else request.cpu
+    limit = request.most_per_runner
+    best: RunnerState | None = None
+    best_cost: tuple[t.Any, ...] = ()
+    for runner in runners:
+        count = planned[runner.runner_id]
+        if limit and there[runner.runner_id] + count >= limit:
+            continue
+        if not runner.fits(
+            cpu * (count + 1),
+            request.memory_mb * (count + 1),
+            request.gpu * (count + 1),
+        ):
+            continue
+        cost = _cost(task, runner, cpu * count, now_s, placed)
+        if best is None or cost < best_cost:
+            best, best_cost = runner, cost
+    return best
+
+
 def _count_per_runner(step: StepRun) -> collections.Counter[str]:
     return collections.Counter(
         attempt.runner_id for task in step.tasks for attempt in task.attempts
--- a/src/streamthread/standins/cell/port.py
+++ b/src/streamthread/standins/cell/port.py
@@ -4,11 +4,14 @@
 
 from aiohttp import web
 
-__all__ = ["HttpPort"]
+__all__ = ["PLAY_DEAD_S", "HttpPort"]
 
 CLOSE_S = 0.02
 """Handlers that play dead are cut off at once."""
 
+PLAY_DEAD_S = 3600.0
+"""A call that gets no answer is held for longer than any caller waits."""
+
 Handler = t.Callable[[web.BaseRequest], t.Awaitable[web.StreamResponse]]
 
 
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -13,13 +13,20 @@
 from aiohttp import web
 
 from .port import HttpPort
+from .port import PLAY_DEAD_S
 
-__all__ = ["RunnerStandin", "StartedRun"]
+__all__ = ["RunnerFaults", "RunnerStandin", "StartedRun"]
 
 Json = dict[str, t.Any]
 
 STOP_S = 0.05
+"""How long a run takes to stop."""
+
 POLL_S = 0.01
+"""How often a waiting hold looks for ends."""
+
+MOST_ENDS = 500
+"""So many ends at most are listed in one answer."""
 
 
 @attrs.define
@@ -27,7 +34,6 @@
     task: str
     run: int
     spec: Json
-    cpu_s_left: float
     ends_at_s: float
     stopping_at_s: float = 0.0
 
@@ -47,8 +53,8 @@
     """What goes wrong; a test changes the fields.
 
     :param silent: calls get no answer and have no effect.
-    :param late_starts: so many starts get no answer and are carried out after
-        ``late_s``.
+    :param late_starts: so many starts get no answer and are carried out late.
+    :param late_s: by how much.
     :param fail_all: every run ends failed at once.
     """
 
@@ -159,7 +165,7 @@
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
         body = await request.json()
         if self.faults.silent:
-            await asyncio.sleep(3600)
+            await asyncio.sleep(PLAY_DEAD_S)
         if not self.alive:
             return web.Response(status=421)
         if request.headers.get("Streamthread-Expect-Instance") != self.runner_id:
@@ -188,7 +194,7 @@
         if self.faults.late_starts > 0:
             self.faults.late_starts -= 1
             asyncio.get_running_loop().create_task(self._start_late(body))
-            await asyncio.sleep(3600)
+            await asyncio.sleep(PLAY_DEAD_S)
         reason = self._try_start(body)
         if reason:
             return self._refuse(reason)
@@ -215,7 +221,7 @@
         self._extend(body)
         now_s = time.monotonic()
         run_s = float(spec.get("run_s", 0.1))
-        self._runs[task, number] = _Run(task, number, spec, run_s, now_s + run_s)
+        self._runs[task, number] = _Run(task, number, spec, now_s + run_s)
         self._started.append(StartedRun(task, number, self.runner_id, now_s))
         return ""
 
@@ -242,6 +248,6 @@
             {
                 "clockMs": self._clock_ms(),
                 "running": running,
-                "finished": self._ends[:500],
+                "finished": self._ends[:MOST_ENDS],
             }
         )
--- a/src/streamthread/standins/cell/store.py
+++ b/src/streamthread/standins/cell/store.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from .port import HttpPort
+from .port import PLAY_DEAD_S
 
 __all__ = ["StoreFaults", "StoreStandin"]
 
@@ -25,7 +26,7 @@
         they take effect.
     :param late_s: lost writes take effect only after so long.
     :param delay_s: every answer takes so much longer.
-    :param refused_from: addresses whose calls are refused with 503.
+    :param forget_before: the feed has lost the history before this version.
     """
 
     refuse: int = 0
@@ -83,7 +84,7 @@
         if faults.delay_s:
             await asyncio.sleep(faults.delay_s)
         if faults.silent:
-            await asyncio.sleep(3600)
+            await asyncio.sleep(PLAY_DEAD_S)
         if faults.refuse:
             return web.Response(status=faults.refuse)
         if request.path == "/-/rows-tx":
@@ -101,7 +102,7 @@
             asyncio.get_running_loop().create_task(
                 self._apply_late(body, self.faults.late_s)
             )
-            await asyncio.sleep(3600)
+            await asyncio.sleep(PLAY_DEAD_S)
         status, answer = await self._apply(body)
         return web.json_response(answer, status=status)
 
