Share what the platform's clients have in common

Cause: the clients of the store, the machines' owner and the advice service began and closed alike, and the rack's place among the labels stood in two modules. Change: platform/http.py has ServiceClient, which the three extend; rack_of() stands with the documents that carry the labels. Ruled out: the runners' client, which has no address of its own. Conclusion: same calls to the same addresses.

--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -202,7 +202,7 @@
         return MachineView(
             machine_id=machine.machine_id,
             pool=_pool_after(machine, pending),
-            rack=machine.labels[1] if len(machine.labels) > 1 else "",
+            rack=machine.rack,
             cpu=machine.cpu,
             memory_mb=machine.memory_mb,
             free_to_move=up and (off or idle),
--- a/src/streamthread/platform/advice.py
+++ b/src/streamthread/platform/advice.py
@@ -4,8 +4,8 @@
 
 import attrs
 
-from .http import HttpCaller
 from .http import refuse_status
+from .http import ServiceClient
 
 __all__ = ["Advice", "AdviceClient", "Ticket"]
 
@@ -15,6 +15,8 @@
 CONNECTIONS = 1
 """The service takes one call at a time from us."""
 
+_ADVISE = "/-/advise"
+
 
 @attrs.frozen
 class Ticket:
@@ -32,7 +34,7 @@
     valid_s: float | None
 
 
-class AdviceClient:
+class AdviceClient(ServiceClient):
     """The client of the advice service.
 
     :param address: ``host:port``.
@@ -40,23 +42,17 @@
     """
 
     def __init__(self, address: str, timeout_s: float) -> None:
-        self._url = f"http://{address}/-/advise"
-        self._timeout_s = timeout_s
-        self._caller = HttpCaller(CONNECTIONS)
+        super().__init__(address, timeout_s, CONNECTIONS)
         self.calls = 0
 
-    async def close(self) -> None:
-        """Close the connection."""
-        await self._caller.close()
-
     async def advise(self, step: str, runner_ids: t.Sequence[str]) -> Advice:
         """Ask which of the runners may run a step (``ID.K.STEP``)."""
         self.calls += 1
         body = {"step": step, "workers": list(runner_ids[:MOST_RUNNERS_PER_CALL])}
         answer = await self._caller.call(
-            "POST", self._url, body, timeout_s=self._timeout_s
+            "POST", self._url + _ADVISE, body, timeout_s=self._timeout_s
         )
-        refuse_status(answer, self._url)
+        refuse_status(answer, self._url + _ADVISE)
         rows = answer.body.get("good", ())
         valid_ms = answer.body.get("valid_ms", answer.body.get("validMs"))
         return Advice(
--- a/src/streamthread/platform/cloud.py
+++ b/src/streamthread/platform/cloud.py
@@ -5,10 +5,11 @@
 
 import attrs
 
+from .documents import rack_of
 from .http import Answer
-from .http import HttpCaller
 from .http import JsonObject
 from .http import refuse_status
+from .http import ServiceClient
 
 __all__ = ["CloudClient", "DutyReply", "Machine", "MachineState"]
 
@@ -52,8 +53,13 @@
     gpu: int
     runner_id: str = ""
 
+    @property
+    def rack(self) -> str:
+        """The label of the rack it stands in."""
+        return rack_of(self.labels)
 
-class CloudClient:
+
+class CloudClient(ServiceClient):
     """The client of the machines' owner.
 
     :param address: ``host:port``.
@@ -61,15 +67,9 @@
     """
 
     def __init__(self, address: str, timeout_s: float) -> None:
-        self._url = f"http://{address}"
-        self._timeout_s = timeout_s
-        self._caller = HttpCaller(CONNECTIONS)
+        super().__init__(address, timeout_s, CONNECTIONS)
         self.calls: dict[str, int] = {"list": 0, "move": 0, "upkeep": 0}
 
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._caller.close()
-
     async def machines(self) -> list[Machine]:
         """Return all machines, page by page."""
         found: list[Machine] = []
--- a/src/streamthread/platform/documents.py
+++ b/src/streamthread/platform/documents.py
@@ -23,6 +23,7 @@
     "decode_runner_entry",
     "decode_wave",
     "encode_wave_status",
+    "rack_of",
 ]
 
 OPERATOR_TABLE = "op"
@@ -186,6 +187,11 @@
     )
 
 
+def rack_of(labels: t.Sequence[str]) -> str:
+    """Return the rack's label: a machine's kind comes first, then its rack."""
+    return labels[1] if len(labels) > 1 else ""
+
+
 def decode_wave(value: bytes) -> Wave:
     """Decode an operator's wave of upkeep."""
     body = json.loads(value)
--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -11,7 +11,7 @@
 from ..errors import StoreThrottledError
 from ..errors import StoreUnavailableError
 
-__all__ = ["Answer", "HttpCaller", "JsonObject", "refuse_status"]
+__all__ = ["Answer", "HttpCaller", "JsonObject", "ServiceClient", "refuse_status"]
 
 JsonObject = dict[str, t.Any]
 
@@ -96,6 +96,24 @@
             ) from error
 
 
+class ServiceClient:
+    """What the clients of services with one address share.
+
+    :param address: ``host:port``.
+    :param timeout_s: how long one call may take.
+    :param connections: the most that are open at once.
+    """
+
+    def __init__(self, address: str, timeout_s: float, connections: int) -> None:
+        self._url = f"http://{address}"
+        self._timeout_s = timeout_s
+        self._caller = HttpCaller(connections)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._caller.close()
+
+
 async def _read_answer(response: aiohttp.ClientResponse) -> Answer:
     text = await response.read()
     instance_id = response.headers.get(INSTANCE_HEADER, "")
--- a/src/streamthread/platform/store.py
+++ b/src/streamthread/platform/store.py
@@ -7,9 +7,9 @@
 
 from ..errors import BadInputError
 from .http import Answer
-from .http import HttpCaller
 from .http import JsonObject
 from .http import refuse_status
+from .http import ServiceClient
 
 __all__ = [
     "ABSENT",
@@ -86,7 +86,7 @@
     """The feed cannot go on from this version: read the table whole."""
 
 
-class RowStore:
+class RowStore(ServiceClient):
     """The store's client.
 
     :param address: ``host:port``.
@@ -94,15 +94,9 @@
     """
 
     def __init__(self, address: str, timeout_s: float) -> None:
-        self._url = f"http://{address}"
-        self._timeout_s = timeout_s
-        self._caller = HttpCaller(CONNECTIONS)
+        super().__init__(address, timeout_s, CONNECTIONS)
         self.calls: dict[str, int] = {"transact": 0, "read": 0, "feed": 0}
 
-    async def close(self) -> None:
-        """Close all connections."""
-        await self._caller.close()
-
     async def transact(
         self,
         conditions: t.Sequence[Condition],
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..platform.documents import rack_of
 from ..platform.documents import RunnerEntry
 from .model import Attempt
 
@@ -59,8 +60,8 @@
 
     @property
     def rack(self) -> str:
-        """The rack's label: runners carry their kind first, then their rack."""
-        return self.labels[1] if len(self.labels) > 1 else ""
+        """The label of the rack it stands in."""
+        return rack_of(self.labels)
 
     @property
     def free_cpu(self) -> int:
