Drop fields and settings of the cell that nothing reads

Cause: a reader looks for what they do: the owner row's version in TakenCell, a count of calls to peers, bytes written by commits, listeners of the documents that nobody adds, silent_s of the links (the first unanswered call already takes a runner out of use). Change: these are gone; the lease names its daemon and incarnation in place of a pair; the lists __all__ name the remaining public items; four more constants say what they are. Ruled out: the hooks for tickets of the advice service and the fields of the manifest and the bounds that are decoded and read nowhere: what the platform offers stays whole. Conclusion: no decision reads any of them.

--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -33,8 +33,10 @@
 """A commit takes 7 ms; under a store 60 times slower, 300 ms."""
 
 RETRY_FIRST_S = 0.05
+"""Pause before the second try while the store fails; it doubles with each."""
+
 RETRY_MOST_S = 0.5
-"""Pauses between tries while the store fails: short beside the lease."""
+"""The longest pause between tries: short beside the lease."""
 
 
 @attrs.frozen
@@ -81,7 +83,6 @@
         self.trying_since_s: float | None = None
         self.sequence = 0
         self.rows_written = 0
-        self.bytes_written = 0
         self.lost = False
 
     def mark(self, table: str, key: str, encode: Encode) -> "asyncio.Future[None]":
@@ -170,7 +171,6 @@
             self._next = _future()
         self._current = done
         self.rows_written += len(rows)
-        self.bytes_written += size
         return _Batch(tuple(rows), tuple(drops), done)
 
     async def _commit(self, batch: _Batch) -> None:
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -31,7 +31,7 @@
 from .rows import TABLE_HEAD
 from .rows import TABLE_OWNER
 
-__all__ = ["CellLease", "LeaseTimes", "TakenCell"]
+__all__ = ["CellLease", "LeaseTimes", "Suspicion", "TakenCell"]
 
 log = logbook.Logger("streamthread.cell")
 
@@ -70,11 +70,11 @@
 class TakenCell:
     """What a new holder begins with.
 
+    :param head_version: the head row's version after the take-over.
     :param taken_at_s: on the monotonic clock: when the take-over was sent.
     """
 
     owner: Owner
-    owner_version: int
     head_version: int
     taken_at_s: float
 
@@ -137,7 +137,8 @@
         super().__init__()
         self._store = store
         self._part = part
-        self._me = (daemon_id, incarnation)
+        self._daemon_id = daemon_id
+        self._incarnation = incarnation
         self.address = address
         self._peers = peers
         self.times = times
@@ -200,7 +201,8 @@
             },
         )
         self._changed.set()
-        if self.holding and (owner.daemon_id, owner.incarnation) != self._me:
+        mine = (self._daemon_id, self._incarnation)
+        if self.holding and (owner.daemon_id, owner.incarnation) != mine:
             self._on_replaced()
 
     def hear(self, news: pb.OwnerNews) -> None:
@@ -269,7 +271,7 @@
             return Suspicion.VACANT
         if owner.released:
             return Suspicion.RELEASED
-        if owner.daemon_id == self._me[0] and self.owner is owner:
+        if owner.daemon_id == self._daemon_id and self.owner is owner:
             return Suspicion.OWN_EARLIER_LIFE
         try:
             await self._peers.follow(
@@ -321,7 +323,7 @@
         if not await self._reread_owner() or self.owner is not owner:
             return None
         token = (owner.token if owner else 0) + 1
-        mine = Owner(*self._me, self.address, token)
+        mine = Owner(self._daemon_id, self._incarnation, self.address, token)
         head = Head(new_nonce(), mine.token)
         began_at_s = time.monotonic()
         version = await self._write_owner(mine, head)
@@ -340,7 +342,7 @@
         self._owner_version = version
         self.owner = mine
         self._changed.set()
-        return TakenCell(mine, version, version, began_at_s)
+        return TakenCell(mine, version, began_at_s)
 
     async def _reread_owner(self) -> bool:
         """Read the owner row: what we know of it may be old, or from a peer."""
@@ -357,7 +359,7 @@
             return 0.0
         if suspicion is Suspicion.RELEASED:
             assert self.owner is not None
-            if self.owner.successor == self._me[0]:
+            if self.owner.successor == self._daemon_id:
                 return 0.0
             return self._stagger_s() + 2 * self.times.stagger_s
         return self._stagger_s()
--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "CallHandler",
+    "CellEndpoint",
     "CellPort",
     "HolderDoubtfulError",
     "HolderSilentError",
@@ -125,7 +126,6 @@
         self._daemon_id = daemon_id
         self.address = address
         self._channels: dict[str, Channel] = {}
-        self.calls = 0
 
     def close(self) -> None:
         """Close all channels."""
@@ -152,7 +152,6 @@
 
         :raises PeerUnavailableError: no answer; it may have been carried out.
         """
-        self.calls += 1
         return await self._answer(
             address,
             lambda stub: stub.Call(request, timeout=timeout_s),
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -31,7 +31,7 @@
 from .operators import CellOperators
 from .operators import explain_here
 
-__all__ = ["CellDaemon"]
+__all__ = ["CellDaemon", "cell_settings"]
 
 log = logbook.Logger("streamthread.gateway")
 
--- a/src/streamthread/gateway/documents.py
+++ b/src/streamthread/gateway/documents.py
@@ -46,11 +46,6 @@
         self.waves: dict[int, Wave] = {}
         self.confirmed_at_s = 0.0
         self._routes: dict[str, list[Route]] = {}
-        self._listeners: list[t.Callable[[], None]] = []
-
-    def listen(self, listener: t.Callable[[], None]) -> None:
-        """Call a function after each change."""
-        self._listeners.append(listener)
 
     @Service.task
     async def _run(self) -> None:
@@ -98,7 +93,6 @@
             "manifest-adopted",
             extra={"version": manifest.version, "routes": len(manifest.routes)},
         )
-        self._tell()
 
     def _take_wave(self, value: bytes) -> None:
         wave = decode_wave(value)
@@ -113,11 +107,6 @@
                 },
             )
         self.waves[wave.number] = wave
-        self._tell()
-
-    def _tell(self) -> None:
-        for listener in self._listeners:
-            listener()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a path: the longest prefix under its host."""
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -24,7 +24,7 @@
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
 
-__all__ = ["ForwardSettings", "Forwarder"]
+__all__ = ["ForwardSettings", "Forwarder", "Kept"]
 
 log = logbook.Logger("streamthread.forwarding")
 
--- a/src/streamthread/gateway/main.py
+++ b/src/streamthread/gateway/main.py
@@ -21,11 +21,12 @@
 from .logs import BoundedLines
 from .logs import start_cell_logging
 
-__all__ = ["add_arguments", "main", "run_cell"]
+__all__ = ["add_arguments", "main", "read_node", "run_cell"]
 
 log = logbook.Logger("streamthread.gateway")
 
 BAD_INPUT_STATUS = 2
+"""The exit status of a settings file with mistakes, as of a bad command line."""
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
--- a/src/streamthread/gateway/operators.py
+++ b/src/streamthread/gateway/operators.py
@@ -17,7 +17,7 @@
 if t.TYPE_CHECKING:
     from .daemon import CellDaemon
 
-__all__ = ["CellOperators"]
+__all__ = ["CellOperators", "explain_here"]
 
 CLOSE_S = 0.3
 """Connections get so long to end when the port closes."""
--- a/src/streamthread/platform/cloud.py
+++ b/src/streamthread/platform/cloud.py
@@ -11,7 +11,13 @@
 from .http import refuse_status
 from .http import ServiceClient
 
-__all__ = ["CloudClient", "DutyReply", "Machine", "MachineState"]
+__all__ = [
+    "CloudClient",
+    "DutyReply",
+    "Machine",
+    "MachineState",
+    "decode_machine",
+]
 
 CONNECTIONS = 4
 """For the list and a few duties at once; others wait for a free connection."""
--- a/src/streamthread/platform/store.py
+++ b/src/streamthread/platform/store.py
@@ -31,7 +31,10 @@
 """The most rows that one read asks for."""
 
 CONDITION_FAILED_STATUS = 412
+"""The answer to a transaction of which a condition does not hold."""
+
 HISTORY_GONE_STATUS = 410
+"""The feed's answer to a version from which it cannot go on."""
 
 FEED_SLACK_S = 1.5
 """How long after its own waiting time the store's answer to a feed may take."""
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -32,7 +32,6 @@
     :param most_hold_s: the longest that runners accept.
     :param wait_s: how long a runner may wait for an end before it answers.
     :param answer_s: an answer takes no longer than this, beside ``wait_s``.
-    :param silent_s: unanswered for longer, a runner gets no new tasks.
     :param start_within_s: a start that is carried out later is refused.
     :param retry_s: pause after a call without answer.
     """
@@ -41,7 +40,6 @@
     most_hold_s: float = 10.0
     wait_s: float = 0.8
     answer_s: float = 0.7
-    silent_s: float = 0.9
     start_within_s: float = 2.5
     retry_s: float = 0.1
 
@@ -102,7 +100,6 @@
         self._settings = settings
         self._taken_at_s = taken_at_s
         self._confirmed = 0
-        self._synced_since_s = time.monotonic()
 
     @property
     def silent(self) -> bool:
@@ -203,7 +200,7 @@
                 "runner-unanswered",
                 extra={"runner": self.runner.runner_id, "why": why},
             )
-        # One unanswered long call already took longer than `silent_s`.
+        # One unanswered call is enough: a runner that is well answers each one in time.
         self.runner.ready = False
         self._check_lapse()
 
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -12,7 +12,7 @@
 from .model import StepRun
 from .model import Task
 
-__all__ = ["Placement", "open_chain_s", "order_steps", "place_step"]
+__all__ = ["Placement", "open_chain_s", "order_steps", "place_step", "urgency"]
 
 
 @attrs.frozen
--- a/src/streamthread/standins/cell/cloud.py
+++ b/src/streamthread/standins/cell/cloud.py
@@ -9,7 +9,7 @@
 from .port import HttpPort
 from .runner import RunnerStandin
 
-__all__ = ["CloudStandin", "MachineStandin"]
+__all__ = ["CloudStandin", "Duty", "MachineStandin"]
 
 MakeRunner = t.Callable[[str, str], t.Awaitable[RunnerStandin]]
 """Starts a new life of a machine's runner in a pool."""
