--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -14,9 +14,9 @@
 from ..errors import StoreUnavailableError
 from ..platform.store import ABSENT
 from ..platform.store import Condition
-from ..platform.store import HistoryGoneError
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
+from ..platform.table_feed import TableFeed
 from . import cell_pb2 as pb
 from .members import Members
 from .peer import HolderDoubtfulError
@@ -31,7 +31,7 @@
 from .rows import TABLE_HEAD
 from .rows import TABLE_OWNER
 
-__all__ = ["CellLease", "LeaseTimes", "TakenCell"]
+__all__ = ["CellLease", "LeaseTimes", "Suspicion", "TakenCell"]
 
 log = logbook.Logger("streamthread.cell")
 
@@ -68,17 +68,37 @@
 
 @attrs.frozen
 class TakenCell:
-    """What a new holder begins with."""
+    """What a new holder begins with.
+
+    :param head_version: the head row's version after the take-over.
+    :param taken_at_s: on the monotonic clock: when the take-over was sent.
+    """
 
     owner: Owner
-    owner_version: int
     head_version: int
     taken_at_s: float
 
 
 USUAL_CORES = 1.0
+"""A daemon with so much processor hesitates for the usual time."""
+
 MOST_HESITATION = 4.0
-"""The smallest machines seen have half a core, the largest twice one."""
+"""Times the usual; the smallest machines seen have half a core."""
+
+OWNER_RETRY_S = 0.2
+"""Pause after the owner row could not be read."""
+
+RECHECK_S = 0.05
+"""Pause before a holder that nothing speaks against is followed anew."""
+
+CLOSED_PORT_S = 0.02
+"""After a closed port, news of another holder gets so long to arrive first."""
+
+HEAD_POLL_S = 0.25
+"""Between two looks at a silent holder's commits: each is a read of the store."""
+
+REFUSED_PAUSE_S = 0.1
+"""Pause after the store refused a take-over: nothing was done."""
 
 
 class Suspicion(enum.Enum):
@@ -117,7 +137,8 @@
         super().__init__()
         self._store = store
         self._part = part
-        self._me = (daemon_id, incarnation)
+        self._daemon_id = daemon_id
+        self._incarnation = incarnation
         self.address = address
         self._peers = peers
         self.times = times
@@ -147,26 +168,17 @@
 
     async def _watch_owner(self) -> None:
         """Keep the owner row as the store last told it."""
-        after = -1
+        feed = TableFeed(self._store, TABLE_OWNER, self._part, self.times.feed_wait_s)
         while True:
             try:
-                after = await self._watch_once(after)
-            except HistoryGoneError:
-                after = -1
+                update = await feed.next()
+                for row in update.rows:
+                    if row.key == OWNER_KEY and row.part in ("", self._part):
+                        self._adopt(row)
+                self._known.set()
             except (StoreUnavailableError, OutcomeUnknownError) as error:
                 log.warning("owner-unreadable", extra={"error": str(error)})
-                await asyncio.sleep(0.2)
-
-    async def _watch_once(self, after: int) -> int:
-        if after < 0:
-            page = await self._store.read(TABLE_OWNER, self._part)
-        else:
-            page = await self._store.feed(TABLE_OWNER, after, self.times.feed_wait_s)
-        for row in page.rows:
-            if row.key == OWNER_KEY and row.part in ("", self._part):
-                self._adopt(row)
-        self._known.set()
-        return page.version
+                await asyncio.sleep(OWNER_RETRY_S)
 
     def _adopt(self, row: StoredRow) -> None:
         if row.version <= self._owner_version or row.value is None:
@@ -189,7 +201,8 @@
             },
         )
         self._changed.set()
-        if self.holding and (owner.daemon_id, owner.incarnation) != self._me:
+        mine = (self._daemon_id, self._incarnation)
+        if self.holding and (owner.daemon_id, owner.incarnation) != mine:
             self._on_replaced()
 
     def hear(self, news: pb.OwnerNews) -> None:
@@ -227,7 +240,7 @@
             self._changed.clear()
             suspicion = await self._observe()
             if suspicion is Suspicion.NONE or self.stopping:
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(RECHECK_S)
                 continue
             taken = await self._take(suspicion)
             if taken is not None:
@@ -258,7 +271,7 @@
             return Suspicion.VACANT
         if owner.released:
             return Suspicion.RELEASED
-        if owner.daemon_id == self._me[0] and self.owner is owner:
+        if owner.daemon_id == self._daemon_id and self.owner is owner:
             return Suspicion.OWN_EARLIER_LIFE
         try:
             await self._peers.follow(
@@ -274,7 +287,7 @@
 
     async def _confirm_gone(self, owner: Owner) -> Suspicion:
         """The holder's port is closed: its process is gone, or about to be."""
-        await asyncio.sleep(0.02)
+        await asyncio.sleep(CLOSED_PORT_S)
         if self.owner is not owner:
             return Suspicion.NONE
         return Suspicion.PROCESS_GONE
@@ -285,7 +298,7 @@
         since_s = time.monotonic()
         owner = self.owner
         while first is not None and self.owner is owner:
-            await asyncio.sleep(0.25)
+            await asyncio.sleep(HEAD_POLL_S)
             asked_at_s = time.monotonic()
             version = await self._read_head()
             if version != first:
@@ -309,12 +322,8 @@
             return None
         if not await self._reread_owner() or self.owner is not owner:
             return None
-        mine = Owner(
-            self._me[0],
-            self._me[1],
-            self.address,
-            token=(owner.token if owner else 0) + 1,
-        )
+        token = (owner.token if owner else 0) + 1
+        mine = Owner(self._daemon_id, self._incarnation, self.address, token)
         head = Head(new_nonce(), mine.token)
         began_at_s = time.monotonic()
         version = await self._write_owner(mine, head)
@@ -333,7 +342,7 @@
         self._owner_version = version
         self.owner = mine
         self._changed.set()
-        return TakenCell(mine, version, version, began_at_s)
+        return TakenCell(mine, version, began_at_s)
 
     async def _reread_owner(self) -> bool:
         """Read the owner row: what we know of it may be old, or from a peer."""
@@ -350,7 +359,7 @@
             return 0.0
         if suspicion is Suspicion.RELEASED:
             assert self.owner is not None
-            if self.owner.successor == self._me[0]:
+            if self.owner.successor == self._daemon_id:
                 return 0.0
             return self._stagger_s() + 2 * self.times.stagger_s
         return self._stagger_s()
@@ -372,7 +381,7 @@
             if result.committed:
                 return result.version
         except StoreUnavailableError:
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(REFUSED_PAUSE_S)
             return None
         except OutcomeUnknownError:
             log.warning("take-over-unanswered", extra={"token": owner.token})
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -31,7 +31,7 @@
 from .operators import CellOperators
 from .operators import explain_here
 
-__all__ = ["CellDaemon"]
+__all__ = ["CellDaemon", "cell_settings"]
 
 log = logbook.Logger("streamthread.gateway")
 
@@ -39,6 +39,11 @@
 """Six times what the store takes when it is slow (60 times 4 ms)."""
 
 CLOUD_ANSWER_S = 2.0
+"""How long a call to the machines' owner, or for advice, may take."""
+
+STOP_POLL_S = 0.1
+"""How often a planned stop looks whether its time is over."""
+
 STOP_MARGIN_S = 1.2
 """The process ends by itself so long before the platform would kill it."""
 
@@ -66,42 +71,49 @@
         self.documents = Documents(self.store)
         self.peers = PeerLinks(node.daemon_id, address)
         self.holder: Holder | None = None
-        self.lease = CellLease(
+        self.lease = self._make_lease(address)
+        self.endpoint = CellEndpoint(
+            self._handle,
+            self._beat,
+            self.settings.times.beat_s,
+            self._announced,
+            self.explain,
+        )
+        self.port = CellPort(self.endpoint, node.ip, node.peer_ports[0])
+        self.lines_dropped: t.Callable[[], int] = lambda: 0
+        self.front = self._make_front()
+        self.operators = CellOperators(self, node.ip, node.operators_port)
+
+    def _make_lease(self, address: str) -> CellLease:
+        return CellLease(
             self.store,
             self.settings.part,
-            node.daemon_id,
+            self.node.daemon_id,
             new_nonce(),
             address,
             self.peers,
             self.settings.times,
-            node.cores,
+            self.node.cores,
             self._hold,
             self._on_replaced,
         )
-        self.endpoint = CellEndpoint(
-            self._handle,
-            self._beat,
-            self.settings.times.beat_s,
-            self._announced,
-            self.explain,
+
+    def _make_front(self) -> Front:
+        forwarder = Forwarder(
+            self.lease,
+            self.peers,
+            self.store,
+            self.settings.part,
+            lambda: self.holder,
+            ForwardSettings(),
         )
-        self.port = CellPort(self.endpoint, node.ip, node.peer_ports[0])
-        self.lines_dropped: t.Callable[[], int] = lambda: 0
-        self.front = Front(
-            node.callers,
-            node.readiness,
+        return Front(
+            self.node.callers,
+            self.node.readiness,
             self.documents,
-            Forwarder(
-                self.lease,
-                self.peers,
-                self.store,
-                self.settings.part,
-                lambda: self.holder,
-                ForwardSettings(),
-            ),
+            forwarder,
             self.is_ready,
         )
-        self.operators = CellOperators(self, node.ip, node.operators_port)
 
     async def on_start(self) -> None:
         """Open the ports and start to follow."""
@@ -187,7 +199,7 @@
         await self._hand_over()
         until_s = began_at_s + self.node.bounds.grace_s - STOP_MARGIN_S
         while time.monotonic() < until_s:
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(STOP_POLL_S)
         log.info("stopped", extra={"in_flight": self.front.in_flight})
 
     async def _hand_over(self) -> None:
--- a/src/streamthread/gateway/documents.py
+++ b/src/streamthread/gateway/documents.py
@@ -9,22 +9,22 @@
 
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
+from ..platform.documents import CONFIG_KEY
 from ..platform.documents import decode_manifest
 from ..platform.documents import decode_wave
 from ..platform.documents import Manifest
+from ..platform.documents import OPERATOR_TABLE
 from ..platform.documents import Route
 from ..platform.documents import Wave
-from ..platform.store import HistoryGoneError
+from ..platform.documents import WAVE_PREFIX
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
+from ..platform.table_feed import TableFeed
 
 __all__ = ["Documents"]
 
 log = logbook.Logger("streamthread.documents")
 
-TABLE = "op"
-CONFIG_KEY = "config"
-WAVE_PREFIX = "wave/"
 FEED_WAIT_S = 1.0
 """Half of the time in which a change must be in force: a feed may hear nothing
 for a while, and the next call then reads on."""
@@ -33,6 +33,7 @@
 """The table is read whole this often, should the feed have missed something."""
 
 RETRY_S = 0.1
+"""Pause after the store did not answer."""
 
 
 class Documents(Service):
@@ -40,33 +41,24 @@
 
     def __init__(self, store: RowStore) -> None:
         super().__init__()
-        self._store = store
+        self._feed = TableFeed(store, OPERATOR_TABLE, "", FEED_WAIT_S)
         self.manifest: Manifest | None = None
         self.waves: dict[int, Wave] = {}
-        self.adopted_at_s = 0.0
         self.confirmed_at_s = 0.0
         self._routes: dict[str, list[Route]] = {}
-        self._listeners: list[t.Callable[[], None]] = []
-
-    def listen(self, listener: t.Callable[[], None]) -> None:
-        """Call a function after each change."""
-        self._listeners.append(listener)
 
     @Service.task
     async def _run(self) -> None:
         await self.wait(self._watch())
 
     async def _watch(self) -> None:
-        after = -1
         failing = False
         while True:
             try:
-                after = await self._watch_once(after)
+                await self._watch_once()
                 if failing:
                     log.info("operator-documents-readable")
                 failing = False
-            except HistoryGoneError:
-                after = -1
             except (StoreUnavailableError, OutcomeUnknownError) as error:
                 if not failing:
                     log.warning(
@@ -75,18 +67,13 @@
                 failing = True
                 await asyncio.sleep(RETRY_S)
 
-    async def _watch_once(self, after: int) -> int:
+    async def _watch_once(self) -> None:
         stale = time.monotonic() - self.confirmed_at_s > REREAD_S
-        if after < 0 or stale:
-            page = await self._store.read_all(TABLE, "")
+        update = await (self._feed.whole() if stale else self._feed.next())
+        if update.whole:
             self.confirmed_at_s = time.monotonic()
-            after = max(after, page.version)
-        else:
-            page = await self._store.feed(TABLE, after, FEED_WAIT_S)
-            after = page.version
-        for row in page.rows:
+        for row in update.rows:
             self._take(row)
-        return after
 
     def _take(self, row: StoredRow) -> None:
         if row.value is None:
@@ -101,13 +88,11 @@
         if self.manifest is not None and manifest.version <= self.manifest.version:
             return
         self.manifest = manifest
-        self.adopted_at_s = time.monotonic()
         self._routes = _by_host(manifest.routes)
         log.info(
             "manifest-adopted",
             extra={"version": manifest.version, "routes": len(manifest.routes)},
         )
-        self._tell()
 
     def _take_wave(self, value: bytes) -> None:
         wave = decode_wave(value)
@@ -122,11 +107,6 @@
                 },
             )
         self.waves[wave.number] = wave
-        self._tell()
-
-    def _tell(self) -> None:
-        for listener in self._listeners:
-            listener()
 
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of a path: the longest prefix under its host."""
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -17,24 +17,22 @@
 from ..errors import NotHolderError
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
-from ..platform.callers import decode_job
 from ..platform.documents import AdvicePolicy
-from ..platform.documents import decode_runner_entry
 from ..platform.documents import Route
 from ..platform.documents import RunnerEntry
 from ..platform.runners import HoldReply
 from ..platform.store import ABSENT
-from ..platform.store import HistoryGoneError
 from ..platform.store import Page
 from ..platform.store import StoredRow
+from ..platform.table_feed import TableFeed
 from ..runners import LinkOwner
 from ..runners import RunnerLink
-from ..runners import SLOWEST_CLOCK
 from ..scheduler import Attempt
 from ..scheduler import encode_definition
 from ..scheduler import encode_progress
 from ..scheduler import Engine
 from ..scheduler import Job
+from ..scheduler import new_job
 from ..scheduler import Phase
 from ..scheduler import RunnerState
 from ..scheduler import StepRun
@@ -46,26 +44,37 @@
 from .context import HolderContext
 from .duties import DutyLoop
 from .inbox import InboxEntry
+from .listing import RunnerListing
+from .owner import DutyOwner
 from .replay import read_jobs
 
 __all__ = ["Holder"]
 
 log = logbook.Logger("streamthread.holder")
 
-SERVERS_TABLE = "servers"
+Read = t.TypeVar("Read")
+"""What one reading of the store returns."""
+
 RETRY_S = 0.1
+"""Pause after the store did not answer."""
+
 TROUBLE_POLL_S = 0.1
+"""How often we look whether commits have begun to fail, or work again."""
+
 TRUST_POLL_S = 0.02
+"""How often a doubtful holder looks whether it may go on: about three commits."""
+
 FORGET_EVERY_S = 1.0
+"""How often ended jobs and lapsed orphans are looked for."""
+
 SCHEDULE_AT_MOST_S = 0.5
 """The queue is looked at this often even when nothing is heard."""
 
-FEED_WAIT_S = 2.0
 STORE_COME_BACK_S = 1.0
 """When to come back while the store is down: outages last some seconds."""
 
 
-class Holder(LinkOwner, SenderOwner):
+class Holder(LinkOwner, SenderOwner, DutyOwner):
     """Everything that only the cell's holder does, from take-over to loss."""
 
     def __init__(self, context: HolderContext, taken: TakenCell) -> None:
@@ -99,6 +108,9 @@
                 lambda pool: usable_runners(self.engine.runners.values(), pool),
                 self.kick,
             )
+        self._listing = RunnerListing(
+            context.store, self.links, self.settings.list_pause_s, self._add_runner
+        )
         self._kick = asyncio.Event()
         self._group: asyncio.TaskGroup | None = None
         self._lost: asyncio.Future[None] | None = None
@@ -115,7 +127,7 @@
                 group.create_task(self.log.run())
                 await self._replay()
                 self.active = True
-                group.create_task(self._watch_runners())
+                group.create_task(self._listing.run())
                 group.create_task(self._watch_inbox())
                 group.create_task(self._schedule())
                 group.create_task(self._forget())
@@ -144,13 +156,9 @@
             )
 
     async def _replay(self) -> None:
-        while True:
-            try:
-                replayed = await read_jobs(self.context.store, self.settings.part)
-                break
-            except (StoreUnavailableError, OutcomeUnknownError) as error:
-                log.warning("replay-failed", extra={"error": str(error)})
-                await asyncio.sleep(RETRY_S)
+        replayed = await self._until_read(
+            lambda: read_jobs(self.context.store, self.settings.part), "replay-failed"
+        )
         for job in replayed.jobs:
             self.engine.add(job)
         log.info(
@@ -172,11 +180,22 @@
 
     async def read_own(self, table: str) -> Page:
         """Read one of the cell's tables, however long the store takes."""
+        return await self._until_read(
+            lambda: self.context.store.read_all(table, self.settings.part),
+            "unreadable",
+            table=table,
+        )
+
+    @staticmethod
+    async def _until_read(
+        read: t.Callable[[], t.Awaitable[Read]], event: str, **details: str
+    ) -> Read:
+        """Read until the store answers; log each failure as an event."""
         while True:
             try:
-                return await self.context.store.read_all(table, self.settings.part)
+                return await read()
             except (StoreUnavailableError, OutcomeUnknownError) as error:
-                log.warning("unreadable", extra={"table": table, "error": str(error)})
+                log.warning(event, extra={**details, "error": str(error)})
                 await asyncio.sleep(RETRY_S)
 
     # Trust.
@@ -278,19 +297,11 @@
         return next((r for r in manifest.routes if r.name == name), None)
 
     def _accept(self, job_id: str, route: Route, body: bytes) -> Job:
-        request = decode_job(body)
-        job = Job(
-            job_id=job_id,
-            route=route.name,
-            service=route.service,
-            request=request,
-            body=body,
-            accepted_at_s=time.time(),
-            priority=route.priority,
-            max_attempts=route.max_attempts,
-            stretch=route.stretch,
-            target_s=route.target_s,
-        )
+        """Take a job; it may be acknowledged once it is durable.
+
+        :raises BadInputError: the body is no job.
+        """
+        job = new_job(job_id, route, body)
         self.engine.add(job)
         self.log.mark(TABLE_JOBS, job_id, lambda: encode_definition(job))
         log.info(
@@ -299,7 +310,7 @@
                 "job": job_id,
                 "route": route.name,
                 "service": route.service,
-                "tasks": sum(step.count for step in request.steps),
+                "tasks": sum(step.count for step in job.request.steps),
                 "token": self.token,
             },
         )
@@ -358,7 +369,7 @@
         placed: list[Attempt] = []
         for service in self._services():
             placed.extend(self.engine.place(service, now_s, self._tickets))
-        stops, self.engine.to_stop = self.engine.to_stop, []
+        stops = self.engine.take_stops()
         if placed or stops:
             self._group.create_task(self._send_when_durable(placed, stops))
         return next_due_s
@@ -407,8 +418,7 @@
 
     def _drop_orphans(self) -> None:
         """Runs on runners that were never listed here have lapsed by now."""
-        links = self.settings.links
-        bound_s = links.most_hold_s / SLOWEST_CLOCK + links.answer_s
+        bound_s = self.settings.links.lapse_bound_s
         if time.monotonic() < self.taken.taken_at_s + bound_s:
             return
         for attempt in self.engine.orphans():
@@ -417,62 +427,9 @@
 
     # Runners.
 
-    async def _watch_runners(self) -> None:
-        """Follow the list of runners that the platform keeps."""
-        after = -1
-        while True:
-            try:
-                if after < 0:
-                    page = await self.context.store.read_all(SERVERS_TABLE, "")
-                    self._drop_unlisted({row.key for row in page.rows})
-                else:
-                    page = await self.context.store.feed(
-                        SERVERS_TABLE, after, FEED_WAIT_S
-                    )
-                after = page.version
-                for row in page.rows:
-                    self._on_runner_row(row)
-            except HistoryGoneError:
-                after = -1
-            except (StoreUnavailableError, OutcomeUnknownError) as error:
-                log.warning("runners-unreadable", extra={"error": str(error)})
-            await asyncio.sleep(self.settings.list_pause_s)
-
-    def _drop_unlisted(self, listed: set[str]) -> None:
-        for runner_id in list(self.links):
-            if runner_id not in listed:
-                self._unlist(runner_id)
-
-    def _on_runner_row(self, row: StoredRow) -> None:
-        if row.value is None:
-            self._unlist(row.key)
-            return
-        entry = decode_runner_entry(row.key, row.value)
-        link = self.links.get(row.key)
-        if link is None:
-            self._add_runner(entry)
-            return
-        link.listed = True
-        if entry.draining and not link.runner.draining:
-            log.info("runner-draining", extra={"runner": row.key})
-            link.runner.draining = True
-        elif not entry.draining:
-            link.runner.draining = False
-
     def _add_runner(self, entry: RunnerEntry) -> None:
         assert self._group is not None
-        runner = RunnerState(
-            runner_id=entry.runner_id,
-            service=entry.service,
-            address=entry.address,
-            zone=entry.zone,
-            labels=entry.labels,
-            cpu=entry.cpu,
-            memory_mb=entry.memory_mb,
-            gpu=entry.gpu,
-            machine_id=entry.machine_id,
-            draining=entry.draining,
-        )
+        runner = RunnerState.from_entry(entry)
         self.engine.add_runner(runner)
         link = RunnerLink(
             runner,
@@ -498,13 +455,6 @@
             elif attempt.phase is Phase.STOPPING:
                 self._group.create_task(self.sender.stop(attempt))
 
-    def _unlist(self, runner_id: str) -> None:
-        link = self.links.get(runner_id)
-        if link is not None and link.listed:
-            log.info("runner-unlisted", extra={"runner": runner_id})
-            link.listed = False
-            link.runner.ready = False
-
     async def on_lists(self, link: RunnerLink, reply: HoldReply) -> None:
         """Take a runner's lists; return once the ends are durable."""
         strays = self.engine.on_hold(link.runner, reply)
@@ -538,21 +488,17 @@
 
     async def _watch_inbox(self) -> None:
         """Take what other daemons accepted while the holder was out of reach."""
-        after = -1
-        store, part = self.context.store, self.settings.part
+        feed = TableFeed(
+            self.context.store,
+            TABLE_INBOX,
+            self.settings.part,
+            self.settings.times.feed_wait_s,
+        )
         while True:
             try:
-                if after < 0:
-                    page = await store.read_all(TABLE_INBOX, part)
-                else:
-                    page = await store.feed(
-                        TABLE_INBOX, after, self.settings.times.feed_wait_s
-                    )
-                after = page.version
-                for row in page.rows:
+                update = await feed.next()
+                for row in update.rows:
                     self._take_from_inbox(row)
-            except HistoryGoneError:
-                after = -1
             except (StoreUnavailableError, OutcomeUnknownError) as error:
                 log.warning("inbox-unreadable", extra={"error": str(error)})
                 await asyncio.sleep(RETRY_S)
--- a/src/streamthread/platform/documents.py
+++ b/src/streamthread/platform/documents.py
@@ -8,6 +8,11 @@
 from .http import JsonObject
 
 __all__ = [
+    "CONFIG_KEY",
+    "OPERATOR_TABLE",
+    "RUNNERS_TABLE",
+    "STATUS_TABLE",
+    "WAVE_PREFIX",
     "AdvicePolicy",
     "Manifest",
     "Pool",
@@ -18,8 +23,24 @@
     "decode_runner_entry",
     "decode_wave",
     "encode_wave_status",
+    "rack_of",
 ]
 
+OPERATOR_TABLE = "op"
+"""What the operator writes: the manifest and the waves."""
+
+CONFIG_KEY = "config"
+"""The manifest's row."""
+
+WAVE_PREFIX = "wave/"
+"""Before a wave's number: its row's key, and that of its state."""
+
+STATUS_TABLE = "status"
+"""What the operator reads: the waves' states."""
+
+RUNNERS_TABLE = "servers"
+"""One row a runner, under its id, written by the runner itself."""
+
 
 @attrs.frozen
 class AdvicePolicy:
@@ -166,6 +187,11 @@
     )
 
 
+def rack_of(labels: t.Sequence[str]) -> str:
+    """Return the rack's label: a machine's kind comes first, then its rack."""
+    return labels[1] if len(labels) > 1 else ""
+
+
 def decode_wave(value: bytes) -> Wave:
     """Decode an operator's wave of upkeep."""
     body = json.loads(value)
--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -11,7 +11,7 @@
 from ..errors import StoreThrottledError
 from ..errors import StoreUnavailableError
 
-__all__ = ["Answer", "HttpCaller", "JsonObject"]
+__all__ = ["Answer", "HttpCaller", "JsonObject", "ServiceClient", "refuse_status"]
 
 JsonObject = dict[str, t.Any]
 
@@ -85,12 +85,7 @@
                 async with self._open().request(
                     method, url, data=data, headers=all_headers, params=params
                 ) as response:
-                    text = await response.read()
-                    return Answer(
-                        response.status,
-                        _decode(text),
-                        response.headers.get(INSTANCE_HEADER, ""),
-                    )
+                    return await _read_answer(response)
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError(
                 str(error), remedy=_WAIT, location=url
@@ -101,6 +96,30 @@
             ) from error
 
 
+class ServiceClient:
+    """What the clients of services with one address share.
+
+    :param address: ``host:port``.
+    :param timeout_s: how long one call may take.
+    :param connections: the most that are open at once.
+    """
+
+    def __init__(self, address: str, timeout_s: float, connections: int) -> None:
+        self._url = f"http://{address}"
+        self._timeout_s = timeout_s
+        self._caller = HttpCaller(connections)
+
+    async def close(self) -> None:
+        """Close all connections."""
+        await self._caller.close()
+
+
+async def _read_answer(response: aiohttp.ClientResponse) -> Answer:
+    text = await response.read()
+    instance_id = response.headers.get(INSTANCE_HEADER, "")
+    return Answer(response.status, _decode(text), instance_id)
+
+
 def _decode(text: bytes) -> JsonObject:
     if not text:
         return {}
--- a/src/streamthread/scheduler/__init__.py
+++ b/src/streamthread/scheduler/__init__.py
@@ -5,16 +5,17 @@
 from .codec import encode_progress
 from .codec import restore_progress
 from .engine import Engine
-from .engine import EngineSettings
-from .engine import Stray
 from .fleet import RunnerState
 from .model import Attempt
 from .model import Job
 from .model import JobState
+from .model import new_job
 from .model import Phase
 from .model import StepRun
 from .model import Task
 from .model import TaskState
+from .outcomes import Stray
+from .settings import EngineSettings
 
 __all__ = [
     "Attempt",
@@ -31,5 +32,6 @@
     "decode_row",
     "encode_definition",
     "encode_progress",
+    "new_job",
     "restore_progress",
 ]
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -4,20 +4,22 @@
 
 import attrs
 
+from ..platform.documents import rack_of
+from ..platform.documents import RunnerEntry
 from .model import Attempt
 
-__all__ = ["RunnerState"]
+__all__ = ["RunnerState", "usable_runners"]
 
 
 @attrs.define(eq=False)
 class RunnerState:
     """One life of a runner, with the room that its attempts take.
 
-    :param rack: the label of the rack it stands in.
     :param ready: it may get new tasks: heard lately, held, not draining.
     :param reserved: a move or an upkeep was ordered for its machine.
     :param emptying: it is to be emptied, so that its machine can go into upkeep.
-    :param penalty_until_s: it failed many tasks; used last until then.
+    :param stray_runs: runs there that no attempt of ours explains.
+    :param penalty_until_s: wall time; it failed many tasks; used last until then.
     """
 
     runner_id: str
@@ -40,10 +42,26 @@
     used_gpu: int = 0
     attempts: dict[tuple[str, int], Attempt] = attrs.field(factory=dict)
 
+    @classmethod
+    def from_entry(cls, entry: RunnerEntry) -> "RunnerState":
+        """Return a life of a runner as it describes itself; it is not ready yet."""
+        return cls(
+            runner_id=entry.runner_id,
+            service=entry.service,
+            address=entry.address,
+            zone=entry.zone,
+            labels=entry.labels,
+            cpu=entry.cpu,
+            memory_mb=entry.memory_mb,
+            gpu=entry.gpu,
+            machine_id=entry.machine_id,
+            draining=entry.draining,
+        )
+
     @property
     def rack(self) -> str:
-        """The rack's label: runners carry their kind first, then their rack."""
-        return self.labels[1] if len(self.labels) > 1 else ""
+        """The label of the rack it stands in."""
+        return rack_of(self.labels)
 
     @property
     def free_cpu(self) -> int:
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -6,8 +6,10 @@
 
 import attrs
 
+from ..platform.callers import decode_job
 from ..platform.callers import JobRequest
 from ..platform.callers import StepRequest
+from ..platform.documents import Route
 
 __all__ = [
     "Attempt",
@@ -18,6 +20,7 @@
     "StepRun",
     "Task",
     "TaskState",
+    "new_job",
     "task_name",
 ]
 
@@ -59,7 +62,9 @@
     """One run of one task on one runner.
 
     :param confirmed_clock_ms: the runner's clock when it said that the run is there.
-    :param began_at_s: when it was confirmed, on our clock.
+    :param began_at_s: on the monotonic clock: when it was confirmed; 0: not yet.
+    :param percent: of its work, as its runner said last.
+    :param stop_reason: why it is to be stopped; empty while it is not.
     :param pace_percent: at what share of its speed it works; None: not known,
         since an earlier holder may have changed it.
     """
@@ -69,7 +74,6 @@
     runner_id: str
     phase: Phase = Phase.PLANNED
     confirmed_clock_ms: int = 0
-    placed_at_s: float = 0.0
     began_at_s: float = 0.0
     percent: float = 0.0
     usage: float | None = None
@@ -83,6 +87,8 @@
 
     :param last_run: the highest run number that was used.
     :param checkpoint: the newest progress that a runner reported.
+    :param avoid: ids of runners on which it failed.
+    :param not_before_s: wall time before which it is not placed.
     :param waiting_since_s: on the monotonic clock: since when it has no attempt.
     """
 
@@ -115,7 +121,10 @@
 
 @attrs.define(eq=False)
 class StepRun:
-    """One step at one time of its job."""
+    """One step at one time of its job.
+
+    :param told_waiting: it was logged that the step waits for room.
+    """
 
     occurrence: "Occurrence"
     number: int
@@ -167,7 +176,9 @@
     :param accepted_at_s: wall time of its acceptance, in seconds since 1970.
     :param occurrences: the times that have begun and are not done.
     :param done_times: numbers of the times that are done.
+    :param begun: a runner has confirmed one of its runs.
     :param ended_at_s: wall time of its end, or None.
+    :param durable: its hand-in is recorded, so it may be acknowledged.
     """
 
     job_id: str
@@ -187,7 +198,6 @@
     failed: bool = False
     ended_at_s: float | None = None
     durable: bool = False
-    tickets: dict[str, t.Any] = attrs.field(factory=dict)
 
     @property
     def times(self) -> int:
@@ -210,6 +220,17 @@
         """Whether nothing of it is to run any more."""
         return self.cancelled or self.failed or len(self.done_times) == self.times
 
+    def attempts(self) -> t.Iterator[Attempt]:
+        """Yield the attempts of all of its tasks."""
+        for occurrence in self.occurrences.values():
+            for step in occurrence.steps:
+                for task in step.tasks:
+                    yield from task.attempts
+
+    def has_attempts(self) -> bool:
+        """Whether something of it takes room on a runner."""
+        return any(True for _ in self.attempts())
+
     def due_at_s(self, number: int) -> float:
         """Return the wall time at which a time falls due."""
         if self.request.times <= 0:
@@ -226,3 +247,22 @@
             occurrence.steps.append(step)
         self.occurrences[number] = occurrence
         return occurrence
+
+
+def new_job(job_id: str, route: Route, body: bytes) -> Job:
+    """Return the job that a caller hands in at a route now.
+
+    :raises BadInputError: the body is no job.
+    """
+    return Job(
+        job_id=job_id,
+        route=route.name,
+        service=route.service,
+        request=decode_job(body),
+        body=body,
+        accepted_at_s=time.time(),
+        priority=route.priority,
+        max_attempts=route.max_attempts,
+        stretch=route.stretch,
+        target_s=route.target_s,
+    )
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -1,7 +1,6 @@
 """Sends starts and stops until their outcome is known."""
 
 import asyncio
-import typing as t
 from abc import ABC
 from abc import abstractmethod
 
@@ -17,9 +16,9 @@
 from ..platform.runners import StartOrder
 from ..runners import RunnerLink
 from .engine import Engine
-from .engine import Stray
 from .model import Attempt
 from .model import Phase
+from .outcomes import Stray
 
 __all__ = ["OrderSender", "OrderSettings", "SenderOwner"]
 
@@ -103,21 +102,19 @@
             try:
                 reply = await self._send_start(attempt, link)
             except LifeOverError:
-                link.over = True
-                self._owner.on_life_over(link, "another life answered a start")
+                self._end_life(link, "another life answered a start")
                 return
             except StoreUnavailableError:
-                await asyncio.sleep(self._settings.retry_s)
-                continue
+                # It was surely not sent.
+                reply = None
             except OutcomeUnknownError:
                 uncertain = True
+                reply = None
                 log.warning(
                     "start-unanswered",
                     extra={"task": attempt.task.name, "runner": attempt.runner_id},
                 )
-                await asyncio.sleep(self._settings.retry_s)
-                continue
-            if self._take_answer(attempt, link, reply, uncertain):
+            if reply is not None and self._take_answer(attempt, link, reply, uncertain):
                 return
             await asyncio.sleep(self._settings.retry_s)
 
@@ -173,6 +170,10 @@
         self._owner.kick()
         return True
 
+    def _end_life(self, link: RunnerLink, why: str) -> None:
+        link.over = True
+        self._owner.on_life_over(link, why)
+
     # Stops.
 
     async def stop(self, attempt: Attempt) -> None:
@@ -248,8 +249,7 @@
                 self._settings.answer_s,
             )
         except LifeOverError:
-            link.over = True
-            self._owner.on_life_over(link, "another life answered a stop")
+            self._end_life(link, "another life answered a stop")
         except (StoreUnavailableError, OutcomeUnknownError) as error:
             log.warning(
                 "stop-unanswered",
@@ -260,11 +260,3 @@
                 },
             )
         return None
-
-
-def spawn_all(
-    group: asyncio.TaskGroup, calls: t.Iterable[t.Coroutine[t.Any, t.Any, None]]
-) -> None:
-    """Run calls side by side."""
-    for call in calls:
-        group.create_task(call)
