Mend what the newcomer's pass found: inbox rows, task names, bounds, closing order

Cause, each seen by reading and shown by a test that failed before: - a bad body in the inbox ended each holder in turn; it is dropped, and a daemon refuses it before it gets there; - an inbox row of a route that the holder did not know yet was lost until the next take-over; it is tried again each second; - a task name that no job has, listed by a runner as done, ended the runner's loop; - leaseMs and early_ms of the platform's settings were decoded and not used: the pause before a new holder's duties was 3 s whatever the deployment said; - the store's connections were closed before the loops that use them had ended. Left: Manifest.max_body_bytes and Route.timeout_s are decoded and not applied.

--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -16,6 +16,7 @@
 from ..cell import TakenCell
 from ..cell.rows import new_nonce
 from ..holder import CellSettings
+from ..holder import DutySettings
 from ..holder import Holder
 from ..holder import HolderContext
 from ..platform.advice import AdviceClient
@@ -24,6 +25,7 @@
 from ..platform.runners import RunnerClient
 from ..platform.store import RowStore
 from ..runners import LinkSettings
+from ..scheduler import EngineSettings
 from .documents import Documents
 from .forwarding import Forwarder
 from .forwarding import ForwardSettings
@@ -48,12 +50,21 @@
 """The process ends by itself so long before the platform would kill it."""
 
 
+EARLY_SHARE = 0.4
+"""Of the time by which a start may be early: the rest is for clocks that differ."""
+
+
 def cell_settings(node: NodeSettings) -> CellSettings:
     """Return the figures of a cell under the platform's bounds."""
     links = LinkSettings(most_hold_s=node.bounds.most_hold_s)
     if links.hold_s > links.most_hold_s:
         links = attrs.evolve(links, hold_s=links.most_hold_s)
-    return CellSettings(links=links)
+    early_s = node.bounds.early_s * EARLY_SHARE
+    return CellSettings(
+        links=links,
+        engine=EngineSettings(early_s=early_s),
+        duties=DutySettings(lease_s=node.bounds.lease_s),
+    )
 
 
 class CellDaemon(Service):
@@ -130,8 +141,11 @@
         return self.documents.manifest is not None and not self.front.stopping
 
     async def on_stop(self) -> None:
-        """Close the peers' port and all connections."""
+        """Close the peers' port."""
         self.port.close()
+
+    async def on_shutdown(self) -> None:
+        """Close all connections, once nothing uses them any more."""
         self.lease.members.close()
         self.peers.close()
         await self.store.close()
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -12,6 +12,7 @@
 from ..cell import CellLease
 from ..cell import PeerLinks
 from ..cell import TABLE_INBOX
+from ..errors import BadInputError
 from ..errors import NotHolderError
 from ..errors import OutcomeUnknownError
 from ..errors import PeerUnavailableError
@@ -19,6 +20,7 @@
 from ..holder import Holder
 from ..holder.inbox import inbox_key
 from ..holder.inbox import InboxEntry
+from ..platform.callers import decode_job
 from ..platform.store import ABSENT
 from ..platform.store import Condition
 from ..platform.store import RowStore
@@ -100,6 +102,8 @@
             uncertain = uncertain or reply.outcome == pb.UNCERTAIN
             now_s = time.monotonic()
             if changes and now_s >= inbox_at_s and self._no_holder_here():
+                if request.kind == pb.SUBMIT and not _is_job(request.job):
+                    return _refused("the body is no job")
                 kept = await self._leave_in_inbox(request)
                 if kept is Kept.YES:
                     return pb.CallReply(outcome=pb.OK, state="pending")
@@ -182,5 +186,13 @@
     return reply.outcome not in (pb.UNCERTAIN, pb.NOT_HOLDER)
 
 
+def _is_job(body: bytes) -> bool:
+    try:
+        decode_job(body)
+    except BadInputError:
+        return False
+    return True
+
+
 def _refused(reason: str) -> pb.CallReply:
     return pb.CallReply(outcome=pb.REFUSED, reason=reason, retry_after_s=COME_BACK_S)
--- /dev/null
+++ b/src/streamthread/gateway/tests/test_daemon.py
@@ -0,0 +1,19 @@
+"""The daemon's figures under the platform's bounds."""
+
+import attrs
+
+from streamthread.gateway.daemon import cell_settings
+from streamthread.platform.node import Bounds
+from streamthread.platform.node import NodeSettings
+from streamthread.platform.node import StoreLimits
+
+NODE = NodeSettings("d", "h", "127.0.0.1", "a:1", "a:2", (1, 2), StoreLimits("a:3"))
+
+
+class TestFigures:
+    def test_follow_the_platforms_bounds(self) -> None:
+        bounds = Bounds(most_hold_s=2.0, lease_s=7.0, early_s=0.1, grace_s=6.0)
+        settings = cell_settings(attrs.evolve(NODE, bounds=bounds))
+        assert settings.links.hold_s <= 2.0
+        assert settings.duties.lease_s == 7.0
+        assert settings.engine.early_s < 0.1
--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -11,7 +11,8 @@
 from streamthread.gateway.forwarding import ForwardSettings
 
 SETTINGS = ForwardSettings(hop_s=0.05, inbox_after_s=0.0, give_up_s=0.15, retry_s=0.01)
-SUBMIT = pb.CallRequest(kind=pb.SUBMIT, route="r", job_id="1" * 16, job=b"{}")
+BODY = b'{"steps":[{}]}'
+SUBMIT = pb.CallRequest(kind=pb.SUBMIT, route="r", job_id="1" * 16, job=BODY)
 
 
 class _Owner:
--- a/src/streamthread/holder/__init__.py
+++ b/src/streamthread/holder/__init__.py
@@ -1,7 +1,8 @@
 """What the daemon that holds the cell does with it."""
 
 from .context import CellSettings
+from .context import DutySettings
 from .context import HolderContext
 from .service import Holder
 
-__all__ = ["CellSettings", "Holder", "HolderContext"]
+__all__ = ["CellSettings", "DutySettings", "Holder", "HolderContext"]
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -86,6 +86,7 @@
         self.engine = Engine(self._record_progress, self.settings.engine)
         self.active = False
         self.releasing = False
+        self.inbox_waiting: dict[str, StoredRow] = {}
         self.log = CommitLog(
             context.store,
             self.settings.part,
@@ -412,6 +413,7 @@
         while True:
             await asyncio.sleep(FORGET_EVERY_S)
             self._drop_orphans()
+            self._retry_inbox()
             for job in self.engine.forget(time.time() - self.settings.forget_s):
                 self.log.mark(TABLE_JOBS, job.job_id, lambda: None)
                 self.log.mark(TABLE_RUNS, job.job_id, lambda: None)
@@ -504,6 +506,8 @@
                 await asyncio.sleep(RETRY_S)
 
     def _take_from_inbox(self, row: StoredRow) -> None:
+        """Take a row, or let it wait for a manifest that names its route."""
+        self.inbox_waiting.pop(row.key, None)
         if row.value is None or row.version == ABSENT:
             return
         entry = InboxEntry.decode(row.value)
@@ -515,7 +519,20 @@
         elif job is None:
             route = self._route(entry.route)
             if route is None:
-                log.warning("inbox-route-gone", extra={"job": entry.job_id})
+                self.inbox_waiting[row.key] = row
+                log.warning("inbox-route-unknown", extra={"job": entry.job_id})
                 return
-            self._accept(entry.job_id, route, entry.body.encode())
+            self._accept_from_inbox(entry, route)
         self.log.mark(TABLE_INBOX, row.key, lambda: None)
+
+    def _accept_from_inbox(self, entry: InboxEntry, route: Route) -> None:
+        try:
+            self._accept(entry.job_id, route, entry.body.encode())
+        except BadInputError as error:
+            log.warning(
+                "inbox-row-bad", extra={"job": entry.job_id, "error": str(error)}
+            )
+
+    def _retry_inbox(self) -> None:
+        for row in list(self.inbox_waiting.values()):
+            self._take_from_inbox(row)
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -78,10 +78,11 @@
         job = self.open.get(parts[0])
         if job is None:
             return None
-        occurrence = job.occurrences.get(int(parts[1]))
-        if occurrence is None:
+        try:
+            number, step, index = (int(part) for part in parts[1:])
+            return job.occurrences[number].steps[step].tasks[index]
+        except (ValueError, LookupError):
             return None
-        return occurrence.steps[int(parts[2])].tasks[int(parts[3])]
 
     def settle_job(self, job: Job) -> None:
         """Close the times and the job that have nothing left to run."""
--- a/src/streamthread/scheduler/tests/test_engine.py
+++ b/src/streamthread/scheduler/tests/test_engine.py
@@ -149,3 +149,15 @@
 TestEngine.settings = hypothesis.settings(
     max_examples=60, stateful_step_count=30, deadline=None
 )
+
+
+class TestTaskNames:
+    def test_of_no_task_find_none(self) -> None:
+        engine = Engine(lambda job: None)
+        job = Job("a" * 16, "r", "desk", JobRequest("x", STEPS), BODY, time.time())
+        engine.add(job)
+        engine.begin_due(time.time())
+        good = f"{'a' * 16}.0.0.2"
+        assert engine._ledger.find_task(good) is not None
+        for bad in ("", "x", "a.b.c.d", f"{'a' * 16}.0.0.3", f"{'a' * 16}.0.x.1"):
+            assert engine._ledger.find_task(bad) is None
--- a/tests/cell/test_holders.py
+++ b/tests/cell/test_holders.py
@@ -1,6 +1,8 @@
 """A holder is lost, and the next one goes on where it was."""
 
 import asyncio
+import base64
+import json
 
 from streamthread.gateway import CellDaemon
 
@@ -127,3 +129,31 @@
             await caller.until_state("b" * 16, "completed", at=at)
             await caller.until_state("a" * 16, "completed", at=at)
             assert len(cell.world.started) == 2
+
+
+class TestInbox:
+    async def test_a_row_that_is_no_job_does_not_end_the_holder(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            daemon = await cell.until_ready()
+            store = cell.world.store
+            bad = json.dumps(["a" * 16, "route-desk", "no job"]).encode()
+            value = base64.b64encode(bad).decode()
+            await store.put("cell-inbox", "bad", value, part="main")
+            await until(lambda: not store.keys("cell-inbox"), "the row is dropped")
+            assert cell.holder() is daemon
+            caller = cell.caller()
+            await caller.submit("b" * 16, job())
+            await caller.until_state("b" * 16, "completed")
+
+    async def test_a_row_of_a_route_not_known_yet_is_taken_later(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            store = cell.world.store
+            entry = ["c" * 16, "route-new", job().decode()]
+            value = base64.b64encode(json.dumps(entry).encode()).decode()
+            await store.put("cell-inbox", "early", value, part="main")
+            holder = cell.daemons[0].holder
+            assert holder is not None
+            await until(lambda: holder.inbox_waiting, "the row waits")
+            await cell.world.write_manifest(9, name="route-new")
+            await cell.caller().until_state("c" * 16, "completed")
