Wait in two tests for what they are about

Cause: the test of a commit that is carried out late asserted before the late write was tried; the test of an outage slept. Both wait on conditions now, and the first is stricter: commits go on afterwards. Checked: both pass.

--- a/src/streamthread/standins/cell/store.py
+++ b/src/streamthread/standins/cell/store.py
@@ -45,6 +45,7 @@
         self.faults = StoreFaults()
         self.version = 0
         self.writes = 0
+        self.late_writes = 0
         self.history: list[tuple[int, Key]] = []
         self._changed = asyncio.Condition()
         self.port = HttpPort(self._serve)
@@ -109,6 +110,7 @@
     async def _apply_late(self, body: Json, late_s: float) -> None:
         await asyncio.sleep(late_s)
         await self._apply(body)
+        self.late_writes += 1
 
     async def _apply(self, body: Json) -> tuple[int, Json]:
         async with self._changed:
--- a/tests/cell/test_holders.py
+++ b/tests/cell/test_holders.py
@@ -81,8 +81,10 @@
             caller = cell.caller()
             await caller.submit("c" * 16, job(run_s=2.5))
             await until(lambda: len(cell.world.started) == 1, "the task starts")
+            holder = cell.daemons[0].holder
+            assert holder is not None
             cell.world.store.faults.refuse = 503
-            await asyncio.sleep(2.0)
+            await until(lambda: holder.log.trouble_s() > 2.0, "an outage of 2 s")
             cell.world.store.faults.refuse = 0
             await caller.until_state("c" * 16, "completed")
             assert [how for _, _, how, _ in cell.world.ended] == ["done"]
--- a/tests/cell/test_jobs.py
+++ b/tests/cell/test_jobs.py
@@ -1,7 +1,5 @@
 """Jobs from their hand-in to their end, over real sockets."""
 
-import asyncio
-
 from .support import job
 from .support import running_cell
 from .support import until
@@ -121,5 +119,11 @@
             cell.world.store.faults.lose_answers = 1
             assert await caller.submit("6" * 16, job()) == 200
             await caller.until_state("6" * 16, "completed")
-            await asyncio.sleep(0)
+            store = cell.world.store
+            await until(lambda: store.late_writes == 1, "the late write is tried")
             assert await caller.state("6" * 16) == "completed"
+            assert len(cell.world.started) == 1
+            holder = cell.daemons[0].holder
+            assert holder is not None
+            before = holder.log.sequence
+            await until(lambda: holder.log.sequence > before, "commits go on")
