Date ends in the stand-in at their own moment

The logs: i-8 fell silent, its runs lapsed by its deadline at 21.7 s, the task was started elsewhere at 21.92 s; the stand-in's runner told the lapse only when it was called again at 22.0 s, and what would have ended before the deadline as lapsed too. Ruled out: a deadline that was sent later; the last start was sent 2.5 s before it.

--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -136,15 +136,16 @@
     # What happens with time.
 
     def _advance(self) -> None:
+        """Bring the runs to where they are now, each end at its own moment."""
         now_s = time.monotonic()
-        if self._runs and self._clock_ms() > self._deadline_ms:
-            for run in list(self._runs.values()):
-                self._end(run, "lapsed")
+        lapse_s = self._deadline_ms / 1000
         for run in list(self._runs.values()):
-            if run.stopping_at_s and now_s >= run.stopping_at_s:
-                self._end(run, "stopped")
-            elif not run.stopping_at_s and now_s >= run.ends_at_s:
-                self._end(run, self._how(run))
+            stopping = run.stopping_at_s > 0
+            end_s = run.stopping_at_s if stopping else run.ends_at_s
+            if lapse_s < min(end_s, now_s):
+                self._end(run, "lapsed", lapse_s)
+            elif end_s <= now_s:
+                self._end(run, "stopped" if stopping else self._how(run), end_s)
 
     def _how(self, run: _Run) -> str:
         failed = self._failures.get(run.task, 0)
@@ -153,12 +154,12 @@
             return "failed"
         return "done"
 
-    def _end(self, run: _Run, how: str) -> None:
+    def _end(self, run: _Run, how: str, at_s: float) -> None:
         del self._runs[run.task, run.run]
         self._closed[run.task] = max(run.run, self._closed.get(run.task, 0))
         self._end_count += 1
         self._ends.append([self._end_count, run.task, run.run, how, ""])
-        self._ended.append((run.task, run.run, how, time.monotonic()))
+        self._ended.append((run.task, run.run, how, at_s))
 
     # The served side.
 
--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -10,7 +10,10 @@
 from tools.soak import SoakPlan
 
 SEEDS = (1, 2)
-REGRESSIONS: tuple[int, ...] = ()
+REGRESSIONS: tuple[int, ...] = (
+    # The stand-in's runner told a lapse when it was next called, not when it was.
+    210,
+)
 
 
 class TestSoak:
--- /dev/null
+++ b/tests/cell/test_standin.py
@@ -0,0 +1,41 @@
+"""The stand-in's runner ends runs at the moment at which they end."""
+
+import time
+
+from streamthread.standins.cell import RunnerStandin
+from streamthread.standins.cell.runner import StartedRun
+
+from .support import until
+
+
+def _runner(ended: list[tuple[str, int, str, float]]) -> RunnerStandin:
+    started: list[StartedRun] = []
+    return RunnerStandin("i-1", "desk", ("a", "r"), 16000, 100, started, ended, {})
+
+
+def _start(task: str, run_s: float, deadline_s: float) -> dict[str, object]:
+    deadline_ms = int((time.monotonic() + deadline_s) * 1000)
+    spec = f'{{"run_s": {run_s}}}'
+    return {"task": task, "run": 1, "spec": spec, "deadlineMs": deadline_ms}
+
+
+class TestEnds:
+    async def test_a_lapse_is_dated_at_the_deadline(self) -> None:
+        ended: list[tuple[str, int, str, float]] = []
+        runner = _runner(ended)
+        before_s = time.monotonic()
+        assert runner._try_start(_start("long", 60, 0.1)) == ""
+        await until(lambda: time.monotonic() > before_s + 0.5, "time passes")
+        assert runner.running() == []
+        ((_, _, how, at_s),) = ended
+        assert how == "lapsed"
+        assert at_s < before_s + 0.2
+
+    async def test_what_was_done_before_the_deadline_is_done(self) -> None:
+        ended: list[tuple[str, int, str, float]] = []
+        runner = _runner(ended)
+        before_s = time.monotonic()
+        assert runner._try_start(_start("short", 0.05, 0.2)) == ""
+        await until(lambda: time.monotonic() > before_s + 0.5, "time passes")
+        assert runner.running() == []
+        assert [how for _, _, how, _ in ended] == ["done"]
