Take inbox rows in the order in which they were written

Ruled out: a cancel that was confirmed and not kept; its row is in the log. Change: rows are taken by version; a cancel whose job waits for its route waits with it. Figures: the two new tests fail without the order and pass with it.

--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -499,12 +499,19 @@
         while True:
             try:
                 update = await feed.next()
-                for row in update.rows:
-                    self._take_from_inbox(row)
+                self.take_from_inbox(update.rows)
             except (StoreUnavailableError, OutcomeUnknownError) as error:
                 log.warning("inbox-unreadable", extra={"error": str(error)})
                 await asyncio.sleep(RETRY_S)
 
+    def take_from_inbox(self, rows: t.Iterable[StoredRow]) -> None:
+        """Take rows in the order in which they were written.
+
+        A whole read brings them by key: a cancel may come before its job.
+        """
+        for row in sorted(rows, key=lambda row: row.version):
+            self._take_from_inbox(row)
+
     def _take_from_inbox(self, row: StoredRow) -> None:
         """Take a row, or let it wait for a manifest that names its route."""
         self.inbox_waiting.pop(row.key, None)
@@ -513,6 +520,9 @@
         entry = InboxEntry.decode(row.value)
         job = self.engine.jobs.get(entry.job_id)
         if entry.is_cancel:
+            if job is None and self._waits_in_inbox(entry.job_id):
+                self.inbox_waiting[row.key] = row
+                return
             if job is not None:
                 self.engine.cancel(job)
                 self.kick()
@@ -533,6 +543,14 @@
                 "inbox-row-bad", extra={"job": entry.job_id, "error": str(error)}
             )
 
+    def _waits_in_inbox(self, job_id: str) -> bool:
+        """Whether a job is in the inbox whose route is not known yet."""
+        entries = (
+            InboxEntry.decode(row.value)
+            for row in self.inbox_waiting.values()
+            if row.value is not None
+        )
+        return any(e.job_id == job_id and not e.is_cancel for e in entries)
+
     def _retry_inbox(self) -> None:
-        for row in list(self.inbox_waiting.values()):
-            self._take_from_inbox(row)
+        self.take_from_inbox(list(self.inbox_waiting.values()))
--- a/tests/cell/test_holders.py
+++ b/tests/cell/test_holders.py
@@ -5,6 +5,7 @@
 import json
 
 from streamthread.gateway import CellDaemon
+from streamthread.platform.store import StoredRow
 
 from .support import Cell
 from .support import job
@@ -159,3 +160,34 @@
             await until(lambda: holder.inbox_waiting, "the row waits")
             await cell.world.write_manifest(9, name="route-new")
             await cell.caller().until_state("c" * 16, "completed")
+
+    async def test_a_cancel_that_is_read_before_its_job_still_counts(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            holder = cell.daemons[0].holder
+            assert holder is not None
+            submit = json.dumps(["d" * 16, "route-desk", job().decode()]).encode()
+            cancel = json.dumps(["d" * 16, "route-desk", ""]).encode()
+            rows = [
+                StoredRow("cell-inbox", "main", "a", cancel, version=6),
+                StoredRow("cell-inbox", "main", "z", submit, version=5),
+            ]
+            holder.take_from_inbox(rows)
+            assert holder.engine.jobs["d" * 16].cancelled
+            assert cell.world.started == []
+
+    async def test_a_cancel_waits_for_a_job_that_waits_for_its_route(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            holder = cell.daemons[0].holder
+            assert holder is not None
+            submit = json.dumps(["e" * 16, "route-new", job().decode()]).encode()
+            cancel = json.dumps(["e" * 16, "route-new", ""]).encode()
+            rows = [
+                StoredRow("cell-inbox", "main", "a", cancel, version=6),
+                StoredRow("cell-inbox", "main", "z", submit, version=5),
+            ]
+            holder.take_from_inbox(rows)
+            await cell.world.write_manifest(9, name="route-new")
+            await cell.caller().until_state("e" * 16, "cancelled")
+            assert cell.world.started == []
