Order machines at a burst's first jobs, and ahead of expected turns

Cause: a pool's size followed a mean over 2.5 s, so a burst that needs 85 machines asked for 10 after half a second; jobs of a turn's first seconds came late. A fast mean, less its own doubt, now shows a burst after a few jobs; a burst is taken to bring what the pool's last one brought; the calendar of bursts brings machines ahead of the next turn. Jobs of earlier holders count again after a take-over. Tasks are placed as soon as a runner becomes usable. Moves a decision follow the cloud's rate.

--- a/src/streamthread/capacity/__init__.py
+++ b/src/streamthread/capacity/__init__.py
@@ -1,6 +1,8 @@
 """How many machines each pool needs, and which move where."""
 
-from .demand import ArrivalRate
+from .bursts import Burst
+from .bursts import PoolArrivals
+from .calendar import BurstCalendar
 from .demand import pool_demand
 from .plan import CapacitySettings
 from .plan import MachineView
@@ -10,10 +12,12 @@
 from .plan import target_size
 
 __all__ = [
-    "ArrivalRate",
+    "Burst",
+    "BurstCalendar",
     "CapacitySettings",
     "MachineView",
     "Move",
+    "PoolArrivals",
     "PoolView",
     "plan_moves",
     "pool_demand",
--- /dev/null
+++ b/src/streamthread/capacity/bursts.py
@@ -0,0 +1,122 @@
+"""Bursts of one pool: when they begin and end, and how much work they bring."""
+
+import math
+
+import attrs
+
+__all__ = ["ArrivalRate", "Burst", "PoolArrivals"]
+
+FAST_SPAN_S = 0.6
+"""Shows the beginning of a burst within some tenths of a second."""
+
+SLOW_SPAN_S = 2.5
+"""About the length of a job, so that one large job does not look like a burst."""
+
+SURE_DEVIATIONS = 1.0
+"""The fast mean counts less so many standard deviations: a single job says nothing
+of the rate, ten jobs at once do."""
+
+BURST_SHARE_ENDED = 0.15
+"""A burst is over once arrivals have fallen to this share of its own rate."""
+
+LEAST_BURST_S = 1.0
+"""A burst's rate is its work over its length, or over this time if that is more."""
+
+
+@attrs.define
+class ArrivalRate:
+    """How much work arrives a second, as the room that it takes on average.
+
+    :param span_s: arrivals are averaged over this time, the newest count most.
+    """
+
+    span_s: float = SLOW_SPAN_S
+    _mean: float = 0.0
+    _variance: float = 0.0
+    _at_s: float = 0.0
+
+    def add(self, cpu_s: float, now_s: float) -> None:
+        """Take a job's work: thousandths of a core times seconds."""
+        self._decay(now_s)
+        share = cpu_s / self.span_s
+        self._mean += share
+        self._variance += share**2
+
+    def value(self, now_s: float) -> float:
+        """Return the thousandths of a core that arriving work takes."""
+        return self._mean * self._kept(now_s)
+
+    def sure_value(self, now_s: float) -> float:
+        """Return the part of the rate that is not owed to a few large jobs."""
+        kept = self._kept(now_s)
+        doubt = SURE_DEVIATIONS * math.sqrt(self._variance) * kept
+        return max(0.0, self._mean * kept - doubt)
+
+    def _decay(self, now_s: float) -> None:
+        kept = self._kept(now_s)
+        self._mean *= kept
+        self._variance *= kept**2
+        self._at_s = max(self._at_s, now_s)
+
+    def _kept(self, now_s: float) -> float:
+        return math.exp(-max(0.0, now_s - self._at_s) / self.span_s)
+
+
+@attrs.define
+class Burst:
+    """Arrivals that came close together.
+
+    :param began_at_s: of its first job, on the monotonic clock.
+    :param work: of all its jobs: thousandths of a core times seconds.
+    """
+
+    began_at_s: float
+    last_at_s: float
+    work: float = 0.0
+
+    @property
+    def rate(self) -> float:
+        """The thousandths of a core that its work took on average."""
+        return self.work / max(LEAST_BURST_S, self.last_at_s - self.began_at_s)
+
+
+@attrs.define
+class PoolArrivals:
+    """One pool's arrivals, and the bursts among them.
+
+    :param present: the burst that is under way, or None.
+    :param before: the last burst that is over, or None.
+    """
+
+    present: Burst | None = None
+    before: Burst | None = None
+    _fast: ArrivalRate = attrs.field(factory=lambda: ArrivalRate(FAST_SPAN_S))
+    _slow: ArrivalRate = attrs.field(factory=lambda: ArrivalRate(SLOW_SPAN_S))
+
+    def add(self, cpu_s: float, now_s: float, least_rate: float) -> Burst | None:
+        """Take a job's work; return the burst that begins with it, if one does.
+
+        :param least_rate: thousandths of a core; fewer arrivals are no burst.
+        """
+        self.settle(now_s)
+        self._fast.add(cpu_s, now_s)
+        self._slow.add(cpu_s, now_s)
+        begun = None
+        if self.present is None and self._fast.sure_value(now_s) > least_rate:
+            begun = self.present = Burst(now_s, now_s)
+        if self.present is not None:
+            self.present.work += cpu_s
+            self.present.last_at_s = now_s
+        return begun
+
+    def settle(self, now_s: float) -> None:
+        """Close the present burst once its arrivals have ceased."""
+        burst = self.present
+        if burst is None:
+            return
+        if self._fast.value(now_s) < BURST_SHARE_ENDED * burst.rate:
+            self.before, self.present = burst, None
+
+    def rate(self, now_s: float) -> float:
+        """Return the room that arriving work takes: thousandths of a core."""
+        return max(self._slow.value(now_s), self._fast.sure_value(now_s))
--- a/src/streamthread/capacity/demand.py
+++ b/src/streamthread/capacity/demand.py
@@ -1,4 +1,4 @@
-"""What a pool's jobs ask for: now, soon, and by how fast they arrive."""
+"""What a pool's open jobs ask for."""
 
 import math
 import typing as t
@@ -6,16 +6,13 @@
 import attrs
 
 from ..scheduler.learning import learning_key
+from ..scheduler.learning import request_key
 from ..scheduler.learning import RunTimes
 from ..scheduler.model import Job
 from ..scheduler.model import Occurrence
 from ..scheduler.placement import outlook
 
-__all__ = ["ArrivalRate", "Demand", "job_work", "pool_demand"]
-
-RATE_SPAN_S = 2.5
-"""Arrivals are averaged over this time: about the length of a job, so that a
-burst shows within a second and one large job does not look like one."""
+__all__ = ["Demand", "job_work", "pool_demand"]
 
 LATE_SPREAD = 1.5
 """A job that is late already gets room for its work over so many chains."""
@@ -36,32 +33,21 @@
     machines: int = 0
 
 
-@attrs.define
-class ArrivalRate:
-    """How much work arrives a second, as the room that it takes on average."""
-
-    _value: float = 0.0
-    _at_s: float = 0.0
-
-    def add(self, cpu_s: float, now_s: float) -> None:
-        """Take a job's work: thousandths of a core times seconds."""
-        self._value = self.value(now_s) + cpu_s / RATE_SPAN_S
-        self._at_s = now_s
-
-    def value(self, now_s: float) -> float:
-        """Return the thousandths of a core that arriving work takes."""
-        return self._value * math.exp(-(now_s - self._at_s) / RATE_SPAN_S)
+def job_work(job: Job, times: RunTimes) -> float:
+    """Return the work that a job brings when it is handed in.
 
+    Timed jobs bring none then: each time counts once it is open.
 
-def job_work(job: Job, times: RunTimes) -> float:
-    """Return a job's work: thousandths of a core times seconds."""
+    :return: thousandths of a core times seconds.
+    """
+    if job.request.times > 0:
+        return 0.0
     total = 0.0
-    for occurrence in job.occurrences.values():
-        for step in occurrence.steps:
-            if step.request.lasting or step.request.fills:
-                continue
-            run_s = times.expect_s(learning_key(step), step.request.estimate_ms)
-            total += step.request.cpu * step.request.count * run_s
+    for number, step in enumerate(job.request.steps):
+        if step.lasting or step.fills:
+            continue
+        run_s = times.expect_s(request_key(job.route, number, step), step.estimate_ms)
+        total += step.cpu * step.count * run_s
     return total
 
 
--- /dev/null
+++ b/src/streamthread/capacity/tests/test_bursts.py
@@ -0,0 +1,65 @@
+"""Bursts are seen early, one large job is none, and they are told apart."""
+
+import math
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from streamthread.capacity.bursts import ArrivalRate
+from streamthread.capacity.bursts import PoolArrivals
+
+MACHINE = 16_000.0
+
+
+class TestRate:
+    @given(st.floats(1, 1e6))
+    def test_is_sure_of_nothing_after_one_job(self, work: float) -> None:
+        rate = ArrivalRate(0.6)
+        rate.add(work, 10.0)
+        assert math.isclose(rate.sure_value(10.0), 0.0, abs_tol=1e-6 * work)
+        assert rate.value(10.0) > 0
+
+    @given(st.lists(st.tuples(st.floats(0, 5), st.floats(0, 1e5)), max_size=30))
+    def test_is_never_surer_than_its_mean(
+        self, arrivals: list[tuple[float, float]]
+    ) -> None:
+        rate = ArrivalRate(0.6)
+        now_s = 0.0
+        for pause_s, work in arrivals:
+            now_s += pause_s
+            rate.add(work, now_s)
+        assert 0.0 <= rate.sure_value(now_s) <= rate.value(now_s) + 1e-9
+
+    def test_nears_the_true_rate(self) -> None:
+        rate = ArrivalRate(0.6)
+        for number in range(400):
+            rate.add(1000.0, number * 0.01)
+        assert math.isclose(rate.value(4.0), 100_000.0, rel_tol=0.05)
+
+
+class TestBursts:
+    def test_begin_within_half_a_second(self) -> None:
+        arrivals = PoolArrivals()
+        begun = [arrivals.add(8_000.0, number * 0.07, MACHINE) for number in range(8)]
+        assert any(begun)
+        assert arrivals.rate(0.5) > MACHINE
+
+    def test_do_not_begin_with_single_jobs(self) -> None:
+        arrivals = PoolArrivals()
+        for number in range(10):
+            assert arrivals.add(40_000.0, number * 5.0, MACHINE) is None
+
+    def test_end_when_arrivals_cease_and_are_remembered(self) -> None:
+        arrivals = PoolArrivals()
+        for number in range(60):
+            arrivals.add(8_000.0, number * 0.07, MACHINE)
+        arrivals.settle(4.3)
+        assert arrivals.present is not None
+        arrivals.settle(8.0)
+        assert arrivals.present is None
+        assert arrivals.before is not None
+        assert math.isclose(arrivals.before.rate, 8_000 / 0.07, rel_tol=0.1)
+        assert arrivals.add(8_000.0, 18.0, MACHINE) is None
+        assert arrivals.add(8_000.0, 18.05, MACHINE) is None
+        assert arrivals.add(8_000.0, 18.1, MACHINE) is None
+        assert arrivals.add(8_000.0, 18.15, MACHINE) is not None
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -58,6 +58,10 @@
 EARLY_SHARE = 0.4
 """Of the time by which a start may be early: the rest is for clocks that differ."""
 
+MOVES_BURST = 2.0
+"""In one decision, this many times what the cloud takes on average in its time: a
+burst needs its machines at once, and the rate counts whole seconds."""
+
 
 def cell_settings(node: NodeSettings) -> CellSettings:
     """Return the figures of a cell under the platform's bounds."""
@@ -68,10 +72,18 @@
     return CellSettings(
         links=links,
         engine=EngineSettings(early_s=early_s),
-        duties=DutySettings(lease_s=node.bounds.lease_s),
+        duties=duty_settings(node),
     )
 
 
+def duty_settings(node: NodeSettings) -> DutySettings:
+    """Return how machines are ordered under the platform's bounds and rates."""
+    known = DutySettings()
+    most_moves = int(node.duties_per_s * known.tick_s * MOVES_BURST)
+    capacity = attrs.evolve(known.capacity, most_moves=max(1, most_moves))
+    return attrs.evolve(known, lease_s=node.bounds.lease_s, capacity=capacity)
+
+
 class CellDaemon(Service):
     """One daemon: serves callers, follows the holder, holds the cell in turn."""
 
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -64,12 +64,13 @@
                 self._decide()
             await asyncio.sleep(self._settings.tick_s)
 
-    def note_job(self, service: str, work: float) -> None:
+    def note_job(self, service: str, work: float, at_s: float) -> None:
         """Count a job's work among a pool's arrivals.
 
         :param work: thousandths of a core times seconds.
+        :param at_s: when it arrived, on the monotonic clock.
         """
-        self._sizes.note_job(service, work)
+        self._sizes.note_job(service, work, at_s)
 
     # Decisions.
 
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -167,6 +167,7 @@
         )
         for job in replayed.jobs:
             self.engine.add(job)
+            self._note_arrival(job)
         log.info(
             "replayed",
             extra={
@@ -320,11 +321,18 @@
         )
         self._schedule_now()
         self._want_advice(job)
-        if self.duties is not None:
-            work = job_work(job, self.engine.times)
-            self.duties.note_job(job.service, work)
+        self._note_arrival(job)
         return job
 
+    def _note_arrival(self, job: Job) -> None:
+        """Tell the duties that a job has come, now or under an earlier holder."""
+        if self.duties is None:
+            return
+        work = job_work(job, self.engine.times)
+        if work:
+            age_s = max(0.0, time.time() - job.accepted_at_s)
+            self.duties.note_job(job.service, work, time.monotonic() - age_s)
+
     def _want_advice(self, job: Job) -> None:
         """Fetch tickets for all steps now, so that later ones do not wait."""
         if self.advice is None:
@@ -471,6 +479,10 @@
         self._schedule_now()
         await self.log.flushed()
 
+    def on_ready(self, link: RunnerLink) -> None:
+        """Have waiting tasks placed on a runner that has just become usable."""
+        self.kick()
+
     def on_life_over(self, link: RunnerLink, why: str) -> None:
         """Learn that this life of the runner has ended."""
         self.links.pop(link.runner.runner_id, None)
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -7,10 +7,12 @@
 import attrs
 import logbook
 
-from ..capacity import ArrivalRate
+from ..capacity import Burst
+from ..capacity import BurstCalendar
 from ..capacity import CapacitySettings
 from ..capacity import MachineView
 from ..capacity import pool_demand
+from ..capacity import PoolArrivals
 from ..capacity import target_size
 from ..platform.documents import Pool
 from ..scheduler import Engine
@@ -30,43 +32,68 @@
     def __init__(self, engine: Engine, settings: CapacitySettings) -> None:
         self._engine = engine
         self._settings = settings
-        self._arrivals: dict[str, ArrivalRate] = {}
+        self._arrivals: dict[str, PoolArrivals] = {}
+        self._calendar = BurstCalendar(settings.calendar)
+        self._machine_cpu = 0
+        self._unsorted: list[tuple[float, str, float]] = []
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
         self._demands: dict[str, tuple[int, int, int]] = {}
         self._logged_at_s = 0.0
 
-    def note_job(self, service: str, work: float) -> None:
+    def note_job(self, service: str, work: float, at_s: float) -> None:
         """Count a job's work among a pool's arrivals.
 
+        Until the machines are known, jobs are kept: a new holder takes those that
+        were handed in before.
+
         :param work: thousandths of a core times seconds.
+        :param at_s: when it arrived, on the monotonic clock.
         """
-        rate = self._arrivals.setdefault(service, ArrivalRate())
-        rate.add(work, time.monotonic())
+        if not self._machine_cpu:
+            self._unsorted.append((at_s, service, work))
+            return
+        arrivals = self._arrivals.setdefault(service, PoolArrivals())
+        least_rate = self._settings.burst_machines * self._machine_cpu
+        burst = arrivals.add(work, at_s, least_rate)
+        if burst is not None:
+            self._calendar.note(service, at_s)
+            log.info(
+                "burst-begins",
+                extra={
+                    "pool": service,
+                    "cpu": round(arrivals.rate(at_s)),
+                    "cpu_before": round(_rate(arrivals.before)),
+                },
+            )
+
+    def _learn_machine_size(self, views: t.Iterable[MachineView]) -> None:
+        self._machine_cpu = min((view.cpu for view in views), default=0)
+        if not self._machine_cpu:
+            return
+        unsorted, self._unsorted = self._unsorted, []
+        for at_s, service, work in sorted(unsorted):
+            self.note_job(service, work, at_s)
 
     def targets(
         self, pools: t.Iterable[Pool], views: t.Collection[MachineView]
     ) -> dict[str, int]:
         """Return how many machines each pool should have, spare pools left out."""
         now_s = time.monotonic()
+        self._learn_machine_size(views)
+        names = [pool.name for pool in pools if not pool.is_spare]
         jobs: dict[str, list[Job]] = collections.defaultdict(list)
         for job in self._engine.open_jobs():
             if not job.over:
                 jobs[job.service].append(job)
-        return {
-            pool.name: self._target(pool.name, jobs[pool.name], views, now_s)
-            for pool in pools
-            if not pool.is_spare
-        }
-
-    def _target(
-        self,
-        pool: str,
-        jobs: t.Iterable[Job],
-        views: t.Collection[MachineView],
-        now_s: float,
-    ) -> int:
+        targets: dict[str, int] = {}
+        for name in names:
+            expected = self._calendar.is_expected(name, names, now_s)
+            wanted = self._wanted(name, jobs[name], views, now_s, expected)
+            targets[name] = self._highest_lately(name, wanted, now_s)
+        return targets
+
+    def _highest_lately(self, pool: str, wanted: int, now_s: float) -> int:
         """Return the highest size that was needed within the shrink time."""
-        wanted = self._wanted(pool, jobs, views, now_s)
         history = self._history.setdefault(pool, collections.deque())
         history.append((now_s, wanted))
         while history and history[0][0] < now_s - self._settings.shrink_s:
@@ -79,12 +106,15 @@
         jobs: t.Iterable[Job],
         views: t.Collection[MachineView],
         now_s: float,
+        expected: bool,
     ) -> int:
-        """Return the size that the present jobs and arrivals need."""
+        """Return the size that the present jobs and arrivals need.
+
+        :param expected: a burst is about to begin.
+        """
         sizes = [view for view in views if view.pool == pool] or list(views)
         demand = pool_demand(jobs, self._engine.times, time.time())
-        rate = self._arrivals.get(pool)
-        arriving_cpu = rate.value(now_s) if rate is not None else 0.0
+        arriving_cpu = self._arriving_cpu(pool, now_s, expected)
         cpu = max(demand.cpu, arriving_cpu + _lasting_cpu(jobs))
         wanted = target_size(
             attrs.evolve(demand, cpu=cpu),
@@ -95,6 +125,25 @@
         self._demands[pool] = (round(cpu), round(arriving_cpu), wanted)
         return wanted
 
+    def _arriving_cpu(self, pool: str, now_s: float, expected: bool) -> float:
+        """Return the thousandths of a core that arriving work takes, or soon will.
+
+        A burst that has begun, or is expected, is taken to bring as much as the
+        pool's last one.
+        """
+        arrivals = self._arrivals.get(pool)
+        if arrivals is None:
+            return 0.0
+        arrivals.settle(now_s)
+        rate = arrivals.rate(now_s)
+        present = arrivals.present
+        begins = present is not None and (
+            now_s - present.began_at_s < self._settings.burst_trust_s
+        )
+        if begins or expected:
+            return max(rate, _rate(arrivals.before))
+        return rate
+
     def tell(self, targets: dict[str, int], views: t.Collection[MachineView]) -> None:
         """Log once a second how many machines each pool has and should have."""
         now_s = time.monotonic()
@@ -113,6 +162,10 @@
         log.info("pool-sizes", extra={"sizes": sizes})
 
 
+def _rate(burst: Burst | None) -> float:
+    return burst.rate if burst is not None else 0.0
+
+
 def _lasting_cpu(jobs: t.Iterable[Job]) -> float:
     """Return the thousandths of a core that lasting tasks take all the time."""
     return float(
--- a/src/streamthread/platform/node.py
+++ b/src/streamthread/platform/node.py
@@ -62,6 +62,9 @@
 """Where metrics are served; the deploy file names the same. Exporters of the
 common monitoring systems use this port, and the platform's ports are lower."""
 
+DUTIES_PER_S = 64.0
+"""Where the settings do not say it: the lowest rate of the known deployments."""
+
 
 @attrs.frozen
 class NodeSettings:
@@ -69,6 +72,8 @@
 
     :param callers: ``host:port`` at which callers are served.
     :param readiness: ``host:port`` at which the platform asks for readiness.
+    :param duties_per_s: orders to machines that the cloud takes from all daemons
+        together, a second; on the wire ``dutyPerS``.
     :param cores: how much processor this daemon has.
     :param operators_port: for metrics and questions; 0 lets the system choose.
     :param peer_ports: the first and the last port for what daemons say to each
@@ -83,6 +88,7 @@
     peer_ports: tuple[int, int]
     store: StoreLimits
     cloud: str = ""
+    duties_per_s: float = DUTIES_PER_S
     advice: str = ""
     cores: float = 1.0
     operators_port: int = OPERATORS_PORT
@@ -120,7 +126,12 @@
     ("platform.address", str),
 )
 
-_NUMBERS = ("platform.writes_per_s", "platform.reads_per_s", "platform.row_bytes")
+_NUMBERS = (
+    "platform.writes_per_s",
+    "platform.reads_per_s",
+    "platform.row_bytes",
+    "cloud.dutyPerS",
+)
 
 
 def _mistakes(value: t.Any) -> t.Iterator[SettingsError]:
@@ -171,6 +182,7 @@
         peer_ports=(int(ports[0]), int(ports[1])),
         store=_decode_store(value["platform"]),
         cloud=cloud.get("address", ""),
+        duties_per_s=float(cloud.get("dutyPerS", DUTIES_PER_S)),
         advice=value.get("advice") or "",
         cores=_cores(value.get("limits") or {}),
         operators_port=int(value.get("operatorsPort", OPERATORS_PORT)),
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -62,6 +62,10 @@
     async def on_lists(self, link: "RunnerLink", reply: HoldReply) -> None:
         """Take a runner's lists; return once the ends are durable."""
 
+    @abstractmethod
+    def on_ready(self, link: "RunnerLink") -> None:
+        """Learn that a runner may get tasks, new or after a silence."""
+
     @abstractmethod
     def on_life_over(self, link: "RunnerLink", why: str) -> None:
         """Learn that this life of the runner has ended."""
@@ -179,9 +183,12 @@
         if self.silent_since_s is not None:
             log.info("runner-heard-again", extra={"runner": self.runner.runner_id})
         self.silent_since_s = None
+        was_ready = self.runner.ready
         self.runner.ready = self.listed
         if reply.remaining_ms is not None:
             self.runner.draining = True
+        if self.runner.ready and not was_ready:
+            self._owner.on_ready(self)
         await self._owner.on_lists(self, reply)
         if reply.ended:
             self._confirmed = max(ended.number for ended in reply.ended)
--- a/src/streamthread/scheduler/learning.py
+++ b/src/streamthread/scheduler/learning.py
@@ -2,9 +2,10 @@
 
 import attrs
 
+from ..platform.callers import StepRequest
 from .model import StepRun
 
-__all__ = ["RunTimes", "learning_key"]
+__all__ = ["RunTimes", "learning_key", "request_key"]
 
 WEIGHT = 0.25
 """Of the newest run in the moving mean: four runs outweigh what was before."""
@@ -49,5 +50,9 @@
 
 def learning_key(step: StepRun) -> str:
     """Return under what a step's run times are learned."""
-    request = step.request
-    return request.image or f"{step.occurrence.job.route}/{step.number}"
+    return request_key(step.occurrence.job.route, step.number, step.request)
+
+
+def request_key(route: str, number: int, request: StepRequest) -> str:
+    """Return under what the run times of a route's step are learned."""
+    return request.image or f"{route}/{number}"
