Forecast a rising burst by the time that machines take to come

The rate is now carried forward along its rise, as far as that is more than chance; on the falling side the newest arrivals bound the slow mean. A test whose two lost answers could meet a renewal waits for that renewal now; a second one covers the case that failed once under load (504 after 1.6 s, then the same job).

--- a/src/streamthread/capacity/bursts.py
+++ b/src/streamthread/capacity/bursts.py
@@ -19,6 +19,10 @@
 BURST_SHARE_ENDED = 0.15
 """A burst is over once arrivals have fallen to this share of its own rate."""
 
+MOST_RISE = 1.6
+"""A forecast is this many times the present rate at most: a burst that begins at
+once looks like one that would rise on and on."""
+
 LEAST_BURST_S = 1.0
 """A burst's rate is its work over its length, or over this time if that is more."""
 
@@ -46,11 +50,14 @@
         """Return the thousandths of a core that arriving work takes."""
         return self._mean * self._kept(now_s)
 
+    def doubt(self, now_s: float) -> float:
+        """Return how far the rate may be off, since jobs come by chance."""
+        deviation = math.sqrt(self._variance) * self._kept(now_s)
+        return SURE_DEVIATIONS * deviation
+
     def sure_value(self, now_s: float) -> float:
         """Return the part of the rate that is not owed to a few large jobs."""
-        kept = self._kept(now_s)
-        doubt = SURE_DEVIATIONS * math.sqrt(self._variance) * kept
-        return max(0.0, self._mean * kept - doubt)
+        return max(0.0, self.value(now_s) - self.doubt(now_s))
 
     def _decay(self, now_s: float) -> None:
         kept = self._kept(now_s)
@@ -118,5 +125,22 @@
             self.before, self.present = burst, None
 
     def rate(self, now_s: float) -> float:
-        """Return the room that arriving work takes: thousandths of a core."""
-        return max(self._slow.value(now_s), self._fast.sure_value(now_s))
+        """Return the room that arriving work takes: thousandths of a core.
+
+        The slow mean, as far as the newest arrivals do not speak against it.
+        """
+        fast = self._fast.value(now_s)
+        doubt = self._fast.doubt(now_s)
+        return min(max(self._slow.value(now_s), fast - doubt), fast + doubt)
+
+    def forecast(self, now_s: float, ahead_s: float) -> float:
+        """Return the rate in a while, if it goes on to rise as it does now.
+
+        :param ahead_s: the time that it takes to have more room.
+        """
+        rate = self.rate(now_s)
+        risen = self._fast.sure_value(now_s) - self._slow.value(now_s)
+        if risen <= 0:
+            return rate
+        slope = risen / (self._slow.span_s - self._fast.span_s)
+        return min(rate + slope * (ahead_s + self._fast.span_s), rate * MOST_RISE)
--- a/src/streamthread/capacity/tests/test_bursts.py
+++ b/src/streamthread/capacity/tests/test_bursts.py
@@ -37,6 +37,37 @@
         assert math.isclose(rate.value(4.0), 100_000.0, rel_tol=0.05)
 
 
+class TestForecast:
+    @staticmethod
+    def _arrivals(pauses_s: list[float]) -> tuple[PoolArrivals, float]:
+        arrivals = PoolArrivals()
+        now_s = 0.0
+        for pause_s in pauses_s:
+            now_s += pause_s
+            arrivals.add(1_000.0, now_s, MACHINE)
+        return arrivals, now_s
+
+    def test_is_the_rate_while_that_is_steady(self) -> None:
+        arrivals, now_s = self._arrivals([0.02] * 500)
+        assert math.isclose(arrivals.forecast(now_s, 2.3), 50_000, rel_tol=0.1)
+
+    def test_is_more_while_arrivals_rise(self) -> None:
+        arrivals, now_s = self._arrivals([0.1 / (1 + n / 20) for n in range(200)])
+        assert arrivals.forecast(now_s, 2.3) > 1.2 * arrivals.rate(now_s)
+
+    def test_falls_with_the_newest_arrivals(self) -> None:
+        arrivals, now_s = self._arrivals([0.02] * 500)
+        assert arrivals.forecast(now_s + 1.0, 2.3) < 0.4 * 50_000
+
+    @given(st.lists(st.floats(0, 2), min_size=1, max_size=40), st.floats(0, 3))
+    def test_is_never_below_the_rate_and_bounded(
+        self, pauses_s: list[float], ahead_s: float
+    ) -> None:
+        arrivals, now_s = self._arrivals(pauses_s)
+        rate = arrivals.rate(now_s)
+        assert rate <= arrivals.forecast(now_s, ahead_s) <= rate * 1.6 + 1e-9
+
+
 class TestBursts:
     def test_begin_within_half_a_second(self) -> None:
         arrivals = PoolArrivals()
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -135,7 +135,7 @@
         if arrivals is None:
             return 0.0
         arrivals.settle(now_s)
-        rate = arrivals.rate(now_s)
+        rate = arrivals.forecast(now_s, self._settings.calendar.ahead_s)
         present = arrivals.present
         begins = present is not None and (
             now_s - present.began_at_s < self._settings.burst_trust_s
--- a/tests/cell/test_jobs.py
+++ b/tests/cell/test_jobs.py
@@ -1,5 +1,6 @@
 """Jobs from their hand-in to their end, over real sockets."""
 
+from .support import Cell
 from .support import job
 from .support import running_cell
 from .support import until
@@ -92,6 +93,14 @@
             assert int(headers["Retry-After"]) >= 1
 
 
+async def _until_renewed(cell: Cell) -> None:
+    """Wait for the end of a renewal, so that no other one is about to begin."""
+    holder = cell.daemons[0].holder
+    assert holder is not None
+    before = holder.log.sequence
+    await until(lambda: holder.log.sequence > before, "a renewal")
+
+
 class TestLostAnswers:
     async def test_start_carried_out_late_runs_once(self) -> None:
         async with running_cell({"desk": 1}) as cell:
@@ -106,11 +115,27 @@
         async with running_cell({"desk": 1}) as cell:
             await cell.until_ready()
             caller = cell.caller()
+            await _until_renewed(cell)
             cell.world.store.faults.lose_answers = 2
             assert await caller.submit("5" * 16, job()) == 200
             await caller.until_state("5" * 16, "completed")
             assert len(cell.world.started) == 1
 
+    async def test_job_behind_an_unanswered_renewal_is_one_job(self) -> None:
+        """Both lost answers together take longer than a caller is kept waiting."""
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            faults = cell.world.store.faults
+            faults.lose_answers = 2
+            await until(lambda: faults.lose_answers == 1, "a renewal is unanswered")
+            first = await caller.submit("7" * 16, job())
+            assert first in (200, 504)
+            await until(lambda: not faults.lose_answers, "the job's commit is lost")
+            await caller.until_state("7" * 16, "completed")
+            assert await caller.submit("7" * 16, job()) == 200
+            assert len(cell.world.started) == 1
+
     async def test_commit_carried_out_late_changes_nothing(self) -> None:
         async with running_cell({"desk": 1}) as cell:
             await cell.until_ready()
