Copy what a silent runner has, and move runs that stand still

Cause: a run on a runner that went dark waited for its lapse of up to 3.2 s even where its step allows copies, and a run that hangs on a grey runner never ended at all: no rule of ours looked at the percent that runners tell. Runs are now judged by their own progress against the learned time of their kind; copies where the step allows them, else a stop and another runner, if one has room, twice at most.

--- a/src/streamthread/capacity/bursts.py
+++ b/src/streamthread/capacity/bursts.py
@@ -16,6 +16,9 @@
 """The fast mean counts less so many standard deviations: a single job says nothing
 of the rate, ten jobs at once do."""
 
+BURST_SHARE_BEGUN = 0.25
+"""Of the last burst's rate: less is taken as the arrivals between two bursts."""
+
 BURST_SHARE_ENDED = 0.15
 """A burst is over once arrivals have fallen to this share of its own rate."""
 
@@ -109,6 +112,8 @@
         self._fast.add(cpu_s, now_s)
         self._slow.add(cpu_s, now_s)
         begun = None
+        if self.before is not None:
+            least_rate = max(least_rate, BURST_SHARE_BEGUN * self.before.rate)
         if self.present is None and self._fast.sure_value(now_s) > least_rate:
             begun = self.present = Burst(now_s, now_s)
         if self.present is not None:
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -61,6 +61,9 @@
 FORGET_EVERY_S = 1.0
 """How often ended jobs and lapsed orphans are looked for."""
 
+WATCH_RUNS_S = 0.25
+"""How often runs are looked at: their runners tell of them every 0.8 s."""
+
 SCHEDULE_AT_MOST_S = 0.5
 """The queue is looked at this often even when nothing is heard."""
 
@@ -147,6 +150,7 @@
                 group.create_task(self.inbox.run())
                 group.create_task(self._schedule())
                 group.create_task(self._forget())
+                group.create_task(self._watch_runs())
                 group.create_task(self._hold_through_trouble())
                 if self.duties is not None:
                     group.create_task(self.duties.run())
@@ -439,6 +443,17 @@
         for attempt in stops:
             self._group.create_task(self.sender.stop(attempt))
 
+    async def _watch_runs(self) -> None:
+        """Have runs done elsewhere that lag behind or are out of reach."""
+        while True:
+            await asyncio.sleep(WATCH_RUNS_S)
+            await self.until_trusted()
+            for link in self.links.values():
+                if link.silent:
+                    self.engine.want_copies(link.runner.runner_id)
+            if self.engine.watch_progress():
+                self.kick()
+
     async def _forget(self) -> None:
         while True:
             await asyncio.sleep(FORGET_EVERY_S)
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -80,14 +80,13 @@
         """Return how many machines each pool should have, spare pools left out."""
         now_s = time.monotonic()
         self._learn_machine_size(views)
-        names = [pool.name for pool in pools if not pool.is_spare]
         jobs: dict[str, list[Job]] = collections.defaultdict(list)
         for job in self._engine.open_jobs():
             if not job.over:
                 jobs[job.service].append(job)
         targets: dict[str, int] = {}
-        for name in names:
-            expected = self._calendar.is_expected(name, names, now_s)
+        for name in [pool.name for pool in pools if not pool.is_spare]:
+            expected = self._calendar.is_expected(name, now_s)
             wanted = self._wanted(name, jobs[name], views, now_s, expected)
             targets[name] = self._highest_lately(name, wanted, now_s)
         return targets
--- a/src/streamthread/scheduler/learning.py
+++ b/src/streamthread/scheduler/learning.py
@@ -38,13 +38,21 @@
         mean.value_s += (took_s - mean.value_s) * WEIGHT
         mean.count += 1
 
+    def learned_s(self, key: str) -> float | None:
+        """Return how long a task runs, or None where that is only estimated."""
+        mean = self._means.get(key)
+        if mean is None or mean.count < ESTIMATE_WEIGHT_RUNS:
+            return None
+        return mean.value_s
+
     def expect_s(self, key: str, estimate_ms: float) -> float:
         """Return how long a task probably runs."""
-        mean = self._means.get(key)
-        if mean is not None and mean.count >= ESTIMATE_WEIGHT_RUNS:
-            return mean.value_s
+        learned_s = self.learned_s(key)
+        if learned_s is not None:
+            return learned_s
         if estimate_ms > 0:
             return estimate_ms / 1000
+        mean = self._means.get(key)
         return mean.value_s if mean is not None else DEFAULT_S
 
 
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -102,7 +102,7 @@
     ) -> None:
         if attempt.phase is Phase.SENT:
             self.confirm(attempt, 0)
-        attempt.percent = percent
+        attempt.note_progress(percent, time.monotonic())
         attempt.usage = usage
         task = attempt.task
         if checkpoint and checkpoint != task.checkpoint:
@@ -181,7 +181,7 @@
         task = attempt.task
         job = task.step.occurrence.job
         task.avoid.add(runner.runner_id)
-        self._note_failure(runner)
+        self.note_failure(runner)
         if task.step.request.lasting:
             task.not_before_s = time.time() + self._settings.restart_pause_s
             self._ledger.wait_again(task)
@@ -211,8 +211,8 @@
             },
         )
 
-    def _note_failure(self, runner: RunnerState) -> None:
-        """Use a runner last for a while when it fails several tasks."""
+    def note_failure(self, runner: RunnerState) -> None:
+        """Use a runner last for a while when several tasks fail or lag there."""
         now_s = time.time()
         since_s = now_s - self._settings.penalty_s
         seen = [s for s in self._failed_at_s.get(runner.runner_id, []) if s > since_s]
--- a/src/streamthread/scheduler/settings.py
+++ b/src/streamthread/scheduler/settings.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from .progress import ProgressSettings
+
 __all__ = ["EngineSettings"]
 
 
@@ -25,3 +27,4 @@
     penalty_failures: int = 2
     restart_pause_s: float = 0.05
     lasting_patience_s: float = 1.0
+    progress: ProgressSettings = attrs.field(factory=ProgressSettings)
