Leave the cell to daemons with more processor

Staggering by 0.1 s is less than suspicions lie apart. Daemons tell their processor in announcements; one that knows a larger peer waits half a second longer, and a planned stop names the largest follower.

--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -51,6 +51,9 @@
     :param beat_lost_s: without a beat for longer, the store is asked.
     :param renew_s: a holder commits at least this often.
     :param stagger_s: candidates spread over this time, so that one write wins.
+    :param defer_s: a daemon leaves larger ones so much more time, which is as far
+        as their own suspicions lie apart; a holder on a machine that is too small
+        for the jobs serves worse than one that comes later.
     :param retry_s: after a failed take-over from a doubtful holder.
     :param feed_wait_s: one call of the feed waits this long for a change.
     """
@@ -62,6 +65,7 @@
     beat_lost_s: float = 0.7
     renew_s: float = 0.4
     stagger_s: float = 0.12
+    defer_s: float = 0.5
     feed_wait_s: float = 10.0
     retry_s: float = 0.2
 
@@ -145,7 +149,7 @@
         self._hesitation = min(MOST_HESITATION, USUAL_CORES / cores)
         self._on_taken = on_taken
         self._on_replaced = on_replaced
-        self.members = Members(store, part, daemon_id, peers, self.hear)
+        self.members = Members(store, part, daemon_id, peers, cores, self.hear)
         self._random = random.Random(incarnation)
         self._owner_version = ABSENT
         self._told: tuple[Suspicion, Owner | None] = (Suspicion.NONE, None)
@@ -367,7 +371,11 @@
     def _stagger_s(self) -> float:
         """Return a random time, longer on small machines: large ones go first."""
         hesitation = self._hesitation * (1 + self._random.random()) / 2
-        return self.times.stagger_s * hesitation
+        stagger_s = self.times.stagger_s * hesitation
+        before = self.owner.daemon_id if self.owner is not None else ""
+        if self.members.has_larger(without=before):
+            stagger_s += self.times.defer_s
+        return stagger_s
 
     async def _write_owner(self, owner: Owner, head: Head) -> int | None:
         """Return the rows' version, or None where another daemon has it."""
--- a/src/streamthread/cell/members.py
+++ b/src/streamthread/cell/members.py
@@ -21,6 +21,9 @@
 RETRY_S = 0.25
 """Pause before the store, or a peer that did not answer, is tried again."""
 
+LARGER_TIMES = 1.2
+"""A peer counts as larger with this many times our processor."""
+
 ANNOUNCE_TRIES = 12
 """A peer behind a cut is told again for some 12 s: as long as cuts last."""
 
@@ -30,6 +33,7 @@
 
     A daemon that the store turns away learns of a new holder from its peers.
 
+    :param cores: how much processor this daemon has.
     :param hear: takes what a peer says of the holder.
     """
 
@@ -39,15 +43,18 @@
         part: str,
         daemon_id: str,
         peers: PeerLinks,
+        cores: float,
         hear: t.Callable[[pb.OwnerNews], None],
     ) -> None:
         self._store = store
         self._part = part
         self._me = daemon_id
         self._peers = peers
+        self._cores = cores
         self._hear = hear
         self._tasks: set[asyncio.Task[None]] = set()
         self.addresses: dict[str, str] = {}
+        self._peers_cores: dict[str, float] = {}
 
     async def join(self, news: t.Callable[[], pb.OwnerNews]) -> None:
         """Write our row, read the others' and greet them."""
@@ -74,13 +81,40 @@
         """Take a peer's announcement."""
         if announcement.daemon_id and announcement.daemon_id != self._me:
             self.addresses[announcement.daemon_id] = announcement.address
+            self._peers_cores[announcement.daemon_id] = announcement.cores
         self._hear(announcement.owner)
 
+    def announcement(self, owner: pb.OwnerNews) -> pb.Announcement:
+        """Return what this daemon tells its peers of itself and the holder."""
+        return pb.Announcement(
+            daemon_id=self._me,
+            address=self._peers.address,
+            owner=owner,
+            cores=self._cores,
+        )
+
+    def has_larger(self, without: str) -> bool:
+        """Whether some peer has clearly more processor than this daemon.
+
+        :param without: a peer that does not count, since it seems to be gone.
+        """
+        return any(
+            cores > LARGER_TIMES * self._cores
+            for daemon_id, cores in self._peers_cores.items()
+            if daemon_id != without
+        )
+
+    def largest(self, daemon_ids: t.Iterable[str]) -> str:
+        """Return the one with most processor, or an empty text."""
+        return max(
+            sorted(daemon_ids),
+            key=lambda daemon_id: self._peers_cores.get(daemon_id, 0.0),
+            default="",
+        )
+
     def announce_soon(self, owner: pb.OwnerNews) -> None:
         """Tell all peers who holds the cell."""
-        news = pb.Announcement(
-            daemon_id=self._me, address=self._peers.address, owner=owner
-        )
+        news = self.announcement(owner)
         for daemon_id, address in list(self.addresses.items()):
             task = asyncio.ensure_future(self._announce(daemon_id, address, news))
             self._tasks.add(task)
--- /dev/null
+++ b/src/streamthread/cell/tests/test_members.py
@@ -0,0 +1,46 @@
+"""What a daemon knows of its peers."""
+
+import typing as t
+
+from streamthread.cell import cell_pb2 as pb
+from streamthread.cell.members import Members
+
+
+class _Peers:
+    address = "127.0.0.1:1"
+
+
+def _members(cores: float, peers: dict[str, float]) -> Members:
+    members = Members(
+        t.cast(t.Any, None),
+        "main",
+        "me",
+        t.cast(t.Any, _Peers()),
+        cores,
+        lambda news: None,
+    )
+    for daemon_id, peer_cores in peers.items():
+        members.greeted(pb.Announcement(daemon_id=daemon_id, cores=peer_cores))
+    return members
+
+
+class TestLargerPeers:
+    def test_are_those_with_clearly_more_processor(self) -> None:
+        assert _members(0.5, {"a": 0.5, "b": 2.1}).has_larger(without="")
+        assert not _members(1.0, {"a": 1.1, "b": 0.5}).has_larger(without="")
+
+    def test_do_not_count_when_gone(self) -> None:
+        assert not _members(0.5, {"a": 0.5, "b": 2.1}).has_larger(without="b")
+
+    def test_are_none_while_nobody_has_said(self) -> None:
+        assert not _members(0.5, {"a": 0.0}).has_larger(without="")
+
+    def test_are_told_of_in_announcements(self) -> None:
+        assert _members(0.5, {}).announcement(pb.OwnerNews()).cores == 0.5
+
+
+class TestSuccessor:
+    def test_is_the_largest_follower(self) -> None:
+        members = _members(0.5, {"a": 0.5, "b": 2.1, "c": 4.0})
+        assert members.largest(["a", "b"]) == "b"
+        assert members.largest([]) == ""
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -209,11 +209,7 @@
 
     def _announced(self, announcement: pb.Announcement) -> pb.Announcement:
         self.lease.members.greeted(announcement)
-        return pb.Announcement(
-            daemon_id=self.node.daemon_id,
-            address=self.peers.address,
-            owner=self.lease.news(),
-        )
+        return self.lease.members.announcement(self.lease.news())
 
     def explain(self, request: pb.ExplainRequest) -> pb.ExplainReply:
         """Answer an operator's question as the holder."""
@@ -247,7 +243,7 @@
         try:
             async with asyncio.timeout(HAND_OVER_S):
                 await holder.log.flushed()
-                successor = next(iter(sorted(self.endpoint.followers)), "")
+                successor = self.lease.members.largest(self.endpoint.followers)
                 released = await self.lease.release(holder.taken, successor)
         except (TimeoutError, NotHolderError) as error:
             log.warning("cell-not-released", extra={"error": repr(error)})
