--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -76,11 +76,14 @@
 
     :param head_version: the head row's version after the take-over.
     :param taken_at_s: on the monotonic clock: when the take-over was sent.
+    :param alone: nobody else can still order anything as the holder: there was none
+        before, or it was an earlier life of this daemon.
     """
 
     owner: Owner
     head_version: int
     taken_at_s: float
+    alone: bool = False
 
 
 USUAL_CORES = 1.0
@@ -346,7 +349,8 @@
         self._owner_version = version
         self.owner = mine
         self._changed.set()
-        return TakenCell(mine, version, began_at_s)
+        alone = suspicion in (Suspicion.VACANT, Suspicion.OWN_EARLIER_LIFE)
+        return TakenCell(mine, version, began_at_s, alone)
 
     async def _reread_owner(self) -> bool:
         """Read the owner row: what we know of it may be old, or from a peer."""
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -34,6 +34,7 @@
 class DutyLoop:
     """The fleet's duties of one holder.
 
+    :param decisions: how often it was decided what moves.
     :param moves: how many moves were ordered.
     :param upkeeps: how many upkeeps were ordered.
     """
@@ -51,13 +52,14 @@
         self._book = WaveBook(owner, settings.tick_s)
         self._waves = WaveWork(owner, self._book, self._table, settings.upkeep)
         self._began_at_s = time.monotonic()
+        self.decisions = 0
         self.moves = 0
         self.upkeeps = 0
 
     async def run(self) -> None:
         """Do the duties until the cell is lost."""
         await self._book.restore()
-        if self._owner.token > 1:
+        if not self._owner.taken.alone:
             await asyncio.sleep(self._settings.lease_s)
         while True:
             await self._owner.until_trusted()
@@ -111,6 +113,7 @@
 
         :param views: from before those orders, which concern due machines alone.
         """
+        self.decisions += 1
         wanted = [
             PoolView(pool.name, pool.is_spare, self._wanted(pool.name, targets))
             for pool in pools
--- a/src/streamthread/holder/owner.py
+++ b/src/streamthread/holder/owner.py
@@ -5,6 +5,7 @@
 from abc import abstractmethod
 
 from ..cell import CommitLog
+from ..cell import TakenCell
 from ..platform.store import Page
 from ..runners import RunnerLink
 from ..scheduler import Engine
@@ -16,11 +17,13 @@
 class DutyOwner(ABC):
     """The holder, as its duties see it.
 
+    :param taken: how the cell was taken over.
     :param releasing: the cell is being given up: nothing new is ordered.
     :param links: the runners that are listed, by runner id.
     """
 
     token: int
+    taken: TakenCell
     releasing: bool
     context: HolderContext
     engine: Engine
