Order duties as soon as the earlier holder has surely stopped

A daemon that has just started leaves the cell half a second to its last holder, which need not wait at all.

--- a/src/streamthread/cell/__init__.py
+++ b/src/streamthread/cell/__init__.py
@@ -3,6 +3,7 @@
 from .commits import CommitLog
 from .lease import CellLease
 from .lease import LeaseTimes
+from .lease import Suspicion
 from .lease import TakenCell
 from .peer import CellEndpoint
 from .peer import CellPort
@@ -21,5 +22,6 @@
     "CommitLog",
     "LeaseTimes",
     "PeerLinks",
+    "Suspicion",
     "TakenCell",
 ]
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -70,20 +70,31 @@
     retry_s: float = 0.2
 
 
+class Suspicion(enum.Enum):
+    """Why the present holder may be replaced."""
+
+    NONE = "none"
+    VACANT = "vacant"
+    RELEASED = "released"
+    OWN_EARLIER_LIFE = "own-earlier-life"
+    PROCESS_GONE = "process-gone"
+    SILENT = "silent"
+    DOUBTFUL = "doubtful"
+
+
 @attrs.frozen
 class TakenCell:
     """What a new holder begins with.
 
     :param head_version: the head row's version after the take-over.
     :param taken_at_s: on the monotonic clock: when the take-over was sent.
-    :param alone: nobody else can still order anything as the holder: there was none
-        before, or it was an earlier life of this daemon.
+    :param why: what was known of the holder before.
     """
 
     owner: Owner
     head_version: int
     taken_at_s: float
-    alone: bool = False
+    why: Suspicion
 
 
 USUAL_CORES = 1.0
@@ -101,6 +112,13 @@
 CLOSED_PORT_S = 0.02
 """After a closed port, news of another holder gets so long to arrive first."""
 
+JUST_STARTED_S = 1.0
+"""A daemon that is younger has most likely come back with all others."""
+
+OWNER_BACK_S = 0.5
+"""So long a daemon that has just started leaves the cell to the one that held it: all
+machines start within 0.3 s, and that one need not wait for anybody's late orders."""
+
 HEAD_POLL_S = 0.25
 """Between two looks at a silent holder's commits: each is a read of the store."""
 
@@ -108,18 +126,6 @@
 """Pause after the store refused a take-over: nothing was done."""
 
 
-class Suspicion(enum.Enum):
-    """Why the present holder may be replaced."""
-
-    NONE = "none"
-    VACANT = "vacant"
-    RELEASED = "released"
-    OWN_EARLIER_LIFE = "own-earlier-life"
-    PROCESS_GONE = "process-gone"
-    SILENT = "silent"
-    DOUBTFUL = "doubtful"
-
-
 class CellLease(Service):
     """Follows the cell's holder, and takes over when it is gone.
 
@@ -150,6 +156,7 @@
         self._peers = peers
         self.times = times
         self._hesitation = min(MOST_HESITATION, USUAL_CORES / cores)
+        self._began_at_s = time.monotonic()
         self._on_taken = on_taken
         self._on_replaced = on_replaced
         self.members = Members(store, part, daemon_id, peers, cores, self.hear)
@@ -294,7 +301,8 @@
 
     async def _confirm_gone(self, owner: Owner) -> Suspicion:
         """The holder's port is closed: its process is gone, or about to be."""
-        await asyncio.sleep(CLOSED_PORT_S)
+        age_s = time.monotonic() - self._began_at_s
+        await asyncio.sleep(CLOSED_PORT_S if age_s > JUST_STARTED_S else OWNER_BACK_S)
         if self.owner is not owner:
             return Suspicion.NONE
         return Suspicion.PROCESS_GONE
@@ -349,8 +357,7 @@
         self._owner_version = version
         self.owner = mine
         self._changed.set()
-        alone = suspicion in (Suspicion.VACANT, Suspicion.OWN_EARLIER_LIFE)
-        return TakenCell(mine, version, began_at_s, alone)
+        return TakenCell(mine, version, began_at_s, suspicion)
 
     async def _reread_owner(self) -> bool:
         """Read the owner row: what we know of it may be old, or from a peer."""
--- a/src/streamthread/holder/context.py
+++ b/src/streamthread/holder/context.py
@@ -37,8 +37,8 @@
     :param settle_s: an unanswered duty is taken as not done only when the list
         shows no trace of it after so long.
     :param lease_s: a new holder orders nothing sooner, since the cloud does not
-        refuse an earlier holder's late orders; not waited for where that holder was
-        this daemon's own earlier life.
+        refuse an earlier holder's late orders; where that holder has surely stopped,
+        its last trust is waited for, or nothing at all.
     :param learn_s: no machine moves sooner after a take-over: until then it is
         not known what runs where.
     :param arrive_s: a machine that is up may take so long until its runner is
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -10,6 +10,7 @@
 from ..capacity import Move
 from ..capacity import plan_moves
 from ..capacity import PoolView
+from ..cell import Suspicion
 from ..errors import OutcomeUnknownError
 from ..errors import StreamthreadError
 from ..platform.cloud import CloudClient
@@ -17,6 +18,7 @@
 from ..platform.cloud import Machine
 from ..platform.documents import Pool
 from ..platform.documents import Wave
+from ..runners import SLOWEST_CLOCK
 from .context import DutySettings
 from .machines import DutyKind
 from .machines import MachineTable
@@ -30,6 +32,33 @@
 
 log = logbook.Logger("streamthread.duties")
 
+NOBODY_BEFORE = (Suspicion.VACANT, Suspicion.OWN_EARLIER_LIFE)
+"""Nobody else can still order anything."""
+
+SURELY_STOPPED = (Suspicion.PROCESS_GONE, Suspicion.RELEASED)
+"""The earlier holder orders no more, but for what its last trust allowed."""
+
+ORDER_FLIGHT_S = 0.5
+"""An order that was sent has reached the cloud by then: a call takes 5 ms, and 0.25 s
+while the cloud is 50 times slower."""
+
+
+def quiet_time_s(why: Suspicion, lease_s: float, trust_s: float) -> float:
+    """Return how long after a take-over nothing is ordered from the cloud.
+
+    The cloud does not refuse an earlier holder's late orders. A holder orders nothing
+    once its trust in its last commit is over, and the take-over has ended its commits.
+
+    :param why: what was known of the holder before.
+    :param lease_s: two holders that are both well stay so far apart.
+    :param trust_s: a holder relies on a confirmed commit for this long.
+    """
+    if why in NOBODY_BEFORE:
+        return 0.0
+    if why in SURELY_STOPPED:
+        return min(lease_s, trust_s / SLOWEST_CLOCK + ORDER_FLIGHT_S)
+    return lease_s
+
 
 class DutyLoop:
     """The fleet's duties of one holder.
@@ -59,14 +88,20 @@
     async def run(self) -> None:
         """Do the duties until the cell is lost."""
         await self._book.restore()
-        if not self._owner.taken.alone:
-            await asyncio.sleep(self._settings.lease_s)
+        await asyncio.sleep(self._until_alone_s())
         while True:
             await self._owner.until_trusted()
             if await self._table.refresh():
                 self._decide()
             await asyncio.sleep(self._settings.tick_s)
 
+    def _until_alone_s(self) -> float:
+        """Return for how long an earlier holder's orders may still reach the cloud."""
+        taken = self._owner.taken
+        times = self._owner.context.settings.times
+        quiet_s = quiet_time_s(taken.why, self._settings.lease_s, times.trust_s)
+        return max(0.0, taken.taken_at_s + quiet_s - time.monotonic())
+
     def note_job(self, service: str, work: float, at_s: float) -> None:
         """Count a job's work among a pool's arrivals.
 
