Take waves' machines by what each pool can do without; leave sure holders alone

After the store's outage a small daemon took the cell from a holder that had just committed again. A wave now takes what each pool can give, counted, and presses only when the rounds that are left just fit into its time. A doubtful holder is asked once more when the store serves again; it tries every 0.2 s.

--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -35,8 +35,9 @@
 RETRY_FIRST_S = 0.05
 """Pause before the second try while the store fails; it doubles with each."""
 
-RETRY_MOST_S = 0.5
-"""The longest pause between tries: short beside the lease."""
+RETRY_MOST_S = 0.2
+"""The longest pause between tries: followers leave a doubtful holder 0.25 s once the
+store serves them again."""
 
 
 @attrs.frozen
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -54,6 +54,8 @@
     :param defer_s: a daemon leaves larger ones so much more time, which is as far
         as their own suspicions lie apart; a holder on a machine that is too small
         for the jobs serves worse than one that comes later.
+    :param sure_again_s: once the store serves us, a doubtful holder is given so long
+        to commit: longer than it pauses between tries.
     :param retry_s: after a failed take-over from a doubtful holder.
     :param feed_wait_s: one call of the feed waits this long for a change.
     """
@@ -66,6 +68,7 @@
     renew_s: float = 0.4
     stagger_s: float = 0.12
     defer_s: float = 0.5
+    sure_again_s: float = 0.25
     feed_wait_s: float = 10.0
     retry_s: float = 0.2
 
@@ -332,16 +335,20 @@
     async def _take(self, suspicion: Suspicion) -> TakenCell | None:
         """Try to become the holder; None if somebody else was faster."""
         owner = self.owner
+        if not await self._reread_owner() or self.owner is not owner:
+            return None
+        # The row as it is now: whoever takes the cell meanwhile ends this try.
+        seen_version = self._owner_version
         await asyncio.sleep(self._delay_s(suspicion))
         if self.owner is not owner or self.stopping:
             return None
-        if not await self._reread_owner() or self.owner is not owner:
+        if suspicion is Suspicion.DOUBTFUL and await self._is_sure_again(owner):
             return None
         token = (owner.token if owner else 0) + 1
         mine = Owner(self._daemon_id, self._incarnation, self.address, token)
         head = Head(new_nonce(), mine.token)
         began_at_s = time.monotonic()
-        version = await self._write_owner(mine, head)
+        version = await self._write_owner(mine, head, seen_version)
         if version is None:
             return None
         self.takeovers += 1
@@ -359,6 +366,13 @@
         self._changed.set()
         return TakenCell(mine, version, began_at_s, suspicion)
 
+    async def _is_sure_again(self, owner: Owner | None) -> bool:
+        """Whether the holder commits again, since the store serves all of us."""
+        if owner is None or not await self._peers.is_sure(owner.address, owner.token):
+            return False
+        log.info("holder-sure-again", extra={"holder": owner.daemon_id})
+        return True
+
     async def _reread_owner(self) -> bool:
         """Read the owner row: what we know of it may be old, or from a peer."""
         try:
@@ -377,6 +391,8 @@
             if self.owner.successor == self._daemon_id:
                 return 0.0
             return self._stagger_s() + 2 * self.times.stagger_s
+        if suspicion is Suspicion.DOUBTFUL:
+            return max(self._stagger_s(), self.times.sure_again_s)
         return self._stagger_s()
 
     def _stagger_s(self) -> float:
@@ -388,9 +404,14 @@
             stagger_s += self.times.defer_s
         return stagger_s
 
-    async def _write_owner(self, owner: Owner, head: Head) -> int | None:
-        """Return the rows' version, or None where another daemon has it."""
-        condition = Condition(TABLE_OWNER, self._part, OWNER_KEY, self._owner_version)
+    async def _write_owner(
+        self, owner: Owner, head: Head, seen_version: int
+    ) -> int | None:
+        """Return the rows' version, or None where another daemon has it.
+
+        :param seen_version: of the owner row on which this was decided.
+        """
+        condition = Condition(TABLE_OWNER, self._part, OWNER_KEY, seen_version)
         puts = [
             StoredRow(TABLE_OWNER, self._part, OWNER_KEY, owner.encode()),
             StoredRow(TABLE_HEAD, self._part, HEAD_KEY, head.encode()),
@@ -434,7 +455,9 @@
         :return: whether the store has taken it.
         """
         owner = attrs.evolve(taken.owner, released=True, successor=successor)
-        version = await self._write_owner(owner, Head(new_nonce(), owner.token))
+        version = await self._write_owner(
+            owner, Head(new_nonce(), owner.token), self._owner_version
+        )
         if version is None:
             log.warning("cell-not-released", extra={"token": owner.token})
             return False
--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -224,6 +224,20 @@
             waiter.cancel()
             beats.cancel()
 
+    async def is_sure(self, address: str, token: int) -> bool:
+        """Whether a holder says now that it commits."""
+        request = pb.FollowRequest(daemon_id=self._daemon_id, address=self.address)
+        try:
+            async with asyncio.timeout(CONNECT_S):
+                async with self._stub(address).Follow.open() as stream:
+                    await stream.send_message(request, end=True)
+                    beat = await stream.recv_message()
+                    await stream.cancel()
+        except UNANSWERED:
+            self._drop(address)
+            return False
+        return beat is not None and beat.token >= token and not beat.doubtful
+
     async def _beats(self, address: str, token: int, silence_s: float) -> None:
         request = pb.FollowRequest(daemon_id=self._daemon_id, address=self.address)
         try:
--- /dev/null
+++ b/src/streamthread/cell/tests/test_lease.py
@@ -0,0 +1,116 @@
+"""Two daemons that want the cell at one time: one gets it."""
+
+import asyncio
+import typing as t
+
+from streamthread.cell import CellLease
+from streamthread.cell import LeaseTimes
+from streamthread.cell import Suspicion
+from streamthread.cell.rows import Head
+from streamthread.cell.rows import HEAD_KEY
+from streamthread.cell.rows import Owner
+from streamthread.cell.rows import OWNER_KEY
+from streamthread.cell.rows import TABLE_HEAD
+from streamthread.cell.rows import TABLE_OWNER
+from streamthread.platform.store import ABSENT
+from streamthread.platform.store import Condition
+from streamthread.platform.store import Page
+from streamthread.platform.store import StoredRow
+from streamthread.platform.store import TransactResult
+
+OLD = Owner("old", "n-0", "127.0.0.1:1", 1)
+
+
+class _Store:
+    """Rows in memory, with the conditions of the platform's store."""
+
+    def __init__(self) -> None:
+        self.rows: dict[tuple[str, str], StoredRow] = {}
+        self.version = 0
+        self.put(TABLE_OWNER, OWNER_KEY, OLD.encode())
+        self.put(TABLE_HEAD, HEAD_KEY, Head("x", 1).encode())
+
+    def put(self, table: str, key: str, value: bytes | None) -> None:
+        self.version += 1
+        self.rows[table, key] = StoredRow(table, "main", key, value, self.version)
+
+    async def read(self, table: str, part: str) -> Page:
+        rows = [row for (name, _), row in self.rows.items() if name == table]
+        return Page(tuple(rows), self.version)
+
+    async def transact(
+        self,
+        conditions: t.Sequence[Condition],
+        puts: t.Sequence[StoredRow],
+    ) -> TransactResult:
+        for condition in conditions:
+            row = self.rows.get((condition.table, condition.key))
+            if condition.version != (row.version if row else ABSENT):
+                return TransactResult(committed=False)
+        for put in puts:
+            self.put(put.table, put.key, put.value)
+        return TransactResult(committed=True, version=self.version)
+
+
+class _Peers:
+    """Answers for the old holder; meanwhile something else may happen."""
+
+    address = "127.0.0.1:2"
+
+    def __init__(self, sure: bool, meanwhile: t.Callable[[], None]) -> None:
+        self.sure = sure
+        self.meanwhile = meanwhile
+
+    async def is_sure(self, address: str, token: int) -> bool:
+        self.meanwhile()
+        return self.sure
+
+
+def _lease(store: _Store, peers: _Peers) -> CellLease:
+    async def on_taken(taken: object) -> None:
+        return None
+
+    times = LeaseTimes(stagger_s=0.0, sure_again_s=0.0)
+    lease = CellLease(
+        t.cast(t.Any, store),
+        "main",
+        "me",
+        "n-1",
+        peers.address,
+        t.cast(t.Any, peers),
+        times,
+        1.0,
+        on_taken,
+        lambda: None,
+    )
+    lease._adopt(store.rows[TABLE_OWNER, OWNER_KEY])
+    return lease
+
+
+class TestTakeOver:
+    async def test_of_a_doubtful_holder_succeeds(self) -> None:
+        store = _Store()
+        lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
+        taken = await lease._take(Suspicion.DOUBTFUL)
+        assert taken is not None
+        assert taken.owner.token == 2
+
+    async def test_is_left_when_the_holder_commits_again(self) -> None:
+        store = _Store()
+        lease = _lease(store, _Peers(sure=True, meanwhile=lambda: None))
+        assert await lease._take(Suspicion.DOUBTFUL) is None
+        assert store.rows[TABLE_OWNER, OWNER_KEY].value == OLD.encode()
+
+    async def test_never_shares_a_token_with_a_faster_daemon(self) -> None:
+        store = _Store()
+        faster = Owner("faster", "n-2", "127.0.0.1:3", 2)
+
+        def meanwhile() -> None:
+            store.put(TABLE_OWNER, OWNER_KEY, faster.encode())
+            lease._adopt(store.rows[TABLE_OWNER, OWNER_KEY])
+
+        lease = _lease(store, _Peers(sure=False, meanwhile=meanwhile))
+        assert await lease._take(Suspicion.DOUBTFUL) is None
+        assert store.rows[TABLE_OWNER, OWNER_KEY].value == faster.encode()
+        await asyncio.sleep(0)
+        assert lease.owner == faster
--- a/src/streamthread/holder/waves.py
+++ b/src/streamthread/holder/waves.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import math
 import time
 import typing as t
 
@@ -32,19 +33,27 @@
 
 log = logbook.Logger("streamthread.duties")
 
-RELAX_AFTER = 0.4
-"""Once so much of a wave's time is used, a pool may go below its size for it."""
+ROUND_S = 5.0
+"""Emptying a machine takes as long as its tasks, some 2.5 s, an upkeep 2 s; the list
+shows its end half a second later."""
 
-LEAST_LEFT = 2
-"""A pool that has so many machines may give one to a wave that presses."""
-
-SHORTEST_WAVE_S = 1.0
-"""A wave without a duration counts as this long: its share used is a quotient."""
+SPARE_ROUNDS = 1
+"""Of the time for a round: what is left when a holder changes or the store is away."""
 
 TABLE_WAVES = "cell-waves"
 """One row a wave, under its number: its progress, for the next holder."""
 
 
+def presses(left: int, most_at_once: int, rest_s: float) -> bool:
+    """Whether a wave can no longer wait for pools to have machines to spare.
+
+    :param left: machines that have not begun their upkeep.
+    :param rest_s: until the wave should be over.
+    """
+    rounds = math.ceil(left / max(1, most_at_once))
+    return rest_s <= (rounds + SPARE_ROUNDS) * ROUND_S
+
+
 class WaveBook:
     """Keeps the waves' progress for the next holder, and tells the operator.
 
@@ -170,20 +179,46 @@
         self._book.tell(progress, completed=not left and not down)
         if not left:
             return None
-        used_s = time.time() - progress.first_seen_s
-        used = used_s / max(SHORTEST_WAVE_S, wave.duration_s)
-        usable = collections.Counter(v.pool for v in views.values() if v.usable)
-        relaxed = used > RELAX_AFTER or not self._can_replace(views, usable, targets)
-        due = [
-            self._due_machine(views[m], usable, targets, relaxed)
-            for m in left
-            if m in views
-        ]
+        rest_s = progress.first_seen_s + wave.duration_s - time.time()
+        pressed = presses(len(left), wave.most_at_once, rest_s)
+        due = tuple(self._due_machine(views[m]) for m in left if m in views)
         return plan_upkeep(
-            WaveView(wave.number, tuple(due), wave.most_at_once - down),
+            WaveView(
+                wave.number,
+                due,
+                wave.most_at_once - down,
+                self._may_give(views.values(), targets, pressed),
+            ),
             self._settings,
         )
 
+    def _may_give(
+        self,
+        views: t.Collection[MachineView],
+        targets: dict[str, int],
+        pressed: bool,
+    ) -> dict[str, int]:
+        """Return how many machines each pool can do without for now.
+
+        A wave that presses takes all but the last one of a pool, and machines that
+        are off although pools wait for them.
+        """
+        there = collections.Counter(v.pool for v in views if v.usable)
+        coming = collections.Counter(v.pool for v in views if v.arriving)
+        kept = {name: 1 if pressed else target for name, target in targets.items()}
+        may_give = {name: there[name] - kept[name] for name in targets}
+        lacking = sum(
+            max(0, target - there[name] - coming[name])
+            for name, target in targets.items()
+        )
+        for view in views:
+            if self._table.is_spare(view.pool) and view.free_to_move:
+                may_give[view.pool] = may_give.get(view.pool, 0) + 1
+        for name in may_give:
+            if name not in targets and not pressed:
+                may_give[name] -= lacking
+        return may_give
+
     def empty(self, machine_ids: t.Iterable[str]) -> None:
         """Place nothing new on machines, and move their lasting tasks away."""
         for machine_id in machine_ids:
@@ -206,32 +241,12 @@
             runner.emptying = runner.runner_id in self._emptying
             runner.reserved = runner.runner_id in ordered
 
-    def _can_replace(
-        self,
-        views: dict[str, MachineView],
-        usable: collections.Counter[str],
-        targets: dict[str, int],
-    ) -> bool:
-        """Whether some pool has a machine that another one could get."""
-        if any(self._table.is_spare(view.pool) for view in views.values()):
-            return True
-        return any(usable[pool] > target for pool, target in targets.items())
-
-    def _due_machine(
-        self,
-        view: MachineView,
-        usable: collections.Counter[str],
-        targets: dict[str, int],
-        relaxed: bool,
-    ) -> DueMachine:
+    def _due_machine(self, view: MachineView) -> DueMachine:
         machine_id = view.machine_id
         machine = self._table.machines[machine_id]
         runner = self._table.runner_of(machine)
         off = self._table.is_spare(machine.pool)
         idle = off or (runner is not None and runner.ready and runner.idle)
-        there = usable[machine.pool]
-        target = targets.get(machine.pool, 0)
-        enough = there > target or (relaxed and there >= LEAST_LEFT)
         return DueMachine(
             machine_id=machine_id,
             pool=machine.pool,
@@ -240,7 +255,7 @@
             up=machine.state is MachineState.UP
             and machine_id not in self._table.pending
             and (off or runner is not None),
-            may_empty=enough or not view.usable,
+            missed=off or view.usable,
             reserved=runner is not None and runner.emptying,
             load=float(runner.used_cpu) if runner is not None else 0.0,
         )
--- a/src/streamthread/upkeep/plan.py
+++ b/src/streamthread/upkeep/plan.py
@@ -32,7 +32,8 @@
 
     :param idle: nothing runs there.
     :param off: it sits in a spare pool.
-    :param may_empty: its pool can do without it for now.
+    :param missed: its pool has one machine less without it; not so for one that is
+        being emptied already, drains or is silent.
     :param reserved: it is being emptied already.
     :param load: how much runs there; less is emptied sooner.
     """
@@ -42,18 +43,22 @@
     idle: bool
     off: bool
     up: bool = True
-    may_empty: bool = True
+    missed: bool = True
     reserved: bool = False
     load: float = 0.0
 
 
 @attrs.frozen
 class WaveView:
-    """One wave: what is left, and how many may still go down at once."""
+    """One wave: what is left, and how many may still go down at once.
+
+    :param may_give: how many machines each pool can do without for now.
+    """
 
     number: int
     due: tuple[DueMachine, ...]
     free_slots: int
+    may_give: t.Mapping[str, int] = attrs.field(factory=dict)
 
 
 @attrs.frozen
@@ -68,16 +73,35 @@
     """Return what to do now for a wave.
 
     Machines that are off go first, then idle ones, then those with least to do.
-    Each pool gives up only what it can do without; the caller counts that.
+    Each pool gives up only what it can do without.
     """
-    ready = [m for m in wave.due if m.up and m.idle and (m.off or m.may_empty)]
+    may_give = dict(wave.may_give)
+    ready = [m for m in wave.due if m.up and m.idle]
     ready.sort(key=lambda machine: (not machine.off, machine.machine_id))
-    begin = [machine.machine_id for machine in ready[: max(0, wave.free_slots)]]
-    left = wave.free_slots - len(begin) + settings.emptying_ahead
-    busy = [m for m in wave.due if m.up and not m.idle and (m.may_empty or m.reserved)]
+    begin = _take(ready, wave.free_slots, may_give)
+    busy = [m for m in wave.due if m.up and not m.idle]
     busy.sort(key=lambda machine: (not machine.reserved, machine.load))
-    empty = [machine.machine_id for machine in busy[: max(0, left)]]
-    return UpkeepPlan(tuple(begin), tuple(empty))
+    left = wave.free_slots - len(begin) + settings.emptying_ahead
+    return UpkeepPlan(begin, _take(busy, left, may_give))
+
+
+def _take(
+    machines: t.Iterable[DueMachine], most: int, may_give: dict[str, int]
+) -> tuple[str, ...]:
+    """Return the first machines that their pools can do without.
+
+    :param may_give: reduced by what is taken.
+    """
+    taken: list[str] = []
+    for machine in machines:
+        if len(taken) >= most:
+            break
+        if machine.missed:
+            if may_give.get(machine.pool, 0) <= 0:
+                continue
+            may_give[machine.pool] -= 1
+        taken.append(machine.machine_id)
+    return tuple(taken)
 
 
 def may_stop_lasting(
