--- a/tests/cell/test_runners.py
+++ b/tests/cell/test_runners.py
@@ -2,6 +2,9 @@
 
 import time
 
+from streamthread.standins.cell.runner import RunnerStandin
+
+from .support import Cell
 from .support import job
 from .support import running_cell
 from .support import until
@@ -42,3 +45,51 @@
                 "nothing counts as running there",
                 within_s=hold_s + 6.0,
             )
+
+
+class TestLeavingRunner:
+    async def test_that_drains_gets_nothing_new_and_ends_its_work(self) -> None:
+        async with running_cell({"desk": 2}) as cell:
+            daemon = await cell.until_ready()
+            assert daemon.holder is not None
+            caller = cell.caller()
+            leaving = await _busy_runner(cell)
+            leaving.draining = True
+            await cell.world.write_entry(leaving)
+            state = daemon.holder.engine.runners[leaving.runner_id]
+            await until(lambda: state.draining, "the holder has read the entry")
+            await _check_nothing_new(cell, leaving)
+            await caller.until_state("a" * 16, "completed")
+
+    async def test_whose_entry_is_gone_gets_nothing_new_and_ends_its_work(
+        self,
+    ) -> None:
+        """Some leave without a word: the entry goes, and they serve on a while."""
+        async with running_cell({"desk": 2}) as cell:
+            daemon = await cell.until_ready()
+            assert daemon.holder is not None
+            caller = cell.caller()
+            leaving = await _busy_runner(cell)
+            await cell.world.store.drop("servers", leaving.runner_id)
+            link = daemon.holder.links[leaving.runner_id]
+            await until(lambda: not link.listed, "the holder misses the entry")
+            await _check_nothing_new(cell, leaving)
+            await caller.until_state("a" * 16, "completed")
+
+
+async def _busy_runner(cell: Cell) -> RunnerStandin:
+    """Hand in a job and return the runner that has its task."""
+    await cell.caller().submit("a" * 16, job(run_s=1.5))
+    await until(lambda: cell.world.started, "the task starts")
+    runner_id = cell.world.started[0].runner_id
+    return next(r for r in cell.world.runners if r.runner_id == runner_id)
+
+
+async def _check_nothing_new(cell: Cell, leaving: RunnerStandin) -> None:
+    caller = cell.caller()
+    for digit in "bcdef":
+        await caller.submit(digit * 16, job(run_s=0.1, count=4))
+        await caller.until_state(digit * 16, "completed")
+    later = [s for s in cell.world.started if s.task[0] != "a"]
+    assert len(later) == 20
+    assert all(start.runner_id != leaving.runner_id for start in later)
