--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -13,10 +13,8 @@
 from ..cell import TABLE_JOBS
 from ..cell import TABLE_RUNS
 from ..cell import TakenCell
-from ..errors import BadInputError
 from ..errors import NotHolderError
 from ..platform.documents import AdvicePolicy
-from ..platform.documents import Route
 from ..platform.documents import RunnerEntry
 from ..platform.runners import HoldReply
 from ..platform.store import Page
@@ -29,7 +27,6 @@
 from ..scheduler import encode_progress
 from ..scheduler import Engine
 from ..scheduler import Job
-from ..scheduler import new_job
 from ..scheduler import Phase
 from ..scheduler import RunnerState
 from ..scheduler import StepRun
@@ -40,11 +37,12 @@
 from .advice import AdviceDesk
 from .context import HolderContext
 from .duties import DutyLoop
-from .inbox import InboxEntry
-from .inbox import InboxOwner
 from .inbox import InboxReader
+from .intake import Intake
 from .listing import RunnerListing
 from .owner import DutyOwner
+from .queue import QueueLoop
+from .queue import QueueOwner
 from .replay import read_jobs
 from .replay import until_read
 
@@ -64,24 +62,11 @@
 WATCH_RUNS_S = 0.25
 """How often runs are looked at: their runners tell of them every 0.8 s."""
 
-SCHEDULE_AT_MOST_S = 0.5
-"""The queue is looked at this often even when nothing is heard."""
-
-LEAST_LOOK_PAUSE_S = 0.004
-"""Between two looks at the queue: events of half a commit's time share one."""
-
-LOOK_PAUSE = 4.0
-"""The pause is this many times what the last look took, so that looking takes a
-fifth of the processor at most, however long the queue is."""
-
 RELEASE_S = 0.3
 """A release that takes longer is not waited for: it takes two commits of 7 ms."""
 
-STORE_COME_BACK_S = 1.0
-"""When to come back while the store is down: outages last some seconds."""
 
-
-class Holder(LinkOwner, SenderOwner, DutyOwner, InboxOwner):
+class Holder(LinkOwner, SenderOwner, DutyOwner, QueueOwner):
     """Everything that only the cell's holder does, from take-over to loss."""
 
     def __init__(self, context: HolderContext, taken: TakenCell) -> None:
@@ -119,6 +104,17 @@
         self._listing = RunnerListing(
             context.store, self.links, self.settings.list_pause_s, self._add_runner
         )
+        self._batching = EndBatching(self.engine.runners.values)
+        self.queue = QueueLoop(self)
+        self.intake = Intake(
+            self.engine,
+            self.log,
+            context.documents,
+            self.token,
+            self._may_accept,
+            self._on_accepted,
+            self.kick,
+        )
         self.inbox = InboxReader(
             TableFeed(
                 context.store,
@@ -126,11 +122,8 @@
                 self.settings.part,
                 self.settings.times.feed_wait_s,
             ),
-            self,
+            self.intake,
         )
-        self._batching = EndBatching(self.engine.runners.values)
-        self._kick = asyncio.Event()
-        self._next_look_at_s = 0.0
         self._group: asyncio.TaskGroup | None = None
         self._lost: asyncio.Future[None] | None = None
 
@@ -149,7 +142,7 @@
                 self.active = True
                 group.create_task(self._listing.run())
                 group.create_task(self.inbox.run())
-                group.create_task(self._schedule())
+                group.create_task(self.queue.run())
                 group.create_task(self._forget())
                 group.create_task(self._watch_runs())
                 group.create_task(self._hold_through_trouble())
@@ -269,78 +262,21 @@
             self.log.mark(TABLE_JOBS, job.job_id, lambda: encode_definition(job))
         self.log.mark(TABLE_RUNS, job.job_id, lambda: encode_progress(job))
 
-    # Calls.
+    # Jobs.
 
     async def handle(self, request: pb.CallRequest) -> pb.CallReply:
         """Answer a caller's request, here or passed on by a peer."""
         if not self.active:
             return pb.CallReply(outcome=pb.NOT_HOLDER)
-        if request.kind == pb.PENDING:
-            count = self.engine.pending_count(request.route)
-            return pb.CallReply(outcome=pb.OK, pending=count)
-        if request.kind == pb.SUBMIT:
-            return await self._submit(request)
-        job = self.engine.jobs.get(request.job_id)
-        if job is None or job.route != request.route:
-            return pb.CallReply(outcome=pb.UNKNOWN_JOB)
-        if request.kind == pb.CANCEL:
-            return await self._cancel(job)
-        if not job.durable or (job.over and self.log.is_marked(TABLE_RUNS, job.job_id)):
-            await self.log.flushed()
-        return pb.CallReply(outcome=pb.OK, state=job.state.value)
-
-    async def _submit(self, request: pb.CallRequest) -> pb.CallReply:
-        job = self.engine.jobs.get(request.job_id)
-        if job is None:
-            if not self.trusted or self.log.in_trouble():
-                return pb.CallReply(
-                    outcome=pb.REFUSED,
-                    reason="the store does not take commits",
-                    retry_after_s=STORE_COME_BACK_S,
-                )
-            route = self._route(request.route)
-            if route is None:
-                return pb.CallReply(outcome=pb.UNKNOWN_JOB, reason="no such queue")
-            try:
-                job = self._accept(request.job_id, route, request.job)
-            except BadInputError as error:
-                return pb.CallReply(outcome=pb.REFUSED, reason=str(error))
-        if not job.durable:
-            try:
-                await self.log.flushed()
-            except NotHolderError:
-                return pb.CallReply(outcome=pb.UNCERTAIN)
-            job.durable = True
-        return pb.CallReply(outcome=pb.OK, state=job.state.value)
-
-    def _route(self, name: str) -> Route | None:
-        manifest = self.context.documents.manifest
-        if manifest is None:
-            return None
-        return next((r for r in manifest.routes if r.name == name), None)
-
-    def _accept(self, job_id: str, route: Route, body: bytes) -> Job:
-        """Take a job; it may be acknowledged once it is durable.
-
-        :raises BadInputError: the body is no job.
-        """
-        job = new_job(job_id, route, body)
-        self.engine.add(job)
-        self.log.mark(TABLE_JOBS, job_id, lambda: encode_definition(job))
-        log.info(
-            "job-accepted",
-            extra={
-                "job": job_id,
-                "route": route.name,
-                "service": route.service,
-                "tasks": sum(step.count for step in job.request.steps),
-                "token": self.token,
-            },
-        )
-        self._schedule_soon()
+        return await self.intake.answer(request)
+
+    def _may_accept(self) -> bool:
+        return self.trusted and not self.log.in_trouble()
+
+    def _on_accepted(self, job: Job) -> None:
+        self.queue.look_soon()
         self._want_advice(job)
         self._note_arrival(job)
-        return job
 
     def _note_arrival(self, job: Job) -> None:
         """Tell the duties that a job has come, now or under an earlier holder."""
@@ -359,66 +295,19 @@
             for step in occurrence.steps:
                 self.advice.want(step)
 
-    async def _cancel(self, job: Job) -> pb.CallReply:
-        if not job.over:
-            self.engine.cancel(job)
-            log.info("job-cancelled", extra={"job": job.job_id, "token": self.token})
-            self.kick()
-        try:
-            await self.log.flushed()
-        except NotHolderError:
-            return pb.CallReply(outcome=pb.UNCERTAIN)
-        return pb.CallReply(outcome=pb.OK, state=job.state.value)
-
     # The queue.
 
+    @property
+    def may_place(self) -> bool:
+        """Whether new tasks may go to runners now."""
+        return self.trusted and not self.releasing and self._group is not None
+
     def kick(self) -> None:
         """Have the queue looked at soon."""
-        self._kick.set()
+        self.queue.kick()
 
-    async def _schedule(self) -> None:
-        while True:
-            await self.until_trusted()
-            await asyncio.sleep(max(0.0, self._next_look_at_s - time.monotonic()))
-            next_due_s = self._schedule_now()
-            wait_s = SCHEDULE_AT_MOST_S
-            if next_due_s is not None:
-                wait_s = min(wait_s, max(0.0, next_due_s - time.time()))
-            try:
-                async with asyncio.timeout(wait_s):
-                    await self._kick.wait()
-            except TimeoutError:
-                continue
-
-    def _schedule_soon(self) -> None:
-        """Place at once, or with the next look if the last one was just now."""
-        if time.monotonic() < self._next_look_at_s:
-            self.kick()
-        else:
-            self._schedule_now()
-
-    def _schedule_now(self) -> float | None:
-        """Place what there is room for, and send stops."""
-        began_at_s = time.monotonic()
-        next_due_s = self._look()
-        ended_at_s = time.monotonic()
-        pause_s = (ended_at_s - began_at_s) * LOOK_PAUSE
-        self._next_look_at_s = ended_at_s + max(LEAST_LOOK_PAUSE_S, pause_s)
-        return next_due_s
-
-    def _look(self) -> float | None:
-        self._kick.clear()
-        if not self.trusted or self.releasing or self._group is None:
-            return None
-        now_s = time.time()
-        next_due_s = self.engine.begin_due(now_s)
-        placed = self.engine.place_all(now_s, self._tickets)
-        stops = self.engine.take_stops()
-        if placed or stops:
-            self._group.create_task(self._send_when_durable(placed, stops))
-        return next_due_s
-
-    def _tickets(self, step: StepRun) -> t.Collection[str] | None:
+    def tickets_for(self, step: StepRun) -> t.Collection[str] | None:
+        """Return the ids of the runners that may run a step; None: all."""
         return None if self.advice is None else self.advice.allowed(step)
 
     def ticket_for(self, attempt: Attempt) -> str:
@@ -433,20 +322,9 @@
             self.advice.reject(attempt.task.step, attempt.runner_id)
 
     def _policy(self, route: str) -> AdvicePolicy | None:
-        found = self._route(route)
+        found = self.intake.route(route)
         return found.advice if found is not None else None
 
-    async def _send_when_durable(
-        self, placed: t.Sequence[Attempt], stops: t.Sequence[Attempt]
-    ) -> None:
-        await self.log.flushed()
-        if self._group is None:
-            return
-        for attempt in placed:
-            self._group.create_task(self.sender.start(attempt))
-        for attempt in stops:
-            self._group.create_task(self.sender.stop(attempt))
-
     async def _watch_runs(self) -> None:
         """Have runs done elsewhere that lag behind or are out of reach."""
         while True:
@@ -516,7 +394,7 @@
                 self._group.create_task(self.sender.pace(order.attempt, order.percent))
         if not reply.ended:
             return
-        self._schedule_soon()
+        self.queue.look_soon()
         await self.log.flushed()
 
     def pause_after_ends_s(self) -> float:
@@ -542,34 +420,3 @@
         """Learn that the runner has seen a higher fencing token."""
         log.warning("fenced", extra={"runner": link.runner.runner_id})
         self.give_up("a runner has seen a higher fencing token")
-
-    # The inbox.
-
-    def knows_job(self, job_id: str) -> bool:
-        """Whether a job is known, whatever its state."""
-        return job_id in self.engine.jobs
-
-    def accept_left(self, entry: InboxEntry) -> bool:
-        """Take a job; return False where its route is not known yet."""
-        route = self._route(entry.route)
-        if route is None:
-            log.warning("inbox-route-unknown", extra={"job": entry.job_id})
-            return False
-        try:
-            self._accept(entry.job_id, route, entry.body.encode())
-        except BadInputError as error:
-            log.warning(
-                "inbox-row-bad", extra={"job": entry.job_id, "error": str(error)}
-            )
-        return True
-
-    def cancel_left(self, job_id: str) -> None:
-        """Cancel a job, where there is one."""
-        job = self.engine.jobs.get(job_id)
-        if job is not None:
-            self.engine.cancel(job)
-            self.kick()
-
-    def drop_left(self, key: str) -> None:
-        """Have a row removed from the inbox."""
-        self.log.mark(TABLE_INBOX, key, lambda: None)
--- a/tests/cell/test_holders.py
+++ b/tests/cell/test_holders.py
@@ -156,7 +156,7 @@
             cell.daemons.append(daemon)
             await daemon.start()
             holder = await until(cell.holder, "it holds the cell")
-            assert holder.holder.knows_job("a" * 16)
+            assert holder.holder.intake.knows_job("a" * 16)
 
     async def test_a_row_that_is_no_job_does_not_end_the_holder(self) -> None:
         async with running_cell({"desk": 1}) as cell:
