--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -39,6 +39,7 @@
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
         self._demands: dict[str, tuple[int, int, int]] = {}
         self._began_at_s = time.monotonic()
+        self._first_job_at_s: float | None = None
         self._logged_at_s = 0.0
 
     def note_job(self, service: str, work: float, at_s: float) -> None:
@@ -53,6 +54,8 @@
         if not self._machine_cpu:
             self._unsorted.append((at_s, service, work))
             return
+        if self._first_job_at_s is None:
+            self._first_job_at_s = at_s
         arrivals = self._arrivals.setdefault(service, PoolArrivals())
         least_rate = self._settings.burst_machines * self._machine_cpu
         burst = arrivals.add(work, at_s, least_rate)
@@ -96,10 +99,11 @@
         return targets
 
     def _knows_nothing(self, now_s: float) -> bool:
-        """Whether no job has told yet what the pools need, shortly after a start."""
-        if self._arrivals:
-            return False
-        return now_s - self._began_at_s < self._settings.cold_s
+        """Whether jobs have not told yet what the pools need, shortly after a start."""
+        first_s = self._first_job_at_s
+        if first_s is None:
+            return now_s - self._began_at_s < self._settings.cold_s
+        return now_s - first_s < self._settings.cold_settle_s
 
     def _highest_lately(self, pool: str, wanted: int, now_s: float) -> int:
         """Return the highest size that was needed within the shrink time."""
