--- a/src/streamthread/capacity/plan.py
+++ b/src/streamthread/capacity/plan.py
@@ -37,10 +37,6 @@
         earlier was worth more on both sites than 1.5 s.
     :param shrink_s: the need is the highest of so many past seconds.
     :param most_moves: at once, so that one wrong view does not empty a pool.
-    :param cold_s: all machines stay in their pools until the first job comes, for so
-        long at most: the first burst finds them there.
-    :param cold_settle_s: and so much longer after it: a burst shows within half a
-        second, and one pool has it.
     :param burst_machines: arrivals that need fewer machines are no burst.
     :param burst_trust_s: a burst is taken to bring as much as the one before it
         for so long; then its own arrivals tell.
@@ -53,8 +49,6 @@
     idle_s: float = 0.8
     shrink_s: float = 1.5
     most_moves: int = 12
-    cold_s: float = 30.0
-    cold_settle_s: float = 1.0
     burst_machines: float = 1.0
     burst_trust_s: float = 2.0
     calendar: CalendarSettings = attrs.field(factory=CalendarSettings)
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -63,7 +63,6 @@
 class DutyLoop:
     """The fleet's duties of one holder.
 
-    :param decisions: how often it was decided what moves.
     :param moves: how many moves were ordered.
     :param upkeeps: how many upkeeps were ordered.
     """
@@ -81,7 +80,6 @@
         self._book = WaveBook(owner, settings.tick_s)
         self._waves = WaveWork(owner, self._book, self._table, settings.upkeep)
         self._began_at_s = time.monotonic()
-        self.decisions = 0
         self.moves = 0
         self.upkeeps = 0
 
@@ -148,7 +146,6 @@
 
         :param views: from before those orders, which concern due machines alone.
         """
-        self.decisions += 1
         wanted = [
             PoolView(pool.name, pool.is_spare, self._wanted(pool.name, targets))
             for pool in pools
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -38,8 +38,6 @@
         self._unsorted: list[tuple[float, str, float]] = []
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
         self._demands: dict[str, tuple[int, int, int]] = {}
-        self._began_at_s = time.monotonic()
-        self._first_job_at_s: float | None = None
         self._logged_at_s = 0.0
 
     def note_job(self, service: str, work: float, at_s: float) -> None:
@@ -54,8 +52,6 @@
         if not self._machine_cpu:
             self._unsorted.append((at_s, service, work))
             return
-        if self._first_job_at_s is None:
-            self._first_job_at_s = at_s
         arrivals = self._arrivals.setdefault(service, PoolArrivals())
         least_rate = self._settings.burst_machines * self._machine_cpu
         burst = arrivals.add(work, at_s, least_rate)
@@ -88,9 +84,6 @@
         for job in self._engine.open_jobs():
             if not job.over:
                 jobs[job.service].append(job)
-        if self._knows_nothing(now_s):
-            there = collections.Counter(view.pool for view in views)
-            return {pool.name: there[pool.name] for pool in pools if not pool.is_spare}
         targets: dict[str, int] = {}
         for name in [pool.name for pool in pools if not pool.is_spare]:
             expected = self._calendar.is_expected(name, now_s)
@@ -98,13 +91,6 @@
             targets[name] = self._highest_lately(name, wanted, now_s)
         return targets
 
-    def _knows_nothing(self, now_s: float) -> bool:
-        """Whether jobs have not told yet what the pools need, shortly after a start."""
-        first_s = self._first_job_at_s
-        if first_s is None:
-            return now_s - self._began_at_s < self._settings.cold_s
-        return now_s - first_s < self._settings.cold_settle_s
-
     def _highest_lately(self, pool: str, wanted: int, now_s: float) -> int:
         """Return the highest size that was needed within the shrink time."""
         history = self._history.setdefault(pool, collections.deque())
