--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -106,6 +106,15 @@
             return 0.0
         return time.monotonic() - self.trying_since_s
 
+    def is_doubtful(self, failing_s: float, slow_s: float) -> bool:
+        """Whether the present commit is tried for too long.
+
+        :param failing_s: how long it may be tried once a try has failed.
+        :param slow_s: how long it may just take.
+        """
+        limit_s = slow_s if self.failing_since_s is None else failing_s
+        return self.trouble_s() > limit_s
+
     async def flushed(self) -> None:
         """Return once all that is marked now is durable.
 
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -41,9 +41,10 @@
     """How long the parties rely on each other.
 
     :param trust_s: a holder relies on a confirmed commit for this long.
-    :param doubt_s: a holder whose commit is tried for longer stops ordering, and
-        tells its followers that they may take over: twice what a commit takes
-        while the store is 60 times slower.
+    :param doubt_s: a holder whose commit has failed, and is tried for longer, stops
+        ordering and tells its followers that they may take over.
+    :param slow_doubt_s: the same for a commit that no try of has failed: a store that
+        is 60 times slower takes 0.55 s for one, and others fare no better there.
     :param silence_s: a follower takes over when the commits stood still for
         longer, on its own clock; above ``trust_s``, so that the old holder has
         stopped by then.
@@ -62,6 +63,7 @@
 
     trust_s: float = 1.3
     doubt_s: float = 0.6
+    slow_doubt_s: float = 0.95
     silence_s: float = 1.5
     beat_s: float = 0.25
     beat_lost_s: float = 0.7
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -208,7 +208,7 @@
         """Whether a commit was confirmed so lately that nobody took over."""
         times = self.settings.times
         age_s = time.monotonic() - self.log.confirmed_at_s
-        doubtful = self.log.trouble_s() > times.doubt_s
+        doubtful = self.log.is_doubtful(times.doubt_s, times.slow_doubt_s)
         return age_s < times.trust_s and not doubtful and not self.log.lost
 
     @property
