Leave a doubtful holder alone while the store is slow for its followers too

A follower whose own read of the owner row is slow waits for up to 3 s, as long as the runs are held; where the store turns only the holder away, its read is quick.

--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -57,6 +57,10 @@
         for the jobs serves worse than one that comes later.
     :param sure_again_s: once the store serves us, a doubtful holder is given so long
         to commit: longer than it pauses between tries.
+    :param slow_read_s: the store is slow for a follower whose read takes longer:
+        usually 7 ms, 0.25 s in a store 60 times slower.
+    :param slow_patience_s: then a doubtful holder is left alone for so long: about as
+        long as its runs are held.
     :param retry_s: after a failed take-over from a doubtful holder.
     :param feed_wait_s: one call of the feed waits this long for a change.
     """
@@ -71,6 +75,8 @@
     stagger_s: float = 0.12
     defer_s: float = 0.5
     sure_again_s: float = 0.25
+    slow_read_s: float = 0.15
+    slow_patience_s: float = 3.0
     feed_wait_s: float = 10.0
     retry_s: float = 0.2
 
@@ -168,6 +174,7 @@
         self._random = random.Random(incarnation)
         self._owner_version = ABSENT
         self._told: tuple[Suspicion, Owner | None] = (Suspicion.NONE, None)
+        self._suspected_at_s = 0.0
         self._changed = asyncio.Event()
         self._known = asyncio.Event()
         self.owner: Owner | None = None
@@ -272,8 +279,11 @@
         """Return once the holder may be replaced, or when it has changed."""
         suspicion = await self._suspect()
         known = (suspicion, self.owner)
-        if suspicion is not Suspicion.NONE and known != self._told:
-            self._told = known
+        if known == self._told:
+            return suspicion
+        self._told = known
+        self._suspected_at_s = time.monotonic()
+        if suspicion is not Suspicion.NONE:
             log.info(
                 "holder-suspected",
                 extra={
@@ -337,8 +347,11 @@
     async def _take(self, suspicion: Suspicion) -> TakenCell | None:
         """Try to become the holder; None if somebody else was faster."""
         owner = self.owner
+        asked_at_s = time.monotonic()
         if not await self._reread_owner() or self.owner is not owner:
             return None
+        if suspicion is Suspicion.DOUBTFUL and self._is_slow_for_all(asked_at_s):
+            return None
         # The row as it is now: whoever takes the cell meanwhile ends this try.
         seen_version = self._owner_version
         await asyncio.sleep(self._delay_s(suspicion))
@@ -368,6 +381,16 @@
         self._changed.set()
         return TakenCell(mine, version, began_at_s, suspicion)
 
+    def _is_slow_for_all(self, asked_at_s: float) -> bool:
+        """Whether the store is slow here too, so that a change would not help.
+
+        A doubtful holder is left alone then for a while; it goes on as soon as its
+        commit is confirmed, and a new one would have to read all jobs first.
+        """
+        now_s = time.monotonic()
+        slow = now_s - asked_at_s > self.times.slow_read_s
+        return slow and now_s - self._suspected_at_s < self.times.slow_patience_s
+
     async def _is_sure_again(self, owner: Owner | None) -> bool:
         """Whether the holder commits again, since the store serves all of us."""
         if owner is None or not await self._peers.is_sure(owner.address, owner.token):
--- a/src/streamthread/cell/tests/test_lease.py
+++ b/src/streamthread/cell/tests/test_lease.py
@@ -1,6 +1,7 @@
 """Two daemons that want the cell at one time: one gets it."""
 
 import asyncio
+import time
 import typing as t
 
 from streamthread.cell import CellLease
@@ -27,6 +28,7 @@
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], StoredRow] = {}
         self.version = 0
+        self.read_s = 0.0
         self.put(TABLE_OWNER, OWNER_KEY, OLD.encode())
         self.put(TABLE_HEAD, HEAD_KEY, Head("x", 1).encode())
 
@@ -35,6 +37,7 @@
         self.rows[table, key] = StoredRow(table, "main", key, value, self.version)
 
     async def read(self, table: str, part: str) -> Page:
+        await asyncio.sleep(self.read_s)
         rows = [row for (name, _), row in self.rows.items() if name == table]
         return Page(tuple(rows), self.version)
 
@@ -70,7 +73,7 @@
     async def on_taken(taken: object) -> None:
         return None
 
-    times = LeaseTimes(stagger_s=0.0, sure_again_s=0.0)
+    times = LeaseTimes(stagger_s=0.0, sure_again_s=0.0, slow_read_s=0.02)
     lease = CellLease(
         t.cast(t.Any, store),
         "main",
@@ -101,6 +104,24 @@
         assert await lease._take(Suspicion.DOUBTFUL) is None
         assert store.rows[TABLE_OWNER, OWNER_KEY].value == OLD.encode()
 
+    async def test_is_put_off_while_the_store_is_slow_for_all(self) -> None:
+        store = _Store()
+        store.read_s = 0.05
+        lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
+        lease._suspected_at_s = time.monotonic()
+        assert await lease._take(Suspicion.DOUBTFUL) is None
+        assert store.rows[TABLE_OWNER, OWNER_KEY].value == OLD.encode()
+        lease._suspected_at_s -= lease.times.slow_patience_s
+        taken = await lease._take(Suspicion.DOUBTFUL)
+        assert taken is not None and taken.owner.token == 2
+
+    async def test_of_a_holder_that_is_gone_is_not_put_off(self) -> None:
+        store = _Store()
+        store.read_s = 0.05
+        lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
+        lease._suspected_at_s = time.monotonic()
+        assert await lease._take(Suspicion.PROCESS_GONE) is not None
+
     async def test_never_shares_a_token_with_a_faster_daemon(self) -> None:
         store = _Store()
         faster = Owner("faster", "n-2", "127.0.0.1:3", 2)
