Let machines leave one after the other once the first job has come

They now leave the pools for the spare pool over three seconds, and a pool in need gets them at once. The test of idle machines hands in a job first, as that is when they leave.

--- a/src/streamthread/capacity/plan.py
+++ b/src/streamthread/capacity/plan.py
@@ -1,5 +1,6 @@
 """Which machines move between pools: a pure decision over one view."""
 
+import collections
 import math
 import typing as t
 
@@ -37,6 +38,10 @@
         earlier was worth more on both sites than 1.5 s.
     :param shrink_s: the need is the highest of so many past seconds.
     :param most_moves: at once, so that one wrong view does not empty a pool.
+    :param cold_s: all machines stay out of the spare pool until the first job comes,
+        for so long at most.
+    :param cold_leave_s: then they leave one after the other over this time. Those on
+        their way are away for 1.5 s, and that is when the first burst is seen.
     :param burst_machines: arrivals that need fewer machines are no burst.
     :param burst_trust_s: a burst is taken to bring as much as the one before it
         for so long; then its own arrivals tell.
@@ -49,6 +54,8 @@
     idle_s: float = 0.8
     shrink_s: float = 1.5
     most_moves: int = 12
+    cold_s: float = 30.0
+    cold_leave_s: float = 3.0
     burst_machines: float = 1.0
     burst_trust_s: float = 2.0
     calendar: CalendarSettings = attrs.field(factory=CalendarSettings)
@@ -77,11 +84,15 @@
 
 @attrs.frozen
 class PoolView:
-    """One pool and how many machines it should have."""
+    """One pool and how many machines it should have.
+
+    :param keep: it gives none to the spare pool below this, though to other pools.
+    """
 
     name: str
     is_spare: bool
     target: int = 0
+    keep: int = 0
 
 
 @attrs.frozen
@@ -126,14 +137,36 @@
     available += _from_surplus(lacking, machines, settings)
     moves = _moves_to_lacking(lacking, available)
     if spares:
-        moves += [
-            Move(machine.machine_id, machine.pool, spares[0])
-            for machine in available
-            if machine.pool not in spares and machine.idle_for_s >= settings.idle_s
-        ]
+        idle = [m for m in available if m.idle_for_s >= settings.idle_s]
+        moves += _moves_to_spare(pools, machines, idle, moves, spares[0])
     return moves[: settings.most_moves]
 
 
+def _moves_to_spare(
+    pools: t.Iterable[PoolView],
+    machines: t.Sequence[MachineView],
+    idle: t.Iterable[MachineView],
+    moves: t.Iterable[Move],
+    spare: str,
+) -> list[Move]:
+    """Return moves of idle machines that pools do not keep.
+
+    :param moves: what was decided before.
+    """
+    left = collections.Counter(move.source for move in moves)
+    may_leave = {
+        pool.name: _present(pool.name, machines) - pool.keep - left[pool.name]
+        for pool in pools
+        if not pool.is_spare
+    }
+    found: list[Move] = []
+    for machine in idle:
+        if may_leave.get(machine.pool, 0) > 0:
+            may_leave[machine.pool] -= 1
+            found.append(Move(machine.machine_id, machine.pool, spare))
+    return found
+
+
 def _present(pool: str, machines: t.Iterable[MachineView]) -> int:
     return sum(
         machine.pool == pool and (machine.usable or machine.arriving)
--- a/src/streamthread/capacity/tests/test_plan.py
+++ b/src/streamthread/capacity/tests/test_plan.py
@@ -83,6 +83,34 @@
         (move,) = plan_moves(_pools(0, 0), [view(5.0)], SETTINGS)
         assert move.target == "spare"
 
+    @given(machine_lists, st.integers(0, 8), st.integers(0, 8))
+    def test_to_the_spare_pool_leave_what_is_kept(
+        self, machines: list[MachineView], one: int, keep: int
+    ) -> None:
+        pools = [
+            PoolView("one", False, one, keep),
+            PoolView("two", False, 2),
+            PoolView("spare", True),
+        ]
+        moves = plan_moves(pools, machines, SETTINGS)
+        spared = sum(m.source == "one" and m.target == "spare" for m in moves)
+        gone = sum(move.source == "one" for move in moves)
+        present = sum(m.pool == "one" and (m.usable or m.arriving) for m in machines)
+        if spared:
+            assert present - gone >= keep
+
+    def test_between_pools_take_what_is_kept_too(self) -> None:
+        machines = [
+            MachineView("m1", "one", "r", 1, 1, free_to_move=True, idle_for_s=9)
+        ]
+        pools = [
+            PoolView("one", False, 0, keep=1),
+            PoolView("two", False, 1),
+            PoolView("spare", True),
+        ]
+        (move,) = plan_moves(pools, machines, SETTINGS)
+        assert move.target == "two"
+
 
 class TestSize:
     @given(st.floats(0, 1e6), st.floats(0, 1e6))
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -146,8 +146,14 @@
 
         :param views: from before those orders, which concern due machines alone.
         """
+        keeps = self._sizes.keeps(views.values())
         wanted = [
-            PoolView(pool.name, pool.is_spare, self._wanted(pool.name, targets))
+            PoolView(
+                pool.name,
+                pool.is_spare,
+                self._wanted(pool.name, targets),
+                keeps.get(pool.name, 0),
+            )
             for pool in pools
         ]
         machines = [
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -1,6 +1,7 @@
 """How many machines each pool should have, from its jobs and their arrivals."""
 
 import collections
+import math
 import time
 import typing as t
 
@@ -38,6 +39,9 @@
         self._unsorted: list[tuple[float, str, float]] = []
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
         self._demands: dict[str, tuple[int, int, int]] = {}
+        self._began_at_s = time.monotonic()
+        self._first_job_at_s: float | None = None
+        self._there_first: collections.Counter[str] = collections.Counter()
         self._logged_at_s = 0.0
 
     def note_job(self, service: str, work: float, at_s: float) -> None:
@@ -52,6 +56,8 @@
         if not self._machine_cpu:
             self._unsorted.append((at_s, service, work))
             return
+        if self._first_job_at_s is None:
+            self._first_job_at_s = at_s
         arrivals = self._arrivals.setdefault(service, PoolArrivals())
         least_rate = self._settings.burst_machines * self._machine_cpu
         burst = arrivals.add(work, at_s, least_rate)
@@ -91,6 +97,26 @@
             targets[name] = self._highest_lately(name, wanted, now_s)
         return targets
 
+    def keeps(self, views: t.Iterable[MachineView]) -> dict[str, int]:
+        """Return how many machines each pool keeps out of the spare pool.
+
+        Shortly after a start the jobs have not told yet what is needed.
+        """
+        there = collections.Counter(view.pool for view in views)
+        if not self._there_first:
+            self._there_first = there
+        share = self._cold_share(time.monotonic())
+        return {
+            pool: math.ceil(count * share) for pool, count in self._there_first.items()
+        }
+
+    def _cold_share(self, now_s: float) -> float:
+        """Return which share of the first machines is kept: all, fewer, none."""
+        first_s = self._first_job_at_s
+        if first_s is None:
+            return 1.0 if now_s - self._began_at_s < self._settings.cold_s else 0.0
+        return max(0.0, 1 - (now_s - first_s) / self._settings.cold_leave_s)
+
     def _highest_lately(self, pool: str, wanted: int, now_s: float) -> int:
         """Return the highest size that was needed within the shrink time."""
         history = self._history.setdefault(pool, collections.deque())
--- /dev/null
+++ b/src/streamthread/holder/tests/test_sizes.py
@@ -0,0 +1,63 @@
+"""Pools keep their machines until jobs have told what is needed."""
+
+import typing as t
+
+import pytest
+
+from streamthread.capacity import CapacitySettings
+from streamthread.capacity import MachineView
+from streamthread.holder import sizes
+from streamthread.holder.sizes import PoolSizes
+from streamthread.platform.documents import Pool
+from streamthread.scheduler import Engine
+
+SETTINGS = CapacitySettings()
+VIEWS = [
+    MachineView(f"m{n}", pool, "r", 16_000, 32_000, free_to_move=True)
+    for pool in ("one", "two")
+    for n in range(8)
+]
+POOLS = [Pool("one"), Pool("two")]
+
+
+class _Clock:
+    """Stands for the clocks."""
+
+    def __init__(self) -> None:
+        self.now_s = 100.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+    def time(self) -> float:
+        return self.now_s
+
+
+@pytest.fixture
+def clock(monkeypatch: pytest.MonkeyPatch) -> _Clock:
+    clock = _Clock()
+    monkeypatch.setattr(sizes, "time", t.cast(t.Any, clock))
+    return clock
+
+
+class TestColdStart:
+    def test_keeps_all_machines_before_the_first_job(self, clock: _Clock) -> None:
+        pool_sizes = PoolSizes(Engine(lambda job: None), SETTINGS)
+        clock.now_s += SETTINGS.cold_s - 1
+        assert pool_sizes.keeps(VIEWS) == {"one": 8, "two": 8}
+
+    def test_lets_them_go_one_after_the_other(self, clock: _Clock) -> None:
+        pool_sizes = PoolSizes(Engine(lambda job: None), SETTINGS)
+        pool_sizes.targets(POOLS, VIEWS)
+        pool_sizes.keeps(VIEWS)
+        pool_sizes.note_job("one", 50_000.0, clock.now_s)
+        kept = []
+        for _ in range(5):
+            kept.append(pool_sizes.keeps(VIEWS[:10])["one"])
+            clock.now_s += SETTINGS.cold_leave_s / 4
+        assert kept == [8, 6, 4, 2, 0]
+
+    def test_does_not_wait_for_a_first_job_for_ever(self, clock: _Clock) -> None:
+        pool_sizes = PoolSizes(Engine(lambda job: None), SETTINGS)
+        clock.now_s += SETTINGS.cold_s + 1
+        assert pool_sizes.keeps(VIEWS) == {"one": 0, "two": 0}
--- a/tests/cell/test_duties.py
+++ b/tests/cell/test_duties.py
@@ -15,6 +15,7 @@
     async def test_idle_machines_go_to_the_spare_pool(self) -> None:
         async with running_cell({"desk": 5, "spare": 1}) as cell:
             await cell.until_ready()
+            assert await cell.caller().submit("a" * 16, job()) == 200
             await until(lambda: _count(cell.world, "spare") == 4, "three are spared")
             assert _count(cell.world, "desk") == 2
 
