Move a wave's pace beside the other decisions about waves

presses() and paced_slots() are pure decisions with figures of their own, but stood above the classes in holder/waves.py, which do input and output. They are in upkeep/pacing.py now, and their tests beside them. Behaviour is unchanged.

--- a/src/streamthread/upkeep/__init__.py
+++ b/src/streamthread/upkeep/__init__.py
@@ -1,5 +1,7 @@
 """Waves of upkeep: which machine goes down when, and what must leave it first."""
 
+from .pacing import paced_slots
+from .pacing import presses
 from .plan import DueMachine
 from .plan import plan_upkeep
 from .plan import UpkeepPlan
@@ -13,5 +15,7 @@
     "UpkeepSettings",
     "WaveProgress",
     "WaveView",
+    "paced_slots",
     "plan_upkeep",
+    "presses",
 ]
--- a/src/streamthread/holder/tests/test_waves.py
+++ b/src/streamthread/upkeep/tests/test_pacing.py
@@ -3,9 +3,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from streamthread.holder.waves import DOWN_S
-from streamthread.holder.waves import paced_slots
-from streamthread.holder.waves import presses
+from streamthread.upkeep.pacing import DOWN_S
+from streamthread.upkeep.pacing import paced_slots
+from streamthread.upkeep.pacing import presses
 
 
 class TestPressing:
