Name what a due machine is, and drop a wave's number that nothing reads

DueMachine.reserved meant that its machine is being emptied, while RunnerState.reserved means that a move or an upkeep was ordered; it is called emptying now, as RunnerState calls it. WaveView.number was read nowhere. Behaviour is unchanged.

--- a/src/streamthread/holder/waves.py
+++ b/src/streamthread/holder/waves.py
@@ -168,7 +168,6 @@
         due = tuple(self._due_machine(views[m]) for m in left if m in views)
         return plan_upkeep(
             WaveView(
-                wave.number,
                 due,
                 paced_slots(len(left), wave.most_at_once, rest_s) - down,
                 self._may_give(views.values(), targets, pressed),
@@ -240,6 +239,6 @@
             and machine_id not in self._table.pending
             and (off or runner is not None),
             missed=off or view.usable,
-            reserved=runner is not None and runner.emptying,
+            emptying=runner is not None and runner.emptying,
             load=float(runner.used_cpu) if runner is not None else 0.0,
         )
--- a/src/streamthread/upkeep/plan.py
+++ b/src/streamthread/upkeep/plan.py
@@ -34,7 +34,7 @@
     :param off: it sits in a spare pool.
     :param missed: its pool has one machine less without it; not so for one that is
         being emptied already, drains or is silent.
-    :param reserved: it is being emptied already.
+    :param emptying: it is being emptied already.
     :param load: how much runs there; less is emptied sooner.
     """
 
@@ -44,7 +44,7 @@
     off: bool
     up: bool = True
     missed: bool = True
-    reserved: bool = False
+    emptying: bool = False
     load: float = 0.0
 
 
@@ -55,7 +55,6 @@
     :param may_give: how many machines each pool can do without for now.
     """
 
-    number: int
     due: tuple[DueMachine, ...]
     free_slots: int
     may_give: t.Mapping[str, int] = attrs.field(factory=dict)
@@ -80,7 +79,7 @@
     ready.sort(key=lambda machine: (not machine.off, machine.machine_id))
     begin = _take(ready, wave.free_slots, may_give)
     busy = [m for m in wave.due if m.up and not m.idle]
-    busy.sort(key=lambda machine: (not machine.reserved, machine.load))
+    busy.sort(key=lambda machine: (not machine.emptying, machine.load))
     left = wave.free_slots - len(begin) + settings.emptying_ahead
     return UpkeepPlan(begin, _take(busy, left, may_give))
 
--- a/src/streamthread/upkeep/tests/test_plan.py
+++ b/src/streamthread/upkeep/tests/test_plan.py
@@ -21,7 +21,7 @@
         off=st.booleans(),
         up=st.booleans(),
         missed=st.booleans(),
-        reserved=st.booleans(),
+        emptying=st.booleans(),
         load=st.floats(0, 10),
     ),
     max_size=12,
@@ -35,9 +35,7 @@
         self, due: list[DueMachine], free_slots: int, one: int, two: int
     ) -> None:
         may_give = {"one": one, "two": two}
-        plan = plan_upkeep(
-            WaveView(1, tuple(due), free_slots, may_give), UpkeepSettings()
-        )
+        plan = plan_upkeep(WaveView(tuple(due), free_slots, may_give), UpkeepSettings())
         by_id = {machine.machine_id: machine for machine in due}
         assert len(plan.begin) <= max(0, free_slots)
         for machine_id in plan.begin:
@@ -60,20 +58,20 @@
             DueMachine("b", "spare", idle=True, off=True),
         )
         may_give = {"one": 1, "spare": 1}
-        plan = plan_upkeep(WaveView(1, due, 1, may_give), UpkeepSettings())
+        plan = plan_upkeep(WaveView(due, 1, may_give), UpkeepSettings())
         assert plan.begin == ("b",)
 
     def test_leaves_a_pool_what_it_needs(self) -> None:
         due = tuple(
             DueMachine(name, "one", idle=name < "c", off=False) for name in "abcd"
         )
-        plan = plan_upkeep(WaveView(1, due, 4, {"one": 3}), UpkeepSettings())
+        plan = plan_upkeep(WaveView(due, 4, {"one": 3}), UpkeepSettings())
         assert plan.begin == ("a", "b")
         assert len(plan.empty) == 1
 
     def test_takes_machines_that_nobody_misses(self) -> None:
         due = (DueMachine("a", "one", idle=True, off=False, missed=False),)
-        plan = plan_upkeep(WaveView(1, due, 1, {"one": 0}), UpkeepSettings())
+        plan = plan_upkeep(WaveView(due, 1, {"one": 0}), UpkeepSettings())
         assert plan.begin == ("a",)
 
 
