Say what a pressing wave leaves, and count lacking machines in one place

_may_give changed its result in two loops, and the one machine that a pressing wave leaves in a pool was a bare figure. It is a named constant now, and what pools lack has a function. A machine is never usable and arriving at once, so that counting both together gives the same. Behaviour is unchanged.

--- a/src/streamthread/holder/waves.py
+++ b/src/streamthread/holder/waves.py
@@ -37,6 +37,9 @@
 TABLE_WAVES = "cell-waves"
 """One row a wave, under its number: its progress, for the next holder."""
 
+LEAST_LEFT = 1
+"""A pool keeps so many machines while a wave presses, so that its jobs go on."""
+
 
 class WaveBook:
     """Keeps the waves' progress for the next holder, and tells the operator.
@@ -187,20 +190,15 @@
         are off although pools wait for them.
         """
         there = collections.Counter(v.pool for v in views if v.usable)
-        coming = collections.Counter(v.pool for v in views if v.arriving)
-        kept = {name: 1 if pressed else target for name, target in targets.items()}
-        may_give = {name: there[name] - kept[name] for name in targets}
-        lacking = sum(
-            max(0, target - there[name] - coming[name])
+        may_give = {
+            name: there[name] - (LEAST_LEFT if pressed else target)
             for name, target in targets.items()
+        }
+        off = collections.Counter(
+            v.pool for v in views if v.free_to_move and self._table.is_spare(v.pool)
         )
-        for view in views:
-            if self._table.is_spare(view.pool) and view.free_to_move:
-                may_give[view.pool] = may_give.get(view.pool, 0) + 1
-        for name in may_give:
-            if name not in targets and not pressed:
-                may_give[name] -= lacking
-        return may_give
+        lacking = 0 if pressed else _count_lacking(views, targets)
+        return may_give | {name: count - lacking for name, count in off.items()}
 
     def empty(self, machine_ids: t.Iterable[str]) -> None:
         """Place nothing new on machines, and move their lasting tasks away."""
@@ -242,3 +240,9 @@
             emptying=runner is not None and runner.emptying,
             load=float(runner.used_cpu) if runner is not None else 0.0,
         )
+
+
+def _count_lacking(views: t.Iterable[MachineView], targets: dict[str, int]) -> int:
+    """Return how many machines all pools lack, beside those on their way."""
+    there = collections.Counter(v.pool for v in views if v.usable or v.arriving)
+    return sum(max(0, target - there[name]) for name, target in targets.items())
