Give lagging runs a module of their own beside the engine

The engine kept the copies and moves of lagging runs between its stops, and with them two settings and a log line that nothing else there uses. take_stops() had ended up below that part, away from the other stops. LagWatch holds it now; the engine passes its calls on, as it does for outcomes. Behaviour is unchanged.

--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -11,12 +11,11 @@
 from ..platform.runners import HoldReply
 from .fleet import RunnerState
 from .fleet import usable_runners
-from .learning import learning_key
+from .lags import LagWatch
 from .learning import RunTimes
 from .ledger import Ledger
 from .model import Attempt
 from .model import Job
-from .model import Phase
 from .model import StepRun
 from .model import Task
 from .model import TaskState
@@ -26,8 +25,6 @@
 from .placement import order_steps
 from .placement import place_step
 from .placement import Placement
-from .progress import judge_progress
-from .progress import Lag
 from .settings import EngineSettings
 
 __all__ = ["Engine"]
@@ -50,6 +47,9 @@
         self.times = RunTimes()
         self._ledger = Ledger(changed)
         self._outcomes = Outcomes(self._ledger, self.times, self.settings)
+        self._lags = LagWatch(
+            self._ledger, self._outcomes, self.times, self.settings.progress
+        )
         self.jobs = self._ledger.jobs
         self.runners = self._ledger.runners
         self.counts = self._ledger.counts
@@ -147,85 +147,19 @@
         """Have a run stopped; its task waits again once it has ended."""
         self._ledger.stop(attempt, reason)
 
+    def take_stops(self) -> list[Attempt]:
+        """Return the attempts to be stopped that were not returned before."""
+        return self._ledger.take_stops()
+
     # Copies, and runs that lag behind.
 
     def want_copies(self, runner_id: str) -> None:
         """Have copies run elsewhere of what a silent runner has, where steps allow."""
-        runner = self.runners.get(runner_id)
-        if runner is None:
-            return
-        for attempt in runner.attempts.values():
-            self._want_copy(attempt, "silent")
+        self._lags.want_copies(runner_id)
 
     def watch_progress(self) -> bool:
         """Copy or move runs that lag behind; return whether any do."""
-        found = False
-        for runner in list(self.runners.values()):
-            if not runner.ready or not runner.attempts:
-                continue
-            for attempt in list(runner.attempts.values()):
-                expected_s = self.times.learned_s(learning_key(attempt.task.step))
-                lag = judge_progress(attempt, expected_s, self.settings.progress)
-                if lag is not None:
-                    found = self._leave(attempt, runner, lag) or found
-        return found
-
-    def _leave(self, attempt: Attempt, runner: RunnerState, lag: Lag) -> bool:
-        """Have a lagging run done elsewhere, if there is room."""
-        task = attempt.task
-        if task.step.request.speculative:
-            return self._want_copy(attempt, lag.value)
-        if task.moves >= self.settings.progress.most_moves:
-            return False
-        if not self._has_room_elsewhere(task, runner):
-            return False
-        task.moves += 1
-        task.avoid.add(runner.runner_id)
-        self._outcomes.note_failure(runner)
-        self._ledger.count(f"moved-{lag.value}")
-        self._tell_lag(attempt, lag.value)
-        self._ledger.stop(attempt, lag.value)
-        return True
-
-    def _want_copy(self, attempt: Attempt, why: str) -> bool:
-        task = attempt.task
-        single = len(task.attempts) == 1 and not task.copy_wanted
-        if not single or not task.step.request.speculative:
-            return False
-        if task.step.request.gang or attempt.phase is Phase.STOPPING:
-            return False
-        task.copy_wanted = True
-        task.avoid.add(attempt.runner_id)
-        self._ledger.count(f"copied-{why}")
-        self._tell_lag(attempt, why)
-        return True
-
-    def _has_room_elsewhere(self, task: Task, runner: RunnerState) -> bool:
-        request = task.step.request
-        return any(
-            other.fits(request.cpu, request.memory_mb, request.gpu)
-            for other in usable_runners(self.runners.values(), runner.service)
-            if other is not runner
-        )
-
-    @staticmethod
-    def _tell_lag(attempt: Attempt, why: str) -> None:
-        log.info(
-            "run-lags",
-            extra={
-                "task": attempt.task.name,
-                "run": attempt.run,
-                "runner": attempt.runner_id,
-                "why": why,
-                "percent": attempt.percent,
-                "age_s": round(time.monotonic() - attempt.began_at_s, 3),
-                "copy": attempt.task.step.request.speculative,
-            },
-        )
-
-    def take_stops(self) -> list[Attempt]:
-        """Return the attempts to be stopped that were not returned before."""
-        return self._ledger.take_stops()
+        return self._lags.watch()
 
     # Placement.
 
--- /dev/null
+++ b/src/streamthread/scheduler/lags.py
@@ -0,0 +1,117 @@
+"""What follows for runs that lag behind, and for those on silent runners."""
+
+import time
+
+import logbook
+
+from .fleet import RunnerState
+from .fleet import usable_runners
+from .learning import learning_key
+from .learning import RunTimes
+from .ledger import Ledger
+from .model import Attempt
+from .model import Phase
+from .model import Task
+from .outcomes import Outcomes
+from .progress import judge_progress
+from .progress import Lag
+from .progress import ProgressSettings
+
+__all__ = ["LagWatch"]
+
+log = logbook.Logger("streamthread.scheduler")
+
+
+class LagWatch:
+    """Has runs that lag behind done elsewhere, too: by a copy, or after a stop.
+
+    A copy runs beside the first run, where the step allows it; no other task may run
+    twice at a time.
+    """
+
+    def __init__(
+        self,
+        ledger: Ledger,
+        outcomes: Outcomes,
+        times: RunTimes,
+        settings: ProgressSettings,
+    ) -> None:
+        self._ledger = ledger
+        self._outcomes = outcomes
+        self._times = times
+        self._settings = settings
+
+    def want_copies(self, runner_id: str) -> None:
+        """Have copies run elsewhere of what a silent runner has, where steps allow."""
+        runner = self._ledger.runners.get(runner_id)
+        if runner is None:
+            return
+        for attempt in runner.attempts.values():
+            self._want_copy(attempt, "silent")
+
+    def watch(self) -> bool:
+        """Copy or move runs that lag behind; return whether any do."""
+        found = False
+        for runner in list(self._ledger.runners.values()):
+            if not runner.ready or not runner.attempts:
+                continue
+            for attempt in list(runner.attempts.values()):
+                expected_s = self._times.learned_s(learning_key(attempt.task.step))
+                lag = judge_progress(attempt, expected_s, self._settings)
+                if lag is not None:
+                    found = self._leave(attempt, runner, lag) or found
+        return found
+
+    def _leave(self, attempt: Attempt, runner: RunnerState, lag: Lag) -> bool:
+        """Have a lagging run done elsewhere, if there is room."""
+        task = attempt.task
+        if task.step.request.speculative:
+            return self._want_copy(attempt, lag.value)
+        if task.moves >= self._settings.most_moves:
+            return False
+        if not self._has_room_elsewhere(task, runner):
+            return False
+        task.moves += 1
+        task.avoid.add(runner.runner_id)
+        self._outcomes.note_failure(runner)
+        self._ledger.count(f"moved-{lag.value}")
+        _tell_lag(attempt, lag.value)
+        self._ledger.stop(attempt, lag.value)
+        return True
+
+    def _want_copy(self, attempt: Attempt, why: str) -> bool:
+        """Have one more run of a task placed, if it may have one and has none."""
+        task = attempt.task
+        request = task.step.request
+        if len(task.attempts) != 1 or task.copy_wanted:
+            return False
+        if not request.speculative or request.gang or attempt.phase is Phase.STOPPING:
+            return False
+        task.copy_wanted = True
+        task.avoid.add(attempt.runner_id)
+        self._ledger.count(f"copied-{why}")
+        _tell_lag(attempt, why)
+        return True
+
+    def _has_room_elsewhere(self, task: Task, runner: RunnerState) -> bool:
+        request = task.step.request
+        return any(
+            other.fits(request.cpu, request.memory_mb, request.gpu)
+            for other in usable_runners(self._ledger.runners.values(), runner.service)
+            if other is not runner
+        )
+
+
+def _tell_lag(attempt: Attempt, why: str) -> None:
+    log.info(
+        "run-lags",
+        extra={
+            "task": attempt.task.name,
+            "run": attempt.run,
+            "runner": attempt.runner_id,
+            "why": why,
+            "percent": attempt.percent,
+            "age_s": round(time.monotonic() - attempt.began_at_s, 3),
+            "copy": attempt.task.step.request.speculative,
+        },
+    )
