Take the holder's polling loops out of its service, and build its parts one by one

They are in housekeeping.py; the larger parts are built by a method each, and run() starts one list of loops. The loops' order, pauses and log lines are the same: behaviour is unchanged.

--- /dev/null
+++ b/src/streamthread/holder/housekeeping.py
@@ -0,0 +1,77 @@
+"""What a holder looks at now and then: its commits, all runs, what has ended."""
+
+import asyncio
+import time
+
+import logbook
+
+from ..cell import TABLE_JOBS
+from ..cell import TABLE_RUNS
+from .inbox import InboxReader
+from .owner import DutyOwner
+
+__all__ = ["Housekeeping"]
+
+log = logbook.Logger("streamthread.holder")
+
+TROUBLE_POLL_S = 0.1
+"""How often we look whether commits have begun to fail, or work again."""
+
+FORGET_EVERY_S = 1.0
+"""How often ended jobs and lapsed orphans are looked for."""
+
+WATCH_RUNS_S = 0.25
+"""How often runs are looked at: their runners tell of them every 0.8 s."""
+
+
+class Housekeeping:
+    """The loops of a holder that wait for time to pass, not for news."""
+
+    def __init__(self, owner: DutyOwner, inbox: InboxReader) -> None:
+        self._owner = owner
+        self._engine = owner.engine
+        self._inbox = inbox
+
+    async def watch_runs(self) -> None:
+        """Have runs done elsewhere that lag behind or are out of reach."""
+        while True:
+            await asyncio.sleep(WATCH_RUNS_S)
+            await self._owner.until_trusted()
+            for link in self._owner.links.values():
+                if link.silent:
+                    self._engine.want_copies(link.runner.runner_id)
+            if self._engine.watch_progress():
+                self._owner.kick()
+
+    async def hold_through_trouble(self) -> None:
+        """Extend all runs at once when commits begin to fail."""
+        troubled = False
+        while True:
+            await asyncio.sleep(TROUBLE_POLL_S)
+            before, troubled = troubled, self._owner.log.in_trouble()
+            if troubled and not before and self._owner.trusted:
+                log.warning("commits-fail", extra={"runners": len(self._owner.links)})
+                for link in list(self._owner.links.values()):
+                    self._owner.spawn(link.extend_once())
+            elif before and not troubled:
+                log.info("commits-work-again")
+
+    async def forget_at_intervals(self) -> None:
+        """Drop what has ended or lapsed, and take inbox rows that had no route."""
+        settings = self._owner.context.settings
+        while True:
+            await asyncio.sleep(FORGET_EVERY_S)
+            self._drop_orphans()
+            self._inbox.retry()
+            for job in self._engine.forget(time.time() - settings.forget_s):
+                self._owner.log.mark(TABLE_JOBS, job.job_id, lambda: None)
+                self._owner.log.mark(TABLE_RUNS, job.job_id, lambda: None)
+
+    def _drop_orphans(self) -> None:
+        """Runs on runners that were never listed here have lapsed by now."""
+        bound_s = self._owner.context.settings.links.lapse_bound_s
+        if time.monotonic() < self._owner.taken.taken_at_s + bound_s:
+            return
+        for attempt in self._engine.orphans():
+            self._engine.drop_orphan(attempt)
+            self._owner.kick()
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -37,6 +37,7 @@
 from .advice import AdviceDesk
 from .context import HolderContext
 from .duties import DutyLoop
+from .housekeeping import Housekeeping
 from .inbox import InboxReader
 from .intake import Intake
 from .listing import RunnerListing
@@ -50,18 +51,9 @@
 
 log = logbook.Logger("streamthread.holder")
 
-TROUBLE_POLL_S = 0.1
-"""How often we look whether commits have begun to fail, or work again."""
-
 TRUST_POLL_S = 0.02
 """How often a doubtful holder looks whether it may go on: about three commits."""
 
-FORGET_EVERY_S = 1.0
-"""How often ended jobs and lapsed orphans are looked for."""
-
-WATCH_RUNS_S = 0.25
-"""How often runs are looked at: their runners tell of them every 0.8 s."""
-
 RELEASE_S = 0.3
 """A release that takes longer is not waited for: it takes two commits of 7 ms."""
 
@@ -79,53 +71,66 @@
         self.active = False
         self.releasing = False
         self._release_began_at_s: float | None = None
-        self.log = CommitLog(
-            context.store,
-            self.settings.part,
-            self.token,
-            taken.head_version,
-            taken.taken_at_s,
-            self.settings.times.renew_s,
-        )
+        self.log = self._open_log()
         self.sender = OrderSender(
             context.runners, self.engine, self, self.settings.orders
         )
         self.duties: DutyLoop | None = None
         if context.cloud is not None:
             self.duties = DutyLoop(self, context.cloud, self.settings.duties)
-        self.advice: AdviceDesk | None = None
-        if context.advice is not None:
-            self.advice = AdviceDesk(
-                context.advice,
-                self._policy,
-                lambda pool: usable_runners(self.engine.runners.values(), pool),
-                self.kick,
-            )
+        self.advice = self._open_advice()
         self._listing = RunnerListing(
             context.store, self.links, self.settings.list_pause_s, self._add_runner
         )
         self._batching = EndBatching(self.engine.runners.values)
         self.queue = QueueLoop(self)
-        self.intake = Intake(
+        self.intake = self._open_intake()
+        self.inbox = self._open_inbox()
+        self._housekeeping = Housekeeping(self, self.inbox)
+        self._group: asyncio.TaskGroup | None = None
+        self._lost: asyncio.Future[None] | None = None
+
+    # Parts.
+
+    def _open_log(self) -> CommitLog:
+        return CommitLog(
+            self.context.store,
+            self.settings.part,
+            self.token,
+            self.taken.head_version,
+            self.taken.taken_at_s,
+            self.settings.times.renew_s,
+        )
+
+    def _open_advice(self) -> AdviceDesk | None:
+        if self.context.advice is None:
+            return None
+        return AdviceDesk(
+            self.context.advice,
+            self._policy,
+            lambda pool: usable_runners(self.engine.runners.values(), pool),
+            self.kick,
+        )
+
+    def _open_intake(self) -> Intake:
+        return Intake(
             self.engine,
             self.log,
-            context.documents,
+            self.context.documents,
             self.token,
             self._may_accept,
             self._on_accepted,
             self.kick,
         )
-        self.inbox = InboxReader(
-            TableFeed(
-                context.store,
-                TABLE_INBOX,
-                self.settings.part,
-                self.settings.times.feed_wait_s,
-            ),
-            self.intake,
+
+    def _open_inbox(self) -> InboxReader:
+        feed = TableFeed(
+            self.context.store,
+            TABLE_INBOX,
+            self.settings.part,
+            self.settings.times.feed_wait_s,
         )
-        self._group: asyncio.TaskGroup | None = None
-        self._lost: asyncio.Future[None] | None = None
+        return InboxReader(feed, self.intake)
 
     # Life.
 
@@ -140,16 +145,8 @@
                 await self._replay()
                 await self.inbox.read()
                 self.active = True
-                group.create_task(self._listing.run())
-                group.create_task(self.inbox.run())
-                group.create_task(self.queue.run())
-                group.create_task(self._forget())
-                group.create_task(self._watch_runs())
-                group.create_task(self._hold_through_trouble())
-                if self.duties is not None:
-                    group.create_task(self.duties.run())
-                if self.advice is not None:
-                    group.create_task(self.advice.run())
+                for loop in self._loops():
+                    group.create_task(loop)
         except* NotHolderError as group_error:
             reasons = [str(error) for error in group_error.exceptions]
             log.warning("holder-ends", extra={"token": self.token, "why": reasons})
@@ -157,6 +154,19 @@
             self.active = False
             self._group = None
 
+    def _loops(self) -> t.Iterator[t.Coroutine[t.Any, t.Any, None]]:
+        """Yield what runs from the replay until the cell is lost."""
+        yield self._listing.run()
+        yield self.inbox.run()
+        yield self.queue.run()
+        yield self._housekeeping.forget_at_intervals()
+        yield self._housekeeping.watch_runs()
+        yield self._housekeeping.hold_through_trouble()
+        if self.duties is not None:
+            yield self.duties.run()
+        if self.advice is not None:
+            yield self.advice.run()
+
     async def _until_lost(self) -> None:
         assert self._lost is not None
         await self._lost
@@ -241,19 +251,6 @@
             return self.settings.links.most_hold_s
         return wanted_s
 
-    async def _hold_through_trouble(self) -> None:
-        """Extend all runs at once when commits begin to fail."""
-        troubled = False
-        while True:
-            await asyncio.sleep(TROUBLE_POLL_S)
-            before, troubled = troubled, self.log.in_trouble()
-            if troubled and not before and self.trusted:
-                log.warning("commits-fail", extra={"runners": len(self.links)})
-                for link in list(self.links.values()):
-                    self.spawn(link.extend_once())
-            elif before and not troubled:
-                log.info("commits-work-again")
-
     # Recording.
 
     def _record_progress(self, job: Job) -> None:
@@ -325,35 +322,6 @@
         found = self.intake.route(route)
         return found.advice if found is not None else None
 
-    async def _watch_runs(self) -> None:
-        """Have runs done elsewhere that lag behind or are out of reach."""
-        while True:
-            await asyncio.sleep(WATCH_RUNS_S)
-            await self.until_trusted()
-            for link in self.links.values():
-                if link.silent:
-                    self.engine.want_copies(link.runner.runner_id)
-            if self.engine.watch_progress():
-                self.kick()
-
-    async def _forget(self) -> None:
-        while True:
-            await asyncio.sleep(FORGET_EVERY_S)
-            self._drop_orphans()
-            self.inbox.retry()
-            for job in self.engine.forget(time.time() - self.settings.forget_s):
-                self.log.mark(TABLE_JOBS, job.job_id, lambda: None)
-                self.log.mark(TABLE_RUNS, job.job_id, lambda: None)
-
-    def _drop_orphans(self) -> None:
-        """Runs on runners that were never listed here have lapsed by now."""
-        bound_s = self.settings.links.lapse_bound_s
-        if time.monotonic() < self.taken.taken_at_s + bound_s:
-            return
-        for attempt in self.engine.orphans():
-            self.engine.drop_orphan(attempt)
-            self.kick()
-
     # Runners.
 
     def _add_runner(self, entry: RunnerEntry) -> None:
