Give the lease's figures and what a take-over brings modules of their own

LeaseTimes is in times.py, Suspicion and TakenCell in takeover.py; all are still had from the package. Behaviour is unchanged.

--- a/src/streamthread/cell/__init__.py
+++ b/src/streamthread/cell/__init__.py
@@ -2,15 +2,15 @@
 
 from .commits import CommitLog
 from .lease import CellLease
-from .lease import LeaseTimes
-from .lease import Suspicion
-from .lease import TakenCell
 from .peer import CellEndpoint
 from .peer import CellPort
 from .peer import PeerLinks
 from .rows import TABLE_INBOX
 from .rows import TABLE_JOBS
 from .rows import TABLE_RUNS
+from .takeover import Suspicion
+from .takeover import TakenCell
+from .times import LeaseTimes
 
 __all__ = [
     "TABLE_INBOX",
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -1,7 +1,6 @@
 """Who holds the cell: taking it over, following its holder, giving it up."""
 
 import asyncio
-import enum
 import random
 import time
 import typing as t
@@ -30,78 +29,15 @@
 from .rows import OWNER_KEY
 from .rows import TABLE_HEAD
 from .rows import TABLE_OWNER
+from .takeover import Suspicion
+from .takeover import TakenCell
+from .times import LeaseTimes
 
-__all__ = ["CellLease", "LeaseTimes", "Suspicion", "TakenCell"]
+__all__ = ["CellLease"]
 
 log = logbook.Logger("streamthread.cell")
 
 
-@attrs.frozen
-class LeaseTimes:
-    """How long the parties rely on each other.
-
-    :param trust_s: a holder relies on a confirmed commit for this long.
-    :param doubt_s: a holder whose commit has failed, and is tried for longer, stops
-        ordering and tells its followers that they may take over.
-    :param slow_doubt_s: the same for a commit that no try of has failed: a store that
-        is 60 times slower takes 0.55 s for one, and others fare no better there.
-    :param silence_s: a follower takes over when the commits stood still for
-        longer, on its own clock; above ``trust_s``, so that the old holder has
-        stopped by then.
-    :param beat_s: between the holder's beats to its followers.
-    :param beat_lost_s: without a beat for longer, the store is asked.
-    :param renew_s: a holder commits at least this often.
-    :param stagger_s: candidates spread over this time, so that one write wins.
-    :param defer_s: a daemon leaves larger ones so much more time, which is as far
-        as their own suspicions lie apart; a holder on a machine that is too small
-        for the jobs serves worse than one that comes later.
-    :param sure_again_s: once the store serves us, a doubtful holder is given so long
-        to commit: longer than it pauses between tries.
-    :param retry_s: after a failed take-over from a doubtful holder.
-    :param feed_wait_s: one call of the feed waits this long for a change.
-    """
-
-    trust_s: float = 1.3
-    doubt_s: float = 0.6
-    slow_doubt_s: float = 0.95
-    silence_s: float = 1.5
-    beat_s: float = 0.25
-    beat_lost_s: float = 0.7
-    renew_s: float = 0.4
-    stagger_s: float = 0.12
-    defer_s: float = 0.5
-    sure_again_s: float = 0.25
-    feed_wait_s: float = 10.0
-    retry_s: float = 0.2
-
-
-class Suspicion(enum.Enum):
-    """Why the present holder may be replaced."""
-
-    NONE = "none"
-    VACANT = "vacant"
-    RELEASED = "released"
-    OWN_EARLIER_LIFE = "own-earlier-life"
-    PROCESS_GONE = "process-gone"
-    SILENT = "silent"
-    DOUBTFUL = "doubtful"
-
-
-@attrs.frozen
-class TakenCell:
-    """What a new holder begins with.
-
-    :param head_version: the head row's version after the take-over.
-    :param taken_at_s: on the monotonic clock: when the take-over was sent.
-    :param why: what was known of the holder before.
-    """
-
-    owner: Owner
-    head_version: int
-    taken_at_s: float
-    why: Suspicion
-
-
 USUAL_CORES = 1.0
 """A daemon with so much processor hesitates for the usual time."""
 
