Shorten taking the cell over, and ask a holder for beats in one way

_take() decided, wrote and noted; what is noted has a method. Both callers of _write_owner() made the same head row. A holder was asked for its beats by the same request in two places, and how long a commit has been tried was worked out twice, under the name of trouble although any commit under way counts. Behaviour is unchanged.

--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -94,14 +94,10 @@
 
     def in_trouble(self) -> bool:
         """Whether a commit fails or takes much longer than the store's usual."""
-        if self.failing_since_s is not None:
-            return True
-        if self.trying_since_s is None:
-            return False
-        return time.monotonic() - self.trying_since_s > SLOW_COMMIT_S
+        return self.failing_since_s is not None or self.tried_for_s() > SLOW_COMMIT_S
 
-    def trouble_s(self) -> float:
-        """Return for how long the present commit has been tried."""
+    def tried_for_s(self) -> float:
+        """Return for how long the present commit has been tried; 0: there is none."""
         if self.trying_since_s is None:
             return 0.0
         return time.monotonic() - self.trying_since_s
@@ -113,7 +109,7 @@
         :param slow_s: how long it may just take.
         """
         limit_s = slow_s if self.failing_since_s is None else failing_s
-        return self.trouble_s() > limit_s
+        return self.tried_for_s() > limit_s
 
     async def flushed(self) -> None:
         """Return once all that is marked now is durable.
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -97,7 +97,7 @@
         self._peers = peers
         self.times = times
         self._hesitation = min(MOST_HESITATION, USUAL_CORES / cores)
-        self._began_at_s = time.monotonic()
+        self._started_at_s = time.monotonic()
         self._on_taken = on_taken
         self._on_replaced = on_replaced
         self.members = Members(store, part, daemon_id, peers, cores, self.hear)
@@ -242,8 +242,8 @@
 
     async def _confirm_gone(self, owner: Owner) -> Suspicion:
         """The holder's port is closed: its process is gone, or about to be."""
-        age_s = time.monotonic() - self._began_at_s
-        await asyncio.sleep(CLOSED_PORT_S if age_s > JUST_STARTED_S else OWNER_BACK_S)
+        just_started = time.monotonic() - self._started_at_s <= JUST_STARTED_S
+        await asyncio.sleep(OWNER_BACK_S if just_started else CLOSED_PORT_S)
         if self.owner is not owner:
             return Suspicion.NONE
         return Suspicion.PROCESS_GONE
@@ -275,7 +275,7 @@
         owner = self.owner
         if not await self._reread_owner() or self.owner is not owner:
             return None
-        # The row as it is now: whoever takes the cell meanwhile ends this try.
+        # Whoever takes the cell from here on changes the row, and ends this try.
         seen_version = self._owner_version
         await asyncio.sleep(self._delay_s(suspicion))
         if self.owner is not owner or self.stopping:
@@ -284,25 +284,30 @@
             return None
         token = (owner.token if owner else 0) + 1
         mine = Owner(self._daemon_id, self._incarnation, self.address, token)
-        head = Head(new_nonce(), mine.token)
         began_at_s = time.monotonic()
-        version = await self._write_owner(mine, head, seen_version)
+        version = await self._write_owner(mine, seen_version)
         if version is None:
             return None
+        self._note_taken(mine, version, suspicion, owner)
+        return TakenCell(mine, version, began_at_s, suspicion)
+
+    def _note_taken(
+        self, mine: Owner, version: int, suspicion: Suspicion, before: Owner | None
+    ) -> None:
+        """Know ourselves as the holder, before the feed tells of it."""
         self.takeovers += 1
         log.info(
             "cell-taken",
             extra={
                 "why": suspicion.value,
                 "token": mine.token,
-                "before": owner.daemon_id if owner else "",
+                "before": before.daemon_id if before else "",
                 "version": version,
             },
         )
         self._owner_version = version
         self.owner = mine
         self._changed.set()
-        return TakenCell(mine, version, began_at_s, suspicion)
 
     async def _is_sure_again(self, owner: Owner | None) -> bool:
         """Whether the holder commits again, since the store serves all of us."""
@@ -342,13 +347,14 @@
             stagger_s += self.times.defer_s
         return stagger_s
 
-    async def _write_owner(
-        self, owner: Owner, head: Head, seen_version: int
-    ) -> int | None:
+    async def _write_owner(self, owner: Owner, seen_version: int) -> int | None:
         """Return the rows' version, or None where another daemon has it.
 
+        The head row is replaced too, which ends all commits from before.
+
         :param seen_version: of the owner row on which this was decided.
         """
+        head = Head(new_nonce(), owner.token)
         condition = Condition(TABLE_OWNER, self._part, OWNER_KEY, seen_version)
         puts = [
             StoredRow(TABLE_OWNER, self._part, OWNER_KEY, owner.encode()),
@@ -393,9 +399,7 @@
         :return: whether the store has taken it.
         """
         owner = attrs.evolve(taken.owner, released=True, successor=successor)
-        version = await self._write_owner(
-            owner, Head(new_nonce(), owner.token), self._owner_version
-        )
+        version = await self._write_owner(owner, self._owner_version)
         if version is None:
             log.warning("cell-not-released", extra={"token": owner.token})
             return False
--- a/src/streamthread/cell/members.py
+++ b/src/streamthread/cell/members.py
@@ -105,7 +105,7 @@
         )
 
     def largest(self, daemon_ids: t.Iterable[str]) -> str:
-        """Return the one with most processor, or an empty text."""
+        """Return the one with most processor; an empty text if there is none."""
         return max(
             sorted(daemon_ids),
             key=lambda daemon_id: self._peers_cores.get(daemon_id, 0.0),
--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -225,12 +225,11 @@
             beats.cancel()
 
     async def is_sure(self, address: str, token: int) -> bool:
-        """Whether a holder says now that it commits."""
-        request = pb.FollowRequest(daemon_id=self._daemon_id, address=self.address)
+        """Whether a holder says now that it commits: its first beat tells."""
         try:
             async with asyncio.timeout(CONNECT_S):
                 async with self._stub(address).Follow.open() as stream:
-                    await stream.send_message(request, end=True)
+                    await stream.send_message(self._follow_request(), end=True)
                     beat = await stream.recv_message()
                     await stream.cancel()
         except UNANSWERED:
@@ -238,13 +237,14 @@
             return False
         return beat is not None and beat.token >= token and not beat.doubtful
 
+    def _follow_request(self) -> pb.FollowRequest:
+        return pb.FollowRequest(daemon_id=self._daemon_id, address=self.address)
+
     async def _beats(self, address: str, token: int, silence_s: float) -> None:
-        request = pb.FollowRequest(daemon_id=self._daemon_id, address=self.address)
         try:
-            stub = self._stub(address)
-            async with stub.Follow.open() as stream:
+            async with self._stub(address).Follow.open() as stream:
                 async with asyncio.timeout(CONNECT_S):
-                    await stream.send_message(request, end=True)
+                    await stream.send_message(self._follow_request(), end=True)
                 while True:
                     async with asyncio.timeout(silence_s):
                         beat = await stream.recv_message()
--- a/src/streamthread/cell/times.py
+++ b/src/streamthread/cell/times.py
@@ -12,7 +12,7 @@
     :param trust_s: a holder relies on a confirmed commit for this long.
     :param doubt_s: a holder whose commit has failed, and is tried for longer, stops
         ordering and tells its followers that they may take over.
-    :param slow_doubt_s: the same for a commit that no try of has failed: a store that
+    :param slow_doubt_s: the same while no try of the commit has failed: a store that
         is 60 times slower takes 0.55 s for one, and others fare no better there.
     :param silence_s: a follower takes over when the commits stood still for
         longer, on its own clock; above ``trust_s``, so that the old holder has
--- a/tests/cell/test_holders.py
+++ b/tests/cell/test_holders.py
@@ -86,7 +86,7 @@
             holder = cell.daemons[0].holder
             assert holder is not None
             cell.world.store.faults.refuse = 503
-            await until(lambda: holder.log.trouble_s() > 2.0, "an outage of 2 s")
+            await until(lambda: holder.log.tried_for_s() > 2.0, "an outage of 2 s")
             cell.world.store.faults.refuse = 0
             await caller.until_state("c" * 16, "completed")
             assert [how for _, _, how, _ in cell.world.ended] == ["done"]
