--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -13,6 +13,7 @@
 from ..errors import StoreUnavailableError
 from ..platform.store import ABSENT
 from ..platform.store import Condition
+from ..platform.store import Page
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
 from ..platform.table_feed import TableFeed
@@ -264,11 +265,17 @@
         return Suspicion.NONE
 
     async def _read_head(self) -> int | None:
+        page = await self._read(TABLE_HEAD)
+        if page is None:
+            return None
+        return page.rows[0].version if page.rows else ABSENT
+
+    async def _read(self, table: str) -> Page | None:
+        """Read a table of one row, or return None: the store does not answer."""
         try:
-            page = await self._store.read(TABLE_HEAD, self._part)
+            return await self._store.read(table, self._part)
         except (StoreUnavailableError, OutcomeUnknownError):
             return None
-        return page.rows[0].version if page.rows else ABSENT
 
     async def _take(self, suspicion: Suspicion) -> TakenCell | None:
         """Try to become the holder; None if somebody else was faster."""
@@ -318,9 +325,8 @@
 
     async def _reread_owner(self) -> bool:
         """Read the owner row: what we know of it may be old, or from a peer."""
-        try:
-            page = await self._store.read(TABLE_OWNER, self._part)
-        except (StoreUnavailableError, OutcomeUnknownError):
+        page = await self._read(TABLE_OWNER)
+        if page is None:
             return False
         for row in page.rows:
             self._adopt(row)
@@ -373,11 +379,8 @@
 
     async def _settle_owner(self, owner: Owner) -> int | None:
         """Read back whose row stands there."""
-        try:
-            page = await self._store.read(TABLE_OWNER, self._part)
-        except (StoreUnavailableError, OutcomeUnknownError):
-            return None
-        for row in page.rows:
+        page = await self._read(TABLE_OWNER)
+        for row in page.rows if page is not None else ():
             if row.key == OWNER_KEY and row.value is not None:
                 if Owner.decode(row.value) == owner:
                     return row.version
