Tell in one place how long a candidate waits before it takes the cell

The lease worked it out between its reads and writes of the store: by what is known of the holder, by chance, by size and by larger peers. Behaviour is unchanged.

--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -18,6 +18,7 @@
 from ..platform.store import StoredRow
 from ..platform.table_feed import TableFeed
 from . import cell_pb2 as pb
+from .hesitation import Hesitation
 from .members import Members
 from .peer import HolderDoubtfulError
 from .peer import HolderSilentError
@@ -38,13 +39,6 @@
 
 log = logbook.Logger("streamthread.cell")
 
-
-USUAL_CORES = 1.0
-"""A daemon with so much processor hesitates for the usual time."""
-
-MOST_HESITATION = 4.0
-"""Times the usual; the smallest machines seen have half a core."""
-
 OWNER_RETRY_S = 0.2
 """Pause after the owner row could not be read."""
 
@@ -97,12 +91,13 @@
         self.address = address
         self._peers = peers
         self.times = times
-        self._hesitation = min(MOST_HESITATION, USUAL_CORES / cores)
         self._started_at_s = time.monotonic()
         self._on_taken = on_taken
         self._on_replaced = on_replaced
         self.members = Members(store, part, daemon_id, peers, cores, self.hear)
-        self._random = random.Random(incarnation)
+        self._hesitation = Hesitation(
+            self.members, daemon_id, times, cores, random.Random(incarnation)
+        )
         self._owner_version = ABSENT
         self._told: tuple[Suspicion, Owner | None] = (Suspicion.NONE, None)
         self._changed = asyncio.Event()
@@ -284,7 +279,7 @@
             return None
         # Whoever takes the cell from here on changes the row, and ends this try.
         seen_version = self._owner_version
-        await asyncio.sleep(self._delay_s(suspicion))
+        await asyncio.sleep(self._hesitation.before_taking_s(suspicion, owner))
         if self.owner is not owner or self.stopping:
             return None
         if suspicion is Suspicion.DOUBTFUL and await self._is_sure_again(owner):
@@ -332,27 +327,6 @@
             self._adopt(row)
         return True
 
-    def _delay_s(self, suspicion: Suspicion) -> float:
-        if suspicion is Suspicion.OWN_EARLIER_LIFE:
-            return 0.0
-        if suspicion is Suspicion.RELEASED:
-            assert self.owner is not None
-            if self.owner.successor == self._daemon_id:
-                return 0.0
-            return self._stagger_s() + 2 * self.times.stagger_s
-        if suspicion is Suspicion.DOUBTFUL:
-            return max(self._stagger_s(), self.times.sure_again_s)
-        return self._stagger_s()
-
-    def _stagger_s(self) -> float:
-        """Return a random time, longer on small machines: large ones go first."""
-        hesitation = self._hesitation * (1 + self._random.random()) / 2
-        stagger_s = self.times.stagger_s * hesitation
-        before = self.owner.daemon_id if self.owner is not None else ""
-        if self.members.has_larger(without=before):
-            stagger_s += self.times.defer_s
-        return stagger_s
-
     async def _write_owner(self, owner: Owner, seen_version: int) -> int | None:
         """Return the rows' version, or None where another daemon has it.
 
