Name the parts of a burst's arithmetic

PoolSizes passed on whether a burst is expected through a method that did not use it, and kept the jobs of an earlier holder as bare tuples. The calendar had its number of turns as a figure in three places; the constants of the two means did not say that they are the means' spans. Behaviour is unchanged.

--- a/src/streamthread/capacity/bursts.py
+++ b/src/streamthread/capacity/bursts.py
@@ -7,10 +7,11 @@
 __all__ = ["ArrivalRate", "Burst", "PoolArrivals"]
 
 FAST_SPAN_S = 0.6
-"""Shows the beginning of a burst within some tenths of a second."""
+"""Of the fast mean: shows the beginning of a burst within some tenths of a second."""
 
 SLOW_SPAN_S = 2.5
-"""About the length of a job, so that one large job does not look like a burst."""
+"""Of the slow mean: about the length of a job, so that one large job does not look
+like a burst."""
 
 SURE_DEVIATIONS = 1.0
 """The fast mean counts less so many standard deviations: a single job says nothing
@@ -76,7 +77,8 @@
 class Burst:
     """Arrivals that came close together.
 
-    :param began_at_s: of its first job, on the monotonic clock.
+    :param began_at_s: when its first job came, on the monotonic clock.
+    :param last_at_s: the same of its last job.
     :param work: of all its jobs: thousandths of a core times seconds.
     """
 
@@ -111,15 +113,18 @@
         self.settle(now_s)
         self._fast.add(cpu_s, now_s)
         self._slow.add(cpu_s, now_s)
-        begun = None
-        if self.before is not None:
-            least_rate = max(least_rate, BURST_SHARE_BEGUN * self.before.rate)
-        if self.present is None and self._fast.sure_value(now_s) > least_rate:
-            begun = self.present = Burst(now_s, now_s)
+        begins = self.present is None and self._is_burst(now_s, least_rate)
+        if begins:
+            self.present = Burst(now_s, now_s)
         if self.present is not None:
             self.present.work += cpu_s
             self.present.last_at_s = now_s
-        return begun
+        return self.present if begins else None
+
+    def _is_burst(self, now_s: float, least_rate: float) -> bool:
+        if self.before is not None:
+            least_rate = max(least_rate, BURST_SHARE_BEGUN * self.before.rate)
+        return self._fast.sure_value(now_s) > least_rate
 
     def settle(self, now_s: float) -> None:
         """Close the present burst once its arrivals have ceased."""
--- a/src/streamthread/capacity/calendar.py
+++ b/src/streamthread/capacity/calendar.py
@@ -4,6 +4,9 @@
 
 __all__ = ["BurstCalendar", "CalendarSettings"]
 
+TURNS_KEPT = 3
+"""Of each pool: the least that make two gaps, so that one can confirm the other."""
+
 REGULAR_WITHIN = 0.2
 """Two gaps that differ by less than this share of the longer one are regular."""
 
@@ -13,7 +16,8 @@
     """How an expected burst is prepared for.
 
     :param ahead_s: machines are ordered so long before it: a move takes 1.5 s, and
-        its runner is listed and held some tenths later.
+        its runner is listed and held some tenths later. Arrivals are forecast for
+        the same time ahead.
     :param late_s: it is waited for so long beyond its time.
     """
 
@@ -37,17 +41,16 @@
         """Take the beginning of a pool's burst, on the monotonic clock."""
         times = self._begun_at_s.setdefault(pool, [])
         times.append(at_s)
-        del times[:-3]
+        del times[:-TURNS_KEPT]
 
     def next_at_s(self, pool: str) -> float | None:
         """Return when a pool's next burst should begin, or None: not known."""
-        times = self._begun_at_s.get(pool, ())
-        if len(times) < 3:
+        times = self._begun_at_s.get(pool, [])
+        if len(times) < TURNS_KEPT:
             return None
         first, second, third = times
-        gap_s = third - second
-        longer_s = max(gap_s, second - first)
-        if abs(gap_s - (second - first)) > REGULAR_WITHIN * longer_s:
+        gap_before_s, gap_s = second - first, third - second
+        if abs(gap_s - gap_before_s) > REGULAR_WITHIN * max(gap_s, gap_before_s):
             return None
         return third + gap_s
 
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -26,6 +26,15 @@
 """The sizes are logged this often: a line a second is enough to follow a burst."""
 
 
+@attrs.frozen(order=True)
+class _EarlyJob:
+    """A job that came before the machines were known; the oldest sorts first."""
+
+    at_s: float
+    service: str
+    work: float
+
+
 class PoolSizes:
     """Remembers each pool's arrivals and its sizes of the last moments."""
 
@@ -35,7 +44,7 @@
         self._arrivals: dict[str, PoolArrivals] = {}
         self._calendar = BurstCalendar(settings.calendar)
         self._machine_cpu = 0
-        self._unsorted: list[tuple[float, str, float]] = []
+        self._early: list[_EarlyJob] = []
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
         self._demands: dict[str, tuple[int, int, int]] = {}
         self._logged_at_s = 0.0
@@ -43,14 +52,14 @@
     def note_job(self, service: str, work: float, at_s: float) -> None:
         """Count a job's work among a pool's arrivals.
 
-        Until the machines are known, jobs are kept: a new holder takes those that
-        were handed in before.
+        How much work makes a burst is told by the size of machines. Until these are
+        known, jobs are kept: a new holder takes those that were handed in before.
 
         :param work: thousandths of a core times seconds.
         :param at_s: when it arrived, on the monotonic clock.
         """
         if not self._machine_cpu:
-            self._unsorted.append((at_s, service, work))
+            self._early.append(_EarlyJob(at_s, service, work))
             return
         arrivals = self._arrivals.setdefault(service, PoolArrivals())
         least_rate = self._settings.burst_machines * self._machine_cpu
@@ -67,12 +76,13 @@
             )
 
     def _learn_machine_size(self, views: t.Iterable[MachineView]) -> None:
+        """Take the smallest machine as a burst's measure, then the early jobs."""
         self._machine_cpu = min((view.cpu for view in views), default=0)
         if not self._machine_cpu:
             return
-        unsorted, self._unsorted = self._unsorted, []
-        for at_s, service, work in sorted(unsorted):
-            self.note_job(service, work, at_s)
+        early, self._early = self._early, []
+        for job in sorted(early):
+            self.note_job(job.service, job.work, job.at_s)
 
     def targets(
         self, pools: t.Iterable[Pool], views: t.Collection[MachineView]
@@ -86,8 +96,7 @@
                 jobs[job.service].append(job)
         targets: dict[str, int] = {}
         for name in [pool.name for pool in pools if not pool.is_spare]:
-            expected = self._calendar.is_expected(name, now_s)
-            wanted = self._wanted(name, jobs[name], views, now_s, expected)
+            wanted = self._wanted(name, jobs[name], views, now_s)
             targets[name] = self._highest_lately(name, wanted, now_s)
         return targets
 
@@ -105,15 +114,11 @@
         jobs: t.Iterable[Job],
         views: t.Collection[MachineView],
         now_s: float,
-        expected: bool,
     ) -> int:
-        """Return the size that the present jobs and arrivals need.
-
-        :param expected: a burst is about to begin.
-        """
+        """Return the size that the present jobs and arrivals need."""
         sizes = [view for view in views if view.pool == pool] or list(views)
         demand = pool_demand(jobs, self._engine.times, time.time())
-        arriving_cpu = self._arriving_cpu(pool, now_s, expected)
+        arriving_cpu = self._arriving_cpu(pool, now_s)
         cpu = max(demand.cpu, arriving_cpu + _lasting_cpu(jobs))
         wanted = target_size(
             attrs.evolve(demand, cpu=cpu),
@@ -124,7 +129,7 @@
         self._demands[pool] = (round(cpu), round(arriving_cpu), wanted)
         return wanted
 
-    def _arriving_cpu(self, pool: str, now_s: float, expected: bool) -> float:
+    def _arriving_cpu(self, pool: str, now_s: float) -> float:
         """Return the thousandths of a core that arriving work takes, or soon will.
 
         A burst that has begun, or is expected, is taken to bring as much as the
@@ -139,7 +144,7 @@
         begins = present is not None and (
             now_s - present.began_at_s < self._settings.burst_trust_s
         )
-        if begins or expected:
+        if begins or self._calendar.is_expected(pool, now_s):
             return max(rate, _rate(arrivals.before))
         return rate
 
