Say in one place what room a task takes and what a runner has left

That filling tasks take no processor off a runner was written out in five places, and free memory and accelerators in two. The codec's header did not know that the row of a job that is over shrinks, nor Task.avoid that copies and moves add to it. The rows are the same: behaviour is unchanged.

--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -255,7 +255,7 @@
 
     def _record_progress(self, job: Job) -> None:
         if job.over:
-            # Its row shrinks, so that the next holder has less to read.
+            # Its row shrinks: see the codec.
             self.log.mark(TABLE_JOBS, job.job_id, lambda: encode_definition(job))
         self.log.mark(TABLE_RUNS, job.job_id, lambda: encode_progress(job))
 
--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -1,5 +1,8 @@
 """Rows of jobs: what was handed in, and how far it has come.
 
+The first row is written at the hand-in, and anew while the job is over: once nothing
+of it runs any more, its end alone is kept, so that the next holder has less to read.
+
 The second row is rewritten at each change, so it is compact: of a step that has
 begun, one number tells which tasks are done, and only tasks with something to
 tell have an entry of their own.
@@ -24,10 +27,10 @@
 
 
 def encode_definition(job: Job) -> bytes:
-    """Encode what never changes; of a job that is over, how it ended and no more."""
+    """Encode what was handed in; of a job that is over, how it ended and no more."""
     if job.over and not job.has_attempts():
         return _encode_ended(job)
-    value = {
+    value: dict[str, Json] = {
         "route": job.route,
         "service": job.service,
         "accepted_at_s": job.accepted_at_s,
@@ -37,6 +40,10 @@
         "target_s": job.target_s,
         "body": job.body.decode(),
     }
+    return _dump(value)
+
+
+def _dump(value: dict[str, Json]) -> bytes:
     return json.dumps(value, separators=(",", ":")).encode()
 
 
@@ -48,7 +55,7 @@
         "ended_at_s": job.ended_at_s,
         "state": job.state.value,
     }
-    return json.dumps(value, separators=(",", ":")).encode()
+    return _dump(value)
 
 
 def decode_row(job_id: str, value: bytes) -> Job:
@@ -107,7 +114,7 @@
     }
     if times:
         value["times"] = times
-    return json.dumps(value, separators=(",", ":")).encode()
+    return _dump(value)
 
 
 def _encode_step(step: StepRun) -> list[Json]:
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -19,7 +19,8 @@
     :param reserved: a move or an upkeep was ordered for its machine.
     :param emptying: it is to be emptied, so that its machine can go into upkeep.
     :param stray_runs: runs there that no attempt of ours explains.
-    :param penalty_until_s: wall time; it failed many tasks; used last until then.
+    :param penalty_until_s: wall time; many tasks failed or lagged there; used last
+        until then.
     """
 
     runner_id: str
@@ -68,6 +69,16 @@
         """Thousandths of a core that no attempt takes."""
         return self.cpu - self.used_cpu
 
+    @property
+    def free_memory_mb(self) -> int:
+        """Memory that no attempt takes."""
+        return self.memory_mb - self.used_memory_mb
+
+    @property
+    def free_gpu(self) -> int:
+        """Accelerators that no attempt takes."""
+        return self.gpu - self.used_gpu
+
     @property
     def idle(self) -> bool:
         """Whether nothing of ours is there."""
@@ -77,7 +88,7 @@
         """Take room for an attempt."""
         self.attempts[name, attempt.run] = attempt
         request = attempt.task.step.request
-        self.used_cpu += 0 if request.fills else request.cpu
+        self.used_cpu += attempt.task.step.room_cpu
         self.used_memory_mb += request.memory_mb
         self.used_gpu += request.gpu
 
@@ -86,7 +97,7 @@
         if self.attempts.pop((name, attempt.run), None) is None:
             return
         request = attempt.task.step.request
-        self.used_cpu -= 0 if request.fills else request.cpu
+        self.used_cpu -= attempt.task.step.room_cpu
         self.used_memory_mb -= request.memory_mb
         self.used_gpu -= request.gpu
 
@@ -102,11 +113,11 @@
         """Return for how many tasks of one kind there is room, ``most`` at most."""
         count = max(0, most)
         if cpu:
-            count = min(count, (self.cpu - self.used_cpu) // cpu)
+            count = min(count, self.free_cpu // cpu)
         if memory_mb:
-            count = min(count, (self.memory_mb - self.used_memory_mb) // memory_mb)
+            count = min(count, self.free_memory_mb // memory_mb)
         if gpu:
-            count = min(count, (self.gpu - self.used_gpu) // gpu)
+            count = min(count, self.free_gpu // gpu)
         return max(0, count)
 
     def usable(self) -> bool:
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -67,7 +67,7 @@
     :param first_percent: of its work, when its runner told of it first.
     :param first_seen_at_s: on the monotonic clock: when that was; 0: not yet.
     :param seen_at_s: on the monotonic clock: when its runner told of it last.
-    :param moved_on_at_s: on the monotonic clock: when the percent rose last.
+    :param moved_on_at_s: on the monotonic clock: when the percent changed last.
     :param stop_reason: why it is to be stopped; empty while it is not.
     :param pace_percent: at what share of its speed it works; None: not known,
         since an earlier holder may have changed it.
@@ -104,7 +104,7 @@
 
     :param last_run: the highest run number that was used.
     :param checkpoint: the newest progress that a runner reported.
-    :param avoid: ids of runners on which it failed.
+    :param avoid: ids of runners on which it failed, lagged behind or was silent.
     :param not_before_s: wall time before which it is not placed.
     :param waiting_since_s: on the monotonic clock: since when it has no attempt.
     :param copy_wanted: one more attempt is to run beside the one that it has.
@@ -168,6 +168,11 @@
         """Whether all of its tasks have ended so."""
         return self.done_count == len(self.tasks)
 
+    @property
+    def room_cpu(self) -> int:
+        """The room that one task takes: filling ones live on what others leave."""
+        return 0 if self.request.fills else self.request.cpu
+
     def blocked_by(self) -> list[int]:
         """Return the numbers of the steps before it that are not done."""
         steps = self.occurrence.steps
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -58,16 +58,15 @@
         cpu = memory_mb = gpu = -1
         for runner in runners:
             cpu = max(cpu, runner.free_cpu)
-            memory_mb = max(memory_mb, runner.memory_mb - runner.used_memory_mb)
-            gpu = max(gpu, runner.gpu - runner.used_gpu)
+            memory_mb = max(memory_mb, runner.free_memory_mb)
+            gpu = max(gpu, runner.free_gpu)
         return cls(cpu, memory_mb, gpu)
 
     def may_fit(self, step: StepRun) -> bool:
         """Whether one task of a step may fit somewhere."""
         request = step.request
-        cpu = 0 if request.fills else request.cpu
         return (
-            cpu <= self.cpu
+            step.room_cpu <= self.cpu
             and request.memory_mb <= self.memory_mb
             and request.gpu <= self.gpu
         )
@@ -207,7 +206,7 @@
     A runner that is the best for one task is so for the next, until it is full.
     """
     request = waiting[0].step.request
-    cpu = 0 if request.fills else request.cpu
+    cpu = waiting[0].step.room_cpu
     fitting = [r for r in runners if r.fits(cpu, request.memory_mb, request.gpu)]
     fitting.sort(key=lambda runner: _cost(waiting[0], runner, 0, now_s, ()))
     placed: list[Placement] = []
@@ -257,7 +256,7 @@
     :param planned: how many more it gets by this call.
     """
     request = task.step.request
-    cpu = 0 if request.fills else request.cpu
+    cpu = task.step.room_cpu
     limit = request.most_per_runner
     best: RunnerState | None = None
     best_cost: tuple[t.Any, ...] = ()
