Shorten placing, judging a run and sending a start

_place() both chose among runners and placed one step; what makes a run judged at all stood among the judgement's arithmetic; the new answer to an unanswered start was written out in the middle of its loop. Each has a function. Behaviour is unchanged.

--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -224,17 +224,28 @@
             usable = runners
             if in_need:
                 usable = usable_runners(self.runners.values(), service, in_need=True)
-            planned = [
-                (placement, _next_run(placement.task))
-                for placement in place_step(step, usable, now_s, tickets(step))
-            ]
-            placed.extend(self._plan(p.task, p.runner, run) for p, run in planned)
-            self._tell_placed(step, planned, len(usable))
-            if not planned:
+            attempts = self._place_step(step, usable, now_s, tickets(step))
+            placed.extend(attempts)
+            if not attempts:
                 # Room has become less since it was measured.
                 largest = LargestRoom.among(runners)
         return placed
 
+    def _place_step(
+        self,
+        step: StepRun,
+        usable: t.Sequence[RunnerState],
+        now_s: float,
+        tickets: t.Collection[str] | None,
+    ) -> list[Attempt]:
+        planned = [
+            (placement, _next_run(placement.task))
+            for placement in place_step(step, usable, now_s, tickets)
+        ]
+        attempts = [self._plan(p.task, p.runner, run) for p, run in planned]
+        self._tell_placed(step, planned, len(usable))
+        return attempts
+
     def _candidates(
         self, steps: t.Iterable[StepRun], largest: LargestRoom, usable: int
     ) -> list[StepRun]:
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -112,11 +112,7 @@
             except OutcomeUnknownError:
                 uncertain = True
                 reply = None
-                link.on_order_unanswered(sent_at_s)
-                log.warning(
-                    "start-unanswered",
-                    extra={"task": attempt.task.name, "runner": attempt.runner_id},
-                )
+                self._on_unanswered(attempt, link, sent_at_s)
             if reply is not None and self._take_answer(attempt, link, reply, uncertain):
                 return
             await asyncio.sleep(self._settings.retry_s)
@@ -128,6 +124,14 @@
             Phase.SENT,
         )
 
+    @staticmethod
+    def _on_unanswered(attempt: Attempt, link: RunnerLink, sent_at_s: float) -> None:
+        link.on_order_unanswered(sent_at_s)
+        log.warning(
+            "start-unanswered",
+            extra={"task": attempt.task.name, "runner": attempt.runner_id},
+        )
+
     async def _send_start(self, attempt: Attempt, link: RunnerLink) -> OrderReply:
         task = attempt.task
         order = StartOrder(
--- a/src/streamthread/scheduler/progress.py
+++ b/src/streamthread/scheduler/progress.py
@@ -49,10 +49,7 @@
     :param expected_s: how long such a run takes on a sound runner, where that was
         learned; what callers estimate is too far off.
     """
-    request = attempt.task.step.request
-    if request.gang or request.lasting or request.fills:
-        return None
-    if attempt.phase is not Phase.CONFIRMED or attempt.pace_percent not in (None, 100):
+    if not _is_judged(attempt):
         return None
     watched_s = attempt.seen_at_s - attempt.first_seen_at_s
     if watched_s < settings.judge_s:
@@ -60,10 +57,18 @@
     if attempt.seen_at_s - attempt.moved_on_at_s >= settings.still_s:
         return Lag.STANDS_STILL
     done = attempt.percent - attempt.first_percent
-    if done <= 0 or expected_s is None or request.near_rack:
+    if done <= 0 or expected_s is None or attempt.task.step.request.near_rack:
         # Away from its data a run is slow for a good reason.
         return None
     left_s = (WHOLE_PERCENT - attempt.percent) * watched_s / done
     if left_s > settings.slow_factor * expected_s + settings.slow_extra_s:
         return Lag.SLOW
     return None
+
+
+def _is_judged(attempt: Attempt) -> bool:
+    """Whether a run goes on by itself, at full speed: others wait or yield."""
+    request = attempt.task.step.request
+    if request.gang or request.lasting or request.fills:
+        return False
+    return attempt.phase is Phase.CONFIRMED and attempt.pace_percent in (None, 100)
