Explain the listing's grace, and send an earlier holder's orders by name

The three fields of the listing's grace said nothing of what they are for, nor did the link's time of the last answer. That orders are sent again for what an earlier holder recorded was the tail of the method that adds a runner. Behaviour is unchanged.

--- a/src/streamthread/holder/listing.py
+++ b/src/streamthread/holder/listing.py
@@ -46,8 +46,11 @@
         self._links = links
         self._pause_s = pause_s
         self._add = add
+        # The store did not answer lately, so that entries may have lapsed.
         self._away = False
+        # Runs while runners whose entries lapsed may still write them again.
         self._grace: asyncio.TimerHandle | None = None
+        # Runners without an entry, which are taken as listed until the grace ends.
         self._missing: set[str] = set()
 
     async def run(self) -> None:
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -325,7 +325,6 @@
     # Runners.
 
     def _add_runner(self, entry: RunnerEntry) -> None:
-        assert self._group is not None
         runner = RunnerState.from_entry(entry)
         self.engine.add_runner(runner)
         link = RunnerLink(
@@ -345,12 +344,16 @@
                 "draining": entry.draining,
             },
         )
-        self._group.create_task(link.run())
+        self.spawn(link.run())
+        self._send_again(runner)
+
+    def _send_again(self, runner: RunnerState) -> None:
+        """Have the orders answered that an earlier holder recorded."""
         for attempt in list(runner.attempts.values()):
             if attempt.phase is Phase.SENT:
-                self._group.create_task(self.sender.start(attempt))
+                self.spawn(self.sender.start(attempt))
             elif attempt.phase is Phase.STOPPING:
-                self._group.create_task(self.sender.stop(attempt))
+                self.spawn(self.sender.stop(attempt))
 
     async def on_lists(self, link: RunnerLink, reply: HoldReply) -> None:
         """Take a runner's lists; return once the ends are durable."""
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -89,6 +89,7 @@
 class RunnerLink:
     """Holds one life of a runner until it is over.
 
+    :param heard_at_s: when it answered a call last, on the monotonic clock; 0: not yet.
     :param taken_at_s: when we became the holder; earlier holders' deadlines end
         no later than ``most_hold_s`` after it.
     """
@@ -183,7 +184,8 @@
             )
 
     async def _on_reply(self, reply: HoldReply) -> None:
-        now_s = self.heard_at_s = time.monotonic()
+        now_s = time.monotonic()
+        self.heard_at_s = now_s
         first = not self.clock.known
         self.clock.sync(reply.clock_ms, now_s)
         if first:
