--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -65,7 +65,7 @@
                 connector=connector,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
-                timeout=aiohttp.ClientTimeout(total=None, sock_connect=None),
+                timeout=aiohttp.ClientTimeout(total=None),
                 skip_auto_headers=UNUSED_HEADERS,
             )
         return self._session
