--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -1,7 +1,6 @@
 """Who holds the cell: taking it over, following its holder, giving it up."""
 
 import asyncio
-import enum
 import random
 import time
 import typing as t
@@ -14,10 +13,12 @@
 from ..errors import StoreUnavailableError
 from ..platform.store import ABSENT
 from ..platform.store import Condition
+from ..platform.store import Page
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
 from ..platform.table_feed import TableFeed
 from . import cell_pb2 as pb
+from .hesitation import Hesitation
 from .members import Members
 from .peer import HolderDoubtfulError
 from .peer import HolderSilentError
@@ -30,90 +31,14 @@
 from .rows import OWNER_KEY
 from .rows import TABLE_HEAD
 from .rows import TABLE_OWNER
+from .takeover import Suspicion
+from .takeover import TakenCell
+from .times import LeaseTimes
 
-__all__ = ["CellLease", "LeaseTimes", "Suspicion", "TakenCell"]
+__all__ = ["CellLease"]
 
 log = logbook.Logger("streamthread.cell")
 
-
-@attrs.frozen
-class LeaseTimes:
-    """How long the parties rely on each other.
-
-    :param trust_s: a holder relies on a confirmed commit for this long.
-    :param doubt_s: a holder whose commit has failed, and is tried for longer, stops
-        ordering and tells its followers that they may take over.
-    :param slow_doubt_s: the same for a commit that no try of has failed: a store that
-        is 60 times slower takes 0.55 s for one, and others fare no better there.
-    :param silence_s: a follower takes over when the commits stood still for
-        longer, on its own clock; above ``trust_s``, so that the old holder has
-        stopped by then.
-    :param beat_s: between the holder's beats to its followers.
-    :param beat_lost_s: without a beat for longer, the store is asked.
-    :param renew_s: a holder commits at least this often.
-    :param stagger_s: candidates spread over this time, so that one write wins.
-    :param defer_s: a daemon leaves larger ones so much more time, which is as far
-        as their own suspicions lie apart; a holder on a machine that is too small
-        for the jobs serves worse than one that comes later.
-    :param sure_again_s: once the store serves us, a doubtful holder is given so long
-        to commit: longer than it pauses between tries.
-    :param slow_read_s: the store is slow for a follower whose read takes longer:
-        usually 7 ms, 0.25 s in a store 60 times slower.
-    :param slow_patience_s: then a doubtful holder is left alone for so long: about as
-        long as its runs are held.
-    :param retry_s: after a failed take-over from a doubtful holder.
-    :param feed_wait_s: one call of the feed waits this long for a change.
-    """
-
-    trust_s: float = 1.3
-    doubt_s: float = 0.6
-    slow_doubt_s: float = 0.95
-    silence_s: float = 1.5
-    beat_s: float = 0.25
-    beat_lost_s: float = 0.7
-    renew_s: float = 0.4
-    stagger_s: float = 0.12
-    defer_s: float = 0.5
-    sure_again_s: float = 0.25
-    slow_read_s: float = 0.15
-    slow_patience_s: float = 3.0
-    feed_wait_s: float = 10.0
-    retry_s: float = 0.2
-
-
-class Suspicion(enum.Enum):
-    """Why the present holder may be replaced."""
-
-    NONE = "none"
-    VACANT = "vacant"
-    RELEASED = "released"
-    OWN_EARLIER_LIFE = "own-earlier-life"
-    PROCESS_GONE = "process-gone"
-    SILENT = "silent"
-    DOUBTFUL = "doubtful"
-
-
-@attrs.frozen
-class TakenCell:
-    """What a new holder begins with.
-
-    :param head_version: the head row's version after the take-over.
-    :param taken_at_s: on the monotonic clock: when the take-over was sent.
-    :param why: what was known of the holder before.
-    """
-
-    owner: Owner
-    head_version: int
-    taken_at_s: float
-    why: Suspicion
-
-
-USUAL_CORES = 1.0
-"""A daemon with so much processor hesitates for the usual time."""
-
-MOST_HESITATION = 4.0
-"""Times the usual; the smallest machines seen have half a core."""
-
 OWNER_RETRY_S = 0.2
 """Pause after the owner row could not be read."""
 
@@ -166,12 +91,13 @@
         self.address = address
         self._peers = peers
         self.times = times
-        self._hesitation = min(MOST_HESITATION, USUAL_CORES / cores)
-        self._began_at_s = time.monotonic()
+        self._started_at_s = time.monotonic()
         self._on_taken = on_taken
         self._on_replaced = on_replaced
         self.members = Members(store, part, daemon_id, peers, cores, self.hear)
-        self._random = random.Random(incarnation)
+        self._hesitation = Hesitation(
+            self.members, daemon_id, times, cores, random.Random(incarnation)
+        )
         self._owner_version = ABSENT
         self._told: tuple[Suspicion, Owner | None] = (Suspicion.NONE, None)
         self._suspected_at_s = 0.0
@@ -316,8 +242,8 @@
 
     async def _confirm_gone(self, owner: Owner) -> Suspicion:
         """The holder's port is closed: its process is gone, or about to be."""
-        age_s = time.monotonic() - self._began_at_s
-        await asyncio.sleep(CLOSED_PORT_S if age_s > JUST_STARTED_S else OWNER_BACK_S)
+        just_started = time.monotonic() - self._started_at_s <= JUST_STARTED_S
+        await asyncio.sleep(OWNER_BACK_S if just_started else CLOSED_PORT_S)
         if self.owner is not owner:
             return Suspicion.NONE
         return Suspicion.PROCESS_GONE
@@ -338,11 +264,17 @@
         return Suspicion.NONE
 
     async def _read_head(self) -> int | None:
+        page = await self._read(TABLE_HEAD)
+        if page is None:
+            return None
+        return page.rows[0].version if page.rows else ABSENT
+
+    async def _read(self, table: str) -> Page | None:
+        """Read a table of one row, or return None: the store does not answer."""
         try:
-            page = await self._store.read(TABLE_HEAD, self._part)
+            return await self._store.read(table, self._part)
         except (StoreUnavailableError, OutcomeUnknownError):
             return None
-        return page.rows[0].version if page.rows else ABSENT
 
     async def _take(self, suspicion: Suspicion) -> TakenCell | None:
         """Try to become the holder; None if somebody else was faster."""
@@ -352,34 +284,39 @@
             return None
         if suspicion is Suspicion.DOUBTFUL and self._is_slow_for_all(asked_at_s):
             return None
-        # The row as it is now: whoever takes the cell meanwhile ends this try.
+        # Whoever takes the cell from here on changes the row, and ends this try.
         seen_version = self._owner_version
-        await asyncio.sleep(self._delay_s(suspicion))
+        await asyncio.sleep(self._hesitation.before_taking_s(suspicion, owner))
         if self.owner is not owner or self.stopping:
             return None
         if suspicion is Suspicion.DOUBTFUL and await self._is_sure_again(owner):
             return None
         token = (owner.token if owner else 0) + 1
         mine = Owner(self._daemon_id, self._incarnation, self.address, token)
-        head = Head(new_nonce(), mine.token)
         began_at_s = time.monotonic()
-        version = await self._write_owner(mine, head, seen_version)
+        version = await self._write_owner(mine, seen_version)
         if version is None:
             return None
+        self._note_taken(mine, version, suspicion, owner)
+        return TakenCell(mine, version, began_at_s, suspicion)
+
+    def _note_taken(
+        self, mine: Owner, version: int, suspicion: Suspicion, before: Owner | None
+    ) -> None:
+        """Know ourselves as the holder, before the feed tells of it."""
         self.takeovers += 1
         log.info(
             "cell-taken",
             extra={
                 "why": suspicion.value,
                 "token": mine.token,
-                "before": owner.daemon_id if owner else "",
+                "before": before.daemon_id if before else "",
                 "version": version,
             },
         )
         self._owner_version = version
         self.owner = mine
         self._changed.set()
-        return TakenCell(mine, version, began_at_s, suspicion)
 
     def _is_slow_for_all(self, asked_at_s: float) -> bool:
         """Whether the store is slow here too, so that a change would not help.
@@ -400,42 +337,21 @@
 
     async def _reread_owner(self) -> bool:
         """Read the owner row: what we know of it may be old, or from a peer."""
-        try:
-            page = await self._store.read(TABLE_OWNER, self._part)
-        except (StoreUnavailableError, OutcomeUnknownError):
+        page = await self._read(TABLE_OWNER)
+        if page is None:
             return False
         for row in page.rows:
             self._adopt(row)
         return True
 
-    def _delay_s(self, suspicion: Suspicion) -> float:
-        if suspicion is Suspicion.OWN_EARLIER_LIFE:
-            return 0.0
-        if suspicion is Suspicion.RELEASED:
-            assert self.owner is not None
-            if self.owner.successor == self._daemon_id:
-                return 0.0
-            return self._stagger_s() + 2 * self.times.stagger_s
-        if suspicion is Suspicion.DOUBTFUL:
-            return max(self._stagger_s(), self.times.sure_again_s)
-        return self._stagger_s()
-
-    def _stagger_s(self) -> float:
-        """Return a random time, longer on small machines: large ones go first."""
-        hesitation = self._hesitation * (1 + self._random.random()) / 2
-        stagger_s = self.times.stagger_s * hesitation
-        before = self.owner.daemon_id if self.owner is not None else ""
-        if self.members.has_larger(without=before):
-            stagger_s += self.times.defer_s
-        return stagger_s
-
-    async def _write_owner(
-        self, owner: Owner, head: Head, seen_version: int
-    ) -> int | None:
+    async def _write_owner(self, owner: Owner, seen_version: int) -> int | None:
         """Return the rows' version, or None where another daemon has it.
 
+        The head row is replaced too, which ends all commits from before.
+
         :param seen_version: of the owner row on which this was decided.
         """
+        head = Head(new_nonce(), owner.token)
         condition = Condition(TABLE_OWNER, self._part, OWNER_KEY, seen_version)
         puts = [
             StoredRow(TABLE_OWNER, self._part, OWNER_KEY, owner.encode()),
@@ -454,11 +370,8 @@
 
     async def _settle_owner(self, owner: Owner) -> int | None:
         """Read back whose row stands there."""
-        try:
-            page = await self._store.read(TABLE_OWNER, self._part)
-        except (StoreUnavailableError, OutcomeUnknownError):
-            return None
-        for row in page.rows:
+        page = await self._read(TABLE_OWNER)
+        for row in page.rows if page is not None else ():
             if row.key == OWNER_KEY and row.value is not None:
                 if Owner.decode(row.value) == owner:
                     return row.version
@@ -480,9 +393,7 @@
         :return: whether the store has taken it.
         """
         owner = attrs.evolve(taken.owner, released=True, successor=successor)
-        version = await self._write_owner(
-            owner, Head(new_nonce(), owner.token), self._owner_version
-        )
+        version = await self._write_owner(owner, self._owner_version)
         if version is None:
             log.warning("cell-not-released", extra={"token": owner.token})
             return False
--- a/src/streamthread/holder/waves.py
+++ b/src/streamthread/holder/waves.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import collections
-import math
 import time
 import typing as t
 
@@ -20,7 +19,9 @@
 from ..platform.store import Condition
 from ..platform.store import StoredRow
 from ..upkeep import DueMachine
+from ..upkeep import paced_slots
 from ..upkeep import plan_upkeep
+from ..upkeep import presses
 from ..upkeep import UpkeepPlan
 from ..upkeep import UpkeepSettings
 from ..upkeep import WaveProgress
@@ -33,40 +34,11 @@
 
 log = logbook.Logger("streamthread.duties")
 
-ROUND_S = 5.0
-"""Emptying a machine takes as long as its tasks, some 2.5 s, an upkeep 2 s; the list
-shows its end half a second later."""
-
-DOWN_S = 3.0
-"""An upkeep takes 2 s, and half a second each until it is ordered and is seen."""
-
-SPARE_ROUNDS = 1
-"""Of the time for a round: what is left when a holder changes or the store is away."""
-
 TABLE_WAVES = "cell-waves"
 """One row a wave, under its number: its progress, for the next holder."""
 
-
-def presses(left: int, most_at_once: int, rest_s: float) -> bool:
-    """Whether a wave can no longer wait for pools to have machines to spare.
-
-    :param left: machines that have not begun their upkeep.
-    :param rest_s: until the wave should be over.
-    """
-    rounds = math.ceil(left / max(1, most_at_once))
-    return rest_s <= (rounds + SPARE_ROUNDS) * ROUND_S
-
-
-def paced_slots(left: int, most_at_once: int, rest_s: float) -> int:
-    """Return how many machines of a wave may be down at once for now.
-
-    No more than spread what is left over the time, less what :func:`presses` keeps:
-    machines in upkeep are not there for a burst.
-    """
-    spread_s = rest_s - (1 + SPARE_ROUNDS) * ROUND_S
-    if spread_s <= DOWN_S:
-        return most_at_once
-    return min(most_at_once, math.ceil(left * DOWN_S / spread_s))
+LEAST_LEFT = 1
+"""A pool keeps so many machines while a wave presses, so that its jobs go on."""
 
 
 class WaveBook:
@@ -199,7 +171,6 @@
         due = tuple(self._due_machine(views[m]) for m in left if m in views)
         return plan_upkeep(
             WaveView(
-                wave.number,
                 due,
                 paced_slots(len(left), wave.most_at_once, rest_s) - down,
                 self._may_give(views.values(), targets, pressed),
@@ -219,20 +190,15 @@
         are off although pools wait for them.
         """
         there = collections.Counter(v.pool for v in views if v.usable)
-        coming = collections.Counter(v.pool for v in views if v.arriving)
-        kept = {name: 1 if pressed else target for name, target in targets.items()}
-        may_give = {name: there[name] - kept[name] for name in targets}
-        lacking = sum(
-            max(0, target - there[name] - coming[name])
+        may_give = {
+            name: there[name] - (LEAST_LEFT if pressed else target)
             for name, target in targets.items()
+        }
+        off = collections.Counter(
+            v.pool for v in views if v.free_to_move and self._table.is_spare(v.pool)
         )
-        for view in views:
-            if self._table.is_spare(view.pool) and view.free_to_move:
-                may_give[view.pool] = may_give.get(view.pool, 0) + 1
-        for name in may_give:
-            if name not in targets and not pressed:
-                may_give[name] -= lacking
-        return may_give
+        lacking = 0 if pressed else _count_lacking(views, targets)
+        return may_give | {name: count - lacking for name, count in off.items()}
 
     def empty(self, machine_ids: t.Iterable[str]) -> None:
         """Place nothing new on machines, and move their lasting tasks away."""
@@ -271,6 +237,12 @@
             and machine_id not in self._table.pending
             and (off or runner is not None),
             missed=off or view.usable,
-            reserved=runner is not None and runner.emptying,
+            emptying=runner is not None and runner.emptying,
             load=float(runner.used_cpu) if runner is not None else 0.0,
         )
+
+
+def _count_lacking(views: t.Iterable[MachineView], targets: dict[str, int]) -> int:
+    """Return how many machines all pools lack, beside those on their way."""
+    there = collections.Counter(v.pool for v in views if v.usable or v.arriving)
+    return sum(max(0, target - there[name]) for name, target in targets.items())
