--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -59,7 +59,7 @@
 """Between two looks at a silent holder's commits: each is a read of the store."""
 
 REFUSED_PAUSE_S = 0.1
-"""Pause after the store refused a take-over: nothing was done."""
+"""Pause after the store refused a take-over, or the read before it."""
 
 
 class CellLease(Service):
@@ -280,7 +280,10 @@
         """Try to become the holder; None if somebody else was faster."""
         owner = self.owner
         asked_at_s = time.monotonic()
-        if not await self._reread_owner() or self.owner is not owner:
+        if not await self._reread_owner():
+            await asyncio.sleep(REFUSED_PAUSE_S)
+            return None
+        if self.owner is not owner:
             return None
         if suspicion is Suspicion.DOUBTFUL and self._is_slow_for_all(asked_at_s):
             return None
--- a/src/streamthread/holder/housekeeping.py
+++ b/src/streamthread/holder/housekeeping.py
@@ -38,8 +38,8 @@
             await asyncio.sleep(WATCH_RUNS_S)
             await self._owner.until_trusted()
             for link in self._owner.links.values():
-                if link.silent:
-                    self._engine.want_copies(link.runner.runner_id)
+                if link.silent and self._engine.want_copies(link.runner.runner_id):
+                    self._owner.kick()
             if self._engine.watch_progress():
                 self._owner.kick()
 
--- a/src/streamthread/runners/batching.py
+++ b/src/streamthread/runners/batching.py
@@ -16,6 +16,9 @@
 PROMPT_S = 0.05
 """A pause that would be shorter is left out: few runners are asked at once."""
 
+MOST_PAUSE_S = 0.5
+"""However many are busy: runs are held for 3.2 s, and starts for 2.5 s."""
+
 COUNTED_FOR_S = 0.25
 """The busy runners are counted this often; a burst takes longer to unfold."""
 
@@ -40,5 +43,6 @@
         if now_s - self._counted_at_s >= COUNTED_FOR_S:
             self._counted_at_s = now_s
             busy = sum(bool(runner.attempts) for runner in self.runners())
-            self._pause_s = max(0.0, busy / REPLIES_PER_S - PROMPT_S)
+            wanted_s = busy / REPLIES_PER_S - PROMPT_S
+            self._pause_s = min(max(0.0, wanted_s), MOST_PAUSE_S)
         return self._pause_s
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -153,9 +153,12 @@
 
     # Copies, and runs that lag behind.
 
-    def want_copies(self, runner_id: str) -> None:
-        """Have copies run elsewhere of what a silent runner has, where steps allow."""
-        self._lags.want_copies(runner_id)
+    def want_copies(self, runner_id: str) -> bool:
+        """Have copies run elsewhere of what a silent runner has, where steps allow.
+
+        :return: whether some copy is wanted that was not before.
+        """
+        return self._lags.want_copies(runner_id)
 
     def watch_progress(self) -> bool:
         """Copy or move runs that lag behind; return whether any do."""
--- a/src/streamthread/scheduler/lags.py
+++ b/src/streamthread/scheduler/lags.py
@@ -13,6 +13,7 @@
 from .model import Phase
 from .model import Task
 from .outcomes import Outcomes
+from .placement import suits
 from .progress import judge_progress
 from .progress import Lag
 from .progress import ProgressSettings
@@ -41,13 +42,18 @@
         self._times = times
         self._settings = settings
 
-    def want_copies(self, runner_id: str) -> None:
-        """Have copies run elsewhere of what a silent runner has, where steps allow."""
+    def want_copies(self, runner_id: str) -> bool:
+        """Have copies run elsewhere of what a silent runner has, where steps allow.
+
+        :return: whether some copy is wanted that was not before.
+        """
         runner = self._ledger.runners.get(runner_id)
         if runner is None:
-            return
-        for attempt in runner.attempts.values():
-            self._want_copy(attempt, "silent")
+            return False
+        wanted = [
+            self._want_copy(attempt, "silent") for attempt in runner.attempts.values()
+        ]
+        return any(wanted)
 
     def watch(self) -> bool:
         """Copy or move runs that lag behind; return whether any do."""
@@ -96,9 +102,10 @@
     def _has_room_elsewhere(self, task: Task, runner: RunnerState) -> bool:
         request = task.step.request
         return any(
-            other.fits(request.cpu, request.memory_mb, request.gpu)
+            suits(task.step, other)
+            and other.fits(request.cpu, request.memory_mb, request.gpu)
             for other in usable_runners(self._ledger.runners.values(), runner.service)
-            if other is not runner
+            if other is not runner and other.runner_id not in task.avoid
         )
 
 
@@ -111,7 +118,12 @@
             "runner": attempt.runner_id,
             "why": why,
             "percent": attempt.percent,
-            "age_s": round(time.monotonic() - attempt.began_at_s, 3),
+            "age_s": round(_age_s(attempt), 3),
             "copy": attempt.task.step.request.speculative,
         },
     )
+
+
+def _age_s(attempt: Attempt) -> float:
+    """Return for how long a run has been there; 0: not known to have begun."""
+    return time.monotonic() - attempt.began_at_s if attempt.began_at_s else 0.0
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -19,6 +19,7 @@
     "order_steps",
     "outlook",
     "place_step",
+    "suits",
     "urgency",
 ]
 
@@ -149,7 +150,7 @@
     suitable = [
         runner
         for runner in runners
-        if _suits(step, runner) and (tickets is None or runner.runner_id in tickets)
+        if suits(step, runner) and (tickets is None or runner.runner_id in tickets)
     ]
     if not step.request.lasting:
         suitable = _sound(suitable, now_s)
@@ -170,6 +171,8 @@
 
 def _may_go_back(task: Task, runner: RunnerState, runners: int) -> bool:
     """Whether a task may run on a runner, where it may have failed before."""
+    if any(attempt.runner_id == runner.runner_id for attempt in task.attempts):
+        return False
     if runner.runner_id not in task.avoid or task.step.request.lasting:
         return True
     if len(task.avoid) >= runners:
@@ -177,7 +180,8 @@
     return time.monotonic() - task.waiting_since_s > AVOID_PATIENCE_S
 
 
-def _suits(step: StepRun, runner: RunnerState) -> bool:
+def suits(step: StepRun, runner: RunnerState) -> bool:
+    """Whether a runner has the label that a step requires."""
     needs = step.request.requires
     return not needs or needs in runner.labels
 
--- a/src/streamthread/scheduler/tests/test_progress.py
+++ b/src/streamthread/scheduler/tests/test_progress.py
@@ -132,6 +132,14 @@
         assert not pool.engine.watch_progress()
         assert pool.engine.take_stops() == []
 
+    def test_do_not_happen_where_the_others_lack_the_label(self) -> None:
+        pool = _Pool(requires="a")
+        for runner in pool.engine.runners.values():
+            if runner.runner_id != pool.first.runner_id:
+                runner.labels = ("b", "r")
+        pool.stand_still()
+        assert not pool.engine.watch_progress()
+
 
 class TestCopies:
     def test_run_beside_what_a_silent_runner_has(self) -> None:
@@ -144,6 +152,18 @@
         assert pool.first.task.attempts == [pool.first, copy]
         assert pool.place() == []
 
+    def test_never_run_on_the_runner_of_the_first_run(self) -> None:
+        pool = _Pool(speculative=True)
+        other = next(r for r in pool.engine.runners if r != pool.first.runner_id)
+        pool.engine.runners[other].ready = False
+        pool.stand_still()
+        assert pool.engine.watch_progress()
+        pool.first.task.waiting_since_s -= 60.0
+        assert pool.place() == []
+        pool.engine.runners[other].ready = True
+        (copy,) = pool.place()
+        assert copy.runner_id == other
+
     def test_are_not_made_where_the_step_does_not_allow_it(self) -> None:
         pool = _Pool()
         pool.engine.runners[pool.first.runner_id].ready = False
--- a/tests/cell/test_jobs.py
+++ b/tests/cell/test_jobs.py
@@ -81,6 +81,8 @@
             caller = cell.caller()
             await caller.submit("1" * 16, job(run_s=0.5, cpu=16000))
             await caller.submit("2" * 16, job(run_s=0.1, cpu=16000))
+            # A job has begun once its runner's answer to the start has come.
+            await caller.until_state("1" * 16, "running")
             _, answer, _ = await caller.call("GET")
             assert answer == {"pending": 1}
             await caller.until_state("2" * 16, "completed")
