Order machines once the earlier holder has surely stopped

Cause: a new holder ordered no machine for three seconds (the lease bound) unless the old one's port was closed, and moved none for one second more.

Hypothesis: what has to be waited for is the last order that the old holder may send, and that is known better than by a fixed time. It orders only while it relies on a confirmed commit, and each commit changes the head row. A beat that tells of doubt now names the head row's version; the take-over requires it, so that the holder was never sure again since. A silent holder's trust is counted from the first look at its standing head row. A runner that was not heard yet counts as arriving instead of stopping all moves for a second.

Ruled out: treating each doubtful holder as gone (1.8 s from the take-over): right, but it waits for trust that the beat shows to be over.

--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -54,7 +54,8 @@
     as they are then. A holder that lost the cell learns it here.
 
     :param token: the holder's fencing token.
-    :param head_version: the head row's version after the take-over.
+    :param head_version: the head row's version after the last confirmed commit; at
+        first, after the take-over.
     :param interval_s: a commit is made at least this often, to renew the lease.
     """
 
@@ -70,7 +71,7 @@
         self._store = store
         self._part = part
         self._token = token
-        self._head_version = head_version
+        self.head_version = head_version
         self._interval_s = interval_s
         self._dirty: collections.OrderedDict[tuple[str, str], Encode] = (
             collections.OrderedDict()
@@ -187,7 +188,7 @@
             began_at_s = time.monotonic()
             version = await self._try(batch, nonces)
             if version:
-                self._head_version = version
+                self.head_version = version
                 self.confirmed_at_s = began_at_s
                 self.failing_since_s = None
                 self.trying_since_s = None
@@ -207,7 +208,7 @@
         head = StoredRow(
             TABLE_HEAD, self._part, HEAD_KEY, Head(nonce, self._token).encode()
         )
-        condition = Condition(TABLE_HEAD, self._part, HEAD_KEY, self._head_version)
+        condition = Condition(TABLE_HEAD, self._part, HEAD_KEY, self.head_version)
         try:
             nonces.add(nonce)
             result = await self._store.transact(
@@ -230,7 +231,7 @@
         row = next((row for row in page.rows if row.key == HEAD_KEY), None)
         if row is None or row.value is None:
             raise _not_holder("the head row is gone")
-        if row.version == self._head_version:
+        if row.version == self.head_version:
             return 0
         if Head.decode(row.value).nonce in nonces:
             return row.version
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -1,6 +1,7 @@
 """Who holds the cell: taking it over, following its holder, giving it up."""
 
 import asyncio
+import math
 import random
 import time
 import typing as t
@@ -31,6 +32,7 @@
 from .rows import OWNER_KEY
 from .rows import TABLE_HEAD
 from .rows import TABLE_OWNER
+from .takeover import Standstill
 from .takeover import Suspicion
 from .takeover import TakenCell
 from .times import LeaseTimes
@@ -58,6 +60,9 @@
 HEAD_POLL_S = 0.25
 """Between two looks at a silent holder's commits: each is a read of the store."""
 
+NOBODY_BEFORE = (Suspicion.VACANT, Suspicion.OWN_EARLIER_LIFE)
+"""No other daemon can still order anything."""
+
 REFUSED_PAUSE_S = 0.1
 """Pause after the store refused a take-over, or the read before it."""
 
@@ -101,6 +106,7 @@
         self._owner_version = ABSENT
         self._told: tuple[Suspicion, Owner | None] = (Suspicion.NONE, None)
         self._suspected_at_s = 0.0
+        self._standstill: Standstill | None = None
         self._changed = asyncio.Event()
         self._known = asyncio.Event()
         self.owner: Owner | None = None
@@ -222,6 +228,7 @@
 
     async def _suspect(self) -> Suspicion:
         owner = self.owner
+        self._standstill = None
         if owner is None:
             return Suspicion.VACANT
         if owner.released:
@@ -237,7 +244,8 @@
             return await self._confirm_gone(owner)
         except HolderSilentError:
             return await self._confirm_silent()
-        except HolderDoubtfulError:
+        except HolderDoubtfulError as error:
+            self._standstill = Standstill(error.head_version, time.monotonic())
             return Suspicion.DOUBTFUL
 
     async def _confirm_gone(self, owner: Owner) -> Suspicion:
@@ -260,6 +268,8 @@
             if version != first:
                 return Suspicion.NONE
             if asked_at_s - since_s >= self.times.silence_s:
+                alone_at_s = since_s + self.times.trust_over_s
+                self._standstill = Standstill(first, alone_at_s)
                 return Suspicion.SILENT
         return Suspicion.NONE
 
@@ -297,11 +307,34 @@
         token = (owner.token if owner else 0) + 1
         mine = Owner(self._daemon_id, self._incarnation, self.address, token)
         began_at_s = time.monotonic()
-        version = await self._write_owner(mine, seen_version)
+        standstill = self._standstill
+        version = await self._write_owner(mine, seen_version, standstill)
+        if version is None and standstill is not None:
+            # It has committed since, or its last commit was never confirmed to it.
+            standstill = None
+            began_at_s = time.monotonic()
+            version = await self._write_owner(mine, seen_version)
         if version is None:
             return None
         self._note_taken(mine, version, suspicion, owner)
-        return TakenCell(mine, version, began_at_s, suspicion)
+        alone_at_s = self._alone_at_s(suspicion, standstill, began_at_s)
+        return TakenCell(mine, version, began_at_s, suspicion, alone_at_s)
+
+    def _alone_at_s(
+        self, suspicion: Suspicion, standstill: Standstill | None, taken_at_s: float
+    ) -> float:
+        """Return from when on no earlier holder sends an order.
+
+        Its commits end with the take-over, so that its trust in the last of them
+        bounds what it orders, unless we know better.
+        """
+        if suspicion in NOBODY_BEFORE:
+            return -math.inf
+        if suspicion is Suspicion.RELEASED:
+            return taken_at_s
+        if standstill is not None:
+            return standstill.alone_at_s
+        return taken_at_s + self.times.trust_over_s
 
     def _note_taken(
         self, mine: Owner, version: int, suspicion: Suspicion, before: Owner | None
@@ -347,21 +380,27 @@
             self._adopt(row)
         return True
 
-    async def _write_owner(self, owner: Owner, seen_version: int) -> int | None:
+    async def _write_owner(
+        self, owner: Owner, seen_version: int, standstill: Standstill | None = None
+    ) -> int | None:
         """Return the rows' version, or None where another daemon has it.
 
         The head row is replaced too, which ends all commits from before.
 
         :param seen_version: of the owner row on which this was decided.
+        :param standstill: require that the head row has not changed since.
         """
         head = Head(new_nonce(), owner.token)
-        condition = Condition(TABLE_OWNER, self._part, OWNER_KEY, seen_version)
+        conditions = [Condition(TABLE_OWNER, self._part, OWNER_KEY, seen_version)]
+        if standstill is not None:
+            version = standstill.head_version
+            conditions.append(Condition(TABLE_HEAD, self._part, HEAD_KEY, version))
         puts = [
             StoredRow(TABLE_OWNER, self._part, OWNER_KEY, owner.encode()),
             StoredRow(TABLE_HEAD, self._part, HEAD_KEY, head.encode()),
         ]
         try:
-            result = await self._store.transact([condition], puts)
+            result = await self._store.transact(conditions, puts)
             if result.committed:
                 return result.version
         except StoreUnavailableError:
--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -43,7 +43,14 @@
 
 
 class HolderDoubtfulError(Exception):
-    """The holder says that it cannot commit."""
+    """The holder says that it cannot commit.
+
+    :param head_version: the head row's version after its last confirmed commit.
+    """
+
+    def __init__(self, head_version: int) -> None:
+        super().__init__("the holder cannot commit")
+        self.head_version = head_version
 
 
 class HolderSilentError(Exception):
@@ -251,7 +258,7 @@
                     if beat is None or beat.token < token:
                         return
                     if beat.doubtful:
-                        raise HolderDoubtfulError
+                        raise HolderDoubtfulError(beat.head_version)
         except TimeoutError as error:
             self._drop(address)
             raise HolderSilentError from error
--- a/src/streamthread/cell/takeover.py
+++ b/src/streamthread/cell/takeover.py
@@ -6,7 +6,7 @@
 
 from .rows import Owner
 
-__all__ = ["Suspicion", "TakenCell"]
+__all__ = ["Standstill", "Suspicion", "TakenCell"]
 
 
 class Suspicion(enum.Enum):
@@ -21,6 +21,21 @@
     DOUBTFUL = "doubtful"
 
 
+@attrs.frozen
+class Standstill:
+    """Since when a holder orders nothing, unless it has committed again.
+
+    A holder relies on its commits, and each of them changes the head row: one that
+    had ceased to rely on the last of them stays silent while that row stands still.
+
+    :param head_version: of the head row, which the take-over requires.
+    :param alone_at_s: on the monotonic clock: no order leaves that holder later.
+    """
+
+    head_version: int
+    alone_at_s: float
+
+
 @attrs.frozen
 class TakenCell:
     """What a new holder begins with.
@@ -28,9 +43,11 @@
     :param head_version: the head row's version after the take-over.
     :param taken_at_s: on the monotonic clock: when the take-over was sent.
     :param why: what was known of the holder before.
+    :param alone_at_s: on the monotonic clock: no earlier holder sends an order later.
     """
 
     owner: Owner
     head_version: int
     taken_at_s: float
     why: Suspicion
+    alone_at_s: float
--- a/src/streamthread/cell/tests/test_lease.py
+++ b/src/streamthread/cell/tests/test_lease.py
@@ -1,9 +1,13 @@
 """Two daemons that want the cell at one time: one gets it."""
 
 import asyncio
+import math
 import time
 import typing as t
 
+import attrs
+import pytest
+
 from streamthread.cell import CellLease
 from streamthread.cell import LeaseTimes
 from streamthread.cell import Suspicion
@@ -13,6 +17,7 @@
 from streamthread.cell.rows import OWNER_KEY
 from streamthread.cell.rows import TABLE_HEAD
 from streamthread.cell.rows import TABLE_OWNER
+from streamthread.cell.takeover import Standstill
 from streamthread.platform.store import ABSENT
 from streamthread.platform.store import Condition
 from streamthread.platform.store import Page
@@ -135,3 +140,61 @@
         assert store.rows[TABLE_OWNER, OWNER_KEY].value == faster.encode()
         await asyncio.sleep(0)
         assert lease.owner == faster
+
+
+class TestAloneAt:
+    """From when on no earlier holder sends an order to a machine."""
+
+    @staticmethod
+    def _heard(store: _Store, head_version: int) -> CellLease:
+        lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
+        lease._standstill = Standstill(head_version, alone_at_s=5.0)
+        return lease
+
+    async def test_is_when_a_holder_said_that_it_cannot_commit(self) -> None:
+        store = _Store()
+        lease = self._heard(store, store.rows[TABLE_HEAD, HEAD_KEY].version)
+        taken = await lease._take(Suspicion.DOUBTFUL)
+        assert taken is not None
+        assert taken.alone_at_s == 5.0
+
+    async def test_outlasts_the_trust_in_a_commit_that_was_made_since(self) -> None:
+        store = _Store()
+        lease = self._heard(store, store.rows[TABLE_HEAD, HEAD_KEY].version)
+        store.put(TABLE_HEAD, HEAD_KEY, Head("later", 1).encode())
+        began_at_s = time.monotonic()
+        taken = await lease._take(Suspicion.DOUBTFUL)
+        assert taken is not None
+        assert taken.alone_at_s >= began_at_s + lease.times.trust_s
+
+    @pytest.mark.parametrize("why", [Suspicion.PROCESS_GONE, Suspicion.SILENT])
+    async def test_outlasts_the_trust_of_a_holder_that_said_nothing(
+        self, why: Suspicion
+    ) -> None:
+        lease = _lease(_Store(), _Peers(sure=False, meanwhile=lambda: None))
+        began_at_s = time.monotonic()
+        taken = await lease._take(why)
+        assert taken is not None
+        assert taken.alone_at_s >= began_at_s + lease.times.trust_s
+
+    async def test_is_the_take_over_where_the_holder_released_the_cell(self) -> None:
+        lease = _lease(_Store(), _Peers(sure=False, meanwhile=lambda: None))
+        taken = await lease._take(Suspicion.RELEASED)
+        assert taken is not None
+        assert taken.alone_at_s == taken.taken_at_s
+
+    async def test_is_always_where_nobody_held_the_cell(self) -> None:
+        lease = _lease(_Store(), _Peers(sure=False, meanwhile=lambda: None))
+        taken = await lease._take(Suspicion.OWN_EARLIER_LIFE)
+        assert taken is not None
+        assert taken.alone_at_s == -math.inf
+
+    async def test_counts_from_the_standstill_of_a_silent_holder(self) -> None:
+        store = _Store()
+        lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
+        began_at_s = time.monotonic()
+        lease.times = attrs.evolve(lease.times, silence_s=0.3)
+        assert await lease._confirm_silent() is Suspicion.SILENT
+        taken = await lease._take(Suspicion.SILENT)
+        assert taken is not None
+        assert taken.alone_at_s < began_at_s + lease.times.trust_over_s + 0.2
--- a/src/streamthread/cell/times.py
+++ b/src/streamthread/cell/times.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from ..clocks import SLOWEST_CLOCK
+
 __all__ = ["LeaseTimes"]
 
 
@@ -48,3 +50,8 @@
     slow_patience_s: float = 3.0
     feed_wait_s: float = 10.0
     retry_s: float = 0.2
+
+    @property
+    def trust_over_s(self) -> float:
+        """After so long no holder relies on a commit, on whatever clock."""
+        return self.trust_s / SLOWEST_CLOCK
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -86,16 +86,21 @@
     known = DutySettings()
     most_moves = int(node.duties_per_s * known.tick_s * MOVES_BURST)
     capacity = attrs.evolve(known.capacity, most_moves=max(1, most_moves))
-    return attrs.evolve(known, lease_s=node.bounds.lease_s, capacity=capacity)
+    return attrs.evolve(known, capacity=capacity)
 
 
 class CellDaemon(Service):
-    """One daemon: serves callers, follows the holder, holds the cell in turn."""
+    """One daemon: serves callers, follows the holder, holds the cell in turn.
 
-    def __init__(self, node: NodeSettings) -> None:
+    :param settings: else the figures that follow from the platform's bounds.
+    """
+
+    def __init__(
+        self, node: NodeSettings, settings: CellSettings | None = None
+    ) -> None:
         super().__init__()
         self.node = node
-        self.settings = cell_settings(node)
+        self.settings = settings or cell_settings(node)
         address = f"{node.ip}:{node.peer_ports[0]}"
         self.store = RowStore(node.store.address, STORE_ANSWER_S)
         self.runner_client = RunnerClient()
@@ -210,6 +215,7 @@
             token=self.holder.token,
             sequence=self.holder.log.sequence,
             doubtful=self.holder.doubtful,
+            head_version=self.holder.log.head_version,
         )
 
     def _announced(self, announcement: pb.Announcement) -> pb.Announcement:
--- a/src/streamthread/holder/context.py
+++ b/src/streamthread/holder/context.py
@@ -36,11 +36,8 @@
     :param tick_s: decisions are made this often.
     :param settle_s: an unanswered duty is taken as not done only when the list
         shows no trace of it after so long.
-    :param lease_s: a new holder orders nothing sooner, since the cloud does not
-        refuse an earlier holder's late orders; where that holder has surely stopped,
-        its last trust is waited for, or nothing at all.
-    :param learn_s: no machine moves sooner after a take-over: until then it is
-        not known what runs where.
+    :param learn_s: a runner that a new holder has not heard yet counts as arriving
+        for so long; one that is well answers within some 0.1 s.
     :param arrive_s: a machine that is up may take so long until its runner is
         listed.
     """
@@ -48,7 +45,6 @@
     list_s: float = 0.5
     tick_s: float = 0.1
     settle_s: float = 4.0
-    lease_s: float = 3.0
     arrive_s: float = 3.0
     learn_s: float = 1.0
     capacity: CapacitySettings = attrs.field(factory=CapacitySettings)
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -10,7 +10,6 @@
 from ..capacity import Move
 from ..capacity import plan_moves
 from ..capacity import PoolView
-from ..cell import Suspicion
 from ..errors import OutcomeUnknownError
 from ..errors import StreamthreadError
 from ..platform.cloud import CloudClient
@@ -18,7 +17,6 @@
 from ..platform.cloud import Machine
 from ..platform.documents import Pool
 from ..platform.documents import Wave
-from ..runners import SLOWEST_CLOCK
 from .context import DutySettings
 from .machines import DutyKind
 from .machines import MachineTable
@@ -32,32 +30,20 @@
 
 log = logbook.Logger("streamthread.duties")
 
-NOBODY_BEFORE = (Suspicion.VACANT, Suspicion.OWN_EARLIER_LIFE)
-"""Nobody else can still order anything."""
-
-SURELY_STOPPED = (Suspicion.PROCESS_GONE, Suspicion.RELEASED)
-"""The earlier holder orders no more, but for what its last trust allowed."""
-
 ORDER_FLIGHT_S = 0.5
 """An order that was sent has reached the cloud by then: a call takes 5 ms, and 0.25 s
 while the cloud is 50 times slower."""
 
 
-def quiet_time_s(why: Suspicion, lease_s: float, trust_s: float) -> float:
-    """Return how long after a take-over nothing is ordered from the cloud.
+def quiet_time_s(alone_at_s: float, now_s: float) -> float:
+    """Return for how long an earlier holder's orders may still reach the cloud.
 
-    The cloud does not refuse an earlier holder's late orders. A holder orders nothing
-    once its trust in its last commit is over, and the take-over has ended its commits.
+    The cloud does not refuse them.
 
-    :param why: what was known of the holder before.
-    :param lease_s: two holders that are both well stay so far apart.
-    :param trust_s: a holder relies on a confirmed commit for this long.
+    :param alone_at_s: on the monotonic clock: no such order is sent later.
+    :param now_s: on the same clock.
     """
-    if why in NOBODY_BEFORE:
-        return 0.0
-    if why in SURELY_STOPPED:
-        return min(lease_s, trust_s / SLOWEST_CLOCK + ORDER_FLIGHT_S)
-    return lease_s
+    return max(0.0, alone_at_s + ORDER_FLIGHT_S - now_s)
 
 
 class DutyLoop:
@@ -79,27 +65,21 @@
         self._sizes = PoolSizes(owner.engine, settings.capacity)
         self._book = WaveBook(owner, settings.tick_s)
         self._waves = WaveWork(owner, self._book, self._table, settings.upkeep)
-        self._began_at_s = time.monotonic()
         self.moves = 0
         self.upkeeps = 0
 
     async def run(self) -> None:
         """Do the duties until the cell is lost."""
         await self._book.restore()
-        await asyncio.sleep(self._until_alone_s())
+        await asyncio.sleep(
+            quiet_time_s(self._owner.taken.alone_at_s, time.monotonic())
+        )
         while True:
             await self._owner.until_trusted()
             if await self._table.refresh():
                 self._decide()
             await asyncio.sleep(self._settings.tick_s)
 
-    def _until_alone_s(self) -> float:
-        """Return for how long an earlier holder's orders may still reach the cloud."""
-        taken = self._owner.taken
-        times = self._owner.context.settings.times
-        quiet_s = quiet_time_s(taken.why, self._settings.lease_s, times.trust_s)
-        return max(0.0, taken.taken_at_s + quiet_s - time.monotonic())
-
     def note_job(self, service: str, work: float, at_s: float) -> None:
         """Count a job's work among a pool's arrivals.
 
@@ -133,8 +113,7 @@
                 self._waves.empty(plan.empty)
         self._waves.end_round()
         self._sizes.tell(targets, views.values())
-        if time.monotonic() - self._began_at_s >= self._settings.learn_s:
-            self._decide_moves(pools, targets, views)
+        self._decide_moves(pools, targets, views)
 
     def _decide_moves(
         self,
@@ -233,7 +212,7 @@
     ) -> None:
         """Send an order, unless the machine got something to do meanwhile."""
         await self._owner.until_trusted()
-        if not self._table.may_send(machine, pending):
+        if self._owner.releasing or not self._table.may_send(machine, pending):
             self._table.drop(machine, pending, "no longer free")
             return
         pending.sent_at_s = time.monotonic()
--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -193,9 +193,8 @@
         usable = up and runner is not None and runner.usable()
         idle = usable and runner is not None and runner.idle
         off = self.is_spare(machine.pool)
-        if up and runner is None and not off:
-            up_for_s = now_s - self._up_since_s.get(machine.machine_id, now_s)
-            arriving = up_for_s < self._settings.arrive_s
+        if up and not off and (runner is None or not runner.heard):
+            arriving = self._is_arriving(machine, runner, now_s)
         else:
             moving = machine.state is MachineState.MOVING
             arriving = not usable and (pending is not None or moving)
@@ -212,6 +211,14 @@
             due=due,
         )
 
+    def _is_arriving(
+        self, machine: Machine, runner: RunnerState | None, now_s: float
+    ) -> bool:
+        """Whether a machine that is up will most likely be of use soon."""
+        settings = self._settings
+        limit_s = settings.arrive_s if runner is None else settings.learn_s
+        return now_s - self._up_since_s.get(machine.machine_id, now_s) < limit_s
+
     def _idle_for_s(self, machine_id: str, idle: bool, now_s: float) -> float:
         if not idle:
             self._idle_since_s[machine_id] = now_s
--- a/src/streamthread/platform/node.py
+++ b/src/streamthread/platform/node.py
@@ -32,7 +32,6 @@
     :param notice_s: a lasting task not at work for longer counts as away.
     :param move_s: a machine's move takes this.
     :param upkeep_s: a machine's upkeep takes this.
-    :param lease_s: two holders must not order the same machine within this.
     :param harm_s: a lasting task over its target for longer counts as harmed.
     :param early_s: a job's time may begin so much before it falls due.
     """
@@ -43,7 +42,6 @@
     notice_s: float = 4.5
     move_s: float = 1.5
     upkeep_s: float = 2.0
-    lease_s: float = 3.0
     harm_s: float = 4.0
     early_s: float = 0.25
 
@@ -222,7 +220,6 @@
         notice_s=milliseconds("notice_ms", known.notice_s),
         move_s=seconds("move_s", known.move_s),
         upkeep_s=seconds("upkeep_s", known.upkeep_s),
-        lease_s=milliseconds("leaseMs", known.lease_s),
         harm_s=milliseconds("harm_ms", known.harm_s),
         early_s=milliseconds("early_ms", known.early_s),
     )
--- a/src/streamthread/runners/clock.py
+++ b/src/streamthread/runners/clock.py
@@ -2,10 +2,9 @@
 
 import attrs
 
-__all__ = ["SLOWEST_CLOCK", "RunnerClock"]
+from ..clocks import SLOWEST_CLOCK
 
-SLOWEST_CLOCK = 0.98
-"""A runner's steady clock may run 2% slow (the users' pages)."""
+__all__ = ["RunnerClock"]
 
 
 @attrs.define
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -8,6 +8,7 @@
 import attrs
 import logbook
 
+from ..clocks import SLOWEST_CLOCK
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..platform.runners import HoldReply
@@ -16,7 +17,6 @@
 from ..platform.runners import RunnerClient
 from ..scheduler.fleet import RunnerState
 from .clock import RunnerClock
-from .clock import SLOWEST_CLOCK
 
 __all__ = ["LinkOwner", "LinkSettings", "RunnerLink"]
 
@@ -186,6 +186,7 @@
     async def _on_reply(self, reply: HoldReply) -> None:
         now_s = time.monotonic()
         self.heard_at_s = now_s
+        self.runner.heard = True
         first = not self.clock.known
         self.clock.sync(reply.clock_ms, now_s)
         if first:
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -16,6 +16,8 @@
     """One life of a runner, with the room that its attempts take.
 
     :param ready: it may get new tasks: heard lately, held, not draining.
+    :param heard: it has answered a call of this holder, so that it is known what
+        runs there.
     :param reserved: a move or an upkeep was ordered for its machine.
     :param emptying: it is to be emptied, so that its machine can go into upkeep.
     :param stray_runs: runs there that no attempt of ours explains.
@@ -34,6 +36,7 @@
     machine_id: str = ""
     draining: bool = False
     ready: bool = False
+    heard: bool = False
     reserved: bool = False
     emptying: bool = False
     stray_runs: int = 0
