Set single figures of a cell from the command line

For trials and ablations a mechanism is switched off by one figure, such as `--set duties.capacity.headroom_machines=0`, without a change of the sources.

--- a/src/streamthread/gateway/main.py
+++ b/src/streamthread/gateway/main.py
@@ -12,14 +12,18 @@
 
 from ..errors import leaf_errors
 from ..errors import SettingsError
+from ..errors import StreamthreadError
+from ..holder import CellSettings
 from ..platform.node import decode_node
 from ..platform.node import FILE_VARIABLE
 from ..platform.node import NodeSettings
 from ..signals import CRASHED_STATUS
 from ..signals import until_signal
+from .daemon import cell_settings
 from .daemon import CellDaemon
 from .logs import BoundedLines
 from .logs import start_cell_logging
+from .overrides import override_settings
 
 __all__ = ["add_arguments", "main", "read_node", "run_cell"]
 
@@ -36,6 +40,13 @@
     parser.add_argument(
         "--check", action="store_true", help="only print what is wrong with it"
     )
+    parser.add_argument(
+        "--set",
+        action="append",
+        default=[],
+        metavar="PATH=VALUE",
+        help="set one of the cell's figures, for a trial; may be repeated",
+    )
 
 
 def read_node(settings: str) -> NodeSettings:
@@ -52,15 +63,18 @@
 def run_cell(arguments: argparse.Namespace) -> int:
     """Run the daemon until it is told to stop."""
     node = read_node(arguments.settings)
+    settings = override_settings(cell_settings(node), arguments.set)
     if arguments.check:
         print(f"{node.daemon_id}: the settings are in order")
         return 0
     lines = start_cell_logging(node.daemon_id, arguments.log_level)
-    return asyncio.run(_serve(node, lines))
+    return asyncio.run(_serve(node, settings, lines))
 
 
-async def _serve(node: NodeSettings, lines: BoundedLines) -> int:
-    daemon = CellDaemon(node)
+async def _serve(
+    node: NodeSettings, settings: CellSettings, lines: BoundedLines
+) -> int:
+    daemon = CellDaemon(node, settings)
     daemon.lines_dropped = lambda: lines.dropped
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGHUP, _on_reload)
@@ -91,7 +105,10 @@
     add_arguments(parser)
     try:
         return run_cell(parser.parse_args(argv))
+    except SettingsError as mistake:
+        mistakes: list[StreamthreadError] = [mistake]
     except ExceptionGroup as group:
-        for error in leaf_errors(group):
-            print(f"{error.kind}: {error}", file=sys.stderr)
-        return BAD_INPUT_STATUS
+        mistakes = leaf_errors(group)
+    for error in mistakes:
+        print(f"{error.kind}: {error}", file=sys.stderr)
+    return BAD_INPUT_STATUS
