Read a burst's rate from its own jobs; drop the trust in the burst before and the calendar

Cause: a burst begins at its full rate, but the slow mean (2.5 s) took seconds to show it, and the forecast that made up for it was bounded at 1.6 times. And a burst that goes on after a gap was taken to bring what the one before had brought, whose rate was overstated (its work over a length of 1 s).

Hypothesis: from a burst's beginning on, the slow mean is made of its jobs alone and read as far as it is filled by then: right from the first tenths of a second on, no forecast needed. What the last burst brought says less than the present one's own jobs.

--- a/src/streamthread/capacity/__init__.py
+++ b/src/streamthread/capacity/__init__.py
@@ -1,8 +1,6 @@
 """How many machines each pool needs, and which move where."""
 
-from .bursts import Burst
 from .bursts import PoolArrivals
-from .calendar import BurstCalendar
 from .demand import pool_demand
 from .plan import CapacitySettings
 from .plan import MachineView
@@ -12,8 +10,6 @@
 from .plan import target_size
 
 __all__ = [
-    "Burst",
-    "BurstCalendar",
     "CapacitySettings",
     "MachineView",
     "Move",
--- a/src/streamthread/capacity/bursts.py
+++ b/src/streamthread/capacity/bursts.py
@@ -1,5 +1,6 @@
 """Bursts of one pool: when they begin and end, and how much work they bring."""
 
+import collections
 import math
 
 import attrs
@@ -17,16 +18,9 @@
 """The fast mean counts less so many standard deviations: a single job says nothing
 of the rate, ten jobs at once do."""
 
-BURST_SHARE_BEGUN = 0.25
-"""Of the last burst's rate: less is taken as the arrivals between two bursts."""
-
 BURST_SHARE_ENDED = 0.15
 """A burst is over once arrivals have fallen to this share of its own rate."""
 
-MOST_RISE = 1.6
-"""A forecast is this many times the present rate at most: a burst that begins at
-once looks like one that would rise on and on."""
-
 LEAST_BURST_S = 1.0
 """A burst's rate is its work over its length, or over this time if that is more."""
 
@@ -63,6 +57,10 @@
         """Return the part of the rate that is not owed to a few large jobs."""
         return max(0.0, self.value(now_s) - self.doubt(now_s))
 
+    def filled(self, for_s: float) -> float:
+        """Return the share of a steady rate that the mean shows after a time."""
+        return 1.0 - math.exp(-for_s / self.span_s)
+
     def _decay(self, now_s: float) -> None:
         kept = self._kept(now_s)
         self._mean *= kept
@@ -73,6 +71,14 @@
         return math.exp(-max(0.0, now_s - self._at_s) / self.span_s)
 
 
+@attrs.frozen
+class Arrival:
+    """One job's work, in thousandths of a core times seconds, and when it came."""
+
+    at_s: float
+    cpu_s: float
+
+
 @attrs.define
 class Burst:
     """Arrivals that came close together.
@@ -96,14 +102,16 @@
 class PoolArrivals:
     """One pool's arrivals, and the bursts among them.
 
+    A burst begins at once, at its full rate: from its beginning on the slow mean is
+    made of its jobs alone, and read as far as it is filled by then.
+
     :param present: the burst that is under way, or None.
-    :param before: the last burst that is over, or None.
     """
 
     present: Burst | None = None
-    before: Burst | None = None
     _fast: ArrivalRate = attrs.field(factory=lambda: ArrivalRate(FAST_SPAN_S))
     _slow: ArrivalRate = attrs.field(factory=lambda: ArrivalRate(SLOW_SPAN_S))
+    _latest: collections.deque[Arrival] = attrs.field(factory=collections.deque)
 
     def add(self, cpu_s: float, now_s: float, least_rate: float) -> Burst | None:
         """Take a job's work; return the burst that begins with it, if one does.
@@ -111,20 +119,32 @@
         :param least_rate: thousandths of a core; fewer arrivals are no burst.
         """
         self.settle(now_s)
+        self._remember(Arrival(now_s, cpu_s))
         self._fast.add(cpu_s, now_s)
         self._slow.add(cpu_s, now_s)
-        begins = self.present is None and self._is_burst(now_s, least_rate)
-        if begins:
-            self.present = Burst(now_s, now_s)
         if self.present is not None:
             self.present.work += cpu_s
             self.present.last_at_s = now_s
-        return self.present if begins else None
-
-    def _is_burst(self, now_s: float, least_rate: float) -> bool:
-        if self.before is not None:
-            least_rate = max(least_rate, BURST_SHARE_BEGUN * self.before.rate)
-        return self._fast.sure_value(now_s) > least_rate
+            return None
+        if self._fast.sure_value(now_s) <= least_rate:
+            return None
+        self.present = self._begin()
+        return self.present
+
+    def _remember(self, arrival: Arrival) -> None:
+        """Keep the arrivals that the fast mean is made of."""
+        self._latest.append(arrival)
+        while self._latest[0].at_s < arrival.at_s - FAST_SPAN_S:
+            self._latest.popleft()
+
+    def _begin(self) -> Burst:
+        """Return a burst of the latest arrivals, and fill the slow mean from them."""
+        first, last = self._latest[0], self._latest[-1]
+        self._slow = ArrivalRate(SLOW_SPAN_S)
+        for arrival in self._latest:
+            self._slow.add(arrival.cpu_s, arrival.at_s)
+        work = sum(arrival.cpu_s for arrival in self._latest)
+        return Burst(first.at_s, last.at_s, work)
 
     def settle(self, now_s: float) -> None:
         """Close the present burst once its arrivals have ceased."""
@@ -132,7 +152,7 @@
         if burst is None:
             return
         if self._fast.value(now_s) < BURST_SHARE_ENDED * burst.rate:
-            self.before, self.present = burst, None
+            self.present = None
 
     def rate(self, now_s: float) -> float:
         """Return the room that arriving work takes: thousandths of a core.
@@ -141,16 +161,11 @@
         """
         fast = self._fast.value(now_s)
         doubt = self._fast.doubt(now_s)
-        return min(max(self._slow.value(now_s), fast - doubt), fast + doubt)
-
-    def forecast(self, now_s: float, ahead_s: float) -> float:
-        """Return the rate in a while, if it goes on to rise as it does now.
-
-        :param ahead_s: the time that it takes to have more room.
-        """
-        rate = self.rate(now_s)
-        risen = self._fast.sure_value(now_s) - self._slow.value(now_s)
-        if risen <= 0:
-            return rate
-        slope = risen / (self._slow.span_s - self._fast.span_s)
-        return min(rate + slope * (ahead_s + self._fast.span_s), rate * MOST_RISE)
+        return min(max(self._slow_rate(now_s), fast - doubt), fast + doubt)
+
+    def _slow_rate(self, now_s: float) -> float:
+        mean = self._slow.value(now_s)
+        if self.present is None:
+            return mean
+        begun_for_s = max(FAST_SPAN_S, now_s - self.present.began_at_s)
+        return mean / self._slow.filled(begun_for_s)
--- a/src/streamthread/capacity/plan.py
+++ b/src/streamthread/capacity/plan.py
@@ -6,7 +6,6 @@
 
 import attrs
 
-from .calendar import CalendarSettings
 from .demand import Demand
 
 __all__ = [
@@ -43,9 +42,6 @@
     :param cold_leave_s: then they leave one after the other over this time. Those on
         their way are away for 1.5 s, and that is when the first burst is seen.
     :param burst_machines: arrivals that need fewer machines are no burst.
-    :param burst_trust_s: a burst is taken to bring as much as the one before it
-        for so long; then its own arrivals tell.
-    :param calendar: how expected bursts are prepared for.
     """
 
     least_machines: int = 2
@@ -57,8 +53,6 @@
     cold_s: float = 30.0
     cold_leave_s: float = 3.0
     burst_machines: float = 1.0
-    burst_trust_s: float = 2.0
-    calendar: CalendarSettings = attrs.field(factory=CalendarSettings)
 
 
 @attrs.frozen
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -8,8 +8,6 @@
 import attrs
 import logbook
 
-from ..capacity import Burst
-from ..capacity import BurstCalendar
 from ..capacity import CapacitySettings
 from ..capacity import MachineView
 from ..capacity import pool_demand
@@ -43,7 +41,6 @@
         self._engine = engine
         self._settings = settings
         self._arrivals: dict[str, PoolArrivals] = {}
-        self._calendar = BurstCalendar(settings.calendar)
         self._machine_cpu = 0
         self._early: list[_EarlyJob] = []
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
@@ -69,17 +66,9 @@
             self._first_job_at_s = at_s
         arrivals = self._arrivals.setdefault(service, PoolArrivals())
         least_rate = self._settings.burst_machines * self._machine_cpu
-        burst = arrivals.add(work, at_s, least_rate)
-        if burst is not None:
-            self._calendar.note(service, at_s)
-            log.info(
-                "burst-begins",
-                extra={
-                    "pool": service,
-                    "cpu": round(arrivals.rate(at_s)),
-                    "cpu_before": round(_rate(arrivals.before)),
-                },
-            )
+        if arrivals.add(work, at_s, least_rate) is not None:
+            cpu = round(arrivals.rate(at_s))
+            log.info("burst-begins", extra={"pool": service, "cpu": cpu})
 
     def _learn_machine_size(self, views: t.Iterable[MachineView]) -> None:
         """Take the smallest machine as a burst's measure, then the early jobs."""
@@ -156,23 +145,12 @@
         return wanted
 
     def _arriving_cpu(self, pool: str, now_s: float) -> float:
-        """Return the thousandths of a core that arriving work takes, or soon will.
-
-        A burst that has begun, or is expected, is taken to bring as much as the
-        pool's last one.
-        """
+        """Return the thousandths of a core that arriving work takes."""
         arrivals = self._arrivals.get(pool)
         if arrivals is None:
             return 0.0
         arrivals.settle(now_s)
-        rate = arrivals.forecast(now_s, self._settings.calendar.ahead_s)
-        present = arrivals.present
-        begins = present is not None and (
-            now_s - present.began_at_s < self._settings.burst_trust_s
-        )
-        if begins or self._calendar.is_expected(pool, now_s):
-            return max(rate, _rate(arrivals.before))
-        return rate
+        return arrivals.rate(now_s)
 
     def tell(self, targets: dict[str, int], views: t.Collection[MachineView]) -> None:
         """Log once a second how many machines each pool has and should have."""
@@ -192,10 +170,6 @@
         log.info("pool-sizes", extra={"sizes": sizes})
 
 
-def _rate(burst: Burst | None) -> float:
-    return burst.rate if burst is not None else 0.0
-
-
 def _lasting_cpu(jobs: t.Iterable[Job]) -> float:
     """Return the thousandths of a core that lasting tasks take all the time."""
     return float(
