Look up what an unanswered write did instead of waiting for its answer

Cause: a commit without an answer was given up after 1.2 s, though answers take 7 ms; nothing is started or accepted meanwhile, followers doubt the holder and take the cell.

Hypothesis: a commit is conditional on the head row, so that looking its effect up is safe at any moment. Once the answer is overdue by what was observed (as TCP estimates round trips), the row is read beside the write: an effect ends the wait; a write without one, though the store answers reads in time, went into a dead connection and is made anew; a store that is slow for all is waited for. Take-overs are written in the same way. A channel that falls silent for good costs one look, too.

--- /dev/null
+++ b/src/streamthread/cell/answers.py
@@ -0,0 +1,116 @@
+"""Writes whose answer does not come: what they did is looked up meanwhile."""
+
+import asyncio
+import time
+import typing as t
+
+import attrs
+
+from ..errors import OutcomeUnknownError
+from ..platform.store import TransactResult
+
+__all__ = ["AnswerTimes", "Look", "version_written"]
+
+Look = t.Callable[[], t.Awaitable[int | None]]
+"""Reads back whether a write has taken effect: the version that it made, 0 where it
+has not, None where that cannot be read now."""
+
+NEWEST_SHARE = 0.125
+"""Of the newest answer in the mean, as in TCP's estimate of round trips (RFC 6298)."""
+
+DEVIATION_SHARE = 0.25
+"""The same of the newest deviation."""
+
+DEVIATIONS = 4.0
+"""An answer that takes so many deviations longer than the mean is overdue."""
+
+LEAST_PATIENCE_S = 0.08
+"""A commit takes 7 ms; a holder that is busy gets to its answer up to 50 ms later."""
+
+MOST_PATIENCE_S = 0.6
+"""A look is made this often at least: a store 60 times slower takes 0.3 s."""
+
+OVERDUE_TIMES = 2.0
+"""A write without effect is given up after so many times the patience: in a store that
+is slow for all, a write takes twice as long as a look."""
+
+
+@attrs.define
+class AnswerTimes:
+    """How long the store's answers took lately."""
+
+    _mean_s: float = 0.0
+    _deviation_s: float = 0.0
+    _doublings: int = 0
+
+    @property
+    def patience_s(self) -> float:
+        """How long an answer may take before its effect is looked up."""
+        usual_s = self._mean_s + DEVIATIONS * self._deviation_s
+        patience_s = max(LEAST_PATIENCE_S, usual_s) * 2.0**self._doublings
+        return min(patience_s, MOST_PATIENCE_S)
+
+    def observe(self, took_s: float) -> None:
+        """Take how long an answer took."""
+        self._doublings = 0
+        off_s = abs(took_s - self._mean_s)
+        self._deviation_s += (off_s - self._deviation_s) * DEVIATION_SHARE
+        self._mean_s += (took_s - self._mean_s) * NEWEST_SHARE
+
+    def back_off(self) -> None:
+        """Wait longer next time: an answer did not come at all."""
+        if self.patience_s < MOST_PATIENCE_S:
+            self._doublings += 1
+
+
+async def version_written(
+    write: t.Awaitable[TransactResult], look: Look, times: AnswerTimes
+) -> int:
+    """Return the version that a write made, or 0 where it has not taken effect.
+
+    While its answer is overdue, its effect is looked up beside it. A write that has
+    had none, though the store answers the look in time, is given up: its connection
+    is most likely dead. It may still take effect later, if its conditions hold then.
+
+    :raises StoreUnavailableError: the store refused it; nothing was done.
+    """
+    began_at_s = time.monotonic()
+    answer = asyncio.ensure_future(write)
+    try:
+        while not await _is_done(answer, times.patience_s):
+            looked_at_s = time.monotonic()
+            version = await _look_beside(answer, look)
+            if answer.done():
+                break
+            now_s = time.monotonic()
+            quick = now_s - looked_at_s < times.patience_s
+            overdue = now_s - began_at_s > OVERDUE_TIMES * times.patience_s
+            if version or (version == 0 and quick and overdue):
+                times.back_off()
+                return version
+        result = await answer
+        times.observe(time.monotonic() - began_at_s)
+    except OutcomeUnknownError:
+        return await look() or 0
+    finally:
+        answer.cancel()
+    if result.committed:
+        return result.version
+    return await look() or 0
+
+
+async def _is_done(answer: "asyncio.Future[TransactResult]", within_s: float) -> bool:
+    await asyncio.wait((answer,), timeout=within_s)
+    return answer.done()
+
+
+async def _look_beside(
+    answer: "asyncio.Future[TransactResult]", look: Look
+) -> int | None:
+    """Look until that ends, or until the answer comes."""
+    sight = asyncio.ensure_future(look())
+    try:
+        await asyncio.wait((answer, sight), return_when=asyncio.FIRST_COMPLETED)
+        return sight.result() if sight.done() else None
+    finally:
+        sight.cancel()
--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -13,6 +13,8 @@
 from ..platform.store import Condition
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
+from .answers import AnswerTimes
+from .answers import version_written
 from .rows import Head
 from .rows import HEAD_KEY
 from .rows import new_nonce
@@ -80,6 +82,7 @@
         self._current: asyncio.Future[None] = _future()
         self._next: asyncio.Future[None] = _future()
         self._wake = asyncio.Event()
+        self._answers = AnswerTimes()
         self.confirmed_at_s = confirmed_at_s
         self.failing_since_s: float | None = None
         self.trying_since_s: float | None = None
@@ -197,7 +200,7 @@
                 if not batch.done.done():
                     batch.done.set_result(None)
                 return
-            if self.failing_since_s is None:
+            if self.failing_since_s is None and self.tried_for_s() > SLOW_COMMIT_S:
                 self.failing_since_s = began_at_s
             await asyncio.sleep(pause_s)
             pause_s = min(pause_s * 2, RETRY_MOST_S)
@@ -209,25 +212,26 @@
             TABLE_HEAD, self._part, HEAD_KEY, Head(nonce, self._token).encode()
         )
         condition = Condition(TABLE_HEAD, self._part, HEAD_KEY, self.head_version)
+        nonces.add(nonce)
+        write = self._store.transact([condition], [*batch.rows, head], batch.drops)
         try:
-            nonces.add(nonce)
-            result = await self._store.transact(
-                [condition], [*batch.rows, head], batch.drops
+            return await version_written(
+                write, lambda: self._look(nonces), self._answers
             )
         except StoreUnavailableError:
+            if self.failing_since_s is None:
+                self.failing_since_s = self.trying_since_s
             return 0
-        except OutcomeUnknownError:
-            return await self._settle(nonces)
-        if result.committed:
-            return result.version
-        return await self._settle(nonces)
-
-    async def _settle(self, nonces: set[str]) -> int:
-        """Find out whether one of our tries took effect."""
+
+    async def _look(self, nonces: set[str]) -> int | None:
+        """Find out whether one of our tries took effect.
+
+        :raises NotHolderError: another daemon has written the head row.
+        """
         try:
             page = await self._store.read(TABLE_HEAD, self._part)
         except (StoreUnavailableError, OutcomeUnknownError):
-            return 0
+            return None
         row = next((row for row in page.rows if row.key == HEAD_KEY), None)
         if row is None or row.value is None:
             raise _not_holder("the head row is gone")
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -19,6 +19,8 @@
 from ..platform.store import StoredRow
 from ..platform.table_feed import TableFeed
 from . import cell_pb2 as pb
+from .answers import AnswerTimes
+from .answers import version_written
 from .hesitation import Hesitation
 from .members import Members
 from .peer import HolderDoubtfulError
@@ -107,6 +109,7 @@
         self._told: tuple[Suspicion, Owner | None] = (Suspicion.NONE, None)
         self._suspected_at_s = 0.0
         self._standstill: Standstill | None = None
+        self._answers = AnswerTimes()
         self._changed = asyncio.Event()
         self._known = asyncio.Event()
         self.owner: Owner | None = None
@@ -185,6 +188,10 @@
             return pb.OwnerNews()
         return pb.OwnerNews(**attrs.asdict(self.owner))
 
+    def hears_holder(self) -> bool:
+        """Whether a holder that can commit has been heard just now."""
+        return self._peers.heard_within(self.times.beat_lost_s)
+
     # Following and taking over.
 
     @Service.task
@@ -399,26 +406,27 @@
             StoredRow(TABLE_OWNER, self._part, OWNER_KEY, owner.encode()),
             StoredRow(TABLE_HEAD, self._part, HEAD_KEY, head.encode()),
         ]
+        write = self._store.transact(conditions, puts)
         try:
-            result = await self._store.transact(conditions, puts)
-            if result.committed:
-                return result.version
+            version = await version_written(
+                write, lambda: self._look_at_owner(owner), self._answers
+            )
         except StoreUnavailableError:
             await asyncio.sleep(REFUSED_PAUSE_S)
             return None
-        except OutcomeUnknownError:
-            log.warning("take-over-unanswered", extra={"token": owner.token})
-        return await self._settle_owner(owner)
+        return version or None
 
-    async def _settle_owner(self, owner: Owner) -> int | None:
+    async def _look_at_owner(self, owner: Owner) -> int | None:
         """Read back whose row stands there."""
         page = await self._read(TABLE_OWNER)
-        for row in page.rows if page is not None else ():
+        if page is None:
+            return None
+        for row in page.rows:
             if row.key == OWNER_KEY and row.value is not None:
                 if Owner.decode(row.value) == owner:
                     return row.version
                 self._adopt(row)
-        return None
+        return 0
 
     async def _hold(self, taken: TakenCell) -> None:
         self.holding = True
