Accept and order machines for as long as commits are made, however slowly

Cause: a commit that took over 0.35 s counted as trouble: jobs were refused with 429 and no machine was ordered. In a store that is 60 times slower every commit takes so long.

Hypothesis: what is accepted now is durable half a second later, which the caller waits for; machines need no commit at all, only trust. A store that refuses commits is still told to callers at once.

--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -94,7 +94,7 @@
         documents = self._owner.context.documents
         if documents.manifest is None or self._owner.releasing:
             return
-        if not self._owner.trusted or self._owner.log.in_trouble():
+        if not self._owner.trusted:
             return
         pools = documents.manifest.pools.values()
         self._waves.begin_round()
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -268,7 +268,7 @@
         return await self.intake.answer(request)
 
     def _may_accept(self) -> bool:
-        return self.trusted and not self.log.in_trouble()
+        return self.trusted and self.log.failing_since_s is None
 
     def _on_accepted(self, job: Job) -> None:
         self.queue.look_soon()
