Leave nothing in the inbox while the holder is heard, and wait for its answer

Cause: in a slow store one part takes a few writes a second, in turn. Followers left what the holder had not answered within 0.4 s in the inbox, which is in the same part: their writes queued before the holder's commits, which took over a second for it, so that more was left in the inbox.

Hypothesis: the inbox is for a holder that is lost. While its beats are heard and tell of no doubt, its answer comes, and the caller waits for it; 1.6 s without a holder that is heard still end in a final answer.

--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -1,6 +1,8 @@
 """The port between daemons: calls passed on, and the holder's beats."""
 
 import asyncio
+import math
+import time
 import typing as t
 
 from grpclib.client import Channel
@@ -133,6 +135,11 @@
         self._daemon_id = daemon_id
         self.address = address
         self._channels: dict[str, Channel] = {}
+        self._beat_at_s = -math.inf
+
+    def heard_within(self, within_s: float) -> bool:
+        """Whether the last beat came so lately, and told of no doubt."""
+        return time.monotonic() - self._beat_at_s <= within_s
 
     def close(self) -> None:
         """Close all channels."""
@@ -258,7 +265,9 @@
                     if beat is None or beat.token < token:
                         return
                     if beat.doubtful:
+                        self._beat_at_s = -math.inf
                         raise HolderDoubtfulError(beat.head_version)
+                    self._beat_at_s = time.monotonic()
         except TimeoutError as error:
             self._drop(address)
             raise HolderSilentError from error
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -52,9 +52,10 @@
 
     :param hop_s: one try at the holder takes at most this.
     :param inbox_after_s: a change that no holder took for longer goes into the
-        inbox, from which the next holder takes it.
-    :param give_up_s: after so long the caller gets its final answer; it may ask
-        again, at any daemon.
+        inbox, from which the next holder takes it; not while the holder's beats are
+        heard, since the inbox's writes queue before its commits in a slow store.
+    :param give_up_s: after so long without a holder that is heard, the caller gets
+        its final answer; it may ask again, at any daemon.
     :param retry_s: pause between tries.
     """
 
@@ -89,7 +90,6 @@
         :param until_s: on the monotonic clock: when the caller stops waiting.
         """
         began_at_s = time.monotonic()
-        until_s = min(until_s, began_at_s + self._settings.give_up_s)
         inbox_at_s = began_at_s + self._settings.inbox_after_s
         changes = request.kind in (pb.SUBMIT, pb.CANCEL)
         uncertain = False
@@ -101,7 +101,7 @@
                 return reply
             uncertain = uncertain or reply.outcome == pb.UNCERTAIN
             now_s = time.monotonic()
-            if changes and now_s >= inbox_at_s and self._no_holder_here():
+            if changes and now_s >= inbox_at_s and not self._hears_holder():
                 if request.kind == pb.SUBMIT and not _is_job(request.job):
                     return _refused("the body is no job")
                 kept = await self._leave_in_inbox(request)
@@ -110,16 +110,30 @@
                 if kept is Kept.NO and not uncertain:
                     return _refused("neither a holder nor the store answers")
                 uncertain = True
-            if time.monotonic() >= until_s:
+            if self._gives_up(began_at_s, until_s):
                 break
             await asyncio.sleep(self._settings.retry_s)
         if uncertain or not changes:
             return pb.CallReply(outcome=pb.UNCERTAIN, reason="no holder answered")
         return _refused("no holder is known")
 
-    def _no_holder_here(self) -> bool:
+    def _gives_up(self, began_at_s: float, until_s: float) -> bool:
+        """Whether to answer without a holder's answer.
+
+        A holder that is heard still works on it, however slow the store is.
+        """
+        now_s = time.monotonic()
+        if now_s >= until_s:
+            return True
+        lasted_s = now_s - began_at_s
+        return lasted_s >= self._settings.give_up_s and not self._hears_holder()
+
+    def _hears_holder(self) -> bool:
+        """Whether there is a holder, here or on a peer, that does not doubt itself."""
         holder = self._holder()
-        return holder is None or not holder.active
+        if holder is not None and holder.active:
+            return True
+        return self._lease.hears_holder()
 
     async def _ask_holder(self, request: pb.CallRequest, left_s: float) -> pb.CallReply:
         """Ask the holder once; UNCERTAIN when it may have carried it out."""
--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -25,6 +25,12 @@
     holding = False
     address = "me:1"
 
+    def __init__(self, heard: bool) -> None:
+        self._heard = heard
+
+    def hears_holder(self) -> bool:
+        return self._heard
+
 
 class _Peers:
     """Answers with what a test lists, the last one for ever."""
@@ -61,13 +67,11 @@
     return StoreUnavailableError("refused", remedy="-")
 
 
-def _forwarder(peers: _Peers, store: _Store) -> Forwarder:
-    args: t.Any = (_Lease(), peers, store, "main", lambda: None, SETTINGS)
-    return Forwarder(*args)
-
-
-async def _ask(peers: _Peers, store: _Store) -> pb.CallReply:
-    return await _forwarder(peers, store).ask(SUBMIT, time.monotonic() + 3)
+async def _ask(
+    peers: _Peers, store: _Store, heard: bool = False, wait_s: float = 3.0
+) -> pb.CallReply:
+    args: t.Any = (_Lease(heard), peers, store, "main", lambda: None, SETTINGS)
+    return await Forwarder(*args).ask(SUBMIT, time.monotonic() + wait_s)
 
 
 class TestSubmit:
@@ -101,3 +105,17 @@
         reply = await _ask(_Peers(_lost()), _Store(_down()))
         assert reply.outcome == pb.UNCERTAIN
         assert time.monotonic() - began_at_s < 1.0
+
+    async def test_is_not_left_in_the_inbox_while_the_holder_is_heard(self) -> None:
+        store = _Store()
+        done = pb.CallReply(outcome=pb.OK)
+        reply = await _ask(_Peers(_lost(), _lost(), done), store, heard=True)
+        assert reply.outcome == pb.OK
+        assert not store.kept
+
+    async def test_waits_for_a_slow_holder_that_is_heard(self) -> None:
+        began_at_s = time.monotonic()
+        wait_s = 2 * SETTINGS.give_up_s
+        reply = await _ask(_Peers(_lost()), _Store(), heard=True, wait_s=wait_s)
+        assert reply.outcome == pb.UNCERTAIN
+        assert time.monotonic() - began_at_s >= wait_s
