Split the cell's lease into the owner's book, the watch and the writer

cell/lease.py held three duties in 440 lines: what is known of the owner (book.py), when its holder may be replaced (watch.py), and writing a take-over or a release (taking.py). lease.py composes them. No behaviour changed; the tests say the same of the parts.

--- /dev/null
+++ b/src/streamthread/cell/book.py
@@ -0,0 +1,147 @@
+"""What is known of the cell's owner, from the store and from peers."""
+
+import asyncio
+import typing as t
+
+import attrs
+import logbook
+
+from ..errors import OutcomeUnknownError
+from ..errors import StoreUnavailableError
+from ..platform.store import ABSENT
+from ..platform.store import Page
+from ..platform.store import RowStore
+from ..platform.store import StoredRow
+from ..platform.table_feed import TableFeed
+from . import cell_pb2 as pb
+from .rows import Owner
+from .rows import OWNER_KEY
+from .rows import TABLE_OWNER
+
+__all__ = ["OwnerBook", "read_or_none"]
+
+log = logbook.Logger("streamthread.cell")
+
+OWNER_RETRY_S = 0.2
+"""Pause after the owner row could not be read."""
+
+
+async def read_or_none(store: RowStore, table: str, part: str) -> Page | None:
+    """Read a table of one row, or return None: the store does not answer."""
+    try:
+        return await store.read(table, part)
+    except (StoreUnavailableError, OutcomeUnknownError):
+        return None
+
+
+class OwnerBook:
+    """The newest owner that this daemon has heard of.
+
+    :param changed: set when another owner is known.
+    :param known: set once the store has told of the owner, or that there is none.
+    :param version: of the owner row; behind where a peer told of the owner.
+    :param on_changed: called with each new owner.
+    """
+
+    def __init__(
+        self, store: RowStore, part: str, on_changed: t.Callable[[Owner], None]
+    ) -> None:
+        self._store = store
+        self._part = part
+        self._on_changed = on_changed
+        self.changed = asyncio.Event()
+        self.known = asyncio.Event()
+        self.version = ABSENT
+        self.owner: Owner | None = None
+
+    async def watch(self, feed_wait_s: float) -> None:
+        """Keep the owner row as the store last told it, until cancelled."""
+        feed = TableFeed(self._store, TABLE_OWNER, self._part, feed_wait_s)
+        while True:
+            try:
+                update = await feed.next()
+                for row in update.rows:
+                    if row.key == OWNER_KEY and row.part in ("", self._part):
+                        self.adopt(row)
+                self.known.set()
+            except (StoreUnavailableError, OutcomeUnknownError) as error:
+                log.warning("owner-unreadable", extra={"error": str(error)})
+                await asyncio.sleep(OWNER_RETRY_S)
+
+    async def reread(self) -> bool:
+        """Read the owner row: what we know of it may be old, or from a peer.
+
+        :return: whether the store answered.
+        """
+        page = await read_or_none(self._store, TABLE_OWNER, self._part)
+        if page is None:
+            return False
+        for row in page.rows:
+            self.adopt(row)
+        return True
+
+    async def look_for(self, owner: Owner) -> int | None:
+        """Return the version with which an owner stands in the row.
+
+        :return: 0 where another one stands there, None where it cannot be read.
+        """
+        page = await read_or_none(self._store, TABLE_OWNER, self._part)
+        if page is None:
+            return None
+        for row in page.rows:
+            if row.key == OWNER_KEY and row.value is not None:
+                if Owner.decode(row.value) == owner:
+                    return row.version
+                self.adopt(row)
+        return 0
+
+    def adopt(self, row: StoredRow) -> None:
+        """Take the owner row as it was read, unless a newer one is known."""
+        if row.version <= self.version or row.value is None:
+            return
+        self.version = row.version
+        owner = Owner.decode(row.value)
+        if owner != self.owner:
+            self._set(owner, "store")
+
+    def hear(self, news: pb.OwnerNews) -> None:
+        """Take from a peer who holds the cell, if we do not know better."""
+        known = self.owner
+        heard = Owner(
+            news.daemon_id,
+            news.incarnation,
+            news.address,
+            news.token,
+            news.released,
+            news.successor,
+        )
+        rank = (heard.token, heard.released)
+        if not heard.token or (known and rank <= (known.token, known.released)):
+            return
+        self._set(heard, "peer")
+
+    def news(self) -> pb.OwnerNews:
+        """Return what a peer should know of the owner."""
+        if self.owner is None:
+            return pb.OwnerNews()
+        return pb.OwnerNews(**attrs.asdict(self.owner))
+
+    def note_written(self, owner: Owner, version: int) -> None:
+        """Know what we wrote ourselves, before the feed tells of it."""
+        self.version = version
+        self.owner = owner
+        self.changed.set()
+
+    def _set(self, owner: Owner, source: str) -> None:
+        self.owner = owner
+        log.info(
+            "owner-known",
+            extra={
+                "owner": owner.daemon_id,
+                "token": owner.token,
+                "released": owner.released,
+                "source": source,
+            },
+        )
+        self.changed.set()
+        self._on_changed(owner)
--- /dev/null
+++ b/src/streamthread/cell/taking.py
@@ -0,0 +1,217 @@
+"""Writes who holds the cell: a take-over from the holder before, and a release."""
+
+import asyncio
+import math
+import time
+import typing as t
+
+import attrs
+import logbook
+
+from ..errors import StoreUnavailableError
+from ..platform.store import Condition
+from ..platform.store import RowStore
+from ..platform.store import StoredRow
+from .answers import AnswerTimes
+from .answers import version_written
+from .book import OwnerBook
+from .peer import PeerLinks
+from .rows import Head
+from .rows import HEAD_KEY
+from .rows import new_nonce
+from .rows import Owner
+from .rows import OWNER_KEY
+from .rows import TABLE_HEAD
+from .rows import TABLE_OWNER
+from .takeover import Standstill
+from .takeover import Suspicion
+from .takeover import TakenCell
+from .times import LeaseTimes
+
+__all__ = ["OwnerWriter"]
+
+log = logbook.Logger("streamthread.cell")
+
+NOBODY_BEFORE = (Suspicion.VACANT, Suspicion.OWN_EARLIER_LIFE)
+"""No other daemon can still order anything."""
+
+REFUSED_PAUSE_S = 0.1
+"""Pause after the store refused a take-over, or the read before it."""
+
+Hesitate = t.Callable[[Suspicion, Owner | None], float]
+"""Returns how long to leave the cell to better candidates, in seconds."""
+
+
+class OwnerWriter:
+    """Takes the cell over for one daemon, and releases it.
+
+    :param name_self: returns this daemon as the owner under a fencing token.
+    :param stopping: whether the daemon is about to stop, and takes nothing.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        part: str,
+        book: OwnerBook,
+        peers: PeerLinks,
+        times: LeaseTimes,
+        hesitate: Hesitate,
+        name_self: t.Callable[[int], Owner],
+        stopping: t.Callable[[], bool],
+    ) -> None:
+        self._store = store
+        self._part = part
+        self._book = book
+        self._peers = peers
+        self._times = times
+        self._hesitate = hesitate
+        self._name_self = name_self
+        self._stopping = stopping
+        self._answers = AnswerTimes()
+
+    async def take(
+        self,
+        suspicion: Suspicion,
+        standstill: Standstill | None = None,
+        suspected_at_s: float = 0.0,
+    ) -> TakenCell | None:
+        """Try to become the holder; None if the cell is left to another.
+
+        :param standstill: what is known of the holder's commits.
+        :param suspected_at_s: when the suspicion arose, on the monotonic clock.
+        """
+        owner = self._book.owner
+        if not await self._may_take(suspicion, owner, suspected_at_s):
+            return None
+        # Whoever takes the cell from here on changes the row, and ends this try.
+        seen_version = self._book.version
+        await asyncio.sleep(self._hesitate(suspicion, owner))
+        if self._book.owner is not owner or self._stopping():
+            return None
+        if suspicion is Suspicion.DOUBTFUL and await self._is_sure_again(owner):
+            return None
+        return await self._write(suspicion, standstill, owner, seen_version)
+
+    async def _may_take(
+        self, suspicion: Suspicion, owner: Owner | None, suspected_at_s: float
+    ) -> bool:
+        """Whether the store still names the suspected holder, and a change helps."""
+        asked_at_s = time.monotonic()
+        if not await self._book.reread():
+            await asyncio.sleep(REFUSED_PAUSE_S)
+            return False
+        if self._book.owner is not owner:
+            return False
+        doubtful = suspicion is Suspicion.DOUBTFUL
+        return not doubtful or not self._is_slow_for_all(asked_at_s, suspected_at_s)
+
+    def _is_slow_for_all(self, asked_at_s: float, suspected_at_s: float) -> bool:
+        """Whether the store is slow here too, so that a change would not help.
+
+        A doubtful holder is left alone then for a while; it goes on as soon as its
+        commit is confirmed, and a new one would have to read all jobs first.
+        """
+        now_s = time.monotonic()
+        slow = now_s - asked_at_s > self._times.slow_read_s
+        return slow and now_s - suspected_at_s < self._times.slow_patience_s
+
+    async def _is_sure_again(self, owner: Owner | None) -> bool:
+        """Whether the holder commits again, since the store serves all of us."""
+        if owner is None or not await self._peers.is_sure(owner.address, owner.token):
+            return False
+        log.info("holder-sure-again", extra={"holder": owner.daemon_id})
+        return True
+
+    async def _write(
+        self,
+        suspicion: Suspicion,
+        standstill: Standstill | None,
+        before: Owner | None,
+        seen_version: int,
+    ) -> TakenCell | None:
+        mine = self._name_self((before.token if before else 0) + 1)
+        began_at_s = time.monotonic()
+        version = await self._write_owner(mine, seen_version, standstill)
+        if version is None and standstill is not None:
+            # It has committed since, or its last commit was never confirmed to it.
+            standstill = None
+            began_at_s = time.monotonic()
+            version = await self._write_owner(mine, seen_version)
+        if version is None:
+            return None
+        log.info(
+            "cell-taken",
+            extra={
+                "why": suspicion.value,
+                "token": mine.token,
+                "before": before.daemon_id if before else "",
+                "version": version,
+                "stood_still": standstill is not None,
+            },
+        )
+        self._book.note_written(mine, version)
+        alone_at_s = self._alone_at_s(suspicion, standstill, began_at_s)
+        return TakenCell(mine, version, began_at_s, suspicion, alone_at_s)
+
+    def _alone_at_s(
+        self, suspicion: Suspicion, standstill: Standstill | None, taken_at_s: float
+    ) -> float:
+        """Return from when on no earlier holder sends an order.
+
+        Its commits end with the take-over, so that its trust in the last of them
+        bounds what it orders, unless we know better.
+        """
+        if suspicion in NOBODY_BEFORE:
+            return -math.inf
+        if suspicion is Suspicion.RELEASED:
+            return taken_at_s
+        if standstill is not None:
+            return standstill.alone_at_s
+        return taken_at_s + self._times.trust_over_s
+
+    async def release(self, taken: TakenCell, successor: str) -> bool:
+        """Give the cell up in order, naming who should take over.
+
+        :return: whether the store has taken it.
+        """
+        owner = attrs.evolve(taken.owner, released=True, successor=successor)
+        version = await self._write_owner(owner, self._book.version)
+        if version is None:
+            log.warning("cell-not-released", extra={"token": owner.token})
+            return False
+        self._book.owner = owner
+        log.info(
+            "cell-released",
+            extra={"token": owner.token, "successor": successor, "version": version},
+        )
+        return True
+
+    async def _write_owner(
+        self, owner: Owner, seen_version: int, standstill: Standstill | None = None
+    ) -> int | None:
+        """Return the rows' version, or None where another daemon has it.
+
+        The head row is replaced too, which ends all commits from before.
+
+        :param seen_version: of the owner row on which this was decided.
+        :param standstill: require that the head row has not changed since.
+        """
+        head = Head(new_nonce(), owner.token)
+        conditions = [Condition(TABLE_OWNER, self._part, OWNER_KEY, seen_version)]
+        if standstill is not None:
+            version = standstill.head_version
+            conditions.append(Condition(TABLE_HEAD, self._part, HEAD_KEY, version))
+        puts = [
+            StoredRow(TABLE_OWNER, self._part, OWNER_KEY, owner.encode()),
+            StoredRow(TABLE_HEAD, self._part, HEAD_KEY, head.encode()),
+        ]
+        write = self._store.transact(conditions, puts)
+        try:
+            written = await version_written(
+                write, lambda: self._book.look_for(owner), self._answers
+            )
+        except StoreUnavailableError:
+            await asyncio.sleep(REFUSED_PAUSE_S)
+            return None
+        return written or None
--- a/src/streamthread/cell/tests/test_lease.py
+++ b/src/streamthread/cell/tests/test_lease.py
@@ -18,6 +18,7 @@
 from streamthread.cell.rows import TABLE_HEAD
 from streamthread.cell.rows import TABLE_OWNER
 from streamthread.cell.takeover import Standstill
+from streamthread.cell.takeover import TakenCell
 from streamthread.platform.store import ABSENT
 from streamthread.platform.store import Condition
 from streamthread.platform.store import Page
@@ -91,7 +92,7 @@
         on_taken,
         lambda: None,
     )
-    lease._adopt(store.rows[TABLE_OWNER, OWNER_KEY])
+    lease.book.adopt(store.rows[TABLE_OWNER, OWNER_KEY])
     return lease
 
 
@@ -99,33 +100,35 @@
     async def test_of_a_doubtful_holder_succeeds(self) -> None:
         store = _Store()
         lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
-        taken = await lease._take(Suspicion.DOUBTFUL)
+        taken = await lease._writer.take(Suspicion.DOUBTFUL)
         assert taken is not None
         assert taken.owner.token == 2
 
     async def test_is_left_when_the_holder_commits_again(self) -> None:
         store = _Store()
         lease = _lease(store, _Peers(sure=True, meanwhile=lambda: None))
-        assert await lease._take(Suspicion.DOUBTFUL) is None
+        assert await lease._writer.take(Suspicion.DOUBTFUL) is None
         assert store.rows[TABLE_OWNER, OWNER_KEY].value == OLD.encode()
 
     async def test_is_put_off_while_the_store_is_slow_for_all(self) -> None:
         store = _Store()
         store.read_s = 0.05
         lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
-        lease._suspected_at_s = time.monotonic()
-        assert await lease._take(Suspicion.DOUBTFUL) is None
+        now_s = time.monotonic()
+        writer = lease._writer
+        assert await writer.take(Suspicion.DOUBTFUL, None, now_s) is None
         assert store.rows[TABLE_OWNER, OWNER_KEY].value == OLD.encode()
-        lease._suspected_at_s -= lease.times.slow_patience_s
-        taken = await lease._take(Suspicion.DOUBTFUL)
+        long_ago_s = now_s - lease.times.slow_patience_s
+        taken = await writer.take(Suspicion.DOUBTFUL, None, long_ago_s)
         assert taken is not None and taken.owner.token == 2
 
     async def test_of_a_holder_that_is_gone_is_not_put_off(self) -> None:
         store = _Store()
         store.read_s = 0.05
         lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
-        lease._suspected_at_s = time.monotonic()
-        assert await lease._take(Suspicion.PROCESS_GONE) is not None
+        now_s = time.monotonic()
+        taken = await lease._writer.take(Suspicion.PROCESS_GONE, None, now_s)
+        assert taken is not None
 
     async def test_never_shares_a_token_with_a_faster_daemon(self) -> None:
         store = _Store()
@@ -133,10 +136,10 @@
 
         def meanwhile() -> None:
             store.put(TABLE_OWNER, OWNER_KEY, faster.encode())
-            lease._adopt(store.rows[TABLE_OWNER, OWNER_KEY])
+            lease.book.adopt(store.rows[TABLE_OWNER, OWNER_KEY])
 
         lease = _lease(store, _Peers(sure=False, meanwhile=meanwhile))
-        assert await lease._take(Suspicion.DOUBTFUL) is None
+        assert await lease._writer.take(Suspicion.DOUBTFUL) is None
         assert store.rows[TABLE_OWNER, OWNER_KEY].value == faster.encode()
         await asyncio.sleep(0)
         assert lease.owner == faster
@@ -146,26 +149,26 @@
     """From when on no earlier holder sends an order to a machine."""
 
     @staticmethod
-    def _heard(store: _Store, head_version: int) -> CellLease:
+    async def _take_after_doubt(store: _Store, head_version: int) -> TakenCell:
         lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
-        lease._standstill = Standstill(head_version, alone_at_s=5.0)
-        return lease
+        standstill = Standstill(head_version, alone_at_s=5.0)
+        taken = await lease._writer.take(Suspicion.DOUBTFUL, standstill)
+        assert taken is not None
+        return taken
 
     async def test_is_when_a_holder_said_that_it_cannot_commit(self) -> None:
         store = _Store()
-        lease = self._heard(store, store.rows[TABLE_HEAD, HEAD_KEY].version)
-        taken = await lease._take(Suspicion.DOUBTFUL)
-        assert taken is not None
+        head_version = store.rows[TABLE_HEAD, HEAD_KEY].version
+        taken = await self._take_after_doubt(store, head_version)
         assert taken.alone_at_s == 5.0
 
     async def test_outlasts_the_trust_in_a_commit_that_was_made_since(self) -> None:
         store = _Store()
-        lease = self._heard(store, store.rows[TABLE_HEAD, HEAD_KEY].version)
+        head_version = store.rows[TABLE_HEAD, HEAD_KEY].version
         store.put(TABLE_HEAD, HEAD_KEY, Head("later", 1).encode())
         began_at_s = time.monotonic()
-        taken = await lease._take(Suspicion.DOUBTFUL)
-        assert taken is not None
-        assert taken.alone_at_s >= began_at_s + lease.times.trust_s
+        taken = await self._take_after_doubt(store, head_version)
+        assert taken.alone_at_s >= began_at_s + LeaseTimes().trust_s
 
     @pytest.mark.parametrize("why", [Suspicion.PROCESS_GONE, Suspicion.SILENT])
     async def test_outlasts_the_trust_of_a_holder_that_said_nothing(
@@ -173,19 +176,19 @@
     ) -> None:
         lease = _lease(_Store(), _Peers(sure=False, meanwhile=lambda: None))
         began_at_s = time.monotonic()
-        taken = await lease._take(why)
+        taken = await lease._writer.take(why)
         assert taken is not None
         assert taken.alone_at_s >= began_at_s + lease.times.trust_s
 
     async def test_is_the_take_over_where_the_holder_released_the_cell(self) -> None:
         lease = _lease(_Store(), _Peers(sure=False, meanwhile=lambda: None))
-        taken = await lease._take(Suspicion.RELEASED)
+        taken = await lease._writer.take(Suspicion.RELEASED)
         assert taken is not None
         assert taken.alone_at_s == taken.taken_at_s
 
     async def test_is_always_where_nobody_held_the_cell(self) -> None:
         lease = _lease(_Store(), _Peers(sure=False, meanwhile=lambda: None))
-        taken = await lease._take(Suspicion.OWN_EARLIER_LIFE)
+        taken = await lease._writer.take(Suspicion.OWN_EARLIER_LIFE)
         assert taken is not None
         assert taken.alone_at_s == -math.inf
 
@@ -193,8 +196,9 @@
         store = _Store()
         lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
         began_at_s = time.monotonic()
-        lease.times = attrs.evolve(lease.times, silence_s=0.3)
-        assert await lease._confirm_silent() is Suspicion.SILENT
-        taken = await lease._take(Suspicion.SILENT)
+        watch = lease._watch
+        watch._times = attrs.evolve(lease.times, silence_s=0.3)
+        assert await watch.confirm_silent() is Suspicion.SILENT
+        taken = await lease._writer.take(Suspicion.SILENT, watch.standstill)
         assert taken is not None
         assert taken.alone_at_s < began_at_s + lease.times.trust_over_s + 0.2
--- /dev/null
+++ b/src/streamthread/cell/watch.py
@@ -0,0 +1,138 @@
+"""Watches the cell's holder, and tells when it may be replaced and why."""
+
+import asyncio
+import time
+
+import logbook
+
+from ..platform.store import ABSENT
+from ..platform.store import RowStore
+from .book import OwnerBook
+from .book import read_or_none
+from .peer import HolderDoubtfulError
+from .peer import HolderSilentError
+from .peer import HolderUnreachableError
+from .peer import PeerLinks
+from .rows import Owner
+from .rows import TABLE_HEAD
+from .takeover import Standstill
+from .takeover import Suspicion
+from .times import LeaseTimes
+
+__all__ = ["HolderWatch"]
+
+log = logbook.Logger("streamthread.cell")
+
+CLOSED_PORT_S = 0.02
+"""After a closed port, news of another holder gets so long to arrive first."""
+
+JUST_STARTED_S = 1.0
+"""A daemon that is younger has most likely come back with all others."""
+
+OWNER_BACK_S = 0.5
+"""So long a daemon that has just started leaves the cell to the one that held it: all
+machines start within 0.3 s, and that one need not wait for anybody's late orders."""
+
+HEAD_POLL_S = 0.25
+"""Between two looks at a silent holder's commits: each is a read of the store."""
+
+
+class HolderWatch:
+    """Follows whoever holds the cell.
+
+    :param standstill: what the last suspicion showed of the holder's commits.
+    :param suspected_at_s: when the present suspicion arose, on the monotonic clock.
+    """
+
+    def __init__(
+        self,
+        store: RowStore,
+        part: str,
+        daemon_id: str,
+        book: OwnerBook,
+        peers: PeerLinks,
+        times: LeaseTimes,
+    ) -> None:
+        self._store = store
+        self._part = part
+        self._daemon_id = daemon_id
+        self._book = book
+        self._peers = peers
+        self._times = times
+        self._started_at_s = time.monotonic()
+        self._told: tuple[Suspicion, Owner | None] = (Suspicion.NONE, None)
+        self.suspected_at_s = 0.0
+        self.standstill: Standstill | None = None
+
+    async def observe(self) -> Suspicion:
+        """Return once the holder may be replaced, or when it has changed."""
+        suspicion = await self._suspect()
+        known = (suspicion, self._book.owner)
+        if known == self._told:
+            return suspicion
+        self._told = known
+        self.suspected_at_s = time.monotonic()
+        if suspicion is not Suspicion.NONE:
+            owner = self._book.owner
+            log.info(
+                "holder-suspected",
+                extra={
+                    "why": suspicion.value,
+                    "holder": owner.daemon_id if owner else "",
+                    "token": owner.token if owner else 0,
+                },
+            )
+        return suspicion
+
+    async def _suspect(self) -> Suspicion:
+        owner = self._book.owner
+        self.standstill = None
+        if owner is None:
+            return Suspicion.VACANT
+        if owner.released:
+            return Suspicion.RELEASED
+        if owner.daemon_id == self._daemon_id:
+            return Suspicion.OWN_EARLIER_LIFE
+        try:
+            await self._peers.follow(
+                owner.address, owner.token, self._times.beat_lost_s, self._book.changed
+            )
+            return Suspicion.NONE
+        except HolderUnreachableError:
+            return await self._confirm_gone(owner)
+        except HolderSilentError:
+            return await self.confirm_silent()
+        except HolderDoubtfulError as error:
+            self.standstill = Standstill(error.head_version, time.monotonic())
+            return Suspicion.DOUBTFUL
+
+    async def _confirm_gone(self, owner: Owner) -> Suspicion:
+        """The holder's port is closed: its process is gone, or about to be."""
+        just_started = time.monotonic() - self._started_at_s <= JUST_STARTED_S
+        await asyncio.sleep(OWNER_BACK_S if just_started else CLOSED_PORT_S)
+        if self._book.owner is not owner:
+            return Suspicion.NONE
+        return Suspicion.PROCESS_GONE
+
+    async def confirm_silent(self) -> Suspicion:
+        """Watch the commits stand still for long enough to be sure."""
+        first = await self._read_head()
+        since_s = time.monotonic()
+        owner = self._book.owner
+        while first is not None and self._book.owner is owner:
+            await asyncio.sleep(HEAD_POLL_S)
+            asked_at_s = time.monotonic()
+            version = await self._read_head()
+            if version != first:
+                return Suspicion.NONE
+            if asked_at_s - since_s >= self._times.silence_s:
+                alone_at_s = since_s + self._times.trust_over_s
+                self.standstill = Standstill(first, alone_at_s)
+                return Suspicion.SILENT
+        return Suspicion.NONE
+
+    async def _read_head(self) -> int | None:
+        page = await read_or_none(self._store, TABLE_HEAD, self._part)
+        if page is None:
+            return None
+        return page.rows[0].version if page.rows else ABSENT
