--- a/src/streamthread/capacity/bursts.py
+++ b/src/streamthread/capacity/bursts.py
@@ -1,11 +1,15 @@
-"""Bursts of one pool: when they begin and end, and how much work they bring."""
+"""Bursts of one pool: when they begin and end, and how much work they bring.
+
+Jobs are counted, and a count is worth as many times their mean work: the work of single
+jobs differs by ten times and more, and a few of them say little of the next.
+"""
 
 import collections
 import math
 
 import attrs
 
-__all__ = ["ArrivalRate", "Burst", "PoolArrivals"]
+__all__ = ["ArrivalRate", "Burst", "MeanWork", "PoolArrivals"]
 
 FAST_SPAN_S = 0.6
 """Of the fast mean: shows the beginning of a burst within some tenths of a second."""
@@ -22,12 +26,16 @@
 """A burst is over once arrivals have fallen to this share of its own rate."""
 
 LEAST_BURST_S = 1.0
-"""A burst's rate is its work over its length, or over this time if that is more."""
+"""A burst's rate is its jobs over its length, or over this time if that is more."""
+
+JOBS_IN_MEAN = 30
+"""The mean work of a pool's jobs is that of about so many of the newest: it is steady
+beside the rate, and what is asked of a pool may change."""
 
 
 @attrs.define
 class ArrivalRate:
-    """How much work arrives a second, as the room that it takes on average.
+    """How many jobs arrive a second.
 
     :param span_s: arrivals are averaged over this time, the newest count most.
     """
@@ -37,15 +45,15 @@
     _variance: float = 0.0
     _at_s: float = 0.0
 
-    def add(self, cpu_s: float, now_s: float) -> None:
-        """Take a job's work: thousandths of a core times seconds."""
-        self._decay(now_s)
-        share = cpu_s / self.span_s
-        self._mean += share
-        self._variance += share**2
+    def add(self, now_s: float) -> None:
+        """Take a job's arrival."""
+        kept = self._kept(now_s)
+        self._mean = self._mean * kept + 1 / self.span_s
+        self._variance = self._variance * kept**2 + 1 / self.span_s**2
+        self._at_s = max(self._at_s, now_s)
 
     def value(self, now_s: float) -> float:
-        """Return the thousandths of a core that arriving work takes."""
+        """Return the jobs a second."""
         return self._mean * self._kept(now_s)
 
     def doubt(self, now_s: float) -> float:
@@ -54,29 +62,28 @@
         return SURE_DEVIATIONS * deviation
 
     def sure_value(self, now_s: float) -> float:
-        """Return the part of the rate that is not owed to a few large jobs."""
+        """Return the part of the rate that is not owed to a job or two."""
         return max(0.0, self.value(now_s) - self.doubt(now_s))
 
     def filled(self, for_s: float) -> float:
         """Return the share of a steady rate that the mean shows after a time."""
         return 1.0 - math.exp(-for_s / self.span_s)
 
-    def _decay(self, now_s: float) -> None:
-        kept = self._kept(now_s)
-        self._mean *= kept
-        self._variance *= kept**2
-        self._at_s = max(self._at_s, now_s)
-
     def _kept(self, now_s: float) -> float:
         return math.exp(-max(0.0, now_s - self._at_s) / self.span_s)
 
 
-@attrs.frozen
-class Arrival:
-    """One job's work, in thousandths of a core times seconds, and when it came."""
+@attrs.define
+class MeanWork:
+    """The mean work of a pool's jobs: thousandths of a core times seconds."""
+
+    value: float = 0.0
+    _jobs: int = 0
 
-    at_s: float
-    cpu_s: float
+    def add(self, cpu_s: float) -> None:
+        """Take a job's work."""
+        self._jobs = min(self._jobs + 1, JOBS_IN_MEAN)
+        self.value += (cpu_s - self.value) / self._jobs
 
 
 @attrs.define
@@ -85,17 +92,17 @@
 
     :param began_at_s: when its first job came, on the monotonic clock.
     :param last_at_s: the same of its last job.
-    :param work: of all its jobs: thousandths of a core times seconds.
+    :param jobs: how many came.
     """
 
     began_at_s: float
     last_at_s: float
-    work: float = 0.0
+    jobs: int
 
     @property
     def rate(self) -> float:
-        """The thousandths of a core that its work took on average."""
-        return self.work / max(LEAST_BURST_S, self.last_at_s - self.began_at_s)
+        """The jobs a second that it has brought on average."""
+        return self.jobs / max(LEAST_BURST_S, self.last_at_s - self.began_at_s)
 
 
 @attrs.define
@@ -109,9 +116,10 @@
     """
 
     present: Burst | None = None
+    _work: MeanWork = attrs.field(factory=MeanWork)
     _fast: ArrivalRate = attrs.field(factory=lambda: ArrivalRate(FAST_SPAN_S))
     _slow: ArrivalRate = attrs.field(factory=lambda: ArrivalRate(SLOW_SPAN_S))
-    _latest: collections.deque[Arrival] = attrs.field(factory=collections.deque)
+    _latest_at_s: collections.deque[float] = attrs.field(factory=collections.deque)
 
     def add(self, cpu_s: float, now_s: float, least_rate: float) -> Burst | None:
         """Take a job's work; return the burst that begins with it, if one does.
@@ -119,32 +127,32 @@
         :param least_rate: thousandths of a core; fewer arrivals are no burst.
         """
         self.settle(now_s)
-        self._remember(Arrival(now_s, cpu_s))
-        self._fast.add(cpu_s, now_s)
-        self._slow.add(cpu_s, now_s)
+        self._work.add(cpu_s)
+        self._remember(now_s)
+        self._fast.add(now_s)
+        self._slow.add(now_s)
         if self.present is not None:
-            self.present.work += cpu_s
+            self.present.jobs += 1
             self.present.last_at_s = now_s
             return None
-        if self._fast.sure_value(now_s) <= least_rate:
+        if self._fast.sure_value(now_s) * self._work.value <= least_rate:
             return None
         self.present = self._begin()
         return self.present
 
-    def _remember(self, arrival: Arrival) -> None:
+    def _remember(self, at_s: float) -> None:
         """Keep the arrivals that the fast mean is made of."""
-        self._latest.append(arrival)
-        while self._latest[0].at_s < arrival.at_s - FAST_SPAN_S:
-            self._latest.popleft()
+        self._latest_at_s.append(at_s)
+        while self._latest_at_s[0] < at_s - FAST_SPAN_S:
+            self._latest_at_s.popleft()
 
     def _begin(self) -> Burst:
         """Return a burst of the latest arrivals, and fill the slow mean from them."""
-        first, last = self._latest[0], self._latest[-1]
+        latest = self._latest_at_s
         self._slow = ArrivalRate(SLOW_SPAN_S)
-        for arrival in self._latest:
-            self._slow.add(arrival.cpu_s, arrival.at_s)
-        work = sum(arrival.cpu_s for arrival in self._latest)
-        return Burst(first.at_s, last.at_s, work)
+        for at_s in latest:
+            self._slow.add(at_s)
+        return Burst(latest[0], latest[-1], len(latest))
 
     def settle(self, now_s: float) -> None:
         """Close the present burst once its arrivals have ceased."""
@@ -161,7 +169,8 @@
         """
         fast = self._fast.value(now_s)
         doubt = self._fast.doubt(now_s)
-        return min(max(self._slow_rate(now_s), fast - doubt), fast + doubt)
+        jobs = min(max(self._slow_rate(now_s), fast - doubt), fast + doubt)
+        return jobs * self._work.value
 
     def _slow_rate(self, now_s: float) -> float:
         mean = self._slow.value(now_s)
