Give the operators' port a read-only view of the daemon

gateway/daemon, front, metrics and operators imported each other in a circle, held apart by TYPE_CHECKING. What the port and the metrics read of a daemon is DaemonView now, which the daemon is; the histogram of answers stands with the front that fills it, and answering an operator's question with what it says. No behaviour changed.

--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -28,11 +28,12 @@
 from ..runners import LinkSettings
 from ..scheduler import EngineSettings
 from .documents import Documents
+from .explain import answer_question
 from .forwarding import Forwarder
 from .forwarding import ForwardSettings
 from .front import Front
 from .operators import CellOperators
-from .operators import explain_here
+from .view import DaemonView
 
 __all__ = ["CellDaemon", "cell_settings"]
 
@@ -89,7 +90,7 @@
     return attrs.evolve(known, capacity=capacity)
 
 
-class CellDaemon(Service):
+class CellDaemon(Service, DaemonView):
     """One daemon: serves callers, follows the holder, holds the cell in turn.
 
     :param settings: else the figures that follow from the platform's bounds.
@@ -224,7 +225,7 @@
 
     def explain(self, request: pb.ExplainRequest) -> pb.ExplainReply:
         """Answer an operator's question as the holder."""
-        return explain_here(self, request)
+        return answer_question(self.holder, request)
 
     # A planned stop.
 
--- a/src/streamthread/gateway/explain.py
+++ b/src/streamthread/gateway/explain.py
@@ -1,14 +1,16 @@
 """Says where each task of a job is, and why."""
 
+import json
 import typing as t
 
+from ..cell import cell_pb2 as pb
 from ..holder import Holder
 from ..scheduler import Job
 from ..scheduler import StepRun
 from ..scheduler import Task
 from ..scheduler import TaskState
 
-__all__ = ["describe_holder", "explain_job"]
+__all__ = ["answer_question", "describe_holder", "explain_job"]
 
 Json = dict[str, t.Any]
 
@@ -76,3 +78,15 @@
         }
         for runner in holder.engine.runners.values()
     ]
+
+
+def answer_question(
+    holder: Holder | None, request: pb.ExplainRequest
+) -> pb.ExplainReply:
+    """Answer a question as the holder; an empty answer where there is nothing."""
+    value: t.Any = None
+    if holder is not None and request.kind == "job":
+        value = explain_job(holder, request.name)
+    elif holder is not None:
+        value = describe_holder(holder)
+    return pb.ExplainReply(text_json=json.dumps(value))
--- a/src/streamthread/gateway/front.py
+++ b/src/streamthread/gateway/front.py
@@ -7,6 +7,7 @@
 import logbook
 from aiohttp import web
 from mode import Service
+from prometheus_client import Histogram
 
 from ..cell import cell_pb2 as pb
 from ..platform.callers import DEADLINE_HEADER
@@ -15,7 +16,6 @@
 from ..platform.documents import Route
 from .documents import Documents
 from .forwarding import Forwarder
-from .metrics import answer_histogram
 
 __all__ = ["Front"]
 
@@ -44,6 +44,9 @@
 CLOSE_S = 0.3
 """Connections get so long to end when the ports close, after the planned stop."""
 
+ANSWER_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 3.0)
+"""From one commit (7 ms) to the longest that callers wait (3 s)."""
+
 _KINDS = {"POST": pb.SUBMIT, "GET": pb.STATE, "DELETE": pb.CANCEL}
 
 
@@ -55,6 +58,17 @@
     reason: str = ""
 
 
+def _answer_histogram() -> Histogram:
+    """Return the histogram of how long callers wait for answers."""
+    return Histogram(
+        "streamthread_answer_seconds",
+        "From a caller's request to its answer.",
+        ["method"],
+        buckets=ANSWER_BUCKETS_S,
+        registry=None,
+    )
+
+
 class Front(Service):
     """The callers' port and the readiness port.
 
@@ -81,7 +95,7 @@
         self.stopping = False
         self.in_flight = 0
         self.answers: dict[str, int] = {}
-        self.answer_s = answer_histogram()
+        self.answer_s = _answer_histogram()
 
     async def on_start(self) -> None:
         """Open both ports."""
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -4,36 +4,19 @@
 import typing as t
 
 from prometheus_client import CollectorRegistry
-from prometheus_client import Histogram
 from prometheus_client import ProcessCollector
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.registry import Collector
 
 from ..holder import Holder
+from .view import DaemonView
 
-if t.TYPE_CHECKING:
-    from .daemon import CellDaemon
-
-__all__ = ["answer_histogram", "make_registry"]
-
-ANSWER_BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 3.0)
-"""From one commit (7 ms) to the longest that callers wait (3 s)."""
+__all__ = ["make_registry"]
 
 Family = GaugeMetricFamily | CounterMetricFamily
 
 
-def answer_histogram() -> Histogram:
-    """Return the histogram of how long callers wait for answers."""
-    return Histogram(
-        "streamthread_answer_seconds",
-        "From a caller's request to its answer.",
-        ["method"],
-        buckets=ANSWER_BUCKETS_S,
-        registry=None,
-    )
-
-
 def _counts(name: str, text: str, label: str, counts: dict[str, int]) -> Family:
     family = CounterMetricFamily(name, text, labels=[label])
     for value, count in counts.items():
@@ -44,7 +27,7 @@
 class _CellCollector(Collector):
     """Reads the daemon's parts at each scrape."""
 
-    def __init__(self, daemon: "CellDaemon") -> None:
+    def __init__(self, daemon: DaemonView) -> None:
         self._daemon = daemon
 
     def collect(self) -> t.Iterator[Family]:
@@ -166,7 +149,7 @@
         )
 
 
-def make_registry(daemon: "CellDaemon") -> CollectorRegistry:
+def make_registry(daemon: DaemonView) -> CollectorRegistry:
     """Return the registry that the operators' port serves."""
     registry = CollectorRegistry()
     registry.register(_CellCollector(daemon))
--- a/src/streamthread/gateway/operators.py
+++ b/src/streamthread/gateway/operators.py
@@ -1,7 +1,6 @@
 """The operators' port: metrics, status, and why a job's tasks are where they are."""
 
 import json
-import typing as t
 
 from aiohttp import web
 from mode import Service
@@ -10,14 +9,10 @@
 
 from ..cell import cell_pb2 as pb
 from ..errors import PeerUnavailableError
-from .explain import describe_holder
-from .explain import explain_job
 from .metrics import make_registry
+from .view import DaemonView
 
-if t.TYPE_CHECKING:
-    from .daemon import CellDaemon
-
-__all__ = ["CellOperators", "explain_here"]
+__all__ = ["CellOperators"]
 
 CLOSE_S = 0.3
 """Connections get so long to end when the port closes."""
@@ -26,7 +21,7 @@
 class CellOperators(Service):
     """Serves operators; any daemon answers, by asking the holder."""
 
-    def __init__(self, daemon: "CellDaemon", host: str, port: int) -> None:
+    def __init__(self, daemon: DaemonView, host: str, port: int) -> None:
         super().__init__()
         self.address = ""
         self._daemon = daemon
@@ -102,14 +97,3 @@
     kind = "not-found" if status == 404 else "peer-unavailable"
     error = {"kind": kind, "message": message, "remedy": remedy, "location": ""}
     return web.json_response({"errors": [error]}, status=status)
-
-
-def explain_here(daemon: "CellDaemon", request: pb.ExplainRequest) -> pb.ExplainReply:
-    """Answer a question as the holder; an empty answer where there is nothing."""
-    holder = daemon.holder
-    value: t.Any = None
-    if holder is not None and request.kind == "job":
-        value = explain_job(holder, request.name)
-    elif holder is not None:
-        value = describe_holder(holder)
-    return pb.ExplainReply(text_json=json.dumps(value))
