Carry rising bursts forward, and let a pool whose burst begins give none away

Meanwhile pools give machines away, as all do after the first job, also the one whose burst has begun: 30 -> 23 machines.

Hypotheses: the two halves of the present burst tell its rise, if they differ by more than chance; carried forward by the time that a machine takes, to twice the rate at most. A pool gives none to the spare pool while its burst is younger than the mean that tells its rate.

--- a/src/streamthread/capacity/bursts.py
+++ b/src/streamthread/capacity/bursts.py
@@ -22,12 +22,23 @@
 """The fast mean counts less so many standard deviations: a single job says nothing
 of the rate, ten jobs at once do."""
 
+CAREFUL_DEVIATIONS = 0.5
+"""A burst's rate is read so many standard deviations lower: bursts are noticed when
+jobs happen to come close together, and two or three large ones are no rate yet."""
+
 BURST_SHARE_ENDED = 0.15
 """A burst is over once arrivals have fallen to this share of its own rate."""
 
 LEAST_BURST_S = 1.0
 """A burst's rate is its jobs over its length, or over this time if that is more."""
 
+RISE_DEVIATIONS = 1.5
+"""A burst rises where its second half has so many standard deviations more jobs than
+its first: a hundred jobs show it, ten do not."""
+
+MOST_RISE = 2.0
+"""A forecast is this many times the present rate at most."""
+
 JOBS_IN_MEAN = 30
 """The mean work of a pool's jobs is that of about so many of the newest: it is steady
 beside the rate, and what is asked of a pool may change."""
@@ -141,19 +152,27 @@
         return self.present
 
     def _remember(self, at_s: float) -> None:
-        """Keep the arrivals that the fast mean is made of."""
+        """Keep the arrivals of the last seconds."""
         self._latest_at_s.append(at_s)
-        while self._latest_at_s[0] < at_s - FAST_SPAN_S:
+        while self._latest_at_s[0] < at_s - SLOW_SPAN_S:
             self._latest_at_s.popleft()
 
     def _begin(self) -> Burst:
-        """Return a burst of the latest arrivals, and fill the slow mean from them."""
-        latest = self._latest_at_s
+        """Return a burst of the newest arrivals, and fill the slow mean from them."""
+        newest_s = self._latest_at_s[-1]
+        latest = [s for s in self._latest_at_s if s >= newest_s - FAST_SPAN_S]
         self._slow = ArrivalRate(SLOW_SPAN_S)
         for at_s in latest:
             self._slow.add(at_s)
         return Burst(latest[0], latest[-1], len(latest))
 
+    def begins(self, now_s: float) -> bool:
+        """Whether a burst is so young that its rate may still be far off."""
+        return (
+            self.present is not None
+            and now_s - self.present.began_at_s < self._slow.span_s
+        )
+
     def settle(self, now_s: float) -> None:
         """Close the present burst once its arrivals have ceased."""
         burst = self.present
@@ -167,14 +186,42 @@
 
         The slow mean, as far as the newest arrivals do not speak against it.
         """
+        return self._jobs_per_s(now_s) * self._work.value
+
+    def forecast(self, now_s: float, ahead_s: float) -> float:
+        """Return the rate in a while, if it goes on to rise as it surely does now.
+
+        :param ahead_s: the time that it takes to have more room.
+        """
+        rate = self._jobs_per_s(now_s)
+        rise = self._rise_per_s(now_s) * (ahead_s + FAST_SPAN_S)
+        return min(rate + rise, rate * MOST_RISE) * self._work.value
+
+    def _rise_per_s(self, now_s: float) -> float:
+        """Return by how much the rate surely rises: jobs a second, each second.
+
+        Told by the two halves of the present burst, or of its last seconds.
+        """
+        if self.present is None:
+            return 0.0
+        half_s = min(now_s - self.present.began_at_s, SLOW_SPAN_S) / 2
+        if 2 * half_s < FAST_SPAN_S:
+            return 0.0
+        newer = sum(at_s > now_s - half_s for at_s in self._latest_at_s)
+        both = sum(at_s > now_s - 2 * half_s for at_s in self._latest_at_s)
+        risen = newer - (both - newer)
+        sure = risen - RISE_DEVIATIONS * math.sqrt(both)
+        return max(0.0, sure) / half_s**2
+
+    def _jobs_per_s(self, now_s: float) -> float:
         fast = self._fast.value(now_s)
         doubt = self._fast.doubt(now_s)
-        jobs = min(max(self._slow_rate(now_s), fast - doubt), fast + doubt)
-        return jobs * self._work.value
+        return min(max(self._slow_rate(now_s), fast - doubt), fast + doubt)
 
     def _slow_rate(self, now_s: float) -> float:
         mean = self._slow.value(now_s)
         if self.present is None:
             return mean
         begun_for_s = max(FAST_SPAN_S, now_s - self.present.began_at_s)
-        return mean / self._slow.filled(begun_for_s)
+        careful = max(0.0, mean - CAREFUL_DEVIATIONS * self._slow.doubt(now_s))
+        return careful / self._slow.filled(begun_for_s)
--- a/src/streamthread/capacity/tests/test_bursts.py
+++ b/src/streamthread/capacity/tests/test_bursts.py
@@ -1,5 +1,6 @@
 """Bursts are seen early, one large job is none, and they are told apart."""
 
+import itertools
 import math
 
 from hypothesis import given
@@ -8,6 +9,7 @@
 from streamthread.capacity.bursts import ArrivalRate
 from streamthread.capacity.bursts import JOBS_IN_MEAN
 from streamthread.capacity.bursts import MeanWork
+from streamthread.capacity.bursts import MOST_RISE
 from streamthread.capacity.bursts import PoolArrivals
 
 MACHINE = 16_000.0
@@ -93,6 +95,37 @@
         assert arrivals.rate(now_s) < 2.1 * before
 
 
+class TestForecast:
+    def test_is_the_rate_while_that_is_steady(self) -> None:
+        arrivals, now_s = _arrivals([0.02] * 300)
+        assert math.isclose(
+            arrivals.forecast(now_s, 1.9), arrivals.rate(now_s), rel_tol=0.05
+        )
+
+    def test_is_more_while_arrivals_rise(self) -> None:
+        """Jobs come at 0 a second at first and at 150 after three seconds."""
+        times_s = [math.sqrt(2 * number / 50) for number in range(1, 113)]
+        pauses_s = [0.0, *[b - a for a, b in itertools.pairwise(times_s)]]
+        arrivals, now_s = _arrivals(pauses_s)
+        assert arrivals.forecast(now_s, 1.9) > 1.3 * arrivals.rate(now_s)
+
+    def test_takes_ten_jobs_for_no_rise(self) -> None:
+        arrivals, now_s = _arrivals(
+            [0.3, 0.2, 0.15, 0.1, 0.1, 0.1, 0.05, 0.05], 9_000.0
+        )
+        assert arrivals.present is not None
+        assert arrivals.forecast(now_s, 1.9) == arrivals.rate(now_s)
+
+    @given(st.lists(st.floats(0, 2), min_size=1, max_size=40), st.floats(0, 3))
+    def test_is_never_below_the_rate_and_bounded(
+        self, pauses_s: list[float], ahead_s: float
+    ) -> None:
+        arrivals, now_s = _arrivals(pauses_s)
+        rate = arrivals.rate(now_s)
+        forecast = arrivals.forecast(now_s, ahead_s)
+        assert rate <= forecast <= rate * MOST_RISE + 1e-9
+
+
 class TestBursts:
     def test_begin_within_half_a_second(self) -> None:
         arrivals = PoolArrivals()
--- a/src/streamthread/holder/context.py
+++ b/src/streamthread/holder/context.py
@@ -62,7 +62,7 @@
 
     part: str = "main"
     forget_s: float = 150.0
-    list_pause_s: float = 0.25
+    list_pause_s: float = 0.1
     times: LeaseTimes = attrs.field(factory=LeaseTimes)
     links: LinkSettings = attrs.field(factory=LinkSettings)
     orders: OrderSettings = attrs.field(factory=OrderSettings)
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -21,6 +21,10 @@
 
 log = logbook.Logger("streamthread.duties")
 
+AHEAD_S = 1.9
+"""Arrivals are forecast for so long: a move takes 1.5 s, and its runner is listed and
+held some tenths later."""
+
 SIZES_LOG_S = 1.0
 """The sizes are logged this often: a line a second is enough to follow a burst."""
 
@@ -98,15 +102,21 @@
     def keeps(self, views: t.Iterable[MachineView]) -> dict[str, int]:
         """Return how many machines each pool keeps out of the spare pool.
 
-        Shortly after a start the jobs have not told yet what is needed.
+        Shortly after a start the jobs have not told yet what is needed, nor at the
+        beginning of a burst: then all stay.
         """
         there = collections.Counter(view.pool for view in views)
         if not self._there_first:
             self._there_first = there
-        share = self._cold_share(time.monotonic())
-        return {
+        now_s = time.monotonic()
+        share = self._cold_share(now_s)
+        kept = {
             pool: math.ceil(count * share) for pool, count in self._there_first.items()
         }
+        for pool, arrivals in self._arrivals.items():
+            if arrivals.begins(now_s):
+                kept[pool] = there[pool]
+        return kept
 
     def _cold_share(self, now_s: float) -> float:
         """Return which share of the first machines is kept: all, fewer, none."""
@@ -145,12 +155,12 @@
         return wanted
 
     def _arriving_cpu(self, pool: str, now_s: float) -> float:
-        """Return the thousandths of a core that arriving work takes."""
+        """Return the thousandths of a core that arriving work will soon take."""
         arrivals = self._arrivals.get(pool)
         if arrivals is None:
             return 0.0
         arrivals.settle(now_s)
-        return arrivals.rate(now_s)
+        return arrivals.forecast(now_s, AHEAD_S)
 
     def tell(self, targets: dict[str, int], views: t.Collection[MachineView]) -> None:
         """Log once a second how many machines each pool has and should have."""
--- a/src/streamthread/holder/tests/test_sizes.py
+++ b/src/streamthread/holder/tests/test_sizes.py
@@ -57,6 +57,19 @@
             clock.now_s += SETTINGS.cold_leave_s / 4
         assert kept == [8, 6, 4, 2, 0]
 
+    def test_keeps_all_machines_of_a_pool_whose_burst_begins(
+        self, clock: _Clock
+    ) -> None:
+        pool_sizes = PoolSizes(Engine(lambda job: None), SETTINGS)
+        pool_sizes.targets(POOLS, VIEWS)
+        pool_sizes.keeps(VIEWS)
+        for _ in range(10):
+            clock.now_s += 0.1
+            pool_sizes.note_job("one", 8_000.0, clock.now_s)
+        kept = pool_sizes.keeps(VIEWS)
+        assert kept["one"] == 8
+        assert kept["two"] < 8
+
     def test_does_not_wait_for_a_first_job_for_ever(self, clock: _Clock) -> None:
         pool_sizes = PoolSizes(Engine(lambda job: None), SETTINGS)
         clock.now_s += SETTINGS.cold_s + 1
