Tell a standstill only where nothing is ordered; give the holder's trust a module

Such a beat named the head row's version, too, so that a new holder counted what the old one may have extended from the beat on: up to 1.3 s too early. Beats name the version only while the holder trusts itself no more (`holder/tests/test_trust.py::TestStandstill` fails without it).

The trust of a holder (relying on its commits, doubt, accepting, extending) was part of holder/service.py; it is holder/trust.py now, with tests of its own.

--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -47,7 +47,8 @@
 class HolderDoubtfulError(Exception):
     """The holder says that it cannot commit.
 
-    :param head_version: the head row's version after its last confirmed commit.
+    :param head_version: of the head row, while it orders nothing until that changes;
+        0 where it may.
     """
 
     def __init__(self, head_version: int) -> None:
--- a/src/streamthread/cell/watch.py
+++ b/src/streamthread/cell/watch.py
@@ -103,7 +103,8 @@
         except HolderSilentError:
             return await self.confirm_silent()
         except HolderDoubtfulError as error:
-            self.standstill = Standstill(error.head_version, time.monotonic())
+            if error.head_version:
+                self.standstill = Standstill(error.head_version, time.monotonic())
             return Suspicion.DOUBTFUL
 
     async def _confirm_gone(self, owner: Owner) -> Suspicion:
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -215,8 +215,8 @@
         return pb.Beat(
             token=self.holder.token,
             sequence=self.holder.log.sequence,
-            doubtful=self.holder.doubtful,
-            head_version=self.holder.log.head_version,
+            doubtful=self.holder.trust.doubtful,
+            head_version=self.holder.trust.standstill_version,
         )
 
     def _announced(self, announcement: pb.Announcement) -> pb.Announcement:
@@ -255,7 +255,7 @@
         holder = self.holder
         if holder is None:
             return
-        holder.begin_release()
+        holder.trust.begin_release()
         released = False
         try:
             async with asyncio.timeout(HAND_OVER_S):
--- a/src/streamthread/holder/owner.py
+++ b/src/streamthread/holder/owner.py
@@ -18,13 +18,11 @@
     """The holder, as its duties see it.
 
     :param taken: how the cell was taken over.
-    :param releasing: the cell is being given up: nothing new is ordered.
     :param links: the runners that are listed, by runner id.
     """
 
     token: int
     taken: TakenCell
-    releasing: bool
     context: HolderContext
     engine: Engine
     log: CommitLog
@@ -35,6 +33,11 @@
     def trusted(self) -> bool:
         """Whether this daemon may rely on holding the cell."""
 
+    @property
+    @abstractmethod
+    def releasing(self) -> bool:
+        """Whether the cell is being given up: nothing new is ordered."""
+
     @abstractmethod
     async def until_trusted(self) -> None:
         """Return once this daemon may rely on holding the cell."""
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -46,17 +46,12 @@
 from .queue import QueueOwner
 from .replay import read_jobs
 from .replay import until_read
+from .trust import HolderTrust
 
 __all__ = ["Holder"]
 
 log = logbook.Logger("streamthread.holder")
 
-TRUST_POLL_S = 0.02
-"""How often a doubtful holder looks whether it may go on: about three commits."""
-
-RELEASE_S = 0.3
-"""A release that takes longer is not waited for: it takes two commits of 7 ms."""
-
 
 class Holder(LinkOwner, SenderOwner, DutyOwner, QueueOwner):
     """Everything that only the cell's holder does, from take-over to loss."""
@@ -69,9 +64,10 @@
         self.links: dict[str, RunnerLink] = {}
         self.engine = Engine(self._record_progress, self.settings.engine)
         self.active = False
-        self.releasing = False
-        self._release_began_at_s: float | None = None
         self.log = self._open_log()
+        self.trust = HolderTrust(
+            self.log, self.settings.times, self.settings.links.most_hold_s
+        )
         self.sender = OrderSender(
             context.runners, self.engine, self, self.settings.orders
         )
@@ -118,7 +114,7 @@
             self.log,
             self.context.documents,
             self.token,
-            self._may_accept,
+            self.trust.may_accept,
             self._on_accepted,
             self.kick,
         )
@@ -215,41 +211,21 @@
 
     @property
     def trusted(self) -> bool:
-        """Whether a commit was confirmed so lately that nobody took over."""
-        times = self.settings.times
-        age_s = time.monotonic() - self.log.confirmed_at_s
-        doubtful = self.log.is_doubtful(times.doubt_s, times.slow_doubt_s)
-        return age_s < times.trust_s and not doubtful and not self.log.lost
+        """Whether this daemon may rely on holding the cell."""
+        return self.trust.trusted
 
     @property
-    def doubtful(self) -> bool:
-        """Whether others may take the cell: no commits, or no release in time."""
-        if not self.trusted:
-            return True
-        began_at_s = self._release_began_at_s
-        return began_at_s is not None and time.monotonic() - began_at_s > RELEASE_S
-
-    def begin_release(self) -> None:
-        """Place nothing more: the cell is about to be released."""
-        self.releasing = True
-        self._release_began_at_s = time.monotonic()
+    def releasing(self) -> bool:
+        """Whether the cell is being given up: nothing new is ordered."""
+        return self.trust.releasing
 
     async def until_trusted(self) -> None:
         """Return once this daemon may rely on holding the cell."""
-        while not self.trusted:
-            await asyncio.sleep(TRUST_POLL_S)
+        await self.trust.until_trusted()
 
     def may_extend_s(self, wanted_s: float) -> float:
-        """Return for how long runs may be extended now; 0: not at all.
-
-        While commits fail, runs are held for as long as the runners accept, so
-        that they outlast an outage of the store.
-        """
-        if not self.trusted:
-            return 0.0
-        if self.log.in_trouble():
-            return self.settings.links.most_hold_s
-        return wanted_s
+        """Return for how long runs may be extended now; 0: not at all."""
+        return self.trust.may_extend_s(wanted_s)
 
     # Recording.
 
@@ -267,9 +243,6 @@
             return pb.CallReply(outcome=pb.NOT_HOLDER)
         return await self.intake.answer(request)
 
-    def _may_accept(self) -> bool:
-        return self.trusted and self.log.failing_since_s is None
-
     def _on_accepted(self, job: Job) -> None:
         self.queue.look_soon()
         self._want_advice(job)
--- /dev/null
+++ b/src/streamthread/holder/tests/test_trust.py
@@ -0,0 +1,50 @@
+"""When a holder relies on the cell, and what its beats say of it."""
+
+import time
+import typing as t
+
+from streamthread.cell import CommitLog
+from streamthread.cell import LeaseTimes
+from streamthread.holder.trust import HolderTrust
+from streamthread.holder.trust import RELEASE_S
+
+HEAD_VERSION = 17
+
+
+def _trust(confirmed_s_ago: float) -> HolderTrust:
+    confirmed_at_s = time.monotonic() - confirmed_s_ago
+    log = CommitLog(t.cast(t.Any, None), "main", 1, HEAD_VERSION, confirmed_at_s, 0.4)
+    return HolderTrust(log, LeaseTimes(), most_hold_s=6.0)
+
+
+class TestTrust:
+    async def test_lasts_a_while_after_a_commit(self) -> None:
+        assert _trust(0.0).trusted
+        assert not _trust(LeaseTimes().trust_s).trusted
+
+    async def test_is_needed_to_accept_and_to_extend(self) -> None:
+        fresh, stale = _trust(0.0), _trust(2.0)
+        assert fresh.may_accept() and fresh.may_extend_s(3.0) == 3.0
+        assert not stale.may_accept() and stale.may_extend_s(3.0) == 0.0
+
+    async def test_slow_commits_are_no_reason_to_refuse_jobs(self) -> None:
+        trust = _trust(0.0)
+        trust._log.trying_since_s = time.monotonic() - 0.5
+        assert trust.may_accept()
+        assert trust.may_extend_s(3.0) == 6.0
+        trust._log.failing_since_s = time.monotonic()
+        assert not trust.may_accept()
+
+
+class TestStandstill:
+    async def test_is_told_by_a_holder_that_orders_nothing(self) -> None:
+        assert _trust(2.0).standstill_version == HEAD_VERSION
+
+    async def test_is_not_told_while_runs_may_be_extended(self) -> None:
+        """A release that is not taken makes it doubtful, but it goes on holding."""
+        trust = _trust(0.0)
+        trust.begin_release()
+        trust._release_began_at_s -= 2 * RELEASE_S
+        assert trust.doubtful
+        assert trust.may_extend_s(3.0) > 0
+        assert trust.standstill_version == 0
