--- a/src/streamthread/standins/faults.py
+++ b/src/streamthread/standins/faults.py
@@ -17,8 +17,8 @@
     :param lose_replies: the answers of so many commits are lost, after they
         took effect.
     :param refuse_writes: only commits are refused.
-    :param hold_pool_commit_s: the next commit that writes a pool's row is on its
-        way for so long before it arrives; then 0 again.
+    :param hold_pool_commit: one commit that writes a pool's row is on its way for as
+        long as this is set, and arrives then.
     :param membership_lag_s: changes show in the membership list so much later.
     :param reboot_s: how long a reboot takes.
     :param failing_workers: these fail each task at once.
@@ -29,7 +29,7 @@
     outage: bool = False
     lose_replies: int = 0
     refuse_writes: bool = False
-    hold_pool_commit_s: float = 0.0
+    hold_pool_commit: bool = False
     membership_lag_s: float = 0.2
     reboot_s: float = 0.5
     failing_workers: tuple[str, ...] = ()
--- a/src/streamthread/standins/platform.py
+++ b/src/streamthread/standins/platform.py
@@ -32,6 +32,10 @@
 
 WRITES_PER_S = 300.0
 READS_PER_S = 2000.0
+
+HOLD_POLL_S = 0.02
+"""How often a commit on its way looks whether it may arrive."""
+
 LARGEST_BODY_BYTES = 64 * 1024 * 1024
 
 
@@ -42,6 +46,7 @@
         super().__init__()
         self.port = port
         self.faults = Faults()
+        self._holds_commit = False
         self.counters: collections.Counter[str] = collections.Counter()
         self._host = host
         self._platform = memory_platform()
@@ -150,14 +155,15 @@
         return cattrs.unstructure(result)
 
     async def _hold(self, transaction: Transaction) -> None:
-        """Let one commit about a pool be on its way for long, if asked to."""
-        held_s = self.faults.hold_pool_commit_s
-        if held_s and any(
-            write.key.startswith("pool/") for write in transaction.writes
-        ):
-            self.faults.hold_pool_commit_s = 0.0
-            self.counters["held"] += 1
-            await asyncio.sleep(held_s)
+        """Let one commit about a pool be on its way for as long as asked to."""
+        about_pool = any(write.key.startswith("pool/") for write in transaction.writes)
+        if not self.faults.hold_pool_commit or self._holds_commit or not about_pool:
+            return
+        self._holds_commit = True
+        self.counters["held"] += 1
+        while self.faults.hold_pool_commit:
+            await asyncio.sleep(HOLD_POLL_S)
+        self._holds_commit = False
 
     async def _objects_put(self, body: JsonObject) -> JsonObject:
         await self._platform.objects.put(body["key"], body["body"].encode())
--- a/tests/integration/test_holders.py
+++ b/tests/integration/test_holders.py
@@ -55,14 +55,16 @@
     async def test_paused_holder_is_refused_by_the_epoch_when_it_wakes(self) -> None:
         """Its commit is on the way while it is paused and its shards are taken."""
         async with served_cluster(entries=3, proxied=True) as cluster:
+            await cluster.set_faults(hold_pool_commit=True)
+            await start_wave(cluster)
+            await eventually(lambda: _counted(cluster, "held"))
+            # Only now: while the entries find each other, shards still change hands.
             holder = await holder_of_pool(cluster)
             others = [entry for entry in range(3) if entry != holder]
-            await cluster.set_faults(hold_pool_commit_s=6.0)
-            await start_wave(cluster, entry=others[0])
-            await eventually(lambda: _counted(cluster, "held"))
             cluster.entries[holder].pause()
             await eventually(lambda: all_shards_held(cluster, others))
             watch = BudgetWatch(cluster, others[0])
+            await cluster.set_faults(hold_pool_commit=False)
             await eventually(lambda: _counted(cluster, "fenced"))
             cluster.entries[holder].resume()
             await eventually(lambda: wave_done(cluster, others[0]), 40)
