Read the head row in one way, and drop what nothing reads any more

- Reading a small table or getting None stood twice, in the owner's book and in the commit log: it is cell/reading.py, which both and the watch call.
- TakenCell.why had no reader since duties wait by alone_at_s; Suspicion is no longer exported for it.
- A release set the book's owner by itself; it tells the book, as a take-over does.
- The rise of a burst and its youth are computed from one span each, with a name for the older half.
- The docstring of Forwarder._hears_holder promised that a holder here does not doubt itself, which is not looked at; it says what is done.
- The stand-in frees its held commit also where the caller is gone.

--- a/src/streamthread/capacity/bursts.py
+++ b/src/streamthread/capacity/bursts.py
@@ -168,10 +168,8 @@
 
     def begins(self, now_s: float) -> bool:
         """Whether a burst is so young that its rate may still be far off."""
-        return (
-            self.present is not None
-            and now_s - self.present.began_at_s < self._slow.span_s
-        )
+        burst = self.present
+        return burst is not None and now_s - burst.began_at_s < SLOW_SPAN_S
 
     def settle(self, now_s: float) -> None:
         """Close the present burst once its arrivals have ceased."""
@@ -204,13 +202,14 @@
         """
         if self.present is None:
             return 0.0
-        half_s = min(now_s - self.present.began_at_s, SLOW_SPAN_S) / 2
-        if 2 * half_s < FAST_SPAN_S:
+        span_s = min(now_s - self.present.began_at_s, SLOW_SPAN_S)
+        if span_s < FAST_SPAN_S:
             return 0.0
+        half_s = span_s / 2
         newer = sum(at_s > now_s - half_s for at_s in self._latest_at_s)
-        both = sum(at_s > now_s - 2 * half_s for at_s in self._latest_at_s)
-        risen = newer - (both - newer)
-        sure = risen - RISE_DEVIATIONS * math.sqrt(both)
+        both = sum(at_s > now_s - span_s for at_s in self._latest_at_s)
+        older = both - newer
+        sure = newer - older - RISE_DEVIATIONS * math.sqrt(both)
         return max(0.0, sure) / half_s**2
 
     def _jobs_per_s(self, now_s: float) -> float:
--- a/src/streamthread/cell/__init__.py
+++ b/src/streamthread/cell/__init__.py
@@ -8,7 +8,6 @@
 from .rows import TABLE_INBOX
 from .rows import TABLE_JOBS
 from .rows import TABLE_RUNS
-from .takeover import Suspicion
 from .takeover import TakenCell
 from .times import LeaseTimes
 
@@ -22,6 +21,5 @@
     "CommitLog",
     "LeaseTimes",
     "PeerLinks",
-    "Suspicion",
     "TakenCell",
 ]
--- a/src/streamthread/cell/book.py
+++ b/src/streamthread/cell/book.py
@@ -9,16 +9,16 @@
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..platform.store import ABSENT
-from ..platform.store import Page
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
 from ..platform.table_feed import TableFeed
 from . import cell_pb2 as pb
+from .reading import read_or_none
 from .rows import Owner
 from .rows import OWNER_KEY
 from .rows import TABLE_OWNER
 
-__all__ = ["OwnerBook", "read_or_none"]
+__all__ = ["OwnerBook"]
 
 log = logbook.Logger("streamthread.cell")
 
@@ -26,14 +26,6 @@
 """Pause after the owner row could not be read."""
 
 
-async def read_or_none(store: RowStore, table: str, part: str) -> Page | None:
-    """Read a table of one row, or return None: the store does not answer."""
-    try:
-        return await store.read(table, part)
-    except (StoreUnavailableError, OutcomeUnknownError):
-        return None
-
-
 class OwnerBook:
     """The newest owner that this daemon has heard of.
 
--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -8,13 +8,13 @@
 import attrs
 
 from ..errors import NotHolderError
-from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..platform.store import Condition
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
 from .answers import AnswerTimes
 from .answers import version_written
+from .reading import read_or_none
 from .rows import Head
 from .rows import HEAD_KEY
 from .rows import new_nonce
@@ -228,9 +228,8 @@
 
         :raises NotHolderError: another daemon has written the head row.
         """
-        try:
-            page = await self._store.read(TABLE_HEAD, self._part)
-        except (StoreUnavailableError, OutcomeUnknownError):
+        page = await read_or_none(self._store, TABLE_HEAD, self._part)
+        if page is None:
             return None
         row = next((row for row in page.rows if row.key == HEAD_KEY), None)
         if row is None or row.value is None:
--- a/src/streamthread/cell/takeover.py
+++ b/src/streamthread/cell/takeover.py
@@ -43,14 +43,12 @@
 
     :param head_version: the head row's version after the take-over.
     :param taken_at_s: on the monotonic clock: when the take-over was sent.
-    :param why: what was known of the holder before.
     :param alone_at_s: on the monotonic clock: no earlier holder sends an order later.
     """
 
     owner: Owner
     head_version: int
     taken_at_s: float
-    why: Suspicion
     alone_at_s: float
 
     @property
--- a/src/streamthread/cell/taking.py
+++ b/src/streamthread/cell/taking.py
@@ -152,7 +152,7 @@
         )
         self._book.note_written(mine, version)
         alone_at_s = self._alone_at_s(suspicion, standstill, began_at_s)
-        return TakenCell(mine, version, began_at_s, suspicion, alone_at_s)
+        return TakenCell(mine, version, began_at_s, alone_at_s)
 
     def _alone_at_s(
         self, suspicion: Suspicion, standstill: Standstill | None, taken_at_s: float
@@ -180,7 +180,7 @@
         if version is None:
             log.warning("cell-not-released", extra={"token": owner.token})
             return False
-        self._book.owner = owner
+        self._book.note_written(owner, version)
         log.info(
             "cell-released",
             extra={"token": owner.token, "successor": successor, "version": version},
--- a/src/streamthread/cell/tests/test_lease.py
+++ b/src/streamthread/cell/tests/test_lease.py
@@ -10,7 +10,6 @@
 
 from streamthread.cell import CellLease
 from streamthread.cell import LeaseTimes
-from streamthread.cell import Suspicion
 from streamthread.cell.rows import Head
 from streamthread.cell.rows import HEAD_KEY
 from streamthread.cell.rows import Owner
@@ -18,6 +17,7 @@
 from streamthread.cell.rows import TABLE_HEAD
 from streamthread.cell.rows import TABLE_OWNER
 from streamthread.cell.takeover import Standstill
+from streamthread.cell.takeover import Suspicion
 from streamthread.cell.takeover import TakenCell
 from streamthread.platform.store import ABSENT
 from streamthread.platform.store import Condition
--- a/src/streamthread/cell/watch.py
+++ b/src/streamthread/cell/watch.py
@@ -8,11 +8,11 @@
 from ..platform.store import ABSENT
 from ..platform.store import RowStore
 from .book import OwnerBook
-from .book import read_or_none
 from .peer import HolderDoubtfulError
 from .peer import HolderSilentError
 from .peer import HolderUnreachableError
 from .peer import PeerLinks
+from .reading import read_or_none
 from .rows import Owner
 from .rows import TABLE_HEAD
 from .takeover import Standstill
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -129,7 +129,7 @@
         return lasted_s >= self._settings.give_up_s and not self._hears_holder()
 
     def _hears_holder(self) -> bool:
-        """Whether there is a holder, here or on a peer, that does not doubt itself."""
+        """Whether there is a holder here, or one whose beats tell of no doubt."""
         holder = self._holder()
         if holder is not None and holder.active:
             return True
--- a/src/streamthread/standins/platform.py
+++ b/src/streamthread/standins/platform.py
@@ -161,9 +161,12 @@
             return
         self._holds_commit = True
         self.counters["held"] += 1
-        while self.faults.hold_pool_commit:
-            await asyncio.sleep(HOLD_POLL_S)
-        self._holds_commit = False
+        try:
+            while self.faults.hold_pool_commit:
+                await asyncio.sleep(HOLD_POLL_S)
+        finally:
+            # Also where the caller is gone: the next commit may be held then.
+            self._holds_commit = False
 
     async def _objects_put(self, body: JsonObject) -> JsonObject:
         await self._platform.objects.put(body["key"], body["body"].encode())
