Say how much of an answer had come when a call fails

Cause: from the logs alone, an answer that is too long for its time limit looks like a connection that has fallen silent: both say TimeoutError. Only the bytes that monitoring counted told them apart.

The error now names the time and the bytes of the answer that had come; an adopted manifest is logged with its size. No decision changes. Ruled out for the log: a line for each failed try, since the tries repeat each second for as long as a dependency is lost.

--- a/src/streamthread/gateway/documents.py
+++ b/src/streamthread/gateway/documents.py
@@ -91,7 +91,11 @@
         self._routes = _by_host(manifest.routes)
         log.info(
             "manifest-adopted",
-            extra={"version": manifest.version, "routes": len(manifest.routes)},
+            extra={
+                "version": manifest.version,
+                "routes": len(manifest.routes),
+                "bytes": len(value),
+            },
         )
 
     def _take_wave(self, value: bytes) -> None:
--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import json
+import time
 import typing as t
 
 import aiohttp
@@ -43,6 +44,21 @@
     instance_id: str = ""
 
 
+@attrs.define
+class _Progress:
+    """How far a call has come; told when it fails.
+
+    :param received_bytes: of the answer's body.
+    """
+
+    began_at_s: float = attrs.field(factory=time.monotonic)
+    received_bytes: int = 0
+
+    def __str__(self) -> str:
+        took_s = time.monotonic() - self.began_at_s
+        return f"after {took_s:.2f} s and {self.received_bytes} bytes"
+
+
 class HttpCaller:
     """Calls one kind of service; connections are kept and counted.
 
@@ -93,6 +109,7 @@
         """
         all_headers = JSON_HEADERS if headers is None else JSON_HEADERS | headers
         data = None if body is None else _encode(body)
+        progress = _Progress()
         try:
             async with asyncio.timeout(timeout_s):
                 async with self._open().request(
@@ -102,14 +119,16 @@
                     headers=all_headers,
                     params=params,
                 ) as response:
-                    return await _read_answer(response)
+                    return await _read_answer(response, progress)
         except aiohttp.ClientConnectorError as error:
             raise StoreUnavailableError(
                 str(error), remedy=_WAIT, location=url
             ) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
             raise OutcomeUnknownError(
-                f"no answer ({type(error).__name__})", remedy=_WAIT, location=url
+                f"no whole answer ({type(error).__name__} {progress})",
+                remedy=_WAIT,
+                location=url,
             ) from error
 
 
@@ -140,10 +159,13 @@
     return json.dumps(body, separators=(",", ":")).encode()
 
 
-async def _read_answer(response: aiohttp.ClientResponse) -> Answer:
-    text = await response.read()
+async def _read_answer(response: aiohttp.ClientResponse, progress: _Progress) -> Answer:
+    parts: list[bytes] = []
+    async for part in response.content.iter_any():
+        parts.append(part)
+        progress.received_bytes += len(part)
     instance_id = response.headers.get(INSTANCE_HEADER, "")
-    return Answer(response.status, _decode(text), instance_id)
+    return Answer(response.status, _decode(b"".join(parts)), instance_id)
 
 
 def _decode(text: bytes) -> JsonObject:
