--- a/src/streamthread/standins/cell/store.py
+++ b/src/streamthread/standins/cell/store.py
@@ -15,6 +15,9 @@
 Json = dict[str, t.Any]
 Key = tuple[str, str, str]
 
+PIECE_BYTES = 4096
+"""An answer over a small link comes in pieces of this size."""
+
 
 @attrs.define
 class StoreFaults:
@@ -27,6 +30,10 @@
     :param late_s: lost writes take effect only after so long.
     :param delay_s: every answer takes so much longer.
     :param forget_before: the feed has lost the history before this version.
+    :param answer_bytes_per_s: each answer comes at this rate, as over a small link;
+        0: at once.
+    :param stall_after_bytes: answers stop after so many bytes, and their connections
+        stay open; 0: never.
     """
 
     refuse: int = 0
@@ -35,6 +42,8 @@
     late_s: float = 0.0
     delay_s: float = 0.0
     forget_before: int = 0
+    answer_bytes_per_s: float = 0.0
+    stall_after_bytes: int = 0
 
 
 class StoreStandin:
@@ -88,6 +97,12 @@
             await asyncio.sleep(PLAY_DEAD_S)
         if faults.refuse:
             return web.Response(status=faults.refuse)
+        response = await self._answer(request)
+        if faults.answer_bytes_per_s or faults.stall_after_bytes:
+            return await self._send_in_pieces(request, response)
+        return response
+
+    async def _answer(self, request: web.BaseRequest) -> web.Response:
         if request.path == "/-/rows-tx":
             return await self._transact(await _json(request))
         if request.path == "/-/rows-get":
@@ -96,7 +111,25 @@
             return await self._feed(request.query)
         return web.Response(status=404)
 
-    async def _transact(self, body: Json) -> web.StreamResponse:
+    async def _send_in_pieces(
+        self, request: web.BaseRequest, response: web.Response
+    ) -> web.StreamResponse:
+        """Send an answer as the faults say, which may change meanwhile."""
+        body = t.cast(bytes, response.body)
+        stream = web.StreamResponse(status=response.status)
+        stream.content_type = response.content_type
+        stream.content_length = len(body)
+        await stream.prepare(request)
+        for start in range(0, len(body), PIECE_BYTES):
+            stall_after_bytes = self.faults.stall_after_bytes
+            if stall_after_bytes and start >= stall_after_bytes:
+                await asyncio.sleep(PLAY_DEAD_S)
+            if self.faults.answer_bytes_per_s:
+                await asyncio.sleep(PIECE_BYTES / self.faults.answer_bytes_per_s)
+            await stream.write(body[start : start + PIECE_BYTES])
+        return stream
+
+    async def _transact(self, body: Json) -> web.Response:
         self.writes += 1
         if self.faults.lose_answers > 0:
             self.faults.lose_answers -= 1
@@ -129,7 +162,7 @@
         found = self.rows.get(_key(row))
         return found[1] if found else 0
 
-    def _get(self, query: t.Mapping[str, str]) -> web.StreamResponse:
+    def _get(self, query: t.Mapping[str, str]) -> web.Response:
         table, part = query["table"], query.get("part", "")
         limit = int(query.get("limit", 500))
         names = sorted(
@@ -153,7 +186,7 @@
             return row | {"gone": True, "ver": self.version}
         return row | {"value": found[0], "ver": found[1]}
 
-    async def _feed(self, query: t.Mapping[str, str]) -> web.StreamResponse:
+    async def _feed(self, query: t.Mapping[str, str]) -> web.Response:
         table, after = query["table"], int(query["after"])
         if after < self.faults.forget_before:
             return web.Response(status=410)
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -78,8 +78,13 @@
         """Write a runner's entry as it is now."""
         await self._put("servers", runner.runner_id, runner.entry())
 
-    async def write_manifest(self, version: int, **route: t.Any) -> None:
-        """Write a manifest: a route a pool, under the host of the pool's name."""
+    async def write_manifest(
+        self, version: int, more_routes: int = 0, **route: t.Any
+    ) -> None:
+        """Write a manifest: a route a pool, under the host of the pool's name.
+
+        :param more_routes: so many routes besides, to the first pool.
+        """
         routes = [
             {
                 "name": f"route-{pool}",
@@ -94,6 +99,10 @@
             for pool in self._pools
             if pool != SPARE_POOL
         ]
+        routes += [
+            routes[0] | {"name": f"route-{number}", "pathPrefix": f"/more-{number}/"}
+            for number in range(more_routes)
+        ]
         services = [
             {"name": pool, "rejectsOverload": True, "spare": pool == SPARE_POOL}
             for pool in self._pools
