Close idle connections to an address where one has fallen silent

Cause: open connections can fall silent together while new ones work. The library hands out the idle connection that was used longest ago, so that each silent one costs a call its whole time limit, one after the other.

Ruled out: a session for each address (memory at 18,000 runners); socket keep-alives (a connection that the store has stopped answering on still acknowledges); closing the connections that calls wait on (one lost answer would cost the feeds beside it).

Tests: four silent connections cost one call (before: each read that followed failed as well); a feed that waits is left alone.

--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -8,6 +8,7 @@
 
 import aiohttp
 import attrs
+import logbook
 import yarl
 
 from ..errors import OutcomeUnknownError
@@ -16,6 +17,8 @@
 
 __all__ = ["Answer", "HttpCaller", "JsonObject", "ServiceClient", "refuse_status"]
 
+log = logbook.Logger("streamthread.platform")
+
 JsonObject = dict[str, t.Any]
 
 INSTANCE_HEADER = "Streamthread-Instance-Id"
@@ -64,26 +67,53 @@
         return f"after {took_s:.2f} s and {self.received_bytes} bytes"
 
 
+class _Connector(aiohttp.TCPConnector):
+    """Keeps idle connections, and closes those that most likely bring nothing more."""
+
+    def close_idle(self, url: yarl.URL) -> int:
+        """Close the idle connections to a URL's address.
+
+        :return: how many they were.
+        """
+        # The library names no way to its idle connections. It skips closed ones.
+        idle = [
+            protocol
+            for key, kept in self._conns.items()
+            if (key.host, key.port) == (url.host, url.port)
+            for protocol, _ in kept
+            if protocol.is_connected()
+        ]
+        for protocol in idle:
+            protocol.close()
+        return len(idle)
+
+
 class HttpCaller:
     """Calls one kind of service; connections are kept and counted.
 
+    Where one connection to an address has fallen silent, the idle ones have most likely
+    done so too. They are closed, so that the next call makes a new one: else each of them
+    costs a call its whole time limit, one after the other. Measured with all connections
+    silent at once: 8.7 s without a list of machines, four times a limit of 2 s.
+
     :param connections_per_address: the most connections to one address.
     """
 
     def __init__(self, connections_per_address: int) -> None:
         self._limit = connections_per_address
         self._session: aiohttp.ClientSession | None = None
+        self._connector: _Connector | None = None
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(
+            self._connector = _Connector(
                 limit=0,
                 limit_per_host=self._limit,
                 keepalive_timeout=IDLE_CONNECTION_S,
             )
             # Calls have their own time limit, and the platform sets no cookies.
             self._session = aiohttp.ClientSession(
-                connector=connector,
+                connector=self._connector,
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
                 timeout=aiohttp.ClientTimeout(total=None),
@@ -132,12 +162,22 @@
                 str(error), remedy=_WAIT, location=url
             ) from error
         except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
+            if isinstance(error, TimeoutError):
+                self._on_silence(_parse_url(url))
             raise OutcomeUnknownError(
                 f"no whole answer ({type(error).__name__} {progress})",
                 remedy=_WAIT,
                 location=url,
             ) from error
 
+    def _on_silence(self, url: yarl.URL) -> None:
+        closed = 0 if self._connector is None else self._connector.close_idle(url)
+        if closed:
+            log.info(
+                "idle-connections-closed",
+                extra={"address": f"{url.host}:{url.port}", "connections": closed},
+            )
+
 
 class ServiceClient:
     """What the clients of services with one address share.
--- a/src/streamthread/platform/tests/test_http.py
+++ b/src/streamthread/platform/tests/test_http.py
@@ -63,3 +63,31 @@
         with pytest.raises(OutcomeUnknownError, match=r"TimeoutError .* 0 bytes"):
             async with asyncio.timeout(http.SILENCE_S):
                 await client.read(TABLE, "")
+
+
+class TestSilentConnections:
+    async def test_cost_one_call_however_many_there_are(
+        self, store: StoreStandin, client: RowStore
+    ) -> None:
+        store.faults.delay_s = ANSWER_S / 2
+        await asyncio.gather(*(client.read(TABLE, "") for _ in range(4)))
+        store.faults.delay_s = 0.0
+        assert store.port.silence_connections() == 4
+        with pytest.raises(OutcomeUnknownError, match=r"TimeoutError .* 0 bytes"):
+            await client.read(TABLE, "")
+        (row,) = (await client.read(TABLE, "")).rows
+        assert row.key == "key"
+
+    async def test_at_work_are_left_alone(
+        self, store: StoreStandin, client: RowStore
+    ) -> None:
+        await client.read(TABLE, "")
+        feed = asyncio.ensure_future(client.feed(TABLE, store.version, 10.0))
+        while not store.waiting_feeds:
+            await client.read(TABLE, "")
+        store.faults.silent = True
+        with pytest.raises(OutcomeUnknownError):
+            await client.read(TABLE, "")
+        await store.put(TABLE, "other", LONG_VALUE)
+        (row,) = (await feed).rows
+        assert row.key == "other"
--- a/src/streamthread/standins/cell/store.py
+++ b/src/streamthread/standins/cell/store.py
@@ -55,6 +55,7 @@
         self.version = 0
         self.writes = 0
         self.late_writes = 0
+        self.waiting_feeds = 0
         self.history: list[tuple[int, Key]] = []
         self._changed = asyncio.Condition()
         self.port = HttpPort(self._serve)
@@ -191,6 +192,22 @@
         if after < self.faults.forget_before:
             return web.Response(status=410)
         until_s = time.monotonic() + int(query.get("waitMs", 0)) / 1000
+        self.waiting_feeds += 1
+        try:
+            names = await self._wait_for_change(table, after, until_s)
+        finally:
+            self.waiting_feeds -= 1
+        return web.json_response(
+            {
+                "rows": [self._row(key) for key in names],
+                "ver": self.version,
+                "now_ms": _now_ms(),
+            }
+        )
+
+    async def _wait_for_change(
+        self, table: str, after: int, until_s: float
+    ) -> list[Key]:
         async with self._changed:
             while not (names := self._changed_since(table, after)):
                 left_s = until_s - time.monotonic()
@@ -201,13 +218,7 @@
                         await self._changed.wait()
                 except TimeoutError:
                     break
-        return web.json_response(
-            {
-                "rows": [self._row(key) for key in names],
-                "ver": self.version,
-                "now_ms": _now_ms(),
-            }
-        )
+            return names
 
     def _changed_since(self, table: str, after: int) -> list[Key]:
         found: dict[Key, None] = {}
