Bound silence, not length, in the embedded platform's client too

Cause: the same class as the incident's, found while looking for it elsewhere: the client of the embedded platform limited each call as a whole, among them reads of objects, which hold whole generations of the configuration.

Test: an object that comes in pieces over twice the limit is read (it failed before), one that stops in the middle is given up.

Ruled out as further places: the page size of job reads (100 rows) bounds each answer; requests to upstreams have the caller's own deadline, which is a promise to the caller; messages between daemons carry single jobs and states.

--- a/src/streamthread/providers/http.py
+++ b/src/streamthread/providers/http.py
@@ -45,12 +45,16 @@
 class PlatformClient:
     """One session to the platform, shared by its four adapters.
 
-    :param timeout_s: how long one call may take.
+    :param timeout_s: each part of a call takes no longer: connecting, until the answer
+        begins, and each pause in it. How long an answer takes as a whole depends on its
+        size and the link: a limit on that would keep a large object out for good.
     """
 
     def __init__(self, base_url: str, timeout_s: float) -> None:
         self._base_url = base_url
-        self._timeout = aiohttp.ClientTimeout(total=timeout_s)
+        self._timeout = aiohttp.ClientTimeout(
+            total=None, connect=timeout_s, sock_read=timeout_s
+        )
         self._session: aiohttp.ClientSession | None = None
 
     async def close(self) -> None:
