Let no holder judge a job by an older configuration than its sender's

Cause: a daemon found a job's route in the newest configuration and passed on the route's name; the holder looked it up in its own. One that was behind said that there is no such queue, and the caller got 404 although the change was in force at the daemon it had asked; where a change sends a queue to another pool, the job would have run in the old one.

A call names the version by which its route was found. A holder that knows only an older one says so and does nothing; the caller's daemon tries again for 1.6 s and then refuses with a time to come back. Jobs in the inbox wait in the same way; rows without a version are read as before.

Ruled out: sending the route itself (two copies of what is promised for a queue); waiting until the caller gives up (he may come back instead).

Tests: 404 before, accepted once the holder knows the queue now; a job in the inbox waits; refused after 1.6 s while the holder stays behind.

--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -54,8 +54,9 @@
     :param inbox_after_s: a change that no holder took for longer goes into the
         inbox, from which the next holder takes it; not while the holder's beats are
         heard, since the inbox's writes queue before its commits in a slow store.
-    :param give_up_s: after so long without a holder that is heard, the caller gets
-        its final answer; it may ask again, at any daemon.
+    :param give_up_s: after so long without a holder that is heard, or with one that
+        knows only an older configuration, the caller gets its final answer; it may ask
+        again, at any daemon.
     :param retry_s: pause between tries.
     """
 
@@ -110,23 +111,29 @@
                 if kept is Kept.NO and not uncertain:
                     return _refused("neither a holder nor the store answers")
                 uncertain = True
-            if self._gives_up(began_at_s, until_s):
+            if self._gives_up(began_at_s, until_s, reply.outcome):
                 break
             await asyncio.sleep(self._settings.retry_s)
         if uncertain or not changes:
             return pb.CallReply(outcome=pb.UNCERTAIN, reason="no holder answered")
+        if reply.outcome == pb.BEHIND:
+            return _refused("the holder knows only an older configuration")
         return _refused("no holder is known")
 
-    def _gives_up(self, began_at_s: float, until_s: float) -> bool:
+    def _gives_up(
+        self, began_at_s: float, until_s: float, outcome: pb.CallOutcome
+    ) -> bool:
         """Whether to answer without a holder's answer.
 
-        A holder that is heard still works on it, however slow the store is.
+        A holder that is heard still works on it, however slow the store is, unless it
+        says that the configuration has not come to it.
         """
         now_s = time.monotonic()
         if now_s >= until_s:
             return True
         lasted_s = now_s - began_at_s
-        return lasted_s >= self._settings.give_up_s and not self._hears_holder()
+        at_work = outcome != pb.BEHIND and self._hears_holder()
+        return lasted_s >= self._settings.give_up_s and not at_work
 
     def _hears_holder(self) -> bool:
         """Whether there is a holder here, or one whose beats tell of no doubt."""
@@ -170,7 +177,12 @@
 
     async def _leave_in_inbox(self, request: pb.CallRequest) -> Kept:
         """Keep a change in the store, for the next holder."""
-        entry = InboxEntry(request.job_id, request.route, request.job.decode())
+        entry = InboxEntry(
+            request.job_id,
+            request.route,
+            request.job.decode(),
+            request.configuration_version,
+        )
         key = inbox_key(entry)
         condition = Condition(TABLE_INBOX, self._part, key, ABSENT)
         row = StoredRow(TABLE_INBOX, self._part, key, entry.encode())
@@ -197,7 +209,7 @@
     """
     if reply.outcome == pb.REFUSED:
         return not uncertain
-    return reply.outcome not in (pb.UNCERTAIN, pb.NOT_HOLDER)
+    return reply.outcome not in (pb.UNCERTAIN, pb.NOT_HOLDER, pb.BEHIND)
 
 
 def _is_job(body: bytes) -> bool:
--- a/src/streamthread/gateway/front.py
+++ b/src/streamthread/gateway/front.py
@@ -167,7 +167,8 @@
         return response
 
     async def _answer(self, request: web.BaseRequest, began_at_s: float) -> _Reply:
-        if self._documents.manifest is None:
+        manifest = self._documents.manifest
+        if manifest is None:
             return _Reply(503, retry_after_s=COME_BACK_S, reason="no manifest yet")
         host = (request.headers.get("Host") or "").split(":")[0].lower()
         route = self._documents.find_route(host, request.path)
@@ -179,6 +180,7 @@
         call = _decode_call(request.method, request.path, route, body)
         if call is None:
             return _Reply(404)
+        call.configuration_version = manifest.version
         until_s = began_at_s + _wait_s(request) - ANSWER_MARGIN_S
         return _encode_reply(call, await self._forwarder.ask(call, until_s))
 
--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -119,3 +119,21 @@
         reply = await _ask(_Peers(_lost()), _Store(), heard=True, wait_s=wait_s)
         assert reply.outcome == pb.UNCERTAIN
         assert time.monotonic() - began_at_s >= wait_s
+
+    async def test_is_refused_while_the_holder_knows_an_older_configuration(
+        self,
+    ) -> None:
+        began_at_s = time.monotonic()
+        store = _Store()
+        behind = pb.CallReply(outcome=pb.BEHIND)
+        reply = await _ask(_Peers(behind), store, heard=True)
+        assert reply.outcome == pb.REFUSED
+        assert "older configuration" in reply.reason
+        assert time.monotonic() - began_at_s >= SETTINGS.give_up_s
+        assert not store.kept
+
+    async def test_waits_for_the_holders_configuration(self) -> None:
+        behind = pb.CallReply(outcome=pb.BEHIND)
+        done = pb.CallReply(outcome=pb.OK)
+        reply = await _ask(_Peers(behind, behind, done), _Store(), heard=True)
+        assert reply.outcome == pb.OK
--- a/src/streamthread/holder/inbox.py
+++ b/src/streamthread/holder/inbox.py
@@ -27,11 +27,13 @@
     """A job that was handed in, or a cancel, kept until the holder takes it.
 
     :param body: the job as it was handed in; empty for a cancel.
+    :param configuration_version: by which the route was found; 0: it was not said.
     """
 
     job_id: str
     route: str
     body: str = ""
+    configuration_version: int = 0
 
     @property
     def is_cancel(self) -> bool:
@@ -40,13 +42,13 @@
 
     def encode(self) -> bytes:
         """Return the row's value."""
-        return json.dumps([self.job_id, self.route, self.body]).encode()
+        version = self.configuration_version
+        return json.dumps([self.job_id, self.route, self.body, version]).encode()
 
     @classmethod
     def decode(cls, value: bytes) -> "InboxEntry":
         """Return what a row's value says."""
-        job_id, route, body = json.loads(value)
-        return cls(job_id, route, body)
+        return cls(*json.loads(value))
 
 
 def inbox_key(entry: InboxEntry) -> str:
@@ -63,7 +65,7 @@
 
     @abstractmethod
     def accept_left(self, entry: InboxEntry) -> bool:
-        """Take a job; return False where its route is not known yet."""
+        """Take a job; return False where the configuration has not come here yet."""
 
     @abstractmethod
     def cancel_left(self, job_id: str) -> None:
@@ -77,7 +79,7 @@
 class InboxReader:
     """Takes the rows of the inbox in the order in which they were written.
 
-    :param waiting: rows whose route no manifest names yet, by key.
+    :param waiting: rows that wait for the configuration, by key.
     """
 
     def __init__(self, feed: TableFeed, owner: InboxOwner) -> None:
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -62,6 +62,14 @@
             return None
         return next((r for r in manifest.routes if r.name == name), None)
 
+    def _is_behind(self, version: int) -> bool:
+        """Whether the configuration known here is older than a version.
+
+        A newer one may have added the queue, or send it to another pool.
+        """
+        manifest = self._documents.manifest
+        return manifest is None or manifest.version < version
+
     # Calls.
 
     async def answer(self, request: pb.CallRequest) -> pb.CallReply:
@@ -90,6 +98,8 @@
                     reason="the store does not take commits",
                     retry_after_s=STORE_COME_BACK_S,
                 )
+            if self._is_behind(request.configuration_version):
+                return pb.CallReply(outcome=pb.BEHIND)
             route = self.route(request.route)
             if route is None:
                 return pb.CallReply(outcome=pb.UNKNOWN_JOB, reason="no such queue")
@@ -144,10 +154,13 @@
         return job_id in self._engine.jobs
 
     def accept_left(self, entry: InboxEntry) -> bool:
-        """Take a job; return False where its route is not known yet."""
-        route = self.route(entry.route)
+        """Take a job; return False where the configuration has not come here yet."""
+        behind = self._is_behind(entry.configuration_version)
+        route = None if behind else self.route(entry.route)
         if route is None:
-            log.warning("inbox-route-unknown", extra={"job": entry.job_id})
+            log.warning(
+                "inbox-route-unknown", extra={"job": entry.job_id, "behind": behind}
+            )
             return False
         try:
             self._accept(entry.job_id, route, entry.body.encode())
--- a/tests/cell/test_documents.py
+++ b/tests/cell/test_documents.py
@@ -1,8 +1,15 @@
 """The operator's configuration comes into force, whatever its size and the link."""
 
+import asyncio
+import base64
+
+import pytest
+
 from streamthread.gateway import CellDaemon
+from streamthread.holder.inbox import InboxEntry
 from streamthread.platform.node import decode_node
 
+from .support import job
 from .support import running_cell
 from .support import until
 
@@ -14,6 +21,9 @@
 
 IN_FORCE_WITHIN_S = 8.0
 
+BEHIND_S = 0.5
+"""A holder that is behind answers nothing for so long; one that knows, within 0.1 s."""
+
 
 def _version(daemon: CellDaemon) -> int:
     manifest = daemon.documents.manifest
@@ -43,3 +53,38 @@
                 )
             finally:
                 await late.stop()
+
+
+class TestHolderThatIsBehind:
+    async def test_takes_a_job_once_it_knows_the_queue(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async with running_cell({"desk": 1}, daemon_count=2) as cell:
+            holder = await cell.until_ready()
+            follower = next(d for d in cell.daemons if d is not holder)
+            caller = cell.caller()
+            with monkeypatch.context() as held_back:
+                held_back.setattr(holder.documents, "_take", lambda row: None)
+                await cell.world.write_manifest(2, name="another-queue")
+                await until(lambda: _version(follower) == 2, "version 2 at one daemon")
+                at = cell.daemons.index(follower)
+                submitted = asyncio.ensure_future(caller.submit("a" * 16, job(), at=at))
+                await asyncio.wait((submitted,), timeout=BEHIND_S)
+                assert not submitted.done(), "answered by an older configuration"
+            await cell.world.write_manifest(3, name="another-queue")
+            assert await submitted == 200
+            await caller.until_state("a" * 16, "completed", at=at)
+
+    async def test_takes_no_job_from_the_inbox_before(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            holder = await cell.until_ready()
+            entry = InboxEntry("b" * 16, "route-desk", job().decode(), 2)
+            value = base64.b64encode(entry.encode()).decode()
+            await cell.world.store.put("cell-inbox", "key", value, part="main")
+            assert holder.holder is not None
+            inbox = holder.holder.inbox
+            await until(lambda: inbox.waiting, "the job waits")
+            await cell.world.write_manifest(2)
+            await cell.caller().until_state("b" * 16, "completed")
