Start lasting tasks of a vanished runner as soon as they have surely lapsed

A new holder takes runs on a runner that it never reached as running until the longest hold of an earlier holder is over.

An order on its way adds nothing, since its deadline is a time on the runner's clock that the holder reckons when it sends it; what does add is the runner's clock running slow since its last answer, 0.06 s.

Ruled out: holding for less than 6 s (an outage of the store lasts 4.5 s); taking a closed port as proof that no longer hold was given (the link may lie; two runs of one task at a time are worse than a late one).

--- a/src/streamthread/holder/housekeeping.py
+++ b/src/streamthread/holder/housekeeping.py
@@ -18,7 +18,7 @@
 """How often we look whether commits have begun to fail, or work again."""
 
 FORGET_EVERY_S = 1.0
-"""How often ended jobs and lapsed orphans are looked for."""
+"""How often ended jobs are looked for."""
 
 WATCH_RUNS_S = 0.25
 """How often runs are looked at: their runners tell of them every 0.8 s."""
@@ -57,21 +57,23 @@
                 log.info("commits-work-again")
 
     async def forget_at_intervals(self) -> None:
-        """Drop what has ended or lapsed, and take inbox rows that had no route."""
+        """Drop what has ended, and take inbox rows that waited for their route."""
         settings = self._owner.context.settings
         while True:
             await asyncio.sleep(FORGET_EVERY_S)
-            self._drop_orphans()
             self._inbox.retry()
             for job in self._engine.forget(time.time() - settings.forget_s):
                 self._owner.log.mark(TABLE_JOBS, job.job_id, lambda: None)
                 self._owner.log.mark(TABLE_RUNS, job.job_id, lambda: None)
 
-    def _drop_orphans(self) -> None:
-        """Runs on runners that were never listed here have lapsed by now."""
+    async def drop_orphans(self) -> None:
+        """Drop the runs on runners that were never listed here, once they have lapsed.
+
+        Not a moment later: a lasting task of theirs runs nowhere meanwhile.
+        """
         bound_s = self._owner.context.settings.links.lapse_bound_s
-        if time.monotonic() < self._owner.taken.last_hold_at_s + bound_s:
-            return
+        lapsed_at_s = self._owner.taken.last_hold_at_s + bound_s
+        await asyncio.sleep(max(0.0, lapsed_at_s - time.monotonic()))
         for attempt in self._engine.orphans():
             self._engine.drop_orphan(attempt)
             self._owner.kick()
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -156,6 +156,7 @@
         yield self.inbox.run()
         yield self.queue.run()
         yield self._housekeeping.forget_at_intervals()
+        yield self._housekeeping.drop_orphans()
         yield self._housekeeping.watch_runs()
         yield self._housekeeping.hold_through_trouble()
         if self.duties is not None:
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -22,6 +22,13 @@
 
 log = logbook.Logger("streamthread.runners")
 
+OLDEST_ANSWER_S = 3.0
+"""A deadline is reckoned from a runner's clock as its last answer told it. No answer
+before a deadline is older: runs are held for 3.2 s from call to call."""
+
+CLOCK_ERROR_S = OLDEST_ANSWER_S * (1 / SLOWEST_CLOCK - 1)
+"""A runner whose clock runs slow reaches such a deadline so much later."""
+
 
 @attrs.frozen
 class LinkSettings:
@@ -48,8 +55,12 @@
 
     @property
     def lapse_bound_s(self) -> float:
-        """After a take-over, what earlier holders held has lapsed by then."""
-        return self.most_hold_s / SLOWEST_CLOCK + self.answer_s
+        """So long after an earlier holder's last order, what it held has lapsed.
+
+        How long the order is on its way adds nothing: a deadline is a time on the
+        runner's clock, which the holder reckoned when it sent the order.
+        """
+        return self.most_hold_s / SLOWEST_CLOCK + CLOCK_ERROR_S
 
 
 class LinkOwner(ABC):
