Let the next holder stop what is cancelled or done, not start it again

Cause: recorded attempts were read back as sent, whatever had become of their job. The next holder sent their starts again: a task of a job whose cancel had been confirmed seconds before began once its silent runner was heard, and a task that another run had done could begin again. A run whose stop had not come before its holder was gone was never stopped: a lasting task of a cancelled job would have run for good.

Ruled out: that the stand-in carried out the first, unanswered start (it plays dead while it is silent; its deadline had passed by then).

Attempts of a job that is over, or of a task that is done, come back as to be stopped, and the stop is sent once their runner is listed.

Tests: a cancelled job's task starts under the next holder, and one that runs is not stopped there, before; neither now. Read back: to be stopped. An invariant of the engine's state machine besides.

--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -137,7 +137,9 @@
     """Bring a job to where its row says it was.
 
     Attempts that were recorded may or may not have been sent: they come back as
-    sent, and the runner is asked.
+    sent, and the runner is asked. Those of a job that is over, or of a task that is
+    done, come back as to be stopped: nobody may start them any more, and the stop that
+    the holder before sent may not have come.
     """
     row = json.loads(value)
     job.cancelled = row.get("cancelled", False)
@@ -161,8 +163,10 @@
         task.last_run = last_run
         task.failures = failures
         task.checkpoint = checkpoint
+        wanted = task.state is not TaskState.DONE and not step.occurrence.job.over
+        phase = Phase.SENT if wanted else Phase.STOPPING
         task.attempts = [
-            Attempt(task, run, runner_id, Phase.SENT, pace_percent=None)
+            Attempt(task, run, runner_id, phase, pace_percent=None)
             for run, runner_id in attempts
         ]
         if task.attempts and task.state is TaskState.WAITING:
--- a/src/streamthread/scheduler/tests/test_engine.py
+++ b/src/streamthread/scheduler/tests/test_engine.py
@@ -22,6 +22,7 @@
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
 from streamthread.scheduler import JobState
+from streamthread.scheduler import Phase
 from streamthread.scheduler import restore_progress
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler import TaskState
@@ -129,6 +130,12 @@
             assert attempt.task.attempts == [attempt]
             assert attempt.task.state is not TaskState.WAITING
 
+    @invariant()
+    def nothing_is_to_start_of_what_is_over(self) -> None:
+        for attempt in self.attempts():
+            if self.job.over or attempt.task.state is TaskState.DONE:
+                assert attempt.phase is Phase.STOPPING
+
     @invariant()
     def room_adds_up(self) -> None:
         for runner in self.engine.runners.values():
@@ -164,3 +171,38 @@
         assert engine._ledger.find_task(good) is not None
         for bad in ("", "x", "a.b.c.d", f"{'a' * 16}.0.0.3", f"{'a' * 16}.0.x.1"):
             assert engine._ledger.find_task(bad) is None
+
+
+def _job_with_attempts() -> Job:
+    """Return a job of which each task of the first step has an attempt."""
+    job = Job("a" * 16, "r", "desk", JobRequest("x", STEPS), BODY, time.time())
+    for task in job.begin(0).steps[0].tasks:
+        task.last_run = 1
+        task.attempts = [Attempt(task, 1, "i-1")]
+        task.state = TaskState.PLACED
+    return job
+
+
+def _read_back(job: Job) -> list[Attempt]:
+    """Return a job's attempts as the next holder reads them."""
+    read = decode_row(job.job_id, encode_definition(job))
+    restore_progress(read, encode_progress(job))
+    return list(read.attempts())
+
+
+class TestAttemptsReadBack:
+    def test_of_an_open_job_may_have_been_sent(self) -> None:
+        phases = {attempt.phase for attempt in _read_back(_job_with_attempts())}
+        assert phases == {Phase.SENT}
+
+    def test_of_a_cancelled_job_are_to_be_stopped(self) -> None:
+        job = _job_with_attempts()
+        job.cancelled = True
+        assert {attempt.phase for attempt in _read_back(job)} == {Phase.STOPPING}
+
+    def test_of_a_task_that_is_done_are_to_be_stopped(self) -> None:
+        job = _job_with_attempts()
+        done = job.occurrences[0].steps[0].tasks[0]
+        done.state = TaskState.DONE
+        phases = {a.task.index: a.phase for a in _read_back(job)}
+        assert phases == {0: Phase.STOPPING, 1: Phase.SENT, 2: Phase.SENT}
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -70,6 +70,8 @@
     :param started: shared by all runners: what was started.
     :param ended: shared by all runners: task, run, how and when.
     :param failures: shared by all runners: how often each task has failed.
+    :param confirmed_late: the runs whose ends were confirmed only after what ran here
+        had lapsed since: nobody could rely on those ends meanwhile.
     """
 
     def __init__(
@@ -95,8 +97,11 @@
         self._runs: dict[tuple[str, int], _Run] = {}
         self._closed: dict[str, int] = {}
         self._ends: list[list[t.Any]] = []
+        self._ended_at_s: dict[tuple[str, int], float] = {}
         self._end_count = 0
         self._deadline_ms = 0
+        self._lapsed_at_s = 0.0
+        self.confirmed_late: set[tuple[str, int]] = set()
         self._failures = failures
         self._started = started
         self._ended = ended
@@ -160,6 +165,7 @@
         self._end_count += 1
         self._ends.append([self._end_count, run.task, run.run, how, ""])
         self._ended.append((run.task, run.run, how, at_s))
+        self._ended_at_s[run.task, run.run] = at_s
 
     # The served side.
 
@@ -189,6 +195,8 @@
         )
 
     def _extend(self, body: Json) -> None:
+        if self._deadline_ms < self._clock_ms():
+            self._lapsed_at_s = self._deadline_ms / 1000
         self._deadline_ms = max(self._deadline_ms, body.get("deadlineMs", 0))
 
     async def _start(self, body: Json) -> web.StreamResponse:
@@ -235,9 +243,16 @@
             run.stopping_at_s = time.monotonic() + STOP_S
         return web.json_response({"clockMs": self._clock_ms()})
 
+    def _confirm(self, observed: int) -> None:
+        """Forget the ends up to a number."""
+        for number, task, run, _, _ in self._ends:
+            if number <= observed and self._ended_at_s[task, run] < self._lapsed_at_s:
+                self.confirmed_late.add((task, run))
+        self._ends = [end for end in self._ends if end[0] > observed]
+
     async def _hold(self, body: Json) -> web.StreamResponse:
         self._extend(body)
-        self._ends = [end for end in self._ends if end[0] > body["observed"]]
+        self._confirm(body["observed"])
         until_s = time.monotonic() + body.get("waitMs", 0) / 1000
         while not self._ends and time.monotonic() < until_s:
             await asyncio.sleep(POLL_S)
--- a/src/streamthread/standins/proxy.py
+++ b/src/streamthread/standins/proxy.py
@@ -29,6 +29,7 @@
     :param drop_answers: bytes reach the target, its answers are swallowed.
     :param reset_after_bytes: connections are reset after so many bytes of
         answers; 0 never.
+    :param bytes_per_s: each connection carries so much in each direction; 0: all.
     """
 
     delay_s: float = 0.0
@@ -37,6 +38,7 @@
     half_close: bool = False
     drop_answers: bool = False
     reset_after_bytes: int = 0
+    bytes_per_s: float = 0.0
 
 
 class Link:
@@ -50,6 +52,7 @@
         self._target = ("", 0)
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        self._silent: set[asyncio.StreamWriter] = set()
 
     async def start(self, host: str) -> None:
         """Listen on a port that the system chooses."""
@@ -66,6 +69,10 @@
         if faults.cut:
             self.reset_all()
 
+    def silence_open(self) -> None:
+        """Let every connection that is open now carry nothing more, without an end."""
+        self._silent |= self._writers
+
     def reset_all(self) -> None:
         """Reset every open connection."""
         for writer in list(self._writers):
@@ -97,6 +104,7 @@
         finally:
             for side in (writer, far_writer):
                 self._writers.discard(side)
+                self._silent.discard(side)
                 side.close()
 
     def _count(self, size_bytes: int, answers: bool) -> None:
@@ -118,8 +126,12 @@
                 faults = self.faults
                 if faults.delay_s:
                     await asyncio.sleep(faults.delay_s)
+                if faults.bytes_per_s:
+                    await asyncio.sleep(len(block) / faults.bytes_per_s)
                 if faults.blackhole or (answers and faults.drop_answers):
                     continue
+                if writer in self._silent:
+                    continue
                 if answers and faults.half_close:
                     break
                 passed += len(block)
--- a/tests/cell/test_holders.py
+++ b/tests/cell/test_holders.py
@@ -220,3 +220,54 @@
             await caller.until_state("a" * 16, "completed", at=at)
             assert [how for _, _, how, _ in cell.world.ended] == ["done"]
             await stopping
+
+
+class TestCancelledJobs:
+    async def test_nothing_of_them_starts_under_the_next_holder(self) -> None:
+        async with running_cell({"desk": 1}, daemon_count=2) as cell:
+            old = await cell.until_ready()
+            caller = cell.caller()
+            at = _others(cell, old)[0]
+            (runner,) = cell.world.runners
+            runner.faults.silent = True
+            assert await caller.submit("a" * 16, job(run_s=0.1), at=at) == 200
+            assert old.holder is not None
+            holder_job = old.holder.engine.jobs["a" * 16]
+            await until(holder_job.has_attempts, "the start is recorded")
+            assert (await caller.call("DELETE", "a" * 16, at=at))[0] == 200
+            await old.stop()
+            new = await until(lambda: _new_holder(cell, old), "a new holder")
+            runner.faults.silent = False
+            await _until_nothing_runs(new, "a" * 16)
+            assert cell.world.started == []
+
+    async def test_what_still_runs_of_them_is_stopped_by_the_next_holder(
+        self,
+    ) -> None:
+        async with running_cell({"desk": 1}, daemon_count=2) as cell:
+            old = await cell.until_ready()
+            caller = cell.caller()
+            at = _others(cell, old)[0]
+            (runner,) = cell.world.runners
+            body = job(run_s=60, longRunning=True)
+            await caller.submit("a" * 16, body, at=at)
+            await until(lambda: cell.world.started, "the task runs")
+            runner.faults.silent = True
+            assert (await caller.call("DELETE", "a" * 16, at=at))[0] == 200
+            await old.stop()
+            new = await until(lambda: _new_holder(cell, old), "a new holder")
+            runner.faults.silent = False
+            await _until_nothing_runs(new, "a" * 16)
+            assert [how for _, _, how, _ in cell.world.ended] == ["stopped"]
+
+
+async def _until_nothing_runs(daemon: CellDaemon, job_id: str) -> None:
+    """Wait until a holder knows of no run of a job any more."""
+
+    def gone() -> bool:
+        holder = daemon.holder
+        if holder is None or not holder.active or job_id not in holder.engine.jobs:
+            return False
+        return not holder.engine.jobs[job_id].has_attempts()
+
+    await until(gone, "nothing of the job runs", within_s=6.0)
