Let the soak silence connections, shrink links and grow the configuration

Cause: the incident and what was found beside it came through a hole in the soak: no connection fell silent while new ones worked, no link was small, no configuration was large, and nobody asked whether a change had come into force.

New faults: open connections to the store fall silent (one daemon's or all), a link of 100 KB/s, a change that adds 1,000 routes. New check: every daemon has the newest configuration in force at the end.

The stand-in says which ends were confirmed late; two runs at one time are still refused.

--- a/tests/cell/test_standin.py
+++ b/tests/cell/test_standin.py
@@ -19,6 +19,12 @@
     return {"task": task, "run": 1, "spec": spec, "deadlineMs": deadline_ms}
 
 
+async def _hold(runner: RunnerStandin, observed: int) -> None:
+    deadline_ms = int((time.monotonic() + 60) * 1000)
+    runner._advance()
+    await runner._hold({"observed": observed, "deadlineMs": deadline_ms})
+
+
 class TestEnds:
     async def test_a_lapse_is_dated_at_the_deadline(self) -> None:
         ended: list[tuple[str, int, str, float]] = []
@@ -39,3 +45,23 @@
         await until(lambda: time.monotonic() > before_s + 0.5, "time passes")
         assert runner.running() == []
         assert [how for _, _, how, _ in ended] == ["done"]
+
+
+class TestConfirmations:
+    async def test_after_a_lapse_are_late(self) -> None:
+        runner = _runner([])
+        assert runner._try_start(_start("short", 0.05, 0.2)) == ""
+        before_s = time.monotonic()
+        await until(lambda: time.monotonic() > before_s + 0.3, "the runs lapse")
+        await _hold(runner, observed=0)
+        await _hold(runner, observed=1)
+        assert runner.confirmed_late == {("short", 1)}
+
+    async def test_of_a_held_runner_are_not(self) -> None:
+        runner = _runner([])
+        assert runner._try_start(_start("short", 0.05, 60.0)) == ""
+        before_s = time.monotonic()
+        await until(lambda: time.monotonic() > before_s + 0.1, "the run ends")
+        await _hold(runner, observed=0)
+        await _hold(runner, observed=1)
+        assert runner.confirmed_late == set()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -13,6 +13,7 @@
 import json
 import pathlib
 import random
+import re
 import signal
 import sys
 import tempfile
@@ -40,16 +41,30 @@
 
 START_S = 20.0
 
+SMALL_LINK_BYTES_PER_S = 100_000.0
+"""Two seconds for the routes that one change may add."""
+
+MORE_ROUTES = 1000
+"""What a large change of the configuration adds: some 200 KB."""
+
+IN_FORCE_S = 10.0
+"""After the last fault, each daemon knows the newest configuration in this time."""
+
 
 @attrs.frozen
 class SoakPlan:
-    """One seeded run."""
+    """One seeded run.
+
+    :param first_faults: only the faults of the time when the seed was found: a seed
+        chooses among all that are known.
+    """
 
     seed: int
     daemons: int = 4
     seconds: float = 12.0
     faults_per_s: float = 0.7
     jobs_per_s: float = 4.0
+    first_faults: bool = False
 
 
 @attrs.define
@@ -159,6 +174,7 @@
         self.jobs: dict[str, _Submitted] = {}
         self.broken: list[str] = []
         self.faults: list[str] = []
+        self._more_routes = 0
         self._tasks: set[asyncio.Task[t.Any]] = set()
         self._busy: set[str] = set()
         self._session: aiohttp.ClientSession | None = None
@@ -176,6 +192,7 @@
             await asyncio.gather(self._traffic(), self._trouble())
             await self._finish_faults()
             await self._settle()
+            await self._check_configuration()
             self._check()
         finally:
             for task in list(self._tasks):
@@ -271,6 +288,8 @@
             self._wave,
             self._manifest,
         ]
+        if not self.plan.first_faults:
+            kinds += [self._silent_connections, self._small_link, self._large_manifest]
         while time.monotonic() < until_s:
             await asyncio.sleep(self.random.expovariate(self.plan.faults_per_s))
             kind = self.random.choice(kinds)
@@ -383,10 +402,36 @@
         chosen = self.random.sample(machine_ids, 3)
         await self.world.write_wave(number, chosen, most_at_once=2)
 
+    async def _silent_connections(self, for_s: float) -> None:
+        """Open connections to the store fall silent, of one daemon or of all."""
+        one = self.random.choice(self.daemons)
+        chosen = self.random.choice([[one], self.daemons])
+        self._note(f"silent connections of {len(chosen)}")
+        for daemon in chosen:
+            daemon.link.silence_open()
+
+    async def _small_link(self, for_s: float) -> None:
+        async def act(daemon: Daemon) -> None:
+            daemon.link.set_faults(LinkFaults(bytes_per_s=SMALL_LINK_BYTES_PER_S))
+            await asyncio.sleep(for_s)
+            daemon.link.set_faults(LinkFaults())
+
+        await self._with_daemon("small link", act)
+
+    async def _large_manifest(self, for_s: float) -> None:
+        self._more_routes += MORE_ROUTES
+        await self._manifest(for_s)
+
     async def _manifest(self, for_s: float) -> None:
-        version = 2 + sum(fault == "manifest" for fault in self.faults)
+        version = self._newest_version() + 1
         self._note("manifest")
-        await self.world.write_manifest(version, targetLatencyMs=600 + version)
+        await self.world.write_manifest(
+            version, self._more_routes, targetLatencyMs=600 + version
+        )
+
+    def _newest_version(self) -> int:
+        """Return the version of the newest configuration that was written."""
+        return 1 + sum(fault == "manifest" for fault in self.faults)
 
     async def _finish_faults(self) -> None:
         """Let the faults that are under way end by themselves."""
@@ -415,6 +460,30 @@
         for job in open_jobs:
             self.broken.append(f"LOST {job.job_id} has not ended")
 
+    async def _check_configuration(self) -> None:
+        """Wait until every daemon knows the newest configuration."""
+        newest = self._newest_version()
+        give_up_at_s = time.monotonic() + IN_FORCE_S
+        for daemon in self.daemons:
+            while (version := await self._version_at(daemon)) != newest:
+                if time.monotonic() > give_up_at_s:
+                    self.broken.append(f"CONFIG {daemon.name}: {version}, not {newest}")
+                    break
+                await asyncio.sleep(0.1)
+
+    async def _version_at(self, daemon: Daemon) -> int:
+        """Return the version in force at a daemon, by its metrics; 0: none told."""
+        assert self._session is not None
+        try:
+            async with self._session.get(
+                f"http://{daemon.operators}/metrics"
+            ) as response:
+                text = await response.text()
+        except (aiohttp.ClientError, TimeoutError):
+            return 0
+        found = re.search(r"^streamthread_manifest_version (\S+)$", text, re.MULTILINE)
+        return int(float(found[1])) if found else 0
+
     def _check(self) -> None:
         self._check_runs()
         self._check_jobs()
@@ -426,6 +495,8 @@
 
     def _check_runs(self) -> None:
         ends = {(task, run): (how, at) for task, run, how, at in self.world.ended}
+        for late in self._confirmed_late():
+            ends[late] = ("done, confirmed late", ends[late][1])
         spans: dict[str, list[tuple[float, float, str]]] = {}
         for started in self.world.started:
             how, end_s = ends.get((started.task, started.run), ("open", 1e18))
@@ -438,6 +509,17 @@
                 if before[2] == "done":
                     self.broken.append(f"TWICE {task} started after it was done")
 
+    def _confirmed_late(self) -> set[tuple[str, int]]:
+        """Return the ends that say nothing against another run of their tasks.
+
+        What ran on their runners had lapsed by the time they were confirmed, so that
+        the task counted as running nowhere. A second run must still not overlap.
+        """
+        late = set[tuple[str, int]]()
+        for runner in self.world.runners:
+            late |= runner.confirmed_late
+        return late
+
     def _check_jobs(self) -> None:
         for started in self.world.started:
             job = self.jobs.get(started.task.split(".")[0])
