Let the stand-in's feed tell its rows and its version as of one moment

What fits: a row that was written just as a feed had waited for long enough was left out of the answer, whose version already counted it, so that the feed went on after it.

Shown by a test without any process: the answer has the new version and no row before, either both or neither now.

Ruled out: the same in the product (it goes on from the version that the store tells, and the pages promise answers as of one moment).

--- a/src/streamthread/standins/cell/store.py
+++ b/src/streamthread/standins/cell/store.py
@@ -194,31 +194,31 @@
         until_s = time.monotonic() + int(query.get("waitMs", 0)) / 1000
         self.waiting_feeds += 1
         try:
-            names = await self._wait_for_change(table, after, until_s)
+            async with self._changed:
+                await self._wait_for_change(table, after, until_s)
+                # As of one moment: a change may come just when the time is over.
+                return web.json_response(
+                    {
+                        "rows": [
+                            self._row(key) for key in self._changed_since(table, after)
+                        ],
+                        "ver": self.version,
+                        "now_ms": _now_ms(),
+                    }
+                )
         finally:
             self.waiting_feeds -= 1
-        return web.json_response(
-            {
-                "rows": [self._row(key) for key in names],
-                "ver": self.version,
-                "now_ms": _now_ms(),
-            }
-        )
 
-    async def _wait_for_change(
-        self, table: str, after: int, until_s: float
-    ) -> list[Key]:
-        async with self._changed:
-            while not (names := self._changed_since(table, after)):
-                left_s = until_s - time.monotonic()
-                if left_s <= 0:
-                    break
-                try:
-                    async with asyncio.timeout(left_s):
-                        await self._changed.wait()
-                except TimeoutError:
-                    break
-            return names
+    async def _wait_for_change(self, table: str, after: int, until_s: float) -> None:
+        while not self._changed_since(table, after):
+            left_s = until_s - time.monotonic()
+            if left_s <= 0:
+                return
+            try:
+                async with asyncio.timeout(left_s):
+                    await self._changed.wait()
+            except TimeoutError:
+                return
 
     def _changed_since(self, table: str, after: int) -> list[Key]:
         found: dict[Key, None] = {}
--- a/tests/cell/test_standin.py
+++ b/tests/cell/test_standin.py
@@ -1,8 +1,12 @@
 """The stand-in's runner ends runs at the moment at which they end."""
 
+import asyncio
+import json
 import time
+import typing as t
 
 from streamthread.standins.cell import RunnerStandin
+from streamthread.standins.cell import StoreStandin
 from streamthread.standins.cell.runner import StartedRun
 
 from .support import until
@@ -65,3 +69,18 @@
         await _hold(runner, observed=0)
         await _hold(runner, observed=1)
         assert runner.confirmed_late == set()
+
+
+class TestFeed:
+    async def test_tells_no_version_whose_changes_it_leaves_out(self) -> None:
+        """A row is written at the moment at which a feed has waited for long enough."""
+        store = StoreStandin()
+        query = {"table": "op", "after": "0", "waitMs": "50"}
+        feed = asyncio.ensure_future(store._feed(query))
+        await until(lambda: store.waiting_feeds, "the feed waits")
+        async with store._changed:
+            await asyncio.sleep(0.1)
+            store.version += 1
+            store._set(("op", "", "config"), "value")
+        answer = json.loads(t.cast(bytes, (await feed).body))
+        assert answer["ver"] == 0 or len(answer["rows"]) == 1
