Show that runs outlast silent connections to their runner

Cause under test: with several idle connections to a runner, each silent one cost a hold its time limit, so that everything there lapsed. Without the closing of idle connections the test fails (all four lasting runs lapse, and begin again); with it none does.

--- a/tests/cell/test_runners.py
+++ b/tests/cell/test_runners.py
@@ -93,3 +93,22 @@
     later = [s for s in cell.world.started if s.task[0] != "a"]
     assert len(later) == 20
     assert all(start.runner_id != leaving.runner_id for start in later)
+
+
+class TestSilentConnections:
+    async def test_cost_no_run_while_new_ones_work(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            daemon = await cell.until_ready()
+            (runner,) = cell.world.runners
+            caller = cell.caller()
+            await caller.submit("a" * 16, job(run_s=60, count=4, longRunning=True))
+            await until(lambda: len(cell.world.started) == 4, "all tasks run")
+            # The starts side by side have left a connection each.
+            assert runner.port.silence_connections() >= 4
+            silent_at_s = time.monotonic()
+            over_s = daemon.settings.links.most_hold_s
+            await until(
+                lambda: time.monotonic() > silent_at_s + over_s, "the holds are over"
+            )
+            assert len(runner.running()) == 4
+            assert cell.world.ended == []
