Count a daemon as a follower while any of its streams is open

Cause: a follower whose stream falls silent opens another one; when the old one ended at last, the daemon was struck from the followers though it hears beats on the new one. A planned stop then named a successor from fewer daemons.

--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -79,7 +79,16 @@
         self._beat_s = beat_s
         self._announced = announced
         self._explain = explain
-        self.followers: dict[str, str] = {}
+        self._following: dict[t.Any, pb.FollowRequest] = {}
+
+    @property
+    def followers(self) -> dict[str, str]:
+        """The addresses of the daemons that hear beats now, by daemon id.
+
+        A daemon whose stream has fallen silent opens another one long before the old
+        one ends.
+        """
+        return {by.daemon_id: by.address for by in self._following.values()}
 
     async def Call(self, stream: t.Any) -> None:  # noqa: N802
         """Carry out a caller's request that a peer passed on."""
@@ -99,14 +108,14 @@
     async def Follow(self, stream: t.Any) -> None:  # noqa: N802
         """Send beats for as long as this daemon holds the cell."""
         request = await stream.recv_message()
-        self.followers[request.daemon_id] = request.address
+        self._following[stream] = request
         try:
             while (beat := self._beat()) is not None:
                 await stream.send_message(beat)
                 await asyncio.sleep(self._beat_s)
             raise GRPCError(Status.FAILED_PRECONDITION, "not the holder")
         finally:
-            self.followers.pop(request.daemon_id, None)
+            del self._following[stream]
 
 
 class CellPort:
