Find a route by its name without a search

Cause: each handed-in job searched all routes by name; a configuration that grows, as in the incident, makes the holder slower with each change.

Measured on 4,450 routes: 0.6 ms for the last route, 0.3 ms on average, 2 % of a core at 70 jobs a second; a look-up in a dictionary that is made once a version instead. Decoding the configuration takes 26 ms and is left as it is.

--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -60,7 +60,7 @@
         manifest = self._documents.manifest
         if manifest is None:
             return None
-        return next((r for r in manifest.routes if r.name == name), None)
+        return manifest.routes_by_name.get(name)
 
     def _is_behind(self, version: int) -> bool:
         """Whether the configuration known here is older than a version.
--- a/src/streamthread/platform/documents.py
+++ b/src/streamthread/platform/documents.py
@@ -1,5 +1,6 @@
 """Decodes what the operator and the runners write into the store."""
 
+import functools
 import json
 import typing as t
 
@@ -93,6 +94,15 @@
     pools: dict[str, Pool]
     max_body_bytes: int
 
+    @functools.cached_property
+    def routes_by_name(self) -> dict[str, Route]:
+        """The routes by their names.
+
+        A search through 4,450 of them takes 0.3 ms on average, for each job: 2 % of a
+        core at 70 jobs a second.
+        """
+        return {route.name: route for route in self.routes}
+
 
 @attrs.frozen
 class RunnerEntry:
