Prove four guards of the incident's mends

Each test fails without its guard, run in copies of the tree: limits by silence, idle connections closed, attempts of what is over stopped, no job judged by an older configuration.

--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -201,4 +201,33 @@
             "if False:",
         ),
     ),
+    Guard(
+        "silence-not-length",
+        "platform/http.py",
+        "    async for part in response.content.iter_any():\n"
+        "        limit.reschedule(loop.time() + SILENCE_S)\n",
+        "    async for part in response.content.iter_any():\n",
+        ("tests/cell/test_documents.py::TestLargeConfiguration",),
+    ),
+    Guard(
+        "idle-connections-closed",
+        "platform/http.py",
+        "            if isinstance(error, TimeoutError):",
+        "            if False:",
+        ("tests/cell/test_runners.py::TestSilentConnections",),
+    ),
+    Guard(
+        "over-is-stopped",
+        "scheduler/codec.py",
+        "phase = Phase.SENT if wanted else Phase.STOPPING",
+        "phase = Phase.SENT",
+        ("tests/cell/test_holders.py::TestCancelledJobs",),
+    ),
+    Guard(
+        "no-older-configuration",
+        "holder/intake.py",
+        "return manifest is None or manifest.version < version",
+        "return False",
+        ("tests/cell/test_documents.py::TestHolderThatIsBehind",),
+    ),
 )
