--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -30,8 +30,8 @@
 
 MOST_BYTES = 180_000
 """Of values in one transaction, and one row of 64 KB more. As base64 it crosses the
-smallest links (5 Mbit/s) in 0.53 s, before its holder doubts that it can commit; with
-600 KB it took up to 1.4 s there, so that no holder behind such a link kept the cell."""
+smallest links (5 Mbit/s) in 0.53 s, before its holder doubts that it can commit; 600
+KB would take 1.4 s there, and the cell would go from one such holder to the next."""
 
 SLOW_COMMIT_S = 0.35
 """A commit takes 7 ms; under a store 60 times slower, 300 ms."""
