Give the soak's daemons and its checks modules of their own

What it plays and checks is as before; the checks of runs and jobs are functions over the world and the callers' answers.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,8 +8,6 @@
 
 import argparse
 import asyncio
-import contextlib
-import itertools
 import json
 import pathlib
 import random
@@ -24,23 +22,18 @@
 import attrs
 
 from streamthread.standins.cell import CellWorld
-from streamthread.standins.proxy import Link
 from streamthread.standins.proxy import LinkFaults
+from tools.soak_checks import check_jobs
+from tools.soak_checks import check_runs
+from tools.soak_checks import SubmittedJob
+from tools.soak_daemon import Daemon
 
-__all__ = ["Daemon", "SoakPlan", "run_soak"]
+__all__ = ["SoakPlan", "run_soak"]
 
 POOLS = {"desk": 4, "audit": 3, "spare": 2}
 SETTLE_S = 25.0
 """After the last fault, all accepted jobs must end within this time."""
 
-CANCEL_S = 3.0
-"""Nothing of a cancelled job starts later than this after its confirmation."""
-
-OVERLAP_S = 0.02
-"""Two clocks of one process are read some milliseconds apart."""
-
-START_S = 20.0
-
 SMALL_LINK_BYTES_PER_S = 100_000.0
 """Two seconds for the routes that one change may add."""
 
@@ -67,100 +60,6 @@
     first_faults: bool = False
 
 
-@attrs.define
-class _Submitted:
-    """What a caller was told of one job."""
-
-    job_id: str
-    pool: str
-    accepted: bool = False
-    uncertain: bool = False
-    cancelled_at_s: float | None = None
-    states: set[str] = attrs.field(factory=set)
-
-
-class Daemon:
-    """One daemon's process, settings and its way to the store."""
-
-    def __init__(self, name: str, world: CellWorld, folder: pathlib.Path) -> None:
-        self.name = name
-        self.link = Link()
-        self.callers = ""
-        self.operators = ""
-        self._world = world
-        self._settings = folder / f"{name}.json"
-        self._log = folder / f"{name}.log"
-        self._process: asyncio.subprocess.Process | None = None
-        self._reader: asyncio.Task[None] | None = None
-
-    async def prepare(self) -> None:
-        """Open the proxy and write the settings."""
-        await self.link.start("127.0.0.1")
-        host, port = self._world.store.port.address.split(":")
-        self.link.set_target(host, int(port))
-        settings = json.loads(self._world.node_settings(self.name))
-        settings["platform"]["address"] = f"127.0.0.1:{self.link.port}"
-        self._settings.write_text(json.dumps(settings))
-
-    async def start(self) -> None:
-        """Start the process and wait until it listens."""
-        self.callers = ""
-        self._process = await asyncio.create_subprocess_exec(
-            sys.executable,
-            "-m",
-            "streamthread.gateway",
-            "--settings",
-            str(self._settings),
-            stdout=asyncio.subprocess.PIPE,
-            stderr=asyncio.subprocess.STDOUT,
-        )
-        self._reader = asyncio.ensure_future(self._read(self._process))
-        give_up_at_s = time.monotonic() + START_S
-        while not self.callers and time.monotonic() < give_up_at_s:
-            await asyncio.sleep(0.02)
-
-    async def _read(self, process: asyncio.subprocess.Process) -> None:
-        assert process.stdout is not None
-        with self._log.open("ab") as log:
-            async for line in process.stdout:
-                log.write(line)
-                if b'"listening"' in line:
-                    listening = json.loads(line)
-                    self.callers = listening["callers"]
-                    self.operators = listening["operators"]
-
-    @property
-    def alive(self) -> bool:
-        """Whether the process runs."""
-        return self._process is not None and self._process.returncode is None
-
-    def signal(self, number: signal.Signals) -> None:
-        """Send a signal to our own process, if it lives."""
-        if self._process is not None and self.alive:
-            with contextlib.suppress(ProcessLookupError):
-                self._process.send_signal(number)
-
-    async def ended(self) -> None:
-        """Wait for the process to end; kill it where it does not."""
-        if self._process is None:
-            return
-        try:
-            async with asyncio.timeout(10):
-                await self._process.wait()
-        except TimeoutError:
-            self.signal(signal.SIGKILL)
-            await self._process.wait()
-        if self._reader is not None:
-            await self._reader
-
-    async def close(self) -> None:
-        """End the process and the proxy."""
-        self.signal(signal.SIGCONT)
-        self.signal(signal.SIGKILL)
-        await self.ended()
-        await self.link.close()
-
-
 class _Soak:
     """One run: daemons, callers, faults and the check at the end."""
 
@@ -171,7 +70,7 @@
         self.daemons = [
             Daemon(f"daemon-{n}", self.world, folder) for n in range(plan.daemons)
         ]
-        self.jobs: dict[str, _Submitted] = {}
+        self.jobs: dict[str, SubmittedJob] = {}
         self.broken: list[str] = []
         self.faults: list[str] = []
         self._more_routes = 0
@@ -219,7 +118,7 @@
     async def _one_job(self) -> None:
         job_id = f"{self.random.getrandbits(64):016x}"
         pool = self.random.choice(["desk", "audit"])
-        job = _Submitted(job_id, pool)
+        job = SubmittedJob(job_id, pool)
         self.jobs[job_id] = job
         body = self._body()
         cancel = self.random.random() < 0.1
@@ -251,7 +150,7 @@
         return json.dumps({"spec": spec, "steps": steps}).encode()
 
     async def _call(
-        self, job: _Submitted, method: str, body: bytes = b""
+        self, job: SubmittedJob, method: str, body: bytes = b""
     ) -> tuple[int, str]:
         """Call any daemon; status 0 where no whole answer came."""
         assert self._session is not None
@@ -485,56 +384,14 @@
         return int(float(found[1])) if found else 0
 
     def _check(self) -> None:
-        self._check_runs()
-        self._check_jobs()
+        self.broken.extend(check_runs(self.world))
+        self.broken.extend(check_jobs(self.world, self.jobs))
         if self.world.cloud.most_down > 2 * self._waves():
             self.broken.append(f"LIMIT {self.world.cloud.most_down} in upkeep")
 
     def _waves(self) -> int:
         return sum(fault.startswith("wave") for fault in self.faults)
 
-    def _check_runs(self) -> None:
-        ends = {(task, run): (how, at) for task, run, how, at in self.world.ended}
-        for end in self._unknown_ends():
-            ends[end] = ("not known", ends[end][1])
-        spans: dict[str, list[tuple[float, float, str]]] = {}
-        for started in self.world.started:
-            how, end_s = ends.get((started.task, started.run), ("open", 1e18))
-            spans.setdefault(started.task, []).append((started.at_s, end_s, how))
-        for task, runs in spans.items():
-            runs.sort()
-            for before, after in itertools.pairwise(runs):
-                if after[0] < before[1] - OVERLAP_S:
-                    self.broken.append(f"TWICE {task} ran twice at one time")
-                if before[2] == "done":
-                    self.broken.append(f"TWICE {task} started after it was done")
-
-    def _unknown_ends(self) -> set[tuple[str, int]]:
-        """Return the ends that say nothing against another run of their tasks.
-
-        They were confirmed too late or never, so that the task counted as running
-        nowhere. A second run must still not overlap.
-        """
-        unknown = set[tuple[str, int]]()
-        for runner in self.world.runners:
-            unknown |= runner.unknown_ends
-        return unknown
-
-    def _check_jobs(self) -> None:
-        for started in self.world.started:
-            job = self.jobs.get(started.task.split(".")[0])
-            if job is None:
-                self.broken.append(f"UNASKED {started.task}")
-            elif not job.accepted and not job.uncertain:
-                self.broken.append(f"REFUSED {started.task} was refused")
-            elif job.cancelled_at_s and started.at_s > job.cancelled_at_s + CANCEL_S:
-                self.broken.append(f"UNASKED {started.task} was cancelled")
-        for job in self.jobs.values():
-            if "failed" in job.states:
-                self.broken.append(f"LOST {job.job_id} failed though it can be done")
-            if "cancelled" in job.states and job.cancelled_at_s is None:
-                self.broken.append(f"LOST {job.job_id} was cancelled by nobody")
-
 
 async def run_soak(plan: SoakPlan, folder: pathlib.Path) -> tuple[list[str], list[str]]:
     """Play one seed; return the broken promises and the faults."""
--- /dev/null
+++ b/tools/soak_daemon.py
@@ -0,0 +1,99 @@
+"""One daemon of the soak: its process, its settings and its way to the store."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import signal
+import sys
+import time
+
+from streamthread.standins.cell import CellWorld
+from streamthread.standins.proxy import Link
+
+__all__ = ["Daemon"]
+
+START_S = 20.0
+"""A process listens within this time, also on a busy machine."""
+
+
+class Daemon:
+    """One daemon's process, settings and its way to the store."""
+
+    def __init__(self, name: str, world: CellWorld, folder: pathlib.Path) -> None:
+        self.name = name
+        self.link = Link()
+        self.callers = ""
+        self.operators = ""
+        self._world = world
+        self._settings = folder / f"{name}.json"
+        self._log = folder / f"{name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+        self._reader: asyncio.Task[None] | None = None
+
+    async def prepare(self) -> None:
+        """Open the proxy and write the settings."""
+        await self.link.start("127.0.0.1")
+        host, port = self._world.store.port.address.split(":")
+        self.link.set_target(host, int(port))
+        settings = json.loads(self._world.node_settings(self.name))
+        settings["platform"]["address"] = f"127.0.0.1:{self.link.port}"
+        self._settings.write_text(json.dumps(settings))
+
+    async def start(self) -> None:
+        """Start the process and wait until it listens."""
+        self.callers = ""
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "streamthread.gateway",
+            "--settings",
+            str(self._settings),
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.STDOUT,
+        )
+        self._reader = asyncio.ensure_future(self._read(self._process))
+        give_up_at_s = time.monotonic() + START_S
+        while not self.callers and time.monotonic() < give_up_at_s:
+            await asyncio.sleep(0.02)
+
+    async def _read(self, process: asyncio.subprocess.Process) -> None:
+        assert process.stdout is not None
+        with self._log.open("ab") as log:
+            async for line in process.stdout:
+                log.write(line)
+                if b'"listening"' in line:
+                    listening = json.loads(line)
+                    self.callers = listening["callers"]
+                    self.operators = listening["operators"]
+
+    @property
+    def alive(self) -> bool:
+        """Whether the process runs."""
+        return self._process is not None and self._process.returncode is None
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send a signal to our own process, if it lives."""
+        if self._process is not None and self.alive:
+            with contextlib.suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+    async def ended(self) -> None:
+        """Wait for the process to end; kill it where it does not."""
+        if self._process is None:
+            return
+        try:
+            async with asyncio.timeout(10):
+                await self._process.wait()
+        except TimeoutError:
+            self.signal(signal.SIGKILL)
+            await self._process.wait()
+        if self._reader is not None:
+            await self._reader
+
+    async def close(self) -> None:
+        """End the process and the proxy."""
+        self.signal(signal.SIGCONT)
+        self.signal(signal.SIGKILL)
+        await self.ended()
+        await self.link.close()
