Wait for a follower's configuration in one place in the tests

Two tests of a holder that is behind set up the same thing, and a third asked for a fixture that it does not use. The assertions are as before; make check and the five tests of the file pass.

--- a/tests/cell/test_documents.py
+++ b/tests/cell/test_documents.py
@@ -9,6 +9,7 @@
 from streamthread.holder.inbox import InboxEntry
 from streamthread.platform.node import decode_node
 
+from .support import Cell
 from .support import job
 from .support import running_cell
 from .support import until
@@ -55,19 +56,24 @@
                 await late.stop()
 
 
+async def _until_follower_knows(cell: Cell, holder: CellDaemon, version: int) -> int:
+    """Wait until a daemon beside the holder knows a version; return its number."""
+    follower = next(d for d in cell.daemons if d is not holder)
+    await until(lambda: _version(follower) == version, "known at one daemon")
+    return cell.daemons.index(follower)
+
+
 class TestHolderThatIsBehind:
     async def test_takes_a_job_once_it_knows_the_queue(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         async with running_cell({"desk": 1}, daemon_count=2) as cell:
             holder = await cell.until_ready()
-            follower = next(d for d in cell.daemons if d is not holder)
             caller = cell.caller()
             with monkeypatch.context() as held_back:
                 held_back.setattr(holder.documents, "_take", lambda row: None)
                 await cell.world.write_manifest(2, name="another-queue")
-                await until(lambda: _version(follower) == 2, "version 2 at one daemon")
-                at = cell.daemons.index(follower)
+                at = await _until_follower_knows(cell, holder, 2)
                 submitted = asyncio.ensure_future(caller.submit("a" * 16, job(), at=at))
                 await asyncio.wait((submitted,), timeout=BEHIND_S)
                 assert not submitted.done(), "answered by an older configuration"
@@ -80,18 +86,14 @@
     ) -> None:
         async with running_cell({"desk": 1}, daemon_count=2) as cell:
             holder = await cell.until_ready()
-            follower = next(d for d in cell.daemons if d is not holder)
             monkeypatch.setattr(holder.documents, "_take", lambda row: None)
             await cell.world.write_manifest(2, more_routes=1)
-            await until(lambda: _version(follower) == 2, "version 2 at one daemon")
+            at = await _until_follower_knows(cell, holder, 2)
             caller = cell.caller()
-            at = cell.daemons.index(follower)
             assert await caller.submit("c" * 16, job(), at=at) == 200
             assert _version(holder) == 1
 
-    async def test_takes_no_job_from_the_inbox_before(
-        self, monkeypatch: pytest.MonkeyPatch
-    ) -> None:
+    async def test_takes_no_job_from_the_inbox_before(self) -> None:
         async with running_cell({"desk": 1}) as cell:
             holder = await cell.until_ready()
             # As if version 2 sent the queue to another pool.
