Tell of stops: wanted, refused, read back, overdue; and of cancels without a job

Of a run that outlives its job's cancel no line told anything after its start: not that it was to be stopped, not that its runner refused the stop, not that a new holder read it back, not that the cancel had found no job. The three hypotheses of the incident looked the same in the logs.

A gauge: streamthread_stops_overdue.

No decision changes.

--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -131,6 +131,11 @@
             "Rows in these commits.",
             value=holder.log.rows_written,
         )
+        yield GaugeMetricFamily(
+            "streamthread_stops_overdue",
+            "Runs that go on though they were to be stopped long ago.",
+            engine.overdue_stops,
+        )
         silent = sum(link.silent for link in holder.links.values())
         yield GaugeMetricFamily(
             "streamthread_runners_silent", "Runners that do not answer.", silent
--- a/src/streamthread/holder/housekeeping.py
+++ b/src/streamthread/holder/housekeeping.py
@@ -40,6 +40,7 @@
             for link in self._owner.links.values():
                 if link.silent and self._engine.want_copies(link.runner.runner_id):
                     self._owner.kick()
+            self._engine.watch_stops()
             if self._engine.watch_progress():
                 self._owner.kick()
 
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -87,6 +87,8 @@
             return await self._submit(request)
         job = self._engine.jobs.get(request.job_id)
         if job is None or job.route != request.route:
+            if request.kind == pb.CANCEL:
+                self._tell_no_job(request, job)
             return pb.CallReply(outcome=pb.UNKNOWN_JOB)
         if request.kind == pb.CANCEL:
             return await self._cancel(job)
@@ -145,15 +147,41 @@
 
     async def _cancel(self, job: Job) -> pb.CallReply:
         if not job.over:
-            self._engine.cancel(job)
-            log.info("job-cancelled", extra={"job": job.job_id, "token": self._token})
-            self._kick()
+            self._cancel_now(job, "call")
         try:
             await self._commits.flushed()
         except NotHolderError:
             return pb.CallReply(outcome=pb.UNCERTAIN)
         return pb.CallReply(outcome=pb.OK, state=job.state.value)
 
+    def _cancel_now(self, job: Job, came_by: str) -> None:
+        """Cancel a job; the cancel is not durable yet."""
+        runs = sum(1 for _ in job.attempts())
+        self._engine.cancel(job)
+        log.info(
+            "job-cancelled",
+            extra={
+                "job": job.job_id,
+                "by": came_by,
+                "runs": runs,
+                "token": self._token,
+            },
+        )
+        self._kick()
+
+    def _tell_no_job(self, request: pb.CallRequest, job: Job | None) -> None:
+        """Say that a cancel finds nothing: it is confirmed, and stops nothing."""
+        log.info(
+            "cancel-without-job",
+            extra={
+                "job": request.job_id,
+                "route": request.route,
+                "known_route": job.route if job is not None else "",
+                "by": "call",
+                "token": self._token,
+            },
+        )
+
     # The inbox.
 
     def knows_job(self, job_id: str) -> bool:
@@ -180,9 +208,13 @@
     def cancel_left(self, job_id: str) -> None:
         """Cancel a job, where there is one."""
         job = self._engine.jobs.get(job_id)
-        if job is not None:
-            self._engine.cancel(job)
-            self._kick()
+        if job is None:
+            log.info(
+                "cancel-without-job",
+                extra={"job": job_id, "by": "inbox", "token": self._token},
+            )
+        elif not job.over:
+            self._cancel_now(job, "inbox")
 
     def drop_left(self, key: str) -> None:
         """Have a row removed from the inbox."""
--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -25,6 +25,10 @@
 
 Json = t.Any
 
+READ_BACK = "read-back"
+"""Why a run is to be stopped that an earlier holder left: its job is over, or its task
+is done."""
+
 
 def encode_definition(job: Job) -> bytes:
     """Encode what was handed in; of a job that is over, how it ended and no more."""
@@ -163,11 +167,12 @@
         task.last_run = last_run
         task.failures = failures
         task.checkpoint = checkpoint
-        wanted = task.state is not TaskState.DONE and not step.occurrence.job.over
-        phase = Phase.SENT if wanted else Phase.STOPPING
         task.attempts = [
-            Attempt(task, run, runner_id, phase, pace_percent=None)
+            Attempt(task, run, runner_id, Phase.SENT, pace_percent=None)
             for run, runner_id in attempts
         ]
+        if task.state is TaskState.DONE or step.occurrence.job.over:
+            for attempt in task.attempts:
+                attempt.be_stopped(READ_BACK)
         if task.attempts and task.state is TaskState.WAITING:
             task.state = TaskState.PLACED
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -26,6 +26,7 @@
 from .placement import place_step
 from .placement import Placement
 from .settings import EngineSettings
+from .stops import StopWatch
 
 __all__ = ["Engine"]
 
@@ -50,6 +51,7 @@
         self._lags = LagWatch(
             self._ledger, self._outcomes, self.times, self.settings.progress
         )
+        self._stop_watch = StopWatch()
         self.jobs = self._ledger.jobs
         self.runners = self._ledger.runners
         self.counts = self._ledger.counts
@@ -151,6 +153,20 @@
         """Return the attempts to be stopped that were not returned before."""
         return self._ledger.take_stops()
 
+    @property
+    def overdue_stops(self) -> int:
+        """How many runs have been to be stopped for too long, at the last look."""
+        return self._stop_watch.overdue
+
+    def watch_stops(self) -> None:
+        """Tell of runs that go on though they have been to be stopped for long."""
+        attempts = (
+            attempt
+            for runner in self.runners.values()
+            for attempt in runner.attempts.values()
+        )
+        self._stop_watch.look(attempts)
+
     # Copies, and runs that lag behind.
 
     def want_copies(self, runner_id: str) -> bool:
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -169,9 +169,17 @@
         """Have a run stopped; its task waits again once it has ended."""
         if attempt.phase is Phase.STOPPING:
             return
-        attempt.stop_reason = reason
-        attempt.phase = Phase.STOPPING
+        attempt.be_stopped(reason)
         self._to_stop.append(attempt)
+        log.info(
+            "run-to-stop",
+            extra={
+                "task": attempt.task.name,
+                "run": attempt.run,
+                "runner": attempt.runner_id,
+                "reason": reason,
+            },
+        )
 
     def stop_all(self, job: Job, reason: str) -> None:
         """Have all runs of a job stopped."""
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -69,6 +69,8 @@
     :param seen_at_s: on the monotonic clock: when its runner told of it last.
     :param moved_on_at_s: on the monotonic clock: when the percent changed last.
     :param stop_reason: why it is to be stopped; empty while it is not.
+    :param stopping_since_s: on the monotonic clock: since when that is so, under this
+        holder; 0: it is not.
     :param pace_percent: at what share of its speed it works; None: not known,
         since an earlier holder may have changed it.
     """
@@ -87,6 +89,13 @@
     usage: float | None = None
     pace_percent: int | None = 100
     stop_reason: str = ""
+    stopping_since_s: float = 0.0
+
+    def be_stopped(self, reason: str) -> None:
+        """Note that nobody wants it any more; who calls this has it stopped."""
+        self.phase = Phase.STOPPING
+        self.stop_reason = reason
+        self.stopping_since_s = time.monotonic()
 
     def note_progress(self, percent: float, now_s: float) -> None:
         """Take how far its runner says that it is."""
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -196,6 +196,8 @@
             if reply.refusal is Refusal.FENCED:
                 self._owner.on_fenced(link)
                 return
+            if reply.refusal is not None:
+                _tell_refused_stop(attempt, reply.refusal)
             attempt.confirmed_clock_ms = reply.clock_ms or 0
             return
 
@@ -267,3 +269,16 @@
                 },
             )
         return None
+
+
+def _tell_refused_stop(attempt: Attempt, refusal: Refusal) -> None:
+    log.warning(
+        "stop-refused",
+        extra={
+            "task": attempt.task.name,
+            "run": attempt.run,
+            "runner": attempt.runner_id,
+            "why": refusal.value,
+            "reason": attempt.stop_reason,
+        },
+    )
