--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -56,12 +56,16 @@
     :param late_starts: so many starts get no answer and are carried out late.
     :param late_s: by how much.
     :param fail_all: every run ends failed at once.
+    :param refuse_stops: so many stops are refused, as an unwell runner does.
+    :param ignore_stops: so many stops are answered and have no effect.
     """
 
     silent: bool = False
     late_starts: int = 0
     late_s: float = 0.5
     fail_all: bool = False
+    refuse_stops: int = 0
+    ignore_stops: int = 0
 
 
 class RunnerStandin:
@@ -238,6 +242,12 @@
 
     def _stop(self, body: Json) -> web.StreamResponse:
         task, number = body["task"], body["run"]
+        if self.faults.refuse_stops > 0:
+            self.faults.refuse_stops -= 1
+            return web.Response(status=503)
+        if self.faults.ignore_stops > 0:
+            self.faults.ignore_stops -= 1
+            return web.json_response({"clockMs": self._clock_ms()})
         run = self._runs.get((task, number))
         if run is None:
             self._closed[task] = max(number, self._closed.get(task, 0))
