Settle a stop by what the runner lists, not by any answer to it

Cause: a stop was an order sent until there was an answer, whatever it said. A runner that is unwell answers 503 and has done nothing; the run stayed "to be stopped" in the holder's memory, its runner went on listing it, and each call that listed it extended it: for good. Nor did anything compare that list with what was wanted: only runs without a record were stopped again (strays). Stops were not sent at all, besides, by a holder that is about to release the cell, though it confirms cancels and extends runs until it is done.

Class: an order whose effect is needed, taken as settled by its answer instead of by the state that it was to bring about.

The mend: what a runner still lists once its stop must have worked (0.1 s after the longest stop, on the runner's clock), or was refused, or was never sent, gets its stop again. A run that its job still wants goes on instead, and whoever wanted it elsewhere decides anew. Stops go out for as long as the cell is held. A job whose last run was refused while it was cancelled is closed, too.

Ruled out: sending a refused stop again at once, beside that.

--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -56,6 +56,10 @@
 """The process ends by itself so long before the platform would kill it."""
 
 
+STOP_SLACK_S = 0.1
+"""A runner that lists a run so long after the longest stop has not stopped it; lists
+tell the time in whole milliseconds."""
+
 EARLY_SHARE = 0.4
 """Of the time by which a start may be early: the rest is for clocks that differ."""
 
@@ -77,7 +81,10 @@
     early_s = node.bounds.early_s * EARLY_SHARE
     return CellSettings(
         links=links,
-        engine=EngineSettings(early_s=early_s),
+        engine=EngineSettings(
+            early_s=early_s,
+            stop_effect_ms=int((node.bounds.stop_s + STOP_SLACK_S) * 1000),
+        ),
         duties=duty_settings(node),
     )
 
--- a/src/streamthread/holder/queue.py
+++ b/src/streamthread/holder/queue.py
@@ -94,14 +94,19 @@
         return next_due_s
 
     def _look(self) -> float | None:
-        """Return when the next time of a job falls due, if one does."""
+        """Return when the next time of a job falls due, if one does.
+
+        Stops go out for as long as the cell is held: a holder that is about to release
+        it still confirms cancels, and extends what runs.
+        """
         self._kick.clear()
-        if not self._owner.may_place:
-            return None
-        now_s = time.time()
         engine = self._owner.engine
-        next_due_s = engine.begin_due(now_s)
-        placed = engine.place_all(now_s, self._owner.tickets_for)
+        next_due_s: float | None = None
+        placed: list[Attempt] = []
+        if self._owner.may_place:
+            now_s = time.time()
+            next_due_s = engine.begin_due(now_s)
+            placed = engine.place_all(now_s, self._owner.tickets_for)
         stops = engine.take_stops()
         if placed or stops:
             self._owner.spawn(self._send_when_durable(placed, stops))
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -335,7 +335,7 @@
         for attempt in list(runner.attempts.values()):
             if attempt.phase is Phase.SENT:
                 self.spawn(self.sender.start(attempt))
-            elif attempt.phase is Phase.STOPPING:
+            elif attempt.stop is not None and not attempt.stop.under_way:
                 self.spawn(self.sender.stop(attempt))
 
     async def on_lists(self, link: RunnerLink, reply: HoldReply) -> None:
@@ -346,6 +346,8 @@
                 self._group.create_task(self.sender.stop_stray(stray))
             for order in plan_paces(link.runner, self.settings.sharing):
                 self._group.create_task(self.sender.pace(order.attempt, order.percent))
+        if self.engine.stops.waiting:
+            self.kick()
         if not reply.ended:
             return
         self.queue.look_soon()
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -46,7 +46,7 @@
     ) -> None:
         self.settings = settings or EngineSettings()
         self.times = RunTimes()
-        self._ledger = Ledger(changed)
+        self._ledger = Ledger(changed, self.settings.stop_effect_ms)
         self._outcomes = Outcomes(self._ledger, self.times, self.settings)
         self._lags = LagWatch(
             self._ledger, self._outcomes, self.times, self.settings.progress
@@ -54,6 +54,7 @@
         self._stop_watch = StopWatch()
         self.jobs = self._ledger.jobs
         self.runners = self._ledger.runners
+        self.stops = self._ledger.stops
         self.counts = self._ledger.counts
 
     # Jobs.
@@ -147,11 +148,11 @@
 
     def stop(self, attempt: Attempt, reason: str) -> None:
         """Have a run stopped; its task waits again once it has ended."""
-        self._ledger.stop(attempt, reason)
+        self.stops.want(attempt, reason)
 
     def take_stops(self) -> list[Attempt]:
-        """Return the attempts to be stopped that were not returned before."""
-        return self._ledger.take_stops()
+        """Return the runs for which a stop is to be sent now; the caller sends it."""
+        return self.stops.take()
 
     @property
     def overdue_stops(self) -> int:
--- a/src/streamthread/scheduler/lags.py
+++ b/src/streamthread/scheduler/lags.py
@@ -82,7 +82,7 @@
         self._outcomes.note_failure(runner)
         self._ledger.count(f"moved-{lag.value}")
         _tell_lag(attempt, lag.value)
-        self._ledger.stop(attempt, lag.value)
+        self._ledger.stops.want(attempt, lag.value)
         return True
 
     def _want_copy(self, attempt: Attempt, why: str) -> bool:
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -9,9 +9,9 @@
 from .model import Attempt
 from .model import Job
 from .model import Occurrence
-from .model import Phase
 from .model import Task
 from .model import TaskState
+from .stops import Stops
 
 __all__ = ["Ledger"]
 
@@ -28,16 +28,17 @@
     :param jobs: all jobs that are not forgotten, by job id.
     :param open: the jobs of which something may still run, by job id.
     :param runners: the lives of runners that are listed, by runner id.
+    :param stops: the runs that are to be stopped.
     :param counts: how often runs ended, were refused or lapsed.
     """
 
-    def __init__(self, changed: t.Callable[[Job], None]) -> None:
+    def __init__(self, changed: t.Callable[[Job], None], stop_effect_ms: int) -> None:
         self.changed = changed
         self.jobs: dict[str, Job] = {}
         self.open: dict[str, Job] = {}
         self.runners: dict[str, RunnerState] = {}
         self.counts: dict[str, int] = {}
-        self._to_stop: list[Attempt] = []
+        self.stops = Stops(stop_effect_ms)
 
     def count(self, what: str) -> None:
         """Count one event."""
@@ -161,33 +162,12 @@
         task.state = TaskState.DONE
         task.step.done_count += 1
         for attempt in task.attempts:
-            self.stop(attempt, "copy-done")
+            self.stops.want(attempt, "copy-done")
 
     # Stops.
 
-    def stop(self, attempt: Attempt, reason: str) -> None:
-        """Have a run stopped; its task waits again once it has ended."""
-        if attempt.phase is Phase.STOPPING:
-            return
-        attempt.be_stopped(reason)
-        self._to_stop.append(attempt)
-        log.info(
-            "run-to-stop",
-            extra={
-                "task": attempt.task.name,
-                "run": attempt.run,
-                "runner": attempt.runner_id,
-                "reason": reason,
-            },
-        )
-
     def stop_all(self, job: Job, reason: str) -> None:
         """Have all runs of a job stopped."""
         for attempt in job.attempts():
-            self.stop(attempt, reason)
+            self.stops.want(attempt, reason)
         self.settle_job(job)
-
-    def take_stops(self) -> list[Attempt]:
-        """Return the attempts to be stopped that were not returned before."""
-        stops, self._to_stop = self._to_stop, []
-        return stops
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -18,6 +18,7 @@
     "Occurrence",
     "Phase",
     "StepRun",
+    "Stop",
     "Task",
     "TaskState",
     "new_job",
@@ -57,6 +58,22 @@
     """To be stopped; it takes room until the runner lists its end."""
 
 
+@attrs.define(eq=False)
+class Stop:
+    """The stop of one run.
+
+    :param since_s: on the monotonic clock: since when the run is to be stopped, under
+        this holder.
+    :param under_way: it waits to be sent, or is being sent until the runner answers.
+    :param answered_ms: the runner's clock when it took the stop last; 0: not yet.
+    """
+
+    reason: str
+    since_s: float
+    under_way: bool = False
+    answered_ms: int = 0
+
+
 @attrs.define(eq=False)
 class Attempt:
     """One run of one task on one runner.
@@ -68,9 +85,7 @@
     :param first_seen_at_s: on the monotonic clock: when that was; 0: not yet.
     :param seen_at_s: on the monotonic clock: when its runner told of it last.
     :param moved_on_at_s: on the monotonic clock: when the percent changed last.
-    :param stop_reason: why it is to be stopped; empty while it is not.
-    :param stopping_since_s: on the monotonic clock: since when that is so, under this
-        holder; 0: it is not.
+    :param stop: of a run that is to be stopped, what has become of that.
     :param pace_percent: at what share of its speed it works; None: not known,
         since an earlier holder may have changed it.
     """
@@ -88,14 +103,30 @@
     moved_on_at_s: float = 0.0
     usage: float | None = None
     pace_percent: int | None = 100
-    stop_reason: str = ""
-    stopping_since_s: float = 0.0
+    stop: Stop | None = None
+
+    @property
+    def stop_reason(self) -> str:
+        """Why it is to be stopped; empty while it is not."""
+        return self.stop.reason if self.stop is not None else ""
+
+    @property
+    def must_end(self) -> bool:
+        """Whether nobody wants it, or nobody knows whether it is there."""
+        task = self.task
+        if task.step.occurrence.job.over or task.state is TaskState.DONE:
+            return True
+        return not self.began_at_s
 
     def be_stopped(self, reason: str) -> None:
-        """Note that nobody wants it any more; who calls this has it stopped."""
+        """Note that it is to be stopped; who calls this has the stop sent."""
         self.phase = Phase.STOPPING
-        self.stop_reason = reason
-        self.stopping_since_s = time.monotonic()
+        self.stop = Stop(reason, time.monotonic())
+
+    def go_on(self) -> None:
+        """Note that it is not to be stopped any more; it was not."""
+        self.phase = Phase.CONFIRMED
+        self.stop = None
 
     def note_progress(self, percent: float, now_s: float) -> None:
         """Take how far its runner says that it is."""
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -19,6 +19,7 @@
 from .engine import Engine
 from .model import Attempt
 from .model import Phase
+from .model import Stop
 from .outcomes import Stray
 
 __all__ = ["OrderSender", "OrderSettings", "SenderOwner"]
@@ -184,22 +185,38 @@
     # Stops.
 
     async def stop(self, attempt: Attempt) -> None:
-        """Send a stop until the runner has answered it."""
-        while attempt in attempt.task.attempts:
-            link = self._owner.links.get(attempt.runner_id)
-            if link is None:
-                return
-            reply = await self._send_stop(link, attempt.task.name, attempt.run)
-            if reply is None:
-                await asyncio.sleep(self._settings.retry_s)
-                continue
-            if reply.refusal is Refusal.FENCED:
-                self._owner.on_fenced(link)
-                return
-            if reply.refusal is not None:
-                _tell_refused_stop(attempt, reply.refusal)
-            attempt.confirmed_clock_ms = reply.clock_ms or 0
+        """Send a stop until the runner has answered it.
+
+        Whether it has worked is told by the runner's lists, not by the answer.
+        """
+        stop = attempt.stop
+        if stop is None:
             return
+        stop.under_way = True
+        try:
+            while attempt in attempt.task.attempts:
+                if await self._send_stop_once(attempt, stop):
+                    return
+                await asyncio.sleep(self._settings.retry_s)
+        finally:
+            stop.under_way = False
+
+    async def _send_stop_once(self, attempt: Attempt, stop: Stop) -> bool:
+        """Return whether the runner has answered, or can't be asked now."""
+        link = self._owner.links.get(attempt.runner_id)
+        if link is None:
+            return True
+        reply = await self._send_stop(link, attempt.task.name, attempt.run)
+        if reply is None:
+            return False
+        if reply.refusal is Refusal.FENCED:
+            self._owner.on_fenced(link)
+            return True
+        if reply.refusal is not None:
+            self._engine.stops.on_refused(attempt, reply.refusal.value)
+            return True
+        stop.answered_ms = attempt.confirmed_clock_ms = reply.clock_ms or 0
+        return True
 
     async def pace(self, attempt: Attempt, percent: int) -> None:
         """Set a run's pace, once; the next list decides anew."""
@@ -269,16 +286,3 @@
                 },
             )
         return None
-
-
-def _tell_refused_stop(attempt: Attempt, refusal: Refusal) -> None:
-    log.warning(
-        "stop-refused",
-        extra={
-            "task": attempt.task.name,
-            "run": attempt.run,
-            "runner": attempt.runner_id,
-            "why": refusal.value,
-            "reason": attempt.stop_reason,
-        },
-    )
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -73,7 +73,9 @@
         )
         self._ledger.remove(attempt, runner)
         self._ledger.wait_again(task)
-        self._ledger.changed(task.step.occurrence.job)
+        job = task.step.occurrence.job
+        self._ledger.changed(job)
+        self._ledger.settle_job(job)
 
     # The two lists: what runs, and what has ended.
 
@@ -87,6 +89,7 @@
             row = listed.get(key)
             if row is not None:
                 self._on_running(attempt, row.checkpoint, row.percent, row.usage)
+                self._ledger.stops.on_listed(attempt, reply.clock_ms)
             elif key not in ended_keys:
                 self._on_missing(runner, attempt, reply.clock_ms)
         strays = [
--- a/src/streamthread/scheduler/settings.py
+++ b/src/streamthread/scheduler/settings.py
@@ -14,6 +14,8 @@
     :param early_s: a time may begin so much before it falls due.
     :param list_slack_ms: a list counts as newer than an answer only if the
         runner's clock is so much further; lists are made in whole milliseconds.
+    :param stop_effect_ms: on a runner's clock: a run that it still lists so long after
+        it took its stop was not stopped.
     :param penalty_s: how long a runner that failed tasks is used last.
     :param penalty_failures: so many failures within ``penalty_s`` bring that.
     :param lasting_patience_s: a lasting task that waits for longer may go to a
@@ -23,6 +25,7 @@
 
     early_s: float = 0.1
     list_slack_ms: int = 20
+    stop_effect_ms: int = 1000
     penalty_s: float = 6.0
     penalty_failures: int = 2
     restart_pause_s: float = 0.05
--- a/src/streamthread/scheduler/tests/test_stops.py
+++ b/src/streamthread/scheduler/tests/test_stops.py
@@ -8,8 +8,12 @@
 
 from streamthread.platform.callers import JobRequest
 from streamthread.platform.callers import StepRequest
+from streamthread.platform.runners import HoldReply
+from streamthread.platform.runners import RunningTask
+from streamthread.scheduler import Attempt
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.stops import OVERDUE_S
 
@@ -38,6 +42,12 @@
     return engine, job
 
 
+def _age(attempt: Attempt) -> None:
+    """Let a run have been to be stopped for longer than it may take."""
+    assert attempt.stop is not None
+    attempt.stop.since_s -= OVERDUE_S + 1
+
+
 class TestOverdueStops:
     def test_are_told_once_each_and_counted(self, lines: logbook.TestHandler) -> None:
         engine, job = _engine_with_runs()
@@ -46,7 +56,7 @@
         engine.watch_stops()
         assert engine.overdue_stops == 0
         for attempt in job.attempts():
-            attempt.stopping_since_s -= OVERDUE_S + 1
+            _age(attempt)
         engine.watch_stops()
         engine.watch_stops()
         assert engine.overdue_stops == 2
@@ -56,8 +66,59 @@
         engine, job = _engine_with_runs()
         engine.cancel(job)
         for attempt in job.attempts():
-            attempt.stopping_since_s -= OVERDUE_S + 1
+            _age(attempt)
         engine.watch_stops()
         engine.runner_over("i-1", "test")
         engine.watch_stops()
         assert engine.overdue_stops == 0
+
+
+def _list(engine: Engine, attempt: Attempt, clock_ms: int) -> None:
+    """Let the runner tell that a run is there."""
+    row = RunningTask(attempt.task.name, attempt.run, "", 100.0)
+    runner = engine.runners[attempt.runner_id]
+    engine.on_hold(runner, HoldReply(clock_ms, (row,), ()))
+
+
+def _answer(attempt: Attempt, clock_ms: int) -> None:
+    """Let the runner take the stop that was on its way."""
+    assert attempt.stop is not None
+    attempt.stop.under_way = False
+    attempt.stop.answered_ms = clock_ms
+
+
+class TestStopWithoutEffect:
+    def test_is_sent_again_once_it_must_have_worked(self) -> None:
+        engine, job = _engine_with_runs()
+        first, _ = job.attempts()
+        engine.cancel(job)
+        assert first in engine.take_stops()
+        _list(engine, first, 5_000)
+        assert engine.take_stops() == []
+        _answer(first, 5_000)
+        _list(engine, first, 5_000 + engine.settings.stop_effect_ms)
+        assert engine.take_stops() == []
+        _list(engine, first, 5_001 + engine.settings.stop_effect_ms)
+        assert engine.take_stops() == [first]
+
+    def test_is_sent_at_last_where_none_was_sent(self) -> None:
+        engine, job = _engine_with_runs()
+        first, _ = job.attempts()
+        engine.cancel(job)
+        engine.take_stops()
+        assert first.stop is not None
+        first.stop.under_way = False
+        _list(engine, first, 5_000)
+        assert engine.take_stops() == [first]
+
+    def test_lets_a_run_go_on_that_its_job_still_wants(self) -> None:
+        """What allowed the stop may have changed: whoever wanted it decides anew."""
+        engine, job = _engine_with_runs()
+        first, _ = job.attempts()
+        engine.confirm(first, 1)
+        engine.stop(first, "upkeep")
+        engine.take_stops()
+        _answer(first, 5_000)
+        _list(engine, first, 10_000)
+        assert first.phase is Phase.CONFIRMED
+        assert engine.take_stops() == []
--- a/tests/cell/test_cancels.py
+++ b/tests/cell/test_cancels.py
@@ -10,6 +10,7 @@
 task for as long as it is held.
 """
 
+from .support import Caller
 from .support import Cell
 from .support import job
 from .support import running_cell
@@ -19,13 +20,16 @@
 """Twice what a cancel may take until nothing of its job runs (3 s)."""
 
 
-async def _run_and_cancel(cell: Cell) -> None:
-    """Have a lasting task run, then cancel its job."""
+async def _run(cell: Cell) -> Caller:
+    """Have a lasting task run."""
     caller = cell.caller()
     await caller.submit("a" * 16, job(run_s=60, longRunning=True))
-    await until(lambda: cell.world.started, "the task runs")
     (runner,) = cell.world.runners
-    await until(runner.running, "the runner lists it")
+    await until(runner.running, "the task runs")
+    return caller
+
+
+async def _cancel(caller: Caller) -> None:
     assert (await caller.call("DELETE", "a" * 16))[0] == 200
 
 
@@ -41,7 +45,7 @@
         async with running_cell({"desk": 1}) as cell:
             await cell.until_ready()
             cell.world.runners[0].faults.refuse_stops = 1
-            await _run_and_cancel(cell)
+            await _cancel(await _run(cell))
             await _until_nothing_runs(cell)
             assert [how for _, _, how, _ in cell.world.ended] == ["stopped"]
 
@@ -49,6 +53,18 @@
         async with running_cell({"desk": 1}) as cell:
             await cell.until_ready()
             cell.world.runners[0].faults.ignore_stops = 1
-            await _run_and_cancel(cell)
+            await _cancel(await _run(cell))
+            await _until_nothing_runs(cell)
+            assert [how for _, _, how, _ in cell.world.ended] == ["stopped"]
+
+
+class TestStopDuringRelease:
+    async def test_is_sent_by_the_holder_that_confirms_the_cancel(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            daemon = await cell.until_ready()
+            caller = await _run(cell)
+            assert daemon.holder is not None
+            daemon.holder.trust.begin_release()
+            await _cancel(caller)
             await _until_nothing_runs(cell)
             assert [how for _, _, how, _ in cell.world.ended] == ["stopped"]
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -219,10 +219,24 @@
     Guard(
         "over-is-stopped",
         "scheduler/codec.py",
-        "phase = Phase.SENT if wanted else Phase.STOPPING",
-        "phase = Phase.SENT",
+        "if task.state is TaskState.DONE or step.occurrence.job.over:",
+        "if False:",
         ("tests/cell/test_holders.py::TestCancelledJobs",),
     ),
+    Guard(
+        "listed-run-is-stopped-again",
+        "scheduler/outcomes.py",
+        "                self._ledger.stops.on_listed(attempt, reply.clock_ms)\n",
+        "",
+        ("tests/cell/test_cancels.py::TestStopWithoutEffect",),
+    ),
+    Guard(
+        "stops-go-out-during-a-release",
+        "holder/queue.py",
+        "        stops = engine.take_stops()\n",
+        "        stops = engine.take_stops() if self._owner.may_place else []\n",
+        ("tests/cell/test_cancels.py::TestStopDuringRelease",),
+    ),
     Guard(
         "no-older-configuration",
         "holder/intake.py",
