Give the world of the tests its workers when it is made

The interleavings replaced a private attribute of two services in each daemon, so that no part of the jobs slice could hold the workers by itself. The world takes the class of its workers now.

Ruled out: a setter on the services for tests alone.

--- a/tests/test_fleet_interleavings.py
+++ b/tests/test_fleet_interleavings.py
@@ -83,14 +83,7 @@
 
     @initialize()
     def begin(self) -> None:
-        self.world = World(DAEMONS, self.check_grant)
-        workers = CountingWorkers(self.world.membership)
-        self.world.workers = workers
-        for daemon in self.world.daemons:
-            platform = daemon.fleet._platform
-            daemon.fleet._platform = daemon.jobs._platform = type(platform)(
-                platform.tables, platform.objects, platform.membership, workers
-            )
+        self.world = World(DAEMONS, self.check_grant, workers_class=CountingWorkers)
         for number in range(INSTANCES):
             self.world.membership.put(
                 Instance(
--- a/tools/world.py
+++ b/tools/world.py
@@ -125,19 +125,24 @@
 
 
 class World:
-    """Shared platform and clock, and the daemons on it."""
+    """Shared platform and clock, and the daemons on it.
+
+    :param before: called with each transaction when a daemon sends it.
+    :param workers_class: what runs the tasks of all daemons.
+    """
 
     def __init__(
         self,
         daemons: int,
         before: Observer = lambda way, sent: None,
         wall: t.Callable[[], datetime.datetime] = utc_now,
+        workers_class: type[MemoryWorkers] = MemoryWorkers,
     ) -> None:
         self.clock = FakeClock()
         self.platform = memory_platform()
         self.tables = t.cast(MemoryTables, self.platform.tables)
         self.membership = t.cast(MemoryMembership, self.platform.membership)
-        self.workers = t.cast(MemoryWorkers, self.platform.workers)
+        self.workers = workers_class(self.membership)
         self._before = before
         self._wall = wall
         self.daemons = [self._make(f"entry-{number}") for number in range(daemons)]
