--- /dev/null
+++ b/src/streamthread/jobs/attempts.py
@@ -0,0 +1,102 @@
+"""Calls to the platform's workers about the attempts of jobs."""
+
+import asyncio
+import typing as t
+
+from ..errors import ConflictError
+from ..errors import OutcomeUnknownError
+from ..errors import StoreUnavailableError
+from ..providers import Task
+from ..providers import TaskStart
+from ..providers import Workers
+from .pool_jobs import PoolJobs
+from .rows import Job
+from .rows import JobState
+
+__all__ = ["AttemptCalls", "OnRefused"]
+
+PARALLEL_CALLS = 20
+"""Calls about one pool's attempts that wait for their answers at once."""
+
+OnRefused = t.Callable[[Job, str], t.Awaitable[None]]
+"""Called with a job whose worker refused its attempt, and with the cause."""
+
+
+class AttemptCalls:
+    """Starts and stops attempts, and reads what became of them."""
+
+    def __init__(self, workers: Workers) -> None:
+        self._workers = workers
+        self._cursor = 0
+
+    async def changes(self) -> tuple[Task, ...]:
+        """Return the reports since the last call."""
+        changes = await self._workers.task_changes(self._cursor)
+        self._cursor = changes.cursor
+        return changes.tasks
+
+    async def read_reports(self, jobs: PoolJobs) -> None:
+        """Ask for each started attempt's report: it may have ended meanwhile."""
+        limit = asyncio.Semaphore(PARALLEL_CALLS)
+
+        async def read(job: Job) -> None:
+            async with limit:
+                task = await self._workers.find_task(job.spec.job_id, job.attempt)
+            if task is not None:
+                jobs.reported.append(task)
+
+        started = [jobs.jobs[job_id].job for job_id in jobs.unconfirmed]
+        await asyncio.gather(*(read(job) for job in started))
+
+    async def start_all(self, jobs: PoolJobs, on_refused: OnRefused) -> None:
+        """Start what is committed as started and was not answered yet."""
+        limit = asyncio.Semaphore(PARALLEL_CALLS)
+
+        async def start(job: Job) -> None:
+            async with limit:
+                await self._start(jobs, job, on_refused)
+
+        waiting = [
+            jobs.jobs[job_id].job
+            for job_id in sorted(jobs.unconfirmed)
+            if jobs.jobs[job_id].job.state is JobState.STARTED
+        ]
+        await asyncio.gather(*(start(job) for job in waiting))
+
+    async def _start(self, jobs: PoolJobs, job: Job, on_refused: OnRefused) -> None:
+        try:
+            await self._workers.start(_task_start(job))
+        except (StoreUnavailableError, OutcomeUnknownError):
+            return
+        except ConflictError as error:
+            await on_refused(job, str(error))
+            return
+        jobs.unconfirmed.discard(job.spec.job_id)
+
+    async def stop_all(self, jobs: PoolJobs) -> None:
+        """Stop the attempts that have to be, and forget them once it is answered.
+
+        :raises StoreUnavailableError: not all was answered; all is kept.
+        """
+        stops = dict(jobs.stops)
+        plain = [task for task, checkpoint in stops.items() if not checkpoint]
+        if plain:
+            await self._workers.stop_many(plain)
+        for (job_id, attempt), checkpoint in stops.items():
+            if checkpoint:
+                await self._workers.stop(job_id, attempt, checkpoint)
+        for task in stops:
+            jobs.stops.pop(task, None)
+
+
+def _task_start(job: Job) -> TaskStart:
+    spec = job.spec
+    return TaskStart(
+        job_id=spec.job_id,
+        attempt=job.attempt,
+        worker_id=job.worker_id,
+        cores=spec.cores,
+        memory_bytes=spec.memory_bytes,
+        accelerators=spec.accelerators,
+        run_s=spec.run_s,
+    )
--- a/src/streamthread/jobs/pool_jobs.py
+++ b/src/streamthread/jobs/pool_jobs.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from ..providers import ABSENT
 from ..providers import Fence
 from ..providers import Task
 from ..providers import TaskState
@@ -47,6 +48,11 @@
     reported: list[Task] = attrs.field(factory=list)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
 
+    def version_of(self, job_id: str) -> int:
+        """Return the version of a job's row, ABSENT where there is none."""
+        known = self.jobs.get(job_id)
+        return known.version if known else ABSENT
+
     def keep(self, job: Job, version: int) -> Job | None:
         """Put a job in place of its earlier row; return that."""
         job_id = job.spec.job_id
