Stop attempts that are reported as running and that no row wants

Cause: the entry's jobs slice sent a stop once per ended attempt and forgot it with the answer; a report that an attempt of an ended job runs was dropped. So a start that is carried out late went on for as long as its worker lived.

Class: as on a cell's runners, an order taken as settled by its answer. What workers report as running is compared with the rows now.

Before: the test's task stays "running". After: stopped. Without the guard late-attempt-is-stopped it fails.

--- a/src/streamthread/jobs/pool_jobs.py
+++ b/src/streamthread/jobs/pool_jobs.py
@@ -87,6 +87,21 @@
         elif before.worker_id in after.failed_on:
             self.quarantine.note(before.worker_id, job_id, succeeded=False)
 
+    def note_running(self, tasks: t.Iterable[Task]) -> None:
+        """Have attempts stopped that run though their jobs' rows want nothing of them.
+
+        A stop that was answered says nothing of a start that is carried out after it.
+        """
+        for task in tasks:
+            stored = self.jobs.get(task.job_id)
+            if stored is None or task.state is not TaskState.RUNNING:
+                continue
+            job = stored.job
+            if job.state is JobState.STARTED and job.attempt == task.attempt:
+                continue
+            checkpoint = job.state is JobState.QUEUED
+            self.stops.setdefault((task.job_id, task.attempt), checkpoint)
+
     @staticmethod
     def _index(ids: set[str], job_id: str, belongs: bool) -> None:
         if belongs:
--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -184,6 +184,7 @@
             jobs = await self._table.current(pool)
             reports = [*jobs.reported, *tasks]
             jobs.reported.clear()
+            jobs.note_running(reports)
             await self._table.commit(pool, jobs, ended_steps(jobs, reports))
             if self._table.has(pool, jobs) and self._is_due(jobs):
                 steps = decide_jobs(self._snapshots.read(pool, jobs))
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -230,6 +230,13 @@
         "",
         ("tests/cell/test_cancels.py::TestStopWithoutEffect",),
     ),
+    Guard(
+        "late-attempt-is-stopped",
+        "jobs/service.py",
+        "            jobs.note_running(reports)\n",
+        "",
+        ("tests/test_job_cancels.py::TestCancelledJob",),
+    ),
     Guard(
         "stops-go-out-during-a-release",
         "holder/queue.py",
