Keep workers' reports until what follows from them is committed

Cause: reports are read as changes, once, for all pools. Where the first held pool's commit failed, the store being down, the reports were gone, for that pool and for those after it: a job whose task was done stayed "started".

Class: an event taken as settled before its effect was; found while looking for the same cause as that of runs that outlive a cancel.

One pool's failure no longer keeps the others from being decided about.

--- a/src/streamthread/jobs/pool_jobs.py
+++ b/src/streamthread/jobs/pool_jobs.py
@@ -32,7 +32,8 @@
     :param current: the jobs that have not ended.
     :param unconfirmed: started jobs whose start was not answered yet.
     :param stops: attempts to be stopped, and whether with a checkpoint.
-    :param reported: reports of attempts that ran before the jobs were loaded.
+    :param reported: reports of attempts that are not taken yet: those from before the
+        jobs were loaded, and those read while the store was down.
     :param changed: whether something changed since the last decision.
     """
 
--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -160,11 +160,15 @@
         """Follow the tasks and decide about every pool held here, once."""
         try:
             tasks = await self._attempts.changes()
-            for pool in self._held_pools():
+        except StoreUnavailableError as error:
+            self.log.info("tasks not followed: %s", error)
+            return
+        for pool in self._held_pools():
+            try:
                 if tasks or self._has_work(pool):
                     await self._decide(pool, tasks)
-        except (NotHolderError, StoreUnavailableError) as error:
-            self.log.info("jobs not decided: %s", error)
+            except (NotHolderError, StoreUnavailableError) as error:
+                self.log.info("jobs of %s not decided: %s", pool, error)
 
     def _held_pools(self) -> frozenset[str]:
         held = self._held.names()
@@ -176,16 +180,18 @@
         jobs = self._table.loaded(pool)
         if jobs is None:
             return True
-        waiting = bool(jobs.unconfirmed or jobs.stops)
+        waiting = bool(jobs.unconfirmed or jobs.stops or jobs.reported)
         return waiting or self._may_decide(jobs)
 
     async def _decide(self, pool: str, tasks: t.Sequence[Task]) -> None:
         async with self._table.lock(pool):
             jobs = await self._table.current(pool)
-            reports = [*jobs.reported, *tasks]
+            # Reports come once: they are kept until what follows is committed.
+            jobs.reported.extend(tasks)
+            jobs.note_running(jobs.reported)
+            steps = ended_steps(jobs, jobs.reported)
+            await self._table.commit(pool, jobs, steps)
             jobs.reported.clear()
-            jobs.note_running(reports)
-            await self._table.commit(pool, jobs, ended_steps(jobs, reports))
             if self._table.has(pool, jobs) and self._is_due(jobs):
                 steps = decide_jobs(self._snapshots.read(pool, jobs))
                 await self._table.commit(pool, jobs, steps)
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -233,7 +233,7 @@
     Guard(
         "late-attempt-is-stopped",
         "jobs/service.py",
-        "            jobs.note_running(reports)\n",
+        "            jobs.note_running(jobs.reported)\n",
         "",
         ("tests/test_job_cancels.py::TestCancelledJob",),
     ),
