Look for overdue stops among the runs that are to be stopped alone

The look went through all attempts of all runners four times a second. The stops know theirs now, read back or wanted here, until they are over.

No decision changes; the tests of stops pass as they were.

--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -189,19 +189,11 @@
                 "token": self.token,
                 "jobs": len(replayed.jobs),
                 "open": len(self.engine.open_jobs()),
-                "to_stop": self._count_to_stop(),
+                "to_stop": self.engine.stops.count,
                 "took_s": round(replayed.took_s, 4),
             },
         )
 
-    def _count_to_stop(self) -> int:
-        """Return how many runs an earlier holder left that nobody wants any more."""
-        return sum(
-            attempt.phase is Phase.STOPPING
-            for job in self.engine.open_jobs()
-            for attempt in job.attempts()
-        )
-
     def spawn(self, call: t.Coroutine[t.Any, t.Any, None]) -> None:
         """Run a call side by side, for as long as the cell is held."""
         if self._group is None:
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -26,7 +26,6 @@
 from .placement import place_step
 from .placement import Placement
 from .settings import EngineSettings
-from .stops import StopWatch
 
 __all__ = ["Engine"]
 
@@ -37,6 +36,8 @@
     """All jobs of a cell, and the runners' room.
 
     :param changed: called with each job whose progress must be recorded.
+    :param overdue_stops: how many runs had been to be stopped for too long, when that
+        was looked at last.
     """
 
     def __init__(
@@ -51,10 +52,10 @@
         self._lags = LagWatch(
             self._ledger, self._outcomes, self.times, self.settings.progress
         )
-        self._stop_watch = StopWatch()
         self.jobs = self._ledger.jobs
         self.runners = self._ledger.runners
         self.stops = self._ledger.stops
+        self.overdue_stops = 0
         self.counts = self._ledger.counts
 
     # Jobs.
@@ -154,19 +155,9 @@
         """Return the runs for which a stop is to be sent now; the caller sends it."""
         return self.stops.take()
 
-    @property
-    def overdue_stops(self) -> int:
-        """How many runs have been to be stopped for too long, at the last look."""
-        return self._stop_watch.overdue
-
     def watch_stops(self) -> None:
         """Tell of runs that go on though they have been to be stopped for long."""
-        attempts = (
-            attempt
-            for runner in self.runners.values()
-            for attempt in runner.attempts.values()
-        )
-        self._stop_watch.look(attempts)
+        self.overdue_stops = self.stops.tell_overdue()
 
     # Copies, and runs that lag behind.
 
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -53,6 +53,7 @@
             return
         self.open[job.job_id] = job
         for attempt in job.attempts():
+            self.stops.read_back(attempt)
             runner = self.runners.get(attempt.runner_id)
             if runner is not None:
                 runner.add(attempt.task.name, attempt)
@@ -139,9 +140,9 @@
         self.changed(job)
         self.settle_job(job)
 
-    @staticmethod
-    def remove(attempt: Attempt, runner: RunnerState | None) -> None:
+    def remove(self, attempt: Attempt, runner: RunnerState | None) -> None:
         """Take an attempt off its task, and off its runner where it is known."""
+        self.stops.forget(attempt)
         task = attempt.task
         if attempt in task.attempts:
             task.attempts.remove(attempt)
--- a/src/streamthread/scheduler/stops.py
+++ b/src/streamthread/scheduler/stops.py
@@ -14,7 +14,7 @@
 from .model import Attempt
 from .model import Stop
 
-__all__ = ["StopWatch", "Stops"]
+__all__ = ["Stops"]
 
 log = logbook.Logger("streamthread.scheduler")
 
@@ -33,6 +33,13 @@
     def __init__(self, effect_ms: int) -> None:
         self._effect_ms = effect_ms
         self._to_send: list[Attempt] = []
+        self._wanted: set[Attempt] = set()
+        self._told: set[Stop] = set()
+
+    @property
+    def count(self) -> int:
+        """How many runs are to be stopped."""
+        return len(self._wanted)
 
     @property
     def waiting(self) -> bool:
@@ -44,9 +51,19 @@
         if attempt.stop is not None:
             return
         attempt.be_stopped(reason)
+        self._wanted.add(attempt)
         self._queue(attempt)
         log.info("run-to-stop", extra=_describe(attempt))
 
+    def read_back(self, attempt: Attempt) -> None:
+        """Take a run of an earlier holder; who sees its runner sends the stop."""
+        if attempt.stop is not None:
+            self._wanted.add(attempt)
+
+    def forget(self, attempt: Attempt) -> None:
+        """Take it that a run is over."""
+        self._wanted.discard(attempt)
+
     def _queue(self, attempt: Attempt) -> None:
         assert attempt.stop is not None
         attempt.stop.under_way = True
@@ -74,36 +91,29 @@
             self._queue(attempt)
         else:
             attempt.go_on()
+            self._wanted.discard(attempt)
 
     @staticmethod
     def on_refused(attempt: Attempt, why: str) -> None:
         """Take it that a runner has refused a stop: its next list tells the rest."""
         log.warning("stop-refused", extra=_describe(attempt) | {"why": why})
 
+    def tell_overdue(self) -> int:
+        """Tell of each run that has been to be stopped for too long, once.
 
-class StopWatch:
-    """Tells of each run that has been to be stopped for too long, once.
-
-    :param overdue: how many there are now.
-    """
-
-    def __init__(self) -> None:
-        self.overdue = 0
-        self._told: set[Stop] = set()
-
-    def look(self, attempts: t.Iterable[Attempt]) -> None:
-        """Look for overdue runs among all attempts."""
+        :return: how many there are now.
+        """
         since_s = time.monotonic() - OVERDUE_S
-        found: set[Stop] = set()
-        for attempt in attempts:
-            stop = attempt.stop
-            if stop is None or stop.since_s >= since_s:
-                continue
-            found.add(stop)
+        overdue = {
+            attempt.stop: attempt
+            for attempt in self._wanted
+            if attempt.stop is not None and attempt.stop.since_s < since_s
+        }
+        for stop, attempt in overdue.items():
             if stop not in self._told:
                 log.warning("stop-overdue", extra=_describe(attempt))
-        self._told = found
-        self.overdue = len(found)
+        self._told = set(overdue)
+        return len(overdue)
 
 
 def _describe(attempt: Attempt) -> dict[str, t.Any]:
