--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -140,6 +140,11 @@
         self._runs.clear()
         self.unknown_ends |= {(task, run) for _, task, run, _, _ in self._ends}
 
+    def hold_for(self, for_s: float) -> None:
+        """Keep what runs here for so long, as if its holder had asked for it."""
+        deadline_ms = self._clock_ms() + int(for_s * 1000)
+        self._deadline_ms = max(self._deadline_ms, deadline_ms)
+
     @staticmethod
     def _clock_ms() -> int:
         return int(time.monotonic() * 1000)
--- a/tests/cell/test_cancels.py
+++ b/tests/cell/test_cancels.py
@@ -26,6 +26,8 @@
     await caller.submit("a" * 16, job(run_s=60, longRunning=True))
     (runner,) = cell.world.runners
     await until(runner.running, "the task runs")
+    # Only a stop ends it, however busy the machine is.
+    runner.hold_for(60.0)
     return caller
 
 
--- a/tests/cell/test_holders.py
+++ b/tests/cell/test_holders.py
@@ -253,11 +253,14 @@
             await caller.submit("a" * 16, body, at=at)
             await until(lambda: cell.world.started, "the task runs")
             runner.faults.silent = True
+            # Only a stop can end it then, however long the take-over takes.
+            runner.hold_for(60.0)
             assert (await caller.call("DELETE", "a" * 16, at=at))[0] == 200
             await old.stop()
             new = await until(lambda: _new_holder(cell, old), "a new holder")
             runner.faults.silent = False
             await _until_nothing_runs(new, "a" * 16)
+            await until(lambda: cell.world.ended, "the run ends")
             assert [how for _, _, how, _ in cell.world.ended] == ["stopped"]
 
 
