Send a refused stop again where nothing runs, too

A stop that was refused for a run that is not listed was not sent again: the start may still come, and the run's room was not given back, since a runner that never took an order for it does not count as having lost it.

The new test fails before; a stop that was never taken goes out again with each list that lacks the run.

--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -91,6 +91,7 @@
                 self._on_running(attempt, row.checkpoint, row.percent, row.usage)
                 self._ledger.stops.on_listed(attempt, reply.clock_ms)
             elif key not in ended_keys:
+                self._ledger.stops.on_missing(attempt)
                 self._on_missing(runner, attempt, reply.clock_ms)
         strays = [
             Stray(runner.runner_id, row.task, row.run)
--- a/src/streamthread/scheduler/stops.py
+++ b/src/streamthread/scheduler/stops.py
@@ -93,6 +93,17 @@
             attempt.go_on()
             self._wanted.discard(attempt)
 
+    def on_missing(self, attempt: Attempt) -> None:
+        """Take it that a runner does not list a run.
+
+        Its start may still come, unless the runner has taken a stop before.
+        """
+        stop = attempt.stop
+        if stop is None or stop.under_way or stop.answered_ms:
+            return
+        log.warning("stop-without-effect", extra=_describe(attempt))
+        self._queue(attempt)
+
     @staticmethod
     def on_refused(attempt: Attempt, why: str) -> None:
         """Take it that a runner has refused a stop: its next list tells the rest."""
--- a/src/streamthread/scheduler/tests/test_stops.py
+++ b/src/streamthread/scheduler/tests/test_stops.py
@@ -111,6 +111,20 @@
         _list(engine, first, 5_000)
         assert engine.take_stops() == [first]
 
+    def test_is_sent_again_where_nothing_runs_and_none_was_taken(self) -> None:
+        """Its start may still come; until a stop is taken, the room is not free."""
+        engine, job = _engine_with_runs()
+        first, _ = job.attempts()
+        engine.cancel(job)
+        engine.take_stops()
+        assert first.stop is not None
+        runner = engine.runners["i-1"]
+        engine.on_hold(runner, HoldReply(5_000, (), ()))
+        assert engine.take_stops() == []
+        first.stop.under_way = False
+        engine.on_hold(runner, HoldReply(5_001, (), ()))
+        assert engine.take_stops() == [first]
+
     def test_lets_a_run_go_on_that_its_job_still_wants(self) -> None:
         """What allowed the stop may have changed: whoever wanted it decides anew."""
         engine, job = _engine_with_runs()
