Split the callers' port: dispatch and at-most-once by themselves

Now service.py takes requests in and counts outcomes, dispatch.py brings one request to an upstream (and to another where that is safe), at_most_once.py claims a key before that and keeps what became of it. Sending is three short functions instead of one of 40 lines; Retry-After values, the poll of the planned stop and the least timeout have names that say why.

The guards claim-before-dispatch, unsafe-is-not-resent, not-run-is-certain and lost-then-refused moved with their lines.

--- /dev/null
+++ b/src/streamthread/requests/at_most_once.py
@@ -0,0 +1,111 @@
+"""Requests that may not be repeated: dispatched by whoever claims their key."""
+
+import asyncio
+import time
+
+import attrs
+from aiohttp import web
+
+from ..errors import StoreUnavailableError
+from .answers import KeptAnswer
+from .claims import Claim
+from .claims import claim_key
+from .claims import ClaimResult
+from .claims import ClaimService
+from .claims import ClaimState
+from .dispatch import Dispatcher
+from .outcomes import Outcome
+from .outcomes import OUTCOME_HEADER
+from .outcomes import Problem
+from .outcomes import REPLAYED_HEADER
+from .parse import Call
+
+__all__ = ["AtMostOnce"]
+
+CLAIM_RETRY_S = 2.0
+"""Retry-After where a key could not be claimed, or its first request still runs."""
+
+
+class AtMostOnce:
+    """Claims a request's key before it is dispatched, and keeps what became of it."""
+
+    def __init__(
+        self, daemon_id: str, claims: ClaimService, dispatcher: Dispatcher
+    ) -> None:
+        self._daemon_id = daemon_id
+        self._claims = claims
+        self._dispatcher = dispatcher
+
+    async def dispatch(self, request: web.Request, call: Call) -> web.StreamResponse:
+        """Dispatch a request, or answer with the state of the first of its key.
+
+        :raises Problem: the key is taken or was not claimed, or as dispatched.
+        """
+        key = claim_key(call.service, call.team, call.idempotency_key)
+        claim = Claim(call.digest(), self._daemon_id, time.time())
+        result = await self._claim(key, claim, call)
+        if result.existing is not None:
+            return _answer_from(result.existing, claim)
+        claim = attrs.evolve(claim, state=ClaimState.UNKNOWN)
+        try:
+            answer = KeptAnswer()
+            response = await self._dispatcher.dispatch(request, call, answer)
+            claim = answer.concluded(claim)
+            return response
+        except Problem as problem:
+            state = ClaimState(problem.outcome.value)
+            claim = attrs.evolve(claim, state=state)
+            raise
+        finally:
+            self._claims.conclude(key, claim, result.version)
+
+    async def _claim(self, key: str, claim: Claim, call: Call) -> ClaimResult:
+        try:
+            async with asyncio.timeout(max(0.0, call.left_s())):
+                return await self._claims.claim(key, claim)
+        except (StoreUnavailableError, TimeoutError) as error:
+            detail = str(error) or "the key could not be claimed in time"
+            raise Problem(
+                status=503,
+                kind="key-not-claimed",
+                detail=detail,
+                remedy="send it again with the same key",
+                outcome=Outcome.NOT_RUN,
+                retry_after_s=CLAIM_RETRY_S,
+            ) from error
+
+
+def _answer_from(existing: Claim, asked: Claim) -> web.Response:
+    """Answer a repeated key with the state of the first request."""
+    if existing.digest != asked.digest:
+        raise Problem(
+            status=422,
+            kind="key-reused",
+            detail="the key was used for another request",
+            remedy="use a new key for each request",
+            outcome=Outcome.NOT_RUN,
+        )
+    if existing.state is ClaimState.DONE and existing.body_hex is not None:
+        return _replayed(existing, existing.body_hex)
+    done = existing.state is ClaimState.DONE
+    raise Problem(
+        status=409,
+        kind="already-done" if done else "already-taken",
+        detail=f"the first request with this key is {existing.state.value}",
+        remedy="ask the service whether it took effect; a new key runs it again",
+        outcome=Outcome.DONE if done else Outcome.UNKNOWN,
+        retry_after_s=None if done else CLAIM_RETRY_S,
+    )
+
+
+def _replayed(existing: Claim, body_hex: str) -> web.Response:
+    """Return the kept answer of the first request again."""
+    return web.Response(
+        status=existing.status,
+        body=bytes.fromhex(body_hex),
+        headers={
+            OUTCOME_HEADER: Outcome.DONE.value,
+            REPLAYED_HEADER: "true",
+            "Content-Type": existing.content_type,
+        },
+    )
--- /dev/null
+++ b/src/streamthread/requests/dispatch.py
@@ -0,0 +1,177 @@
+"""Carries one request to an upstream, and to another where that is safe."""
+
+import contextlib
+import time
+import typing as t
+
+import aiohttp
+from aiohttp import web
+
+from .answers import KeptAnswer
+from .answers import pass_on
+from .outcomes import DEADLINE_HEADER
+from .outcomes import IDEMPOTENCY_HEADER
+from .outcomes import LEAVING_HEADER
+from .outcomes import NOT_STARTED_HEADER
+from .outcomes import Outcome
+from .outcomes import Problem
+from .parse import Call
+from .retries import RetryBudget
+from .router import Router
+from .router import Slot
+
+__all__ = ["Dispatcher"]
+
+CONNECT_TIMEOUT_S = 1.0
+"""An upstream that does not accept a connection for so long is passed over."""
+
+LEAST_TIMEOUT_S = 0.001
+"""The HTTP client takes a total of zero as no limit at all."""
+
+
+class _NotStartedError(Exception):
+    """The upstream certainly did not start the request; another may take it."""
+
+
+class _LostError(Exception):
+    """Bytes went out and no answer began; it may have run."""
+
+
+class Dispatcher:
+    """Sends requests to the upstreams that the router chooses.
+
+    :param is_stopping: whether callers' connections end with their answers.
+    """
+
+    def __init__(self, router: Router, is_stopping: t.Callable[[], bool]) -> None:
+        self._router = router
+        self._is_stopping = is_stopping
+        self._retries = RetryBudget()
+        self._session: aiohttp.ClientSession | None = None
+
+    def open(self) -> None:
+        """Make the client of the upstreams; the router bounds its connections."""
+        connector = aiohttp.TCPConnector(limit=0)
+        self._session = aiohttp.ClientSession(
+            connector=connector, auto_decompress=False
+        )
+
+    async def close(self) -> None:
+        """Close the connections to the upstreams."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def dispatch(
+        self, request: web.Request, call: Call, answer: KeptAnswer | None = None
+    ) -> web.StreamResponse:
+        """Try upstreams until one has the request; then stay with it.
+
+        Once an answer was lost, giving up means unknown, never not-run.
+
+        :param answer: keeps a copy of the answer, if given.
+        :raises Problem: no upstream took it, or its answer was lost.
+        """
+        self._retries.note_request()
+        tried: set[str] = set()
+        lost: _LostError | None = None
+        again = False
+        while True:
+            slot = await self._acquire(call, tried, again, lost)
+            try:
+                return await self._send(request, call, slot, answer)
+            except _NotStartedError:
+                tried.add(slot.upstream.instance_id)
+            except _LostError as error:
+                if not call.repeat_safe or not self._retries.take():
+                    raise _lost_problem(error) from error
+                lost = error
+                tried.add(slot.upstream.instance_id)
+            finally:
+                self._router.release(slot)
+            again = True
+
+    async def _acquire(
+        self, call: Call, tried: set[str], again: bool, lost: _LostError | None
+    ) -> Slot:
+        try:
+            return await self._router.acquire(
+                call.service, call.spec, call.deadline_at_s, tried, again, call.team
+            )
+        except Problem as problem:
+            if lost is not None:
+                raise _lost_problem(lost) from problem
+            raise
+
+    async def _send(
+        self,
+        request: web.Request,
+        call: Call,
+        slot: Slot,
+        answer: KeptAnswer | None,
+    ) -> web.StreamResponse:
+        began = False
+        sent_at_s = time.monotonic()
+        try:
+            async with self._exchange(call, slot) as reply:
+                self._note_signs(slot, reply)
+                began = True
+                close = self._is_stopping()
+                response = await pass_on(request, reply, call, answer, close)
+                self._router.note_success(slot, time.monotonic() - sent_at_s)
+                return response
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            self._router.note_failure(slot.upstream, repr(error))
+            raise _NotStartedError from error
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            if began:
+                raise
+            self._router.note_failure(slot.upstream, repr(error))
+            raise _LostError(repr(error)) from error
+
+    def _exchange(
+        self, call: Call, slot: Slot
+    ) -> contextlib.AbstractAsyncContextManager[aiohttp.ClientResponse]:
+        """Return one HTTP exchange with an upstream, within the call's deadline."""
+        assert self._session is not None
+        left_s = call.left_s()
+        timeout = aiohttp.ClientTimeout(
+            total=max(LEAST_TIMEOUT_S, left_s), sock_connect=CONNECT_TIMEOUT_S
+        )
+        return self._session.request(
+            call.method,
+            f"http://{slot.upstream.address}{call.path}",
+            data=call.body or None,
+            headers=_headers(call, left_s),
+            timeout=timeout,
+            allow_redirects=False,
+        )
+
+    def _note_signs(self, slot: Slot, reply: aiohttp.ClientResponse) -> None:
+        """Heed what an upstream says of itself.
+
+        :raises _NotStartedError: it says that it did not start the request.
+        """
+        if LEAVING_HEADER in reply.headers:
+            self._router.note_leaving(slot.upstream, "said so in an answer")
+        if reply.status == 503 and NOT_STARTED_HEADER in reply.headers:
+            if LEAVING_HEADER not in reply.headers:
+                self._router.note_full(slot)
+            raise _NotStartedError
+        self._router.note_accepted(slot)
+
+
+def _headers(call: Call, left_s: float) -> dict[str, str]:
+    headers = {**call.headers, DEADLINE_HEADER: f"{max(0.0, left_s):.3f}"}
+    if call.idempotency_key:
+        headers[IDEMPOTENCY_HEADER] = call.idempotency_key
+    return headers
+
+
+def _lost_problem(error: Exception) -> Problem:
+    return Problem(
+        status=504,
+        kind="answer-lost",
+        detail=f"the upstream's answer was lost: {error}",
+        remedy="it may have run; ask the service before sending it again",
+        outcome=Outcome.UNKNOWN,
+    )
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -121,21 +121,21 @@
     ),
     Guard(
         "claim-before-dispatch",
-        "requests/service.py",
+        "requests/at_most_once.py",
         "if result.existing is not None:",
         "if False:",
         (f"{REQUESTS}::TestAtMostOnce",),
     ),
     Guard(
         "unsafe-is-not-resent",
-        "requests/service.py",
+        "requests/dispatch.py",
         "if not call.repeat_safe or not self._retries.take():",
         "if not self._retries.take():",
         (f"{REQUESTS}::TestAtMostOnce",),
     ),
     Guard(
         "not-run-is-certain",
-        "requests/service.py",
+        "requests/dispatch.py",
         '        remedy="it may have run; ask the service before sending it again",\n'
         "        outcome=Outcome.UNKNOWN,\n",
         '        remedy="",\n        outcome=Outcome.NOT_RUN,\n',
@@ -143,9 +143,9 @@
     ),
     Guard(
         "lost-then-refused",
-        "requests/service.py",
-        "                if lost is not None:\n",
-        "                if False:\n",
+        "requests/dispatch.py",
+        "            if lost is not None:\n",
+        "            if False:\n",
         (f"{REQUESTS}::TestNotRun",),
     ),
     Guard(
