--- a/src/streamthread/leases/service.py
+++ b/src/streamthread/leases/service.py
@@ -1,4 +1,4 @@
-"""Keeps this daemon's lease, and the shards it ranks first for."""
+"""Keeps this daemon's lease, and tells what it holds while that lasts."""
 
 import random
 import time
@@ -14,25 +14,25 @@
 from ..providers import ABSENT
 from ..providers import CommitResult
 from ..providers import Fence
-from ..providers import MAX_ROWS_PER_TRANSACTION
-from ..providers import Row
 from ..providers import Tables
 from ..providers import Transaction
 from ..providers import Write
 from ..timeline import Recorder
 from .committer import Committer
+from .holdings import ShardHoldings
 from .observer import LeaseObserver
 from .observer import LeaseRecord
-from .rendezvous import first_ranked
 from .rendezvous import shard_of
-from .shards import plan_shards
-from .shards import ShardState
 
 __all__ = ["LeaseService", "LeaseSettings", "new_incarnation"]
 
 LEASE_PREFIX = "lease/"
-SHARD_PREFIX = "shard/"
-AREA = "leases"
+
+SETTLE_FRACTION = 0.25
+"""The part of the term for which a lost reply is settled."""
+
+RENEW_SPREAD = 0.1
+"""Pauses differ by this part, so that daemons do not renew in step."""
 
 
 @attrs.frozen
@@ -45,17 +45,8 @@
     margin_s: float = 2.0
 
 
-def _chunks(states: t.Sequence[ShardState]) -> t.Iterator[t.Sequence[ShardState]]:
-    for start in range(0, len(states), MAX_ROWS_PER_TRANSACTION):
-        yield states[start : start + MAX_ROWS_PER_TRANSACTION]
-
-
-def _shard_key(shard: int) -> str:
-    return f"{SHARD_PREFIX}{shard:04d}"
-
-
 class LeaseService(Service):
-    """Renews the lease row, watches the others, takes and gives up shards.
+    """Renews the lease row, watches the others, says what is held meanwhile.
 
     While its own lease may have lapsed nothing is decided, but what is held is
     kept in memory: an outage of the store ends without a reload.
@@ -76,24 +67,30 @@
         self.record = record
         self.settings = settings
         self.committer = committer or Committer(tables)
-        self.holdings = 0
-        """Grows with each change of the shards that are held."""
         self._clock_s = clock_s
         self._tables = tables
-        self._recorder = recorder
         self._observer = LeaseObserver(settings.term_s)
         self._lease_version = ABSENT
         self._trusted_until_s = 0.0
-        self._held: dict[int, int] = {}
-        self._holders: dict[int, str] = {}
+        self._shards = ShardHoldings(
+            tables,
+            recorder,
+            me=lambda: self.record,
+            live=lambda: self._live,
+            shard_count=settings.shard_count,
+            reread_s=settings.term_s,
+            commit=self._commit,
+        )
         self._live: list[LeaseRecord] = [record]
-        self._shards_read_for: set[tuple[str, str, bool]] = set()
-        self._shards_read_at_s = 0.0
-        self._shards_unsettled = True
         self._random = random.Random(record.daemon_id)
 
     # What other slices ask.
 
+    @property
+    def holdings(self) -> int:
+        """Grows with each change of the shards that are held."""
+        return self._shards.changes
+
     def fence(self, subject: str) -> Fence:
         """Return the condition that every hard write about a subject carries.
 
@@ -101,23 +98,23 @@
             daemon's own lease may have lapsed.
         """
         shard = shard_of(subject, self.settings.shard_count)
-        if not self.is_trusted() or shard not in self._held:
+        if not self.is_trusted() or shard not in self._shards:
             raise NotHolderError(
                 f"shard {shard} is not held here",
                 remedy="ask its holder, or retry in some seconds",
                 location=subject,
             )
-        return Fence(_shard_key(shard), self._held[shard])
+        return self._shards.fence(shard)
 
     def holds(self, subject: str) -> bool:
         """Whether this daemon may decide about a subject now."""
         shard = shard_of(subject, self.settings.shard_count)
-        return self.is_trusted() and shard in self._held
+        return self.is_trusted() and shard in self._shards
 
     def holder_of(self, subject: str) -> LeaseRecord | None:
         """Return the live daemon that holds a subject's shard, if known."""
         shard = shard_of(subject, self.settings.shard_count)
-        holder = self._holders.get(shard)
+        holder = self._shards.holder_of(shard)
         matches = [record for record in self._live if record.daemon_id == holder]
         return matches[0] if matches else None
 
@@ -127,7 +124,7 @@
 
     def held_shards(self) -> dict[int, int]:
         """Return the held shards and their epochs."""
-        return dict(self._held)
+        return self._shards.epochs()
 
     def peers(self) -> list[LeaseRecord]:
         """Return the other daemons, as last read."""
@@ -145,8 +142,8 @@
     async def _keep(self) -> None:
         while not self.should_stop:
             await self.cycle()
-            pause_s = self.settings.renew_s * self._random.uniform(0.9, 1.1)
-            await self.sleep(pause_s)
+            factor = self._random.uniform(1 - RENEW_SPREAD, 1 + RENEW_SPREAD)
+            await self.sleep(self.settings.renew_s * factor)
 
     async def cycle(self) -> None:
         """Renew, read the others, and act on the shards, once."""
@@ -165,7 +162,7 @@
         self.record = attrs.evolve(self.record, counter=self.record.counter + 1)
         key = LEASE_PREFIX + self.record.daemon_id
         write = Write(key, cattrs.unstructure(self.record), self._lease_version)
-        result = await self._commit(write)
+        result = await self._commit((write,))
         if not result.committed:
             await self._read_own_row(key)
             return False
@@ -174,9 +171,9 @@
         self._trusted_until_s = sent_at_s + lasts_s
         return True
 
-    async def _commit(self, *writes: Write) -> CommitResult:
+    async def _commit(self, writes: tuple[Write, ...]) -> CommitResult:
         """Commit, but settle a lost reply only for so long as renewing can wait."""
-        give_up_s = self.settings.term_s / 4
+        give_up_s = self.settings.term_s * SETTLE_FRACTION
         return await self.committer.commit(Transaction(writes), give_up_s)
 
     async def _read_own_row(self, key: str) -> None:
@@ -189,111 +186,7 @@
         records = [cattrs.structure(row.value, LeaseRecord) for row in lease_rows]
         self._observer.observe(records, now_s)
         self._live = self._observer.live(now_s)
-        if self._should_read_shards(now_s):
-            await self._read_shards(now_s)
-
-    def _should_read_shards(self, now_s: float) -> bool:
-        """Whether hand-overs are to be expected, or it was long ago.
-
-        The shard rows are the larger part of what is read; they change only
-        when daemons come and go.
-        """
-        live = {(one.daemon_id, one.incarnation, one.stopping) for one in self._live}
-        if live != self._shards_read_for:
-            self._shards_read_for = live
-            self._shards_unsettled = True
-        age_s = now_s - self._shards_read_at_s
-        return self._shards_unsettled or age_s >= self.settings.term_s
-
-    async def _read_shards(self, now_s: float) -> None:
-        shard_rows = await self._tables.scan_all(SHARD_PREFIX)
-        self._shards_read_at_s = now_s
-        states = self._states(shard_rows)
-        self._holders = {state.shard: state.holder for state in states}
-        self._reconcile(states)
-        plan = plan_shards(states, self.record, self._live)
-        await self._release(plan.release)
-        await self._take(plan.take)
-        self._shards_unsettled = not self._are_settled(states)
-
-    def _are_settled(self, states: t.Iterable[ShardState]) -> bool:
-        """Whether the rows showed every shard with the daemon that should hold it."""
-        incarnations = {one.daemon_id: one.incarnation for one in self._live}
-        names = [one.daemon_id for one in self._live if not one.stopping]
-        return all(
-            state.holder == first_ranked(names, state.shard)
-            and state.incarnation == incarnations.get(state.holder)
-            for state in states
-        )
-
-    def _states(self, rows: t.Iterable[Row]) -> list[ShardState]:
-        states = {
-            shard: ShardState(shard, ABSENT, "", "")
-            for shard in range(self.settings.shard_count)
-        }
-        for row in rows:
-            shard = int(row.key.removeprefix(SHARD_PREFIX))
-            states[shard] = ShardState(
-                shard, row.version, row.value["holder"], row.value["incarnation"]
-            )
-        return list(states.values())
-
-    def _reconcile(self, states: t.Iterable[ShardState]) -> None:
-        """Believe the table: forget what was taken, regain what is still ours."""
-        lost: list[ShardState] = []
-        before = dict(self._held)
-        for state in states:
-            if state.is_held_by(self.record):
-                self._held[state.shard] = state.epoch
-            elif self._held.pop(state.shard, None) is not None:
-                lost.append(state)
-        if self._held != before:
-            self.holdings += 1
-        if lost:
-            holders = " ".join(sorted({state.holder for state in lost}))
-            self._record_shards("shards-lost", lost, f"taken by {holders}")
-
-    async def _take(self, states: t.Sequence[ShardState]) -> None:
-        taken: list[ShardState] = []
-        for chunk in _chunks(states):
-            if await self._write_holder(chunk, self.record):
-                taken.extend(chunk)
-        for state in taken:
-            self._held[state.shard] = state.epoch + 1
-            self._holders[state.shard] = self.record.daemon_id
-        if taken:
-            self.holdings += 1
-            self._record_shards("shards-taken", taken, "they were free")
-
-    async def _release(self, states: t.Sequence[ShardState]) -> None:
-        """Forget first, then let go: nothing is decided in between."""
-        self.holdings += 1
-        for state in states:
-            self._held.pop(state.shard, None)
-        for chunk in _chunks(states):
-            await self._write_holder(chunk, None)
-        if states:
-            self._record_shards("shards-released", states, "others rank first")
-
-    async def _write_holder(
-        self, states: t.Sequence[ShardState], holder: LeaseRecord | None
-    ) -> bool:
-        value = {
-            "holder": holder.daemon_id if holder else "",
-            "incarnation": holder.incarnation if holder else "",
-        }
-        writes = tuple(
-            Write(_shard_key(state.shard), value, state.epoch) for state in states
-        )
-        result = await self._commit(*writes)
-        return result.committed
-
-    def _record_shards(
-        self, kind: str, states: t.Iterable[ShardState], cause: str
-    ) -> None:
-        shards = " ".join(str(state.shard) for state in states)
-        subject = f"entry/{self.record.daemon_id}"
-        self._recorder.record(AREA, kind, subject, f"{cause}: {shards}")
+        await self._shards.follow(now_s)
 
     # The planned stop.
 
@@ -303,8 +196,7 @@
         try:
             await self.cycle()
         finally:
-            self._held.clear()
-            self.holdings += 1
+            self._shards.clear()
 
     async def leave(self) -> None:
         """Remove the lease row, so that the others need not wait for the term."""
--- /dev/null
+++ b/src/streamthread/leases/tests/test_holdings.py
@@ -0,0 +1,67 @@
+"""Which shards a daemon takes when its leases change while it reads."""
+
+import typing as t
+
+import attrs
+
+from streamthread.leases import Committer
+from streamthread.leases import LeaseRecord
+from streamthread.leases.holdings import ShardHoldings
+from streamthread.providers import CommitResult
+from streamthread.providers import MemoryTables
+from streamthread.providers import Row
+from streamthread.providers import Transaction
+from streamthread.providers import Write
+from streamthread.timeline import Recorder
+
+SHARD_COUNT = 4
+
+
+class Daemon:
+    """A lease that tests change, and the holdings that follow it."""
+
+    def __init__(self, tables: MemoryTables) -> None:
+        self.record = LeaseRecord("entry-0", "run-0", 1, "", "", "hann")
+        self._committer = Committer(tables)
+        self.shards = ShardHoldings(
+            tables,
+            Recorder("entry-0"),
+            me=lambda: self.record,
+            live=lambda: [self.record],
+            shard_count=SHARD_COUNT,
+            reread_s=8.0,
+            commit=self._commit,
+        )
+
+    async def _commit(self, writes: tuple[Write, ...]) -> CommitResult:
+        return await self._committer.commit(Transaction(writes))
+
+    def stop(self) -> None:
+        self.record = attrs.evolve(self.record, stopping=True)
+
+
+class StoppingTables(MemoryTables):
+    """Calls a function while the rows are read."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.on_scan: t.Callable[[], None] = lambda: None
+
+    async def scan(self, prefix: str, after: str = "", limit: int = 500) -> list[Row]:
+        self.on_scan()
+        return await super().scan(prefix, after, limit)
+
+
+class TestPlannedStop:
+    async def test_a_daemon_alone_takes_every_shard(self) -> None:
+        daemon = Daemon(MemoryTables())
+        await daemon.shards.follow(now_s=1.0)
+        assert set(daemon.shards.epochs()) == set(range(SHARD_COUNT))
+
+    async def test_takes_nothing_once_it_began_during_the_read(self) -> None:
+        tables = StoppingTables()
+        daemon = Daemon(tables)
+        tables.on_scan = daemon.stop
+        await daemon.shards.follow(now_s=1.0)
+        assert daemon.shards.epochs() == {}
+        assert await tables.scan_all("shard/") == []
