Split the peers' service: links and calls by themselves

Two tests reached into the service for what the links have now: the failing call is put into the links, and the wrong key is the one the stranger was started with instead of a setting replaced later. Both are as strict: without the check of the key the second fails.

--- a/src/streamthread/peers/service.py
+++ b/src/streamthread/peers/service.py
@@ -9,9 +9,6 @@
 
 import attrs
 import cattrs
-from grpclib.client import Channel
-from grpclib.exceptions import GRPCError
-from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Server
 from mode import Service
 
@@ -25,13 +22,13 @@
 from ..timeline import HybridTime
 from ..timeline import Recorder
 from . import peers_pb2 as pb
-from .auth import key_metadata
 from .auth import require_key
 from .endpoint import JobsHandler
 from .endpoint import PeerEndpoint
+from .links import PeerLink
+from .links import PeerLinks
 from .messages import generation_of
 from .messages import generation_record
-from .peers_grpc import PeersStub
 from .rumors import RumorStore
 
 __all__ = ["PeerService", "PeerSettings"]
@@ -59,19 +56,6 @@
     seeds: tuple[str, ...] = ()
 
 
-@attrs.define
-class _Link:
-    """What this daemon knows of its exchange with one peer."""
-
-    address: str
-    channel: Channel
-    stub: PeersStub
-    incarnation: str = ""
-    their_cursor: int = 0
-    my_cursor_sent: int = 0
-    heard_at_s: float = 0.0
-
-
 class PeerService(Service):
     """Serves the peers' port and exchanges with a few peers a second.
 
@@ -95,7 +79,7 @@
         self._recorder = recorder
         self._configuration = configuration
         self._peers = peers
-        self._links: dict[str, _Link] = {}
+        self._links = PeerLinks(settings.key, settings.timeout_s)
         self._server = Server([PeerEndpoint(self, recorder, configuration, jobs)])
         self._random = random.Random(recorder.daemon_id)
         self._news = asyncio.Event()
@@ -118,8 +102,7 @@
 
     def heard_recently(self, within_s: float) -> int:
         """Return how many peers answered or called within a time."""
-        since_s = time.monotonic() - within_s
-        return sum(link.heard_at_s >= since_s for link in self._links.values())
+        return self._links.heard_since(time.monotonic() - within_s)
 
     async def on_start(self) -> None:
         """Open the peers' port."""
@@ -132,8 +115,7 @@
         """Close the port and all channels."""
         self._server.close()
         await self._server.wait_closed()
-        for link in self._links.values():
-            link.channel.close()
+        self._links.close()
 
     # Rounds.
 
@@ -159,7 +141,7 @@
         for update in self._before_round:
             update()
         peers = self._peers() or self._seeds()
-        self._drop_links({peer.daemon_id for peer in peers})
+        self._links.keep_only({peer.daemon_id for peer in peers})
         chosen = self._random.sample(peers, min(fanout, len(peers)))
         await asyncio.gather(*(self._try_exchange(peer) for peer in chosen))
 
@@ -187,7 +169,7 @@
 
         :raises PeerUnavailableError: it did not answer in time.
         """
-        link = self._link(peer)
+        link = self._links.to(peer)
         cursor = self.rumors.cursor
         news = self.rumors.news_for(peer.daemon_id, link.my_cursor_sent)
         reply = await self._send(link, peer, rumors=news.rumors, offers=news.offers)
@@ -197,7 +179,9 @@
         link.their_cursor = reply.cursor
         link.my_cursor_sent = cursor if same_run else 0
 
-    async def _send(self, link: _Link, peer: LeaseRecord, **content: t.Any) -> t.Any:
+    async def _send(
+        self, link: PeerLink, peer: LeaseRecord, **content: t.Any
+    ) -> pb.ExchangeReply:
         """Make one call of an exchange, and take what comes back."""
         request = pb.ExchangeRequest(
             sender=self.sender(),
@@ -206,12 +190,14 @@
             known_cursor=link.their_cursor,
             **content,
         )
-        reply = await self._call(link.stub.Exchange, request, peer)
+        reply = await self._links.call(link.stub.Exchange, request, peer)
         link.heard_at_s = time.monotonic()
         self._take(reply.sender, reply.rumors, reply.generations)
         return reply
 
-    async def _follow_up(self, link: _Link, peer: LeaseRecord, reply: t.Any) -> None:
+    async def _follow_up(
+        self, link: PeerLink, peer: LeaseRecord, reply: pb.ExchangeReply
+    ) -> None:
         """Send what the peer asked for, and get what it offered, if anything."""
         mine = self._configuration.active.generation
         lacking = self.rumors.lacking(reply.offers)
@@ -267,9 +253,9 @@
 
     async def fetch_snapshot(self, peer: LeaseRecord) -> None:
         """Take the whole configuration of a peer that is ahead."""
-        link = self._link(peer)
+        link = self._links.to(peer)
         request = pb.SnapshotRequest(sender=self.sender())
-        reply = await self._call(link.stub.Snapshot, request, peer)
+        reply = await self._links.call(link.stub.Snapshot, request, peer)
         snapshot = cattrs.structure(json.loads(reply.snapshot_json), Snapshot)
         self._configuration.adopt_snapshot(snapshot, f"whole, from {peer.daemon_id}")
 
@@ -277,35 +263,21 @@
         self, peer: LeaseRecord, event_filter: EventFilter
     ) -> list[Event]:
         """Return a peer's events."""
-        link = self._link(peer)
+        link = self._links.to(peer)
         request = pb.TimelineRequest(
             sender=self.sender(),
             filter_json=json.dumps(cattrs.unstructure(event_filter)),
         )
-        reply = await self._call(link.stub.Timeline, request, peer)
+        reply = await self._links.call(link.stub.Timeline, request, peer)
         return cattrs.structure(json.loads(reply.events_json), list[Event])
 
     async def forward_jobs(self, peer: LeaseRecord, wish: JsonObject) -> JsonObject:
         """Have the holder carry out an operator's wish about jobs."""
-        link = self._link(peer)
+        link = self._links.to(peer)
         request = pb.JobsRequest(sender=self.sender(), wish_json=json.dumps(wish))
-        reply = await self._call(link.stub.Jobs, request, peer)
+        reply = await self._links.call(link.stub.Jobs, request, peer)
         return t.cast(JsonObject, json.loads(reply.result_json))
 
-    async def _call(self, method: t.Any, request: t.Any, peer: LeaseRecord) -> t.Any:
-        try:
-            return await method(
-                request,
-                timeout=self.settings.timeout_s,
-                metadata=key_metadata(self.settings.key),
-            )
-        except (GRPCError, StreamTerminatedError, OSError, TimeoutError) as error:
-            raise PeerUnavailableError(
-                f"no answer from {peer.daemon_id}: {error!r}",
-                remedy="look at that daemon's log, and at the link to it",
-                location=peer.peers_address,
-            ) from error
-
     def sender(self) -> pb.Sender:
         """Return what every message begins with."""
         now = self._recorder.clock.now()
@@ -314,19 +286,3 @@
             incarnation=self._incarnation,
             time=pb.Time(physical_ms=now.physical_ms, logical=now.logical),
         )
-
-    def _link(self, peer: LeaseRecord) -> _Link:
-        link = self._links.get(peer.daemon_id)
-        if link is not None and link.address != peer.peers_address:
-            link.channel.close()
-            link = None
-        if link is None:
-            host, _, port = peer.peers_address.rpartition(":")
-            channel = Channel(host, int(port))
-            link = _Link(peer.peers_address, channel, PeersStub(channel))
-            self._links[peer.daemon_id] = link
-        return link
-
-    def _drop_links(self, kept: set[str]) -> None:
-        for daemon_id in set(self._links) - kept:
-            self._links.pop(daemon_id).channel.close()
--- a/src/streamthread/peers/tests/test_exchange.py
+++ b/src/streamthread/peers/tests/test_exchange.py
@@ -30,14 +30,17 @@
 
 
 class Pair:
-    """Two peers that exchange only when the test says so."""
+    """Two peers that exchange only when the test says so.
 
-    def __init__(self) -> None:
+    :param keys: the secret that each of them was started with.
+    """
+
+    def __init__(self, keys: tuple[str, str] = ("test", "test")) -> None:
         world = World(2)
         self.known: list[LeaseRecord] = []
         self.services = [
             PeerService(
-                SETTINGS,
+                attrs.evolve(SETTINGS, key=keys[number]),
                 f"run-{number}",
                 daemon.recorder,
                 daemon.configuration,
@@ -85,7 +88,7 @@
             first = pair.services[0]
             first.rumors.offer(_rumor("mine", 1, large=True))
             pair.services[1].rumors.offer(_rumor("theirs", 1, large=True))
-            original = first._call
+            original = first._links.call
             calls = 0
 
             async def fail_second(*arguments: t.Any) -> t.Any:
@@ -95,7 +98,7 @@
                     raise PeerUnavailableError("cut", remedy="wait")
                 return await original(*arguments)
 
-            first._call = fail_second  # type: ignore[method-assign]
+            first._links.call = fail_second  # type: ignore[method-assign]
             with contextlib.suppress(PeerUnavailableError):
                 await pair.exchange()
             await pair.exchange()
@@ -103,9 +106,8 @@
                 assert pair.versions(number, ["mine", "theirs"]) == [1, 1]
 
     async def test_wrong_key_is_refused(self) -> None:
-        async with Pair() as pair:
+        async with Pair(keys=("other", "test")) as pair:
             stranger = pair.services[0]
-            stranger.settings = attrs.evolve(SETTINGS, key="other")
             stranger.rumors.offer(_rumor("a", 1))
             with contextlib.suppress(PeerUnavailableError):
                 await pair.exchange()
