Name the line that stops what was read back as the guard over-is-stopped

Telling of stops replaced the guarded line of scheduler/codec.py, so that tests/test_docs.py::TestGuards failed for over-is-stopped on the code before: the guard's text stood nowhere. It names the new line now.

Before: 1 failed in tests/test_docs.py. After: passes, and without the guard tests/cell/test_holders.py::TestCancelledJobs fails (tools.guards over-is-stopped).

--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -219,8 +219,8 @@
     Guard(
         "over-is-stopped",
         "scheduler/codec.py",
-        "phase = Phase.SENT if wanted else Phase.STOPPING",
-        "phase = Phase.SENT",
+        "                attempt.be_stopped(READ_BACK)\n",
+        "                pass\n",
         ("tests/cell/test_holders.py::TestCancelledJobs",),
     ),
     Guard(
