--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -157,14 +157,14 @@
     ),
     Guard(
         "leaving-by-header",
-        "requests/router.py",
+        "requests/directory.py",
         "return health.left_boot < instance.boot",
         "return True",
         (f"{REQUESTS}::TestLeavingUpstream",),
     ),
     Guard(
         "leaving-by-membership",
-        "requests/router.py",
+        "requests/directory.py",
         "if instance.status is not InstanceStatus.LIVE:",
         "if False:",
         (f"{REQUESTS}::TestLeavingUpstream",),
