--- /dev/null
+++ b/bench/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The fleet's decisions over scripted bursts, waves and rack failures."""
