Make the slices of the entry in methods of their own

The constructor had 84 lines, most of them arguments. It reads as the list of the slices now, in their order; each method shows what one slice is given, and the lease's record names its fields.

--- a/src/streamthread/entry/daemon.py
+++ b/src/streamthread/entry/daemon.py
@@ -61,37 +61,71 @@
         )
         self._incarnation = new_incarnation()
         self._state_version = 0
+        self.leases = self._make_leases(platform)
+        self.configuration = self._make_configuration(platform)
+        self.peers = self._make_peers()
+        self.fleet = self._make_fleet(platform)
+        self.jobs = self._make_jobs(platform)
+        self.fleet.progress.busy = self.jobs.is_busy
+        self.job_router = JobRouter(self.leases, self.jobs)
+        self.job_router.peers = self.peers
+        self.router = self._make_router()
+        self.claims = ClaimService(
+            platform.tables, self.leases.committer, settings.claims, self.daemon_count
+        )
+        self.sweeper = ClaimSweeper(platform.tables, self.leases, settings.sweep)
+        self.requests = self._make_requests()
+        self.operators = OperatorService(self)
+        self.peers.before_round(self._refresh_own_state)
+
+    # The slices, in the order in which they are made.
+
+    def _make_leases(self, platform: Platform) -> LeaseService:
+        """The addresses are not known before the ports are open."""
         record = LeaseRecord(
-            settings.daemon_id, self._incarnation, 0, "", "", settings.hall
+            self.settings.daemon_id,
+            self._incarnation,
+            counter=0,
+            peers_address="",
+            operators_address="",
+            hall=self.settings.hall,
         )
-        self.leases = LeaseService(
-            platform.tables, self.recorder, record, settings.leases
+        return LeaseService(
+            platform.tables, self.recorder, record, self.settings.leases
         )
-        self.configuration = ConfigurationService(
+
+    def _make_configuration(self, platform: Platform) -> ConfigurationService:
+        return ConfigurationService(
             platform,
             self.leases.committer,
             self.recorder,
-            settings.configuration_poll_s,
+            self.settings.configuration_poll_s,
         )
-        self.peers = PeerService(
-            settings.peers,
+
+    def _make_peers(self) -> PeerService:
+        return PeerService(
+            self.settings.peers,
             self._incarnation,
             self.recorder,
             self.configuration,
             self.leases.peers,
             self._serve_jobs,
         )
-        self.fleet = FleetService(
+
+    def _make_fleet(self, platform: Platform) -> FleetService:
+        return FleetService(
             platform,
             self.leases,
             self.configuration,
             self.recorder,
             self.peers.rumors,
-            settings.fleet,
+            self.settings.fleet,
             self._drain_report,
             self.peers.spread_soon,
         )
-        self.jobs = JobService(
+
+    def _make_jobs(self, platform: Platform) -> JobService:
+        return JobService(
             platform,
             self.leases,
             self.configuration,
@@ -99,14 +133,13 @@
             self.fleet.catalog,
             self.fleet.views,
             self.fleet.held,
-            settings.jobs,
+            self.settings.jobs,
         )
-        self.fleet.progress.busy = self.jobs.is_busy
-        self.job_router = JobRouter(self.leases, self.jobs)
-        self.job_router.peers = self.peers
-        self.router = Router(
-            settings.daemon_id,
-            settings.hall,
+
+    def _make_router(self) -> Router:
+        return Router(
+            self.settings.daemon_id,
+            self.settings.hall,
             self.configuration,
             self.fleet.catalog,
             self.fleet.views,
@@ -115,21 +148,17 @@
             self.leases.live_ids,
             self.peers.spread_soon,
         )
-        self.claims = ClaimService(
-            platform.tables, self.leases.committer, settings.claims, self.daemon_count
-        )
-        self.sweeper = ClaimSweeper(platform.tables, self.leases, settings.sweep)
-        self.requests = RequestService(
-            settings.callers.host,
-            settings.callers.port,
-            settings.daemon_id,
+
+    def _make_requests(self) -> RequestService:
+        return RequestService(
+            self.settings.callers.host,
+            self.settings.callers.port,
+            self.settings.daemon_id,
             self.configuration,
             self.router,
             self.claims,
             self.is_current,
         )
-        self.operators = OperatorService(self)
-        self.peers.before_round(self._refresh_own_state)
 
     # Start and planned stop.
 
