--- a/src/streamthread/standins/cell/store.py
+++ b/src/streamthread/standins/cell/store.py
@@ -34,6 +34,7 @@
         0: at once.
     :param stall_after_bytes: answers stop after so many bytes, and their connections
         stay open; 0: never.
+    :param silent_feed: the feed of this table gives no answer; empty: all do.
     """
 
     refuse: int = 0
@@ -44,6 +45,7 @@
     forget_before: int = 0
     answer_bytes_per_s: float = 0.0
     stall_after_bytes: int = 0
+    silent_feed: str = ""
 
 
 class StoreStandin:
@@ -196,6 +198,9 @@
         try:
             async with self._changed:
                 await self._wait_for_change(table, after, until_s)
+            if table == self.faults.silent_feed:
+                await asyncio.sleep(PLAY_DEAD_S)
+            async with self._changed:
                 # As of one moment: a change may come just when the time is over.
                 return web.json_response(
                     {
