Know of all jobs before saying that there is none, and keep cancels for them

Cause: a holder answered from its memory alone. What was accepted into the inbox and not read yet, or by a holder that came after it, it called unknown, which confirms a cancel. A cancel that found no job left no trace, so that a hand-in that came again, or whose row was written late, ran for good. A job whose route had another name was called unknown as well.

Ruled out: a commit alone (it shows that the cell is held, not that the inbox is known); a wait for the feed (it may be silent for 1.8 s, and says nothing then); an ended job in place of the kept cancel (a GET would show a job that nobody handed in).

Now: before a holder calls a job unknown it reads the inbox, in a read that began after the call, and has a commit confirmed that began after that read. One read serves all who ask before it begins. A holder that doubts itself tells nothing of a job that is not over, and confirms no cancel, before a commit; how a job ended it tells, since that stays so. A hand-in waits for a read of the inbox only where its feed was silent for over 2 s. An id alone names a job. A lost commit log says so also where nothing is marked. Also mended: a job that ended while its state waited for a commit was shown before its end was durable.

Price: a read and a commit for each call about an unknown job; none for other calls. holder/service.py: three arguments of the intake.

--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -120,13 +120,27 @@
     async def flushed(self) -> None:
         """Return once all that is marked now is durable.
 
+        This alone does not say that the cell is still held: see :meth:`confirmed`.
+
         :raises NotHolderError: the cell is lost; what was marked may be durable.
         """
+        if self.lost:
+            raise _not_holder("the cell is lost")
         if self._dirty:
             await asyncio.shield(self._next)
         elif self._in_flight:
             await asyncio.shield(self._current)
 
+    async def confirmed(self) -> None:
+        """Return once a commit is confirmed that began after this call.
+
+        Nobody else has held the cell before that commit.
+
+        :raises NotHolderError: the cell is lost.
+        """
+        self._wake.set()
+        await asyncio.shield(self._next)
+
     def is_marked(self, table: str, key: str) -> bool:
         """Whether a row has changes that are not durable yet."""
         return (table, key) in self._dirty or (table, key) in self._in_flight
--- a/src/streamthread/cell/tests/test_commits.py
+++ b/src/streamthread/cell/tests/test_commits.py
@@ -1,11 +1,17 @@
 """When a holder doubts that it can commit."""
 
+import asyncio
 import base64
 import time
 import typing as t
 
+import pytest
+
 from streamthread.cell import CommitLog
 from streamthread.cell import LeaseTimes
+from streamthread.errors import NotHolderError
+from streamthread.platform.store import Page
+from streamthread.platform.store import TransactResult
 
 TIMES = LeaseTimes()
 
@@ -55,3 +61,66 @@
         values = [row.value for row in batch.rows if row.value is not None]
         sent_bytes = sum(len(base64.b64encode(value)) for value in values)
         assert sent_bytes / SMALLEST_LINK_BYTES_PER_S < TIMES.doubt_s
+
+
+class _Store:
+    """Holds each commit until a test lets it go on, or has another daemon take over."""
+
+    def __init__(self) -> None:
+        self.commits = 0
+        self.may_answer = asyncio.Event()
+        self.taken = False
+
+    async def transact(self, *args: t.Any) -> TransactResult:
+        self.commits += 1
+        await self.may_answer.wait()
+        return TransactResult(not self.taken, version=self.commits + 1)
+
+    async def read(self, table: str, part: str) -> Page:
+        return Page((), 1)
+
+
+RENEW_S = 3600.0
+"""No commit of its own."""
+
+
+async def _until_committing(store: _Store, commits: int) -> None:
+    while store.commits < commits:
+        await asyncio.sleep(0)
+
+
+class TestConfirmation:
+    async def test_is_by_a_commit_that_began_after_the_call(self) -> None:
+        store = _Store()
+        log = CommitLog(t.cast(t.Any, store), "main", 1, 1, 0.0, RENEW_S)
+        running = asyncio.ensure_future(log.run())
+        log.mark("table", "key", lambda: b"")
+        await _until_committing(store, 1)
+        confirmed = asyncio.ensure_future(log.confirmed())
+        store.may_answer.set()
+        await confirmed
+        assert store.commits == 2
+        running.cancel()
+
+    async def test_needs_no_rows(self) -> None:
+        store = _Store()
+        store.may_answer.set()
+        log = CommitLog(t.cast(t.Any, store), "main", 1, 1, 0.0, RENEW_S)
+        running = asyncio.ensure_future(log.run())
+        await log.confirmed()
+        assert (store.commits, log.rows_written) == (1, 0)
+        running.cancel()
+
+    async def test_ends_with_the_loss_of_the_cell(self) -> None:
+        store = _Store()
+        store.taken = True
+        store.may_answer.set()
+        log = CommitLog(t.cast(t.Any, store), "main", 1, 1, 0.0, RENEW_S)
+        running = asyncio.ensure_future(log.run())
+        with pytest.raises(NotHolderError):
+            await log.confirmed()
+        with pytest.raises(NotHolderError):
+            await running
+        for wait in (log.confirmed, log.flushed):
+            with pytest.raises(NotHolderError):
+                await wait()
--- a/src/streamthread/holder/inbox.py
+++ b/src/streamthread/holder/inbox.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 import typing as t
 from abc import ABC
 from abc import abstractmethod
@@ -21,6 +22,11 @@
 
 log = logbook.Logger("streamthread.holder")
 
+BEHIND_S = 2.0
+"""The inbox is unknown when nothing was heard of it for longer: a call of its feed that
+falls silent ends after 1.8 s, and the next one answers at once. A cancel that waits
+there has to count within 3 s."""
+
 
 @attrs.frozen
 class InboxEntry:
@@ -70,7 +76,14 @@
 
     @abstractmethod
     def cancel_left(self, job_id: str) -> None:
-        """Cancel a job, where there is one."""
+        """Cancel a job that is known."""
+
+    @abstractmethod
+    def keep_cancel(self, job_id: str, may_come: bool) -> bool:
+        """Keep a cancel of a job that is not known; return whether its row is needed.
+
+        :param may_come: whether the job is sure to be able to come yet.
+        """
 
     @abstractmethod
     def drop_left(self, key: str) -> None:
@@ -80,13 +93,16 @@
 class InboxReader:
     """Takes the rows of the inbox in the order in which they were written.
 
-    :param waiting: rows that wait for the configuration, by key.
+    :param waiting: jobs that wait for the configuration and cancels that wait for
+        their jobs, by key.
     """
 
     def __init__(self, feed: TableFeed, owner: InboxOwner) -> None:
         self._feed = feed
         self._owner = owner
         self.waiting: dict[str, StoredRow] = {}
+        self._look: asyncio.Task[None] | None = None
+        self._next_look: asyncio.Task[None] | None = None
 
     async def run(self) -> None:
         """Take what is left in the inbox until the cell is lost."""
@@ -108,13 +124,37 @@
                 log.warning("inbox-unreadable", extra={"error": str(error)})
                 await asyncio.sleep(RETRY_S)
 
+    @property
+    def behind(self) -> bool:
+        """Whether there may be rows for long that were not taken."""
+        return time.monotonic() - self._feed.known_at_s > BEHIND_S
+
+    async def catch_up(self) -> None:
+        """Return once all is taken that was in the inbox at the time of this call.
+
+        One look at the inbox serves all who ask before it begins.
+
+        :raises StoreUnavailableError: the inbox can't be read.
+        :raises OutcomeUnknownError: the inbox can't be read.
+        """
+        if self._next_look is None:
+            self._next_look = asyncio.ensure_future(self._look_after(self._look))
+        # Whoever asks may give up; others wait for the same look.
+        await asyncio.shield(self._next_look)
+
+    async def _look_after(self, before: "asyncio.Task[None] | None") -> None:
+        if before is not None:
+            await asyncio.wait((before,))
+        self._look, self._next_look = self._next_look, None
+        self.take(await self._feed.look())
+
     def take(self, rows: t.Iterable[StoredRow]) -> None:
         """Take rows; a whole read brings them by key, a cancel before its job."""
         for row in sorted(rows, key=lambda row: row.version):
             self._take_row(row)
 
     def retry(self) -> None:
-        """Take the rows that wait, should their route be known by now."""
+        """Take the rows that wait, should their route or job be known by now."""
         self.take(list(self.waiting.values()))
 
     def _take_row(self, row: StoredRow) -> None:
@@ -130,14 +170,15 @@
     def _settle(self, entry: InboxEntry) -> bool:
         """Return whether an entry needs its row no more."""
         known = self._owner.knows_job(entry.job_id)
-        if entry.is_cancel:
-            if not known and self._waits(entry.job_id):
-                return False
-            self._owner.cancel_left(entry.job_id)
-            return True
-        return known or self._owner.accept_left(entry)
-
-    def _waits(self, job_id: str) -> bool:
+        if not entry.is_cancel:
+            return known or self._owner.accept_left(entry)
+        if not known:
+            may_come = self.waits(entry.job_id)
+            return not self._owner.keep_cancel(entry.job_id, may_come)
+        self._owner.cancel_left(entry.job_id)
+        return True
+
+    def waits(self, job_id: str) -> bool:
         """Whether a job waits here for its route."""
         entries = (
             InboxEntry.decode(row.value)
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -11,14 +11,21 @@
 from ..cell import TABLE_RUNS
 from ..errors import BadInputError
 from ..errors import NotHolderError
+from ..errors import OutcomeUnknownError
+from ..errors import StoreUnavailableError
 from ..platform.documents import Route
 from ..scheduler import encode_definition
 from ..scheduler import Engine
 from ..scheduler import Job
+from ..scheduler import JobState
 from ..scheduler import new_job
 from .context import ManifestSource
 from .inbox import InboxEntry
 from .inbox import InboxOwner
+from .inbox import InboxReader
+from .kept_cancels import kept_key
+from .kept_cancels import KeptCancels
+from .kept_cancels import MOST_ID_BYTES
 
 __all__ = ["Intake"]
 
@@ -32,9 +39,12 @@
     """Everything about a job that its caller sees.
 
     :param token: the holder's fencing token, for the logs.
+    :param inbox: returns the reader of the inbox, which has the intake take its rows.
+    :param is_trusted: whether this daemon may rely on holding the cell.
     :param may_accept: whether what is accepted now can be made durable.
     :param accepted: called with each new job, before it is durable.
     :param kick: has the queue looked at soon.
+    :param keep_cancels_s: a cancel is kept for so long while its job may still come.
     """
 
     def __init__(
@@ -43,17 +53,23 @@
         commits: CommitLog,
         documents: ManifestSource,
         token: int,
+        inbox: t.Callable[[], InboxReader],
+        is_trusted: t.Callable[[], bool],
         may_accept: t.Callable[[], bool],
         accepted: t.Callable[[Job], None],
         kick: t.Callable[[], None],
+        keep_cancels_s: float,
     ) -> None:
         self._engine = engine
         self._commits = commits
         self._documents = documents
         self._token = token
+        self._inbox = inbox
+        self._is_trusted = is_trusted
         self._may_accept = may_accept
         self._accepted = accepted
         self._kick = kick
+        self._kept = KeptCancels(keep_cancels_s)
 
     def route(self, name: str) -> Route | None:
         """Return a route of the manifest in force."""
@@ -83,50 +99,119 @@
         if request.kind == pb.PENDING:
             count = self._engine.pending_count(request.route)
             return pb.CallReply(outcome=pb.OK, pending=count)
-        if request.kind == pb.SUBMIT:
-            return await self._submit(request)
-        job = self._engine.jobs.get(request.job_id)
-        if job is None or job.route != request.route:
+        try:
+            if request.kind == pb.SUBMIT:
+                return await self._submit(request)
             if request.kind == pb.CANCEL:
-                self._tell_no_job(request, job)
+                return await self._cancel(request)
+            return await self._tell_state(request.job_id)
+        except (NotHolderError, StoreUnavailableError, OutcomeUnknownError):
+            # Another daemon may know more, or have taken what we did not commit.
+            return pb.CallReply(outcome=pb.UNCERTAIN)
+
+    async def _find(self, job_id: str) -> Job | None:
+        """Return a job; look into the inbox before saying that there is none.
+
+        Its id alone names it: its route may have another name by now. An outage of the
+        store is waited for by the commits, which are tried anyway.
+
+        :raises NotHolderError: the cell is lost.
+        :raises StoreUnavailableError: the inbox can't be read.
+        :raises OutcomeUnknownError: the inbox can't be read.
+        """
+        job = self._engine.jobs.get(job_id)
+        if job is not None:
+            return job
+        if not self._is_trusted():
+            await self._commits.confirmed()
+        await self._inbox().catch_up()
+        return self._engine.jobs.get(job_id)
+
+    # States.
+
+    async def _tell_state(self, job_id: str) -> pb.CallReply:
+        job = await self._find(job_id)
+        if job is None:
+            # The next holder takes jobs out of the inbox that we would miss there.
+            await self._commits.confirmed()
+            job = self._engine.jobs.get(job_id)
+        if job is None:
+            return self._tell_waiting(job_id)
+        await self._until_sure(job)
+        return pb.CallReply(outcome=pb.OK, state=job.state.value)
+
+    def _tell_waiting(self, job_id: str) -> pb.CallReply:
+        """Tell of a job that waits in the inbox for its route, if there is one."""
+        if not self._inbox().waits(job_id):
             return pb.CallReply(outcome=pb.UNKNOWN_JOB)
-        if request.kind == pb.CANCEL:
-            return await self._cancel(job)
-        ended = job.over and self._commits.is_marked(TABLE_RUNS, job.job_id)
-        if not job.durable or ended:
+        cancelled = self._kept.covers(job_id)
+        state = JobState.CANCELLED if cancelled else JobState.PENDING
+        return pb.CallReply(outcome=pb.OK, state=state.value)
+
+    async def _until_sure(self, job: Job) -> None:
+        """Return once a job's present state may be told.
+
+        :raises NotHolderError: the cell is lost.
+        """
+        if not job.durable:
+            await self._commits.flushed()
+            job.durable = True
+        if not job.over and not self._is_trusted():
+            await self._commits.confirmed()
+        # How it ended stays so, whoever holds the cell; it has to be durable.
+        while job.over and self._commits.is_marked(TABLE_RUNS, job.job_id):
             await self._commits.flushed()
-        return pb.CallReply(outcome=pb.OK, state=job.state.value)
+
+    # Hand-ins.
 
     async def _submit(self, request: pb.CallRequest) -> pb.CallReply:
         job = self._engine.jobs.get(request.job_id)
         if job is None:
-            if not self._may_accept():
-                return pb.CallReply(
-                    outcome=pb.REFUSED,
-                    reason="the store does not take commits",
-                    retry_after_s=STORE_COME_BACK_S,
-                )
-            route = self.route(request.route)
-            version = request.configuration_version
-            if self._is_behind(route, version, request.pool):
-                return pb.CallReply(outcome=pb.BEHIND)
-            if route is None:
-                return pb.CallReply(outcome=pb.UNKNOWN_JOB, reason="no such queue")
-            try:
-                job = self._accept(request.job_id, route, request.job)
-            except BadInputError as error:
-                return pb.CallReply(outcome=pb.REFUSED, reason=str(error))
+            refusal = await self._until_may_take()
+            if refusal is not None:
+                return refusal
+            found = self._engine.jobs.get(request.job_id) or self._take(request)
+            if isinstance(found, pb.CallReply):
+                return found
+            job = found
         if not job.durable:
-            try:
-                await self._commits.flushed()
-            except NotHolderError:
-                return pb.CallReply(outcome=pb.UNCERTAIN)
+            await self._commits.flushed()
             job.durable = True
         return pb.CallReply(outcome=pb.OK, state=job.state.value)
 
+    async def _until_may_take(self) -> pb.CallReply | None:
+        """Return None once a new job may be taken, else a refusal.
+
+        The inbox may hold the cancel of a job that is handed in once more.
+        """
+        if not self._may_accept():
+            return _refuse("the store does not take commits")
+        if not self._inbox().behind:
+            return None
+        try:
+            await self._inbox().catch_up()
+        except (StoreUnavailableError, OutcomeUnknownError):
+            return _refuse("the store does not give the inbox")
+        return None
+
+    def _take(self, request: pb.CallRequest) -> Job | pb.CallReply:
+        """Take a new job, or say why not."""
+        route = self.route(request.route)
+        version = request.configuration_version
+        if self._is_behind(route, version, request.pool):
+            return pb.CallReply(outcome=pb.BEHIND)
+        if route is None:
+            return pb.CallReply(outcome=pb.UNKNOWN_JOB, reason="no such queue")
+        try:
+            return self._accept(request.job_id, route, request.job)
+        except BadInputError as error:
+            return pb.CallReply(outcome=pb.REFUSED, reason=str(error))
+
     def _accept(self, job_id: str, route: Route, body: bytes) -> Job:
         """Take a job; it may be acknowledged once it is durable.
 
+        Nothing of it starts where its cancel has come before it.
+
         :raises BadInputError: the body is no job.
         """
         job = new_job(job_id, route, body)
@@ -142,20 +227,48 @@
                 "token": self._token,
             },
         )
-        self._accepted(job)
+        if self._kept.covers(job_id):
+            self._cancel_now(job, "kept")
+        else:
+            self._accepted(job)
+        self._kept.forget(job_id)
         return job
 
-    async def _cancel(self, job: Job) -> pb.CallReply:
+    # Cancels.
+
+    async def _cancel(self, request: pb.CallRequest) -> pb.CallReply:
+        job = await self._find(request.job_id)
+        if job is None:
+            return await self._cancel_unknown(request)
         if not job.over:
             self._cancel_now(job, "call")
-        try:
-            await self._commits.flushed()
-        except NotHolderError:
-            return pb.CallReply(outcome=pb.UNCERTAIN)
+        if not self._is_trusted():
+            await self._commits.confirmed()
+        await self._commits.flushed()
         return pb.CallReply(outcome=pb.OK, state=job.state.value)
 
+    async def _cancel_unknown(self, request: pb.CallRequest) -> pb.CallReply:
+        """Confirm a cancel that finds no job, once it will find one that comes.
+
+        The commit that keeps it began after the inbox was read: had another daemon
+        taken the job from there, it would fail.
+        """
+        job_id = request.job_id
+        self._tell_no_job(job_id, "call")
+        if len(job_id.encode()) > MOST_ID_BYTES:
+            await self._commits.confirmed()
+            return pb.CallReply(outcome=pb.UNKNOWN_JOB)
+        self._kept.keep(job_id)
+        row = InboxEntry(job_id, request.route).encode()
+        self._commits.mark(TABLE_INBOX, kept_key(job_id), lambda: row)
+        await self._commits.flushed()
+        return self._tell_waiting(job_id)
+
     def _cancel_now(self, job: Job, came_by: str) -> None:
-        """Cancel a job; the cancel is not durable yet."""
+        """Cancel a job; the cancel is not durable yet.
+
+        :param came_by: a call, the inbox, or kept since before the job came.
+        """
         runs = sum(1 for _ in job.attempts())
         self._engine.cancel(job)
         log.info(
@@ -169,17 +282,11 @@
         )
         self._kick()
 
-    def _tell_no_job(self, request: pb.CallRequest, job: Job | None) -> None:
-        """Say that a cancel finds nothing: it is confirmed, and stops nothing."""
+    def _tell_no_job(self, job_id: str, came_by: str) -> None:
+        """Log that a cancel finds nothing, and is kept."""
         log.info(
             "cancel-without-job",
-            extra={
-                "job": request.job_id,
-                "route": request.route,
-                "known_route": job.route if job is not None else "",
-                "by": "call",
-                "token": self._token,
-            },
+            extra={"job": job_id, "by": came_by, "token": self._token},
         )
 
     # The inbox.
@@ -206,16 +313,33 @@
         return True
 
     def cancel_left(self, job_id: str) -> None:
-        """Cancel a job, where there is one."""
-        job = self._engine.jobs.get(job_id)
-        if job is None:
-            log.info(
-                "cancel-without-job",
-                extra={"job": job_id, "by": "inbox", "token": self._token},
-            )
-        elif not job.over:
+        """Cancel a job that is known."""
+        job = self._engine.jobs[job_id]
+        self._kept.forget(job_id)
+        if not job.over:
             self._cancel_now(job, "inbox")
 
+    def keep_cancel(self, job_id: str, may_come: bool) -> bool:
+        """Keep a cancel of a job that is not known; return whether its row is needed.
+
+        :param may_come: whether the job is sure to be able to come yet.
+        """
+        if not self._kept.knows(job_id):
+            self._tell_no_job(job_id, "inbox")
+            self._kept.keep(job_id)
+        elif may_come:
+            self._kept.keep(job_id)
+        if self._kept.covers(job_id):
+            return True
+        self._kept.forget(job_id)
+        return False
+
     def drop_left(self, key: str) -> None:
         """Have a row removed from the inbox."""
         self._commits.mark(TABLE_INBOX, key, lambda: None)
+
+
+def _refuse(reason: str) -> pb.CallReply:
+    return pb.CallReply(
+        outcome=pb.REFUSED, reason=reason, retry_after_s=STORE_COME_BACK_S
+    )
--- /dev/null
+++ b/src/streamthread/holder/kept_cancels.py
@@ -0,0 +1,46 @@
+"""Cancels that find no job: kept for as long as their jobs may still come."""
+
+import time
+
+__all__ = ["MOST_ID_BYTES", "KeptCancels", "kept_key"]
+
+MOST_ID_BYTES = 100
+"""Of a job's id whose cancel is kept: the store's keys take 200 bytes."""
+
+
+def kept_key(job_id: str) -> str:
+    """Return the key of a kept cancel in the inbox: each replaces the one before."""
+    return f"{job_id}.kept"
+
+
+class KeptCancels:
+    """The jobs that are cancelled should they come.
+
+    A hand-in may come after its cancel: a caller repeats it, or the store writes its
+    row late. Times count from when this holder learnt of a cancel, so that no clock
+    of another daemon matters; the next holder counts anew.
+
+    :param keep_s: a cancel is kept for so long. An ended job is, too, and turns away
+        the hand-ins that come after its cancel for no longer.
+    """
+
+    def __init__(self, keep_s: float) -> None:
+        self._keep_s = keep_s
+        self._since_s: dict[str, float] = {}
+
+    def keep(self, job_id: str) -> None:
+        """Keep a cancel from now on."""
+        self._since_s[job_id] = time.monotonic()
+
+    def covers(self, job_id: str) -> bool:
+        """Whether a job is cancelled, should it come."""
+        since_s = self._since_s.get(job_id)
+        return since_s is not None and time.monotonic() - since_s < self._keep_s
+
+    def knows(self, job_id: str) -> bool:
+        """Whether a cancel is kept, or was until its time was over."""
+        return job_id in self._since_s
+
+    def forget(self, job_id: str) -> None:
+        """Keep a cancel no more: its job has come, or its time is over."""
+        self._since_s.pop(job_id, None)
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -114,9 +114,12 @@
             self.log,
             self.context.documents,
             self.token,
+            lambda: self.inbox,
+            lambda: self.trust.trusted,
             self.trust.may_accept,
             self._on_accepted,
             self.kick,
+            self.settings.forget_s,
         )
 
     def _open_inbox(self) -> InboxReader:
--- /dev/null
+++ b/src/streamthread/holder/tests/test_inbox.py
@@ -0,0 +1,160 @@
+"""Rows of the inbox: read again when asked for, and kept while they are needed."""
+
+import asyncio
+import typing as t
+
+import pytest
+
+from streamthread.errors import StoreUnavailableError
+from streamthread.holder.inbox import InboxEntry
+from streamthread.holder.inbox import InboxOwner
+from streamthread.holder.inbox import InboxReader
+from streamthread.platform.store import Page
+from streamthread.platform.store import StoredRow
+from streamthread.platform.table_feed import TableFeed
+
+JOB_ID = "a" * 16
+
+
+def _row(key: str, version: int, body: str = "") -> StoredRow:
+    value = InboxEntry(JOB_ID, "route", body).encode()
+    return StoredRow("cell-inbox", "main", key, value, version)
+
+
+class _Store:
+    """Holds each read until a test lets it go on."""
+
+    def __init__(self) -> None:
+        self.rows: list[StoredRow] = []
+        self.reads = 0
+        self.down = False
+        self.may_answer = asyncio.Event()
+
+    async def read_all(self, table: str, part: str) -> Page:
+        self.reads += 1
+        rows = tuple(self.rows)
+        await self.may_answer.wait()
+        if self.down:
+            raise StoreUnavailableError("down", remedy="-")
+        return Page(rows, 1)
+
+
+class _Owner(InboxOwner):
+    """Knows the route of a job once it is told to."""
+
+    def __init__(self) -> None:
+        self.knows_route = True
+        self.keeps = True
+        self.asked: list[bool] = []
+        self.jobs: set[str] = set()
+        self.cancelled: list[str] = []
+        self.dropped: list[str] = []
+
+    def knows_job(self, job_id: str) -> bool:
+        return job_id in self.jobs
+
+    def accept_left(self, entry: InboxEntry) -> bool:
+        if self.knows_route:
+            self.jobs.add(entry.job_id)
+        return self.knows_route
+
+    def cancel_left(self, job_id: str) -> None:
+        self.cancelled.append(job_id)
+
+    def keep_cancel(self, job_id: str, may_come: bool) -> bool:
+        self.asked.append(may_come)
+        return self.keeps
+
+    def drop_left(self, key: str) -> None:
+        self.dropped.append(key)
+
+
+def _reader(store: _Store) -> tuple[InboxReader, _Owner]:
+    owner = _Owner()
+    feed = TableFeed(t.cast(t.Any, store), "cell-inbox", "main", 1.0)
+    return InboxReader(feed, owner), owner
+
+
+async def _begun(store: _Store, reads: int) -> None:
+    while store.reads < reads:
+        await asyncio.sleep(0)
+
+
+class TestCatchUp:
+    async def test_takes_what_is_there(self) -> None:
+        store = _Store()
+        store.rows.append(_row("key", 1, "body"))
+        store.may_answer.set()
+        reader, owner = _reader(store)
+        await reader.catch_up()
+        assert owner.jobs == {JOB_ID}
+
+    async def test_uses_no_look_that_had_begun_before(self) -> None:
+        store = _Store()
+        reader, owner = _reader(store)
+        first = asyncio.ensure_future(reader.catch_up())
+        await _begun(store, 1)
+        store.rows.append(_row("key", 1, "body"))
+        second = asyncio.ensure_future(reader.catch_up())
+        third = asyncio.ensure_future(reader.catch_up())
+        store.may_answer.set()
+        await asyncio.gather(first, second, third)
+        assert owner.jobs == {JOB_ID}
+        assert store.reads == 2
+
+    async def test_goes_on_though_its_first_caller_gives_up(self) -> None:
+        store = _Store()
+        store.rows.append(_row("key", 1, "body"))
+        reader, owner = _reader(store)
+        first = asyncio.ensure_future(reader.catch_up())
+        await _begun(store, 1)
+        first.cancel()
+        second = asyncio.ensure_future(reader.catch_up())
+        store.may_answer.set()
+        await second
+        assert owner.jobs == {JOB_ID}
+
+    async def test_tells_all_that_the_store_does_not_answer(self) -> None:
+        store = _Store()
+        store.down = True
+        store.may_answer.set()
+        reader, _ = _reader(store)
+        for _ in range(2):
+            with pytest.raises(StoreUnavailableError):
+                await reader.catch_up()
+        assert reader.behind
+
+    async def test_is_up_to_date_for_a_while(self) -> None:
+        store = _Store()
+        store.may_answer.set()
+        reader, _ = _reader(store)
+        assert reader.behind
+        await reader.catch_up()
+        assert not reader.behind
+
+
+class TestCancelWithoutJob:
+    def test_waits_for_its_job(self) -> None:
+        reader, owner = _reader(_Store())
+        reader.take([_row("cancel", 1)])
+        reader.take([_row("job", 2, "body")])
+        reader.retry()
+        assert owner.cancelled == [JOB_ID]
+        assert owner.dropped == ["job", "cancel"]
+
+    def test_is_dropped_once_its_job_can_come_no_more(self) -> None:
+        reader, owner = _reader(_Store())
+        reader.take([_row("cancel", 1)])
+        assert owner.dropped == []
+        owner.keeps = False
+        reader.retry()
+        assert owner.dropped == ["cancel"]
+        assert not reader.waiting
+
+    def test_is_told_whether_its_job_waits_as_well(self) -> None:
+        reader, owner = _reader(_Store())
+        reader.take([_row("cancel", 1)])
+        owner.knows_route = False
+        reader.take([_row("job", 2, "body")])
+        reader.retry()
+        assert owner.asked == [False, True]
--- /dev/null
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -0,0 +1,239 @@
+"""What callers are told by a holder that may have lost the cell."""
+
+import asyncio
+import types
+import typing as t
+
+import pytest
+
+from streamthread.cell import cell_pb2 as pb
+from streamthread.errors import NotHolderError
+from streamthread.errors import StoreUnavailableError
+from streamthread.holder.intake import Intake
+from streamthread.platform.documents import Route
+from streamthread.scheduler import Engine
+from streamthread.scheduler import EngineSettings
+from streamthread.scheduler import Job
+from streamthread.scheduler import new_job
+
+JOB_ID = "a" * 16
+BODY = b'{"spec":"","steps":[{"count":1,"cpu":100}]}'
+ROUTE = Route(name="route", host="host", path_prefix="/", service="desk")
+
+
+class _Commits:
+    """Commits when a test says so, or loses the cell."""
+
+    def __init__(self) -> None:
+        self.marked: dict[tuple[str, str], t.Any] = {}
+        self.confirmations = 0
+        self.may_commit = asyncio.Event()
+        self.lost = False
+
+    def mark(self, table: str, key: str, encode: t.Any) -> None:
+        self.marked[table, key] = encode
+
+    def is_marked(self, table: str, key: str) -> bool:
+        return (table, key) in self.marked
+
+    async def flushed(self) -> None:
+        if self.marked:
+            await self._commit()
+            self.marked.clear()
+
+    async def confirmed(self) -> None:
+        self.confirmations += 1
+        await self._commit()
+
+    async def _commit(self) -> None:
+        await self.may_commit.wait()
+        if self.lost:
+            raise NotHolderError("lost", remedy="-")
+
+
+class _Inbox:
+    def __init__(self) -> None:
+        self.behind = False
+        self.down = False
+        self.looks = 0
+        self.waiting: set[str] = set()
+
+    async def catch_up(self) -> None:
+        self.looks += 1
+        if self.down:
+            raise StoreUnavailableError("down", remedy="-")
+
+    def waits(self, job_id: str) -> bool:
+        return job_id in self.waiting
+
+
+class _Cell:
+    """An intake and what it works with."""
+
+    def __init__(self) -> None:
+        self.commits = _Commits()
+        self.inbox = _Inbox()
+        self.trusted = True
+        self.started: list[Job] = []
+        self.engine = Engine(self._record, EngineSettings())
+        manifest = types.SimpleNamespace(version=1, routes_by_name={"route": ROUTE})
+        documents = types.SimpleNamespace(manifest=manifest)
+        args: t.Any = (
+            self.engine,
+            self.commits,
+            documents,
+            1,
+            lambda: self.inbox,
+            lambda: self.trusted,
+            lambda: True,
+            self.started.append,
+            lambda: None,
+            60.0,
+        )
+        self.intake = Intake(*args)
+
+    def _record(self, job: Job) -> None:
+        self.commits.mark("cell-runs", job.job_id, None)
+
+    def add_job(self) -> Job:
+        job = new_job(JOB_ID, ROUTE, BODY)
+        job.durable = True
+        self.engine.add(job)
+        return job
+
+    def lose(self) -> None:
+        """Have another daemon hold the cell; only a commit shows it."""
+        self.trusted = False
+        self.commits.lost = True
+        self.commits.may_commit.set()
+
+    async def ask(self, kind: pb.CallKind, job_id: str = JOB_ID) -> pb.CallReply:
+        return await self.intake.answer(self.request(kind, job_id))
+
+    @staticmethod
+    def request(kind: pb.CallKind, job_id: str = JOB_ID) -> pb.CallRequest:
+        body = BODY if kind == pb.SUBMIT else b""
+        return pb.CallRequest(kind=kind, route="route", job_id=job_id, job=body)
+
+
+class TestHolderThatDoubtsItself:
+    @pytest.mark.parametrize("kind", [pb.STATE, pb.CANCEL])
+    async def test_says_nothing_of_a_job_once_the_cell_is_lost(
+        self, kind: pb.CallKind
+    ) -> None:
+        cell = _Cell()
+        cell.add_job()
+        cell.lose()
+        assert (await cell.ask(kind)).outcome == pb.UNCERTAIN
+
+    @pytest.mark.parametrize("kind", [pb.STATE, pb.CANCEL])
+    async def test_says_nothing_of_a_job_that_it_does_not_know(
+        self, kind: pb.CallKind
+    ) -> None:
+        cell = _Cell()
+        cell.lose()
+        assert (await cell.ask(kind)).outcome == pb.UNCERTAIN
+
+    async def test_confirms_no_cancel_of_a_job_that_is_over(self) -> None:
+        cell = _Cell()
+        cell.engine.cancel(cell.add_job())
+        cell.commits.marked.clear()
+        cell.lose()
+        assert (await cell.ask(pb.CANCEL)).outcome == pb.UNCERTAIN
+
+    async def test_tells_a_state_after_a_commit(self) -> None:
+        cell = _Cell()
+        cell.add_job()
+        cell.trusted = False
+        answer = asyncio.ensure_future(cell.ask(pb.STATE))
+        while not cell.commits.confirmations:
+            await asyncio.sleep(0)
+        assert not answer.done()
+        cell.commits.may_commit.set()
+        assert (await answer).state == "pending"
+
+    async def test_tells_how_a_job_ended(self) -> None:
+        """That stays as it is whoever holds the cell, and callers wait for it."""
+        cell = _Cell()
+        cell.engine.cancel(cell.add_job())
+        cell.commits.marked.clear()
+        cell.trusted = False
+        assert (await cell.ask(pb.STATE)).state == "cancelled"
+
+
+class TestHolder:
+    async def test_makes_no_commit_to_tell_a_state(self) -> None:
+        cell = _Cell()
+        cell.add_job()
+        assert (await cell.ask(pb.STATE)).state == "pending"
+        assert not cell.commits.confirmations and not cell.inbox.looks
+
+    async def test_tells_an_end_once_it_is_durable(self) -> None:
+        """Also an end that comes while the answer waits for a commit."""
+        cell = _Cell()
+        job = cell.add_job()
+        cell.trusted = False
+        answer = asyncio.ensure_future(cell.ask(pb.STATE))
+        while not cell.commits.confirmations:
+            await asyncio.sleep(0)
+        cell.engine.cancel(job)
+        cell.commits.may_commit.set()
+        assert (await answer).state == "cancelled"
+        assert not cell.commits.marked
+
+    async def test_calls_no_job_unknown_while_the_inbox_cannot_be_read(self) -> None:
+        cell = _Cell()
+        cell.commits.may_commit.set()
+        cell.inbox.down = True
+        assert (await cell.ask(pb.STATE)).outcome == pb.UNCERTAIN
+        assert (await cell.ask(pb.CANCEL)).outcome == pb.UNCERTAIN
+        assert not cell.commits.marked
+
+
+class TestHandIn:
+    async def test_asks_nothing_of_the_inbox_while_its_feed_is_heard(self) -> None:
+        cell = _Cell()
+        cell.commits.may_commit.set()
+        assert (await cell.ask(pb.SUBMIT)).outcome == pb.OK
+        assert not cell.inbox.looks
+
+    async def test_is_refused_while_its_cancel_may_wait_unread(self) -> None:
+        cell = _Cell()
+        cell.inbox.behind = cell.inbox.down = True
+        reply = await cell.ask(pb.SUBMIT)
+        assert reply.outcome == pb.REFUSED and reply.retry_after_s > 0
+        assert not cell.engine.jobs
+
+    async def test_after_its_cancel_starts_nothing(self) -> None:
+        cell = _Cell()
+        cell.commits.may_commit.set()
+        assert (await cell.ask(pb.CANCEL)).outcome == pb.UNKNOWN_JOB
+        reply = await cell.ask(pb.SUBMIT)
+        assert (reply.outcome, reply.state) == (pb.OK, "cancelled")
+        assert not cell.started
+
+
+class TestCancelOfNoJob:
+    async def test_is_durable_before_it_is_confirmed(self) -> None:
+        cell = _Cell()
+        answer = asyncio.ensure_future(cell.ask(pb.CANCEL))
+        while not cell.commits.marked:
+            await asyncio.sleep(0)
+        assert not answer.done()
+        cell.commits.may_commit.set()
+        assert (await answer).outcome == pb.UNKNOWN_JOB
+
+    async def test_whose_id_is_no_key_for_the_store_is_not_kept(self) -> None:
+        cell = _Cell()
+        cell.commits.may_commit.set()
+        reply = await cell.ask(pb.CANCEL, "a" * 300)
+        assert reply.outcome == pb.UNKNOWN_JOB
+        assert not cell.commits.marked
+
+    async def test_is_told_of_a_job_that_waits_for_its_route(self) -> None:
+        cell = _Cell()
+        cell.commits.may_commit.set()
+        cell.inbox.waiting.add(JOB_ID)
+        assert (await cell.ask(pb.STATE)).state == "pending"
+        assert (await cell.ask(pb.CANCEL)).state == "cancelled"
+        assert (await cell.ask(pb.STATE)).state == "cancelled"
--- a/src/streamthread/platform/table_feed.py
+++ b/src/streamthread/platform/table_feed.py
@@ -1,5 +1,8 @@
 """Follows one table of the store: read whole once, then what changes in it."""
 
+import math
+import time
+
 import attrs
 
 from ..errors import OutcomeUnknownError
@@ -30,6 +33,7 @@
 
     :param part: the part that is read whole; the feed brings all parts' changes.
     :param wait_s: how long one call waits for a change.
+    :param known_at_s: on the monotonic clock: the rows are known as they were then.
     """
 
     def __init__(self, store: RowStore, table: str, part: str, wait_s: float) -> None:
@@ -39,6 +43,7 @@
         self._wait_s = wait_s
         self._after = UNREAD
         self._failed = False
+        self.known_at_s = -math.inf
 
     async def next(self) -> Update:
         """Return the next rows; none where the store has lost the history.
@@ -63,9 +68,23 @@
             raise
         self._failed = False
         self._after = page.version
+        self.known_at_s = time.monotonic()
         return Update(page.rows, whole=False)
 
+    async def look(self) -> tuple[StoredRow, ...]:
+        """Return all rows as they are now, beside what the feed brings.
+
+        :raises StoreUnavailableError: nothing was read.
+        :raises OutcomeUnknownError: nothing was read.
+        """
+        began_at_s = time.monotonic()
+        page = await self._store.read_all(self._table, self._part)
+        self.known_at_s = max(self.known_at_s, began_at_s)
+        return page.rows
+
     async def _read_whole(self) -> Update:
+        began_at_s = time.monotonic()
         page = await self._store.read_all(self._table, self._part)
         self._after = max(self._after, page.version)
+        self.known_at_s = max(self.known_at_s, began_at_s)
         return Update(page.rows, whole=True)
--- a/src/streamthread/platform/tests/test_table_feed.py
+++ b/src/streamthread/platform/tests/test_table_feed.py
@@ -6,6 +6,7 @@
 
 from streamthread.errors import OutcomeUnknownError
 from streamthread.errors import StoreUnavailableError
+from streamthread.platform.store import HistoryGoneError
 from streamthread.platform.store import Page
 from streamthread.platform.table_feed import TableFeed
 
@@ -44,3 +45,28 @@
         await feed.next()
         await feed.next()
         assert store.waits_s == [WAIT_S, WAIT_S, 0.0, WAIT_S]
+
+
+class TestLook:
+    async def test_leaves_to_the_feed_what_it_brings(self) -> None:
+        store = _Store(Page((), 2))
+        feed = TableFeed(t.cast(t.Any, store), "table", "main", WAIT_S)
+        await feed.look()
+        assert (await feed.next()).whole
+        assert not (await feed.next()).whole
+
+
+class TestWhenItIsKnown:
+    async def test_is_set_by_answers_alone(self) -> None:
+        down = StoreUnavailableError("down", remedy="")
+        store = _Store(Page((), 2), down, t.cast(t.Any, HistoryGoneError()))
+        feed = TableFeed(t.cast(t.Any, store), "table", "main", WAIT_S)
+        await feed.next()
+        first_at_s = feed.known_at_s
+        await feed.next()
+        known_at_s = feed.known_at_s
+        assert known_at_s >= first_at_s
+        with pytest.raises(StoreUnavailableError):
+            await feed.next()
+        await feed.next()
+        assert feed.known_at_s == known_at_s
