Prove eight guards of jobs that a holder does not know

Each was taken away in a copy of the tree: each of the proofs named fails then (tools.guards, one run each) and passes with it.

--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -6,6 +6,7 @@
 
 INTERLEAVINGS = "tests/test_fleet_interleavings.py"
 OWNERSHIP = "tests/test_ownership.py"
+NO_JOB = "tests/cell/test_cancels_without_job.py"
 REQUESTS = "tests/integration/test_requests.py"
 
 
@@ -230,4 +231,65 @@
         "return False",
         ("tests/cell/test_documents.py::TestHolderThatIsBehind",),
     ),
+    Guard(
+        "inbox-before-unknown",
+        "holder/intake.py",
+        "        await self._inbox().catch_up()\n"
+        "        return self._engine.jobs.get(job_id)\n",
+        "        return None\n",
+        (f"{NO_JOB}::TestJobThatWaitsInTheInbox",),
+    ),
+    Guard(
+        "hand-in-after-the-inbox",
+        "holder/intake.py",
+        "if not self._inbox().behind:",
+        "if True:",
+        (f"{NO_JOB}::TestJobThatWaitsInTheInbox",),
+    ),
+    Guard(
+        "unknown-is-committed",
+        "holder/intake.py",
+        "            await self._commits.confirmed()\n"
+        "            job = self._engine.jobs.get(job_id)\n",
+        "            pass\n",
+        (f"{NO_JOB}::TestHolderThatWasReplaced",),
+    ),
+    Guard(
+        "cancel-of-no-job-is-committed",
+        "holder/intake.py",
+        "        await self._commits.flushed()\n"
+        "        return self._tell_waiting(job_id)\n",
+        "        return self._tell_waiting(job_id)\n",
+        (f"{NO_JOB}::TestHolderThatWasReplaced",),
+    ),
+    Guard(
+        "cancel-waits-for-its-job",
+        "holder/intake.py",
+        "if self._kept.covers(job_id):\n            self._cancel_now",
+        "if False:\n            self._cancel_now",
+        (f"{NO_JOB}::TestCancelOfNoJob",),
+    ),
+    Guard(
+        "kept-cancel-outlasts-its-holder",
+        "holder/inbox.py",
+        "return not self._owner.keep_cancel(entry.job_id, may_come)",
+        "return True",
+        (f"{NO_JOB}::TestCancelOfNoJob", f"{NO_JOB}::TestCancelInTheInbox"),
+    ),
+    Guard(
+        "doubt-is-settled-first",
+        "holder/intake.py",
+        "if not job.over and not self._is_trusted():",
+        "if False:",
+        ("src/streamthread/holder/tests/test_intake.py",),
+    ),
+    Guard(
+        "doubted-cancel-is-settled-first",
+        "holder/intake.py",
+        "        if not self._is_trusted():\n"
+        "            await self._commits.confirmed()\n"
+        "        await self._commits.flushed()\n",
+        "        await self._commits.flushed()\n",
+        ("src/streamthread/holder/tests/test_intake.py",),
+    ),
 )
