Tell an end in the answer to a hand-in only once it is durable, too

Cause: a repeated hand-in was answered with the state as it stood after the flush, also an end that came meanwhile. The answer to a GET no longer did so; both share a wait now. Whether a job waits in the inbox is kept by job instead of decoding all waiting rows for each kept cancel, each second.

--- a/src/streamthread/holder/inbox.py
+++ b/src/streamthread/holder/inbox.py
@@ -101,6 +101,7 @@
         self._feed = feed
         self._owner = owner
         self.waiting: dict[str, StoredRow] = {}
+        self._waiting_jobs: dict[str, str] = {}
         self._look: asyncio.Task[None] | None = None
         self._next_look: asyncio.Task[None] | None = None
 
@@ -159,13 +160,16 @@
 
     def _take_row(self, row: StoredRow) -> None:
         self.waiting.pop(row.key, None)
+        self._waiting_jobs.pop(row.key, None)
         if row.value is None or row.version == ABSENT:
             return
         entry = InboxEntry.decode(row.value)
         if self._settle(entry):
             self._owner.drop_left(row.key)
-        else:
-            self.waiting[row.key] = row
+            return
+        self.waiting[row.key] = row
+        if not entry.is_cancel:
+            self._waiting_jobs[row.key] = entry.job_id
 
     def _settle(self, entry: InboxEntry) -> bool:
         """Return whether an entry needs its row no more."""
@@ -180,9 +184,4 @@
 
     def waits(self, job_id: str) -> bool:
         """Whether a job waits here for its route."""
-        entries = (
-            InboxEntry.decode(row.value)
-            for row in self.waiting.values()
-            if row.value is not None
-        )
-        return any(e.job_id == job_id and not e.is_cancel for e in entries)
+        return job_id in self._waiting_jobs.values()
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -151,14 +151,23 @@
     async def _until_sure(self, job: Job) -> None:
         """Return once a job's present state may be told.
 
+        How it ended stays so, whoever holds the cell: only a state before that needs
+        a commit from a holder that doubts itself.
+
+        :raises NotHolderError: the cell is lost.
+        """
+        if not job.over and not self._is_trusted():
+            await self._commits.confirmed()
+        await self._until_durable(job)
+
+    async def _until_durable(self, job: Job) -> None:
+        """Return once a job, and its end if it has ended, are durable.
+
         :raises NotHolderError: the cell is lost.
         """
         if not job.durable:
             await self._commits.flushed()
             job.durable = True
-        if not job.over and not self._is_trusted():
-            await self._commits.confirmed()
-        # How it ended stays so, whoever holds the cell; it has to be durable.
         while job.over and self._commits.is_marked(TABLE_RUNS, job.job_id):
             await self._commits.flushed()
 
@@ -174,9 +183,7 @@
             if isinstance(found, pb.CallReply):
                 return found
             job = found
-        if not job.durable:
-            await self._commits.flushed()
-            job.durable = True
+        await self._until_durable(job)
         return pb.CallReply(outcome=pb.OK, state=job.state.value)
 
     async def _until_may_take(self) -> pb.CallReply | None:
