--- a/src/streamthread/holder/tests/test_intake.py
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -18,6 +18,7 @@
 
 JOB_ID = "a" * 16
 BODY = b'{"spec":"","steps":[{"count":1,"cpu":100}]}'
+KEEP_S = 60.0
 ROUTE = Route(name="route", host="host", path_prefix="/", service="desk")
 
 
@@ -88,7 +89,7 @@
             lambda: True,
             self.started.append,
             lambda: None,
-            60.0,
+            KEEP_S,
         )
         self.intake = Intake(*args)
 
@@ -237,3 +238,12 @@
         assert (await cell.ask(pb.STATE)).state == "pending"
         assert (await cell.ask(pb.CANCEL)).state == "cancelled"
         assert (await cell.ask(pb.STATE)).state == "cancelled"
+
+    @pytest.mark.parametrize("may_come", [False, True])
+    async def test_is_kept_past_its_time_only_while_its_job_waits(
+        self, may_come: bool
+    ) -> None:
+        cell = _Cell()
+        assert cell.intake.keep_cancel(JOB_ID, may_come=False)
+        cell.intake._kept._since_s[JOB_ID] -= KEEP_S
+        assert cell.intake.keep_cancel(JOB_ID, may_come) is may_come
