Show that a new run of a daemon is not told what its daemon told before

A failing test, not mended on this commit. The peers leave out of their news what the peer told itself, by its name: a new run of the same daemon, which knows nothing, is never told. Its state counts its versions from 1, and the peers refuse them until they pass the last ones of the run before (a state that says not ready).

--- a/src/streamthread/peers/tests/test_exchange.py
+++ b/src/streamthread/peers/tests/test_exchange.py
@@ -6,6 +6,7 @@
 import attrs
 import hypothesis
 import hypothesis.strategies as st
+import pytest
 from tools.world import World
 
 from streamthread.errors import PeerUnavailableError
@@ -38,28 +39,39 @@
     def __init__(self, keys: tuple[str, str] = ("test", "test")) -> None:
         world = World(2)
         self.known: list[LeaseRecord] = []
-        self.services = [
-            PeerService(
-                attrs.evolve(SETTINGS, key=keys[number]),
-                f"run-{number}",
-                daemon.recorder,
-                daemon.configuration,
-                lambda: [],
-                _no_jobs,
-            )
-            for number, daemon in enumerate(world.daemons)
-        ]
+        self._daemons = world.daemons
+        self._keys = keys
+        self.services = [self._make(number, f"run-{number}") for number in (0, 1)]
         self.records = [daemon.leases.record for daemon in world.daemons]
 
+    def _make(self, number: int, incarnation: str) -> PeerService:
+        daemon = self._daemons[number]
+        return PeerService(
+            attrs.evolve(SETTINGS, key=self._keys[number]),
+            incarnation,
+            daemon.recorder,
+            daemon.configuration,
+            lambda: [],
+            _no_jobs,
+        )
+
     async def __aenter__(self) -> "Pair":
-        for number, service in enumerate(self.services):
-            await service.on_start()
-            address = f"127.0.0.1:{service.port}"
-            self.records[number] = attrs.evolve(
-                self.records[number], peers_address=address
-            )
+        for number in (0, 1):
+            await self._start(number)
         return self
 
+    async def _start(self, number: int) -> None:
+        service = self.services[number]
+        await service.on_start()
+        address = f"127.0.0.1:{service.port}"
+        self.records[number] = attrs.evolve(self.records[number], peers_address=address)
+
+    async def restart(self, number: int) -> None:
+        """Put another run of a daemon in its place; it knows nothing."""
+        await self.services[number].on_stop()
+        self.services[number] = self._make(number, f"later-run-{number}")
+        await self._start(number)
+
     async def __aexit__(self, *details: object) -> None:
         for service in self.services:
             await service.on_stop()
@@ -105,6 +117,18 @@
             for number in (0, 1):
                 assert pair.versions(number, ["mine", "theirs"]) == [1, 1]
 
+    @pytest.mark.parametrize("caller", (0, 1))
+    async def test_new_run_hears_what_its_daemon_told_before(self, caller: int) -> None:
+        """It counts its state's versions on from there; lower ones are not heard."""
+        async with Pair() as pair:
+            pair.services[0].rumors.offer(_rumor("small", 40))
+            pair.services[0].rumors.offer(_rumor("large", 40, large=True))
+            await pair.exchange()
+            await pair.restart(0)
+            for _ in range(2):
+                await pair.exchange(caller)
+            assert pair.versions(0, ["small", "large"]) == [40, 40]
+
     async def test_wrong_key_is_refused(self) -> None:
         async with Pair(keys=("other", "test")) as pair:
             stranger = pair.services[0]
