Split the tools' cluster from the processes it is made of

It starts, stops and waits for single processes now; tools/cluster.py puts stand-ins, proxy and entries together and drives them.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -18,8 +18,8 @@
 import cattrs
 import psutil
 from tools.capacity_page import write_page
-from tools.processes import Cluster
-from tools.processes import ClusterPlan
+from tools.cluster import Cluster
+from tools.cluster import ClusterPlan
 from tools.processes import eventually
 
 OUTPUT = pathlib.Path(__file__).parents[1] / "docs" / "capacity.json"
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -13,10 +13,10 @@
 
 import attrs
 import psutil
-from tools.processes import Cluster
-from tools.processes import ClusterPlan
+from tools.cluster import Cluster
+from tools.cluster import ClusterPlan
+from tools.cluster import service_items
 from tools.processes import eventually
-from tools.processes import service_items
 
 from bench.load import Load
 from bench.load import LoadPlan
--- a/tests/integration/support.py
+++ b/tests/integration/support.py
@@ -4,10 +4,10 @@
 import typing as t
 
 import aiohttp
-from tools.processes import Cluster
-from tools.processes import ClusterPlan
+from tools.cluster import Cluster
+from tools.cluster import ClusterPlan
+from tools.cluster import service_items
 from tools.processes import eventually
-from tools.processes import service_items
 
 SERVICE = "seat-grant"
 RUNNERS = 4
--- a/tests/integration/test_configuration.py
+++ b/tests/integration/test_configuration.py
@@ -3,7 +3,7 @@
 import asyncio
 import typing as t
 
-from tools.processes import Cluster
+from tools.cluster import Cluster
 from tools.processes import eventually
 
 from tests.integration.support import all_serve
--- a/tests/integration/test_holders.py
+++ b/tests/integration/test_holders.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from tools.processes import Cluster
+from tools.cluster import Cluster
 from tools.processes import eventually
 
 from tests.integration.support import all_shards_held
--- a/tests/integration/test_operators.py
+++ b/tests/integration/test_operators.py
@@ -3,7 +3,7 @@
 import pathlib
 
 import pytest
-from tools.processes import Cluster
+from tools.cluster import Cluster
 from tools.processes import eventually
 
 from streamthread.cli.client import ApiErrors
--- a/tests/integration/test_requests.py
+++ b/tests/integration/test_requests.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 import pytest
-from tools.processes import Cluster
+from tools.cluster import Cluster
 from tools.processes import eventually
 
 from tests.integration.support import all_serve
--- a/tools/demo.py
+++ b/tools/demo.py
@@ -11,10 +11,10 @@
 import time
 import typing as t
 
-from tools.processes import Cluster
-from tools.processes import ClusterPlan
+from tools.cluster import Cluster
+from tools.cluster import ClusterPlan
+from tools.cluster import service_items
 from tools.processes import eventually
-from tools.processes import service_items
 
 SERVICES = ("seat-grant", "billing")
 RUNNERS = 8
