Tell a new run of a daemon what its daemon told before

News leaves out what the peer's run told itself, instead of what any run of its daemon told. A new run hears the last version of its own state in the second exchange and counts on from there, so the peers believe its first state and not the last one (not ready) of the run before.

Ruled out: to leave nothing out while the cursor is 0 (each first exchange would tell a peer what it has just told); versions from a clock (two runs may meet one).

--- a/src/streamthread/peers/rumors.py
+++ b/src/streamthread/peers/rumors.py
@@ -45,7 +45,10 @@
         return self._rumors.get(key)
 
     def offer(self, rumor: Rumor, heard_from: str = "") -> bool:
-        """Take a rumor if it is newer than the known one."""
+        """Take a rumor if it is newer than the known one.
+
+        :param heard_from: the incarnation that told it; empty for our own.
+        """
         known = self._rumors.get(rumor.key)
         if known is not None and known.version >= rumor.version:
             return False
@@ -60,11 +63,18 @@
         self._rumors.discard(key)
         self._heard_from.pop(key, None)
 
-    def news_for(self, peer: str, cursor: int) -> News:
-        """Return what changed after a cursor, but what the peer told itself."""
+    def news_for(self, incarnation: str, cursor: int) -> News:
+        """Return what changed after a cursor, but what this run told itself.
+
+        A later run of the same daemon has to hear it: it counts its versions on
+        from there, and lower ones are refused.
+
+        :param incarnation: of the peer; empty where it is not known yet.
+        """
         news = News([], [])
         for rumor in self._rumors.after(cursor):
-            if self._heard_from.get(rumor.key) == peer:
+            heard_from = self._heard_from.get(rumor.key)
+            if heard_from and heard_from == incarnation:
                 continue
             if rumor.ByteSize() > LARGE_BYTES:
                 news.offers.append(Offer(key=rumor.key, version=rumor.version))
--- a/src/streamthread/peers/service.py
+++ b/src/streamthread/peers/service.py
@@ -171,7 +171,7 @@
         """
         link = self._links.to(peer)
         cursor = self.rumors.cursor
-        news = self.rumors.news_for(peer.daemon_id, link.my_cursor_sent)
+        news = self.rumors.news_for(link.incarnation, link.my_cursor_sent)
         reply = await self._send(link, peer, rumors=news.rumors, offers=news.offers)
         await self._follow_up(link, peer, reply)
         same_run = link.incarnation == reply.sender.incarnation
@@ -225,7 +225,7 @@
         remote = HybridTime(sender.time.physical_ms, sender.time.logical)
         self._recorder.clock.observe(remote)
         for rumor in rumors:
-            self.rumors.offer(rumor, sender.daemon_id)
+            self.rumors.offer(rumor, sender.incarnation)
         steps = [generation_of(record) for record in generations]
         self._configuration.adopt_steps(steps, f"from {sender.daemon_id}")
 
@@ -238,7 +238,7 @@
             link.heard_at_s = time.monotonic()
         same_run = request.known_incarnation == self._incarnation
         after = request.known_cursor if same_run else 0
-        news = self.rumors.news_for(request.sender.daemon_id, after)
+        news = self.rumors.news_for(request.sender.incarnation, after)
         return pb.ExchangeReply(
             sender=self.sender(),
             generation=active.generation,
