Call a pool's jobs current, as the pools' rows are, and say what signs do

JobTable.has told neither of what nor since when; is_current says that no commit has failed since these jobs were loaded. One verb that readers look up is an ordinary one.

--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -185,7 +185,7 @@
             reports = [*jobs.reported, *tasks]
             jobs.reported.clear()
             await self._table.commit(pool, jobs, ended_steps(jobs, reports))
-            if self._table.has(pool, jobs) and self._is_due(jobs):
+            if self._table.is_current(pool, jobs) and self._is_due(jobs):
                 steps = decide_jobs(self._snapshots.read(pool, jobs))
                 await self._table.commit(pool, jobs, steps)
         await self._stop_attempts(jobs)
@@ -226,7 +226,7 @@
         """Queue again what the worker certainly did not start."""
         async with self._table.lock(pool):
             stored = jobs.jobs[job.spec.job_id]
-            if stored.job == job and self._table.has(pool, jobs):
+            if stored.job == job and self._table.is_current(pool, jobs):
                 queued = attrs.evolve(job, state=JobState.QUEUED, reason=cause)
                 await self._table.commit(pool, jobs, [JobStep(queued, cause)])
                 jobs.stops.pop((job.spec.job_id, job.attempt), None)
--- a/src/streamthread/jobs/table.py
+++ b/src/streamthread/jobs/table.py
@@ -67,7 +67,7 @@
         """Return a pool's jobs where they are loaded, under whatever epoch."""
         return self._pools.get(pool)
 
-    def has(self, pool: str, jobs: PoolJobs) -> bool:
+    def is_current(self, pool: str, jobs: PoolJobs) -> bool:
         """Whether these are still the pool's jobs: no commit failed since."""
         return self._pools.get(pool) is jobs
 
--- a/src/streamthread/requests/dispatch.py
+++ b/src/streamthread/requests/dispatch.py
@@ -147,7 +147,7 @@
         )
 
     def _note_signs(self, slot: Slot, reply: aiohttp.ClientResponse) -> None:
-        """Heed what an upstream says of itself.
+        """Act on what an upstream says of itself.
 
         :raises _NotStartedError: it says that it did not start the request.
         """
