Look for runs that outlive a cancel in the soak, with lasting jobs

Cause: the soak looked at starts after a cancel only, and submitted no lasting jobs, so that a run that goes on for good was not found.

Callers now submit lasting jobs and cancel them, alone and in groups, at any daemon and while the holder ends. New faults, drawn from a second random source and behind `stops`, so that older plans play as they did: refused orders, late starts and stops, entries that go while their runners serve on, a holder removed for good, rolling stops, kills of holders in a row, lost answers of the store. At the end nothing of a cancelled job may run later than cancel_ms + stop_ms after its cancel and the last fault; a run that was started late counts from contactMs after its start, which replaces the check of its start: time bounds do not apply to orders carried out late, by the users' pages.

--- a/src/streamthread/standins/cell/store.py
+++ b/src/streamthread/standins/cell/store.py
@@ -55,6 +55,7 @@
         self.version = 0
         self.writes = 0
         self.late_writes = 0
+        self.waiting_writes = 0
         self.waiting_feeds = 0
         self.history: list[tuple[int, Key]] = []
         self._changed = asyncio.Condition()
@@ -142,7 +143,9 @@
         return web.json_response(answer, status=status)
 
     async def _apply_late(self, body: Json, late_s: float) -> None:
+        self.waiting_writes += 1
         await asyncio.sleep(late_s)
+        self.waiting_writes -= 1
         await self._apply(body)
         self.late_writes += 1
 
--- a/tests/cell/test_standin.py
+++ b/tests/cell/test_standin.py
@@ -5,6 +5,12 @@
 import time
 import typing as t
 
+import pytest
+
+from streamthread.errors import OutcomeUnknownError
+from streamthread.platform.runners import Refusal
+from streamthread.platform.runners import RunnerClient
+from streamthread.standins.cell import CellWorld
 from streamthread.standins.cell import RunnerStandin
 from streamthread.standins.cell import StoreStandin
 from streamthread.standins.cell.runner import StartedRun
@@ -51,6 +57,47 @@
         assert [how for _, _, how, _ in ended] == ["done"]
 
 
+class TestOrders:
+    async def test_refused_orders_do_nothing(self) -> None:
+        world = CellWorld({"desk": 1})
+        await world.open()
+        client = RunnerClient()
+        try:
+            runner = world.runners[0]
+            assert runner._try_start(_start("long", 60, 60)) == ""
+            runner.faults.refuse_orders = 503
+            address = runner.port.address
+            stop = (address, runner.runner_id, "long", 1, 1, 1.0)
+            reply = await client.stop(*stop)
+            assert reply.refusal is Refusal.UNHEALTHY
+            assert runner.runs() == [("long", 1)]
+            assert runner.highest_token == 0
+            runner.faults.refuse_orders = 0
+            assert (await client.stop(*stop)).refusal is None
+            await until(lambda: runner.runs() == [], "the run stops")
+        finally:
+            await client.close()
+            await world.close()
+
+    async def test_a_late_stop_takes_effect_without_an_answer(self) -> None:
+        world = CellWorld({"desk": 1})
+        await world.open()
+        client = RunnerClient()
+        try:
+            runner = world.runners[0]
+            assert runner._try_start(_start("long", 60, 60)) == ""
+            runner.faults.late_stops = 1
+            address = runner.port.address
+            with pytest.raises(OutcomeUnknownError):
+                await client.stop(address, runner.runner_id, "long", 1, 1, 0.1)
+            assert runner.runs() == [("long", 1)]
+            await until(lambda: runner.runs() == [], "the run stops")
+            assert runner.late_orders == 0
+        finally:
+            await client.close()
+            await world.close()
+
+
 class TestConfirmations:
     async def test_after_a_lapse_are_late(self) -> None:
         runner = _runner([])
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -25,10 +25,14 @@
 from streamthread.standins.proxy import LinkFaults
 from tools.soak_checks import check_jobs
 from tools.soak_checks import check_runs
+from tools.soak_checks import check_stops
+from tools.soak_checks import gone_by_s
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
+from tools.soak_stops import LastingJobs
+from tools.soak_stops import StopFaults
 
-__all__ = ["SoakPlan", "run_soak"]
+__all__ = ["Soak", "SoakPlan", "run_soak"]
 
 POOLS = {"desk": 4, "audit": 3, "spare": 2}
 SETTLE_S = 25.0
@@ -40,6 +44,12 @@
 MORE_ROUTES = 1000
 """What a large change of the configuration adds: some 200 KB."""
 
+MARGIN_S = 0.3
+"""The runners are looked at once more, so long after the last moment allowed."""
+
+RUNS_ON_S = 7.0
+"""What still runs so much later is held by a daemon: alone it lapses in 4 s."""
+
 IN_FORCE_S = 10.0
 """After the last fault, each daemon knows the newest configuration in this time."""
 
@@ -50,6 +60,8 @@
 
     :param first_faults: only the faults of the time when the seed was found: a seed
         chooses among all that are known.
+    :param stops: lasting jobs that are cancelled, and faults around stops and holders,
+        besides all others: plans that were found before do without.
     """
 
     seed: int
@@ -58,24 +70,30 @@
     faults_per_s: float = 0.7
     jobs_per_s: float = 4.0
     first_faults: bool = False
+    stops: bool = False
 
 
-class _Soak:
+class Soak:
     """One run: daemons, callers, faults and the check at the end."""
 
-    def __init__(self, plan: SoakPlan, folder: pathlib.Path) -> None:
+    def __init__(self, plan: SoakPlan, folder: pathlib.Path, code: str) -> None:
         self.plan = plan
         self.random = random.Random(plan.seed)
         self.world = CellWorld(POOLS)
         self.daemons = [
-            Daemon(f"daemon-{n}", self.world, folder) for n in range(plan.daemons)
+            Daemon(f"daemon-{n}", self.world, folder, code) for n in range(plan.daemons)
         ]
+        self.removed: list[Daemon] = []
         self.jobs: dict[str, SubmittedJob] = {}
         self.broken: list[str] = []
         self.faults: list[str] = []
         self._more_routes = 0
         self._tasks: set[asyncio.Task[t.Any]] = set()
-        self._busy: set[str] = set()
+        self.busy: set[str] = set()
+        more = random.Random(f"stops {plan.seed}")
+        self._lasting = LastingJobs(self, more)
+        self._stop_faults = StopFaults(self, more)
+        self._quiet_at_s = 0.0
         self._session: aiohttp.ClientSession | None = None
 
     async def run(self) -> None:
@@ -88,20 +106,32 @@
                 await daemon.prepare()
             await asyncio.gather(*(daemon.start() for daemon in self.daemons))
             await asyncio.sleep(1.0)
-            await asyncio.gather(self._traffic(), self._trouble())
+            await self._play()
             await self._finish_faults()
+            await self._lasting.cancel_all(SETTLE_S)
             await self._settle()
             await self._check_configuration()
+            await self._await_stops()
             self._check()
         finally:
             for task in list(self._tasks):
                 task.cancel()
             await self._session.close()
-            for daemon in self.daemons:
+            for daemon in [*self.daemons, *self.removed]:
                 await daemon.close()
             await self.world.close()
 
-    def _spawn(self, call: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
+    async def _play(self) -> None:
+        parts = [self._traffic(), self._trouble()]
+        if self.plan.stops:
+            until_s = time.monotonic() + self.plan.seconds
+            parts.append(self._lasting.submit(until_s))
+            parts.append(self._lasting.cancel_groups(until_s, self._stop_faults))
+            parts.append(self._stop_faults.play(until_s))
+        await asyncio.gather(*parts)
+
+    def spawn(self, call: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
+        """Let something run beside; it is waited for before the checks."""
         task = asyncio.ensure_future(call)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -111,7 +141,7 @@
     async def _traffic(self) -> None:
         until_s = time.monotonic() + self.plan.seconds
         while time.monotonic() < until_s:
-            self._spawn(self._one_job())
+            self.spawn(self._one_job())
             gap_s = self.random.expovariate(self.plan.jobs_per_s)
             await asyncio.sleep(min(gap_s, 1.0))
 
@@ -122,21 +152,37 @@
         self.jobs[job_id] = job
         body = self._body()
         cancel = self.random.random() < 0.1
+        await self.submit(job, body, self._any)
+        if job.accepted and cancel:
+            await asyncio.sleep(0.3)
+            await self.cancel(job, self._any)
+
+    def _any(self) -> Daemon:
+        return self.random.choice(self.daemons)
+
+    async def submit(
+        self, job: SubmittedJob, body: bytes, choose: t.Callable[[], Daemon]
+    ) -> None:
+        """Submit a job until it is accepted, at a daemon that is chosen each time."""
         for _ in range(6):
-            status, _ = await self._call(job, "POST", body)
+            status, _ = await self.call(job, "POST", choose(), body)
             if status == 200:
                 job.accepted = True
                 break
             if status not in (429, 503):
                 job.uncertain = True
             await asyncio.sleep(0.5)
-        if job.accepted and cancel:
-            await asyncio.sleep(0.3)
-            for _ in range(6):
-                status, _ = await self._call(job, "DELETE")
-                if status in (200, 410):
-                    job.cancelled_at_s = time.monotonic()
-                    break
+
+    async def cancel(self, job: SubmittedJob, choose: t.Callable[[], Daemon]) -> None:
+        """Cancel a job until it is confirmed, at a daemon that is chosen each time."""
+        for _ in range(6):
+            if job.cancelled_at_s is not None:
+                break
+            daemon = choose()
+            status, _ = await self.call(job, "DELETE", daemon)
+            if status in (200, 410) and job.cancelled_at_s is None:
+                job.cancelled_at_s = time.monotonic()
+                job.confirmed_by = f"{daemon.name} with {status}"
 
     def _body(self) -> bytes:
         run_s = self.random.choice([0.1, 0.4, 1.0])
@@ -149,12 +195,11 @@
             steps.append({"count": 2, "cpu": 1500, "memMb": 100, "after": [0]})
         return json.dumps({"spec": spec, "steps": steps}).encode()
 
-    async def _call(
-        self, job: SubmittedJob, method: str, body: bytes = b""
+    async def call(
+        self, job: SubmittedJob, method: str, daemon: Daemon, body: bytes = b""
     ) -> tuple[int, str]:
-        """Call any daemon; status 0 where no whole answer came."""
+        """Call a daemon; status 0 where no whole answer came."""
         assert self._session is not None
-        daemon = self.random.choice(self.daemons)
         if not daemon.callers:
             return 503, ""
         headers = {"Host": f"{job.pool}.example", "Streamthread-Deadline-Ms": "3000"}
@@ -192,41 +237,46 @@
         while time.monotonic() < until_s:
             await asyncio.sleep(self.random.expovariate(self.plan.faults_per_s))
             kind = self.random.choice(kinds)
-            self._spawn(kind(self.random.uniform(0.5, 4.0)))
+            self.spawn(kind(self.random.uniform(0.5, 4.0)))
 
-    def _note(self, text: str) -> None:
+    def note(self, text: str) -> None:
+        """Keep what fault begins."""
         self.faults.append(text)
 
+    def free(self) -> list[Daemon]:
+        """Return the daemons that no fault has now."""
+        return [daemon for daemon in self.daemons if daemon.name not in self.busy]
+
     async def _with_daemon(
         self, name: str, act: t.Callable[[Daemon], t.Awaitable[None]]
     ) -> None:
-        free = [d for d in self.daemons if d.name not in self._busy]
+        free = self.free()
         if len(free) < 2:
             return
         daemon = self.random.choice(free)
-        self._busy.add(daemon.name)
-        self._note(f"{name} {daemon.name}")
+        self.busy.add(daemon.name)
+        self.note(f"{name} {daemon.name}")
         try:
             await act(daemon)
         finally:
-            self._busy.discard(daemon.name)
+            self.busy.discard(daemon.name)
 
-    async def _kill(self, for_s: float) -> None:
-        async def act(daemon: Daemon) -> None:
-            daemon.signal(signal.SIGKILL)
-            await daemon.ended()
-            await asyncio.sleep(for_s / 4)
-            await daemon.start()
+    def restart(self, daemon: Daemon, number: signal.Signals, pause_s: float) -> None:
+        """End a daemon by a signal and start it again after a pause, beside."""
 
-        await self._with_daemon("kill", act)
+        async def act() -> None:
+            await daemon.restart(number, pause_s)
+            self.busy.discard(daemon.name)
 
-    async def _stop(self, for_s: float) -> None:
-        async def act(daemon: Daemon) -> None:
-            daemon.signal(signal.SIGTERM)
-            await daemon.ended()
-            await daemon.start()
+        self.busy.add(daemon.name)
+        self.note(f"{number.name} {daemon.name}")
+        self.spawn(act())
+
+    async def _kill(self, for_s: float) -> None:
+        await self._with_daemon("kill", lambda d: d.restart(signal.SIGKILL, for_s / 4))
 
-        await self._with_daemon("stop", act)
+    async def _stop(self, for_s: float) -> None:
+        await self._with_daemon("stop", lambda d: d.restart(signal.SIGTERM, 0.0))
 
     async def _pause(self, for_s: float) -> None:
         async def act(daemon: Daemon) -> None:
@@ -261,13 +311,13 @@
         await self._with_daemon("slow store", act)
 
     async def _store_down(self, for_s: float) -> None:
-        self._note("store down")
+        self.note("store down")
         self.world.store.faults.refuse = 503
         await asyncio.sleep(for_s / 2)
         self.world.store.faults.refuse = 0
 
     async def _lose_answers(self, for_s: float) -> None:
-        self._note("lose answers")
+        self.note("lose answers")
         self.world.store.faults.late_s = for_s / 2
         self.world.store.faults.lose_answers += 2
 
@@ -276,14 +326,14 @@
 
     async def _silent_runner(self, for_s: float) -> None:
         runner = self.random.choice(self._living())
-        self._note(f"silent {runner.runner_id}")
+        self.note(f"silent {runner.runner_id}")
         runner.faults.silent = True
         await asyncio.sleep(for_s)
         runner.faults.silent = False
 
     async def _late_starts(self, for_s: float) -> None:
         runner = self.random.choice(self._living())
-        self._note(f"late starts {runner.runner_id}")
+        self.note(f"late starts {runner.runner_id}")
         runner.faults.late_s = for_s
         runner.faults.late_starts += 2
 
@@ -291,12 +341,12 @@
         machine = self.random.choice(
             [m for m in self.world.cloud.machines.values() if m.state == "up"]
         )
-        self._note(f"end runner of {machine.machine_id}")
+        self.note(f"end runner of {machine.machine_id}")
         self.world.cloud.restart(machine, for_s / 2)
 
     async def _wave(self, for_s: float) -> None:
         number = 1 + sum(fault.startswith("wave") for fault in self.faults)
-        self._note(f"wave {number}")
+        self.note(f"wave {number}")
         machine_ids = sorted(self.world.cloud.machines)
         chosen = self.random.sample(machine_ids, 3)
         await self.world.write_wave(number, chosen, most_at_once=2)
@@ -305,7 +355,7 @@
         """Open connections to the store fall silent, of one daemon or of all."""
         one = self.random.choice(self.daemons)
         chosen = self.random.choice([[one], self.daemons])
-        self._note(f"silent connections of {len(chosen)}")
+        self.note(f"silent connections of {len(chosen)}")
         for daemon in chosen:
             daemon.link.silence_open()
 
@@ -323,7 +373,7 @@
 
     async def _manifest(self, for_s: float) -> None:
         version = self._newest_version() + 1
-        self._note("manifest")
+        self.note("manifest")
         await self.world.write_manifest(
             version, self._more_routes, targetLatencyMs=600 + version
         )
@@ -335,11 +385,14 @@
     async def _finish_faults(self) -> None:
         """Let the faults that are under way end by themselves."""
         for _ in range(200):
-            if not self._busy and not self._tasks:
+            if not self.busy and not self._tasks:
                 break
             await asyncio.sleep(0.1)
         self.world.store.faults.refuse = 0
         self.world.store.faults.lose_answers = 0
+        if self.plan.stops:
+            await self._stop_faults.finish()
+        self._quiet_at_s = time.monotonic()
 
     # Checks.
 
@@ -348,7 +401,7 @@
         open_jobs = [job for job in self.jobs.values() if job.accepted]
         while open_jobs and time.monotonic() < give_up_at_s:
             for job in list(open_jobs):
-                status, state = await self._call(job, "GET")
+                status, state = await self.call(job, "GET", self._any())
                 if status == 410:
                     self.broken.append(f"LOST {job.job_id} is not known")
                     open_jobs.remove(job)
@@ -362,16 +415,30 @@
     async def _check_configuration(self) -> None:
         """Wait until every daemon knows the newest configuration."""
         newest = self._newest_version()
+        name = "streamthread_manifest_version"
         give_up_at_s = time.monotonic() + IN_FORCE_S
         for daemon in self.daemons:
-            while (version := await self._version_at(daemon)) != newest:
+            while (version := await self.metric(daemon, name)) != newest:
                 if time.monotonic() > give_up_at_s:
                     self.broken.append(f"CONFIG {daemon.name}: {version}, not {newest}")
                     break
                 await asyncio.sleep(0.1)
 
-    async def _version_at(self, daemon: Daemon) -> int:
-        """Return the version in force at a daemon, by its metrics; 0: none told."""
+    async def _await_stops(self) -> None:
+        """Wait until nothing of a cancelled job may run; for longer where some does."""
+        cancelled = [job for job in self.jobs.values() if job.cancelled_at_s]
+        gone = [gone_by_s(job, self._quiet_at_s) for job in cancelled]
+        while gone and time.monotonic() < max(gone) + RUNS_ON_S:
+            await asyncio.sleep(0.1)
+            broken = any(self._runs_on())
+            if time.monotonic() > max(gone) + MARGIN_S and not broken:
+                break
+
+    def _runs_on(self) -> t.Iterator[str]:
+        return check_stops(self.world, self.jobs, self._quiet_at_s)
+
+    async def metric(self, daemon: Daemon, name: str) -> int:
+        """Return a metric of a daemon; 0: none told."""
         assert self._session is not None
         try:
             async with self._session.get(
@@ -380,12 +447,13 @@
                 text = await response.text()
         except (aiohttp.ClientError, TimeoutError):
             return 0
-        found = re.search(r"^streamthread_manifest_version (\S+)$", text, re.MULTILINE)
+        found = re.search(rf"^{name} (\S+)$", text, re.MULTILINE)
         return int(float(found[1])) if found else 0
 
     def _check(self) -> None:
         self.broken.extend(check_runs(self.world))
         self.broken.extend(check_jobs(self.world, self.jobs))
+        self.broken.extend(self._runs_on())
         if self.world.cloud.most_down > 2 * self._waves():
             self.broken.append(f"LIMIT {self.world.cloud.most_down} in upkeep")
 
@@ -393,9 +461,14 @@
         return sum(fault.startswith("wave") for fault in self.faults)
 
 
-async def run_soak(plan: SoakPlan, folder: pathlib.Path) -> tuple[list[str], list[str]]:
-    """Play one seed; return the broken promises and the faults."""
-    soak = _Soak(plan, folder)
+async def run_soak(
+    plan: SoakPlan, folder: pathlib.Path, code: str = ""
+) -> tuple[list[str], list[str]]:
+    """Play one seed; return the broken promises and the faults.
+
+    :param code: a folder with the daemons' package, where it is not the installed one.
+    """
+    soak = Soak(plan, folder, code)
     await soak.run()
     return soak.broken, soak.faults
 
@@ -409,8 +482,8 @@
             with tempfile.TemporaryDirectory() as scratch:
                 folder = pathlib.Path(arguments.keep_logs or scratch) / str(seed)
                 folder.mkdir(parents=True, exist_ok=True)
-                plan = SoakPlan(seed, seconds=arguments.seconds)
-                broken, faults = await run_soak(plan, folder)
+                plan = SoakPlan(seed, seconds=arguments.seconds, stops=True)
+                broken, faults = await run_soak(plan, folder, arguments.daemon_path)
             print(json.dumps({"seed": seed, "broken": broken, "faults": faults}))
             sys.stdout.flush()
             if broken:
@@ -429,6 +502,7 @@
     parser.add_argument("--seconds", type=float, default=12.0)
     parser.add_argument("--jobs", type=int, default=2, help="side by side")
     parser.add_argument("--keep-logs", default="", help="a folder for the logs")
+    parser.add_argument("--daemon-path", default="", help="other code of the daemons")
     arguments = parser.parse_args()
     seeds = range(arguments.seed, arguments.seed + arguments.seeds)
     return asyncio.run(_run_many(seeds, arguments))
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -1,17 +1,24 @@
 """What the soak checks once all jobs have ended, from what runners and callers saw."""
 
 import itertools
+import time
 import typing as t
 
 import attrs
 
 from streamthread.standins.cell import CellWorld
 
-__all__ = ["SubmittedJob", "check_jobs", "check_runs"]
+__all__ = ["SubmittedJob", "check_jobs", "check_runs", "check_stops", "gone_by_s"]
 
 CANCEL_S = 3.0
 """Nothing of a cancelled job starts later than this after its confirmation."""
 
+STOP_S = 0.4
+"""A stop takes so long at most: `stop_ms` of the users' pages."""
+
+CONTACT_S = 3.0
+"""A run that was started late counts from then on: `contactMs` of the users' pages."""
+
 OVERLAP_S = 0.02
 """Two clocks of one process are read some milliseconds apart."""
 
@@ -24,7 +31,9 @@
     """What a caller was told of one job.
 
     :param uncertain: a try got no answer, or one that says that it may be accepted.
+    :param lasting: its tasks run until it is cancelled.
     :param cancelled_at_s: when a cancel was confirmed, on the monotonic clock.
+    :param confirmed_by: which daemon confirmed it, and the status.
     :param states: all that it was shown as.
     """
 
@@ -32,7 +41,9 @@
     pool: str
     accepted: bool = False
     uncertain: bool = False
+    lasting: bool = False
     cancelled_at_s: float | None = None
+    confirmed_by: str = ""
     states: set[str] = attrs.field(factory=set)
 
 
@@ -74,6 +85,9 @@
             yield f"UNASKED {started.task}"
         elif not job.accepted and not job.uncertain:
             yield f"REFUSED {started.task} was refused"
+        elif started.late:
+            # An order that was held up breaks no time bound; see check_stops.
+            continue
         elif job.cancelled_at_s and started.at_s > job.cancelled_at_s + CANCEL_S:
             yield f"UNASKED {started.task} was cancelled"
     for job in jobs.values():
@@ -81,3 +95,42 @@
             yield f"LOST {job.job_id} failed though it can be done"
         if "cancelled" in job.states and job.cancelled_at_s is None:
             yield f"LOST {job.job_id} was cancelled by nobody"
+
+
+def gone_by_s(job: SubmittedJob, quiet_at_s: float) -> float:
+    """Return when nothing of a cancelled job may run any more."""
+    assert job.cancelled_at_s is not None
+    return max(quiet_at_s, job.cancelled_at_s) + CANCEL_S + STOP_S
+
+
+def check_stops(
+    world: CellWorld, jobs: t.Mapping[str, SubmittedJob], quiet_at_s: float
+) -> t.Iterator[str]:
+    """Yield a line for each run of a cancelled job that went on for too long.
+
+    :param quiet_at_s: when the last fault was over.
+    """
+    late = {(run.task, run.run): run.at_s for run in world.started if run.late}
+    for task, run, how, end_s in [*world.ended, *_open_runs(world)]:
+        job = jobs.get(task.split(".")[0])
+        if job is None or job.cancelled_at_s is None:
+            continue
+        limit_s = gone_by_s(job, quiet_at_s)
+        if (task, run) in late:
+            limit_s = max(limit_s, late[task, run] + CONTACT_S)
+        if end_s > limit_s:
+            yield (
+                f"UNASKED {task} run {run} runs on: {how}, {end_s - limit_s:.1f} s"
+                f" too long, cancelled by {job.confirmed_by}"
+                f" {quiet_at_s - job.cancelled_at_s:.1f} s before all was quiet"
+                f"{'' if job.accepted else ', its submit got no answer'}"
+            )
+
+
+def _open_runs(world: CellWorld) -> t.Iterator[tuple[str, int, str, float]]:
+    """Yield the runs that have not ended, as if they ended now."""
+    now_s = time.monotonic()
+    for runner in world.runners:
+        if runner.alive:
+            for task, run in runner.runs():
+                yield task, run, f"still on {runner.runner_id}", now_s
--- a/tools/soak_daemon.py
+++ b/tools/soak_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -18,14 +19,20 @@
 
 
 class Daemon:
-    """One daemon's process, settings and its way to the store."""
+    """One daemon's process, settings and its way to the store.
 
-    def __init__(self, name: str, world: CellWorld, folder: pathlib.Path) -> None:
+    :param code: a folder with the daemon's package, where it is not the installed one.
+    """
+
+    def __init__(
+        self, name: str, world: CellWorld, folder: pathlib.Path, code: str = ""
+    ) -> None:
         self.name = name
         self.link = Link()
         self.callers = ""
         self.operators = ""
         self._world = world
+        self._environment = {**os.environ, "PYTHONPATH": code} if code else None
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
@@ -51,6 +58,7 @@
             str(self._settings),
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
+            env=self._environment,
         )
         self._reader = asyncio.ensure_future(self._read(self._process))
         give_up_at_s = time.monotonic() + START_S
@@ -67,6 +75,13 @@
                     self.callers = listening["callers"]
                     self.operators = listening["operators"]
 
+    async def restart(self, number: signal.Signals, pause_s: float) -> None:
+        """End the process by a signal and start it again after a pause."""
+        self.signal(number)
+        await self.ended()
+        await asyncio.sleep(pause_s)
+        await self.start()
+
     @property
     def alive(self) -> bool:
         """Whether the process runs."""
