Count a cancel that was sent and not confirmed in the soak, and one life at a time

Cause: a job whose cancel got six times no confirmation was held against the daemons as cancelled by nobody; somebody had sent the cancel, so that this was a fault of the check. It asks now whether any was sent, which is what it says.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -179,6 +179,7 @@
             if job.cancelled_at_s is not None:
                 break
             daemon = choose()
+            job.cancel_sent = True
             status, _ = await self.call(job, "DELETE", daemon)
             if status in (200, 410) and job.cancelled_at_s is None:
                 job.cancelled_at_s = time.monotonic()
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -32,6 +32,7 @@
 
     :param uncertain: a try got no answer, or one that says that it may be accepted.
     :param lasting: its tasks run until it is cancelled.
+    :param cancel_sent: a cancel was sent, whether confirmed or not.
     :param cancelled_at_s: when a cancel was confirmed, on the monotonic clock.
     :param confirmed_by: which daemon confirmed it, and the status.
     :param states: all that it was shown as.
@@ -42,6 +43,7 @@
     accepted: bool = False
     uncertain: bool = False
     lasting: bool = False
+    cancel_sent: bool = False
     cancelled_at_s: float | None = None
     confirmed_by: str = ""
     states: set[str] = attrs.field(factory=set)
@@ -93,7 +95,7 @@
     for job in jobs.values():
         if "failed" in job.states:
             yield f"LOST {job.job_id} failed though it can be done"
-        if "cancelled" in job.states and job.cancelled_at_s is None:
+        if "cancelled" in job.states and not job.cancel_sent:
             yield f"LOST {job.job_id} was cancelled by nobody"
 
 
--- a/tools/soak_daemon.py
+++ b/tools/soak_daemon.py
@@ -49,6 +49,7 @@
 
     async def start(self) -> None:
         """Start the process and wait until it listens."""
+        assert not self.alive, "one life at a time"
         self.callers = ""
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
