Wait in the soak until its faults and calls have ended, for up to a minute

Cause: the wait ended after 20 s, which a start on a busy machine or a cancel without answers may take; the moment from which all is quiet would then be set too early.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -44,6 +44,9 @@
 MORE_ROUTES = 1000
 """What a large change of the configuration adds: some 200 KB."""
 
+FAULTS_END_S = 60.0
+"""Faults and calls have ended by then: a start takes 20 s at most, a cancel 30 s."""
+
 MARGIN_S = 0.3
 """The runners are looked at once more, so long after the last moment allowed."""
 
@@ -385,7 +388,8 @@
 
     async def _finish_faults(self) -> None:
         """Let the faults that are under way end by themselves."""
-        for _ in range(200):
+        give_up_at_s = time.monotonic() + FAULTS_END_S
+        while time.monotonic() < give_up_at_s:
             if not self.busy and not self._tasks:
                 break
             await asyncio.sleep(0.1)
