--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -3,7 +3,9 @@
 ``REGRESSIONS`` keeps each seed that ever failed, with a line on the cause.
 """
 
+import os
 import pathlib
+import signal
 import time
 
 import pytest
@@ -11,6 +13,7 @@
 from tools.soak import SoakPlan
 from tools.soak_checks import check_stops
 from tools.soak_checks import SubmittedJob
+from tools.soak_daemon import Daemon
 
 from streamthread.standins.cell import CellWorld
 from streamthread.standins.cell.runner import StartedRun
@@ -71,3 +74,24 @@
             assert len(list(check_stops(world, {"job": job}, now_s - 10))) == 1
         finally:
             await world.close()
+
+
+class TestDaemon:
+    async def test_counts_ends_that_nobody_asked_for(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        world = CellWorld({"desk": 1})
+        await world.open()
+        daemon = Daemon("daemon-0", world, tmp_path)
+        try:
+            await daemon.prepare()
+            await daemon.start()
+            await daemon.restart(signal.SIGKILL, 0.0)
+            assert daemon.unasked_ends == 0
+            assert daemon._process is not None
+            os.kill(daemon._process.pid, signal.SIGTERM)
+            await daemon.ended()
+            assert daemon.unasked_ends == 1
+        finally:
+            await daemon.close()
+            await world.close()
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -459,6 +459,9 @@
         self.broken.extend(check_runs(self.world))
         self.broken.extend(check_jobs(self.world, self.jobs))
         self.broken.extend(self._runs_on())
+        for daemon in [*self.daemons, *self.removed]:
+            if daemon.unasked_ends:
+                self.broken.append(f"FAULT {daemon.name} ended by itself")
         if self.world.cloud.most_down > 2 * self._waves():
             self.broken.append(f"LIMIT {self.world.cloud.most_down} in upkeep")
 
--- a/tools/soak_daemon.py
+++ b/tools/soak_daemon.py
@@ -21,6 +21,7 @@
 class Daemon:
     """One daemon's process, settings and its way to the store.
 
+    :param unasked_ends: how often a process ended without a signal of ours.
     :param code: a folder with the daemon's package, where it is not the installed one.
     """
 
@@ -31,6 +32,8 @@
         self.link = Link()
         self.callers = ""
         self.operators = ""
+        self.unasked_ends = 0
+        self._asked_to_end = False
         self._world = world
         self._environment = {**os.environ, "PYTHONPATH": code} if code else None
         self._settings = folder / f"{name}.json"
@@ -50,6 +53,7 @@
     async def start(self) -> None:
         """Start the process and wait until it listens."""
         assert not self.alive, "one life at a time"
+        self._asked_to_end = False
         self.callers = ""
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -75,6 +79,8 @@
                     listening = json.loads(line)
                     self.callers = listening["callers"]
                     self.operators = listening["operators"]
+        if not self._asked_to_end:
+            self.unasked_ends += 1
 
     async def restart(self, number: signal.Signals, pause_s: float) -> None:
         """End the process by a signal and start it again after a pause."""
@@ -91,6 +97,7 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to our own process, if it lives."""
         if self._process is not None and self.alive:
+            self._asked_to_end |= number in (signal.SIGTERM, signal.SIGKILL)
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
