--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -3,13 +3,26 @@
 ``REGRESSIONS`` keeps each seed that ever failed, with a line on the cause.
 """
 
+import os
 import pathlib
+import signal
+import time
 
 import pytest
 from tools.soak import run_soak
 from tools.soak import SoakPlan
+from tools.soak_checks import check_stops
+from tools.soak_checks import SubmittedJob
+from tools.soak_daemon import Daemon
 
-PLANS = (SoakPlan(1, seconds=5.0), SoakPlan(2, seconds=5.0))
+from streamthread.standins.cell import CellWorld
+from streamthread.standins.cell.runner import StartedRun
+
+PLANS = (
+    SoakPlan(1, seconds=5.0),
+    SoakPlan(2, seconds=5.0),
+    SoakPlan(3, seconds=8.0, stops=True),
+)
 REGRESSIONS: tuple[SoakPlan, ...] = (
     # The stand-in's runner told a lapse when it was next called, not when it was.
     SoakPlan(210, seconds=5.0, first_faults=True),
@@ -31,3 +44,54 @@
     ) -> None:
         broken, faults = await run_soak(plan, tmp_path)
         assert broken == [], faults
+
+
+class TestCheckOfStops:
+    @pytest.mark.parametrize(
+        ("ended_s", "late", "allowed"),
+        [(3.3, False, True), (3.5, False, False), (3.5, True, True)],
+    )
+    async def test_allows_a_run_for_so_long(
+        self, ended_s: float, late: bool, allowed: bool
+    ) -> None:
+        world = CellWorld({})
+        job = SubmittedJob("job", "desk", accepted=True, cancelled_at_s=100.0)
+        world.started.append(StartedRun("job.0.0.0", 1, "i-1", 101.0, late))
+        world.ended.append(("job.0.0.0", 1, "stopped", 100.0 + ended_s))
+        found = list(check_stops(world, {"job": job}, quiet_at_s=99.0))
+        assert (found == []) is allowed
+
+    async def test_finds_what_still_runs(self) -> None:
+        world = CellWorld({"desk": 1})
+        await world.open()
+        try:
+            now_s = time.monotonic()
+            order = {"task": "job.0.0.0", "run": 1, "spec": '{"run_s": 60}'}
+            deadline_ms = int((now_s + 60) * 1000)
+            world.runners[0]._try_start({**order, "deadlineMs": deadline_ms})
+            job = SubmittedJob("job", "desk", cancelled_at_s=now_s - 10)
+            assert list(check_stops(world, {"job": job}, quiet_at_s=now_s)) == []
+            assert len(list(check_stops(world, {"job": job}, now_s - 10))) == 1
+        finally:
+            await world.close()
+
+
+class TestDaemon:
+    async def test_counts_ends_that_nobody_asked_for(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        world = CellWorld({"desk": 1})
+        await world.open()
+        daemon = Daemon("daemon-0", world, tmp_path)
+        try:
+            await daemon.prepare()
+            await daemon.start()
+            await daemon.restart(signal.SIGKILL, 0.0)
+            assert daemon.unasked_ends == 0
+            assert daemon._process is not None
+            os.kill(daemon._process.pid, signal.SIGTERM)
+            await daemon.ended()
+            assert daemon.unasked_ends == 1
+        finally:
+            await daemon.close()
+            await world.close()
--- a/tools/soak_daemon.py
+++ b/tools/soak_daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import pathlib
 import signal
 import sys
@@ -18,14 +19,23 @@
 
 
 class Daemon:
-    """One daemon's process, settings and its way to the store."""
+    """One daemon's process, settings and its way to the store.
 
-    def __init__(self, name: str, world: CellWorld, folder: pathlib.Path) -> None:
+    :param unasked_ends: how often a process ended without a signal of ours.
+    :param code: a folder with the daemon's package, where it is not the installed one.
+    """
+
+    def __init__(
+        self, name: str, world: CellWorld, folder: pathlib.Path, code: str = ""
+    ) -> None:
         self.name = name
         self.link = Link()
         self.callers = ""
         self.operators = ""
+        self.unasked_ends = 0
+        self._asked_to_end = False
         self._world = world
+        self._environment = {**os.environ, "PYTHONPATH": code} if code else None
         self._settings = folder / f"{name}.json"
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
@@ -42,6 +52,8 @@
 
     async def start(self) -> None:
         """Start the process and wait until it listens."""
+        assert not self.alive, "one life at a time"
+        self._asked_to_end = False
         self.callers = ""
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
@@ -51,6 +63,7 @@
             str(self._settings),
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
+            env=self._environment,
         )
         self._reader = asyncio.ensure_future(self._read(self._process))
         give_up_at_s = time.monotonic() + START_S
@@ -66,6 +79,15 @@
                     listening = json.loads(line)
                     self.callers = listening["callers"]
                     self.operators = listening["operators"]
+        if not self._asked_to_end:
+            self.unasked_ends += 1
+
+    async def restart(self, number: signal.Signals, pause_s: float) -> None:
+        """End the process by a signal and start it again after a pause."""
+        self.signal(number)
+        await self.ended()
+        await asyncio.sleep(pause_s)
+        await self.start()
 
     @property
     def alive(self) -> bool:
@@ -75,6 +97,7 @@
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to our own process, if it lives."""
         if self._process is not None and self.alive:
+            self._asked_to_end |= number in (signal.SIGTERM, signal.SIGKILL)
             with contextlib.suppress(ProcessLookupError):
                 self._process.send_signal(number)
 
