Take a connection to a peer that is lost before its use as lost, not as a crash

Cause: the RPC library raises AttributeError ("'Connection' object has no attribute '_transport'") where a connection ends between being made and being used, as with a peer that is killed just then. Besides, a call that failed closed whatever channel there was to its peer by then, also a newer one that others used.

Calls to peers turn it into a lost connection now, where the channel is no longer connected; any other AttributeError is raised on. A call closes its own channel alone. The same in the entry's links.

Both new tests fail before, with that error; they pass now.

--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -5,12 +5,12 @@
 import time
 import typing as t
 
-from grpclib.client import Channel
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 from grpclib.server import Server
 
+from ..channels import PeerChannel
 from ..errors import PeerUnavailableError
 from . import cell_pb2 as pb
 from .cell_grpc import CellBase
@@ -144,7 +144,7 @@
     def __init__(self, daemon_id: str, address: str) -> None:
         self._daemon_id = daemon_id
         self.address = address
-        self._channels: dict[str, Channel] = {}
+        self._channels: dict[str, PeerChannel] = {}
         self._beat_at_s = -math.inf
 
     def heard_within(self, within_s: float) -> bool:
@@ -153,21 +153,22 @@
 
     def close(self) -> None:
         """Close all channels."""
-        for address in list(self._channels):
-            self._drop(address)
+        for address, channel in list(self._channels.items()):
+            self._drop(address, channel)
 
-    def _stub(self, address: str) -> CellStub:
+    def _channel(self, address: str) -> PeerChannel:
         channel = self._channels.get(address)
         if channel is None:
             host, port = address.rsplit(":", 1)
-            channel = Channel(host, int(port))
+            channel = PeerChannel(host, int(port))
             self._channels[address] = channel
-        return CellStub(channel)
+        return channel
 
-    def _drop(self, address: str) -> None:
-        channel = self._channels.pop(address, None)
-        if channel is not None:
-            channel.close()
+    def _drop(self, address: str, channel: PeerChannel) -> None:
+        """Close a channel; a newer one to the same address stays."""
+        if self._channels.get(address) is channel:
+            del self._channels[address]
+        channel.close()
 
     async def call(
         self, address: str, request: pb.CallRequest, timeout_s: float
@@ -220,11 +221,13 @@
         :param keep_if_slow: keep the channel after a timeout: other calls on it
             may still be answered.
         """
+        channel = self._channel(address)
         try:
-            return await call(self._stub(address))
+            with channel.calling():
+                return await call(CellStub(channel))
         except UNANSWERED as error:
             if not (keep_if_slow and isinstance(error, TimeoutError)):
-                self._drop(address)
+                self._drop(address, channel)
             raise PeerUnavailableError(
                 f"no answer ({type(error).__name__})", remedy=remedy, location=address
             ) from error
@@ -250,41 +253,53 @@
 
     async def is_sure(self, address: str, token: int) -> bool:
         """Whether a holder says now that it commits: its first beat tells."""
+        channel = self._channel(address)
         try:
-            async with asyncio.timeout(CONNECT_S):
-                async with self._stub(address).Follow.open() as stream:
-                    await stream.send_message(self._follow_request(), end=True)
-                    beat = await stream.recv_message()
-                    await stream.cancel()
+            with channel.calling():
+                beat = await self._first_beat(CellStub(channel))
         except UNANSWERED:
-            self._drop(address)
+            self._drop(address, channel)
             return False
         return beat is not None and beat.token >= token and not beat.doubtful
 
+    async def _first_beat(self, stub: CellStub) -> pb.Beat | None:
+        async with asyncio.timeout(CONNECT_S):
+            async with stub.Follow.open() as stream:
+                await stream.send_message(self._follow_request(), end=True)
+                beat = await stream.recv_message()
+                await stream.cancel()
+                return beat
+
     def _follow_request(self) -> pb.FollowRequest:
         return pb.FollowRequest(daemon_id=self._daemon_id, address=self.address)
 
     async def _beats(self, address: str, token: int, silence_s: float) -> None:
+        channel = self._channel(address)
         try:
-            async with self._stub(address).Follow.open() as stream:
-                async with asyncio.timeout(CONNECT_S):
-                    await stream.send_message(self._follow_request(), end=True)
-                while True:
-                    async with asyncio.timeout(silence_s):
-                        beat = await stream.recv_message()
-                    if beat is None or beat.token < token:
-                        return
-                    if beat.doubtful:
-                        self._beat_at_s = -math.inf
-                        raise HolderDoubtfulError(beat.head_version)
-                    self._beat_at_s = time.monotonic()
+            with channel.calling():
+                await self._hear_beats(CellStub(channel), token, silence_s)
         except TimeoutError as error:
-            self._drop(address)
+            self._drop(address, channel)
             raise HolderSilentError from error
         except ConnectionRefusedError as error:
-            self._drop(address)
+            self._drop(address, channel)
             raise HolderUnreachableError from error
         except (GRPCError, StreamTerminatedError, OSError):
             # Reset or refused by the callee: connect anew, then we know more.
-            self._drop(address)
+            self._drop(address, channel)
             await asyncio.sleep(RECONNECT_S)
+
+    async def _hear_beats(self, stub: CellStub, token: int, silence_s: float) -> None:
+        """Hear beats until another holder sends them, or this one doubts itself."""
+        async with stub.Follow.open() as stream:
+            async with asyncio.timeout(CONNECT_S):
+                await stream.send_message(self._follow_request(), end=True)
+            while True:
+                async with asyncio.timeout(silence_s):
+                    beat = await stream.recv_message()
+                if beat is None or beat.token < token:
+                    return
+                if beat.doubtful:
+                    self._beat_at_s = -math.inf
+                    raise HolderDoubtfulError(beat.head_version)
+                self._beat_at_s = time.monotonic()
--- a/src/streamthread/cell/tests/test_peer.py
+++ b/src/streamthread/cell/tests/test_peer.py
@@ -7,6 +7,10 @@
 
 from streamthread.cell import cell_pb2 as pb
 from streamthread.cell import CellEndpoint
+from streamthread.cell import CellPort
+from streamthread.cell import PeerLinks
+from streamthread.channels import PeerChannel
+from streamthread.errors import PeerUnavailableError
 
 BEAT_S = 0.01
 
@@ -53,3 +57,44 @@
         with pytest.raises(ConnectionResetError):
             await following_new
         assert endpoint.followers == {}
+
+
+class _LosingChannel(PeerChannel):
+    """Loses each connection between being made and being used."""
+
+    async def _create_connection(self) -> t.Any:
+        protocol = await super()._create_connection()
+        protocol.connection_lost(None)
+        return protocol
+
+
+@pytest.fixture
+async def links_that_lose(
+    monkeypatch: pytest.MonkeyPatch,
+) -> t.AsyncIterator[tuple[PeerLinks, str]]:
+    """Return links, and the address of a peer to which they lose each connection."""
+    port = CellPort(_endpoint(), "127.0.0.1", 0)
+    address = await port.open()
+    monkeypatch.setattr("streamthread.cell.peer.PeerChannel", _LosingChannel)
+    links = PeerLinks("daemon-0", "here:1")
+    yield links, address
+    links.close()
+    port.close()
+
+
+class TestLostConnection:
+    """It is lost after it was made and before it is used."""
+
+    async def test_to_the_holder_is_made_anew(
+        self, links_that_lose: tuple[PeerLinks, str]
+    ) -> None:
+        links, address = links_that_lose
+        await links.follow(address, 1, 1.0, asyncio.Event())
+        assert not await links.is_sure(address, 1)
+
+    async def test_fails_a_call_as_unanswered(
+        self, links_that_lose: tuple[PeerLinks, str]
+    ) -> None:
+        links, address = links_that_lose
+        with pytest.raises(PeerUnavailableError):
+            await links.call(address, pb.CallRequest(), 1.0)
--- a/src/streamthread/peers/links.py
+++ b/src/streamthread/peers/links.py
@@ -3,11 +3,11 @@
 import typing as t
 
 import attrs
-from grpclib.client import Channel
 from grpclib.client import UnaryUnaryMethod
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
 
+from ..channels import PeerChannel
 from ..errors import PeerUnavailableError
 from ..leases import LeaseRecord
 from .auth import key_metadata
@@ -30,7 +30,7 @@
     """
 
     address: str
-    channel: Channel
+    channel: PeerChannel
     stub: PeersStub
     incarnation: str = ""
     their_cursor: int = 0
@@ -62,7 +62,7 @@
             link = None
         if link is None:
             host, _, port = peer.peers_address.rpartition(":")
-            channel = Channel(host, int(port))
+            channel = PeerChannel(host, int(port))
             link = PeerLink(peer.peers_address, channel, PeersStub(channel))
             self._links[peer.daemon_id] = link
         return link
@@ -91,10 +91,10 @@
 
         :raises PeerUnavailableError: the peer did not answer in time.
         """
+        metadata = key_metadata(self._key)
         try:
-            return await method(
-                request, timeout=self._timeout_s, metadata=key_metadata(self._key)
-            )
+            with self.to(peer).channel.calling():
+                return await method(request, timeout=self._timeout_s, metadata=metadata)
         except (GRPCError, StreamTerminatedError, OSError, TimeoutError) as error:
             raise PeerUnavailableError(
                 f"no answer from {peer.daemon_id}: {error!r}",
