--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -189,19 +189,11 @@
                 "token": self.token,
                 "jobs": len(replayed.jobs),
                 "open": len(self.engine.open_jobs()),
-                "to_stop": self._count_to_stop(),
+                "to_stop": self.engine.stops.count,
                 "took_s": round(replayed.took_s, 4),
             },
         )
 
-    def _count_to_stop(self) -> int:
-        """Return how many runs an earlier holder left that nobody wants any more."""
-        return sum(
-            attempt.phase is Phase.STOPPING
-            for job in self.engine.open_jobs()
-            for attempt in job.attempts()
-        )
-
     def spawn(self, call: t.Coroutine[t.Any, t.Any, None]) -> None:
         """Run a call side by side, for as long as the cell is held."""
         if self._group is None:
@@ -335,7 +327,7 @@
         for attempt in list(runner.attempts.values()):
             if attempt.phase is Phase.SENT:
                 self.spawn(self.sender.start(attempt))
-            elif attempt.phase is Phase.STOPPING:
+            elif attempt.stop is not None and not attempt.stop.under_way:
                 self.spawn(self.sender.stop(attempt))
 
     async def on_lists(self, link: RunnerLink, reply: HoldReply) -> None:
@@ -346,6 +338,8 @@
                 self._group.create_task(self.sender.stop_stray(stray))
             for order in plan_paces(link.runner, self.settings.sharing):
                 self._group.create_task(self.sender.pace(order.attempt, order.percent))
+        if self.engine.stops.waiting:
+            self.kick()
         if not reply.ended:
             return
         self.queue.look_soon()
--- a/src/streamthread/jobs/pool_jobs.py
+++ b/src/streamthread/jobs/pool_jobs.py
@@ -5,6 +5,7 @@
 
 import attrs
 
+from ..providers import ABSENT
 from ..providers import Fence
 from ..providers import Task
 from ..providers import TaskState
@@ -31,7 +32,8 @@
     :param current: the jobs that have not ended.
     :param unconfirmed: started jobs whose start was not answered yet.
     :param stops: attempts to be stopped, and whether with a checkpoint.
-    :param reported: reports of attempts that ran before the jobs were loaded.
+    :param reported: reports of attempts that are not taken yet: those from before the
+        jobs were loaded, and those read while the store was down.
     :param changed: whether something changed since the last decision.
     """
 
@@ -47,6 +49,11 @@
     reported: list[Task] = attrs.field(factory=list)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
 
+    def version_of(self, job_id: str) -> int:
+        """Return the version of a job's row, ABSENT where there is none."""
+        known = self.jobs.get(job_id)
+        return known.version if known else ABSENT
+
     def keep(self, job: Job, version: int) -> Job | None:
         """Put a job in place of its earlier row; return that."""
         job_id = job.spec.job_id
@@ -81,6 +88,21 @@
         elif before.worker_id in after.failed_on:
             self.quarantine.note(before.worker_id, job_id, succeeded=False)
 
+    def note_running(self, tasks: t.Iterable[Task]) -> None:
+        """Have attempts stopped that run though their jobs' rows want nothing of them.
+
+        A stop that was answered says nothing of a start that is carried out after it.
+        """
+        for task in tasks:
+            stored = self.jobs.get(task.job_id)
+            if stored is None or task.state is not TaskState.RUNNING:
+                continue
+            job = stored.job
+            if job.state is JobState.STARTED and job.attempt == task.attempt:
+                continue
+            checkpoint = job.state is JobState.QUEUED
+            self.stops.setdefault((task.job_id, task.attempt), checkpoint)
+
     @staticmethod
     def _index(ids: set[str], job_id: str, belongs: bool) -> None:
         if belongs:
