Show that a holder may deny a job that was accepted, so that its cancel is lost

A holder answers "no such job" for what it does not know, at once and whether or not it may rely on holding the cell. Two schedules of one fault each: a lost answer of the inbox's feed, and a holder that is cut off from the store and was replaced meanwhile. Callers take the answer for a confirmed cancel (410); the lasting run goes on for good.

--- a/tests/model/test_stops.py
+++ b/tests/model/test_stops.py
@@ -1,5 +1,6 @@
 """Whatever goes wrong meanwhile: what a job started is gone once it is cancelled."""
 
+import attrs
 import logbook
 from hypothesis import example
 from hypothesis import given
@@ -29,11 +30,14 @@
 )
 
 
-def play(schedule: Schedule) -> None:
-    """Play a schedule; fail with its trace where it breaks a property."""
+def play(schedule: Schedule, trust_unknown: bool = False) -> None:
+    """Play a schedule; fail with its trace where it breaks a property.
+
+    :param trust_unknown: callers take "no such job" for a confirmed cancel.
+    """
 
     async def run() -> World:
-        world = World(schedule, trust_unknown=False)
+        world = World(schedule, trust_unknown)
         await world.play()
         return world
 
@@ -76,3 +80,24 @@
 @example(START_AND_STOP_REFUSED)
 def test_nothing_is_left_where_runners_refuse_stops(schedule: Schedule) -> None:
     play(schedule)
+
+
+def left_in_the_inbox(cancel_after_s: float) -> JobPlan:
+    """Return a lasting job that no holder took from its caller, but its cancel."""
+    return JobPlan(Work.LASTING, 1, 0.0, cancel_after_s, True, False)
+
+
+def test_a_holder_denies_no_job_that_waits_in_the_inbox() -> None:
+    schedule = attrs.evolve(
+        plain(feeds=[Fate.LOST]), jobs=[left_in_the_inbox(cancel_after_s=0.05)]
+    )
+    play(schedule, trust_unknown=True)
+
+
+def test_a_replaced_holder_denies_no_job_that_the_next_one_has() -> None:
+    """It is cut off from the store, and does not know yet that it was replaced."""
+    schedule = attrs.evolve(
+        plain(events=[Event(Kind.OUST, None, 0.3, 2.5, 0)]),
+        jobs=[left_in_the_inbox(cancel_after_s=3.0)],
+    )
+    play(schedule, trust_unknown=True)
