Wait in the model for a holder that has read the rows before looking at what is left

A play whose holder ended late was over while the next one still read the rows, so that nothing seemed left. A holder that ends by an error fails a play now, too.

--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -133,6 +133,7 @@
             for event in self.schedule.events:
                 group.create_task(self._happen(event))
         await self._until_gone()
+        self._check_holders()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -140,10 +141,8 @@
     def _check_lasting(self, job_id: str) -> None:
         """After a long quiet, all lasting tasks run, each once."""
         plan = self._plans[job_id]
-        if (
-            time.monotonic() < BEGAN_AT_S + LONG_QUIET_S
-            or plan.work is not Work.LASTING
-        ):
+        quiet = time.monotonic() >= BEGAN_AT_S + LONG_QUIET_S
+        if not quiet or plan.work is not Work.LASTING:
             return
         lives = self._runners.lives.values()
         tasks = [task for life in lives for task, _ in life.running]
@@ -151,6 +150,12 @@
         if len(mine) != plan.count:
             self._break(f"of {plan.count} tasks there run: {', '.join(mine)}")
 
+    def _check_holders(self) -> None:
+        """No holder ends by an error that is not its cell's loss."""
+        for task in self._tasks:
+            if task.done() and not task.cancelled() and task.exception():
+                self._break(f"a holder failed: {task.exception()!r}")
+
     async def _until_gone(self) -> None:
         quiet_at_s = max(BEGAN_AT_S + QUIET_AT_S, time.monotonic())
         await asyncio.sleep(quiet_at_s - time.monotonic())
@@ -161,12 +166,17 @@
             await asyncio.sleep(0.1)
 
     def _left(self) -> list[str]:
-        """Return what is left of jobs that are over: runs, and what takes room."""
+        """Return what is left of jobs that are over: runs, and what takes room.
+
+        Nothing is known of the latter while the last holder still reads the rows.
+        """
         runs = [
             f"{task} run {run} on {life.runner_id}"
             for life in self._runners.lives.values()
             for task, run in life.running
         ]
+        if not self._holders[-1].active:
+            return [*runs, "no holder"]
         room = [
             f"room for run {attempt.run} at {attempt.runner_id}"
             for job in self._holders[-1].engine.open_jobs()
