--- a/tests/model/schedule.py
+++ b/tests/model/schedule.py
@@ -57,6 +57,8 @@
 
     KILL = "kill"
     """The holder dies; the next one takes over after the event."""
+    RELEASE = "release"
+    """The holder orders nothing new, and hands over after the event."""
     OUST = "oust"
     """The holder is cut off from the store and replaced, and lives on."""
     STORE_AWAY = "store-away"
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -49,6 +49,9 @@
 OUST_S = 1.6
 """Nobody takes the cell from a holder that lives before its trust has ended."""
 
+TRUST_S = LeaseTimes().trust_over_s
+"""So long a holder that lost the cell may send orders."""
+
 RATES = (1.0, 0.98)
 """Of the runners' clocks: the second one is as slow as the users' pages allow."""
 
@@ -126,7 +129,7 @@
         """Play the schedule and look at what is left."""
         for number in range(len(RATES)):
             self._boot(number)
-        await self._take_over()
+        await self._take_over(0.0)
         async with asyncio.TaskGroup() as group:
             for job_id in self._plans:
                 group.create_task(self._call(job_id))
@@ -238,7 +241,11 @@
         """Return the holder that callers ask; it may be lost and not know it yet."""
         return next((holder for holder in self._holders if holder.active), None)
 
-    async def _take_over(self) -> None:
+    async def _take_over(self, others_order_s: float) -> None:
+        """Have the next daemon take the cell.
+
+        :param others_order_s: for how long an earlier holder may send orders.
+        """
         self._token += 1
         head = StoredRow(
             TABLE_HEAD, PART, HEAD_KEY, Head(new_nonce(), self._token).encode()
@@ -247,8 +254,7 @@
         now_s = time.monotonic()
         daemon_id = f"daemon-{self._token}"
         owner = Owner(daemon_id, daemon_id, "", self._token)
-        alone_at_s = now_s + LeaseTimes().trust_over_s
-        taken = TakenCell(owner, written.version, now_s, alone_at_s)
+        taken = TakenCell(owner, written.version, now_s, now_s + others_order_s)
         self._view = StoreView(self._store, self._fates)
         context = HolderContext(
             daemon_id,
@@ -271,14 +277,22 @@
         token = self._token
         await asyncio.sleep(gap_s)
         if token == self._token:
-            await self._take_over()
+            await self._take_over(TRUST_S)
+
+    async def _release(self, for_s: float) -> None:
+        holder = self._holders[-1]
+        holder.trust.begin_release()
+        await asyncio.sleep(for_s)
+        holder.give_up("handed over")
+        if holder is self._holders[-1]:
+            await self._take_over(0.0)
 
     async def _oust(self, for_s: float) -> None:
         token = self._token
         self._view.away_until_s = time.monotonic() + OUST_S + for_s
         await asyncio.sleep(OUST_S)
         if token == self._token:
-            await self._take_over()
+            await self._take_over(TRUST_S)
 
     # Runners.
 
@@ -331,6 +345,8 @@
         self._wrong_until_s = max(self._wrong_until_s, until_s)
         if event.kind is Kind.KILL:
             await self._kill(event.for_s)
+        elif event.kind is Kind.RELEASE:
+            await self._release(event.for_s)
         elif event.kind is Kind.OUST:
             await self._oust(event.for_s)
         elif event.kind is Kind.STORE_AWAY:
