--- a/tests/model/test_stops.py
+++ b/tests/model/test_stops.py
@@ -53,6 +53,8 @@
 STOP_LOST_WITH_ITS_HOLDER = plain(
     stops=[Fate.LOST], events=[Event(Kind.KILL, 0, 0.05, 0.01, 0)]
 )
+HOLDER_DIES_BEFORE_ITS_STOP = plain(events=[Event(Kind.KILL, 0, 0.0055, 0.01, 0)])
+CANCELLED_IN_A_RELEASE = plain(events=[Event(Kind.RELEASE, 0, 0.0, 0.3, 0)])
 STOP_REFUSED = plain(stops=[Fate.UNHEALTHY])
 STOP_OF_NOTHING_REFUSED = plain(starts=[Fate.LOST] * 5, stops=[Fate.UNHEALTHY])
 START_AND_STOP_REFUSED = plain(
@@ -65,6 +67,8 @@
 @explored
 @given(schedules(stop_refusals=[]))
 @example(STOP_LOST_WITH_ITS_HOLDER)
+@example(HOLDER_DIES_BEFORE_ITS_STOP)
+@example(CANCELLED_IN_A_RELEASE)
 def test_nothing_of_a_cancelled_job_is_left(schedule: Schedule) -> None:
     play(schedule)
 
