--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -33,7 +33,6 @@
 from .schedule import Event
 from .schedule import Fates
 from .schedule import Kind
-from .schedule import LONG_QUIET_S
 from .schedule import QUIET_AT_S
 from .schedule import Schedule
 from .schedule import Work
@@ -45,11 +44,14 @@
 nobody holds lapses within 10.3 s, and what an earlier holder left, within 11.6 s."""
 
 INBOX_S = 4.0
-"""A cancel that was left in the inbox may take the holder so long to see."""
+"""A cancel in the inbox may take the holder so long to see, while the store serves."""
 
 OUST_S = 1.6
 """Nobody takes the cell from a holder that lives before its trust has ended."""
 
+TRUST_S = LeaseTimes().trust_over_s
+"""So long a holder that lost the cell may send orders."""
+
 RATES = (1.0, 0.98)
 """Of the runners' clocks: the second one is as slow as the users' pages allow."""
 
@@ -109,8 +111,10 @@
             f"{number:016x}": job for number, job in enumerate(schedule.jobs)
         }
         self._cancels = [asyncio.Event() for _ in schedule.jobs]
+        self._wrong_until_s = BEGAN_AT_S + QUIET_AT_S
         # When no start may be sent any more, by job id.
         self._ends_at_s: dict[str, float] = {}
+        self._in_inbox: set[str] = set()
 
     def tell(self, line: str) -> None:
         """Note what happened now."""
@@ -126,13 +130,14 @@
         """Play the schedule and look at what is left."""
         for number in range(len(RATES)):
             self._boot(number)
-        await self._take_over()
+        await self._take_over(0.0)
         async with asyncio.TaskGroup() as group:
             for job_id in self._plans:
                 group.create_task(self._call(job_id))
             for event in self.schedule.events:
                 group.create_task(self._happen(event))
         await self._until_gone()
+        self._check_holders()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -140,10 +145,8 @@
     def _check_lasting(self, job_id: str) -> None:
         """After a long quiet, all lasting tasks run, each once."""
         plan = self._plans[job_id]
-        if (
-            time.monotonic() < BEGAN_AT_S + LONG_QUIET_S
-            or plan.work is not Work.LASTING
-        ):
+        quiet = time.monotonic() > self._wrong_until_s + GONE_WITHIN_S
+        if not quiet or plan.work is not Work.LASTING:
             return
         lives = self._runners.lives.values()
         tasks = [task for life in lives for task, _ in life.running]
@@ -151,8 +154,14 @@
         if len(mine) != plan.count:
             self._break(f"of {plan.count} tasks there run: {', '.join(mine)}")
 
+    def _check_holders(self) -> None:
+        """No holder ends by an error that is not its cell's loss."""
+        for task in self._tasks:
+            if task.done() and not task.cancelled() and task.exception():
+                self._break(f"a holder failed: {task.exception()!r}")
+
     async def _until_gone(self) -> None:
-        quiet_at_s = max(BEGAN_AT_S + QUIET_AT_S, time.monotonic())
+        quiet_at_s = max(self._wrong_until_s, time.monotonic())
         await asyncio.sleep(quiet_at_s - time.monotonic())
         while left := self._left():
             if time.monotonic() > quiet_at_s + GONE_WITHIN_S:
@@ -161,12 +170,17 @@
             await asyncio.sleep(0.1)
 
     def _left(self) -> list[str]:
-        """Return what is left of jobs that are over: runs, and what takes room."""
+        """Return what is left of jobs that are over: runs, and what takes room.
+
+        Nothing is known of the latter while the last holder still reads the rows.
+        """
         runs = [
             f"{task} run {run} on {life.runner_id}"
             for life in self._runners.lives.values()
             for task, run in life.running
         ]
+        if not self._holders[-1].active:
+            return [*runs, "no holder"]
         room = [
             f"room for run {attempt.run} at {attempt.runner_id}"
             for job in self._holders[-1].engine.open_jobs()
@@ -189,8 +203,10 @@
         if not plan.far_cancel:
             cancelled.set()
         reply = await self._ask(pb.CANCEL, job_id, plan.far_cancel)
-        in_inbox = reply.state == "pending"
-        self._ends_at_s[job_id] = time.monotonic() + (INBOX_S if in_inbox else 0.0)
+        self._ends_at_s[job_id] = time.monotonic()
+        if reply.state == "pending":
+            self._in_inbox.add(job_id)
+            self._ends_at_s[job_id] += INBOX_S
         cancelled.set()
 
     async def _ask(
@@ -228,7 +244,11 @@
         """Return the holder that callers ask; it may be lost and not know it yet."""
         return next((holder for holder in self._holders if holder.active), None)
 
-    async def _take_over(self) -> None:
+    async def _take_over(self, others_order_s: float) -> None:
+        """Have the next daemon take the cell.
+
+        :param others_order_s: for how long an earlier holder may send orders.
+        """
         self._token += 1
         head = StoredRow(
             TABLE_HEAD, PART, HEAD_KEY, Head(new_nonce(), self._token).encode()
@@ -237,8 +257,7 @@
         now_s = time.monotonic()
         daemon_id = f"daemon-{self._token}"
         owner = Owner(daemon_id, daemon_id, "", self._token)
-        alone_at_s = now_s + LeaseTimes().trust_over_s
-        taken = TakenCell(owner, written.version, now_s, alone_at_s)
+        taken = TakenCell(owner, written.version, now_s, now_s + others_order_s)
         self._view = StoreView(self._store, self._fates)
         context = HolderContext(
             daemon_id,
@@ -261,14 +280,22 @@
         token = self._token
         await asyncio.sleep(gap_s)
         if token == self._token:
-            await self._take_over()
+            await self._take_over(TRUST_S)
+
+    async def _release(self, for_s: float) -> None:
+        holder = self._holders[-1]
+        holder.trust.begin_release()
+        await asyncio.sleep(for_s)
+        holder.give_up("handed over")
+        if holder is self._holders[-1]:
+            await self._take_over(0.0)
 
     async def _oust(self, for_s: float) -> None:
         token = self._token
         self._view.away_until_s = time.monotonic() + OUST_S + for_s
         await asyncio.sleep(OUST_S)
         if token == self._token:
-            await self._take_over()
+            await self._take_over(TRUST_S)
 
     # Runners.
 
@@ -318,12 +345,18 @@
         address = _address(event.runner)
         life = self._runners.lives.get(address)
         until_s = time.monotonic() + event.for_s
+        self._wrong_until_s = max(self._wrong_until_s, until_s)
         if event.kind is Kind.KILL:
             await self._kill(event.for_s)
+        elif event.kind is Kind.RELEASE:
+            await self._release(event.for_s)
         elif event.kind is Kind.OUST:
             await self._oust(event.for_s)
         elif event.kind is Kind.STORE_AWAY:
             self._view.away_until_s = self._callers_view.away_until_s = until_s
+            # No holder can read the inbox before.
+            for job_id in self._in_inbox:
+                self._ends_at_s[job_id] = until_s + INBOX_S
         elif event.kind is Kind.UNREACHABLE:
             self._runners.cut_until_s[address] = until_s
         elif life is not None:
