--- a/src/streamthread/standins/cell/store.py
+++ b/src/streamthread/standins/cell/store.py
@@ -15,6 +15,9 @@
 Json = dict[str, t.Any]
 Key = tuple[str, str, str]
 
+MOST_KEY_BYTES = 200
+"""A transaction with a longer key is refused (the users' pages)."""
+
 PIECE_BYTES = 4096
 """An answer over a small link comes in pieces of this size."""
 
@@ -34,6 +37,7 @@
         0: at once.
     :param stall_after_bytes: answers stop after so many bytes, and their connections
         stay open; 0: never.
+    :param silent_feed: the feed of this table gives no answer; empty: all do.
     """
 
     refuse: int = 0
@@ -44,6 +48,7 @@
     forget_before: int = 0
     answer_bytes_per_s: float = 0.0
     stall_after_bytes: int = 0
+    silent_feed: str = ""
 
 
 class StoreStandin:
@@ -147,6 +152,9 @@
         self.late_writes += 1
 
     async def _apply(self, body: Json) -> tuple[int, Json]:
+        written = [*body.get("put", ()), *body.get("remove", ())]
+        if any(len(row["key"].encode()) > MOST_KEY_BYTES for row in written):
+            return 400, {}
         async with self._changed:
             conditions = body.get("expectedRev", ())
             if any(self._version_of(row) != row["ver"] for row in conditions):
@@ -196,6 +204,9 @@
         try:
             async with self._changed:
                 await self._wait_for_change(table, after, until_s)
+            if table == self.faults.silent_feed:
+                await asyncio.sleep(PLAY_DEAD_S)
+            async with self._changed:
                 # As of one moment: a change may come just when the time is over.
                 return web.json_response(
                     {
