--- a/tests/model/test_stops.py
+++ b/tests/model/test_stops.py
@@ -30,14 +30,11 @@
 )
 
 
-def play(schedule: Schedule, trust_unknown: bool = False) -> None:
-    """Play a schedule; fail with its trace where it breaks a property.
-
-    :param trust_unknown: callers take "no such job" for a confirmed cancel.
-    """
+def play(schedule: Schedule) -> None:
+    """Play a schedule; fail with its trace where it breaks a property."""
 
     async def run() -> World:
-        world = World(schedule, trust_unknown)
+        world = World(schedule)
         await world.play()
         return world
 
@@ -95,7 +92,7 @@
     schedule = attrs.evolve(
         plain(feeds=[Fate.LOST]), jobs=[left_in_the_inbox(cancel_after_s=0.05)]
     )
-    play(schedule, trust_unknown=True)
+    play(schedule)
 
 
 def test_a_replaced_holder_denies_no_job_that_the_next_one_has() -> None:
@@ -104,4 +101,4 @@
         plain(events=[Event(Kind.OUST, None, 0.3, 2.5, 0)]),
         jobs=[left_in_the_inbox(cancel_after_s=3.0)],
     )
-    play(schedule, trust_unknown=True)
+    play(schedule)
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -86,16 +86,14 @@
 class World:
     """Plays a schedule, and notes which properties it breaks.
 
-    :param trust_unknown: callers take "no such job" for a confirmed cancel.
     :param broken: what was broken, in words; empty while nothing is.
     :param trace: what happened, one line each.
     """
 
-    def __init__(self, schedule: Schedule, trust_unknown: bool) -> None:
+    def __init__(self, schedule: Schedule) -> None:
         self.schedule = schedule
         self.broken: list[str] = []
         self.trace: list[str] = []
-        self._trust_unknown = trust_unknown
         fates = Fates(schedule)
         self._fates = fates
         self._store = FakeStore()
@@ -212,7 +210,10 @@
     async def _ask(
         self, kind: int, job_id: str, far: bool, body: bytes = b""
     ) -> pb.CallReply:
-        """Ask until there is an answer that a caller takes."""
+        """Ask until there is an answer that a caller takes.
+
+        That there is no such job confirms a cancel as well.
+        """
         forwarder = Forwarder(
             Deaf(),
             None,
@@ -233,7 +234,7 @@
             reply = await forwarder.ask(request, time.monotonic() + 3.0)
             name = pb.CallOutcome.Name(reply.outcome)
             self.tell(f"{pb.CallKind.Name(kind)} {job_id}: {name} {reply.state}")
-            unknown = reply.outcome == pb.UNKNOWN_JOB and self._trust_unknown
+            unknown = reply.outcome == pb.UNKNOWN_JOB and kind == pb.CANCEL
             if reply.outcome == pb.OK or unknown:
                 return reply
             await asyncio.sleep(0.2)
