--- /dev/null
+++ b/tests/model/test_stops.py
@@ -0,0 +1,104 @@
+"""Whatever goes wrong meanwhile: what a job started is gone once it is cancelled."""
+
+import attrs
+import logbook
+from hypothesis import example
+from hypothesis import given
+from hypothesis import HealthCheck
+from hypothesis import Phase
+from hypothesis import settings
+
+from .clock import virtual_time
+from .schedule import Event
+from .schedule import Fate
+from .schedule import JobPlan
+from .schedule import Kind
+from .schedule import LONG_QUIET_S
+from .schedule import REFUSALS
+from .schedule import Schedule
+from .schedule import schedules
+from .schedule import Work
+from .world import World
+
+PLAYS = 120
+"""Of each test; one takes some 60 ms."""
+
+explored = settings(
+    max_examples=PLAYS,
+    phases=(Phase.explicit, Phase.generate, Phase.shrink),
+    suppress_health_check=[HealthCheck.too_slow],
+)
+
+
+def play(schedule: Schedule) -> None:
+    """Play a schedule; fail with its trace where it breaks a property."""
+
+    async def run() -> World:
+        world = World(schedule)
+        await world.play()
+        return world
+
+    with virtual_time() as runner, logbook.NullHandler().applicationbound():
+        world = runner.run(run())
+    trace = "\n".join(world.trace)
+    assert not world.broken, f"{world.broken}\n{schedule}\n{trace}"
+
+
+def plain(cancel_after_s: float = 1.0, **parts: object) -> Schedule:
+    """Return the cancel of a lasting job, with only some things going wrong."""
+    kinds = ("starts", "stops", "holds", "commits", "feeds", "events")
+    job = JobPlan(Work.LASTING, 1, 0.0, cancel_after_s, False, False)
+    return Schedule([job], 0.0, **dict.fromkeys(kinds, ()) | parts)
+
+
+STOP_LOST_WITH_ITS_HOLDER = plain(
+    stops=[Fate.LOST], events=[Event(Kind.KILL, 0, 0.05, 0.01, 0)]
+)
+HOLDER_DIES_BEFORE_ITS_STOP = plain(events=[Event(Kind.KILL, 0, 0.0055, 0.01, 0)])
+CANCELLED_IN_A_RELEASE = plain(events=[Event(Kind.RELEASE, 0, 0.0, 0.3, 0)])
+STOP_REFUSED = plain(stops=[Fate.UNHEALTHY])
+STOP_OF_NOTHING_REFUSED = plain(starts=[Fate.LOST] * 5, stops=[Fate.UNHEALTHY])
+START_AND_STOP_REFUSED = plain(
+    cancel_after_s=LONG_QUIET_S,
+    starts=[Fate.LOST, Fate.UNHEALTHY],
+    stops=[Fate.UNHEALTHY],
+)
+
+
+@explored
+@given(schedules(stop_refusals=[]))
+@example(STOP_LOST_WITH_ITS_HOLDER)
+@example(HOLDER_DIES_BEFORE_ITS_STOP)
+@example(CANCELLED_IN_A_RELEASE)
+def test_nothing_of_a_cancelled_job_is_left(schedule: Schedule) -> None:
+    play(schedule)
+
+
+@explored
+@given(schedules(stop_refusals=REFUSALS))
+@example(STOP_REFUSED)
+@example(STOP_OF_NOTHING_REFUSED)
+@example(START_AND_STOP_REFUSED)
+def test_nothing_is_left_where_runners_refuse_stops(schedule: Schedule) -> None:
+    play(schedule)
+
+
+def left_in_the_inbox(cancel_after_s: float) -> JobPlan:
+    """Return a lasting job that no holder took from its caller, but its cancel."""
+    return JobPlan(Work.LASTING, 1, 0.0, cancel_after_s, True, False)
+
+
+def test_a_holder_denies_no_job_that_waits_in_the_inbox() -> None:
+    schedule = attrs.evolve(
+        plain(feeds=[Fate.LOST]), jobs=[left_in_the_inbox(cancel_after_s=0.05)]
+    )
+    play(schedule)
+
+
+def test_a_replaced_holder_denies_no_job_that_the_next_one_has() -> None:
+    """It is cut off from the store, and does not know yet that it was replaced."""
+    schedule = attrs.evolve(
+        plain(events=[Event(Kind.OUST, None, 0.3, 2.5, 0)]),
+        jobs=[left_in_the_inbox(cancel_after_s=3.0)],
+    )
+    play(schedule)
