--- a/src/streamthread/holder/tests/test_kept_cancels.py
+++ b/src/streamthread/holder/tests/test_kept_cancels.py
@@ -1,6 +1,7 @@
 """For how long a cancel is kept that finds no job."""
 
 from streamthread.holder.kept_cancels import KeptCancels
+from streamthread.holder.kept_cancels import MOST_KEPT
 
 JOB_ID = "a" * 16
 
@@ -23,3 +24,13 @@
         kept.keep(JOB_ID)
         kept.forget(JOB_ID)
         assert not kept.covers(JOB_ID)
+
+    def test_are_bounded_in_number(self) -> None:
+        kept = KeptCancels(keep_s=60.0)
+        kept.keep(JOB_ID)
+        for number in range(MOST_KEPT + 1):
+            kept.keep(str(number))
+        for given_up in (JOB_ID, "0"):
+            assert kept.knows(given_up)
+            assert not kept.covers(given_up)
+        assert kept.covers("1")
