--- a/src/streamthread/holder/inbox.py
+++ b/src/streamthread/holder/inbox.py
@@ -16,6 +16,7 @@
 from ..platform.store import ABSENT
 from ..platform.store import StoredRow
 from ..platform.table_feed import TableFeed
+from .kept_cancels import Cancel
 from .replay import RETRY_S
 
 __all__ = ["InboxEntry", "InboxOwner", "InboxReader", "inbox_key"]
@@ -75,11 +76,11 @@
         """Take a job; return False where the configuration has not come here yet."""
 
     @abstractmethod
-    def cancel_left(self, job_id: str) -> None:
-        """Cancel a job that is known."""
+    def cancel_left(self, cancel: Cancel) -> None:
+        """Cancel a job that is known, where the cancel means it."""
 
     @abstractmethod
-    def keep_cancel(self, job_id: str, may_come: bool) -> bool:
+    def keep_cancel(self, cancel: Cancel, may_come: bool) -> bool:
         """Keep a cancel of a job that is not known; return whether its row is needed.
 
         :param may_come: whether the job is sure to be able to come yet.
@@ -146,6 +147,9 @@
     async def _look_after(self, before: "asyncio.Task[None] | None") -> None:
         if before is not None:
             await asyncio.wait((before,))
+            if before.cancelled() or before.exception() is not None:
+                # The store refuses reads, and counts each of them.
+                await asyncio.sleep(RETRY_S)
         self._look, self._next_look = self._next_look, None
         self.take(await self._feed.look())
 
@@ -176,10 +180,11 @@
         known = self._owner.knows_job(entry.job_id)
         if not entry.is_cancel:
             return known or self._owner.accept_left(entry)
+        cancel = Cancel(entry.job_id, entry.route)
         if not known:
             may_come = self.waits(entry.job_id)
-            return not self._owner.keep_cancel(entry.job_id, may_come)
-        self._owner.cancel_left(entry.job_id)
+            return not self._owner.keep_cancel(cancel, may_come)
+        self._owner.cancel_left(cancel)
         return True
 
     def waits(self, job_id: str) -> bool:
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -23,6 +23,7 @@
 from .inbox import InboxEntry
 from .inbox import InboxOwner
 from .inbox import InboxReader
+from .kept_cancels import Cancel
 from .kept_cancels import kept_key
 from .kept_cancels import KeptCancels
 
@@ -130,7 +131,13 @@
 
         Its route may have another name by now; that of another queue is not meant.
         """
-        return job.route == request.route or self.route(job.route) is None
+        return self._is_same_queue(job.route, request.route)
+
+    def _is_same_queue(self, route: str, other: str) -> bool:
+        """Whether two names may stand for one route; one that is gone was renamed."""
+        if route == other:
+            return True
+        return self.route(route) is None or self.route(other) is None
 
     # States.
 
@@ -157,7 +164,7 @@
         """Tell of a job that waits in the inbox for its route, if there is one."""
         if not self._inbox().waits(job_id):
             return pb.CallReply(outcome=pb.UNKNOWN_JOB)
-        cancelled = self._kept.covers(job_id)
+        cancelled = self._kept.routes(job_id)
         state = JobState.CANCELLED if cancelled else JobState.PENDING
         return pb.CallReply(outcome=pb.OK, state=state.value)
 
@@ -235,11 +242,12 @@
                 "token": self._token,
             },
         )
-        if self._kept.covers(job_id):
+        cancelled_at = self._kept.routes(job_id)
+        self._kept.forget_job(job_id)
+        if any(self._is_same_queue(job.route, name) for name in cancelled_at):
             self._cancel_now(job, "kept")
         else:
             self._accepted(job)
-        self._kept.forget(job_id)
         return job
 
     # Cancels.
@@ -265,9 +273,10 @@
         """
         job_id = request.job_id
         self._tell_no_job(job_id, "call")
-        self._kept.keep(job_id)
+        cancel = Cancel(job_id, request.route)
+        self._kept.keep(cancel)
         row = InboxEntry(job_id, request.route).encode()
-        self._commits.mark(TABLE_INBOX, kept_key(job_id), lambda: row)
+        self._commits.mark(TABLE_INBOX, kept_key(cancel), lambda: row)
         await self._commits.flushed()
         return self._tell_waiting(job_id)
 
@@ -319,26 +328,26 @@
             )
         return True
 
-    def cancel_left(self, job_id: str) -> None:
-        """Cancel a job that is known."""
-        job = self._engine.jobs[job_id]
-        self._kept.forget(job_id)
-        if not job.over:
+    def cancel_left(self, cancel: Cancel) -> None:
+        """Cancel a job that is known, where the cancel means it."""
+        job = self._engine.jobs[cancel.job_id]
+        self._kept.forget(cancel)
+        if not job.over and self._is_same_queue(job.route, cancel.route):
             self._cancel_now(job, "inbox")
 
-    def keep_cancel(self, job_id: str, may_come: bool) -> bool:
+    def keep_cancel(self, cancel: Cancel, may_come: bool) -> bool:
         """Keep a cancel of a job that is not known; return whether its row is needed.
 
         :param may_come: whether the job is sure to be able to come yet.
         """
-        if not self._kept.knows(job_id):
-            self._tell_no_job(job_id, "inbox")
-            self._kept.keep(job_id)
+        if not self._kept.knows(cancel):
+            self._tell_no_job(cancel.job_id, "inbox")
+            self._kept.keep(cancel)
         elif may_come:
-            self._kept.keep(job_id)
-        if self._kept.covers(job_id):
+            self._kept.keep(cancel)
+        if self._kept.covers(cancel):
             return True
-        self._kept.forget(job_id)
+        self._kept.forget(cancel)
         return False
 
     def drop_left(self, key: str) -> None:
--- a/src/streamthread/holder/kept_cancels.py
+++ b/src/streamthread/holder/kept_cancels.py
@@ -1,17 +1,28 @@
 """Cancels that find no job: kept for as long as their jobs may still come."""
 
 import time
+import zlib
 
-__all__ = ["KeptCancels", "kept_key"]
+import attrs
+
+__all__ = ["Cancel", "KeptCancels", "kept_key"]
 
 MOST_KEPT = 500
 """Each is looked at every second, in some 5 microseconds. Callers rarely cancel what is
 not known; one that does so all the time must not slow the holder down."""
 
 
-def kept_key(job_id: str) -> str:
+@attrs.frozen
+class Cancel:
+    """A cancel that found no job: its id, and the route by which it was named."""
+
+    job_id: str
+    route: str
+
+
+def kept_key(cancel: Cancel) -> str:
     """Return the key of a kept cancel in the inbox: each replaces the one before."""
-    return f"{job_id}.kept"
+    return f"{cancel.job_id}.{zlib.crc32(cancel.route.encode()):08x}.kept"
 
 
 class KeptCancels:
@@ -28,29 +39,38 @@
 
     def __init__(self, keep_s: float) -> None:
         self._keep_s = keep_s
-        self._since_s: dict[str, float] = {}
+        self._since_s: dict[Cancel, float] = {}
         # Until their rows are looked at again and dropped.
-        self._given_up: set[str] = set()
+        self._given_up: set[Cancel] = set()
 
-    def keep(self, job_id: str) -> None:
+    def keep(self, cancel: Cancel) -> None:
         """Keep a cancel from now on."""
-        self.forget(job_id)
-        self._since_s[job_id] = time.monotonic()
+        self.forget(cancel)
+        self._since_s[cancel] = time.monotonic()
         if len(self._since_s) > MOST_KEPT:
             oldest = next(iter(self._since_s))
             del self._since_s[oldest]
             self._given_up.add(oldest)
 
-    def covers(self, job_id: str) -> bool:
-        """Whether a job is cancelled, should it come."""
-        since_s = self._since_s.get(job_id)
+    def routes(self, job_id: str) -> list[str]:
+        """Return the routes at which a job is cancelled, should it come."""
+        return [c.route for c in self._since_s if c.job_id == job_id and self.covers(c)]
+
+    def covers(self, cancel: Cancel) -> bool:
+        """Whether a cancel counts still."""
+        since_s = self._since_s.get(cancel)
         return since_s is not None and time.monotonic() - since_s < self._keep_s
 
-    def knows(self, job_id: str) -> bool:
+    def knows(self, cancel: Cancel) -> bool:
         """Whether a cancel is kept, or was until its time was over."""
-        return job_id in self._since_s or job_id in self._given_up
+        return cancel in self._since_s or cancel in self._given_up
+
+    def forget(self, cancel: Cancel) -> None:
+        """Keep a cancel no more: its time is over."""
+        self._since_s.pop(cancel, None)
+        self._given_up.discard(cancel)
 
-    def forget(self, job_id: str) -> None:
-        """Keep a cancel no more: its job has come, or its time is over."""
-        self._since_s.pop(job_id, None)
-        self._given_up.discard(job_id)
+    def forget_job(self, job_id: str) -> None:
+        """Keep no cancel of a job any more: it has come."""
+        for cancel in [c for c in self._since_s if c.job_id == job_id]:
+            self.forget(cancel)
--- a/src/streamthread/holder/tests/test_inbox.py
+++ b/src/streamthread/holder/tests/test_inbox.py
@@ -9,6 +9,7 @@
 from streamthread.holder.inbox import InboxEntry
 from streamthread.holder.inbox import InboxOwner
 from streamthread.holder.inbox import InboxReader
+from streamthread.holder.kept_cancels import Cancel
 from streamthread.platform.store import Page
 from streamthread.platform.store import StoredRow
 from streamthread.platform.table_feed import TableFeed
@@ -58,10 +59,10 @@
             self.jobs.add(entry.job_id)
         return self.knows_route
 
-    def cancel_left(self, job_id: str) -> None:
-        self.cancelled.append(job_id)
+    def cancel_left(self, cancel: Cancel) -> None:
+        self.cancelled.append(cancel.job_id)
 
-    def keep_cancel(self, job_id: str, may_come: bool) -> bool:
+    def keep_cancel(self, cancel: Cancel, may_come: bool) -> bool:
         self.asked.append(may_come)
         return self.keeps
 
--- a/src/streamthread/holder/tests/test_intake.py
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -10,6 +10,7 @@
 from streamthread.errors import NotHolderError
 from streamthread.errors import StoreUnavailableError
 from streamthread.holder.intake import Intake
+from streamthread.holder.kept_cancels import Cancel
 from streamthread.platform.documents import Route
 from streamthread.scheduler import Engine
 from streamthread.scheduler import EngineSettings
@@ -18,6 +19,7 @@
 
 JOB_ID = "a" * 16
 BODY = b'{"spec":"","steps":[{"count":1,"cpu":100}]}'
+CANCEL = Cancel(JOB_ID, "route")
 KEEP_S = 60.0
 ROUTE = Route(name="route", host="host", path_prefix="/", service="desk")
 OTHER = Route(name="other", host="host", path_prefix="/other/", service="desk")
@@ -252,6 +254,6 @@
         self, may_come: bool
     ) -> None:
         cell = _Cell()
-        assert cell.intake.keep_cancel(JOB_ID, may_come=False)
-        cell.intake._kept._since_s[JOB_ID] -= KEEP_S
-        assert cell.intake.keep_cancel(JOB_ID, may_come) is may_come
+        assert cell.intake.keep_cancel(CANCEL, may_come=False)
+        cell.intake._kept._since_s[CANCEL] -= KEEP_S
+        assert cell.intake.keep_cancel(CANCEL, may_come) is may_come
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -65,12 +65,14 @@
     :param since_s: on the monotonic clock: since when the run is to be stopped, under
         this holder.
     :param under_way: it waits to be sent, or is being sent until the runner answers.
+    :param uncertain: a try got no answer, and may be carried out seconds later.
     :param answered_ms: the runner's clock when it took the stop last; 0: not yet.
     """
 
     reason: str
     since_s: float
     under_way: bool = False
+    uncertain: bool = False
     answered_ms: int = 0
 
 
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -208,6 +208,7 @@
             return True
         reply = await self._send_stop(link, attempt.task.name, attempt.run)
         if reply is None:
+            stop.uncertain = True
             return False
         if reply.refusal is Refusal.FENCED:
             self._owner.on_fenced(link)
--- a/src/streamthread/scheduler/stops.py
+++ b/src/streamthread/scheduler/stops.py
@@ -87,7 +87,7 @@
         if clock_ms <= stop.answered_ms + self._effect_ms:
             return
         log.warning("stop-without-effect", extra=_describe(attempt))
-        if attempt.must_end:
+        if attempt.must_end or stop.uncertain:
             self._queue(attempt)
         else:
             attempt.go_on()
@@ -101,6 +101,9 @@
         stop = attempt.stop
         if stop is None or stop.under_way or stop.answered_ms:
             return
+        if not attempt.must_end:
+            # It began, so that this list is an older one, or tells of its end.
+            return
         log.warning("stop-without-effect", extra=_describe(attempt))
         self._queue(attempt)
 
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -286,14 +286,14 @@
     Guard(
         "cancel-waits-for-its-job",
         "holder/intake.py",
-        "if self._kept.covers(job_id):\n            self._cancel_now",
-        "if False:\n            self._cancel_now",
+        "if any(self._is_same_queue(job.route, name) for name in cancelled_at):",
+        "if False:",
         (f"{NO_JOB}::TestCancelOfNoJob",),
     ),
     Guard(
         "kept-cancel-outlasts-its-holder",
         "holder/inbox.py",
-        "return not self._owner.keep_cancel(entry.job_id, may_come)",
+        "return not self._owner.keep_cancel(cancel, may_come)",
         "return True",
         (f"{NO_JOB}::TestCancelOfNoJob", f"{NO_JOB}::TestCancelInTheInbox"),
     ),
