--- /dev/null
+++ b/src/streamthread/holder/tests/test_cancels_by_queue.py
@@ -0,0 +1,35 @@
+"""A cancel at one queue does not cancel a job of another, however it comes.
+
+A call that finds the job keeps to that; one that comes before the job, or by the
+inbox, does not ask for the job's queue.
+"""
+
+import typing as t
+
+from streamthread.cell import cell_pb2 as pb
+from streamthread.holder.inbox import InboxEntry
+from streamthread.holder.inbox import InboxReader
+from streamthread.platform.store import StoredRow
+
+from .test_intake import _Cell
+from .test_intake import JOB_ID
+
+
+class TestCancelAtAnotherQueue:
+    async def test_before_a_job_came_does_not_cancel_it(self) -> None:
+        cell = _Cell()
+        cell.commits.may_commit.set()
+        request = cell.request(pb.CANCEL)
+        request.route = "other"
+        await cell.intake.answer(request)
+        reply = await cell.ask(pb.SUBMIT)
+        assert (reply.outcome, reply.state) == (pb.OK, "pending")
+
+    async def test_that_was_left_in_the_inbox_does_not_cancel_it(self) -> None:
+        cell = _Cell()
+        job = cell.add_job()
+        feed: t.Any = None
+        row = InboxEntry(JOB_ID, "other").encode()
+        reader = InboxReader(feed, cell.intake)
+        reader.take([StoredRow("cell-inbox", "main", "k", row, 1)])
+        assert not job.cancelled
