Show that a refused stop settles an earlier one without an answer

The earlier try may be carried out seconds later; the run goes on as one at work meanwhile, so that another of its step may be stopped beside it, and two are away. No product change.

--- /dev/null
+++ b/src/streamthread/scheduler/tests/test_unanswered_stops.py
@@ -0,0 +1,60 @@
+"""A refused stop says nothing of an earlier try that was not answered.
+
+That one may be carried out seconds later. A run that goes on meanwhile counts as at
+work, and another of its step may be stopped beside it.
+"""
+
+import time
+import types
+import typing as t
+
+from streamthread.errors import OutcomeUnknownError
+from streamthread.platform.runners import HoldReply
+from streamthread.platform.runners import OrderReply
+from streamthread.platform.runners import Refusal
+from streamthread.platform.runners import RunningTask
+from streamthread.scheduler import Phase
+from streamthread.scheduler.orders import OrderSender
+from streamthread.scheduler.orders import OrderSettings
+
+from .test_stops import _engine_with_runs
+
+
+class _Client:
+    """Gives the first stop no answer and refuses the second one."""
+
+    def __init__(self) -> None:
+        self.stops = 0
+
+    async def stop(self, *args: t.Any) -> OrderReply:
+        self.stops += 1
+        if self.stops == 1:
+            raise OutcomeUnknownError("no answer", remedy="-")
+        return OrderReply(Refusal.UNHEALTHY)
+
+
+class TestStopWithoutAnswer:
+    async def test_is_not_settled_by_the_refusal_of_the_next_one(self) -> None:
+        engine, job = _engine_with_runs()
+        first, _ = job.attempts()
+        engine.confirm(first, 1)
+        runner = engine.runners["i-1"]
+        link = types.SimpleNamespace(silent=False, runner=runner)
+
+        async def until_trusted() -> None:
+            return
+
+        owner: t.Any = types.SimpleNamespace(
+            token=1, links={"i-1": link}, until_trusted=until_trusted
+        )
+        client = _Client()
+        sender = OrderSender(
+            t.cast(t.Any, client), engine, owner, OrderSettings(retry_s=0.0)
+        )
+        engine.stop(first, "upkeep")
+        (attempt,) = engine.take_stops()
+        await sender.stop(attempt)
+        assert client.stops == 2
+        row = RunningTask(first.task.name, first.run, "", 100.0)
+        engine.on_hold(runner, HoldReply(int(time.monotonic() * 1000), (row,), ()))
+        assert first.phase is Phase.STOPPING
