--- /dev/null
+++ b/src/streamthread/holder/tests/test_wave_states.py
@@ -0,0 +1,67 @@
+"""A wave's state reaches the operator though its holder ends before it is written.
+
+What is recorded for the next holder as told was only about to be written.
+"""
+
+import asyncio
+import types
+import typing as t
+
+from streamthread.errors import StoreUnavailableError
+from streamthread.holder.waves import WaveBook
+from streamthread.platform.store import Page
+from streamthread.platform.store import StoredRow
+
+WAVE = 7
+
+
+class _Owner:
+    """A holder whose commits work, and whose way to the states may be down."""
+
+    def __init__(self, rows: dict[str, bytes], down: bool) -> None:
+        self.rows = rows
+        self.down = down
+        self.written: list[StoredRow] = []
+        self.calls: list[asyncio.Task[None]] = []
+        self.context = types.SimpleNamespace(store=self)
+        self.log = self
+
+    def mark(self, table: str, key: str, encode: t.Callable[[], bytes]) -> None:
+        self.rows[key] = encode()
+
+    async def read_own(self, table: str) -> Page:
+        rows = [StoredRow(table, "", key, row, 1) for key, row in self.rows.items()]
+        return Page(tuple(rows), 1)
+
+    async def until_trusted(self) -> None:
+        return
+
+    def spawn(self, call: t.Coroutine[t.Any, t.Any, None]) -> None:
+        self.calls.append(asyncio.ensure_future(call))
+
+    async def transact(self, conditions: t.Any, puts: list[StoredRow]) -> None:
+        if self.down:
+            raise StoreUnavailableError("down", remedy="-")
+        self.written += puts
+
+    async def end(self) -> None:
+        for call in self.calls:
+            call.cancel()
+        await asyncio.gather(*self.calls, return_exceptions=True)
+
+
+class TestWaveState:
+    async def test_is_written_by_the_next_holder(self) -> None:
+        rows: dict[str, bytes] = {}
+        first = _Owner(rows, down=True)
+        book = WaveBook(t.cast(t.Any, first), retry_s=0.01)
+        book.tell(book.progress_of(WAVE), completed=True)
+        await asyncio.sleep(0)
+        await first.end()
+        assert not first.written
+        second = _Owner(rows, down=False)
+        book = WaveBook(t.cast(t.Any, second), retry_s=0.01)
+        await book.restore()
+        book.tell(book.progress_of(WAVE), completed=True)
+        await asyncio.gather(*second.calls)
+        assert second.written
