Let the list of machines tell which life a duty has ended

Cause: an upkeep that was carried out without an answer is ordered again once the list shows the machine up with a new runner, since nothing records that it was accepted. The cloud answers 200 for what it did before, and the holder took that as the end of the runner that is listed by then, which is well and was then not held.

Class: an effect that is taken as settled by an answer. The answer settles only that the wave needs no more of this machine. The list shows which life is over: the machine is moving or in upkeep, or another runner lives there. Until then nothing is placed there, as before, because the duty is pending.

Ruled out: taking a changed runner for the proof of the upkeep. A crash looks the same, and the wave would be told completed when it is not. So the upkeep is asked for again, as the test demands; no call is added.

Cost: a life that a duty ended is known up to one reading of the list (0.5 s) later; the machine was idle. A machine whose upkeep was done before is left alone for settle_s (4 s) more, as after a duty without trace.

--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -60,7 +60,11 @@
         self._cloud = cloud
         self._settings = settings
         self._table = MachineTable(
-            owner.engine, owner.context.documents, cloud, settings
+            owner.engine,
+            owner.context.documents,
+            cloud,
+            settings,
+            self._on_life_over,
         )
         self._sizes = PoolSizes(owner.engine, settings.capacity)
         self._book = WaveBook(owner, settings.tick_s)
@@ -233,6 +237,11 @@
     def _on_answer(
         self, machine: Machine, pending: PendingDuty, reply: DutyReply
     ) -> None:
+        """Take an answer; it ends no life.
+
+        The cloud also agrees to what it did before, and then the runner that lives
+        there now is well: the list shows which life is over.
+        """
         if reply is not DutyReply.DONE:
             self._table.drop(machine, pending, reply.value)
             if reply is DutyReply.NOT_IN_WAVE:
@@ -240,7 +249,9 @@
             return
         if pending.kind is DutyKind.UPKEEP:
             self._book.mark_begun(pending.wave, machine.machine_id)
-        link = self._owner.links.get(machine.runner_id)
+
+    def _on_life_over(self, runner_id: str, why: str) -> None:
+        link = self._owner.links.get(runner_id)
         if link is not None:
             link.over = True
-            self._owner.on_life_over(link, f"machine in {pending.kind.value}")
+            self._owner.on_life_over(link, why)
--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -2,6 +2,7 @@
 
 import enum
 import time
+import typing as t
 
 import attrs
 import logbook
@@ -21,6 +22,9 @@
 
 log = logbook.Logger("streamthread.duties")
 
+UNDER_DUTY = (MachineState.MOVING, MachineState.UPKEEP)
+"""Whatever ran on a machine died as it came into one of these."""
+
 
 class DutyKind(enum.Enum):
     """What was ordered for a machine."""
@@ -49,6 +53,7 @@
 class MachineTable:
     """All machines of the fleet, at most one pending duty for each.
 
+    :param on_life_over: called with a runner whose machine was taken from it, and why.
     :param machines: as the cloud listed them last, by machine id.
     :param pending: duties whose end the list has not shown yet, by machine id.
     """
@@ -59,7 +64,9 @@
         documents: ManifestSource,
         cloud: CloudClient,
         settings: DutySettings,
+        on_life_over: t.Callable[[str, str], None],
     ) -> None:
+        self._on_life_over = on_life_over
         self._engine = engine
         self._documents = documents
         self._cloud = cloud
@@ -119,9 +126,13 @@
         pending = self.pending.get(machine.machine_id)
         if pending is None or asked_at_s < pending.sent_at_s:
             return
+        changed = machine.runner_id != pending.runner_before
+        if changed or machine.state in UNDER_DUTY:
+            self._on_life_over(
+                pending.runner_before, f"machine in {pending.kind.value}"
+            )
         if machine.state is not MachineState.UP:
             return
-        changed = machine.runner_id != pending.runner_before
         waited = asked_at_s - pending.sent_at_s > self._settings.settle_s
         if changed or waited:
             self._end_pending(machine, pending, changed)
