Record a wave's state as told once it is written

Cause: the row for the next holder said that the operator knows a state while the write of that state had only been spawned. A holder that ended before it, in an outage of the store, left a successor that took it as told, so that the operator never saw it.

Class: an effect that is taken as settled by being sent once. The state is recorded after the store has taken it; what is being written is kept in memory alone. A holder that ends between both has its successor write the same state again, which is harmless: "completed" is the same row, and "running" is written only where no row is.

Ruled out: a second write at a time. A state that is being written isn't written again, and one that was overtaken by a newer one is not recorded. When a wave counts as completed is unchanged. Store calls: one more only where the holder ended in between.

--- a/src/streamthread/holder/waves.py
+++ b/src/streamthread/holder/waves.py
@@ -51,6 +51,8 @@
         self._owner = owner
         self._retry_s = retry_s
         self._waves: dict[int, WaveProgress] = {}
+        # The states that are being written, by wave.
+        self._writing: dict[int, str] = {}
 
     async def restore(self) -> None:
         """Read what the holder before has recorded."""
@@ -84,12 +86,19 @@
     def tell(self, progress: WaveProgress, completed: bool) -> None:
         """Write the wave's state for the operator when it has changed."""
         state = "completed" if completed else "running"
-        if progress.told == state:
+        if self._writing.get(progress.number, progress.told) == state:
             return
-        progress.told = state
+        self._writing[progress.number] = state
         log.info("wave-state", extra={"wave": progress.number, "state": state})
-        self._record(progress)
-        self._owner.spawn(self._write_status(progress.number, completed))
+        self._owner.spawn(self._tell(progress, state, completed))
+
+    async def _tell(self, progress: WaveProgress, state: str, completed: bool) -> None:
+        """Write a state, and only then record it: the next holder relies on that."""
+        await self._write_status(progress.number, completed)
+        if self._writing.get(progress.number) == state:
+            del self._writing[progress.number]
+            progress.told = state
+            self._record(progress)
 
     async def _write_status(self, number: int, completed: bool) -> None:
         key = f"{WAVE_PREFIX}{number}"
