Ask for advice again once a route has a policy again

Cause: a step whose turn came while its route had no policy, or was away, left the queue with its mark "asked" still set, so that no later wish put it there again, and it was allowed on no runner for good.

Class: an effect that is taken as settled by having been begun once. The step is forgotten as it leaves the queue without an answer, like one that is over.

Ruled out: keeping it in the queue, which would spend a turn each 0.1 s on a route that may never have a policy again. No call is added; steps in the queue have no tickets that hold, so forgetting them loses none.

--- a/src/streamthread/holder/advice.py
+++ b/src/streamthread/holder/advice.py
@@ -32,7 +32,10 @@
 
 @attrs.define
 class _Known:
-    """What the service said of one step."""
+    """What the service said of one step.
+
+    :param asked: the step waits for its turn or for an answer.
+    """
 
     tickets: dict[str, str] = attrs.field(factory=dict)
     valid_until_s: float = 0.0
@@ -123,8 +126,12 @@
         job = step.occurrence.job
         policy = self._policy(job.route)
         runners = self._runners(job.service)[:RUNNERS_PER_CALL]
-        if policy is None or not runners:
-            return policy is None
+        if policy is None:
+            # Forgotten, so that it is asked for once its route has a policy again.
+            self._known.pop(step, None)
+            return True
+        if not runners:
+            return False
         name = f"{job.job_id}.{step.occurrence.number}.{step.number}"
         began_at_s = time.monotonic()
         try:
