Set a pace again while an earlier one may still come

Cause: a pace without an answer may be set after a newer one. The newer one's answer was taken as the pace at which the run works, and lists do not tell the pace, so a filling task could stand still for good, or disturb a serving one.

Class: an effect that is taken as settled by an answer. After a pace whose outcome is unknown, the pace is set at each list until one that was sent when nothing older could come any more (12 s) has been answered. A pace that was surely not sent opens nothing and changes nothing that is known.

Ruled out: a longer wait for the first answer (the order is carried out without one). Bound: one pace a list and run for 12 s after the last unanswered one, and one after.

Before: scheduler/tests/test_late_paces.py failed (1 of 1). After: passes (1 of 1), with the tests of scheduler, sharing, upkeep and capacity, of which two of stops (test_stops_and_older_lists.py, test_unanswered_stops.py) fail with and without this.

--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -88,6 +88,8 @@
     :param stop: of a run that is to be stopped, what has become of that.
     :param pace_percent: at what share of its speed it works; None: not known,
         since an earlier holder may have changed it.
+    :param pace_open_until_s: on the monotonic clock: until then, a pace without an
+        answer may still replace a newer one; 0: there is none.
     """
 
     task: "Task"
@@ -103,6 +105,7 @@
     moved_on_at_s: float = 0.0
     usage: float | None = None
     pace_percent: int | None = 100
+    pace_open_until_s: float = 0.0
     stop: Stop | None = None
 
     @property
@@ -128,6 +131,17 @@
         self.phase = Phase.CONFIRMED
         self.stop = None
 
+    def pace_unanswered(self, latest_s: float) -> None:
+        """Note that a pace may be set without our knowing, until ``latest_s``."""
+        self.pace_percent = None
+        self.pace_open_until_s = latest_s
+
+    def pace_answered(self, percent: int, sent_at_s: float) -> None:
+        """Note that a pace was set; it stays if nothing older can come after it."""
+        self.pace_percent = percent
+        if sent_at_s > self.pace_open_until_s:
+            self.pace_open_until_s = 0.0
+
     def note_progress(self, percent: float, now_s: float) -> None:
         """Take how far its runner says that it is."""
         if not self.first_seen_at_s:
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -26,6 +26,10 @@
 
 log = logbook.Logger("streamthread.orders")
 
+LATEST_ORDER_S = 12.0
+"""An order without an answer is taken to be carried out so much later at most. Lists do
+not tell the pace, so that nothing shows it earlier."""
+
 
 @attrs.frozen
 class OrderSettings:
@@ -219,11 +223,15 @@
         return True
 
     async def pace(self, attempt: Attempt, percent: int) -> None:
-        """Set a run's pace, once; the next list decides anew."""
+        """Set a run's pace, once; the next list decides anew.
+
+        It is set again at each list while an earlier one may still come after it.
+        """
         link = self._owner.links.get(attempt.runner_id)
         if link is None or link.silent:
             return
         await self._owner.until_trusted()
+        sent_at_s = time.monotonic()
         try:
             reply = await self._client.pace(
                 link.runner.address,
@@ -243,12 +251,13 @@
                 "pace-unanswered",
                 extra={"task": attempt.task.name, "error": str(error)},
             )
-            attempt.pace_percent = None
+            if isinstance(error, OutcomeUnknownError):
+                attempt.pace_unanswered(time.monotonic() + LATEST_ORDER_S)
             return
         if reply.refusal is Refusal.FENCED:
             self._owner.on_fenced(link)
         elif reply.refusal is None:
-            attempt.pace_percent = percent
+            attempt.pace_answered(percent, sent_at_s)
 
     async def stop_stray(self, stray: Stray) -> None:
         """Stop a run that should not be there, once; the lists bring it again."""
--- a/src/streamthread/sharing/plan.py
+++ b/src/streamthread/sharing/plan.py
@@ -46,6 +46,6 @@
             serving = worst[1]
             target_ms = serving.task.step.request.target_ms
             wanted = next_pace(known, serving.usage or 0.0, target_ms, settings)
-        if wanted != attempt.pace_percent:
+        if wanted != attempt.pace_percent or attempt.pace_open_until_s:
             orders.append(PaceOrder(attempt, wanted))
     return orders
