Send a job's stop again until its attempt is reported as ended

Cause: a stop of a job's attempt was forgotten once it was answered. A worker reports a change once: an attempt that was reported as running before its job was cancelled is reported no more, so that a stop which was answered without effect was never sent again.

Class: an effect that is taken as settled by an answer. The daemon now keeps what the reports say to run, and a stop stays until its attempt is not among that. An attempt that was never reported as running is settled by the answer as before; if it begins late, its report brings the stop back.

Ruled out: asking for the report of each stopped attempt. At a take-over every ended job's last attempt is stopped, so that it would be one call for each.

Before: tests/test_job_stops.py fails (the task runs on). After: it passes. Of src/streamthread/jobs, tests/test_job_*.py, tests/test_ownership.py, tests/test_fleet_interleavings.py, tests/integration/test_holders.py and tests/test_docs.py only tests/test_job_starts.py and tests/test_job_takeovers.py fail, as before: they show two other faults of this class.

--- a/src/streamthread/jobs/attempts.py
+++ b/src/streamthread/jobs/attempts.py
@@ -8,6 +8,7 @@
 from ..errors import StoreUnavailableError
 from ..providers import Task
 from ..providers import TaskStart
+from ..providers import TaskState
 from ..providers import Workers
 from .pool_jobs import PoolJobs
 from .rows import Job
@@ -28,13 +29,24 @@
     def __init__(self, workers: Workers) -> None:
         self._workers = workers
         self._cursor = 0
+        self._running: dict[tuple[str, int], Task] = {}
 
     async def changes(self) -> tuple[Task, ...]:
         """Return the reports since the last call."""
         changes = await self._workers.task_changes(self._cursor)
         self._cursor = changes.cursor
+        for task in changes.tasks:
+            self._follow(task)
         return changes.tasks
 
+    def _follow(self, task: Task) -> None:
+        """Keep what runs: a report comes once, what it says lasts."""
+        key = (task.job_id, task.attempt)
+        if task.state is TaskState.RUNNING:
+            self._running[key] = task
+        else:
+            self._running.pop(key, None)
+
     async def read_reports(self, jobs: PoolJobs) -> None:
         """Ask for each started attempt's report: it may have ended meanwhile."""
         limit = asyncio.Semaphore(PARALLEL_CALLS)
@@ -74,7 +86,10 @@
         jobs.unconfirmed.discard(job.spec.job_id)
 
     async def stop_all(self, jobs: PoolJobs) -> None:
-        """Stop the attempts that have to be, and forget them once it is answered.
+        """Stop the attempts that have to be, and forget those that do not run.
+
+        An answer settles nothing: a stop is sent again until the report that its
+        attempt runs is followed by one that it ended.
 
         :raises StoreUnavailableError: not all was answered; all is kept.
         """
@@ -85,7 +100,7 @@
         for (job_id, attempt), checkpoint in stops.items():
             if checkpoint:
                 await self._workers.stop(job_id, attempt, checkpoint)
-        for task in stops:
+        for task in stops.keys() - self._running.keys():
             jobs.stops.pop(task, None)
 
 
