Take a refused start for what it says: nothing of an earlier try

Cause: a start that had no answer was tried again; when the worker refused that try, the job was queued again as one that certainly had not begun, and the stop of its attempt was dropped. Where the first try was carried out after that, a job that may not be repeated began twice.

Class: an effect that is taken as settled by an answer. The daemon notes which starts had no answer; those that it reads from an earlier holder count so, too. When one of them is refused, it asks for the attempt's report: where there is one, that is taken. Where there is none, the first try may still be carried out: a job that may be repeated is queued again and its attempt stopped, another one is parked and stopped. A refusal of the only try queues the job, as before, and so does one after tries that certainly did not reach the platform.

Ruled out: starting the next attempt after a stop, or after no report was found: both say nothing of a start that is carried out later. The price: after an unanswered start or a take-over, a refusal parks a job that may not be repeated even if nothing began; an operator decides then.

--- a/src/streamthread/jobs/attempts.py
+++ b/src/streamthread/jobs/attempts.py
@@ -19,8 +19,9 @@
 PARALLEL_CALLS = 20
 """Calls about one pool's attempts that wait for their answers at once."""
 
-OnRefused = t.Callable[[Job, str], t.Awaitable[None]]
-"""Called with a job whose worker refused its attempt, and with the cause."""
+OnRefused = t.Callable[[Job, str, bool], t.Awaitable[None]]
+"""Called with a job whose worker refused its attempt, the cause, and whether an
+earlier try may have begun it, or may still do so."""
 
 
 class AttemptCalls:
@@ -76,14 +77,35 @@
         await asyncio.gather(*(start(job) for job in waiting))
 
     async def _start(self, jobs: PoolJobs, job: Job, on_refused: OnRefused) -> None:
+        job_id = job.spec.job_id
         try:
             await self._workers.start(_task_start(job))
-        except (StoreUnavailableError, OutcomeUnknownError):
+        except OutcomeUnknownError:
+            jobs.unanswered.add(job_id)
+        except StoreUnavailableError:
             return
         except ConflictError as error:
-            await on_refused(job, str(error))
+            await self._take_refusal(jobs, job, str(error), on_refused)
+        else:
+            jobs.unconfirmed.discard(job_id)
+
+    async def _take_refusal(
+        self, jobs: PoolJobs, job: Job, cause: str, on_refused: OnRefused
+    ) -> None:
+        """Take a refusal for what it says: it is about this try only."""
+        job_id = job.spec.job_id
+        if job_id not in jobs.unanswered:
+            await on_refused(job, cause, False)
+            return
+        try:
+            task = await self._workers.find_task(job_id, job.attempt)
+        except StoreUnavailableError:
+            return
+        if task is None:
+            await on_refused(job, cause, True)
             return
-        jobs.unconfirmed.discard(job.spec.job_id)
+        jobs.reported.append(task)
+        jobs.unconfirmed.discard(job_id)
 
     async def stop_all(self, jobs: PoolJobs) -> None:
         """Stop the attempts that have to be, and forget those that do not run.
--- a/src/streamthread/jobs/pool_jobs.py
+++ b/src/streamthread/jobs/pool_jobs.py
@@ -31,6 +31,8 @@
 
     :param current: the jobs that have not ended.
     :param unconfirmed: started jobs whose start was not answered yet.
+    :param unanswered: started jobs of which a try may have had no answer, here or at
+        an earlier holder; a refusal of a later try says nothing of it.
     :param stops: attempts to be stopped, and whether with a checkpoint.
     :param reported: reports of attempts that are not taken yet: those from before the
         jobs were loaded, and those read while the store was down.
@@ -45,6 +47,7 @@
     changed: bool = True
     decided_at_s: float = 0.0
     unconfirmed: set[str] = attrs.field(factory=set)
+    unanswered: set[str] = attrs.field(factory=set)
     stops: dict[tuple[str, int], bool] = attrs.field(factory=dict)
     reported: list[Task] = attrs.field(factory=list)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
@@ -80,6 +83,7 @@
         """Have the attempt stopped, or its worker trusted less, as it ended."""
         job_id = before.spec.job_id
         self.unconfirmed.discard(job_id)
+        self.unanswered.discard(job_id)
         if after.state in (JobState.CANCELLED, JobState.QUEUED, JobState.PARKED):
             checkpoint = after.state is JobState.QUEUED
             self.stops[(job_id, before.attempt)] = checkpoint
--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -222,18 +222,24 @@
             self.log.info("stops asked again later: %s", error)
 
     async def _start_attempts(self, pool: str, jobs: PoolJobs) -> None:
-        async def on_refused(job: Job, cause: str) -> None:
-            await self._queue_again(pool, jobs, job, cause)
+        async def on_refused(job: Job, cause: str, may_run: bool) -> None:
+            await self._take_back(pool, jobs, job, cause, may_run)
 
         await self._attempts.start_all(jobs, on_refused)
 
-    async def _queue_again(
-        self, pool: str, jobs: PoolJobs, job: Job, cause: str
+    async def _take_back(
+        self, pool: str, jobs: PoolJobs, job: Job, cause: str, may_run: bool
     ) -> None:
-        """Queue again what the worker certainly did not start."""
+        """Queue again what was refused; park it where it might run twice.
+
+        :param may_run: whether an earlier try may run, which is stopped then.
+        """
+        once = may_run and not job.spec.repeat_safe
+        state = JobState.PARKED if once else JobState.QUEUED
         async with self._table.lock(pool):
             stored = jobs.jobs[job.spec.job_id]
             if stored.job == job and self._table.is_current(pool, jobs):
-                queued = attrs.evolve(job, state=JobState.QUEUED, reason=cause)
-                await self._table.commit(pool, jobs, [JobStep(queued, cause)])
-                jobs.stops.pop((job.spec.job_id, job.attempt), None)
+                after = attrs.evolve(job, state=state, reason=cause)
+                await self._table.commit(pool, jobs, [JobStep(after, cause)])
+                if not may_run:
+                    jobs.stops.pop((job.spec.job_id, job.attempt), None)
--- a/src/streamthread/jobs/table.py
+++ b/src/streamthread/jobs/table.py
@@ -190,6 +190,7 @@
     jobs.keep(job, row.version)
     if job.state is JobState.STARTED:
         jobs.unconfirmed.add(job_id)
+        jobs.unanswered.add(job_id)
     elif job.attempt and job.state is not JobState.DONE:
         jobs.stops[(job_id, job.attempt)] = False
 
