Compare what runs with a pool's jobs when the pool is taken over

Cause: reports come once. A daemon that followed them without holding the pool dropped them, and asked at the take-over only for those of the newest attempts. An older attempt that ran then was never stopped.

Class: an effect that is taken as settled by an answer; here a report, by having been read once. What runs by all reports so far is compared with the rows when a pool is loaded; from then on each report is, as before.

Ruled out: asking for the report of each earlier attempt at the take-over (a call for each attempt of each job), and following the reports from the start again (all of the fleet's, for each pool).

Before: tests/test_job_takeovers.py fails (attempt 1 runs on). After: it passes. src/streamthread/jobs, tests/test_job_*.py, tests/test_ownership.py, tests/test_fleet_interleavings.py, tests/integration/test_holders.py and tests/test_docs.py: 161 passed.

--- a/src/streamthread/jobs/attempts.py
+++ b/src/streamthread/jobs/attempts.py
@@ -40,6 +40,10 @@
             self._follow(task)
         return changes.tasks
 
+    def running(self) -> tuple[Task, ...]:
+        """Return what runs by the reports so far, of all pools."""
+        return tuple(self._running.values())
+
     def _follow(self, task: Task) -> None:
         """Keep what runs: a report comes once, what it says lasts."""
         key = (task.job_id, task.attempt)
--- a/src/streamthread/jobs/table.py
+++ b/src/streamthread/jobs/table.py
@@ -105,6 +105,8 @@
         for row in await self._tables.scan_all(f"job/{pool}/"):
             _restore(jobs, row)
         await self._attempts.read_reports(jobs)
+        # Reports come once: those of older attempts came before the jobs were known.
+        jobs.note_running(self._attempts.running())
         self._pools[pool] = jobs
         return jobs
 
