--- a/src/streamthread/jobs/attempts.py
+++ b/src/streamthread/jobs/attempts.py
@@ -8,6 +8,7 @@
 from ..errors import StoreUnavailableError
 from ..providers import Task
 from ..providers import TaskStart
+from ..providers import TaskState
 from ..providers import Workers
 from .pool_jobs import PoolJobs
 from .rows import Job
@@ -18,8 +19,9 @@
 PARALLEL_CALLS = 20
 """Calls about one pool's attempts that wait for their answers at once."""
 
-OnRefused = t.Callable[[Job, str], t.Awaitable[None]]
-"""Called with a job whose worker refused its attempt, and with the cause."""
+OnRefused = t.Callable[[Job, str, bool], t.Awaitable[None]]
+"""Called with a job whose worker refused its attempt, the cause, and whether an
+earlier try may have begun it, or may still do so."""
 
 
 class AttemptCalls:
@@ -28,13 +30,28 @@
     def __init__(self, workers: Workers) -> None:
         self._workers = workers
         self._cursor = 0
+        self._running: dict[tuple[str, int], Task] = {}
 
     async def changes(self) -> tuple[Task, ...]:
         """Return the reports since the last call."""
         changes = await self._workers.task_changes(self._cursor)
         self._cursor = changes.cursor
+        for task in changes.tasks:
+            self._follow(task)
         return changes.tasks
 
+    def running(self) -> tuple[Task, ...]:
+        """Return what runs by the reports so far, of all pools."""
+        return tuple(self._running.values())
+
+    def _follow(self, task: Task) -> None:
+        """Keep what runs: a report comes once, what it says lasts."""
+        key = (task.job_id, task.attempt)
+        if task.state is TaskState.RUNNING:
+            self._running[key] = task
+        else:
+            self._running.pop(key, None)
+
     async def read_reports(self, jobs: PoolJobs) -> None:
         """Ask for each started attempt's report: it may have ended meanwhile."""
         limit = asyncio.Semaphore(PARALLEL_CALLS)
@@ -64,17 +81,41 @@
         await asyncio.gather(*(start(job) for job in waiting))
 
     async def _start(self, jobs: PoolJobs, job: Job, on_refused: OnRefused) -> None:
+        job_id = job.spec.job_id
         try:
             await self._workers.start(_task_start(job))
-        except (StoreUnavailableError, OutcomeUnknownError):
+        except OutcomeUnknownError:
+            jobs.unanswered.add(job_id)
+        except StoreUnavailableError:
             return
         except ConflictError as error:
-            await on_refused(job, str(error))
+            await self._take_refusal(jobs, job, str(error), on_refused)
+        else:
+            jobs.unconfirmed.discard(job_id)
+
+    async def _take_refusal(
+        self, jobs: PoolJobs, job: Job, cause: str, on_refused: OnRefused
+    ) -> None:
+        """Take a refusal for what it says: it is about this try only."""
+        job_id = job.spec.job_id
+        if job_id not in jobs.unanswered:
+            await on_refused(job, cause, False)
+            return
+        try:
+            task = await self._workers.find_task(job_id, job.attempt)
+        except StoreUnavailableError:
+            return
+        if task is None:
+            await on_refused(job, cause, True)
             return
-        jobs.unconfirmed.discard(job.spec.job_id)
+        jobs.reported.append(task)
+        jobs.unconfirmed.discard(job_id)
 
     async def stop_all(self, jobs: PoolJobs) -> None:
-        """Stop the attempts that have to be, and forget them once it is answered.
+        """Stop the attempts that have to be, and forget those that do not run.
+
+        An answer settles nothing: a stop is sent again until the report that its
+        attempt runs is followed by one that it ended.
 
         :raises StoreUnavailableError: not all was answered; all is kept.
         """
@@ -85,7 +126,7 @@
         for (job_id, attempt), checkpoint in stops.items():
             if checkpoint:
                 await self._workers.stop(job_id, attempt, checkpoint)
-        for task in stops:
+        for task in stops.keys() - self._running.keys():
             jobs.stops.pop(task, None)
 
 
--- a/src/streamthread/jobs/table.py
+++ b/src/streamthread/jobs/table.py
@@ -105,6 +105,8 @@
         for row in await self._tables.scan_all(f"job/{pool}/"):
             _restore(jobs, row)
         await self._attempts.read_reports(jobs)
+        # Reports come once: those of older attempts came before the jobs were known.
+        jobs.note_running(self._attempts.running())
         self._pools[pool] = jobs
         return jobs
 
@@ -190,6 +192,7 @@
     jobs.keep(job, row.version)
     if job.state is JobState.STARTED:
         jobs.unconfirmed.add(job_id)
+        jobs.unanswered.add(job_id)
     elif job.attempt and job.state is not JobState.DONE:
         jobs.stops[(job_id, job.attempt)] = False
 
