--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -27,8 +27,8 @@
 log = logbook.Logger("streamthread.orders")
 
 LATEST_ORDER_S = 12.0
-"""An order without an answer is carried out 2 to 12 s later (the users' pages). Lists do
-not tell the pace, so that nothing shows it earlier."""
+"""An order without an answer may be carried out so much later, as the users describe
+their troubles. Lists do not tell the pace, so that nothing shows it earlier."""
 
 
 @attrs.frozen
--- a/tests/test_job_refusals.py
+++ b/tests/test_job_refusals.py
@@ -52,3 +52,44 @@
         (job,) = await jobs.list_jobs(POOL)
         assert job.state is JobState.DONE
         assert workers.starts == 1
+
+
+class LateWorkers(MemoryWorkers):
+    """Leaves the first try open, refuses the second, carries both out then."""
+
+    def __init__(self, membership: t.Any) -> None:
+        super().__init__(membership)
+        self.tries: list[TaskStart] = []
+
+    async def start(self, start: TaskStart) -> None:
+        self.tries.append(start)
+        if len(self.tries) == 1:
+            raise OutcomeUnknownError("no answer", remedy="ask again")
+        if len(self.tries) == 2:
+            await super().start(self.tries[0])
+            raise ConflictError("refused", remedy="place the job elsewhere")
+        await super().start(start)
+
+
+class TestNextHolder:
+    async def test_takes_a_start_that_it_read_for_one_without_an_answer(self) -> None:
+        world = World(2, workers_class=LateWorkers)
+        workers = t.cast(LateWorkers, world.workers)
+        for name in ("i0", "i1"):
+            instance = Instance(
+                name, "plateau", "r", cores=16, memory_bytes=100, labels={"pool": POOL}
+            )
+            world.membership.put(instance)
+        spec = {"selector": f"pool = {POOL}", "min_available": 1}
+        await world.apply({f"pool/{POOL}": spec})
+        await world.settle()
+        holder = next(d for d in world.daemons if POOL in d.fleet.held.names())
+        await holder.jobs.submit(POOL, [JOB])
+        while not workers.tries:
+            await world.work(holder)
+        # The holder ends at once; the next one's start is refused.
+        world.daemons.remove(holder)
+        await world.settle(30)
+        assert POOL in world.daemons[0].fleet.held.names()
+        assert len(workers.tries) >= 2, "the next holder tried"
+        assert workers.starts == 1
