--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -159,8 +159,7 @@
     def _channel(self, address: str) -> PeerChannel:
         channel = self._channels.get(address)
         if channel is None:
-            host, port = address.rsplit(":", 1)
-            channel = PeerChannel(host, int(port))
+            channel = PeerChannel.to(address)
             self._channels[address] = channel
         return channel
 
--- a/src/streamthread/channels.py
+++ b/src/streamthread/channels.py
@@ -16,6 +16,12 @@
     expects that: a daemon's lease ended by it, twice in 214 randomized runs.
     """
 
+    @classmethod
+    def to(cls, address: str) -> "PeerChannel":
+        """Return a channel to a host and port; it connects with its first call."""
+        host, _, port = address.rpartition(":")
+        return cls(host, int(port))
+
     @contextlib.contextmanager
     def calling(self) -> t.Iterator[None]:
         """Make a call within this block.
--- a/src/streamthread/peers/links.py
+++ b/src/streamthread/peers/links.py
@@ -61,8 +61,7 @@
             link.channel.close()
             link = None
         if link is None:
-            host, _, port = peer.peers_address.rpartition(":")
-            channel = PeerChannel(host, int(port))
+            channel = PeerChannel.to(peer.peers_address)
             link = PeerLink(peer.peers_address, channel, PeersStub(channel))
             self._links[peer.daemon_id] = link
         return link
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -36,8 +36,6 @@
     """All jobs of a cell, and the runners' room.
 
     :param changed: called with each job whose progress must be recorded.
-    :param overdue_stops: how many runs had been to be stopped for too long, when that
-        was looked at last.
     """
 
     def __init__(
@@ -55,7 +53,6 @@
         self.jobs = self._ledger.jobs
         self.runners = self._ledger.runners
         self.stops = self._ledger.stops
-        self.overdue_stops = 0
         self.counts = self._ledger.counts
 
     # Jobs.
@@ -155,9 +152,14 @@
         """Return the runs for which a stop is to be sent now; the caller sends it."""
         return self.stops.take()
 
+    @property
+    def overdue_stops(self) -> int:
+        """How many runs had been to be stopped for too long, at the last look."""
+        return self.stops.overdue
+
     def watch_stops(self) -> None:
         """Tell of runs that go on though they have been to be stopped for long."""
-        self.overdue_stops = self.stops.tell_overdue()
+        self.stops.tell_overdue()
 
     # Copies, and runs that lag behind.
 
--- a/src/streamthread/scheduler/stops.py
+++ b/src/streamthread/scheduler/stops.py
@@ -112,11 +112,13 @@
         """Take it that a runner has refused a stop: its next list tells the rest."""
         log.warning("stop-refused", extra=_describe(attempt) | {"why": why})
 
-    def tell_overdue(self) -> int:
-        """Tell of each run that has been to be stopped for too long, once.
+    @property
+    def overdue(self) -> int:
+        """How many runs had been to be stopped for too long, at the last look."""
+        return len(self._told)
 
-        :return: how many there are now.
-        """
+    def tell_overdue(self) -> None:
+        """Tell of each run that has been to be stopped for too long, once."""
         since_s = time.monotonic() - OVERDUE_S
         overdue = {
             attempt.stop: attempt
@@ -127,7 +129,6 @@
             if stop not in self._told:
                 log.warning("stop-overdue", extra=_describe(attempt))
         self._told = set(overdue)
-        return len(overdue)
 
 
 def _describe(attempt: Attempt) -> dict[str, t.Any]:
--- a/tests/test_job_cancels.py
+++ b/tests/test_job_cancels.py
@@ -12,7 +12,6 @@
 
 from streamthread.errors import OutcomeUnknownError
 from streamthread.jobs import JobSpec
-from streamthread.providers import Instance
 from streamthread.providers import MemoryWorkers
 from streamthread.providers import TaskStart
 from streamthread.providers import TaskState
@@ -41,14 +40,7 @@
 async def _world() -> World:
     """Return one daemon that holds a pool of two instances."""
     world = World(1, workers_class=LateWorkers)
-    for name in ("i0", "i1"):
-        instance = Instance(
-            name, "plateau", "r", cores=16, memory_bytes=100, labels={"pool": POOL}
-        )
-        world.membership.put(instance)
-    spec = {"selector": f"pool = {POOL}", "min_available": 1}
-    await world.apply({f"pool/{POOL}": spec})
-    await world.settle()
+    await world.add_pool(POOL, ("i0", "i1"))
     return world
 
 
--- a/tests/test_job_refusals.py
+++ b/tests/test_job_refusals.py
@@ -8,7 +8,6 @@
 from streamthread.errors import OutcomeUnknownError
 from streamthread.jobs import JobSpec
 from streamthread.jobs import JobState
-from streamthread.providers import Instance
 from streamthread.providers import MemoryWorkers
 from streamthread.providers import TaskStart
 from streamthread.providers import TaskState
@@ -36,13 +35,7 @@
     async def test_goes_on_to_its_end(self) -> None:
         world = World(1, workers_class=ForgetfulWorkers)
         workers = t.cast(ForgetfulWorkers, world.workers)
-        instance = Instance(
-            "i0", "plateau", "r", cores=16, memory_bytes=100, labels={"pool": POOL}
-        )
-        world.membership.put(instance)
-        spec = {"selector": f"pool = {POOL}", "min_available": 1}
-        await world.apply({f"pool/{POOL}": spec})
-        await world.settle()
+        await world.add_pool(POOL, ("i0",))
         jobs = world.daemons[0].jobs
         await jobs.submit(POOL, [JOB])
         await world.settle(8)
@@ -75,14 +68,7 @@
     async def test_takes_a_start_that_it_read_for_one_without_an_answer(self) -> None:
         world = World(2, workers_class=LateWorkers)
         workers = t.cast(LateWorkers, world.workers)
-        for name in ("i0", "i1"):
-            instance = Instance(
-                name, "plateau", "r", cores=16, memory_bytes=100, labels={"pool": POOL}
-            )
-            world.membership.put(instance)
-        spec = {"selector": f"pool = {POOL}", "min_available": 1}
-        await world.apply({f"pool/{POOL}": spec})
-        await world.settle()
+        await world.add_pool(POOL, ("i0", "i1"))
         holder = next(d for d in world.daemons if POOL in d.fleet.held.names())
         await holder.jobs.submit(POOL, [JOB])
         while not workers.tries:
--- a/tests/test_job_reports.py
+++ b/tests/test_job_reports.py
@@ -9,7 +9,6 @@
 
 from streamthread.jobs import JobSpec
 from streamthread.jobs import JobState
-from streamthread.providers import Instance
 from streamthread.providers import TaskState
 
 POOLS = ("audit", "billing")
@@ -19,21 +18,7 @@
     """Return one daemon that holds two pools of one instance each."""
     world = World(1)
     for pool in POOLS:
-        instance = Instance(
-            f"i-{pool}",
-            "plateau",
-            "r",
-            cores=16,
-            memory_bytes=100,
-            labels={"pool": pool},
-        )
-        world.membership.put(instance)
-    items = {
-        f"pool/{pool}": {"selector": f"pool = {pool}", "min_available": 1}
-        for pool in POOLS
-    }
-    await world.apply(items)
-    await world.settle()
+        await world.add_pool(pool, (f"i-{pool}",))
     return world
 
 
--- a/tests/test_job_stops.py
+++ b/tests/test_job_stops.py
@@ -10,7 +10,6 @@
 from tools.world import World
 
 from streamthread.jobs import JobSpec
-from streamthread.providers import Instance
 from streamthread.providers import MemoryWorkers
 from streamthread.providers import TaskState
 
@@ -35,13 +34,7 @@
     async def test_is_sent_again(self) -> None:
         world = World(1, workers_class=UnwellWorkers)
         workers = t.cast(UnwellWorkers, world.workers)
-        instance = Instance(
-            "i0", "plateau", "r", cores=16, memory_bytes=100, labels={"pool": POOL}
-        )
-        world.membership.put(instance)
-        spec = {"selector": f"pool = {POOL}", "min_available": 1}
-        await world.apply({f"pool/{POOL}": spec})
-        await world.settle()
+        await world.add_pool(POOL, ("i0",))
         jobs = world.daemons[0].jobs
         await jobs.submit(POOL, [JOB])
         await world.settle()
--- a/tests/test_job_takeovers.py
+++ b/tests/test_job_takeovers.py
@@ -6,49 +6,21 @@
 
 import typing as t
 
+from tools.world import RefusingWorkers
 from tools.world import World
 
-from streamthread.errors import ConflictError
-from streamthread.errors import OutcomeUnknownError
 from streamthread.jobs import JobSpec
-from streamthread.providers import Instance
-from streamthread.providers import MemoryWorkers
-from streamthread.providers import TaskStart
 from streamthread.providers import TaskState
 
 POOL = "audit"
 JOB = JobSpec("job-1", POOL, "team", 1, 1, 1.0, repeat_safe=True)
 
 
-class RefusingWorkers(MemoryWorkers):
-    """Answers not at all, then with a refusal; the first try is carried out then."""
-
-    def __init__(self, membership: t.Any) -> None:
-        super().__init__(membership)
-        self.tries: list[TaskStart] = []
-
-    async def start(self, start: TaskStart) -> None:
-        self.tries.append(start)
-        if len(self.tries) == 1:
-            raise OutcomeUnknownError("no answer", remedy="ask again")
-        if len(self.tries) == 2:
-            raise ConflictError("refused", remedy="place the job elsewhere")
-        await super().start(self.tries[0])
-        await super().start(start)
-
-
 class TestOlderAttempt:
     async def test_is_stopped_by_the_next_holder(self) -> None:
         world = World(2, workers_class=RefusingWorkers)
         workers = t.cast(RefusingWorkers, world.workers)
-        for name in ("i0", "i1"):
-            instance = Instance(
-                name, "plateau", "r", cores=16, memory_bytes=100, labels={"pool": POOL}
-            )
-            world.membership.put(instance)
-        spec = {"selector": f"pool = {POOL}", "min_available": 1}
-        await world.apply({f"pool/{POOL}": spec})
-        await world.settle()
+        await world.add_pool(POOL, ("i0", "i1"))
         holder = next(d for d in world.daemons if POOL in d.fleet.held.names())
         await holder.jobs.submit(POOL, [JOB])
         while len(workers.tries) < 3:
--- a/tools/world.py
+++ b/tools/world.py
@@ -13,6 +13,8 @@
 from streamthread.configuration import Change
 from streamthread.configuration import ConfigurationService
 from streamthread.configuration import Proposal
+from streamthread.errors import ConflictError
+from streamthread.errors import OutcomeUnknownError
 from streamthread.errors import StoreUnavailableError
 from streamthread.fleet import DrainReport
 from streamthread.fleet.planner import utc_now
@@ -27,6 +29,7 @@
 from streamthread.peers.rumors import RumorStore
 from streamthread.providers import CommitOutcome
 from streamthread.providers import CommitResult
+from streamthread.providers import Instance
 from streamthread.providers import memory_platform
 from streamthread.providers import MemoryMembership
 from streamthread.providers import MemoryTables
@@ -34,10 +37,11 @@
 from streamthread.providers import Platform
 from streamthread.providers import Row
 from streamthread.providers import Tables
+from streamthread.providers import TaskStart
 from streamthread.providers import Transaction
 from streamthread.timeline import Recorder
 
-__all__ = ["Daemon", "FakeClock", "FaultyTables", "World"]
+__all__ = ["Daemon", "FakeClock", "FaultyTables", "RefusingWorkers", "World"]
 
 LEASES = LeaseSettings(shard_count=4, renew_s=1.0, term_s=8.0, margin_s=2.0)
 
@@ -124,6 +128,24 @@
     running: "asyncio.Task[None] | None" = None
 
 
+class RefusingWorkers(MemoryWorkers):
+    """Answers not at all, then with a refusal; the first try is carried out then."""
+
+    def __init__(self, membership: MemoryMembership) -> None:
+        super().__init__(membership)
+        self.tries: list[TaskStart] = []
+
+    async def start(self, start: TaskStart) -> None:
+        """Start what a later try asks for, and the first one before it."""
+        self.tries.append(start)
+        if len(self.tries) == 1:
+            raise OutcomeUnknownError("no answer", remedy="ask again")
+        if len(self.tries) == 2:
+            raise ConflictError("refused", remedy="place the job elsewhere")
+        await super().start(self.tries[0])
+        await super().start(start)
+
+
 class World:
     """Shared platform and clock, and the daemons on it.
 
@@ -222,6 +244,18 @@
                 await self.work(daemon)
             self.gossip()
 
+    async def add_pool(self, pool: str, instances: t.Iterable[str]) -> None:
+        """Create a pool of instances, and let the daemons take it in."""
+        for name in instances:
+            labels = {"pool": pool}
+            instance = Instance(
+                name, "plateau", "r", cores=16, memory_bytes=100, labels=labels
+            )
+            self.membership.put(instance)
+        spec = {"selector": f"pool = {pool}", "min_available": 1}
+        await self.apply({f"pool/{pool}": spec})
+        await self.settle()
+
     async def apply(self, items: dict[str, t.Any], daemon: int = 0) -> int:
         """Change the configuration through one daemon."""
         service = self.daemons[daemon].configuration
