Read a followed table whole in one way

The look beside the feed repeated the first reading's lines: when it began, the read, and as of when the rows are known. No behaviour changes.

--- a/src/streamthread/platform/table_feed.py
+++ b/src/streamthread/platform/table_feed.py
@@ -8,6 +8,7 @@
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from .store import HistoryGoneError
+from .store import Page
 from .store import RowStore
 from .store import StoredRow
 
@@ -77,14 +78,16 @@
         :raises StoreUnavailableError: nothing was read.
         :raises OutcomeUnknownError: nothing was read.
         """
-        began_at_s = time.monotonic()
-        page = await self._store.read_all(self._table, self._part)
-        self.known_at_s = max(self.known_at_s, began_at_s)
+        page = await self._read_all()
         return page.rows
 
     async def _read_whole(self) -> Update:
+        page = await self._read_all()
+        self._after = max(self._after, page.version)
+        return Update(page.rows, whole=True)
+
+    async def _read_all(self) -> Page:
         began_at_s = time.monotonic()
         page = await self._store.read_all(self._table, self._part)
-        self._after = max(self._after, page.version)
         self.known_at_s = max(self.known_at_s, began_at_s)
-        return Update(page.rows, whole=True)
+        return page
