Let a stand-in's tasks crash their runners; show that they are started for good

A task may say in its spec which tasks of a step take down the runner that starts them: 10 ms after the start the life is over, its connections are cut, and a new one comes at the same address 0.3 s later.

--- a/src/streamthread/standins/cell/cloud.py
+++ b/src/streamthread/standins/cell/cloud.py
@@ -11,8 +11,13 @@
 
 __all__ = ["CloudStandin", "Duty", "MachineStandin"]
 
-MakeRunner = t.Callable[[str, str], t.Awaitable[RunnerStandin]]
-"""Starts a new life of a machine's runner in a pool."""
+
+class MakeRunner(t.Protocol):
+    """Starts a new life of a machine's runner in a pool; port 0: a new one."""
+
+    def __call__(
+        self, machine_id: str, pool: str, port: int = 0
+    ) -> t.Awaitable[RunnerStandin]: ...
 
 
 @attrs.define
@@ -118,7 +123,10 @@
 
     def _go(self, machine: MachineStandin, state: str, for_s: float) -> None:
         machine.state = state
-        task = asyncio.get_running_loop().create_task(self._come_back(machine, for_s))
+        self._spawn(self._come_back(machine, for_s))
+
+    def _spawn(self, call: t.Coroutine[t.Any, t.Any, None]) -> None:
+        task = asyncio.get_running_loop().create_task(call)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -126,6 +134,23 @@
         """Let a machine's runner crash; a new life comes later."""
         self._go(machine, "down", for_s)
 
+    def crash(self, machine: MachineStandin, for_s: float) -> None:
+        """Let a machine's runner be gone; a new life comes later where it was."""
+        machine.state = "down"
+        self._spawn(self._crash(machine, for_s))
+
+    async def _crash(self, machine: MachineStandin, for_s: float) -> None:
+        runner = machine.runner
+        assert runner is not None
+        machine.runner = None
+        runner.port.reset_connections()
+        await runner.port.close()
+        await asyncio.sleep(for_s)
+        await self._end_life(runner)
+        port = int(runner.port.address.rpartition(":")[2])
+        machine.runner = await self._make_runner(machine.machine_id, machine.pool, port)
+        machine.state = "up"
+
     async def _come_back(self, machine: MachineStandin, for_s: float) -> None:
         if machine.runner is not None:
             machine.runner.kill()
--- a/src/streamthread/standins/cell/port.py
+++ b/src/streamthread/standins/cell/port.py
@@ -53,6 +53,12 @@
         host, number = self._runner.addresses[0][:2]
         self.address = f"{host}:{number}"
 
+    def reset_connections(self) -> None:
+        """Cut every connection that is open now, as the end of a process does."""
+        for transport in self._open:
+            transport.abort()
+        self._open.clear()
+
     async def close(self) -> None:
         """Close the port and its connections."""
         await self._runner.cleanup()
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -1,7 +1,8 @@
 """A runner that speaks the users' pages; tasks say in their spec how they end.
 
 The spec is a JSON object: ``run_s`` how long a task works, ``fail`` how many
-runs of each task end failed first.
+runs of each task end failed first, ``crash`` the numbers of the tasks of a step that
+take their runner down, each time it starts one of them.
 """
 
 import asyncio
@@ -22,6 +23,9 @@
 STOP_S = 0.05
 """How long a run takes to stop."""
 
+CRASH_S = 0.01
+"""So soon after its start, a task that crashes its runner has done so."""
+
 POLL_S = 0.01
 """How often a waiting hold looks for ends."""
 
@@ -89,6 +93,7 @@
         after what ran here had lapsed since, and those that were not confirmed before
         this life was over.
     :param late_orders: so many orders without an answer are still to be carried out.
+    :param crashed: called when a task has taken the runner down.
     """
 
     def __init__(
@@ -101,7 +106,9 @@
         started: list[StartedRun],
         ended: list[tuple[str, int, str, float]],
         failures: dict[str, int],
+        crashed: t.Callable[["RunnerStandin"], None] = lambda _: None,
     ) -> None:
+        self._crashed = crashed
         self.runner_id = runner_id
         self.service = service
         self.labels = labels
@@ -278,8 +285,17 @@
         self._runs[task, number] = _Run(task, number, spec, now_s + run_s)
         started = StartedRun(task, number, self.runner_id, now_s, late)
         self._started.append(started)
+        if int(task.rpartition(".")[2]) in spec.get("crash", ()):
+            asyncio.get_running_loop().call_later(CRASH_S, self._crash)
         return ""
 
+    def _crash(self) -> None:
+        """End this life at once, connections and all; the platform is not told."""
+        if not self.alive:
+            return
+        self.kill()
+        self._crashed(self)
+
     async def _stop(self, body: Json) -> web.StreamResponse:
         if self.faults.refuse_stops > 0:
             self.faults.refuse_stops -= 1
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -15,11 +15,15 @@
 
 SPARE_POOL = "spare"
 
+BACK_S = 0.3
+"""A runner that a task has crashed is back after so long, at the same address."""
+
 
 class CellWorld:
     """Everything that a cell's daemons speak to.
 
     :param pools: names of the pools and how many machines each has.
+    :param crashes: ids of the runners that a task has taken down.
     """
 
     def __init__(self, pools: t.Mapping[str, int], cpu: int = 16000) -> None:
@@ -28,6 +32,7 @@
         self.started: list[StartedRun] = []
         self.ended: list[tuple[str, int, str, float]] = []
         self.runners: list[RunnerStandin] = []
+        self.crashes: list[str] = []
         self._failures: dict[str, int] = {}
         self._pools = dict(pools)
         self._cpu = cpu
@@ -55,7 +60,16 @@
         self.cloud.machines[machine_id] = machine
         machine.runner = await self._make_runner(machine_id, pool)
 
-    async def _make_runner(self, machine_id: str, pool: str) -> RunnerStandin:
+    def _on_crash(self, runner: RunnerStandin) -> None:
+        """A task has taken a runner down: its machine starts a new life."""
+        self.crashes.append(runner.runner_id)
+        for machine in self.cloud.machines.values():
+            if machine.runner is runner:
+                self.cloud.crash(machine, BACK_S)
+
+    async def _make_runner(
+        self, machine_id: str, pool: str, port: int = 0
+    ) -> RunnerStandin:
         runner = RunnerStandin(
             f"i-{next(self._numbers)}",
             pool,
@@ -65,8 +79,9 @@
             self.started,
             self.ended,
             self._failures,
+            self._on_crash,
         )
-        await runner.port.open()
+        await runner.port.open(port)
         self.runners.append(runner)
         await self.write_entry(runner)
         return runner
--- a/tests/cell/support.py
+++ b/tests/cell/support.py
@@ -11,6 +11,7 @@
 from streamthread.gateway import CellDaemon
 from streamthread.platform.node import decode_node
 from streamthread.standins.cell import CellWorld
+from streamthread.standins.cell.world import BACK_S
 
 WITHIN_S = 20.0
 POLL_S = 0.02
@@ -109,6 +110,23 @@
 
         return t.cast(CellDaemon, await until(ready, "a holder that reaches all"))
 
+    async def until_crashes(self, count: int) -> None:
+        """Wait until tasks have taken so many runners down."""
+        await until(lambda: len(self.world.crashes) >= count, f"{count} crashes")
+
+    async def crash_one(self) -> None:
+        """Let a runner crash on which something runs; return once it is back."""
+        world = self.world
+        machine = next(
+            machine
+            for machine in world.cloud.machines.values()
+            if machine.runner is not None and machine.runner.running()
+        )
+        assert machine.runner is not None
+        machine.runner.kill()
+        world.cloud.crash(machine, BACK_S)
+        await until(lambda: machine.state == "up", "the runner is back")
+
     async def close_callers(self) -> None:
         for caller in self._callers:
             await caller.close()
