Follow a runner's room as it shrinks and grows; count a run until its end is listed

Cause: the room was read once, when a runner's entry came first; later entries changed only whether it drains. A runner that does not guard its room was started over it, one that does refused. A run that was to be stopped gave its room back with the first list that did not show it as running, though a stop takes up to 0.9 s and only the listed end frees the room.

The room is taken from each entry. A stopping run that is in neither list counts until 1 s on the runner's clock after it was missed, or after its stop was answered. Pools are sized by what machines have in full (one that had shrunk to a tenth would have had ten times as many ordered), and what their runners lack is added to a pool's demand, as far as there is any.

Ruled out: strays, which keep a runner from getting anything already.

--- a/src/streamthread/capacity/plan.py
+++ b/src/streamthread/capacity/plan.py
@@ -62,6 +62,7 @@
     :param free_to_move: up, idle, and nothing was ordered for it.
     :param idle_for_s: since when nothing has run there.
     :param due: it still has to go into upkeep.
+    :param lost_share: of its processor room, what its runner says that it lacks now.
     """
 
     machine_id: str
@@ -74,6 +75,7 @@
     arriving: bool = False
     idle_for_s: float = 0.0
     due: bool = False
+    lost_share: float = 0.0
 
 
 @attrs.frozen
--- a/src/streamthread/holder/listing.py
+++ b/src/streamthread/holder/listing.py
@@ -162,6 +162,17 @@
         if not link.listed:
             log.info("runner-listed-again", extra={"runner": entry.runner_id})
         link.listed = True
+        if link.runner.resize(entry):
+            # A runner that does not guard its room would start over it.
+            log.info(
+                "runner-resized",
+                extra={
+                    "runner": entry.runner_id,
+                    "cpu": entry.cpu,
+                    "memory_mb": entry.memory_mb,
+                    "gpu": entry.gpu,
+                },
+            )
         if entry.draining and not link.runner.draining:
             log.info("runner-draining", extra={"runner": entry.runner_id})
             link.runner.draining = True
--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -80,6 +80,8 @@
         self._listed_at_s = 0.0
         self._idle_since_s: dict[str, float] = {}
         self._up_since_s: dict[str, float] = {}
+        # By machine id: processor and memory, the most that was ever listed.
+        self._full_room: dict[str, tuple[int, int]] = {}
         self.machines: dict[str, Machine] = {}
         self.pending: dict[str, PendingDuty] = {}
 
@@ -235,19 +237,32 @@
         else:
             moving = machine.state is MachineState.MOVING
             arriving = not usable and (pending is not None or moving)
+        cpu, memory_mb = self._room_of(machine)
         return MachineView(
             machine_id=machine.machine_id,
             pool=_pool_after(machine, pending),
             rack=machine.rack,
-            cpu=machine.cpu,
-            memory_mb=machine.memory_mb,
+            cpu=cpu,
+            memory_mb=memory_mb,
             free_to_move=up and (off or idle),
             usable=usable,
             arriving=arriving,
             idle_for_s=self._idle_for_s(machine.machine_id, idle, now_s),
             due=due,
+            lost_share=_lost_share(cpu, runner) if up and not off else 0.0,
         )
 
+    def _room_of(self, machine: Machine) -> tuple[int, int]:
+        """Return a machine's processor and memory without what it lacks for a while.
+
+        A pool's size is reckoned by its smallest machine: one whose room has shrunk to
+        a tenth would have ten times the machines ordered.
+        """
+        cpu, memory_mb = self._full_room.get(machine.machine_id, (0, 0))
+        full = (max(cpu, machine.cpu), max(memory_mb, machine.memory_mb))
+        self._full_room[machine.machine_id] = full
+        return full
+
     def _is_arriving(
         self, machine: Machine, runner: RunnerState | None, now_s: float
     ) -> bool:
@@ -263,6 +278,13 @@
         return now_s - self._idle_since_s.setdefault(machine_id, now_s)
 
 
+def _lost_share(full_cpu: int, runner: RunnerState | None) -> float:
+    """Return the share of a machine's processor that its runner lacks now."""
+    if runner is None or not full_cpu:
+        return 0.0
+    return max(0.0, 1 - runner.cpu / full_cpu)
+
+
 def _pool_after(machine: Machine, pending: PendingDuty | None) -> str:
     """Return the pool that a machine is in once its pending duty has ended."""
     if pending is not None and pending.kind is DutyKind.MOVE:
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -145,6 +145,7 @@
         demand = pool_demand(jobs, self._engine.times, time.time())
         arriving_cpu = self._arriving_cpu(pool, now_s)
         cpu = max(demand.cpu, arriving_cpu + _lasting_cpu(jobs))
+        cpu = _with_lost_room(cpu, [view for view in views if view.pool == pool])
         wanted = target_size(
             attrs.evolve(demand, cpu=cpu),
             min(view.cpu for view in sizes),
@@ -180,6 +181,18 @@
         log.info("pool-sizes", extra={"sizes": sizes})
 
 
+def _with_lost_room(cpu: float, views: t.Collection[MachineView]) -> float:
+    """Return a pool's demand with what its machines lack for a while added to it.
+
+    Not more than they lack, and nothing where there is no demand.
+    """
+    full = sum(view.cpu for view in views)
+    lost = sum(view.cpu * view.lost_share for view in views)
+    if not lost or lost >= full:
+        return cpu + min(cpu, lost)
+    return min(cpu * full / (full - lost), cpu + lost)
+
+
 def _lasting_cpu(jobs: t.Iterable[Job]) -> float:
     """Return the thousandths of a core that lasting tasks take all the time."""
     return float(
--- a/src/streamthread/holder/tests/test_listing.py
+++ b/src/streamthread/holder/tests/test_listing.py
@@ -42,6 +42,9 @@
         self.draining = False
         self.ready = True
 
+    def resize(self, entry: RunnerEntry) -> bool:
+        return False
+
 
 class _Link:
     """What the list needs of a link."""
--- a/src/streamthread/holder/tests/test_sizes.py
+++ b/src/streamthread/holder/tests/test_sizes.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+import attrs
 import pytest
 
 from streamthread.capacity import CapacitySettings
@@ -74,3 +75,29 @@
         pool_sizes = PoolSizes(Engine(lambda job: None), SETTINGS)
         clock.now_s += SETTINGS.cold_s + 1
         assert pool_sizes.keeps(VIEWS) == {"one": 0, "two": 0}
+
+
+class TestRoomThatShrinks:
+    @pytest.mark.parametrize(
+        ("lost_share", "machines"), [(0.0, 4), (0.5, 5), (1.0, 5), (0.001, 4)]
+    )
+    def test_is_made_up_for(
+        self, clock: _Clock, lost_share: float, machines: int
+    ) -> None:
+        pool_sizes = PoolSizes(Engine(lambda job: None), SETTINGS)
+        views = [
+            attrs.evolve(view, lost_share=lost_share if view.pool == "one" else 0.0)
+            for view in VIEWS
+        ]
+        pool_sizes.targets(POOLS, views)
+        pool_sizes.note_job("one", 16_000.0 * 3.0, clock.now_s)
+        clock.now_s += 0.1
+        targets = pool_sizes.targets(POOLS, views)
+        assert targets["one"] == machines
+        assert targets["two"] == SETTINGS.least_machines
+
+    def test_is_not_made_up_for_without_demand(self, clock: _Clock) -> None:
+        pool_sizes = PoolSizes(Engine(lambda job: None), SETTINGS)
+        views = [attrs.evolve(view, lost_share=0.9) for view in VIEWS]
+        expected = dict.fromkeys(("one", "two"), SETTINGS.least_machines)
+        assert pool_sizes.targets(POOLS, views) == expected
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -100,6 +100,15 @@
         """Whether nothing of ours is there."""
         return not self.attempts and not self.stray_runs
 
+    def resize(self, entry: RunnerEntry) -> bool:
+        """Take the room that a runner says it has now; return whether it is another.
+
+        What runs over a room that has shrunk goes on, and nothing is added to it.
+        """
+        before = (self.cpu, self.memory_mb, self.gpu)
+        self.cpu, self.memory_mb, self.gpu = entry.cpu, entry.memory_mb, entry.gpu
+        return before != (self.cpu, self.memory_mb, self.gpu)
+
     def add(self, name: str, attempt: Attempt) -> None:
         """Take room for an attempt."""
         self.attempts[name, attempt.run] = attempt
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -90,6 +90,8 @@
     :param first_seen_at_s: on the monotonic clock: when that was; 0: not yet.
     :param seen_at_s: on the monotonic clock: when its runner told of it last.
     :param moved_on_at_s: on the monotonic clock: when the percent changed last.
+    :param missing_since_ms: on the runner's clock: since when its lists do not show it;
+        0: they do.
     :param doubtful: its runner fell silent as it began, and has not been heard since.
     :param stop: of a run that is to be stopped, what has become of that.
     :param pace_percent: at what share of its speed it works; None: not known,
@@ -114,6 +116,7 @@
     usage: float | None = None
     pace_percent: int | None = 100
     pace_open_until_s: float = 0.0
+    missing_since_ms: int = 0
     doubtful: bool = False
     stop: Stop | None = None
 
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -115,6 +115,7 @@
             self.confirm(attempt, 0)
         attempt.note_progress(percent, time.monotonic())
         attempt.usage = usage
+        attempt.missing_since_ms = 0
         self._crashes.acquit_if_lived(attempt)
         task = attempt.task
         if checkpoint and checkpoint != task.checkpoint:
@@ -127,6 +128,8 @@
         known_ms = attempt.confirmed_clock_ms
         if not known_ms or clock_ms <= known_ms + self._settings.list_slack_ms:
             return
+        if self._may_be_stopping(attempt, clock_ms):
+            return
         log.warning(
             "run-vanished",
             extra={
@@ -140,6 +143,20 @@
         )
         self._ledger.lapse(attempt, runner)
 
+    def _may_be_stopping(self, attempt: Attempt, clock_ms: int) -> bool:
+        """Whether a run that is to be stopped may still take its room, unlisted.
+
+        Only its listed end frees the room; without one it is gone once a stop that
+        began after the last list with it must have worked.
+        """
+        if attempt.phase is not Phase.STOPPING or not attempt.began_at_s:
+            return False
+        attempt.missing_since_ms = attempt.missing_since_ms or clock_ms
+        stop = attempt.stop
+        answered_ms = stop.answered_ms if stop is not None else 0
+        since_ms = max(attempt.missing_since_ms, answered_ms)
+        return clock_ms <= since_ms + self._settings.stop_effect_ms
+
     def _on_ended(self, runner: RunnerState, ended: EndedRun) -> None:
         attempt = runner.attempts.get((ended.task, ended.run))
         if attempt is None:
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -69,6 +69,9 @@
     :param fail_all: every run ends failed at once.
     :param refuse_stops: so many stops are refused, as an unwell runner does.
     :param ignore_stops: so many stops are answered and have no effect.
+    :param unguarded: what finds no room is started all the same.
+    :param hide_stopping: a run that is being stopped is in neither list until its end.
+    :param stop_s: how long a run takes to stop.
     :param refuse_orders: status with which starts and stops are answered, or 0; they
         have no effect.
     """
@@ -80,6 +83,9 @@
     fail_all: bool = False
     refuse_stops: int = 0
     ignore_stops: int = 0
+    unguarded: bool = False
+    hide_stopping: bool = False
+    stop_s: float = STOP_S
     refuse_orders: int = 0
 
 
@@ -93,6 +99,7 @@
         after what ran here had lapsed since, and those that were not confirmed before
         this life was over.
     :param late_orders: so many orders without an answer are still to be carried out.
+    :param over_room: tasks that were started though there was no room for them.
     :param crashed: called when a task has taken the runner down.
     """
 
@@ -115,6 +122,7 @@
         self.cpu = cpu
         self.memory_mb = memory_mb
         self.faults = RunnerFaults()
+        self.over_room: list[str] = []
         self.alive = True
         self.draining = False
         self.highest_token = 0
@@ -278,7 +286,9 @@
         spec = json.loads(body["spec"] or "{}")
         used = sum(int(run.spec.get("cpu", 0)) for run in self._runs.values())
         if used + int(spec.get("cpu", 0)) > self.cpu:
-            return "room"
+            if not self.faults.unguarded:
+                return "room"
+            self.over_room.append(task)
         self._extend(body)
         now_s = time.monotonic()
         run_s = float(spec.get("run_s", 0.1))
@@ -316,7 +326,7 @@
         if run is None:
             self._closed[task] = max(number, self._closed.get(task, 0))
         elif not run.stopping_at_s:
-            run.stopping_at_s = time.monotonic() + STOP_S
+            run.stopping_at_s = time.monotonic() + self.faults.stop_s
 
     def _confirm(self, observed: int) -> None:
         """Forget the ends up to a number."""
@@ -334,7 +344,11 @@
             self._advance()
         if not self.alive:
             return web.Response(status=421)
-        running = [[r.task, r.run, "", 100] for r in self._runs.values()]
+        running = [
+            [r.task, r.run, "", 100]
+            for r in self._runs.values()
+            if not (self.faults.hide_stopping and r.stopping_at_s)
+        ]
         return web.json_response(
             {
                 "clockMs": self._clock_ms(),
