--- a/src/streamthread/capacity/bursts.py
+++ b/src/streamthread/capacity/bursts.py
@@ -101,7 +101,7 @@
 class Burst:
     """Arrivals that came close together.
 
-    :param began_at_s: when its first job came, on the monotonic clock.
+    :param began_at_s: when its first job came, on the boot clock.
     :param last_at_s: the same of its last job.
     :param jobs: how many came.
     """
--- a/src/streamthread/cell/answers.py
+++ b/src/streamthread/cell/answers.py
@@ -1,11 +1,11 @@
 """Writes whose answer does not come: what they did is looked up meanwhile."""
 
 import asyncio
-import time
 import typing as t
 
 import attrs
 
+from ..clocks import boot_s
 from ..errors import OutcomeUnknownError
 from ..platform.store import TransactResult
 
@@ -81,24 +81,24 @@
 
     :raises StoreUnavailableError: the store refused it; nothing was done.
     """
-    began_at_s = time.monotonic()
+    began_at_s = boot_s()
     answer = asyncio.ensure_future(write)
     try:
         wait_s = times.patience_s
         while not await _is_done(answer, wait_s):
             wait_s = LOOK_AGAIN_S
-            looked_at_s = time.monotonic()
+            looked_at_s = boot_s()
             version = await _look_beside(answer, look)
             if answer.done():
                 break
-            now_s = time.monotonic()
+            now_s = boot_s()
             quick = now_s - looked_at_s < times.patience_s
             overdue = now_s - began_at_s > OVERDUE_TIMES * times.patience_s
             if version or (version == 0 and quick and overdue):
                 times.back_off()
                 return version
         result = await answer
-        times.observe(time.monotonic() - began_at_s)
+        times.observe(boot_s() - began_at_s)
     except OutcomeUnknownError:
         return await look() or 0
     finally:
--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -3,11 +3,11 @@
 import asyncio
 import collections
 import math
-import time
 import typing as t
 
 import attrs
 
+from ..clocks import boot_s
 from ..errors import NotHolderError
 from ..errors import StoreUnavailableError
 from ..platform.store import Condition
@@ -127,7 +127,7 @@
         """Return for how long the present commit has been tried; 0: there is none."""
         if self.trying_since_s is None:
             return 0.0
-        return time.monotonic() - self.trying_since_s
+        return boot_s() - self.trying_since_s
 
     @property
     def commit_s(self) -> float:
@@ -252,12 +252,12 @@
     async def _commit(self, batch: _Batch) -> None:
         tries: dict[str, float] = {}
         pause_s = RETRY_FIRST_S
-        self.trying_since_s = time.monotonic()
+        self.trying_since_s = boot_s()
         while True:
-            began_at_s = time.monotonic()
+            began_at_s = boot_s()
             version = await self._try(batch, tries)
             if version:
-                self._took_s.append(time.monotonic() - began_at_s)
+                self._took_s.append(boot_s() - began_at_s)
                 self._confirm(batch, version)
                 return
             if self.failing_since_s is None and self.tried_for_s() > SLOW_COMMIT_S:
@@ -270,7 +270,7 @@
         self._sent_term_s = math.inf
         self.head_version = version
         self.confirmed_at_s = self._effective_at_s
-        if time.monotonic() - self.confirmed_at_s > self._interval_s:
+        if boot_s() - self.confirmed_at_s > self._interval_s:
             # Confirmed late: it is relied on for little longer, or no more.
             self._wake.set()
         self.failing_since_s = None
@@ -286,7 +286,7 @@
         :param tries: when each try of this commit was sent, by its nonce.
         """
         nonce = new_nonce()
-        self._effective_at_s = tries[nonce] = time.monotonic()
+        self._effective_at_s = tries[nonce] = boot_s()
         term_s = self._times.term_s(self.commit_s)
         self._sent_term_s = min(self._sent_term_s, term_s)
         value = Head(nonce, self._token, term_s).encode()
--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-import time
 import typing as t
 
 from grpclib.const import Status
@@ -11,6 +10,7 @@
 from grpclib.server import Server
 
 from ..channels import PeerChannel
+from ..clocks import boot_s
 from ..errors import PeerUnavailableError
 from . import cell_pb2 as pb
 from .cell_grpc import CellBase
@@ -149,7 +149,7 @@
 
     def heard_within(self, within_s: float) -> bool:
         """Whether the last beat came so lately, and told of no doubt."""
-        return time.monotonic() - self._beat_at_s <= within_s
+        return boot_s() - self._beat_at_s <= within_s
 
     def close(self) -> None:
         """Close all channels."""
@@ -312,7 +312,7 @@
                 if beat.doubtful:
                     self._beat_at_s = -math.inf
                     raise HolderDoubtfulError(beat.head_version)
-                self._beat_at_s = time.monotonic()
+                self._beat_at_s = boot_s()
 
 
 def _unavailable(error: Exception, remedy: str, address: str) -> PeerUnavailableError:
--- a/src/streamthread/cell/takeover.py
+++ b/src/streamthread/cell/takeover.py
@@ -30,7 +30,7 @@
     had ceased to rely on the last of them stays silent while that row stands still.
 
     :param head_version: of the head row, which the take-over requires.
-    :param alone_at_s: on the monotonic clock: no order leaves that holder later.
+    :param alone_at_s: on the boot clock: no order leaves that holder later.
     """
 
     head_version: int
@@ -42,8 +42,8 @@
     """What a new holder begins with.
 
     :param head_version: the head row's version after the take-over.
-    :param taken_at_s: on the monotonic clock: when the take-over was sent.
-    :param alone_at_s: on the monotonic clock: no earlier holder sends an order later.
+    :param taken_at_s: on the boot clock: when the take-over was sent.
+    :param alone_at_s: on the boot clock: no earlier holder sends an order later.
     """
 
     owner: Owner
@@ -53,7 +53,7 @@
 
     @property
     def last_hold_at_s(self) -> float:
-        """When an earlier holder may have extended a run last, on the monotonic clock.
+        """When an earlier holder may have extended a run last, on the boot clock.
 
         It extends runs for as long as it orders; an earlier life of this daemon ended
         before the take-over.
--- a/src/streamthread/cell/taking.py
+++ b/src/streamthread/cell/taking.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import math
-import time
 import typing as t
 
 import attrs
 import logbook
 
+from ..clocks import boot_s
 from ..errors import StoreUnavailableError
 from ..platform.store import Condition
 from ..platform.store import RowStore
@@ -79,7 +79,7 @@
         """Try to become the holder; None if the cell is left to another.
 
         :param standstill: what is known of the holder's commits.
-        :param suspected_at_s: when the suspicion arose, on the monotonic clock.
+        :param suspected_at_s: when the suspicion arose, on the boot clock.
         """
         owner = self._book.owner
         if not await self._may_take(suspicion, owner, suspected_at_s):
@@ -97,7 +97,7 @@
         self, suspicion: Suspicion, owner: Owner | None, suspected_at_s: float
     ) -> bool:
         """Whether the store still names the suspected holder, and a change helps."""
-        asked_at_s = time.monotonic()
+        asked_at_s = boot_s()
         if not await self._book.reread():
             await asyncio.sleep(REFUSED_PAUSE_S)
             return False
@@ -112,7 +112,7 @@
         A doubtful holder is left alone then for a while; it goes on as soon as its
         commit is confirmed, and a new one would have to read all jobs first.
         """
-        now_s = time.monotonic()
+        now_s = boot_s()
         slow = now_s - asked_at_s > self._times.slow_read_s
         return slow and now_s - suspected_at_s < self._times.slow_patience_s
 
@@ -131,12 +131,12 @@
         seen_version: int,
     ) -> TakenCell | None:
         mine = self._name_self((before.token if before else 0) + 1)
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         version = await self._write_owner(mine, seen_version, standstill)
         if version is None and standstill is not None:
             # It has committed since, or its last commit was never confirmed to it.
             standstill = None
-            began_at_s = time.monotonic()
+            began_at_s = boot_s()
             version = await self._write_owner(mine, seen_version)
         if version is None:
             return None
--- a/src/streamthread/cell/tests/test_answers.py
+++ b/src/streamthread/cell/tests/test_answers.py
@@ -1,7 +1,6 @@
 """Writes without an answer: their effect is looked up, dead connections are left."""
 
 import asyncio
-import time
 import typing as t
 
 import pytest
@@ -12,6 +11,7 @@
 from streamthread.cell.answers import LEAST_PATIENCE_S
 from streamthread.cell.answers import MOST_PATIENCE_S
 from streamthread.cell.answers import version_written
+from streamthread.clocks import boot_s
 from streamthread.errors import OutcomeUnknownError
 from streamthread.errors import StoreUnavailableError
 from streamthread.platform.store import TransactResult
@@ -48,10 +48,10 @@
         assert await version_written(write, _look(None), AnswerTimes()) == 7
 
     async def test_is_seen_when_the_answer_is_lost(self) -> None:
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         write = _answered(NEVER_S, DONE)
         assert await version_written(write, _look(9), AnswerTimes()) == 9
-        assert time.monotonic() - began_at_s < SOON_S
+        assert boot_s() - began_at_s < SOON_S
 
     async def test_is_none_where_a_dead_connection_took_the_write(self) -> None:
         write = _answered(NEVER_S, DONE)
@@ -72,10 +72,10 @@
         async def look() -> t.Any:
             return await looks.pop(0)()
 
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         write = _answered(NEVER_S, DONE)
         assert await version_written(write, look, AnswerTimes()) == 0
-        assert time.monotonic() - began_at_s < SOON_S
+        assert boot_s() - began_at_s < SOON_S
 
     @pytest.mark.parametrize("end", [REFUSED_CONDITION, LOST])
     async def test_is_looked_up_where_the_end_says_nothing(self, end: t.Any) -> None:
--- a/src/streamthread/cell/tests/test_commits.py
+++ b/src/streamthread/cell/tests/test_commits.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import base64
-import time
 import typing as t
 
 import pytest
@@ -10,6 +9,7 @@
 from streamthread.cell import CommitLog
 from streamthread.cell import LeaseTimes
 from streamthread.cell.rows import HEAD_KEY
+from streamthread.clocks import boot_s
 from streamthread.errors import NotHolderError
 from streamthread.errors import OutcomeUnknownError
 from streamthread.errors import StoreUnavailableError
@@ -28,7 +28,7 @@
 def _log(tried_s: float | None, failed: bool) -> CommitLog:
     log = CommitLog(t.cast(t.Any, None), "main", 1, 1, 0.0, 0.4)
     if tried_s is not None:
-        log.trying_since_s = time.monotonic() - tried_s
+        log.trying_since_s = boot_s() - tried_s
     if failed:
         log.failing_since_s = log.trying_since_s
     return log
@@ -140,7 +140,7 @@
     async def transact(
         self, conditions: t.Any, puts: t.Sequence[StoredRow], drops: t.Any
     ) -> TransactResult:
-        self.sent_at_s.append(time.monotonic())
+        self.sent_at_s.append(boot_s())
         if len(self.sent_at_s) == 1:
             assert puts[-1].value is not None
             self._head = puts[-1].value
--- a/src/streamthread/cell/tests/test_lease.py
+++ b/src/streamthread/cell/tests/test_lease.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import math
-import time
 import typing as t
 
 import attrs
@@ -19,6 +18,7 @@
 from streamthread.cell.takeover import Standstill
 from streamthread.cell.takeover import Suspicion
 from streamthread.cell.takeover import TakenCell
+from streamthread.clocks import boot_s
 from streamthread.platform.store import ABSENT
 from streamthread.platform.store import Condition
 from streamthread.platform.store import Page
@@ -114,7 +114,7 @@
         store = _Store()
         store.read_s = 0.05
         lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
-        now_s = time.monotonic()
+        now_s = boot_s()
         writer = lease._writer
         assert await writer.take(Suspicion.DOUBTFUL, None, now_s) is None
         assert store.rows[TABLE_OWNER, OWNER_KEY].value == OLD.encode()
@@ -126,7 +126,7 @@
         store = _Store()
         store.read_s = 0.05
         lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
-        now_s = time.monotonic()
+        now_s = boot_s()
         taken = await lease._writer.take(Suspicion.PROCESS_GONE, None, now_s)
         assert taken is not None
 
@@ -166,7 +166,7 @@
         store = _Store()
         head_version = store.rows[TABLE_HEAD, HEAD_KEY].version
         store.put(TABLE_HEAD, HEAD_KEY, Head("later", 1).encode())
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         taken = await self._take_after_doubt(store, head_version)
         assert taken.alone_at_s >= began_at_s + LeaseTimes().trust_s
 
@@ -175,7 +175,7 @@
         self, why: Suspicion
     ) -> None:
         lease = _lease(_Store(), _Peers(sure=False, meanwhile=lambda: None))
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         taken = await lease._writer.take(why)
         assert taken is not None
         assert taken.alone_at_s >= began_at_s + lease.times.trust_s
@@ -210,7 +210,7 @@
     async def test_counts_from_the_standstill_of_a_silent_holder(self) -> None:
         store = _Store()
         lease = _lease(store, _Peers(sure=False, meanwhile=lambda: None))
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         watch = lease._watch
         watch._times = attrs.evolve(lease.times, trust_s=0.2, silence_margin_s=0.1)
         assert await watch.confirm_silent() is Suspicion.SILENT
--- a/src/streamthread/cell/watch.py
+++ b/src/streamthread/cell/watch.py
@@ -1,11 +1,11 @@
 """Watches the cell's holder, and tells when it may be replaced and why."""
 
 import asyncio
-import time
 
 import attrs
 import logbook
 
+from ..clocks import boot_s
 from ..platform.store import ABSENT
 from ..platform.store import RowStore
 from .book import OwnerBook
@@ -52,7 +52,7 @@
     """Follows whoever holds the cell.
 
     :param standstill: what the last suspicion showed of the holder's commits.
-    :param suspected_at_s: when the present suspicion arose, on the monotonic clock.
+    :param suspected_at_s: when the present suspicion arose, on the boot clock.
     """
 
     def __init__(
@@ -70,7 +70,7 @@
         self._book = book
         self._peers = peers
         self._times = times
-        self._started_at_s = time.monotonic()
+        self._started_at_s = boot_s()
         self._told: tuple[Suspicion, Owner | None] = (Suspicion.NONE, None)
         self.suspected_at_s = 0.0
         self.standstill: Standstill | None = None
@@ -82,7 +82,7 @@
         if known == self._told:
             return suspicion
         self._told = known
-        self.suspected_at_s = time.monotonic()
+        self.suspected_at_s = boot_s()
         if suspicion is not Suspicion.NONE:
             owner = self._book.owner
             log.info(
@@ -115,18 +115,18 @@
             return await self.confirm_silent()
         except HolderDoubtfulError as error:
             if error.head_version:
-                self.standstill = Standstill(error.head_version, time.monotonic())
+                self.standstill = Standstill(error.head_version, boot_s())
             return Suspicion.DOUBTFUL
 
     async def _confirm_gone(self, owner: Owner) -> Suspicion:
         """The holder's port is closed: its process is gone, or about to be."""
-        just_started = time.monotonic() - self._started_at_s <= JUST_STARTED_S
+        just_started = boot_s() - self._started_at_s <= JUST_STARTED_S
         await asyncio.sleep(OWNER_BACK_S if just_started else CLOSED_PORT_S)
         head = await self._read_head()
         if self._book.owner is not owner:
             return Suspicion.NONE
         if head is not None:
-            self.standstill = self._standstill(head, time.monotonic())
+            self.standstill = self._standstill(head, boot_s())
         return Suspicion.PROCESS_GONE
 
     @staticmethod
@@ -137,11 +137,11 @@
     async def confirm_silent(self) -> Suspicion:
         """Watch the commits stand still for long enough to be sure."""
         first = await self._read_head()
-        since_s = time.monotonic()
+        since_s = boot_s()
         owner = self._book.owner
         while first is not None and self._book.owner is owner:
             await asyncio.sleep(HEAD_POLL_S)
-            asked_at_s = time.monotonic()
+            asked_at_s = boot_s()
             head = await self._read_head()
             if head != first:
                 return Suspicion.NONE
--- a/src/streamthread/cli/verbs/configuration.py
+++ b/src/streamthread/cli/verbs/configuration.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import pathlib
-import time
 
+from ...clocks import boot_s
 from ...configuration import flatten
 from ...errors import BadInputError
 from ...providers import JsonObject
@@ -141,14 +141,14 @@
 async def rollout_wait(arguments: Arguments) -> Result:
     """Wait until a generation is in force in all live entries."""
     client = client_of(arguments)
-    started_at_s = time.monotonic()
+    started_at_s = boot_s()
     give_up_at_s = started_at_s + arguments.timeout_s
     wanted = arguments.generation
     if wanted is None:
         wanted = (await client.get("/configuration"))["generation"]
     while True:
         entries = await client.get("/entries")
-        waited_s = round(time.monotonic() - started_at_s, 3)
+        waited_s = round(boot_s() - started_at_s, 3)
         behind = [entry["entry"] for entry in entries if entry["generation"] < wanted]
         report = {
             "generation": wanted,
@@ -158,6 +158,6 @@
         }
         if not behind:
             return Result(report)
-        if time.monotonic() > give_up_at_s:
+        if boot_s() > give_up_at_s:
             return Result(report, TIMED_OUT_STATUS)
         await asyncio.sleep(ROLLOUT_POLL_S)
--- a/src/streamthread/clocks.py
+++ b/src/streamthread/clocks.py
@@ -1,7 +1,22 @@
-"""How far apart the clocks of two machines may run."""
+"""The boot clock, by which durations are measured, and how far clocks run apart."""
 
-__all__ = ["SLOWEST_CLOCK"]
+import time
+
+__all__ = ["SLOWEST_CLOCK", "boot_s"]
 
 SLOWEST_CLOCK = 0.98
 """A steady clock may run 2% slow: the platform promises it of the runners, and
 daemons are given the same margin."""
+
+_CLOCK = getattr(time, "CLOCK_BOOTTIME", time.CLOCK_MONOTONIC)
+
+
+def boot_s() -> float:
+    """Return the seconds since the machine's boot, those of its sleep among them.
+
+    The monotonic clock stands still while a machine is suspended. Others go on: a
+    holder that woke would rely on a commit that it had lost seconds ago, and give
+    orders beside the next holder. Event loops go by the monotonic clock, so that a
+    timer may fire late by the time of a suspension; whoever wakes looks at this clock.
+    """
+    return time.clock_gettime(_CLOCK)
--- a/src/streamthread/configuration/service.py
+++ b/src/streamthread/configuration/service.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import random
-import time
 import typing as t
 
 import attrs
 from mode import Service
 
+from ..clocks import boot_s
 from ..errors import ConflictError
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
@@ -67,7 +67,7 @@
         super().__init__()
         self.active = ActiveConfiguration()
         self.confirmed_at_s: float | None = None
-        self.adopted_at_s = time.monotonic()
+        self.adopted_at_s = boot_s()
         self.accepted_last = False
         """Whether the generation in force was accepted by this daemon."""
         self._store = ConfigurationStore(platform, committer)
@@ -85,7 +85,7 @@
         """Return how long ago the store confirmed the generation in force."""
         if self.confirmed_at_s is None:
             return float("inf")
-        return time.monotonic() - self.confirmed_at_s
+        return boot_s() - self.confirmed_at_s
 
     # Accepting.
 
@@ -160,7 +160,7 @@
             self._announce(keys, cause)
 
     def _announce(self, keys: t.Collection[str] | None, cause: str) -> None:
-        self.adopted_at_s = time.monotonic()
+        self.adopted_at_s = boot_s()
         self.accepted_last = cause == ACCEPTED_HERE
         self._recorder.record(
             AREA,
@@ -188,7 +188,7 @@
 
         :raises StoreUnavailableError: the store could not be read.
         """
-        asked_at_s = time.monotonic()
+        asked_at_s = boot_s()
         head = await self._store.head()
         await self._catch_up_to(head)
         self.confirmed_at_s = asked_at_s
--- a/src/streamthread/entry/daemon.py
+++ b/src/streamthread/entry/daemon.py
@@ -1,12 +1,12 @@
 """Composes the slices into the one daemon."""
 
 import asyncio
-import time
 import typing as t
 
 import attrs
 from mode import Service
 
+from ..clocks import boot_s
 from ..configuration import Change
 from ..configuration import ConfigurationService
 from ..configuration import flatten
@@ -214,8 +214,8 @@
         return cut
 
     async def _write_last_outcomes(self) -> None:
-        give_up_at_s = time.monotonic() + self.settings.claims.give_up_s
-        while self.claims.pending_outcomes and time.monotonic() < give_up_at_s:
+        give_up_at_s = boot_s() + self.settings.claims.give_up_s
+        while self.claims.pending_outcomes and boot_s() < give_up_at_s:
             await asyncio.sleep(0.05)
 
     # What the slices ask of each other.
--- a/src/streamthread/entry/metrics.py
+++ b/src/streamthread/entry/metrics.py
@@ -1,6 +1,5 @@
 """The metrics of a daemon, read from its slices when they are scraped."""
 
-import time
 import typing as t
 
 from prometheus_client import CollectorRegistry
@@ -10,6 +9,8 @@
 from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.registry import Collector
 
+from ..clocks import boot_s
+
 if t.TYPE_CHECKING:
     from .daemon import Entry
 
@@ -65,7 +66,7 @@
         yield _gauge(
             "streamthread_configuration_age_seconds",
             "Since the generation in force here was adopted.",
-            time.monotonic() - configuration.adopted_at_s,
+            boot_s() - configuration.adopted_at_s,
         )
 
     def _fleet(self) -> t.Iterator[GaugeMetricFamily | CounterMetricFamily]:
--- a/src/streamthread/fleet/drains.py
+++ b/src/streamthread/fleet/drains.py
@@ -1,10 +1,11 @@
 """Tells when an instance that drains is idle, as all daemons confirm it."""
 
-import time
 import typing as t
 
 import attrs
 
+from ..clocks import boot_s
+
 __all__ = ["DrainReport", "DrainTracker"]
 
 
@@ -38,9 +39,7 @@
     ``limit_s`` its silence counts as idle.
     """
 
-    def __init__(
-        self, limit_s: float, clock_s: t.Callable[[], float] = time.monotonic
-    ) -> None:
+    def __init__(self, limit_s: float, clock_s: t.Callable[[], float] = boot_s) -> None:
         self._limit_s = limit_s
         self._clock_s = clock_s
         self._drains: dict[str, _Drain] = {}
--- a/src/streamthread/fleet/progress.py
+++ b/src/streamthread/fleet/progress.py
@@ -1,8 +1,8 @@
 """How far the members that were granted away have come, as seen by the holder."""
 
-import time
 import typing as t
 
+from ..clocks import boot_s
 from ..leases import LeaseService
 from .drains import DrainTracker
 from .drains import Reports
@@ -13,7 +13,7 @@
 
 
 class Progress:
-    """Follows drains and reboots on this daemon's own monotonic clock.
+    """Follows drains and reboots on this daemon's own boot clock.
 
     :param reports: what each daemon reports of a draining instance.
     """
@@ -24,7 +24,7 @@
         reports: Reports,
         drain_limit_s: float,
         reboot_limit_s: float,
-        clock_s: t.Callable[[], float] = time.monotonic,
+        clock_s: t.Callable[[], float] = boot_s,
     ) -> None:
         self.busy: t.Callable[[str], bool] = lambda instance_id: False
         self._leases = leases
--- a/src/streamthread/fleet/service.py
+++ b/src/streamthread/fleet/service.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import datetime
-import time
 import typing as t
 
 import attrs
 from mode import Service
 
+from ..clocks import boot_s
 from ..configuration import ConfigurationService
 from ..configuration import ItemKind
 from ..configuration import LabelRule
@@ -90,7 +90,7 @@
         settings: FleetSettings,
         reports: t.Callable[[str, str], DrainReport | None],
         spread_soon: t.Callable[[], None],
-        clock_s: t.Callable[[], float] = time.monotonic,
+        clock_s: t.Callable[[], float] = boot_s,
         wall: t.Callable[[], datetime.datetime] = utc_now,
     ) -> None:
         super().__init__()
--- a/src/streamthread/fleet/workqueue.py
+++ b/src/streamthread/fleet/workqueue.py
@@ -4,9 +4,10 @@
 """
 
 import random
-import time
 import typing as t
 
+from ..clocks import boot_s
+
 __all__ = ["WorkQueue"]
 
 
@@ -16,9 +17,7 @@
     :param sweep_s: each pool is looked at so often even if nothing changed.
     """
 
-    def __init__(
-        self, sweep_s: float, clock_s: t.Callable[[], float] = time.monotonic
-    ) -> None:
+    def __init__(self, sweep_s: float, clock_s: t.Callable[[], float] = boot_s) -> None:
         self._sweep_s = sweep_s
         self._clock_s = clock_s
         self._due: set[str] = set()
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import contextlib
-import time
 import typing as t
 
 import attrs
@@ -16,6 +15,7 @@
 from ..cell import PeerLinks
 from ..cell import TakenCell
 from ..cell.rows import new_nonce
+from ..clocks import boot_s
 from ..errors import NotHolderError
 from ..holder import CellSettings
 from ..holder import DutySettings
@@ -279,13 +279,13 @@
 
     async def planned_stop(self) -> None:
         """Leave without cutting anything off."""
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         self.front.stopping = True
         self.lease.stopping = True
         log.info("stopping", extra={"holding": self.lease.holding})
         await self._hand_over()
         until_s = began_at_s + self.node.bounds.grace_s - STOP_MARGIN_S
-        while time.monotonic() < until_s:
+        while boot_s() < until_s:
             await asyncio.sleep(STOP_POLL_S)
         log.info("stopped", extra={"in_flight": self.front.in_flight})
 
--- a/src/streamthread/gateway/documents.py
+++ b/src/streamthread/gateway/documents.py
@@ -1,12 +1,12 @@
 """Follows what the operator writes: the manifest and the waves."""
 
 import asyncio
-import time
 import typing as t
 
 import logbook
 from mode import Service
 
+from ..clocks import boot_s
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..errors import UnreadableError
@@ -49,7 +49,7 @@
 
     :param notes: is told of what can't be read.
     :param failures: is told of what failed and nobody foresaw.
-    :param confirmed_at_s: when the store answered last, on the monotonic clock.
+    :param confirmed_at_s: when the store answered last, on the boot clock.
     """
 
     def __init__(
@@ -89,7 +89,7 @@
 
     async def _watch_once(self) -> None:
         update = await self._feed.next()
-        self.confirmed_at_s = time.monotonic()
+        self.confirmed_at_s = boot_s()
         for row in update.rows:
             self._take(row)
 
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import enum
-import time
 import typing as t
 
 import attrs
@@ -12,6 +11,7 @@
 from ..cell import CellLease
 from ..cell import PeerLinks
 from ..cell import TABLE_INBOX
+from ..clocks import boot_s
 from ..errors import BadInputError
 from ..errors import NotHolderError
 from ..errors import OutcomeUnknownError
@@ -88,20 +88,20 @@
     async def ask(self, request: pb.CallRequest, until_s: float) -> pb.CallReply:
         """Return the holder's answer, or UNCERTAIN when none came in time.
 
-        :param until_s: on the monotonic clock: when the caller stops waiting.
+        :param until_s: on the boot clock: when the caller stops waiting.
         """
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         inbox_at_s = began_at_s + self._settings.inbox_after_s
         changes = request.kind in (pb.SUBMIT, pb.CANCEL)
         uncertain = False
         while True:
-            now_s = time.monotonic()
+            now_s = boot_s()
             left_s = max(until_s - now_s, LEAST_HOP_S)
             reply = await self._ask_holder(request, left_s)
             if _is_final(reply, uncertain):
                 return reply
             uncertain = uncertain or reply.outcome == pb.UNCERTAIN
-            now_s = time.monotonic()
+            now_s = boot_s()
             if changes and now_s >= inbox_at_s and not self._hears_holder():
                 if request.kind == pb.SUBMIT and not _is_job(request.job):
                     return _refused("the body is no job")
@@ -128,7 +128,7 @@
         A holder that is heard still works on it, however slow the store is, unless it
         says that the configuration has not come to it.
         """
-        now_s = time.monotonic()
+        now_s = boot_s()
         if now_s >= until_s:
             return True
         lasted_s = now_s - began_at_s
--- a/src/streamthread/gateway/front.py
+++ b/src/streamthread/gateway/front.py
@@ -1,6 +1,5 @@
 """Serves callers over HTTP: hand in, state, cancel, how many wait."""
 
-import time
 import typing as t
 
 import attrs
@@ -10,6 +9,7 @@
 from prometheus_client import Histogram
 
 from ..cell import cell_pb2 as pb
+from ..clocks import boot_s
 from ..platform.callers import DEADLINE_HEADER
 from ..platform.callers import encode_pending
 from ..platform.callers import encode_state
@@ -127,13 +127,13 @@
         return web.Response(status=200 if self._is_ready() else 503)
 
     async def _serve(self, request: web.BaseRequest) -> web.Response:
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         self.in_flight += 1
         try:
             reply = await self._answer(request, began_at_s)
         finally:
             self.in_flight -= 1
-        took_s = time.monotonic() - began_at_s
+        took_s = boot_s() - began_at_s
         self.answer_s.labels(request.method).observe(took_s)
         key = f"{request.method} {reply.status}"
         self.answers[key] = self.answers.get(key, 0) + 1
--- a/src/streamthread/gateway/logs.py
+++ b/src/streamthread/gateway/logs.py
@@ -4,12 +4,13 @@
 import json
 import logging
 import os
-import time
 import typing as t
 
 import logbook
 from logbook.compat import redirect_logging
 
+from ..clocks import boot_s
+
 __all__ = ["BoundedLines", "start_cell_logging"]
 
 LINES_PER_S = 400
@@ -47,7 +48,7 @@
 
     def emit(self, record: t.Any) -> None:
         """Write a record, or count it as dropped."""
-        second = int(time.monotonic())
+        second = int(boot_s())
         if second != self._second:
             self._second, self._count = second, 0
         if self._count >= self._lines_per_s or not self._flush():
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -1,6 +1,5 @@
 """The metrics of a cell's daemon, read from its parts when they are scraped."""
 
-import time
 import typing as t
 
 from prometheus_client import CollectorRegistry
@@ -9,6 +8,7 @@
 from prometheus_client.core import GaugeMetricFamily
 from prometheus_client.registry import Collector
 
+from ..clocks import boot_s
 from ..holder import Holder
 from .view import DaemonView
 
@@ -56,7 +56,7 @@
         yield GaugeMetricFamily(
             "streamthread_manifest_version", "In force here.", value=version
         )
-        age_s = time.monotonic() - documents.confirmed_at_s
+        age_s = boot_s() - documents.confirmed_at_s
         yield GaugeMetricFamily(
             "streamthread_manifest_confirmed_age_seconds",
             "Since the store last answered what the operator's documents are.",
--- a/src/streamthread/gateway/tests/test_documents.py
+++ b/src/streamthread/gateway/tests/test_documents.py
@@ -32,12 +32,12 @@
 
 
 class _Clock:
-    """Stands in for the time module."""
+    """Stands for the clock."""
 
     def __init__(self) -> None:
         self.now_s = 0.0
 
-    def monotonic(self) -> float:
+    def boot_s(self) -> float:
         self.now_s += HOUR_S
         return self.now_s
 
@@ -45,7 +45,7 @@
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> _Clock:
     clock = _Clock()
-    monkeypatch.setattr(module, "time", clock)
+    monkeypatch.setattr(module, "boot_s", clock.boot_s)
     return clock
 
 
--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -1,9 +1,9 @@
 """What a caller is told when holders come and go."""
 
-import time
 import typing as t
 
 from streamthread.cell import cell_pb2 as pb
+from streamthread.clocks import boot_s
 from streamthread.errors import OutcomeUnknownError
 from streamthread.errors import PeerUnavailableError
 from streamthread.errors import StoreUnavailableError
@@ -71,7 +71,7 @@
     peers: _Peers, store: _Store, heard: bool = False, wait_s: float = 3.0
 ) -> pb.CallReply:
     args: t.Any = (_Lease(heard), peers, store, "main", lambda: None, SETTINGS)
-    return await Forwarder(*args).ask(SUBMIT, time.monotonic() + wait_s)
+    return await Forwarder(*args).ask(SUBMIT, boot_s() + wait_s)
 
 
 class TestSubmit:
@@ -81,12 +81,12 @@
         assert reply.outcome == pb.UNCERTAIN
 
     async def test_that_nobody_can_have_taken_is_refused_at_once(self) -> None:
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         nobody = pb.CallReply(outcome=pb.NOT_HOLDER)
         reply = await _ask(_Peers(nobody), _Store(_down()))
         assert reply.outcome == pb.REFUSED
         assert reply.retry_after_s > 0
-        assert time.monotonic() - began_at_s < SETTINGS.give_up_s
+        assert boot_s() - began_at_s < SETTINGS.give_up_s
 
     async def test_is_left_in_the_inbox_when_no_holder_answers(self) -> None:
         store = _Store()
@@ -101,10 +101,10 @@
         assert reply.outcome == pb.UNCERTAIN
 
     async def test_gets_its_final_answer_long_before_the_caller_gives_up(self) -> None:
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         reply = await _ask(_Peers(_lost()), _Store(_down()))
         assert reply.outcome == pb.UNCERTAIN
-        assert time.monotonic() - began_at_s < 1.0
+        assert boot_s() - began_at_s < 1.0
 
     async def test_is_not_left_in_the_inbox_while_the_holder_is_heard(self) -> None:
         store = _Store()
@@ -114,22 +114,22 @@
         assert not store.kept
 
     async def test_waits_for_a_slow_holder_that_is_heard(self) -> None:
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         wait_s = 2 * SETTINGS.give_up_s
         reply = await _ask(_Peers(_lost()), _Store(), heard=True, wait_s=wait_s)
         assert reply.outcome == pb.UNCERTAIN
-        assert time.monotonic() - began_at_s >= wait_s
+        assert boot_s() - began_at_s >= wait_s
 
     async def test_is_refused_while_the_holder_knows_an_older_configuration(
         self,
     ) -> None:
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         store = _Store()
         behind = pb.CallReply(outcome=pb.BEHIND)
         reply = await _ask(_Peers(behind), store, heard=True)
         assert reply.outcome == pb.REFUSED
         assert "older configuration" in reply.reason
-        assert time.monotonic() - began_at_s >= SETTINGS.give_up_s
+        assert boot_s() - began_at_s >= SETTINGS.give_up_s
         assert not store.kept
 
     async def test_waits_for_the_holders_configuration(self) -> None:
--- a/src/streamthread/holder/advice.py
+++ b/src/streamthread/holder/advice.py
@@ -2,12 +2,12 @@
 
 import asyncio
 import collections
-import time
 import typing as t
 
 import attrs
 import logbook
 
+from ..clocks import boot_s
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..platform.advice import AdviceClient
@@ -90,7 +90,7 @@
         if self._policy(step.occurrence.job.route) is None:
             return None
         known = self._known.get(step)
-        if known is not None and time.monotonic() < known.valid_until_s:
+        if known is not None and boot_s() < known.valid_until_s:
             return known.tickets
         self.want(step)
         return ()
@@ -133,7 +133,7 @@
         if not runners:
             return False
         name = f"{job.job_id}.{step.occurrence.number}.{step.number}"
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         try:
             advice = await self._client.advise(name, [r.runner_id for r in runners])
         except (StoreUnavailableError, OutcomeUnknownError) as error:
@@ -150,7 +150,7 @@
                 "step": name,
                 "asked": len(runners),
                 "good": len(known.tickets),
-                "took_s": round(time.monotonic() - began_at_s, 4),
+                "took_s": round(boot_s() - began_at_s, 4),
             },
         )
         self._changed()
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -1,7 +1,6 @@
 """Moves and upkeep: reads the machines, decides, and orders one duty a machine."""
 
 import asyncio
-import time
 import typing as t
 
 import logbook
@@ -10,6 +9,7 @@
 from ..capacity import Move
 from ..capacity import plan_moves
 from ..capacity import PoolView
+from ..clocks import boot_s
 from ..errors import OutcomeUnknownError
 from ..errors import StreamthreadError
 from ..platform.cloud import CloudClient
@@ -40,7 +40,7 @@
 
     The cloud does not refuse them.
 
-    :param alone_at_s: on the monotonic clock: no such order is sent later.
+    :param alone_at_s: on the boot clock: no such order is sent later.
     :param now_s: on the same clock.
     """
     return max(0.0, alone_at_s + ORDER_FLIGHT_S - now_s)
@@ -76,9 +76,7 @@
     async def run(self) -> None:
         """Do the duties until the cell is lost."""
         await self._book.restore()
-        await asyncio.sleep(
-            quiet_time_s(self._owner.taken.alone_at_s, time.monotonic())
-        )
+        await asyncio.sleep(quiet_time_s(self._owner.taken.alone_at_s, boot_s()))
         while True:
             await self._owner.until_trusted()
             if await self._table.refresh():
@@ -89,7 +87,7 @@
         """Count a job's work among a pool's arrivals.
 
         :param work: thousandths of a core times seconds.
-        :param at_s: when it arrived, on the monotonic clock.
+        :param at_s: when it arrived, on the boot clock.
         """
         self._sizes.note_job(service, work, at_s)
 
@@ -220,7 +218,7 @@
         if self._owner.releasing or not self._table.may_send(machine, pending):
             self._table.drop(machine, pending, "no longer free")
             return
-        pending.sent_at_s = time.monotonic()
+        pending.sent_at_s = boot_s()
         try:
             reply = await call()
         except OutcomeUnknownError as error:
--- a/src/streamthread/holder/housekeeping.py
+++ b/src/streamthread/holder/housekeeping.py
@@ -7,6 +7,7 @@
 
 from ..cell import TABLE_JOBS
 from ..cell import TABLE_RUNS
+from ..clocks import boot_s
 from .inbox import InboxReader
 from .intake import Intake
 from .owner import DutyOwner
@@ -77,7 +78,7 @@
         """
         bound_s = self._owner.context.settings.links.lapse_bound_s
         lapsed_at_s = self._owner.taken.last_hold_at_s + bound_s
-        await asyncio.sleep(max(0.0, lapsed_at_s - time.monotonic()))
+        await asyncio.sleep(max(0.0, lapsed_at_s - boot_s()))
         for attempt in self._engine.orphans():
             self._engine.drop_orphan(attempt)
             self._owner.kick()
--- a/src/streamthread/holder/inbox.py
+++ b/src/streamthread/holder/inbox.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import time
 import typing as t
 from abc import ABC
 from abc import abstractmethod
@@ -12,6 +11,7 @@
 import msgspec
 
 from ..cell.rows import new_nonce
+from ..clocks import boot_s
 from ..decoding import Count
 from ..decoding import Decoder
 from ..decoding import OWN_ROW_REMEDY
@@ -164,7 +164,7 @@
     @property
     def behind(self) -> bool:
         """Whether there may be rows for long that were not taken."""
-        return time.monotonic() - self._feed.known_at_s > BEHIND_S
+        return boot_s() - self._feed.known_at_s > BEHIND_S
 
     async def catch_up(self) -> None:
         """Return once all is taken that was in the inbox at the time of this call.
--- a/src/streamthread/holder/kept_cancels.py
+++ b/src/streamthread/holder/kept_cancels.py
@@ -1,10 +1,11 @@
 """Cancels that find no job: kept for as long as their jobs may still come."""
 
-import time
 import zlib
 
 import attrs
 
+from ..clocks import boot_s
+
 __all__ = ["KEPT_SUFFIX", "Cancel", "KeptCancels", "kept_key"]
 
 KEPT_SUFFIX = ".kept"
@@ -49,7 +50,7 @@
     def keep(self, cancel: Cancel) -> None:
         """Keep a cancel from now on."""
         self.forget(cancel)
-        self._since_s[cancel] = time.monotonic()
+        self._since_s[cancel] = boot_s()
         if len(self._since_s) > MOST_KEPT:
             oldest = next(iter(self._since_s))
             del self._since_s[oldest]
@@ -62,7 +63,7 @@
     def covers(self, cancel: Cancel) -> bool:
         """Whether a cancel counts still."""
         since_s = self._since_s.get(cancel)
-        return since_s is not None and time.monotonic() - since_s < self._keep_s
+        return since_s is not None and boot_s() - since_s < self._keep_s
 
     def knows(self, cancel: Cancel) -> bool:
         """Whether a cancel is kept, or was until its time was over."""
--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -1,13 +1,13 @@
 """The machines as the cloud lists them, and what was ordered for each."""
 
 import enum
-import time
 import typing as t
 
 import attrs
 import logbook
 
 from ..capacity import MachineView
+from ..clocks import boot_s
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..platform.cloud import CloudClient
@@ -42,7 +42,7 @@
 
     :param target: the pool that the machine is in afterwards.
     :param runner_before: the runner that lived there when it was ordered.
-    :param sent_at_s: on the monotonic clock.
+    :param sent_at_s: on the boot clock.
     :param wave: number of the wave that an upkeep belongs to.
     """
 
@@ -107,7 +107,7 @@
 
     async def refresh(self) -> bool:
         """Read the list when it is due; return whether it may be relied on."""
-        now_s = time.monotonic()
+        now_s = boot_s()
         if now_s - self._listed_at_s < self._settings.list_s:
             return bool(self.machines)
         try:
@@ -188,7 +188,7 @@
         runner = self.runner_of(machine)
         if runner is not None:
             runner.reserved = True
-        pending = PendingDuty(kind, target, machine.runner_id, time.monotonic())
+        pending = PendingDuty(kind, target, machine.runner_id, boot_s())
         self.pending[machine.machine_id] = pending
         return pending
 
@@ -225,7 +225,7 @@
 
         :param due: it still has to go into upkeep.
         """
-        now_s = time.monotonic()
+        now_s = boot_s()
         pending = self.pending.get(machine.machine_id)
         runner = self.runner_of(machine)
         up = machine.state is MachineState.UP and pending is None
--- a/src/streamthread/holder/queue.py
+++ b/src/streamthread/holder/queue.py
@@ -7,6 +7,7 @@
 from abc import abstractmethod
 
 from ..cell import CommitLog
+from ..clocks import boot_s
 from ..scheduler import Attempt
 from ..scheduler import Engine
 from ..scheduler import StepRun
@@ -66,7 +67,7 @@
         """Look at the queue until the cell is lost."""
         while True:
             await self._owner.until_trusted()
-            await asyncio.sleep(max(0.0, self._next_look_at_s - time.monotonic()))
+            await asyncio.sleep(max(0.0, self._next_look_at_s - boot_s()))
             next_due_s = self._look_and_pause()
             wait_s = LOOK_AT_MOST_S
             if next_due_s is not None:
@@ -79,16 +80,16 @@
 
     def look_soon(self) -> None:
         """Look at once, or with the next look if the last one was just now."""
-        if time.monotonic() < self._next_look_at_s:
+        if boot_s() < self._next_look_at_s:
             self.kick()
         else:
             self._look_and_pause()
 
     def _look_and_pause(self) -> float | None:
         """Look at the queue, and note when it may be looked at again."""
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         next_due_s = self._look()
-        ended_at_s = time.monotonic()
+        ended_at_s = boot_s()
         pause_s = (ended_at_s - began_at_s) * PAUSE_TIMES
         self._next_look_at_s = ended_at_s + max(LEAST_PAUSE_S, pause_s)
         return next_due_s
--- a/src/streamthread/holder/replay.py
+++ b/src/streamthread/holder/replay.py
@@ -1,7 +1,6 @@
 """Reads back what the holder before has recorded."""
 
 import asyncio
-import time
 import typing as t
 
 import attrs
@@ -9,6 +8,7 @@
 
 from ..cell import TABLE_JOBS
 from ..cell import TABLE_RUNS
+from ..clocks import boot_s
 from ..errors import BadInputError
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
@@ -45,7 +45,7 @@
 
     A job whose rows can't be read takes none of the others with it.
     """
-    began_at_s = time.monotonic()
+    began_at_s = boot_s()
     definitions = await store.read_all(TABLE_JOBS, part)
     progress = await store.read_all(TABLE_RUNS, part)
     values = {row.key: row.value for row in progress.rows}
@@ -58,7 +58,7 @@
             jobs.append(_read_back(row.key, row.value, values.get(row.key)))
         except BadInputError as error:
             unreadable[row.key] = error
-    return Replayed(tuple(jobs), unreadable, time.monotonic() - began_at_s)
+    return Replayed(tuple(jobs), unreadable, boot_s() - began_at_s)
 
 
 def _read_back(job_id: str, definition: bytes, progress: bytes | None) -> Job:
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -13,6 +13,7 @@
 from ..cell import TABLE_JOBS
 from ..cell import TABLE_RUNS
 from ..cell import TakenCell
+from ..clocks import boot_s
 from ..errors import NotHolderError
 from ..loops import Loop
 from ..loops import LoopKeeper
@@ -294,7 +295,7 @@
         work = job_work(job, self.engine.times)
         if work:
             age_s = max(0.0, time.time() - job.accepted_at_s)
-            self.duties.note_job(job.service, work, time.monotonic() - age_s)
+            self.duties.note_job(job.service, work, boot_s() - age_s)
 
     def _want_advice(self, job: Job) -> None:
         """Fetch tickets for all steps now, so that later ones do not wait."""
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -13,6 +13,7 @@
 from ..capacity import pool_demand
 from ..capacity import PoolArrivals
 from ..capacity import target_size
+from ..clocks import boot_s
 from ..platform.documents import Pool
 from ..scheduler import Engine
 from ..scheduler import Job
@@ -49,7 +50,7 @@
         self._early: list[_EarlyJob] = []
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
         self._demands: dict[str, tuple[int, int, int]] = {}
-        self._began_at_s = time.monotonic()
+        self._began_at_s = boot_s()
         self._first_job_at_s: float | None = None
         self._there_first: collections.Counter[str] = collections.Counter()
         self._logged_at_s = 0.0
@@ -61,7 +62,7 @@
         known, jobs are kept: a new holder takes those that were handed in before.
 
         :param work: thousandths of a core times seconds.
-        :param at_s: when it arrived, on the monotonic clock.
+        :param at_s: when it arrived, on the boot clock.
         """
         if not self._machine_cpu:
             self._early.append(_EarlyJob(at_s, service, work))
@@ -87,7 +88,7 @@
         self, pools: t.Iterable[Pool], views: t.Collection[MachineView]
     ) -> dict[str, int]:
         """Return how many machines each pool should have, spare pools left out."""
-        now_s = time.monotonic()
+        now_s = boot_s()
         self._learn_machine_size(views)
         jobs: dict[str, list[Job]] = collections.defaultdict(list)
         for job in self._engine.open_jobs():
@@ -108,7 +109,7 @@
         there = collections.Counter(view.pool for view in views)
         if not self._there_first:
             self._there_first = there
-        now_s = time.monotonic()
+        now_s = boot_s()
         share = self._cold_share(now_s)
         kept = {
             pool: math.ceil(count * share) for pool, count in self._there_first.items()
@@ -165,7 +166,7 @@
 
     def tell(self, targets: dict[str, int], views: t.Collection[MachineView]) -> None:
         """Log once a second how many machines each pool has and should have."""
-        now_s = time.monotonic()
+        now_s = boot_s()
         if now_s - self._logged_at_s < SIZES_LOG_S:
             return
         self._logged_at_s = now_s
--- a/src/streamthread/holder/tests/test_housekeeping.py
+++ b/src/streamthread/holder/tests/test_housekeeping.py
@@ -1,12 +1,12 @@
 """When a new holder takes runs that it never reached as ended."""
 
 import asyncio
-import time
 import types
 import typing as t
 
 import pytest
 
+from streamthread.clocks import boot_s
 from streamthread.holder import housekeeping as module
 from streamthread.holder.housekeeping import Housekeeping
 from streamthread.runners import LinkSettings
@@ -41,11 +41,11 @@
     ) -> None:
         monkeypatch.setattr(module, "FORGET_EVERY_S", 3600.0)
         engine = _Engine()
-        last_hold_at_s = time.monotonic()
+        last_hold_at_s = boot_s()
         housekeeping = Housekeeping(
             _owner(engine, last_hold_at_s), t.cast(t.Any, None), t.cast(t.Any, None)
         )
         waiting = asyncio.ensure_future(housekeeping.drop_orphans())
         await waiting
         assert engine.dropped == ["run"]
-        assert time.monotonic() >= last_hold_at_s + SETTINGS.lapse_bound_s
+        assert boot_s() >= last_hold_at_s + SETTINGS.lapse_bound_s
--- a/src/streamthread/holder/tests/test_listing.py
+++ b/src/streamthread/holder/tests/test_listing.py
@@ -3,13 +3,13 @@
 import asyncio
 import contextlib
 import json
-import time
 import typing as t
 
 import logbook
 import pytest
 
 from streamthread import unreadable
+from streamthread.clocks import boot_s
 from streamthread.errors import StoreUnavailableError
 from streamthread.errors import UnreadableError
 from streamthread.holder import listing
@@ -88,9 +88,9 @@
 
 
 async def _until(condition: t.Callable[[], bool]) -> None:
-    give_up_at_s = time.monotonic() + WITHIN_S
+    give_up_at_s = boot_s() + WITHIN_S
     while not condition():
-        assert time.monotonic() < give_up_at_s
+        assert boot_s() < give_up_at_s
         await asyncio.sleep(0.005)
 
 
--- a/src/streamthread/holder/tests/test_sizes.py
+++ b/src/streamthread/holder/tests/test_sizes.py
@@ -27,7 +27,7 @@
     def __init__(self) -> None:
         self.now_s = 100.0
 
-    def monotonic(self) -> float:
+    def boot_s(self) -> float:
         return self.now_s
 
     def time(self) -> float:
@@ -38,6 +38,7 @@
 def clock(monkeypatch: pytest.MonkeyPatch) -> _Clock:
     clock = _Clock()
     monkeypatch.setattr(sizes, "time", t.cast(t.Any, clock))
+    monkeypatch.setattr(sizes, "boot_s", clock.boot_s)
     return clock
 
 
--- a/src/streamthread/holder/tests/test_trust.py
+++ b/src/streamthread/holder/tests/test_trust.py
@@ -1,10 +1,10 @@
 """When a holder relies on the cell, and what its beats say of it."""
 
-import time
 import typing as t
 
 from streamthread.cell import CommitLog
 from streamthread.cell import LeaseTimes
+from streamthread.clocks import boot_s
 from streamthread.holder.trust import HolderTrust
 from streamthread.holder.trust import RELEASE_S
 
@@ -12,7 +12,7 @@
 
 
 def _trust(confirmed_s_ago: float) -> HolderTrust:
-    confirmed_at_s = time.monotonic() - confirmed_s_ago
+    confirmed_at_s = boot_s() - confirmed_s_ago
     log = CommitLog(t.cast(t.Any, None), "main", 1, HEAD_VERSION, confirmed_at_s, 0.4)
     return HolderTrust(log, LeaseTimes(), most_hold_s=6.0)
 
@@ -29,10 +29,10 @@
 
     async def test_slow_commits_are_no_reason_to_refuse_jobs(self) -> None:
         trust = _trust(0.0)
-        trust._log.trying_since_s = time.monotonic() - 0.5
+        trust._log.trying_since_s = boot_s() - 0.5
         assert trust.may_accept()
         assert trust.may_extend_s(3.0) == 6.0
-        trust._log.failing_since_s = time.monotonic()
+        trust._log.failing_since_s = boot_s()
         assert not trust.may_accept()
 
 
--- a/src/streamthread/holder/trust.py
+++ b/src/streamthread/holder/trust.py
@@ -1,10 +1,10 @@
 """Whether a holder may rely on holding the cell, and what follows."""
 
 import asyncio
-import time
 
 from ..cell import CommitLog
 from ..cell import LeaseTimes
+from ..clocks import boot_s
 
 __all__ = ["HolderTrust"]
 
@@ -33,7 +33,7 @@
     def trusted(self) -> bool:
         """Whether a commit was confirmed so lately that nobody took over."""
         times = self._times
-        age_s = time.monotonic() - self._log.confirmed_at_s
+        age_s = boot_s() - self._log.confirmed_at_s
         slow_doubt_s = times.doubt_after_s(self._log.commit_s)
         doubtful = self._log.is_doubtful(times.doubt_s, slow_doubt_s)
         return age_s < self._log.term_s and not doubtful and not self._log.lost
@@ -43,9 +43,7 @@
         """Whether others may take the cell: no commits, or no release in time."""
         if not self.trusted:
             return True
-        return (
-            self.releasing and time.monotonic() - self._release_began_at_s > RELEASE_S
-        )
+        return self.releasing and boot_s() - self._release_began_at_s > RELEASE_S
 
     @property
     def standstill_version(self) -> int:
@@ -59,7 +57,7 @@
     def begin_release(self) -> None:
         """Order nothing new: the cell is about to be released."""
         self.releasing = True
-        self._release_began_at_s = time.monotonic()
+        self._release_began_at_s = boot_s()
 
     async def until_trusted(self) -> None:
         """Return once this daemon may rely on holding the cell."""
--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -1,11 +1,11 @@
 """Carries out decisions about the jobs of the pools that are held here."""
 
-import time
 import typing as t
 
 import attrs
 from mode import Service
 
+from ..clocks import boot_s
 from ..configuration import ConfigurationService
 from ..configuration import PoolSpec
 from ..errors import BadInputError
@@ -199,13 +199,13 @@
         await self._start_attempts(pool, jobs)
 
     def _may_decide(self, jobs: PoolJobs) -> bool:
-        return jobs.needs_decision(time.monotonic(), self._settings.sweep_s)
+        return jobs.needs_decision(boot_s(), self._settings.sweep_s)
 
     def _is_due(self, jobs: PoolJobs) -> bool:
         due = self._may_decide(jobs)
         if due:
             jobs.changed = False
-            jobs.decided_at_s = time.monotonic()
+            jobs.decided_at_s = boot_s()
         return due
 
     def _on_view(self, pool: str) -> None:
--- a/src/streamthread/leases/committer.py
+++ b/src/streamthread/leases/committer.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import random
-import time
 import typing as t
 
 import attrs
 
+from ..clocks import boot_s
 from ..errors import StoreUnavailableError
 from ..providers import CommitOutcome
 from ..providers import CommitResult
@@ -49,7 +49,7 @@
         self,
         tables: Tables,
         give_up_s: float = 30.0,
-        clock_s: t.Callable[[], float] = time.monotonic,
+        clock_s: t.Callable[[], float] = boot_s,
         sleep: t.Callable[[float], t.Awaitable[None]] = asyncio.sleep,
     ) -> None:
         self._tables = tables
--- a/src/streamthread/leases/observer.py
+++ b/src/streamthread/leases/observer.py
@@ -1,4 +1,4 @@
-"""Judges other daemons' leases by this daemon's own monotonic clock."""
+"""Judges other daemons' leases by this daemon's own boot clock."""
 
 import typing as t
 
--- a/src/streamthread/leases/service.py
+++ b/src/streamthread/leases/service.py
@@ -1,7 +1,6 @@
 """Keeps this daemon's lease, and tells what it holds while that lasts."""
 
 import random
-import time
 import typing as t
 import uuid
 
@@ -9,6 +8,7 @@
 import cattrs
 from mode import Service
 
+from ..clocks import boot_s
 from ..errors import NotHolderError
 from ..errors import StoreUnavailableError
 from ..providers import ABSENT
@@ -60,7 +60,7 @@
         recorder: Recorder,
         record: LeaseRecord,
         settings: LeaseSettings,
-        clock_s: t.Callable[[], float] = time.monotonic,
+        clock_s: t.Callable[[], float] = boot_s,
         committer: Committer | None = None,
     ) -> None:
         super().__init__()
--- a/src/streamthread/loops.py
+++ b/src/streamthread/loops.py
@@ -8,11 +8,12 @@
 
 import asyncio
 import collections
-import time
 import typing as t
 
 import logbook
 
+from .clocks import boot_s
+
 __all__ = ["Failures", "LoopKeeper"]
 
 log = logbook.Logger("streamthread.loops")
@@ -46,7 +47,7 @@
         :param name: of the loop or call.
         """
         self.counts[name] = self.counts.get(name, 0) + 1
-        self._at_s.append(time.monotonic())
+        self._at_s.append(boot_s())
         log.error(
             "unforeseen-failure",
             extra={"loop": name, "error": repr(error), "count": self.counts[name]},
@@ -55,7 +56,7 @@
 
     def within(self, period_s: float) -> int:
         """Return how many there were in the last seconds."""
-        oldest_s = time.monotonic() - period_s
+        oldest_s = boot_s() - period_s
         while self._at_s and self._at_s[0] < oldest_s:
             self._at_s.popleft()
         return len(self._at_s)
@@ -83,7 +84,7 @@
         """Run a loop until it ends by itself, is cancelled or fails as foreseen."""
         pause_s = PAUSE_FIRST_S
         while True:
-            began_at_s = time.monotonic()
+            began_at_s = boot_s()
             try:
                 await loop()
                 return
@@ -92,7 +93,7 @@
             except Exception as error:
                 self._failures.note(name, error)
             self._failed(name)
-            if time.monotonic() - began_at_s > LASTED_S:
+            if boot_s() - began_at_s > LASTED_S:
                 pause_s = PAUSE_FIRST_S
             await asyncio.sleep(pause_s)
             pause_s = min(pause_s * 2, PAUSE_MOST_S)
--- a/src/streamthread/peers/links.py
+++ b/src/streamthread/peers/links.py
@@ -26,7 +26,7 @@
     :param incarnation: of the run of the peer that the cursors belong to.
     :param their_cursor: up to where the peer's news was taken.
     :param my_cursor_sent: up to where the peer has our news.
-    :param heard_at_s: when it answered or called last, on the monotonic clock.
+    :param heard_at_s: when it answered or called last, on the boot clock.
     """
 
     address: str
--- a/src/streamthread/peers/service.py
+++ b/src/streamthread/peers/service.py
@@ -4,7 +4,6 @@
 import contextlib
 import json
 import random
-import time
 import typing as t
 
 import attrs
@@ -12,6 +11,7 @@
 from grpclib.server import Server
 from mode import Service
 
+from ..clocks import boot_s
 from ..configuration import ConfigurationService
 from ..configuration import Snapshot
 from ..errors import PeerUnavailableError
@@ -102,7 +102,7 @@
 
     def heard_recently(self, within_s: float) -> int:
         """Return how many peers answered or called within a time."""
-        return self._links.heard_since(time.monotonic() - within_s)
+        return self._links.heard_since(boot_s() - within_s)
 
     async def on_start(self) -> None:
         """Open the peers' port."""
@@ -191,7 +191,7 @@
             **content,
         )
         reply = await self._links.call(link.stub.Exchange, request, peer)
-        link.heard_at_s = time.monotonic()
+        link.heard_at_s = boot_s()
         self._take(reply.sender, reply.rumors, reply.generations)
         return reply
 
@@ -235,7 +235,7 @@
         self._take(request.sender, request.rumors, request.generations)
         link = self._links.get(request.sender.daemon_id)
         if link is not None:
-            link.heard_at_s = time.monotonic()
+            link.heard_at_s = boot_s()
         same_run = request.known_incarnation == self._incarnation
         after = request.known_cursor if same_run else 0
         news = self.rumors.news_for(request.sender.incarnation, after)
--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import json
-import time
 import typing as t
 
 import aiohttp
@@ -11,6 +10,7 @@
 import logbook
 import yarl
 
+from ..clocks import boot_s
 from ..decoding import Decoder
 from ..errors import NoAnswerError
 from ..errors import OutcomeUnknownError
@@ -72,11 +72,11 @@
     :param received_bytes: of the answer's body.
     """
 
-    began_at_s: float = attrs.field(factory=time.monotonic)
+    began_at_s: float = attrs.field(factory=boot_s)
     received_bytes: int = 0
 
     def __str__(self) -> str:
-        took_s = time.monotonic() - self.began_at_s
+        took_s = boot_s() - self.began_at_s
         return f"after {took_s:.2f} s and {self.received_bytes} bytes"
 
 
--- a/src/streamthread/platform/table_feed.py
+++ b/src/streamthread/platform/table_feed.py
@@ -1,10 +1,10 @@
 """Follows one table of the store: read whole once, then what changes in it."""
 
 import math
-import time
 
 import attrs
 
+from ..clocks import boot_s
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from .store import HistoryGoneError
@@ -34,7 +34,7 @@
 
     :param part: the part that is read whole; the feed brings all parts' changes.
     :param wait_s: how long one call waits for a change.
-    :param known_at_s: on the monotonic clock: the rows are known as they were then.
+    :param known_at_s: on the boot clock: the rows are known as they were then.
     """
 
     def __init__(self, store: RowStore, table: str, part: str, wait_s: float) -> None:
@@ -69,7 +69,7 @@
             raise
         self._failed = False
         self._after = page.version
-        self.known_at_s = time.monotonic()
+        self.known_at_s = boot_s()
         return Update(page.rows, whole=False)
 
     async def look(self) -> tuple[StoredRow, ...]:
@@ -87,7 +87,7 @@
         return Update(page.rows, whole=True)
 
     async def _read_all(self) -> Page:
-        began_at_s = time.monotonic()
+        began_at_s = boot_s()
         page = await self._store.read_all(self._table, self._part)
         self.known_at_s = max(self.known_at_s, began_at_s)
         return page
--- a/src/streamthread/requests/claims.py
+++ b/src/streamthread/requests/claims.py
@@ -8,13 +8,13 @@
 import collections
 import enum
 import hashlib
-import time
 import typing as t
 
 import attrs
 import cattrs
 from mode import Service
 
+from ..clocks import boot_s
 from ..errors import StoreUnavailableError
 from ..errors import StreamthreadError
 from ..leases import Committer
@@ -174,7 +174,7 @@
 
     async def _keep_pace(self) -> None:
         """Space the commits so that all daemons stay inside the writes."""
-        now_s = time.monotonic()
+        now_s = boot_s()
         wait_s = self._next_commit_s - now_s
         gap_s = self._daemon_count() / self._settings.writes_per_s
         self._next_commit_s = max(now_s, self._next_commit_s) + gap_s
--- a/src/streamthread/requests/dispatch.py
+++ b/src/streamthread/requests/dispatch.py
@@ -1,12 +1,12 @@
 """Carries one request to an upstream, and to another where that is safe."""
 
 import contextlib
-import time
 import typing as t
 
 import aiohttp
 from aiohttp import web
 
+from ..clocks import boot_s
 from .answers import KeptAnswer
 from .answers import pass_on
 from .outcomes import DEADLINE_HEADER
@@ -110,14 +110,14 @@
         answer: KeptAnswer | None,
     ) -> web.StreamResponse:
         began = False
-        sent_at_s = time.monotonic()
+        sent_at_s = boot_s()
         try:
             async with self._exchange(call, slot) as reply:
                 self._note_signs(slot, reply)
                 began = True
                 close = self._is_stopping()
                 response = await pass_on(request, reply, call, answer, close)
-                self._router.note_success(slot, time.monotonic() - sent_at_s)
+                self._router.note_success(slot, boot_s() - sent_at_s)
                 return response
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._router.note_failure(slot.upstream, repr(error))
--- a/src/streamthread/requests/parse.py
+++ b/src/streamthread/requests/parse.py
@@ -1,12 +1,12 @@
 """From an HTTP request to what is to be carried to an upstream."""
 
 import hashlib
-import time
 import typing as t
 
 import attrs
 from aiohttp import web
 
+from ..clocks import boot_s
 from ..configuration import ActiveConfiguration
 from ..configuration import ConfigurationService
 from ..configuration import ItemKind
@@ -30,7 +30,7 @@
     """One caller's request, checked.
 
     :param path: below the service, with its query.
-    :param deadline_at_s: on this process's monotonic clock.
+    :param deadline_at_s: on this process's boot clock.
     """
 
     service: str
@@ -51,7 +51,7 @@
 
     def left_s(self) -> float:
         """Return the time left to the deadline."""
-        return self.deadline_at_s - time.monotonic()
+        return self.deadline_at_s - boot_s()
 
 
 class Callers:
@@ -103,7 +103,7 @@
     key = request.headers.get(IDEMPOTENCY_HEADER, "")
     if not repeat_safe:
         _check_unsafe(request, key)
-    started_at_s = time.monotonic()
+    started_at_s = boot_s()
     return Call(
         service=service,
         spec=spec,
--- a/src/streamthread/requests/router.py
+++ b/src/streamthread/requests/router.py
@@ -1,10 +1,10 @@
 """From a service to a slot on one of its upstreams, and back."""
 
-import time
 import typing as t
 
 import attrs
 
+from ..clocks import boot_s
 from ..configuration import ConfigurationService
 from ..configuration import ServiceSpec
 from ..configuration import TeamSpec
@@ -149,7 +149,7 @@
         """Whether a slot of another entry may be tried for a service."""
         if self._waiting.waits_elsewhere(name):
             return False
-        return self._borrowing_of(name).may_try(time.monotonic())
+        return self._borrowing_of(name).may_try(boot_s())
 
     def _borrowing_of(self, name: str) -> Borrowing:
         return self._borrowing.setdefault(name, Borrowing())
@@ -160,7 +160,7 @@
         wait_s = queue.expected_wait_s()
         if queue.is_full:
             raise _overloaded(name, "the queue is full", wait_s)
-        if wait_s + queue.run_s > deadline_at_s - time.monotonic():
+        if wait_s + queue.run_s > deadline_at_s - boot_s():
             cause = "the queue is longer than the deadline allows"
             raise _overloaded(name, cause, wait_s)
 
@@ -181,14 +181,14 @@
     def note_failure(self, upstream: Upstream, cause: str) -> None:
         """Note a broken or refused connection."""
         health = self._directory.health(upstream)
-        if health.note_failure(time.monotonic()):
+        if health.note_failure(boot_s()):
             self._recorder.record(
                 AREA, "upstream-ejected", f"instance/{upstream.instance_id}", cause
             )
 
     def note_full(self, slot: Slot) -> None:
         """Note a refusal for want of a slot."""
-        now_s = time.monotonic()
+        now_s = boot_s()
         self._directory.health(slot.upstream).note_full(now_s)
         if slot.borrowed:
             self._borrowing_of(slot.service).note_refused(now_s)
--- a/src/streamthread/requests/service.py
+++ b/src/streamthread/requests/service.py
@@ -1,12 +1,12 @@
 """The callers' port: takes requests in and counts their outcomes."""
 
 import asyncio
-import time
 import typing as t
 
 from aiohttp import web
 from mode import Service
 
+from ..clocks import boot_s
 from ..configuration import ConfigurationService
 from .at_most_once import AtMostOnce
 from .claims import ClaimService
@@ -88,8 +88,8 @@
         """Take no new connections, end what is in flight; return what was cut."""
         if self._site is not None:
             await self._site.stop()
-        give_up_at_s = time.monotonic() + limit_s
-        while self.in_flight and time.monotonic() < give_up_at_s:
+        give_up_at_s = boot_s() + limit_s
+        while self.in_flight and boot_s() < give_up_at_s:
             await asyncio.sleep(FINISH_POLL_S)
         return self.in_flight
 
--- a/src/streamthread/requests/slots.py
+++ b/src/streamthread/requests/slots.py
@@ -4,11 +4,12 @@
 import bisect
 import contextlib
 import itertools
-import time
 import typing as t
 
 import attrs
 
+from ..clocks import boot_s
+
 __all__ = ["SlotQueue"]
 
 RATE_WEIGHT = 0.1
@@ -43,7 +44,7 @@
         self,
         limit: int,
         poll_s: float = 0.03,
-        clock_s: t.Callable[[], float] = time.monotonic,
+        clock_s: t.Callable[[], float] = boot_s,
     ) -> None:
         self.limit = limit
         self._poll_s = poll_s
--- a/src/streamthread/requests/tests/test_choice.py
+++ b/src/streamthread/requests/tests/test_choice.py
@@ -2,13 +2,13 @@
 
 import asyncio
 import collections
-import time
 
 import hypothesis
 import hypothesis.strategies as st
 import pytest
 from tools.world import World
 
+from streamthread.clocks import boot_s
 from streamthread.configuration import ServiceSpec
 from streamthread.providers import Instance
 from streamthread.requests import Borrowing
@@ -250,10 +250,10 @@
         )
         spec = daemon.configuration.active.spec("service/a", ServiceSpec)
         assert spec is not None
-        slot = await router.acquire("a", spec, time.monotonic() + 60, set())
+        slot = await router.acquire("a", spec, boot_s() + 60, set())
         router.note_success(slot, 1.0)
         with pytest.raises(Problem) as caught:
-            await router.acquire("a", spec, time.monotonic() + 0.5, set())
+            await router.acquire("a", spec, boot_s() + 0.5, set())
         assert caught.value.outcome is Outcome.NOT_RUN
         assert "deadline" in caught.value.detail
 
--- a/src/streamthread/requests/upstreams.py
+++ b/src/streamthread/requests/upstreams.py
@@ -1,11 +1,12 @@
 """What this daemon knows of each upstream, and which one takes a request."""
 
 import random
-import time
 import typing as t
 
 import attrs
 
+from ..clocks import boot_s
+
 __all__ = ["Choice", "Upstream", "UpstreamHealth", "choose"]
 
 FAILURES_BEFORE_EJECTION = 5
@@ -90,7 +91,7 @@
     same hall, else one at random. Ejected ones are left out, unless too many
     would be.
     """
-    now_s = time.monotonic() if now_s is None else now_s
+    now_s = boot_s() if now_s is None else now_s
     usable = [
         upstream
         for upstream in _not_ejected(upstreams, health, now_s)
--- a/src/streamthread/requests/waiting.py
+++ b/src/streamthread/requests/waiting.py
@@ -1,8 +1,9 @@
 """For which services requests wait, here and at the other entries."""
 
-import time
 import typing as t
 
+from ..clocks import boot_s
+
 __all__ = ["WaitingServices"]
 
 WAITING_KEPT_S = 1.0
@@ -31,14 +32,14 @@
 
     def note_here(self, name: str) -> None:
         """Note that a request waits here, and tell the others soon."""
-        now_s = time.monotonic()
+        now_s = boot_s()
         if now_s - self._waited_at_s.get(name, -WAITING_KEPT_S) >= WAITING_KEPT_S:
             self._spread_soon()
         self._waited_at_s[name] = now_s
 
     def here(self) -> list[str]:
         """Return the services for which requests waited here lately."""
-        since_s = time.monotonic() - WAITING_KEPT_S
+        since_s = boot_s() - WAITING_KEPT_S
         return sorted(
             name for name, at_s in self._waited_at_s.items() if at_s >= since_s
         )
--- a/src/streamthread/runners/batching.py
+++ b/src/streamthread/runners/batching.py
@@ -1,10 +1,10 @@
 """How long ends are gathered before a busy runner is asked again."""
 
-import time
 import typing as t
 
 import attrs
 
+from ..clocks import boot_s
 from ..scheduler.fleet import RunnerState
 
 __all__ = ["EndBatching"]
@@ -39,7 +39,7 @@
 
     def pause_s(self) -> float:
         """Return for how long a runner that told ends is left alone."""
-        now_s = time.monotonic()
+        now_s = boot_s()
         if now_s - self._counted_at_s >= COUNTED_FOR_S:
             self._counted_at_s = now_s
             busy = sum(bool(runner.attempts) for runner in self.runners())
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -1,13 +1,13 @@
 """The loop that holds one life of a runner and reads what runs there."""
 
 import asyncio
-import time
 from abc import ABC
 from abc import abstractmethod
 
 import attrs
 import logbook
 
+from ..clocks import boot_s
 from ..clocks import SLOWEST_CLOCK
 from ..errors import NoAnswerError
 from ..errors import OutcomeUnknownError
@@ -101,7 +101,7 @@
 class RunnerLink:
     """Holds one life of a runner until it is over.
 
-    :param heard_at_s: when it answered a call last, on the monotonic clock; 0: not yet.
+    :param heard_at_s: when it answered a call last, on the boot clock; 0: not yet.
     :param last_hold_at_s: when an earlier holder may have extended runs last; its
         deadlines end no later than ``most_hold_s`` after it.
     """
@@ -154,7 +154,7 @@
         deadline_ms = None
         wait_s = 0.0
         if self.clock.known and not self.silent:
-            deadline_ms = self.clock.deadline_ms(time.monotonic(), extend_s)
+            deadline_ms = self.clock.deadline_ms(boot_s(), extend_s)
             busy = bool(self.runner.attempts)
             wait_s = self._settings.wait_s if busy else self._settings.idle_wait_s
         reply = await self._client.hold(
@@ -176,7 +176,7 @@
         extend_s = self._owner.may_extend_s(self._settings.hold_s)
         if extend_s <= 0 or not self.clock.known or self.over or self.silent:
             return
-        deadline_ms = self.clock.deadline_ms(time.monotonic(), extend_s)
+        deadline_ms = self.clock.deadline_ms(boot_s(), extend_s)
         try:
             await self._client.hold(
                 self.runner.address,
@@ -195,7 +195,7 @@
             )
 
     async def _on_reply(self, reply: HoldReply) -> None:
-        now_s = time.monotonic()
+        now_s = boot_s()
         self.heard_at_s = now_s
         self.runner.heard = True
         first = not self.clock.known
@@ -222,7 +222,7 @@
 
         One that answers other calls is well: the order's answer was lost.
 
-        :param sent_at_s: on the monotonic clock.
+        :param sent_at_s: on the boot clock.
         """
         if self.heard_at_s < sent_at_s:
             self.runner.ready = False
@@ -238,7 +238,7 @@
 
         :param hung: its process may be there as it was, for all that is known.
         """
-        now_s = time.monotonic()
+        now_s = boot_s()
         if not self.silent:
             self.runner.silent_at_s = now_s
             self.runner.hung = hung
@@ -251,7 +251,7 @@
         self._check_lapse()
 
     def _check_lapse(self) -> None:
-        now_s = time.monotonic()
+        now_s = boot_s()
         if self.clock.known:
             lapsed = self.clock.all_lapsed(now_s)
         else:
@@ -269,4 +269,4 @@
 
     def start_deadline_ms(self) -> int:
         """Return until when a start that is sent now may be carried out."""
-        return self.clock.deadline_ms(time.monotonic(), self._settings.start_within_s)
+        return self.clock.deadline_ms(boot_s(), self._settings.start_within_s)
--- a/src/streamthread/runners/tests/test_link.py
+++ b/src/streamthread/runners/tests/test_link.py
@@ -1,8 +1,8 @@
 """What an order without an answer says of a runner."""
 
-import time
 import typing as t
 
+from streamthread.clocks import boot_s
 from streamthread.runners import LinkSettings
 from streamthread.runners import RunnerLink
 from streamthread.scheduler import RunnerState
@@ -12,7 +12,7 @@
     runner = RunnerState("i-1", "desk", "x:1", "z", ("a", "r"), 4000, 100, 0)
     runner.ready = True
     nothing = t.cast(t.Any, None)
-    return RunnerLink(runner, nothing, nothing, LinkSettings(), time.monotonic())
+    return RunnerLink(runner, nothing, nothing, LinkSettings(), boot_s())
 
 
 class TestUnansweredOrder:
--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -8,11 +8,11 @@
 which of them it was.
 """
 
-import time
 import typing as t
 
 import logbook
 
+from ..clocks import boot_s
 from .fleet import RunnerState
 from .ledger import Ledger
 from .model import Attempt
@@ -40,7 +40,7 @@
 
     Those whose starts were sent at the same moment are not told apart.
 
-    :param now_s: on the monotonic clock; counts where the runner was never silent.
+    :param now_s: on the boot clock; counts where the runner was never silent.
     """
     found = _started_within(runner, AT_START_S, now_s)
     latest_s = max((attempt.sent_at_s for attempt in found), default=0.0)
@@ -74,7 +74,7 @@
         """Doubt what a runner began as it fell silent, until it is heard again."""
         if runner.hung:
             return
-        for attempt in started_last(runner, time.monotonic()):
+        for attempt in started_last(runner, boot_s()):
             attempt.doubtful = True
 
     @staticmethod
@@ -108,7 +108,7 @@
         """Acquit the task of a run that its runner has listed for long enough."""
         if not attempt.task.crashes or not attempt.began_at_s:
             return
-        if time.monotonic() - attempt.began_at_s > LIVED_S:
+        if boot_s() - attempt.began_at_s > LIVED_S:
             self.acquit(attempt.task)
 
     # Ends.
@@ -120,7 +120,7 @@
         """
         if runner.draining or runner.reserved or not runner.attempts:
             return []
-        now_s = time.monotonic()
+        now_s = boot_s()
         exact = not runner.hung and bool(started_last(runner, now_s))
         blamed = self._candidates(runner, now_s, exact)
         alone = len({id(a.task.step.occurrence.job) for a in blamed}) == 1
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -8,6 +8,7 @@
 
 import logbook
 
+from ..clocks import boot_s
 from ..platform.runners import HoldReply
 from .crashes import Crashes
 from .crashes import describe
@@ -325,7 +326,7 @@
         """Whether lasting tasks have waited for so long that any runner will do."""
         if not step.request.lasting:
             return False
-        since_s = time.monotonic() - self.settings.lasting_patience_s
+        since_s = boot_s() - self.settings.lasting_patience_s
         return any(task.waiting_since_s < since_s for task in step.waiting())
 
     def _plan(self, task: Task, runner: RunnerState, run: int) -> Attempt:
@@ -343,7 +344,7 @@
 
 def _describe_loss(runner: RunnerState, why: str) -> dict[str, t.Any]:
     """Return what the logs tell of a runner with which attempts are lost."""
-    last = started_last(runner, time.monotonic())
+    last = started_last(runner, boot_s())
     return {
         "runner": runner.runner_id,
         "why": why,
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -22,12 +22,12 @@
         runs there.
     :param reserved: a move or an upkeep was ordered for its machine.
     :param emptying: it is to be emptied, so that its machine can go into upkeep.
-    :param silent_at_s: on the monotonic clock: since when it has not answered; None: it
+    :param silent_at_s: on the boot clock: since when it has not answered; None: it
         answers.
     :param hung: it fell silent with its connections open: since when is not known.
     :param blamed: the tasks that its end was laid to when what ran there lapsed.
     :param trial_job: whose tasks alone it may get until ``trial_until_s`` on the
-        monotonic clock; they may end their runners.
+        boot clock; they may end their runners.
     :param stray_runs: runs there that no attempt of ours explains.
     :param penalty_until_s: wall time; many tasks failed or lagged there; used last
         until then.
--- a/src/streamthread/scheduler/lags.py
+++ b/src/streamthread/scheduler/lags.py
@@ -1,9 +1,8 @@
 """What follows for runs that lag behind, and for those on silent runners."""
 
-import time
-
 import logbook
 
+from ..clocks import boot_s
 from .crashes import Crashes
 from .fleet import RunnerState
 from .fleet import usable_runners
@@ -132,4 +131,4 @@
 
 def _age_s(attempt: Attempt) -> float:
     """Return for how long a run has been there; 0: not known to have begun."""
-    return time.monotonic() - attempt.began_at_s if attempt.began_at_s else 0.0
+    return boot_s() - attempt.began_at_s if attempt.began_at_s else 0.0
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from ..clocks import boot_s
 from .fleet import RunnerState
 from .model import Attempt
 from .model import Job
@@ -158,7 +159,7 @@
         """Have a task placed anew once it has no attempt."""
         if task.state is TaskState.PLACED and not task.attempts:
             task.state = TaskState.WAITING
-            task.waiting_since_s = time.monotonic()
+            task.waiting_since_s = boot_s()
 
     def mark_done(self, task: Task) -> None:
         """Count a task as done and stop its other attempts."""
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -6,6 +6,7 @@
 
 import attrs
 
+from ..clocks import boot_s
 from ..platform.callers import decode_job
 from ..platform.callers import JobRequest
 from ..platform.callers import StepRequest
@@ -62,7 +63,7 @@
 class Stop:
     """The stop of one run.
 
-    :param since_s: on the monotonic clock: since when the run is to be stopped, under
+    :param since_s: on the boot clock: since when the run is to be stopped, under
         this holder.
     :param under_way: it waits to be sent, or is being sent until the runner answers.
     :param uncertain: a try got no answer, and may be carried out seconds later.
@@ -82,21 +83,21 @@
 
     :param confirmed_clock_ms: the runner's clock when it said that the run is there.
     :param read_back: an earlier holder recorded it.
-    :param sent_at_s: on the monotonic clock: when its start was sent first; 0: not
+    :param sent_at_s: on the boot clock: when its start was sent first; 0: not
         under this holder.
-    :param began_at_s: on the monotonic clock: when it was confirmed; 0: not yet.
+    :param began_at_s: on the boot clock: when it was confirmed; 0: not yet.
     :param percent: of its work, as its runner said last.
     :param first_percent: of its work, when its runner told of it first.
-    :param first_seen_at_s: on the monotonic clock: when that was; 0: not yet.
-    :param seen_at_s: on the monotonic clock: when its runner told of it last.
-    :param moved_on_at_s: on the monotonic clock: when the percent changed last.
+    :param first_seen_at_s: on the boot clock: when that was; 0: not yet.
+    :param seen_at_s: on the boot clock: when its runner told of it last.
+    :param moved_on_at_s: on the boot clock: when the percent changed last.
     :param missing_since_ms: on the runner's clock: since when its lists do not show it;
         0: they do.
     :param doubtful: its runner fell silent as it began, and has not been heard since.
     :param stop: of a run that is to be stopped, what has become of that.
     :param pace_percent: at what share of its speed it works; None: not known,
         since an earlier holder may have changed it.
-    :param pace_open_until_s: on the monotonic clock: until then, a pace without an
+    :param pace_open_until_s: on the boot clock: until then, a pace without an
         answer may still replace a newer one; 0: there is none.
     """
 
@@ -136,7 +137,7 @@
     def be_stopped(self, reason: str) -> None:
         """Note that it is to be stopped; who calls this has the stop sent."""
         self.phase = Phase.STOPPING
-        self.stop = Stop(reason, time.monotonic())
+        self.stop = Stop(reason, boot_s())
 
     def go_on(self) -> None:
         """Note that it is not to be stopped any more; it was not."""
@@ -172,7 +173,7 @@
     :param checkpoint: the newest progress that a runner reported.
     :param avoid: ids of runners on which it failed, lagged behind or was silent.
     :param not_before_s: wall time before which it is not placed.
-    :param waiting_since_s: on the monotonic clock: since when it has no attempt.
+    :param waiting_since_s: on the boot clock: since when it has no attempt.
     :param copy_wanted: one more attempt is to run beside the one that it has.
     :param moves: how often an attempt was stopped because it lagged behind.
     :param crashes: how many runners ended under it since it last worked on one for a
@@ -189,7 +190,7 @@
     attempts: list[Attempt] = attrs.field(factory=list)
     avoid: set[str] = attrs.field(factory=set)
     not_before_s: float = 0.0
-    waiting_since_s: float = attrs.field(factory=time.monotonic)
+    waiting_since_s: float = attrs.field(factory=boot_s)
     copy_wanted: bool = False
     moves: int = 0
     crashes: int = 0
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -1,13 +1,13 @@
 """Sends starts and stops until their outcome is known."""
 
 import asyncio
-import time
 from abc import ABC
 from abc import abstractmethod
 
 import attrs
 import logbook
 
+from ..clocks import boot_s
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..errors import StreamthreadError
@@ -105,7 +105,7 @@
             await self._owner.until_trusted()
             if not self._wanted(attempt) or link.silent:
                 continue
-            sent_at_s = time.monotonic()
+            sent_at_s = boot_s()
             if not attempt.read_back and not attempt.sent_at_s:
                 attempt.sent_at_s = sent_at_s
             attempt.phase = Phase.SENT
@@ -239,7 +239,7 @@
         if link is None or link.silent:
             return
         await self._owner.until_trusted()
-        sent_at_s = time.monotonic()
+        sent_at_s = boot_s()
         try:
             reply = await self._client.pace(
                 link.runner.address,
@@ -260,7 +260,7 @@
                 extra={"task": attempt.task.name, "error": str(error)},
             )
             if isinstance(error, OutcomeUnknownError):
-                attempt.pace_unanswered(time.monotonic() + LATEST_ORDER_S)
+                attempt.pace_unanswered(boot_s() + LATEST_ORDER_S)
             return
         if reply.refusal is Refusal.FENCED:
             self._owner.on_fenced(link)
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -5,6 +5,7 @@
 import attrs
 import logbook
 
+from ..clocks import boot_s
 from ..platform.runners import EndedRun
 from ..platform.runners import EndKind
 from ..platform.runners import HoldReply
@@ -57,7 +58,7 @@
             attempt.phase = Phase.CONFIRMED
         attempt.confirmed_clock_ms = clock_ms
         if not attempt.began_at_s:
-            attempt.began_at_s = time.monotonic()
+            attempt.began_at_s = boot_s()
         job = attempt.task.step.occurrence.job
         if not job.begun:
             job.begun = True
@@ -113,7 +114,7 @@
     ) -> None:
         if attempt.phase is Phase.SENT:
             self.confirm(attempt, 0)
-        attempt.note_progress(percent, time.monotonic())
+        attempt.note_progress(percent, boot_s())
         attempt.usage = usage
         attempt.missing_since_ms = 0
         self._crashes.acquit_if_lived(attempt)
@@ -197,7 +198,7 @@
     def _on_done(self, attempt: Attempt) -> None:
         task = attempt.task
         if attempt.began_at_s and not task.step.request.lasting:
-            took_s = time.monotonic() - attempt.began_at_s
+            took_s = boot_s() - attempt.began_at_s
             self._times.learn(learning_key(task.step), took_s)
         if task.step.request.lasting:
             self._ledger.wait_again(task)
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -1,11 +1,11 @@
 """Which task goes to which runner: pure decisions over the present state."""
 
 import collections
-import time
 import typing as t
 
 import attrs
 
+from ..clocks import boot_s
 from .fleet import RunnerState
 from .learning import learning_key
 from .learning import RunTimes
@@ -179,7 +179,7 @@
         return True
     if len(task.avoid) >= runners:
         return True
-    return time.monotonic() - task.waiting_since_s > AVOID_PATIENCE_S
+    return boot_s() - task.waiting_since_s > AVOID_PATIENCE_S
 
 
 def suits(step: StepRun, runner: RunnerState) -> bool:
@@ -196,7 +196,7 @@
 ) -> list[Placement]:
     """Place a step's tasks, each on the runner with room that costs least."""
     there = _count_per_runner(step)
-    job, steady_s = step.occurrence.job, time.monotonic()
+    job, steady_s = step.occurrence.job, boot_s()
     open_ones = [runner for runner in runners if open_to(job, runner, steady_s)]
     suspects = any(task.suspect for task in waiting)
     for_trial = trial_runners(job, runners, steady_s) if suspects else []
--- a/src/streamthread/scheduler/stops.py
+++ b/src/streamthread/scheduler/stops.py
@@ -6,11 +6,11 @@
 ineffective order leaves a run behind that nobody wants.
 """
 
-import time
 import typing as t
 
 import logbook
 
+from ..clocks import boot_s
 from .model import Attempt
 from .model import Stop
 
@@ -119,7 +119,7 @@
 
     def tell_overdue(self) -> None:
         """Tell of each run that has been to be stopped for too long, once."""
-        since_s = time.monotonic() - OVERDUE_S
+        since_s = boot_s() - OVERDUE_S
         overdue = {
             attempt.stop: attempt
             for attempt in self._wanted
@@ -135,7 +135,7 @@
     """Return what the logs tell of a run that is to be stopped."""
     stop = attempt.stop
     assert stop is not None
-    now_s = time.monotonic()
+    now_s = boot_s()
     listed_s_ago = round(now_s - attempt.seen_at_s, 3) if attempt.seen_at_s else None
     return {
         "task": attempt.task.name,
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -36,7 +36,7 @@
 
     def __init__(self, patch: pytest.MonkeyPatch, jobs: int, runners: int) -> None:
         self.now_s = 1000.0
-        patch.setattr(time, "monotonic", lambda: self.now_s)
+        patch.setattr(time, "clock_gettime", lambda clock: self.now_s)
         self.engine = Engine(lambda job: None)
         self.lives = 0
         self.starts = 0
--- a/src/streamthread/scheduler/tests/test_progress.py
+++ b/src/streamthread/scheduler/tests/test_progress.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from streamthread.clocks import boot_s
 from streamthread.platform.callers import JobRequest
 from streamthread.platform.callers import StepRequest
 from streamthread.platform.runners import EndedRun
@@ -96,7 +97,7 @@
         return self.engine.place_all(time.time(), lambda step: None)
 
     def stand_still(self) -> None:
-        now_s = time.monotonic()
+        now_s = boot_s()
         for ago_s in (3.0, 1.5, 0.0):
             self.first.note_progress(7, now_s - ago_s)
 
--- a/src/streamthread/scheduler/tests/test_unanswered_stops.py
+++ b/src/streamthread/scheduler/tests/test_unanswered_stops.py
@@ -4,10 +4,10 @@
 work, and another of its step may be stopped beside it.
 """
 
-import time
 import types
 import typing as t
 
+from streamthread.clocks import boot_s
 from streamthread.errors import OutcomeUnknownError
 from streamthread.platform.runners import HoldReply
 from streamthread.platform.runners import OrderReply
@@ -56,5 +56,5 @@
         await sender.stop(attempt)
         assert client.stops == 2
         row = RunningTask(first.task.name, first.run, "", 100.0)
-        engine.on_hold(runner, HoldReply(int(time.monotonic() * 1000), (row,), ()))
+        engine.on_hold(runner, HoldReply(int(boot_s() * 1000), (row,), ()))
         assert first.phase is Phase.STOPPING
--- a/src/streamthread/scheduler/trials.py
+++ b/src/streamthread/scheduler/trials.py
@@ -1,8 +1,8 @@
 """Where tasks go that may have ended a runner: apart from others on trial."""
 
-import time
 import typing as t
 
+from ..clocks import boot_s
 from .fleet import RunnerState
 from .model import Job
 from .model import Phase
@@ -27,7 +27,7 @@
 def open_to(job: Job, runner: RunnerState, now_s: float) -> bool:
     """Whether a runner is not on trial with another job's task.
 
-    :param now_s: on the monotonic clock.
+    :param now_s: on the boot clock.
     """
     return runner.trial_until_s <= now_s or runner.trial_job is job
 
@@ -35,7 +35,7 @@
 def begin_trial(task: Task, runner: RunnerState) -> None:
     """Keep a runner for a task on trial until it has shown what it does."""
     runner.trial_job = task.step.occurrence.job
-    runner.trial_until_s = time.monotonic() + TRIAL_S
+    runner.trial_until_s = boot_s() + TRIAL_S
 
 
 def trial_runners(
@@ -43,7 +43,7 @@
 ) -> list[RunnerState]:
     """Return the runners on which a job's task may be tried now.
 
-    :param now_s: on the monotonic clock.
+    :param now_s: on the boot clock.
     """
     on_trial = sum(runner.trial_until_s > now_s for runner in runners)
     most = max(1, int(len(runners) * MOST_ON_TRIAL))
--- a/src/streamthread/unreadable.py
+++ b/src/streamthread/unreadable.py
@@ -5,11 +5,11 @@
 """
 
 import enum
-import time
 import typing as t
 
 import logbook
 
+from .clocks import boot_s
 from .errors import UnreadableError
 
 __all__ = ["Source", "UnreadableNotes"]
@@ -66,7 +66,7 @@
         self._tell(source, error)
 
     def _tell(self, source: Source, error: UnreadableError) -> None:
-        now_s = time.monotonic()
+        now_s = boot_s()
         if now_s - self._period_at_s > PERIOD_S:
             self._period_at_s, self._lines = now_s, 0
         if self._lines >= LINES_PER_PERIOD:
--- a/tests/model/clock.py
+++ b/tests/model/clock.py
@@ -35,6 +35,7 @@
     selector = JumpingSelector()
     with pytest.MonkeyPatch.context() as patch:
         patch.setattr(time, "monotonic", lambda: selector.now_s)
+        patch.setattr(time, "clock_gettime", lambda clock: selector.now_s)
         patch.setattr(time, "time", lambda: selector.now_s + WALL_S)
         with asyncio.Runner(
             loop_factory=lambda: asyncio.SelectorEventLoop(selector)
