Play crashes, shrinking rooms, sleeping machines and turns of demand in the soak

The soak gets jobs of which one task crashes its runners, rooms that shrink and grow, half of the runners without a guard of their own, daemons whose machine is suspended for 4 s (their monotonic clock does not count it), and demand that comes in turns. It checks that no task crashes more than five runners, and that nothing is started over a room that has been small for 4.5 s. New faults choose by a generator of their own, so that earlier seeds play as they did.

A test in virtual time drives sizes and moves through turns of demand: 0.8 of what a turn needs is there 4 s after it began. Found by it: the size is known 0.5 s after the turn began, and the pool of the last turn keeps its machines for 1.5 s more.

--- /dev/null
+++ b/src/streamthread/holder/tests/test_turns.py
@@ -0,0 +1,149 @@
+"""Demand that rises and falls by turns, one pool after the other.
+
+Each pool in its time is asked for five times its mean for some seconds, which is more
+than it holds, and for a twentieth in between (the users' pages). The real decisions,
+sizes and moves, are driven in virtual time; a move takes 1.5 s. Asked of them: a pool
+has most of what its turn needs 4 s after it began (its size is known after 0.5 s; the
+pool before it keeps its own for 1.5 s, then come the moves), has given it up 4 s after
+the next turn began, and few more machines move than twice what the turns need.
+"""
+
+import math
+import random
+import typing as t
+
+import attrs
+import pytest
+
+from streamthread.capacity import CapacitySettings
+from streamthread.capacity import MachineView
+from streamthread.capacity import plan_moves
+from streamthread.capacity import PoolView
+from streamthread.holder import sizes
+from streamthread.holder.sizes import PoolSizes
+from streamthread.platform.documents import Pool
+from streamthread.scheduler import Engine
+
+SETTINGS = CapacitySettings()
+POOLS = ("one", "two", "three")
+CPU = 16_000
+EACH = 6
+"""Machines of each pool; as many are spare."""
+
+MEAN_MACHINES = 2.0
+"""What a pool's mean demand keeps busy: in its turn ten, of the six that it holds."""
+
+JOB_WORK = 8_000.0
+"""Thousandths of a core times seconds: half a machine for a second."""
+
+TURN_S = 6.0
+SETTLED_S = 4.0
+MOST_MOVES = 2.5
+"""Times the machines that a turn needs; 2.1 in the worst of these seeds."""
+
+IN_TURN = 5.0
+OUT_OF_TURN = 0.05
+STEP_S = 0.1
+MOVE_S = 1.5
+
+
+@attrs.define
+class _Machine:
+    machine_id: str
+    pool: str
+    ready_at_s: float = 0.0
+    idle_since_s: float = 0.0
+
+
+class _Fleet:
+    """Pools whose machines follow the moves that are decided."""
+
+    def __init__(self, patch: pytest.MonkeyPatch, seed: int) -> None:
+        self.now_s = 100.0
+        patch.setattr(sizes, "time", t.cast(t.Any, self))
+        patch.setattr(sizes, "boot_s", self.time)
+        self.sizes = PoolSizes(Engine(lambda job: None), SETTINGS)
+        self.random = random.Random(seed)
+        self.moves = 0
+        self.machines = [
+            _Machine(f"m-{pool}-{number}", pool)
+            for pool in (*POOLS, "spare")
+            for number in range(EACH)
+        ]
+
+    def time(self) -> float:
+        return self.now_s
+
+    def ready(self, pool: str) -> int:
+        return sum(m.pool == pool and m.ready_at_s <= self.now_s for m in self.machines)
+
+    def play(self, for_s: float, in_turn: str) -> None:
+        """Let demand come for a while, most of it to one pool."""
+        end_s = self.now_s + for_s
+        while self.now_s < end_s:
+            self.now_s += STEP_S
+            for pool in POOLS:
+                factor = IN_TURN if pool == in_turn else OUT_OF_TURN
+                self._arrive(pool, MEAN_MACHINES * factor * CPU / JOB_WORK)
+            self._decide(in_turn)
+
+    def _arrive(self, pool: str, jobs_per_s: float) -> None:
+        at_s = self.now_s - STEP_S
+        while (at_s := at_s + self.random.expovariate(jobs_per_s)) < self.now_s:
+            self.sizes.note_job(pool, JOB_WORK, at_s)
+
+    def _decide(self, in_turn: str) -> None:
+        views = [self._view(machine) for machine in self._by_use(in_turn)]
+        pools = [Pool(name) for name in POOLS]
+        targets = self.sizes.targets(pools, views)
+        keeps = self.sizes.keeps(views)
+        wanted = [PoolView(n, False, targets[n], keeps.get(n, 0)) for n in POOLS]
+        wanted.append(PoolView("spare", True))
+        by_id = {machine.machine_id: machine for machine in self.machines}
+        for move in plan_moves(wanted, views, SETTINGS):
+            machine = by_id[move.machine_id]
+            machine.pool = move.target
+            machine.ready_at_s = self.now_s + MOVE_S
+            self.moves += move.target != "spare"
+
+    def _by_use(self, in_turn: str) -> list[_Machine]:
+        """Note which machines are at work: as many as a pool's demand keeps busy."""
+        busy = {pool: math.ceil(MEAN_MACHINES * OUT_OF_TURN) for pool in POOLS}
+        busy[in_turn] = math.ceil(MEAN_MACHINES * IN_TURN)
+        for machine in self.machines:
+            if machine.pool != "spare" and busy.get(machine.pool, 0) > 0:
+                busy[machine.pool] -= 1
+                machine.idle_since_s = self.now_s
+        return self.machines
+
+    def _view(self, machine: _Machine) -> MachineView:
+        up = machine.ready_at_s <= self.now_s
+        idle = machine.idle_since_s < self.now_s
+        return MachineView(
+            machine.machine_id,
+            machine.pool,
+            "r",
+            CPU,
+            32_000,
+            free_to_move=up and (idle or machine.pool == "spare"),
+            usable=up and machine.pool != "spare",
+            arriving=not up,
+            idle_for_s=self.now_s - max(machine.idle_since_s, machine.ready_at_s),
+        )
+
+
+@pytest.mark.parametrize("seed", range(4))
+def test_machines_follow_the_turns(monkeypatch: pytest.MonkeyPatch, seed: int) -> None:
+    fleet = _Fleet(monkeypatch, seed)
+    fleet.play(5.0, "three")
+    needed = math.ceil(MEAN_MACHINES * IN_TURN)
+    turns = 0
+    for _ in range(2):
+        for pool in POOLS:
+            fleet.play(SETTLED_S, pool)
+            assert fleet.ready(pool) >= 0.8 * needed
+            others = [fleet.ready(other) for other in POOLS if other != pool]
+            assert max(others) <= EACH
+            fleet.play(TURN_S - SETTLED_S, pool)
+            turns += 1
+    assert fleet.moves <= MOST_MOVES * turns * needed
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -32,6 +32,9 @@
 MOST_ENDS = 500
 """So many ends at most are listed in one answer."""
 
+Crashed = t.Callable[["RunnerStandin", tuple[str, int]], None]
+"""Learns of a runner that a run has taken down."""
+
 ORDER_PATHS = ("/-/run-start", "/-/run-stop")
 
 
@@ -99,7 +102,9 @@
         after what ran here had lapsed since, and those that were not confirmed before
         this life was over.
     :param late_orders: so many orders without an answer are still to be carried out.
-    :param over_room: tasks that were started though there was no room for them.
+    :param over_room: tasks that were started though there was no room for them, and
+        when.
+    :param resized_at_s: when its room changed last.
     :param crashed: called when a task has taken the runner down.
     """
 
@@ -113,7 +118,7 @@
         started: list[StartedRun],
         ended: list[tuple[str, int, str, float]],
         failures: dict[str, int],
-        crashed: t.Callable[["RunnerStandin"], None] = lambda _: None,
+        crashed: Crashed = lambda runner, run: None,
     ) -> None:
         self._crashed = crashed
         self.runner_id = runner_id
@@ -122,7 +127,8 @@
         self.cpu = cpu
         self.memory_mb = memory_mb
         self.faults = RunnerFaults()
-        self.over_room: list[str] = []
+        self.over_room: list[tuple[str, float]] = []
+        self.resized_at_s = 0.0
         self.alive = True
         self.draining = False
         self.highest_token = 0
@@ -154,6 +160,11 @@
             }
         )
 
+    def resize(self, cpu: int) -> None:
+        """Let the room shrink or grow; what runs goes on."""
+        self.cpu = cpu
+        self.resized_at_s = time.monotonic()
+
     def running(self) -> list[str]:
         """Return the tasks that run now."""
         return [task for task, _ in self.runs()]
@@ -288,7 +299,7 @@
         if used + int(spec.get("cpu", 0)) > self.cpu:
             if not self.faults.unguarded:
                 return "room"
-            self.over_room.append(task)
+            self.over_room.append((task, time.monotonic()))
         self._extend(body)
         now_s = time.monotonic()
         run_s = float(spec.get("run_s", 0.1))
@@ -296,15 +307,15 @@
         started = StartedRun(task, number, self.runner_id, now_s, late)
         self._started.append(started)
         if task.rpartition(".")[2] in spec.get("crash", ()):
-            asyncio.get_running_loop().call_later(CRASH_S, self._crash)
+            asyncio.get_running_loop().call_later(CRASH_S, self._crash, (task, number))
         return ""
 
-    def _crash(self) -> None:
+    def _crash(self, run: tuple[str, int]) -> None:
         """End this life at once, connections and all; the platform is not told."""
         if not self.alive:
             return
         self.kill()
-        self._crashed(self)
+        self._crashed(self, run)
 
     async def _stop(self, body: Json) -> web.StreamResponse:
         if self.faults.refuse_stops > 0:
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -23,7 +23,9 @@
     """Everything that a cell's daemons speak to.
 
     :param pools: names of the pools and how many machines each has.
+    :param cpu: the room of each runner, in full.
     :param crashes: ids of the runners that a task has taken down.
+    :param crashed_runs: tasks and runs that have done so.
     """
 
     def __init__(self, pools: t.Mapping[str, int], cpu: int = 16000) -> None:
@@ -33,9 +35,10 @@
         self.ended: list[tuple[str, int, str, float]] = []
         self.runners: list[RunnerStandin] = []
         self.crashes: list[str] = []
+        self.crashed_runs: set[tuple[str, int]] = set()
         self._failures: dict[str, int] = {}
         self._pools = dict(pools)
-        self._cpu = cpu
+        self.cpu = cpu
         self._numbers = itertools.count(1)
 
     async def open(self) -> None:
@@ -60,9 +63,10 @@
         self.cloud.machines[machine_id] = machine
         machine.runner = await self._make_runner(machine_id, pool)
 
-    def _on_crash(self, runner: RunnerStandin) -> None:
+    def _on_crash(self, runner: RunnerStandin, run: tuple[str, int]) -> None:
         """A task has taken a runner down: its machine starts a new life."""
         self.crashes.append(runner.runner_id)
+        self.crashed_runs.add(run)
         for machine in self.cloud.machines.values():
             if machine.runner is runner:
                 self.cloud.crash(machine, BACK_S)
@@ -74,7 +78,7 @@
             f"i-{next(self._numbers)}",
             pool,
             ("a", "r1"),
-            self._cpu,
+            self.cpu,
             32768,
             self.started,
             self.ended,
--- a/tests/cell/test_room.py
+++ b/tests/cell/test_room.py
@@ -25,7 +25,7 @@
 
 
 def _over_room(cell: Cell) -> list[str]:
-    return [task for runner in cell.world.runners for task in runner.over_room]
+    return [task for runner in cell.world.runners for task, _ in runner.over_room]
 
 
 def _lasting(cpu: int, count: int) -> bytes:
@@ -36,7 +36,7 @@
 
 async def _resize(cell: Cell, runner: RunnerStandin, cpu: int) -> None:
     """Let a runner's room change and wait until the holder knows."""
-    runner.cpu = cpu
+    runner.resize(cpu)
     await cell.world.write_entry(runner)
     daemon = cell.holder()
     assert daemon is not None and daemon.holder is not None
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -22,13 +22,16 @@
 import attrs
 
 from streamthread.standins.cell import CellWorld
+from tools.soak_checks import check_crashes
 from tools.soak_checks import check_jobs
+from tools.soak_checks import check_rooms
 from tools.soak_checks import check_runs
 from tools.soak_checks import check_stops
 from tools.soak_checks import gone_by_s
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
 from tools.soak_faults import Faults
+from tools.soak_runners import RunnerFaults
 from tools.soak_stops import LastingJobs
 from tools.soak_stops import StopFaults
 from tools.soak_view import SoakView
@@ -37,6 +40,7 @@
 __all__ = ["Soak", "SoakPlan", "run_soak"]
 
 POOLS = {"desk": 4, "audit": 3, "spare": 2}
+CALLED_POOLS = ("desk", "audit")
 SETTLE_S = 25.0
 """After the last fault, all accepted jobs must end within this time."""
 
@@ -65,6 +69,8 @@
     :param stops: lasting jobs that are cancelled, and faults around stops and holders,
         besides all others: plans that were found before do without.
     :param writer: another writer in the store, likewise.
+    :param runners: faults of runners and of daemons' machines, and demand that comes in
+        turns, likewise.
     """
 
     seed: int
@@ -75,6 +81,7 @@
     first_faults: bool = False
     stops: bool = False
     writer: bool = False
+    runners: bool = False
 
 
 class Soak(SoakView):
@@ -85,7 +92,8 @@
         self.random = random.Random(plan.seed)
         self.world = CellWorld(POOLS)
         self.daemons = [
-            Daemon(f"daemon-{n}", self.world, folder, code) for n in range(plan.daemons)
+            Daemon(f"daemon-{n}", self.world, folder, code, plan.runners)
+            for n in range(plan.daemons)
         ]
         self.removed: list[Daemon] = []
         self.jobs: dict[str, SubmittedJob] = {}
@@ -99,6 +107,8 @@
         self._stop_faults = StopFaults(self, more)
         writer = random.Random(f"writer {plan.seed}")
         self._writer = ForeignWriter(self.world, writer, self.note)
+        runners = random.Random(f"runners {plan.seed}")
+        self._runner_faults = RunnerFaults(self, runners)
         self._quiet_at_s = 0.0
         self._session: aiohttp.ClientSession | None = None
 
@@ -141,6 +151,10 @@
             parts.append(self._stop_faults.play(until_s))
         if self.plan.writer:
             parts.append(self._writer.play(time.monotonic() + self.plan.seconds))
+        if self.plan.runners:
+            until_s = time.monotonic() + self.plan.seconds
+            parts.append(self._runner_faults.play(until_s))
+            parts.append(self._runner_faults.submit_in_turns(until_s))
         await asyncio.gather(*parts)
 
     def spawn(self, call: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
@@ -154,17 +168,21 @@
     async def _traffic(self) -> None:
         until_s = time.monotonic() + self.plan.seconds
         while time.monotonic() < until_s:
-            self.spawn(self._one_job())
+            self.spawn(self.one_job(self.random))
             gap_s = self.random.expovariate(self.plan.jobs_per_s)
             await asyncio.sleep(min(gap_s, 1.0))
 
-    async def _one_job(self) -> None:
-        job_id = f"{self.random.getrandbits(64):016x}"
-        pool = self.random.choice(["desk", "audit"])
+    async def one_job(self, choices: random.Random, pool: str = "") -> None:
+        """Submit a job that can be done, and cancel it now and then.
+
+        :param pool: else any.
+        """
+        job_id = f"{choices.getrandbits(64):016x}"
+        pool = pool or choices.choice(CALLED_POOLS)
         job = SubmittedJob(job_id, pool)
         self.jobs[job_id] = job
-        body = self._body()
-        cancel = self.random.random() < 0.1
+        body = self._body(choices)
+        cancel = choices.random() < 0.1
         await self.submit(job, body, self._any)
         if job.accepted and cancel:
             await asyncio.sleep(0.3)
@@ -198,16 +216,19 @@
                 job.cancelled_at_s = time.monotonic()
                 job.confirmed_by = f"{daemon.name} with {status}"
 
-    def _body(self) -> bytes:
-        run_s = self.random.choice([0.1, 0.4, 1.0])
-        fail = self.random.choice([0, 0, 0, 1])
-        spec = json.dumps({"run_s": run_s, "fail": fail})
+    def _body(self, choices: random.Random) -> bytes:
+        run_s = choices.choice([0.1, 0.4, 1.0])
+        fail = choices.choice([0, 0, 0, 1])
+        spec: dict[str, t.Any] = {"run_s": run_s, "fail": fail}
+        if self.plan.runners:
+            # So that runners know what takes their room.
+            spec["cpu"] = 1500
         steps: list[dict[str, t.Any]] = [
-            {"count": self.random.randint(1, 4), "cpu": 1500, "memMb": 100}
+            {"count": choices.randint(1, 4), "cpu": 1500, "memMb": 100}
         ]
-        if self.random.random() < 0.4:
+        if choices.random() < 0.4:
             steps.append({"count": 2, "cpu": 1500, "memMb": 100, "after": [0]})
-        return json.dumps({"spec": spec, "steps": steps}).encode()
+        return json.dumps({"spec": json.dumps(spec), "steps": steps}).encode()
 
     async def call(
         self, job: SubmittedJob, method: str, daemon: Daemon, body: bytes = b""
@@ -331,6 +352,8 @@
 
     def _check(self) -> None:
         self.broken.extend(check_runs(self.world))
+        self.broken.extend(check_crashes(self.world))
+        self.broken.extend(check_rooms(self.world))
         self.broken.extend(check_jobs(self.world, self.jobs))
         self.broken.extend(self._runs_on())
         for daemon in [*self.daemons, *self.removed]:
@@ -362,7 +385,11 @@
                 folder = pathlib.Path(arguments.keep_logs or scratch) / str(seed)
                 folder.mkdir(parents=True, exist_ok=True)
                 plan = SoakPlan(
-                    seed, seconds=arguments.seconds, stops=True, writer=True
+                    seed,
+                    seconds=arguments.seconds,
+                    stops=True,
+                    writer=True,
+                    runners=True,
                 )
                 broken, faults = await run_soak(plan, folder, arguments.daemon_path)
             print(json.dumps({"seed": seed, "broken": broken, "faults": faults}))
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -1,5 +1,6 @@
 """What the soak checks once all jobs have ended, from what runners and callers saw."""
 
+import collections
 import itertools
 import time
 import typing as t
@@ -8,7 +9,15 @@
 
 from streamthread.standins.cell import CellWorld
 
-__all__ = ["SubmittedJob", "check_jobs", "check_runs", "check_stops", "gone_by_s"]
+__all__ = [
+    "SubmittedJob",
+    "check_crashes",
+    "check_jobs",
+    "check_rooms",
+    "check_runs",
+    "check_stops",
+    "gone_by_s",
+]
 
 CANCEL_S = 3.0
 """Nothing of a cancelled job starts later than this after its confirmation."""
@@ -19,6 +28,12 @@
 CONTACT_S = 3.0
 """A run that was started late counts from then on: `contactMs` of the users' pages."""
 
+MOST_CRASHES = 5
+"""After three runners that a task has crashed, two starts more are borne."""
+
+BEAT_S = 1.5
+"""A runner tells of its room so often; `heartbeatMs` of the users' pages."""
+
 OVERLAP_S = 0.02
 """Two clocks of one process are read some milliseconds apart."""
 
@@ -32,6 +47,7 @@
 
     :param uncertain: a try got no answer, or one that says that it may be accepted.
     :param lasting: its tasks run until it is cancelled.
+    :param crashing: one of its tasks crashes its runners, so that it may fail.
     :param cancel_sent: a cancel was sent, whether confirmed or not.
     :param cancelled_at_s: when a cancel was confirmed, on the monotonic clock.
     :param confirmed_by: which daemon confirmed it, and the status.
@@ -43,6 +59,7 @@
     accepted: bool = False
     uncertain: bool = False
     lasting: bool = False
+    crashing: bool = False
     cancel_sent: bool = False
     cancelled_at_s: float | None = None
     confirmed_by: str = ""
@@ -93,12 +110,32 @@
         elif job.cancelled_at_s and started.at_s > job.cancelled_at_s + CANCEL_S:
             yield f"UNASKED {started.task} was cancelled"
     for job in jobs.values():
-        if "failed" in job.states:
+        if "failed" in job.states and not job.crashing:
             yield f"LOST {job.job_id} failed though it can be done"
         if "cancelled" in job.states and not job.cancel_sent:
             yield f"LOST {job.job_id} was cancelled by nobody"
 
 
+def check_crashes(world: CellWorld) -> t.Iterator[str]:
+    """Yield a line for each task that was started on after it had crashed runners."""
+    starts = collections.Counter(
+        started.task
+        for started in world.started
+        if (started.task, started.run) in world.crashed_runs
+    )
+    for task, count in starts.items():
+        if count > MOST_CRASHES:
+            yield f"BUDGET {task} crashed {count} runners"
+
+
+def check_rooms(world: CellWorld) -> t.Iterator[str]:
+    """Yield a line for each start over the room of a runner that does not guard it."""
+    for runner in world.runners:
+        for task, at_s in runner.over_room:
+            if at_s > runner.resized_at_s + CONTACT_S + BEAT_S:
+                yield f"LIMIT {task} was started over the room of {runner.runner_id}"
+
+
 def gone_by_s(job: SubmittedJob, quiet_at_s: float) -> float:
     """Return when nothing of a cancelled job may run any more."""
     assert job.cancelled_at_s is not None
--- a/tools/soak_daemon.py
+++ b/tools/soak_daemon.py
@@ -22,13 +22,20 @@
     """One daemon's process, settings and its way to the store.
 
     :param unasked_ends: how often a process ended without a signal of ours.
+    :param may_sleep: its machine can be suspended.
     :param code: a folder with the daemon's package, where it is not the installed one.
     """
 
     def __init__(
-        self, name: str, world: CellWorld, folder: pathlib.Path, code: str = ""
+        self,
+        name: str,
+        world: CellWorld,
+        folder: pathlib.Path,
+        code: str = "",
+        may_sleep: bool = False,
     ) -> None:
         self.name = name
+        self._program = "tools.soak_suspend" if may_sleep else "streamthread.gateway"
         self.link = Link()
         self.callers = ""
         self.operators = ""
@@ -58,7 +65,7 @@
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
-            "streamthread.gateway",
+            self._program,
             "--settings",
             str(self._settings),
             stdout=asyncio.subprocess.PIPE,
--- a/tools/soak_view.py
+++ b/tools/soak_view.py
@@ -49,6 +49,10 @@
     def restart(self, daemon: Daemon, number: signal.Signals, pause_s: float) -> None:
         """End a daemon by a signal and start it again after a pause, beside."""
 
+    @abstractmethod
+    async def one_job(self, choices: random.Random, pool: str = "") -> None:
+        """Submit a job that can be done, and cancel it now and then."""
+
     @abstractmethod
     async def submit(
         self, job: SubmittedJob, body: bytes, choose: t.Callable[[], Daemon]
