Keep what failed apart in the entry's jobs; send a request on after two lost answers no more

In the entry's jobs all that ran on a lost worker is told as failed, and all of it went on to the next worker together: a job that takes its workers down was parked after three, and so was everything beside it. A repeatable request under which upstreams broke was sent on for as long as the retry budget had anything left.

Jobs that have failed go to different workers where they can; a request is given up as unknown after two lost answers. Ruled out: a lost worker that counts for nothing, as at the users' platform: it is told as failed.

--- a/src/streamthread/jobs/decide.py
+++ b/src/streamthread/jobs/decide.py
@@ -57,12 +57,16 @@
 
 @attrs.define
 class _Room:
-    """What is free on one worker while a decision is made."""
+    """What is free on one worker while a decision is made.
+
+    :param has_failed_jobs: something runs there that has failed elsewhere.
+    """
 
     facts: WorkerFacts
     cores: int
     memory_bytes: int
     accelerators: int
+    has_failed_jobs: bool = False
 
     def fits(self, spec: JobSpec) -> bool:
         return (
@@ -142,7 +146,11 @@
         return quota is None or used + spec.cores <= quota
 
     def _best_room(self, job: Job) -> _Room | None:
-        """The tightest fit, on a worker that it has not failed on."""
+        """The tightest fit, on a worker that it has not failed on.
+
+        Jobs that have failed go apart: all that ran on a worker that was lost is told
+        as failed, and what only ran beside the cause would be parked with it.
+        """
         fitting = [
             room
             for room in self._rooms.values()
@@ -150,7 +158,15 @@
         ]
         if not fitting:
             return None
-        return min(fitting, key=lambda room: (room.cores, room.facts.worker_id))
+        suspect = bool(job.failed_on)
+        return min(
+            fitting,
+            key=lambda room: (
+                suspect and room.has_failed_jobs,
+                room.cores,
+                room.facts.worker_id,
+            ),
+        )
 
     @staticmethod
     def _is_open_for(job: Job, room: _Room) -> bool:
@@ -175,6 +191,7 @@
         room = self._rooms.get(job.worker_id)
         if room is not None:
             room.add(job.spec, -1)
+            room.has_failed_jobs |= bool(job.failed_on)
         team = job.spec.team
         self._team_cores[team] = self._team_cores.get(team, 0) + job.spec.cores
 
--- /dev/null
+++ b/src/streamthread/jobs/tests/test_lost_workers.py
@@ -0,0 +1,78 @@
+"""A job that takes its workers down is parked, and only that one.
+
+What runs on a worker that is lost is told as failed, whichever task was the cause.
+"""
+
+import attrs
+
+from streamthread.jobs import decide_jobs
+from streamthread.jobs import Job
+from streamthread.jobs import JobSpec
+from streamthread.jobs import JobsSnapshot
+from streamthread.jobs import JobState
+from streamthread.jobs import WorkerFacts
+from streamthread.jobs.pool_jobs import ended_steps
+from streamthread.jobs.pool_jobs import PoolJobs
+from streamthread.providers import Fence
+from streamthread.providers import Task
+from streamthread.providers import TaskState
+
+WORKERS = tuple(WorkerFacts(f"w{number}", 8, 100, 0, open=True) for number in range(6))
+
+
+def _job(name: str) -> Job:
+    return Job(JobSpec(name, "p", "team", 2, 1, 60.0, repeat_safe=True))
+
+
+class _Pool:
+    """Decides about jobs; one of them takes down each worker that starts it."""
+
+    def __init__(self, names: list[str], at_fault: str) -> None:
+        self.jobs = PoolJobs(Fence("shard/0", 1))
+        self.at_fault = at_fault
+        self.lost_workers = 0
+        for name in names:
+            self.jobs.keep(_job(name), 1)
+
+    def look(self) -> None:
+        """Decide once, and lose the worker of the job at fault with all on it."""
+        stored = tuple(known.job for known in self.jobs.jobs.values())
+        for step in decide_jobs(JobsSnapshot(stored, WORKERS)):
+            self.jobs.keep(step.job, 1)
+        job = self.of(self.at_fault)
+        if job.state is not JobState.STARTED:
+            return
+        self.lost_workers += 1
+        beside = [
+            Task(
+                known.job.spec.job_id,
+                known.job.attempt,
+                job.worker_id,
+                TaskState.FAILED,
+            )
+            for known in self.jobs.jobs.values()
+            if known.job.state is JobState.STARTED
+            and known.job.worker_id == job.worker_id
+        ]
+        for step in ended_steps(self.jobs, beside):
+            self.jobs.keep(step.job, 1)
+
+    def of(self, name: str) -> Job:
+        return self.jobs.jobs[name].job
+
+
+class TestLostWorkers:
+    def test_park_the_job_that_lost_them_and_nothing_that_ran_beside(self) -> None:
+        pool = _Pool(["a", "b", "c", "x"], at_fault="x")
+        for _ in range(10):
+            pool.look()
+        assert pool.of("x").state is JobState.PARKED
+        assert pool.lost_workers == 3
+        assert {pool.of(name).state for name in "abc"} == {JobState.STARTED}
+
+    def test_keep_nobody_waiting_where_there_are_few(self) -> None:
+        jobs = tuple(
+            attrs.evolve(_job(name), attempt=1, failed_on=("gone",)) for name in "abc"
+        )
+        steps = decide_jobs(JobsSnapshot(jobs, WORKERS[:1]))
+        assert [step.job.state for step in steps] == [JobState.STARTED] * 3
--- a/src/streamthread/requests/dispatch.py
+++ b/src/streamthread/requests/dispatch.py
@@ -29,6 +29,11 @@
 """The HTTP client takes a total of zero as no limit at all."""
 
 
+MOST_LOST = 2
+"""A request under which so many upstreams broke is not sent to a third: it may be what
+broke them. With the retry budget alone, one such request broke eleven."""
+
+
 class _NotStartedError(Exception):
     """The upstream certainly did not start the request; another may take it."""
 
@@ -74,6 +79,7 @@
         self._retries.note_request()
         tried: set[str] = set()
         lost: _LostError | None = None
+        lost_count = 0
         again = False
         while True:
             slot = await self._acquire(call, tried, again, lost)
@@ -82,7 +88,8 @@
             except _NotStartedError:
                 tried.add(slot.upstream.instance_id)
             except _LostError as error:
-                if not call.repeat_safe or not self._retries.take():
+                lost_count += 1
+                if not self._may_send_again(call, lost_count):
                     raise _lost_problem(error) from error
                 lost = error
                 tried.add(slot.upstream.instance_id)
@@ -90,6 +97,12 @@
                 self._router.release(slot)
             again = True
 
+    def _may_send_again(self, call: Call, lost_count: int) -> bool:
+        """Whether a request may go to one more upstream after answers were lost."""
+        if not call.repeat_safe or lost_count >= MOST_LOST:
+            return False
+        return self._retries.take()
+
     async def _acquire(
         self, call: Call, tried: set[str], again: bool, lost: _LostError | None
     ) -> Slot:
