Let the model's tasks crash their runners and its rooms shrink

Schedules get jobs of which each start takes its runner down, with copies and without, and rooms that are a third for a while. Checked: no task crashes more than five runners, whatever is lost, late, refused or replaced; nothing is started over a room that has been small for 4.5 s. A call that gets no answer in time is told apart from a connection that was closed, as in the client. The clocks of a suspended machine are not played here: all holders share one clock.

--- a/tests/model/runners.py
+++ b/tests/model/runners.py
@@ -4,6 +4,7 @@
 import time
 import typing as t
 
+from streamthread.errors import NoAnswerError
 from streamthread.errors import OutcomeUnknownError
 from streamthread.errors import StoreUnavailableError
 from streamthread.platform.runners import EndedRun
@@ -34,9 +35,18 @@
 PLAIN_RUN_S = 1.5
 """A run that ends by itself takes so long."""
 
+CRASH_S = 0.01
+"""A run that crashes its runner does so after so long."""
+
+CRASHING_SPEC = "crashing"
+"""A run of this takes its runner down."""
+
 LASTING_SPEC = "lasting"
 """A run of this goes on until it is stopped."""
 
+FULL_CPU = 1000
+"""The room of each runner."""
+
 MOST_HOLD_MS = 10_000
 """The runner cuts longer holds to this."""
 
@@ -57,7 +67,10 @@
     :param rate: of its clock.
     :param started: called with each run that begins, when its order was sent, and
         whether that is carried out late.
+    :param crashed: called when a run has taken this life down.
     :param running: the runs that are there, and whether they are being stopped.
+    :param cpu: its room, which may shrink and grow.
+    :param resized_at_s: when that changed last.
     """
 
     def __init__(
@@ -65,8 +78,12 @@
         runner_id: str,
         rate: float,
         started: t.Callable[["Life", Run, float, bool], None],
+        crashed: t.Callable[["Life", Run], None],
     ) -> None:
         self.runner_id = runner_id
+        self.cpu = FULL_CPU
+        self.resized_at_s = 0.0
+        self._crashed = crashed
         self.running: dict[Run, bool] = {}
         self.dead = False
         self._rate = rate
@@ -91,7 +108,10 @@
         if run not in self.running:
             self.running[run] = False
             self._started(self, run, sent_at_s, late)
-            if order.spec != LASTING_SPEC:
+            if order.spec == CRASHING_SPEC:
+                loop = asyncio.get_running_loop()
+                loop.call_later(CRASH_S, self._crash, run)
+            elif order.spec != LASTING_SPEC:
                 self._later(PLAIN_RUN_S, run, EndKind.DONE)
         return OrderReply(None, self.clock_ms)
 
@@ -150,6 +170,11 @@
         """End this life with all that runs; what comes late finds nobody."""
         self.dead = True
         self.running.clear()
+        self._news.set()
+
+    def _crash(self, run: Run) -> None:
+        if run in self.running:
+            self._crashed(self, run)
 
     def _is_fenced(self, token: int) -> bool:
         self._fence = max(self._fence, token)
@@ -287,4 +312,4 @@
 
 async def _no_answer(timeout_s: float) -> t.NoReturn:
     await asyncio.sleep(timeout_s)
-    raise OutcomeUnknownError("no answer came", remedy="send it again")
+    raise NoAnswerError("no answer came", remedy="send it again")
--- a/tests/model/schedule.py
+++ b/tests/model/schedule.py
@@ -3,6 +3,7 @@
 import collections
 import enum
 import time
+import typing as t
 
 import attrs
 from hypothesis import strategies as st
@@ -68,6 +69,8 @@
     REBOOT = "reboot"
     """The runner dies; its next life comes after the event."""
     RUNS_FAIL = "runs-fail"
+    SHRINK = "shrink"
+    """The runner's room is a third for a while; what runs there goes on."""
 
 
 class Work(enum.Enum):
@@ -76,6 +79,9 @@
     LASTING = {"longRunning": True}
     PLAIN = {"estimateMs": 100}
     SPECULATIVE = {"estimateMs": 100, "speculative": True}
+    CRASHING = {"estimateMs": 200}
+    """Each runner that starts it is down at once."""
+    CRASHING_COPIES = {"estimateMs": 200, "speculative": True}
 
 
 @attrs.frozen
@@ -169,16 +175,23 @@
     return st.lists(st.sampled_from(fates), max_size=most)
 
 
-def schedules(stop_refusals: list[Fate]) -> st.SearchStrategy[Schedule]:
+ANY_WORK = (Work.LASTING, *Work)
+
+CRASHING_WORK = (Work.CRASHING, Work.CRASHING_COPIES, Work.PLAIN)
+
+
+def schedules(
+    stop_refusals: list[Fate],
+    works: t.Sequence[Work] = ANY_WORK,
+    cancels_s: t.Sequence[float] = CANCELS_S,
+) -> st.SearchStrategy[Schedule]:
     """Return schedules in which runners answer stops with some refusals."""
     job = st.builds(
         JobPlan,
-        work=st.sampled_from(
-            [Work.LASTING, Work.LASTING, Work.PLAIN, Work.SPECULATIVE]
-        ),
+        work=st.sampled_from(works),
         count=st.integers(1, 2),
         submit_after_s=st.sampled_from(SUBMITS_S),
-        cancel_after_s=st.sampled_from(CANCELS_S),
+        cancel_after_s=st.sampled_from(cancels_s),
         far_submit=st.booleans(),
         far_cancel=st.booleans(),
     )
--- a/tests/model/test_stops.py
+++ b/tests/model/test_stops.py
@@ -9,6 +9,7 @@
 from hypothesis import settings
 
 from .clock import virtual_time
+from .schedule import CRASHING_WORK
 from .schedule import Event
 from .schedule import Fate
 from .schedule import JobPlan
@@ -83,6 +84,13 @@
     play(schedule)
 
 
+@explored
+@given(schedules(REFUSALS, CRASHING_WORK, [LONG_QUIET_S]))
+def test_a_task_that_crashes_its_runners_is_given_up(schedule: Schedule) -> None:
+    """Whatever is lost, late or replaced: five runners at most go down under it."""
+    play(schedule)
+
+
 def left_in_the_inbox(cancel_after_s: float) -> JobPlan:
     """Return a lasting job that no holder took from its caller, but its cancel."""
     return JobPlan(Work.LASTING, 1, 0.0, cancel_after_s, True, False)
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -1,6 +1,7 @@
 """One play: holders, runners, the store and the callers of a schedule."""
 
 import asyncio
+import collections
 import json
 import math
 import time
@@ -26,7 +27,9 @@
 from streamthread.platform.store import StoredRow
 
 from .clock import BEGAN_AT_S
+from .runners import CRASHING_SPEC
 from .runners import FakeRunners
+from .runners import FULL_CPU
 from .runners import LASTING_SPEC
 from .runners import Life
 from .runners import Run
@@ -55,6 +58,24 @@
 RATES = (1.0, 0.98)
 """Of the runners' clocks: the second one is as slow as the users' pages allow."""
 
+BACK_S = 1.0
+"""A runner that a run has taken down is back after so long."""
+
+MOST_CRASHES = 5
+"""After the third runner, a task may be started twice more (the users' pages)."""
+
+ROOM_KNOWN_S = 4.5
+"""A room that has shrunk counts so much later: `contactMs` and one beat."""
+
+TASK_CPU = 300
+"""What each task takes; three fit on a runner."""
+
+SPECS = {
+    Work.LASTING: LASTING_SPEC,
+    Work.CRASHING: CRASHING_SPEC,
+    Work.CRASHING_COPIES: CRASHING_SPEC,
+}
+
 POOL = "desk"
 PART = "main"
 MANIFEST = {
@@ -102,9 +123,12 @@
         self._runners = FakeRunners(fates, self.tell)
         self._holders: list[Holder] = []
         self._tasks: list[asyncio.Task[None]] = []
+        self._reboots: list[asyncio.Task[None]] = []
         self._token = 0
         self._life_count = 0
         self._started: dict[Run, str] = {}
+        # How many runners each task has taken down.
+        self._crashes: collections.Counter[str] = collections.Counter()
         self._plans = {
             f"{number:016x}": job for number, job in enumerate(schedule.jobs)
         }
@@ -136,9 +160,9 @@
                 group.create_task(self._happen(event))
         await self._until_gone()
         self._check_holders()
-        for task in self._tasks:
+        for task in (*self._tasks, *self._reboots):
             task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await asyncio.gather(*self._tasks, *self._reboots, return_exceptions=True)
 
     def _check_lasting(self, job_id: str) -> None:
         """After a long quiet, all lasting tasks run, each once."""
@@ -193,8 +217,8 @@
 
     async def _call(self, job_id: str) -> None:
         plan = self._plans[job_id]
-        step = {"count": plan.count, "cpu": 300, "memMb": 1, **plan.work.value}
-        spec = LASTING_SPEC if plan.work is Work.LASTING else ""
+        step = {"count": plan.count, "cpu": TASK_CPU, "memMb": 1, **plan.work.value}
+        spec = SPECS.get(plan.work, "")
         body = json.dumps({"spec": spec, "steps": [step]}).encode()
         await asyncio.sleep(plan.submit_after_s)
         await self._ask(pb.SUBMIT, job_id, plan.far_submit, body)
@@ -306,22 +330,22 @@
     def _boot(self, number: int) -> None:
         self._life_count += 1
         runner_id = f"runner-{number}-life-{self._life_count}"
-        life = Life(runner_id, RATES[number], self._on_started)
+        life = Life(runner_id, RATES[number], self._on_started, self._on_crashed)
         self._runners.lives[_address(number)] = life
         self._list(number)
 
     def _list(self, number: int) -> None:
-        runner_id = self._runners.lives[_address(number)].runner_id
+        life = self._runners.lives[_address(number)]
         entry = {
             "service": POOL,
             "address": _address(number),
             "zone": "north",
             "state": "ready",
-            "capacity": {"cpu": 1000, "memMb": 100},
+            "capacity": {"cpu": life.cpu, "memMb": 100},
             "labels": [],
         }
         value = json.dumps(entry).encode()
-        self._store.write([], [StoredRow(RUNNERS_TABLE, "", runner_id, value)])
+        self._store.write([], [StoredRow(RUNNERS_TABLE, "", life.runner_id, value)])
 
     def _unlist(self, life: Life) -> None:
         self._store.write([], [], [StoredRow(RUNNERS_TABLE, "", life.runner_id)])
@@ -334,13 +358,45 @@
         job_id = run[0].split(".")[0]
         if not late and sent_at_s > self._ends_at_s.get(job_id, math.inf):
             self._break(f"run {run[1]} began after the cancel was confirmed")
-        if self._plans[job_id].work is Work.SPECULATIVE:
+        known = time.monotonic() > life.resized_at_s + ROOM_KNOWN_S
+        if known and not late and len(life.running) * TASK_CPU > life.cpu:
+            self._break(f"{run[0]} run {run[1]} is over the room of {life.runner_id}")
+        if self._plans[job_id].work.value.get("speculative"):
             return
         for other in self._runners.lives.values():
             for task, number in other.running:
                 if task == run[0] and number != run[1]:
                     self._break(f"runs {number} and {run[1]} at once")
 
+    def _on_crashed(self, life: Life, run: Run) -> None:
+        self.tell(f"{run[0]} run {run[1]} crashes {life.runner_id}")
+        self._crashes[run[0]] += 1
+        if self._crashes[run[0]] > MOST_CRASHES:
+            self._break(f"{run[0]} has crashed {self._crashes[run[0]]} runners")
+        numbers = range(len(RATES))
+        lives = self._runners.lives
+        number = next(n for n in numbers if lives.get(_address(n)) is life)
+        life.die()
+        reboot = asyncio.ensure_future(self._reboot(number, BACK_S))
+        self._reboots.append(reboot)
+
+    async def _reboot(self, number: int, for_s: float) -> None:
+        """End a runner's life; the next one comes after a time."""
+        life = self._runners.lives.pop(_address(number))
+        life.die()
+        self._unlist(life)
+        await asyncio.sleep(for_s)
+        self._boot(number)
+
+    async def _shrink(self, life: Life, event: Event) -> None:
+        """Let a room be small for a while, and the runner say so."""
+        for cpu in (FULL_CPU // 3, FULL_CPU):
+            life.cpu = cpu
+            life.resized_at_s = time.monotonic()
+            if self._runners.lives.get(_address(event.runner)) is life:
+                self._list(event.runner)
+            await asyncio.sleep(event.for_s)
+
     # Events.
 
     async def _happen(self, event: Event) -> None:
@@ -369,7 +425,9 @@
             await self._happen_to(life, event)
 
     async def _happen_to(self, life: Life, event: Event) -> None:
-        if event.kind is Kind.RUNS_FAIL:
+        if event.kind is Kind.SHRINK:
+            await self._shrink(life, event)
+        elif event.kind is Kind.RUNS_FAIL:
             life.end_all(EndKind.FAILED)
         elif event.kind is Kind.UNLISTED:
             self._unlist(life)
@@ -377,10 +435,7 @@
             if self._runners.lives.get(_address(event.runner)) is life:
                 self._list(event.runner)
         elif event.kind is Kind.REBOOT:
-            self._runners.lives.pop(_address(event.runner)).die()
-            self._unlist(life)
-            await asyncio.sleep(event.for_s)
-            self._boot(event.runner)
+            await self._reboot(event.runner, event.for_s)
 
 
 def _address(number: int) -> str:
