--- a/tests/integration/support.py
+++ b/tests/integration/support.py
@@ -102,10 +102,18 @@
     return False
 
 
-async def holder_of_pool(cluster: Cluster, entry: int = 0) -> int:
-    """Return which entry holds the service's pool, once that is known."""
+async def holder_of_pool(cluster: Cluster) -> int:
+    """Return which entry holds the service's pool: the one that says so of itself.
+
+    Of others each entry knows what it read last, seconds ago, and shards change hands
+    while the entries find each other.
+    """
 
     async def known() -> str:
-        return str((await cluster.pool(SERVICE, entry))["holder"])
+        for entry in range(len(cluster.entries)):
+            holder = str((await cluster.pool(SERVICE, entry))["holder"])
+            if holder == f"entry-{entry}":
+                return holder
+        return ""
 
     return int((await eventually(known)).removeprefix("entry-"))
