Keep no task on trial waiting for longer than a second

Found in a reading of the mend: tasks that had just begun on a runner that ended go one after the other, and each keeps its runner for 0.5 s. Twelve jobs on two runners, as they come when a store is back, would wait for 3 s and longer, in which something of a job is to run. What has waited for 1 s goes wherever no trial is under way, and begins none; an end is laid to it as before, and tells only less. A copy counts as waiting from when it was wanted. A runner that is heard again puts no task on trial that was not.

Before: a new test of twelve such jobs failed (3.0 s); after: it passes, with those of the scheduler, the holder, the model and crashing tasks.

--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -92,7 +92,7 @@
             attempt.doubtful = False
         for task in runner.blamed:
             task.crashes = max(0, task.crashes - 1)
-            task.on_trial = task.crashes > 0
+            task.on_trial = task.on_trial and task.crashes > 0
             self._ledger.changed(task.step.occurrence.job)
         runner.blamed.clear()
 
--- a/src/streamthread/scheduler/lags.py
+++ b/src/streamthread/scheduler/lags.py
@@ -99,6 +99,7 @@
         if not request.speculative or request.gang or attempt.phase is Phase.STOPPING:
             return False
         task.copy_wanted = True
+        task.waiting_since_s = boot_s()
         task.avoid.add(attempt.runner_id)
         self._ledger.count(f"copied-{why}")
         _tell_lag(attempt, why)
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -173,7 +173,8 @@
     :param checkpoint: the newest progress that a runner reported.
     :param avoid: ids of runners on which it failed, lagged behind or was silent.
     :param not_before_s: wall time before which it is not placed.
-    :param waiting_since_s: on the boot clock: since when it has no attempt.
+    :param waiting_since_s: on the boot clock: since when it has no attempt, or is to
+        have one more.
     :param copy_wanted: one more attempt is to run beside the one that it has.
     :param moves: how often an attempt was stopped because it lagged behind.
     :param crashes: how many runners ended under it since it last worked on one for a
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -196,10 +196,13 @@
 ) -> list[Placement]:
     """Place a step's tasks, each on the runner with room that costs least."""
     there = _count_per_runner(step)
-    job, steady_s = step.occurrence.job, boot_s()
-    open_ones = [runner for runner in runners if open_to(job, runner, steady_s)]
-    suspects = any(task.suspect for task in waiting)
-    for_trial = trial_runners(job, runners, steady_s) if suspects else []
+    job, clock_s = step.occurrence.job, boot_s()
+    open_ones = [runner for runner in runners if open_to(job, runner, clock_s)]
+    suspects = [task for task in waiting if task.suspect]
+    for_trial: list[RunnerState] = []
+    if suspects:
+        waits_since_s = min(task.waiting_since_s for task in suspects)
+        for_trial = trial_runners(job, runners, waits_since_s, clock_s)
     if step.request.same_rack or suspects or any(task.avoid for task in waiting):
         return _fill_one_by_one(waiting, open_ones, for_trial, there, now_s)
     return _fill_in_order(waiting, open_ones, there, now_s)
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -239,6 +239,24 @@
         cell.now_s += 1.0
         assert len(cell.place()) == 2
 
+    def test_keeps_nobody_waiting_for_long(self, patch: pytest.MonkeyPatch) -> None:
+        """Twelve jobs that had just begun on one runner: all run again within 3 s."""
+        cell = _Cell(patch, jobs=12, runners=2)
+        for runner in cell.engine.runners.values():
+            runner.cpu = 16_000
+        placed = cell.place()
+        cell.now_s += 0.05
+        ended = cell.engine.runners[placed[0].runner_id]
+        cell.end(ended)
+        for runner in cell.engine.runners.values():
+            runner.cpu = 16_000
+        again = 0
+        began_at_s = cell.now_s
+        while again < len(placed):
+            assert cell.now_s - began_at_s < 3.0
+            again += len(cell.place())
+            cell.now_s += 0.1
+
     def test_of_a_gang_that_finds_no_room_keeps_nobody_off(
         self, patch: pytest.MonkeyPatch
     ) -> None:
--- a/src/streamthread/scheduler/trials.py
+++ b/src/streamthread/scheduler/trials.py
@@ -24,6 +24,12 @@
 work goes on."""
 
 
+PATIENCE_S = 1.0
+"""A task on trial that has waited for so long goes wherever no trial is under way, and
+begins none. Many come at once where a runner ends just after a store has come back; one
+after the other they would wait for longer than the 3 s in which a job is to run."""
+
+
 def open_to(job: Job, runner: RunnerState, now_s: float) -> bool:
     """Whether a runner is not on trial with another job's task.
 
@@ -33,25 +39,41 @@
 
 
 def begin_trial(task: Task, runner: RunnerState) -> None:
-    """Keep a runner for a task on trial until it has shown what it does."""
+    """Keep a runner for a task on trial until it has shown what it does.
+
+    One that has waited for too long keeps nobody off, so that others need not wait.
+    """
+    now_s = boot_s()
+    if _has_waited(task.waiting_since_s, now_s):
+        return
     runner.trial_job = task.step.occurrence.job
-    runner.trial_until_s = boot_s() + TRIAL_S
+    runner.trial_until_s = now_s + TRIAL_S
+
+
+def _has_waited(since_s: float, now_s: float) -> bool:
+    return now_s - since_s > PATIENCE_S
 
 
 def trial_runners(
-    job: Job, runners: t.Sequence[RunnerState], now_s: float
+    job: Job,
+    runners: t.Sequence[RunnerState],
+    waits_since_s: float,
+    now_s: float,
 ) -> list[RunnerState]:
     """Return the runners on which a job's task may be tried now.
 
+    :param waits_since_s: on the boot clock: since when the first of them waits.
     :param now_s: on the boot clock.
     """
+    open_ones = [runner for runner in runners if open_to(job, runner, now_s)]
+    if _has_waited(waits_since_s, now_s):
+        return open_ones
     on_trial = sum(runner.trial_until_s > now_s for runner in runners)
     most = max(1, int(len(runners) * MOST_ON_TRIAL))
     return [
         runner
-        for runner in runners
-        if open_to(job, runner, now_s)
-        and (on_trial < most or runner.trial_until_s > now_s)
+        for runner in open_ones
+        if (on_trial < most or runner.trial_until_s > now_s)
         and not _starts_others(job, runner, now_s)
     ]
 
