Take no job back that another daemon has acknowledged

Cause, from its logs: a holder was suspended while their first commit was under way. Their callers' daemon had no answer within a second, left them in the inbox and acknowledged them. On waking the holder read those rows and removed them, since it knew the jobs, and took the same jobs back, since its commit was overdue: the removal was committed, the jobs were not. A paused holder does the same; the code before has it, too. Ruled out: the count of crashes, which is not among the lines of these jobs.

A job that is read in the inbox, known already or not, is marked as left there, and never taken back.

--- a/src/streamthread/holder/handins.py
+++ b/src/streamthread/holder/handins.py
@@ -103,6 +103,9 @@
         job, future = self._waiting[job_id]
         if job.durable or job.over or future.done():
             return False
+        if job.left_in_inbox:
+            # Its row there goes with the next commit: this is all there is of it.
+            return False
         if not self._commits.take_back(TABLE_JOBS, job_id):
             return False
         self._commits.take_back(TABLE_RUNS, job_id)
--- a/src/streamthread/holder/inbox.py
+++ b/src/streamthread/holder/inbox.py
@@ -102,6 +102,10 @@
     def knows_job(self, job_id: str) -> bool:
         """Whether a job is known, whatever its state."""
 
+    @abstractmethod
+    def keep_known(self, job_id: str) -> None:
+        """Learn that a job that is known was acknowledged by whoever left it here."""
+
     @abstractmethod
     def accept_left(self, entry: InboxEntry) -> bool:
         """Take a job; return False where the configuration has not come here yet."""
@@ -217,8 +221,11 @@
     def _settle(self, entry: InboxEntry) -> bool:
         """Return whether an entry needs its row no more."""
         known = self._owner.knows_job(entry.job_id)
+        if not entry.is_cancel and known:
+            self._owner.keep_known(entry.job_id)
+            return True
         if not entry.is_cancel:
-            return known or self._owner.accept_left(entry)
+            return self._owner.accept_left(entry)
         cancel = Cancel(entry.job_id, entry.route)
         if not known:
             may_come = self.waits(entry.job_id)
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -350,6 +350,10 @@
         """Whether a job is known, whatever its state."""
         return job_id in self._engine.jobs
 
+    def keep_known(self, job_id: str) -> None:
+        """Refuse a job no more that another daemon has acknowledged."""
+        self._engine.jobs[job_id].left_in_inbox = True
+
     def accept_left(self, entry: InboxEntry) -> bool:
         """Take a job; return False where the configuration has not come here yet."""
         if self.is_aside(entry.job_id):
@@ -362,7 +366,8 @@
             )
             return False
         try:
-            self._accept(entry.job_id, route, entry.body.encode())
+            job = self._accept(entry.job_id, route, entry.body.encode())
+            job.left_in_inbox = True
         except BadInputError as error:
             log.warning(
                 "inbox-row-bad", extra={"job": entry.job_id, "error": str(error)}
--- a/src/streamthread/holder/tests/test_handins.py
+++ b/src/streamthread/holder/tests/test_handins.py
@@ -107,6 +107,18 @@
         assert await again
 
 
+class TestLeftInTheInbox:
+    """Another daemon had no answer in time, left the job there and accepted it."""
+
+    async def test_is_not_taken_back(self) -> None:
+        desk = _Desk()
+        waiting = await desk.wait()
+        desk.job.left_in_inbox = True
+        assert desk.hand_ins.take_back_if_overdue(may_accept=False) == 0
+        desk.commits.done.set()
+        assert await waiting
+
+
 class TestNoMoreWaitedFor:
     async def test_is_a_job_that_is_durable(self) -> None:
         desk = _Desk()
--- a/src/streamthread/holder/tests/test_inbox.py
+++ b/src/streamthread/holder/tests/test_inbox.py
@@ -51,11 +51,15 @@
         self.jobs: set[str] = set()
         self.cancelled: list[str] = []
         self.dropped: list[str] = []
+        self.kept_known: list[str] = []
         self.aside: list[str] = []
 
     def knows_job(self, job_id: str) -> bool:
         return job_id in self.jobs
 
+    def keep_known(self, job_id: str) -> None:
+        self.kept_known.append(job_id)
+
     def accept_left(self, entry: InboxEntry) -> bool:
         if self.knows_route:
             self.jobs.add(entry.job_id)
--- a/src/streamthread/holder/tests/test_intake.py
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -1,17 +1,22 @@
 """What callers are told by a holder that may have lost the cell."""
 
 import asyncio
+import math
 import types
 import typing as t
 
 import pytest
 
 from streamthread.cell import cell_pb2 as pb
+from streamthread.cell import TABLE_INBOX
 from streamthread.errors import NotHolderError
 from streamthread.errors import StoreUnavailableError
+from streamthread.holder.inbox import InboxEntry
+from streamthread.holder.inbox import InboxReader
 from streamthread.holder.intake import Intake
 from streamthread.holder.kept_cancels import Cancel
 from streamthread.platform.documents import Route
+from streamthread.platform.store import StoredRow
 from streamthread.scheduler import Engine
 from streamthread.scheduler import EngineSettings
 from streamthread.scheduler import Job
@@ -40,6 +45,14 @@
     def is_marked(self, table: str, key: str) -> bool:
         return (table, key) in self.marked
 
+    commit_s = 0.0
+
+    def tried_for_s(self) -> float:
+        return math.inf
+
+    def take_back(self, table: str, key: str) -> bool:
+        return self.marked.pop((table, key), None) is not None
+
     async def flushed(self) -> None:
         if self.marked:
             await self._commit()
@@ -260,3 +273,35 @@
         assert cell.intake.keep_cancel(CANCEL, may_come=False)
         cell.intake._kept._since_s[CANCEL] -= KEEP_S
         assert cell.intake.keep_cancel(CANCEL, may_come) is may_come
+
+
+class TestJobThatAnotherDaemonAccepted:
+    """It had no answer in time, and left the job in the inbox.
+
+    Seen in the soak: a holder whose machine was suspended took thirteen such jobs back
+    when it woke, since its commit was overdue, with their rows in the inbox removed.
+    """
+
+    def _read_inbox(self, cell: _Cell) -> None:
+        entry = InboxEntry(JOB_ID, "route", BODY.decode())
+        row = StoredRow(TABLE_INBOX, "main", "key", entry.encode(), 1)
+        InboxReader(t.cast(t.Any, None), cell.intake).take([row])
+        assert cell.commits.is_marked(TABLE_INBOX, "key")
+
+    async def test_is_kept_while_its_caller_waits_here(self) -> None:
+        cell = _Cell()
+        calling = asyncio.create_task(cell.ask(pb.SUBMIT))
+        await asyncio.sleep(0)
+        self._read_inbox(cell)
+        cell.intake.refuse_overdue()
+        assert JOB_ID in cell.engine.jobs
+        calling.cancel()
+
+    async def test_is_kept_where_the_inbox_told_of_it_first(self) -> None:
+        cell = _Cell()
+        self._read_inbox(cell)
+        calling = asyncio.create_task(cell.ask(pb.SUBMIT))
+        await asyncio.sleep(0)
+        cell.intake.refuse_overdue()
+        assert JOB_ID in cell.engine.jobs
+        calling.cancel()
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -304,6 +304,7 @@
     :param begun: a runner has confirmed one of its runs.
     :param ended_at_s: wall time of its end, or None.
     :param durable: its hand-in is recorded, so it may be acknowledged.
+    :param left_in_inbox: another daemon has acknowledged it and left it in the store.
     """
 
     job_id: str
@@ -323,6 +324,7 @@
     failed: bool = False
     ended_at_s: float | None = None
     durable: bool = False
+    left_in_inbox: bool = False
 
     @property
     def times(self) -> int:
--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -36,6 +36,9 @@
     # store down and once with its holder paused. That is allowed, too.
     SoakPlan(12014),
     SoakPlan(12025),
+    # A holder whose machine was suspended took jobs back when it woke, which another
+    # daemon had accepted and left in the inbox meanwhile.
+    SoakPlan(52001, stops=True, writer=True, runners=True),
 )
 
 
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -440,4 +440,14 @@
         "",
         ("src/streamthread/jobs/tests/test_lost_workers.py",),
     ),
+    Guard(
+        "acknowledged-elsewhere-is-kept",
+        "holder/handins.py",
+        "        if job.left_in_inbox:\n",
+        "        if False:\n",
+        (
+            "src/streamthread/holder/tests/test_intake.py"
+            "::TestJobThatAnotherDaemonAccepted",
+        ),
+    ),
 )
