--- a/src/streamthread/cli/__init__.py
+++ b/src/streamthread/cli/__init__.py
@@ -77,6 +77,8 @@
     cell.set_defaults(run=run_cell)
     runners = subparsers.add_parser("runners", help="the runners of a cell")
     runners.set_defaults(verb=verbs.runners)
+    accounts = subparsers.add_parser("accounts", help="the client accounts of a cell")
+    accounts.set_defaults(verb=verbs.accounts)
 
 
 def _add_running(subparsers: t.Any) -> None:
--- a/src/streamthread/cli/verbs/__init__.py
+++ b/src/streamthread/cli/verbs/__init__.py
@@ -10,6 +10,7 @@
 from .jobs import job_cancel
 from .jobs import job_list
 from .jobs import job_submit
+from .reports import accounts
 from .reports import explain
 from .reports import get
 from .reports import runners
@@ -17,6 +18,7 @@
 from .reports import timeline
 
 __all__ = [
+    "accounts",
     "apply",
     "check_settings_file",
     "drain",
--- /dev/null
+++ b/src/streamthread/gateway/account_report.py
@@ -0,0 +1,91 @@
+"""What operators are told of client accounts."""
+
+import collections
+import typing as t
+
+from ..holder import Holder
+from ..platform.accounts import Limit
+from ..scheduler import Job
+from ..scheduler.accounts import Running
+
+__all__ = ["OTHER_ACCOUNTS", "AccountCounts", "describe_accounts"]
+
+Json = dict[str, t.Any]
+
+MOST_ACCOUNTS = 1000
+"""Accounts with counters of their own: 950 teams are planned for. Each has a few."""
+
+OTHER_ACCOUNTS = "other accounts"
+"""What the answers of all further accounts are counted under."""
+
+
+class AccountCounts:
+    """How often callers of each account got which status.
+
+    :param counts: by account and status.
+    """
+
+    def __init__(self) -> None:
+        self.counts: dict[tuple[str, int], int] = {}
+        self._known: set[str] = set()
+
+    def add(self, account: str, status: int) -> None:
+        """Count an answer to a caller of an account."""
+        if not account:
+            return
+        if account not in self._known and len(self._known) >= MOST_ACCOUNTS:
+            account = OTHER_ACCOUNTS
+        self._known.add(account)
+        key = (account, status)
+        self.counts[key] = self.counts.get(key, 0) + 1
+
+
+def describe_accounts(holder: Holder) -> list[Json]:
+    """Return a row an account: its share, what runs and waits, and what may run."""
+    open_jobs: dict[str, list[Job]] = collections.defaultdict(list)
+    for job in holder.engine.open_jobs():
+        open_jobs[job.account].append(job)
+    manifest = holder.admission.manifest
+    known = manifest.accounts if manifest is not None else {}
+    version = manifest.version if manifest is not None else 0
+    names = sorted({*known, *holder.engine.accounts.running, *open_jobs} - {""})
+    return [
+        {
+            "account": name,
+            "share": known[name].share if name in known else 0.0,
+            "running": _describe_running(holder.engine.accounts.of(name)),
+            "maximum": describe_limit(holder.admission.limit_of(name)),
+            "version": version,
+            "open_jobs": len(open_jobs[name]),
+            "waiting_tasks": sum(map(_waiting_tasks, open_jobs[name])),
+            "refused": holder.intake.refused.get(name, 0),
+        }
+        for name in names
+    ]
+
+
+def _describe_running(running: Running) -> Json:
+    return {
+        "cpu": running.cpu,
+        "memory_mb": running.memory_mb,
+        "gpu": running.gpu,
+        "tasks": running.tasks,
+    }
+
+
+def describe_limit(limit: Limit | None) -> Json:
+    """Return what an account may have running; what has no limit is left out."""
+    if limit is None:
+        return {}
+    most = {"cpu": limit.cpu, "memory_mb": limit.memory_mb, "gpu": limit.gpu}
+    return {name: value for name, value in most.items() if value}
+
+
+def _waiting_tasks(job: Job) -> int:
+    if job.over:
+        return 0
+    return sum(
+        len(step.waiting())
+        for occurrence in job.occurrences.values()
+        for step in occurrence.ready_steps()
+    )
--- a/src/streamthread/gateway/explain.py
+++ b/src/streamthread/gateway/explain.py
@@ -9,6 +9,8 @@
 from ..scheduler import StepRun
 from ..scheduler import Task
 from ..scheduler import TaskState
+from .account_report import describe_accounts
+from .account_report import describe_limit
 
 __all__ = ["answer_question", "describe_holder", "explain_job"]
 
@@ -25,6 +27,7 @@
         "state": job.state.value,
         "route": job.route,
         "pool": job.service,
+        "account": job.account,
         "accepted_at_s": round(job.accepted_at_s, 3),
         "ended_at_s": job.ended_at_s,
         "durable": job.durable,
@@ -52,10 +55,13 @@
     earlier = step.blocked_by()
     if earlier:
         return f"waits for steps {earlier}"
-    pool = step.occurrence.job.service
+    job, request = step.occurrence.job, step.request
+    accounts = holder.engine.accounts
+    if not accounts.room_for(job, request, 1):
+        return _account_limit(holder, job.account)
+    pool = job.service
     runners = [r for r in holder.engine.runners.values() if r.service == pool]
     usable = [r for r in runners if r.usable()]
-    request = step.request
     fitting = [r for r in usable if r.fits(request.cpu, request.memory_mb, request.gpu)]
     return (
         f"waits for room: {len(runners)} runners in {pool}, {len(usable)} usable, "
@@ -63,6 +69,17 @@
     )
 
 
+def _account_limit(holder: Holder, account: str) -> str:
+    running = holder.engine.accounts.of(account)
+    limit = describe_limit(holder.admission.limit_of(account))
+    manifest = holder.admission.manifest
+    version = manifest.version if manifest is not None else 0
+    return (
+        f"waits for the limit of account {account}: cpu {running.cpu}, memory_mb "
+        f"{running.memory_mb} and gpu {running.gpu} run of {limit} in version {version}"
+    )
+
+
 def describe_holder(holder: Holder) -> list[Json]:
     """Return a row a runner: what it has, and whether it answers."""
     return [
@@ -87,6 +104,8 @@
     value: t.Any = None
     if holder is not None and request.kind == "job":
         value = explain_job(holder, request.name)
+    elif holder is not None and request.kind == "accounts":
+        value = describe_accounts(holder)
     elif holder is not None:
         value = describe_holder(holder)
     return pb.ExplainReply(text_json=json.dumps(value))
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -183,6 +183,7 @@
             request.job.decode(),
             request.configuration_version,
             request.pool,
+            request.account,
         )
         key = inbox_key(entry)
         condition = Condition(TABLE_INBOX, self._part, key, ABSENT)
--- a/src/streamthread/gateway/front.py
+++ b/src/streamthread/gateway/front.py
@@ -13,10 +13,14 @@
 from ..platform.callers import DEADLINE_HEADER
 from ..platform.callers import encode_pending
 from ..platform.callers import encode_state
-from ..platform.documents import Route
+from ..platform.callers import KEY_CHALLENGE
+from ..platform.callers import KEY_HEADER
+from ..platform.manifest import Route
 from ..platform.store import MOST_ID_BYTES
+from .account_report import AccountCounts
 from .documents import Documents
 from .forwarding import Forwarder
+from .keys import admit
 
 __all__ = ["Front"]
 
@@ -41,9 +45,12 @@
 BACKLOG = 1024
 """Connections that the system holds until we take them: a burst of callers."""
 
+NOT_ADMITTED_STATUS = 401
+
 FIRST_REFUSAL_STATUS = 429
 """Answers from this status on are logged: refusals for now and missing answers,
-not mistakes of the caller."""
+not mistakes of the caller. A key that opens nothing is logged as well: after a change
+of keys an operator has to see who still uses an old one."""
 
 CLOSE_S = 0.3
 """Connections get so long to end when the ports close, after the planned stop."""
@@ -60,6 +67,7 @@
     body: bytes = b""
     retry_after_s: float = 0.0
     reason: str = ""
+    account: str = ""
 
 
 def _answer_histogram() -> Histogram:
@@ -100,6 +108,7 @@
         self.in_flight = 0
         self.answers: dict[str, int] = {}
         self.answer_s = _answer_histogram()
+        self.account_answers = AccountCounts()
 
     async def on_start(self) -> None:
         """Open both ports."""
@@ -138,9 +147,10 @@
             self.in_flight -= 1
         took_s = boot_s() - began_at_s
         self.answer_s.labels(request.method).observe(took_s)
+        self.account_answers.add(reply.account, reply.status)
         key = f"{request.method} {reply.status}"
         self.answers[key] = self.answers.get(key, 0) + 1
-        if reply.status >= FIRST_REFUSAL_STATUS:
+        if reply.status >= FIRST_REFUSAL_STATUS or reply.status == NOT_ADMITTED_STATUS:
             log.info(
                 "caller-refused",
                 extra={
@@ -148,6 +158,7 @@
                     "path": request.path,
                     "status": reply.status,
                     "why": reply.reason,
+                    "account": reply.account,
                     "took_s": round(took_s, 4),
                 },
             )
@@ -158,6 +169,8 @@
         headers = {}
         if reply.retry_after_s:
             headers["Retry-After"] = str(max(1, round(reply.retry_after_s)))
+        if reply.status == NOT_ADMITTED_STATUS:
+            headers["WWW-Authenticate"] = KEY_CHALLENGE
         if self.stopping:
             headers["Connection"] = "close"
         response = web.Response(
@@ -178,6 +191,9 @@
         route = self._documents.find_route(host, request.path)
         if route is None:
             return _Reply(404)
+        admission = admit(manifest, route, request.headers.getall(KEY_HEADER, []))
+        if admission.refusal:
+            return _Reply(NOT_ADMITTED_STATUS, reason=admission.refusal)
         job_id = request.path[len(route.path_prefix) :]
         if len(job_id.encode()) > MOST_ID_BYTES:
             # There can be no such job.
@@ -190,8 +206,12 @@
             return _Reply(404)
         call.configuration_version = manifest.version
         call.pool = route.service
+        call.account = admission.account
+        call.key_digest = admission.digest
+        call.checks_keys = True
         until_s = began_at_s + _wait_s(request) - ANSWER_MARGIN_S
-        return _encode_reply(call, await self._forwarder.ask(call, until_s))
+        reply = _encode_reply(call, await self._forwarder.ask(call, until_s))
+        return attrs.evolve(reply, account=admission.account)
 
 
 def _decode_call(
@@ -226,6 +246,8 @@
         return _Reply(200, encode_state(reply.state))
     if reply.outcome == pb.UNKNOWN_JOB:
         return _Reply(404 if call.kind == pb.SUBMIT else 410)
+    if reply.outcome == pb.NOT_ADMITTED:
+        return _Reply(NOT_ADMITTED_STATUS, reason=reply.reason)
     if reply.outcome == pb.REFUSED:
         come_back_s = reply.retry_after_s or COME_BACK_S
         return _Reply(429, retry_after_s=come_back_s, reason=reply.reason)
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -46,6 +46,14 @@
             "answer",
             front.answers,
         )
+        by_account = CounterMetricFamily(
+            "streamthread_account_answers",
+            "Answers to callers with a key, by client account and status.",
+            labels=["account", "status"],
+        )
+        for (account, status), count in front.account_answers.counts.items():
+            by_account.add_metric([account, str(status)], count)
+        yield by_account
         yield GaugeMetricFamily(
             "streamthread_requests_in_flight",
             "Callers' requests in flight.",
--- a/src/streamthread/gateway/operators.py
+++ b/src/streamthread/gateway/operators.py
@@ -37,6 +37,7 @@
         app.router.add_get("/status", self._status)
         app.router.add_get("/explain/job/{name}", self._explain)
         app.router.add_get("/runners", self._runners)
+        app.router.add_get("/accounts", self._accounts)
         self._runner = web.AppRunner(app, access_log=None, shutdown_timeout=CLOSE_S)
         await self._runner.setup()
         await web.TCPSite(self._runner, self._host, self._port).start()
@@ -76,6 +77,9 @@
     async def _runners(self, request: web.Request) -> web.Response:
         return await self._ask("runners", "")
 
+    async def _accounts(self, request: web.Request) -> web.Response:
+        return await self._ask("accounts", "")
+
     async def _ask(self, kind: str, name: str) -> web.Response:
         """Answer from the holder, here or on a peer."""
         call = pb.ExplainRequest(kind=kind, name=name)
--- a/src/streamthread/holder/advice.py
+++ b/src/streamthread/holder/advice.py
@@ -11,7 +11,7 @@
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..platform.advice import AdviceClient
-from ..platform.documents import AdvicePolicy
+from ..platform.manifest import AdvicePolicy
 from ..scheduler import RunnerState
 from ..scheduler import StepRun
 
--- a/src/streamthread/holder/context.py
+++ b/src/streamthread/holder/context.py
@@ -9,8 +9,8 @@
 from ..loops import Failures
 from ..platform.advice import AdviceClient
 from ..platform.cloud import CloudClient
-from ..platform.documents import Manifest
 from ..platform.documents import Wave
+from ..platform.manifest import Manifest
 from ..platform.runners import RunnerClient
 from ..platform.store import RowStore
 from ..runners import LinkSettings
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -15,8 +15,8 @@
 from ..platform.cloud import CloudClient
 from ..platform.cloud import DutyReply
 from ..platform.cloud import Machine
-from ..platform.documents import Pool
 from ..platform.documents import Wave
+from ..platform.manifest import Pool
 from .context import DutySettings
 from .machines import DutyKind
 from .machines import MachineTable
--- a/src/streamthread/holder/inbox.py
+++ b/src/streamthread/holder/inbox.py
@@ -22,6 +22,7 @@
 from ..platform.store import ABSENT
 from ..platform.store import StoredRow
 from ..platform.table_feed import TableFeed
+from ..scheduler.accounts import may_see
 from .kept_cancels import Cancel
 from .kept_cancels import KEPT_SUFFIX
 from .replay import RETRY_S
@@ -43,6 +44,8 @@
     :param body: the job as it was handed in; empty for a cancel.
     :param configuration_version: by which the route was found; 0: it was not said.
     :param pool: to which that configuration sends the route's jobs.
+    :param account: the client account that asks, by that configuration; empty: the
+        route needs no key.
     """
 
     job_id: str
@@ -50,6 +53,7 @@
     body: str = ""
     configuration_version: int = 0
     pool: str = ""
+    account: str = ""
 
     @property
     def is_cancel(self) -> bool:
@@ -67,7 +71,14 @@
         :raises UnreadableError: it is no entry.
         """
         row = _ENTRIES.decode(value, "")
-        return cls(row.job_id, row.route, row.body, row.configuration_version, row.pool)
+        return cls(
+            row.job_id,
+            row.route,
+            row.body,
+            row.configuration_version,
+            row.pool,
+            row.account,
+        )
 
 
 class _EntryRow(msgspec.Struct, array_like=True):
@@ -76,6 +87,7 @@
     body: str = ""
     configuration_version: Count = 0
     pool: str = ""
+    account: str = ""
 
 
 _ENTRIES = Decoder[_EntryRow](_EntryRow, remedy=OWN_ROW_REMEDY)
@@ -141,7 +153,7 @@
         self._feed = feed
         self._owner = owner
         self.waiting: dict[str, StoredRow] = {}
-        self._waiting_jobs: dict[str, str] = {}
+        self._waiting_jobs: dict[str, InboxEntry] = {}
         self._look: asyncio.Task[None] | None = None
         self._next_look: asyncio.Task[None] | None = None
 
@@ -216,7 +228,7 @@
             return
         self.waiting[row.key] = row
         if not entry.is_cancel:
-            self._waiting_jobs[row.key] = entry.job_id
+            self._waiting_jobs[row.key] = entry
 
     def _settle(self, entry: InboxEntry) -> bool:
         """Return whether an entry needs its row no more."""
@@ -226,13 +238,16 @@
             return True
         if not entry.is_cancel:
             return self._owner.accept_left(entry)
-        cancel = Cancel(entry.job_id, entry.route)
+        cancel = Cancel(entry.job_id, entry.route, entry.account)
         if not known:
-            may_come = self.waits(entry.job_id)
+            may_come = self.waits(entry.job_id, entry.account)
             return not self._owner.keep_cancel(cancel, may_come)
         self._owner.cancel_left(cancel)
         return True
 
-    def waits(self, job_id: str) -> bool:
-        """Whether a job waits here for its route."""
-        return job_id in self._waiting_jobs.values()
+    def waits(self, job_id: str, account: str) -> bool:
+        """Whether a job waits here for its route that an account may know of."""
+        return any(
+            entry.job_id == job_id and may_see(account, entry.account)
+            for entry in self._waiting_jobs.values()
+        )
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -14,15 +14,16 @@
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..errors import UnreadableError
-from ..platform.documents import Route
 from ..scheduler import encode_definition
 from ..scheduler import Engine
 from ..scheduler import Job
 from ..scheduler import JobState
 from ..scheduler import new_job
+from ..scheduler.accounts import may_see
+from ..scheduler.accounts import over_limit
 from ..unreadable import Source
 from ..unreadable import UnreadableNotes
-from .context import ManifestSource
+from .admission import AdmissionDesk
 from .handins import HandIns
 from .inbox import InboxEntry
 from .inbox import InboxOwner
@@ -49,6 +50,7 @@
     :param accepted: called with each new job, before it is durable.
     :param kick: has the queue looked at soon.
     :param notes: is told of jobs that can't be read.
+    :param refused: how many hand-ins were refused for their accounts' sake, by account.
     :param keep_cancels_s: a cancel is kept for so long while its job may still come.
     """
 
@@ -56,7 +58,7 @@
         self,
         engine: Engine,
         commits: CommitLog,
-        documents: ManifestSource,
+        admission: AdmissionDesk,
         token: int,
         inbox: t.Callable[[], InboxReader],
         is_trusted: t.Callable[[], bool],
@@ -71,7 +73,7 @@
         self._aside: set[str] = set()
         self._engine = engine
         self._commits = commits
-        self._documents = documents
+        self._admission = admission
         self._token = token
         self._inbox = inbox
         self._is_trusted = is_trusted
@@ -80,32 +82,17 @@
         self._kick = kick
         self._kept = KeptCancels(keep_cancels_s)
         self._hand_ins = HandIns(engine, commits)
-
-    def route(self, name: str) -> Route | None:
-        """Return a route of the manifest in force."""
-        manifest = self._documents.manifest
-        if manifest is None:
-            return None
-        return manifest.routes_by_name.get(name)
-
-    def _is_behind(self, route: Route | None, version: int, pool: str) -> bool:
-        """Whether only an older configuration than a sender's is known here.
-
-        Where it says the same of the route, the job is taken nevertheless.
-
-        :param route: as it is known here.
-        :param version: of the configuration by which the sender found the route.
-        :param pool: to which that one sends the route's jobs.
-        """
-        manifest = self._documents.manifest
-        if manifest is not None and manifest.version >= version:
-            return False
-        return route is None or route.service != pool
+        self.refused: dict[str, int] = {}
 
     # Calls.
 
     async def answer(self, request: pb.CallRequest) -> pb.CallReply:
         """Answer a caller's request, here or passed on by a peer."""
+        account = self._admission.judge(request)
+        if account is None:
+            reason = "a newer configuration does not know the key"
+            return pb.CallReply(outcome=pb.NOT_ADMITTED, reason=reason)
+        request.account = account
         if request.job_id in self._aside:
             return pb.CallReply(outcome=pb.UNCERTAIN, reason="its row can't be read")
         if request.kind == pb.PENDING:
@@ -138,19 +125,6 @@
         await self._inbox().catch_up()
         return self._engine.jobs.get(job_id)
 
-    def _is_meant(self, job: Job, request: pb.CallRequest) -> bool:
-        """Whether a caller at a queue means a job of the id that it names.
-
-        Its route may have another name by now; that of another queue is not meant.
-        """
-        return self._is_same_queue(job.route, request.route)
-
-    def _is_same_queue(self, route: str, other: str) -> bool:
-        """Whether two names may stand for one route; one that is gone was renamed."""
-        if route == other:
-            return True
-        return self.route(route) is None or self.route(other) is None
-
     # States.
 
     async def _tell_state(self, request: pb.CallRequest) -> pb.CallReply:
@@ -166,17 +140,24 @@
             await self._commits.confirmed()
             job = self._engine.jobs.get(job_id)
         if job is None:
-            return self._tell_waiting(job_id)
+            return self._tell_waiting(request)
         if not self._is_meant(job, request):
             return pb.CallReply(outcome=pb.UNKNOWN_JOB)
         await self._until_durable(job)
         return pb.CallReply(outcome=pb.OK, state=job.state.value)
 
-    def _tell_waiting(self, job_id: str) -> pb.CallReply:
+    def _is_meant(self, job: Job, request: pb.CallRequest) -> bool:
+        """Whether a call means a job of the id that it names."""
+        return self._admission.is_meant(job, request.route, request.account)
+
+    def _tell_waiting(self, request: pb.CallRequest) -> pb.CallReply:
         """Tell of a job that waits in the inbox for its route, if there is one."""
-        if not self._inbox().waits(job_id):
+        if not self._inbox().waits(request.job_id, request.account):
             return pb.CallReply(outcome=pb.UNKNOWN_JOB)
-        cancelled = self._kept.routes(job_id)
+        cancelled = any(
+            may_see(cancel.account, request.account)
+            for cancel in self._kept.of_job(request.job_id)
+        )
         state = JobState.CANCELLED if cancelled else JobState.PENDING
         return pb.CallReply(outcome=pb.OK, state=state.value)
 
@@ -205,6 +186,9 @@
             if isinstance(found, pb.CallReply):
                 return found
             job = found
+        if not may_see(request.account, job.account):
+            # The id is taken; who took it is told to nobody else.
+            return pb.CallReply(outcome=pb.UNKNOWN_JOB)
         if not await self._hand_ins.until_kept(job):
             return _refuse("the store does not take commits")
         await self._until_durable(job)
@@ -227,45 +211,53 @@
 
     def _take(self, request: pb.CallRequest) -> Job | pb.CallReply:
         """Take a new job, or say why not."""
-        route = self.route(request.route)
-        version = request.configuration_version
-        if self._is_behind(route, version, request.pool):
+        route = self._admission.route(request.route)
+        version, account = request.configuration_version, request.account
+        if self._admission.is_behind(route, version, request.pool, account):
             return pb.CallReply(outcome=pb.BEHIND)
         if route is None:
             return pb.CallReply(outcome=pb.UNKNOWN_JOB, reason="no such queue")
         try:
-            return self._accept(request.job_id, route, request.job)
+            job = new_job(request.job_id, route, request.job, account)
         except BadInputError as error:
             return pb.CallReply(outcome=pb.REFUSED, reason=str(error))
+        refusal = over_limit(job, self._admission.limit_of(account))
+        if refusal:
+            return self._refuse_account(account, refusal)
+        return self._accept(job)
 
-    def _accept(self, job_id: str, route: Route, body: bytes) -> Job:
+    def _accept(self, job: Job) -> Job:
         """Take a job; it may be acknowledged once it is durable.
 
         Nothing of it starts where its cancel has come before it.
-
-        :raises BadInputError: the body is no job.
         """
-        job = new_job(job_id, route, body)
+        job_id = job.job_id
         self._engine.add(job)
         self._commits.mark(TABLE_JOBS, job_id, lambda: encode_definition(job))
         log.info(
             "job-accepted",
             extra={
                 "job": job_id,
-                "route": route.name,
-                "service": route.service,
+                "route": job.route,
+                "service": job.service,
+                "account": job.account,
                 "tasks": sum(step.count for step in job.request.steps),
                 "token": self._token,
             },
         )
-        cancelled_at = self._kept.routes(job_id)
+        cancels = self._kept.of_job(job_id)
         self._kept.forget_job(job_id)
-        if any(self._is_same_queue(job.route, name) for name in cancelled_at):
+        if any(self._admission.covers(cancel, job) for cancel in cancels):
             self._cancel_now(job, "kept")
         else:
             self._accepted(job)
         return job
 
+    def _refuse_account(self, account: str, reason: str) -> pb.CallReply:
+        """Refuse a hand-in for a reason that lies with its account."""
+        self.refused[account] = self.refused.get(account, 0) + 1
+        return pb.CallReply(outcome=pb.REFUSED, reason=reason)
+
     def refuse_overdue(self) -> None:
         """Refuse the hand-ins that wait for commits which hang, where that is true."""
         self._hand_ins.take_back_if_overdue(self._may_accept())
@@ -293,12 +285,12 @@
         """
         job_id = request.job_id
         self._tell_no_job(job_id, "call")
-        cancel = Cancel(job_id, request.route)
+        cancel = Cancel(job_id, request.route, request.account)
         self._kept.keep(cancel)
-        row = InboxEntry(job_id, request.route).encode()
+        row = InboxEntry(job_id, request.route, account=request.account).encode()
         self._commits.mark(TABLE_INBOX, kept_key(cancel), lambda: row)
         await self._commits.flushed()
-        return self._tell_waiting(job_id)
+        return self._tell_waiting(request)
 
     def _cancel_now(self, job: Job, came_by: str) -> None:
         """Cancel a job; the cancel is not durable yet.
@@ -358,15 +350,18 @@
         """Take a job; return False where the configuration has not come here yet."""
         if self.is_aside(entry.job_id):
             return False
-        route = self.route(entry.route)
-        behind = self._is_behind(route, entry.configuration_version, entry.pool)
+        route = self._admission.route(entry.route)
+        behind = self._admission.is_behind(
+            route, entry.configuration_version, entry.pool, entry.account
+        )
         if route is None or behind:
             log.warning(
                 "inbox-route-unknown", extra={"job": entry.job_id, "behind": behind}
             )
             return False
         try:
-            job = self._accept(entry.job_id, route, entry.body.encode())
+            job = new_job(entry.job_id, route, entry.body.encode(), entry.account)
+            self._accept(job)
             job.left_in_inbox = True
         except BadInputError as error:
             log.warning(
@@ -378,7 +373,7 @@
         """Cancel a job that is known, where the cancel means it."""
         job = self._engine.jobs[cancel.job_id]
         self._kept.forget(cancel)
-        if not job.over and self._is_same_queue(job.route, cancel.route):
+        if not job.over and self._admission.covers(cancel, job):
             self._cancel_now(job, "inbox")
 
     def keep_cancel(self, cancel: Cancel, may_come: bool) -> bool:
--- a/src/streamthread/holder/kept_cancels.py
+++ b/src/streamthread/holder/kept_cancels.py
@@ -18,15 +18,22 @@
 
 @attrs.frozen
 class Cancel:
-    """A cancel that found no job: its id, and the route by which it was named."""
+    """A cancel that found no job: its id, and who named it by which route.
+
+    :param account: the client account; empty: the route needs no key.
+    """
 
     job_id: str
     route: str
+    account: str = ""
 
 
 def kept_key(cancel: Cancel) -> str:
     """Return the key of a kept cancel in the inbox: each replaces the one before."""
-    return f"{cancel.job_id}.{zlib.crc32(cancel.route.encode()):08x}{KEPT_SUFFIX}"
+    named_by = cancel.route
+    if cancel.account:
+        named_by = f"{cancel.route}\n{cancel.account}"
+    return f"{cancel.job_id}.{zlib.crc32(named_by.encode()):08x}{KEPT_SUFFIX}"
 
 
 class KeptCancels:
@@ -56,9 +63,9 @@
             del self._since_s[oldest]
             self._given_up.add(oldest)
 
-    def routes(self, job_id: str) -> list[str]:
-        """Return the routes at which a job is cancelled, should it come."""
-        return [c.route for c in self._since_s if c.job_id == job_id and self.covers(c)]
+    def of_job(self, job_id: str) -> list[Cancel]:
+        """Return the cancels that count for a job, should it come."""
+        return [c for c in self._since_s if c.job_id == job_id and self.covers(c)]
 
     def covers(self, cancel: Cancel) -> bool:
         """Whether a cancel counts still."""
--- a/src/streamthread/holder/listing.py
+++ b/src/streamthread/holder/listing.py
@@ -9,9 +9,9 @@
 from ..errors import StoreUnavailableError
 from ..errors import UnreadableError
 from ..platform.documents import decode_runner_entry
-from ..platform.documents import Manifest
 from ..platform.documents import RunnerEntry
 from ..platform.documents import RUNNERS_TABLE
+from ..platform.manifest import Manifest
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
 from ..platform.table_feed import TableFeed
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -17,8 +17,8 @@
 from ..errors import NotHolderError
 from ..loops import Loop
 from ..loops import LoopKeeper
-from ..platform.documents import AdvicePolicy
 from ..platform.documents import RunnerEntry
+from ..platform.manifest import AdvicePolicy
 from ..platform.runners import HoldReply
 from ..platform.store import Page
 from ..platform.table_feed import TableFeed
@@ -38,6 +38,7 @@
 from ..scheduler.orders import OrderSender
 from ..scheduler.orders import SenderOwner
 from ..sharing import plan_paces
+from .admission import AdmissionDesk
 from .advice import AdviceDesk
 from .context import HolderContext
 from .duties import DutyLoop
@@ -75,7 +76,10 @@
         self.taken = taken
         self.token = taken.owner.token
         self.links: dict[str, RunnerLink] = {}
-        self.engine = Engine(self._record_progress, self.settings.engine)
+        self.admission = AdmissionDesk(context.documents)
+        self.engine = Engine(
+            self._record_progress, self.settings.engine, self.admission.limit_of
+        )
         self.active = False
         self.log = self._open_log()
         self.trust = HolderTrust(
@@ -133,7 +137,7 @@
         return Intake(
             self.engine,
             self.log,
-            self.context.documents,
+            self.admission,
             self.token,
             lambda: self.inbox,
             lambda: self.trust.trusted,
@@ -332,7 +336,7 @@
             self.advice.reject(attempt.task.step, attempt.runner_id)
 
     def _policy(self, route: str) -> AdvicePolicy | None:
-        found = self.intake.route(route)
+        found = self.admission.route(route)
         return found.advice if found is not None else None
 
     # Runners.
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -14,7 +14,7 @@
 from ..capacity import PoolArrivals
 from ..capacity import target_size
 from ..clocks import boot_s
-from ..platform.documents import Pool
+from ..platform.manifest import Pool
 from ..scheduler import Engine
 from ..scheduler import Job
 
--- a/src/streamthread/holder/tests/test_advice.py
+++ b/src/streamthread/holder/tests/test_advice.py
@@ -10,7 +10,7 @@
 from streamthread.platform.advice import Ticket
 from streamthread.platform.callers import JobRequest
 from streamthread.platform.callers import StepRequest
-from streamthread.platform.documents import AdvicePolicy
+from streamthread.platform.manifest import AdvicePolicy
 from streamthread.scheduler import Job
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler import StepRun
--- a/src/streamthread/holder/tests/test_advice_after_change.py
+++ b/src/streamthread/holder/tests/test_advice_after_change.py
@@ -3,7 +3,7 @@
 import asyncio
 
 from streamthread.holder.advice import AdviceDesk
-from streamthread.platform.documents import AdvicePolicy
+from streamthread.platform.manifest import AdvicePolicy
 
 from .test_advice import _Client
 from .test_advice import _desk
--- a/src/streamthread/holder/tests/test_cancels_by_queue.py
+++ b/src/streamthread/holder/tests/test_cancels_by_queue.py
@@ -11,13 +11,13 @@
 from streamthread.holder.inbox import InboxReader
 from streamthread.platform.store import StoredRow
 
-from .test_intake import _Cell
+from .test_intake import Cell
 from .test_intake import JOB_ID
 
 
 class TestCancelAtAnotherQueue:
     async def test_before_a_job_came_does_not_cancel_it(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         cell.commits.may_commit.set()
         request = cell.request(pb.CANCEL)
         request.route = "other"
@@ -26,7 +26,7 @@
         assert (reply.outcome, reply.state) == (pb.OK, "pending")
 
     async def test_that_was_left_in_the_inbox_does_not_cancel_it(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         job = cell.add_job()
         feed: t.Any = None
         row = InboxEntry(JOB_ID, "other").encode()
--- a/src/streamthread/holder/tests/test_durable_ends.py
+++ b/src/streamthread/holder/tests/test_durable_ends.py
@@ -6,8 +6,8 @@
 from streamthread.cell import cell_pb2 as pb
 from streamthread.holder.handins import HandIns
 
-from .test_intake import _Cell
 from .test_intake import _Commits
+from .test_intake import Cell
 from .test_intake import JOB_ID
 
 
@@ -29,7 +29,7 @@
 
 class TestEndDuringAnAnswer:
     async def test_is_told_once_it_is_durable(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         commits = _ExactCommits()
         cell.commits = cell.intake._commits = commits
         cell.intake._hand_ins = HandIns(cell.engine, t.cast(t.Any, commits))
--- a/src/streamthread/holder/tests/test_handins.py
+++ b/src/streamthread/holder/tests/test_handins.py
@@ -9,7 +9,7 @@
 from streamthread.cell import TABLE_RUNS
 from streamthread.holder.handins import COMMIT_OVERDUE_S
 from streamthread.holder.handins import HandIns
-from streamthread.platform.documents import Route
+from streamthread.platform.manifest import Route
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
 from streamthread.scheduler import new_job
--- a/src/streamthread/holder/tests/test_intake.py
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -11,11 +11,13 @@
 from streamthread.cell import TABLE_INBOX
 from streamthread.errors import NotHolderError
 from streamthread.errors import StoreUnavailableError
+from streamthread.holder.admission import AdmissionDesk
 from streamthread.holder.inbox import InboxEntry
 from streamthread.holder.inbox import InboxReader
 from streamthread.holder.intake import Intake
 from streamthread.holder.kept_cancels import Cancel
-from streamthread.platform.documents import Route
+from streamthread.platform.manifest import Manifest
+from streamthread.platform.manifest import Route
 from streamthread.platform.store import StoredRow
 from streamthread.scheduler import Engine
 from streamthread.scheduler import EngineSettings
@@ -83,11 +85,11 @@
         if self.down:
             raise StoreUnavailableError("down", remedy="-")
 
-    def waits(self, job_id: str) -> bool:
+    def waits(self, job_id: str, account: str) -> bool:
         return job_id in self.waiting
 
 
-class _Cell:
+class Cell:
     """An intake and what it works with."""
 
     def __init__(self) -> None:
@@ -96,14 +98,12 @@
         self.trusted = True
         self.started: list[Job] = []
         self.engine = Engine(self._record, EngineSettings())
-        manifest = types.SimpleNamespace(
-            version=1, routes_by_name={"route": ROUTE, "other": OTHER}
-        )
-        documents = types.SimpleNamespace(manifest=manifest)
+        manifest = Manifest(1, (ROUTE, OTHER), {}, 0)
+        self.documents: t.Any = types.SimpleNamespace(manifest=manifest)
         args: t.Any = (
             self.engine,
             self.commits,
-            documents,
+            AdmissionDesk(self.documents),
             1,
             lambda: self.inbox,
             lambda: self.trusted,
@@ -140,14 +140,14 @@
 
 class TestHolderThatDoubtsItself:
     async def test_confirms_no_cancel_once_the_cell_is_lost(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         cell.add_job()
         cell.lose()
         assert (await cell.ask(pb.CANCEL)).outcome == pb.UNCERTAIN
 
     async def test_tells_what_it_knows_of_an_open_job(self) -> None:
         """It may be old; an outage of the store is to hide no job from its caller."""
-        cell = _Cell()
+        cell = Cell()
         cell.add_job()
         cell.trusted = False
         assert (await cell.ask(pb.STATE)).state == "pending"
@@ -157,12 +157,12 @@
     async def test_says_nothing_of_a_job_that_it_does_not_know(
         self, kind: pb.CallKind
     ) -> None:
-        cell = _Cell()
+        cell = Cell()
         cell.lose()
         assert (await cell.ask(kind)).outcome == pb.UNCERTAIN
 
     async def test_confirms_no_cancel_of_a_job_that_is_over(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         cell.engine.cancel(cell.add_job())
         cell.commits.marked.clear()
         cell.lose()
@@ -170,7 +170,7 @@
 
     async def test_tells_how_a_job_ended(self) -> None:
         """That stays as it is whoever holds the cell, and callers wait for it."""
-        cell = _Cell()
+        cell = Cell()
         cell.engine.cancel(cell.add_job())
         cell.commits.marked.clear()
         cell.trusted = False
@@ -179,14 +179,14 @@
 
 class TestHolder:
     async def test_makes_no_commit_to_tell_a_state(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         cell.add_job()
         assert (await cell.ask(pb.STATE)).state == "pending"
         assert not cell.commits.confirmations and not cell.inbox.looks
 
     async def test_tells_an_end_once_it_is_durable(self) -> None:
         """Also an end that comes while the answer waits for a commit."""
-        cell = _Cell()
+        cell = Cell()
         job = cell.add_job()
         job.durable = False
         cell.commits.mark("cell-jobs", JOB_ID, None)
@@ -198,7 +198,7 @@
         assert not cell.commits.marked
 
     async def test_calls_no_job_unknown_while_the_inbox_cannot_be_read(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         cell.commits.may_commit.set()
         cell.inbox.down = True
         assert (await cell.ask(pb.STATE)).outcome == pb.UNCERTAIN
@@ -209,14 +209,14 @@
 class TestQueues:
     @pytest.mark.parametrize("kind", [pb.STATE, pb.CANCEL])
     async def test_do_not_speak_for_each_other(self, kind: pb.CallKind) -> None:
-        cell = _Cell()
+        cell = Cell()
         job = cell.add_job()
         job.route = "other"
         assert (await cell.ask(kind)).outcome == pb.UNKNOWN_JOB
         assert not job.cancelled
 
     async def test_that_have_another_name_now_keep_their_jobs(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         cell.commits.may_commit.set()
         job = cell.add_job()
         job.route = "gone"
@@ -226,20 +226,20 @@
 
 class TestHandIn:
     async def test_asks_nothing_of_the_inbox_while_its_feed_is_heard(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         cell.commits.may_commit.set()
         assert (await cell.ask(pb.SUBMIT)).outcome == pb.OK
         assert not cell.inbox.looks
 
     async def test_is_refused_while_its_cancel_may_wait_unread(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         cell.inbox.behind = cell.inbox.down = True
         reply = await cell.ask(pb.SUBMIT)
         assert reply.outcome == pb.REFUSED and reply.retry_after_s > 0
         assert not cell.engine.jobs
 
     async def test_after_its_cancel_starts_nothing(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         cell.commits.may_commit.set()
         assert (await cell.ask(pb.CANCEL)).outcome == pb.UNKNOWN_JOB
         reply = await cell.ask(pb.SUBMIT)
@@ -249,7 +249,7 @@
 
 class TestCancelOfNoJob:
     async def test_is_durable_before_it_is_confirmed(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         answer = asyncio.ensure_future(cell.ask(pb.CANCEL))
         while not cell.commits.marked:
             await asyncio.sleep(0)
@@ -258,7 +258,7 @@
         assert (await answer).outcome == pb.UNKNOWN_JOB
 
     async def test_is_told_of_a_job_that_waits_for_its_route(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         cell.commits.may_commit.set()
         cell.inbox.waiting.add(JOB_ID)
         assert (await cell.ask(pb.STATE)).state == "pending"
@@ -269,7 +269,7 @@
     async def test_is_kept_past_its_time_only_while_its_job_waits(
         self, may_come: bool
     ) -> None:
-        cell = _Cell()
+        cell = Cell()
         assert cell.intake.keep_cancel(CANCEL, may_come=False)
         cell.intake._kept._since_s[CANCEL] -= KEEP_S
         assert cell.intake.keep_cancel(CANCEL, may_come) is may_come
@@ -282,14 +282,14 @@
     when it woke, since its commit was overdue, with their rows in the inbox removed.
     """
 
-    def _read_inbox(self, cell: _Cell) -> None:
+    def _read_inbox(self, cell: Cell) -> None:
         entry = InboxEntry(JOB_ID, "route", BODY.decode())
         row = StoredRow(TABLE_INBOX, "main", "key", entry.encode(), 1)
         InboxReader(t.cast(t.Any, None), cell.intake).take([row])
         assert cell.commits.is_marked(TABLE_INBOX, "key")
 
     async def test_is_kept_while_its_caller_waits_here(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         calling = asyncio.create_task(cell.ask(pb.SUBMIT))
         await asyncio.sleep(0)
         self._read_inbox(cell)
@@ -298,7 +298,7 @@
         calling.cancel()
 
     async def test_is_kept_where_the_inbox_told_of_it_first(self) -> None:
-        cell = _Cell()
+        cell = Cell()
         self._read_inbox(cell)
         calling = asyncio.create_task(cell.ask(pb.SUBMIT))
         await asyncio.sleep(0)
--- a/src/streamthread/holder/tests/test_listing.py
+++ b/src/streamthread/holder/tests/test_listing.py
@@ -15,10 +15,10 @@
 from streamthread.holder import listing
 from streamthread.holder.listing import RunnerListing
 from streamthread.platform.documents import decode_runner_entry
-from streamthread.platform.documents import Manifest
-from streamthread.platform.documents import Pool
 from streamthread.platform.documents import RunnerEntry
 from streamthread.platform.documents import Wave
+from streamthread.platform.manifest import Manifest
+from streamthread.platform.manifest import Pool
 from streamthread.platform.store import Page
 from streamthread.platform.store import StoredRow
 from streamthread.standins.cell.foreign import FOREIGN_ENTRIES
--- a/src/streamthread/holder/tests/test_sizes.py
+++ b/src/streamthread/holder/tests/test_sizes.py
@@ -9,7 +9,7 @@
 from streamthread.capacity import MachineView
 from streamthread.holder import sizes
 from streamthread.holder.sizes import PoolSizes
-from streamthread.platform.documents import Pool
+from streamthread.platform.manifest import Pool
 from streamthread.scheduler import Engine
 
 SETTINGS = CapacitySettings()
--- a/src/streamthread/holder/tests/test_turns.py
+++ b/src/streamthread/holder/tests/test_turns.py
@@ -21,7 +21,7 @@
 from streamthread.capacity import PoolView
 from streamthread.holder import sizes
 from streamthread.holder.sizes import PoolSizes
-from streamthread.platform.documents import Pool
+from streamthread.platform.manifest import Pool
 from streamthread.scheduler import Engine
 
 SETTINGS = CapacitySettings()
--- a/src/streamthread/platform/callers.py
+++ b/src/streamthread/platform/callers.py
@@ -14,6 +14,8 @@
 
 __all__ = [
     "DEADLINE_HEADER",
+    "KEY_CHALLENGE",
+    "KEY_HEADER",
     "JobRequest",
     "StepRequest",
     "decode_job",
@@ -25,6 +27,12 @@
 DEADLINE_HEADER = "Streamthread-Deadline-Ms"
 """How long the caller waits for this answer, in milliseconds."""
 
+KEY_HEADER = "Streamthread-Credential"
+"""The key of a client account, and nothing else."""
+
+KEY_CHALLENGE = f'Key header="{KEY_HEADER}"'
+"""Tells a caller without a valid key, in ``WWW-Authenticate``, where one belongs."""
+
 MOST_SPEC_BYTES = 4000
 """The longest text that a job may carry for its tasks."""
 
--- /dev/null
+++ b/src/streamthread/platform/tests/test_accounts.py
@@ -0,0 +1,163 @@
+"""Client accounts of a configuration: what opens them, what they may have running."""
+
+import json
+import typing as t
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from streamthread.errors import UnreadableError
+from streamthread.platform.accounts import digest_key
+from streamthread.platform.accounts import Limit
+from streamthread.platform.manifest import decode_manifest
+from streamthread.platform.manifest import Manifest
+
+Json = dict[str, t.Any]
+
+CLOSED: Json = {"name": "r", "host": "h", "service": "desk", "public": False}
+
+
+def account(name: str, *keys: str, cpu: int = 0) -> Json:
+    maximum = {"cpu": cpu, "memMb": 0, "gpu": 0}
+    return {"name": name, "apiKeys": list(keys), "weight": 3, "maximum": maximum}
+
+
+def text(accounts: t.Any, version: int = 1, route: Json = CLOSED) -> bytes:
+    value: Json = {"version": version, "routes": [route], "services": []}
+    if accounts is not None:
+        value["tenants"] = accounts
+    return json.dumps(value).encode()
+
+
+def read(accounts: t.Any, before: Manifest | None = None) -> Manifest:
+    return decode_manifest(text(accounts), before).manifest
+
+
+def opens(manifest: Manifest, key: str) -> str:
+    return manifest.account_of(digest_key(key))
+
+
+class TestKeys:
+    def test_a_key_opens_its_account_and_no_other_text_does(self) -> None:
+        manifest = read([account("ann", "k1", "k2"), account("bob", "k3")])
+        assert [opens(manifest, key) for key in ("k1", "k2", "k3")] == [
+            "ann",
+            "ann",
+            "bob",
+        ]
+        assert not opens(manifest, "k4")
+
+    def test_an_empty_key_opens_nothing(self) -> None:
+        assert not opens(read([account("ann", "")]), "")
+
+    def test_a_key_that_was_taken_away_opens_nothing(self) -> None:
+        before = read([account("ann", "k1", "k2")])
+        assert not opens(read([account("ann", "k2")], before), "k1")
+
+    def test_a_key_may_be_given_to_another_account(self) -> None:
+        before = read([account("ann", "k1"), account("bob")])
+        assert (
+            opens(read([account("ann"), account("bob", "k1")], before), "k1") == "bob"
+        )
+
+    def test_neither_keys_nor_parts_of_them_are_kept(self) -> None:
+        manifest = read([account("ann", "a-long-secret-key")])
+        assert "secret" not in repr(manifest)
+        assert "secret" not in str(vars(type(manifest)))
+        assert digest_key("a-long-secret-key").hex() not in repr(manifest)
+
+    @given(st.text())
+    def test_any_text_has_a_digest(self, key: str) -> None:
+        assert len(digest_key(key)) == 16
+
+
+class TestKeyOfTwoAccounts:
+    def test_opens_nothing_where_it_is_new_in_both(self) -> None:
+        reading = decode_manifest(text([account("ann", "k"), account("bob", "k")]))
+        assert not opens(reading.manifest, "k")
+        assert [error.key for error in reading.unreadable] == ["config 'bob'"]
+
+    def test_stays_with_the_account_that_it_opened_before(self) -> None:
+        before = read([account("ann", "x"), account("bob", "k")])
+        both = [account("ann", "x", "k"), account("bob", "k")]
+        manifest = read(both, before)
+        assert opens(manifest, "k") == "bob"
+        assert opens(manifest, "x") == "ann"
+
+    def test_the_note_does_not_tell_the_key(self) -> None:
+        reading = decode_manifest(
+            text([account("ann", "secret"), account("bob", "secret")])
+        )
+        assert "secret" not in str(reading.unreadable[0])
+
+    def test_is_no_matter_within_one_account(self) -> None:
+        reading = decode_manifest(text([account("ann", "k", "k")]))
+        assert opens(reading.manifest, "k") == "ann"
+        assert not reading.unreadable
+
+
+class TestAccountThatCannotBeRead:
+    @pytest.mark.parametrize("bad", [{"name": "ann", "apiKeys": 7}, 5, None, "ann", {}])
+    def test_takes_no_other_with_it(self, bad: t.Any) -> None:
+        reading = decode_manifest(text([bad, account("bob", "k")]))
+        assert opens(reading.manifest, "k") == "bob"
+        assert len(reading.unreadable) == 1
+
+    def test_stays_as_it_was(self) -> None:
+        before = read([account("ann", "k", cpu=50)])
+        manifest = read([{"name": "ann", "apiKeys": 7}], before)
+        assert opens(manifest, "k") == "ann"
+        assert manifest.limit_of("ann") == Limit(cpu=50)
+
+    def test_the_second_of_one_name_is_passed_over(self) -> None:
+        reading = decode_manifest(text([account("ann", "k1"), account("ann", "k2")]))
+        assert opens(reading.manifest, "k1") == "ann"
+        assert not opens(reading.manifest, "k2")
+        assert len(reading.unreadable) == 1
+
+    def test_a_list_of_accounts_that_is_none_leaves_the_configuration_before(
+        self,
+    ) -> None:
+        with pytest.raises(UnreadableError):
+            decode_manifest(text({"ann": []}))
+
+
+class TestRoutes:
+    @pytest.mark.parametrize(
+        ("public", "accounts", "needs_key"),
+        [
+            (True, [], False),
+            (False, [], True),
+            (None, [], True),
+            (None, None, False),
+            (False, None, True),
+        ],
+    )
+    def test_which_routes_need_a_key(
+        self, public: bool | None, accounts: t.Any, needs_key: bool
+    ) -> None:
+        route = {"name": "r", "service": "desk"}
+        if public is not None:
+            route["public"] = t.cast(t.Any, public)
+        manifest = decode_manifest(text(accounts, route=route)).manifest
+        assert manifest.routes[0].needs_key is needs_key
+
+
+class TestLimits:
+    def test_an_account_that_was_dropped_keeps_its_last_limit(self) -> None:
+        before = read([account("ann", "k", cpu=50)])
+        manifest = read([], before)
+        assert manifest.limit_of("ann") == Limit(cpu=50)
+        assert not opens(manifest, "k")
+
+    def test_one_that_comes_back_has_its_new_limit(self) -> None:
+        gone = read([], read([account("ann", cpu=50)]))
+        assert read([account("ann", cpu=7)], gone).limit_of("ann") == Limit(cpu=7)
+
+    def test_one_that_was_never_there_has_none_known(self) -> None:
+        assert read([account("ann")]).limit_of("bob") is None
+
+    def test_nought_is_no_limit(self) -> None:
+        assert Limit().allows(10**9, 10**9, 10**9)
+        assert not Limit(cpu=5).allows(6, 0, 0)
--- /dev/null
+++ b/src/streamthread/scheduler/accounts.py
@@ -0,0 +1,122 @@
+"""What runs of each client account, and how much more may run."""
+
+import typing as t
+
+import attrs
+
+from ..platform.accounts import Limit
+from ..platform.callers import StepRequest
+from .model import Attempt
+from .model import Job
+
+__all__ = ["AccountRoom", "LimitSource", "Running", "may_see", "over_limit"]
+
+LimitSource = t.Callable[[str], Limit | None]
+"""Returns what an account may have running at once; None: it is not known."""
+
+
+def may_see(account: str, owner: str) -> bool:
+    """Whether a caller's account may know of what an account has handed in.
+
+    Where either has none, the route needed no key, or a daemon or a job is older than
+    client accounts: nothing tells them apart.
+    """
+    return not account or not owner or account == owner
+
+
+@attrs.define
+class Running:
+    """What runs of one account, or may run, on all runners.
+
+    :param cpu: thousandths of a core.
+    :param tasks: how many runs that is.
+    """
+
+    cpu: int = 0
+    memory_mb: int = 0
+    gpu: int = 0
+    tasks: int = 0
+
+    def add(self, request: StepRequest, runs: int) -> None:
+        """Count runs of a step; less than none of them: they are over."""
+        self.cpu += request.cpu * runs
+        self.memory_mb += request.memory_mb * runs
+        self.gpu += request.gpu * runs
+        self.tasks += runs
+
+    def room_for(self, request: StepRequest, limit: Limit, most: int) -> int:
+        """Return how many more runs of a step a limit allows, ``most`` at most."""
+        count = most
+        for used, each, whole in (
+            (self.cpu, request.cpu, limit.cpu),
+            (self.memory_mb, request.memory_mb, limit.memory_mb),
+            (self.gpu, request.gpu, limit.gpu),
+        ):
+            if whole and each:
+                count = min(count, (whole - used) // each)
+        return max(0, count)
+
+
+class AccountRoom:
+    """Holds each account to its limit, over all pools and runners.
+
+    A run counts from the moment at which it is decided until it is known to be over:
+    while its order is on its way, unanswered or late, while it is being stopped, while
+    its runner is silent, and under the next holder from its replay on. The decision is
+    durable before the order goes out, so whoever holds the cell counts all that may
+    run.
+    """
+
+    def __init__(self, limit_of: LimitSource) -> None:
+        self._limit_of = limit_of
+        self.running: dict[str, Running] = {}
+
+    def add(self, attempt: Attempt) -> None:
+        """Count a run that may run from now on."""
+        self._count(attempt, 1)
+
+    def remove(self, attempt: Attempt) -> None:
+        """Count a run no more that is over."""
+        self._count(attempt, -1)
+
+    def _count(self, attempt: Attempt, runs: int) -> None:
+        step = attempt.task.step
+        account = step.occurrence.job.account
+        if not account:
+            return
+        running = self.running.setdefault(account, Running())
+        running.add(step.request, runs)
+        if not running.tasks:
+            del self.running[account]
+
+    def of(self, account: str) -> Running:
+        """Return what runs of an account, or may run."""
+        return self.running.get(account) or Running()
+
+    def limit_of(self, account: str) -> Limit | None:
+        """Return what an account may have running at once; None: it is not known."""
+        return self._limit_of(account) if account else None
+
+    def room_for(self, job: Job, request: StepRequest, most: int) -> int:
+        """Return how many more runs of a job's step its account may have."""
+        limit = self.limit_of(job.account)
+        if limit is None:
+            return most
+        return self.of(job.account).room_for(request, limit, most)
+
+
+def over_limit(job: Job, limit: Limit | None) -> str:
+    """Return why a job can never run under its account's limit, or an empty text.
+
+    A gang runs whole, any other task by itself.
+    """
+    if limit is None:
+        return ""
+    for number, step in enumerate(job.request.steps):
+        count = step.count if step.gang else 1
+        if step.count and not limit.allows(
+            step.cpu * count, step.memory_mb * count, step.gpu * count
+        ):
+            what = "a gang" if step.gang else "a task"
+            return f"{what} of step {number} is over the limit of its account"
+    return ""
--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -51,7 +51,7 @@
         "target_s": job.target_s,
         "body": job.body.decode(),
     }
-    return _dump(value)
+    return _dump(value | _encode_account(job))
 
 
 def _dump(value: dict[str, Json]) -> bytes:
@@ -66,7 +66,11 @@
         "ended_at_s": job.ended_at_s,
         "state": job.state.value,
     }
-    return _dump(value)
+    return _dump(value | _encode_account(job))
+
+
+def _encode_account(job: Job) -> dict[str, Json]:
+    return {"account": job.account} if job.account else {}
 
 
 class _JobRow(msgspec.Struct):
@@ -82,6 +86,7 @@
     body: str | None = None
     state: JobState | None = None
     ended_at_s: Amount | None = None
+    account: str = ""
 
 
 class _AttemptRow(msgspec.Struct, array_like=True):
@@ -140,6 +145,7 @@
         max_attempts=row.max_attempts,
         stretch=row.stretch,
         target_s=row.target_s,
+        account=row.account,
     )
 
 
@@ -156,6 +162,7 @@
         cancelled=state is JobState.CANCELLED,
         failed=state is JobState.FAILED,
         ended_at_s=row.ended_at_s,
+        account=row.account,
     )
 
 
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -10,6 +10,7 @@
 
 from ..clocks import boot_s
 from ..platform.runners import HoldReply
+from .accounts import LimitSource
 from .crashes import Crashes
 from .crashes import describe
 from .crashes import started_last
@@ -22,7 +23,6 @@
 from .model import Job
 from .model import StepRun
 from .model import Task
-from .model import TaskState
 from .outcomes import Outcomes
 from .outcomes import Stray
 from .placement import LargestRoom
@@ -41,16 +41,18 @@
     """All jobs of a cell, and the runners' room.
 
     :param changed: called with each job whose progress must be recorded.
+    :param limit_of: returns what a client account may have running at once.
     """
 
     def __init__(
         self,
         changed: t.Callable[[Job], None],
         settings: EngineSettings | None = None,
+        limit_of: LimitSource = lambda account: None,
     ) -> None:
         self.settings = settings or EngineSettings()
         self.times = RunTimes()
-        self._ledger = Ledger(changed, self.settings.stop_effect_ms)
+        self._ledger = Ledger(changed, self.settings.stop_effect_ms, limit_of)
         self._crashes = Crashes(self._ledger, self.settings)
         self._outcomes = Outcomes(
             self._ledger, self.times, self._crashes, self.settings
@@ -64,6 +66,7 @@
         )
         self.jobs = self._ledger.jobs
         self.runners = self._ledger.runners
+        self.accounts = self._ledger.accounts
         self.stops = self._ledger.stops
         self.counts = self._ledger.counts
 
@@ -261,6 +264,9 @@
             if not in_need and not largest.may_fit(step):
                 self._tell_placed(step, [], len(runners))
                 continue
+            if not self._account_room(step):
+                self._tell_placed(step, [], len(runners))
+                continue
             usable = runners
             if in_need:
                 usable = usable_runners(self.runners.values(), service, in_need=True)
@@ -280,12 +286,19 @@
     ) -> list[Attempt]:
         planned = [
             (placement, _next_run(placement.task))
-            for placement in place_step(step, usable, now_s, tickets)
+            for placement in place_step(
+                step, usable, now_s, tickets, self._account_room(step)
+            )
         ]
         attempts = [self._plan(p.task, p.runner, run) for p, run in planned]
         self._tell_placed(step, planned, len(usable))
         return attempts
 
+    def _account_room(self, step: StepRun) -> int:
+        """Return how many more tasks of a step its client account may have running."""
+        job, request = step.occurrence.job, step.request
+        return self.accounts.room_for(job, request, len(step.tasks))
+
     def _candidates(
         self, steps: t.Iterable[StepRun], largest: LargestRoom, usable: int
     ) -> list[StepRun]:
@@ -332,12 +345,10 @@
     def _plan(self, task: Task, runner: RunnerState, run: int) -> Attempt:
         task.last_run = run
         attempt = Attempt(task, task.last_run, runner.runner_id)
-        task.attempts.append(attempt)
+        self._ledger.plan(attempt, runner)
         if task.suspect:
             begin_trial(task, runner)
-        task.state = TaskState.PLACED
         task.copy_wanted = False
-        runner.add(task.name, attempt)
         self._ledger.changed(task.step.occurrence.job)
         return attempt
 
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -6,6 +6,8 @@
 import logbook
 
 from ..clocks import boot_s
+from .accounts import AccountRoom
+from .accounts import LimitSource
 from .fleet import RunnerState
 from .model import Attempt
 from .model import Job
@@ -30,11 +32,18 @@
     :param open: the jobs of which something may still run, by job id.
     :param runners: the lives of runners that are listed, by runner id.
     :param stops: the runs that are to be stopped.
+    :param accounts: what runs of each client account.
     :param counts: how often runs ended, were refused or lapsed.
     """
 
-    def __init__(self, changed: t.Callable[[Job], None], stop_effect_ms: int) -> None:
+    def __init__(
+        self,
+        changed: t.Callable[[Job], None],
+        stop_effect_ms: int,
+        limit_of: LimitSource,
+    ) -> None:
         self.changed = changed
+        self.accounts = AccountRoom(limit_of)
         self.jobs: dict[str, Job] = {}
         self.open: dict[str, Job] = {}
         self.runners: dict[str, RunnerState] = {}
@@ -54,6 +63,7 @@
             return
         self.open[job.job_id] = job
         for attempt in job.attempts():
+            self.accounts.add(attempt)
             self.stops.read_back(attempt)
             runner = self.runners.get(attempt.runner_id)
             if runner is not None:
@@ -127,6 +137,14 @@
 
     # Attempts.
 
+    def plan(self, attempt: Attempt, runner: RunnerState) -> None:
+        """Give a task a new attempt, which takes room from now on."""
+        task = attempt.task
+        task.attempts.append(attempt)
+        task.state = TaskState.PLACED
+        self.accounts.add(attempt)
+        runner.add(task.name, attempt)
+
     def orphans(self) -> list[Attempt]:
         """Return the attempts on runners that are not known here."""
         return [
@@ -151,6 +169,7 @@
         task = attempt.task
         if attempt in task.attempts:
             task.attempts.remove(attempt)
+            self.accounts.remove(attempt)
         if runner is not None:
             runner.remove(task.name, attempt)
 
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -10,7 +10,7 @@
 from ..platform.callers import decode_job
 from ..platform.callers import JobRequest
 from ..platform.callers import StepRequest
-from ..platform.documents import Route
+from ..platform.manifest import Route
 
 __all__ = [
     "Attempt",
@@ -305,6 +305,8 @@
     :param ended_at_s: wall time of its end, or None.
     :param durable: its hand-in is recorded, so it may be acknowledged.
     :param left_in_inbox: another daemon has acknowledged it and left it in the store.
+    :param account: the client account that handed it in; empty: its route needed no
+        key.
     """
 
     job_id: str
@@ -325,6 +327,7 @@
     ended_at_s: float | None = None
     durable: bool = False
     left_in_inbox: bool = False
+    account: str = ""
 
     @property
     def times(self) -> int:
@@ -376,8 +379,8 @@
         return occurrence
 
 
-def new_job(job_id: str, route: Route, body: bytes) -> Job:
-    """Return the job that a caller hands in at a route now.
+def new_job(job_id: str, route: Route, body: bytes, account: str = "") -> Job:
+    """Return the job that a caller hands in at a route now, for an account or none.
 
     :raises BadInputError: the body is no job.
     """
@@ -392,4 +395,5 @@
         max_attempts=route.max_attempts,
         stretch=route.stretch,
         target_s=route.target_s,
+        account=account,
     )
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -137,18 +137,24 @@
     runners: t.Sequence[RunnerState],
     now_s: float,
     tickets: t.Collection[str] | None = None,
+    most: int | None = None,
 ) -> list[Placement]:
     """Return where the step's waiting tasks go, as far as there is room.
 
     A gang goes all at once or not at all.
 
     :param tickets: ids of the runners that may run the step; None: all.
+    :param most: so many tasks may be placed at most; None: any number.
     """
     waiting = [task for task in step.waiting() if task.not_before_s <= now_s]
     if not waiting:
         return []
     if step.request.gang and len(waiting) < len(step.tasks) - step.done_count:
         return []
+    if most is not None and len(waiting) > most:
+        if step.request.gang:
+            return []
+        waiting = waiting[:most]
     suitable = [
         runner
         for runner in runners
--- /dev/null
+++ b/src/streamthread/scheduler/tests/test_accounts.py
@@ -0,0 +1,231 @@
+"""What runs of an account is counted as it changes, and held to its limit."""
+
+import json
+import typing as t
+
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from streamthread.platform.accounts import Limit
+from streamthread.platform.manifest import Route
+from streamthread.scheduler import Attempt
+from streamthread.scheduler import decode_row
+from streamthread.scheduler import encode_definition
+from streamthread.scheduler import encode_progress
+from streamthread.scheduler import Engine
+from streamthread.scheduler import Job
+from streamthread.scheduler import new_job
+from streamthread.scheduler import Phase
+from streamthread.scheduler import restore_progress
+from streamthread.scheduler import RunnerState
+from streamthread.scheduler.accounts import over_limit
+from streamthread.scheduler.accounts import Running
+
+ROUTE = Route(name="r", host="h", path_prefix="/", service="desk", needs_key=True)
+NOW_S = 1e12
+"""A wall time after all jobs have come."""
+
+ACCOUNTS = ("ann", "bob")
+
+
+def body(count: int = 1, cpu: int = 100, **step: t.Any) -> bytes:
+    steps = [{"count": count, "cpu": cpu, "memMb": 10, **step}]
+    return json.dumps({"spec": "", "steps": steps}).encode()
+
+
+def runner(number: int, cpu: int = 1000) -> RunnerState:
+    state = RunnerState(
+        f"i-{number}", "desk", "127.0.0.1:1", "here", ("a", "r1"), cpu, 10000, 0
+    )
+    state.ready = state.heard = True
+    return state
+
+
+class _Cell:
+    """An engine with some runners, and limits that a test may change."""
+
+    def __init__(self, runners: int = 3, **limits: Limit) -> None:
+        self.limits: dict[str, Limit] = limits
+        self.engine = Engine(lambda job: None, limit_of=self.limits.get)
+        for number in range(runners):
+            self.engine.add_runner(runner(number))
+        self._jobs = 0
+
+    def add(self, account: str, text: bytes) -> Job:
+        self._jobs += 1
+        job = new_job(f"{self._jobs:016x}", ROUTE, text, account)
+        self.engine.add(job)
+        self.engine.begin_due(NOW_S)
+        return job
+
+    def place(self) -> list[Attempt]:
+        return self.engine.place_all(NOW_S, lambda step: None)
+
+    def summed(self, account: str) -> Running:
+        """Return what may run of an account, counted anew."""
+        running = Running()
+        for job in self.engine.jobs.values():
+            for attempt in job.attempts():
+                if job.account == account:
+                    running.add(attempt.task.step.request, 1)
+        return running
+
+
+class TestLimit:
+    def test_no_more_is_started_than_it_allows(self) -> None:
+        cell = _Cell(ann=Limit(cpu=350))
+        cell.add("ann", body(count=8))
+        assert len(cell.place()) == 3
+        assert not cell.place()
+
+    def test_it_counts_over_all_jobs_and_runners(self) -> None:
+        cell = _Cell(ann=Limit(cpu=300))
+        for _ in range(5):
+            cell.add("ann", body(cpu=100))
+        assert len(cell.place()) == 3
+
+    def test_others_are_not_held_up_by_it(self) -> None:
+        cell = _Cell(ann=Limit(cpu=100))
+        cell.add("ann", body(count=8))
+        cell.add("bob", body(count=8))
+        placed = [a.task.step.occurrence.job.account for a in cell.place()]
+        assert sorted(placed) == ["ann"] + 8 * ["bob"]
+
+    def test_memory_counts_alike(self) -> None:
+        cell = _Cell(ann=Limit(memory_mb=25))
+        cell.add("ann", body(count=8))
+        assert len(cell.place()) == 2
+
+    def test_what_fills_counts_though_it_takes_no_room(self) -> None:
+        cell = _Cell(ann=Limit(cpu=200))
+        cell.add("ann", body(count=8, fills=True))
+        assert len(cell.place()) == 2
+
+    def test_a_gang_starts_whole_or_not_at_all(self) -> None:
+        cell = _Cell(ann=Limit(cpu=250))
+        cell.add("ann", body(count=3, gang=True))
+        assert not cell.place()
+        cell.limits["ann"] = Limit(cpu=300)
+        assert len(cell.place()) == 3
+
+    def test_a_run_counts_until_it_is_known_to_be_over(self) -> None:
+        cell = _Cell(ann=Limit(cpu=100))
+        cell.add("ann", body(count=2))
+        (first,) = cell.place()
+        first.phase = Phase.SENT
+        cell.engine.stop(first, "test")
+        assert not cell.place()
+        cell.engine.attempts_lapsed(first.runner_id, "test")
+        assert len(cell.place()) == 1
+
+    def test_a_cancelled_job_counts_while_its_runs_are_there(self) -> None:
+        cell = _Cell(ann=Limit(cpu=100))
+        job = cell.add("ann", body())
+        (first,) = cell.place()
+        cell.engine.cancel(job)
+        cell.add("ann", body())
+        assert not cell.place()
+        cell.engine.runner_over(first.runner_id, "test")
+        assert len(cell.place()) == 1
+
+    def test_a_lower_one_stops_nothing_and_starts_nothing(self) -> None:
+        cell = _Cell(ann=Limit(cpu=400))
+        cell.add("ann", body(count=8))
+        running = cell.place()
+        cell.limits["ann"] = Limit(cpu=100)
+        assert not cell.place()
+        assert not cell.engine.take_stops()
+        for attempt in running:
+            cell.engine.refuse(attempt, "test")
+        assert len(cell.place()) == 1
+
+    def test_the_next_holder_counts_what_runs_where_it_knows_no_runner(self) -> None:
+        cell = _Cell(ann=Limit(cpu=200))
+        job = cell.add("ann", body(count=4))
+        cell.place()
+        again = decode_row(job.job_id, encode_definition(job))
+        restore_progress(again, encode_progress(job))
+        successor = _Cell(runners=0, ann=Limit(cpu=200))
+        successor.engine.add(again)
+        successor.engine.add_runner(runner(9))
+        assert not successor.place()
+        for orphan in successor.engine.orphans():
+            successor.engine.drop_orphan(orphan)
+        assert len(successor.place()) == 2
+
+    def test_nought_and_an_unknown_account_are_no_limit(self) -> None:
+        cell = _Cell(ann=Limit())
+        cell.add("ann", body(count=8))
+        cell.add("new", body(count=8))
+        assert len(cell.place()) == 16
+
+
+class TestOverLimit:
+    def test_a_task_and_a_gang_that_can_never_run(self) -> None:
+        job = new_job("a" * 16, ROUTE, body(count=3), "ann")
+        gang = new_job("b" * 16, ROUTE, body(count=3, gang=True), "ann")
+        assert not over_limit(job, Limit(cpu=100))
+        assert "a task of step 0" in over_limit(job, Limit(cpu=99))
+        assert not over_limit(gang, Limit(cpu=300))
+        assert "a gang of step 0" in over_limit(gang, Limit(cpu=299))
+        assert not over_limit(gang, None)
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["hand-in", "place", "end", "stop", "cancel", "over", "heir"]),
+        st.integers(0, 5),
+        st.integers(1, 4),
+    ),
+    max_size=40,
+)
+
+
+class _Play(_Cell):
+    """Carries out random events, and the take-over of the cell among them."""
+
+    def carry_out(self, what: str, pick: int, count: int) -> None:
+        attempts = [a for job in self.engine.jobs.values() for a in job.attempts()]
+        chosen = attempts[pick % len(attempts)] if attempts else None
+        if what == "hand-in":
+            self.add(ACCOUNTS[pick % 2], body(count=count, cpu=100 * (1 + pick)))
+        elif what == "place":
+            self.place()
+        elif what == "heir":
+            self._take_over()
+        elif what == "over":
+            self.engine.runner_over(f"i-{pick % 3}", "test")
+            self.engine.add_runner(runner(pick % 3))
+        elif chosen is not None and what == "end":
+            self.engine.refuse(chosen, "test")
+        elif chosen is not None and what == "stop":
+            self.engine.stop(chosen, "test")
+        elif chosen is not None and what == "cancel":
+            self.engine.cancel(chosen.task.step.occurrence.job)
+
+    def _take_over(self) -> None:
+        before = self.engine
+        self.engine = Engine(lambda job: None, limit_of=self.limits.get)
+        for job in before.jobs.values():
+            again = decode_row(job.job_id, encode_definition(job))
+            if not again.over:
+                restore_progress(again, encode_progress(job))
+            self.engine.add(again)
+        for number in range(3):
+            self.engine.add_runner(runner(number))
+
+
+@given(STEPS)
+@settings(max_examples=200)
+def test_counts_are_the_sum_after_each_event(
+    events: list[tuple[str, int, int]],
+) -> None:
+    """Whatever happens, and whoever holds the cell, no account is over its limit."""
+    play = _Play(ann=Limit(cpu=900), bob=Limit(cpu=500, memory_mb=40))
+    for event in events:
+        play.carry_out(*event)
+        for account in ACCOUNTS:
+            summed = play.summed(account)
+            assert play.engine.accounts.of(account) == summed
+            assert play.limits[account].allows(summed.cpu, summed.memory_mb, 0)
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -24,6 +24,8 @@
 
     :param pools: names of the pools and how many machines each has.
     :param cpu: the room of each runner, in full.
+    :param accounts: the client accounts that manifests name from now on, as they stand
+        on the wire; None: there are none, and no route needs a key.
     :param crashes: ids of the runners that a task has taken down.
     :param crashed_runs: tasks and runs that have done so.
     """
@@ -39,6 +41,7 @@
         self._failures: dict[str, int] = {}
         self._pools = dict(pools)
         self.cpu = cpu
+        self.accounts: list[dict[str, t.Any]] | None = None
         self._numbers = itertools.count(1)
 
     async def open(self) -> None:
@@ -133,6 +136,8 @@
             for pool in self._pools
         ]
         manifest = {"version": version, "routes": routes, "services": services}
+        if self.accounts is not None:
+            manifest["tenants"] = self.accounts
         await self._put("op", "config", json.dumps(manifest))
 
     async def write_wave(
--- a/tests/cell/support.py
+++ b/tests/cell/support.py
@@ -38,13 +38,17 @@
 class Caller:
     """Speaks to the daemons as the users' clients do."""
 
-    def __init__(self, daemons: t.Sequence[CellDaemon], pool: str) -> None:
+    def __init__(
+        self, daemons: t.Sequence[CellDaemon], pool: str, key: str = ""
+    ) -> None:
         self._daemons = daemons
         self._headers = {
             "Host": f"{pool}.example",
             "Content-Type": "application/json",
             "Streamthread-Deadline-Ms": "3000",
         }
+        if key:
+            self._headers["Streamthread-Credential"] = key
         self._session = aiohttp.ClientSession()
 
     async def close(self) -> None:
@@ -84,8 +88,8 @@
         self.daemons = daemons
         self._callers: list[Caller] = []
 
-    def caller(self, pool: str = "desk") -> Caller:
-        caller = Caller(self.daemons, pool)
+    def caller(self, pool: str = "desk", key: str = "") -> Caller:
+        caller = Caller(self.daemons, pool, key)
         self._callers.append(caller)
         return caller
 
@@ -110,6 +114,17 @@
 
         return t.cast(CellDaemon, await until(ready, "a holder that reaches all"))
 
+    async def write_accounts(self, version: int, *accounts: dict[str, t.Any]) -> None:
+        """Write a manifest with client accounts; return once all daemons know it."""
+        self.world.accounts = list(accounts)
+        await self.world.write_manifest(version)
+
+        def in_force() -> bool:
+            manifests = [daemon.documents.manifest for daemon in self.daemons]
+            return all(m is not None and m.version >= version for m in manifests)
+
+        await until(in_force, f"version {version} in force everywhere")
+
     async def until_crashes(self, count: int) -> None:
         """Wait until tasks have taken so many runners down."""
         await until(lambda: len(self.world.crashes) >= count, f"{count} crashes")
--- a/tests/cell/test_cancels_without_job.py
+++ b/tests/cell/test_cancels_without_job.py
@@ -10,7 +10,7 @@
 from streamthread.cell.rows import TABLE_JOBS
 from streamthread.gateway import CellDaemon
 from streamthread.holder.inbox import InboxEntry
-from streamthread.platform.documents import Route
+from streamthread.platform.manifest import Route
 from streamthread.scheduler import encode_definition
 from streamthread.scheduler import Job
 from streamthread.scheduler import new_job
--- a/tests/model/world.py
+++ b/tests/model/world.py
@@ -21,8 +21,8 @@
 from streamthread.holder import Holder
 from streamthread.holder.context import CellSettings
 from streamthread.holder.context import HolderContext
-from streamthread.platform.documents import decode_manifest
 from streamthread.platform.documents import RUNNERS_TABLE
+from streamthread.platform.manifest import decode_manifest
 from streamthread.platform.runners import EndKind
 from streamthread.platform.store import StoredRow
 
--- a/tests/test_unreadable.py
+++ b/tests/test_unreadable.py
@@ -21,10 +21,10 @@
 from streamthread.platform.advice import AdviceClient
 from streamthread.platform.callers import decode_job
 from streamthread.platform.cloud import CloudClient
-from streamthread.platform.documents import decode_manifest
 from streamthread.platform.documents import decode_runner_entry
 from streamthread.platform.documents import decode_wave
 from streamthread.platform.http import Answer
+from streamthread.platform.manifest import decode_manifest
 from streamthread.platform.runners import RunnerClient
 from streamthread.platform.runners import StartOrder
 from streamthread.platform.store import Condition
