--- a/tools/soak.py
+++ b/tools/soak.py
@@ -22,6 +22,8 @@
 import attrs
 
 from streamthread.standins.cell import CellWorld
+from tools.soak_accounts import AccountCalls
+from tools.soak_accounts import check_limits
 from tools.soak_checks import check_crashes
 from tools.soak_checks import check_jobs
 from tools.soak_checks import check_rooms
@@ -71,6 +73,8 @@
     :param writer: another writer in the store, likewise.
     :param runners: faults of runners and of daemons' machines, and demand that comes in
         turns, likewise.
+    :param accounts: callers need keys, keys change, and an account has a limit,
+        likewise.
     """
 
     seed: int
@@ -82,6 +86,7 @@
     stops: bool = False
     writer: bool = False
     runners: bool = False
+    accounts: bool = False
 
 
 class Soak(SoakView):
@@ -109,6 +114,10 @@
         self._writer = ForeignWriter(self.world, writer, self.note)
         runners = random.Random(f"runners {plan.seed}")
         self._runner_faults = RunnerFaults(self, runners)
+        self._accounts: AccountCalls | None = None
+        if plan.accounts:
+            accounts = random.Random(f"accounts {plan.seed}")
+            self._accounts = AccountCalls(self, accounts, self._faults.write_manifest)
         self._quiet_at_s = 0.0
         self._session: aiohttp.ClientSession | None = None
 
@@ -127,6 +136,8 @@
             await self._lasting.cancel_all(SETTLE_S)
             await self._settle()
             await self._check_configuration()
+            if self._accounts is not None:
+                await self._accounts.check_keys()
             await self._await_stops()
             await self._check_failures()
             self._check()
@@ -155,6 +166,9 @@
             until_s = time.monotonic() + self.plan.seconds
             parts.append(self._runner_faults.play(until_s))
             parts.append(self._runner_faults.submit_in_turns(until_s))
+        if self._accounts is not None:
+            until_s = time.monotonic() + self.plan.seconds
+            parts.append(self._accounts.play(until_s))
         await asyncio.gather(*parts)
 
     def spawn(self, call: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
@@ -231,13 +245,23 @@
         return json.dumps({"spec": json.dumps(spec), "steps": steps}).encode()
 
     async def call(
-        self, job: SubmittedJob, method: str, daemon: Daemon, body: bytes = b""
+        self,
+        job: SubmittedJob,
+        method: str,
+        daemon: Daemon,
+        body: bytes = b"",
+        key: str = "",
     ) -> tuple[int, str]:
-        """Call a daemon; status 0 where no whole answer came."""
+        """Call a daemon; status 0 where no whole answer came.
+
+        :param key: of a client account; else that of the job's own.
+        """
         assert self._session is not None
         if not daemon.callers:
             return 503, ""
         headers = {"Host": f"{job.pool}.example", "Streamthread-Deadline-Ms": "3000"}
+        if self._accounts is not None:
+            headers["Streamthread-Credential"] = key or self._accounts.key_for(job)
         url = f"http://{daemon.callers}/jobs/{job.job_id}"
         try:
             async with self._session.request(
@@ -355,6 +379,8 @@
         self.broken.extend(check_crashes(self.world))
         self.broken.extend(check_rooms(self.world))
         self.broken.extend(check_jobs(self.world, self.jobs))
+        if self.plan.accounts:
+            self.broken.extend(check_limits(self.world))
         self.broken.extend(self._runs_on())
         for daemon in [*self.daemons, *self.removed]:
             if daemon.unasked_ends:
@@ -390,6 +416,7 @@
                     stops=True,
                     writer=True,
                     runners=True,
+                    accounts=True,
                 )
                 broken, faults = await run_soak(plan, folder, arguments.daemon_path)
             print(json.dumps({"seed": seed, "broken": broken, "faults": faults}))
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -172,6 +172,10 @@
         await self._manifest(for_s)
 
     async def _manifest(self, for_s: float) -> None:
+        await self.write_manifest()
+
+    async def write_manifest(self) -> None:
+        """Write the next version of the configuration."""
         version = self.newest_version() + 1
         self._soak.note("manifest")
         await self._soak.world.write_manifest(
--- a/tools/soak_view.py
+++ b/tools/soak_view.py
@@ -63,6 +63,20 @@
     async def cancel(self, job: SubmittedJob, choose: t.Callable[[], Daemon]) -> None:
         """Cancel a job until it is confirmed, at a daemon that is chosen each time."""
 
+    @abstractmethod
+    async def call(
+        self,
+        job: SubmittedJob,
+        method: str,
+        daemon: Daemon,
+        body: bytes = b"",
+        key: str = "",
+    ) -> tuple[int, str]:
+        """Call a daemon; status 0 where no whole answer came.
+
+        :param key: of a client account; else that of the job's own.
+        """
+
     @abstractmethod
     async def metric(self, daemon: Daemon, name: str) -> int:
         """Return a metric of a daemon; 0: none told.
