--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -17,27 +17,19 @@
 from ..errors import NotHolderError
 from ..loops import Loop
 from ..loops import LoopKeeper
-from ..platform.documents import RunnerEntry
 from ..platform.manifest import AdvicePolicy
-from ..platform.runners import HoldReply
 from ..platform.store import Page
 from ..platform.table_feed import TableFeed
-from ..runners import EndBatching
-from ..runners import LinkOwner
 from ..runners import RunnerLink
 from ..scheduler import Attempt
 from ..scheduler import encode_definition
 from ..scheduler import encode_progress
 from ..scheduler import Engine
 from ..scheduler import Job
-from ..scheduler import Phase
-from ..scheduler import RunnerState
 from ..scheduler import StepRun
 from ..scheduler.fleet import usable_runners
-from ..scheduler.model import job_id_of_task
 from ..scheduler.orders import OrderSender
 from ..scheduler.orders import SenderOwner
-from ..sharing import plan_paces
 from .admission import AdmissionDesk
 from .advice import AdviceDesk
 from .context import HolderContext
@@ -46,11 +38,12 @@
 from .inbox import InboxReader
 from .intake import Intake
 from .listing import RunnerListing
-from .owner import DutyOwner
 from .queue import QueueLoop
 from .queue import QueueOwner
 from .replay import read_jobs
 from .replay import until_read
+from .runner_desk import RunnerDesk
+from .runner_desk import RunnerDeskOwner
 from .trust import HolderTrust
 
 __all__ = ["Holder"]
@@ -67,7 +60,7 @@
 """A loop that fails each time is begun again every 2 s: some 17 times in so long."""
 
 
-class Holder(LinkOwner, SenderOwner, DutyOwner, QueueOwner):
+class Holder(SenderOwner, RunnerDeskOwner, QueueOwner):
     """Everything that only the cell's holder does, from take-over to loss."""
 
     def __init__(self, context: HolderContext, taken: TakenCell) -> None:
@@ -92,16 +85,16 @@
         if context.cloud is not None:
             self.duties = DutyLoop(self, context.cloud, self.settings.duties)
         self.advice = self._open_advice()
+        self.queue = QueueLoop(self)
+        self._runner_desk = RunnerDesk(self)
         self._listing = RunnerListing(
             context.store,
             self.links,
             context.documents,
             self.settings.list_pause_s,
-            self._add_runner,
+            self._runner_desk.add_runner,
             context.notes,
         )
-        self._batching = EndBatching(self.engine.runners.values)
-        self.queue = QueueLoop(self)
         self.intake = self._open_intake()
         self.inbox = self._open_inbox()
         self._housekeeping = Housekeeping(self, self.inbox, self.intake)
@@ -341,63 +334,9 @@
 
     # Runners.
 
-    def _add_runner(self, entry: RunnerEntry) -> None:
-        runner = RunnerState.from_entry(entry)
-        self.engine.add_runner(runner)
-        link = RunnerLink(
-            runner,
-            self.context.runners,
-            self,
-            self.settings.links,
-            self.taken.last_hold_at_s,
-        )
-        self.links[entry.runner_id] = link
-        log.info(
-            "runner-listed",
-            extra={
-                "runner": entry.runner_id,
-                "service": entry.service,
-                "address": entry.address,
-                "draining": entry.draining,
-            },
-        )
-        # One runner's odd answers are no reason to hand the cell over.
-        keeper = LoopKeeper(self.context.failures, (NotHolderError,))
-        self.spawn(keeper.keep("link", link.run))
-        self._send_again(runner)
-
-    def _send_again(self, runner: RunnerState) -> None:
-        """Have the orders answered that an earlier holder recorded."""
-        for attempt in list(runner.attempts.values()):
-            if attempt.phase is Phase.SENT:
-                self.spawn(self.sender.start(attempt))
-            elif attempt.stop is not None and not attempt.stop.under_way:
-                self.spawn(self.sender.stop(attempt))
-
-    async def on_lists(self, link: RunnerLink, reply: HoldReply) -> None:
-        """Take a runner's lists; return once the ends are durable."""
-        strays = self.engine.on_hold(link.runner, reply)
-        if self._group is not None:
-            for stray in strays:
-                if self.intake.is_aside(job_id_of_task(stray.task)):
-                    continue
-                self.spawn(self.sender.stop_stray(stray))
-            for order in plan_paces(link.runner, self.settings.sharing):
-                self.spawn(self.sender.pace(order.attempt, order.percent))
-        if self.engine.stops.waiting:
-            self.kick()
-        if not reply.ended:
-            return
-        self.queue.look_soon()
-        await self.log.flushed()
-
-    def pause_after_ends_s(self) -> float:
-        """Return for how long a runner that told ends is left alone."""
-        return self._batching.pause_s()
-
-    def on_ready(self, link: RunnerLink) -> None:
-        """Have waiting tasks placed on a runner that has just become usable."""
-        self.kick()
+    def is_aside(self, job_id: str) -> bool:
+        """Whether a job is left alone since a row of it can't be read."""
+        return self.intake.is_aside(job_id)
 
     def on_life_over(self, link: RunnerLink, why: str) -> None:
         """Learn that this life of the runner has ended."""
@@ -405,11 +344,6 @@
         self.engine.runner_over(link.runner.runner_id, why)
         self.kick()
 
-    def on_lapsed(self, link: RunnerLink) -> None:
-        """Learn that all runs there have surely lapsed."""
-        self.engine.attempts_lapsed(link.runner.runner_id, "out of reach")
-        self.kick()
-
     def on_fenced(self, link: RunnerLink) -> None:
         """Learn that the runner has seen a higher fencing token."""
         log.warning("fenced", extra={"runner": link.runner.runner_id})
