Let a pool that lacks machines have what another one needs no more

What a pool has needed lately is kept from the spare pool now, and not from a pool that lacks machines. In virtual time (holder/tests/test_turns.py, which asks for it after 2.5 s and failed before) a turn has its machines after 2 s, not 3 s, with 4 % fewer moves and 0.5 % fewer machine-seconds.

Ruled out: that the duties stall for 0.6 s in every second, as the log seems to show: lines over 400 a second are dropped.

--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -109,7 +109,7 @@
         }
         targets = self._sizes.targets(pools, views.values())
         for wave in documents.waves.values():
-            plan = self._waves.plan(wave, views, targets)
+            plan = self._waves.plan(wave, views, self._sizes.lately)
             if plan is not None:
                 for machine_id in plan.begin:
                     self._begin_upkeep(wave, machine_id)
@@ -129,12 +129,13 @@
         :param views: from before those orders, which concern due machines alone.
         """
         keeps = self._sizes.keeps(views.values())
+        lately = self._sizes.lately
         wanted = [
             PoolView(
                 pool.name,
                 pool.is_spare,
                 self._wanted(pool.name, targets),
-                keeps.get(pool.name, 0),
+                max(keeps.get(pool.name, 0), lately.get(pool.name, 0)),
             )
             for pool in pools
         ]
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -40,7 +40,16 @@
 
 
 class PoolSizes:
-    """Remembers each pool's arrivals and its sizes of the last moments."""
+    """Remembers each pool's arrivals and its sizes of the last moments.
+
+    What a pool has needed lately is kept from the spare pool, from which it comes back
+    in 1.5 s and for the price of two moves. It is not kept from a pool that lacks
+    machines now: where demand goes from one pool to the next by turns, the next one
+    has what it needs 2 s after its turn began, not 3 s, with 4 % fewer moves (pools of
+    six machines whose turn needs ten, in virtual time).
+
+    :param lately: the most machines that each pool has needed in the last moments.
+    """
 
     def __init__(self, engine: Engine, settings: CapacitySettings) -> None:
         self._engine = engine
@@ -49,6 +58,7 @@
         self._machine_cpu = 0
         self._early: list[_EarlyJob] = []
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
+        self.lately: dict[str, int] = {}
         self._demands: dict[str, tuple[int, int, int]] = {}
         self._began_at_s = boot_s()
         self._first_job_at_s: float | None = None
@@ -87,7 +97,7 @@
     def targets(
         self, pools: t.Iterable[Pool], views: t.Collection[MachineView]
     ) -> dict[str, int]:
-        """Return how many machines each pool should have, spare pools left out."""
+        """Return how many machines each pool needs now, spare pools left out."""
         now_s = boot_s()
         self._learn_machine_size(views)
         jobs: dict[str, list[Job]] = collections.defaultdict(list)
@@ -96,8 +106,8 @@
                 jobs[job.service].append(job)
         targets: dict[str, int] = {}
         for name in [pool.name for pool in pools if not pool.is_spare]:
-            wanted = self._wanted(name, jobs[name], views, now_s)
-            targets[name] = self._highest_lately(name, wanted, now_s)
+            targets[name] = self._wanted(name, jobs[name], views, now_s)
+            self.lately[name] = self._highest_lately(name, targets[name], now_s)
         return targets
 
     def keeps(self, views: t.Iterable[MachineView]) -> dict[str, int]:
--- a/src/streamthread/holder/tests/test_turns.py
+++ b/src/streamthread/holder/tests/test_turns.py
@@ -3,9 +3,10 @@
 Each pool in its time is asked for five times its mean for some seconds, which is more
 than it holds, and for a twentieth in between (the users' pages). The real decisions,
 sizes and moves, are driven in virtual time; a move takes 1.5 s. Asked of them: a pool
-has most of what its turn needs 4 s after it began (its size is known after 0.5 s; the
-pool before it keeps its own for 1.5 s, then come the moves), has given it up 4 s after
-the next turn began, and few more machines move than twice what the turns need.
+has most of what its turn needs 2.5 s after it began (its size is known after 0.5 s,
+then come the moves; what the pool before it has needed lately is kept from the spare
+pool alone), has given it up 4 s after the next turn began, and few more machines move
+than twice what the turns need.
 """
 
 import math
@@ -37,6 +38,7 @@
 """Thousandths of a core times seconds: half a machine for a second."""
 
 TURN_S = 6.0
+GROWN_S = 2.5
 SETTLED_S = 4.0
 MOST_MOVES = 2.5
 """Times the machines that a turn needs; 2.1 in the worst of these seeds."""
@@ -97,7 +99,8 @@
         pools = [Pool(name) for name in POOLS]
         targets = self.sizes.targets(pools, views)
         keeps = self.sizes.keeps(views)
-        wanted = [PoolView(n, False, targets[n], keeps.get(n, 0)) for n in POOLS]
+        kept = {n: max(keeps.get(n, 0), self.sizes.lately[n]) for n in POOLS}
+        wanted = [PoolView(n, False, targets[n], kept[n]) for n in POOLS]
         wanted.append(PoolView("spare", True))
         by_id = {machine.machine_id: machine for machine in self.machines}
         for move in plan_moves(wanted, views, SETTINGS):
@@ -140,7 +143,9 @@
     turns = 0
     for _ in range(2):
         for pool in POOLS:
-            fleet.play(SETTLED_S, pool)
+            fleet.play(GROWN_S, pool)
+            assert fleet.ready(pool) >= 0.8 * needed
+            fleet.play(SETTLED_S - GROWN_S, pool)
             assert fleet.ready(pool) >= 0.8 * needed
             others = [fleet.ready(other) for other in POOLS if other != pool]
             assert max(others) <= EACH
