Size a pool by its most pressing moment, not by the sum over its jobs

Each job asked for its open work over the time left to it, and these were added up: as if what ends first kept its room.

The room is the least in which all open work ends in time, if done in that order: the largest of all work due until a moment over the time until then.

--- a/src/streamthread/capacity/demand.py
+++ b/src/streamthread/capacity/demand.py
@@ -12,7 +12,7 @@
 from ..scheduler.model import Occurrence
 from ..scheduler.placement import outlook
 
-__all__ = ["Demand", "job_work", "pool_demand"]
+__all__ = ["Demand", "Work", "job_work", "pool_demand", "room_for_work"]
 
 LATE_SPREAD = 1.5
 """A job that is late already gets room for its work over so many chains."""
@@ -33,6 +33,28 @@
     machines: int = 0
 
 
+@attrs.frozen
+class Work:
+    """Open work that has to be done within a time.
+
+    :param over_s: over how long it may be spread.
+    :param cpu_s: thousandths of a core times seconds.
+    :param memory_s: megabytes times seconds.
+    """
+
+    over_s: float
+    cpu_s: float
+    memory_s: float
+
+
+@attrs.frozen
+class _Part:
+    """What one time of a job asks for: room all the time, and work by a time."""
+
+    lasting: Demand
+    work: Work | None = None
+
+
 def job_work(job: Job, times: RunTimes) -> float:
     """Return the work that a job brings when it is handed in.
 
@@ -54,8 +76,8 @@
 def pool_demand(jobs: t.Iterable[Job], times: RunTimes, now_s: float) -> Demand:
     """Return the room that open jobs need so as to meet their objectives.
 
-    A job needs its open work, spread evenly over the time that it has left: less
-    room than all of its tasks at once, more as it falls behind.
+    A job's open work may be spread over the time that it has left: less room than all
+    of its tasks at once, more as it falls behind.
 
     :param now_s: wall time.
     """
@@ -64,14 +86,34 @@
         for job in jobs
         for occurrence in job.occurrences.values()
     ]
+    lasting = [part.lasting for part in parts]
+    in_time = room_for_work([part.work for part in parts if part.work is not None])
     return Demand(
-        sum(part.cpu for part in parts),
-        sum(part.memory_mb for part in parts),
-        max((part.machines for part in parts), default=0),
+        sum(part.cpu for part in lasting) + in_time.cpu,
+        sum(part.memory_mb for part in lasting) + in_time.memory_mb,
+        max((part.machines for part in lasting), default=0),
     )
 
 
-def _occurrence_demand(occurrence: Occurrence, times: RunTimes, now_s: float) -> Demand:
+def room_for_work(works: t.Iterable[Work]) -> Demand:
+    """Return the least room in which all work ends within its time.
+
+    What ends first leaves its room to what may end later, so that the room is that of
+    the most pressing moment: all work that has to be done by then, over the time until
+    then. The sum over jobs of work over time, without that, is twice as much for a
+    steady stream of jobs with three times the time that they need, and machines that
+    one pool holds in vain are missing in another.
+    """
+    cpu = memory_mb = cpu_s = memory_s = 0.0
+    for work in sorted(works, key=lambda work: work.over_s):
+        cpu_s += work.cpu_s
+        memory_s += work.memory_s
+        cpu = max(cpu, cpu_s / work.over_s)
+        memory_mb = max(memory_mb, memory_s / work.over_s)
+    return Demand(cpu, memory_mb)
+
+
+def _occurrence_demand(occurrence: Occurrence, times: RunTimes, now_s: float) -> _Part:
     cpu = memory_mb = work_cpu_s = work_memory_s = 0.0
     machines = 0
     for step in occurrence.steps:
@@ -89,11 +131,11 @@
         run_s = times.expect_s(learning_key(step), request.estimate_ms)
         work_cpu_s += step_cpu * run_s
         work_memory_s += request.memory_mb * count * run_s
-    if work_cpu_s or work_memory_s:
-        over_s = _time_left_s(occurrence, times, now_s)
-        cpu += work_cpu_s / over_s
-        memory_mb += work_memory_s / over_s
-    return Demand(cpu, memory_mb, machines)
+    lasting = Demand(cpu, memory_mb, machines)
+    if not work_cpu_s and not work_memory_s:
+        return _Part(lasting)
+    over_s = _time_left_s(occurrence, times, now_s)
+    return _Part(lasting, Work(over_s, work_cpu_s, work_memory_s))
 
 
 def _time_left_s(occurrence: Occurrence, times: RunTimes, now_s: float) -> float:
