--- a/src/streamthread/holder/admission.py
+++ b/src/streamthread/holder/admission.py
@@ -44,12 +44,13 @@
         manifest = self.manifest
         if manifest is None or manifest.version <= request.configuration_version:
             return request.account
+        route = self.route(request.route)
+        if not request.checks_keys or (route is not None and not route.needs_key):
+            return ""
         if request.key_digest:
             return manifest.account_of(request.key_digest) or None
-        route = self.route(request.route)
-        if route is not None and route.needs_key and request.checks_keys:
-            return None
-        return request.account
+        # The route is gone, or has come to need a key.
+        return "" if route is None else None
 
     def is_behind(
         self, route: Route | None, version: int, pool: str, account: str
--- a/src/streamthread/holder/tests/test_accounts.py
+++ b/src/streamthread/holder/tests/test_accounts.py
@@ -29,7 +29,7 @@
 )
 
 
-def manifest(version: int, **accounts: t.Any) -> Manifest:
+def manifest(version: int, is_public: bool = False, **accounts: t.Any) -> Manifest:
     """Return a configuration; each account is given by its keys, or by its limit."""
     rows: list[t.Any] = []
     for name, keys in accounts.items():
@@ -39,7 +39,9 @@
         rows.append(row)
     value = {
         "version": version,
-        "routes": [{"name": "route", "host": "host", "service": "desk"}],
+        "routes": [
+            {"name": "route", "host": "host", "service": "desk", "public": is_public}
+        ],
         "services": [],
         "tenants": rows,
     }
@@ -180,6 +182,11 @@
         cell = _Accounts(manifest(2, ann=["a1"]))
         assert (await cell.call(pb.SUBMIT, "")).outcome == pb.NOT_ADMITTED
 
+    async def test_a_route_that_has_become_public(self) -> None:
+        cell = _Accounts(manifest(2, is_public=True, ann=["a2"]))
+        cell.add("ann")
+        assert (await cell.call(pb.STATE, "ann", "a1")).outcome == pb.OK
+
     async def test_an_accepted_job_outlives_its_key(self) -> None:
         cell = _Accounts(manifest(1, ann=["a1", "a2"]))
         assert (await cell.call(pb.SUBMIT, "ann", "a1")).outcome == pb.OK
