--- a/src/streamthread/gateway/account_report.py
+++ b/src/streamthread/gateway/account_report.py
@@ -47,7 +47,6 @@
         open_jobs[job.account].append(job)
     manifest = holder.admission.manifest
     known = manifest.accounts if manifest is not None else {}
-    version = manifest.version if manifest is not None else 0
     names = sorted({*known, *holder.engine.accounts.running, *open_jobs} - {""})
     return [
         {
@@ -55,7 +54,7 @@
             "share": known[name].share if name in known else 0.0,
             "running": _describe_running(holder.engine.accounts.of(name)),
             "maximum": describe_limit(holder.admission.limit_of(name)),
-            "version": version,
+            "version": holder.admission.version,
             "open_jobs": len(open_jobs[name]),
             "waiting_tasks": sum(map(_waiting_tasks, open_jobs[name])),
             "refused": holder.intake.refused.get(name, 0),
--- a/src/streamthread/gateway/explain.py
+++ b/src/streamthread/gateway/explain.py
@@ -72,11 +72,10 @@
 def _account_limit(holder: Holder, account: str) -> str:
     running = holder.engine.accounts.of(account)
     limit = describe_limit(holder.admission.limit_of(account))
-    manifest = holder.admission.manifest
-    version = manifest.version if manifest is not None else 0
     return (
         f"waits for the limit of account {account}: cpu {running.cpu}, memory_mb "
-        f"{running.memory_mb} and gpu {running.gpu} run of {limit} in version {version}"
+        f"{running.memory_mb} and gpu {running.gpu} run of {limit} in version "
+        f"{holder.admission.version}"
     )
 
 
--- a/src/streamthread/holder/admission.py
+++ b/src/streamthread/holder/admission.py
@@ -23,6 +23,11 @@
         """The configuration in force here."""
         return self._documents.manifest
 
+    @property
+    def version(self) -> int:
+        """The version of the configuration in force here; 0: none is known."""
+        return self.manifest.version if self.manifest is not None else 0
+
     def route(self, name: str) -> Route | None:
         """Return a route of the manifest in force."""
         manifest = self.manifest
--- a/src/streamthread/platform/accounts.py
+++ b/src/streamthread/platform/accounts.py
@@ -8,8 +8,6 @@
 
 from ..decoding import Amount
 from ..decoding import Count
-from ..decoding import Decoder
-from ..errors import UnreadableError
 
 __all__ = [
     "Account",
@@ -17,6 +15,7 @@
     "KeyDigest",
     "KeyTable",
     "Limit",
+    "NoteMistake",
     "build_key_table",
     "convert_account",
     "digest_key",
@@ -25,6 +24,9 @@
 KeyDigest = bytes
 """What stands for a key wherever one is kept, compared or passed on."""
 
+NoteMistake = t.Callable[[str, str, str], None]
+"""Takes an account's name, a field of it and what is wrong there."""
+
 DIGEST_BYTES = 16
 """Of a key: two keys of one digest are not to be found by trying."""
 
@@ -103,8 +105,7 @@
 def build_key_table(
     accounts: t.Iterable[Account],
     before: KeyTable,
-    decoder: Decoder[AccountRow],
-    unreadable: list[UnreadableError],
+    note: NoteMistake,
 ) -> KeyTable:
     """Return which account each key opens.
 
@@ -113,7 +114,7 @@
     was out of reach, and a slip in one account shuts no other one out.
 
     :param before: of the configuration before.
-    :param unreadable: takes an error for each such account.
+    :param note: is told of each such account.
     """
     owners: dict[KeyDigest, list[str]] = {}
     for account in accounts:
@@ -127,7 +128,5 @@
         if before.get(digest) in names:
             table[digest] = before[digest]
         for name in names[1:]:
-            message = f"holds a key of the account {names[0]!r}, too"
-            key = f"config {name!r}"
-            unreadable.append(decoder.refuse_at("$.apiKeys", message, key))
+            note(name, "$.apiKeys", f"holds a key of the account {names[0]!r}, too")
     return table
--- a/src/streamthread/platform/manifest.py
+++ b/src/streamthread/platform/manifest.py
@@ -18,6 +18,7 @@
 from .accounts import KeyDigest
 from .accounts import KeyTable
 from .accounts import Limit
+from .accounts import NoteMistake
 
 __all__ = [
     "CONFIG_KEY",
@@ -33,6 +34,10 @@
 """The manifest's row."""
 
 
+PartKey = tuple[t.Callable[[t.Any], t.Any], bytes]
+"""What makes a part of a text, and the text's digest."""
+
+
 @attrs.frozen
 class AdvicePolicy:
     """A queue's steps run only where the advice service allows.
@@ -96,7 +101,7 @@
     accounts: dict[str, Account] = attrs.field(factory=dict)
     key_table: KeyTable = attrs.field(factory=dict, repr=False)
     last_limits: dict[str, Limit] = attrs.field(factory=dict)
-    parts: dict[bytes, t.Any] = attrs.field(factory=dict, repr=False)
+    parts: dict[PartKey, t.Any] = attrs.field(factory=dict, repr=False)
 
     @functools.cached_property
     def routes_by_name(self) -> dict[str, Route]:
@@ -189,8 +194,8 @@
 _ACCOUNTS = Decoder[AccountRow](AccountRow)
 _NAMED = Decoder[_Named](_Named)
 
-MOST_KIND_BYTES = 16
-"""What tells digests of different kinds of parts apart may be so long."""
+TEXT_DIGEST_BYTES = 16
+"""Of a part's text: two texts of one digest are not met by chance."""
 
 MOST_DROPPED = 1000
 """Dropped accounts whose limits are remembered: as many as there are accounts."""
@@ -209,13 +214,12 @@
     row = _MANIFESTS.decode(value, CONFIG_KEY)
     known = before or Manifest(0, (), {}, 0)
     reader = _PartReader(known.parts)
-    unreadable = reader.unreadable
+    note = functools.partial(reader.note, _ACCOUNTS)
     convert = _route if row.tenants is None else _route_with_accounts
     routes = reader.read(row.routes, _ROUTES, convert, known.routes_by_name)
     pools = reader.read(row.services, _POOLS, _pool, known.pools)
     accounts = _by_name(
-        reader.read(row.tenants or [], _ACCOUNTS, convert_account, known.accounts),
-        unreadable,
+        reader.read(row.tenants or [], _ACCOUNTS, convert_account, known.accounts), note
     )
     limits = row.limits or _LimitsRow()
     manifest = Manifest(
@@ -224,24 +228,19 @@
         pools={pool.name: pool for pool in pools},
         max_body_bytes=limits.max_body_bytes,
         accounts=accounts,
-        key_table=build_key_table(
-            accounts.values(), known.key_table, _ACCOUNTS, unreadable
-        ),
+        key_table=build_key_table(accounts.values(), known.key_table, note),
         last_limits=_last_limits(known, accounts),
         parts=reader.parts,
     )
-    return ManifestReading(manifest, tuple(unreadable))
+    return ManifestReading(manifest, tuple(reader.unreadable))
 
 
-def _by_name(
-    accounts: t.Iterable[Account], unreadable: list[UnreadableError]
-) -> dict[str, Account]:
+def _by_name(accounts: t.Iterable[Account], note: NoteMistake) -> dict[str, Account]:
     """Return accounts by name; of two of one name the first counts."""
     found: dict[str, Account] = {}
     for account in accounts:
         if found.setdefault(account.name, account) is not account:
-            key = f"{CONFIG_KEY} {account.name!r}"
-            unreadable.append(_ACCOUNTS.refuse_at("$.name", "stands twice", key))
+            note(account.name, "$.name", "stands twice")
     return found
 
 
@@ -262,14 +261,15 @@
     accounts (1.1 MB) a change costs 6 ms then, and 29 ms otherwise, which at 55,000
     changes a day would be 1.9 % of a core.
 
-    :param before: the parts of the configuration before, by the digests of their texts.
+    :param before: the parts of the configuration before, by what makes a part of their
+        texts and the texts' digests: one text may mean something else than before.
     :param parts: those of this one.
     :param unreadable: an error for each that can't be read.
     """
 
-    def __init__(self, before: t.Mapping[bytes, t.Any]) -> None:
+    def __init__(self, before: t.Mapping[PartKey, t.Any]) -> None:
         self._before = before
-        self.parts: dict[bytes, t.Any] = {}
+        self.parts: dict[PartKey, t.Any] = {}
         self.unreadable: list[UnreadableError] = []
 
     def read(
@@ -283,15 +283,17 @@
 
         :param known: those of the configuration before, by name.
         """
-        kind = convert.__name__.encode()[:MOST_KIND_BYTES]
         found: list[Part] = []
         for text in texts:
-            digest = hashlib.blake2b(text, digest_size=16, person=kind).digest()
-            part = self._before.get(digest)
+            key = (
+                convert,
+                hashlib.blake2b(text, digest_size=TEXT_DIGEST_BYTES).digest(),
+            )
+            part = self._before.get(key)
             if part is None:
                 part = self._read_one(text, decoder, convert)
             if part is not None:
-                self.parts[digest] = part
+                self.parts[key] = part
             else:
                 part = known.get(_name_of(text))
             if part is not None:
@@ -307,10 +309,16 @@
         try:
             return convert(decoder.decode(text, CONFIG_KEY))
         except UnreadableError as error:
-            key = f"{CONFIG_KEY} {_name_of(text)!r}"
-            self.unreadable.append(decoder.refuse_at(error.field, error.message, key))
+            self.note(decoder, _name_of(text), error.field, error.message)
             return None
 
+    def note(
+        self, decoder: Decoder[t.Any], name: str, field: str, message: str
+    ) -> None:
+        """Keep an error for a part of a name."""
+        key = f"{CONFIG_KEY} {name!r}"
+        self.unreadable.append(decoder.refuse_at(field, message, key))
+
 
 def _name_of(text: msgspec.Raw) -> str:
     """Return the name of a part that can't be read otherwise, or none."""
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -261,16 +261,14 @@
         candidates = self._candidates(steps, largest, len(runners))
         for step in order_steps(candidates, self.times, now_s):
             in_need = self._in_need(step)
-            if not in_need and not largest.may_fit(step):
-                self._tell_placed(step, [], len(runners))
-                continue
-            if not self._account_room(step):
+            most = self._account_room(step)
+            if not most or (not in_need and not largest.may_fit(step)):
                 self._tell_placed(step, [], len(runners))
                 continue
             usable = runners
             if in_need:
                 usable = usable_runners(self.runners.values(), service, in_need=True)
-            attempts = self._place_step(step, usable, now_s, tickets(step))
+            attempts = self._place_step(step, usable, now_s, tickets(step), most)
             placed.extend(attempts)
             if not attempts:
                 # Room has become less since it was measured.
@@ -283,12 +281,11 @@
         usable: t.Sequence[RunnerState],
         now_s: float,
         tickets: t.Collection[str] | None,
+        most: int,
     ) -> list[Attempt]:
         planned = [
             (placement, _next_run(placement.task))
-            for placement in place_step(
-                step, usable, now_s, tickets, self._account_room(step)
-            )
+            for placement in place_step(step, usable, now_s, tickets, most)
         ]
         attempts = [self._plan(p.task, p.runner, run) for p, run in planned]
         self._tell_placed(step, planned, len(usable))
--- a/tools/soak_accounts.py
+++ b/tools/soak_accounts.py
@@ -7,6 +7,7 @@
 import typing as t
 
 from streamthread.standins.cell import CellWorld
+from tools.soak_checks import OVERLAP_S
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
 from tools.soak_view import SoakView
@@ -33,9 +34,6 @@
 
 STRANGE_KEY = "strange"
 
-OVERLAP_S = 0.02
-"""Two clocks of one process are read some milliseconds apart."""
-
 
 def account_of(job_id: str) -> str:
     """Return the account that hands a job in."""
@@ -109,7 +107,7 @@
             await self._ask_for_another(daemon, method, self._random.choice(known))
             return
         job = SubmittedJob(job_id, "desk")
-        status = await self._ask(daemon, method, job, STRANGE_KEY)
+        status, _ = await self._call(daemon, method, job, STRANGE_KEY)
         if status in SERVED:
             self._soak.broken.append(f"ROUTE a stranger's {method} got {status}")
 
@@ -126,12 +124,6 @@
             text = f"ROUTE {method} of another's {job.job_id} got {state}"
             self._soak.broken.append(text)
 
-    async def _ask(
-        self, daemon: Daemon, method: str, job: SubmittedJob, key: str
-    ) -> int:
-        status, _ = await self._call(daemon, method, job, key)
-        return status
-
     async def _call(
         self, daemon: Daemon, method: str, job: SubmittedJob, key: str
     ) -> tuple[int, str]:
@@ -145,7 +137,7 @@
                 status = 0
                 for _ in range(5):
                     job = SubmittedJob("", "desk")
-                    status = await self._ask(daemon, "GET", job, key)
+                    status, _ = await self._call(daemon, "GET", job, key)
                     if status not in (0, 503, 504):
                         break
                     await asyncio.sleep(0.5)
