Tell of runners that start again, and of runs that no list shows

What was seen: lasting tasks that count as running while no runner lists them. The log has no line for a run that is missing from its runner's lists and is left, since the list does not count as newer, and none for a runner that has started again under its id.

`runner-restarted` tells both lives of a runner, by the new field `born` of what it says of itself and of its lists: both clocks, up to which end the former life was confirmed, and how many attempts are kept. `run-unlisted` tells once of a run that is in no list, with the clocks that are compared. `streamthread_runs_unlisted` counts the runs that have not been listed for 2 s, and `streamthread runners` shows `born_ms`. Nothing is decided by any of it.

--- a/src/streamthread/gateway/explain.py
+++ b/src/streamthread/gateway/explain.py
@@ -86,6 +86,7 @@
             "runner": runner.runner_id,
             "pool": runner.service,
             "machine": runner.machine_id,
+            "born_ms": runner.born_ms,
             "ready": runner.ready,
             "draining": runner.draining,
             "emptying": runner.emptying,
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -156,6 +156,11 @@
             "Runs that go on though they were to be stopped long ago.",
             engine.overdue_stops,
         )
+        yield GaugeMetricFamily(
+            "streamthread_runs_unlisted",
+            "Runs that count as running and that their runners do not list.",
+            engine.unlisted_runs,
+        )
         silent = sum(link.silent for link in holder.links.values())
         yield GaugeMetricFamily(
             "streamthread_runners_silent", "Runners that do not answer.", silent
--- a/src/streamthread/platform/documents.py
+++ b/src/streamthread/platform/documents.py
@@ -51,6 +51,7 @@
     """A runner as it describes itself in the store, about each heartbeat.
 
     :param draining: it is about to leave, and starts nothing new.
+    :param born_ms: when this life of it began, in ms since 1970; None: not told.
     """
 
     runner_id: str
@@ -63,6 +64,7 @@
     memory_mb: int
     gpu: int
     machine_id: str = ""
+    born_ms: int | None = None
 
 
 @attrs.frozen
@@ -109,6 +111,7 @@
     slots: Count = 0
     cold_left_ms: Amount = 0.0
     sequence: Count = 0
+    born: Count | None = None
 
 
 class _WaveRow(msgspec.Struct, rename="camel"):
@@ -148,6 +151,7 @@
         memory_mb=row.capacity.mem_mb,
         gpu=row.capacity.gpu,
         machine_id=row.machine or "",
+        born_ms=row.born,
     )
 
 
--- a/src/streamthread/platform/runners.py
+++ b/src/streamthread/platform/runners.py
@@ -113,12 +113,17 @@
 
 @attrs.frozen
 class HoldReply:
-    """What runs on a runner, and the ends that were not confirmed yet."""
+    """What runs on a runner, and the ends that were not confirmed yet.
+
+    :param born_ms: when this life of the runner began, in ms since 1970; None: not
+        told. Its clock and the numbers of its ends begin anew with each life.
+    """
 
     clock_ms: int
     running: tuple[RunningTask, ...]
     ended: tuple[EndedRun, ...]
     remaining_ms: float | None = None
+    born_ms: int | None = None
 
 
 @attrs.frozen
@@ -154,6 +159,7 @@
     running: tuple[_RunningRow, ...] = ()
     finished: tuple[_EndedRow, ...] = ()
     remaining_ms: Number | None = None
+    born: Count | None = None
 
 
 class _OrderAnswer(msgspec.Struct, rename="camel"):
@@ -325,6 +331,7 @@
         running=tuple(_running(row) for row in answer.running),
         ended=tuple(_ended(row) for row in answer.finished),
         remaining_ms=answer.remaining_ms,
+        born_ms=answer.born,
     )
 
 
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -199,6 +199,7 @@
         self.heard_at_s = now_s
         self.runner.heard = True
         first = not self.clock.known
+        self._note_life(reply)
         self.clock.sync(reply.clock_ms, now_s)
         if first:
             left_s = self._last_hold_at_s + self._settings.most_hold_s - now_s
@@ -217,6 +218,29 @@
             self._confirmed = max(ended.number for ended in reply.ended)
             await asyncio.sleep(self._owner.pause_after_ends_s())
 
+    def _note_life(self, reply: HoldReply) -> None:
+        """Tell that a runner has started again, and what is kept of its life before."""
+        before_ms = self.runner.born_ms
+        if reply.born_ms is None or reply.born_ms == before_ms:
+            return
+        self.runner.born_ms = reply.born_ms
+        if before_ms is None:
+            return
+        known = self.clock.known
+        clock_before_ms = self.clock.now_ms(self.heard_at_s) if known else None
+        log.warning(
+            "runner-restarted",
+            extra={
+                "runner": self.runner.runner_id,
+                "born_ms": reply.born_ms,
+                "born_before_ms": before_ms,
+                "clock_ms": reply.clock_ms,
+                "clock_before_ms": clock_before_ms,
+                "confirmed": self._confirmed,
+                "attempts": len(self.runner.attempts),
+            },
+        )
+
     def on_order_unanswered(self, sent_at_s: float) -> None:
         """Place nothing more on a runner that has said nothing since an order.
 
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -172,6 +172,16 @@
         """A runner has said that it did not start a run, and will not."""
         self._outcomes.refuse(attempt, why)
 
+    @property
+    def unlisted_runs(self) -> int:
+        """How many runs count as running and have not been listed for long."""
+        since_s = boot_s() - self.settings.unlisted_s
+        return sum(
+            0 < attempt.unlisted_since_s < since_s
+            for runner in self.runners.values()
+            for attempt in runner.attempts.values()
+        )
+
     # Stops.
 
     def stop(self, attempt: Attempt, reason: str) -> None:
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -29,6 +29,7 @@
     :param trial_job: whose tasks alone it may get until ``trial_until_s`` on the
         boot clock; they may end their runners.
     :param stray_runs: runs there that no attempt of ours explains.
+    :param born_ms: when this life began, in ms since 1970; None: not told.
     :param penalty_until_s: wall time; many tasks failed or lagged there; used last
         until then.
     """
@@ -42,6 +43,7 @@
     memory_mb: int
     gpu: int
     machine_id: str = ""
+    born_ms: int | None = None
     draining: bool = False
     ready: bool = False
     heard: bool = False
@@ -72,6 +74,7 @@
             memory_mb=entry.memory_mb,
             gpu=entry.gpu,
             machine_id=entry.machine_id,
+            born_ms=entry.born_ms,
             draining=entry.draining,
         )
 
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -93,6 +93,8 @@
     :param moved_on_at_s: on the boot clock: when the percent changed last.
     :param missing_since_ms: on the runner's clock: since when its lists do not show it;
         0: they do.
+    :param unlisted_since_s: on the boot clock: since when its runner does not list
+        it, though it is there for all that is known; 0: they do.
     :param doubtful: its runner fell silent as it began, and has not been heard since.
     :param stop: of a run that is to be stopped, what has become of that.
     :param pace_percent: at what share of its speed it works; None: not known,
@@ -118,6 +120,7 @@
     pace_percent: int | None = 100
     pace_open_until_s: float = 0.0
     missing_since_ms: int = 0
+    unlisted_since_s: float = 0.0
     doubtful: bool = False
     stop: Stop | None = None
 
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -117,6 +117,7 @@
         attempt.note_progress(percent, boot_s())
         attempt.usage = usage
         attempt.missing_since_ms = 0
+        attempt.unlisted_since_s = 0.0
         self._crashes.acquit_if_lived(attempt)
         task = attempt.task
         if checkpoint and checkpoint != task.checkpoint:
@@ -128,6 +129,7 @@
             return
         known_ms = attempt.confirmed_clock_ms
         if not known_ms or clock_ms <= known_ms + self._settings.list_slack_ms:
+            _note_unlisted(attempt, clock_ms)
             return
         if self._may_be_stopping(attempt, clock_ms):
             return
@@ -264,6 +266,24 @@
             runner.penalty_until_s = now_s + self._settings.penalty_s
 
 
+def _note_unlisted(attempt: Attempt, clock_ms: int) -> None:
+    """Note that a run is in no list, and that the list is not newer than the run."""
+    if attempt.unlisted_since_s:
+        return
+    attempt.unlisted_since_s = boot_s()
+    log.info(
+        "run-unlisted",
+        extra={
+            "task": attempt.task.name,
+            "run": attempt.run,
+            "runner": attempt.runner_id,
+            "phase": attempt.phase.value,
+            "clock_ms": clock_ms,
+            "confirmed_clock_ms": attempt.confirmed_clock_ms,
+        },
+    )
+
+
 def _tell_not_done(attempt: Attempt, ended: EndedRun) -> None:
     log.info(
         "run-ended",
--- a/src/streamthread/scheduler/settings.py
+++ b/src/streamthread/scheduler/settings.py
@@ -14,6 +14,8 @@
     :param early_s: a time may begin so much before it falls due.
     :param list_slack_ms: a list counts as newer than an answer only if the
         runner's clock is so much further; lists are made in whole milliseconds.
+    :param unlisted_s: a run that its runner has not listed for longer is counted as
+        unlisted; lists come every 0.8 s, and one may be older than the run.
     :param stop_effect_ms: on a runner's clock: a run that it still lists so long after
         it took its stop was not stopped.
     :param penalty_s: how long a runner that failed tasks is used last.
@@ -33,6 +35,7 @@
 
     early_s: float = 0.1
     list_slack_ms: int = 20
+    unlisted_s: float = 2.0
     stop_effect_ms: int = 1000
     penalty_s: float = 6.0
     penalty_failures: int = 2
