Show that runs of a runner that starts again are left for good

Callers saw lasting tasks that ran nowhere while their holder lived. The stand-in's runners may start again under the id that they had, with their clock and the numbers of their ends begun anew, and tell each life by `born`; holds that are too long are cut, as the users' runners cut them. Starts are told apart by the life that carried them out, so that the soak's checks pair each with its own end.

--- a/src/streamthread/standins/cell/__init__.py
+++ b/src/streamthread/standins/cell/__init__.py
@@ -2,6 +2,7 @@
 
 from .cloud import CloudStandin
 from .runner import RunnerStandin
+from .runner import StartedRun
 from .store import StoreFaults
 from .store import StoreStandin
 from .world import CellWorld
@@ -10,6 +11,7 @@
     "CellWorld",
     "CloudStandin",
     "RunnerStandin",
+    "StartedRun",
     "StoreFaults",
     "StoreStandin",
 ]
--- a/src/streamthread/standins/cell/cloud.py
+++ b/src/streamthread/standins/cell/cloud.py
@@ -13,10 +13,13 @@
 
 
 class MakeRunner(t.Protocol):
-    """Starts a new life of a machine's runner in a pool; port 0: a new one."""
+    """Starts a new life of a machine's runner in a pool.
+
+    Without a port, and without the id that it had, it gets new ones.
+    """
 
     def __call__(
-        self, machine_id: str, pool: str, port: int = 0
+        self, machine_id: str, pool: str, port: int = 0, runner_id: str = ""
     ) -> t.Awaitable[RunnerStandin]: ...
 
 
@@ -134,21 +137,32 @@
         """Let a machine's runner crash; a new life comes later."""
         self._go(machine, "down", for_s)
 
-    def crash(self, machine: MachineStandin, for_s: float) -> None:
-        """Let a machine's runner be gone; a new life comes later where it was."""
+    def crash(
+        self, machine: MachineStandin, for_s: float, keep_id: bool = False
+    ) -> None:
+        """Let a machine's runner be gone; a new life comes later where it was.
+
+        :param keep_id: the new life has the id of the former one, whose entry stands
+            until then.
+        """
         machine.state = "down"
-        self._spawn(self._crash(machine, for_s))
+        self._spawn(self._crash(machine, for_s, keep_id))
 
-    async def _crash(self, machine: MachineStandin, for_s: float) -> None:
+    async def _crash(
+        self, machine: MachineStandin, for_s: float, keep_id: bool
+    ) -> None:
         runner = machine.runner
         assert runner is not None
         machine.runner = None
         runner.port.reset_connections()
         await runner.port.close()
         await asyncio.sleep(for_s)
-        await self._end_life(runner)
+        if not keep_id:
+            await self._end_life(runner)
         port = int(runner.port.address.rpartition(":")[2])
-        machine.runner = await self._make_runner(machine.machine_id, machine.pool, port)
+        machine.runner = await self._make_runner(
+            machine.machine_id, machine.pool, port, runner.runner_id if keep_id else ""
+        )
         machine.state = "up"
 
     async def _come_back(self, machine: MachineStandin, for_s: float) -> None:
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -32,6 +32,9 @@
 MOST_ENDS = 500
 """So many ends at most are listed in one answer."""
 
+MOST_HOLD_MS = 4000
+"""A longer hold is cut to this, as `maxHoldMs` of the daemons' settings says."""
+
 Crashed = t.Callable[["RunnerStandin", tuple[str, int]], None]
 """Learns of a runner that a run has taken down."""
 
@@ -52,6 +55,7 @@
     """One start that a runner carried out.
 
     :param late: the order got no answer and was carried out late.
+    :param born_ms: which life of the runner carried it out.
     """
 
     task: str
@@ -59,6 +63,7 @@
     runner_id: str
     at_s: float
     late: bool = False
+    born_ms: int = 0
 
 
 @attrs.define
@@ -95,6 +100,8 @@
 class RunnerStandin:
     """One life of a runner.
 
+    :param clock_zero_s: when its clock stood at 0, on the monotonic clock.
+    :param says_born: it tells when it began, as ``born``.
     :param started: shared by all runners: what was started.
     :param ended: shared by all runners: task, run, how and when.
     :param failures: shared by all runners: how often each task has failed.
@@ -119,8 +126,13 @@
         ended: list[tuple[str, int, str, float]],
         failures: dict[str, int],
         crashed: Crashed = lambda runner, run: None,
+        clock_zero_s: float = 0.0,
+        says_born: bool = True,
     ) -> None:
         self._crashed = crashed
+        self._clock_zero_s = clock_zero_s
+        self._says_born = says_born
+        self.born_ms = int(time.time() * 1000)
         self.runner_id = runner_id
         self.service = service
         self.labels = labels
@@ -157,9 +169,13 @@
                 "capacity": {"cpu": self.cpu, "memMb": self.memory_mb, "gpu": 0},
                 "labels": list(self.labels),
                 "clockMs": self._clock_ms(),
+                **self._birth(),
             }
         )
 
+    def _birth(self) -> Json:
+        return {"born": self.born_ms} if self._says_born else {}
+
     def resize(self, cpu: int) -> None:
         """Let the room shrink or grow; what runs goes on."""
         self.cpu = cpu
@@ -188,16 +204,19 @@
         deadline_ms = self._clock_ms() + int(for_s * 1000)
         self._deadline_ms = max(self._deadline_ms, deadline_ms)
 
-    @staticmethod
-    def _clock_ms() -> int:
-        return int(time.monotonic() * 1000)
+    def _clock_ms(self) -> int:
+        return int((time.monotonic() - self._clock_zero_s) * 1000)
+
+    def _deadline_s(self) -> float:
+        """Return until when runs are held, on the monotonic clock."""
+        return self._clock_zero_s + self._deadline_ms / 1000
 
     # What happens with time.
 
     def _advance(self) -> None:
         """Bring the runs to where they are now, each end at its own moment."""
         now_s = time.monotonic()
-        lapse_s = self._deadline_ms / 1000
+        lapse_s = self._deadline_s()
         for run in list(self._runs.values()):
             stopping = run.stopping_at_s > 0
             end_s = run.stopping_at_s if stopping else run.ends_at_s
@@ -251,9 +270,11 @@
         )
 
     def _extend(self, body: Json) -> None:
-        if self._deadline_ms < self._clock_ms():
-            self._lapsed_at_s = self._deadline_ms / 1000
-        self._deadline_ms = max(self._deadline_ms, body.get("deadlineMs", 0))
+        clock_ms = self._clock_ms()
+        if self._deadline_ms < clock_ms:
+            self._lapsed_at_s = self._deadline_s()
+        deadline_ms = min(body.get("deadlineMs", 0), clock_ms + MOST_HOLD_MS)
+        self._deadline_ms = max(self._deadline_ms, deadline_ms)
 
     async def _start(self, body: Json) -> web.StreamResponse:
         if self.faults.late_starts > 0:
@@ -304,7 +325,7 @@
         now_s = time.monotonic()
         run_s = float(spec.get("run_s", 0.1))
         self._runs[task, number] = _Run(task, number, spec, now_s + run_s)
-        started = StartedRun(task, number, self.runner_id, now_s, late)
+        started = StartedRun(task, number, self.runner_id, now_s, late, self.born_ms)
         self._started.append(started)
         if task.rpartition(".")[2] in spec.get("crash", ()):
             asyncio.get_running_loop().call_later(CRASH_S, self._crash, (task, number))
@@ -365,5 +386,6 @@
                 "clockMs": self._clock_ms(),
                 "running": running,
                 "finished": self._ends[:MOST_ENDS],
+                **self._birth(),
             }
         )
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -3,6 +3,7 @@
 import base64
 import itertools
 import json
+import time
 import typing as t
 
 from .cloud import CloudStandin
@@ -24,13 +25,22 @@
 
     :param pools: names of the pools and how many machines each has.
     :param cpu: the room of each runner, in full.
+    :param keeps_ids: runners that a task has crashed start again under their ids.
+    :param says_born: runners tell when their lives began; those that do not get a new
+        id with each life.
     :param accounts: the client accounts that manifests name from now on, as they stand
         on the wire; None: there are none, and no route needs a key.
     :param crashes: ids of the runners that a task has taken down.
     :param crashed_runs: tasks and runs that have done so.
     """
 
-    def __init__(self, pools: t.Mapping[str, int], cpu: int = 16000) -> None:
+    def __init__(
+        self,
+        pools: t.Mapping[str, int],
+        cpu: int = 16000,
+        keeps_ids: bool = False,
+        says_born: bool = True,
+    ) -> None:
         self.store = StoreStandin()
         self.cloud = CloudStandin(self._make_runner, self._end_life)
         self.started: list[StartedRun] = []
@@ -41,6 +51,8 @@
         self._failures: dict[str, int] = {}
         self._pools = dict(pools)
         self.cpu = cpu
+        self.keeps_ids = keeps_ids
+        self.says_born = says_born
         self.accounts: list[dict[str, t.Any]] | None = None
         self._numbers = itertools.count(1)
 
@@ -72,13 +84,14 @@
         self.crashed_runs.add(run)
         for machine in self.cloud.machines.values():
             if machine.runner is runner:
-                self.cloud.crash(machine, BACK_S)
+                self.cloud.crash(machine, BACK_S, self.keeps_ids)
 
     async def _make_runner(
-        self, machine_id: str, pool: str, port: int = 0
+        self, machine_id: str, pool: str, port: int = 0, runner_id: str = ""
     ) -> RunnerStandin:
+        """Start a life of a runner; that of an earlier one begins its clock anew."""
         runner = RunnerStandin(
-            f"i-{next(self._numbers)}",
+            runner_id or f"i-{next(self._numbers)}",
             pool,
             ("a", "r1"),
             self.cpu,
@@ -87,6 +100,8 @@
             self.ended,
             self._failures,
             self._on_crash,
+            clock_zero_s=time.monotonic() if runner_id else 0.0,
+            says_born=self.says_born,
         )
         await runner.port.open(port)
         self.runners.append(runner)
--- a/tests/cell/support.py
+++ b/tests/cell/support.py
@@ -11,6 +11,7 @@
 from streamthread.gateway import CellDaemon
 from streamthread.platform.node import decode_node
 from streamthread.standins.cell import CellWorld
+from streamthread.standins.cell import RunnerStandin
 from streamthread.standins.cell.world import BACK_S
 
 WITHIN_S = 20.0
@@ -131,16 +132,24 @@
 
     async def crash_one(self) -> None:
         """Let a runner crash on which something runs; return once it is back."""
+        await self.restart(lambda runner: bool(runner.running()))
+
+    async def restart(
+        self, choose: t.Callable[[RunnerStandin], bool], back_s: float = BACK_S
+    ) -> RunnerStandin:
+        """Let a runner crash; return its next life once it is there."""
         world = self.world
         machine = next(
             machine
             for machine in world.cloud.machines.values()
-            if machine.runner is not None and machine.runner.running()
+            if machine.runner is not None and choose(machine.runner)
         )
         assert machine.runner is not None
         machine.runner.kill()
-        world.cloud.crash(machine, BACK_S)
+        world.cloud.crash(machine, back_s, world.keeps_ids)
         await until(lambda: machine.state == "up", "the runner is back")
+        assert machine.runner is not None
+        return machine.runner
 
     async def close_callers(self) -> None:
         for caller in self._callers:
@@ -149,10 +158,13 @@
 
 @contextlib.asynccontextmanager
 async def running_cell(
-    pools: t.Mapping[str, int], daemon_count: int = 1, cpu: int = 16000
+    pools: t.Mapping[str, int],
+    daemon_count: int = 1,
+    cpu: int = 16000,
+    keeps_ids: bool = False,
 ) -> t.AsyncIterator[Cell]:
     """Run a platform and daemons until the block ends."""
-    world = CellWorld(pools, cpu)
+    world = CellWorld(pools, cpu, keeps_ids)
     await world.open()
     daemons = [
         CellDaemon(decode_node(world.node_settings(f"daemon-{number}")))
--- a/tools/soak_accounts.py
+++ b/tools/soak_accounts.py
@@ -7,7 +7,9 @@
 import typing as t
 
 from streamthread.standins.cell import CellWorld
+from tools.soak_checks import OPEN_S
 from tools.soak_checks import OVERLAP_S
+from tools.soak_checks import run_spans
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
 from tools.soak_view import SoakView
@@ -156,13 +158,11 @@
 
 def check_limits(world: CellWorld) -> t.Iterator[str]:
     """Yield a line for each account of which too much ran at once."""
-    ends = {(task, run): at_s for task, run, _, at_s in world.ended}
     changes: dict[str, list[tuple[float, int]]] = {name: [] for name in LIMITS}
-    for started in world.started:
-        end_s = ends.get((started.task, started.run))
+    for started, end_s, _ in run_spans(world):
         found = changes[account_of(started.task.split(".")[0])]
         found.append((started.at_s + OVERLAP_S, TASK_CPU))
-        if end_s is not None:
+        if end_s < OPEN_S:
             found.append((max(end_s, started.at_s + OVERLAP_S), -TASK_CPU))
     for account, limit in LIMITS.items():
         running = most = 0
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -8,8 +8,11 @@
 import attrs
 
 from streamthread.standins.cell import CellWorld
+from streamthread.standins.cell import StartedRun
 
 __all__ = [
+    "OPEN_S",
+    "OVERLAP_S",
     "SubmittedJob",
     "check_crashes",
     "check_jobs",
@@ -17,6 +20,7 @@
     "check_runs",
     "check_stops",
     "gone_by_s",
+    "run_spans",
 ]
 
 CANCEL_S = 3.0
@@ -68,12 +72,8 @@
 
 def check_runs(world: CellWorld) -> t.Iterator[str]:
     """Yield a line for each task that ran twice."""
-    ends = {(task, run): (how, at) for task, run, how, at in world.ended}
-    for end in _unknown_ends(world):
-        ends[end] = ("not known", ends[end][1])
     spans: dict[str, list[tuple[float, float, str]]] = {}
-    for started in world.started:
-        how, end_s = ends.get((started.task, started.run), ("open", OPEN_S))
+    for started, end_s, how in run_spans(world):
         spans.setdefault(started.task, []).append((started.at_s, end_s, how))
     for task, runs in spans.items():
         runs.sort()
@@ -84,16 +84,25 @@
                 yield f"TWICE {task} started after it was done"
 
 
-def _unknown_ends(world: CellWorld) -> set[tuple[str, int]]:
-    """Return the ends that say nothing against another run of their tasks.
+def run_spans(world: CellWorld) -> t.Iterator[tuple[StartedRun, float, str]]:
+    """Yield each start with the end of its run: when it came, and how.
 
-    They were confirmed too late or never, so that the task counted as running
-    nowhere. A second run must still not overlap.
+    One run may be started on two lives of a runner, each with an end of its own. An end
+    that was confirmed too late or never is "not known": it says nothing against another
+    run of its task, which must still not overlap.
     """
-    unknown = set[tuple[str, int]]()
-    for runner in world.runners:
-        unknown |= runner.unknown_ends
-    return unknown
+    ends: dict[tuple[str, int], list[tuple[float, str]]] = {}
+    for task, run, how, at_s in world.ended:
+        ends.setdefault((task, run), []).append((at_s, how))
+    lives = {(life.runner_id, life.born_ms): life for life in world.runners}
+    for started in world.started:
+        key = (started.task, started.run)
+        later = [end for end in ends.get(key, ()) if end[0] >= started.at_s]
+        end_s, how = min(later, default=(OPEN_S, "open"))
+        life = lives.get((started.runner_id, started.born_ms))
+        if life is not None and key in life.unknown_ends:
+            how = "not known"
+        yield started, end_s, how
 
 
 def check_jobs(world: CellWorld, jobs: t.Mapping[str, SubmittedJob]) -> t.Iterator[str]:
