Confirm no ends by their numbers to a runner that was silent

What callers could see: a task done twice. The hold says up to which number the ends of a runner are recorded, and the runner forgets those. Its next life under the same id counts from 1 again, so that the first hold to it, which still named the former life's last end, had ends forgotten that nobody had read.

The number is sent until a hold with it was answered, and not to a runner that has been silent since. Nothing is lost by that: ends that were not forgotten are listed again, and taken again where their attempt is still known. A guard's test is named by its file and class, as the check of guards reads it.

--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -227,8 +227,8 @@
         if self.runner.ready and not was_ready:
             self._owner.on_ready(self)
         await self._owner.on_lists(self, reply)
+        self._confirmed = max((ended.number for ended in reply.ended), default=0)
         if reply.ended:
-            self._confirmed = max(ended.number for ended in reply.ended)
             await asyncio.sleep(self._owner.pause_after_ends_s())
 
     def on_order_unanswered(self, sent_at_s: float) -> None:
@@ -255,6 +255,8 @@
         if self.over:
             return
         now_s = boot_s()
+        # Who answers next may be another life, whose ends count from 1 again.
+        self._confirmed = 0
         if not self.silent:
             self.runner.silent_at_s = now_s
             self.runner.hung = hung
--- a/src/streamthread/runners/tests/test_restarts.py
+++ b/src/streamthread/runners/tests/test_restarts.py
@@ -130,9 +130,27 @@
 
 
 class TestConfirmations:
+    """Up to which end a hold says that ends are recorded.
+
+    Seen in the log of a restarted runner: its next life was asked with the number of the
+    former life's last end. A runner forgets the ends up to that number, so that one which
+    had come before that hold would be told to nobody, and its task be done twice.
+    """
+
     async def test_name_no_end_to_a_runner_that_was_silent(self) -> None:
-        """It may be another life, whose ends count from 1 again."""
         _, client = await _play(
             [_lists(CLOCK_MS, 57), _no_answer(), _lists(CLOCK_MS + 9)]
         )
         assert client.confirmed[:3] == [0, 57, 0]
+
+    async def test_are_sent_until_one_is_answered(self) -> None:
+        """The next life may take the place of one that was never silent."""
+        _, client = await _play(
+            [_lists(CLOCK_MS, 57), _lists(CLOCK_MS + 1), _lists(CLOCK_MS + 2)]
+        )
+        assert client.confirmed[:3] == [0, 57, 0]
+
+    async def test_follow_ends_that_are_listed_again(self) -> None:
+        answers = [_lists(CLOCK_MS, 57), _no_answer(), _lists(CLOCK_MS + 1, 57, 58)]
+        _, client = await _play([*answers, _lists(CLOCK_MS + 2)])
+        assert client.confirmed[:4] == [0, 57, 0, 58]
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -7,7 +7,8 @@
 INTERLEAVINGS = "tests/test_fleet_interleavings.py"
 OWNERSHIP = "tests/test_ownership.py"
 NO_JOB = "tests/cell/test_cancels_without_job.py"
-LISTING = "src/streamthread/holder/tests/test_listing.py::TestForeignEntries"
+LISTING_TESTS = "src/streamthread/holder/tests/test_listing.py"
+LISTING = f"{LISTING_TESTS}::TestForeignEntries"
 REQUESTS = "tests/integration/test_requests.py"
 
 
@@ -431,10 +432,14 @@
         "holder/listing.py",
         "        if link.runner.is_next_life(entry.born_ms):\n",
         "        if False:\n",
-        (
-            "src/streamthread/holder/tests/test_listing.py::TestRestartedRunners"
-            "::test_are_told_apart_by_when_their_lives_began",
-        ),
+        (f"{LISTING_TESTS}::TestRestartedRunners",),
+    ),
+    Guard(
+        "silent-runners-confirm-nothing",
+        "runners/link.py",
+        "        self._confirmed = 0\n        if not self.silent:\n",
+        "        if not self.silent:\n",
+        ("src/streamthread/runners/tests/test_restarts.py::TestConfirmations",),
     ),
     Guard(
         "open-starts-are-stopped",
