Start a lasting task again though the end of its run is listed twice

What callers could see: a lasting job that is shown as completed, and a task of it that nothing starts again. A runner lists an end until it is confirmed: after a lost answer, or to the next holder, it lists one whose attempt is over already. A `done` of that kind counted its task as done whatever it was; of a lasting task another run has to follow, and of a gang one end stands for all, as where the attempt is known. One function marks what is done now for both.

--- a/src/streamthread/runners/tests/test_restarts.py
+++ b/src/streamthread/runners/tests/test_restarts.py
@@ -132,9 +132,9 @@
 class TestConfirmations:
     """Up to which end a hold says that ends are recorded.
 
-    Seen in the log of a restarted runner: its next life was asked with the number of the
-    former life's last end. A runner forgets the ends up to that number, so that one which
-    had come before that hold would be told to nobody, and its task be done twice.
+    Found by reading: the next life of a runner was asked with the number of the former
+    life's last end. A runner forgets the ends up to that number, so that one which had
+    come before that hold would be told to nobody, and its task be done twice.
     """
 
     async def test_name_no_end_to_a_runner_that_was_silent(self) -> None:
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -189,10 +189,11 @@
         task = self._ledger.find_task(ended.task)
         if task is None or ended.kind is not EndKind.DONE:
             return
-        if task.state is TaskState.DONE:
+        if task.state is TaskState.DONE or task.step.request.lasting:
+            # Whichever run of a lasting task ends, another one is to run.
             return
         log.info("done-by-other-run", extra={"task": ended.task, "run": ended.run})
-        self._ledger.mark_done(task)
+        self._mark_done(task)
         job = task.step.occurrence.job
         self._ledger.changed(job)
         self._ledger.settle_job(job)
@@ -205,11 +206,13 @@
         if task.step.request.lasting:
             self._ledger.wait_again(task)
             return
-        if task.step.request.gang:
-            for member in task.step.tasks:
-                self._ledger.mark_done(member)
-            return
-        self._ledger.mark_done(task)
+        self._mark_done(task)
+
+    def _mark_done(self, task: Task) -> None:
+        """Count a task as done; the end of one member of a gang stands for all."""
+        members = task.step.tasks if task.step.request.gang else [task]
+        for member in members:
+            self._ledger.mark_done(member)
 
     def _on_failed(self, attempt: Attempt, runner: RunnerState) -> None:
         task = attempt.task
