Hold failures against one life of a runner, not against its id

Found by looking for the cause of lasting tasks that were left: a task avoids runners on which it failed, lagged behind or was silent, and a runner that fails much is used last. Both were kept by the id, so that the next life under it was avoided for what the former one had done; the times of failures were kept for each id that had ever failed, for as long as the cell was held. What is avoided is a life now, and its failures stand with its state, which goes with it.

--- a/src/streamthread/scheduler/__init__.py
+++ b/src/streamthread/scheduler/__init__.py
@@ -11,6 +11,7 @@
 from .model import JobState
 from .model import new_job
 from .model import Phase
+from .model import RunnerLife
 from .model import StepRun
 from .model import Task
 from .model import TaskState
@@ -24,6 +25,7 @@
     "Job",
     "JobState",
     "Phase",
+    "RunnerLife",
     "RunnerState",
     "StepRun",
     "Stray",
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -8,6 +8,7 @@
 from ..platform.documents import RunnerEntry
 from .model import Attempt
 from .model import Job
+from .model import RunnerLife
 from .model import Task
 
 __all__ = ["RunnerState", "usable_runners"]
@@ -31,6 +32,7 @@
     :param stray_runs: runs there that no attempt of ours explains.
     :param born_ms: when this life began, in ms since 1970; None: not told.
     :param earlier_born_ms: when the lives before it under this id began.
+    :param failed_at_s: wall times at which tasks failed or lagged there lately.
     :param penalty_until_s: wall time; many tasks failed or lagged there; used last
         until then.
     """
@@ -57,6 +59,7 @@
     trial_job: Job | None = None
     trial_until_s: float = 0.0
     stray_runs: int = 0
+    failed_at_s: list[float] = attrs.field(factory=list)
     penalty_until_s: float = 0.0
     used_cpu: int = 0
     used_memory_mb: int = 0
@@ -80,6 +83,11 @@
             draining=entry.draining,
         )
 
+    @property
+    def life(self) -> RunnerLife:
+        """What tells this life from others under its id."""
+        return RunnerLife(self.runner_id, self.born_ms)
+
     def next_life(self, born_ms: int) -> "RunnerState":
         """Return the life after this one, as far as it is known before its entry."""
         return RunnerState(
--- a/src/streamthread/scheduler/lags.py
+++ b/src/streamthread/scheduler/lags.py
@@ -13,6 +13,7 @@
 from .model import Phase
 from .model import Task
 from .outcomes import Outcomes
+from .placement import is_avoided
 from .placement import suits
 from .progress import judge_progress
 from .progress import Lag
@@ -54,7 +55,8 @@
             return False
         self._crashes.suspect(runner)
         wanted = [
-            self._want_copy(attempt, "silent") for attempt in runner.attempts.values()
+            self._want_copy(attempt, runner, "silent")
+            for attempt in runner.attempts.values()
         ]
         return any(wanted)
 
@@ -75,20 +77,20 @@
         """Have a lagging run done elsewhere, if there is room."""
         task = attempt.task
         if task.step.request.speculative:
-            return self._want_copy(attempt, lag.value)
+            return self._want_copy(attempt, runner, lag.value)
         if task.moves >= self._settings.most_moves:
             return False
         if not self._has_room_elsewhere(task, runner):
             return False
         task.moves += 1
-        task.avoid.add(runner.runner_id)
+        task.avoid.add(runner.life)
         self._outcomes.note_failure(runner)
         self._ledger.count(f"moved-{lag.value}")
         _tell_lag(attempt, lag.value)
         self._ledger.stops.want(attempt, lag.value)
         return True
 
-    def _want_copy(self, attempt: Attempt, why: str) -> bool:
+    def _want_copy(self, attempt: Attempt, runner: RunnerState, why: str) -> bool:
         """Have one more run of a task placed, if it may have one and has none."""
         task = attempt.task
         request = task.step.request
@@ -100,7 +102,7 @@
             return False
         task.copy_wanted = True
         task.waiting_since_s = boot_s()
-        task.avoid.add(attempt.runner_id)
+        task.avoid.add(runner.life)
         self._ledger.count(f"copied-{why}")
         _tell_lag(attempt, why)
         return True
@@ -111,7 +113,7 @@
             suits(task.step, other)
             and other.fits(request.cpu, request.memory_mb, request.gpu)
             for other in usable_runners(self._ledger.runners.values(), runner.service)
-            if other is not runner and other.runner_id not in task.avoid
+            if other is not runner and not is_avoided(task, other)
         )
 
 
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -18,6 +18,7 @@
     "JobState",
     "Occurrence",
     "Phase",
+    "RunnerLife",
     "StepRun",
     "Stop",
     "Task",
@@ -59,6 +60,14 @@
     """To be stopped; it takes room until the runner lists its end."""
 
 
+@attrs.frozen
+class RunnerLife:
+    """One life of a runner; what its id did in another life says nothing of it."""
+
+    runner_id: str
+    born_ms: int | None = None
+
+
 @attrs.define(eq=False)
 class Stop:
     """The stop of one run.
@@ -195,7 +204,7 @@
 
     :param last_run: the highest run number that was used.
     :param checkpoint: the newest progress that a runner reported.
-    :param avoid: ids of runners on which it failed, lagged behind or was silent.
+    :param avoid: lives of runners on which it failed, lagged behind or was silent.
     :param not_before_s: wall time before which it is not placed.
     :param waiting_since_s: on the boot clock: since when it has no attempt, or is to
         have one more.
@@ -213,7 +222,7 @@
     failures: int = 0
     checkpoint: str = ""
     attempts: list[Attempt] = attrs.field(factory=list)
-    avoid: set[str] = attrs.field(factory=set)
+    avoid: set[RunnerLife] = attrs.field(factory=set)
     not_before_s: float = 0.0
     waiting_since_s: float = attrs.field(factory=boot_s)
     copy_wanted: bool = False
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -48,7 +48,6 @@
         self._times = times
         self._crashes = crashes
         self._settings = settings
-        self._failed_at_s: dict[str, list[float]] = {}
 
     # Answers to orders.
 
@@ -217,7 +216,7 @@
     def _on_failed(self, attempt: Attempt, runner: RunnerState) -> None:
         task = attempt.task
         job = task.step.occurrence.job
-        task.avoid.add(runner.runner_id)
+        task.avoid.add(runner.life)
         self.note_failure(runner)
         if task.step.request.lasting:
             task.not_before_s = time.time() + self._settings.restart_pause_s
@@ -262,10 +261,11 @@
         """Use a runner last for a while when several tasks fail or lag there."""
         now_s = time.time()
         since_s = now_s - self._settings.penalty_s
-        seen = [s for s in self._failed_at_s.get(runner.runner_id, []) if s > since_s]
-        seen.append(now_s)
-        self._failed_at_s[runner.runner_id] = seen
-        if len(seen) >= self._settings.penalty_failures:
+        lately = [
+            failed_at_s for failed_at_s in runner.failed_at_s if failed_at_s > since_s
+        ]
+        runner.failed_at_s = [*lately, now_s]
+        if len(runner.failed_at_s) >= self._settings.penalty_failures:
             runner.penalty_until_s = now_s + self._settings.penalty_s
 
 
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -18,6 +18,7 @@
 __all__ = [
     "LargestRoom",
     "Placement",
+    "is_avoided",
     "order_steps",
     "outlook",
     "place_step",
@@ -181,13 +182,18 @@
     """Whether a task may run on a runner, where it may have failed before."""
     if any(attempt.runner_id == runner.runner_id for attempt in task.attempts):
         return False
-    if runner.runner_id not in task.avoid or task.step.request.lasting:
+    if not is_avoided(task, runner) or task.step.request.lasting:
         return True
     if len(task.avoid) >= runners:
         return True
     return boot_s() - task.waiting_since_s > AVOID_PATIENCE_S
 
 
+def is_avoided(task: Task, runner: RunnerState) -> bool:
+    """Whether a task failed, lagged behind or was silent in this life of a runner."""
+    return bool(task.avoid) and runner.life in task.avoid
+
+
 def suits(step: StepRun, runner: RunnerState) -> bool:
     """Whether a runner has the label that a step requires."""
     needs = step.request.requires
@@ -320,7 +326,7 @@
     A suspect task goes with those of its job, and where the least is lost with it.
     """
     request = task.step.request
-    unsound = runner.penalty_until_s > now_s or runner.runner_id in task.avoid
+    unsound = runner.penalty_until_s > now_s or is_avoided(task, runner)
     far = bool(request.near_rack) and request.near_rack != runner.rack
     split = bool(request.same_rack and placed and placed[0].runner.rack != runner.rack)
     if task.suspect:
--- a/src/streamthread/scheduler/tests/test_placement.py
+++ b/src/streamthread/scheduler/tests/test_placement.py
@@ -9,6 +9,7 @@
 from streamthread.platform.callers import JobRequest
 from streamthread.platform.callers import StepRequest
 from streamthread.scheduler import Job
+from streamthread.scheduler import RunnerLife
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.placement import place_step
 
@@ -88,7 +89,7 @@
     def test_a_failed_task_waits_for_room_on_another_runner(self) -> None:
         step = StepRequest(count=1, cpu=10)
         run = _job(step).occurrences[0].steps[0]
-        run.tasks[0].avoid.add("i-1")
+        run.tasks[0].avoid.add(RunnerLife("i-1"))
         failing, full = _runner(1, 100, 10, ("a",)), _runner(2, 0, 10, ("a",))
         assert place_step(run, [failing, full], time.time()) == []
         run.tasks[0].waiting_since_s -= 60.0
@@ -98,7 +99,7 @@
     def test_a_failed_task_goes_back_where_there_is_no_other_runner(self) -> None:
         step = StepRequest(count=1, cpu=10)
         run = _job(step).occurrences[0].steps[0]
-        run.tasks[0].avoid.add("i-1")
+        run.tasks[0].avoid.add(RunnerLife("i-1"))
         (placement,) = place_step(run, [_runner(1, 100, 10, ("a",))], time.time())
         assert placement.runner.runner_id == "i-1"
 
--- a/src/streamthread/scheduler/tests/test_restarts.py
+++ b/src/streamthread/scheduler/tests/test_restarts.py
@@ -13,6 +13,7 @@
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.model import new_job
+from streamthread.scheduler.placement import is_avoided
 
 BORN_MS = 1_700_000_000_000
 ROUTE = Route("r", "desk.example", "/jobs/", "desk", max_attempts=3)
@@ -113,11 +114,19 @@
         self, cell: _Cell
     ) -> None:
         cell.before.penalty_until_s = 1e12
+        cell.before.failed_at_s.append(1e12)
         cell.before.stray_runs = 1
         cell.before.trial_until_s = 1e12
         after = cell.restart()
         assert after.usable()
         assert not after.penalty_until_s and not after.trial_until_s
+        assert not after.failed_at_s
+
+    def test_may_get_a_task_that_failed_in_its_former_life(self, cell: _Cell) -> None:
+        (task, *_) = _tasks(cell.job)
+        task.avoid.add(cell.before.life)
+        assert is_avoided(task, cell.before)
+        assert not is_avoided(task, cell.restart())
 
     def test_stays_reserved_for_what_was_ordered_for_its_machine(
         self, cell: _Cell
