End a machine's duty by what the list shows, though its runner keeps its id

Found by looking for the cause of lasting tasks that were left: whether a move or an upkeep is over was told by the id of the machine's runner.

A duty that a list has shown is over once the machine is up again; the list ends only a life that was held when it was asked for.

--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -250,8 +250,9 @@
         if pending.kind is DutyKind.UPKEEP:
             self._book.mark_begun(pending.wave, machine.machine_id)
 
-    def _on_life_over(self, runner_id: str, why: str) -> None:
+    def _on_life_over(self, runner_id: str, since_s: float, why: str) -> None:
         link = self._owner.links.get(runner_id)
-        if link is not None:
+        # A life that began after the list was asked for is the one after the duty.
+        if link is not None and link.held_since_s < since_s:
             link.over = True
             self._owner.on_life_over(link, why)
--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -43,6 +43,7 @@
     :param target: the pool that the machine is in afterwards.
     :param runner_before: the runner that lived there when it was ordered.
     :param sent_at_s: on the boot clock.
+    :param begun: the list has shown the machine under it.
     :param wave: number of the wave that an upkeep belongs to.
     """
 
@@ -50,13 +51,15 @@
     target: str
     runner_before: str
     sent_at_s: float
+    begun: bool = False
     wave: int = 0
 
 
 class MachineTable:
     """All machines of the fleet, at most one pending duty for each.
 
-    :param on_life_over: called with a runner whose machine was taken from it, and why.
+    :param on_life_over: called with a runner whose machine was taken from it, since
+        when on the boot clock that is known, and why.
     :param notes: is told of rows that can't be read.
     :param machines: as the cloud listed them last, by machine id.
     :param pending: duties whose end the list has not shown yet, by machine id.
@@ -68,7 +71,7 @@
         documents: ManifestSource,
         cloud: CloudClient,
         settings: DutySettings,
-        on_life_over: t.Callable[[str, str], None],
+        on_life_over: t.Callable[[str, float, str], None],
         notes: UnreadableNotes | None = None,
     ) -> None:
         self._notes = notes or UnreadableNotes()
@@ -154,22 +157,22 @@
         pending = self.pending.get(machine.machine_id)
         if pending is None or asked_at_s < pending.sent_at_s:
             return
+        pending.begun = pending.begun or machine.state in UNDER_DUTY
         changed = machine.runner_id != pending.runner_before
         if changed or machine.state in UNDER_DUTY:
             self._on_life_over(
-                pending.runner_before, f"machine in {pending.kind.value}"
+                pending.runner_before, asked_at_s, f"machine in {pending.kind.value}"
             )
         if machine.state is not MachineState.UP:
             return
-        waited = asked_at_s - pending.sent_at_s > self._settings.settle_s
-        if changed or waited:
-            self._end_pending(machine, pending, changed)
+        # A runner that starts again under its id shows no change of the id.
+        done = changed or pending.begun
+        if done or asked_at_s - pending.sent_at_s > self._settings.settle_s:
+            self._end_pending(machine, pending, done)
 
-    def _end_pending(
-        self, machine: Machine, pending: PendingDuty, changed: bool
-    ) -> None:
+    def _end_pending(self, machine: Machine, pending: PendingDuty, done: bool) -> None:
         del self.pending[machine.machine_id]
-        if not changed:
+        if machine.runner_id == pending.runner_before:
             self._unreserve(machine)
         log.info(
             "duty-ended",
@@ -177,7 +180,7 @@
                 "machine": machine.machine_id,
                 "kind": pending.kind.value,
                 "pool": machine.pool,
-                "changed": changed,
+                "done": done,
             },
         )
 
--- /dev/null
+++ b/src/streamthread/holder/tests/test_machine_restarts.py
@@ -0,0 +1,84 @@
+"""A duty of a machine whose runner starts again under the id that it had."""
+
+import typing as t
+
+import attrs
+
+from streamthread.clocks import boot_s
+from streamthread.holder.context import DutySettings
+from streamthread.holder.machines import DutyKind
+from streamthread.holder.machines import MachineTable
+from streamthread.platform.cloud import Machine
+from streamthread.platform.cloud import MachineList
+from streamthread.platform.cloud import MachineState
+from streamthread.scheduler import Engine
+from streamthread.scheduler import RunnerState
+
+MACHINE = Machine(
+    "m-1", "desk", MachineState.UP, "z", ("a", "r"), 16_000, 100, 0, "i-1"
+)
+
+
+class _Documents:
+    manifest = None
+    waves: t.ClassVar[dict[int, t.Any]] = {}
+
+
+class _Cloud:
+    def __init__(self) -> None:
+        self.listed = MACHINE
+
+    async def machines(self) -> MachineList:
+        return MachineList((self.listed,))
+
+
+class _Cell:
+    """A machine that is in a duty, as the list shows it from time to time."""
+
+    def __init__(self) -> None:
+        self.engine = Engine(lambda job: None)
+        self.runner = RunnerState("i-1", "desk", "x:1", "z", ("a", "r"), 16_000, 100, 0)
+        self.engine.add_runner(self.runner)
+        self.cloud = _Cloud()
+        self.over: list[tuple[str, float]] = []
+        self.table = MachineTable(
+            self.engine,
+            t.cast(t.Any, _Documents()),
+            t.cast(t.Any, self.cloud),
+            DutySettings(list_s=0.0),
+            lambda runner_id, since_s, why: self.over.append((runner_id, since_s)),
+        )
+
+    async def show(self, state: MachineState, runner_id: str = "i-1") -> None:
+        self.cloud.listed = attrs.evolve(MACHINE, state=state, runner_id=runner_id)
+        await self.table.refresh()
+
+
+class TestDutyOfARestartedRunner:
+    async def test_ends_with_the_next_life_under_the_same_id(self) -> None:
+        """It is not waited for as one that the cloud may never have begun."""
+        cell = _Cell()
+        cell.table.reserve(MACHINE, DutyKind.UPKEEP, "desk")
+        await cell.show(MachineState.UPKEEP)
+        assert cell.table.pending
+        await cell.show(MachineState.UP)
+        assert not cell.table.pending
+        assert not cell.runner.reserved
+
+    async def test_is_waited_for_while_no_list_has_shown_it(self) -> None:
+        cell = _Cell()
+        cell.table.reserve(MACHINE, DutyKind.UPKEEP, "desk")
+        await cell.show(MachineState.UP)
+        assert cell.table.pending
+        assert cell.runner.reserved
+
+    async def test_ends_the_life_that_was_there_when_the_list_was_asked_for(
+        self,
+    ) -> None:
+        cell = _Cell()
+        cell.table.reserve(MACHINE, DutyKind.MOVE, "audit")
+        before_s = boot_s()
+        await cell.show(MachineState.MOVING)
+        ((runner_id, since_s),) = cell.over
+        assert runner_id == "i-1"
+        assert before_s <= since_s <= boot_s()
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -105,6 +105,7 @@
 class RunnerLink:
     """Holds one life of a runner until it is over.
 
+    :param held_since_s: when it was taken to be held, on the boot clock.
     :param heard_at_s: when it answered a call last, on the boot clock; 0: not yet.
     :param last_hold_at_s: when an earlier holder may have extended runs last; its
         deadlines end no later than ``most_hold_s`` after it.
@@ -124,6 +125,7 @@
         self.clock = RunnerClock()
         self.listed = listed
         self.over = False
+        self.held_since_s = boot_s()
         self.heard_at_s = 0.0
         self._client = client
         self._owner = owner
