Use no ticket of a runner's former life for the next one

Found by looking for the cause of lasting tasks that were left: a ticket holds for one life of a runner, and was kept by the id. Each start with it was refused by the next life, and its step had no other ticket for that runner until all of its tickets had run out. Tickets of a life that is over are dropped now, and their steps asked for anew.

--- a/src/streamthread/holder/advice.py
+++ b/src/streamthread/holder/advice.py
@@ -106,6 +106,12 @@
         if known is not None:
             known.tickets.pop(runner_id, None)
 
+    def forget_runner(self, runner_id: str) -> None:
+        """Ask anew for the steps with a ticket for a life of a runner that is over."""
+        for step, known in list(self._known.items()):
+            if known.tickets.pop(runner_id, None) is not None and not step.done:
+                self.want(step)
+
     async def run(self) -> None:
         """Ask for what is wanted until the cell is lost."""
         while True:
--- a/src/streamthread/holder/runner_desk.py
+++ b/src/streamthread/holder/runner_desk.py
@@ -39,6 +39,10 @@
     def may_extend_s(self, wanted_s: float) -> float:
         """Return for how long runs may be extended now; 0: not at all."""
 
+    @abstractmethod
+    def forget_tickets(self, runner_id: str) -> None:
+        """Use no ticket more for a life of a runner that is over."""
+
     @abstractmethod
     def is_aside(self, job_id: str) -> bool:
         """Whether a job is left alone since a row of it can't be read."""
@@ -86,6 +90,7 @@
     def _restart(self, link: RunnerLink, after: RunnerState, listed: bool) -> None:
         link.over = True
         self._engine.runner_restarted(link.runner, after)
+        self._owner.forget_tickets(after.runner_id)
         # An order with a deadline by the former life's clock may have come to this one.
         self._hold(after, boot_s(), listed)
         self._owner.kick()
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -323,6 +323,11 @@
             return ""
         return self.advice.ticket(attempt.task.step, attempt.runner_id)
 
+    def forget_tickets(self, runner_id: str) -> None:
+        """Use no ticket more for a life of a runner that is over."""
+        if self.advice is not None:
+            self.advice.forget_runner(runner_id)
+
     def on_bad_ticket(self, attempt: Attempt) -> None:
         """Learn that a runner has turned a ticket away."""
         if self.advice is not None:
--- a/src/streamthread/holder/tests/test_advice.py
+++ b/src/streamthread/holder/tests/test_advice.py
@@ -55,6 +55,34 @@
     return list(allowed)
 
 
+class TestRestartedRunner:
+    async def test_gets_no_start_with_a_ticket_of_its_former_life(self) -> None:
+        client = _Client()
+        desk, step, other = _desk(client), _step(), _step()
+        loop = asyncio.create_task(desk.run())
+        try:
+            assert await _until_allowed(desk, step) == ["i-1"]
+            assert await _until_allowed(desk, other) == ["i-1"]
+            desk.forget_runner("i-1")
+            assert desk.ticket(step, "i-1") == desk.ticket(other, "i-1") == ""
+            assert await _until_allowed(desk, step) == ["i-1"]
+            assert len(client.steps) >= 3
+        finally:
+            loop.cancel()
+
+    async def test_leaves_steps_alone_that_have_no_ticket_for_it(self) -> None:
+        client = _Client()
+        desk, step = _desk(client), _step()
+        loop = asyncio.create_task(desk.run())
+        try:
+            await _until_allowed(desk, step)
+            desk.forget_runner("i-2")
+            assert list(desk.allowed(step) or ()) == ["i-1"]
+            assert len(client.steps) == 1
+        finally:
+            loop.cancel()
+
+
 class TestAdvice:
     async def test_is_not_asked_where_any_runner_will_do(self) -> None:
         client = _Client()
