--- a/tests/model/test_stops.py
+++ b/tests/model/test_stops.py
@@ -7,6 +7,7 @@
 from hypothesis import HealthCheck
 from hypothesis import Phase
 from hypothesis import settings
+from hypothesis import strategies as st
 
 from .clock import virtual_time
 from .schedule import CANCELS_S
@@ -86,6 +87,33 @@
     play(schedule)
 
 
+def restarts(for_s: float, *more: Event) -> Schedule:
+    """Return two lasting tasks whose runner starts again under its id, twice."""
+    events = [
+        Event(Kind.REBOOT, None, 1.0, for_s, 0),
+        Event(Kind.REBOOT, None, 2.5, for_s, 0),
+    ]
+    schedule = plain(LONG_QUIET_S, events=[*events, *more], keeps_ids=True)
+    job = attrs.evolve(schedule.jobs[0], count=2)
+    return attrs.evolve(schedule, jobs=[job])
+
+
+RESTARTED_BEHIND_A_CUT = restarts(0.3, Event(Kind.UNREACHABLE, None, 0.3, 2.5, 0))
+RESTARTED_UNDER_THE_NEXT_HOLDER = restarts(0.3, Event(Kind.KILL, None, 1.0, 0.3, 0))
+
+
+@explored
+@given(schedules(REFUSALS, cancels_s=[LONG_QUIET_S], keeps_ids=st.just(True)))
+@example(restarts(0.01))
+@example(restarts(1.0))
+@example(RESTARTED_BEHIND_A_CUT)
+@example(RESTARTED_UNDER_THE_NEXT_HOLDER)
+def test_lasting_tasks_run_once_on_runners_that_keep_their_ids(
+    schedule: Schedule,
+) -> None:
+    play(schedule)
+
+
 @explored
 @given(schedules(REFUSALS, CRASHING_WORK, [LONG_QUIET_S]))
 def test_a_task_that_crashes_its_runners_is_given_up(schedule: Schedule) -> None:
