Let the soak's runners start again under their ids, and ask for lasting tasks

Runners crash and are back under their ids after 10 ms to 3 s, alone, in series, and while they are silent with their connections open; runners that a task has crashed keep their ids in half of the plans, and some runners never tell their birth, which get a new id with each life. Once nothing goes wrong, all tasks of lasting jobs that nobody has cancelled have to run within 15 s; nothing asked for that before. The faults are chosen behind all others, so that earlier seeds choose as they did.

--- a/src/streamthread/standins/cell/__init__.py
+++ b/src/streamthread/standins/cell/__init__.py
@@ -1,6 +1,7 @@
 """Small stand-ins of the users' platform: store, runners and cloud, with faults."""
 
 from .cloud import CloudStandin
+from .cloud import MachineStandin
 from .runner import RunnerStandin
 from .runner import StartedRun
 from .store import StoreFaults
@@ -10,6 +11,7 @@
 __all__ = [
     "CellWorld",
     "CloudStandin",
+    "MachineStandin",
     "RunnerStandin",
     "StartedRun",
     "StoreFaults",
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -131,7 +131,7 @@
     ) -> None:
         self._crashed = crashed
         self._clock_zero_s = clock_zero_s
-        self._says_born = says_born
+        self.says_born = says_born
         self.born_ms = int(time.time() * 1000)
         self.runner_id = runner_id
         self.service = service
@@ -174,7 +174,7 @@
         )
 
     def _birth(self) -> Json:
-        return {"born": self.born_ms} if self._says_born else {}
+        return {"born": self.born_ms} if self.says_born else {}
 
     def resize(self, cpu: int) -> None:
         """Let the room shrink or grow; what runs goes on."""
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -84,7 +84,8 @@
         self.crashed_runs.add(run)
         for machine in self.cloud.machines.values():
             if machine.runner is runner:
-                self.cloud.crash(machine, BACK_S, self.keeps_ids)
+                keep_id = self.keeps_ids and runner.says_born
+                self.cloud.crash(machine, BACK_S, keep_id)
 
     async def _make_runner(
         self, machine_id: str, pool: str, port: int = 0, runner_id: str = ""
@@ -101,7 +102,7 @@
             self._failures,
             self._on_crash,
             clock_zero_s=time.monotonic() if runner_id else 0.0,
-            says_born=self.says_born,
+            says_born=self.says_born or bool(runner_id),
         )
         await runner.port.open(port)
         self.runners.append(runner)
--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -25,6 +25,7 @@
     SoakPlan(4, seconds=6.0, writer=True),
     SoakPlan(5, seconds=6.0, runners=True),
     SoakPlan(6, seconds=6.0, accounts=True),
+    SoakPlan(7, seconds=6.0, stops=True, restarts=True),
 )
 REGRESSIONS: tuple[SoakPlan, ...] = (
     # The stand-in's runner told a lapse when it was next called, not when it was.
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -33,6 +33,7 @@
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
 from tools.soak_faults import Faults
+from tools.soak_restarts import RestartFaults
 from tools.soak_runners import RunnerFaults
 from tools.soak_stops import LastingJobs
 from tools.soak_stops import StopFaults
@@ -73,6 +74,7 @@
     :param writer: another writer in the store, likewise.
     :param runners: faults of runners and of daemons' machines, and demand that comes in
         turns, likewise.
+    :param restarts: runners start again under their ids, likewise.
     :param accounts: callers need keys, keys change, and an account has a limit,
         likewise.
     """
@@ -87,6 +89,7 @@
     writer: bool = False
     runners: bool = False
     accounts: bool = False
+    restarts: bool = False
 
 
 class Soak(SoakView):
@@ -114,6 +117,10 @@
         self._writer = ForeignWriter(self.world, writer, self.note)
         runners = random.Random(f"runners {plan.seed}")
         self._runner_faults = RunnerFaults(self, runners)
+        self._restarts: RestartFaults | None = None
+        if plan.restarts:
+            restarts = random.Random(f"restarts {plan.seed}")
+            self._restarts = RestartFaults(self, restarts)
         self._accounts: AccountCalls | None = None
         if plan.accounts:
             accounts = random.Random(f"accounts {plan.seed}")
@@ -133,6 +140,8 @@
             await asyncio.sleep(1.0)
             await self._play()
             await self._finish_faults()
+            if self._restarts is not None:
+                await self._restarts.check_lasting()
             await self._lasting.cancel_all(SETTLE_S)
             await self._settle()
             await self._check_configuration()
@@ -169,6 +178,9 @@
         if self._accounts is not None:
             until_s = time.monotonic() + self.plan.seconds
             parts.append(self._accounts.play(until_s))
+        if self._restarts is not None:
+            until_s = time.monotonic() + self.plan.seconds
+            parts.append(self._restarts.play(until_s))
         await asyncio.gather(*parts)
 
     def spawn(self, call: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
@@ -417,6 +429,7 @@
                     writer=True,
                     runners=True,
                     accounts=True,
+                    restarts=True,
                 )
                 broken, faults = await run_soak(plan, folder, arguments.daemon_path)
             print(json.dumps({"seed": seed, "broken": broken, "faults": faults}))
--- a/tools/soak_accounts.py
+++ b/tools/soak_accounts.py
@@ -14,7 +14,7 @@
 from tools.soak_daemon import Daemon
 from tools.soak_view import SoakView
 
-__all__ = ["AccountCalls", "account_of", "check_limits"]
+__all__ = ["LIMITS", "AccountCalls", "account_of", "check_limits"]
 
 PROBES_PER_S = 3.0
 """How often somebody asks for what is not theirs."""
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -51,6 +51,8 @@
 
     :param uncertain: a try got no answer, or one that says that it may be accepted.
     :param lasting: its tasks run until it is cancelled.
+    :param lasting_tasks: how many of them never end by themselves, and wait for no
+        limit of their account.
     :param crashing: one of its tasks crashes its runners, so that it may fail.
     :param cancel_sent: a cancel was sent, whether confirmed or not.
     :param cancelled_at_s: when a cancel was confirmed, on the monotonic clock.
@@ -63,6 +65,7 @@
     accepted: bool = False
     uncertain: bool = False
     lasting: bool = False
+    lasting_tasks: int = 0
     crashing: bool = False
     cancel_sent: bool = False
     cancelled_at_s: float | None = None
--- /dev/null
+++ b/tools/soak_restarts.py
@@ -0,0 +1,100 @@
+"""Faults of the soak in which runners start again under their ids."""
+
+import asyncio
+import random
+import time
+
+from streamthread.standins.cell import MachineStandin
+from streamthread.standins.cell import RunnerStandin
+from tools.soak_view import SoakView
+
+__all__ = ["RestartFaults"]
+
+FAULTS_PER_S = 0.8
+"""How often one of these faults begins."""
+
+MOST_IN_SERIES = 4
+"""So often at most one runner starts again before another one does."""
+
+LASTING_SOON_S = 15.0
+"""Once nothing goes wrong, all lasting tasks run after so long: what a silent runner
+may still hold lapses within 4.1 s, and what an earlier holder left there, within 4.2."""
+
+
+class RestartFaults:
+    """Runners that crash and are back under their ids, alone and in series."""
+
+    def __init__(self, soak: SoakView, choices: random.Random) -> None:
+        self._soak = soak
+        self._random = choices
+        self._soak.world.keeps_ids = choices.random() < 0.5
+
+    async def play(self, until_s: float) -> None:
+        """Begin faults until a time."""
+        kinds = [self._restart, self._restart_in_series, self._restart_while_silent]
+        while time.monotonic() < until_s:
+            await asyncio.sleep(self._random.expovariate(FAULTS_PER_S))
+            # Some runners never tell their birth; those get a new id with each life.
+            self._soak.world.says_born = self._random.random() < 0.8
+            kind = self._random.choice(kinds)
+            self._soak.spawn(kind(self._random.choice([0.01, 0.2, 1.0, 3.0])))
+
+    def _choose(self) -> MachineStandin | None:
+        machines = [
+            machine
+            for machine in self._soak.world.cloud.machines.values()
+            if machine.state == "up" and machine.runner is not None
+        ]
+        return self._random.choice(machines) if machines else None
+
+    async def _restart(self, for_s: float) -> None:
+        machine = self._choose()
+        if machine is not None:
+            self._begin(machine, for_s)
+
+    def _begin(self, machine: MachineStandin, for_s: float) -> None:
+        runner = machine.runner
+        if machine.state != "up" or runner is None or not runner.alive:
+            return
+        self._soak.note(f"restart {runner.runner_id}")
+        runner.kill()
+        keep_id = runner.says_born
+        self._soak.world.cloud.crash(machine, for_s, keep_id)
+
+    async def _restart_in_series(self, for_s: float) -> None:
+        machine = self._choose()
+        if machine is None:
+            return
+        for _ in range(self._random.randint(2, MOST_IN_SERIES)):
+            self._begin(machine, for_s / MOST_IN_SERIES)
+            await asyncio.sleep(for_s / MOST_IN_SERIES + self._random.uniform(0.0, 1.0))
+
+    async def _restart_while_silent(self, for_s: float) -> None:
+        """A runner falls silent with its connections open, and is another life then."""
+        machine = self._choose()
+        if machine is None or machine.runner is None:
+            return
+        runner: RunnerStandin = machine.runner
+        runner.faults.silent = True
+        await asyncio.sleep(self._random.uniform(0.1, 2.0))
+        if machine.runner is runner:
+            self._begin(machine, for_s)
+        runner.faults.silent = False
+
+    async def check_lasting(self) -> None:
+        """Wait until all tasks of lasting jobs run that nobody has cancelled."""
+        give_up_at_s = time.monotonic() + LASTING_SOON_S
+        while missing := self._missing():
+            if time.monotonic() > give_up_at_s:
+                self._soak.broken.append(f"LOST nothing runs of {sorted(missing)}")
+                return
+            await asyncio.sleep(0.1)
+
+    def _missing(self) -> set[str]:
+        wanted = {
+            f"{job.job_id}.0.0.{index}"
+            for job in self._soak.jobs.values()
+            if job.accepted and not job.cancel_sent
+            for index in range(job.lasting_tasks)
+        }
+        return wanted - set(self._soak.world.running())
--- a/tools/soak_stops.py
+++ b/tools/soak_stops.py
@@ -7,6 +7,8 @@
 import time
 
 from streamthread.standins.cell import RunnerStandin
+from tools.soak_accounts import account_of
+from tools.soak_accounts import LIMITS
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
 from tools.soak_view import SoakView
@@ -72,7 +74,10 @@
         job = SubmittedJob(job_id, self._random.choice(["desk", "audit"]), lasting=True)
         self._soak.jobs[job_id] = job
         cancel_at_s = time.monotonic() + self._random.expovariate(1 / LIFE_S)
-        await self._soak.submit(job, self._body(), self._any)
+        body, endless = self._body()
+        if not LIMITS.get(account_of(job_id)):
+            job.lasting_tasks = endless
+        await self._soak.submit(job, body, self._any)
         self._live[job_id] = job
         while time.monotonic() < min(cancel_at_s, until_s):
             await asyncio.sleep(0.02)
@@ -83,13 +88,16 @@
     def _any(self) -> Daemon:
         return self._random.choice(self._soak.daemons)
 
-    def _body(self) -> bytes:
+    def _body(self) -> tuple[bytes, int]:
+        """Return a job, and how many of its tasks never end by themselves."""
         # Lasting tasks that fail by themselves are started again.
         spec = self._random.choice([{"run_s": FOREVER_S}] * 3 + [{"run_s": 1.5}])
-        step = {"count": self._random.randint(1, 3), "cpu": 1500, "memMb": 100}
+        count = self._random.randint(1, 3)
+        step = {"count": count, "cpu": 1500, "memMb": 100}
         text = json.dumps({**spec, "fail": 1000})
         steps = [{**step, "longRunning": True}]
-        return json.dumps({"spec": text, "steps": steps}).encode()
+        body = json.dumps({"spec": text, "steps": steps}).encode()
+        return body, count if spec["run_s"] == FOREVER_S else 0
 
     async def _cancel(self, job: SubmittedJob) -> None:
         """Cancel a job at any daemon, a few times until it is confirmed."""
