--- a/tools/soak_restarts.py
+++ b/tools/soak_restarts.py
@@ -18,7 +18,7 @@
 
 LASTING_SOON_S = 15.0
 """Once nothing goes wrong, all lasting tasks run after so long: what a silent runner
-may still hold lapses within 4.1 s, and what an earlier holder left there, within 4.2."""
+may still hold lapses within 4.1 s, what an earlier holder left there within 4.2 s."""
 
 
 class RestartFaults:
