Lay one end of a runner at most to each of its runs

A runner started again four times in 1.7 s; two of its tasks had just been started at the first two ends, and both were laid to them. Their runs then waited for their stop on the next life, and the two ends that followed were laid to the same runs, which had started nowhere since: four ends in all, and the job was given up.

A run is blamed once: it goes with the life on which it was started, or is stopped.

--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -157,7 +157,8 @@
 
     @staticmethod
     def _may_be_at_fault(attempt: Attempt) -> bool:
-        over = attempt.task.step.occurrence.job.over
+        # A run that waits for its stop on the next life was not started there.
+        over = attempt.task.step.occurrence.job.over or attempt.blamed
         return not over and attempt.phase is not Phase.PLANNED
 
     def _blame(self, attempt: Attempt, exact: bool) -> None:
@@ -166,6 +167,7 @@
         :param exact: it is known that the run had just been started.
         """
         task = attempt.task
+        attempt.blamed = True
         task.crashes += 1
         task.on_trial = task.on_trial or exact or task.crashes > 1
         self._ledger.count("crashed")
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -106,6 +106,7 @@
         0: they do.
     :param unlisted_since_s: on the boot clock: since when its runner does not list
         it, though it is there for all that is known; 0: they do.
+    :param blamed: an end of its runner was laid to it.
     :param doubtful: its runner fell silent as it began, and has not been heard since.
     :param stop: of a run that is to be stopped, what has become of that.
     :param pace_percent: at what share of its speed it works; None: not known,
@@ -133,6 +134,7 @@
     pace_open_until_s: float = 0.0
     missing_since_ms: int = 0
     unlisted_since_s: float = 0.0
+    blamed: bool = False
     doubtful: bool = False
     stop: Stop | None = None
 
--- a/src/streamthread/scheduler/tests/test_restarts.py
+++ b/src/streamthread/scheduler/tests/test_restarts.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from streamthread.clocks import boot_s
 from streamthread.platform.manifest import Route
 from streamthread.platform.runners import HoldReply
 from streamthread.platform.runners import RunningTask
@@ -97,6 +98,19 @@
         assert not after.attempts
         assert all(task.wants_attempt for task in _tasks(cell.job))
 
+    def test_ends_are_laid_to_a_run_once(self, cell: _Cell) -> None:
+        """A run that waits for its stop has not started on the lives that follow."""
+        for attempt in cell.attempts:
+            attempt.phase = Phase.SENT
+            attempt.sent_at_s = boot_s()
+        life = cell.before
+        for number in range(1, 5):
+            after = _runner("i-1", BORN_MS + number)
+            cell.engine.runner_restarted(life, after)
+            life = after
+        assert [task.crashes for task in _tasks(cell.job)] == [1, 1, 1]
+        assert not cell.job.failed
+
     def test_is_asked_again_for_what_was_to_be_stopped(self, cell: _Cell) -> None:
         (attempt, *_) = cell.attempts
         attempt.phase = Phase.SENT
