Record for which life of its runner a run was meant

A recorded run named its runner's id alone, so that the next holder found the runner there, sent the start again, and crashed its next life; the first end was counted by nobody. Where the next life has a new id, the run is an orphan, and the end is laid to it.

The row of a run names the birth of the life as well. On another life the next holder lays that life's end to the run and has it stopped, since its start may have come to either; its task then waits as any other. Rows without a birth, and runners that never tell theirs, are taken as before; older daemons pass over the new field, which takes 14 bytes a run.

--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -92,6 +92,7 @@
 class _AttemptRow(msgspec.Struct, array_like=True):
     run: Count
     runner_id: str
+    born_ms: Count | None = None
 
 
 class _TaskRow(msgspec.Struct, array_like=True):
@@ -200,12 +201,17 @@
 
 
 def _encode_task(task: Task) -> list[Json]:
-    attempts = [[a.run, a.runner_id] for a in task.attempts]
+    attempts = [_encode_attempt(attempt) for attempt in task.attempts]
     row = [task.index, task.last_run, task.failures, task.checkpoint, attempts]
     # Left out where it is 0, as it is of nearly all tasks: 2 bytes of some 30 a task.
     return [*row, task.crashes] if task.crashes else row
 
 
+def _encode_attempt(attempt: Attempt) -> list[Json]:
+    row = [attempt.run, attempt.runner_id]
+    return row if attempt.born_ms is None else [*row, attempt.born_ms]
+
+
 def restore_progress(job: Job, value: bytes) -> None:
     """Bring a job to where its row says it was.
 
@@ -258,7 +264,15 @@
     task.crashes = row.crashes
     task.on_trial = row.crashes > 0
     task.attempts = [
-        Attempt(task, a.run, a.runner_id, Phase.SENT, read_back=True, pace_percent=None)
+        Attempt(
+            task,
+            a.run,
+            a.runner_id,
+            Phase.SENT,
+            a.born_ms,
+            read_back=True,
+            pace_percent=None,
+        )
         for a in row.attempts
     ]
     if task.state is TaskState.DONE or job_over:
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -110,12 +110,24 @@
     # Runners.
 
     def add_runner(self, runner: RunnerState) -> None:
-        """Take a new life of a runner, with what is recorded there."""
+        """Take a new life of a runner, with what is recorded there.
+
+        A run that an earlier holder recorded for another life of it has lost its
+        runner, or has come to this life after all: it is stopped, not started again.
+        """
         self.runners[runner.runner_id] = runner
+        given_up: list[Task] = []
         for job in self.open_jobs():
             for attempt in job.attempts():
-                if attempt.runner_id == runner.runner_id:
-                    runner.add(attempt.task.name, attempt)
+                if attempt.runner_id != runner.runner_id:
+                    continue
+                runner.add(attempt.task.name, attempt)
+                if attempt.is_of_other_life(runner.born_ms):
+                    given_up += self._crashes.settle_orphan(attempt)
+                    attempt.be_unconfirmed(runner.born_ms)
+                    self.stops.want_anew(attempt, "runner-restarted")
+        for task in given_up:
+            self._outcomes.give_up(task)
 
     def runner_over(self, runner_id: str, why: str) -> None:
         """A runner's life has surely ended: nothing runs there any more."""
@@ -162,7 +174,7 @@
         after.reserved, after.emptying = before.reserved, before.emptying
         self._lapse(lost, before)
         for attempt in left:
-            attempt.be_unconfirmed()
+            attempt.be_unconfirmed(after.born_ms)
             self.stops.want_anew(attempt, "runner-restarted")
         self.add_runner(after)
 
@@ -381,7 +393,7 @@
 
     def _plan(self, task: Task, runner: RunnerState, run: int) -> Attempt:
         task.last_run = run
-        attempt = Attempt(task, task.last_run, runner.runner_id)
+        attempt = Attempt(task, task.last_run, runner.runner_id, born_ms=runner.born_ms)
         self._ledger.plan(attempt, runner)
         if task.suspect:
             begin_trial(task, runner)
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -91,6 +91,8 @@
     """One run of one task on one runner.
 
     :param confirmed_clock_ms: the runner's clock when it said that the run is there.
+    :param born_ms: when the life of the runner began that it was meant for; None: not
+        told.
     :param read_back: an earlier holder recorded it.
     :param open_starts: how many orders to start it have no answer; each of them may
         still be carried out.
@@ -119,6 +121,7 @@
     run: int
     runner_id: str
     phase: Phase = Phase.PLANNED
+    born_ms: int | None = None
     read_back: bool = False
     confirmed_clock_ms: int = 0
     open_starts: int = 0
@@ -166,8 +169,16 @@
             return True
         return bool(self.seen_at_s) and not self.read_back and not self.open_starts
 
-    def be_unconfirmed(self) -> None:
-        """Forget what an earlier life of its runner said of it."""
+    def is_of_other_life(self, born_ms: int | None) -> bool:
+        """Whether it was meant for another life of its runner than this one."""
+        return None not in (born_ms, self.born_ms) and born_ms != self.born_ms
+
+    def be_unconfirmed(self, born_ms: int | None) -> None:
+        """Forget what an earlier life of its runner said of it.
+
+        :param born_ms: when the life began that is asked for it from now on.
+        """
+        self.born_ms = born_ms
         self.confirmed_clock_ms = 0
         self.began_at_s = 0.0
         self.first_seen_at_s = self.seen_at_s = self.moved_on_at_s = 0.0
--- a/src/streamthread/scheduler/tests/test_restarts.py
+++ b/src/streamthread/scheduler/tests/test_restarts.py
@@ -9,9 +9,13 @@
 from streamthread.platform.runners import HoldReply
 from streamthread.platform.runners import RunningTask
 from streamthread.scheduler import Attempt
+from streamthread.scheduler import decode_row
+from streamthread.scheduler import encode_definition
+from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
 from streamthread.scheduler import Phase
+from streamthread.scheduler import restore_progress
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.model import new_job
 from streamthread.scheduler.placement import is_avoided
@@ -156,6 +160,48 @@
         assert after.is_next_life(BORN_MS + 2)
 
 
+class TestRecordedRuns:
+    """What the next holder reads of runs on a runner that has started again."""
+
+    def _read(self, cell: _Cell, born_ms: int | None) -> tuple[Engine, Job]:
+        """Return the next holder's job, with a runner whose life began then."""
+        engine = Engine(lambda job: None)
+        job = decode_row(cell.job.job_id, encode_definition(cell.job))
+        restore_progress(job, encode_progress(cell.job))
+        engine.add(job)
+        runner = _runner("i-1")
+        runner.born_ms = born_ms
+        engine.add_runner(runner)
+        return engine, job
+
+    def test_are_started_again_on_the_life_they_were_meant_for(
+        self, cell: _Cell
+    ) -> None:
+        engine, job = self._read(cell, BORN_MS)
+        assert not engine.take_stops()
+        assert all(attempt.phase is Phase.SENT for attempt in job.attempts())
+        assert all(task.crashes == 0 for task in _tasks(job))
+
+    def test_are_stopped_on_another_one_and_its_end_is_laid_to_them(
+        self, cell: _Cell
+    ) -> None:
+        engine, job = self._read(cell, BORN_MS + 1)
+        assert engine.take_stops() == list(job.attempts())
+        assert [task.crashes for task in _tasks(job)] == [1, 1, 1]
+
+    @pytest.mark.parametrize("told", ["by the row", "by the runner"])
+    def test_are_taken_as_they_are_where_no_birth_is_told(
+        self, cell: _Cell, told: str
+    ) -> None:
+        """Rows of older daemons name none, and some runners never do."""
+        if told == "by the runner":
+            for attempt in cell.attempts:
+                attempt.born_ms = None
+        engine, job = self._read(cell, None if told == "by the row" else BORN_MS)
+        assert not engine.take_stops()
+        assert all(task.crashes == 0 for task in _tasks(job))
+
+
 def _tasks(job: Job):
     return [
         task
--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -41,6 +41,11 @@
     # A holder whose machine was suspended took jobs back when it woke, which another
     # daemon had accepted and left in the inbox meanwhile.
     SoakPlan(52001, stops=True, writer=True, runners=True),
+    # The next holder started a run again on the next life of a runner that the run had
+    # crashed, and neither of them counted that.
+    SoakPlan(
+        70009, stops=True, writer=True, runners=True, accounts=True, restarts=True
+    ),
     # Each restart of a series was laid to runs that waited for their stop meanwhile.
     SoakPlan(
         70012, stops=True, writer=True, runners=True, accounts=True, restarts=True
