Wait out what a former life's clock may have held on the next one

The runner cuts it to the longest hold that it accepts, which may be longer than what the holder ever asks for (10 s beside 6 s): a runner that fell silent right after its restart counted as lapsed 4 s too early, and its tasks could have run twice. The longest hold is a setting of its own now, and the link of a next life counts with it.

--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -85,7 +85,10 @@
 
 def cell_settings(node: NodeSettings) -> CellSettings:
     """Return the figures of a cell under the platform's bounds."""
-    links = LinkSettings(most_hold_s=min(node.bounds.most_hold_s, MOST_HELD_S))
+    cut_hold_s = node.bounds.most_hold_s
+    links = LinkSettings(
+        most_hold_s=min(cut_hold_s, MOST_HELD_S), cut_hold_s=cut_hold_s
+    )
     if links.hold_s > links.most_hold_s:
         links = attrs.evolve(links, hold_s=links.most_hold_s)
     early_s = node.bounds.early_s * EARLY_SHARE
--- a/src/streamthread/holder/runner_desk.py
+++ b/src/streamthread/holder/runner_desk.py
@@ -92,7 +92,8 @@
         self._engine.runner_restarted(link.runner, after)
         self._owner.forget_tickets(after.runner_id)
         # An order with a deadline by the former life's clock may have come to this one.
-        self._hold(after, boot_s(), listed)
+        other_clock_s = self._owner.context.settings.links.other_clock_s
+        self._hold(after, boot_s() + other_clock_s, listed)
         self._owner.kick()
 
     def _hold(
--- /dev/null
+++ b/src/streamthread/holder/tests/test_runner_desk.py
@@ -0,0 +1,88 @@
+"""What the desk keeps of a runner that starts again under its id."""
+
+import types
+import typing as t
+
+import pytest
+
+from streamthread.clocks import boot_s
+from streamthread.clocks import SLOWEST_CLOCK
+from streamthread.holder.runner_desk import RunnerDesk
+from streamthread.platform.documents import RunnerEntry
+from streamthread.runners import LinkSettings
+from streamthread.runners import RunnerLink
+from streamthread.scheduler import Engine
+
+LINKS = LinkSettings(most_hold_s=6.0, cut_hold_s=10.0)
+BORN_MS = 1_700_000_000_000
+
+
+def _entry(cpu: int, born_ms: int) -> RunnerEntry:
+    return RunnerEntry(
+        "i-1", "desk", "x:1", "z", False, ("a", "r"), cpu, 100, 0, "m-1", born_ms
+    )
+
+
+class _Owner:
+    """The holder, as its runners' desk sees it; what it is to run is not begun."""
+
+    token = 1
+
+    def __init__(self) -> None:
+        self.engine = Engine(lambda job: None)
+        self.links: dict[str, RunnerLink] = {}
+        self.taken = types.SimpleNamespace(last_hold_at_s=0.0)
+        self.context = types.SimpleNamespace(
+            runners=None, settings=types.SimpleNamespace(links=LINKS), failures=None
+        )
+        self.sender = None
+        self.without_tickets: list[str] = []
+
+    def spawn(self, call: t.Any) -> None:
+        call.close()
+
+    def kick(self) -> None:
+        pass
+
+    def forget_tickets(self, runner_id: str) -> None:
+        self.without_tickets.append(runner_id)
+
+
+@pytest.fixture
+def owner() -> _Owner:
+    return _Owner()
+
+
+@pytest.fixture
+def desk(owner: _Owner) -> RunnerDesk:
+    desk = RunnerDesk(t.cast(t.Any, owner))
+    desk.add_runner(_entry(cpu=1_000, born_ms=BORN_MS))
+    return desk
+
+
+class TestRestartedRunner:
+    def test_begins_anew_with_its_entry(self, owner: _Owner, desk: RunnerDesk) -> None:
+        before = owner.links["i-1"]
+        desk.restart_runner(before, _entry(cpu=500, born_ms=BORN_MS + 1))
+        after = owner.links["i-1"]
+        assert before.over and after is not before
+        assert after.listed
+        assert owner.engine.runners["i-1"] is after.runner
+        assert (after.runner.cpu, after.runner.born_ms) == (500, BORN_MS + 1)
+        assert owner.without_tickets == ["i-1"]
+
+    def test_gets_nothing_before_its_entry_is_known(
+        self, owner: _Owner, desk: RunnerDesk
+    ) -> None:
+        desk.on_restarted(owner.links["i-1"], BORN_MS + 1)
+        assert not owner.links["i-1"].listed
+        assert not owner.links["i-1"].runner.usable()
+
+    def test_may_be_held_by_the_former_clock_for_as_long_as_it_lets_itself(
+        self, owner: _Owner, desk: RunnerDesk
+    ) -> None:
+        now_s = boot_s()
+        desk.on_restarted(owner.links["i-1"], BORN_MS + 1)
+        link = owner.links["i-1"]
+        lapsed_at_s = link._last_hold_at_s + LINKS.lapse_bound_s
+        assert lapsed_at_s >= now_s + LINKS.cut_hold_s / SLOWEST_CLOCK
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -37,7 +37,8 @@
 
     :param hold_s: how long one call extends what runs there; what is out of
         reach can run elsewhere after this time.
-    :param most_hold_s: the longest that runners accept.
+    :param most_hold_s: the longest that runners are asked to be held.
+    :param cut_hold_s: runners cut holds that are longer to this.
     :param wait_s: how long a runner may wait for an end before it answers.
     :param idle_wait_s: the same for a runner that has nothing to end. A start that is
         sent meanwhile holds for ``start_within_s``, a second longer.
@@ -48,12 +49,22 @@
 
     hold_s: float = 3.2
     most_hold_s: float = 10.0
+    cut_hold_s: float = 10.0
     wait_s: float = 0.8
     idle_wait_s: float = 1.5
     answer_s: float = 0.7
     start_within_s: float = 2.5
     retry_s: float = 0.1
 
+    @property
+    def other_clock_s(self) -> float:
+        """So much longer than asked for, a deadline by another clock may hold runs.
+
+        An order that was reckoned by a former life's clock, and comes to the next one,
+        may lie far ahead there; the runner cuts it.
+        """
+        return max(0.0, self.cut_hold_s - self.most_hold_s) / SLOWEST_CLOCK
+
     @property
     def lapse_bound_s(self) -> float:
         """So long after an earlier holder's last order, what it held has lapsed.
