--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -107,7 +107,8 @@
     :param missing_since_ms: on the runner's clock: since when its lists do not show it;
         0: they do.
     :param unlisted_since_s: on the boot clock: since when its runner does not list
-        it, though it is there for all that is known; 0: they do.
+        it, though it is there for all that is known; 0: it does.
+    :param unlisted_told: that was logged.
     :param blamed: an end of its runner was laid to it.
     :param doubtful: its runner fell silent as it began, and has not been heard since.
     :param stop: of a run that is to be stopped, what has become of that.
@@ -137,6 +138,7 @@
     pace_open_until_s: float = 0.0
     missing_since_ms: int = 0
     unlisted_since_s: float = 0.0
+    unlisted_told: bool = False
     blamed: bool = False
     doubtful: bool = False
     stop: Stop | None = None
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -1,6 +1,7 @@
 """What runners say of their runs, and what follows for tasks and jobs."""
 
 import time
+import typing as t
 
 import attrs
 import logbook
@@ -128,23 +129,29 @@
             return
         known_ms = attempt.confirmed_clock_ms
         if not known_ms or clock_ms <= known_ms + self._settings.list_slack_ms:
-            _note_unlisted(attempt, clock_ms)
+            self._note_unlisted(attempt, clock_ms)
             return
         if self._may_be_stopping(attempt, clock_ms):
             return
         log.warning(
             "run-vanished",
-            extra={
-                "task": attempt.task.name,
-                "run": attempt.run,
-                "runner": runner.runner_id,
-                "phase": attempt.phase.value,
-                "clock_ms": clock_ms,
-                "confirmed_clock_ms": known_ms,
-            },
+            extra=_describe_missing(attempt, clock_ms),
         )
         self._ledger.lapse(attempt, runner)
 
+    def _note_unlisted(self, attempt: Attempt, clock_ms: int) -> None:
+        """Tell once of a run that is left though its runner has not listed it for long.
+
+        For a moment this is usual: a list may be older than the run's confirmation.
+        """
+        now_s = boot_s()
+        attempt.unlisted_since_s = attempt.unlisted_since_s or now_s
+        since_s = attempt.unlisted_since_s
+        if attempt.unlisted_told or now_s - since_s < self._settings.unlisted_s:
+            return
+        attempt.unlisted_told = True
+        log.warning("run-unlisted", extra=_describe_missing(attempt, clock_ms))
+
     def _may_be_stopping(self, attempt: Attempt, clock_ms: int) -> bool:
         """Whether a run that is to be stopped may still take its room, unlisted.
 
@@ -269,22 +276,16 @@
             runner.penalty_until_s = now_s + self._settings.penalty_s
 
 
-def _note_unlisted(attempt: Attempt, clock_ms: int) -> None:
-    """Note that a run is in no list, and that the list is not newer than the run."""
-    if attempt.unlisted_since_s:
-        return
-    attempt.unlisted_since_s = boot_s()
-    log.info(
-        "run-unlisted",
-        extra={
-            "task": attempt.task.name,
-            "run": attempt.run,
-            "runner": attempt.runner_id,
-            "phase": attempt.phase.value,
-            "clock_ms": clock_ms,
-            "confirmed_clock_ms": attempt.confirmed_clock_ms,
-        },
-    )
+def _describe_missing(attempt: Attempt, clock_ms: int) -> dict[str, t.Any]:
+    """Return what the logs tell of a run that is in none of its runner's lists."""
+    return {
+        "task": attempt.task.name,
+        "run": attempt.run,
+        "runner": attempt.runner_id,
+        "phase": attempt.phase.value,
+        "clock_ms": clock_ms,
+        "confirmed_clock_ms": attempt.confirmed_clock_ms,
+    }
 
 
 def _tell_not_done(attempt: Attempt, ended: EndedRun) -> None:
