Let the engine's property test restart runners; read the change once more

The stateful test of the engine sends and confirms starts, and lets a runner start again under its id, also while nobody holds the cell: one attempt a task, room that adds up and steps in order hold through it. Found by reading the change as a newcomer: the next life's runs are at hand, so that no scan of all jobs is needed for a restart; what takes listed runners is an abstract base class, as the house has it; one way out of the loop that sends starts.

--- a/src/streamthread/holder/listing.py
+++ b/src/streamthread/holder/listing.py
@@ -1,7 +1,8 @@
 """Follows the list of runners that the platform keeps in the store."""
 
 import asyncio
-import typing as t
+from abc import ABC
+from abc import abstractmethod
 
 import logbook
 
@@ -20,7 +21,7 @@
 from ..unreadable import UnreadableNotes
 from .context import ManifestSource
 
-__all__ = ["RunnerListing"]
+__all__ = ["ListedRunners", "RunnerListing"]
 
 log = logbook.Logger("streamthread.holder")
 
@@ -33,12 +34,14 @@
 their runners live; what is missing then is gone (the users' pages)."""
 
 
-class ListedRunners(t.Protocol):
+class ListedRunners(ABC):
     """Holds the runners that are listed."""
 
+    @abstractmethod
     def add_runner(self, entry: RunnerEntry) -> None:
         """Take a runner that the list shows; it is held from now on."""
 
+    @abstractmethod
     def restart_runner(self, link: RunnerLink, entry: RunnerEntry) -> None:
         """Take the entry of the life that follows the one which is held."""
 
--- a/src/streamthread/holder/runner_desk.py
+++ b/src/streamthread/holder/runner_desk.py
@@ -17,6 +17,7 @@
 from ..scheduler.model import job_id_of_task
 from ..scheduler.orders import OrderSender
 from ..sharing import plan_paces
+from .listing import ListedRunners
 from .owner import DutyOwner
 from .queue import QueueLoop
 
@@ -52,7 +53,7 @@
         """Learn that a runner has seen a higher fencing token."""
 
 
-class RunnerDesk(LinkOwner):
+class RunnerDesk(LinkOwner, ListedRunners):
     """Keeps a link to each listed runner, and takes what the links tell."""
 
     def __init__(self, owner: RunnerDeskOwner) -> None:
--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -269,7 +269,7 @@
             a.run,
             a.runner_id,
             Phase.SENT,
-            a.born_ms,
+            born_ms=a.born_ms,
             read_back=True,
             pace_percent=None,
         )
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -121,14 +121,20 @@
             for attempt in job.attempts():
                 if attempt.runner_id != runner.runner_id:
                     continue
-                runner.add(attempt.task.name, attempt)
                 if attempt.is_of_other_life(runner.born_ms):
                     given_up += self._crashes.settle_orphan(attempt)
-                    attempt.be_unconfirmed(runner.born_ms)
-                    self.stops.want_anew(attempt, "runner-restarted")
+                    self._stop_on_next_life(attempt, runner)
+                else:
+                    runner.add(attempt.task.name, attempt)
         for task in given_up:
             self._outcomes.give_up(task)
 
+    def _stop_on_next_life(self, attempt: Attempt, runner: RunnerState) -> None:
+        """Have a run stopped whose start may have come to this life of its runner."""
+        attempt.be_unconfirmed(runner.born_ms)
+        runner.add(attempt.task.name, attempt)
+        self.stops.want_anew(attempt, "runner-restarted")
+
     def runner_over(self, runner_id: str, why: str) -> None:
         """A runner's life has surely ended: nothing runs there any more."""
         runner = self.runners.pop(runner_id, None)
@@ -173,10 +179,9 @@
             after.earlier_born_ms |= {before.born_ms}
         after.reserved, after.emptying = before.reserved, before.emptying
         self._lapse(lost, before)
+        self.runners[after.runner_id] = after
         for attempt in left:
-            attempt.be_unconfirmed(after.born_ms)
-            self.stops.want_anew(attempt, "runner-restarted")
-        self.add_runner(after)
+            self._stop_on_next_life(attempt, after)
 
     def attempts_lapsed(self, runner_id: str, why: str) -> None:
         """All that ran on a runner has surely lapsed; the runner may live."""
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -130,8 +130,8 @@
                 reply = None
                 self._on_unanswered(attempt, link, sent_at_s)
             if link.over:
-                # The answer may be one of the life before.
-                continue
+                # Either life of the runner may have answered.
+                reply = None
             if reply is not None and self._take_answer(attempt, link, reply, uncertain):
                 return
             await asyncio.sleep(self._settings.retry_s)
--- a/src/streamthread/scheduler/tests/test_engine.py
+++ b/src/streamthread/scheduler/tests/test_engine.py
@@ -10,6 +10,7 @@
 from hypothesis.stateful import rule
 from hypothesis.stateful import RuleBasedStateMachine
 
+from streamthread.clocks import boot_s
 from streamthread.platform.callers import JobRequest
 from streamthread.platform.callers import StepRequest
 from streamthread.platform.runners import EndedRun
@@ -54,12 +55,14 @@
             self.new_runner()
 
     def new_runner(self) -> None:
+        self.engine.add_runner(self.new_life(f"i-{self.lives + 1}"))
+
+    def new_life(self, runner_id: str) -> RunnerState:
         self.lives += 1
-        runner = RunnerState(
-            f"i-{self.lives}", "desk", "x:1", "z", ("a", "r"), 4000, 100, 0
-        )
+        runner = RunnerState(runner_id, "desk", "x:1", "z", ("a", "r"), 4000, 100, 0)
         runner.ready = True
-        self.engine.add_runner(runner)
+        runner.born_ms = self.lives
+        return runner
 
     def attempts(self) -> list[Attempt]:
         return [
@@ -98,6 +101,30 @@
         self.engine.runner_over(lost, "test")
         self.new_runner()
 
+    @rule(data=st.data())
+    def send(self, data: t.Any) -> None:
+        """A start is sent, and answered or not; a list shows the run or not yet."""
+        planned = [a for a in self.attempts() if a.phase is Phase.PLANNED]
+        if not planned:
+            return
+        attempt = data.draw(st.sampled_from(planned))
+        attempt.phase = Phase.SENT
+        attempt.open_starts = data.draw(st.integers(0, 1))
+        if data.draw(st.booleans()):
+            self.engine.confirm(attempt, data.draw(st.integers(1, 100)))
+        if data.draw(st.booleans()):
+            attempt.note_progress(1.0, boot_s())
+
+    @rule(data=st.data())
+    def restart_runner(self, data: t.Any) -> None:
+        """The next life lists nothing; what may have come to it is to be stopped."""
+        runner_id = data.draw(st.sampled_from(sorted(self.engine.runners)))
+        before, after = self.engine.runners[runner_id], self.new_life(runner_id)
+        certain = [a for a in before.attempts.values() if a.dies_with_life]
+        self.engine.runner_restarted(before, after)
+        assert not any(attempt in attempt.task.attempts for attempt in certain)
+        assert all(a.phase is Phase.STOPPING for a in after.attempts.values())
+
     @rule()
     def cancel(self) -> None:
         if self.ended > 6:
@@ -112,14 +139,14 @@
             restore_progress(job, encode_progress(self.job))
         assert job.state is self.job.state
         assert job.ended_at_s == self.job.ended_at_s
-        runners = list(self.engine.runners)
+        runners = list(self.engine.runners.values())
         engine = Engine(lambda job: None)
         engine.add(job)
-        for runner_id in runners:
-            runner = RunnerState(
-                runner_id, "desk", "x:1", "z", ("a", "r"), 4000, 100, 0
-            )
-            runner.ready = True
+        for before in runners:
+            runner = self.new_life(before.runner_id)
+            # One of them has started again while nobody held it.
+            if self.lives % 2:
+                runner.born_ms = before.born_ms
             engine.add_runner(runner)
         engine.begin_due(time.time())
         self.engine, self.job = engine, job
