--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -9,6 +9,7 @@
 NO_JOB = "tests/cell/test_cancels_without_job.py"
 LISTING_TESTS = "src/streamthread/holder/tests/test_listing.py"
 LISTING = f"{LISTING_TESTS}::TestForeignEntries"
+RESTARTS = "src/streamthread/scheduler/tests/test_restarts.py"
 REQUESTS = "tests/integration/test_requests.py"
 
 
@@ -441,13 +442,34 @@
         "        if not self.silent:\n",
         ("src/streamthread/runners/tests/test_restarts.py::TestConfirmations",),
     ),
+    Guard(
+        "runs-are-blamed-once",
+        "scheduler/crashes.py",
+        "        over = attempt.task.step.occurrence.job.over or attempt.blamed\n",
+        "        over = attempt.task.step.occurrence.job.over\n",
+        (RESTARTS,),
+    ),
+    Guard(
+        "recorded-runs-name-their-life",
+        "scheduler/engine.py",
+        "                if attempt.is_of_other_life(runner.born_ms):\n",
+        "                if False:\n",
+        (f"{RESTARTS}::TestRecordedRuns",),
+    ),
+    Guard(
+        "suspects-go-elsewhere",
+        "scheduler/placement.py",
+        "        unsound = unsound or runner.place in task.crashed_at\n",
+        "",
+        (RESTARTS,),
+    ),
     Guard(
         "open-starts-are-stopped",
         "scheduler/model.py",
         "        return bool(self.seen_at_s) and not self.read_back"
         " and not self.open_starts\n",
         "        return True\n",
-        ("src/streamthread/scheduler/tests/test_restarts.py",),
+        (RESTARTS,),
     ),
     Guard(
         "stopping-runs-take-room",
