Count the end of a runner once over all holders

Cause: that an end was laid to a run was kept in memory alone. A run whose start may have come to the next life of its runner waits there for its stop, so that its row stays; the next holder found it on a runner that had started again since, and laid the same end, or one of the series of restarts after it, to the run once more.

Ruled out: ends that the first holder had not recorded (crashes was 2, so its count had been read back).

The row of a run says that an end was laid to it, in a field that older daemons pass over, and is written when it is laid. Such a run comes back as to be stopped, not as to be started: a start on the following life would have counted against nobody.

The three tests failed before (crashes 2 to 5 instead of 1, no row written, a start).

--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -33,8 +33,8 @@
 Json = t.Any
 
 READ_BACK = "read-back"
-"""Why a run is to be stopped that an earlier holder left: its job is over, or its task
-is done."""
+"""Why a run is to be stopped that an earlier holder left: its job is over, its task is
+done, or the life of its runner has ended."""
 
 
 def encode_definition(job: Job) -> bytes:
@@ -93,6 +93,7 @@
     run: Count
     runner_id: str
     born_ms: Count | None = None
+    blamed: bool = False
 
 
 class _TaskRow(msgspec.Struct, array_like=True):
@@ -208,7 +209,9 @@
 
 
 def _encode_attempt(attempt: Attempt) -> list[Json]:
-    row = [attempt.run, attempt.runner_id]
+    row: list[Json] = [attempt.run, attempt.runner_id]
+    if attempt.blamed:
+        return [*row, attempt.born_ms, True]
     return row if attempt.born_ms is None else [*row, attempt.born_ms]
 
 
@@ -216,9 +219,9 @@
     """Bring a job to where its row says it was.
 
     Attempts that were recorded may or may not have been sent: they come back as
-    sent, and the runner is asked. Those of a job that is over, or of a task that is
-    done, come back as to be stopped: nobody may start them any more, and the stop that
-    the holder before sent may not have come.
+    sent, and the runner is asked. Those of a job that is over, of a task that is
+    done, or that lost their runner come back as to be stopped: nobody may start them
+    any more, and the stop that the holder before sent may not have come.
 
     :raises UnreadableError: the row can't be read, or is not of this job.
     """
@@ -271,12 +274,13 @@
             Phase.SENT,
             born_ms=a.born_ms,
             read_back=True,
+            blamed=a.blamed,
             pace_percent=None,
         )
         for a in row.attempts
     ]
-    if task.state is TaskState.DONE or job_over:
-        for attempt in task.attempts:
+    for attempt in task.attempts:
+        if attempt.blamed or task.state is TaskState.DONE or job_over:
             attempt.be_stopped(READ_BACK)
     if task.attempts and task.state is TaskState.WAITING:
         task.state = TaskState.PLACED
--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -170,6 +170,8 @@
         attempt.blamed = True
         task.crashes += 1
         task.on_trial = task.on_trial or exact or task.crashes > 1
+        # The next holder must not count this end again.
+        self._ledger.changed(task.step.occurrence.job)
         self._ledger.count("crashed")
         log.info(
             "run-crashed",
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -109,7 +109,7 @@
     :param unlisted_since_s: on the boot clock: since when its runner does not list
         it, though it is there for all that is known; 0: it does.
     :param unlisted_told: that was logged.
-    :param blamed: an end of its runner was laid to it.
+    :param blamed: an end of its runner was laid to it; recorded with it.
     :param doubtful: its runner fell silent as it began, and has not been heard since.
     :param stop: of a run that is to be stopped, what has become of that.
     :param pace_percent: at what share of its speed it works; None: not known,
--- a/src/streamthread/scheduler/tests/test_restarts.py
+++ b/src/streamthread/scheduler/tests/test_restarts.py
@@ -189,6 +189,38 @@
         assert engine.take_stops() == list(job.attempts())
         assert [task.crashes for task in _tasks(job)] == [1, 1, 1]
 
+    def test_have_an_end_laid_to_them_by_one_holder_alone(self, cell: _Cell) -> None:
+        """Guards against jobs that are given up for one end that each holder counts."""
+        for attempt in cell.attempts:
+            attempt.phase = Phase.SENT
+            attempt.sent_at_s = boot_s()
+        cell.engine.runner_restarted(cell.before, _runner("i-1", BORN_MS + 1))
+        for number in range(2, 6):
+            cell.engine, cell.job = self._read(cell, BORN_MS + number)
+            assert [task.crashes for task in _tasks(cell.job)] == [1, 1, 1]
+
+    def test_are_not_started_on_the_life_that_followed_their_own(
+        self, cell: _Cell
+    ) -> None:
+        """Guards against a start that no end of its runner would count against."""
+        for attempt in cell.attempts:
+            attempt.phase = Phase.SENT
+            attempt.sent_at_s = boot_s()
+        cell.engine.runner_restarted(cell.before, _runner("i-1", BORN_MS + 1))
+        _, job = self._read(cell, BORN_MS + 1)
+        assert all(attempt.phase is Phase.STOPPING for attempt in job.attempts())
+
+    def test_name_an_end_as_soon_as_it_is_laid_to_them(self, cell: _Cell) -> None:
+        """Guards against an end that the next holder finds in no row."""
+        changed: list[Job] = []
+        engine = Engine(changed.append)
+        job = decode_row(cell.job.job_id, encode_definition(cell.job))
+        restore_progress(job, encode_progress(cell.job))
+        engine.add(job)
+        engine.add_runner(_runner("i-1", BORN_MS + 1))
+        assert [task.crashes for task in _tasks(job)] == [1, 1, 1]
+        assert job in changed
+
     @pytest.mark.parametrize("told", ["by the row", "by the runner"])
     def test_are_taken_as_they_are_where_no_birth_is_told(
         self, cell: _Cell, told: str
