Tell how long a runner lived on after the starts that its end is laid to

The log could not tell such an end from one that the start brought about: it said only that both lay within 0.5 s.

`run-crashed` names now how long after the start the runner fell silent, and for how long it surely lived on after the run was there, by its own clock: from the first answer that shows the run to the last one of that life. Whatever is late in the holder adds nothing to that. A run on trial is looked at once more 0.06 s after its start, since the next list comes only after up to 0.8 s.

--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -203,7 +203,7 @@
             return
         deadline_ms = self.clock.deadline_ms(boot_s(), extend_s)
         try:
-            await self._client.hold(
+            reply = await self._client.hold(
                 self.runner.address,
                 self.runner.runner_id,
                 self._owner.token,
@@ -218,6 +218,9 @@
                 "extension-unanswered",
                 extra={"runner": self.runner.runner_id, "error": str(error)},
             )
+            return
+        if isinstance(reply, HoldReply) and not self.runner.is_next_life(reply.born_ms):
+            self.runner.on_clock(reply.clock_ms)
 
     async def _on_reply(self, reply: HoldReply) -> None:
         now_s = boot_s()
--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -126,14 +126,14 @@
         alone = len({id(a.task.step.occurrence.job) for a in blamed}) == 1
         for attempt in blamed:
             runner.blamed.append(attempt.task)
-            self._blame(attempt, exact)
+            self._blame(attempt, exact, runner)
         return [a.task for a in blamed if self._is_proven(a.task, exact and alone)]
 
     def settle_orphan(self, attempt: Attempt) -> list[Task]:
         """Do the same for a run on a runner that was gone before this holder came."""
         if not self._may_be_at_fault(attempt):
             return []
-        self._blame(attempt, exact=False)
+        self._blame(attempt, exact=False, runner=None)
         return [attempt.task] if self._is_proven(attempt.task, alone=False) else []
 
     def _candidates(
@@ -161,10 +161,11 @@
         over = attempt.task.step.occurrence.job.over or attempt.blamed
         return not over and attempt.phase is not Phase.PLANNED
 
-    def _blame(self, attempt: Attempt, exact: bool) -> None:
+    def _blame(self, attempt: Attempt, exact: bool, runner: RunnerState | None) -> None:
         """Count an end against a task, and have it run apart where that is telling.
 
         :param exact: it is known that the run had just been started.
+        :param runner: what has ended; None: not known here.
         """
         task = attempt.task
         attempt.blamed = True
@@ -181,6 +182,8 @@
                 "runner": attempt.runner_id,
                 "crashes": task.crashes,
                 "just_started": exact,
+                "silent_s_after": _silent_s_after(attempt, runner),
+                "outlived_ms": runner.outlived_ms(attempt) if runner else None,
             },
         )
 
@@ -188,3 +191,10 @@
         if alone and task.crashes >= self._settings.crashes_alone:
             return True
         return task.crashes >= self._settings.most_crashes
+
+
+def _silent_s_after(attempt: Attempt, runner: RunnerState | None) -> float | None:
+    """Return how long after its start was sent the runner of a run fell silent."""
+    if runner is None or runner.silent_at_s is None or not attempt.sent_at_s:
+        return None
+    return round(runner.silent_at_s - attempt.sent_at_s, 3)
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -23,6 +23,7 @@
         runs there.
     :param reserved: a move or an upkeep was ordered for its machine.
     :param emptying: it is to be emptied, so that its machine can go into upkeep.
+    :param clock_ms: the latest time on its clock that an answer of it told; 0: none.
     :param silent_at_s: on the boot clock: since when it has not answered; None: it
         answers.
     :param hung: it fell silent with its connections open: since when is not known.
@@ -53,6 +54,7 @@
     heard: bool = False
     reserved: bool = False
     emptying: bool = False
+    clock_ms: int = 0
     silent_at_s: float | None = None
     hung: bool = False
     blamed: list[Task] = attrs.field(factory=list)
@@ -146,6 +148,17 @@
         self.machine_id = entry.machine_id or self.machine_id
         return before != (self.cpu, self.memory_mb, self.gpu)
 
+    def on_clock(self, clock_ms: int) -> None:
+        """Note its clock at an answer; answers may come out of order."""
+        self.clock_ms = max(self.clock_ms, clock_ms)
+
+    def outlived_ms(self, attempt: Attempt) -> int | None:
+        """Return for how long it surely lived on after a run was there, by its clock.
+
+        None: it never said that the run is there.
+        """
+        return self.clock_ms - attempt.there_ms if attempt.there_ms else None
+
     def add(self, name: str, attempt: Attempt) -> None:
         """Take room for an attempt."""
         self.attempts[name, attempt.run] = attempt
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -91,6 +91,7 @@
     """One run of one task on one runner.
 
     :param confirmed_clock_ms: the runner's clock when it said that the run is there.
+    :param there_ms: the runner's clock when it said so first; 0: not yet.
     :param born_ms: when the life of the runner began that it was meant for; None: not
         told.
     :param read_back: an earlier holder recorded it.
@@ -125,6 +126,7 @@
     born_ms: int | None = None
     read_back: bool = False
     confirmed_clock_ms: int = 0
+    there_ms: int = 0
     open_starts: int = 0
     sent_at_s: float = 0.0
     began_at_s: float = 0.0
@@ -181,7 +183,7 @@
         :param born_ms: when the life began that is asked for it from now on.
         """
         self.born_ms = born_ms
-        self.confirmed_clock_ms = 0
+        self.confirmed_clock_ms = self.there_ms = 0
         self.began_at_s = 0.0
         self.first_seen_at_s = self.seen_at_s = self.moved_on_at_s = 0.0
         self.missing_since_ms = 0
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -27,6 +27,10 @@
 
 log = logbook.Logger("streamthread.orders")
 
+TRIAL_LOOK_S = 0.06
+"""A run on trial is looked at so long after its start: a run that takes its runner down
+does so within some 10 ms."""
+
 LATEST_ORDER_S = 12.0
 """An order without an answer may be carried out so much later, as the users describe
 their troubles. Lists do not tell the pace, so that nothing shows it earlier."""
@@ -133,6 +137,7 @@
                 # Either life of the runner may have answered.
                 reply = None
             if reply is not None and self._take_answer(attempt, link, reply, uncertain):
+                await self._watch_trial(attempt, link)
                 return
             await asyncio.sleep(self._settings.retry_s)
 
@@ -196,6 +201,19 @@
         self._owner.kick()
         return True
 
+    @staticmethod
+    async def _watch_trial(attempt: Attempt, link: RunnerLink) -> None:
+        """Ask the runner of a run on trial soon whether it has outlived the start.
+
+        Its next list comes only after the wait of the hold that is open, by when a
+        runner that ends by itself could not be told from one that the run took down.
+        """
+        if not attempt.task.suspect or attempt.phase is not Phase.CONFIRMED:
+            return
+        await asyncio.sleep(TRIAL_LOOK_S)
+        if attempt in attempt.task.attempts:
+            await link.extend_once()
+
     def _end_life(self, link: RunnerLink, why: str) -> None:
         link.over = True
         self._owner.on_life_over(link, why)
