Give up no task for runners that outlived its starts

Runners ended by themselves in series, each time within 0.5 s of a start of the same task, or within 2 s where nothing newer had been started, and three such ends gave it up.

Cause: whether a start had brought an end about was judged by the holder's clock and a window of 0.5 s, fifty times what such a task needs.

An end that a runner surely outlived by 50 ms, by its own clock, counts apart from crashes: three or four crashes give a task up as before, and eight ends of both kinds, so that one that takes each runner down later is still bounded. Whatever is not known counts as a crash. Of tasks that had just been started together, the end is laid to those that the runner has not been heard since. Rows tell the second number, which older daemons pass over.

--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -103,6 +103,7 @@
     checkpoint: str
     attempts: list[_AttemptRow]
     crashes: Count = 0
+    later_ends: Count = 0
 
 
 class _StepRow(msgspec.Struct, array_like=True):
@@ -204,7 +205,9 @@
 def _encode_task(task: Task) -> list[Json]:
     attempts = [_encode_attempt(attempt) for attempt in task.attempts]
     row = [task.index, task.last_run, task.failures, task.checkpoint, attempts]
-    # Left out where it is 0, as it is of nearly all tasks: 2 bytes of some 30 a task.
+    # Left out where they are 0, as they are of nearly all tasks: 2 bytes of some 30.
+    if task.later_ends:
+        return [*row, task.crashes, task.later_ends]
     return [*row, task.crashes] if task.crashes else row
 
 
@@ -265,7 +268,8 @@
     task.failures = row.failures
     task.checkpoint = row.checkpoint
     task.crashes = row.crashes
-    task.on_trial = row.crashes > 0
+    task.later_ends = row.later_ends
+    task.on_trial = task.lost_runners > 0
     task.attempts = [
         Attempt(
             task,
--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -16,6 +16,7 @@
 from .fleet import RunnerState
 from .ledger import Ledger
 from .model import Attempt
+from .model import Blame
 from .model import Phase
 from .model import Task
 from .settings import EngineSettings
@@ -25,6 +26,10 @@
 
 log = logbook.Logger("streamthread.scheduler")
 
+OUTLIVED_MS = 50
+"""By its clock: a runner that has lived on for so long after a start was not taken down
+by that start alone, which takes some 10 ms."""
+
 AT_START_S = 0.5
 """A run that takes its runner down does so within some 10 ms; the start, the call that
 meets the closed connection and a busy loop add up to some 0.3 s."""
@@ -84,29 +89,36 @@
         One that silenced two runners, or one after it had ended one, waits until their
         fate is known.
         """
-        return task.crashes + sum(a.doubtful for a in task.attempts) < 2
+        return task.lost_runners + sum(a.doubtful for a in task.attempts) < 2
 
     def on_heard(self, runner: RunnerState) -> None:
         """Take it that a runner lives: it was cut off, and nothing crashed it."""
         for attempt in runner.attempts.values():
             attempt.doubtful = False
-        for task in runner.blamed:
-            task.crashes = max(0, task.crashes - 1)
-            task.on_trial = task.on_trial and task.crashes > 0
-            self._ledger.changed(task.step.occurrence.job)
+        for blame in runner.blamed:
+            self._take_back(blame)
         runner.blamed.clear()
 
+    def _take_back(self, blame: Blame) -> None:
+        task = blame.task
+        if blame.later:
+            task.later_ends = max(0, task.later_ends - 1)
+        else:
+            task.crashes = max(0, task.crashes - 1)
+        task.on_trial = task.on_trial and task.lost_runners > 0
+        self._ledger.changed(task.step.occurrence.job)
+
     def acquit(self, task: Task) -> None:
         """Take it that a run of a task ended, or went on, without harm."""
-        if not task.crashes:
+        if not task.lost_runners:
             return
-        task.crashes = 0
+        task.crashes = task.later_ends = 0
         task.on_trial = False
         self._ledger.changed(task.step.occurrence.job)
 
     def acquit_if_lived(self, attempt: Attempt) -> None:
         """Acquit the task of a run that its runner has listed for long enough."""
-        if not attempt.task.crashes or not attempt.began_at_s:
+        if not attempt.task.lost_runners or not attempt.began_at_s:
             return
         if boot_s() - attempt.began_at_s > LIVED_S:
             self.acquit(attempt.task)
@@ -122,18 +134,22 @@
             return []
         now_s = boot_s()
         exact = not runner.hung and bool(started_last(runner, now_s))
-        blamed = self._candidates(runner, now_s, exact)
+        candidates = self._candidates(runner, now_s, exact)
+        blamed = [a for a in candidates if not _is_outlived(a, runner)]
+        later = not blamed
+        blamed = blamed or candidates
         alone = len({id(a.task.step.occurrence.job) for a in blamed}) == 1
         for attempt in blamed:
-            runner.blamed.append(attempt.task)
-            self._blame(attempt, exact, runner)
-        return [a.task for a in blamed if self._is_proven(a.task, exact and alone)]
+            runner.blamed.append(Blame(attempt.task, later))
+            self._blame(attempt, exact, runner, later)
+        telling = exact and alone and not later
+        return [a.task for a in blamed if self._is_proven(a.task, telling)]
 
     def settle_orphan(self, attempt: Attempt) -> list[Task]:
         """Do the same for a run on a runner that was gone before this holder came."""
         if not self._may_be_at_fault(attempt):
             return []
-        self._blame(attempt, exact=False, runner=None)
+        self._blame(attempt, exact=False)
         return [attempt.task] if self._is_proven(attempt.task, alone=False) else []
 
     def _candidates(
@@ -161,16 +177,26 @@
         over = attempt.task.step.occurrence.job.over or attempt.blamed
         return not over and attempt.phase is not Phase.PLANNED
 
-    def _blame(self, attempt: Attempt, exact: bool, runner: RunnerState | None) -> None:
+    def _blame(
+        self,
+        attempt: Attempt,
+        exact: bool,
+        runner: RunnerState | None = None,
+        later: bool = False,
+    ) -> None:
         """Count an end against a task, and have it run apart where that is telling.
 
         :param exact: it is known that the run had just been started.
         :param runner: what has ended; None: not known here.
+        :param later: the runner had surely lived on after the run's start.
         """
         task = attempt.task
         attempt.blamed = True
-        task.crashes += 1
-        task.on_trial = task.on_trial or exact or task.crashes > 1
+        if later:
+            task.later_ends += 1
+        else:
+            task.crashes += 1
+        task.on_trial = task.on_trial or exact or task.lost_runners > 1
         # The next holder must not count this end again.
         self._ledger.changed(task.step.occurrence.job)
         self._ledger.count("crashed")
@@ -181,6 +207,7 @@
                 "run": attempt.run,
                 "runner": attempt.runner_id,
                 "crashes": task.crashes,
+                "later_ends": task.later_ends,
                 "just_started": exact,
                 "silent_s_after": _silent_s_after(attempt, runner),
                 "outlived_ms": runner.outlived_ms(attempt) if runner else None,
@@ -190,7 +217,15 @@
     def _is_proven(self, task: Task, alone: bool) -> bool:
         if alone and task.crashes >= self._settings.crashes_alone:
             return True
-        return task.crashes >= self._settings.most_crashes
+        if task.crashes >= self._settings.most_crashes:
+            return True
+        return task.lost_runners >= self._settings.most_lost_runners
+
+
+def _is_outlived(attempt: Attempt, runner: RunnerState) -> bool:
+    """Whether a runner surely lived on for a while after the start of a run."""
+    outlived_ms = runner.outlived_ms(attempt)
+    return outlived_ms is not None and outlived_ms >= OUTLIVED_MS
 
 
 def _silent_s_after(attempt: Attempt, runner: RunnerState | None) -> float | None:
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -7,9 +7,9 @@
 from ..platform.documents import rack_of
 from ..platform.documents import RunnerEntry
 from .model import Attempt
+from .model import Blame
 from .model import Job
 from .model import RunnerLife
-from .model import Task
 
 __all__ = ["RunnerState", "usable_runners"]
 
@@ -27,7 +27,7 @@
     :param silent_at_s: on the boot clock: since when it has not answered; None: it
         answers.
     :param hung: it fell silent with its connections open: since when is not known.
-    :param blamed: the tasks that its end was laid to when what ran there lapsed.
+    :param blamed: what its end was laid to when what ran there lapsed.
     :param trial_job: whose tasks alone it may get until ``trial_until_s`` on the
         boot clock; they may end their runners.
     :param stray_runs: runs there that no attempt of ours explains.
@@ -57,7 +57,7 @@
     clock_ms: int = 0
     silent_at_s: float | None = None
     hung: bool = False
-    blamed: list[Task] = attrs.field(factory=list)
+    blamed: list[Blame] = attrs.field(factory=list)
     trial_job: Job | None = None
     trial_until_s: float = 0.0
     stray_runs: int = 0
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -14,6 +14,7 @@
 
 __all__ = [
     "Attempt",
+    "Blame",
     "Job",
     "JobState",
     "Occurrence",
@@ -227,8 +228,11 @@
         have one more.
     :param copy_wanted: one more attempt is to run beside the one that it has.
     :param moves: how often an attempt was stopped because it lagged behind.
-    :param crashes: how many runners ended under it since it last worked on one for a
-        while; recorded, so that the next holder goes on counting.
+    :param crashes: how many runners ended as they started it, for all that is known,
+        since it last worked on one for a while; recorded, so that the next holder goes
+        on counting.
+    :param later_ends: the same of runners that surely lived on after its start, and
+        ended before it had worked for a while.
     :param on_trial: the next end of a runner is to show whether it is at fault.
     """
 
@@ -245,6 +249,7 @@
     copy_wanted: bool = False
     moves: int = 0
     crashes: int = 0
+    later_ends: int = 0
     on_trial: bool = False
 
     @property
@@ -252,6 +257,11 @@
         """Whether it may be what ended a runner, or what silenced one just now."""
         return self.on_trial or any(attempt.doubtful for attempt in self.attempts)
 
+    @property
+    def lost_runners(self) -> int:
+        """How many runners ended under it since it last worked on one for a while."""
+        return self.crashes + self.later_ends
+
     @property
     def wants_attempt(self) -> bool:
         """Whether a runner is to be found for it."""
@@ -280,6 +290,17 @@
     return name.rsplit(".", 3)[0]
 
 
+@attrs.frozen(eq=False)
+class Blame:
+    """The end of a runner that was laid to a task.
+
+    :param later: the runner had surely lived on after the task's start.
+    """
+
+    task: Task
+    later: bool
+
+
 @attrs.define(eq=False)
 class StepRun:
     """One step at one time of its job.
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -270,6 +270,7 @@
                 "task": task.name,
                 "failures": task.failures,
                 "crashes": task.crashes,
+                "later_ends": task.later_ends,
                 "max_attempts": job.max_attempts,
             },
         )
--- a/src/streamthread/scheduler/settings.py
+++ b/src/streamthread/scheduler/settings.py
@@ -30,6 +30,9 @@
     :param most_crashes: it is given up after so many in any case. The users' pages
         allow two starts more after the third; one is left for a crash that no holder
         has seen.
+    :param most_lost_runners: it is given up after so many that ended under it, at its
+        start or later. A runner that ends by itself before a task has worked for
+        a while looks the same; the task is then given up for ends by chance.
     :param restart_pause_s: before a lasting task that failed starts again.
     """
 
@@ -43,4 +46,5 @@
     lasting_patience_s: float = 1.0
     crashes_alone: int = 3
     most_crashes: int = 4
+    most_lost_runners: int = 8
     progress: ProgressSettings = attrs.field(factory=ProgressSettings)
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -90,11 +90,11 @@
         ]
         self.engine.on_hold(runner, HoldReply(0, (), tuple(ended)))
 
-    def list_running(self, runner: RunnerState) -> None:
+    def list_running(self, runner: RunnerState, clock_ms: int = 2) -> None:
         rows = [
             RunningTask(a.task.name, a.run, "", 9) for a in runner.attempts.values()
         ]
-        self.engine.on_hold(runner, HoldReply(2, tuple(rows), ()))
+        self.engine.on_hold(runner, HoldReply(clock_ms, tuple(rows), ()))
 
     def play_fault(self, placed: t.Sequence[Attempt]) -> None:
         """End the runner that has just been given the task at fault."""
@@ -219,6 +219,70 @@
         assert not cell.at_fault.failed
 
 
+class TestRunnersThatLivedOn:
+    """They end within half a second of a start, and have answered since it."""
+
+    def _play(self, cell: _Cell, times: int) -> None:
+        for _ in range(times):
+            (attempt,) = cell.place()
+            runner = cell.engine.runners[attempt.runner_id]
+            cell.now_s += 0.1
+            cell.list_running(runner, clock_ms=101)
+            cell.now_s += 0.2
+            cell.end(runner)
+            cell.now_s += 1.0
+
+    def test_give_up_no_task_by_a_few_ends(self, patch: pytest.MonkeyPatch) -> None:
+        """Guards against jobs that fail as runners end by themselves in series."""
+        cell = _Cell(patch, jobs=1, runners=4)
+        self._play(cell, times=7)
+        assert not cell.at_fault.failed
+
+    def test_give_up_a_task_that_takes_each_one_down_later(
+        self, patch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a task that ends runners for good, 0.3 s after each start."""
+        cell = _Cell(patch, jobs=1, runners=4)
+        self._play(cell, times=8)
+        assert cell.at_fault.failed
+
+    def test_leave_its_end_to_what_it_did_not_outlive(
+        self, patch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an end that is laid to tasks beside the one at fault."""
+        cell = _Cell(patch, jobs=2, runners=1)
+        shown, unshown = cell.place()
+        runner = cell.engine.runners[shown.runner_id]
+        row = RunningTask(shown.task.name, shown.run, "", 9)
+        unshown.confirmed_clock_ms = unshown.there_ms = 101
+        cell.engine.on_hold(runner, HoldReply(101, (row,), ()))
+        cell.end(runner)
+        assert (shown.task.lost_runners, unshown.task.crashes) == (0, 1)
+
+    def test_are_counted_on_by_the_next_holder(self, patch: pytest.MonkeyPatch) -> None:
+        cell = _Cell(patch, jobs=1, runners=4)
+        self._play(cell, times=5)
+        row = encode_progress(cell.at_fault)
+        next_one = _Cell(patch, jobs=1, runners=4)
+        next_one.at_fault.occurrences.clear()
+        restore_progress(next_one.at_fault, row)
+        self._play(next_one, times=3)
+        assert next_one.at_fault.failed
+
+    def test_that_are_heard_again_had_not_ended(
+        self, patch: pytest.MonkeyPatch
+    ) -> None:
+        cell = _Cell(patch, jobs=1, runners=4)
+        (attempt,) = cell.place()
+        runner = cell.engine.runners[attempt.runner_id]
+        cell.list_running(runner, clock_ms=101)
+        runner.silent_at_s = cell.now_s
+        cell.engine.attempts_lapsed(runner.runner_id, "test")
+        assert attempt.task.later_ends == 1
+        cell.engine.on_hold(runner, HoldReply(0, (), ()))
+        assert attempt.task.lost_runners == 0
+
+
 class TestTrial:
     def test_keeps_others_off_its_runner(self, patch: pytest.MonkeyPatch) -> None:
         cell = _Cell(patch, jobs=1, runners=2)
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -10,6 +10,7 @@
 """
 
 import json
+import time
 import typing as t
 
 from .support import Cell
@@ -18,6 +19,10 @@
 from .support import until
 
 CRASHING = "c" * 16
+LIVED_ON_S = 0.25
+"""A runner that ends so long after a start, by itself, does so 25 times later than one
+that the start takes down, and within the time in which its end is laid to the start."""
+
 MOST_CRASHES = 3
 """After so many runners a task is to be given up, whatever else goes wrong; two are the
 least that tell a task apart from those that ran beside it."""
@@ -130,3 +135,17 @@
                 await cell.crash_one()
             for job_id in job_ids:
                 await caller.until_state(job_id, "completed")
+
+    async def test_of_runners_that_end_soon_after_each_start_is_done(self) -> None:
+        """Guards against jobs that fail as runners end by themselves in series."""
+        async with running_cell({"desk": 3}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            job_id = "e" * 16
+            assert await caller.submit(job_id, job(run_s=0.6)) == 200
+            for number in range(1, 6):
+                await until(lambda n=number: _starts(cell, job_id) == n, "a start")
+                ends_at_s = cell.world.started[-1].at_s + LIVED_ON_S
+                await until(lambda at_s=ends_at_s: time.monotonic() > at_s, "its end")
+                await cell.crash_one()
+            await caller.until_state(job_id, "completed")
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -223,7 +223,7 @@
     Guard(
         "over-is-stopped",
         "scheduler/codec.py",
-        "if task.state is TaskState.DONE or job_over:",
+        "if attempt.blamed or task.state is TaskState.DONE or job_over:",
         "if False:",
         ("tests/cell/test_holders.py::TestCancelledJobs",),
     ),
@@ -393,6 +393,20 @@
         "        given_up: list[Task] = []\n",
         ("tests/cell/test_crashing_tasks.py::TestTaskThatCrashesRunners",),
     ),
+    Guard(
+        "outlived-starts-are-no-crashes",
+        "scheduler/crashes.py",
+        "        blamed = [a for a in candidates if not _is_outlived(a, runner)]\n",
+        "        blamed = candidates\n",
+        ("src/streamthread/scheduler/tests/test_crashes.py::TestRunnersThatLivedOn",),
+    ),
+    Guard(
+        "recorded-runs-stay-blamed",
+        "scheduler/codec.py",
+        "        return [*row, attempt.born_ms, True]\n",
+        "        pass\n",
+        (f"{RESTARTS}::TestRecordedRuns",),
+    ),
     Guard(
         "trials-run-apart",
         "scheduler/trials.py",
