Try tasks that may end their runners apart however long they have waited

Cause: a task on trial that had waited for 1 s went wherever there was room, also to a runner on which other suspects were just being started. In a full pool all of them had waited, so that the same five went together to one runner after the other, one of them at fault, and each end was laid to all five.

Ruled out: ends by chance.

Such a task still goes to any runner after 1 s, and begins no trial; but not within 0.1 s of the start of another job's suspect there, the time within which an end is laid to both. Of twelve suspects on two runners each has begun within 3 s, as before (test_keeps_nobody_waiting_for_long). The new test failed before: three were begun at once.

--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -321,6 +321,22 @@
             again += len(cell.place())
             cell.now_s += 0.1
 
+    def test_that_has_waited_is_not_begun_beside_another_one(
+        self, patch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against tasks that are given up with one that starts beside them."""
+        cell = _Cell(patch, jobs=3, runners=1)
+        for job in cell.engine.jobs.values():
+            for task in job.occurrences[0].steps[0].tasks:
+                task.crashes, task.on_trial = 2, True
+        cell.now_s += 5.0
+        (first,) = cell.place()
+        cell.now_s += 0.05
+        assert not cell.place()
+        cell.now_s += 0.1
+        (second,) = cell.place()
+        assert second.runner_id == first.runner_id
+
     def test_of_a_gang_that_finds_no_room_keeps_nobody_off(
         self, patch: pytest.MonkeyPatch
     ) -> None:
--- a/src/streamthread/scheduler/trials.py
+++ b/src/streamthread/scheduler/trials.py
@@ -4,6 +4,7 @@
 
 from ..clocks import boot_s
 from .fleet import RunnerState
+from .model import Attempt
 from .model import Job
 from .model import Phase
 from .model import Task
@@ -25,9 +26,10 @@
 
 
 PATIENCE_S = 1.0
-"""A task on trial that has waited for so long goes wherever no trial is under way, and
-begins none. Many come at once where a runner ends just after a store has come back; one
-after the other they would wait for longer than the 3 s in which a job is to run."""
+"""A task on trial that has waited for so long goes wherever no trial is under way and
+no other suspect is being started, and begins no trial. Many come at once where a runner
+ends just after a store has come back; one after the other they would wait for longer
+than the 3 s in which a job is to run."""
 
 
 def open_to(job: Job, runner: RunnerState, now_s: float) -> bool:
@@ -67,7 +69,7 @@
     """
     open_ones = [runner for runner in runners if open_to(job, runner, now_s)]
     if _has_waited(waits_since_s, now_s):
-        return open_ones
+        return [r for r in open_ones if not _starts_suspects(job, r, now_s)]
     on_trial = sum(runner.trial_until_s > now_s for runner in runners)
     most = max(1, int(len(runners) * MOST_ON_TRIAL))
     return [
@@ -81,11 +83,30 @@
 def _starts_others(job: Job, runner: RunnerState, now_s: float) -> bool:
     """Whether a runner has tasks of other jobs whose own start may yet end it."""
     return any(
-        attempt.task.step.occurrence.job is not job
-        and (
-            attempt.task.suspect
-            or attempt.phase is Phase.PLANNED
-            or attempt.sent_at_s > now_s - SAME_MOMENT_S
-        )
-        for attempt in runner.attempts.values()
+        attempt.task.suspect or _is_starting(attempt, now_s)
+        for attempt in _attempts_of_others(job, runner)
     )
+
+
+def _starts_suspects(job: Job, runner: RunnerState, now_s: float) -> bool:
+    """Whether an end of a runner would be laid to suspects of other jobs as well.
+
+    Tried together again and again, the tasks beside the one at fault would be given up
+    with it.
+    """
+    return any(
+        attempt.task.suspect and _is_starting(attempt, now_s)
+        for attempt in _attempts_of_others(job, runner)
+    )
+
+
+def _attempts_of_others(job: Job, runner: RunnerState) -> t.Iterator[Attempt]:
+    for attempt in runner.attempts.values():
+        if attempt.task.step.occurrence.job is not job:
+            yield attempt
+
+
+def _is_starting(attempt: Attempt, now_s: float) -> bool:
+    """Whether what is sent now can't be told apart from an attempt by an end."""
+    planned = attempt.phase is Phase.PLANNED
+    return planned or attempt.sent_at_s > now_s - SAME_MOMENT_S
