Lay no end of a runner to a start that only its next life answered

Cause: a start that is answered by another life was never carried out by the life it was meant for. It counted as started there all the same, and the end of that life was laid to it, as started last and alone.

Ruled out: an earlier try of that start (there is no line of one that got no answer).

The start is taken as not sent unless an earlier try of it got no answer. The two cases with an earlier try passed before and pass now; the first test failed before (one end).

--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -121,6 +121,10 @@
                 reply = await self._send_start(attempt, link)
                 attempt.open_starts -= 1
             except LifeOverError:
+                attempt.open_starts -= 1
+                if not uncertain:
+                    # It surely began nowhere, so that no end can be laid to it.
+                    attempt.sent_at_s = 0.0
                 self._end_life(link, "another life answered a start")
                 return
             except StoreUnavailableError:
--- /dev/null
+++ b/src/streamthread/scheduler/tests/test_unreached_starts.py
@@ -0,0 +1,88 @@
+"""A start that only the next life of its runner answered has ended no runner."""
+
+import time
+import types
+import typing as t
+
+import pytest
+
+from streamthread.errors import OutcomeUnknownError
+from streamthread.platform.callers import JobRequest
+from streamthread.platform.callers import StepRequest
+from streamthread.platform.runners import LifeOverError
+from streamthread.platform.runners import OrderReply
+from streamthread.scheduler import Engine
+from streamthread.scheduler import Job
+from streamthread.scheduler import RunnerState
+from streamthread.scheduler.model import Task
+from streamthread.scheduler.orders import OrderSender
+from streamthread.scheduler.orders import OrderSettings
+
+
+class _Client:
+    """Answers starts by raising one error after the other."""
+
+    def __init__(self, *errors: Exception) -> None:
+        self._errors = list(errors)
+
+    async def start(self, *args: t.Any) -> OrderReply:
+        raise self._errors.pop(0)
+
+
+class _Owner:
+    """Holds one runner, and trusts itself."""
+
+    token = 1
+
+    def __init__(self, engine: Engine, runner: RunnerState) -> None:
+        self._engine = engine
+        link = types.SimpleNamespace(
+            silent=False,
+            over=False,
+            runner=runner,
+            clock=types.SimpleNamespace(known=True),
+            start_deadline_ms=lambda: 1,
+            on_order_unanswered=lambda sent_at_s: None,
+        )
+        self.links = {runner.runner_id: link}
+
+    async def until_trusted(self) -> None:
+        return
+
+    def ticket_for(self, attempt: t.Any) -> str:
+        return ""
+
+    def on_life_over(self, link: t.Any, why: str) -> None:
+        self._engine.runner_over(link.runner.runner_id, why)
+
+
+async def _start(*errors: Exception) -> Task:
+    """Return a task whose start got these answers, once its runner is over."""
+    engine = Engine(lambda job: None)
+    runner = RunnerState("i-1", "desk", "x:1", "z", ("a",), 9, 9, 0)
+    runner.ready = True
+    engine.add_runner(runner)
+    step = StepRequest(cpu=1, memory_mb=1)
+    job = Job("a" * 16, "r", "desk", JobRequest("", (step,)), b"", time.time())
+    job.begin(0)
+    engine.add(job)
+    (attempt,) = engine.place_all(time.time(), lambda step: None)
+    client: t.Any = _Client(*errors)
+    owner: t.Any = _Owner(engine, runner)
+    await OrderSender(client, engine, owner, OrderSettings()).start(attempt)
+    return attempt.task
+
+
+class TestStartThatAnotherLifeAnswered:
+    async def test_is_laid_to_no_task(self) -> None:
+        """Guards against jobs that fail for ends before their tasks were started."""
+        task = await _start(LifeOverError())
+        assert task.lost_runners == 0
+        assert task.wants_attempt
+
+    @pytest.mark.parametrize("tries", [1, 2])
+    async def test_counts_where_an_earlier_try_may_have_begun(self, tries: int) -> None:
+        """Guards against a task that crashes its runner before it has answered."""
+        lost = [OutcomeUnknownError("no answer", remedy="-")] * tries
+        task = await _start(*lost, LifeOverError())
+        assert task.crashes == 1
