Keep the guards of the entry and of the cell in files of their own

Each guard is unchanged: 28 of the entry's slices, 45 of the cell's; the list of all is their sum, and what imports it stays.

--- /dev/null
+++ b/tools/guards_cell.py
@@ -0,0 +1,338 @@
+"""The guards of a cell's daemon, and the tests that prove them."""
+
+from tools.guard import Guard
+
+__all__ = ["CELL_GUARDS"]
+
+NO_JOB = "tests/cell/test_cancels_without_job.py"
+LISTING_TESTS = "src/streamthread/holder/tests/test_listing.py"
+LISTING = f"{LISTING_TESTS}::TestForeignEntries"
+RESTARTS = "src/streamthread/scheduler/tests/test_restarts.py"
+
+CELL_GUARDS = (
+    Guard(
+        "silence-not-length",
+        "platform/http.py",
+        "    async for part in response.content.iter_any():\n"
+        "        limit.reschedule(loop.time() + SILENCE_S)\n",
+        "    async for part in response.content.iter_any():\n",
+        ("tests/cell/test_documents.py::TestLargeConfiguration",),
+    ),
+    Guard(
+        "idle-connections-closed",
+        "platform/http.py",
+        "            if isinstance(error, TimeoutError):",
+        "            if False:",
+        ("tests/cell/test_runners.py::TestSilentConnections",),
+    ),
+    Guard(
+        "over-is-stopped",
+        "scheduler/codec.py",
+        "if attempt.blamed or task.state is TaskState.DONE or job_over:",
+        "if False:",
+        ("tests/cell/test_holders.py::TestCancelledJobs",),
+    ),
+    Guard(
+        "listed-run-is-stopped-again",
+        "scheduler/outcomes.py",
+        "                self._ledger.stops.on_listed(attempt, reply.clock_ms)\n",
+        "",
+        ("tests/cell/test_cancels.py::TestStopWithoutEffect",),
+    ),
+    Guard(
+        "stops-go-out-during-a-release",
+        "holder/queue.py",
+        "        stops = engine.take_stops()\n",
+        "        stops = engine.take_stops() if self._owner.may_place else []\n",
+        ("tests/cell/test_cancels.py::TestStopDuringRelease",),
+    ),
+    Guard(
+        "no-older-configuration",
+        "holder/admission.py",
+        "        if route is None or route.service != pool or manifest is None:\n",
+        "        if False:\n",
+        ("tests/cell/test_documents.py::TestHolderThatIsBehind",),
+    ),
+    Guard(
+        "inbox-before-unknown",
+        "holder/intake.py",
+        "        await self._inbox().catch_up()\n"
+        "        return self._engine.jobs.get(job_id)\n",
+        "        return None\n",
+        (f"{NO_JOB}::TestJobThatWaitsInTheInbox",),
+    ),
+    Guard(
+        "hand-in-after-the-inbox",
+        "holder/intake.py",
+        "if not self._inbox().behind:",
+        "if True:",
+        (f"{NO_JOB}::TestJobThatWaitsInTheInbox",),
+    ),
+    Guard(
+        "unknown-is-committed",
+        "holder/intake.py",
+        "            await self._commits.confirmed()\n"
+        "            job = self._engine.jobs.get(job_id)\n",
+        "            pass\n",
+        (f"{NO_JOB}::TestHolderThatWasReplaced",),
+    ),
+    Guard(
+        "cancel-of-no-job-is-committed",
+        "holder/intake.py",
+        "        await self._commits.flushed()\n"
+        "        return self._tell_waiting(request)\n",
+        "        return self._tell_waiting(request)\n",
+        (f"{NO_JOB}::TestHolderThatWasReplaced",),
+    ),
+    Guard(
+        "cancel-waits-for-its-job",
+        "holder/intake.py",
+        "if any(self._admission.covers(cancel, job) for cancel in cancels):",
+        "if False:",
+        (f"{NO_JOB}::TestCancelOfNoJob",),
+    ),
+    Guard(
+        "kept-cancel-outlasts-its-holder",
+        "holder/inbox.py",
+        "return not self._owner.keep_cancel(cancel, may_come)",
+        "return True",
+        (f"{NO_JOB}::TestCancelOfNoJob", f"{NO_JOB}::TestCancelInTheInbox"),
+    ),
+    Guard(
+        "doubted-cancel-is-settled-first",
+        "holder/intake.py",
+        "        if not self._is_trusted():\n"
+        "            await self._commits.confirmed()\n"
+        "        await self._commits.flushed()\n",
+        "        await self._commits.flushed()\n",
+        ("src/streamthread/holder/tests/test_intake.py",),
+    ),
+    Guard(
+        "unreadable-entry-suspends",
+        "holder/listing.py",
+        '            self._suspend(row.key, "its entry can\'t be read")\n',
+        "",
+        (LISTING,),
+    ),
+    Guard(
+        "unnamed-pool-suspends",
+        "holder/listing.py",
+        "if not self._names(entry.service):",
+        "if False:",
+        (LISTING,),
+    ),
+    Guard(
+        "unreadable-route-stays-alone",
+        "platform/manifest.py",
+        "                part = known.get(_name_of(text))\n",
+        "                part = None\n",
+        ("tests/test_unreadable.py::TestConfiguration",),
+    ),
+    Guard(
+        "accepted-row-is-kept",
+        "holder/intake.py",
+        "        if request.job_id in self._aside:\n",
+        "        if False:\n",
+        ("tests/cell/test_foreign_entries.py::TestOwnRows",),
+    ),
+    Guard(
+        "loops-are-begun-again",
+        "holder/service.py",
+        "group.create_task(self._keeper.keep(name, loop))",
+        "group.create_task(loop())",
+        ("tests/cell/test_foreign_entries.py::TestUnforeseenFailures",),
+    ),
+    Guard(
+        "term-follows-slow-commits",
+        "cell/times.py",
+        "        wanted_s = TERM_COMMITS * commit_s + self.renew_s\n",
+        "        wanted_s = 0.0\n",
+        ("tests/cell/test_slow_store.py",),
+    ),
+    Guard(
+        "sent-term-counts",
+        "cell/commits.py",
+        "return min(self._confirmed_term_s, self._sent_term_s)",
+        "return self._confirmed_term_s",
+        ("src/streamthread/cell/tests/test_commits.py::TestTerm",),
+    ),
+    Guard(
+        "late-confirmation-counts-from-its-try",
+        "cell/commits.py",
+        "            self._effective_at_s = sent_at_s\n",
+        "",
+        ("src/streamthread/cell/tests/test_commits.py::TestLateConfirmation",),
+    ),
+    Guard(
+        "sent-rows-are-not-taken-back",
+        "cell/commits.py",
+        "        if (table, key) in self._in_flight:\n            return False\n",
+        "",
+        ("src/streamthread/cell/tests/test_commits.py::TestTakenBack",),
+    ),
+    Guard(
+        "overdue-hand-ins-are-refused",
+        "holder/housekeeping.py",
+        "            self._intake.refuse_overdue()\n",
+        "",
+        ("tests/cell/test_silent_store.py",),
+    ),
+    Guard(
+        "ends-of-runners-are-laid-to-tasks",
+        "scheduler/engine.py",
+        "        given_up = self._crashes.settle(runner)\n",
+        "        given_up: list[Task] = []\n",
+        ("tests/cell/test_crashing_tasks.py::TestTaskThatCrashesRunners",),
+    ),
+    Guard(
+        "outlived-starts-are-no-crashes",
+        "scheduler/crashes.py",
+        "        blamed = [a for a in candidates if not _is_outlived(a, runner)]\n",
+        "        blamed = candidates\n",
+        ("src/streamthread/scheduler/tests/test_crashes.py::TestRunnersThatLivedOn",),
+    ),
+    Guard(
+        "recorded-runs-stay-blamed",
+        "scheduler/codec.py",
+        "        return [*row, attempt.born_ms, True]\n",
+        "        pass\n",
+        (f"{RESTARTS}::TestRecordedRuns",),
+    ),
+    Guard(
+        "trials-run-apart",
+        "scheduler/trials.py",
+        "    return runner.trial_until_s <= now_s or runner.trial_job is job\n",
+        "    return True\n",
+        ("src/streamthread/scheduler/tests/test_crashes.py::TestTrial",),
+    ),
+    Guard(
+        "crashes-are-recorded",
+        "scheduler/codec.py",
+        "    return [*row, task.crashes] if task.crashes else row\n",
+        "    return row\n",
+        ("src/streamthread/scheduler/tests/test_crashes.py::TestOneTaskAtFault",),
+    ),
+    Guard(
+        "runners-heard-again-clear-tasks",
+        "scheduler/outcomes.py",
+        "        self._crashes.on_heard(runner)\n",
+        "",
+        ("src/streamthread/scheduler/tests/test_crashes.py::TestWhatIsNoCrash",),
+    ),
+    Guard(
+        "rooms-are-followed",
+        "holder/listing.py",
+        "        if link.runner.update(entry):\n",
+        "        if False:\n",
+        ("tests/cell/test_room.py::TestRoomThatShrinks",),
+    ),
+    Guard(
+        "lives-are-told-apart",
+        "runners/link.py",
+        "        if self.runner.is_next_life(reply.born_ms):\n",
+        "        if False:\n",
+        ("src/streamthread/runners/tests/test_restarts.py::TestNextLife",),
+    ),
+    Guard(
+        "entries-tell-lives-apart",
+        "holder/listing.py",
+        "        if link.runner.is_next_life(entry.born_ms):\n",
+        "        if False:\n",
+        (f"{LISTING_TESTS}::TestRestartedRunners",),
+    ),
+    Guard(
+        "silent-runners-confirm-nothing",
+        "runners/link.py",
+        "        self._confirmed = 0\n        if not self.silent:\n",
+        "        if not self.silent:\n",
+        ("src/streamthread/runners/tests/test_restarts.py::TestConfirmations",),
+    ),
+    Guard(
+        "runs-are-blamed-once",
+        "scheduler/crashes.py",
+        "        over = attempt.task.step.occurrence.job.over or attempt.blamed\n",
+        "        over = attempt.task.step.occurrence.job.over\n",
+        (RESTARTS,),
+    ),
+    Guard(
+        "recorded-runs-name-their-life",
+        "scheduler/engine.py",
+        "                if attempt.is_of_other_life(runner.born_ms):\n",
+        "                if False:\n",
+        (f"{RESTARTS}::TestRecordedRuns",),
+    ),
+    Guard(
+        "open-starts-are-stopped",
+        "scheduler/model.py",
+        "        return bool(self.seen_at_s) and not self.read_back"
+        " and not self.open_starts\n",
+        "        return True\n",
+        (RESTARTS,),
+    ),
+    Guard(
+        "stopping-runs-take-room",
+        "scheduler/outcomes.py",
+        "        if self._may_be_stopping(attempt, clock_ms):\n            return\n",
+        "",
+        ("tests/cell/test_room.py::TestRunThatIsBeingStopped",),
+    ),
+    Guard(
+        "acknowledged-elsewhere-is-kept",
+        "holder/handins.py",
+        "        if job.left_in_inbox:\n",
+        "        if False:\n",
+        (
+            "src/streamthread/holder/tests/test_intake.py"
+            "::TestJobThatAnotherDaemonAccepted",
+        ),
+    ),
+    Guard(
+        "keys-are-asked-for",
+        "gateway/keys.py",
+        "    if not route.needs_key:\n",
+        "    if True:\n",
+        ("tests/cell/test_accounts.py::TestStranger",),
+    ),
+    Guard(
+        "newer-configuration-judges-keys",
+        "holder/admission.py",
+        "            return manifest.account_of(request.key_digest) or None\n",
+        "            return request.account\n",
+        ("src/streamthread/holder/tests/test_accounts.py",),
+    ),
+    Guard(
+        "jobs-of-others",
+        "scheduler/accounts.py",
+        "    return not account or not owner or account == owner\n",
+        "    return True\n",
+        ("src/streamthread/holder/tests/test_accounts.py::TestJobsOfOthers",),
+    ),
+    Guard(
+        "key-of-two-accounts",
+        "platform/accounts.py",
+        "        if len(names) == 1:\n",
+        "        if names:\n",
+        ("src/streamthread/platform/tests/test_accounts.py::TestKeyOfTwoAccounts",),
+    ),
+    Guard(
+        "account-limit",
+        "scheduler/accounts.py",
+        "                count = min(count, (whole - used) // each)\n",
+        "                pass\n",
+        ("tests/cell/test_accounts.py::TestLimit",),
+    ),
+    Guard(
+        "limit-counts-what-was-read-back",
+        "scheduler/ledger.py",
+        "            self.accounts.add(attempt)\n            self.stops",
+        "            self.stops",
+        ("src/streamthread/scheduler/tests/test_accounts.py",),
+    ),
+    Guard(
+        "limit-counts-until-over",
+        "scheduler/ledger.py",
+        "            self.accounts.remove(attempt)\n",
+        "",
+        ("src/streamthread/scheduler/tests/test_accounts.py",),
+    ),
+)
