Name no holder whose lease may have lapsed

What operators saw: an entry that had been stalled for longer than its lease said of itself that it held a pool (`streamthread get pools`, `explain pool`) until it read the rows anew; so did one that had just given the pool up. By reading: a wish about a job was then forwarded by it to itself and refused as a conflict, where "send it again in some seconds" is the answer.

It is the cause of the listed failure of test_paused_holder_is_refused_by_the_epoch_when_it_wakes: the test pauses the entry that says so of itself. Where a stalled entry said it, the real holder was left running, the two others already held all shards, and the commit that was held arrived with a valid epoch.

Evidence: the stand-in was made to print the epoch of the held commit and each change of a shard's row (in a copy).

A daemon names itself only while it holds the shard and trusts its lease; of others it tells what was read last, and no later run of theirs.

--- a/src/streamthread/leases/holdings.py
+++ b/src/streamthread/leases/holdings.py
@@ -66,7 +66,7 @@
         self._reread_s = reread_s
         self._commit = commit
         self._held: dict[int, int] = {}
-        self._holders: dict[int, str] = {}
+        self._states: dict[int, ShardState] = {}
         self._read_for: frozenset[_RunOfDaemon] = frozenset()
         self._read_at_s = 0.0
         self._unsettled = True
@@ -82,9 +82,9 @@
         """Return the condition that this daemon still holds a shard it holds."""
         return Fence(_shard_key(shard), self._held[shard])
 
-    def holder_of(self, shard: int) -> str | None:
-        """Return the id of the daemon that held a shard when its row was read."""
-        return self._holders.get(shard)
+    def last_read(self, shard: int) -> ShardState | None:
+        """Return a shard's row as it was read, or taken, last."""
+        return self._states.get(shard)
 
     def clear(self) -> None:
         """Forget all that is held."""
@@ -115,15 +115,15 @@
     async def _read_and_act(self, now_s: float) -> None:
         rows = await self._tables.scan_all(SHARD_PREFIX)
         self._read_at_s = now_s
-        states = self._states(rows)
-        self._holders = {state.shard: state.holder for state in states}
+        states = self._decode(rows)
+        self._states = {state.shard: state for state in states}
         self._reconcile(states)
         plan = plan_shards(states, self._me(), self._live())
         await self._release(plan.release)
         await self._take(plan.take)
         self._unsettled = not _are_settled(states, self._live())
 
-    def _states(self, rows: t.Iterable[Row]) -> list[ShardState]:
+    def _decode(self, rows: t.Iterable[Row]) -> list[ShardState]:
         states = {
             shard: ShardState(shard, ABSENT, "", "")
             for shard in range(self._shard_count)
@@ -156,9 +156,13 @@
         for batch in _batches(states):
             if await self._write_holder(batch, self._me()):
                 taken.extend(batch)
+        me = self._me()
         for state in taken:
-            self._held[state.shard] = state.epoch + 1
-            self._holders[state.shard] = self._me().daemon_id
+            epoch = state.epoch + 1
+            self._held[state.shard] = epoch
+            self._states[state.shard] = ShardState(
+                state.shard, epoch, me.daemon_id, me.incarnation
+            )
         if taken:
             self.changes += 1
             self._record_shards("shards-taken", taken, "they were free")
--- a/src/streamthread/leases/service.py
+++ b/src/streamthread/leases/service.py
@@ -112,10 +112,18 @@
         return self.is_trusted() and shard in self._shards
 
     def holder_of(self, subject: str) -> LeaseRecord | None:
-        """Return the live daemon that holds a subject's shard, if known."""
+        """Return the live daemon that holds a subject's shard, if known.
+
+        Of others it tells what was read last; of itself, what holds now: a row may
+        still name a daemon whose lease has lapsed, or which has given the shard up.
+        """
         shard = shard_of(subject, self.settings.shard_count)
-        holder = self._shards.holder_of(shard)
-        matches = [record for record in self._live if record.daemon_id == holder]
+        state = self._shards.last_read(shard)
+        if state is None:
+            return None
+        if state.is_held_by(self.record):
+            return self.record if self.holds(subject) else None
+        matches = [record for record in self._live if state.is_held_by(record)]
         return matches[0] if matches else None
 
     def is_trusted(self) -> bool:
