Count ends that no holder saw, and ask a run to have been there

What a new holder finds gone was not counted among the ends that no start explains, so that it judged the third end as if runners did not end by themselves. And a start that its runner had never answered counted as one that had ended the runner at once.

Ends found by a new holder are counted, once for each life of a runner. Three crashes prove a task at fault only if its runner said that the last run was there; else a fourth is asked for. The two new tests failed before.

--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -19,6 +19,7 @@
 from .model import Attempt
 from .model import Blame
 from .model import Phase
+from .model import RunnerLife
 from .model import Task
 from .settings import EngineSettings
 from .steadiness import Steadiness
@@ -88,9 +89,10 @@
         return self.exact and bool(self.blamed) and not self.later
 
     @property
-    def one_job(self) -> bool:
-        """Whether all that is blamed is of one job."""
-        return len({id(a.task.step.occurrence.job) for a in self.blamed}) == 1
+    def one_job_there(self) -> bool:
+        """Whether all that is blamed is of one job, and has surely begun there."""
+        jobs = {id(attempt.task.step.occurrence.job) for attempt in self.blamed}
+        return len(jobs) == 1 and all(attempt.there_ms for attempt in self.blamed)
 
 
 class Crashes:
@@ -160,12 +162,12 @@
             return []
         verdict = self._judge(runner)
         if not verdict.at_start:
-            self._steadiness.note_end(runner.service)
+            self._steadiness.note_end(runner.service, runner.life)
         for attempt in verdict.blamed:
             runner.blamed.append(Blame(attempt.task, verdict.later))
             self._blame(attempt, verdict, runner)
         steady = not self._steadiness.is_unsteady(runner.service)
-        telling = verdict.at_start and verdict.one_job and steady
+        telling = verdict.at_start and verdict.one_job_there and steady
         return [a.task for a in verdict.blamed if self._is_proven(a.task, telling)]
 
     def _judge(self, runner: RunnerState) -> _Verdict:
@@ -182,6 +184,9 @@
         """Do the same for a run on a runner that was gone before this holder came."""
         if not self._may_be_at_fault(attempt):
             return []
+        pool = attempt.task.step.occurrence.job.service
+        life = RunnerLife(attempt.runner_id, attempt.born_ms)
+        self._steadiness.note_end(pool, life)
         self._blame(attempt, _Verdict((attempt,)))
         return [attempt.task] if self._is_proven(attempt.task, telling=False) else []
 
--- a/src/streamthread/scheduler/steadiness.py
+++ b/src/streamthread/scheduler/steadiness.py
@@ -1,8 +1,7 @@
 """Which pools have runners that end by themselves."""
 
-import collections
-
 from ..clocks import boot_s
+from .model import RunnerLife
 
 __all__ = ["Steadiness"]
 
@@ -18,18 +17,20 @@
 
     def __init__(self, unsteady_ends: int) -> None:
         self._unsteady_ends = unsteady_ends
-        self._ended_at_s: dict[str, collections.deque[float]] = {}
+        self._ended_at_s: dict[str, dict[RunnerLife, float]] = {}
 
-    def note_end(self, pool: str) -> None:
-        """Note that a runner of a pool has ended by itself."""
-        ends = self._ended_at_s.setdefault(
-            pool, collections.deque(maxlen=self._unsteady_ends)
-        )
-        ends.append(boot_s())
+    def note_end(self, pool: str, life: RunnerLife) -> None:
+        """Note that a runner of a pool has ended by itself, once for each life."""
+        self._forget_old(pool)
+        self._ended_at_s.setdefault(pool, {}).setdefault(life, boot_s())
 
     def is_unsteady(self, pool: str) -> bool:
         """Whether runners of a pool have ended by themselves lately."""
-        ends = self._ended_at_s.get(pool)
-        if ends is None or len(ends) < self._unsteady_ends:
-            return False
-        return boot_s() - ends[0] < LATELY_S
+        self._forget_old(pool)
+        return len(self._ended_at_s.get(pool, ())) >= self._unsteady_ends
+
+    def _forget_old(self, pool: str) -> None:
+        since_s = boot_s() - LATELY_S
+        ends = self._ended_at_s.get(pool, {})
+        for life in [life for life, at_s in ends.items() if at_s < since_s]:
+            del ends[life]
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -22,6 +22,7 @@
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import Phase
 from streamthread.scheduler import restore_progress
 from streamthread.scheduler import RunnerState
 
@@ -260,6 +261,41 @@
         cell.play_fault(cell.place())
         assert cell.at_fault.failed
 
+    def test_are_counted_of_those_that_an_earlier_holder_had(
+        self, patch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against the third of many ends, two of them before a take-over."""
+        cell = _Cell(patch, jobs=3, runners=3)
+        _, *others = cell.engine.jobs.values()
+        for number in range(4):
+            assert not cell.at_fault.failed
+            if number == 2:
+                for job in others:
+                    self._lose_unseen(cell, job)
+            cell.play_fault(cell.place())
+        assert cell.at_fault.failed
+
+    @staticmethod
+    def _lose_unseen(cell: _Cell, job: Job) -> None:
+        """Drop a run of an earlier holder whose runner is not there any more."""
+        (task,) = job.occurrences[0].steps[0].tasks
+        phase = Phase.SENT
+        cell.engine.drop_orphan(Attempt(task, 9, f"gone-{job.job_id}", phase))
+
+    def test_ask_for_one_more_crash_of_what_never_said_it_was_there(
+        self, patch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against an end that comes before a start has been answered."""
+        cell = _Cell(patch, jobs=1, runners=4)
+        for number in range(4):
+            assert not cell.at_fault.failed
+            placed = cell.place()
+            if number == 2:
+                placed[0].there_ms = 0
+            cell.play_fault(placed)
+            cell.now_s += 1.0
+        assert cell.at_fault.failed
+
     def test_ask_for_nothing_more_once_they_are_long_ago(
         self, patch: pytest.MonkeyPatch
     ) -> None:
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -223,8 +223,8 @@
     Guard(
         "unsteady-pools-ask-for-more",
         "scheduler/crashes.py",
-        "telling = verdict.at_start and verdict.one_job and steady",
-        "telling = verdict.at_start and verdict.one_job",
+        "verdict.at_start and verdict.one_job_there and steady",
+        "verdict.at_start and verdict.one_job_there",
         (f"{CRASHES}::TestRunnersThatLivedOn",),
     ),
     Guard(
--- a/tools/soak_accounts.py
+++ b/tools/soak_accounts.py
@@ -166,8 +166,24 @@
             found.append((max(end_s, started.at_s + OVERLAP_S), -TASK_CPU))
     for account, limit in LIMITS.items():
         running = most = 0
-        for _, cpu in sorted(changes[account]):
+        most_at_s = 0.0
+        for at_s, cpu in sorted(changes[account]):
             running += cpu
-            most = max(most, running)
+            if running > most:
+                most, most_at_s = running, at_s
         if limit and most > limit:
-            yield f"QUOTA {most} of {account} ran at once, {limit} may"
+            runs = " ".join(_runs_at(world, account, most_at_s))
+            yield f"QUOTA {most} of {account} ran at once, {limit} may: {runs}"
+
+
+def _runs_at(world: CellWorld, account: str, at_s: float) -> t.Iterator[str]:
+    """Yield what ran of an account at a moment: since when, until when and how."""
+    for started, end_s, how in run_spans(world):
+        if account_of(started.task.split(".")[0]) != account:
+            continue
+        if started.at_s <= at_s - OVERLAP_S <= end_s:
+            since_s, left_s = at_s - started.at_s, end_s - at_s
+            yield (
+                f"{started.task}/{started.run}@{started.runner_id}"
+                f"{' late' if started.late else ''}:-{since_s:.2f}+{left_s:.2f} {how};"
+            )
