--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -42,7 +42,8 @@
     # daemon had accepted and left in the inbox meanwhile.
     SoakPlan(52001, stops=True, writer=True, runners=True),
     # Runners ended by themselves three times, each time within 0.5 s of the start of
-    # the same task, which was given up.
+    # the same task, which was given up: ends that its runner outlived, that each holder
+    # counted, that came before the start or from a suspect beside it.
     SoakPlan(
         70025, stops=True, writer=True, runners=True, accounts=True, restarts=True
     ),
