Note a runner's clock once a list, and read a next holder in one place

Found in a last reading: a list told its runner's clock, and then once more for each run in it, with a look-up of the runner each time, on the path of every list. It is told once now; what is kept of a run is the same. No assertion changed.

--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -57,7 +57,10 @@
         if attempt.phase is not Phase.STOPPING:
             attempt.phase = Phase.CONFIRMED
         attempt.confirmed_clock_ms = clock_ms
-        self._note_there(attempt, clock_ms)
+        attempt.there_ms = attempt.there_ms or clock_ms
+        runner = self._ledger.runners.get(attempt.runner_id)
+        if runner is not None:
+            runner.on_clock(clock_ms)
         if not attempt.began_at_s:
             attempt.began_at_s = boot_s()
         job = attempt.task.step.occurrence.job
@@ -65,13 +68,6 @@
             job.begun = True
             self._ledger.changed(job)
 
-    def _note_there(self, attempt: Attempt, clock_ms: int) -> None:
-        """Note by its runner's clock that a run is there."""
-        attempt.there_ms = attempt.there_ms or clock_ms
-        runner = self._ledger.runners.get(attempt.runner_id)
-        if runner is not None:
-            runner.on_clock(clock_ms)
-
     def refuse(self, attempt: Attempt, why: str) -> None:
         """A runner has said that it did not start a run, and will not."""
         runner = self._ledger.runners.get(attempt.runner_id)
@@ -105,7 +101,7 @@
         for key, attempt in list(runner.attempts.items()):
             row = listed.get(key)
             if row is not None:
-                self._note_there(attempt, reply.clock_ms)
+                attempt.there_ms = attempt.there_ms or reply.clock_ms
                 self._on_running(attempt, row.checkpoint, row.percent, row.usage)
                 self._ledger.stops.on_listed(attempt, reply.clock_ms)
             elif key not in ended_keys:
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -107,6 +107,15 @@
                 return
 
 
+def _next_holder(cell: _Cell, patch: pytest.MonkeyPatch, runners: int) -> _Cell:
+    """Return what the next holder reads of the task at fault, with other runners."""
+    row = encode_progress(cell.at_fault)
+    after = _Cell(patch, jobs=1, runners=runners)
+    after.at_fault.occurrences.clear()
+    restore_progress(after.at_fault, row)
+    return after
+
+
 @pytest.fixture
 def patch() -> t.Iterator[pytest.MonkeyPatch]:
     with pytest.MonkeyPatch.context() as context:
@@ -136,10 +145,7 @@
     def test_is_counted_on_by_the_next_holder(self, patch: pytest.MonkeyPatch) -> None:
         cell = _Cell(patch, jobs=1, runners=3)
         cell.play_fault(cell.place())
-        row = encode_progress(cell.at_fault)
-        next_one = _Cell(patch, jobs=1, runners=3)
-        next_one.at_fault.occurrences.clear()
-        restore_progress(next_one.at_fault, row)
+        next_one = _next_holder(cell, patch, runners=3)
         while not next_one.at_fault.failed:
             next_one.now_s += 1.0
             next_one.play_fault(next_one.place())
@@ -153,10 +159,7 @@
         for _ in range(MOST_STARTS - 1):
             placed = cell.place()
             assert len(placed) == 1
-            row = encode_progress(cell.at_fault)
-            cell = _Cell(patch, jobs=1, runners=2)
-            cell.at_fault.occurrences.clear()
-            restore_progress(cell.at_fault, row)
+            cell = _next_holder(cell, patch, runners=2)
             for attempt in list(cell.at_fault.attempts()):
                 cell.engine.drop_orphan(attempt)
         assert cell.at_fault.failed
@@ -324,10 +327,7 @@
     def test_are_counted_on_by_the_next_holder(self, patch: pytest.MonkeyPatch) -> None:
         cell = _Cell(patch, jobs=1, runners=4)
         self._play(cell, times=5)
-        row = encode_progress(cell.at_fault)
-        next_one = _Cell(patch, jobs=1, runners=4)
-        next_one.at_fault.occurrences.clear()
-        restore_progress(next_one.at_fault, row)
+        next_one = _next_holder(cell, patch, runners=4)
         self._play(next_one, times=3)
         assert next_one.at_fault.failed
 
