Tell which connection a failed call used, and how old both lists are

While connections were silent, an error did not say whether its call was sent on a reused connection, on a new one, or on none since all were in use; and nothing told how old the holder's lists of machines and of runners were. Both are needed to tell the hypotheses of the incident apart.

Errors of calls to the platform end with the connection. Two gauges of the holder: streamthread_machine_list_age_seconds and streamthread_runner_list_age_seconds. RunnerListing is public in the holder for it.

--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -170,6 +170,11 @@
         yield GaugeMetricFamily(
             "streamthread_runners_silent", "Runners that do not answer.", silent
         )
+        yield GaugeMetricFamily(
+            "streamthread_runner_list_age_seconds",
+            "Since the store last confirmed which runners there are.",
+            holder.listing.age_s,
+        )
         yield from self._duties(holder)
 
     @staticmethod
@@ -179,6 +184,11 @@
         yield CounterMetricFamily(
             "streamthread_machine_moves", "Moves ordered.", holder.duties.moves
         )
+        yield GaugeMetricFamily(
+            "streamthread_machine_list_age_seconds",
+            "Since the list of machines was last read.",
+            holder.duties.machines_age_s,
+        )
         yield CounterMetricFamily(
             "streamthread_upkeeps", "Upkeeps ordered.", holder.duties.upkeeps
         )
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -74,6 +74,11 @@
         self.moves = 0
         self.upkeeps = 0
 
+    @property
+    def machines_age_s(self) -> float:
+        """How old the list of machines is, or how long it has been missing."""
+        return self._table.age_s
+
     async def run(self) -> None:
         """Run the duties until the cell is lost."""
         await self._registry.restore()
--- a/src/streamthread/holder/listing.py
+++ b/src/streamthread/holder/listing.py
@@ -6,6 +6,7 @@
 
 import logbook
 
+from ..clocks import boot_s
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..errors import UnreadableError
@@ -86,6 +87,12 @@
         self._grace_timer: asyncio.TimerHandle | None = None
         # Runners without an entry that count as listed until the grace period ends.
         self._missing: set[str] = set()
+        self._began_at_s = boot_s()
+
+    @property
+    def age_s(self) -> float:
+        """How old the list is, or how long it has been missing."""
+        return boot_s() - max(self._feed.known_at_s, self._began_at_s)
 
     async def run(self) -> None:
         """Follow the list until cancelled."""
--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -82,6 +82,7 @@
         self._cloud = cloud
         self._settings = settings
         self._listed_at_s = 0.0
+        self._known_at_s = boot_s()
         self._idle_since_s: dict[str, float] = {}
         self._up_since_s: dict[str, float] = {}
         # Highest cpu and memory ever listed, by machine id.
@@ -109,6 +110,11 @@
 
     # The list of machines.
 
+    @property
+    def age_s(self) -> float:
+        """How old the list of machines is, or how long it has been missing."""
+        return boot_s() - self._known_at_s
+
     async def refresh(self) -> bool:
         """Read the list when it is due; return whether it can be relied on."""
         now_s = boot_s()
@@ -120,7 +126,7 @@
             log.warning("machines-unreadable", extra={"error": str(error)})
             self._listed_at_s = now_s
             return False
-        self._listed_at_s = now_s
+        self._listed_at_s = self._known_at_s = now_s
         unknown = self._unreadable(listed.unreadable)
         self.machines = {machine.machine_id: machine for machine in listed.machines}
         self.machines.update(unknown)
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -92,7 +92,7 @@
         self.advice = self._open_advice()
         self.queue = QueueLoop(self)
         self._runner_manager = RunnerManager(self)
-        self._listing = RunnerListing(
+        self.listing = RunnerListing(
             context.store,
             self.links,
             context.documents,
@@ -185,7 +185,7 @@
 
     def _loops(self) -> t.Iterator[tuple[str, Loop]]:
         """Yield the named loops that run from the replay until the cell is lost."""
-        yield "listing", self._listing.run
+        yield "listing", self.listing.run
         yield "inbox", self.inbox.run
         yield "queue", self.queue.run
         yield "forget", self._housekeeping.forget_ended_jobs
--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -1,6 +1,7 @@
 """HTTP calls to the platform's services, with typed errors."""
 
 import asyncio
+import enum
 import functools
 import json
 import typing as t
@@ -68,6 +69,14 @@
     instance_id: str = ""
 
 
+class _ConnectionUse(enum.Enum):
+    """Which connection a call is sent on; the values appear in error messages."""
+
+    NONE = "without a free connection"
+    NEW = "on a new connection"
+    REUSED = "on a reused connection"
+
+
 @attrs.define
 class _Progress:
     """The progress of a call, for the error message if it fails.
@@ -77,10 +86,27 @@
 
     began_at_s: float = attrs.field(factory=boot_s)
     received_bytes: int = 0
+    connection: _ConnectionUse = _ConnectionUse.NONE
 
     def __str__(self) -> str:
         took_s = boot_s() - self.began_at_s
-        return f"after {took_s:.2f} s and {self.received_bytes} bytes"
+        size = f"{self.received_bytes} bytes"
+        return f"after {took_s:.2f} s and {size} {self.connection.value}"
+
+
+def _connection_trace() -> aiohttp.TraceConfig:
+    """Return the hooks that record in a call's progress which connection it uses."""
+
+    async def on_reused(session: t.Any, context: t.Any, params: t.Any) -> None:
+        context.trace_request_ctx.connection = _ConnectionUse.REUSED
+
+    async def on_created(session: t.Any, context: t.Any, params: t.Any) -> None:
+        context.trace_request_ctx.connection = _ConnectionUse.NEW
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_reuseconn.append(on_reused)
+    trace.on_connection_create_end.append(on_created)
+    return trace
 
 
 class _Connector(aiohttp.TCPConnector):
@@ -139,6 +165,7 @@
                 cookie_jar=aiohttp.DummyCookieJar(),
                 timeout=aiohttp.ClientTimeout(total=None),
                 skip_auto_headers=UNUSED_HEADERS,
+                trace_configs=[_connection_trace()],
             )
         return self._session
 
@@ -177,6 +204,7 @@
                     data=data,
                     headers=all_headers,
                     params=params,
+                    trace_request_ctx=progress,
                 ) as response:
                     return await _read_answer(response, limit, progress, url)
         except aiohttp.ClientConnectorError as error:
--- a/src/streamthread/platform/tests/test_http.py
+++ b/src/streamthread/platform/tests/test_http.py
@@ -7,6 +7,7 @@
 
 from streamthread.errors import OutcomeUnknownError
 from streamthread.platform import http
+from streamthread.platform.store import CONNECTIONS
 from streamthread.platform.store import RowStore
 from streamthread.standins.cell import StoreStandin
 
@@ -77,6 +78,28 @@
         (row,) = (await client.read(TABLE, "")).rows
         assert row.key == "key"
 
+    async def test_are_named_in_the_error(
+        self, store: StoreStandin, client: RowStore
+    ) -> None:
+        await client.read(TABLE, "")
+        store.port.silence_connections()
+        with pytest.raises(OutcomeUnknownError, match="on a reused connection"):
+            await client.read(TABLE, "")
+
+    async def test_that_are_all_in_use_are_named_in_the_error(
+        self, store: StoreStandin, client: RowStore
+    ) -> None:
+        feeds = [
+            asyncio.ensure_future(client.feed(TABLE, store.version, 10.0))
+            for _ in range(CONNECTIONS)
+        ]
+        while store.waiting_feeds < CONNECTIONS:
+            await asyncio.sleep(0.01)
+        with pytest.raises(OutcomeUnknownError, match="without a free connection"):
+            await client.read(TABLE, "")
+        for feed in feeds:
+            feed.cancel()
+
     async def test_are_not_closed_while_in_use(
         self, store: StoreStandin, client: RowStore
     ) -> None:
--- a/tests/cell/test_foreign_entries.py
+++ b/tests/cell/test_foreign_entries.py
@@ -157,7 +157,7 @@
             def fail(row: object) -> None:
                 raise ZeroDivisionError("unexpected")
 
-            monkeypatch.setattr(holder._listing, "_on_row", fail)
+            monkeypatch.setattr(holder.listing, "_on_row", fail)
             entry = json.dumps(ENTRY).encode()
             await cell.world.write_bytes("servers", "i-new", entry)
             await until(lambda: daemon.failures.counts.get("listing"), "a failure")
--- a/tests/cell/test_operators.py
+++ b/tests/cell/test_operators.py
@@ -46,6 +46,8 @@
             assert 'streamthread_answers_total{answer="POST 200"} 1.0' in text
             assert "streamthread_answer_seconds_bucket" in text
             assert "streamthread_holding 1.0" in text
+            assert "streamthread_runner_list_age_seconds" in text
+            assert "streamthread_machine_list_age_seconds" in text
 
 
 class TestSettings:
