Move the estimate of response times to a module of its own

The estimate of when an answer is overdue is used by commits alone. Reads of the platform need it as well, and the adapter cannot import from the cell.

--- a/src/streamthread/cell/acquisition.py
+++ b/src/streamthread/cell/acquisition.py
@@ -12,7 +12,7 @@
 from ..platform.store import Condition
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
-from .answers import ResponseTimes
+from ..response_times import ResponseTimes
 from .answers import version_written
 from .owner_registry import OwnerRegistry
 from .peer import PeerLinks
--- a/src/streamthread/cell/answers.py
+++ b/src/streamthread/cell/answers.py
@@ -3,35 +3,17 @@
 import asyncio
 import typing as t
 
-import attrs
-
 from ..clocks import boot_s
 from ..errors import OutcomeUnknownError
 from ..platform.store import TransactResult
+from ..response_times import ResponseTimes
 
-__all__ = ["ReadBack", "ResponseTimes", "version_written"]
+__all__ = ["ReadBack", "version_written"]
 
 ReadBack = t.Callable[[], t.Awaitable[int | None]]
 """Reads back whether a write took effect: returns the version that it created, 0 if it
 took no effect, or None if this cannot be read now."""
 
-MEAN_WEIGHT = 0.125
-"""Weight of the newest answer in the mean, as in the RTT estimate of TCP (RFC 6298)."""
-
-DEVIATION_WEIGHT = 0.25
-"""Weight of the newest deviation in the mean deviation."""
-
-DEVIATION_FACTOR = 4.0
-"""An answer that exceeds the mean by this many deviations is overdue."""
-
-MIN_ANSWER_TIMEOUT_S = 0.08
-"""Minimum answer time-out. A commit takes 7 ms, and a busy holder processes its answer
-up to 50 ms later."""
-
-MAX_ANSWER_TIMEOUT_S = 0.6
-"""Maximum answer time-out, after which a read-back starts at the latest. A store that
-is 60 times slower answers in 0.3 s."""
-
 READ_BACK_TIMEOUT_S = 0.4
 """Time-out of a read-back. A read takes 0.25 s in a store that is 60 times slower, and
 a read that was sent before the store recovered may never be answered."""
@@ -44,34 +26,6 @@
 store that is slow for all clients, a write takes twice as long as a read-back."""
 
 
-@attrs.define
-class ResponseTimes:
-    """Estimates how long the store's answers take."""
-
-    _mean_s: float = 0.0
-    _deviation_s: float = 0.0
-    _doublings: int = 0
-
-    @property
-    def answer_timeout_s(self) -> float:
-        """How long an answer may take before its effect is read back."""
-        usual_s = self._mean_s + DEVIATION_FACTOR * self._deviation_s
-        answer_timeout_s = max(MIN_ANSWER_TIMEOUT_S, usual_s) * 2.0**self._doublings
-        return min(answer_timeout_s, MAX_ANSWER_TIMEOUT_S)
-
-    def observe(self, took_s: float) -> None:
-        """Record how long an answer took."""
-        self._doublings = 0
-        error_s = abs(took_s - self._mean_s)
-        self._deviation_s += (error_s - self._deviation_s) * DEVIATION_WEIGHT
-        self._mean_s += (took_s - self._mean_s) * MEAN_WEIGHT
-
-    def back_off(self) -> None:
-        """Double the answer time-out, because an answer did not arrive at all."""
-        if self.answer_timeout_s < MAX_ANSWER_TIMEOUT_S:
-            self._doublings += 1
-
-
 async def version_written(
     write: t.Awaitable[TransactResult], read_back: ReadBack, times: ResponseTimes
 ) -> int:
--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -13,7 +13,7 @@
 from ..platform.store import Condition
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
-from .answers import ResponseTimes
+from ..response_times import ResponseTimes
 from .answers import version_written
 from .reading import head_or_none
 from .reading import read_or_none
--- a/src/streamthread/cell/tests/test_answers.py
+++ b/src/streamthread/cell/tests/test_answers.py
@@ -7,14 +7,14 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from streamthread.cell.answers import MAX_ANSWER_TIMEOUT_S
-from streamthread.cell.answers import MIN_ANSWER_TIMEOUT_S
-from streamthread.cell.answers import ResponseTimes
 from streamthread.cell.answers import version_written
 from streamthread.clocks import boot_s
 from streamthread.errors import OutcomeUnknownError
 from streamthread.errors import StoreUnavailableError
 from streamthread.platform.store import TransactResult
+from streamthread.response_times import MAX_ANSWER_TIMEOUT_S
+from streamthread.response_times import MIN_ANSWER_TIMEOUT_S
+from streamthread.response_times import ResponseTimes
 
 NEVER_S = 60.0
 SOON_S = 5.0
