Repeat overdue reads on new connections, and end what silent ones hold

Cause: a call on an open connection that has stopped responding waits for its whole time limit, which allows for a service sixty times slower than usual. Orders and the list of machines held all four connections to the cloud for 2 s, so that no machine was ordered; the feed that names new runners was silent for up to 1.8 s.

Evidence: the orders before the silence at 8.8 s and the next list end with TimeoutError after 2.00 s on reused connections; 120 machines are ordered at 10.85 s that are ordered from 9.0 s on without the silence. With the connection in the errors it shows the same.

Fix: calls that may be carried out twice are sent once more, on a connection of their own, once they are overdue by the estimate of response times. If that attempt is answered first, idle connections are closed, other such calls are repeated at once, and calls that can't be repeated end when overdue, so that they hold no connection. A service that is slow for all answers the first attempt first, and nothing follows.

Accepting jobs is still delayed: a fault of its own.

--- a/src/streamthread/platform/cloud.py
+++ b/src/streamthread/platform/cloud.py
@@ -148,6 +148,7 @@
                 f"{self._url}/-/machines",
                 timeout_s=self._timeout_s,
                 params={"pageToken": token} if token else None,
+                repeatable=True,
             )
             refuse_status(answer, "/-/machines")
             page = self._caller.read(answer, _PAGES)
--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -1,7 +1,6 @@
 """HTTP calls to the platform's services, with typed errors."""
 
 import asyncio
-import enum
 import functools
 import json
 import typing as t
@@ -20,6 +19,12 @@
 from ..errors import UnreadableError
 from ..unreadable import Source
 from ..unreadable import UnreadableNotes
+from .inflight import Address
+from .inflight import Answer
+from .inflight import Attempt
+from .inflight import connection_trace
+from .inflight import Flight
+from .inflight import Flights
 
 __all__ = ["Answer", "HttpCaller", "JsonObject", "ServiceClient", "refuse_status"]
 
@@ -55,75 +60,39 @@
 _RETRY_REMEDY = "the call is retried automatically; no data is lost"
 
 
-@attrs.frozen
-class Answer:
-    """One complete answer; :meth:`HttpCaller.read` decodes it.
-
-    :param url: the URL that was called.
-    :param instance_id: the runner incarnation that answered, if the answer names it.
-    """
-
-    status: int
-    text: bytes
-    url: str = ""
-    instance_id: str = ""
-
+_FAILURES = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
+"""What an attempt raises that gets no complete answer."""
 
-class _ConnectionUse(enum.Enum):
-    """Which connection a call is sent on; the values appear in error messages."""
-
-    NONE = "without a free connection"
-    NEW = "on a new connection"
-    REUSED = "on a reused connection"
-
-
-@attrs.define
-class _Progress:
-    """The progress of a call, for the error message if it fails.
-
-    :param received_bytes: how much of the answer's body has arrived.
-    """
 
-    began_at_s: float = attrs.field(factory=boot_s)
-    received_bytes: int = 0
-    connection: _ConnectionUse = _ConnectionUse.NONE
-
-    def __str__(self) -> str:
-        took_s = boot_s() - self.began_at_s
-        size = f"{self.received_bytes} bytes"
-        return f"after {took_s:.2f} s and {size} {self.connection.value}"
-
-
-def _connection_trace() -> aiohttp.TraceConfig:
-    """Return the hooks that record in a call's progress which connection it uses."""
-
-    async def on_reused(session: t.Any, context: t.Any, params: t.Any) -> None:
-        context.trace_request_ctx.connection = _ConnectionUse.REUSED
-
-    async def on_created(session: t.Any, context: t.Any, params: t.Any) -> None:
-        context.trace_request_ctx.connection = _ConnectionUse.NEW
+@attrs.frozen
+class _Request:
+    """A call, ready to be sent."""
 
-    trace = aiohttp.TraceConfig()
-    trace.on_connection_reuseconn.append(on_reused)
-    trace.on_connection_create_end.append(on_created)
-    return trace
+    method: str
+    url: yarl.URL
+    data: bytes | None
+    headers: dict[str, str]
+    params: dict[str, str] | None
 
 
 class _Connector(aiohttp.TCPConnector):
     """Keeps idle connections, and can close those that are most likely dead."""
 
-    def close_idle(self, url: yarl.URL) -> int:
-        """Close the idle connections to a URL's address.
+    def close_idle(self, address: Address, since_s: float) -> int:
+        """Close the connections to an address that are idle since before a time.
 
+        :param since_s: on the boot clock.
         :return: the number of closed connections.
         """
+        # The library notes by the event loop's clock when a connection became idle.
+        since_loop_s = since_s + asyncio.get_running_loop().time() - boot_s()
         # The library has no public API for its idle connections. It skips closed ones.
         idle = [
             protocol
             for key, entries in self._conns.items()
-            if (key.host, key.port) == (url.host, url.port)
-            for protocol, _ in entries
-            if protocol.is_connected()
+            if (key.host, key.port) == address
+            for protocol, idle_since_s in entries
+            if protocol.is_connected() and idle_since_s <= since_loop_s
         ]
         for protocol in idle:
             protocol.close()
@@ -150,6 +119,9 @@
         self._notes = notes or UnreadableNotes()
         self._session: aiohttp.ClientSession | None = None
         self._connector: _Connector | None = None
+        # Opens a connection for each call and closes it afterwards.
+        self._single_use: aiohttp.ClientSession | None = None
+        self._flights = Flights(self._close_idle_since)
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
@@ -158,21 +130,20 @@
                 limit_per_host=self._limit,
                 keepalive_timeout=IDLE_CONNECTION_S,
             )
-            # Each call has its own time limit, and the platform sets no cookies.
-            self._session = aiohttp.ClientSession(
-                connector=self._connector,
-                auto_decompress=False,
-                cookie_jar=aiohttp.DummyCookieJar(),
-                timeout=aiohttp.ClientTimeout(total=None),
-                skip_auto_headers=UNUSED_HEADERS,
-                trace_configs=[_connection_trace()],
-            )
+            self._session = _make_session(self._connector)
         return self._session
 
+    def _open_single_use(self) -> aiohttp.ClientSession:
+        if self._single_use is None:
+            connector = aiohttp.TCPConnector(limit=0, force_close=True)
+            self._single_use = _make_session(connector)
+        return self._single_use
+
     async def close(self) -> None:
         """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
+        for session in (self._session, self._single_use):
+            if session is not None:
+                await session.close()
 
     async def call(
         self,
@@ -183,44 +154,52 @@
         timeout_s: float,
         headers: dict[str, str] | None = None,
         params: dict[str, str] | None = None,
+        repeatable: bool = False,
+        wait_s: float = 0.0,
     ) -> Answer:
         """Make one call.
 
         :param timeout_s: maximum time until the answer begins; after that,
             :data:`SILENCE_S` limits each pause.
+        :param repeatable: the call may be carried out twice, and is sent once more, on
+            a new connection, if its answer is overdue.
+        :param wait_s: how long the service may wait before it answers.
         :raises StoreUnavailableError: no connection could be opened, so the call was
             certainly not carried out.
         :raises OutcomeUnknownError: the call may have been sent, and no complete answer
             arrived.
         """
-        all_headers = JSON_HEADERS if headers is None else JSON_HEADERS | headers
-        data = None if body is None else _encode(body)
-        progress = _Progress()
+        request = _Request(
+            method,
+            _parse_url(url),
+            None if body is None else _encode(body),
+            JSON_HEADERS if headers is None else JSON_HEADERS | headers,
+            params,
+        )
+        address = (request.url.host, request.url.port)
+        repeat = functools.partial(self._repeat, request) if repeatable else None
+        flight = Flight(self._flights, address, wait_s, repeat)
         try:
             async with asyncio.timeout(timeout_s) as limit:
-                async with self._open().request(
-                    method,
-                    _parse_url(url),
-                    data=data,
-                    headers=all_headers,
-                    params=params,
-                    trace_request_ctx=progress,
-                ) as response:
-                    return await _read_answer(response, limit, progress, url)
-        except aiohttp.ClientConnectorError as error:
-            raise StoreUnavailableError(
-                str(error), remedy=_RETRY_REMEDY, location=url
-            ) from error
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError) as error:
-            failure = OutcomeUnknownError
+                with flight.tracked(limit):
+                    return await _send(
+                        self._open(), request, flight.attempt, limit, flight.on_begun
+                    )
+        except _FAILURES as error:
+            if flight.answer is not None:
+                return flight.answer
             if isinstance(error, TimeoutError):
-                self._close_idle_connections(_parse_url(url))
-                failure = NoAnswerError
-            raise failure(
-                f"no complete answer ({type(error).__name__} {progress})",
-                remedy=_RETRY_REMEDY,
-                location=url,
-            ) from error
+                self._close_idle(address)
+            raise _failure(error, request, flight.attempt) from error
+
+    async def _repeat(self, request: _Request, timeout_s: float) -> Answer:
+        """Send a call on a connection of its own."""
+        attempt = Attempt()
+        try:
+            async with asyncio.timeout(timeout_s) as limit:
+                return await _send(self._open_single_use(), request, attempt, limit)
+        except _FAILURES as error:
+            raise _failure(error, request, attempt) from error
 
     def read(self, answer: Answer, decoder: Decoder[T]) -> T:
         """Decode an answer.
@@ -238,12 +217,18 @@
                 location=answer.url,
             ) from error
 
-    def _close_idle_connections(self, url: yarl.URL) -> None:
-        closed = 0 if self._connector is None else self._connector.close_idle(url)
+    def _close_idle_since(self, address: Address, since_s: float) -> int:
+        if self._connector is None:
+            return 0
+        return self._connector.close_idle(address, since_s)
+
+    def _close_idle(self, address: Address) -> None:
+        closed = self._close_idle_since(address, boot_s())
         if closed:
+            host, port = address
             log.info(
                 "idle-connections-closed",
-                extra={"address": f"{url.host}:{url.port}", "connections": closed},
+                extra={"address": f"{host}:{port}", "connections": closed},
             )
 
 
@@ -281,10 +266,45 @@
     return json.dumps(body, separators=(",", ":")).encode()
 
 
+def _make_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+    # Each call has its own time limit, and the platform sets no cookies.
+    return aiohttp.ClientSession(
+        connector=connector,
+        auto_decompress=False,
+        cookie_jar=aiohttp.DummyCookieJar(),
+        timeout=aiohttp.ClientTimeout(total=None),
+        skip_auto_headers=UNUSED_HEADERS,
+        trace_configs=[connection_trace()],
+    )
+
+
+async def _send(
+    session: aiohttp.ClientSession,
+    request: _Request,
+    attempt: Attempt,
+    limit: asyncio.Timeout,
+    on_begun: t.Callable[[], None] = lambda: None,
+) -> Answer:
+    """Make one attempt of a call.
+
+    :param on_begun: called when the answer begins.
+    """
+    async with session.request(
+        request.method,
+        request.url,
+        data=request.data,
+        headers=request.headers,
+        params=request.params,
+        trace_request_ctx=attempt,
+    ) as response:
+        on_begun()
+        return await _read_answer(response, limit, attempt, str(request.url))
+
+
 async def _read_answer(
     response: aiohttp.ClientResponse,
     limit: asyncio.Timeout,
-    progress: _Progress,
+    attempt: Attempt,
     url: str,
 ) -> Answer:
     """Read an answer that has begun; each piece extends the time limit."""
@@ -293,12 +313,29 @@
     parts: list[bytes] = []
     async for part in response.content.iter_any():
         limit.reschedule(loop.time() + SILENCE_S)
-        progress.received_bytes += len(part)
+        attempt.received_bytes += len(part)
         parts.append(part)
     instance_id = response.headers.get(INSTANCE_HEADER, "")
     return Answer(response.status, b"".join(parts), url, instance_id)
 
 
+def _failure(
+    error: Exception, request: _Request, attempt: Attempt
+) -> StoreUnavailableError | OutcomeUnknownError:
+    """Return the typed error of a failed attempt."""
+    location = str(request.url)
+    if isinstance(error, aiohttp.ClientConnectorError):
+        return StoreUnavailableError(
+            str(error), remedy=_RETRY_REMEDY, location=location
+        )
+    failure = NoAnswerError if isinstance(error, TimeoutError) else OutcomeUnknownError
+    return failure(
+        f"no complete answer ({type(error).__name__} {attempt})",
+        remedy=_RETRY_REMEDY,
+        location=location,
+    )
+
+
 def refuse_status(answer: Answer, url: str) -> None:
     """Raise an error for the statuses 429, 503 and other server errors.
 
--- a/src/streamthread/platform/store.py
+++ b/src/streamthread/platform/store.py
@@ -190,7 +190,7 @@
         params = {"table": table, "part": part, "limit": str(limit)}
         if start:
             params["from"] = start
-        answer = await self._call("GET", _GET, "read", params=params)
+        answer = await self._call("GET", _GET, "read", params=params, repeatable=True)
         _require_ok(answer, _GET)
         return self._page(table, answer)
 
@@ -215,7 +215,13 @@
             "waitMs": str(int(wait_s * 1000)),
         }
         answer = await self._call(
-            "GET", _FEED, "feed", params=params, timeout_s=wait_s + FEED_SLACK_S
+            "GET",
+            _FEED,
+            "feed",
+            params=params,
+            timeout_s=wait_s + FEED_SLACK_S,
+            repeatable=True,
+            wait_s=wait_s,
         )
         if answer.status == HISTORY_GONE_STATUS:
             raise HistoryGoneError
@@ -257,6 +263,8 @@
         body: JsonObject | None = None,
         params: dict[str, str] | None = None,
         timeout_s: float | None = None,
+        repeatable: bool = False,
+        wait_s: float = 0.0,
     ) -> Answer:
         self.calls[kind] += 1
         answer = await self._caller.call(
@@ -265,6 +273,8 @@
             body,
             params=params,
             timeout_s=timeout_s or self._timeout_s,
+            repeatable=repeatable,
+            wait_s=wait_s,
         )
         refuse_status(answer, path)
         return answer
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -26,6 +26,23 @@
         "            if False:",
         ("tests/cell/test_runners.py::TestSilentConnections",),
     ),
+    Guard(
+        "overdue-reads-are-repeated",
+        "platform/inflight.py",
+        "            timer = loop.call_later(self._overdue_s, self._start_second)\n",
+        "",
+        (
+            "src/streamthread/platform/tests/test_http.py::TestSilentConnections",
+            "tests/cell/test_silent_connections.py::TestSilentConnectionsToTheCloud",
+        ),
+    ),
+    Guard(
+        "silence-ends-overdue-writes",
+        "platform/inflight.py",
+        "        left_s = self.attempt.sent_at_s + self._overdue_s - boot_s()\n",
+        "        return\n",
+        ("src/streamthread/platform/tests/test_http.py::TestSilentConnections",),
+    ),
     Guard(
         "over-is-stopped",
         "scheduler/codec.py",
