Replace a silent channel to the holder while a forwarded call waits

Callers were told that their job was accepted 0.4 s later in the median and 1.9 s later at most when connections had fallen silent; two of them got 504 after 1.7 s. An objective leaves 0.6 s beside the work.

Cause: a call that a daemon forwards waits on the open channel until the holder counts as silent, 0.7 s after its last heartbeat. By then no holder seems to be there, and the call goes to the inbox, over a connection to the store that is silent as well.

Evidence: all forwarded calls of a daemon end in one moment, 0.5 s after the silence, with their channel; writes to the inbox follow and end after 1.20 s.

Fix: while a forwarded call has no answer and a heartbeat is 0.1 s overdue, a new channel is tried. If the peer responds there alone, it replaces the open one, whose calls fail and are retried at once. The holder still counts as silent after 0.7 s alone.

--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -4,6 +4,7 @@
 import math
 import typing as t
 
+import logbook
 from grpclib.const import Status
 from grpclib.exceptions import GRPCError
 from grpclib.exceptions import StreamTerminatedError
@@ -26,6 +27,8 @@
     "PeerLinks",
 ]
 
+log = logbook.Logger("streamthread.cell")
+
 CallHandler = t.Callable[[pb.CallRequest], t.Awaitable[pb.CallReply]]
 
 CONNECT_S = 0.8
@@ -37,6 +40,14 @@
 UNANSWERED = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 """The exceptions that a call to a peer raises if it gets no answer."""
 
+HEARTBEAT_MARGIN_S = 0.1
+"""How late a heartbeat may be before the channel is in doubt: a busy holder sends it up
+to 50 ms late."""
+
+CALL_CHECK_S = 0.1
+"""Interval between checks of the channel while a call has no answer; a commit takes
+7 ms."""
+
 Reply = t.TypeVar("Reply")
 
 
@@ -144,12 +155,23 @@
 
 
 class PeerLinks:
-    """Channels to other daemons, one for each address."""
+    """Channels to other daemons, one for each address.
+
+    A channel can stop responding without being reset. While a forwarded call has no
+    answer and the holder's heartbeats are missing, a new channel is opened beside it.
+    If a peer responds there, the new channel replaces the old one, whose calls fail and
+    are retried.
 
-    def __init__(self, daemon_id: str, address: str) -> None:
+    :param beat_s: interval between the holder's heartbeats.
+    """
+
+    def __init__(self, daemon_id: str, address: str, beat_s: float) -> None:
         self._daemon_id = daemon_id
         self.address = address
+        self._heartbeat_overdue_s = beat_s + HEARTBEAT_MARGIN_S
         self._channels: dict[str, PeerChannel] = {}
+        # Addresses whose channels are being compared with new ones.
+        self._verifying: set[str] = set()
         self._heartbeat_at_s = -math.inf
 
     def received_within(self, within_s: float) -> bool:
@@ -181,12 +203,67 @@
 
         :raises PeerUnavailableError: no answer; the request may have been carried out.
         """
-        return await self._answer(
-            address,
-            lambda stub: stub.Call(request, timeout=timeout_s),
-            remedy="the call is retried at the current holder",
-            keep_if_slow=True,
+        answer = asyncio.ensure_future(
+            self._answer(
+                address,
+                lambda stub: stub.Call(request, timeout=timeout_s),
+                remedy="the call is retried at the current holder",
+                keep_if_slow=True,
+            )
         )
+        try:
+            while not await _is_done(answer, CALL_CHECK_S):
+                await self._verify_if_in_doubt(address, answer)
+            return await answer
+        finally:
+            answer.cancel()
+
+    async def _verify_if_in_doubt(
+        self, address: str, answer: "asyncio.Future[pb.CallReply]"
+    ) -> None:
+        """Verify the channel of a pending call if heartbeats are missing.
+
+        Returns once the call is answered or the channel has been verified.
+        """
+        in_doubt = not self.received_within(self._heartbeat_overdue_s)
+        if not in_doubt or address in self._verifying:
+            return
+        self._verifying.add(address)
+        verification = asyncio.ensure_future(self._verify(address))
+        try:
+            await asyncio.wait(
+                (answer, verification), return_when=asyncio.FIRST_COMPLETED
+            )
+        finally:
+            verification.cancel()
+            self._verifying.discard(address)
+
+    async def _verify(self, address: str) -> None:
+        """Open a new channel, and use it if the peer responds there alone."""
+        old = self._channels.get(address)
+        unused = PeerChannel.to(address)
+        try:
+            if not await self._responds(unused, address):
+                return
+            recovered = self.received_within(self._heartbeat_overdue_s)
+            if old is not None and self._channels.get(address) is old and not recovered:
+                log.info("channel-replaced", extra={"address": address})
+                self._channels[address] = unused
+                unused = old
+        finally:
+            unused.close()
+
+    async def _responds(self, channel: PeerChannel, address: str) -> bool:
+        """Whether a peer responds on a channel, as the holder or as another daemon."""
+        try:
+            with channel.calling():
+                await self._first_heartbeat(CellStub(channel))
+        except GRPCError:
+            return True
+        except UNANSWERED as error:
+            log.info("peer-silent", extra={"address": address, "error": repr(error)})
+            return False
+        return True
 
     async def explain(
         self, address: str, request: pb.ExplainRequest
@@ -332,6 +409,11 @@
                 self._heartbeat_at_s = boot_s()
 
 
+async def _is_done(answer: "asyncio.Future[pb.CallReply]", within_s: float) -> bool:
+    await asyncio.wait((answer,), timeout=within_s)
+    return answer.done()
+
+
 def _unavailable(error: Exception, remedy: str, address: str) -> PeerUnavailableError:
     message = f"no answer ({type(error).__name__})"
     return PeerUnavailableError(message, remedy=remedy, location=address)
--- a/src/streamthread/cell/tests/test_peer.py
+++ b/src/streamthread/cell/tests/test_peer.py
@@ -76,7 +76,7 @@
     port = CellPort(_endpoint(), "127.0.0.1", 0)
     address = await port.open()
     monkeypatch.setattr("streamthread.cell.peer.PeerChannel", _LosingChannel)
-    links = PeerLinks("daemon-0", "here:1")
+    links = PeerLinks("daemon-0", "here:1", HEARTBEAT_S)
     yield links, address
     links.close()
     port.close()
@@ -107,7 +107,7 @@
         endpoint = _announced_endpoint()
         port = CellPort(endpoint, "127.0.0.1", 0)
         address = await port.open()
-        links = PeerLinks("daemon-1", "127.0.0.1:1")
+        links = PeerLinks("daemon-1", "127.0.0.1:1", HEARTBEAT_S)
         try:
             answer = await links.announce(address, pb.Announcement())
             assert answer.daemon_id == "daemon-2"
@@ -120,7 +120,7 @@
         endpoint = _announced_endpoint()
         port = CellPort(endpoint, "127.0.0.1", 0)
         address = await port.open()
-        links = PeerLinks("daemon-1", "127.0.0.1:1")
+        links = PeerLinks("daemon-1", "127.0.0.1:1", HEARTBEAT_S)
         try:
             await links.call(address, pb.CallRequest(), 1.0)
             kept = dict(links._channels)
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -136,7 +136,7 @@
         if node.advice:
             self.advice = AdviceClient(node.advice, CLOUD_TIMEOUT_S, self.notes)
         self.documents = Documents(self.store, self.notes, self.failures)
-        self.peers = PeerLinks(node.daemon_id, address)
+        self.peers = PeerLinks(node.daemon_id, address, self.settings.times.beat_s)
         self.holder: Holder | None = None
         self._holder_failures = 0
         self.lease = self._make_lease(address)
--- a/tests/cell/test_silent_connections.py
+++ b/tests/cell/test_silent_connections.py
@@ -28,6 +28,9 @@
 """The list of machines is read every 0.5 s, and the objective of the shortest jobs
 leaves them 0.6 s beside their work."""
 
+ANSWERED_WITHIN_S = 0.6
+"""What the objective of the shortest jobs leaves them beside their work."""
+
 JOB_ID = "00000000000000aa"
 
 
@@ -61,6 +64,63 @@
         await world.close()
 
 
+@contextlib.asynccontextmanager
+async def _cell_with_links_between_daemons() -> t.AsyncIterator[
+    tuple[Cell, list[Link]]
+]:
+    """Run two daemons, each of which the other one reaches over its own link."""
+    world = CellWorld({"desk": 2})
+    await world.open()
+    links: list[Link] = []
+    daemons: list[CellDaemon] = []
+    for number in range(2):
+        link = Link()
+        await link.start("127.0.0.1")
+        daemon = CellDaemon(decode_node(world.node_settings(f"daemon-{number}")))
+        _announce(daemon, link)
+        links.append(link)
+        daemons.append(daemon)
+    cell = Cell(world, daemons)
+    try:
+        for daemon in daemons:
+            await daemon.start()
+        yield cell, links
+    finally:
+        await cell.close_callers()
+        for daemon in daemons:
+            await daemon.stop()
+        for link in links:
+            await link.close()
+        await world.close()
+
+
+def _announce(daemon: CellDaemon, link: Link) -> None:
+    """Let a daemon announce the address of a link as its own."""
+    open_port = daemon.port.open
+
+    async def open_behind_link() -> str:
+        host, port = (await open_port()).split(":")
+        link.set_target(host, int(port))
+        return f"127.0.0.1:{link.port}"
+
+    daemon.port.open = open_behind_link  # type: ignore[method-assign]
+
+
+class TestSilentConnectionsToTheHolder:
+    # Guards against forwarded submissions that wait until the holder counts as silent,
+    # and then for the inbox.
+    async def test_delay_no_submission_beyond_its_objective(self) -> None:
+        async with _cell_with_links_between_daemons() as (cell, links):
+            holder = await cell.until_ready()
+            at = 1 - cell.daemons.index(holder)
+            caller = cell.caller()
+            assert await caller.submit(JOB_ID, job(), at) == 200
+            for n in range(3):
+                links[1 - at].silence_open()
+                async with asyncio.timeout(ANSWERED_WITHIN_S):
+                    assert await caller.submit(f"{n}" * 16, job(), at) == 200
+
+
 class TestSilentConnectionsToTheStore:
     async def test_delay_a_configuration_by_one_timeout(self) -> None:
         async with _cell_behind_links() as (cell, links):
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -43,6 +43,13 @@
         "        return\n",
         ("src/streamthread/platform/tests/test_http.py::TestSilentConnections",),
     ),
+    Guard(
+        "silent-channel-is-replaced",
+        "cell/peer.py",
+        "                await self._verify_if_in_doubt(address, answer)\n",
+        "                pass\n",
+        ("tests/cell/test_silent_connections.py::TestSilentConnectionsToTheHolder",),
+    ),
     Guard(
         "over-is-stopped",
         "scheduler/codec.py",
