Let the second attempt of a feed wait no longer

At a holder, the feeds of the inbox and of runners still ended with their time limit 0.8 s after a silence: the second attempt asked the store to wait as long as the first one had, 1 s, and ended with the limit of both, 0.72 s later.

The second attempt asks for what is there now. Its answer shows silence alone where the first attempt was overdue; one that was made since another call had shown silence is no further evidence.

The test with a wait longer than the slack failed before (NoAnswerError after 2.30 s).

--- a/src/streamthread/platform/cloud.py
+++ b/src/streamthread/platform/cloud.py
@@ -17,6 +17,7 @@
 from .http import Answer
 from .http import JsonObject
 from .http import refuse_status
+from .http import Repeat
 from .http import ServiceClient
 
 __all__ = [
@@ -148,7 +149,7 @@
                 f"{self._url}/-/machines",
                 timeout_s=self._timeout_s,
                 params={"pageToken": token} if token else None,
-                repeatable=True,
+                repeat=Repeat(),
             )
             refuse_status(answer, "/-/machines")
             page = self._caller.read(answer, _PAGES)
--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -26,7 +26,14 @@
 from .inflight import Flight
 from .inflight import Flights
 
-__all__ = ["Answer", "HttpCaller", "JsonObject", "ServiceClient", "refuse_status"]
+__all__ = [
+    "Answer",
+    "HttpCaller",
+    "JsonObject",
+    "Repeat",
+    "ServiceClient",
+    "refuse_status",
+]
 
 log = logbook.Logger("streamthread.platform")
 
@@ -75,6 +82,30 @@
     params: dict[str, str] | None
 
 
+@attrs.frozen
+class Repeat:
+    """How an overdue call is sent once more.
+
+    The second attempt lets the service wait no longer.
+
+    :param wait_s: how long the service may wait before it answers the first attempt.
+    :param body: the body of the second attempt; None: as in the first one.
+    :param params: its query parameters; None: as in the first one.
+    """
+
+    wait_s: float = 0.0
+    body: JsonObject | None = None
+    params: dict[str, str] | None = None
+
+    def apply(self, request: _Request) -> _Request:
+        """Return the second attempt of a call."""
+        return attrs.evolve(
+            request,
+            data=request.data if self.body is None else _encode(self.body),
+            params=request.params if self.params is None else self.params,
+        )
+
+
 class _Connector(aiohttp.TCPConnector):
     """Keeps idle connections, and can close those that are most likely dead."""
 
@@ -154,16 +185,14 @@
         timeout_s: float,
         headers: dict[str, str] | None = None,
         params: dict[str, str] | None = None,
-        repeatable: bool = False,
-        wait_s: float = 0.0,
+        repeat: Repeat | None = None,
     ) -> Answer:
         """Make one call.
 
         :param timeout_s: maximum time until the answer begins; after that,
             :data:`SILENCE_S` limits each pause.
-        :param repeatable: the call may be carried out twice, and is sent once more, on
-            a new connection, if its answer is overdue.
-        :param wait_s: how long the service may wait before it answers.
+        :param repeat: the call may be carried out twice, and is sent once more in this
+            form, on a new connection, if its answer is overdue.
         :raises StoreUnavailableError: no connection could be opened, so the call was
             certainly not carried out.
         :raises OutcomeUnknownError: the call may have been sent, and no complete answer
@@ -177,8 +206,7 @@
             params,
         )
         address = (request.url.host, request.url.port)
-        repeat = functools.partial(self._repeat, request) if repeatable else None
-        flight = Flight(self._flights, address, wait_s, repeat)
+        flight = self._flight(address, request, repeat)
         try:
             async with asyncio.timeout(timeout_s) as limit:
                 with flight.tracked(limit):
@@ -192,8 +220,16 @@
                 self._close_idle(address)
             raise _failure(error, request, flight.attempt) from error
 
-    async def _repeat(self, request: _Request, timeout_s: float) -> Answer:
-        """Send a call on a connection of its own."""
+    def _flight(
+        self, address: Address, request: _Request, repeat: Repeat | None
+    ) -> Flight:
+        if repeat is None:
+            return Flight(self._flights, address)
+        send_again = functools.partial(self._send_again, repeat.apply(request))
+        return Flight(self._flights, address, repeat.wait_s, send_again)
+
+    async def _send_again(self, request: _Request, timeout_s: float) -> Answer:
+        """Make the second attempt of a call, on a connection of its own."""
         attempt = Attempt()
         try:
             async with asyncio.timeout(timeout_s) as limit:
--- a/src/streamthread/platform/inflight.py
+++ b/src/streamthread/platform/inflight.py
@@ -29,7 +29,7 @@
     "ConnectionUse",
     "Flight",
     "Flights",
-    "Repeat",
+    "SendAgain",
     "connection_trace",
 ]
 
@@ -87,27 +87,35 @@
 Address = tuple[str | None, int | None]
 """The host and port of a service."""
 
-Repeat = t.Callable[[float], t.Awaitable[Answer]]
-"""Sends a call once more, on a new connection and with this time limit in seconds."""
+SendAgain = t.Callable[[float], t.Awaitable[Answer]]
+"""Makes the second attempt of a call, with this time limit in seconds."""
 
 
 class Flight:
     """One call in flight.
 
+    :param wait_s: how long the service may wait before it answers the first attempt.
+    :param send_again: makes the second attempt; None if the call must not be repeated.
     :param attempt: its first attempt.
     :param answer: the answer to its second attempt, if that was answered first.
     """
 
     def __init__(
-        self, flights: "Flights", address: Address, wait_s: float, repeat: Repeat | None
+        self,
+        flights: "Flights",
+        address: Address,
+        wait_s: float = 0.0,
+        send_again: SendAgain | None = None,
     ) -> None:
         self.attempt = Attempt()
         self.answer: Answer | None = None
         self._flights = flights
         self._address = address
         self._wait_s = wait_s
-        self._repeat = repeat
+        self._send_again = send_again
         self._second: asyncio.Task[None] | None = None
+        # The service had time to answer the first attempt.
+        self._overdue = False
 
     @contextlib.contextmanager
     def tracked(self, limit: asyncio.Timeout) -> t.Iterator[None]:
@@ -119,9 +127,9 @@
         """
         self._limit = limit
         timer = None
-        if self._repeat is not None:
+        if self._send_again is not None:
             loop = asyncio.get_running_loop()
-            timer = loop.call_later(self._overdue_s, self._start_second)
+            timer = loop.call_later(self._overdue_s, self._on_overdue)
         self._flights.add(self._address, self)
         try:
             yield
@@ -148,24 +156,30 @@
         if took_s >= self._wait_s:
             self._flights.times.observe(took_s - self._wait_s)
 
+    def _on_overdue(self) -> None:
+        self._overdue = True
+        self._start_second()
+
     def _start_second(self) -> None:
         if self._second is None and not self.attempt.begun:
-            self._second = asyncio.get_running_loop().create_task(self._send_again())
+            self._second = asyncio.get_running_loop().create_task(self._make_second())
 
-    async def _send_again(self) -> None:
+    async def _make_second(self) -> None:
         # An answer that arrived while the event loop was busy is handled before this.
-        if self.attempt.begun or self._repeat is None:
+        if self.attempt.begun or self._send_again is None:
             return
         sent_at_s = boot_s()
         left_s = (self._limit.when() or 0.0) - asyncio.get_running_loop().time()
         try:
-            answer = await self._repeat(left_s)
+            answer = await self._send_again(left_s)
         except (StoreUnavailableError, OutcomeUnknownError) as error:
             log.debug("second-attempt-failed", extra={"error": str(error)})
             return
-        if not self.attempt.begun:
-            self.answer = answer
-            self._limit.reschedule(asyncio.get_running_loop().time())
+        if self.attempt.begun:
+            return
+        self.answer = answer
+        self._limit.reschedule(asyncio.get_running_loop().time())
+        if self._overdue:
             self._flights.on_silence(self._address, sent_at_s)
 
     def on_silence(self) -> None:
@@ -175,7 +189,7 @@
         """
         if self.attempt.begun or self.answer is not None:
             return
-        if self._repeat is not None:
+        if self._send_again is not None:
             self._start_second()
             return
         loop = asyncio.get_running_loop()
--- a/src/streamthread/platform/store.py
+++ b/src/streamthread/platform/store.py
@@ -18,6 +18,7 @@
 from .http import Answer
 from .http import JsonObject
 from .http import refuse_status
+from .http import Repeat
 from .http import ServiceClient
 
 __all__ = [
@@ -190,7 +191,7 @@
         params = {"table": table, "part": part, "limit": str(limit)}
         if start:
             params["from"] = start
-        answer = await self._call("GET", _GET, "read", params=params, repeatable=True)
+        answer = await self._call("GET", _GET, "read", params=params, repeat=Repeat())
         _require_ok(answer, _GET)
         return self._page(table, answer)
 
@@ -209,19 +210,14 @@
 
         :raises HistoryGoneError: the store no longer has all changes since then.
         """
-        params = {
-            "table": table,
-            "after": str(after),
-            "waitMs": str(int(wait_s * 1000)),
-        }
+        no_wait = {"table": table, "after": str(after), "waitMs": "0"}
         answer = await self._call(
             "GET",
             _FEED,
             "feed",
-            params=params,
+            params=no_wait | {"waitMs": str(int(wait_s * 1000))},
             timeout_s=wait_s + FEED_SLACK_S,
-            repeatable=True,
-            wait_s=wait_s,
+            repeat=Repeat(wait_s, params=no_wait),
         )
         if answer.status == HISTORY_GONE_STATUS:
             raise HistoryGoneError
@@ -263,8 +259,7 @@
         body: JsonObject | None = None,
         params: dict[str, str] | None = None,
         timeout_s: float | None = None,
-        repeatable: bool = False,
-        wait_s: float = 0.0,
+        repeat: Repeat | None = None,
     ) -> Answer:
         self.calls[kind] += 1
         answer = await self._caller.call(
@@ -273,8 +268,7 @@
             body,
             params=params,
             timeout_s=timeout_s or self._timeout_s,
-            repeatable=repeatable,
-            wait_s=wait_s,
+            repeat=repeat,
         )
         refuse_status(answer, path)
         return answer
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -29,7 +29,7 @@
     Guard(
         "overdue-reads-are-repeated",
         "platform/inflight.py",
-        "            timer = loop.call_later(self._overdue_s, self._start_second)\n",
+        "            timer = loop.call_later(self._overdue_s, self._on_overdue)\n",
         "",
         (
             "src/streamthread/platform/tests/test_http.py::TestSilentConnections",
