Read back writes to the inbox whose answers are overdue

Cause: the write was only waited for. Commits and acquisitions read back what an overdue write has done; this write did not.

Fix: it uses the same function, with a read of its own row, whose key is unique. What was not written ends as unknown as before, and is tried again.

--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -11,6 +11,7 @@
 from ..cell import CellLease
 from ..cell import PeerLinks
 from ..cell import TABLE_INBOX
+from ..cell.answers import version_written
 from ..clocks import boot_s
 from ..errors import BadInputError
 from ..errors import NotHolderError
@@ -25,6 +26,7 @@
 from ..platform.store import Condition
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
+from ..response_times import ResponseTimes
 
 __all__ = ["ForwardSettings", "Forwarder", "Persisted"]
 
@@ -88,6 +90,7 @@
         self._part = part
         self._holder = holder
         self._settings = settings
+        self._response_times = ResponseTimes()
 
     async def ask(self, request: pb.CallRequest, until_s: float) -> pb.CallReply:
         """Return the holder's answer, or UNCERTAIN if none came in time.
@@ -192,22 +195,34 @@
             request.pool,
             request.account,
         )
-        key = inbox_key(entry)
-        condition = Condition(TABLE_INBOX, self._part, key, ABSENT)
-        row = StoredRow(TABLE_INBOX, self._part, key, entry.encode())
+        row = StoredRow(TABLE_INBOX, self._part, inbox_key(entry), entry.encode())
+        condition = Condition(TABLE_INBOX, self._part, row.key, ABSENT)
+        write = self._store.transact([condition], [row])
         try:
-            result = await self._store.transact([condition], [row])
-        except (StoreUnavailableError, OutcomeUnknownError) as error:
+            version = await version_written(
+                write, lambda: self._find_written(row), self._response_times
+            )
+        except StoreUnavailableError as error:
             log.warning(
                 "inbox-failed", extra={"job": request.job_id, "error": str(error)}
             )
-            not_written = isinstance(error, StoreUnavailableError)
-            return Persisted.NO if not_written else Persisted.UNKNOWN
+            return Persisted.NO
+        if not version:
+            log.warning("inbox-unanswered", extra={"job": request.job_id})
+            return Persisted.UNKNOWN
         log.info(
             "left-in-inbox",
             extra={"job": request.job_id, "cancel": entry.is_cancel},
         )
-        return Persisted.YES if result.committed else Persisted.UNKNOWN
+        return Persisted.YES
+
+    async def _find_written(self, row: StoredRow) -> int | None:
+        """Return a row's version, 0 if it is not there, or None if this is unknown."""
+        try:
+            page = await self._store.read(row.table, row.part, start=row.key, limit=1)
+        except (StoreUnavailableError, OutcomeUnknownError):
+            return None
+        return next((r.version for r in page.rows if r.key == row.key), 0)
 
 
 def _is_final(reply: pb.CallReply, uncertain: bool) -> bool:
--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -1,7 +1,10 @@
 """Answers to callers while holders are lost, replaced or slow."""
 
+import asyncio
 import typing as t
 
+import attrs
+
 from streamthread.cell import cell_pb2 as pb
 from streamthread.clocks import boot_s
 from streamthread.errors import OutcomeUnknownError
@@ -9,6 +12,11 @@
 from streamthread.errors import StoreUnavailableError
 from streamthread.gateway.forwarding import Forwarder
 from streamthread.gateway.forwarding import ForwardSettings
+from streamthread.platform.store import Page
+from streamthread.platform.store import TransactResult
+
+NEVER_S = 60.0
+SOON_S = 5.0
 
 SETTINGS = ForwardSettings(hop_s=0.05, inbox_after_s=0.0, give_up_s=0.15, retry_s=0.01)
 BODY = b'{"steps":[{}]}'
@@ -56,7 +64,22 @@
         if self._error is not None:
             raise self._error
         self.written.extend(rows)
-        return type("Result", (), {"committed": True})()
+        return TransactResult(committed=True, version=1)
+
+    async def read(self, table: str, part: str, start: str, limit: int) -> Page:
+        return Page((), version=0)
+
+
+class _SilentStore(_Store):
+    """Carries out writes without answering them."""
+
+    async def transact(self, conditions: t.Any, rows: t.Any) -> t.Any:
+        self.written.extend(rows)
+        await asyncio.sleep(NEVER_S)
+
+    async def read(self, table: str, part: str, start: str, limit: int) -> Page:
+        rows = (attrs.evolve(row, version=1) for row in self.written)
+        return Page(tuple(row for row in rows if row.key >= start), version=1)
 
 
 def _unanswered() -> PeerUnavailableError:
@@ -102,6 +125,17 @@
         reply = await _ask(_Peers(not_holder), _Store(unknown))
         assert reply.outcome == pb.UNCERTAIN
 
+    # Guards against callers that wait for the time limit of a silent connection.
+    async def test_is_acknowledged_if_its_unanswered_inbox_row_is_read_back(
+        self,
+    ) -> None:
+        not_holder = pb.CallReply(outcome=pb.NOT_HOLDER)
+        store = _SilentStore()
+        async with asyncio.timeout(SOON_S):
+            reply = await _ask(_Peers(not_holder), store, wait_s=NEVER_S)
+        assert reply.outcome == pb.OK
+        assert len(store.written) == 1
+
     async def test_gets_its_final_answer_long_before_the_callers_deadline(self) -> None:
         began_at_s = boot_s()
         reply = await _ask(_Peers(_unanswered()), _Store(_store_down()))
--- a/tests/cell/test_silent_connections.py
+++ b/tests/cell/test_silent_connections.py
@@ -31,6 +31,10 @@
 ANSWERED_WITHIN_S = 0.6
 """What the objective of the shortest jobs leaves them beside their work."""
 
+PERSISTED_WITHIN_S = 1.0
+"""The objective of the shortest jobs leaves them 0.6 s beside their work, and a daemon
+waits 0.4 s for a holder."""
+
 JOB_ID = "00000000000000aa"
 
 
@@ -143,6 +147,21 @@
             assert await caller.submit(JOB_ID, job()) == 200
             await caller.until_state(JOB_ID, "completed")
 
+    # Guards against a submission that waits for the time limit of its write to the
+    # inbox.
+    async def test_delay_no_submission_without_a_holder(self) -> None:
+        async with _cell_behind_links() as (cell, links):
+            holder = await cell.until_ready()
+            at = (cell.daemons.index(holder) + 1) % len(cell.daemons)
+            for daemon in cell.daemons:
+                daemon.lease.stopping = True
+            await holder.stop()
+            caller = cell.caller()
+            for n in range(3):
+                links[at].silence_open()
+                async with asyncio.timeout(PERSISTED_WITHIN_S):
+                    assert await caller.submit(f"{n}" * 16, job(), at) == 200
+
 
 class TestSilentConnectionsToTheCloud:
     # Guards against a pool that gets no machines while calls to the cloud wait for the
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -57,6 +57,15 @@
         "False",
         ("tests/cell/test_runners.py::TestSilentConnections",),
     ),
+    Guard(
+        "inbox-writes-are-read-back",
+        "gateway/forwarding.py",
+        "            version = await version_written(\n"
+        "                write, lambda: self._find_written(row), self._response_times\n"
+        "            )\n",
+        "            version = (await write).version\n",
+        ("src/streamthread/gateway/tests/test_forwarding.py::TestSubmit",),
+    ),
     Guard(
         "over-is-stopped",
         "scheduler/codec.py",
