Keep a channel to the holder that responds, whatever heartbeats say

The open channel is asked at the same time as the new one now, and is replaced only if it does not respond within 50 ms of it; at most every 0.35 s. The test failed before (StreamTerminatedError).

--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -48,6 +48,10 @@
 """Interval between checks of the channel while a call has no answer; a commit takes
 7 ms."""
 
+RESPONSE_MARGIN_S = 0.05
+"""How much later than a new channel an open one may respond; a response takes two round
+trips at most."""
+
 Reply = t.TypeVar("Reply")
 
 
@@ -170,8 +174,10 @@
         self.address = address
         self._heartbeat_overdue_s = beat_s + HEARTBEAT_MARGIN_S
         self._channels: dict[str, PeerChannel] = {}
-        # Addresses whose channels are being compared with new ones.
-        self._verifying: set[str] = set()
+        # When the channel to an address was last compared with a new one.
+        self._verified_at_s: dict[str, float] = {}
+        # When the last heartbeat came, whatever it said.
+        self._heard_at_s = -math.inf
         self._heartbeat_at_s = -math.inf
 
     def received_within(self, within_s: float) -> bool:
@@ -225,10 +231,11 @@
 
         Returns once the call is answered or the channel has been verified.
         """
-        in_doubt = not self.received_within(self._heartbeat_overdue_s)
-        if not in_doubt or address in self._verifying:
+        now_s = boot_s()
+        known_at_s = max(self._heard_at_s, self._verified_at_s.get(address, -math.inf))
+        if now_s - known_at_s < self._heartbeat_overdue_s:
             return
-        self._verifying.add(address)
+        self._verified_at_s[address] = now_s
         verification = asyncio.ensure_future(self._verify(address))
         try:
             await asyncio.wait(
@@ -236,24 +243,27 @@
             )
         finally:
             verification.cancel()
-            self._verifying.discard(address)
 
     async def _verify(self, address: str) -> None:
-        """Open a new channel, and use it if the peer responds there alone."""
-        old = self._channels.get(address)
+        """Compare a channel with a new one, which replaces it if it responds alone."""
+        old = self._channel(address)
         unused = PeerChannel.to(address)
+        on_old = asyncio.ensure_future(self._responds(old))
         try:
-            if not await self._responds(unused, address):
+            if not await self._responds(unused):
+                log.info("peer-silent", extra={"address": address})
                 return
-            recovered = self.received_within(self._heartbeat_overdue_s)
-            if old is not None and self._channels.get(address) is old and not recovered:
+            await asyncio.wait((on_old,), timeout=RESPONSE_MARGIN_S)
+            responds = on_old.done() and on_old.result()
+            if not responds and self._channels.get(address) is old:
                 log.info("channel-replaced", extra={"address": address})
                 self._channels[address] = unused
                 unused = old
         finally:
+            on_old.cancel()
             unused.close()
 
-    async def _responds(self, channel: PeerChannel, address: str) -> bool:
+    async def _responds(self, channel: PeerChannel) -> bool:
         """Whether a peer responds on a channel, as the holder or as another daemon."""
         try:
             with channel.calling():
@@ -261,7 +271,7 @@
         except GRPCError:
             return True
         except UNANSWERED as error:
-            log.info("peer-silent", extra={"address": address, "error": repr(error)})
+            log.debug("channel-unanswered", extra={"error": repr(error)})
             return False
         return True
 
@@ -403,6 +413,7 @@
                     heartbeat = await stream.recv_message()
                 if heartbeat is None or heartbeat.token < token:
                     return
+                self._heard_at_s = boot_s()
                 if heartbeat.doubtful:
                     self._heartbeat_at_s = -math.inf
                     raise HolderCannotCommitError(heartbeat.head_version)
--- a/src/streamthread/cell/tests/test_peer.py
+++ b/src/streamthread/cell/tests/test_peer.py
@@ -14,6 +14,9 @@
 
 HEARTBEAT_S = 0.01
 
+LATE_S = 0.5
+"""Longer than a call waits until its channel is verified."""
+
 
 class _Stream:
     """A follower's stream, which a test can break."""
@@ -100,6 +103,32 @@
             await links.call(address, pb.CallRequest(), 1.0)
 
 
+class TestChannelThatResponds:
+    # Guards against calls that are cut off while the holder sends no heartbeats, as in
+    # an outage of the store.
+    async def test_is_kept_while_heartbeats_are_missing(self) -> None:
+        calls: list[pb.CallRequest] = []
+
+        async def answer_late(request: pb.CallRequest) -> pb.CallReply:
+            calls.append(request)
+            await asyncio.sleep(LATE_S)
+            return pb.CallReply(outcome=pb.OK)
+
+        unused = t.cast(t.Any, None)
+        beat = pb.Beat(token=1, doubtful=True)
+        endpoint = CellEndpoint(answer_late, lambda: beat, HEARTBEAT_S, unused, unused)
+        port = CellPort(endpoint, "127.0.0.1", 0)
+        address = await port.open()
+        links = PeerLinks("daemon-1", "127.0.0.1:1", HEARTBEAT_S)
+        try:
+            reply = await links.call(address, pb.CallRequest(), 10 * LATE_S)
+            assert reply.outcome == pb.OK
+            assert len(calls) == 1
+        finally:
+            links.close()
+            port.close()
+
+
 class TestAnnouncements:
     """Each of 300 daemons announces to all others, so open channels would add up."""
 
