Count no refusal as the answer to a second attempt

Found by reading: a service that is too busy may refuse the second attempt of a read with 429 or 503 while the first one waits in its queue. The caller got the refusal, and the first attempt's connection counted as silent.

Such an answer is passed over now; the first attempt goes on. The test failed before (StoreUnavailableError).

--- a/src/streamthread/platform/inflight.py
+++ b/src/streamthread/platform/inflight.py
@@ -175,7 +175,7 @@
         except (StoreUnavailableError, OutcomeUnknownError) as error:
             log.debug("second-attempt-failed", extra={"error": str(error)})
             return
-        if self.attempt.begun:
+        if self.attempt.begun or _is_refusal(answer):
             return
         self.answer = answer
         self._limit.reschedule(asyncio.get_running_loop().time())
@@ -248,6 +248,11 @@
             flight.on_silence()
 
 
+def _is_refusal(answer: Answer) -> bool:
+    """Whether a service was too busy; the first attempt may be in its queue."""
+    return answer.status == 429 or answer.status >= 500
+
+
 def connection_trace() -> aiohttp.TraceConfig:
     """Return the hooks that record which connection an attempt is sent on."""
 
--- a/src/streamthread/platform/tests/test_http.py
+++ b/src/streamthread/platform/tests/test_http.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import pytest
+from aiohttp import web
 
 from streamthread.errors import OutcomeUnknownError
 from streamthread.platform import http
@@ -11,6 +12,7 @@
 from streamthread.platform.store import RowStore
 from streamthread.platform.store import StoredRow
 from streamthread.standins.cell import StoreStandin
+from streamthread.standins.cell.port import HttpPort
 
 TABLE = "table"
 LONG_VALUE = "a" * 200_000
@@ -101,6 +103,29 @@
             await client.read(TABLE, "")
 
 
+class TestBusyService:
+    # Guards against a refusal of the second attempt that hides the answer to the first.
+    async def test_answers_the_first_attempt_though_it_refuses_the_second(self) -> None:
+        calls: list[str] = []
+
+        async def serve(request: web.BaseRequest) -> web.StreamResponse:
+            calls.append(request.path)
+            if len(calls) > 1:
+                return web.Response(status=503)
+            await asyncio.sleep(ANSWER_S)
+            return web.json_response({"ver": 1})
+
+        port = HttpPort(serve)
+        await port.open()
+        client = RowStore(port.address, PATIENCE_S)
+        try:
+            assert (await client.read(TABLE, "")).version == 1
+            assert len(calls) == 2
+        finally:
+            await client.close()
+            await port.close()
+
+
 class TestSilentConnections:
     # Guards against reads that wait for their time limit on a connection that has
     # stopped responding.
