Mark a lost claim as not run only if the row is its own

A request that may run once could run twice: an entry whose claim was lost on its way gave it up as unknown and marked the key's row as not run, at the version that its own row would have had. Another entry may have claimed the key in between; its row has that version too, was overwritten, and a third request with the key ran again.

Cause: a row was taken for one's own by its version alone. Fix: the row is read, and marked only if it carries the token of the lost transaction. While the table can't be read, the mark waits.

--- a/src/streamthread/requests/claims.py
+++ b/src/streamthread/requests/claims.py
@@ -13,6 +13,7 @@
 
 import attrs
 import cattrs
+import logbook
 from mode import Service
 
 from ..clocks import boot_s
@@ -36,6 +37,8 @@
     "claim_key",
 ]
 
+log = logbook.Logger("streamthread.requests")
+
 MAX_PENDING_OUTCOMES = 20_000
 """When more outcomes wait to be written, the oldest is dropped."""
 
@@ -231,7 +234,7 @@
                 return
             if result.outcome is CommitOutcome.UNKNOWN:
                 await self._fail_batch(batch, _reply_lost_error())
-                self._mark_all_not_run(batch)
+                await self._mark_own_not_run(batch, transaction.token)
                 return
             batch = await self._resolve_conflicts(batch, result.conflicting_keys)
 
@@ -244,11 +247,29 @@
             else:
                 pending.done.set_result(ClaimResult(None, pending.version + 1))
 
-    def _mark_all_not_run(self, batch: list[_PendingWrite]) -> None:
-        for pending in batch:
-            if pending.done is not None:
+    async def _mark_own_not_run(self, batch: list[_PendingWrite], token: str) -> None:
+        """Record not-run for the claims of a transaction with an unknown outcome.
+
+        If the transaction has had no effect, another daemon may have claimed a key. Its
+        row may have the version that ours would have, and differs by the token alone.
+        """
+        claims = [pending for pending in batch if pending.done is not None]
+        rows = await self._read_when_available([pending.key for pending in claims])
+        for pending in claims:
+            row = rows.get(pending.key)
+            if row is not None and row.token == token:
                 self._mark_not_run(pending)
 
+    async def _read_when_available(self, keys: list[str]) -> dict[str, Row]:
+        """Read rows; wait for the store if it is unavailable, unless this stops."""
+        while not self.should_stop:
+            try:
+                return await self._tables.get(keys)
+            except StoreUnavailableError as error:
+                log.info("claims-unread", extra={"error": str(error)})
+                await asyncio.sleep(FAILED_COMMIT_PAUSE_S)
+        return {}
+
     def _mark_not_run(self, pending: _PendingWrite) -> None:
         """Record not-run for a claim whose request no longer waits for it."""
         claim = attrs.evolve(pending.claim, state=ClaimState.NOT_RUN)
--- a/src/streamthread/requests/tests/test_claims.py
+++ b/src/streamthread/requests/tests/test_claims.py
@@ -6,6 +6,7 @@
 import asyncio
 import collections
 
+import attrs
 import hypothesis
 import hypothesis.strategies as st
 import pytest
@@ -35,15 +36,24 @@
     return Claim(digest, "entry", 0.0)
 
 
-async def _service(tables: MemoryTables) -> tuple[FaultyTables, ClaimService]:
+async def _service(
+    tables: MemoryTables, settings: ClaimSettings = SETTINGS
+) -> tuple[FaultyTables, ClaimService]:
     faulty_tables = FaultyTables(tables, lambda faulty_tables, sent: None)
     clock = FakeClock()
     committer = Committer(faulty_tables, 2.0, clock, clock.sleep)
-    service = ClaimService(faulty_tables, committer, SETTINGS, lambda: 1)
+    service = ClaimService(faulty_tables, committer, settings, lambda: 1)
     await service.start()
     return faulty_tables, service
 
 
+async def _until_written(service: ClaimService) -> None:
+    """Return once a service with one commit at a time has written what it has."""
+    await service.claim("later", _claim())
+    await service.claim("last", _claim())
+    assert not service.pending_outcomes
+
+
 class TestClaim:
     @hypothesis.settings(max_examples=40)
     @hypothesis.given(requests, faults)
@@ -117,6 +127,26 @@
         assert service.commits <= 4
         await service.stop()
 
+    # Guards against a lost claim that is recorded as not run over the claim of another
+    # daemon, so that a third request with the key runs again.
+    async def test_lost_claim_leaves_the_claim_of_another_daemon(self) -> None:
+        tables = MemoryTables()
+        settings = attrs.evolve(SETTINGS, parallel_commits=1)
+        faulty_tables, loser = await _service(tables, settings)
+        _, other = await _service(tables)
+        faulty_tables.lose_commits = True
+        lost = asyncio.ensure_future(loser.claim("k", _claim()))
+        others_claim = Claim("d", "other", 0.0)
+        assert (await other.claim("k", others_claim)).existing is None
+        with pytest.raises(StoreUnavailableError):
+            await lost
+        faulty_tables.lose_commits = False
+        await _until_written(loser)
+        again = await other.claim("k", others_claim)
+        assert again.existing == others_claim
+        await loser.stop()
+        await other.stop()
+
     async def test_claim_fails_while_the_store_is_down(self) -> None:
         faulty_tables, service = await _service(MemoryTables())
         faulty_tables.down = True
--- a/tools/guards_entry.py
+++ b/tools/guards_entry.py
@@ -131,6 +131,13 @@
         '        remedy="",\n        outcome=Outcome.NOT_RUN,\n',
         (f"{REQUESTS}::TestAtMostOnce",),
     ),
+    Guard(
+        "not-run-marks-own-claims",
+        "requests/claims.py",
+        "            if row is not None and row.token == token:\n",
+        "            if row is not None:\n",
+        ("src/streamthread/requests/tests/test_claims.py::TestClaim",),
+    ),
     Guard(
         "lost-then-refused",
         "requests/dispatch.py",
--- a/tools/world.py
+++ b/tools/world.py
@@ -68,12 +68,14 @@
 class FaultyTables(Tables):
     """One daemon's way to the shared tables.
 
+    :param lose_commits: transactions are lost before they reach the tables.
     :param before: called with each transaction when the daemon sends it.
     """
 
     def __init__(self, tables: MemoryTables, before: Observer) -> None:
         self.down = False
         self.lose_replies = 0
+        self.lose_commits = False
         self.hold_next = False
         self.held: asyncio.Future[None] | None = None
         self._tables = tables
@@ -93,6 +95,8 @@
         """Commit, perhaps late, perhaps without an answer."""
         self._refuse_if_down()
         self._before(self, transaction)
+        if self.lose_commits:
+            return CommitResult(CommitOutcome.UNKNOWN)
         if self.hold_next:
             self.hold_next = False
             self.held = asyncio.get_running_loop().create_future()
