--- a/src/streamthread/cell/__init__.py
+++ b/src/streamthread/cell/__init__.py
@@ -3,6 +3,7 @@
 This package contains the holder's lease, its commits and the calls between daemons.
 """
 
+from .answers import version_written
 from .commits import CommitLog
 from .lease import CellLease
 from .peer import CellEndpoint
@@ -25,4 +26,5 @@
     "CommitLog",
     "LeaseTimes",
     "PeerLinks",
+    "version_written",
 ]
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -11,7 +11,7 @@
 from ..cell import CellLease
 from ..cell import PeerLinks
 from ..cell import TABLE_INBOX
-from ..cell.answers import version_written
+from ..cell import version_written
 from ..clocks import boot_s
 from ..errors import BadInputError
 from ..errors import NotHolderError
