--- a/src/streamthread/platform/runners.py
+++ b/src/streamthread/platform/runners.py
@@ -19,7 +19,6 @@
 from .http import Answer
 from .http import HttpCaller
 from .http import JsonObject
-from .http import Repeat
 
 __all__ = [
     "EndKind",
@@ -276,18 +275,12 @@
         :param deadline_ms: end of the leases, on the runner's clock; None renews none.
         :param wait_s: how long the runner may wait for an ended run before it answers.
         """
-        no_wait: JsonObject = {"fencingToken": fencing_token, "observed": confirmed}
+        body: JsonObject = {"fencingToken": fencing_token, "observed": confirmed}
         if deadline_ms is not None:
-            no_wait["deadlineMs"] = deadline_ms
-        waits: JsonObject = {"waitMs": int(wait_s * 1000)} if wait_s > 0 else {}
-        answer = await self._call(
-            "hold",
-            address,
-            runner_id,
-            no_wait | waits,
-            timeout_s + wait_s,
-            Repeat(wait_s, body=no_wait),
-        )
+            body["deadlineMs"] = deadline_ms
+        if wait_s > 0:
+            body["waitMs"] = int(wait_s * 1000)
+        answer = await self._call("hold", address, runner_id, body, timeout_s + wait_s)
         if answer.status != 200:
             return self._refusal(answer)
         return _hold_reply(self._caller.read(answer, _HOLDS))
@@ -316,7 +309,6 @@
         runner_id: str,
         body: JsonObject,
         timeout_s: float,
-        repeat: Repeat | None = None,
     ) -> Answer:
         self.calls[kind] += 1
         answer = await self._caller.call(
@@ -325,7 +317,6 @@
             body,
             timeout_s=timeout_s,
             headers={EXPECT_HEADER: runner_id},
-            repeat=repeat,
         )
         if answer.status == OTHER_INCARNATION_STATUS:
             raise IncarnationEndedError(runner_id)
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -204,13 +204,9 @@
 
     async def extend_once(self) -> None:
         """Renew the leases of the current runs, beside a pending hold call."""
-        await self.try_extend()
-
-    async def try_extend(self) -> bool:
-        """Do the same; return whether the runner has answered."""
         extend_s = self._owner.may_extend_s(self._settings.hold_s)
         if extend_s <= 0 or not self.clock.known or self.over or self.silent:
-            return False
+            return
         deadline_ms = self.clock.deadline_ms(boot_s(), extend_s)
         try:
             reply = await self._client.hold(
@@ -232,14 +228,11 @@
                 "extension-unanswered",
                 extra={"runner": self.runner.runner_id, "error": str(error)},
             )
-            return False
-        if not isinstance(reply, HoldReply) or self.runner.is_next_incarnation(
+            return
+        if isinstance(reply, HoldReply) and not self.runner.is_next_incarnation(
             reply.born_ms
         ):
-            return False
-        self.heard_at_s = boot_s()
-        self.runner.on_clock(reply.clock_ms)
-        return True
+            self.runner.on_clock(reply.clock_ms)
 
     async def _on_reply(self, reply: HoldReply) -> None:
         now_s = boot_s()
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -8,7 +8,6 @@
 import logbook
 
 from ..clocks import boot_s
-from ..errors import NoAnswerError
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..errors import StreamthreadError
@@ -43,8 +42,6 @@
     """Timing of orders.
 
     :param answer_s: an order that has not been answered for longer is sent again.
-    :param overdue_s: a start that has not been answered for longer is sent again if the
-        runner answers another call.
     :param retry_s: the pause before an order is sent again.
     :param silent_retry_s: the pause before a stop is sent again while its runner
         answers nothing. Without this longer pause, eleven runners that were gone were
@@ -52,7 +49,6 @@
     """
 
     answer_s: float = 0.8
-    overdue_s: float = 0.1
     retry_s: float = 0.06
     silent_retry_s: float = 0.25
 
@@ -179,23 +175,8 @@
             checkpoint=task.checkpoint,
             ticket=self._owner.ticket_for(attempt),
         )
-        answer = asyncio.ensure_future(
-            self._client.start(
-                link.runner.address, attempt.runner_id, order, self._settings.answer_s
-            )
-        )
-        try:
-            await asyncio.wait((answer,), timeout=self._settings.overdue_s)
-            answers_later_calls = not answer.done() and await link.try_extend()
-            if not answers_later_calls or answer.done():
-                return await answer
-        finally:
-            answer.cancel()
-        # The connection or the answer is lost.
-        raise NoAnswerError(
-            "the runner has answered a later call",
-            remedy="the start is sent again automatically",
-            location=link.runner.address,
+        return await self._client.start(
+            link.runner.address, attempt.runner_id, order, self._settings.answer_s
         )
 
     def _process_answer(
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -50,13 +50,6 @@
         "                pass\n",
         ("tests/cell/test_silent_connections.py::TestSilentConnectionsToTheHolder",),
     ),
-    Guard(
-        "overdue-starts-are-sent-again",
-        "scheduler/orders.py",
-        "await link.try_extend()",
-        "False",
-        ("tests/cell/test_runners.py::TestSilentConnections",),
-    ),
     Guard(
         "inbox-writes-are-read-back",
         "gateway/forwarding.py",
