--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -81,6 +81,11 @@
     headers: dict[str, str]
     params: dict[str, str] | None
 
+    @property
+    def address(self) -> Address:
+        """The host and port of the service."""
+        return (self.url.host, self.url.port)
+
 
 @attrs.frozen
 class Repeat:
@@ -141,12 +146,19 @@
 
     :param connections_per_address: maximum number of connections to one address.
     :param notes: records answers that cannot be decoded.
+    :param tracks_calls: calls in flight are tracked, so that overdue ones can be
+        repeated. It is off for runners, which a busy holder calls hundreds of times a
+        second: tracking takes processor time in each call.
     """
 
     def __init__(
-        self, connections_per_address: int, notes: UnreadableNotes | None = None
+        self,
+        connections_per_address: int,
+        notes: UnreadableNotes | None = None,
+        tracks_calls: bool = False,
     ) -> None:
         self._limit = connections_per_address
+        self._tracks_calls = tracks_calls
         self._notes = notes or UnreadableNotes()
         self._session: aiohttp.ClientSession | None = None
         self._connector: _Connector | None = None
@@ -161,13 +173,13 @@
                 limit_per_host=self._limit,
                 keepalive_timeout=IDLE_CONNECTION_S,
             )
-            self._session = _make_session(self._connector)
+            self._session = _make_session(self._connector, self._tracks_calls)
         return self._session
 
     def _open_single_use(self) -> aiohttp.ClientSession:
         if self._single_use is None:
             connector = aiohttp.TCPConnector(limit=0, force_close=True)
-            self._single_use = _make_session(connector)
+            self._single_use = _make_session(connector, traced=True)
         return self._single_use
 
     async def close(self) -> None:
@@ -192,7 +204,8 @@
         :param timeout_s: maximum time until the answer begins; after that,
             :data:`SILENCE_S` limits each pause.
         :param repeat: the call may be carried out twice, and is sent once more in this
-            form, on a new connection, if its answer is overdue.
+            form, on a new connection, if its answer is overdue; only if calls are
+            tracked.
         :raises StoreUnavailableError: no connection could be opened, so the call was
             certainly not carried out.
         :raises OutcomeUnknownError: the call may have been sent, and no complete answer
@@ -205,8 +218,14 @@
             JSON_HEADERS if headers is None else JSON_HEADERS | headers,
             params,
         )
-        address = (request.url.host, request.url.port)
-        flight = self._flight(address, request, repeat)
+        if self._tracks_calls:
+            return await self._call_tracked(request, timeout_s, repeat)
+        return await self._attempt(self._open(), request, timeout_s)
+
+    async def _call_tracked(
+        self, request: _Request, timeout_s: float, repeat: Repeat | None
+    ) -> Answer:
+        flight = self._flight(request, repeat)
         try:
             async with asyncio.timeout(timeout_s) as limit:
                 with flight.tracked(limit):
@@ -216,26 +235,46 @@
         except _FAILURES as error:
             if flight.answer is not None:
                 return flight.answer
-            if isinstance(error, TimeoutError):
-                self._close_idle(address)
-            raise _failure(error, request, flight.attempt) from error
+            raise self._failure(error, request, flight.attempt) from error
 
-    def _flight(
-        self, address: Address, request: _Request, repeat: Repeat | None
-    ) -> Flight:
+    def _flight(self, request: _Request, repeat: Repeat | None) -> Flight:
         if repeat is None:
-            return Flight(self._flights, address)
+            return Flight(self._flights, request.address)
         send_again = functools.partial(self._send_again, repeat.apply(request))
-        return Flight(self._flights, address, repeat.wait_s, send_again)
+        return Flight(self._flights, request.address, repeat.wait_s, send_again)
 
     async def _send_again(self, request: _Request, timeout_s: float) -> Answer:
         """Make the second attempt of a call, on a connection of its own."""
+        return await self._attempt(self._open_single_use(), request, timeout_s)
+
+    async def _attempt(
+        self, session: aiohttp.ClientSession, request: _Request, timeout_s: float
+    ) -> Answer:
         attempt = Attempt()
         try:
             async with asyncio.timeout(timeout_s) as limit:
-                return await _send(self._open_single_use(), request, attempt, limit)
+                return await _send(session, request, attempt, limit)
         except _FAILURES as error:
-            raise _failure(error, request, attempt) from error
+            raise self._failure(error, request, attempt) from error
+
+    def _failure(
+        self, error: Exception, request: _Request, attempt: Attempt
+    ) -> StoreUnavailableError | OutcomeUnknownError:
+        """Return the typed error of a failed attempt."""
+        location = str(request.url)
+        if isinstance(error, aiohttp.ClientConnectorError):
+            return StoreUnavailableError(
+                str(error), remedy=_RETRY_REMEDY, location=location
+            )
+        failure = OutcomeUnknownError
+        if isinstance(error, TimeoutError):
+            self._close_idle(request.address)
+            failure = NoAnswerError
+        return failure(
+            f"no complete answer ({type(error).__name__} {attempt})",
+            remedy=_RETRY_REMEDY,
+            location=location,
+        )
 
     def read(self, answer: Answer, decoder: Decoder[T]) -> T:
         """Decode an answer.
@@ -286,7 +325,7 @@
     ) -> None:
         self._url = f"http://{address}"
         self._timeout_s = timeout_s
-        self._caller = HttpCaller(connections, notes)
+        self._caller = HttpCaller(connections, notes, tracks_calls=True)
 
     async def close(self) -> None:
         """Close all connections."""
@@ -302,7 +341,13 @@
     return json.dumps(body, separators=(",", ":")).encode()
 
 
-def _make_session(connector: aiohttp.TCPConnector) -> aiohttp.ClientSession:
+def _make_session(
+    connector: aiohttp.TCPConnector, traced: bool
+) -> aiohttp.ClientSession:
+    """Return a session.
+
+    :param traced: each attempt records which connection it is sent on.
+    """
     # Each call has its own time limit, and the platform sets no cookies.
     return aiohttp.ClientSession(
         connector=connector,
@@ -310,7 +355,7 @@
         cookie_jar=aiohttp.DummyCookieJar(),
         timeout=aiohttp.ClientTimeout(total=None),
         skip_auto_headers=UNUSED_HEADERS,
-        trace_configs=[connection_trace()],
+        trace_configs=[connection_trace()] if traced else None,
     )
 
 
@@ -355,23 +400,6 @@
     return Answer(response.status, b"".join(parts), url, instance_id)
 
 
-def _failure(
-    error: Exception, request: _Request, attempt: Attempt
-) -> StoreUnavailableError | OutcomeUnknownError:
-    """Return the typed error of a failed attempt."""
-    location = str(request.url)
-    if isinstance(error, aiohttp.ClientConnectorError):
-        return StoreUnavailableError(
-            str(error), remedy=_RETRY_REMEDY, location=location
-        )
-    failure = NoAnswerError if isinstance(error, TimeoutError) else OutcomeUnknownError
-    return failure(
-        f"no complete answer ({type(error).__name__} {attempt})",
-        remedy=_RETRY_REMEDY,
-        location=location,
-    )
-
-
 def refuse_status(answer: Answer, url: str) -> None:
     """Raise an error for the statuses 429, 503 and other server errors.
 
--- a/src/streamthread/platform/inflight.py
+++ b/src/streamthread/platform/inflight.py
@@ -53,9 +53,10 @@
 class ConnectionUse(enum.Enum):
     """Which connection a call is sent on; the values appear in error messages."""
 
-    NONE = "without a free connection"
-    NEW = "on a new connection"
-    REUSED = "on a reused connection"
+    NONE = " without a free connection"
+    NEW = " on a new connection"
+    REUSED = " on a reused connection"
+    UNKNOWN = ""
 
 
 @attrs.define
@@ -71,7 +72,7 @@
     sent_at_s: float = 0.0
     begun: bool = False
     received_bytes: int = 0
-    connection: ConnectionUse = ConnectionUse.NONE
+    connection: ConnectionUse = ConnectionUse.UNKNOWN
 
     def on_connection(self, connection: ConnectionUse) -> None:
         """Record that the call is sent."""
@@ -81,7 +82,7 @@
     def __str__(self) -> str:
         took_s = boot_s() - self.began_at_s
         size = f"{self.received_bytes} bytes"
-        return f"after {took_s:.2f} s and {size} {self.connection.value}"
+        return f"after {took_s:.2f} s and {size}{self.connection.value}"
 
 
 Address = tuple[str | None, int | None]
@@ -107,7 +108,7 @@
         wait_s: float = 0.0,
         send_again: SendAgain | None = None,
     ) -> None:
-        self.attempt = Attempt()
+        self.attempt = Attempt(connection=ConnectionUse.NONE)
         self.answer: Answer | None = None
         self._flights = flights
         self._address = address
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -22,8 +22,8 @@
     Guard(
         "idle-connections-closed",
         "platform/http.py",
-        "            if isinstance(error, TimeoutError):",
-        "            if False:",
+        "            self._close_idle(request.address)\n",
+        "",
         ("src/streamthread/platform/tests/test_http.py::TestSilentConnections",),
     ),
     Guard(
