Drop the body of a second attempt, which nothing sets any more

Only hold calls set it, and they are not repeated since the revert. A call without parameters of its own for the second attempt is passed on as it is. Behaviour is as before; tests of the platform and of silent connections pass.

--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -94,21 +94,17 @@
     The second attempt lets the service wait no longer.
 
     :param wait_s: how long the service may wait before it answers the first attempt.
-    :param body: the body of the second attempt; None: as in the first one.
-    :param params: its query parameters; None: as in the first one.
+    :param params: query parameters of the second attempt; None: as in the first one.
     """
 
     wait_s: float = 0.0
-    body: JsonObject | None = None
     params: dict[str, str] | None = None
 
     def apply(self, request: _Request) -> _Request:
         """Return the second attempt of a call."""
-        return attrs.evolve(
-            request,
-            data=request.data if self.body is None else _encode(self.body),
-            params=request.params if self.params is None else self.params,
-        )
+        if self.params is None:
+            return request
+        return attrs.evolve(request, params=self.params)
 
 
 class _Connector(aiohttp.TCPConnector):
