Start and stop the cells of the silent connections' tests in one place

Two context managers repeated the twelve lines that start daemons and close everything afterwards. The tests and their bounds are as before and pass.

--- a/tests/cell/test_silent_connections.py
+++ b/tests/cell/test_silent_connections.py
@@ -38,6 +38,25 @@
 JOB_ID = "00000000000000aa"
 
 
+@contextlib.asynccontextmanager
+async def _running(
+    world: CellWorld, daemons: list[CellDaemon], links: list[Link]
+) -> t.AsyncIterator[Cell]:
+    """Run daemons until the block ends, then close everything."""
+    cell = Cell(world, daemons)
+    try:
+        for daemon in daemons:
+            await daemon.start()
+        yield cell
+    finally:
+        await cell.close_callers()
+        for daemon in daemons:
+            await daemon.stop()
+        for link in links:
+            await link.close()
+        await world.close()
+
+
 @contextlib.asynccontextmanager
 async def _cell_behind_links() -> t.AsyncIterator[tuple[Cell, list[Link]]]:
     """Run three daemons, each of which reaches the store over its own link."""
@@ -54,18 +73,8 @@
         settings = json.loads(world.node_settings(f"daemon-{number}"))
         settings["platform"]["address"] = f"127.0.0.1:{link.port}"
         daemons.append(CellDaemon(decode_node(json.dumps(settings))))
-    cell = Cell(world, daemons)
-    try:
-        for daemon in daemons:
-            await daemon.start()
+    async with _running(world, daemons, links) as cell:
         yield cell, links
-    finally:
-        await cell.close_callers()
-        for daemon in daemons:
-            await daemon.stop()
-        for link in links:
-            await link.close()
-        await world.close()
 
 
 @contextlib.asynccontextmanager
@@ -84,18 +93,8 @@
         _announce(daemon, link)
         links.append(link)
         daemons.append(daemon)
-    cell = Cell(world, daemons)
-    try:
-        for daemon in daemons:
-            await daemon.start()
+    async with _running(world, daemons, links) as cell:
         yield cell, links
-    finally:
-        await cell.close_callers()
-        for daemon in daemons:
-            await daemon.stop()
-        for link in links:
-            await link.close()
-        await world.close()
 
 
 def _announce(daemon: CellDaemon, link: Link) -> None:
