Start nothing of an account before its limits are known

Callers of an account saw up to 21 of its tasks run where 12 may: a daemon that had taken the cell before it had read the configuration placed all waiting tasks of all accounts at once, since an unknown limit counted as none.

All 21 runs began within 30 ms, 0.1 s after a daemon took the cell whose first read of the operator's documents had been refused.

A task of an account is placed only once the holder has read a configuration; other tasks start as before. The model's new test failed before; the guard fails without its lines.

--- a/src/streamthread/holder/admission.py
+++ b/src/streamthread/holder/admission.py
@@ -35,6 +35,10 @@
             return None
         return manifest.routes_by_name.get(name)
 
+    def are_limits_known(self) -> bool:
+        """Return whether this daemon has read a configuration."""
+        return self.manifest is not None
+
     def limit_of(self, account: str) -> Limit | None:
         """Return what an account may have running at once; None if it is unknown."""
         manifest = self.manifest
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -76,7 +76,10 @@
         self.links: dict[str, RunnerLink] = {}
         self.admission = AdmissionPolicy(context.documents)
         self.engine = Engine(
-            self._record_progress, self.settings.engine, self.admission.limit_of
+            self._record_progress,
+            self.settings.engine,
+            self.admission.limit_of,
+            self.admission.are_limits_known,
         )
         self.active = False
         self.log = self._open_log()
--- a/src/streamthread/scheduler/accounts.py
+++ b/src/streamthread/scheduler/accounts.py
@@ -67,8 +67,11 @@
     cell counts all runs that may exist.
     """
 
-    def __init__(self, limit_of: LimitSource) -> None:
+    def __init__(
+        self, limit_of: LimitSource, are_limits_known: t.Callable[[], bool]
+    ) -> None:
         self._limit_of = limit_of
+        self._are_limits_known = are_limits_known
         self.running: dict[str, Running] = {}
 
     def add(self, attempt: Attempt) -> None:
@@ -98,7 +101,13 @@
         return self._limit_of(account) if account else None
 
     def count_fitting(self, job: Job, request: StepRequest, max_count: int) -> int:
-        """Return how many more runs of a job's step its account may have."""
+        """Return how many more runs of a job's step its account may have.
+
+        There are none until the limits are known: a new holder may read the jobs before
+        the configuration.
+        """
+        if job.account and not self._are_limits_known():
+            return 0
         limit = self.limit_of(job.account)
         if limit is None:
             return max_count
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -44,6 +44,8 @@
     :param changed: called with each job whose progress must be persisted.
     :param limit_of: returns the limit on what a client account may have running at
         once.
+    :param are_limits_known: returns whether the configuration with these limits has
+        been read. Until then, no task of an account is placed.
     """
 
     def __init__(
@@ -51,10 +53,13 @@
         changed: t.Callable[[Job], None],
         settings: EngineSettings | None = None,
         limit_of: LimitSource = lambda account: None,
+        are_limits_known: t.Callable[[], bool] = lambda: True,
     ) -> None:
         self.settings = settings or EngineSettings()
         self.times = RunTimes()
-        self._ledger = Ledger(changed, self.settings.stop_effect_ms, limit_of)
+        self._ledger = Ledger(
+            changed, self.settings.stop_effect_ms, limit_of, are_limits_known
+        )
         self._crashes = Crashes(self._ledger, self.settings)
         self._outcomes = Outcomes(
             self._ledger, self.times, self._crashes, self.settings
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -42,9 +42,10 @@
         changed: t.Callable[[Job], None],
         stop_effect_ms: int,
         limit_of: LimitSource,
+        are_limits_known: t.Callable[[], bool],
     ) -> None:
         self.changed = changed
-        self.accounts = AccountUsage(limit_of)
+        self.accounts = AccountUsage(limit_of, are_limits_known)
         self.jobs: dict[str, Job] = {}
         self.open: dict[str, Job] = {}
         self.runners: dict[str, RunnerState] = {}
--- a/tests/model/documents.py
+++ b/tests/model/documents.py
@@ -22,11 +22,14 @@
 }
 
 
-@attrs.frozen
+@attrs.define
 class Documents:
-    """The operator's configuration."""
+    """The operator's configuration, as one daemon has read it.
 
-    manifest: Manifest
+    :param manifest: None until it has been read.
+    """
+
+    manifest: Manifest | None
     waves: dict[int, object] = attrs.field(factory=dict)
 
     @classmethod
--- a/tests/model/simulation.py
+++ b/tests/model/simulation.py
@@ -91,14 +91,18 @@
     """Runs a schedule, and records which properties it violates.
 
     :param limit_cpu: the cpu limit of the only account; 0 if there is no account.
+    :param read_after_s: how long each holder but the first one takes to read the
+        configuration.
     :param violations: descriptions of the violations; empty if there are none.
     :param trace: what happened, one line per event.
     """
 
-    def __init__(self, schedule: Schedule, limit_cpu: int = 0) -> None:
+    def __init__(
+        self, schedule: Schedule, limit_cpu: int = 0, read_after_s: float = 0.0
+    ) -> None:
         self.schedule = schedule
         self._limit_cpu = limit_cpu
-        self._documents = Documents.with_limit(limit_cpu)
+        self._read_after_s = read_after_s
         self.violations: list[str] = []
         self.trace: list[str] = []
         outcomes = Outcomes(schedule)
@@ -297,7 +301,7 @@
             self._runners,
             None,
             None,
-            self._documents,
+            self._read_configuration(),
             CellSettings(),
         )
         holder = Holder(context, taken)
@@ -305,6 +309,17 @@
         self._tasks.append(asyncio.create_task(holder.run()))
         self.record(f"{daemon_id} holds the cell")
 
+    def _read_configuration(self) -> Documents:
+        """Return the documents of the next holder, which may not be read yet."""
+        read = Documents.with_limit(self._limit_cpu)
+        if not self._holders or not self._read_after_s:
+            return read
+        unread = Documents(None)
+        asyncio.get_running_loop().call_later(
+            self._read_after_s, setattr, unread, "manifest", read.manifest
+        )
+        return unread
+
     async def _kill_holder(self, gap_s: float) -> None:
         task = self._tasks[-1]
         task.cancel()
--- a/tests/model/test_stops.py
+++ b/tests/model/test_stops.py
@@ -36,11 +36,11 @@
 )
 
 
-def simulate(schedule: Schedule, limit_cpu: int = 0) -> None:
+def simulate(schedule: Schedule, limit_cpu: int = 0, read_after_s: float = 0.0) -> None:
     """Simulate a schedule; fail with its trace if it violates a property."""
 
     async def run() -> Simulation:
-        simulation = Simulation(schedule, limit_cpu)
+        simulation = Simulation(schedule, limit_cpu, read_after_s)
         await simulation.execute()
         return simulation
 
@@ -170,6 +170,17 @@
     simulate(schedule, limit_cpu=2 * TASK_CPU)
 
 
+def test_no_account_is_over_its_limit_before_a_holder_reads_the_configuration() -> None:
+    """Guards against a new holder that starts all waiting tasks of an account."""
+    schedule = cancel_schedule(
+        SETTLED_AT_S, events=[Event(EventKind.KILL, None, 1.0, 0.3, 0)]
+    )
+    job = attrs.evolve(schedule.jobs[0], count=6)
+    simulate(
+        attrs.evolve(schedule, jobs=[job]), limit_cpu=2 * TASK_CPU, read_after_s=2.0
+    )
+
+
 def inbox_job(cancel_after_s: float) -> JobPlan:
     """Return a long-running job that reaches the holder through the inbox only.
 
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -250,6 +250,17 @@
         "        if False:\n",
         ("src/streamthread/scheduler/tests/test_suspect_starts.py",),
     ),
+    Guard(
+        "unknown-limits-allow-nothing",
+        "scheduler/accounts.py",
+        "        if job.account and not self._are_limits_known():\n"
+        "            return 0\n",
+        "",
+        (
+            "tests/model/test_stops.py::test_no_account_is_over_its_limit"
+            "_before_a_holder_reads_the_configuration",
+        ),
+    ),
     Guard(
         "trials-run-apart",
         "scheduler/probation.py",
