Report runs that ended unseen at their own time in the stand-in

The soak's QUOTA and TWICE counted runs that had ended: the stand-in works out ends when its runner is called, and a silent runner that was killed reported all of its runs as ended at that moment.

The checks are as before; both cases of the test failed before.

--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -194,6 +194,8 @@
 
     def kill(self) -> None:
         """End this incarnation: its runs die, and it refuses all calls from then on."""
+        # Runs that have ended unseen, on a silent runner, ended at their own time.
+        self._advance()
         now_s = time.monotonic()
         self.alive = False
         for run in self._runs.values():
--- a/tests/cell/test_standin.py
+++ b/tests/cell/test_standin.py
@@ -57,6 +57,21 @@
         assert [how for _, _, how, _ in ended] == ["done"]
 
 
+    @pytest.mark.parametrize(("run_s", "how"), [(60, "lapsed"), (0.05, "done")])
+    async def test_a_run_that_ended_unseen_does_not_die_with_its_runner(
+        self, run_s: float, how: str
+    ) -> None:
+        """Guards against runs that seem to go on until their silent runner exits."""
+        ended: list[tuple[str, int, str, float]] = []
+        runner = _runner(ended)
+        before_s = time.monotonic()
+        assert runner._try_start(_start("unseen", run_s, 0.1)) == ""
+        await until(lambda: time.monotonic() > before_s + 0.5, "time passes")
+        runner.kill()
+        assert [end[2] for end in ended] == [how]
+        assert ended[0][3] < before_s + 0.2
+
+
 class TestOrders:
     async def test_refused_orders_do_nothing(self) -> None:
         world = CellWorld({"desk": 1})
