Confirm ends only to a runner that has just answered

A task could be started after it was done. Once the commit after a list was made, the next hold call named the last end of that list, however long the commit had taken. A runner that restarted under its id meanwhile forgot its first ends, which nobody had read.

An end is named within 0.2 s of the runner's answer. After that, a call that names none comes first, and ends that it lists again are not recorded again. Two tests failed before; the guard fails without its line.

--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -31,6 +31,10 @@
 MAX_CLOCK_ERROR_S = MAX_SYNC_AGE_S * (1 / SLOWEST_CLOCK - 1)
 """Maximum delay with which a runner whose clock runs slow reaches such a deadline."""
 
+MAX_CONFIRM_AGE_S = 0.2
+"""Ends are confirmed only this soon after the runner has answered. A runner takes
+longer to restart, and the next incarnation under its id numbers its ends from 1."""
+
 
 @attrs.frozen
 class LinkSettings:
@@ -148,7 +152,15 @@
         self._owner = owner
         self._settings = settings
         self._last_hold_at_s = last_hold_at_s
+        # The last listed end, and the last durable one, of this incarnation.
         self._confirmed = 0
+        self._recorded = 0
+
+    @property
+    def _confirmable(self) -> int:
+        """The number of the last end that may be confirmed now; 0 if there is none."""
+        age_s = boot_s() - self.heard_at_s
+        return self._confirmed if age_s <= MAX_CONFIRM_AGE_S else 0
 
     @property
     def silent(self) -> bool:
@@ -182,11 +194,15 @@
             deadline_ms = self.clock.deadline_ms(boot_s(), extend_s)
             busy = bool(self.runner.attempts)
             wait_s = self._settings.wait_s if busy else self._settings.idle_wait_s
+        confirmed = self._confirmable
+        if self._confirmed and not confirmed:
+            # The next call confirms the ends if the same incarnation answers this one.
+            wait_s = 0.0
         reply = await self._client.hold(
             self.runner.address,
             self.runner.runner_id,
             self._owner.token,
-            self._confirmed,
+            confirmed,
             deadline_ms,
             wait_s,
             self._settings.answer_s,
@@ -217,7 +233,7 @@
                 self.runner.address,
                 self.runner.runner_id,
                 self._owner.token,
-                self._confirmed,
+                self._confirmable,
                 deadline_ms,
                 0.0,
                 self._settings.answer_s,
@@ -258,11 +274,20 @@
             self.runner.draining = True
         if self.runner.ready and not was_ready:
             self._owner.on_ready(self)
-        await self._owner.on_hold_reply(self, reply)
-        self._confirmed = max((ended.number for ended in reply.ended), default=0)
+        listed = max((ended.number for ended in reply.ended), default=0)
+        await self._owner.on_hold_reply(self, self._without_recorded(reply))
+        self._recorded = max(self._recorded, listed)
+        self._confirmed = listed
         if reply.ended:
             await asyncio.sleep(self._owner.pause_after_ends_s())
 
+    def _without_recorded(self, reply: HoldReply) -> HoldReply:
+        """Return a reply without the ends that are durable already."""
+        ended = tuple(end for end in reply.ended if end.number > self._recorded)
+        if len(ended) == len(reply.ended):
+            return reply
+        return attrs.evolve(reply, ended=ended)
+
     def on_order_unanswered(self, sent_at_s: float) -> None:
         """Place no more tasks on a runner that has not answered since an order.
 
@@ -291,7 +316,7 @@
         now_s = boot_s()
         # The next answer may come from another incarnation, which numbers its ended
         # runs from 1 again.
-        self._confirmed = 0
+        self._confirmed = self._recorded = 0
         if not self.silent:
             self.runner.silent_at_s = now_s
             self.runner.hung = hung
--- a/src/streamthread/runners/tests/test_restarts.py
+++ b/src/streamthread/runners/tests/test_restarts.py
@@ -24,14 +24,19 @@
 
     :param confirmed: the number of the last recorded end in each hold call.
     :param deadlines_ms: the deadline in each hold call.
+    :param waits_s: how long each hold call lets the runner wait.
     """
 
     def __init__(self, answers: t.Sequence[Answer]) -> None:
         self._answers = list(answers)
         self.confirmed: list[int] = []
         self.deadlines_ms: list[int | None] = []
+        self.waits_s: list[float] = []
 
-    async def hold(self, address, runner_id, token, confirmed, deadline_ms, *rest):
+    async def hold(
+        self, address, runner_id, token, confirmed, deadline_ms, wait_s, timeout_s
+    ):
+        self.waits_s.append(wait_s)
         self.confirmed.append(confirmed)
         self.deadlines_ms.append(deadline_ms)
         answer = self._answers.pop(0)
@@ -41,9 +46,15 @@
 
 
 class _Owner(LinkOwner):
+    """Records what a link reports.
+
+    :param recording_s: how long it takes until reported ends are durable.
+    """
+
     token = 1
 
-    def __init__(self) -> None:
+    def __init__(self, recording_s: float = 0.0) -> None:
+        self._recording_s = recording_s
         self.restarted_ms: list[int] = []
         self.lists: list[HoldReply] = []
 
@@ -52,6 +63,8 @@
 
     async def on_hold_reply(self, link: RunnerLink, reply: HoldReply) -> None:
         self.lists.append(reply)
+        if reply.ended:
+            link.heard_at_s -= self._recording_s
 
     def pause_after_ends_s(self) -> float:
         return 0.0
@@ -86,13 +99,14 @@
     answers: t.Sequence[Answer],
     born_ms: int | None = BORN_MS,
     earlier_born_ms: t.Iterable[int] = (),
+    recording_s: float = 0.0,
 ) -> tuple[_Owner, _Client]:
     """Send hold calls until the script ends or the next incarnation is reported."""
     client = _Client(answers)
     runner = RunnerState("i-1", "desk", "x:1", "z", ("a", "r"), 4000, 100, 0)
     runner.born_ms = born_ms
     runner.earlier_born_ms = frozenset(earlier_born_ms)
-    owner = _Owner()
+    owner = _Owner(recording_s)
     link = RunnerLink(runner, client, owner, LinkSettings(retry_s=0.0), boot_s())
     try:
         await link.run()
@@ -158,3 +172,19 @@
         answers = [_lists(CLOCK_MS, 57), _no_answer(), _lists(CLOCK_MS + 1, 57, 58)]
         _, client = await _run_script([*answers, _lists(CLOCK_MS + 2)])
         assert client.confirmed[:4] == [0, 57, 0, 58]
+
+    async def test_name_no_end_that_took_long_to_record(self) -> None:
+        """Guards against a restart while the store is slow and no call is pending."""
+        answers = [_lists(CLOCK_MS, 57), _lists(7, 1, born_ms=BORN_MS + 1)]
+        owner, client = await _run_script(answers, recording_s=1.0)
+        assert owner.restarted_ms == [BORN_MS + 1]
+        assert client.confirmed == [0, 0]
+        assert client.waits_s[1] == 0.0
+
+    async def test_follow_once_the_same_incarnation_has_answered(self) -> None:
+        answers = [_lists(CLOCK_MS, 57), _lists(CLOCK_MS + 1, 57)]
+        owner, client = await _run_script(
+            [*answers, _lists(CLOCK_MS + 2)], recording_s=1.0
+        )
+        assert client.confirmed[:3] == [0, 0, 57]
+        assert [len(reply.ended) for reply in owner.lists] == [1, 0, 0]
--- a/tests/cell/test_standin.py
+++ b/tests/cell/test_standin.py
@@ -56,7 +56,6 @@
         assert runner.running() == []
         assert [how for _, _, how, _ in ended] == ["done"]
 
-
     @pytest.mark.parametrize(("run_s", "how"), [(60, "lapsed"), (0.05, "done")])
     async def test_a_run_that_ended_unseen_does_not_die_with_its_runner(
         self, run_s: float, how: str
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -327,10 +327,17 @@
     Guard(
         "silent-runners-confirm-nothing",
         "runners/link.py",
-        "        self._confirmed = 0\n        if not self.silent:\n",
+        "        self._confirmed = self._recorded = 0\n        if not self.silent:\n",
         "        if not self.silent:\n",
         ("src/streamthread/runners/tests/test_restarts.py::TestConfirmations",),
     ),
+    Guard(
+        "ends-are-confirmed-soon",
+        "runners/link.py",
+        "        return self._confirmed if age_s <= MAX_CONFIRM_AGE_S else 0\n",
+        "        return self._confirmed\n",
+        ("src/streamthread/runners/tests/test_restarts.py::TestConfirmations",),
+    ),
     Guard(
         "runs-are-blamed-once",
         "scheduler/crashes.py",
