Split the sending of starts into a try and what it leaves open

The loop had grown to sixty lines with each kind of answer. What is known of the earlier tries has a type of its own, and a try says whether its answer proves something. After an overdue try a refused connection is followed by the pause as before; a test asks for it. No other behaviour changed.

--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -57,6 +57,19 @@
     silent_retry_s: float = 0.25
 
 
+@attrs.define
+class _Tries:
+    """What is known of the tries to send one start.
+
+    :param uncertain: one of them may have been carried out, or may still be.
+    :param overdue: the answer to the last one is overdue, most likely because its
+        connection has stopped responding.
+    """
+
+    uncertain: bool
+    overdue: bool = False
+
+
 class SenderOwner(ABC):
     """The holder as seen by the order sender."""
 
@@ -111,59 +124,70 @@
 
     async def start(self, attempt: Attempt) -> None:
         """Send the start of a persisted attempt until the runner has answered it."""
-        uncertain = attempt.phase is Phase.SENT
-        overdue = False
+        tries = _Tries(uncertain=attempt.phase is Phase.SENT)
         while self._is_start_pending(attempt):
             link = self._owner.links.get(attempt.runner_id)
             if link is None:
                 return
-            if not link.clock.known or link.silent:
-                await asyncio.sleep(self._settings.retry_s)
+            if not await self._may_start(attempt, link):
                 continue
-            await self._owner.until_trusted()
-            if not self._is_start_pending(attempt) or link.silent:
-                continue
-            if attempt.cleared and not await self._prepare_start(attempt, link):
-                continue
-            sent_at_s = boot_s()
-            if not attempt.read_back and not attempt.sent_at_s:
-                attempt.sent_at_s = sent_at_s
-            attempt.phase = Phase.SENT
-            attempt.open_starts += 1
             try:
-                reply = await self._send_start(attempt, link, overdue)
-                attempt.open_starts -= 1
+                reply = await self._try_start(attempt, link, tries)
             except IncarnationEndedError:
-                attempt.open_starts -= 1
-                if not uncertain:
-                    # It certainly began nowhere, so no exit is attributed to it.
-                    attempt.sent_at_s = 0.0
                 self._on_exit(link, "another incarnation answered a start")
                 return
-            except StoreUnavailableError:
-                # The order was certainly not sent.
-                attempt.open_starts -= 1
-                reply = None
-                if not uncertain:
-                    attempt.sent_at_s = 0.0
-            except AnswerOverdueError as error:
-                uncertain = overdue = True
-                log.info("start-overdue", extra=_describe_order(attempt, error))
-                continue
-            except OutcomeUnknownError:
-                uncertain = True
-                overdue = False
-                reply = None
-                self._on_unanswered(attempt, link, sent_at_s)
-            if link.over:
-                # Either incarnation of the runner may have answered.
-                reply = None
             if reply is not None and self._process_answer(
-                attempt, link, reply, uncertain
+                attempt, link, reply, tries.uncertain
             ):
                 await self._check_survival(attempt, link)
                 return
+            if not tries.overdue:
+                await asyncio.sleep(self._settings.retry_s)
+
+    async def _may_start(self, attempt: Attempt, link: RunnerLink) -> bool:
+        """Wait until a start may be sent; return False if that must be asked again."""
+        if not link.clock.known or link.silent:
             await asyncio.sleep(self._settings.retry_s)
+            return False
+        await self._owner.until_trusted()
+        if not self._is_start_pending(attempt) or link.silent:
+            return False
+        return not attempt.cleared or await self._prepare_start(attempt, link)
+
+    async def _try_start(
+        self, attempt: Attempt, link: RunnerLink, tries: _Tries
+    ) -> OrderReply | None:
+        """Send a start once; return the answer, or None if it proves nothing.
+
+        :raises IncarnationEndedError: another incarnation of the runner answered.
+        """
+        was_overdue, tries.overdue = tries.overdue, False
+        sent_at_s = boot_s()
+        if not attempt.read_back and not attempt.sent_at_s:
+            attempt.sent_at_s = sent_at_s
+        attempt.phase = Phase.SENT
+        attempt.open_starts += 1
+        try:
+            reply = await self._send_start(attempt, link, was_overdue)
+            attempt.open_starts -= 1
+        except (IncarnationEndedError, StoreUnavailableError) as error:
+            attempt.open_starts -= 1
+            if not tries.uncertain:
+                # It certainly began nowhere, so no exit is attributed to it.
+                attempt.sent_at_s = 0.0
+            if isinstance(error, IncarnationEndedError):
+                raise
+            return None
+        except AnswerOverdueError as error:
+            tries.uncertain = tries.overdue = True
+            log.info("start-overdue", extra=_describe_order(attempt, error))
+            return None
+        except OutcomeUnknownError:
+            tries.uncertain = True
+            self._on_unanswered(attempt, link, sent_at_s)
+            return None
+        # Otherwise either incarnation of the runner may have answered.
+        return reply if not link.over else None
 
     async def _prepare_start(self, attempt: Attempt, link: RunnerLink) -> bool:
         """Prepare the start of a suspect task's run; return whether to send it.
@@ -200,13 +224,9 @@
         )
 
     async def _send_start(
-        self, attempt: Attempt, link: RunnerLink, overdue: bool
+        self, attempt: Attempt, link: RunnerLink, was_overdue: bool
     ) -> OrderReply:
-        """Send a start once.
-
-        :param overdue: the answer to the previous try is overdue, most likely because
-            its connection has stopped responding.
-        """
+        """Send a start once, with the time that an overdue try has left over."""
         answer_s, overdue_s = self._settings.answer_s, self._settings.overdue_s
         task = attempt.task
         order = StartOrder(
@@ -222,8 +242,8 @@
             link.runner.address,
             attempt.runner_id,
             order,
-            timeout_s=answer_s - overdue_s if overdue else answer_s,
-            overdue_s=None if overdue else overdue_s,
+            timeout_s=answer_s - overdue_s if was_overdue else answer_s,
+            overdue_s=None if was_overdue else overdue_s,
         )
 
     def _process_answer(
--- a/src/streamthread/scheduler/tests/test_overdue_starts.py
+++ b/src/streamthread/scheduler/tests/test_overdue_starts.py
@@ -1,9 +1,13 @@
 """Tests starts whose answers are overdue, as on a connection that does not respond."""
 
+import asyncio
+
 import attrs
+import pytest
 
 from streamthread.errors import AnswerOverdueError
 from streamthread.errors import NoAnswerError
+from streamthread.errors import StoreUnavailableError
 from streamthread.platform.runners import OrderReply
 from streamthread.platform.runners import Refusal
 from streamthread.scheduler import Phase
@@ -41,6 +45,21 @@
         assert attempt.phase is Phase.STOPPING
         assert attempt in cell.task.attempts
 
+    async def test_that_is_refused_a_connection_then_is_sent_after_a_pause(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a loop that calls a runner that is gone without a pause."""
+        pauses_s: list[float] = []
+
+        async def pause(delay_s: float) -> None:
+            pauses_s.append(delay_s)
+
+        monkeypatch.setattr(asyncio, "sleep", pause)
+        gone = StoreUnavailableError("connection refused", remedy="-")
+        cell = StartCell(replies=[OVERDUE, gone, gone])
+        await cell.start()
+        assert pauses_s == [SETTINGS.retry_s] * 2
+
     async def test_is_unanswered_after_the_second_try(self) -> None:
         cell = StartCell(replies=[OVERDUE, UNANSWERED])
         await cell.start()
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -253,7 +253,7 @@
     Guard(
         "overdue-starts-are-sent-again",
         "scheduler/orders.py",
-        "            overdue_s=None if overdue else overdue_s,\n",
+        "            overdue_s=None if was_overdue else overdue_s,\n",
         "            overdue_s=None,\n",
         (
             "src/streamthread/scheduler/tests/test_overdue_starts.py",
@@ -295,8 +295,8 @@
     Guard(
         "unreached-starts-are-no-crashes",
         "scheduler/orders.py",
-        "                    attempt.sent_at_s = 0.0\n                self._on_exit",
-        "                    pass\n                self._on_exit",
+        "                attempt.sent_at_s = 0.0\n            if isinstance",
+        "                pass\n            if isinstance",
         ("src/streamthread/scheduler/tests/test_unreached_starts.py",),
     ),
     Guard(
