Judge by the time of recording whether ends may be confirmed

The age of the runner's answer includes the pause after ends, which is up to 0.5 s in large fleets: each list of ends would have taken one more hold call there.

--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -31,9 +31,10 @@
 MAX_CLOCK_ERROR_S = MAX_SYNC_AGE_S * (1 / SLOWEST_CLOCK - 1)
 """Maximum delay with which a runner whose clock runs slow reaches such a deadline."""
 
-MAX_CONFIRM_AGE_S = 0.2
-"""Ends are confirmed only this soon after the runner has answered. A runner takes
-longer to restart, and the next incarnation under its id numbers its ends from 1."""
+MAX_RECORDING_S = 0.2
+"""If recording the listed ends takes longer, the runner may have restarted meanwhile,
+and its next incarnation numbers its ends from 1. They are confirmed only once it has
+answered again."""
 
 
 @attrs.frozen
@@ -152,15 +153,10 @@
         self._owner = owner
         self._settings = settings
         self._last_hold_at_s = last_hold_at_s
-        # The last listed end, and the last durable one, of this incarnation.
+        # The numbers of the last end to be confirmed and of the last durable one.
         self._confirmed = 0
         self._recorded = 0
-
-    @property
-    def _confirmable(self) -> int:
-        """The number of the last end that may be confirmed now; 0 if there is none."""
-        age_s = boot_s() - self.heard_at_s
-        return self._confirmed if age_s <= MAX_CONFIRM_AGE_S else 0
+        self._recorded_late = False
 
     @property
     def silent(self) -> bool:
@@ -194,15 +190,14 @@
             deadline_ms = self.clock.deadline_ms(boot_s(), extend_s)
             busy = bool(self.runner.attempts)
             wait_s = self._settings.wait_s if busy else self._settings.idle_wait_s
-        confirmed = self._confirmable
-        if self._confirmed and not confirmed:
+        if self._recorded_late:
             # The next call confirms the ends if the same incarnation answers this one.
             wait_s = 0.0
         reply = await self._client.hold(
             self.runner.address,
             self.runner.runner_id,
             self._owner.token,
-            confirmed,
+            self._confirmed,
             deadline_ms,
             wait_s,
             self._settings.answer_s,
@@ -233,7 +228,7 @@
                 self.runner.address,
                 self.runner.runner_id,
                 self._owner.token,
-                self._confirmable,
+                self._confirmed,
                 deadline_ms,
                 0.0,
                 self._settings.answer_s,
@@ -256,6 +251,8 @@
 
     async def _on_reply(self, reply: HoldReply) -> None:
         now_s = boot_s()
+        # The answered call has confirmed them.
+        self._confirmed = 0
         self.heard_at_s = now_s
         self.runner.heard = True
         first = not self.clock.known
@@ -277,7 +274,8 @@
         listed = max((ended.number for ended in reply.ended), default=0)
         await self._owner.on_hold_reply(self, self._without_recorded(reply))
         self._recorded = max(self._recorded, listed)
-        self._confirmed = listed
+        self._recorded_late = boot_s() - now_s > MAX_RECORDING_S
+        self._confirmed = 0 if self._recorded_late else listed
         if reply.ended:
             await asyncio.sleep(self._owner.pause_after_ends_s())
 
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -351,8 +351,8 @@
     Guard(
         "ends-are-confirmed-soon",
         "runners/link.py",
-        "        return self._confirmed if age_s <= MAX_CONFIRM_AGE_S else 0\n",
-        "        return self._confirmed\n",
+        "        self._confirmed = 0 if self._recorded_late else listed\n",
+        "        self._confirmed = listed\n",
         ("src/streamthread/runners/tests/test_restarts.py::TestConfirmations",),
     ),
     Guard(
