--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -49,6 +49,9 @@
     SoakPlan(
         70025, stops=True, writer=True, runners=True, accounts=True, restarts=True
     ),
+    # The same; and runners exited three times and more where no holder was there to see
+    # that they had outlived the task's start. Once an account was over its limit, which
+    # a new holder had not read yet.
     SoakPlan(
         71012, stops=True, writer=True, runners=True, accounts=True, restarts=True
     ),
