Compute the pause after a scheduling pass from processor time

Cause: the pause was four times the elapsed time of a pass. A holder that was stopped for 4.0 s in the middle of a pass placed nothing for the next 16 s, although runners were usable. Change: the pause follows from the processor time of the pass (clocks.processor_s), and lasts 0.3 s at most, half of the callers' shortest latency objective.

--- a/src/streamthread/clocks.py
+++ b/src/streamthread/clocks.py
@@ -1,8 +1,8 @@
-"""The boot clock, by which durations are measured, and how far clocks run apart."""
+"""The boot clock, the processor time used, and how far clocks run apart."""
 
 import time
 
-__all__ = ["SLOWEST_CLOCK", "boot_s"]
+__all__ = ["SLOWEST_CLOCK", "boot_s", "processor_s"]
 
 SLOWEST_CLOCK = 0.98
 """A steady clock may run 2% slow: the platform promises it of the runners, and
@@ -20,3 +20,13 @@
     timer may fire late by the time of a suspension; whoever wakes looks at this clock.
     """
     return time.clock_gettime(_CLOCK)
+
+
+def processor_s() -> float:
+    """Return the processor time that the calling thread has used, in seconds.
+
+    A process of this product has one thread. The time does not advance while the
+    process is stopped or waits for a processor, or while the machine is suspended: it
+    measures work, and is the base of limits on the share of the processor.
+    """
+    return time.thread_time()
--- a/src/streamthread/holder/queue.py
+++ b/src/streamthread/holder/queue.py
@@ -8,6 +8,7 @@
 
 from ..cell import CommitLog
 from ..clocks import boot_s
+from ..clocks import processor_s
 from ..scheduler import Attempt
 from ..scheduler import Engine
 from ..scheduler import StepRun
@@ -22,9 +23,15 @@
 """Minimum pause between two passes, about half the duration of a commit. Events that
 arrive during the pause share the next pass."""
 
+MAX_PAUSE_S = 0.3
+"""Maximum pause between two passes: half of the callers' shortest latency objective of
+0.6 s. The other half is for the pass itself, the commits and the start. Passes that
+take more than 75 ms of processor time use more than a fifth of the processor."""
+
 PAUSE_FACTOR = 4.0
-"""The pause lasts this many times as long as the last pass, so that passes use at most
-a fifth of the processor, however long the queue is."""
+"""The pause lasts this many times the processor time of the last pass, so that passes
+use a fifth of the processor. Elapsed time is no measure: a process that was stopped for
+4 s during a pass would place nothing for the next 16 s."""
 
 
 class QueueOwner(ABC):
@@ -88,11 +95,11 @@
 
     def _run_pass_and_pause(self) -> float | None:
         """Run a pass, and set when the next one may run."""
-        began_at_s = boot_s()
+        used_before_s = processor_s()
         next_due_s = self._run_pass()
-        ended_at_s = boot_s()
-        pause_s = (ended_at_s - began_at_s) * PAUSE_FACTOR
-        self._next_pass_at_s = ended_at_s + max(MIN_PAUSE_S, pause_s)
+        pause_s = (processor_s() - used_before_s) * PAUSE_FACTOR
+        pause_s = min(max(MIN_PAUSE_S, pause_s), MAX_PAUSE_S)
+        self._next_pass_at_s = boot_s() + pause_s
         return next_due_s
 
     def _run_pass(self) -> float | None:
