Measure run times, progress and answers without the time of a suspension

Cause: a process that was stopped, or whose machine was suspended, reads late what came in time. An audit of all that is learned from elapsed time found five estimates that a suspension changes for longer than callers tolerate. Change: run times and progress are measured on the runner's clock, and runs whose end is known to 2 s at best are not learned. The new stopwatch leaves out the time for which this process stood still from the durations of answers and requests. A hold call follows at once on one whose answer was read late.

--- a/src/streamthread/cell/answers.py
+++ b/src/streamthread/cell/answers.py
@@ -7,6 +7,7 @@
 from ..errors import OutcomeUnknownError
 from ..platform.store import TransactResult
 from ..response_times import ResponseTimes
+from ..stopwatch import Stopwatch
 
 __all__ = ["ReadBack", "version_written"]
 
@@ -39,6 +40,7 @@
     :raises StoreUnavailableError: the store refused the write; nothing was written.
     """
     began_at_s = boot_s()
+    since_sent = Stopwatch()
     answer = asyncio.ensure_future(write)
     try:
         wait_s = times.answer_timeout_s
@@ -55,7 +57,7 @@
                 times.back_off()
                 return version
         result = await answer
-        times.observe(boot_s() - began_at_s)
+        times.observe(since_sent.elapsed_s())
     except OutcomeUnknownError:
         return await read_back() or 0
     finally:
--- a/src/streamthread/platform/inflight.py
+++ b/src/streamthread/platform/inflight.py
@@ -21,6 +21,7 @@
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..response_times import ResponseTimes
+from ..stopwatch import Stopwatch
 
 __all__ = [
     "Address",
@@ -64,12 +65,14 @@
     """One attempt of a call, as far as it has come.
 
     :param sent_at_s: when it got a connection, on the boot clock.
+    :param since_sent: measures how long the service has taken since then.
     :param begun: the answer has begun.
     :param received_bytes: how much of the answer's body has arrived.
     """
 
     began_at_s: float = attrs.field(factory=boot_s)
     sent_at_s: float = 0.0
+    since_sent: Stopwatch | None = None
     begun: bool = False
     received_bytes: int = 0
     connection: ConnectionUse = ConnectionUse.UNKNOWN
@@ -78,6 +81,7 @@
         """Record that the call is sent."""
         self.connection = connection
         self.sent_at_s = boot_s()
+        self.since_sent = Stopwatch()
 
     def __str__(self) -> str:
         took_s = boot_s() - self.began_at_s
@@ -152,7 +156,9 @@
         """Handle that the answer to the first attempt has begun."""
         self.attempt.begun = True
         self._cancel_second()
-        took_s = boot_s() - self.attempt.sent_at_s
+        if self.attempt.since_sent is None:
+            return
+        took_s = self.attempt.since_sent.elapsed_s()
         # A call that waits is answered early if there is something to report.
         if took_s >= self._wait_s:
             self._flights.times.observe(took_s - self._wait_s)
--- a/src/streamthread/requests/dispatch.py
+++ b/src/streamthread/requests/dispatch.py
@@ -6,7 +6,7 @@
 import aiohttp
 from aiohttp import web
 
-from ..clocks import boot_s
+from ..stopwatch import Stopwatch
 from .answers import RecordedAnswer
 from .answers import relay_answer
 from .outcomes import DEADLINE_HEADER
@@ -130,14 +130,14 @@
         answer: RecordedAnswer | None,
     ) -> web.StreamResponse:
         began = False
-        sent_at_s = boot_s()
+        since_sent = Stopwatch()
         try:
             async with self._exchange(call, slot) as reply:
                 self._note_reply_headers(slot, reply)
                 began = True
                 close = self._is_stopping()
                 response = await relay_answer(request, reply, call, answer, close)
-                self._router.note_success(slot, boot_s() - sent_at_s)
+                self._router.note_success(slot, since_sent.elapsed_s())
                 return response
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._router.note_failure(slot.upstream, repr(error))
--- a/src/streamthread/requests/slots.py
+++ b/src/streamthread/requests/slots.py
@@ -9,6 +9,7 @@
 import attrs
 
 from ..clocks import boot_s
+from ..stopwatch import Stopwatch
 
 __all__ = ["SlotQueue"]
 
@@ -55,6 +56,7 @@
         self._served_tag = 0.0
         self._last_tags: dict[str, float] = {}
         self._last_acquired_s: float | None = None
+        self._since_acquired: Stopwatch | None = None
         self._drain_interval_s = 0.0
         self._run_s = 0.0
 
@@ -127,7 +129,7 @@
     def _remove(self, waiter: _Waiter) -> None:
         self._waiting = [other for other in self._waiting if other is not waiter]
         if not self._waiting:
-            self._last_acquired_s = None
+            self._last_acquired_s = self._since_acquired = None
             self._served_tag = 0.0
             self._last_tags.clear()
         self.release()
@@ -139,11 +141,13 @@
         discarded when the queue becomes empty.
         """
         now_s = self._clock_s()
-        if self._last_acquired_s is not None:
+        if self._last_acquired_s is not None and self._since_acquired is not None:
             interval_s = now_s - self._last_acquired_s
+            interval_s -= self._since_acquired.stood_still_s()
             weight = EWMA_WEIGHT if self._drain_interval_s else 1.0
             self._drain_interval_s += weight * (interval_s - self._drain_interval_s)
         self._last_acquired_s = now_s
+        self._since_acquired = Stopwatch()
 
 
 async def _wait(event: asyncio.Event, limit_s: float) -> None:
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -157,6 +157,9 @@
         self._confirmed = 0
         self._recorded = 0
         self._recorded_late = False
+        # This process stood still while the last call was pending, so that the estimate
+        # of the runner's clock is as late as its answer was read.
+        self._read_late = False
 
     @property
     def silent(self) -> bool:
@@ -190,9 +193,10 @@
             deadline_ms = self.clock.deadline_ms(boot_s(), extend_s)
             busy = bool(self.runner.attempts)
             wait_s = self._settings.wait_s if busy else self._settings.idle_wait_s
-        if self._recorded_late:
+        if self._recorded_late or self._read_late:
             # The next call confirms the ends if the same incarnation answers this one.
             wait_s = 0.0
+        asked_at_s = boot_s()
         reply = await self._client.hold(
             self.runner.address,
             self.runner.runner_id,
@@ -202,6 +206,8 @@
             wait_s,
             self._settings.answer_s,
         )
+        # The call would have timed out if this process had not stood still.
+        self._read_late = boot_s() - asked_at_s > wait_s + self._settings.answer_s
         if self.over:
             return
         if isinstance(reply, Refusal):
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -25,6 +25,7 @@
     :param emptying: the runner is to be emptied so that its machine can go into upkeep.
     :param clock_ms: the latest time on the runner's clock that one of its answers
         reported; 0 if there is none.
+    :param listed_ms: the runner's clock in its last list; 0 if there is none.
     :param silent_at_s: boot clock time since when the runner has not answered; None if
         it answers.
     :param hung: the runner became silent with open connections, so it is unknown since
@@ -58,6 +59,7 @@
     emptying: bool = False
     clock_ms: int = 0
     silent_at_s: float | None = None
+    listed_ms: int = 0
     hung: bool = False
     blamed: list[Blame] = attrs.field(factory=list)
     probation_job: Job | None = None
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -109,9 +109,10 @@
         yet.
     :param percent: progress as last reported by the runner.
     :param first_percent: progress in the runner's first report.
-    :param first_seen_at_s: boot clock time of the first report; 0 if there is none.
-    :param seen_at_s: boot clock time of the last report.
-    :param progress_changed_at_s: boot clock time at which the reported progress last
+    :param first_seen_at_s: the runner's clock in the first report; 0 if there is none.
+    :param seen_at_s: the runner's clock in the last report.
+    :param listed_at_s: boot clock time at which the last list with the run was read.
+    :param progress_changed_at_s: the runner's clock when the reported progress last
         changed.
     :param missing_since_ms: the runner's clock since when its lists do not contain the
         run; 0 if they contain it.
@@ -150,6 +151,7 @@
     first_percent: float = 0.0
     first_seen_at_s: float = 0.0
     seen_at_s: float = 0.0
+    listed_at_s: float = 0.0
     progress_changed_at_s: float = 0.0
     usage: float | None = None
     pace_percent: int | None = 100
@@ -223,7 +225,10 @@
             self.pace_open_until_s = 0.0
 
     def note_progress(self, percent: float, now_s: float) -> None:
-        """Record the progress that the runner reported."""
+        """Record the progress that the runner reported.
+
+        :param now_s: the runner's clock in the report.
+        """
         if not self.first_seen_at_s:
             self.first_percent, self.first_seen_at_s = percent, now_s
         if percent != self.percent or not self.progress_changed_at_s:
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -10,6 +10,7 @@
 from ..platform.runners import EndedRun
 from ..platform.runners import EndKind
 from ..platform.runners import HoldReply
+from ..platform.runners import RunningTask
 from .crashes import Crashes
 from .fleet import RunnerState
 from .learning import learning_key
@@ -25,6 +26,11 @@
 
 log = logbook.Logger("streamthread.scheduler")
 
+MAX_END_UNCERTAINTY_MS = 2000
+"""The run time of a run is learned only if its end is known this well. Runners list
+ends after 0.5 s at most, and runs at least every 1.5 s; a holder that was stopped for
+10 s would learn 10 s for a run that ended in the meantime."""
+
 
 @attrs.frozen
 class Stray:
@@ -98,7 +104,8 @@
         self._crashes.on_runner_response(runner)
         runner.on_clock(reply.clock_ms)
         for ended in reply.ended:
-            self._on_ended(runner, ended)
+            self._on_ended(runner, ended, reply.clock_ms)
+        runner.listed_ms = reply.clock_ms
         listed = {(row.task, row.run): row for row in reply.running}
         ended_keys = {(row.task, row.run) for row in reply.ended}
         for key, attempt in list(runner.attempts.items()):
@@ -107,7 +114,7 @@
                 attempt.first_confirmed_ms = (
                     attempt.first_confirmed_ms or reply.clock_ms
                 )
-                self._on_running(attempt, row.checkpoint, row.percent, row.usage)
+                self._on_running(attempt, row, reply.clock_ms)
                 self._crashes.clear_if_outlived(attempt, runner)
                 self._ledger.stops.on_listed(attempt, reply.clock_ms)
             elif key not in ended_keys:
@@ -121,19 +128,19 @@
         runner.stray_runs = len(strays)
         return strays
 
-    def _on_running(
-        self, attempt: Attempt, checkpoint: str, percent: float, usage: float | None
-    ) -> None:
+    def _on_running(self, attempt: Attempt, row: RunningTask, clock_ms: int) -> None:
         if attempt.phase is Phase.SENT:
             self.confirm(attempt, 0)
-        attempt.note_progress(percent, boot_s())
-        attempt.usage = usage
+        # A holder that was stopped reads lists late: only the runner knows their time.
+        attempt.note_progress(row.percent, clock_ms / 1000)
+        attempt.listed_at_s = boot_s()
+        attempt.usage = row.usage
         attempt.missing_since_ms = 0
         attempt.unlisted_since_s = 0.0
         self._crashes.clear_crashes_if_stable(attempt)
         task = attempt.task
-        if checkpoint and checkpoint != task.checkpoint:
-            task.checkpoint = checkpoint
+        if row.checkpoint and row.checkpoint != task.checkpoint:
+            task.checkpoint = row.checkpoint
 
     def _on_missing(self, runner: RunnerState, attempt: Attempt, clock_ms: int) -> None:
         """Handle a confirmed run that is listed neither as running nor as ended.
@@ -181,7 +188,7 @@
         since_ms = max(attempt.missing_since_ms, answered_ms)
         return clock_ms <= since_ms + self._settings.stop_effect_ms
 
-    def _on_ended(self, runner: RunnerState, ended: EndedRun) -> None:
+    def _on_ended(self, runner: RunnerState, ended: EndedRun, clock_ms: int) -> None:
         attempt = runner.attempts.get((ended.task, ended.run))
         if attempt is None:
             self._on_unknown_end(ended)
@@ -195,7 +202,7 @@
         if ended.kind in (EndKind.DONE, EndKind.FAILED):
             self._crashes.clear_crashes(task)
         if ended.kind is EndKind.DONE:
-            self._on_done(attempt)
+            self._on_done(attempt, runner.listed_ms, clock_ms)
         else:
             _log_run_ended(attempt, ended)
             if ended.kind is EndKind.FAILED:
@@ -219,10 +226,21 @@
         self._ledger.changed(job)
         self._ledger.settle_job(job)
 
-    def _on_done(self, attempt: Attempt) -> None:
+    def _on_done(self, attempt: Attempt, before_ms: int, clock_ms: int) -> None:
+        """Handle that a run is done.
+
+        :param before_ms: the runner's clock in its list before the one with this end.
+        :param clock_ms: the runner's clock in the list with this end.
+        """
         task = attempt.task
-        if attempt.began_at_s and not task.step.request.lasting:
-            took_s = boot_s() - attempt.began_at_s
+        began_ms = attempt.first_confirmed_ms
+        uncertain_ms = clock_ms - max(began_ms, before_ms)
+        if (
+            began_ms
+            and not task.step.request.lasting
+            and uncertain_ms <= MAX_END_UNCERTAINTY_MS
+        ):
+            took_s = (clock_ms - began_ms) / 1000
             self._times.learn(learning_key(task.step), took_s)
         if task.step.request.lasting:
             self._ledger.requeue(task)
--- a/src/streamthread/scheduler/stops.py
+++ b/src/streamthread/scheduler/stops.py
@@ -147,7 +147,8 @@
     stop = attempt.stop
     assert stop is not None
     now_s = boot_s()
-    listed_s_ago = round(now_s - attempt.seen_at_s, 3) if attempt.seen_at_s else None
+    listed_at_s = attempt.listed_at_s
+    listed_s_ago = round(now_s - listed_at_s, 3) if listed_at_s else None
     return {
         "task": attempt.task.name,
         "run": attempt.run,
