--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -64,6 +64,18 @@
     SoakPlan(
         70012, stops=True, writer=True, runners=True, accounts=True, restarts=True
     ),
+    # A holder was suspended for 4 s in the middle of a pass over its queue, and placed
+    # nothing for the next 16 s, so that two long-running tasks had no run. Of the
+    # faults of runners that restart, only silent ones occurred.
+    SoakPlan(
+        98102,
+        stops=True,
+        writer=True,
+        runners=True,
+        accounts=True,
+        restarts=True,
+        silent_restarts=True,
+    ),
 )
 
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -75,6 +75,8 @@
     :param runners: faults of runners and of daemons' machines, and demand that comes in
         turns, likewise.
     :param restarts: runners start again under their ids, likewise.
+    :param silent_restarts: of these faults, only restarts of silent runners, 3 per
+        second.
     :param accounts: callers need keys, keys change, and an account has a limit,
         likewise.
     """
@@ -90,6 +92,7 @@
     runners: bool = False
     accounts: bool = False
     restarts: bool = False
+    silent_restarts: bool = False
 
 
 class Soak(SoakView):
@@ -120,7 +123,7 @@
         self._restarts: RestartFaults | None = None
         if plan.restarts:
             restarts = random.Random(f"restarts {plan.seed}")
-            self._restarts = RestartFaults(self, restarts)
+            self._restarts = RestartFaults(self, restarts, plan.silent_restarts)
         self._accounts: AccountCalls | None = None
         if plan.accounts:
             accounts = random.Random(f"accounts {plan.seed}")
--- a/tools/soak_restarts.py
+++ b/tools/soak_restarts.py
@@ -13,6 +13,9 @@
 FAULTS_PER_S = 0.8
 """How often one of these faults begins."""
 
+SILENT_RESTARTS_PER_S = 3.0
+"""The same where runners only start again while they are silent."""
+
 MOST_IN_SERIES = 4
 """So often at most one runner starts again before another one does."""
 
@@ -22,18 +25,28 @@
 
 
 class RestartFaults:
-    """Runners that crash and are back under their ids, alone and in series."""
+    """Runners that crash and are back under their ids, alone and in series.
+
+    :param silent_only: runners only start again while they are silent, and more often.
+    """
 
-    def __init__(self, soak: SoakView, choices: random.Random) -> None:
+    def __init__(
+        self, soak: SoakView, choices: random.Random, silent_only: bool = False
+    ) -> None:
         self._soak = soak
+        self._silent_only = silent_only
         self._random = choices
         self._soak.world.keeps_ids = choices.random() < 0.5
 
     async def play(self, until_s: float) -> None:
         """Begin faults until a time."""
         kinds = [self._restart, self._restart_in_series, self._restart_while_silent]
+        per_s = FAULTS_PER_S
+        if self._silent_only:
+            kinds = [self._restart_while_silent]
+            per_s = SILENT_RESTARTS_PER_S
         while time.monotonic() < until_s:
-            await asyncio.sleep(self._random.expovariate(FAULTS_PER_S))
+            await asyncio.sleep(self._random.expovariate(per_s))
             # Some runners never tell their birth; those get a new id with each life.
             self._soak.world.reports_birth = self._random.random() < 0.8
             kind = self._random.choice(kinds)
