Bound learned durations by the time limits of calls, without a timer

Cause: the stopwatch that left out the time of a suspension woke the event loop of every daemon 20 times a second while any call was open, which is nearly always. Wake-ups cost processor time on hundreds of small daemons.

Change: a duration is not learned if it is longer than the time limit that the call had, since the call would have ended by then. This holds for writes (STORE_TIMEOUT_S, moved to platform.store), tracked calls, and requests of the entry (their deadline).

--- a/src/streamthread/cell/answers.py
+++ b/src/streamthread/cell/answers.py
@@ -5,9 +5,9 @@
 
 from ..clocks import boot_s
 from ..errors import OutcomeUnknownError
+from ..platform.store import STORE_TIMEOUT_S
 from ..platform.store import TransactResult
 from ..response_times import ResponseTimes
-from ..stopwatch import Stopwatch
 
 __all__ = ["ReadBack", "version_written"]
 
@@ -40,7 +40,6 @@
     :raises StoreUnavailableError: the store refused the write; nothing was written.
     """
     began_at_s = boot_s()
-    since_sent = Stopwatch()
     answer = asyncio.ensure_future(write)
     try:
         wait_s = times.answer_timeout_s
@@ -57,7 +56,10 @@
                 times.back_off()
                 return version
         result = await answer
-        times.observe(since_sent.elapsed_s())
+        took_s = boot_s() - began_at_s
+        # A longer write would have timed out if this process had not stood still.
+        if took_s <= STORE_TIMEOUT_S:
+            times.observe(took_s)
     except OutcomeUnknownError:
         return await read_back() or 0
     finally:
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -27,6 +27,7 @@
 from ..platform.node import NodeSettings
 from ..platform.runners import RunnerClient
 from ..platform.store import RowStore
+from ..platform.store import STORE_TIMEOUT_S
 from ..runners import LinkSettings
 from ..scheduler import EngineSettings
 from ..unreadable import UnreadableNotes
@@ -42,10 +43,6 @@
 
 log = logbook.Logger("streamthread.gateway")
 
-STORE_TIMEOUT_S = 1.2
-"""Timeout until an answer begins: six times the answer time of a slow store, which is
-60 times the usual 4 ms."""
-
 CLOUD_TIMEOUT_S = 2.0
 """Timeout until the cloud, or the advice service, begins to answer."""
 
--- a/src/streamthread/platform/inflight.py
+++ b/src/streamthread/platform/inflight.py
@@ -11,6 +11,7 @@
 import collections
 import contextlib
 import enum
+import math
 import typing as t
 
 import aiohttp
@@ -21,7 +22,6 @@
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..response_times import ResponseTimes
-from ..stopwatch import Stopwatch
 
 __all__ = [
     "Address",
@@ -65,14 +65,12 @@
     """One attempt of a call, as far as it has come.
 
     :param sent_at_s: when it got a connection, on the boot clock.
-    :param since_sent: measures how long the service has taken since then.
     :param begun: the answer has begun.
     :param received_bytes: how much of the answer's body has arrived.
     """
 
     began_at_s: float = attrs.field(factory=boot_s)
     sent_at_s: float = 0.0
-    since_sent: Stopwatch | None = None
     begun: bool = False
     received_bytes: int = 0
     connection: ConnectionUse = ConnectionUse.UNKNOWN
@@ -81,7 +79,6 @@
         """Record that the call is sent."""
         self.connection = connection
         self.sent_at_s = boot_s()
-        self.since_sent = Stopwatch()
 
     def __str__(self) -> str:
         took_s = boot_s() - self.began_at_s
@@ -117,6 +114,7 @@
         self._flights = flights
         self._address = address
         self._wait_s = wait_s
+        self._limit_s = math.inf
         self._send_again = send_again
         self._second: asyncio.Task[None] | None = None
         # The service had time to answer the first attempt.
@@ -130,10 +128,13 @@
 
         :param limit: the time limit of the call.
         """
+        loop = asyncio.get_running_loop()
         self._limit = limit
+        end_at_s = limit.when()
+        if end_at_s is not None:
+            self._limit_s = end_at_s - loop.time()
         timer = None
         if self._send_again is not None:
-            loop = asyncio.get_running_loop()
             timer = loop.call_later(self._overdue_s, self._on_overdue)
         self._flights.add(self._address, self)
         try:
@@ -156,9 +157,13 @@
         """Handle that the answer to the first attempt has begun."""
         self.attempt.begun = True
         self._cancel_second()
-        if self.attempt.since_sent is None:
+        if not self.attempt.sent_at_s:
+            return
+        now_s = boot_s()
+        # The call would have ended by then if this process had not stood still.
+        if now_s - self.attempt.began_at_s > self._limit_s:
             return
-        took_s = self.attempt.since_sent.elapsed_s()
+        took_s = now_s - self.attempt.sent_at_s
         # A call that waits is answered early if there is something to report.
         if took_s >= self._wait_s:
             self._flights.times.observe(took_s - self._wait_s)
--- a/src/streamthread/platform/store.py
+++ b/src/streamthread/platform/store.py
@@ -24,6 +24,7 @@
 __all__ = [
     "ABSENT",
     "MAX_ID_BYTES",
+    "STORE_TIMEOUT_S",
     "Condition",
     "HistoryGoneError",
     "Page",
@@ -35,6 +36,10 @@
 ABSENT = 0
 """The version of a row that does not exist."""
 
+STORE_TIMEOUT_S = 1.2
+"""Timeout until an answer begins: six times the answer time of a slow store, which is
+60 times the usual 4 ms."""
+
 CONNECTIONS = 8
 """Each feed occupies one connection; the others carry commits and reads."""
 
--- a/src/streamthread/requests/dispatch.py
+++ b/src/streamthread/requests/dispatch.py
@@ -6,7 +6,7 @@
 import aiohttp
 from aiohttp import web
 
-from ..stopwatch import Stopwatch
+from ..clocks import boot_s
 from .answers import RecordedAnswer
 from .answers import relay_answer
 from .outcomes import DEADLINE_HEADER
@@ -130,14 +130,14 @@
         answer: RecordedAnswer | None,
     ) -> web.StreamResponse:
         began = False
-        since_sent = Stopwatch()
+        sent_at_s = boot_s()
         try:
             async with self._exchange(call, slot) as reply:
                 self._note_reply_headers(slot, reply)
                 began = True
                 close = self._is_stopping()
                 response = await relay_answer(request, reply, call, answer, close)
-                self._router.note_success(slot, since_sent.elapsed_s())
+                self._router.note_success(slot, _run_s(call, sent_at_s))
                 return response
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             self._router.note_failure(slot.upstream, repr(error))
@@ -180,6 +180,16 @@
         self._router.note_accepted(slot)
 
 
+def _run_s(call: Call, sent_at_s: float) -> float | None:
+    """Return how long an answered request ran, or None if this is unknown.
+
+    A request that is answered after its deadline would have ended before, if this
+    process had not stood still.
+    """
+    now_s = boot_s()
+    return now_s - sent_at_s if now_s <= call.deadline_at_s else None
+
+
 def _headers(call: Call, left_s: float) -> dict[str, str]:
     headers = {**call.headers, DEADLINE_HEADER: f"{max(0.0, left_s):.3f}"}
     if call.idempotency_key:
--- a/src/streamthread/requests/router.py
+++ b/src/streamthread/requests/router.py
@@ -184,11 +184,11 @@
         if slot.borrowed:
             self._borrowing_backoff(slot.service).note_accepted()
 
-    def note_success(self, slot: Slot, run_s: float) -> None:
-        """Record an answer, even one that broke off, and how long it took."""
+    def note_success(self, slot: Slot, run_s: float | None) -> None:
+        """Record an answer, even one that broke off, and how long it took if known."""
         self._directory.health(slot.upstream).note_success()
         queue = self._queues.get(slot.service)
-        if queue is not None:
+        if queue is not None and run_s is not None:
             queue.note_run(run_s)
 
     def note_failure(self, upstream: Upstream, cause: str) -> None:
--- a/src/streamthread/requests/slots.py
+++ b/src/streamthread/requests/slots.py
@@ -9,10 +9,13 @@
 import attrs
 
 from ..clocks import boot_s
-from ..stopwatch import Stopwatch
 
 __all__ = ["SlotQueue"]
 
+MAX_LATE_S = 0.5
+"""If the first waiter polls later than due by more than this, the process stood still.
+The event loop of a busy entry is late by some tenths of a second."""
+
 EWMA_WEIGHT = 0.1
 """Weight of a new sample in the moving averages."""
 
@@ -56,7 +59,8 @@
         self._served_tag = 0.0
         self._last_tags: dict[str, float] = {}
         self._last_acquired_s: float | None = None
-        self._since_acquired: Stopwatch | None = None
+        self._polled_at_s = boot_s()
+        self._stood_still_s = 0.0
         self._drain_interval_s = 0.0
         self._run_s = 0.0
 
@@ -109,7 +113,10 @@
         try:
             while (left_s := deadline_at_s - self._clock_s()) > 0:
                 is_first = self._waiting[0] is waiter
+                if is_first:
+                    self._note_polled()
                 if is_first and (acquired := try_acquire()) is not None:
+                    self._note_polled()
                     self._served_tag = max(self._served_tag, waiter.tag)
                     self._note_acquired()
                     return acquired
@@ -129,11 +136,23 @@
     def _remove(self, waiter: _Waiter) -> None:
         self._waiting = [other for other in self._waiting if other is not waiter]
         if not self._waiting:
-            self._last_acquired_s = self._since_acquired = None
+            self._last_acquired_s = None
             self._served_tag = 0.0
             self._last_tags.clear()
         self.release()
 
+    def _note_polled(self) -> None:
+        """Record the time for which the process stood still since the last poll.
+
+        While requests wait, the first one polls at least every ``poll_s``, so that no
+        further timer is needed. Without requests that wait nothing is measured.
+        """
+        now_s = boot_s()
+        late_s = now_s - self._polled_at_s - self._poll_s
+        if late_s > MAX_LATE_S:
+            self._stood_still_s += late_s
+        self._polled_at_s = now_s
+
     def _note_acquired(self) -> None:
         """Update the drain rate with the time since the last slot was acquired.
 
@@ -141,13 +160,12 @@
         discarded when the queue becomes empty.
         """
         now_s = self._clock_s()
-        if self._last_acquired_s is not None and self._since_acquired is not None:
-            interval_s = now_s - self._last_acquired_s
-            interval_s -= self._since_acquired.stood_still_s()
+        if self._last_acquired_s is not None:
+            interval_s = now_s - self._last_acquired_s - self._stood_still_s
             weight = EWMA_WEIGHT if self._drain_interval_s else 1.0
             self._drain_interval_s += weight * (interval_s - self._drain_interval_s)
         self._last_acquired_s = now_s
-        self._since_acquired = Stopwatch()
+        self._stood_still_s = 0.0
 
 
 async def _wait(event: asyncio.Event, limit_s: float) -> None:
