Learn run times of starts without a clock, none of read-back runs

Cause: a run time counted from the runner's clock at the first confirmation. An answer to a start may name no clock. Of a run that an earlier holder started, the rest from the first list on was learned as a whole run. The restart of a runner kept the time of the run's last list.

Change: an attempt has `began_ms`, from the answer, or estimated from the runner's latest answer; evidence for crashes still uses the confirmed clock alone. Read-back runs are not learned. `reset_confirmation` also clears `listed_at_s` and `began_ms`.

Four new tests failed before; the one for ordinary runs is a guard and passed.

--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from ..clocks import boot_s
 from ..platform.documents import rack_of
 from ..platform.documents import RunnerEntry
 from .model import Attempt
@@ -26,6 +27,7 @@
     :param clock_ms: the latest time on the runner's clock that one of its answers
         reported; 0 if there is none.
     :param listed_ms: the runner's clock in its last list; 0 if there is none.
+    :param clock_read_at_s: boot clock time at which ``clock_ms`` was read.
     :param silent_at_s: boot clock time since when the runner has not answered; None if
         it answers.
     :param hung: the runner became silent with open connections, so it is unknown since
@@ -60,6 +62,7 @@
     clock_ms: int = 0
     silent_at_s: float | None = None
     listed_ms: int = 0
+    clock_read_at_s: float = 0.0
     hung: bool = False
     blamed: list[Blame] = attrs.field(factory=list)
     probation_job: Job | None = None
@@ -155,7 +158,15 @@
 
     def on_clock(self, clock_ms: int) -> None:
         """Record the clock of an answer; answers may arrive out of order."""
-        self.clock_ms = max(self.clock_ms, clock_ms)
+        if clock_ms > self.clock_ms:
+            self.clock_ms = clock_ms
+            self.clock_read_at_s = boot_s()
+
+    def estimated_clock_ms(self) -> int:
+        """Return the runner's clock by its latest answer; 0 if it has named none."""
+        if not self.clock_ms:
+            return 0
+        return self.clock_ms + round((boot_s() - self.clock_read_at_s) * 1000)
 
     def outlived_ms(self, attempt: Attempt) -> int | None:
         """Return how long the runner certainly lived after first confirming a run.
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -98,6 +98,8 @@
     :param confirmed_clock_ms: the runner's clock when it last confirmed the run.
     :param first_confirmed_ms: the runner's clock when it first confirmed the run; 0 if
         it has not yet.
+    :param began_ms: the runner's clock when the run began; an estimate if the start's
+        answer names no clock, 0 if unknown.
     :param born_ms: start time of the runner incarnation that the run was meant for;
         None if unknown.
     :param read_back: an earlier holder persisted the attempt.
@@ -144,6 +146,7 @@
     read_back: bool = False
     confirmed_clock_ms: int = 0
     first_confirmed_ms: int = 0
+    began_ms: int = 0
     open_starts: int = 0
     sent_at_s: float = 0.0
     began_at_s: float = 0.0
@@ -202,8 +205,8 @@
         :param born_ms: start time of the incarnation that is queried from now on.
         """
         self.born_ms = born_ms
-        self.confirmed_clock_ms = self.first_confirmed_ms = 0
-        self.began_at_s = 0.0
+        self.confirmed_clock_ms = self.first_confirmed_ms = self.began_ms = 0
+        self.began_at_s = self.listed_at_s = 0.0
         self.first_seen_at_s = self.seen_at_s = self.progress_changed_at_s = 0.0
         self.missing_since_ms = 0
         self.unlisted_since_s = 0.0
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -70,6 +70,9 @@
         runner = self._ledger.runners.get(attempt.runner_id)
         if runner is not None:
             runner.on_clock(clock_ms)
+            attempt.began_ms = (
+                attempt.began_ms or clock_ms or runner.estimated_clock_ms()
+            )
         if not attempt.began_at_s:
             attempt.began_at_s = boot_s()
         job = attempt.task.step.occurrence.job
@@ -233,10 +236,12 @@
         :param clock_ms: the runner's clock in the list with this end.
         """
         task = attempt.task
-        began_ms = attempt.first_confirmed_ms
+        began_ms = attempt.began_ms
         uncertain_ms = clock_ms - max(began_ms, before_ms)
         if (
-            began_ms
+            0 < began_ms <= clock_ms
+            # It may have run for long before this holder first read of it.
+            and not attempt.read_back
             and not task.step.request.lasting
             and uncertain_ms <= MAX_END_UNCERTAINTY_MS
         ):
--- a/tests/test_suspensions.py
+++ b/tests/test_suspensions.py
@@ -235,6 +235,56 @@
             cell.end(attempt, clock_ms)
         assert cell.learned_s(attempt) == pytest.approx(0.4)
 
+    def test_of_ordinary_runs_are_the_elapsed_time(self, machine: Machine) -> None:
+        """Guards against a constant error of the measure on the runner's clock."""
+        cell = _Cell()
+        for clock_ms in (1000, 3000):
+            attempt = cell.start(clock_ms)
+            machine.suspend(0.4)
+            cell.end(attempt, clock_ms + 400)
+            took_s = boot_s() - attempt.began_at_s
+        assert cell.learned_s(attempt) == pytest.approx(took_s, abs=0.005)
+
+    @pytest.mark.parametrize("is_listed", [False, True])
+    def test_of_starts_that_name_no_clock(
+        self, machine: Machine, is_listed: bool
+    ) -> None:
+        """They would not be learned, or from the first list with the run."""
+        cell = _Cell()
+        clock_ms = 1000
+        for _ in range(2):
+            cell.list(clock_ms)
+            machine.suspend(0.2)
+            attempt = cell.start(0)
+            if is_listed:
+                machine.suspend(0.3)
+                cell.list(clock_ms + 500, attempt)
+                machine.suspend(0.1)
+            else:
+                machine.suspend(0.4)
+            cell.end(attempt, clock_ms + 600)
+            clock_ms += 700
+            machine.suspend(0.1)
+        assert cell.learned_s(attempt) == pytest.approx(0.4, abs=0.01)
+
+    def test_are_not_learned_from_runs_of_an_earlier_holder(self) -> None:
+        """What is left of such a run would be learned as the time of a whole run."""
+        cell = _Cell()
+        for clock_ms in (1000, 9000):
+            attempt = cell.start(0)
+            attempt.read_back, attempt.began_ms = True, 0
+            cell.list(clock_ms, attempt)
+            cell.end(attempt, clock_ms + 100)
+        assert cell.learned_s(attempt) is None
+
+    def test_forget_the_earlier_incarnation(self) -> None:
+        """The log would tell that the restarted runner listed the run."""
+        cell = _Cell()
+        attempt = cell.start(1000)
+        cell.list(1001, attempt)
+        attempt.reset_confirmation(None)
+        assert (attempt.listed_at_s, attempt.began_ms) == (0.0, 0)
+
     def test_are_learned_from_long_runs(self) -> None:
         """Guards against ignoring runs that are longer than the limit."""
         cell = _Cell()
