Add a histogram of the time between scheduling passes

Cause: no metric showed that a holder placed nothing for seconds.

Tests: the test of the queue and the one of /metrics failed before.

--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -3,6 +3,7 @@
 import typing as t
 
 from prometheus_client import CollectorRegistry
+from prometheus_client import Metric
 from prometheus_client import ProcessCollector
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.core import GaugeMetricFamily
@@ -30,7 +31,7 @@
     def __init__(self, daemon: DaemonView) -> None:
         self._daemon = daemon
 
-    def collect(self) -> t.Iterator[Family]:
+    def collect(self) -> t.Iterator[Metric]:
         """Yield the current values."""
         yield from self._frontend()
         yield from self._platform()
@@ -125,7 +126,7 @@
             "streamthread_owner_token", "The holder's token, as known here.", token
         )
 
-    def _holder(self, holder: Holder) -> t.Iterator[Family]:
+    def _holder(self, holder: Holder) -> t.Iterator[Metric]:
         engine = holder.engine
         yield GaugeMetricFamily(
             "streamthread_trusted",
@@ -175,6 +176,7 @@
             "Since the store last confirmed which runners there are.",
             holder.listing.age_s,
         )
+        yield from holder.queue.pass_interval_s.collect()
         yield from self._duties(holder)
 
     @staticmethod
--- a/src/streamthread/holder/queue.py
+++ b/src/streamthread/holder/queue.py
@@ -6,6 +6,8 @@
 from abc import ABC
 from abc import abstractmethod
 
+from prometheus_client import Histogram
+
 from ..cell import CommitLog
 from ..clocks import boot_s
 from ..clocks import processor_s
@@ -14,7 +16,7 @@
 from ..scheduler import StepRun
 from ..scheduler.orders import OrderSender
 
-__all__ = ["QueueLoop", "QueueOwner"]
+__all__ = ["QueueLoop", "QueueOwner", "pass_interval"]
 
 MAX_PASS_INTERVAL_S = 0.5
 """A scheduling pass runs at least this often, even without any event."""
@@ -34,6 +36,20 @@
 4 s during a pass would place nothing for the next 16 s."""
 
 
+PASS_INTERVAL_BUCKETS_S = (0.005, 0.01, 0.03, 0.1, 0.3, 0.5, 1.0, 3.0, 10.0)
+"""Up to the maximum pause and interval, and longer ones, in which nothing is placed."""
+
+
+def pass_interval() -> Histogram:
+    """Return the histogram of the time between two scheduling passes."""
+    return Histogram(
+        "streamthread_pass_interval_seconds",
+        "Between the starts of two scheduling passes of this holder.",
+        buckets=PASS_INTERVAL_BUCKETS_S,
+        registry=None,
+    )
+
+
 class QueueOwner(ABC):
     """What the queue needs from the holder."""
 
@@ -66,6 +82,8 @@
         self._owner = owner
         self._kick = asyncio.Event()
         self._next_pass_at_s = 0.0
+        self._last_pass_at_s: float | None = None
+        self.pass_interval_s = pass_interval()
 
     def kick(self) -> None:
         """Schedule a pass over the queue soon."""
@@ -95,6 +113,10 @@
 
     def _run_pass_and_pause(self) -> float | None:
         """Run a pass, and set when the next one may run."""
+        now_s = boot_s()
+        if self._last_pass_at_s is not None:
+            self.pass_interval_s.observe(now_s - self._last_pass_at_s)
+        self._last_pass_at_s = now_s
         used_before_s = processor_s()
         next_due_s = self._run_pass()
         pause_s = (processor_s() - used_before_s) * PAUSE_FACTOR
--- a/src/streamthread/holder/tests/test_queue_pauses.py
+++ b/src/streamthread/holder/tests/test_queue_pauses.py
@@ -130,6 +130,23 @@
         loop.run_pass_soon()
         assert engine.passes == 2
 
+    def test_interval_is_measured(self, clocks: Clocks) -> None:
+        """Operators could not see a holder that places nothing for seconds."""
+        loop = QueueLoop(Owner(PassEngine(clocks)))
+        loop.run_pass_soon()
+        clocks.elapsed_s += 4.0
+        loop.run_pass_soon()
+        (family,) = loop.pass_interval_s.collect()
+        values = {
+            sample.name: sample.value
+            for sample in family.samples
+            if not sample.name.endswith(("_bucket", "_created"))
+        }
+        assert values == {
+            "streamthread_pass_interval_seconds_count": 1.0,
+            "streamthread_pass_interval_seconds_sum": pytest.approx(4.0),
+        }
+
     async def test_lets_the_loop_run_the_next_pass(self, clocks: Clocks) -> None:
         """The loop itself must go on after a suspension, without any event."""
         engine = PassEngine(clocks, pass_elapsed_s=4.0, pass_cpu_s=0.002)
--- a/tests/cell/test_operators.py
+++ b/tests/cell/test_operators.py
@@ -48,6 +48,7 @@
             assert "streamthread_holding 1.0" in text
             assert "streamthread_runner_list_age_seconds" in text
             assert "streamthread_machine_list_age_seconds" in text
+            assert "streamthread_pass_interval_seconds_bucket" in text
 
 
 class TestSettings:
--- a/tools/references.py
+++ b/tools/references.py
@@ -10,6 +10,7 @@
 
 from streamthread.entry import Entry
 from streamthread.entry.metrics import make_registry
+from streamthread.holder.queue import pass_interval
 from streamthread.peers import PeerSettings
 from streamthread.providers import memory_platform
 from streamthread.settings import EntrySettings
@@ -31,6 +32,14 @@
 entries of when `streamthread_configuration_generation` reached a value
 (`streamthread_configuration_age_seconds` says since when).
 
+| metric | type | labels | meaning |
+|---|---|---|---|
+"""
+CELL_METRICS_HEAD = """
+## Scheduling passes of a cell's daemon
+
+Served by the daemon that holds the cell. docs/OPERATIONS.md says when to look at it.
+
 | metric | type | labels | meaning |
 |---|---|---|---|
 """
@@ -61,14 +70,17 @@
     """Return the page of the metrics that the registry holds."""
     lines = []
     for family in asyncio.run(_families()):
-        if not family.name.startswith("streamthread_"):
-            continue
-        name = family.name + ("_total" if family.type == "counter" else "")
-        labels = ", ".join(getattr(family, "_labelnames", ())) or "-"
-        lines.append(
-            f"| `{name}` | {family.type} | {labels} | {family.documentation} |"
-        )
-    return METRICS_HEAD + "\n".join(sorted(lines)) + "\n"
+        if family.name.startswith("streamthread_"):
+            lines.append(_metric_row(family))
+    cell_lines = [_metric_row(family) for family in pass_interval().collect()]
+    pages = (METRICS_HEAD, *sorted(lines)), (CELL_METRICS_HEAD, *cell_lines)
+    return "".join(head + "\n".join(rows) + "\n" for head, *rows in pages)
+
+
+def _metric_row(family: t.Any) -> str:
+    name = family.name + ("_total" if family.type == "counter" else "")
+    labels = ", ".join(getattr(family, "_labelnames", ())) or "-"
+    return f"| `{name}` | {family.type} | {labels} | {family.documentation} |"
 
 
 def settings_page() -> str:
