--- a/src/streamthread/platform/inflight.py
+++ b/src/streamthread/platform/inflight.py
@@ -128,13 +128,13 @@
 
         :param limit: the time limit of the call.
         """
-        loop = asyncio.get_running_loop()
         self._limit = limit
         end_at_s = limit.when()
         if end_at_s is not None:
-            self._limit_s = end_at_s - loop.time()
+            self._limit_s = end_at_s - asyncio.get_running_loop().time()
         timer = None
         if self._send_again is not None:
+            loop = asyncio.get_running_loop()
             timer = loop.call_later(self._overdue_s, self._on_overdue)
         self._flights.add(self._address, self)
         try:
