--- a/src/streamthread/cell/answers.py
+++ b/src/streamthread/cell/answers.py
@@ -5,6 +5,7 @@
 
 from ..clocks import boot_s
 from ..errors import OutcomeUnknownError
+from ..platform.store import STORE_TIMEOUT_S
 from ..platform.store import TransactResult
 from ..response_times import ResponseTimes
 
@@ -55,7 +56,10 @@
                 times.back_off()
                 return version
         result = await answer
-        times.observe(boot_s() - began_at_s)
+        took_s = boot_s() - began_at_s
+        # A longer write would have timed out if this process had not stood still.
+        if took_s <= STORE_TIMEOUT_S:
+            times.observe(took_s)
     except OutcomeUnknownError:
         return await read_back() or 0
     finally:
--- a/src/streamthread/platform/inflight.py
+++ b/src/streamthread/platform/inflight.py
@@ -11,6 +11,7 @@
 import collections
 import contextlib
 import enum
+import math
 import typing as t
 
 import aiohttp
@@ -113,6 +114,7 @@
         self._flights = flights
         self._address = address
         self._wait_s = wait_s
+        self._limit_s = math.inf
         self._send_again = send_again
         self._second: asyncio.Task[None] | None = None
         # The service had time to answer the first attempt.
@@ -127,6 +129,9 @@
         :param limit: the time limit of the call.
         """
         self._limit = limit
+        end_at_s = limit.when()
+        if end_at_s is not None:
+            self._limit_s = end_at_s - asyncio.get_running_loop().time()
         timer = None
         if self._send_again is not None:
             loop = asyncio.get_running_loop()
@@ -152,7 +157,13 @@
         """Handle that the answer to the first attempt has begun."""
         self.attempt.begun = True
         self._cancel_second()
-        took_s = boot_s() - self.attempt.sent_at_s
+        if not self.attempt.sent_at_s:
+            return
+        now_s = boot_s()
+        # The call would have ended by then if this process had not stood still.
+        if now_s - self.attempt.began_at_s > self._limit_s:
+            return
+        took_s = now_s - self.attempt.sent_at_s
         # A call that waits is answered early if there is something to report.
         if took_s >= self._wait_s:
             self._flights.times.observe(took_s - self._wait_s)
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -98,6 +98,8 @@
     :param confirmed_clock_ms: the runner's clock when it last confirmed the run.
     :param first_confirmed_ms: the runner's clock when it first confirmed the run; 0 if
         it has not yet.
+    :param began_ms: the runner's clock when the run began; an estimate if the start's
+        answer names no clock, 0 if unknown.
     :param born_ms: start time of the runner incarnation that the run was meant for;
         None if unknown.
     :param read_back: an earlier holder persisted the attempt.
@@ -109,9 +111,10 @@
         yet.
     :param percent: progress as last reported by the runner.
     :param first_percent: progress in the runner's first report.
-    :param first_seen_at_s: boot clock time of the first report; 0 if there is none.
-    :param seen_at_s: boot clock time of the last report.
-    :param progress_changed_at_s: boot clock time at which the reported progress last
+    :param first_seen_at_s: the runner's clock in the first report; 0 if there is none.
+    :param seen_at_s: the runner's clock in the last report.
+    :param listed_at_s: boot clock time at which the last list with the run was read.
+    :param progress_changed_at_s: the runner's clock when the reported progress last
         changed.
     :param missing_since_ms: the runner's clock since when its lists do not contain the
         run; 0 if they contain it.
@@ -143,6 +146,7 @@
     read_back: bool = False
     confirmed_clock_ms: int = 0
     first_confirmed_ms: int = 0
+    began_ms: int = 0
     open_starts: int = 0
     sent_at_s: float = 0.0
     began_at_s: float = 0.0
@@ -150,6 +154,7 @@
     first_percent: float = 0.0
     first_seen_at_s: float = 0.0
     seen_at_s: float = 0.0
+    listed_at_s: float = 0.0
     progress_changed_at_s: float = 0.0
     usage: float | None = None
     pace_percent: int | None = 100
@@ -200,8 +205,8 @@
         :param born_ms: start time of the incarnation that is queried from now on.
         """
         self.born_ms = born_ms
-        self.confirmed_clock_ms = self.first_confirmed_ms = 0
-        self.began_at_s = 0.0
+        self.confirmed_clock_ms = self.first_confirmed_ms = self.began_ms = 0
+        self.began_at_s = self.listed_at_s = 0.0
         self.first_seen_at_s = self.seen_at_s = self.progress_changed_at_s = 0.0
         self.missing_since_ms = 0
         self.unlisted_since_s = 0.0
@@ -223,7 +228,10 @@
             self.pace_open_until_s = 0.0
 
     def note_progress(self, percent: float, now_s: float) -> None:
-        """Record the progress that the runner reported."""
+        """Record the progress that the runner reported.
+
+        :param now_s: the runner's clock in the report.
+        """
         if not self.first_seen_at_s:
             self.first_percent, self.first_seen_at_s = percent, now_s
         if percent != self.percent or not self.progress_changed_at_s:
