Start nothing in evacuated halls

Cause: the operator's rows op/evacuate/HALL were not read, so runs were placed and started in halls that the operator had evacuated.

Change: the package streamthread.halls decides whether a hall may be used. Documents follows the rows; a removed row, or one that a full re-read does not show, withdraws the evacuation, and the key alone counts, whatever the value is. Runners, the engine and the order sender ask the one HallPolicy: placement of every kind, copies, gangs, probation, last resort, starts that are sent again, and recorded starts that the next holder finds. A planned start in such a hall is withdrawn; one that may have been sent is stopped unless the runner's next list shows its run. Nothing starts before the operator's table has been read in full, nor, where the settings give evacuateMs, on a view older than 0.45 of it. The age counts from before the call, so that a suspended process does not take an old answer for a new one.

--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -17,6 +17,7 @@
 from ..cell.rows import new_nonce
 from ..clocks import boot_s
 from ..errors import NotHolderError
+from ..halls import HallRegistry
 from ..holder import CellSettings
 from ..holder import DutySettings
 from ..holder import Holder
@@ -31,6 +32,7 @@
 from ..scheduler import EngineSettings
 from ..unreadable import UnreadableNotes
 from .documents import Documents
+from .documents import FEED_WAIT_S
 from .explain import answer_question
 from .forwarding import Forwarder
 from .forwarding import ForwardSettings
@@ -87,12 +89,26 @@
 elsewhere."""
 
 
+START_SHARE = 0.5
+"""A start is valid for this share of the time within which an evacuation must be in
+force, at most: a start sent on the oldest view that is allowed, which is 0.45 of that
+time old, must not be carried out after it."""
+
+FEED_WAIT_SHARE = 0.1
+"""The wait of one call of the operator's feed, as a share of the same time. With 5 s,
+0.5 s: one call that fails after 1.3 s, the next one included, leaves the view younger
+than the 2.25 s that are allowed."""
+
+
 def cell_settings(node: NodeSettings) -> CellSettings:
     """Return the settings of a cell within the platform's bounds."""
     cut_hold_s = node.bounds.most_hold_s
     links = LinkSettings(most_hold_s=min(cut_hold_s, MAX_HOLD_S), cut_hold_s=cut_hold_s)
     if links.hold_s > links.most_hold_s:
         links = attrs.evolve(links, hold_s=links.most_hold_s)
+    if node.bounds.evacuate_s is not None:
+        start_s = node.bounds.evacuate_s * START_SHARE
+        links = attrs.evolve(links, start_within_s=min(links.start_within_s, start_s))
     early_s = node.bounds.early_s * EARLY_START_SHARE
     return CellSettings(
         links=links,
@@ -104,6 +120,18 @@
     )
 
 
+def operator_feed_wait_s(node: NodeSettings) -> float:
+    """Return how long one call of the operator's feed waits for a change.
+
+    Each call confirms what is known of the evacuations, whose age is bounded where the
+    platform gives `evacuate_s`.
+    """
+    evacuate_s = node.bounds.evacuate_s
+    if evacuate_s is None:
+        return FEED_WAIT_S
+    return min(FEED_WAIT_S, evacuate_s * FEED_WAIT_SHARE)
+
+
 def duty_settings(node: NodeSettings) -> DutySettings:
     """Return the settings for ordering machines, from the platform's rate limit."""
     defaults = DutySettings()
@@ -135,7 +163,10 @@
         self.advice: AdviceClient | None = None
         if node.advice:
             self.advice = AdviceClient(node.advice, CLOUD_TIMEOUT_S, self.notes)
-        self.documents = Documents(self.store, self.notes, self.failures)
+        self.documents = Documents(
+            self.store, self.notes, self.failures, operator_feed_wait_s(node)
+        )
+        self.halls = HallRegistry(self.documents.evacuations, node.bounds.evacuate_s)
         self.peers = PeerLinks(node.daemon_id, address, self.settings.times.beat_s)
         self.holder: Holder | None = None
         self._holder_failures = 0
@@ -226,6 +257,7 @@
             settings=self.settings,
             notes=self.notes,
             failures=self.failures,
+            halls=self.halls,
         )
         self.holder = Holder(context, acquired)
         holder = self.holder
--- a/src/streamthread/gateway/documents.py
+++ b/src/streamthread/gateway/documents.py
@@ -1,4 +1,4 @@
-"""Follows the documents that the operator writes: the manifest and the waves."""
+"""Follows what the operator writes: the manifest, the waves and the evacuations."""
 
 import asyncio
 import typing as t
@@ -10,6 +10,7 @@
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..errors import UnreadableError
+from ..halls import Evacuations
 from ..loops import Failures
 from ..loops import LoopKeeper
 from ..platform.documents import decode_wave
@@ -26,7 +27,7 @@
 from ..unreadable import Source
 from ..unreadable import UnreadableNotes
 
-__all__ = ["Documents"]
+__all__ = ["FEED_WAIT_S", "Documents"]
 
 log = logbook.Logger("streamthread.documents")
 
@@ -49,7 +50,9 @@
 
     :param notes: records unreadable input.
     :param failures: counts unexpected failures.
+    :param feed_wait_s: how long one call waits for a change.
     :param confirmed_at_s: when the store last answered, on the boot clock.
+    :param evacuations: the halls that the operator has evacuated.
     """
 
     def __init__(
@@ -57,14 +60,16 @@
         store: RowStore,
         notes: UnreadableNotes | None = None,
         failures: Failures | None = None,
+        feed_wait_s: float = FEED_WAIT_S,
     ) -> None:
         super().__init__()
         self._notes = notes or UnreadableNotes()
         self._supervisor = LoopKeeper(failures or Failures())
-        self._feed = TableFeed(store, OPERATOR_TABLE, "", FEED_WAIT_S)
+        self._feed = TableFeed(store, OPERATOR_TABLE, "", feed_wait_s)
         self.manifest: Manifest | None = None
         self.waves: dict[int, Wave] = {}
         self.confirmed_at_s = 0.0
+        self.evacuations = Evacuations(self._notes)
         self._routes: dict[str, list[Route]] = {}
 
     @Service.task
@@ -90,6 +95,7 @@
     async def _watch_once(self) -> None:
         update = await self._feed.next()
         self.confirmed_at_s = boot_s()
+        self.evacuations.apply(update, self._feed.as_of_s)
         for row in update.rows:
             self._apply_row(row)
 
--- a/src/streamthread/gateway/view.py
+++ b/src/streamthread/gateway/view.py
@@ -7,6 +7,7 @@
 from ..cell import cell_pb2 as pb
 from ..cell import CellLease
 from ..cell import PeerLinks
+from ..halls import HallRegistry
 from ..holder import Holder
 from ..loops import Failures
 from ..platform.cloud import CloudClient
@@ -34,6 +35,7 @@
     lease: CellLease
     peers: PeerLinks
     documents: Documents
+    halls: HallRegistry
     frontend: Frontend
     holder: Holder | None
     store: RowStore
--- a/src/streamthread/holder/context.py
+++ b/src/streamthread/holder/context.py
@@ -6,6 +6,8 @@
 
 from ..capacity import CapacitySettings
 from ..cell import LeaseTimes
+from ..halls import HallPolicy
+from ..halls import OPEN_HALLS
 from ..loops import Failures
 from ..platform.advice import AdviceClient
 from ..platform.cloud import CloudClient
@@ -78,6 +80,7 @@
 
     :param notes: collects reports of data that can't be decoded.
     :param failures: collects unexpected failures.
+    :param halls: says which halls may be used.
     """
 
     daemon_id: str
@@ -89,3 +92,4 @@
     settings: CellSettings
     notes: UnreadableNotes = attrs.field(factory=UnreadableNotes)
     failures: Failures = attrs.field(factory=Failures)
+    halls: HallPolicy = OPEN_HALLS
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -80,6 +80,7 @@
             self.settings.engine,
             self.admission.limit_of,
             self.admission.are_limits_known,
+            context.halls,
         )
         self.active = False
         self.log = self._open_log()
--- a/src/streamthread/platform/documents.py
+++ b/src/streamthread/platform/documents.py
@@ -1,4 +1,4 @@
-"""Decodes upkeep waves and the entries that runners write into the store."""
+"""Decodes the operator's waves and evacuations, and the entries of runners."""
 
 import enum
 import json
@@ -15,6 +15,7 @@
 from ..decoding import Text
 
 __all__ = [
+    "EVACUATION_PREFIX",
     "EXTERNAL_TABLES",
     "OPERATOR_TABLE",
     "RUNNERS_TABLE",
@@ -23,18 +24,23 @@
     "ResourcesRow",
     "RunnerEntry",
     "Wave",
+    "check_evacuation",
     "decode_runner_entry",
     "decode_wave",
     "encode_wave_status",
+    "evacuated_hall",
     "rack_of",
 ]
 
 OPERATOR_TABLE = "op"
-"""Table that the operator writes: the manifest and the waves."""
+"""Table that the operator writes: the manifest, the waves and the evacuations."""
 
 WAVE_PREFIX = "wave/"
 """Key prefix of a wave's row and of its status row; the wave's number follows."""
 
+EVACUATION_PREFIX = "evacuate/"
+"""Key prefix of an evacuation's row; the name of the hall follows."""
+
 STATUS_TABLE = "status"
 """Table that the operator reads: the states of the waves."""
 
@@ -121,6 +127,10 @@
     maximum: t.Annotated[int, msgspec.Meta(ge=1)] = 1
 
 
+class _EvacuationRow(msgspec.Struct):
+    """An evacuation; fields that it may get later are ignored."""
+
+
 MAX_ENTRY_BYTES = 16 * 1024
 """Maximum size of a runner's entry. A usual entry takes 0.3 KB, so that this leaves
 space for hundreds of further labels. 300 entries of this size are parsed in 8 ms."""
@@ -128,6 +138,14 @@
 MAX_WAVE_BYTES = 1024 * 1024
 """Maximum size of a wave: 18,000 machines take 0.4 MB."""
 
+MAX_EVACUATION_BYTES = 16 * 1024
+"""Maximum size of an evacuation, which is ``{}`` today."""
+
+_EVACUATIONS = Decoder[_EvacuationRow](
+    _EvacuationRow,
+    MAX_EVACUATION_BYTES,
+    remedy="the evacuation is in force; write {} as the row's value",
+)
 _RUNNERS = Decoder[_RunnerRow](_RunnerRow, MAX_ENTRY_BYTES)
 _WAVES = Decoder[_WaveRow](_WaveRow, MAX_WAVE_BYTES)
 
@@ -181,3 +199,21 @@
     """Encode the state of a wave for the operator."""
     state = "completed" if completed else "running"
     return json.dumps({"state": state}).encode()
+
+
+def evacuated_hall(part: str, key: str) -> str | None:
+    """Return the hall whose evacuation a row of the operator requests, or None.
+
+    A key without a name requests nothing: runners that name no hall are in none.
+    """
+    if part or not key.startswith(EVACUATION_PREFIX):
+        return None
+    return key.removeprefix(EVACUATION_PREFIX) or None
+
+
+def check_evacuation(key: str, value: bytes) -> None:
+    """Check the value of an evacuation, which is in force whatever it is.
+
+    :raises UnreadableError: the value is not a JSON object.
+    """
+    _EVACUATIONS.decode(value, key)
--- a/src/streamthread/platform/node.py
+++ b/src/streamthread/platform/node.py
@@ -35,6 +35,8 @@
     :param harm_s: a long-running task that exceeds its target for longer counts as
         harmed.
     :param early_s: how long before its due time an occurrence may begin.
+    :param evacuate_s: time from the acknowledgement of a hall's evacuation until no run
+        may be started there; None if the platform gives none.
     """
 
     grace_s: float = 6.0
@@ -45,6 +47,7 @@
     upkeep_s: float = 2.0
     harm_s: float = 4.0
     early_s: float = 0.25
+    evacuate_s: float | None = None
 
 
 @attrs.frozen
@@ -218,6 +221,9 @@
     def milliseconds(name: str, default_s: float) -> float:
         return float(value.get(name, default_s * 1000)) / 1000
 
+    evacuate_s: float | None = None
+    if value.get("evacuateMs") is not None:
+        evacuate_s = milliseconds("evacuateMs", 0.0)
     return Bounds(
         grace_s=seconds("graceS", defaults.grace_s),
         most_hold_s=milliseconds("maxHoldMs", defaults.most_hold_s),
@@ -227,4 +233,5 @@
         upkeep_s=seconds("upkeep_s", defaults.upkeep_s),
         harm_s=milliseconds("harm_ms", defaults.harm_s),
         early_s=milliseconds("early_ms", defaults.early_s),
+        evacuate_s=evacuate_s,
     )
--- a/src/streamthread/platform/table_feed.py
+++ b/src/streamthread/platform/table_feed.py
@@ -35,6 +35,9 @@
     :param part: the part that is read in full; the feed returns changes of all parts.
     :param wait_s: how long one call waits for a change.
     :param known_at_s: a time on the boot clock; the rows are up to date as of then.
+    :param as_of_s: boot clock time before the last successful call was sent. Whatever
+        was acknowledged before it has been returned, even if this process was
+        suspended between the answer and its reading.
     """
 
     def __init__(self, store: RowStore, table: str, part: str, wait_s: float) -> None:
@@ -45,6 +48,7 @@
         self._after = UNREAD
         self._failed = False
         self.known_at_s = -math.inf
+        self.as_of_s = -math.inf
 
     async def next(self) -> Update:
         """Return the next rows, or no rows if the store no longer has the history.
@@ -59,6 +63,7 @@
         if self._after == UNREAD:
             return await self._read_whole()
         wait_s = 0.0 if self._failed else self._wait_s
+        began_at_s = boot_s()
         try:
             page = await self._store.feed(self._table, self._after, wait_s)
         except HistoryGoneError:
@@ -70,6 +75,7 @@
         self._failed = False
         self._after = page.version
         self.known_at_s = boot_s()
+        self.as_of_s = began_at_s
         return Update(page.rows, whole=False)
 
     async def look(self) -> tuple[StoredRow, ...]:
@@ -82,7 +88,9 @@
         return page.rows
 
     async def _read_whole(self) -> Update:
+        began_at_s = boot_s()
         page = await self._read_all()
+        self.as_of_s = began_at_s
         self._after = max(self._after, page.version)
         return Update(page.rows, whole=True)
 
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -10,6 +10,8 @@
 import logbook
 
 from ..clocks import boot_s
+from ..halls import HallPolicy
+from ..halls import OPEN_HALLS
 from ..platform.runners import HoldReply
 from .accounts import LimitSource
 from .crashes import Crashes
@@ -17,6 +19,7 @@
 from .crashes import started_last
 from .fleet import RunnerState
 from .fleet import usable_runners
+from .hall_changes import leave_hall
 from .lags import LagMonitor
 from .learning import RunTimes
 from .ledger import Ledger
@@ -46,6 +49,7 @@
         once.
     :param are_limits_known: returns whether the configuration with these limits has
         been read. Until then, no task of an account is placed.
+    :param halls: says which halls may be used.
     """
 
     def __init__(
@@ -54,7 +58,9 @@
         settings: EngineSettings | None = None,
         limit_of: LimitSource = lambda account: None,
         are_limits_known: t.Callable[[], bool] = lambda: True,
+        halls: HallPolicy = OPEN_HALLS,
     ) -> None:
+        self.halls = halls
         self.settings = settings or EngineSettings()
         self.times = RunTimes()
         self._ledger = Ledger(
@@ -123,6 +129,7 @@
         run either was lost with that incarnation or has reached this one. It is
         therefore stopped and not started again.
         """
+        runner.halls = self.halls
         self.runners[runner.runner_id] = runner
         given_up: list[Task] = []
         for job in self.open_jobs():
@@ -188,6 +195,7 @@
             after.earlier_born_ms |= {before.born_ms}
         after.reserved, after.emptying = before.reserved, before.emptying
         self._expire(lost, before)
+        after.halls = self.halls
         self.runners[after.runner_id] = after
         for attempt in left:
             self._stop_on_next_incarnation(attempt, after)
@@ -237,9 +245,14 @@
 
     def withdraw_attempt(self, attempt: Attempt) -> None:
         """Remove an attempt of which no start was sent; its task is queued again."""
-        self._ledger.remove(attempt, self.runners.get(attempt.runner_id))
-        self._ledger.requeue(attempt.task)
-        self._ledger.changed(attempt.task.step.occurrence.job)
+        self._ledger.withdraw(attempt)
+
+    def leave_hall(self, attempt: Attempt, surely_unsent: bool) -> None:
+        """Give up a start in a hall that may not be used, and place its task elsewhere.
+
+        :param surely_unsent: no try to send this start can have reached the runner.
+        """
+        leave_hall(self._ledger, attempt, surely_unsent)
 
     def clear_if_outlived(self, attempt: Attempt) -> None:
         """Record that a runner has outlived the start of a suspect task's run."""
@@ -338,6 +351,8 @@
         :return: the new attempts.
         """
         placed: list[Attempt] = []
+        if not self.halls.are_known():
+            return placed
         for service, steps in self.ready_steps().items():
             placed.extend(self._place(service, steps, now_s, tickets))
         return placed
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..halls import HallPolicy
+from ..halls import OPEN_HALLS
 from ..platform.documents import rack_of
 from ..platform.documents import RunnerEntry
 from .model import Attempt
@@ -36,6 +38,7 @@
     :param born_ms: start time of this incarnation in ms since 1970; None if unknown.
     :param earlier_born_ms: start times of the earlier incarnations under this id.
     :param failed_at_s: wall times at which tasks recently failed or lagged there.
+    :param halls: says whether the runner's hall may be used.
     :param penalty_until_s: wall time until which the runner is used only as a last
         choice, because many tasks failed or lagged there.
     """
@@ -69,6 +72,7 @@
     used_memory_mb: int = 0
     used_gpu: int = 0
     attempts: dict[tuple[str, int], Attempt] = attrs.field(factory=dict)
+    halls: HallPolicy = OPEN_HALLS
 
     @classmethod
     def from_entry(cls, entry: RunnerEntry) -> "RunnerState":
@@ -217,6 +221,7 @@
             and not self.draining
             and not self.reserved
             and not self.stray_runs
+            and self.halls.may_start(self.zone)
         )
 
 
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -178,6 +178,12 @@
         if runner is not None:
             runner.remove(task.name, attempt)
 
+    def withdraw(self, attempt: Attempt) -> None:
+        """Remove an attempt of which no start was sent; its task is queued again."""
+        self.remove(attempt, self.runners.get(attempt.runner_id))
+        self.requeue(attempt.task)
+        self.changed(attempt.task.step.occurrence.job)
+
     @staticmethod
     def requeue(task: Task) -> None:
         """Have a task placed again once it has no attempt."""
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -64,10 +64,12 @@
     :param uncertain: one of them may have been carried out, or may still be.
     :param overdue: the answer to the last one is overdue, most likely because its
         connection has stopped responding.
+    :param sent_at_s: boot clock time of the last one; 0 if this holder has sent none.
     """
 
     uncertain: bool
     overdue: bool = False
+    sent_at_s: float = 0.0
 
 
 class SenderOwner(ABC):
@@ -129,7 +131,7 @@
             link = self._owner.links.get(attempt.runner_id)
             if link is None:
                 return
-            if not await self._may_start(attempt, link):
+            if not await self._may_start(attempt, link, tries):
                 continue
             try:
                 reply = await self._try_start(attempt, link, tries)
@@ -144,15 +146,46 @@
             if not tries.overdue:
                 await asyncio.sleep(self._settings.retry_s)
 
-    async def _may_start(self, attempt: Attempt, link: RunnerLink) -> bool:
+    async def _may_start(
+        self, attempt: Attempt, link: RunnerLink, tries: _Tries
+    ) -> bool:
         """Wait until a start may be sent; return False if that must be asked again."""
+        if not await self._is_hall_usable(attempt, link, tries):
+            return False
         if not link.clock.known or link.silent:
             await asyncio.sleep(self._settings.retry_s)
             return False
         await self._owner.until_trusted()
         if not self._is_start_pending(attempt) or link.silent:
             return False
-        return not attempt.cleared or await self._prepare_start(attempt, link)
+        if attempt.cleared and not await self._prepare_start(attempt, link):
+            return False
+        # An evacuation may have been read during the waits.
+        return await self._is_hall_usable(attempt, link, tries)
+
+    async def _is_hall_usable(
+        self, attempt: Attempt, link: RunnerLink, tries: _Tries
+    ) -> bool:
+        """Whether a start may be sent to a runner's hall as far as is known now.
+
+        If the hall is evacuated, the start is given up for this runner. One that may
+        have been sent is given up only once the runner has listed its runs since: a run
+        that has begun there continues. If it is not known whether the hall is
+        evacuated, the start waits.
+        """
+        halls = self._engine.halls
+        if halls.are_known() and halls.may_start(link.runner.zone):
+            return True
+        if halls.may_start(link.runner.zone) or not (
+            attempt.phase is Phase.PLANNED
+            or not tries.uncertain
+            or link.heard_at_s > tries.sent_at_s
+        ):
+            await asyncio.sleep(self._settings.retry_s)
+            return False
+        self._engine.leave_hall(attempt, surely_unsent=not tries.uncertain)
+        self._owner.kick()
+        return False
 
     async def _try_start(
         self, attempt: Attempt, link: RunnerLink, tries: _Tries
@@ -162,7 +195,7 @@
         :raises IncarnationEndedError: another incarnation of the runner answered.
         """
         was_overdue, tries.overdue = tries.overdue, False
-        sent_at_s = boot_s()
+        tries.sent_at_s = sent_at_s = boot_s()
         if not attempt.read_back and not attempt.sent_at_s:
             attempt.sent_at_s = sent_at_s
         attempt.phase = Phase.SENT
--- a/src/streamthread/scheduler/tests/support.py
+++ b/src/streamthread/scheduler/tests/support.py
@@ -4,6 +4,8 @@
 import types
 import typing as t
 
+from streamthread.clocks import boot_s
+from streamthread.halls import OpenHalls
 from streamthread.platform.callers import JobRequest
 from streamthread.platform.callers import StepRequest
 from streamthread.platform.runners import OrderReply
@@ -17,9 +19,31 @@
 Reply = OrderReply | Exception
 
 
+Step = t.Callable[[], t.Any]
+
+
+class ClosableHalls(OpenHalls):
+    """One hall that can be closed, and whose state may be unknown."""
+
+    def __init__(self, on_ask: Step) -> None:
+        self.open = True
+        self.known = True
+        self._on_ask = on_ask
+
+    def are_known(self) -> bool:
+        self._on_ask()
+        return self.known
+
+    def may_start(self, hall: str) -> bool:
+        return self.open
+
+
 class StartCell:
     """One runner, one task to start there, and what the sender does, in order.
 
+    :param on_step: called when the sender takes the step of this name.
+    :param on_poll: called when the sender has had to wait for the halls this often.
+
     :param answers: whether the runner answers each probe.
     :param replies: the outcomes of the starts; those after the last one succeed.
     """
@@ -34,9 +58,13 @@
     ) -> None:
         self.steps: list[str] = []
         self.time_limits_s: list[tuple[float, float | None]] = []
+        self.on_step: dict[str, Step] = {}
+        self.on_poll: dict[int, Step] = {}
+        self.polls = 0
+        self.halls = ClosableHalls(self._on_ask)
         self._replies = list(replies)
         self._answers = list(answers)
-        self.engine = Engine(lambda job: None)
+        self.engine = Engine(lambda job: None, halls=self.halls)
         self.runner = RunnerState("i-1", "desk", "x:1", "z", ("a",), 9, 9, 0)
         self.runner.ready = True
         self.engine.add_runner(self.runner)
@@ -55,6 +83,7 @@
         link: t.Any = types.SimpleNamespace(
             silent=False,
             over=False,
+            heard_at_s=0.0,
             runner=self.runner,
             clock=types.SimpleNamespace(known=True),
             start_deadline_ms=lambda: 1,
@@ -66,15 +95,42 @@
     async def start(self) -> Attempt:
         """Place the task and send its start."""
         (attempt,) = self.engine.place_all(time.time(), lambda step: None)
+        await self.send(attempt)
+        return attempt
+
+    async def send(self, attempt: Attempt) -> None:
+        """Send the start of an attempt."""
         client: t.Any = types.SimpleNamespace(start=self._answer_start)
         owner: t.Any = self
         await OrderSender(client, self.engine, owner, OrderSettings()).start(attempt)
-        return attempt
+
+    def close_hall(self) -> None:
+        """Evacuate the runner's hall."""
+        self.halls.open = False
+
+    def reopen_after(self, polls: int) -> None:
+        """Let the state of the hall be known once the sender has waited for it."""
+        self.on_poll[polls] = lambda: setattr(self.halls, "known", True)
+
+    def hear_after(self, polls: int) -> None:
+        """Let the runner list its runs once the sender has waited for that."""
+        link = self.links["i-1"]
+        self.on_poll[polls] = lambda: setattr(link, "heard_at_s", boot_s())
+
+    def _on_ask(self) -> None:
+        if self.halls.open and self.halls.known:
+            return
+        self.polls += 1
+        self.on_poll.get(self.polls, lambda: None)()
+
+    def _take(self, step: str) -> None:
+        self.steps.append(step)
+        self.on_step.get(step, lambda: None)()
 
     async def _answer_start(
         self, *order: t.Any, timeout_s: float, overdue_s: float | None
     ) -> OrderReply:
-        self.steps.append("start")
+        self._take("start")
         self.time_limits_s.append((timeout_s, overdue_s))
         reply = self._replies.pop(0) if self._replies else OrderReply(None, 100)
         if isinstance(reply, Exception):
@@ -94,7 +150,7 @@
         return
 
     async def until_durable(self) -> None:
-        self.steps.append("commit")
+        self._take("commit")
 
     def ticket_for(self, attempt: Attempt) -> str:
         return ""
--- a/src/streamthread/standins/cell/cloud.py
+++ b/src/streamthread/standins/cell/cloud.py
@@ -25,13 +25,14 @@
 
 @attrs.define
 class MachineStandin:
-    """A machine and the runner on it."""
+    """A machine and the runner on it, in a hall that is called a zone on the wire."""
 
     machine_id: str
     pool: str
     runner: RunnerStandin | None = None
     state: str = "up"
     waves: set[int] = attrs.field(factory=set)
+    zone: str = "here"
 
 
 @attrs.frozen
@@ -90,7 +91,7 @@
                 "machine": machine.machine_id,
                 "pool": machine.pool,
                 "state": machine.state,
-                "zone": "here",
+                "zone": machine.zone,
                 "labels": ["a", "r1"],
                 "capacity": {"cpu": 16000, "memMb": 32768, "gpu": 0},
                 "id": machine.runner.runner_id if machine.runner else "",
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -130,7 +130,10 @@
         on_crash: CrashCallback = lambda runner, run: None,
         clock_zero_s: float = 0.0,
         reports_birth: bool = True,
+        zone: str = "here",
     ) -> None:
+        self.zone = zone
+        self.cold_left_ms: int | None = None
         self._on_crash = on_crash
         self._clock_zero_s = clock_zero_s
         self.reports_birth = reports_birth
@@ -166,7 +169,8 @@
             {
                 "service": self.service,
                 "address": self.port.address,
-                "zone": "here",
+                "zone": self.zone,
+                **self._cold_fields(),
                 "state": "draining" if self.draining else "ready",
                 "capacity": {"cpu": self.cpu, "memMb": self.memory_mb, "gpu": 0},
                 "labels": list(self.labels),
@@ -175,6 +179,11 @@
             }
         )
 
+    def _cold_fields(self) -> Json:
+        if self.cold_left_ms is None:
+            return {}
+        return {"coldLeftMs": self.cold_left_ms}
+
     def _birth_fields(self) -> Json:
         return {"born": self.born_ms} if self.reports_birth else {}
 
--- a/src/streamthread/standins/cell/store.py
+++ b/src/streamthread/standins/cell/store.py
@@ -36,6 +36,7 @@
     :param stall_after_bytes: answers stop after this number of bytes while their
         connections stay open; 0: never.
     :param silent_feed: name of a table whose feed gives no answer; empty: none.
+    :param silent_read: name of a table whose reads get no answer; empty: none.
     """
 
     refuse: int = 0
@@ -47,6 +48,7 @@
     answer_bytes_per_s: float = 0.0
     stall_after_bytes: int = 0
     silent_feed: str = ""
+    silent_read: str = ""
 
 
 class StoreStandin:
@@ -111,6 +113,8 @@
         if request.path == "/-/rows-tx":
             return await self._transact(await _json(request))
         if request.path == "/-/rows-get":
+            if request.query["table"] == self.faults.silent_read:
+                await asyncio.sleep(PLAY_DEAD_S)
             return self._get(request.query)
         if request.path == "/-/rows-feed":
             return await self._feed(request.query)
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -30,6 +30,9 @@
         get a new id with each incarnation.
     :param accounts: the client accounts of future manifests, in their wire format;
         None: there are no accounts, and no route needs a key.
+    :param halls: the halls of the machines, which are assigned to them in turn.
+    :param evacuate_ms: the bound ``evacuateMs`` of the daemons' settings; None: it is
+        left out.
     :param crashes: ids of the runners that a task has crashed.
     :param crashed_runs: the task and run number of each run that crashed its runner.
     """
@@ -40,6 +43,7 @@
         cpu: int = 16000,
         keeps_ids: bool = False,
         reports_birth: bool = True,
+        halls: t.Sequence[str] = ("here",),
     ) -> None:
         self.store = StoreStandin()
         self.cloud = CloudStandin(self._make_runner, self._end_incarnation)
@@ -54,6 +58,8 @@
         self.keeps_ids = keeps_ids
         self.reports_birth = reports_birth
         self.accounts: list[dict[str, t.Any]] | None = None
+        self.evacuate_ms: int | None = None
+        self._halls = itertools.cycle(halls)
         self._numbers = itertools.count(1)
 
     async def open(self) -> None:
@@ -74,7 +80,7 @@
 
     async def _add_machine(self, pool: str) -> None:
         machine_id = f"m-{next(self._numbers)}"
-        machine = MachineStandin(machine_id, pool)
+        machine = MachineStandin(machine_id, pool, zone=next(self._halls))
         self.cloud.machines[machine_id] = machine
         machine.runner = await self._make_runner(machine_id, pool)
 
@@ -103,6 +109,7 @@
             self._on_crash,
             clock_zero_s=time.monotonic() if runner_id else 0.0,
             reports_birth=self.reports_birth or bool(runner_id),
+            zone=self.cloud.machines[machine_id].zone,
         )
         await runner.port.open(port)
         self.runners.append(runner)
@@ -168,6 +175,28 @@
         }
         await self._put("op", f"wave/{number}", json.dumps(wave))
 
+    async def evacuate(self, hall: str, value: bytes = b"{}") -> None:
+        """Request that a hall be evacuated; it is in force when this returns."""
+        await self.write_bytes("op", f"evacuate/{hall}", value)
+
+    async def take_back(self, hall: str) -> None:
+        """Withdraw the evacuation of a hall."""
+        await self.store.drop("op", f"evacuate/{hall}")
+
+    def running_in(self, hall: str) -> list[str]:
+        """Return the tasks that are running in a hall."""
+        return [
+            task
+            for runner in self.runners
+            if runner.alive and runner.zone == hall
+            for task in runner.running()
+        ]
+
+    def started_in(self, hall: str) -> list[StartedRun]:
+        """Return the runs that were started in a hall."""
+        zones = {runner.runner_id: runner.zone for runner in self.runners}
+        return [run for run in self.started if zones[run.runner_id] == hall]
+
     async def _put(self, table: str, key: str, text: str) -> None:
         await self.write_bytes(table, key, text.encode())
 
@@ -186,6 +215,9 @@
 
     def node_settings(self, daemon_id: str, ip: str = "127.0.0.1") -> str:
         """Return the settings file that the platform would provide for a daemon."""
+        bounds = {"graceS": 3, "maxHoldMs": 4000, "leaseMs": 500}
+        if self.evacuate_ms is not None:
+            bounds["evacuateMs"] = self.evacuate_ms
         return json.dumps(
             {
                 "node": daemon_id,
@@ -196,6 +228,6 @@
                 "bindAddresses": {"front": f"{ip}:0", "readiness": f"{ip}:0"},
                 "platform": {"address": self.store.port.address},
                 "cloud": {"address": self.cloud.port.address},
-                "bounds": {"graceS": 3, "maxHoldMs": 4000, "leaseMs": 500},
+                "bounds": bounds,
             }
         )
--- a/src/streamthread/unreadable.py
+++ b/src/streamthread/unreadable.py
@@ -32,6 +32,7 @@
     RUNNER_ENTRY = "runner-entry"
     CONFIGURATION = "configuration"
     WAVE = "wave"
+    EVACUATION = "evacuation"
     MACHINE = "machine"
     ADVICE = "advice"
     ANSWER = "answer"
--- a/tests/cell/support.py
+++ b/tests/cell/support.py
@@ -9,7 +9,10 @@
 import aiohttp
 
 from streamthread.gateway import CellDaemon
+from streamthread.platform.callers import JobRequest
+from streamthread.platform.callers import StepRequest
 from streamthread.platform.node import decode_node
+from streamthread.scheduler import Job
 from streamthread.standins.cell import CellWorld
 from streamthread.standins.cell import RunnerStandin
 from streamthread.standins.cell.world import BACK_S
@@ -153,6 +156,24 @@
         assert machine.runner is not None
         return machine.runner
 
+    async def add_daemon(self) -> CellDaemon:
+        """Start one more daemon."""
+        number = len(self.daemons)
+        settings = self.world.node_settings(f"daemon-{number}")
+        daemon = CellDaemon(decode_node(settings))
+        self.daemons.append(daemon)
+        await daemon.start()
+        return daemon
+
+    @staticmethod
+    def make_job(job_id: str) -> Job:
+        """Return a job for the pool "desk", as the holder has it in memory."""
+        body = job()
+        request = JobRequest("", (StepRequest(cpu=100, memory_mb=10),))
+        accepted = Job(job_id, "route-desk", "desk", request, body, time.time())
+        accepted.begin(0)
+        return accepted
+
     async def close_callers(self) -> None:
         for caller in self._callers:
             await caller.close()
@@ -164,9 +185,12 @@
     daemon_count: int = 1,
     cpu: int = 16000,
     keeps_ids: bool = False,
+    halls: t.Sequence[str] = ("here",),
+    evacuate_ms: int | None = None,
 ) -> t.AsyncIterator[Cell]:
     """Run the stand-in platform and daemons until the block ends."""
-    world = CellWorld(pools, cpu, keeps_ids)
+    world = CellWorld(pools, cpu, keeps_ids, halls=halls)
+    world.evacuate_ms = evacuate_ms
     await world.open()
     daemons = [
         CellDaemon(decode_node(world.node_settings(f"daemon-{number}")))
