Take machines of evacuated halls out of their pools

Cause: a machine of an evacuated hall stayed in its pool's count, so that the pool got no other machine until jobs were late, and idle ones were kept by the idle time, a recent size or a burst.

Change: such a machine is neither usable nor arriving. Its pool gets machines of other halls with the next decision, an idle one leaves for the spare pool at once, and one in the spare pool stays there, also if a move into a pool had been planned before. Sizes, bursts and retained counts see machines of open halls only. A wave takes due machines of evacuated halls first, within its slots; no pool lacks them, so none has to be replaced beforehand. Moves stay within the number of one plan.

--- a/src/streamthread/capacity/plan.py
+++ b/src/streamthread/capacity/plan.py
@@ -70,6 +70,8 @@
     :param due: it still has to go into upkeep.
     :param lost_share: the share of its CPU that its runner reports as missing at
         present.
+    :param closed: its hall may not be used, so it is neither usable nor arriving, and
+        moves to the spare pool only.
     """
 
     machine_id: str
@@ -83,6 +85,7 @@
     idle_for_s: float = 0.0
     due: bool = False
     lost_share: float = 0.0
+    closed: bool = False
 
 
 @attrs.frozen
@@ -129,7 +132,8 @@
 
     Only idle machines move. A pool that lacks machines gets them from the spare pool,
     then directly from pools that have idle machines above their target. Machines that
-    have been idle for ``idle_s`` and that no pool needs go to the spare pool.
+    have been idle for ``idle_s`` and that no pool needs go to the spare pool. Machines
+    of halls that may not be used go there as soon as they are idle.
     """
     spares = [pool.name for pool in pools if pool.is_spare]
     shortages = {
@@ -141,11 +145,22 @@
     available += _from_surplus(shortages, machines, settings)
     moves = _moves_to_shortages(shortages, available)
     if spares:
+        moves += _moves_from_closed_halls(spares, machines)
         idle = [m for m in available if m.idle_for_s >= settings.idle_s]
         moves += _moves_to_spare(pools, machines, idle, moves, spares[0])
     return moves[: settings.most_moves]
 
 
+def _moves_from_closed_halls(
+    spares: t.Sequence[str], machines: t.Iterable[MachineView]
+) -> list[Move]:
+    return [
+        Move(machine.machine_id, machine.pool, spares[0])
+        for machine in machines
+        if machine.closed and machine.free_to_move and machine.pool not in spares
+    ]
+
+
 def _moves_to_spare(
     pools: t.Iterable[PoolView],
     machines: t.Sequence[MachineView],
@@ -181,7 +196,9 @@
 def _from_spares(
     spares: t.Collection[str], machines: t.Iterable[MachineView]
 ) -> list[MachineView]:
-    found = [m for m in machines if m.pool in spares and m.free_to_move]
+    found = [
+        m for m in machines if m.pool in spares and m.free_to_move and not m.closed
+    ]
     return sorted(found, key=lambda machine: (machine.due, machine.machine_id))
 
 
--- a/src/streamthread/capacity/tests/test_plan.py
+++ b/src/streamthread/capacity/tests/test_plan.py
@@ -1,12 +1,15 @@
 """Moves between pools, for arbitrary views."""
 
 import collections
+import typing as t
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
 from streamthread.capacity import CapacitySettings
 from streamthread.capacity import MachineView
+from streamthread.capacity import Move
 from streamthread.capacity import plan_moves
 from streamthread.capacity import PoolView
 from streamthread.capacity import target_size
@@ -122,3 +125,55 @@
 
     def test_allows_the_spread_of_long_running_tasks(self) -> None:
         assert target_size(Demand(0, 0, 7), 16000, 32768, SETTINGS) == 7
+
+
+def _machine(machine_id: str, pool: str, **fields: t.Any) -> MachineView:
+    return MachineView(machine_id, pool, "r", 16000, 1000, True, **fields)
+
+
+class TestClosedHalls:
+    def test_idle_machines_leave_at_once_whatever_their_pool_keeps(self) -> None:
+        """Guards against machines that wait for the idle time, or that a pool keeps
+        because of a burst or its recent size."""
+        pools = [PoolView("one", False, 1, keep=9), PoolView("spare", True)]
+        machines = [
+            _machine("a", "one", usable=False, closed=True),
+            _machine("b", "one"),
+        ]
+        assert plan_moves(pools, machines, SETTINGS) == [Move("a", "one", "spare")]
+
+    def test_busy_machines_stay(self) -> None:
+        pools = [PoolView("one", False, 0), PoolView("spare", True)]
+        busy = attrs.evolve(
+            _machine("a", "one", usable=False, closed=True), free_to_move=False
+        )
+        assert plan_moves(pools, [busy], SETTINGS) == []
+
+    def test_their_pool_gets_machines_from_other_halls(self) -> None:
+        pools = [PoolView("one", False, 1), PoolView("spare", True)]
+        machines = [
+            _machine("a", "one", usable=False, closed=True),
+            _machine("b", "spare", usable=False, closed=True),
+            _machine("c", "spare", usable=False),
+        ]
+        moves = plan_moves(pools, machines, SETTINGS)
+        assert moves == [Move("c", "spare", "one"), Move("a", "one", "spare")]
+
+    @given(machine_lists, st.integers(0, 8), st.integers(0, 8), st.data())
+    def test_give_no_machine_to_a_pool(
+        self, machines: list[MachineView], one: int, two: int, data: t.Any
+    ) -> None:
+        closed = data.draw(st.sets(st.sampled_from(range(len(machines) or 1))))
+        machines = [
+            attrs.evolve(m, closed=True, usable=False, arriving=False)
+            if n in closed
+            else m
+            for n, m in enumerate(machines)
+        ]
+        by_id = {machine.machine_id: machine for machine in machines}
+        moves = plan_moves(_pools(one, two), machines, SETTINGS)
+        assert len(moves) <= SETTINGS.most_moves
+        assert len({move.machine_id for move in moves}) == len(moves)
+        for move in moves:
+            if by_id[move.machine_id].closed:
+                assert move.target == "spare" and move.source != "spare"
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -35,6 +35,14 @@
 while the cloud is 50 times slower."""
 
 
+def _of_open_halls(views: t.Collection[MachineView]) -> t.Collection[MachineView]:
+    """Return the machines by which pools are sized: those of halls that may be used.
+
+    If there are none, all are returned: sizes need some machine as their measure.
+    """
+    return [view for view in views if not view.closed] or views
+
+
 def in_flight_wait_s(exclusive_from_s: float, now_s: float) -> float:
     """Return for how long an earlier holder's orders may still reach the cloud.
 
@@ -116,7 +124,8 @@
             )
             for machine in self._table.machines.values()
         }
-        targets = self._sizes.targets(pools, views.values())
+        open_views = _of_open_halls(views.values())
+        targets = self._sizes.targets(pools, open_views)
         for wave in documents.waves.values():
             plan = self._waves.plan(wave, views, self._sizes.recent_max)
             if plan is not None:
@@ -124,7 +133,7 @@
                     self._begin_upkeep(wave, machine_id)
                 self._waves.empty(plan.empty)
         self._waves.end_round()
-        self._sizes.log_sizes(targets, views.values())
+        self._sizes.log_sizes(targets, open_views)
         self._decide_moves(pools, targets, views)
 
     def _decide_moves(
@@ -137,7 +146,9 @@
 
         :param views: the machines before those orders, which affect due machines only.
         """
-        retained_machines = self._sizes.retained_machines(views.values())
+        retained_machines = self._sizes.retained_machines(
+            _of_open_halls(views.values())
+        )
         recent_max = self._sizes.recent_max
         pool_views = [
             PoolView(
--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -100,6 +100,10 @@
         known = manifest.pools.get(pool) if manifest is not None else None
         return known is not None and known.is_spare
 
+    def is_closed(self, machine: Machine) -> bool:
+        """Whether no run may be started in a machine's hall."""
+        return not self._engine.halls.may_start(machine.zone)
+
     def is_down(self, machine_id: str) -> bool:
         """Whether a machine is in upkeep, or its upkeep was ordered."""
         pending = self.pending.get(machine_id)
@@ -204,9 +208,15 @@
         return pending
 
     def may_send(self, machine: Machine, pending: PendingDuty) -> bool:
-        """Whether a recorded order is still pending and its machine is still idle."""
+        """Whether a recorded order is still pending and its machine is still idle.
+
+        A machine is not moved into a pool if its hall may not be used any more.
+        """
         if self.pending.get(machine.machine_id) is not pending:
             return False
+        if pending.kind is DutyKind.MOVE and not self.is_spare(pending.target):
+            if self.is_closed(machine):
+                return False
         runner = self.runner_of(machine)
         return runner is None or runner.idle
 
@@ -240,10 +250,15 @@
         pending = self.pending.get(machine.machine_id)
         runner = self.runner_of(machine)
         up = machine.state is MachineState.UP and pending is None
-        usable = up and runner is not None and runner.usable()
+        closed = self.is_closed(machine)
+        usable = up and not closed and runner is not None and runner.usable()
         idle = usable and runner is not None and runner.idle
+        if closed:
+            idle = up and runner is not None and _is_vacant(runner)
         off = self.is_spare(machine.pool)
-        if up and not off and (runner is None or not runner.heard):
+        if closed:
+            arriving = False
+        elif up and not off and (runner is None or not runner.heard):
             arriving = self._is_arriving(machine, runner, now_s)
         else:
             moving = machine.state is MachineState.MOVING
@@ -261,6 +276,7 @@
             idle_for_s=self._idle_for_s(machine.machine_id, idle, now_s),
             due=due,
             lost_share=_lost_share(cpu, runner) if up and not off else 0.0,
+            closed=closed,
         )
 
     def _capacity_of(self, machine: Machine) -> tuple[int, int]:
@@ -289,6 +305,11 @@
         return now_s - self._idle_since_s.setdefault(machine_id, now_s)
 
 
+def _is_vacant(runner: RunnerState) -> bool:
+    """Whether a runner of a hall that may not be used answers and has no runs."""
+    return runner.ready and runner.idle and not runner.reserved
+
+
 def _lost_share(full_cpu: int, runner: RunnerState | None) -> float:
     """Return the share of a machine's cpu that its runner lacks now."""
     if runner is None or not full_cpu:
--- a/src/streamthread/holder/waves.py
+++ b/src/streamthread/holder/waves.py
@@ -161,11 +161,12 @@
         return machine_id in self._due
 
     def has_unordered_upkeep(self, pool: str) -> bool:
-        """Whether a machine of the pool is due and has no pending duty."""
+        """Whether a machine that the pool uses is due and has no pending duty."""
         return any(
             self.is_due(machine.machine_id)
             and machine.pool == pool
             and machine.machine_id not in self._table.pending
+            and not self._table.is_closed(machine)
             for machine in self._table.machines.values()
         )
 
@@ -220,7 +221,9 @@
             for name, target in targets.items()
         }
         off = collections.Counter(
-            v.pool for v in views if v.free_to_move and self._table.is_spare(v.pool)
+            v.pool
+            for v in views
+            if v.free_to_move and not v.closed and self._table.is_spare(v.pool)
         )
         missing = 0 if urgent else _count_missing(views, targets)
         return releasable | {name: count - missing for name, count in off.items()}
@@ -261,9 +264,10 @@
             up=machine.state is MachineState.UP
             and machine_id not in self._table.pending
             and (off or runner is not None),
-            missed=off or view.usable,
+            missed=not view.closed and (off or view.usable),
             emptying=runner is not None and runner.emptying,
             load=float(runner.used_cpu) if runner is not None else 0.0,
+            closed=view.closed,
         )
 
 
--- a/src/streamthread/upkeep/plan.py
+++ b/src/streamthread/upkeep/plan.py
@@ -38,6 +38,7 @@
         false for a machine that is being emptied, is draining or is silent.
     :param emptying: whether the machine is already being emptied.
     :param load: the load of the machine; lightly loaded machines are emptied first.
+    :param closed: its hall may not be used, so that no pool lacks it.
     """
 
     machine_id: str
@@ -48,6 +49,7 @@
     missed: bool = True
     emptying: bool = False
     load: float = 0.0
+    closed: bool = False
 
 
 @attrs.frozen
@@ -73,16 +75,17 @@
 def plan_upkeep(wave: WaveView, settings: UpkeepSettings) -> UpkeepPlan:
     """Return the next actions of a wave.
 
-    Idle machines begin their upkeep, those in spare pools first. Busy machines are
-    emptied, first those whose emptying has begun, then those with the least load. Each
-    pool releases only the machines that it can spare.
+    Machines of halls that may not be used come first. Idle machines begin their upkeep,
+    those in spare pools first. Busy machines are emptied, first those whose emptying
+    has begun, then those with the least load. Each pool releases only the machines that
+    it can spare.
     """
     releasable_by_pool = dict(wave.releasable_by_pool)
     ready = [m for m in wave.due if m.up and m.idle]
-    ready.sort(key=lambda machine: (not machine.off, machine.machine_id))
+    ready.sort(key=lambda m: (not m.closed, not m.off, m.machine_id))
     begin = _select(ready, wave.free_slots, releasable_by_pool)
     busy = [m for m in wave.due if m.up and not m.idle]
-    busy.sort(key=lambda machine: (not machine.emptying, machine.load))
+    busy.sort(key=lambda m: (not m.closed, not m.emptying, m.load))
     left = wave.free_slots - len(begin) + settings.emptying_ahead
     return UpkeepPlan(begin, _select(busy, left, releasable_by_pool))
 
--- a/src/streamthread/upkeep/tests/test_plan.py
+++ b/src/streamthread/upkeep/tests/test_plan.py
@@ -89,3 +89,36 @@
     def test_survives_encoding_and_decoding(self) -> None:
         progress = WaveProgress(3, 12.5, {"m1", "m2"}, "running")
         assert WaveProgress.decode(progress.encode()) == progress
+
+
+class TestClosedHalls:
+    """Due machines of halls that may not be used go first: no pool lacks them."""
+
+    def test_idle_machines_go_down_first(self) -> None:
+        due = (
+            DueMachine("a", "one", idle=True, off=True),
+            DueMachine("b", "one", idle=True, off=False, missed=False, closed=True),
+        )
+        plan = plan_upkeep(WaveView(due, 1, {"one": 5}), UpkeepSettings())
+        assert plan.begin == ("b",)
+
+    def test_they_go_down_although_their_pool_can_spare_none(self) -> None:
+        due = (DueMachine("b", "one", True, False, missed=False, closed=True),)
+        plan = plan_upkeep(WaveView(due, 1, {"one": 0}), UpkeepSettings())
+        assert plan.begin == ("b",)
+
+    def test_within_the_slots_of_the_wave(self) -> None:
+        due = tuple(
+            DueMachine(str(n), "one", True, False, missed=False, closed=True)
+            for n in range(5)
+        )
+        plan = plan_upkeep(WaveView(due, 2, {"one": 5}), UpkeepSettings())
+        assert len(plan.begin) == 2
+
+    def test_busy_machines_are_emptied_first(self) -> None:
+        due = (
+            DueMachine("a", "one", idle=False, off=False, load=0.0),
+            DueMachine("b", "one", False, False, missed=False, load=9.0, closed=True),
+        )
+        plan = plan_upkeep(WaveView(due, 0, {"one": 5}), UpkeepSettings())
+        assert plan.empty == ("b",)
--- a/tests/cell/test_evacuations.py
+++ b/tests/cell/test_evacuations.py
@@ -253,3 +253,58 @@
             while time.monotonic() < until_s:
                 assert daemon.halls.are_known()
                 await asyncio.sleep(0.02)
+
+
+def _count(cell: Cell, pool: str, hall: str) -> int:
+    machines = cell.world.cloud.machines.values()
+    return sum(m.pool == pool and m.zone == hall for m in machines)
+
+
+class TestMachines:
+    async def test_are_replaced_by_those_of_other_halls_as_soon_as_it_is_seen(
+        self,
+    ) -> None:
+        """No job is waiting: the pool must not get its machines only with the next
+        jobs, and those of the hall leave for the spare pool at once."""
+        async with running_cell({"desk": 4, "spare": 4}, halls=HALLS) as cell:
+            await cell.until_ready()
+            world = cell.world
+            assert await cell.caller().submit("a" * 16, job()) == 200
+            await world.evacuate("north")
+            await until(
+                lambda: _count(cell, "desk", "north") == 0, "north's machines left"
+            )
+            await until(
+                lambda: _count(cell, "desk", "south") >= 2, "south's machines came"
+            )
+            assert _count(cell, "spare", "north") == 4
+
+    async def test_with_long_running_tasks_stay_until_these_end(self) -> None:
+        async with running_cell({"desk": 2, "spare": 2}, halls=HALLS) as cell:
+            await cell.until_ready()
+            world = cell.world
+            body = job(run_s=60, count=2, cpu=10000, longRunning=True, may_miss=1)
+            assert await cell.caller().submit("a" * 16, body) == 200
+            await until(lambda: world.running_in("north"), "a task runs in north")
+            await world.evacuate("north")
+            await until(
+                lambda: _count(cell, "desk", "south") >= 2, "south's machines came"
+            )
+            assert len(world.running_in("north")) == 1
+            assert not world.ended
+
+    async def test_of_an_evacuated_hall_go_into_upkeep_first(self) -> None:
+        async with running_cell({"desk": 4}, halls=HALLS) as cell:
+            await cell.until_ready()
+            world = cell.world
+            await world.evacuate("south")
+            await _until_seen(cell, "south")
+            await world.write_wave(1, list(world.cloud.machines), most_at_once=1)
+            await until(lambda: world.wave_state(1) == "completed", "the wave ends")
+            halls = [
+                world.cloud.machines[duty.machine_id].zone
+                for duty in world.cloud.duties
+                if duty.kind == "upkeep"
+            ]
+            assert halls == ["south", "south", "north", "north"]
+            assert world.cloud.max_down == 1
