Show halls to operators, and describe evacuations

Cause: nothing showed which halls are evacuated, since when, what still runs there, or that a job waits for an evacuation.

Change: `streamthread halls` and GET /halls list each hall with its state, the version of the operator's row, and its runs and machines; every daemon asks the holder. `explain job` names the closed halls of a task's pool, `runners` shows each runner's hall.

--- a/src/streamthread/cli/__init__.py
+++ b/src/streamthread/cli/__init__.py
@@ -79,6 +79,8 @@
     runners.set_defaults(verb=verbs.runners)
     accounts = subparsers.add_parser("accounts", help="the client accounts of a cell")
     accounts.set_defaults(verb=verbs.accounts)
+    halls = subparsers.add_parser("halls", help="the halls of a cell")
+    halls.set_defaults(verb=verbs.halls)
 
 
 def _add_running(subparsers: t.Any) -> None:
--- a/src/streamthread/cli/verbs/__init__.py
+++ b/src/streamthread/cli/verbs/__init__.py
@@ -13,6 +13,7 @@
 from .reports import accounts
 from .reports import explain
 from .reports import get
+from .reports import halls
 from .reports import runners
 from .reports import status
 from .reports import timeline
@@ -24,6 +25,7 @@
     "drain",
     "explain",
     "get",
+    "halls",
     "job_cancel",
     "job_list",
     "job_submit",
--- a/src/streamthread/cli/verbs/reports.py
+++ b/src/streamthread/cli/verbs/reports.py
@@ -15,7 +15,7 @@
 from .results import client_of
 from .results import Result
 
-__all__ = ["accounts", "explain", "get", "runners", "status", "timeline"]
+__all__ = ["accounts", "explain", "get", "halls", "runners", "status", "timeline"]
 
 FOLLOW_POLL_S = 0.5
 _DURATION = re.compile(r"^(\d+(?:\.\d+)?)(ms|s|m|h)$")
@@ -45,6 +45,11 @@
     return Result(await client_of(arguments).get("/accounts"))
 
 
+async def halls(arguments: Arguments) -> Result:
+    """Show the halls of a cell, as its holder knows them."""
+    return Result(await client_of(arguments).get("/halls"))
+
+
 async def explain(arguments: Arguments) -> Result:
     """Say why something is where it is, and what it waits for."""
     path = f"/explain/{arguments.kind}/{arguments.name}"
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -310,7 +310,7 @@
 
     def explain(self, request: pb.ExplainRequest) -> pb.ExplainReply:
         """Answer an operator's question as the holder."""
-        return answer_question(self.holder, request)
+        return answer_question(self.holder, self.halls, request)
 
     # A planned stop.
 
--- a/src/streamthread/gateway/explain.py
+++ b/src/streamthread/gateway/explain.py
@@ -4,13 +4,16 @@
 import typing as t
 
 from ..cell import cell_pb2 as pb
+from ..halls import HallRegistry
 from ..holder import Holder
 from ..scheduler import Job
+from ..scheduler import RunnerState
 from ..scheduler import StepRun
 from ..scheduler import Task
 from ..scheduler import TaskState
 from .account_report import describe_accounts
 from .account_report import describe_limit
+from .hall_report import describe_halls
 
 __all__ = ["answer_question", "describe_runners", "explain_job"]
 
@@ -63,6 +66,8 @@
     accounts = holder.engine.accounts
     if not accounts.count_fitting(job, request, 1):
         return _account_limit(holder, job.account)
+    if not holder.engine.halls.are_known():
+        return "waits until the operator's evacuations are known"
     pool = job.service
     runners = [r for r in holder.engine.runners.values() if r.service == pool]
     usable = [r for r in runners if r.usable()]
@@ -70,10 +75,17 @@
     return (
         f"waits for free capacity: {len(runners)} runners in {pool}, "
         f"{len(usable)} usable, {len(fitting)} with capacity for one task; "
-        f"failed {task.failures} times"
+        f"failed {task.failures} times" + _closed_halls(holder, runners)
     )
 
 
+def _closed_halls(holder: Holder, runners: t.Iterable[RunnerState]) -> str:
+    """Return which halls of these runners may not be used, and why."""
+    halls = holder.engine.halls
+    closed = sorted({r.zone for r in runners if not halls.may_start(r.zone)})
+    return "".join(f"; hall {hall} is {halls.state(hall).value}" for hall in closed)
+
+
 def _account_limit(holder: Holder, account: str) -> str:
     running = holder.engine.accounts.of(account)
     limit = describe_limit(holder.admission.limit_of(account))
@@ -90,6 +102,7 @@
         {
             "runner": runner.runner_id,
             "pool": runner.service,
+            "hall": runner.zone,
             "machine": runner.machine_id,
             "born_ms": runner.born_ms,
             "ready": runner.ready,
@@ -103,7 +116,7 @@
 
 
 def answer_question(
-    holder: Holder | None, request: pb.ExplainRequest
+    holder: Holder | None, halls: HallRegistry, request: pb.ExplainRequest
 ) -> pb.ExplainReply:
     """Answer a question as the holder; the answer is null if nothing is known."""
     value: t.Any = None
@@ -111,6 +124,8 @@
         value = explain_job(holder, request.name)
     elif holder is not None and request.kind == "accounts":
         value = describe_accounts(holder)
+    elif holder is not None and request.kind == "halls":
+        value = describe_halls(holder, halls)
     elif holder is not None:
         value = describe_runners(holder)
     return pb.ExplainReply(text_json=json.dumps(value))
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -9,7 +9,10 @@
 from prometheus_client.registry import Collector
 
 from ..clocks import boot_s
+from ..halls import HallState
 from ..holder import Holder
+from .hall_report import count_runs
+from .hall_report import list_halls
 from .view import DaemonView
 
 __all__ = ["make_registry"]
@@ -70,6 +73,11 @@
             "Since the store last answered what the operator's documents are.",
             value=age_s,
         )
+        yield GaugeMetricFamily(
+            "streamthread_evacuations_in_force",
+            "Evacuations of halls that are in force, as known here.",
+            value=len(documents.evacuations.in_force),
+        )
 
     def _platform(self) -> t.Iterator[Family]:
         daemon = self._daemon
@@ -176,6 +184,27 @@
             holder.listing.age_s,
         )
         yield from self._duties(holder)
+        yield from self._halls(holder)
+
+    def _halls(self, holder: Holder) -> t.Iterator[Family]:
+        halls = self._daemon.halls
+        names = list_halls(holder, halls)
+        state = GaugeMetricFamily(
+            "streamthread_hall_state",
+            "1 for the state that a hall is in, 0 for the others.",
+            labels=["hall", "state"],
+        )
+        runs = GaugeMetricFamily(
+            "streamthread_hall_runs", "Runs in a hall.", labels=["hall"]
+        )
+        counts = count_runs(holder)
+        for name in names:
+            current = halls.state(name)
+            for each in HallState:
+                state.add_metric([name, each.value], each is current)
+            runs.add_metric([name], counts[name])
+        yield state
+        yield runs
 
     @staticmethod
     def _duties(holder: Holder) -> t.Iterator[Family]:
--- a/src/streamthread/gateway/operators.py
+++ b/src/streamthread/gateway/operators.py
@@ -38,6 +38,7 @@
         app.router.add_get("/explain/job/{name}", self._explain)
         app.router.add_get("/runners", self._runners)
         app.router.add_get("/accounts", self._accounts)
+        app.router.add_get("/halls", self._halls)
         self._runner = web.AppRunner(
             app, access_log=None, shutdown_timeout=SHUTDOWN_TIMEOUT_S
         )
@@ -82,6 +83,9 @@
     async def _accounts(self, request: web.Request) -> web.Response:
         return await self._ask("accounts", "")
 
+    async def _halls(self, request: web.Request) -> web.Response:
+        return await self._ask("halls", "")
+
     async def _ask(self, kind: str, name: str) -> web.Response:
         """Answer from the holder, in this daemon or on a peer."""
         call = pb.ExplainRequest(kind=kind, name=name)
--- a/src/streamthread/halls/policy.py
+++ b/src/streamthread/halls/policy.py
@@ -1,6 +1,7 @@
 """The questions about halls that every path of a start asks."""
 
 import enum
+import typing as t
 from abc import ABC
 from abc import abstractmethod
 
@@ -36,6 +37,10 @@
     def is_warming(self, hall: str) -> bool:
         """Whether work returns to a hall in steps, since its runners are cold."""
 
+    @abstractmethod
+    def closed(self) -> t.Collection[str]:
+        """Return the halls in which no run may be started."""
+
     @abstractmethod
     def state(self, hall: str) -> HallState:
         """Return the state of a hall; one that nobody has named is open."""
@@ -56,6 +61,10 @@
         """Return False."""
         return False
 
+    def closed(self) -> t.Collection[str]:
+        """Return no hall."""
+        return ()
+
     def state(self, hall: str) -> HallState:
         """Return that the hall is open."""
         return HallState.OPEN
--- a/src/streamthread/halls/registry.py
+++ b/src/streamthread/halls/registry.py
@@ -1,5 +1,7 @@
 """The halls' policy from the operator's rows."""
 
+import typing as t
+
 from ..clocks import boot_s
 from .evacuations import Evacuations
 from .policy import HallPolicy
@@ -48,6 +50,10 @@
         """Whether no evacuation of a hall is known."""
         return hall not in self.evacuations.in_force
 
+    def closed(self) -> t.Collection[str]:
+        """Return the evacuated halls."""
+        return self.evacuations.in_force
+
     def is_warming(self, hall: str) -> bool:
         """Whether a hall is used again and its runners are still cold."""
         return False
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -87,6 +87,11 @@
         """How old the list of machines is, or how long it has been missing."""
         return self._table.age_s
 
+    @property
+    def machines(self) -> t.Collection[Machine]:
+        """The machines in the latest list."""
+        return self._table.machines.values()
+
     async def run(self) -> None:
         """Run the duties until the cell is lost."""
         await self._registry.restore()
--- a/src/streamthread/standins/cell/store.py
+++ b/src/streamthread/standins/cell/store.py
@@ -86,6 +86,10 @@
         """Return the keys of a table."""
         return sorted(key for name, _, key in self.rows if name == table)
 
+    def version_of(self, table: str, key: str, part: str = "") -> int:
+        """Return the version of a row, or 0 if there is none."""
+        return self.rows.get((table, part, key), ("", 0))[1]
+
     def _set(self, key: Key, value: str) -> None:
         self.rows[key] = (value, self.version)
         self.history.append((self.version, key))
--- a/tests/cell/test_evacuations.py
+++ b/tests/cell/test_evacuations.py
@@ -5,8 +5,14 @@
 """
 
 import asyncio
+import json
 import time
+import typing as t
 
+import aiohttp
+import pytest
+
+from streamthread.cli import main
 from streamthread.gateway import CellDaemon
 from streamthread.standins.cell import RunnerStandin
 
@@ -308,3 +314,55 @@
             ]
             assert halls == ["south", "south", "north", "north"]
             assert world.cloud.max_down == 1
+
+
+async def _get(daemon: CellDaemon, path: str) -> t.Any:
+    url = f"http://{daemon.operators.address}{path}"
+    async with aiohttp.ClientSession() as session, session.get(url) as response:
+        text = await response.text()
+    return text if path == "/metrics" else json.loads(text)
+
+
+class TestOperators:
+    async def test_see_the_halls_at_every_daemon(
+        self, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        async with running_cell({"desk": 2}, daemon_count=2, halls=HALLS) as cell:
+            holder = await cell.until_ready()
+            world = cell.world
+            body = job(run_s=20, count=2, cpu=10000)
+            assert await cell.caller().submit("a" * 16, body) == 200
+            await until(lambda: len(world.started) == 2, "both tasks start")
+            await world.evacuate("north")
+            await world.evacuate("nowhere")
+            await _until_seen(cell, "north", "nowhere")
+            for daemon in cell.daemons:
+                rows = {row["hall"]: row for row in await _get(daemon, "/halls")}
+                assert sorted(rows) == ["north", "nowhere", "south"]
+                north = rows["north"]
+                assert north["state"] == "evacuated" and north["since"]
+                assert (north["runs"], north["machines"]) == (1, 1)
+                assert north["version"] == world.store.version_of(
+                    "op", "evacuate/north"
+                )
+                assert rows["south"]["state"] == "open" and not rows["south"]["since"]
+                assert rows["nowhere"]["machines"] == 0
+            metrics = await _get(holder, "/metrics")
+            assert (
+                'streamthread_hall_state{hall="north",state="evacuated"} 1.0' in metrics
+            )
+            assert 'streamthread_hall_state{hall="north",state="open"} 0.0' in metrics
+            assert 'streamthread_hall_runs{hall="north"} 1.0' in metrics
+            server = f"http://{holder.operators.address}"
+            code = await asyncio.to_thread(main, ["--server", server, "halls"])
+            assert code == 0
+            assert "evacuated" in capsys.readouterr().out
+
+    async def test_are_told_which_evacuation_a_task_waits_for(self) -> None:
+        async with running_cell({"desk": 1}, halls=HALLS) as cell:
+            daemon = await cell.until_ready()
+            await cell.world.evacuate("north")
+            await _until_seen(cell, "north")
+            assert await cell.caller().submit("a" * 16, job()) == 200
+            (task,) = (await _get(daemon, f"/explain/job/{'a' * 16}"))["tasks"]
+            assert "hall north is evacuated" in task["why"]
