Return work to a hall in steps after its evacuation

Cause: once an evacuation was withdrawn, all waiting work went to runners that were still cold, as fast as they had free capacity.

Change: while a hall is warming, a cold runner (coldLeftMs of its entry) gets starts from a bucket: coldPerS of its service times its warmth, half of the tolerances coldExcess and coldSlack of the settings' bounds included, and a task prefers a warm runner with room. Halls that were never evacuated, and services without coldPerS, are not limited. Runners that may get no start at present are left out of the quick check of free capacity, so that a pass over a long queue stays as cheap.

--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -25,6 +25,7 @@
 from ..loops import Failures
 from ..platform.advice import AdviceClient
 from ..platform.cloud import CloudClient
+from ..platform.manifest import Pool
 from ..platform.node import NodeSettings
 from ..platform.runners import RunnerClient
 from ..platform.store import RowStore
@@ -166,7 +167,13 @@
         self.documents = Documents(
             self.store, self.notes, self.failures, operator_feed_wait_s(node)
         )
-        self.halls = HallRegistry(self.documents.evacuations, node.bounds.evacuate_s)
+        self.halls = HallRegistry(
+            self.documents.evacuations,
+            node.bounds.evacuate_s,
+            self._pools,
+            self._cold_halls,
+            (node.bounds.cold_excess, node.bounds.cold_slack),
+        )
         self.peers = PeerLinks(node.daemon_id, address, self.settings.times.beat_s)
         self.holder: Holder | None = None
         self._holder_failures = 0
@@ -183,6 +190,14 @@
         self.frontend = self._make_frontend()
         self.operators = CellOperators(self, node.ip, node.operators_port)
 
+    def _pools(self) -> t.Mapping[str, Pool]:
+        manifest = self.documents.manifest
+        return manifest.pools if manifest is not None else {}
+
+    def _cold_halls(self) -> t.Collection[str]:
+        """Return the halls with runners that are cold now, as the holder knows them."""
+        return self.holder.engine.cold_halls() if self.holder is not None else ()
+
     def _make_lease(self, address: str) -> CellLease:
         return CellLease(
             self.store,
--- a/src/streamthread/halls/__init__.py
+++ b/src/streamthread/halls/__init__.py
@@ -7,9 +7,13 @@
 from .policy import OPEN_HALLS
 from .policy import OpenHalls
 from .registry import HallRegistry
+from .warming import ColdRate
+from .warming import ColdStarts
 
 __all__ = [
     "OPEN_HALLS",
+    "ColdRate",
+    "ColdStarts",
     "Evacuation",
     "Evacuations",
     "HallPolicy",
--- a/src/streamthread/halls/evacuations.py
+++ b/src/streamthread/halls/evacuations.py
@@ -43,6 +43,7 @@
     :param in_force: the evacuations by hall.
     :param withdrawn_at_s: boot clock times at which withdrawn evacuations were last
         seen to be gone, by hall.
+    :param changes: the number of evacuations that were read or withdrawn.
     :param is_read: the operator's table has been read in full at least once.
     :param as_of_s: boot clock time; all rows that were acknowledged before are known.
     """
@@ -51,6 +52,7 @@
         self._notes = notes or UnreadableNotes()
         self.in_force: dict[str, Evacuation] = {}
         self.withdrawn_at_s: dict[str, float] = {}
+        self.changes = 0
         self.is_read = False
         self.as_of_s = -math.inf
 
@@ -88,6 +90,7 @@
         known = self.in_force.get(hall)
         if known is not None and known.version == row.version:
             return
+        self.changes += 1
         self.in_force[hall] = Evacuation(hall, row.version, time.time())
         self.withdrawn_at_s.pop(hall, None)
         log.warning(
@@ -100,6 +103,7 @@
         known = self.in_force.pop(hall, None)
         if known is None:
             return
+        self.changes += 1
         self.withdrawn_at_s[hall] = boot_s()
         log.warning(
             "hall-taken-back",
--- a/src/streamthread/halls/policy.py
+++ b/src/streamthread/halls/policy.py
@@ -5,6 +5,8 @@
 from abc import ABC
 from abc import abstractmethod
 
+from .warming import ColdRate
+
 __all__ = ["OPEN_HALLS", "HallPolicy", "HallState", "OpenHalls"]
 
 
@@ -37,6 +39,13 @@
     def is_warming(self, hall: str) -> bool:
         """Whether work returns to a hall in steps, since its runners are cold."""
 
+    @abstractmethod
+    def cold_rate(self, hall: str, pool: str, cold_left_s: float) -> ColdRate | None:
+        """Return how many starts a cold runner may get; None means no limit.
+
+        :param cold_left_s: for how long the runner will still be slow.
+        """
+
     @abstractmethod
     def closed(self) -> t.Collection[str]:
         """Return the halls in which no run may be started."""
@@ -61,6 +70,10 @@
         """Return False."""
         return False
 
+    def cold_rate(self, hall: str, pool: str, cold_left_s: float) -> ColdRate | None:
+        """Return None."""
+        return None
+
     def closed(self) -> t.Collection[str]:
         """Return no hall."""
         return ()
--- a/src/streamthread/platform/documents.py
+++ b/src/streamthread/platform/documents.py
@@ -58,6 +58,7 @@
     :param draining: the runner is about to leave, and starts no new tasks.
     :param born_ms: when this incarnation started, in ms since 1970, or None if the
         entry does not say.
+    :param cold_left_ms: for how long the runner will still be slow.
     """
 
     runner_id: str
@@ -71,6 +72,7 @@
     gpu: int
     machine_id: str = ""
     born_ms: int | None = None
+    cold_left_ms: float = 0.0
 
 
 @attrs.frozen
@@ -170,6 +172,7 @@
         gpu=row.capacity.gpu,
         machine_id=row.machine or "",
         born_ms=row.born,
+        cold_left_ms=row.cold_left_ms,
     )
 
 
--- a/src/streamthread/platform/manifest.py
+++ b/src/streamthread/platform/manifest.py
@@ -76,11 +76,17 @@
 
 @attrs.frozen
 class Pool:
-    """The machines of a service. Those of a spare pool are off and free of cost."""
+    """The machines of a service. Those of a spare pool are off and free of cost.
+
+    :param cold_start_s: for how long a runner that has just started is slow.
+    :param cold_per_s: how many starts per second a cold runner takes; 0: no limit.
+    """
 
     name: str
     rejects_overload: bool = True
     is_spare: bool = False
+    cold_start_s: float = 0.0
+    cold_per_s: float = 0.0
 
 
 @attrs.frozen
@@ -168,6 +174,8 @@
     name: str
     rejects_overload: bool = False
     spare: bool = False
+    cold_start_s: Amount = 0.0
+    cold_per_s: Amount = 0.0
 
 
 class _LimitsRow(msgspec.Struct, rename="camel"):
@@ -365,4 +373,10 @@
 
 
 def _pool(row: _PoolRow) -> Pool:
-    return Pool(row.name, rejects_overload=row.rejects_overload, is_spare=row.spare)
+    return Pool(
+        row.name,
+        rejects_overload=row.rejects_overload,
+        is_spare=row.spare,
+        cold_start_s=row.cold_start_s,
+        cold_per_s=row.cold_per_s,
+    )
--- a/src/streamthread/platform/node.py
+++ b/src/streamthread/platform/node.py
@@ -37,6 +37,9 @@
     :param early_s: how long before its due time an occurrence may begin.
     :param evacuate_s: time from the acknowledgement of a hall's evacuation until no run
         may be started there; None if the platform gives none.
+    :param cold_excess: the factor by which starts on a cold runner may exceed what its
+        warmth allows.
+    :param cold_slack: the number of starts by which they may exceed it in addition.
     """
 
     grace_s: float = 6.0
@@ -48,6 +51,8 @@
     harm_s: float = 4.0
     early_s: float = 0.25
     evacuate_s: float | None = None
+    cold_excess: float = 1.0
+    cold_slack: float = 0.0
 
 
 @attrs.frozen
@@ -215,8 +220,8 @@
     """Decode the bounds; those that the settings leave out have defaults."""
     defaults = Bounds()
 
-    def seconds(name: str, default_s: float) -> float:
-        return float(value.get(name, default_s))
+    def number(name: str, default: float) -> float:
+        return float(value.get(name, default))
 
     def milliseconds(name: str, default_s: float) -> float:
         return float(value.get(name, default_s * 1000)) / 1000
@@ -225,13 +230,15 @@
     if value.get("evacuateMs") is not None:
         evacuate_s = milliseconds("evacuateMs", 0.0)
     return Bounds(
-        grace_s=seconds("graceS", defaults.grace_s),
+        grace_s=number("graceS", defaults.grace_s),
         most_hold_s=milliseconds("maxHoldMs", defaults.most_hold_s),
         stop_s=milliseconds("stop_ms", defaults.stop_s),
         notice_s=milliseconds("notice_ms", defaults.notice_s),
-        move_s=seconds("move_s", defaults.move_s),
-        upkeep_s=seconds("upkeep_s", defaults.upkeep_s),
+        move_s=number("move_s", defaults.move_s),
+        upkeep_s=number("upkeep_s", defaults.upkeep_s),
         harm_s=milliseconds("harm_ms", defaults.harm_s),
         early_s=milliseconds("early_ms", defaults.early_s),
         evacuate_s=evacuate_s,
+        cold_excess=number("coldExcess", defaults.cold_excess),
+        cold_slack=number("coldSlack", defaults.cold_slack),
     )
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -214,6 +214,11 @@
         )
         self._expire(list(runner.attempts.values()), runner)
 
+    def cold_halls(self) -> set[str]:
+        """Return the halls with runners that are cold now."""
+        now_s = boot_s()
+        return {r.zone for r in self.runners.values() if r.cold_until_s > now_s}
+
     def orphans(self) -> list[Attempt]:
         """Return the attempts on runners that this holder does not know."""
         return self._ledger.orphans()
@@ -460,6 +465,7 @@
             cleared=task.lost_runners > 0,
         )
         self._ledger.plan(attempt, runner)
+        runner.cold_starts.take()
         if task.suspect:
             begin_probation(task, runner)
         task.copy_requested = False
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from ..clocks import boot_s
+from ..halls import ColdStarts
 from ..halls import HallPolicy
 from ..halls import OPEN_HALLS
 from ..platform.documents import rack_of
@@ -38,6 +40,8 @@
     :param born_ms: start time of this incarnation in ms since 1970; None if unknown.
     :param earlier_born_ms: start times of the earlier incarnations under this id.
     :param failed_at_s: wall times at which tasks recently failed or lagged there.
+    :param cold_until_s: boot clock time until which the runner is slow; 0 if it is not.
+    :param cold_starts: the starts that it gets meanwhile.
     :param halls: says whether the runner's hall may be used.
     :param penalty_until_s: wall time until which the runner is used only as a last
         choice, because many tasks failed or lagged there.
@@ -72,6 +76,8 @@
     used_memory_mb: int = 0
     used_gpu: int = 0
     attempts: dict[tuple[str, int], Attempt] = attrs.field(factory=dict)
+    cold_until_s: float = 0.0
+    cold_starts: ColdStarts = attrs.field(factory=ColdStarts)
     halls: HallPolicy = OPEN_HALLS
 
     @classmethod
@@ -89,6 +95,7 @@
             machine_id=entry.machine_id,
             born_ms=entry.born_ms,
             draining=entry.draining,
+            cold_until_s=_cold_until_s(entry),
         )
 
     @property
@@ -153,6 +160,7 @@
         self.zone, self.labels = entry.zone, entry.labels
         self.cpu, self.memory_mb, self.gpu = entry.cpu, entry.memory_mb, entry.gpu
         self.machine_id = entry.machine_id or self.machine_id
+        self.cold_until_s = _cold_until_s(entry)
         return before != (self.cpu, self.memory_mb, self.gpu)
 
     def on_clock(self, clock_ms: int) -> None:
@@ -207,6 +215,26 @@
             count = min(count, self.free_gpu // gpu)
         return max(0, count)
 
+    def max_starts(self, now_s: float) -> int | None:
+        """Return how many starts the runner may get now; None means no limit.
+
+        The starts on a cold runner of a hall to which work returns are limited.
+
+        :param now_s: boot clock time.
+        """
+        if self.cold_until_s <= now_s:
+            return None
+        left_s = self.cold_until_s - now_s
+        rate = self.halls.cold_rate(self.zone, self.service, left_s)
+        return None if rate is None else self.cold_starts.allowed(rate, now_s)
+
+    def warms_up(self, now_s: float) -> bool:
+        """Whether a warm runner is preferred to this one.
+
+        :param now_s: boot clock time.
+        """
+        return self.cold_until_s > now_s and self.halls.is_warming(self.zone)
+
     def usable(self) -> bool:
         """Whether the runner may get new tasks."""
         return self.usable_as_last_resort() and not self.emptying
@@ -225,6 +253,11 @@
         )
 
 
+def _cold_until_s(entry: RunnerEntry) -> float:
+    """Return the boot clock time until which a runner is slow by its entry."""
+    return boot_s() + entry.cold_left_ms / 1000 if entry.cold_left_ms else 0.0
+
+
 def usable_runners(
     runners: t.Iterable[RunnerState], service: str, last_resort: bool = False
 ) -> list[RunnerState]:
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -58,9 +58,15 @@
 
     @classmethod
     def among(cls, runners: t.Iterable[RunnerState]) -> "LargestFreeCapacity":
-        """Return the maxima over runners; without runners, nothing fits."""
+        """Return the maxima over runners; without runners, nothing fits.
+
+        Cold runners that may get no start now are left out.
+        """
         cpu = memory_mb = gpu = -1
+        clock_s = boot_s()
         for runner in runners:
+            if runner.cold_until_s > clock_s and runner.max_starts(clock_s) == 0:
+                continue
             cpu = max(cpu, runner.free_cpu)
             memory_mb = max(memory_mb, runner.free_memory_mb)
             gpu = max(gpu, runner.free_gpu)
@@ -264,6 +270,9 @@
             break
         if request.most_per_runner:
             left = min(left, request.most_per_runner - placed_counts[runner.runner_id])
+        max_starts = runner.max_starts(boot_s())
+        if max_starts is not None:
+            left = min(left, max_starts)
         count = runner.count_fitting(cpu, request.memory_mb, request.gpu, left)
         tasks = waiting[len(placed) : len(placed) + count]
         placed.extend(Placement(task, runner) for task in tasks)
@@ -311,6 +320,7 @@
     request = task.step.request
     cpu = task.step.reserved_cpu
     limit = request.most_per_runner
+    clock_s = boot_s()
     best: RunnerState | None = None
     best_cost: tuple[t.Any, ...] = ()
     for runner in runners:
@@ -319,6 +329,9 @@
             continue
         if limit and placed_counts[runner.runner_id] + count >= limit:
             continue
+        max_starts = runner.max_starts(clock_s)
+        if max_starts is not None and count >= max_starts:
+            continue
         if not runner.fits(
             cpu * (count + 1),
             request.memory_mb * (count + 1),
@@ -346,15 +359,17 @@
 ) -> tuple[t.Any, ...]:
     """Return the cost of a runner, lower being better.
 
-    Runners without recent failures come first, then those near the data, then the
-    fullest. A suspect task goes beside other tasks of its job that are placed with it,
-    and then to the runner with the fewest attempts, where the fewest are lost with it.
+    Runners without recent failures come first, then warm ones, then those near the
+    data, then the fullest. A suspect task goes beside other tasks of its job that are
+    placed with it, and then to the runner with the fewest attempts, where the fewest
+    are lost with it.
     """
     request = task.step.request
     unhealthy = runner.penalty_until_s > now_s or is_avoided(task, runner)
+    cold = runner.cold_until_s > 0 and runner.warms_up(boot_s())
     far = bool(request.near_rack) and request.near_rack != runner.rack
     split = bool(request.same_rack and placed and placed[0].runner.rack != runner.rack)
     if task.suspect:
         apart = not any(placement.runner is runner for placement in placed)
-        return (unhealthy, far, split, apart, len(runner.attempts))
-    return (unhealthy, far, split, runner.free_cpu - planned_cpu)
+        return (unhealthy, cold, far, split, apart, len(runner.attempts))
+    return (unhealthy, cold, far, split, runner.free_cpu - planned_cpu)
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -33,6 +33,7 @@
     :param halls: the halls of the machines, which are assigned to them in turn.
     :param evacuate_ms: the bound ``evacuateMs`` of the daemons' settings; None: it is
         left out.
+    :param services: further fields of the services of future manifests, by name.
     :param crashes: ids of the runners that a task has crashed.
     :param crashed_runs: the task and run number of each run that crashed its runner.
     """
@@ -59,6 +60,7 @@
         self.reports_birth = reports_birth
         self.accounts: list[dict[str, t.Any]] | None = None
         self.evacuate_ms: int | None = None
+        self.services: dict[str, dict[str, t.Any]] = {}
         self._halls = itertools.cycle(halls)
         self._numbers = itertools.count(1)
 
@@ -156,6 +158,7 @@
         ]
         services = [
             {"name": pool, "rejectsOverload": True, "spare": pool == SPARE_POOL}
+            | self.services.get(pool, {})
             for pool in self._pools
         ]
         manifest = {"version": version, "routes": routes, "services": services}
--- a/tests/cell/test_evacuations.py
+++ b/tests/cell/test_evacuations.py
@@ -14,6 +14,7 @@
 
 from streamthread.cli import main
 from streamthread.gateway import CellDaemon
+from streamthread.halls import HallState
 from streamthread.standins.cell import RunnerStandin
 
 from .support import Cell
@@ -366,3 +367,29 @@
             assert await cell.caller().submit("a" * 16, job()) == 200
             (task,) = (await _get(daemon, f"/explain/job/{'a' * 16}"))["tasks"]
             assert "hall north is evacuated" in task["why"]
+
+
+class TestWarming:
+    async def test_work_returns_in_steps_to_cold_runners(self) -> None:
+        async with running_cell({"desk": 1}, halls=HALLS) as cell:
+            daemon = await cell.until_ready()
+            world = cell.world
+            world.services = {"desk": {"coldStartS": 8, "coldPerS": 4}}
+            await world.write_manifest(2)
+            await world.evacuate("north")
+            await _until_seen(cell, "north")
+            body = job(run_s=0.05, count=12, cpu=100)
+            assert await cell.caller().submit("a" * 16, body) == 200
+            (runner,) = _runners_in(cell, "north")
+            runner.cold_left_ms = 4000
+            await world.write_entry(runner)
+            assert daemon.holder is not None
+            state = daemon.holder.engine.runners[runner.runner_id]
+            await until(lambda: state.cold_until_s, "the runner is known as cold")
+            await world.take_back("north")
+            await until(lambda: world.started, "work returns")
+            assert daemon.halls.state("north") is HallState.WARMING
+            await cell.caller().until_state("a" * 16, "completed")
+            times_s = [run.at_s for run in world.started]
+            assert len(times_s) == 12
+            assert times_s[-1] - times_s[0] > 2.0
