--- a/src/streamthread/standins/cell/store.py
+++ b/src/streamthread/standins/cell/store.py
@@ -36,6 +36,7 @@
     :param stall_after_bytes: answers stop after this number of bytes while their
         connections stay open; 0: never.
     :param silent_feed: name of a table whose feed gives no answer; empty: none.
+    :param silent_read: name of a table whose reads get no answer; empty: none.
     """
 
     refuse: int = 0
@@ -47,6 +48,7 @@
     answer_bytes_per_s: float = 0.0
     stall_after_bytes: int = 0
     silent_feed: str = ""
+    silent_read: str = ""
 
 
 class StoreStandin:
@@ -84,6 +86,10 @@
         """Return the keys of a table."""
         return sorted(key for name, _, key in self.rows if name == table)
 
+    def version_of(self, table: str, key: str, part: str = "") -> int:
+        """Return the version of a row, or 0 if there is none."""
+        return self.rows.get((table, part, key), ("", 0))[1]
+
     def _set(self, key: Key, value: str) -> None:
         self.rows[key] = (value, self.version)
         self.history.append((self.version, key))
@@ -111,6 +117,8 @@
         if request.path == "/-/rows-tx":
             return await self._transact(await _json(request))
         if request.path == "/-/rows-get":
+            if request.query["table"] == self.faults.silent_read:
+                await asyncio.sleep(PLAY_DEAD_S)
             return self._get(request.query)
         if request.path == "/-/rows-feed":
             return await self._feed(request.query)
