Reset connections of calls that are given up

A call that ends by its time limit, or is cancelled, closes its connection with transport.close(). That goes on sending what the process has buffered, and leaves what the operating system has buffered to be delivered. After a partition a move that was given up 3.9 s earlier so reached the platform, after the next holder had ordered the same machine.

Sockets of the platform's HTTP client now have SO_LINGER with a zero time from their creation, and connections are aborted instead of closed. The library closes one only where its call has failed, its answer was read to the end, or it is idle, so no answer is cut off.

With SO_LINGER alone, the test of a request that is longer than the operating system's buffers still fails.

--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -20,6 +20,7 @@
 from ..errors import UnreadableError
 from ..unreadable import Source
 from ..unreadable import UnreadableNotes
+from .connections import Connector
 from .inflight import Address
 from .inflight import Answer
 from .inflight import Attempt
@@ -109,30 +110,6 @@
         return attrs.evolve(request, params=self.params)
 
 
-class _Connector(aiohttp.TCPConnector):
-    """Keeps idle connections, and can close those that are most likely dead."""
-
-    def close_idle(self, address: Address, since_s: float) -> int:
-        """Close the connections to an address that are idle since before a time.
-
-        :param since_s: on the boot clock.
-        :return: the number of closed connections.
-        """
-        # The library notes by the event loop's clock when a connection became idle.
-        since_loop_s = since_s + asyncio.get_running_loop().time() - boot_s()
-        # The library has no public API for its idle connections. It skips closed ones.
-        idle = [
-            protocol
-            for key, entries in self._conns.items()
-            if (key.host, key.port) == address
-            for protocol, idle_since_s in entries
-            if protocol.is_connected() and idle_since_s <= since_loop_s
-        ]
-        for protocol in idle:
-            protocol.close()
-        return len(idle)
-
-
 class HttpCaller:
     """Calls one kind of service; reuses connections and limits their number.
 
@@ -159,25 +136,20 @@
         self._tracks_calls = tracks_calls
         self._notes = notes or UnreadableNotes()
         self._session: aiohttp.ClientSession | None = None
-        self._connector: _Connector | None = None
+        self._connector: Connector | None = None
         # Opens a connection for each call and closes it afterwards.
         self._single_use: aiohttp.ClientSession | None = None
         self._flights = Flights(self._close_idle_since)
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._connector = _Connector(
-                limit=0,
-                limit_per_host=self._limit,
-                keepalive_timeout=IDLE_CONNECTION_S,
-            )
+            self._connector = Connector(self._limit, IDLE_CONNECTION_S)
             self._session = _make_session(self._connector, self._tracks_calls)
         return self._session
 
     def _open_single_use(self) -> aiohttp.ClientSession:
         if self._single_use is None:
-            connector = aiohttp.TCPConnector(limit=0, force_close=True)
-            self._single_use = _make_session(connector, traced=True)
+            self._single_use = _make_session(Connector(), traced=True)
         return self._single_use
 
     async def close(self) -> None:
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -8,6 +8,9 @@
 LISTING_TESTS = "src/streamthread/holder/tests/test_listing.py"
 LISTING = f"{LISTING_TESTS}::TestForeignEntries"
 RESTARTS = "src/streamthread/scheduler/tests/test_restarts.py"
+HELD_BYTES = (
+    "src/streamthread/platform/tests/test_held_bytes.py::TestOrdersThatWereGivenUp"
+)
 CRASHES = "src/streamthread/scheduler/tests/test_crashes.py"
 
 CELL_GUARDS = (
@@ -26,6 +29,20 @@
         "",
         ("src/streamthread/platform/tests/test_http.py::TestSilentConnections",),
     ),
+    Guard(
+        "closed-connections-are-reset",
+        "platform/connections.py",
+        "    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)\n",
+        "",
+        (HELD_BYTES,),
+    ),
+    Guard(
+        "buffered-bytes-are-discarded",
+        "platform/connections.py",
+        "        self.abort()\n",
+        "        super().close()\n",
+        (HELD_BYTES,),
+    ),
     Guard(
         "overdue-reads-are-repeated",
         "platform/inflight.py",
