End moves and upkeeps with the lease on the cell

The cloud compares no fencing tokens, so an order must not be under way after the lease on the cell: the next holder may order the same machine. An order was waited for until its own time limit of 2 s, though, and one whose connection took long to open was sent whenever it was there.

A call under way is now cancelled within 0.02 s of the end of the lease, which resets its connection; the duty stays pending like any without an answer. An order asks for permission at the moment at which its first byte leaves, after the connection is there; opening one is bounded by 0.5 s. An order of which nothing has left was certainly not carried out and is decided anew, instead of pending for 4 s.

--- a/src/streamthread/errors.py
+++ b/src/streamthread/errors.py
@@ -9,6 +9,7 @@
     "NoAnswerError",
     "NotFoundError",
     "NotHolderError",
+    "OrderAbortedError",
     "OutcomeUnknownError",
     "PeerUnavailableError",
     "SelectorError",
@@ -132,6 +133,12 @@
     kind = "outcome-unknown"
 
 
+class OrderAbortedError(OutcomeUnknownError):
+    """An order was taken back under way; it may have been carried out before."""
+
+    kind = "order-aborted"
+
+
 class NoAnswerError(OutcomeUnknownError):
     """No answer came in time, and the connection was not closed either."""
 
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -192,6 +192,11 @@
         yield CounterMetricFamily(
             "streamthread_upkeeps", "Upkeeps ordered.", holder.duties.upkeeps
         )
+        yield CounterMetricFamily(
+            "streamthread_duties_aborted",
+            "Moves and upkeeps taken back as the lease was no longer certainly valid.",
+            holder.duties.aborted,
+        )
 
 
 def make_registry(daemon: DaemonView) -> CollectorRegistry:
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -10,12 +10,14 @@
 from ..capacity import plan_moves
 from ..capacity import PoolView
 from ..clocks import boot_s
+from ..errors import OrderAbortedError
 from ..errors import OutcomeUnknownError
 from ..errors import StreamthreadError
 from ..platform.cloud import CloudClient
 from ..platform.cloud import DutyReply
 from ..platform.cloud import Machine
 from ..platform.documents import Wave
+from ..platform.http import SendPermit
 from ..platform.manifest import Pool
 from .context import DutySettings
 from .machines import DutyKind
@@ -34,6 +36,10 @@
 """A sent order has reached the cloud after this time: a call takes 5 ms, and 0.25 s
 while the cloud is 50 times slower."""
 
+MAX_CONNECT_S = 0.5
+"""An order is decided anew if it takes longer to open a connection for it: the first
+packet was lost, and the next one is sent after a second."""
+
 
 def in_flight_wait_s(exclusive_from_s: float, now_s: float) -> float:
     """Return for how long an earlier holder's orders may still reach the cloud.
@@ -52,6 +58,8 @@
 
     :param moves: number of moves ordered.
     :param upkeeps: number of upkeeps ordered.
+    :param aborted: number of these orders that were under way when the lease on the
+        cell was no longer certainly valid.
     """
 
     def __init__(
@@ -73,6 +81,7 @@
         self._waves = WavePlanner(owner, self._registry, self._table, settings.upkeep)
         self.moves = 0
         self.upkeeps = 0
+        self.aborted = 0
 
     @property
     def machines_age_s(self) -> float:
@@ -184,11 +193,12 @@
             self._order(
                 machine,
                 pending,
-                lambda: self._cloud.move(
+                lambda permit: self._cloud.move(
                     move.machine_id,
                     move.target,
                     self._owner.context.daemon_id,
                     self._owner.token,
+                    permit,
                 ),
             )
         )
@@ -211,11 +221,12 @@
             self._order(
                 machine,
                 pending,
-                lambda: self._cloud.upkeep(
+                lambda permit: self._cloud.upkeep(
                     machine_id,
                     wave.number,
                     self._owner.context.daemon_id,
                     self._owner.token,
+                    permit,
                 ),
             )
         )
@@ -224,20 +235,28 @@
         self,
         machine: Machine,
         pending: PendingDuty,
-        call: t.Callable[[], t.Awaitable[DutyReply]],
+        call: t.Callable[[SendPermit], t.Coroutine[t.Any, t.Any, DutyReply]],
     ) -> None:
-        """Send an order.
+        """Send an order, and abort it once the lease is no longer certainly valid.
 
         It is discarded instead if the cell is being released, the machine has become
         busy, or the order is no longer pending.
         """
         await self._owner.until_trusted()
-        if self._owner.releasing or not self._table.may_send(machine, pending):
+        if not self._may_leave(machine, pending):
             self._table.discard(machine, pending, "no longer free")
             return
-        pending.sent_at_s = boot_s()
+        permit = SendPermit(lambda: self._may_leave(machine, pending), MAX_CONNECT_S)
         try:
-            reply = await call()
+            reply = await self._owner.while_trusted(call(permit))
+        except OrderAbortedError as error:
+            # It may have been carried out, as any order without an answer.
+            self.aborted += 1
+            log.warning(
+                "duty-aborted",
+                extra={"machine": machine.machine_id, "error": str(error)},
+            )
+            return
         except OutcomeUnknownError as error:
             # The list of machines shows whether the order was carried out.
             log.warning(
@@ -250,6 +269,15 @@
             return
         self._on_answer(machine, pending, reply)
 
+    def _may_leave(self, machine: Machine, pending: PendingDuty) -> bool:
+        """Whether an order may be sent now; if so, the time is recorded."""
+        if not self._owner.trusted or self._owner.releasing:
+            return False
+        if not self._table.may_send(machine, pending):
+            return False
+        pending.sent_at_s = boot_s()
+        return True
+
     def _on_answer(
         self, machine: Machine, pending: PendingDuty, reply: DutyReply
     ) -> None:
--- a/src/streamthread/holder/lease_validity.py
+++ b/src/streamthread/holder/lease_validity.py
@@ -1,16 +1,21 @@
 """Whether the holder's lease on the cell is certainly valid, and what that permits."""
 
 import asyncio
+import typing as t
 
 from ..cell import CommitLog
 from ..cell import LeaseTimes
 from ..clocks import boot_s
+from ..errors import OrderAbortedError
 
 __all__ = ["LeaseValidity"]
 
+T = t.TypeVar("T")
+"""The result of a call that is made while the lease is valid."""
+
 VALIDITY_POLL_S = 0.02
-"""Interval at which a holder whose lease is uncertain checks it again; about three
-commits take as long."""
+"""Interval at which a holder checks a lease that is uncertain, or that a call under way
+depends on; about three commits take as long."""
 
 RELEASE_TIMEOUT_S = 0.3
 """After this time others may acquire the cell without the release, which takes two
@@ -68,6 +73,26 @@
         while not self.trusted:
             await asyncio.sleep(VALIDITY_POLL_S)
 
+    async def while_trusted(self, call: t.Coroutine[t.Any, t.Any, T]) -> T:
+        """Return a call's result; cancel it once the lease is not certainly valid.
+
+        :raises OrderAbortedError: it was cancelled, and may have been carried out.
+        """
+        task = asyncio.ensure_future(call)
+        try:
+            while not task.done() and self.trusted:
+                await asyncio.wait((task,), timeout=VALIDITY_POLL_S)
+        finally:
+            task.cancel()
+        # A cancelled call closes its connection, so it is waited for.
+        await asyncio.wait((task,))
+        if task.cancelled():
+            raise OrderAbortedError(
+                "the lease on the cell is no longer certainly valid",
+                remedy="the next list of machines shows whether it was carried out",
+            )
+        return task.result()
+
     def may_accept(self) -> bool:
         """Whether a job that is accepted now will probably be durable soon."""
         return self.trusted and self._log.failing_since_s is None
--- a/src/streamthread/holder/owner.py
+++ b/src/streamthread/holder/owner.py
@@ -13,6 +13,9 @@
 
 __all__ = ["DutyOwner"]
 
+T = t.TypeVar("T")
+"""The result of a call that is made while the lease is valid."""
+
 
 class DutyOwner(ABC):
     """What the duties need from the holder.
@@ -42,6 +45,13 @@
     async def until_trusted(self) -> None:
         """Wait until this daemon's lease on the cell is certainly valid."""
 
+    @abstractmethod
+    async def while_trusted(self, call: t.Coroutine[t.Any, t.Any, T]) -> T:
+        """Return a call's result; cancel it once the lease is not certainly valid.
+
+        :raises OrderAbortedError: it was cancelled, and may have been carried out.
+        """
+
     @abstractmethod
     async def read_cell_table(self, table: str) -> Page:
         """Read one of the cell's tables, retrying until the store answers."""
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -50,6 +50,9 @@
 
 log = logbook.Logger("streamthread.holder")
 
+T = t.TypeVar("T")
+"""The result of a call that is made while the lease is valid."""
+
 MAX_FAILURES = 10
 """The cell is released after more unexpected failures than this within
 :data:`FAILURES_PERIOD_S`. The next holder rebuilds its memory from the rows, which
@@ -270,6 +273,13 @@
         """Wait until this daemon's lease on the cell is certainly valid."""
         await self.lease_validity.until_trusted()
 
+    async def while_trusted(self, call: t.Coroutine[t.Any, t.Any, T]) -> T:
+        """Return a call's result; cancel it once the lease is not certainly valid.
+
+        :raises OrderAbortedError: it was cancelled, and may have been carried out.
+        """
+        return await self.lease_validity.while_trusted(call)
+
     async def until_durable(self) -> None:
         """Return once all changes that were recorded before are durable."""
         await self.log.flushed()
--- a/src/streamthread/platform/cloud.py
+++ b/src/streamthread/platform/cloud.py
@@ -18,6 +18,7 @@
 from .http import JsonObject
 from .http import refuse_status
 from .http import Repeat
+from .http import SendPermit
 from .http import ServiceClient
 
 __all__ = [
@@ -168,23 +169,46 @@
         )
 
     async def move(
-        self, machine_id: str, pool: str, holder: str, fencing_token: int
+        self,
+        machine_id: str,
+        pool: str,
+        holder: str,
+        fencing_token: int,
+        permit: SendPermit | None = None,
     ) -> DutyReply:
-        """Move a machine into a pool; this kills all runs on it at once."""
+        """Move a machine into a pool; this kills all runs on it at once.
+
+        :param permit: decides whether the order may still be sent; None: it may.
+        """
         self.calls["move"] += 1
         body = {"machine": machine_id, "pool": pool}
-        return await self._send_duty("/-/machine-move", body, holder, fencing_token)
+        path = "/-/machine-move"
+        return await self._send_duty(path, body, holder, fencing_token, permit)
 
     async def upkeep(
-        self, machine_id: str, wave: int, holder: str, fencing_token: int
+        self,
+        machine_id: str,
+        wave: int,
+        holder: str,
+        fencing_token: int,
+        permit: SendPermit | None = None,
     ) -> DutyReply:
-        """Start a machine's upkeep; this kills all runs on it at once."""
+        """Start a machine's upkeep; this kills all runs on it at once.
+
+        :param permit: decides whether the order may still be sent; None: it may.
+        """
         self.calls["upkeep"] += 1
         body = {"machine": machine_id, "wave": wave}
-        return await self._send_duty("/-/machine-upkeep", body, holder, fencing_token)
+        path = "/-/machine-upkeep"
+        return await self._send_duty(path, body, holder, fencing_token, permit)
 
     async def _send_duty(
-        self, path: str, body: JsonObject, holder: str, fencing_token: int
+        self,
+        path: str,
+        body: JsonObject,
+        holder: str,
+        fencing_token: int,
+        permit: SendPermit | None,
     ) -> DutyReply:
         answer = await self._caller.call(
             "POST",
@@ -192,6 +216,7 @@
             body,
             timeout_s=self._timeout_s,
             headers={HOLDER_HEADER: holder, TOKEN_HEADER: str(fencing_token)},
+            permit=permit,
         )
         refuse_status(answer, path)
         return self._decode_duty(answer)
--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -27,6 +27,7 @@
 from .inflight import connection_trace
 from .inflight import Flight
 from .inflight import Flights
+from .inflight import SendPermit
 from .overdue import OverdueTimer
 
 __all__ = [
@@ -34,6 +35,7 @@
     "HttpCaller",
     "JsonObject",
     "Repeat",
+    "SendPermit",
     "ServiceClient",
     "refuse_status",
 ]
@@ -70,6 +72,9 @@
 _RETRY_REMEDY = "the call is retried automatically; no data is lost"
 
 
+_NO_LIMITS = aiohttp.ClientTimeout(total=None)
+"""The library's own time limits are not used."""
+
 _FAILURES = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 """What an attempt raises that gets no complete answer."""
 
@@ -83,6 +88,7 @@
     data: bytes | None
     headers: dict[str, str]
     params: dict[str, str] | None
+    permit: SendPermit | None = None
 
     @property
     def address(self) -> Address:
@@ -169,6 +175,7 @@
         params: dict[str, str] | None = None,
         repeat: Repeat | None = None,
         overdue_s: float | None = None,
+        permit: SendPermit | None = None,
     ) -> Answer:
         """Make one call.
 
@@ -179,9 +186,11 @@
             tracked.
         :param overdue_s: the call ends early if its answer has not begun after this
             time, unless this process is late itself; only if calls are not tracked.
+        :param permit: decides whether a call with a body may still be sent when its
+            first byte leaves; only if calls are tracked.
         :raises AnswerOverdueError: it has ended early.
-        :raises StoreUnavailableError: no connection could be opened, so the call was
-            certainly not carried out.
+        :raises StoreUnavailableError: no connection could be opened, or the permit
+            was refused, so the call was certainly not carried out.
         :raises OutcomeUnknownError: the call may have been sent, and no complete answer
             arrived.
         """
@@ -191,6 +200,7 @@
             None if body is None else _encode(body),
             JSON_HEADERS if headers is None else JSON_HEADERS | headers,
             params,
+            permit,
         )
         if self._tracks_calls:
             return await self._call_tracked(request, timeout_s, repeat)
@@ -213,7 +223,7 @@
 
     def _flight(self, request: _Request, repeat: Repeat | None) -> Flight:
         if repeat is None:
-            return Flight(self._flights, request.address)
+            return Flight(self._flights, request.address, permit=request.permit)
         send_again = functools.partial(self._send_again, repeat.apply(request))
         return Flight(self._flights, request.address, repeat.wait_s, send_again)
 
@@ -260,6 +270,12 @@
         if isinstance(error, TimeoutError):
             self._close_idle(request.address)
             failure = AnswerOverdueError if overdue else NoAnswerError
+        if attempt.withheld:
+            return StoreUnavailableError(
+                f"not sent ({type(error).__name__} {attempt})",
+                remedy=_RETRY_REMEDY,
+                location=location,
+            )
         return failure(
             f"no complete answer ({type(error).__name__} {attempt})",
             remedy=_RETRY_REMEDY,
@@ -343,12 +359,18 @@
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None),
+        timeout=_NO_LIMITS,
         skip_auto_headers=UNUSED_HEADERS,
         trace_configs=[connection_trace()] if traced else None,
     )
 
 
+def _limits_of(request: _Request) -> aiohttp.ClientTimeout:
+    if request.permit is None:
+        return _NO_LIMITS
+    return aiohttp.ClientTimeout(total=None, sock_connect=request.permit.connect_s)
+
+
 async def _send(
     session: aiohttp.ClientSession,
     request: _Request,
@@ -367,6 +389,7 @@
         headers=request.headers,
         params=request.params,
         trace_request_ctx=attempt,
+        timeout=_limits_of(request),
     ) as response:
         on_begun()
         return await _read_answer(response, limit, attempt, str(request.url))
--- a/src/streamthread/platform/inflight.py
+++ b/src/streamthread/platform/inflight.py
@@ -30,6 +30,7 @@
     "Flight",
     "Flights",
     "SendAgain",
+    "SendPermit",
     "connection_trace",
 ]
 
@@ -59,10 +60,28 @@
     UNKNOWN = ""
 
 
+@attrs.frozen
+class SendPermit:
+    """Decides whether a call may still be sent, at the moment its first byte leaves.
+
+    :param may_leave: whether the call may be sent now; asked once it has a connection.
+    :param connect_s: maximum time to open a connection for it.
+    """
+
+    may_leave: t.Callable[[], bool]
+    connect_s: float
+
+
+class _WithheldError(Exception):
+    """Ends an attempt that must not be sent any more."""
+
+
 @attrs.define
 class Attempt:
     """One attempt of a call, as far as it has come.
 
+    :param permit: decides whether it may be sent; None: it may.
+    :param left: with a permit: the first byte may have left.
     :param sent_at_s: when it got a connection, on the boot clock.
     :param begun: the answer has begun.
     :param received_bytes: how much of the answer's body has arrived.
@@ -73,6 +92,21 @@
     begun: bool = False
     received_bytes: int = 0
     connection: ConnectionUse = ConnectionUse.UNKNOWN
+    permit: SendPermit | None = None
+    left: bool = False
+
+    @property
+    def withheld(self) -> bool:
+        """Whether certainly nothing of it was sent."""
+        return self.permit is not None and not self.left
+
+    def on_body(self) -> None:
+        """Send the request now, headers and body at once, if that is permitted."""
+        if self.permit is None or self.left:
+            return
+        if not self.permit.may_leave():
+            raise _WithheldError("the order may not be sent any more")
+        self.left = True
 
     def on_connection(self, connection: ConnectionUse) -> None:
         """Record that the call is sent."""
@@ -97,6 +131,7 @@
 
     :param wait_s: how long the service may wait before it answers the first attempt.
     :param send_again: makes the second attempt; None if the call must not be repeated.
+    :param permit: decides whether the call may be sent; None: it may.
     :param attempt: its first attempt.
     :param answer: the answer to its second attempt, if that was answered first.
     """
@@ -107,8 +142,9 @@
         address: Address,
         wait_s: float = 0.0,
         send_again: SendAgain | None = None,
+        permit: SendPermit | None = None,
     ) -> None:
-        self.attempt = Attempt(connection=ConnectionUse.NONE)
+        self.attempt = Attempt(connection=ConnectionUse.NONE, permit=permit)
         self.answer: Answer | None = None
         self._flights = flights
         self._address = address
@@ -255,7 +291,10 @@
 
 
 def connection_trace() -> aiohttp.TraceConfig:
-    """Return the hooks that record which connection an attempt is sent on."""
+    """Return the hooks that record which connection an attempt is sent on.
+
+    They also ask its permit before the first byte leaves.
+    """
 
     async def on_reused(session: t.Any, context: t.Any, params: t.Any) -> None:
         context.trace_request_ctx.on_connection(ConnectionUse.REUSED)
@@ -263,7 +302,12 @@
     async def on_created(session: t.Any, context: t.Any, params: t.Any) -> None:
         context.trace_request_ctx.on_connection(ConnectionUse.NEW)
 
+    async def on_body(session: t.Any, context: t.Any, params: t.Any) -> None:
+        # The library calls this before it writes the headers and the body together.
+        context.trace_request_ctx.on_body()
+
     trace = aiohttp.TraceConfig()
     trace.on_connection_reuseconn.append(on_reused)
     trace.on_connection_create_end.append(on_created)
+    trace.on_request_chunk_sent.append(on_body)
     return trace
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -8,6 +8,7 @@
 LISTING_TESTS = "src/streamthread/holder/tests/test_listing.py"
 LISTING = f"{LISTING_TESTS}::TestForeignEntries"
 RESTARTS = "src/streamthread/scheduler/tests/test_restarts.py"
+DUTIES_AND_LEASE = "src/streamthread/holder/tests/test_duties_and_lease.py"
 HELD_BYTES = (
     "src/streamthread/platform/tests/test_held_bytes.py::TestOrdersThatWereGivenUp"
 )
@@ -43,6 +44,20 @@
         "        super().close()\n",
         (HELD_BYTES,),
     ),
+    Guard(
+        "orders-end-with-the-lease",
+        "holder/lease_validity.py",
+        "            while not task.done() and self.trusted:\n",
+        "            while not task.done():\n",
+        (f"{DUTIES_AND_LEASE}::TestDutyThatWasSent",),
+    ),
+    Guard(
+        "orders-ask-before-they-leave",
+        "platform/inflight.py",
+        "    trace.on_request_chunk_sent.append(on_body)\n",
+        "",
+        (f"{DUTIES_AND_LEASE}::TestDutyThatIsNotSentYet",),
+    ),
     Guard(
         "overdue-reads-are-repeated",
         "platform/inflight.py",
