Wait with machines while their list can't be read

After a failed read of the list of machines, decisions were made by the last list for the next 0.5 s, and again after each failed read. Their orders got no answer, stayed pending, and kept idle runners out of placement until the list was back. Runners that were being emptied for an upkeep got no tasks either. While a read was waiting for its answer (2 s), nothing was observed, so that the first decision afterwards took machines out of pools that had needed them just before.

Decisions now wait from a failed read to the next that succeeds. Meanwhile, and every 0.5 s while an answer takes longer than that, sizes and idle times are observed, and machines that were being emptied are available. An empty list is nothing to decide by.

--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -96,10 +96,27 @@
         )
         while True:
             await self._owner.until_trusted()
-            if await self._table.refresh():
+            if await self._read_list():
                 self._decide()
+            else:
+                self._stand_by()
             await asyncio.sleep(self._settings.tick_s)
 
+    async def _read_list(self) -> bool:
+        """Read the list when it is due; return whether decisions may rely on it.
+
+        What pools need is observed while an answer takes long.
+        """
+        reading = asyncio.ensure_future(self._table.refresh())
+        try:
+            while not reading.done():
+                await asyncio.wait((reading,), timeout=self._settings.list_s)
+                if not reading.done():
+                    self._observe()
+            return reading.result()
+        finally:
+            reading.cancel()
+
     def record_job(self, service: str, work: float, at_s: float) -> None:
         """Add a job's work to its pool's arrivals.
 
@@ -110,6 +127,35 @@
 
     # Decisions.
 
+    def _stand_by(self) -> None:
+        """Decide nothing while the list of machines can't be read.
+
+        Runners that are emptied get tasks again, as no upkeep can be ordered for them.
+        """
+        self._waves.pause()
+        self._observe()
+
+    def _observe(self) -> None:
+        """Record what pools need and which machines are idle, and decide nothing.
+
+        The decisions after an outage of the cloud would otherwise take machines out of
+        pools that needed them just before.
+        """
+        manifest = self._owner.context.documents.manifest
+        if manifest is not None and self._table.machines:
+            views = self._views()
+            targets = self._sizes.targets(manifest.pools.values(), views.values())
+            self._sizes.log_sizes(targets, views.values())
+
+    def _views(self) -> dict[str, MachineView]:
+        """Return all machines as input for the decisions, by machine id."""
+        return {
+            machine.machine_id: self._table.view(
+                machine, self._waves.is_due(machine.machine_id)
+            )
+            for machine in self._table.machines.values()
+        }
+
     def _decide(self) -> None:
         """Order the upkeeps that the waves need now, then the moves."""
         documents = self._owner.context.documents
@@ -119,12 +165,7 @@
             return
         pools = documents.manifest.pools.values()
         self._waves.begin_round()
-        views = {
-            machine.machine_id: self._table.view(
-                machine, self._waves.is_due(machine.machine_id)
-            )
-            for machine in self._table.machines.values()
-        }
+        views = self._views()
         targets = self._sizes.targets(pools, views.values())
         for wave in documents.waves.values():
             plan = self._waves.plan(wave, views, self._sizes.recent_max)
--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -83,6 +83,8 @@
         self._settings = settings
         self._listed_at_s = 0.0
         self._known_at_s = boot_s()
+        # The last read of the list succeeded.
+        self._current = False
         self._idle_since_s: dict[str, float] = {}
         self._up_since_s: dict[str, float] = {}
         # Highest cpu and memory ever listed, by machine id.
@@ -116,15 +118,20 @@
         return boot_s() - self._known_at_s
 
     async def refresh(self) -> bool:
-        """Read the list when it is due; return whether it can be relied on."""
+        """Read the list when it is due; return whether it can be relied on.
+
+        After a failed read it can't be until a read succeeds: an order by an outdated
+        list takes a runner out of placement until the list shows what became of it.
+        """
         now_s = boot_s()
         if now_s - self._listed_at_s < self._settings.list_s:
-            return bool(self.machines)
+            return self._current and bool(self.machines)
         try:
             listed = await self._cloud.machines()
         except (StoreUnavailableError, OutcomeUnknownError) as error:
             log.warning("machines-unreadable", extra={"error": str(error)})
             self._listed_at_s = now_s
+            self._current = False
             return False
         self._listed_at_s = self._known_at_s = now_s
         unknown = self._unreadable(listed.unreadable)
@@ -133,7 +140,8 @@
         for machine in listed.machines:
             self._notes.clear(Source.MACHINE, machine.machine_id)
             self._reconcile(machine, now_s)
-        return True
+        self._current = True
+        return bool(self.machines)
 
     def _unreadable(self, rows: t.Iterable[UnreadableMachine]) -> dict[str, Machine]:
         """Return the known machines whose rows can't be decoded.
--- a/src/streamthread/holder/waves.py
+++ b/src/streamthread/holder/waves.py
@@ -240,6 +240,11 @@
             runner.emptying = True
             self._long_running.move_away(runner)
 
+    def pause(self) -> None:
+        """Make all machines available again, as no upkeep can be ordered for now."""
+        self._emptying.clear()
+        self.end_round()
+
     def end_round(self) -> None:
         """Make the machines that need not be emptied any more available again."""
         ordered = {duty.runner_before for duty in self._table.pending.values()}
--- a/tests/cell/test_duties.py
+++ b/tests/cell/test_duties.py
@@ -1,6 +1,12 @@
 """Moves and upkeep against the stand-in cloud."""
 
+import asyncio
+
+from aiohttp import web
+
+from streamthread.platform.cloud import CloudClient
 from streamthread.standins.cell import CellWorld
+from streamthread.standins.cell.port import PLAY_DEAD_S
 
 from .support import job
 from .support import running_cell
@@ -64,6 +70,38 @@
             assert [how for _, _, how, _ in world.ended] == ["done", "done"]
 
 
+class TestUnreachableCloud:
+    # Guards against placement that depends on the list of machines, and against orders
+    # that are given for as long as it can't be read.
+    async def test_delays_decisions_and_no_task(self) -> None:
+        async with running_cell({"desk": 2, "spare": 4}) as cell:
+            daemon = await cell.until_ready()
+            assert isinstance(daemon.cloud, CloudClient)
+            world, calls = cell.world, daemon.cloud.calls
+            handler = world.cloud.port._handler
+
+            async def stay_silent(request: web.BaseRequest) -> web.StreamResponse:
+                await asyncio.sleep(PLAY_DEAD_S)
+                return web.Response()
+
+            world.cloud.port._handler = stay_silent
+            lists = calls["list"]
+            await until(lambda: calls["list"] > lists, "the list is requested")
+            caller = cell.caller()
+            for n in range(5):
+                body = job(run_s=0.5, count=8, cpu=2000)
+                assert await caller.submit(f"{n}" * 16, body) == 200
+            for n in range(5):
+                await caller.until_state(f"{n}" * 16, "completed")
+            assert calls["move"] == 0
+            assert world.cloud.duties == []
+            world.cloud.port._handler = handler
+            body = job(run_s=2.0, count=30, cpu=4000)
+            assert await caller.submit("a" * 16, body) == 200
+            await until(lambda: _count(world, "desk") >= 4, "the pool grows")
+            await caller.until_state("a" * 16, "completed")
+
+
 class TestLongRunningTasks:
     async def test_none_is_stopped_while_another_may_be_unreachable(self) -> None:
         async with running_cell({"desk": 3}, cpu=16000) as cell:
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -8,6 +8,7 @@
 LISTING_TESTS = "src/streamthread/holder/tests/test_listing.py"
 LISTING = f"{LISTING_TESTS}::TestForeignEntries"
 RESTARTS = "src/streamthread/scheduler/tests/test_restarts.py"
+NO_MACHINES = "src/streamthread/holder/tests/test_machines_unreachable.py"
 DUTIES_AND_LEASE = "src/streamthread/holder/tests/test_duties_and_lease.py"
 HELD_BYTES = (
     "src/streamthread/platform/tests/test_held_bytes.py::TestOrdersThatWereGivenUp"
@@ -58,6 +59,20 @@
         "",
         (f"{DUTIES_AND_LEASE}::TestDutyThatIsNotSentYet",),
     ),
+    Guard(
+        "outdated-machines-are-not-ordered",
+        "holder/machines.py",
+        "            self._current = False\n            return False\n",
+        "            return False\n",
+        (f"{NO_MACHINES}::TestDecisionsAboutMachines",),
+    ),
+    Guard(
+        "outages-of-the-cloud-are-observed",
+        "holder/duties.py",
+        "        self._waves.pause()\n        self._observe()\n",
+        "        self._waves.pause()\n",
+        (f"{NO_MACHINES}::TestDecisionsAboutMachines",),
+    ),
     Guard(
         "overdue-reads-are-repeated",
         "platform/inflight.py",
