End the former runner of a machine that comes back with another

A machine that loses power comes back with a new runner, perhaps under another address. Its former runner answered nothing and stayed listed until its entry expired, so that its tasks waited until their leases had expired: in the test until 2.2 s after the deadline that the former runner had been given.

The list of machines now ends the runner that a machine had, as soon as it shows another one there; an outdated list that shows the one before again is ignored. Where no list can be read, the next runner ends it: its entry names the same machine and a later birth, it has answered, and the former one is silent.

Four guards; their proofs fail without them.

--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -58,9 +58,9 @@
 class MachineTable:
     """All machines of the fleet, with at most one pending duty for each.
 
-    :param on_runner_exit: called when a duty has ended a runner on a machine, with the
-        runner's id, the time on the boot clock at which the list was requested, and the
-        reason.
+    :param on_runner_exit: called when a duty has ended a runner on a machine, or the
+        machine has another one, with the runner's id, the time on the boot clock at
+        which the list was requested, and the reason.
     :param notes: collects reports of rows that can't be decoded.
     :param machines: the machines in the cloud's latest list, by machine id.
     :param pending: duties that the list does not show as ended yet, by machine id.
@@ -89,6 +89,8 @@
         self._up_since_s: dict[str, float] = {}
         # Highest cpu and memory ever listed, by machine id.
         self._full_capacity: dict[str, tuple[int, int]] = {}
+        # The ids of the present runner and of the one before, by machine id.
+        self._hosted: dict[str, tuple[str, str]] = {}
         self.machines: dict[str, Machine] = {}
         self.pending: dict[str, PendingDuty] = {}
 
@@ -139,6 +141,7 @@
         self.machines.update(unknown)
         for machine in listed.machines:
             self._notes.clear(Source.MACHINE, machine.machine_id)
+            self._report_replaced(machine, now_s)
             self._reconcile(machine, now_s)
         self._current = True
         return bool(self.machines)
@@ -161,6 +164,19 @@
             retained[row.machine_id] = before
         return retained
 
+    def _report_replaced(self, machine: Machine, asked_at_s: float) -> None:
+        """Report the exit of a machine's runner once the machine has another one.
+
+        A machine that lost power comes back with a new runner, perhaps under another
+        address. An outdated list that shows the one before again is ignored.
+        """
+        present, former = self._hosted.get(machine.machine_id, ("", ""))
+        if machine.runner_id in ("", present, former):
+            return
+        self._hosted[machine.machine_id] = (machine.runner_id, present)
+        if present:
+            self._on_runner_exit(present, asked_at_s, "its machine has another runner")
+
     def _reconcile(self, machine: Machine, asked_at_s: float) -> None:
         """Compare a listed machine with the duty ordered for it."""
         runner = self.runner_of(machine)
--- a/src/streamthread/holder/runner_manager.py
+++ b/src/streamthread/holder/runner_manager.py
@@ -61,6 +61,10 @@
         self._owner = owner
         self._engine = owner.engine
         self._batching = EndBatching(owner.engine.runners.values)
+        # The newest runner of each machine, as far as entries name machines.
+        self._by_machine: dict[str, str] = {}
+        # The runner that a machine had before, by the id of its newest one.
+        self._former_ids: dict[str, str] = {}
 
     def add_runner(self, entry: RunnerEntry) -> None:
         """Open a link to a runner that is listed and has none yet."""
@@ -76,6 +80,40 @@
             },
         )
         self._open_link(runner, self._owner.taken.last_hold_at_s)
+        self._note_machine(runner)
+
+    def _note_machine(self, runner: RunnerState) -> None:
+        """Note which of two runners of one machine is the former one, by their births.
+
+        The entry of a machine that lost power remains for a while beside the entry
+        that the machine's next runner writes.
+        """
+        machine_id = runner.machine_id
+        if not machine_id:
+            return
+        other = self._owner.engine.runners.get(self._by_machine.get(machine_id, ""))
+        if other is None or other is runner:
+            self._by_machine[machine_id] = runner.runner_id
+            return
+        if runner.born_ms is None or other.born_ms is None:
+            return
+        former, newest = sorted((runner, other), key=lambda r: r.born_ms or 0)
+        if former.born_ms != newest.born_ms:
+            self._by_machine[machine_id] = newest.runner_id
+            self._former_ids[newest.runner_id] = former.runner_id
+
+    def _end_former(self, newest_id: str) -> None:
+        """End the former runner of a machine whose newest one has answered.
+
+        It has to be silent as well: an entry may name the wrong machine.
+        """
+        former = self._owner.links.get(self._former_ids[newest_id])
+        if former is None:
+            del self._former_ids[newest_id]
+        elif former.silent:
+            del self._former_ids[newest_id]
+            former.over = True
+            self._owner.on_runner_exit(former, "its machine has another runner")
 
     def restart_runner(self, link: RunnerLink, entry: RunnerEntry) -> None:
         """Replace a runner's link, given the entry of the runner's next incarnation."""
@@ -134,6 +172,8 @@
 
         A hold call renews the leases of a runner's runs and returns what has ended.
         """
+        if link.runner.runner_id in self._former_ids:
+            self._end_former(link.runner.runner_id)
         sender = self._owner.sender
         for stray in self._engine.on_hold(link.runner, reply):
             if not self._owner.is_excluded(job_id_of_task(stray.task)):
--- a/src/streamthread/holder/tests/test_machine_restarts.py
+++ b/src/streamthread/holder/tests/test_machine_restarts.py
@@ -82,3 +82,38 @@
         ((runner_id, since_s),) = cell.over
         assert runner_id == "i-1"
         assert before_s <= since_s <= boot_s()
+
+
+class TestMachineWithAnotherRunner:
+    # Guards against runs that wait for their leases on a runner whose machine has long
+    # come back with another one, under another address.
+    async def test_ends_the_runner_that_it_had(self) -> None:
+        cell = _Cell()
+        await cell.show(MachineState.UP)
+        before_s = boot_s()
+        await cell.show(MachineState.UP, "i-2")
+        ((runner_id, since_s),) = cell.over
+        assert runner_id == "i-1"
+        assert before_s <= since_s <= boot_s()
+        assert list(cell.table.machines) == ["m-1"]
+
+    async def test_ends_it_after_the_machine_was_listed_without_any(self) -> None:
+        cell = _Cell()
+        await cell.show(MachineState.UP)
+        await cell.show(MachineState.DOWN, "")
+        assert cell.over == []
+        await cell.show(MachineState.UP, "i-2")
+        assert [runner_id for runner_id, _ in cell.over] == ["i-1"]
+
+    # Guards against an outdated list that ends the runner that is there.
+    async def test_is_not_believed_to_have_its_former_one_again(self) -> None:
+        cell = _Cell()
+        for runner_id in ("i-1", "i-2", "i-1", "i-2"):
+            await cell.show(MachineState.UP, runner_id)
+        assert [runner_id for runner_id, _ in cell.over] == ["i-1"]
+
+    async def test_ends_nothing_while_it_has_the_same(self) -> None:
+        cell = _Cell()
+        await cell.show(MachineState.UP)
+        await cell.show(MachineState.UP)
+        assert cell.over == []
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -8,11 +8,6 @@
 LISTING_TESTS = "src/streamthread/holder/tests/test_listing.py"
 LISTING = f"{LISTING_TESTS}::TestForeignEntries"
 RESTARTS = "src/streamthread/scheduler/tests/test_restarts.py"
-NO_MACHINES = "src/streamthread/holder/tests/test_machines_unreachable.py"
-DUTIES_AND_LEASE = "src/streamthread/holder/tests/test_duties_and_lease.py"
-HELD_BYTES = (
-    "src/streamthread/platform/tests/test_held_bytes.py::TestOrdersThatWereGivenUp"
-)
 CRASHES = "src/streamthread/scheduler/tests/test_crashes.py"
 
 CELL_GUARDS = (
@@ -31,48 +26,6 @@
         "",
         ("src/streamthread/platform/tests/test_http.py::TestSilentConnections",),
     ),
-    Guard(
-        "closed-connections-are-reset",
-        "platform/connections.py",
-        "    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)\n",
-        "",
-        (HELD_BYTES,),
-    ),
-    Guard(
-        "buffered-bytes-are-discarded",
-        "platform/connections.py",
-        "        self.abort()\n",
-        "        super().close()\n",
-        (HELD_BYTES,),
-    ),
-    Guard(
-        "orders-end-with-the-lease",
-        "holder/lease_validity.py",
-        "            while not task.done() and self.trusted:\n",
-        "            while not task.done():\n",
-        (f"{DUTIES_AND_LEASE}::TestDutyThatWasSent",),
-    ),
-    Guard(
-        "orders-ask-before-they-leave",
-        "platform/inflight.py",
-        "    trace.on_request_chunk_sent.append(on_body)\n",
-        "",
-        (f"{DUTIES_AND_LEASE}::TestDutyThatIsNotSentYet",),
-    ),
-    Guard(
-        "outdated-machines-are-not-ordered",
-        "holder/machines.py",
-        "            self._current = False\n            return False\n",
-        "            return False\n",
-        (f"{NO_MACHINES}::TestDecisionsAboutMachines",),
-    ),
-    Guard(
-        "outages-of-the-cloud-are-observed",
-        "holder/duties.py",
-        "        self._waves.pause()\n        self._observe()\n",
-        "        self._waves.pause()\n",
-        (f"{NO_MACHINES}::TestDecisionsAboutMachines",),
-    ),
     Guard(
         "overdue-reads-are-repeated",
         "platform/inflight.py",
--- /dev/null
+++ b/tools/guards_partitions.py
@@ -0,0 +1,89 @@
+"""The guards against late orders and outages of the cloud, and their tests."""
+
+from tools.guard import Guard
+
+__all__ = ["PARTITION_GUARDS"]
+
+NO_MACHINES = "src/streamthread/holder/tests/test_machines_unreachable.py"
+DUTIES_AND_LEASE = "src/streamthread/holder/tests/test_duties_and_lease.py"
+HELD_BYTES = (
+    "src/streamthread/platform/tests/test_held_bytes.py::TestOrdersThatWereGivenUp"
+)
+RETURNS = "src/streamthread/holder/tests/test_machine_restarts.py"
+SUCCESSORS = "src/streamthread/holder/tests/test_runner_manager.py"
+
+PARTITION_GUARDS = (
+    Guard(
+        "closed-connections-are-reset",
+        "platform/connections.py",
+        "    opened.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)\n",
+        "",
+        (HELD_BYTES,),
+    ),
+    Guard(
+        "buffered-bytes-are-discarded",
+        "platform/connections.py",
+        "        self.abort()\n",
+        "        super().close()\n",
+        (HELD_BYTES,),
+    ),
+    Guard(
+        "orders-end-with-the-lease",
+        "holder/lease_validity.py",
+        "            while not task.done() and self.trusted:\n",
+        "            while not task.done():\n",
+        (f"{DUTIES_AND_LEASE}::TestDutyThatWasSent",),
+    ),
+    Guard(
+        "orders-ask-before-they-leave",
+        "platform/inflight.py",
+        "    trace.on_request_chunk_sent.append(on_body)\n",
+        "",
+        (f"{DUTIES_AND_LEASE}::TestDutyThatIsNotSentYet",),
+    ),
+    Guard(
+        "outdated-machines-are-not-ordered",
+        "holder/machines.py",
+        "            self._current = False\n            return False\n",
+        "            return False\n",
+        (f"{NO_MACHINES}::TestDecisionsAboutMachines",),
+    ),
+    Guard(
+        "outages-of-the-cloud-are-observed",
+        "holder/duties.py",
+        "        self._waves.pause()\n        self._observe()\n",
+        "        self._waves.pause()\n",
+        (f"{NO_MACHINES}::TestDecisionsAboutMachines",),
+    ),
+    Guard(
+        "replaced-runners-are-over",
+        "holder/machines.py",
+        "            self._report_replaced(machine, now_s)\n",
+        "",
+        (
+            f"{RETURNS}::TestMachineWithAnotherRunner",
+            "tests/cell/test_returning_machines.py",
+        ),
+    ),
+    Guard(
+        "outdated-lists-end-no-runner",
+        "holder/machines.py",
+        '        if machine.runner_id in ("", present, former):\n',
+        '        if machine.runner_id in ("", present):\n',
+        (f"{RETURNS}::TestMachineWithAnotherRunner",),
+    ),
+    Guard(
+        "former-runners-end-with-the-next",
+        "holder/runner_manager.py",
+        "            self._end_former(link.runner.runner_id)\n",
+        "            pass\n",
+        (f"{SUCCESSORS}::TestMachineThatComesBack",),
+    ),
+    Guard(
+        "runners-that-answer-are-not-former",
+        "holder/runner_manager.py",
+        "        elif former.silent:\n",
+        "        else:\n",
+        (f"{SUCCESSORS}::TestMachineThatComesBack",),
+    ),
+)
