Test a holder that begins while the cloud is unreachable

It decides nothing without a list of machines, and orders a limited number of moves at a time once it has one.

--- a/src/streamthread/holder/tests/test_machines_unreachable.py
+++ b/src/streamthread/holder/tests/test_machines_unreachable.py
@@ -146,11 +146,15 @@
 
 
 @contextlib.asynccontextmanager
-async def _running(settings: DutySettings = DUTIES) -> t.AsyncIterator[_Cell]:
+async def _running(
+    settings: DutySettings = DUTIES, reachable: bool = True
+) -> t.AsyncIterator[_Cell]:
     cell = _Cell(settings)
+    cell.cloud.refuses = not reachable
     cell.spawn(cell.duties.run())
     try:
-        await until(lambda: bool(cell.decisions))
+        if reachable:
+            await until(lambda: bool(cell.decisions))
         yield cell
     finally:
         for task in cell.tasks:
@@ -230,6 +234,20 @@
             assert cell.cloud.moves == []
 
 
+class TestHolderThatBeginsDuringTheOutage:
+    # Guards against decisions without any machine, and against a number of orders at
+    # once when the first list comes.
+    async def test_orders_in_limited_numbers_once_it_has_a_list(self) -> None:
+        async with _running(_with(most_moves=2), reachable=False) as cell:
+            cell.needed = 2
+            await cell.lists(4)
+            assert cell.decisions == []
+            cell.cloud.refuses = False
+            await until(lambda: len(cell.cloud.moves) == COUNT - 2)
+            assert max(cell.decisions) == 2
+            assert not cell.tasks[0].done()
+
+
 class TestMachinesThatAreEmptied:
     # Guards against runners that get no tasks for the whole outage, since their upkeep
     # was about to be ordered when it began.
--- a/src/streamthread/platform/connections.py
+++ b/src/streamthread/platform/connections.py
@@ -58,7 +58,9 @@
         carries one call.
     """
 
-    def __init__(self, limit_per_host: int = 0, keepalive_s: float | None = None):
+    def __init__(
+        self, limit_per_host: int = 0, keepalive_s: float | None = None
+    ) -> None:
         super().__init__(
             limit=0,
             limit_per_host=limit_per_host,
