--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -10,12 +10,14 @@
 from ..capacity import plan_moves
 from ..capacity import PoolView
 from ..clocks import boot_s
+from ..errors import OrderAbortedError
 from ..errors import OutcomeUnknownError
 from ..errors import StreamthreadError
 from ..platform.cloud import CloudClient
 from ..platform.cloud import DutyReply
 from ..platform.cloud import Machine
 from ..platform.documents import Wave
+from ..platform.http import SendPermit
 from ..platform.manifest import Pool
 from .context import DutySettings
 from .machines import DutyKind
@@ -34,6 +36,10 @@
 """A sent order has reached the cloud after this time: a call takes 5 ms, and 0.25 s
 while the cloud is 50 times slower."""
 
+MAX_CONNECT_S = 0.5
+"""An order is decided anew if it takes longer to open a connection for it: the first
+packet was lost, and the next one is sent after a second."""
+
 
 def _of_open_halls(views: t.Collection[MachineView]) -> t.Collection[MachineView]:
     """Return the machines by which pools are sized: those of halls that may be used.
@@ -60,6 +66,8 @@
 
     :param moves: number of moves ordered.
     :param upkeeps: number of upkeeps ordered.
+    :param aborted: number of these orders that were under way when the lease on the
+        cell was no longer certainly valid.
     """
 
     def __init__(
@@ -81,6 +89,7 @@
         self._waves = WavePlanner(owner, self._registry, self._table, settings.upkeep)
         self.moves = 0
         self.upkeeps = 0
+        self.aborted = 0
 
     @property
     def machines_age_s(self) -> float:
@@ -100,10 +109,27 @@
         )
         while True:
             await self._owner.until_trusted()
-            if await self._table.refresh():
+            if await self._read_list():
                 self._decide()
+            else:
+                self._stand_by()
             await asyncio.sleep(self._settings.tick_s)
 
+    async def _read_list(self) -> bool:
+        """Read the list when it is due; return whether decisions may rely on it.
+
+        What pools need is observed while an answer takes long.
+        """
+        reading = asyncio.ensure_future(self._table.refresh())
+        try:
+            while not reading.done():
+                await asyncio.wait((reading,), timeout=self._settings.list_s)
+                if not reading.done():
+                    self._observe()
+            return reading.result()
+        finally:
+            reading.cancel()
+
     def record_job(self, service: str, work: float, at_s: float) -> None:
         """Add a job's work to its pool's arrivals.
 
@@ -114,6 +140,36 @@
 
     # Decisions.
 
+    def _stand_by(self) -> None:
+        """Decide nothing while the list of machines can't be read.
+
+        Runners that are emptied get tasks again, as no upkeep can be ordered for them.
+        """
+        self._waves.pause()
+        self._observe()
+
+    def _observe(self) -> None:
+        """Record what pools need and which machines are idle, and decide nothing.
+
+        The decisions after an outage of the cloud would otherwise take machines out of
+        pools that needed them just before.
+        """
+        manifest = self._owner.context.documents.manifest
+        if manifest is not None and self._table.machines:
+            views = self._views()
+            open_views = _of_open_halls(views.values())
+            targets = self._sizes.targets(manifest.pools.values(), open_views)
+            self._sizes.log_sizes(targets, open_views)
+
+    def _views(self) -> dict[str, MachineView]:
+        """Return all machines as input for the decisions, by machine id."""
+        return {
+            machine.machine_id: self._table.view(
+                machine, self._waves.is_due(machine.machine_id)
+            )
+            for machine in self._table.machines.values()
+        }
+
     def _decide(self) -> None:
         """Order the upkeeps that the waves need now, then the moves."""
         documents = self._owner.context.documents
@@ -123,12 +179,7 @@
             return
         pools = documents.manifest.pools.values()
         self._waves.begin_round()
-        views = {
-            machine.machine_id: self._table.view(
-                machine, self._waves.is_due(machine.machine_id)
-            )
-            for machine in self._table.machines.values()
-        }
+        views = self._views()
         open_views = _of_open_halls(views.values())
         targets = self._sizes.targets(pools, open_views)
         for wave in documents.waves.values():
@@ -200,11 +251,12 @@
             self._order(
                 machine,
                 pending,
-                lambda: self._cloud.move(
+                lambda permit: self._cloud.move(
                     move.machine_id,
                     move.target,
                     self._owner.context.daemon_id,
                     self._owner.token,
+                    permit,
                 ),
             )
         )
@@ -227,11 +279,12 @@
             self._order(
                 machine,
                 pending,
-                lambda: self._cloud.upkeep(
+                lambda permit: self._cloud.upkeep(
                     machine_id,
                     wave.number,
                     self._owner.context.daemon_id,
                     self._owner.token,
+                    permit,
                 ),
             )
         )
@@ -240,20 +293,28 @@
         self,
         machine: Machine,
         pending: PendingDuty,
-        call: t.Callable[[], t.Awaitable[DutyReply]],
+        call: t.Callable[[SendPermit], t.Coroutine[t.Any, t.Any, DutyReply]],
     ) -> None:
-        """Send an order.
+        """Send an order, and abort it once the lease is no longer certainly valid.
 
         It is discarded instead if the cell is being released, the machine has become
         busy, or the order is no longer pending.
         """
         await self._owner.until_trusted()
-        if self._owner.releasing or not self._table.may_send(machine, pending):
+        if not self._may_leave(machine, pending):
             self._table.discard(machine, pending, "no longer free")
             return
-        pending.sent_at_s = boot_s()
+        permit = SendPermit(lambda: self._may_leave(machine, pending), MAX_CONNECT_S)
         try:
-            reply = await call()
+            reply = await self._owner.while_trusted(call(permit))
+        except OrderAbortedError as error:
+            # It may have been carried out, as any order without an answer.
+            self.aborted += 1
+            log.warning(
+                "duty-aborted",
+                extra={"machine": machine.machine_id, "error": str(error)},
+            )
+            return
         except OutcomeUnknownError as error:
             # The list of machines shows whether the order was carried out.
             log.warning(
@@ -266,6 +327,15 @@
             return
         self._on_answer(machine, pending, reply)
 
+    def _may_leave(self, machine: Machine, pending: PendingDuty) -> bool:
+        """Whether an order may be sent now; if so, the time is recorded."""
+        if not self._owner.trusted or self._owner.releasing:
+            return False
+        if not self._table.may_send(machine, pending):
+            return False
+        pending.sent_at_s = boot_s()
+        return True
+
     def _on_answer(
         self, machine: Machine, pending: PendingDuty, reply: DutyReply
     ) -> None:
--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -58,9 +58,9 @@
 class MachineTable:
     """All machines of the fleet, with at most one pending duty for each.
 
-    :param on_runner_exit: called when a duty has ended a runner on a machine, with the
-        runner's id, the time on the boot clock at which the list was requested, and the
-        reason.
+    :param on_runner_exit: called when a duty has ended a runner on a machine, or the
+        machine has another one, with the runner's id, the time on the boot clock at
+        which the list was requested, and the reason.
     :param notes: collects reports of rows that can't be decoded.
     :param machines: the machines in the cloud's latest list, by machine id.
     :param pending: duties that the list does not show as ended yet, by machine id.
@@ -83,10 +83,14 @@
         self._settings = settings
         self._listed_at_s = 0.0
         self._known_at_s = boot_s()
+        # The last read of the list succeeded.
+        self._current = False
         self._idle_since_s: dict[str, float] = {}
         self._up_since_s: dict[str, float] = {}
         # Highest cpu and memory ever listed, by machine id.
         self._full_capacity: dict[str, tuple[int, int]] = {}
+        # The ids of the present runner and of the one before, by machine id.
+        self._hosted: dict[str, tuple[str, str]] = {}
         self.machines: dict[str, Machine] = {}
         self.pending: dict[str, PendingDuty] = {}
 
@@ -120,15 +124,20 @@
         return boot_s() - self._known_at_s
 
     async def refresh(self) -> bool:
-        """Read the list when it is due; return whether it can be relied on."""
+        """Read the list when it is due; return whether it can be relied on.
+
+        After a failed read it can't be until a read succeeds: an order by an outdated
+        list takes a runner out of placement until the list shows what became of it.
+        """
         now_s = boot_s()
         if now_s - self._listed_at_s < self._settings.list_s:
-            return bool(self.machines)
+            return self._current and bool(self.machines)
         try:
             listed = await self._cloud.machines()
         except (StoreUnavailableError, OutcomeUnknownError) as error:
             log.warning("machines-unreadable", extra={"error": str(error)})
             self._listed_at_s = now_s
+            self._current = False
             return False
         self._listed_at_s = self._known_at_s = now_s
         unknown = self._unreadable(listed.unreadable)
@@ -136,8 +145,10 @@
         self.machines.update(unknown)
         for machine in listed.machines:
             self._notes.clear(Source.MACHINE, machine.machine_id)
+            self._report_replaced(machine, now_s)
             self._reconcile(machine, now_s)
-        return True
+        self._current = True
+        return bool(self.machines)
 
     def _unreadable(self, rows: t.Iterable[UnreadableMachine]) -> dict[str, Machine]:
         """Return the known machines whose rows can't be decoded.
@@ -157,6 +168,19 @@
             retained[row.machine_id] = before
         return retained
 
+    def _report_replaced(self, machine: Machine, asked_at_s: float) -> None:
+        """Report the exit of a machine's runner once the machine has another one.
+
+        A machine that lost power comes back with a new runner, perhaps under another
+        address. An outdated list that shows the one before again is ignored.
+        """
+        present, former = self._hosted.get(machine.machine_id, ("", ""))
+        if machine.runner_id in ("", present, former):
+            return
+        self._hosted[machine.machine_id] = (machine.runner_id, present)
+        if present:
+            self._on_runner_exit(present, asked_at_s, "its machine has another runner")
+
     def _reconcile(self, machine: Machine, asked_at_s: float) -> None:
         """Compare a listed machine with the duty ordered for it."""
         runner = self.runner_of(machine)
--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -20,12 +20,14 @@
 from ..errors import UnreadableError
 from ..unreadable import Source
 from ..unreadable import UnreadableNotes
+from .connections import Connector
 from .inflight import Address
 from .inflight import Answer
 from .inflight import Attempt
 from .inflight import connection_trace
 from .inflight import Flight
 from .inflight import Flights
+from .inflight import SendPermit
 from .overdue import OverdueTimer
 
 __all__ = [
@@ -33,6 +35,7 @@
     "HttpCaller",
     "JsonObject",
     "Repeat",
+    "SendPermit",
     "ServiceClient",
     "refuse_status",
 ]
@@ -69,6 +72,9 @@
 _RETRY_REMEDY = "the call is retried automatically; no data is lost"
 
 
+_NO_LIMITS = aiohttp.ClientTimeout(total=None)
+"""The library's own time limits are not used."""
+
 _FAILURES = (aiohttp.ClientError, TimeoutError, OSError, ValueError)
 """What an attempt raises that gets no complete answer."""
 
@@ -82,6 +88,7 @@
     data: bytes | None
     headers: dict[str, str]
     params: dict[str, str] | None
+    permit: SendPermit | None = None
 
     @property
     def address(self) -> Address:
@@ -109,30 +116,6 @@
         return attrs.evolve(request, params=self.params)
 
 
-class _Connector(aiohttp.TCPConnector):
-    """Keeps idle connections, and can close those that are most likely dead."""
-
-    def close_idle(self, address: Address, since_s: float) -> int:
-        """Close the connections to an address that are idle since before a time.
-
-        :param since_s: on the boot clock.
-        :return: the number of closed connections.
-        """
-        # The library notes by the event loop's clock when a connection became idle.
-        since_loop_s = since_s + asyncio.get_running_loop().time() - boot_s()
-        # The library has no public API for its idle connections. It skips closed ones.
-        idle = [
-            protocol
-            for key, entries in self._conns.items()
-            if (key.host, key.port) == address
-            for protocol, idle_since_s in entries
-            if protocol.is_connected() and idle_since_s <= since_loop_s
-        ]
-        for protocol in idle:
-            protocol.close()
-        return len(idle)
-
-
 class HttpCaller:
     """Calls one kind of service; reuses connections and limits their number.
 
@@ -159,25 +142,20 @@
         self._tracks_calls = tracks_calls
         self._notes = notes or UnreadableNotes()
         self._session: aiohttp.ClientSession | None = None
-        self._connector: _Connector | None = None
+        self._connector: Connector | None = None
         # Opens a connection for each call and closes it afterwards.
         self._single_use: aiohttp.ClientSession | None = None
         self._flights = Flights(self._close_idle_since)
 
     def _open(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._connector = _Connector(
-                limit=0,
-                limit_per_host=self._limit,
-                keepalive_timeout=IDLE_CONNECTION_S,
-            )
+            self._connector = Connector(self._limit, IDLE_CONNECTION_S)
             self._session = _make_session(self._connector, self._tracks_calls)
         return self._session
 
     def _open_single_use(self) -> aiohttp.ClientSession:
         if self._single_use is None:
-            connector = aiohttp.TCPConnector(limit=0, force_close=True)
-            self._single_use = _make_session(connector, traced=True)
+            self._single_use = _make_session(Connector(), traced=True)
         return self._single_use
 
     async def close(self) -> None:
@@ -197,6 +175,7 @@
         params: dict[str, str] | None = None,
         repeat: Repeat | None = None,
         overdue_s: float | None = None,
+        permit: SendPermit | None = None,
     ) -> Answer:
         """Make one call.
 
@@ -207,9 +186,11 @@
             tracked.
         :param overdue_s: the call ends early if its answer has not begun after this
             time, unless this process is late itself; only if calls are not tracked.
+        :param permit: decides whether a call with a body may still be sent when its
+            first byte leaves; only if calls are tracked.
         :raises AnswerOverdueError: it has ended early.
-        :raises StoreUnavailableError: no connection could be opened, so the call was
-            certainly not carried out.
+        :raises StoreUnavailableError: no connection could be opened, or the permit
+            was refused, so the call was certainly not carried out.
         :raises OutcomeUnknownError: the call may have been sent, and no complete answer
             arrived.
         """
@@ -219,6 +200,7 @@
             None if body is None else _encode(body),
             JSON_HEADERS if headers is None else JSON_HEADERS | headers,
             params,
+            permit,
         )
         if self._tracks_calls:
             return await self._call_tracked(request, timeout_s, repeat)
@@ -241,7 +223,7 @@
 
     def _flight(self, request: _Request, repeat: Repeat | None) -> Flight:
         if repeat is None:
-            return Flight(self._flights, request.address)
+            return Flight(self._flights, request.address, permit=request.permit)
         send_again = functools.partial(self._send_again, repeat.apply(request))
         return Flight(self._flights, request.address, repeat.wait_s, send_again)
 
@@ -288,6 +270,12 @@
         if isinstance(error, TimeoutError):
             self._close_idle(request.address)
             failure = AnswerOverdueError if overdue else NoAnswerError
+        if attempt.withheld:
+            return StoreUnavailableError(
+                f"not sent ({type(error).__name__} {attempt})",
+                remedy=_RETRY_REMEDY,
+                location=location,
+            )
         return failure(
             f"no complete answer ({type(error).__name__} {attempt})",
             remedy=_RETRY_REMEDY,
@@ -371,12 +359,18 @@
         connector=connector,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
-        timeout=aiohttp.ClientTimeout(total=None),
+        timeout=_NO_LIMITS,
         skip_auto_headers=UNUSED_HEADERS,
         trace_configs=[connection_trace()] if traced else None,
     )
 
 
+def _limits_of(request: _Request) -> aiohttp.ClientTimeout:
+    if request.permit is None:
+        return _NO_LIMITS
+    return aiohttp.ClientTimeout(total=None, sock_connect=request.permit.connect_s)
+
+
 async def _send(
     session: aiohttp.ClientSession,
     request: _Request,
@@ -395,6 +389,7 @@
         headers=request.headers,
         params=request.params,
         trace_request_ctx=attempt,
+        timeout=_limits_of(request),
     ) as response:
         on_begun()
         return await _read_answer(response, limit, attempt, str(request.url))
