Choose by weight which work of an overloaded pool ends in time

In an overload the order by latest starts makes nearly all jobs late together, and one account's flood makes the jobs of all others late.

Shares marks what an account sends beyond its weight in a second as excess, and tracks what each account was served. Where the open work of a pool can't all end in time, its capacity is reserved in slots for work by rank: priority, excess, accounts that have had far more than others for their weight, what has not begun, the account with the least, the oldest. What does not fit runs behind. Of what is older than 8 s the oldest is promoted, so that nothing starves. Nothing changes where no account has a weight.

--- /dev/null
+++ b/src/streamthread/scheduler/choices.py
@@ -0,0 +1,245 @@
+"""Keeps the current choice of work for each overloaded pool."""
+
+import collections
+import typing as t
+
+import attrs
+
+from ..clocks import boot_s
+from .fleet import RunnerState
+from .learning import learning_key
+from .learning import RunTimes
+from .ledger import Ledger
+from .model import Attempt
+from .model import Job
+from .model import Occurrence
+from .model import StepRun
+from .model import Task
+from .model import TaskState
+from .overload import Choice
+from .overload import choose
+from .overload import OpenWork
+from .overload import WorkKey
+from .placement import outlook
+from .shares import Shares
+from .timeline import Capacity
+from .timeline import OpenStep
+
+__all__ = ["CHOICE_CACHE_S", "ForecastSink", "PoolChoices"]
+
+CHOICE_CACHE_S = 0.3
+"""How long the choice for a pool holds, as long as a step's urgency."""
+
+ForecastSink = t.Callable[[float], None]
+"""Takes by how many seconds a job started later than was forecast."""
+
+CapacityParts = tuple[tuple[float, float], ...]
+
+
+@attrs.frozen
+class _Cached:
+    at_s: float
+    choice: Choice | None
+
+
+class PoolChoices:
+    """Computes and caches the choices, and charges accounts for what is placed.
+
+    It does nothing where no account has a weight.
+
+    :param arriving: returns the cpu that is on its way into a pool, with the wall times
+        at which it will be usable.
+    :param on_forecast_error: called at the first start of a job with a forecast.
+    """
+
+    def __init__(self, ledger: Ledger, times: RunTimes, shares: Shares) -> None:
+        self._ledger = ledger
+        self._times = times
+        self._shares = shares
+        self._cached: dict[str, _Cached] = {}
+        self._jobs: dict[str, list[Job]] = {}
+        self._grouped_at_s: float | None = None
+        self.arriving: t.Callable[[str], CapacityParts] = lambda service: ()
+        self.on_forecast_error: ForecastSink = lambda error_s: None
+
+    def choice(
+        self,
+        service: str,
+        ready: t.Sequence[StepRun],
+        runners: t.Sequence[RunnerState],
+        now_s: float,
+    ) -> Choice | None:
+        """Return the order of a pool's work, or None if the pool is not overloaded.
+
+        :param ready: the steps that may get resources now. If all of them fit, their
+            order does not matter.
+        :param runners: the pool's usable runners.
+        """
+        if not self._shares.in_force:
+            return None
+        jobs = self._jobs_of(service, now_s)
+        self._shares.rebuild(service, jobs, runners, self._times, now_s)
+        cached = self._cached.get(service)
+        if cached is not None and 0 <= now_s - cached.at_s < CHOICE_CACHE_S:
+            return cached.choice
+        if _fit_together(ready, runners):
+            return None
+        jobs = self._jobs_of(service, now_s)
+        before = cached.choice if cached is not None else None
+        choice = choose(
+            self._open_works(jobs, before),
+            self._capacity(service, jobs, runners, now_s),
+            self._shares.standing(now_s),
+            now_s,
+            overloaded=before is not None,
+        )
+        self._cached[service] = _Cached(now_s, choice)
+        return choice
+
+    def open_works(self, service: str, now_s: float) -> list[OpenWork]:
+        """Return the open work of a pool, without long-running tasks."""
+        self._grouped_at_s = None
+        return self._open_works(self._jobs_of(service, now_s))
+
+    def work_of(self, occurrence: Occurrence) -> OpenWork:
+        """Return the open work of an occurrence."""
+        return self._open_work(occurrence, ())
+
+    def capacity(
+        self,
+        service: str,
+        runners: t.Sequence[RunnerState],
+        now_s: float,
+        further: CapacityParts = (),
+    ) -> Capacity:
+        """Return what a pool has for work that ends, now and later.
+
+        :param further: cpu that it can get in addition.
+        """
+        found = self._capacity(service, self._jobs_of(service, now_s), runners, now_s)
+        return Capacity(found.parts + further)
+
+    def note_placed(
+        self,
+        placed: t.Sequence[Attempt],
+        runners: t.Sequence[RunnerState],
+        now_s: float,
+    ) -> None:
+        """Charge accounts for tasks that are placed, and compare forecasts."""
+        if not placed or not self._shares.in_force:
+            return
+        tasks = [attempt.task for attempt in placed]
+        self._shares.charge(tasks, runners, self._times, now_s)
+        for task in tasks:
+            job = task.step.occurrence.job
+            if job.start_forecast_s is not None:
+                self.on_forecast_error(now_s - job.start_forecast_s)
+                job.start_forecast_s = None
+
+    def _jobs_of(self, service: str, now_s: float) -> list[Job]:
+        """Return a pool's open jobs; jobs are assigned to pools a few times a second.
+
+        Jobs that came since are behind those that were chosen.
+        """
+        at_s = self._grouped_at_s
+        if at_s is None or not 0 <= now_s - at_s < CHOICE_CACHE_S:
+            self._jobs = collections.defaultdict(list)
+            for job in self._ledger.open.values():
+                if not job.over:
+                    self._jobs[job.service].append(job)
+            self._grouped_at_s = now_s
+        return self._jobs.get(service, [])
+
+    def _capacity(
+        self,
+        service: str,
+        jobs: t.Iterable[Job],
+        runners: t.Iterable[RunnerState],
+        now_s: float,
+    ) -> Capacity:
+        cpu = sum(runner.cpu for runner in runners) - _long_running_cpu(jobs)
+        parts = ((now_s, float(max(0, cpu))), *self.arriving(service))
+        return Capacity(parts)
+
+    def _open_works(
+        self, jobs: t.Iterable[Job], before: Choice | None = None
+    ) -> list[OpenWork]:
+        """Return the open work of jobs.
+
+        :param before: the previous choice. What it left out and ran in a gap is not
+            preferred for having begun.
+        """
+        left_out = before.left_out if before is not None else {}
+        works = [
+            self._open_work(occurrence, left_out)
+            for job in jobs
+            if not job.over
+            for occurrence in job.occurrences.values()
+        ]
+        return [work for work in works if work.steps]
+
+    def _open_work(
+        self, occurrence: Occurrence, left_out: t.Container[WorkKey]
+    ) -> OpenWork:
+        job = occurrence.job
+        key = (job.job_id, occurrence.number)
+        _, latest_end_s = outlook(occurrence, self._times)
+        steps = [
+            self._open_step(step)
+            for step in occurrence.steps
+            if not (step.done or step.request.lasting or step.request.fills)
+        ]
+        begun = any(step.done for step in occurrence.steps)
+        begun = begun or any(step.running_cpu for step in steps)
+        return OpenWork(
+            key,
+            job.account,
+            tuple(steps),
+            occurrence.due_at_s,
+            latest_end_s,
+            job.accepted_at_s,
+            job.priority,
+            job.excess,
+            begun and key not in left_out,
+        )
+
+    def _open_step(self, step: StepRun) -> OpenStep:
+        request = step.request
+        run_s = self._times.expect_s(learning_key(step), request.estimate_ms)
+        placed = [task for task in step.tasks if task.state is TaskState.PLACED]
+        waiting = sum(task.state is TaskState.WAITING for task in step.tasks)
+        running_s = sum(_left_s(task, run_s) for task in placed) / max(1, len(placed))
+        return OpenStep(
+            step.number,
+            request.after,
+            run_s,
+            request.cpu * waiting,
+            request.cpu * len(placed),
+            running_s,
+        )
+
+
+def _left_s(task: Task, run_s: float) -> float:
+    """Return how long a placed task will probably still run."""
+    sent_s = max((attempt.sent_at_s for attempt in task.attempts), default=0.0)
+    if not sent_s:
+        return run_s
+    return max(0.0, run_s - (boot_s() - sent_s))
+
+
+def _fit_together(steps: t.Iterable[StepRun], runners: t.Iterable[RunnerState]) -> bool:
+    """Whether the free cpu certainly suffices for all steps that wait."""
+    free = sum(max(0, runner.free_cpu) for runner in runners)
+    wanted = sum(step.reserved_cpu * len(step.waiting()) for step in steps)
+    return 2 * wanted <= free
+
+
+def _long_running_cpu(jobs: t.Iterable[Job]) -> int:
+    """Return the cpu that long-running tasks use all the time."""
+    return sum(
+        step.reserved_cpu * len(step.tasks)
+        for job in jobs
+        for occurrence in job.occurrences.values()
+        for step in occurrence.steps
+        if step.request.lasting
+    )
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -12,6 +12,7 @@
 from ..clocks import boot_s
 from ..platform.runners import HoldReply
 from .accounts import LimitSource
+from .choices import PoolChoices
 from .crashes import Crashes
 from .crashes import describe
 from .crashes import started_last
@@ -32,6 +33,8 @@
 from .placement import Placement
 from .probation import begin_probation
 from .settings import EngineSettings
+from .shares import Shares
+from .shares import WeightSource
 
 __all__ = ["Engine"]
 
@@ -46,6 +49,7 @@
         once.
     :param are_limits_known: returns whether the configuration with these limits has
         been read. Until then, no task of an account is placed.
+    :param weights: returns the weights of the accounts in the newest configuration.
     """
 
     def __init__(
@@ -54,6 +58,7 @@
         settings: EngineSettings | None = None,
         limit_of: LimitSource = lambda account: None,
         are_limits_known: t.Callable[[], bool] = lambda: True,
+        weights: WeightSource = dict,
     ) -> None:
         self.settings = settings or EngineSettings()
         self.times = RunTimes()
@@ -75,14 +80,17 @@
         self.runners = self._ledger.runners
         self.accounts = self._ledger.accounts
         self.stops = self._ledger.stops
+        self.shares = Shares(weights)
+        self.choices = PoolChoices(self._ledger, self.times, self.shares)
         self.restarts = 0
         self.counts = self._ledger.counts
 
     # Jobs.
 
     def add(self, job: Job) -> None:
-        """Add a job, either new or read back from the store."""
+        """Add a job, either new or read back from the store, in accepted order."""
         self._ledger.add(job)
+        self.shares.accept(job)
 
     def cancel(self, job: Job) -> None:
         """Cancel a job that is not over and have its runs stopped."""
@@ -98,6 +106,7 @@
         for attempt in list(job.attempts()):
             self._ledger.remove(attempt, self.runners.get(attempt.runner_id))
         self._ledger.drop(job)
+        self.shares.withdraw(job)
 
     def forget(self, before_s: float) -> list[Job]:
         """Remove the jobs that ended before a wall time and return them."""
@@ -353,7 +362,8 @@
         largest = LargestFreeCapacity.among(runners)
         placed: list[Attempt] = []
         candidates = self._candidates(steps, largest, len(runners))
-        for step in order_steps(candidates, self.times, now_s):
+        choice = self.choices.choice(service, candidates, runners, now_s)
+        for step in order_steps(candidates, self.times, now_s, choice):
             last_resort = self._needs_last_resort(step)
             max_count = self._account_capacity(step)
             if not max_count or (not last_resort and not largest.may_fit(step)):
@@ -369,6 +379,7 @@
             if not attempts:
                 # Free capacity has decreased since it was computed.
                 largest = LargestFreeCapacity.among(runners)
+        self.choices.note_placed(placed, runners, now_s)
         return placed
 
     def _place_step(
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -11,6 +11,7 @@
 from ..platform.callers import JobRequest
 from ..platform.callers import StepRequest
 from ..platform.manifest import Route
+from .overload import Choice
 
 __all__ = [
     "Attempt",
@@ -329,6 +330,7 @@
     :param urgency: the cached sort key by which steps get resources; None if it has not
         been computed yet.
     :param urgency_at_s: wall time at which the sort key was computed.
+    :param urgency_choice: the choice by which the sort key was computed, if any.
     """
 
     occurrence: "Occurrence"
@@ -339,6 +341,7 @@
     waiting_logged: bool = False
     urgency: tuple[t.Any, ...] | None = None
     urgency_at_s: float = 0.0
+    urgency_choice: Choice | None = None
 
     @property
     def done(self) -> bool:
@@ -406,6 +409,10 @@
     :param left_in_inbox: another daemon acknowledged the job and left it in the store.
     :param account: the client account that submitted the job; empty if its route needed
         no key.
+    :param excess: the account had used up its weight when the job was accepted; set by
+        each holder from the jobs that it knows.
+    :param start_forecast_s: wall time at which its first run was expected when it was
+        accepted; None if there was no forecast, or once it has started.
     """
 
     job_id: str
@@ -427,6 +434,8 @@
     durable: bool = False
     left_in_inbox: bool = False
     account: str = ""
+    excess: bool = False
+    start_forecast_s: float | None = None
 
     @property
     def times(self) -> int:
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -12,6 +12,7 @@
 from .model import Occurrence
 from .model import StepRun
 from .model import Task
+from .overload import Choice
 from .probation import accepts_job
 from .probation import probation_runners
 
@@ -31,6 +32,12 @@
 day, which change slowly compared with the slack of a second or more that jobs have."""
 
 
+LARGE_TASK_LEAD_S = 0.1
+"""Chosen steps of an overloaded pool come this much earlier for each core of a task.
+Large tasks find room on a machine more rarely. Without it, the largest tenth of the
+jobs is in time 0.47 to 0.77 times as often as all, with it 0.68 to 0.77 times."""
+
+
 @attrs.frozen
 class Placement:
     """A task and the runner that is to run it."""
@@ -106,35 +113,58 @@
     return open_s, occurrence.due_at_s + objective_s
 
 
-def urgency(step: StepRun, times: RunTimes, now_s: float) -> tuple[t.Any, ...]:
+def urgency(
+    step: StepRun, times: RunTimes, now_s: float, choice: Choice | None = None
+) -> tuple[t.Any, ...]:
     """Return the sort key of a step; steps that sort first are placed first.
 
     Steps are sorted by priority. Within a priority, long-running tasks come first,
     since they are productive for as long as they run. Next come the jobs that can still
     meet their objective, those with the least slack first, and then all others, those
-    that should have started earliest first.
+    that should have started earliest first. In an overloaded pool the jobs that were
+    chosen to end in time come before all others.
+
+    :param choice: the order of an overloaded pool; None if the pool is not overloaded.
     """
     job = step.occurrence.job
     if step.request.lasting:
         return (job.priority, 0, 0, step.occurrence.due_at_s)
     open_s, latest_end_s = outlook(step.occurrence, times)
     latest_start_s = latest_end_s - open_s
+    if choice is not None:
+        key = (job.job_id, step.occurrence.number)
+        lead_s = LARGE_TASK_LEAD_S * step.reserved_cpu / 1000
+        place = choice.sort_key(key, job.excess, latest_start_s - lead_s)
+        return (job.priority, 1, *place)
     lost = now_s > latest_start_s
     return (job.priority, 1, lost, latest_start_s)
 
 
 def order_steps(
-    steps: t.Iterable[StepRun], times: RunTimes, now_s: float
+    steps: t.Iterable[StepRun],
+    times: RunTimes,
+    now_s: float,
+    choice: Choice | None = None,
 ) -> list[StepRun]:
-    """Return the steps in the order in which they are given resources."""
-    return sorted(steps, key=lambda step: _cached_urgency(step, times, now_s))
+    """Return the steps in the order in which they are given resources.
+
+    :param choice: the order of an overloaded pool; None if the pool is not overloaded.
+    """
+    return sorted(steps, key=lambda step: _cached_urgency(step, times, now_s, choice))
 
 
-def _cached_urgency(step: StepRun, times: RunTimes, now_s: float) -> tuple[t.Any, ...]:
-    """Return a step's urgency, recomputed only when the cached value is too old."""
-    if step.urgency is None or now_s - step.urgency_at_s > URGENCY_CACHE_S:
-        step.urgency = urgency(step, times, now_s)
+def _cached_urgency(
+    step: StepRun, times: RunTimes, now_s: float, choice: Choice | None
+) -> tuple[t.Any, ...]:
+    """Return a step's urgency, recomputed only when the cached value is too old.
+
+    Keys of different choices can't be compared.
+    """
+    old = now_s - step.urgency_at_s > URGENCY_CACHE_S
+    if step.urgency is None or old or step.urgency_choice is not choice:
+        step.urgency = urgency(step, times, now_s, choice)
         step.urgency_at_s = now_s
+        step.urgency_choice = choice
     return step.urgency
 
 
