Refuse new jobs that can't end in time in an overloaded pool

In an overload all jobs were accepted, also those that could only end when they were worth nothing.

The decision is taken only with known machines and without a free runner, never of a known job, and only after the inbox was read. Retry-After is when room is forecast, spread by the job's id. Starts of accepted jobs are compared with their forecasts.

holder/tests/test_forecasts.py: 17 tests, among them a new holder in a flood, changed weights, a removed account and a sender with an older configuration.

--- a/src/streamthread/holder/admission.py
+++ b/src/streamthread/holder/admission.py
@@ -1,5 +1,7 @@
 """Resolves a request's route and client account by the newest configuration."""
 
+import typing as t
+
 from ..cell import cell_pb2 as pb
 from ..platform.accounts import Limit
 from ..platform.manifest import Manifest
@@ -17,6 +19,9 @@
 
     def __init__(self, documents: ManifestSource) -> None:
         self._documents = documents
+        # The weights of the configuration for which they were computed last.
+        self._weighed: Manifest | None = None
+        self._weights: dict[str, float] = {}
 
     @property
     def manifest(self) -> Manifest | None:
@@ -44,6 +49,17 @@
         manifest = self.manifest
         return manifest.limit_of(account) if manifest is not None else None
 
+    def weights(self) -> t.Mapping[str, float] | None:
+        """Return the weight of each account; None if no configuration was read."""
+        manifest = self.manifest
+        if manifest is None:
+            return None
+        if manifest is not self._weighed:
+            accounts = manifest.accounts.values()
+            self._weights = {account.name: account.share for account in accounts}
+            self._weighed = manifest
+        return self._weights
+
     def authorize(self, request: pb.CallRequest) -> str | None:
         """Return the account of a request, or None if the request is not allowed.
 
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -18,10 +18,12 @@
 from ..platform.documents import Wave
 from ..platform.manifest import Pool
 from .context import DutySettings
+from .forecasts import CapacityParts
 from .machines import DutyKind
 from .machines import MachineTable
 from .machines import PendingDuty
 from .owner import DutyOwner
+from .pool_capacity import PoolCapacity
 from .sizes import PoolSizes
 from .waves import WavePlanner
 from .waves import WaveRegistry
@@ -69,6 +71,7 @@
             owner.context.notes,
         )
         self._sizes = PoolSizes(owner.engine, settings.capacity)
+        self._capacity = PoolCapacity()
         self._registry = WaveRegistry(owner, settings.tick_s)
         self._waves = WavePlanner(owner, self._registry, self._table, settings.upkeep)
         self.moves = 0
@@ -91,6 +94,14 @@
                 self._decide()
             await asyncio.sleep(self._settings.tick_s)
 
+    def arriving(self, pool: str) -> CapacityParts:
+        """Return the cpu that is on its way into a pool, and when it will be there."""
+        return self._capacity.arriving(pool)
+
+    def obtainable(self, pool: str) -> CapacityParts | None:
+        """Return the most cpu that a pool gets or may get; None if it is unknown."""
+        return self._capacity.obtainable(pool)
+
     def record_job(self, service: str, work: float, at_s: float) -> None:
         """Add a job's work to its pool's arrivals.
 
@@ -116,6 +127,7 @@
             )
             for machine in self._table.machines.values()
         }
+        self._capacity.update(views.values())
         targets = self._sizes.targets(pools, views.values())
         for wave in documents.waves.values():
             plan = self._waves.plan(wave, views, self._sizes.recent_max)
--- /dev/null
+++ b/src/streamthread/holder/forecasts.py
@@ -0,0 +1,259 @@
+"""Forecasts whether a new job can start in time, and refuses those that cannot."""
+
+import bisect
+import collections
+import hashlib
+import math
+import time
+import typing as t
+
+import attrs
+
+from ..scheduler import Engine
+from ..scheduler import Job
+from ..scheduler import RunnerState
+from ..scheduler.overload import choose
+from ..scheduler.overload import fair_order
+from ..scheduler.overload import OpenWork
+from ..scheduler.overload import Standing
+from ..scheduler.timeline import Capacity
+from ..scheduler.timeline import Timeline
+
+__all__ = ["CapacityParts", "ForecastErrors", "Forecasts", "Refusal"]
+
+CapacityParts = tuple[tuple[float, float], ...]
+"""Thousandths of a core, each with the wall time from which on they are there."""
+
+PROFILE_CACHE_S = 0.3
+"""How long the profile of a pool holds. What is accepted since is added to it."""
+
+LATE_FACTOR = 3.0
+"""A job is worth something until this multiple of its objective."""
+
+MIN_RETRY_S = 1.0
+MAX_RETRY_S = 20.0
+"""Callers return no earlier than the first, and room is not forecast beyond the second.
+"""
+
+MIN_SPREAD_S = 1.5
+RETRY_SPREAD = 0.5
+"""Callers return over this time after there is room, or over this part of the time
+until then if that is longer, so as not to return together."""
+
+ERROR_BOUNDS_S = (-1.0, -0.3, -0.1, 0.1, 0.3, 1.0, 3.0, 10.0)
+"""Upper bounds of the histogram of errors; positive where a job started later."""
+
+
+@attrs.frozen
+class Refusal:
+    """Why a job can't start in time, and when there will be room.
+
+    :param inputs: what the forecast was made of, for the log.
+    """
+
+    reason: str
+    retry_after_s: float
+    inputs: dict[str, t.Any]
+
+
+class ForecastErrors:
+    """A histogram of how much later jobs started than was forecast."""
+
+    def __init__(self) -> None:
+        self._counts = [0] * (len(ERROR_BOUNDS_S) + 1)
+        self.sum_s = 0.0
+
+    def observe(self, error_s: float) -> None:
+        """Add one job."""
+        self._counts[bisect.bisect_left(ERROR_BOUNDS_S, error_s)] += 1
+        self.sum_s += error_s
+
+    def buckets(self) -> list[tuple[str, float]]:
+        """Return the cumulative counts by upper bound, as Prometheus has them."""
+        bounds = [*map(str, ERROR_BOUNDS_S), "+Inf"]
+        total = 0
+        found: list[tuple[str, float]] = []
+        for bound, count in zip(bounds, self._counts, strict=True):
+            total += count
+            found.append((bound, float(total)))
+        return found
+
+
+class _Profile:
+    """What is left of the most that a pool can have, after its open work."""
+
+    def __init__(
+        self,
+        works: t.Sequence[OpenWork],
+        capacity: Capacity,
+        standing: Standing,
+        now_s: float,
+    ) -> None:
+        self.at_s = now_s
+        self.capacity = capacity
+        self._standing = standing
+        self._open: dict[str, float] = collections.defaultdict(float)
+        self._open_within: dict[str, float] = collections.defaultdict(float)
+        choice = choose(works, capacity, standing, now_s)
+        self._all = Timeline(capacity, now_s)
+        self._within = Timeline(capacity, now_s)
+        steps = [step for work in works for step in work.steps]
+        for timeline in (self._all, self._within):
+            timeline.reserve_running(steps)
+        for work in fair_order(works, standing, capacity.rate):
+            self._count(work)
+            if choice is None or work.key in choice.chosen:
+                self._all.reserve(work.steps, work.latest_end_s)
+            if not work.excess:
+                self._within.reserve(work.steps, _worthless_s(work))
+
+    def _count(self, work: OpenWork) -> None:
+        self._open[work.account] += work.work
+        if not work.excess:
+            self._open_within[work.account] += work.work
+
+    def add(self, work: OpenWork) -> float | None:
+        """Reserve capacity for a new job.
+
+        :return: when it will start, or None if it surely can't end in time. Time is its
+            objective for excess, and otherwise ``LATE_FACTOR`` times that.
+        """
+        end_s = work.latest_end_s if work.excess else _worthless_s(work)
+        timeline = self._all if work.excess else self._within
+        found = timeline.reserve(work.steps, end_s)
+        if found is None and not self._is_within_share(work, end_s):
+            return None
+        self._count(work)
+        if work.excess:
+            return found.start_s if found is not None else self.at_s
+        in_time = self._all.reserve(work.steps, work.latest_end_s)
+        expected = in_time or found
+        return expected.start_s if expected is not None else self.at_s
+
+    def _is_within_share(self, work: OpenWork, end_s: float) -> bool:
+        """Whether the open work of an account is less than its share until a time.
+
+        Its work then comes before that of accounts that have more.
+        """
+        open_work = self._open if work.excess else self._open_within
+        weights = self._standing.weights
+        active = {name for name, amount in open_work.items() if amount > 0}
+        total = sum(weights.get(name, 0.0) for name in active | {work.account})
+        if total <= 0:
+            return False
+        share = weights.get(work.account, 0.0) / total
+        own = open_work.get(work.account, 0.0) + work.work
+        return own <= share * self.capacity.between(self.at_s, end_s)
+
+    def backlog(self, excess: bool) -> float:
+        """Return the open work that is before excess, or before other work."""
+        return sum((self._open if excess else self._open_within).values())
+
+
+class Forecasts:
+    """Judges new jobs by the open work of their pools and the most they can get.
+
+    :param capacity: returns the cpu that is on its way into a pool or that it may get,
+        or None if the machines are not known; no job is refused then.
+    :param errors: how much later jobs started than was forecast.
+    """
+
+    def __init__(
+        self, engine: Engine, capacity: t.Callable[[str], CapacityParts | None]
+    ) -> None:
+        self._engine = engine
+        self._capacity = capacity
+        self._profiles: dict[str, _Profile] = {}
+        self._runners: dict[str, list[RunnerState]] = {}
+        self.errors = ForecastErrors()
+        engine.choices.on_forecast_error = self.errors.observe
+
+    def judge(self, job: Job) -> Refusal | None:
+        """Return why a new job is refused, or None; its start is forecast then."""
+        if not self._engine.shares.in_force or not _is_forecast(job):
+            return None
+        further = self._capacity(job.service)
+        if further is None:
+            return None
+        now_s = time.time()
+        profile = self._profile(job.service, further, now_s)
+        if self._has_free_runner(job):
+            job.start_forecast_s = now_s
+            return None
+        if profile.capacity.rate <= 0:
+            return None
+        work = self._work_of(job)
+        start_s = profile.add(work)
+        if start_s is not None:
+            job.start_forecast_s = max(now_s, start_s)
+            return None
+        return _refuse(job, work, profile, now_s)
+
+    def _profile(self, service: str, further: CapacityParts, now_s: float) -> _Profile:
+        known = self._profiles.get(service)
+        if known is not None and 0 <= now_s - known.at_s < PROFILE_CACHE_S:
+            return known
+        engine = self._engine
+        runners = [r for r in engine.runners.values() if r.service == service]
+        usable = [runner for runner in runners if runner.usable()]
+        profile = _Profile(
+            engine.choices.open_works(service, now_s),
+            engine.choices.capacity(service, usable, now_s, further),
+            engine.shares.standing(now_s),
+            now_s,
+        )
+        self._profiles[service], self._runners[service] = profile, runners
+        return profile
+
+    def _has_free_runner(self, job: Job) -> bool:
+        """Whether a task of a step that may begin at once fits on a runner."""
+        first = [step for step in job.request.steps if not step.after]
+        return any(
+            runner.usable() and runner.fits(step.cpu, step.memory_mb, step.gpu)
+            for runner in self._runners[job.service]
+            for step in first
+        )
+
+    def _work_of(self, job: Job) -> OpenWork:
+        """Return the work of a job that is not accepted yet."""
+        shares = self._engine.shares
+        excess = shares.would_exceed(job.account, job.accepted_at_s)
+        trial = attrs.evolve(job, occurrences={}, done_times=set(), excess=excess)
+        return self._engine.choices.work_of(trial.begin(0))
+
+
+def _is_forecast(job: Job) -> bool:
+    """Whether a job's start is forecast: it ends, and it begins at once."""
+    if job.request.times > 0 or not job.request.steps:
+        return False
+    return not any(step.lasting or step.fills for step in job.request.steps)
+
+
+def _worthless_s(work: OpenWork) -> float:
+    """Return the wall time from which on work is worth nothing."""
+    return work.due_s + LATE_FACTOR * (work.latest_end_s - work.due_s)
+
+
+def _refuse(job: Job, work: OpenWork, profile: _Profile, now_s: float) -> Refusal:
+    """Return the refusal of a job, with the time at which there will be room."""
+    end_s = work.latest_end_s if work.excess else _worthless_s(work)
+    backlog = profile.backlog(work.excess)
+    rate = profile.capacity.between(end_s, end_s + 1.0)
+    room_s = (backlog + work.work) / rate - (end_s - now_s)
+    room_s = min(MAX_RETRY_S, max(0.0, room_s))
+    digest = hashlib.blake2b(job.job_id.encode(), digest_size=2).digest()
+    spread_s = max(MIN_SPREAD_S, RETRY_SPREAD * room_s)
+    retry_s = room_s + spread_s * int.from_bytes(digest) / 65_536
+    what = "its account's excess" if work.excess else "the job"
+    return Refusal(
+        f"the pool is overloaded: {what} can't end in time",
+        float(math.ceil(max(MIN_RETRY_S, retry_s))),
+        {
+            "excess": work.excess,
+            "work": round(work.work),
+            "backlog": round(backlog),
+            "cpu": round(profile.capacity.rate),
+            "left_s": round(end_s - now_s, 3),
+            "room_s": round(room_s, 3),
+        },
+    )
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -24,6 +24,8 @@
 from ..unreadable import Source
 from ..unreadable import UnreadableNotes
 from .admission import AdmissionPolicy
+from .forecasts import Forecasts
+from .forecasts import Refusal
 from .inbox import InboxEntry
 from .inbox import InboxOwner
 from .inbox import InboxReader
@@ -51,7 +53,9 @@
     :param on_accepted: called with each new job, before the job is durable.
     :param kick: schedules a pass over the queue.
     :param notes: collects reports of jobs that can't be decoded.
+    :param forecasts: judges whether a new job can start in time; None accepts all.
     :param refused: number of submissions refused because of their account, by account.
+    :param refused_overload: number refused because they could not end in time.
     :param retain_cancels_s: how long the cancel of an unknown job is retained while the
         job may still arrive.
     """
@@ -69,7 +73,10 @@
         kick: t.Callable[[], None],
         retain_cancels_s: float,
         notes: UnreadableNotes | None = None,
+        forecasts: Forecasts | None = None,
     ) -> None:
+        self._forecasts = forecasts
+        self.refused_overload: dict[str, int] = {}
         self._notes = notes or UnreadableNotes()
         # Accepted jobs with a row that can't be decoded.
         self._excluded: set[str] = set()
@@ -191,6 +198,8 @@
             if refusal is not None:
                 return refusal
             found = self._engine.jobs.get(request.job_id) or self._submit_new(request)
+            if isinstance(found, Refusal):
+                found = await self._refuse_for_overload(request, found)
             if isinstance(found, pb.CallReply):
                 return found
             job = found
@@ -217,7 +226,7 @@
             return _refuse("the store does not return the inbox")
         return None
 
-    def _submit_new(self, request: pb.CallRequest) -> Job | pb.CallReply:
+    def _submit_new(self, request: pb.CallRequest) -> Job | pb.CallReply | Refusal:
         """Accept a new job, or return the reason for a refusal."""
         route = self._admission.route(request.route)
         version, account = request.configuration_version, request.account
@@ -232,7 +241,43 @@
         refusal = over_limit(job, self._admission.limit_of(account))
         if refusal:
             return self._refuse_for_account(account, refusal)
-        return self._accept(job)
+        overload = self._forecasts.judge(job) if self._forecasts is not None else None
+        return overload if overload is not None else self._accept(job)
+
+    async def _refuse_for_overload(
+        self, request: pb.CallRequest, refusal: Refusal
+    ) -> Job | pb.CallReply:
+        """Refuse a job that can't end in time, unless it is in the inbox.
+
+        Another daemon may have acknowledged it, or an earlier try may have left it
+        there without an answer. The refusal would be false then, since the job runs.
+        """
+        try:
+            await self._inbox().catch_up()
+        except (StoreUnavailableError, OutcomeUnknownError):
+            return _refuse("the store does not return the inbox")
+        job = self._engine.jobs.get(request.job_id)
+        if job is not None:
+            return job
+        if self._inbox().has_waiting_job(request.job_id, request.account):
+            return pb.CallReply(outcome=pb.UNCERTAIN)
+        account = request.account
+        self.refused_overload[account] = self.refused_overload.get(account, 0) + 1
+        log.info(
+            "job-refused",
+            extra={
+                "job": request.job_id,
+                "route": request.route,
+                "account": account,
+                "retry_after_s": refusal.retry_after_s,
+                **refusal.inputs,
+            },
+        )
+        return pb.CallReply(
+            outcome=pb.REFUSED,
+            reason=refusal.reason,
+            retry_after_s=refusal.retry_after_s,
+        )
 
     def _accept(self, job: Job) -> Job:
         """Accept a job; it may be acknowledged once it is durable.
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -34,6 +34,8 @@
 from .advice import AdviceCache
 from .context import HolderContext
 from .duties import DutyLoop
+from .forecasts import CapacityParts
+from .forecasts import Forecasts
 from .housekeeping import Housekeeping
 from .inbox import InboxReader
 from .intake import Intake
@@ -80,6 +82,7 @@
             self.settings.engine,
             self.admission.limit_of,
             self.admission.are_limits_known,
+            self.admission.weights,
         )
         self.active = False
         self.log = self._open_log()
@@ -103,6 +106,8 @@
             self._runner_manager,
             context.notes,
         )
+        self.forecasts = Forecasts(self.engine, self._obtainable)
+        self.engine.choices.arriving = self._arriving
         self.intake = self._open_intake()
         self.inbox = self._open_inbox()
         self._housekeeping = Housekeeping(self, self.inbox, self.intake)
@@ -149,8 +154,17 @@
             self.kick,
             self.settings.forget_s,
             self.context.notes,
+            self.forecasts,
         )
 
+    def _obtainable(self, pool: str) -> CapacityParts | None:
+        """Return what a pool gets or may get; None if its machines are unknown."""
+        return self.duties.obtainable(pool) if self.duties is not None else None
+
+    def _arriving(self, pool: str) -> CapacityParts:
+        """Return what is on its way into a pool."""
+        return self.duties.arriving(pool) if self.duties is not None else ()
+
     def _open_inbox(self) -> InboxReader:
         feed = TableFeed(
             self.context.store,
@@ -222,7 +236,7 @@
         replayed = await read_with_retry(
             lambda: read_jobs(self.context.store, self.settings.part), "replay-failed"
         )
-        for job in replayed.jobs:
+        for job in sorted(replayed.jobs, key=lambda job: job.accepted_at_s):
             self.engine.add(job)
             self._record_arrival(job)
         for job_id, error in replayed.unreadable.items():
--- /dev/null
+++ b/src/streamthread/holder/tests/test_forecasts.py
@@ -0,0 +1,237 @@
+"""Which new jobs are refused in an overload, and what a refusal promises."""
+
+import json
+import time
+import typing as t
+
+import pytest
+
+from streamthread.cell import cell_pb2 as pb
+from streamthread.errors import StoreUnavailableError
+from streamthread.holder.forecasts import CapacityParts
+from streamthread.holder.forecasts import Forecasts
+from streamthread.holder.inbox import InboxEntry
+from streamthread.platform.manifest import decode_manifest
+from streamthread.platform.manifest import Manifest
+from streamthread.scheduler import RunnerState
+
+from .test_intake import Cell
+
+CPU = 4_000
+JOB = {"spec": "", "steps": [{"count": 4, "cpu": 1000, "estimateMs": 1000}]}
+BODY = json.dumps(JOB).encode()
+
+
+def manifest(version: int = 1, **weights: float) -> Manifest:
+    """Return a configuration; each account is given by its weight."""
+    value = {
+        "version": version,
+        "routes": [
+            {
+                "name": "route",
+                "host": "host",
+                "service": "desk",
+                "stretch": 1.6,
+                "targetLatencyMs": 600,
+            }
+        ],
+        "services": [],
+        "tenants": [{"name": name, "weight": w} for name, w in weights.items()],
+    }
+    return decode_manifest(json.dumps(value).encode()).manifest
+
+
+class _Pool(Cell):
+    """An intake in front of a pool of one runner that runs one job a second."""
+
+    def __init__(self, **weights: float) -> None:
+        super().__init__()
+        self.documents.manifest = manifest(**weights)
+        self.commits.may_commit.set()
+        self.further: CapacityParts | None = ()
+        self.engine.shares = type(self.engine.shares)(self._weights)
+        self.engine.choices._shares = self.engine.shares
+        self.intake._forecasts = Forecasts(self.engine, lambda pool: self.further)
+        self.count = 0
+        runner = RunnerState("i-1", "desk", "x:1", "z", ("a",), CPU, 1 << 20, 0)
+        runner.ready = True
+        self.engine.add_runner(runner)
+
+    def _weights(self) -> dict[str, float]:
+        accounts = self.documents.manifest.accounts.values()
+        return {account.name: account.share for account in accounts}
+
+    async def submit(self, account: str = "ann", job_id: str = "") -> pb.CallReply:
+        self.count += 1
+        request = self.request(pb.SUBMIT, job_id or f"{self.count:016x}")
+        request.job = BODY
+        request.account = account
+        request.configuration_version = self.documents.manifest.version
+        request.pool = "desk"
+        reply = await self.intake.answer(request)
+        self.engine.begin_due(time.time())
+        self.engine.place_all(time.time(), lambda step: None)
+        return reply
+
+    async def flood(self, count: int, account: str = "ann") -> list[pb.CallReply]:
+        return [await self.submit(account) for _ in range(count)]
+
+    @property
+    def accepted(self) -> int:
+        return len(self.engine.jobs)
+
+
+class TestRefusal:
+    async def test_excess_goes_once_it_can_not_end_in_time(self) -> None:
+        pool = _Pool(ann=1.0, bob=1.0)
+        replies = await pool.flood(30)
+        refused = [reply for reply in replies if reply.outcome == pb.REFUSED]
+        assert replies[0].outcome == pb.OK
+        assert 24 <= len(refused) <= 29
+        assert pool.accepted == 30 - len(refused)
+        assert pool.intake.refused_overload == {"ann": len(refused)}
+
+    async def test_work_within_the_weight_goes_only_when_it_is_worth_nothing(
+        self,
+    ) -> None:
+        pool = _Pool(ann=90.0, bob=90.0)
+        replies = await pool.flood(30)
+        refused = sum(reply.outcome == pb.REFUSED for reply in replies)
+        # Three objectives of 2.2 s hold six jobs of this pool.
+        assert 5 <= 30 - refused <= 8
+
+    async def test_another_account_is_accepted_in_the_flood(self) -> None:
+        pool = _Pool(ann=90.0, bob=90.0)
+        await pool.flood(30)
+        assert (await pool.submit("bob")).outcome == pb.OK
+
+    async def test_says_when_to_return_and_spreads_callers(self) -> None:
+        pool = _Pool(ann=1.0)
+        replies = await pool.flood(60)
+        waits_s = {r.retry_after_s for r in replies if r.outcome == pb.REFUSED}
+        assert min(waits_s) >= 1.0
+        assert len(waits_s) > 1
+        assert all(wait_s == int(wait_s) for wait_s in waits_s)
+
+    async def test_leaves_nothing_behind(self) -> None:
+        """A later try under the same id is a decision of its own."""
+        pool = _Pool(ann=1.0)
+        await pool.flood(20)
+        known = set(pool.engine.jobs)
+        job_id = "f" * 16
+        assert (await pool.submit(job_id=job_id)).outcome == pb.REFUSED
+        assert set(pool.engine.jobs) == known
+        assert not any(key == job_id for _, key in pool.commits.marked)
+        for job in list(pool.engine.open_jobs()):
+            pool.engine.withdraw(job)
+        assert (await pool.submit(job_id=job_id)).outcome == pb.OK
+
+
+class TestNoRefusal:
+    async def test_where_no_account_has_a_weight(self) -> None:
+        pool = _Pool(ann=0.0)
+        assert all(reply.outcome == pb.OK for reply in await pool.flood(30))
+
+    async def test_of_a_job_for_which_a_runner_is_free(self) -> None:
+        pool = _Pool(ann=1.0)
+        pool.further = ()
+        await pool.flood(20)
+        for _ in range(3):
+            runner = RunnerState(
+                f"j-{pool.count}", "desk", "x:1", "z", ("a",), CPU, 1 << 20, 0
+            )
+            runner.ready = True
+            pool.engine.add_runner(runner)
+            pool.intake._forecasts._profiles.clear()  # type: ignore[union-attr]
+            assert (await pool.submit()).outcome == pb.OK
+
+    async def test_while_the_machines_are_unknown(self) -> None:
+        pool = _Pool(ann=1.0)
+        pool.further = None
+        assert all(reply.outcome == pb.OK for reply in await pool.flood(30))
+
+    async def test_while_machines_are_on_their_way(self) -> None:
+        pool = _Pool(ann=1.0)
+        pool.further = ((time.time(), 100.0 * CPU),)
+        assert all(reply.outcome == pb.OK for reply in await pool.flood(30))
+
+    async def test_of_a_known_job(self) -> None:
+        pool = _Pool(ann=1.0)
+        await pool.flood(20)
+        known = next(iter(pool.engine.jobs))
+        assert (await pool.submit(job_id=known)).outcome == pb.OK
+
+    async def test_of_a_job_that_the_inbox_has(self) -> None:
+        """Another daemon may have acknowledged it, and it runs."""
+        pool = _Pool(ann=1.0)
+        await pool.flood(20)
+        entry = InboxEntry("e" * 16, "route", BODY.decode(), 1, "desk", "ann")
+        pool.inbox.arriving = lambda: pool.intake.accept_from_inbox(entry)
+        assert (await pool.submit(job_id=entry.job_id)).outcome == pb.OK
+
+    async def test_that_would_be_untrue_as_the_inbox_is_unreadable(self) -> None:
+        pool = _Pool(ann=1.0)
+        await pool.flood(20)
+
+        def fail() -> None:
+            raise StoreUnavailableError("down", remedy="-")
+
+        pool.inbox.arriving = fail
+        reply = await pool.submit()
+        assert reply.outcome == pb.REFUSED
+        assert pool.intake.refused_overload["ann"] < 20
+
+
+class TestPartialFailures:
+    async def test_a_new_holder_refuses_as_the_one_before(self) -> None:
+        """A change of holder neither forgives a flood nor punishes an account."""
+        pool = _Pool(ann=1.0, bob=1.0)
+        await pool.flood(20)
+        after = _Pool(ann=1.0, bob=1.0)
+        after.count = 1_000
+        jobs = sorted(pool.engine.jobs.values(), key=lambda job: job.accepted_at_s)
+        marks = [job.excess for job in jobs]
+        for job in jobs:
+            job.excess = False
+            after.engine.add(job)
+        assert [job.excess for job in jobs] == marks
+        assert (await after.submit("ann")).outcome == pb.REFUSED
+
+    async def test_new_weights_count_at_once(self) -> None:
+        pool = _Pool(ann=1.0)
+        accepted = [reply.outcome for reply in await pool.flood(20)].count(pb.OK)
+        pool.documents.manifest = manifest(2, ann=90.0)
+        assert [r.outcome for r in await pool.flood(20)].count(pb.OK) > 0
+        assert pool.accepted > accepted
+
+    async def test_jobs_of_a_removed_account_run_on(self) -> None:
+        pool = _Pool(ann=9.0, bob=9.0)
+        await pool.flood(20)
+        accepted = pool.accepted
+        pool.documents.manifest = manifest(2, bob=9.0)
+        pool.engine.place_all(time.time() + 1, lambda step: None)
+        assert pool.accepted == accepted
+        assert not any(job.over for job in pool.engine.jobs.values())
+
+    async def test_an_older_sender_is_judged_by_the_newest_weights(self) -> None:
+        pool = _Pool(ann=90.0)
+        pool.documents.manifest = manifest(7, ann=1.0)
+        request: t.Any = None
+        outcomes = []
+        for number in range(20):
+            request = pool.request(pb.SUBMIT, f"{number:016x}")
+            request.job, request.account = BODY, "ann"
+            request.configuration_version, request.pool = 6, "desk"
+            outcomes.append((await pool.intake.answer(request)).outcome)
+            pool.engine.begin_due(time.time())
+            pool.engine.place_all(time.time(), lambda step: None)
+        assert outcomes.count(pb.REFUSED) >= 14
+
+
+async def test_the_forecast_is_compared_with_the_start() -> None:
+    pool = _Pool(ann=90.0)
+    assert pool.intake._forecasts is not None
+    await pool.submit()
+    buckets = pool.intake._forecasts.errors.buckets()
+    assert buckets[-1] == ("+Inf", 1.0)
+    assert pool.intake._forecasts.errors.sum_s == pytest.approx(0.0, abs=0.2)
--- a/src/streamthread/holder/tests/test_intake.py
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -79,9 +79,11 @@
         self.down = False
         self.reads = 0
         self.waiting: set[str] = set()
+        self.arriving: t.Callable[[], t.Any] = lambda: None
 
     async def catch_up(self) -> None:
         self.reads += 1
+        self.arriving()
         if self.down:
             raise StoreUnavailableError("down", remedy="-")
 
