Size pools for work within the weights first

An account's excess made its pool grow, from machines that other pools needed.

Targets, bursts and forecasts count work within the weights. The size for all work is planned after them, from machines that no pool needs, and keeps machines from the spare pool. Without excess the plans are as before.

capacity/tests/test_plan.py shows that the moves for needs are the same with any excess (property), holder/tests/test_sizes.py that excess is no need.

--- a/src/streamthread/capacity/plan.py
+++ b/src/streamthread/capacity/plan.py
@@ -89,14 +89,18 @@
 class PoolView:
     """One pool and the number of machines that it should have.
 
+    :param target: the size for the work within the accounts' weights.
     :param keep: the pool gives no machines to the spare pool below this size, but it
         does give them to other pools.
+    :param with_excess: the size for all work, if that is more than the target. Only
+        what no pool needs is used for it.
     """
 
     name: str
     is_spare: bool
     target: int = 0
     keep: int = 0
+    with_excess: int = 0
 
 
 @attrs.frozen
@@ -129,7 +133,8 @@
 
     Only idle machines move. A pool that lacks machines gets them from the spare pool,
     then directly from pools that have idle machines above their target. Machines that
-    have been idle for ``idle_s`` and that no pool needs go to the spare pool.
+    have been idle for ``idle_s`` and that no pool needs go to the spare pool. What is
+    left after the targets is given to pools with excess.
     """
     spares = [pool.name for pool in pools if pool.is_spare]
     shortages = {
@@ -140,12 +145,50 @@
     available = _from_spares(spares, machines)
     available += _from_surplus(shortages, machines, settings)
     moves = _moves_to_shortages(shortages, available)
+    moves += _moves_for_excess(pools, machines, available, moves)
     if spares:
         idle = [m for m in available if m.idle_for_s >= settings.idle_s]
         moves += _moves_to_spare(pools, machines, idle, moves, spares[0])
     return moves[: settings.most_moves]
 
 
+def _moves_for_excess(
+    pools: t.Iterable[PoolView],
+    machines: t.Sequence[MachineView],
+    available: list[MachineView],
+    moves: t.Iterable[Move],
+) -> list[Move]:
+    """Return moves of machines that no pool needs to pools with excess.
+
+    A pool keeps what its own excess needs. The machines are removed from ``available``.
+
+    :param available: machines of spare pools, and idle ones that pools do not need.
+    :param moves: the moves that are already planned.
+    """
+    wanting = [pool for pool in pools if pool.with_excess > pool.target]
+    if not wanting:
+        return []
+    incoming = collections.Counter(move.target for move in moves)
+    leaving = collections.Counter(move.source for move in moves)
+    shortages: dict[str, int] = {}
+    for pool in wanting:
+        present = _present(pool.name, machines)
+        present += incoming[pool.name] - leaving[pool.name]
+        shortages[pool.name] = pool.with_excess - present
+    kept = {name: -missing for name, missing in shortages.items()}
+    free: list[MachineView] = []
+    for machine in list(available):
+        if machine.pool in kept:
+            if kept[machine.pool] <= 0:
+                continue
+            kept[machine.pool] -= 1
+        free.append(machine)
+        available.remove(machine)
+    found = _moves_to_shortages(shortages, free)
+    available += free
+    return found
+
+
 def _moves_to_spare(
     pools: t.Iterable[PoolView],
     machines: t.Sequence[MachineView],
@@ -159,7 +202,9 @@
     """
     leaving = collections.Counter(move.source for move in moves)
     may_leave = {
-        pool.name: _present(pool.name, machines) - pool.keep - leaving[pool.name]
+        pool.name: _present(pool.name, machines)
+        - max(pool.keep, pool.with_excess)
+        - leaving[pool.name]
         for pool in pools
         if not pool.is_spare
     }
--- a/src/streamthread/capacity/tests/test_plan.py
+++ b/src/streamthread/capacity/tests/test_plan.py
@@ -1,12 +1,15 @@
 """Moves between pools, for arbitrary views."""
 
 import collections
+import typing as t
 
+import attrs
 from hypothesis import given
 from hypothesis import strategies as st
 
 from streamthread.capacity import CapacitySettings
 from streamthread.capacity import MachineView
+from streamthread.capacity import Move
 from streamthread.capacity import plan_moves
 from streamthread.capacity import PoolView
 from streamthread.capacity import target_size
@@ -122,3 +125,56 @@
 
     def test_allows_the_spread_of_long_running_tasks(self) -> None:
         assert target_size(Demand(0, 0, 7), 16000, 32768, SETTINGS) == 7
+
+
+class TestExcess:
+    """Guards against a flood that takes machines that another pool needs."""
+
+    MACHINES = tuple(
+        MachineView(f"{pool}-{n}", pool, "r", 1, 1, True, pool != "spare")
+        for pool, count in (("one", 2), ("two", 2), ("spare", 3))
+        for n in range(count)
+    )
+
+    @staticmethod
+    def _targets(moves: t.Iterable[Move]) -> list[str]:
+        return sorted(move.target for move in moves)
+
+    def test_gets_what_no_pool_needs(self) -> None:
+        pools = [
+            PoolView("one", False, 2, with_excess=9),
+            PoolView("two", False, 4),
+            PoolView("spare", True),
+        ]
+        moves = plan_moves(pools, self.MACHINES, SETTINGS)
+        assert self._targets(moves) == ["one", "two", "two"]
+
+    def test_gives_idle_machines_to_the_need_of_others(self) -> None:
+        pools = [
+            PoolView("one", False, 1, with_excess=9),
+            PoolView("two", False, 6),
+            PoolView("spare", True),
+        ]
+        moves = plan_moves(pools, self.MACHINES, SETTINGS)
+        assert self._targets(moves) == ["two"] * 4
+
+    def test_keeps_machines_from_the_spare_pool(self) -> None:
+        idle = [attrs.evolve(machine, idle_for_s=9.0) for machine in self.MACHINES[:2]]
+        pools = [PoolView("one", False, 0, with_excess=2), PoolView("spare", True)]
+        assert plan_moves(pools, idle, SETTINGS) == []
+        pools = [PoolView("one", False, 0), PoolView("spare", True)]
+        assert self._targets(plan_moves(pools, idle, SETTINGS)) == ["spare", "spare"]
+
+    @given(machine_lists, st.integers(0, 8), st.integers(0, 8), st.integers(0, 12))
+    def test_takes_nothing_from_the_needs(
+        self, machines: list[MachineView], one: int, two: int, with_excess: int
+    ) -> None:
+        needs = plan_moves(_pools(one, two), machines, SETTINGS)
+        pools = [
+            PoolView("one", False, one, with_excess=with_excess),
+            *_pools(one, two)[1:],
+        ]
+        moves = plan_moves(pools, machines, SETTINGS)
+        assert len({move.machine_id for move in moves}) == len(moves)
+        for_needs = [move for move in needs if move.target != "spare"]
+        assert moves[: len(for_needs)] == for_needs
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -157,6 +157,7 @@
                 pool.is_spare,
                 self._wanted_size(pool.name, targets),
                 max(retained_machines.get(pool.name, 0), recent_max.get(pool.name, 0)),
+                self._sizes.with_excess.get(pool.name, 0),
             )
             for pool in pools
         ]
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -315,7 +315,8 @@
 
     def _record_arrival(self, job: Job) -> None:
         """Report a job's arrival, here or at an earlier holder, to the duties."""
-        if self.duties is None:
+        if self.duties is None or job.excess:
+            # Excess gets only what no pool needs, so it is no burst.
             return
         work = job_work(job, self.engine.times)
         if work:
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -50,6 +50,8 @@
     (pools of six machines whose turn needs ten, in virtual time).
 
     :param recent_max: the highest size that each pool has needed in the recent past.
+    :param with_excess: the size that each pool needs for all its work, by pool. Targets
+        are for the work within the accounts' weights.
     """
 
     def __init__(self, engine: Engine, settings: CapacitySettings) -> None:
@@ -60,6 +62,7 @@
         self._early_jobs: list[_EarlyJob] = []
         self._history: dict[str, collections.deque[tuple[float, int]]] = {}
         self.recent_max: dict[str, int] = {}
+        self.with_excess: dict[str, int] = {}
         # Each pool's needed cpu, forecast cpu of arrivals and needed size, for the log.
         self._demands: dict[str, tuple[int, int, int]] = {}
         self._began_at_s = boot_s()
@@ -104,11 +107,17 @@
         now_s = boot_s()
         self._learn_machine_size(views)
         jobs: dict[str, list[Job]] = collections.defaultdict(list)
+        excess: dict[str, list[Job]] = collections.defaultdict(list)
         for job in self._engine.open_jobs():
             if not job.over:
-                jobs[job.service].append(job)
+                (excess if job.excess else jobs)[job.service].append(job)
+        self.with_excess = {}
         targets: dict[str, int] = {}
         for name in [pool.name for pool in pools if not pool.is_spare]:
+            if name in excess:
+                all_jobs = jobs[name] + excess[name]
+                wanted = self._wanted(name, all_jobs, views, now_s)
+                self.with_excess[name] = wanted
             targets[name] = self._wanted(name, jobs[name], views, now_s)
             self.recent_max[name] = self._recent_max(name, targets[name], now_s)
         return targets
--- a/src/streamthread/holder/tests/test_sizes.py
+++ b/src/streamthread/holder/tests/test_sizes.py
@@ -9,8 +9,11 @@
 from streamthread.capacity import MachineView
 from streamthread.holder import sizes
 from streamthread.holder.sizes import PoolSizes
+from streamthread.platform.callers import JobRequest
+from streamthread.platform.callers import StepRequest
 from streamthread.platform.manifest import Pool
 from streamthread.scheduler import Engine
+from streamthread.scheduler import Job
 
 SETTINGS = CapacitySettings()
 VIEWS = [
@@ -100,3 +103,20 @@
         views = [attrs.evolve(view, lost_share=0.9) for view in VIEWS]
         expected = dict.fromkeys(("one", "two"), SETTINGS.least_machines)
         assert pool_sizes.targets(POOLS, views) == expected
+
+
+def test_excess_is_no_need(clock: _Clock) -> None:
+    """Guards against a flood that makes its pool grow at the expense of others."""
+    engine = Engine(lambda job: None)
+    step = StepRequest(count=40, cpu=4_000, estimate_ms=1_000)
+    request = JobRequest("", (step,))
+    job = Job("a" * 16, "r", "one", request, b"", clock.now_s, stretch=1.6)
+    job.begin(0)
+    engine.add(job)
+    pool_sizes = PoolSizes(engine, SETTINGS)
+    needed = pool_sizes.targets(POOLS, VIEWS)
+    assert needed["one"] > needed["two"]
+    assert pool_sizes.with_excess == {}
+    job.excess = True
+    assert pool_sizes.targets(POOLS, VIEWS)["one"] == needed["two"]
+    assert pool_sizes.with_excess == {"one": needed["one"]}
