Show what accounts are served, their excess and their refusals

Operators could not see shares at work. `streamthread accounts` shows for each account what it was served, its jobs within the weight and in excess, and refusals in an overload; metrics have the same and the histogram of forecast errors. A choice holds longer where more jobs are open (1 ms for each), since one among 1,000 takes 40 ms.

tests/cell/test_accounts.py floods a cell over real connections: refused jobs never run, and a later try under the same id is accepted.

--- a/src/streamthread/gateway/account_report.py
+++ b/src/streamthread/gateway/account_report.py
@@ -1,14 +1,21 @@
 """Reports on client accounts for operators."""
 
 import collections
+import time
 import typing as t
 
 from ..holder import Holder
 from ..platform.accounts import Limit
 from ..scheduler import Job
 from ..scheduler.accounts import Running
+from ..scheduler.shares import JobCounts
 
-__all__ = ["OTHER_ACCOUNTS", "AccountCounts", "describe_accounts"]
+__all__ = [
+    "MAX_ACCOUNTS",
+    "OTHER_ACCOUNTS",
+    "AccountCounts",
+    "describe_accounts",
+]
 
 Json = dict[str, t.Any]
 
@@ -42,12 +49,18 @@
 
 
 def describe_accounts(holder: Holder) -> list[Json]:
-    """Return a row per account: its share, its limit, its running and waiting work."""
+    """Return a row per account: its share, its limit, its running and waiting work.
+
+    ``served`` is in seconds of a whole pool and forgets within some seconds; jobs are
+    counted as far as this holder has accepted or read them.
+    """
     open_jobs: dict[str, list[Job]] = collections.defaultdict(list)
     for job in holder.engine.open_jobs():
         open_jobs[job.account].append(job)
     manifest = holder.admission.manifest
     known = manifest.accounts if manifest is not None else {}
+    shares = holder.engine.shares
+    served = shares.served(time.time())
     names = sorted({*known, *holder.engine.accounts.running, *open_jobs} - {""})
     return [
         {
@@ -59,6 +72,10 @@
             "open_jobs": len(open_jobs[name]),
             "waiting_tasks": sum(map(_waiting_tasks, open_jobs[name])),
             "refused": holder.intake.refused.get(name, 0),
+            "refused_overload": holder.intake.refused_overload.get(name, 0),
+            "served": round(served.get(name, 0.0), 4),
+            "jobs_within": shares.counts.get(name, JobCounts()).within,
+            "jobs_excess": shares.counts.get(name, JobCounts()).excess,
         }
         for name in names
     ]
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -1,20 +1,24 @@
 """The metrics of a cell's daemon, read from its parts at each scrape."""
 
+import itertools
+import time
 import typing as t
 
 from prometheus_client import CollectorRegistry
 from prometheus_client import ProcessCollector
 from prometheus_client.core import CounterMetricFamily
 from prometheus_client.core import GaugeMetricFamily
+from prometheus_client.core import HistogramMetricFamily
 from prometheus_client.registry import Collector
 
 from ..clocks import boot_s
 from ..holder import Holder
+from .account_report import MAX_ACCOUNTS
 from .view import DaemonView
 
 __all__ = ["make_registry"]
 
-Family = GaugeMetricFamily | CounterMetricFamily
+Family = GaugeMetricFamily | CounterMetricFamily | HistogramMetricFamily
 
 
 def _counter_family(name: str, text: str, label: str, counts: dict[str, int]) -> Family:
@@ -176,6 +180,46 @@
             holder.listing.age_s,
         )
         yield from self._duties(holder)
+        yield from self._shares(holder)
+
+    @staticmethod
+    def _shares(holder: Holder) -> t.Iterator[Family]:
+        """Yield what accounts were served; nothing where shares are not in force."""
+        shares = holder.engine.shares
+        if not shares.in_force:
+            return
+        served = GaugeMetricFamily(
+            "streamthread_account_served_pool_seconds",
+            "What an account was served lately, in seconds of a whole pool.",
+            labels=["account"],
+        )
+        for name, value in itertools.islice(
+            shares.served(time.time()).items(), MAX_ACCOUNTS
+        ):
+            served.add_metric([name], value)
+        yield served
+        jobs = CounterMetricFamily(
+            "streamthread_account_jobs",
+            "Jobs that this holder accepted or read, within the weight or excess.",
+            labels=["account", "kind"],
+        )
+        for name, counts in itertools.islice(shares.counts.items(), MAX_ACCOUNTS):
+            jobs.add_metric([name, "within"], counts.within)
+            jobs.add_metric([name, "excess"], counts.excess)
+        yield jobs
+        yield _counter_family(
+            "streamthread_jobs_refused_overload",
+            "New jobs that were refused since they could not end in time.",
+            "account",
+            holder.intake.refused_overload,
+        )
+        errors = holder.forecasts.errors
+        yield HistogramMetricFamily(
+            "streamthread_start_forecast_error_seconds",
+            "How much later accepted jobs started than was forecast.",
+            buckets=errors.buckets(),
+            sum_value=errors.sum_s,
+        )
 
     @staticmethod
     def _duties(holder: Holder) -> t.Iterator[Family]:
--- a/src/streamthread/holder/forecasts.py
+++ b/src/streamthread/holder/forecasts.py
@@ -12,6 +12,7 @@
 from ..scheduler import Engine
 from ..scheduler import Job
 from ..scheduler import RunnerState
+from ..scheduler.choices import cache_s
 from ..scheduler.overload import choose
 from ..scheduler.overload import fair_order
 from ..scheduler.overload import OpenWork
@@ -24,9 +25,6 @@
 CapacityParts = tuple[tuple[float, float], ...]
 """Thousandths of a core, each with the wall time from which on they are there."""
 
-PROFILE_CACHE_S = 0.3
-"""How long the profile of a pool holds. What is accepted since is added to it."""
-
 LATE_FACTOR = 3.0
 """A job is worth something until this multiple of its objective."""
 
@@ -89,7 +87,8 @@
         standing: Standing,
         now_s: float,
     ) -> None:
-        self.at_s = now_s
+        # What is accepted until then is added.
+        self.at_s, self.until_s = now_s, now_s + cache_s(len(works))
         self.capacity = capacity
         self._standing = standing
         self._open: dict[str, float] = collections.defaultdict(float)
@@ -191,7 +190,7 @@
 
     def _profile(self, service: str, further: CapacityParts, now_s: float) -> _Profile:
         known = self._profiles.get(service)
-        if known is not None and 0 <= now_s - known.at_s < PROFILE_CACHE_S:
+        if known is not None and known.at_s <= now_s < known.until_s:
             return known
         engine = self._engine
         runners = [r for r in engine.runners.values() if r.service == service]
--- a/src/streamthread/holder/runner_manager.py
+++ b/src/streamthread/holder/runner_manager.py
@@ -14,7 +14,7 @@
 from ..runners import RunnerLink
 from ..scheduler import Phase
 from ..scheduler import RunnerState
-from ..scheduler.model import job_id_of_task
+from ..scheduler.names import job_id_of_task
 from ..scheduler.orders import OrderSender
 from ..sharing import plan_paces
 from .listing import RunnerListHandler
--- a/src/streamthread/scheduler/choices.py
+++ b/src/streamthread/scheduler/choices.py
@@ -25,10 +25,14 @@
 from .timeline import Capacity
 from .timeline import OpenStep
 
-__all__ = ["CHOICE_CACHE_S", "ForecastSink", "PoolChoices"]
+__all__ = ["CHOICE_CACHE_S", "ForecastSink", "PoolChoices", "cache_s"]
 
 CHOICE_CACHE_S = 0.3
-"""How long the choice for a pool holds, as long as a step's urgency."""
+"""How long the choice for a pool holds at least, as long as a step's urgency."""
+
+CHOICE_CACHE_S_PER_JOB = 0.001
+"""It holds at least this long for each open job. A choice among 1,000 takes 40 ms, so
+that choices use at most 4 % of a core."""
 
 ForecastSink = t.Callable[[float], None]
 """Takes by how many seconds a job started later than was forecast."""
@@ -39,6 +43,7 @@
 @attrs.frozen
 class _Cached:
     at_s: float
+    until_s: float
     choice: Choice | None
 
 
@@ -80,7 +85,7 @@
         jobs = self._jobs_of(service, now_s)
         self._shares.rebuild(service, jobs, runners, self._times, now_s)
         cached = self._cached.get(service)
-        if cached is not None and 0 <= now_s - cached.at_s < CHOICE_CACHE_S:
+        if cached is not None and cached.at_s <= now_s < cached.until_s:
             return cached.choice
         if _fit_together(ready, runners):
             return None
@@ -93,7 +98,7 @@
             now_s,
             overloaded=before is not None,
         )
-        self._cached[service] = _Cached(now_s, choice)
+        self._cached[service] = _Cached(now_s, now_s + cache_s(len(jobs)), choice)
         return choice
 
     def open_works(self, service: str, now_s: float) -> list[OpenWork]:
@@ -219,6 +224,11 @@
         )
 
 
+def cache_s(jobs: int) -> float:
+    """Return how long a choice or a forecast among open jobs holds."""
+    return max(CHOICE_CACHE_S, CHOICE_CACHE_S_PER_JOB * jobs)
+
+
 def _left_s(task: Task, run_s: float) -> float:
     """Return how long a placed task will probably still run."""
     sent_s = max((attempt.sent_at_s for attempt in task.attempts), default=0.0)
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -11,6 +11,7 @@
 from ..platform.callers import JobRequest
 from ..platform.callers import StepRequest
 from ..platform.manifest import Route
+from .names import task_name
 from .overload import Choice
 
 __all__ = [
@@ -301,16 +302,6 @@
         )
 
 
-def task_name(job_id: str, occurrence: int, step: int, index: int) -> str:
-    """Return a task's name on the wire."""
-    return f"{job_id}.{occurrence}.{step}.{index}"
-
-
-def job_id_of_task(name: str) -> str:
-    """Return the job id at the start of a task's name; ids may contain dots."""
-    return name.rsplit(".", 3)[0]
-
-
 @attrs.frozen(eq=False)
 class Blame:
     """A runner exit that was attributed to a task.
--- a/tests/cell/test_accounts.py
+++ b/tests/cell/test_accounts.py
@@ -6,9 +6,12 @@
 
 import aiohttp
 import pytest
+from prometheus_client import generate_latest
 
 from streamthread.gateway import CellDaemon
+from streamthread.gateway.account_report import describe_accounts
 from streamthread.gateway.logs import JsonLineHandler
+from streamthread.gateway.metrics import make_registry
 from streamthread.platform.node import decode_node
 
 from .support import Caller
@@ -238,3 +241,51 @@
             secret = key.rsplit("-", 1)[1]
             assert not [line for line in lines if secret.encode() in line]
             assert not [text for text in outputs if secret in text]
+
+
+class TestFlood:
+    """What callers see while an account sends more than its pool can do in time."""
+
+    async def test_excess_is_refused_and_never_runs(self) -> None:
+        small = account("ann", ANN_KEY) | {"weight": 1}
+        async with cell_with(small, BOB) as cell:
+            caller = cell.caller(key=ANN_KEY)
+            body = job(run_s=0.5, count=16, cpu=2000, estimateMs=500)
+            ids = [f"{number:016x}" for number in range(24)]
+            answers = await asyncio.gather(
+                *(caller.call("POST", i, body, n % 2) for n, i in enumerate(ids))
+            )
+            statuses = [status for status, _, _ in answers]
+            refused = [
+                i for i, status in zip(ids, statuses, strict=True) if status > 200
+            ]
+            assert set(statuses) == {200, 429}
+            assert len(refused) >= len(ids) / 2
+            for status, _, headers in answers:
+                assert status == 200 or int(headers["Retry-After"]) >= 1
+            assert await cell.caller(key=BOB_KEY).submit(OTHER_ID, job()) == 200
+            for job_id in sorted({*ids} - {*refused}):
+                await caller.until_state(job_id, "completed")
+            for job_id in refused:
+                assert await caller.state(job_id) == "410"
+            ran = {run.task.split(".")[0] for run in cell.world.started}
+            assert ran.isdisjoint(refused)
+            assert await caller.submit(refused[0], body) == 200
+            holder = cell.holder()
+            assert holder is not None and holder.holder is not None
+            (row, _) = describe_accounts(holder.holder)
+            assert row["refused_overload"] == len(refused)
+            assert row["jobs_excess"] > 0 < row["served"]
+            metrics = generate_latest(make_registry(holder)).decode()
+            assert "streamthread_start_forecast_error_seconds_bucket" in metrics
+            assert 'streamthread_account_jobs_total{account="ann"' in metrics
+
+    async def test_nothing_is_refused_where_no_account_has_a_weight(self) -> None:
+        """Guards deployments whose accounts have no weights."""
+        accounts = [account("ann", ANN_KEY) | {"weight": 0}, BOB | {"weight": 0}]
+        async with cell_with(*accounts) as cell:
+            caller = cell.caller(key=ANN_KEY)
+            body = job(run_s=0.1, count=16, cpu=2000, estimateMs=500)
+            ids = [f"{number:016x}" for number in range(24)]
+            statuses = await asyncio.gather(*(caller.submit(i, body) for i in ids))
+            assert {*statuses} == {200}
