--- a/src/streamthread/holder/forecasts.py
+++ b/src/streamthread/holder/forecasts.py
@@ -122,12 +122,18 @@
         found = timeline.reserve(work.steps, end_s)
         if found is None and not self._is_within_share(work, end_s):
             return None
+        in_time = found
+        if not work.excess:
+            in_time = self._all.reserve(work.steps, work.latest_end_s)
+        # What can't be in time runs behind all that is open.
+        behind_s = self.at_s + self.backlog(True) / self.rate()
         self._count(work)
-        if work.excess:
-            return found.start_s if found is not None else self.at_s
-        in_time = self._all.reserve(work.steps, work.latest_end_s)
-        expected = in_time or found
-        return expected.start_s if expected is not None else self.at_s
+        return in_time.start_s if in_time is not None else behind_s
+
+    def rate(self) -> float:
+        """Return the work that the pool can do in a second once all cpu is there."""
+        last_s = max(from_s for from_s, _ in self.capacity.parts)
+        return self.capacity.between(last_s, last_s + 1.0)
 
     def _is_within_share(self, work: OpenWork, end_s: float) -> bool:
         """Whether the open work of an account is less than its share until a time.
@@ -237,8 +243,7 @@
     """Return the refusal of a job, with the time at which there will be room."""
     end_s = work.latest_end_s if work.excess else _worthless_s(work)
     backlog = profile.backlog(work.excess)
-    rate = profile.capacity.between(end_s, end_s + 1.0)
-    room_s = (backlog + work.work) / rate - (end_s - now_s)
+    room_s = (backlog + work.work) / profile.rate() - (end_s - now_s)
     room_s = min(MAX_RETRY_S, max(0.0, room_s))
     digest = hashlib.blake2b(job.job_id.encode(), digest_size=2).digest()
     spread_s = max(MIN_SPREAD_S, RETRY_SPREAD * room_s)
