--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -20,10 +20,12 @@
 from ..platform.http import SendPermit
 from ..platform.manifest import Pool
 from .context import DutySettings
+from .forecasts import CapacityParts
 from .machines import DutyKind
 from .machines import MachineTable
 from .machines import PendingDuty
 from .owner import DutyOwner
+from .pool_capacity import PoolCapacity
 from .sizes import PoolSizes
 from .waves import WavePlanner
 from .waves import WaveRegistry
@@ -85,6 +87,7 @@
             owner.context.notes,
         )
         self._sizes = PoolSizes(owner.engine, settings.capacity)
+        self._capacity = PoolCapacity()
         self._registry = WaveRegistry(owner, settings.tick_s)
         self._waves = WavePlanner(owner, self._registry, self._table, settings.upkeep)
         self.moves = 0
@@ -130,6 +133,14 @@
         finally:
             reading.cancel()
 
+    def arriving(self, pool: str) -> CapacityParts:
+        """Return the cpu that is on its way into a pool, and when it will be there."""
+        return self._capacity.arriving(pool)
+
+    def obtainable(self, pool: str) -> CapacityParts | None:
+        """Return the most cpu that a pool gets or may get; None if it is unknown."""
+        return self._capacity.obtainable(pool)
+
     def record_job(self, service: str, work: float, at_s: float) -> None:
         """Add a job's work to its pool's arrivals.
 
@@ -181,6 +192,7 @@
         self._waves.begin_round()
         views = self._views()
         open_views = _of_open_halls(views.values())
+        self._capacity.update(open_views)
         targets = self._sizes.targets(pools, open_views)
         for wave in documents.waves.values():
             plan = self._waves.plan(wave, views, self._sizes.recent_max)
@@ -212,6 +224,7 @@
                 pool.is_spare,
                 self._wanted_size(pool.name, targets),
                 max(retained_machines.get(pool.name, 0), recent_max.get(pool.name, 0)),
+                self._sizes.with_excess.get(pool.name, 0),
             )
             for pool in pools
         ]
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -34,6 +34,8 @@
 from .advice import AdviceCache
 from .context import HolderContext
 from .duties import DutyLoop
+from .forecasts import CapacityParts
+from .forecasts import Forecasts
 from .housekeeping import Housekeeping
 from .inbox import InboxReader
 from .intake import Intake
@@ -84,6 +86,7 @@
             self.admission.limit_of,
             self.admission.are_limits_known,
             context.halls,
+            self.admission.weights,
         )
         self.active = False
         self.log = self._open_log()
@@ -107,6 +110,8 @@
             self._runner_manager,
             context.notes,
         )
+        self.forecasts = Forecasts(self.engine, self._obtainable)
+        self.engine.choices.arriving = self._arriving
         self.intake = self._open_intake()
         self.inbox = self._open_inbox()
         self._housekeeping = Housekeeping(self, self.inbox, self.intake)
@@ -153,8 +158,17 @@
             self.kick,
             self.settings.forget_s,
             self.context.notes,
+            self.forecasts,
         )
 
+    def _obtainable(self, pool: str) -> CapacityParts | None:
+        """Return what a pool gets or may get; None if its machines are unknown."""
+        return self.duties.obtainable(pool) if self.duties is not None else None
+
+    def _arriving(self, pool: str) -> CapacityParts:
+        """Return what is on its way into a pool."""
+        return self.duties.arriving(pool) if self.duties is not None else ()
+
     def _open_inbox(self) -> InboxReader:
         feed = TableFeed(
             self.context.store,
@@ -226,7 +240,7 @@
         replayed = await read_with_retry(
             lambda: read_jobs(self.context.store, self.settings.part), "replay-failed"
         )
-        for job in replayed.jobs:
+        for job in sorted(replayed.jobs, key=lambda job: job.accepted_at_s):
             self.engine.add(job)
             self._record_arrival(job)
         for job_id, error in replayed.unreadable.items():
@@ -312,7 +326,8 @@
 
     def _record_arrival(self, job: Job) -> None:
         """Report a job's arrival, here or at an earlier holder, to the duties."""
-        if self.duties is None:
+        if self.duties is None or job.excess:
+            # Excess gets only what no pool needs, so it is no burst.
             return
         work = job_work(job, self.engine.times)
         if work:
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -11,6 +11,8 @@
 from ..platform.callers import JobRequest
 from ..platform.callers import StepRequest
 from ..platform.manifest import Route
+from .names import task_name
+from .overload import Choice
 
 __all__ = [
     "Attempt",
@@ -308,16 +310,6 @@
         )
 
 
-def task_name(job_id: str, occurrence: int, step: int, index: int) -> str:
-    """Return a task's name on the wire."""
-    return f"{job_id}.{occurrence}.{step}.{index}"
-
-
-def job_id_of_task(name: str) -> str:
-    """Return the job id at the start of a task's name; ids may contain dots."""
-    return name.rsplit(".", 3)[0]
-
-
 @attrs.frozen(eq=False)
 class Blame:
     """A runner exit that was attributed to a task.
@@ -337,6 +329,7 @@
     :param urgency: the cached sort key by which steps get resources; None if it has not
         been computed yet.
     :param urgency_at_s: wall time at which the sort key was computed.
+    :param urgency_choice: the choice by which the sort key was computed, if any.
     """
 
     occurrence: "Occurrence"
@@ -347,6 +340,7 @@
     waiting_logged: bool = False
     urgency: tuple[t.Any, ...] | None = None
     urgency_at_s: float = 0.0
+    urgency_choice: Choice | None = None
 
     @property
     def done(self) -> bool:
@@ -414,6 +408,10 @@
     :param left_in_inbox: another daemon acknowledged the job and left it in the store.
     :param account: the client account that submitted the job; empty if its route needed
         no key.
+    :param excess: the account had used up its weight when the job was accepted; set by
+        each holder from the jobs that it knows.
+    :param start_forecast_s: wall time at which its first run was expected when it was
+        accepted; None if there was no forecast, or once it has started.
     """
 
     job_id: str
@@ -435,6 +433,8 @@
     durable: bool = False
     left_in_inbox: bool = False
     account: str = ""
+    excess: bool = False
+    start_forecast_s: float | None = None
 
     @property
     def times(self) -> int:
