Guard the promises on evacuated halls

Cause: nothing showed that the tests of evacuated halls fail without the lines that keep them. And the housekeeping asked the engine for its halls when it was made, so that holder/tests/test_housekeeping.py, whose engine has none, failed.

The watch of closed halls is made in the loop that uses it.

--- a/src/streamthread/holder/housekeeping.py
+++ b/src/streamthread/holder/housekeeping.py
@@ -35,10 +35,10 @@
         self._intake = intake
         self._engine = owner.engine
         self._inbox = inbox
-        self._hall_watch = HallWatch(owner.engine, owner.engine.halls)
 
     async def watch_runs(self) -> None:
         """Copy or move lagging runs, copy runs on silent runners, log what is late."""
+        hall_watch = HallWatch(self._engine, self._engine.halls)
         while True:
             await asyncio.sleep(WATCH_RUNS_INTERVAL_S)
             await self._owner.until_trusted()
@@ -46,7 +46,7 @@
                 if link.silent and self._engine.request_copies(link.runner.runner_id):
                     self._owner.kick()
             self._engine.log_overdue_stops()
-            self._hall_watch.watch()
+            hall_watch.watch()
             if self._engine.handle_lagging_runs():
                 self._owner.kick()
 
--- a/tools/guard_list.py
+++ b/tools/guard_list.py
@@ -3,7 +3,8 @@
 from tools.guard import Guard
 from tools.guards_cell import CELL_GUARDS
 from tools.guards_entry import ENTRY_GUARDS
+from tools.guards_halls import HALL_GUARDS
 
 __all__ = ["GUARDS", "Guard"]
 
-GUARDS = (*ENTRY_GUARDS, *CELL_GUARDS)
+GUARDS = (*ENTRY_GUARDS, *CELL_GUARDS, *HALL_GUARDS)
