Have daemons leave that are cut off from store, holder and other halls

In a hall that was partitioned for 5 to 6 s, daemons stayed ready and callers waited there: 63 of 847 jobs were not accepted, 210 answers were 502 or 504.

In force with faultTolerance.zones above 0. Halls go with announcements as metadata of the call.

--- a/src/streamthread/cell/__init__.py
+++ b/src/streamthread/cell/__init__.py
@@ -5,6 +5,7 @@
 
 from .answers import version_written
 from .commits import CommitLog
+from .contacts import PeerContacts
 from .lease import CellLease
 from .peer import CellEndpoint
 from .peer import CellPort
@@ -25,6 +26,7 @@
     "CellPort",
     "CommitLog",
     "LeaseTimes",
+    "PeerContacts",
     "PeerLinks",
     "version_written",
 ]
--- a/src/streamthread/cell/owner_registry.py
+++ b/src/streamthread/cell/owner_registry.py
@@ -1,11 +1,13 @@
 """The owner of the cell, as this daemon knows it from the store and from peers."""
 
 import asyncio
+import math
 import typing as t
 
 import attrs
 import logbook
 
+from ..clocks import boot_s
 from ..decoding import is_host_port
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
@@ -39,6 +41,7 @@
 
     :param changed: set when another owner is known.
     :param known: set once the store has returned the owner or has none.
+    :param confirmed_at_s: when the store last answered, on the boot clock.
     :param version: the version of the owner row; it is outdated if the current owner
         was reported by a peer.
     :param on_changed: called with each new owner.
@@ -61,6 +64,7 @@
         self.known = asyncio.Event()
         self.version = ABSENT
         self.owner: Owner | None = None
+        self.confirmed_at_s = -math.inf
 
     async def watch(self, feed_wait_s: float) -> None:
         """Follow the owner row in the store until cancelled."""
@@ -68,6 +72,7 @@
         while True:
             try:
                 update = await feed.next()
+                self.confirmed_at_s = boot_s()
                 for row in update.rows:
                     if row.key == OWNER_KEY and row.part in ("", self._part):
                         self.adopt(row)
@@ -85,6 +90,7 @@
         page = await read_or_none(self._store, TABLE_OWNER, self._part)
         if page is None:
             return False
+        self.confirmed_at_s = boot_s()
         for row in page.rows:
             self.adopt(row)
         return not self._unreadable
--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -16,6 +16,7 @@
 from . import cell_pb2 as pb
 from .cell_grpc import CellBase
 from .cell_grpc import CellStub
+from .contacts import PeerContacts
 
 __all__ = [
     "CallHandler",
@@ -84,6 +85,7 @@
     :param interval_s: interval between the heartbeats to a follower.
     :param announced: processes a peer's announcement and returns our own.
     :param explain: explains the state of a job, the client accounts or the holder.
+    :param contacts: records the halls that peers state, and names our own.
     """
 
     def __init__(
@@ -93,12 +95,14 @@
         interval_s: float,
         announced: t.Callable[[pb.Announcement], pb.Announcement],
         explain: t.Callable[[pb.ExplainRequest], pb.ExplainReply],
+        contacts: PeerContacts | None = None,
     ) -> None:
         self._handle = handle
         self._get_heartbeat = get_heartbeat
         self._interval_s = interval_s
         self._announced = announced
         self._explain = explain
+        self._contacts = contacts or PeerContacts()
         self._following: dict[t.Any, pb.FollowRequest] = {}
 
     @property
@@ -118,6 +122,8 @@
     async def Announce(self, stream: t.Any) -> None:  # noqa: N802
         """Process a peer's announcement and return our own."""
         request = await stream.recv_message()
+        self._contacts.on_metadata(request.address, stream.metadata)
+        await stream.send_initial_metadata(metadata=self._contacts.metadata())
         await stream.send_message(self._announced(request))
 
     async def Explain(self, stream: t.Any) -> None:  # noqa: N802
@@ -167,12 +173,20 @@
     are retried.
 
     :param beat_s: interval between the holder's heartbeats.
+    :param contacts: records which peers answer, and their halls.
     """
 
-    def __init__(self, daemon_id: str, address: str, beat_s: float) -> None:
+    def __init__(
+        self,
+        daemon_id: str,
+        address: str,
+        beat_s: float,
+        contacts: PeerContacts | None = None,
+    ) -> None:
         self._daemon_id = daemon_id
         self.address = address
         self._heartbeat_overdue_s = beat_s + HEARTBEAT_MARGIN_S
+        self.contacts = contacts or PeerContacts()
         self._channels: dict[str, PeerChannel] = {}
         # When the channel to an address was last compared with a new one.
         self._verified_at_s: dict[str, float] = {}
@@ -189,10 +203,14 @@
         for address, channel in list(self._channels.items()):
             self._drop(address, channel)
 
+    def _connect(self, address: str) -> PeerChannel:
+        """Return a new channel to a peer."""
+        return PeerChannel.to(address)
+
     def _channel(self, address: str) -> PeerChannel:
         channel = self._channels.get(address)
         if channel is None:
-            channel = PeerChannel.to(address)
+            channel = self._connect(address)
             self._channels[address] = channel
         return channel
 
@@ -247,7 +265,7 @@
     async def _verify(self, address: str) -> None:
         """Compare a channel with a new one, which replaces it if it responds alone."""
         old = self._channel(address)
-        unused = PeerChannel.to(address)
+        unused = self._connect(address)
         on_old = asyncio.ensure_future(self._responds(old))
         try:
             if not await self._responds(unused):
@@ -300,10 +318,9 @@
         """
         remedy = "the peer reads the owner row itself"
         kept = self._channels.get(address)
-        channel = kept or PeerChannel.to(address)
+        channel = kept or self._connect(address)
         try:
-            with channel.calling():
-                return await CellStub(channel).Announce(update, timeout=CONNECT_S)
+            return await self._announce_on(channel, address, update, CONNECT_S)
         except UNANSWERED as error:
             if kept is not None:
                 self._drop(address, kept)
@@ -312,6 +329,44 @@
             if kept is None:
                 channel.close()
 
+    async def probe(
+        self, address: str, update: pb.Announcement, timeout_s: float
+    ) -> pb.Announcement | None:
+        """Announce on a channel of its own; return None if the peer does not answer.
+
+        An open channel can stop responding although its peer can be reached.
+        """
+        channel = self._connect(address)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._announce_on(channel, address, update, timeout_s)
+        except UNANSWERED as error:
+            log.debug(
+                "probe-unanswered", extra={"address": address, "error": repr(error)}
+            )
+            return None
+        finally:
+            channel.close()
+
+    async def _announce_on(
+        self,
+        channel: PeerChannel,
+        address: str,
+        update: pb.Announcement,
+        timeout_s: float,
+    ) -> pb.Announcement:
+        call = CellStub(channel).Announce
+        metadata = self.contacts.metadata()
+        with channel.calling():
+            async with call.open(timeout=timeout_s, metadata=metadata) as stream:
+                await stream.send_message(update, end=True)
+                answer = await stream.recv_message()
+        if answer is None:
+            raise StreamTerminatedError("the peer ended the call without an answer")
+        self.contacts.on_answer(address)
+        self.contacts.on_metadata(address, stream.initial_metadata)
+        return answer
+
     async def _answer(
         self,
         address: str,
@@ -328,7 +383,9 @@
         channel = self._channel(address)
         try:
             with channel.calling():
-                return await call(CellStub(channel))
+                answer = await call(CellStub(channel))
+            self.contacts.on_answer(address)
+            return answer
         except UNANSWERED as error:
             if not (keep_if_slow and isinstance(error, TimeoutError)):
                 self._drop(address, channel)
@@ -389,7 +446,7 @@
         channel = self._channel(address)
         try:
             with channel.calling():
-                await self._receive_heartbeats(CellStub(channel), token, silence_s)
+                await self._receive_heartbeats(channel, address, token, silence_s)
         except TimeoutError as error:
             self._drop(address, channel)
             raise HolderSilentError from error
@@ -402,10 +459,10 @@
             await asyncio.sleep(RECONNECT_S)
 
     async def _receive_heartbeats(
-        self, stub: CellStub, token: int, silence_s: float
+        self, channel: PeerChannel, address: str, token: int, silence_s: float
     ) -> None:
         """Receive heartbeats until the holder is replaced or cannot commit."""
-        async with stub.Follow.open() as stream:
+        async with CellStub(channel).Follow.open() as stream:
             async with asyncio.timeout(CONNECT_S):
                 await stream.send_message(self._follow_request(), end=True)
             while True:
@@ -414,6 +471,7 @@
                 if heartbeat is None or heartbeat.token < token:
                     return
                 self._heard_at_s = boot_s()
+                self.contacts.on_heartbeat(address, heartbeat.token, heartbeat.sequence)
                 if heartbeat.doubtful:
                     self._heartbeat_at_s = -math.inf
                     raise HolderCannotCommitError(heartbeat.head_version)
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import typing as t
 
 import attrs
@@ -13,6 +14,7 @@
 from ..cell import CellEndpoint
 from ..cell import CellLease
 from ..cell import CellPort
+from ..cell import PeerContacts
 from ..cell import PeerLinks
 from ..cell.rows import new_nonce
 from ..clocks import boot_s
@@ -36,6 +38,8 @@
 from .forwarding import ForwardSettings
 from .frontend import Frontend
 from .operators import CellOperators
+from .reachability import Contacts
+from .reachability import ReachabilityMonitor
 from .view import DaemonView
 
 __all__ = ["CellDaemon", "cell_settings"]
@@ -136,7 +140,10 @@
         if node.advice:
             self.advice = AdviceClient(node.advice, CLOUD_TIMEOUT_S, self.notes)
         self.documents = Documents(self.store, self.notes, self.failures)
-        self.peers = PeerLinks(node.daemon_id, address, self.settings.times.beat_s)
+        self.contacts = PeerContacts(node.hall)
+        self.peers = PeerLinks(
+            node.daemon_id, address, self.settings.times.beat_s, self.contacts
+        )
         self.holder: Holder | None = None
         self._holder_failures = 0
         self.lease = self._make_lease(address)
@@ -146,9 +153,11 @@
             self.settings.times.beat_s,
             self._on_announcement,
             self.explain,
+            self.contacts,
         )
         self.port = CellPort(self.endpoint, node.ip, node.peer_ports[0])
         self.lines_dropped: t.Callable[[], int] = lambda: 0
+        self.reachability = self._make_reachability()
         self.frontend = self._make_frontend()
         self.operators = CellOperators(self, node.ip, node.operators_port)
 
@@ -168,6 +177,18 @@
             self.failures,
         )
 
+    def _make_reachability(self) -> ReachabilityMonitor | None:
+        """Return the monitor, or None where no loss of a hall is to be tolerated."""
+        if not self.node.tolerated_halls:
+            return None
+        return ReachabilityMonitor(
+            self._recent_contacts,
+            self._peers_elsewhere,
+            self._probe_peer,
+            random.Random(self.node.daemon_id),
+            failures=self.failures,
+        )
+
     def _make_frontend(self) -> Frontend:
         forwarder = Forwarder(
             self.lease,
@@ -176,6 +197,7 @@
             self.settings.part,
             lambda: self.holder,
             ForwardSettings(),
+            self.reachability,
         )
         return Frontend(
             self.node.callers,
@@ -183,6 +205,7 @@
             self.documents,
             forwarder,
             self.is_ready,
+            self.reachability,
         )
 
     async def on_start(self) -> None:
@@ -193,10 +216,14 @@
         await self.add_runtime_dependency(self.frontend)
         await self.add_runtime_dependency(self.operators)
         await self.add_runtime_dependency(self.lease)
+        if self.reachability is not None:
+            await self.add_runtime_dependency(self.reachability)
         log.info("started", extra={"hall": self.node.hall, "address": self.node.ip})
 
     def is_ready(self) -> bool:
         """Whether the platform should send new connections here."""
+        if self.reachability is not None and self.reachability.cut_off:
+            return False
         return self.documents.manifest is not None and not self.frontend.stopping
 
     async def on_stop(self) -> None:
@@ -280,6 +307,34 @@
         """Answer an operator's question as the holder."""
         return answer_question(self.holder, request)
 
+    # Contacts outside this daemon's hall.
+
+    def _recent_contacts(self) -> Contacts:
+        holder = self.holder
+        own_commit_at_s = holder.log.confirmed_at_s if holder is not None else 0.0
+        elsewhere = (address for _, address in self._peers_elsewhere())
+        return Contacts(
+            store_at_s=max(
+                self.documents.confirmed_at_s, self.lease.registry.confirmed_at_s
+            ),
+            commit_at_s=max(self.contacts.committed_at_s, own_commit_at_s),
+            peers_at_s=self.contacts.last_answer_at_s(elsewhere),
+        )
+
+    def _peers_elsewhere(self) -> list[tuple[str, str]]:
+        """Return the hall and the address of each peer in another hall."""
+        return self.contacts.elsewhere(self.lease.members.addresses.values())
+
+    async def _probe_peer(self, address: str, timeout_s: float) -> bool:
+        """Probe a peer; its answer also names the holder that it knows."""
+        members = self.lease.members
+        update = members.announcement(self.lease.news())
+        answer = await self.peers.probe(address, update, timeout_s)
+        if answer is None:
+            return False
+        members.on_announcement(answer)
+        return True
+
     # A planned stop.
 
     async def planned_stop(self) -> None:
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -27,6 +27,7 @@
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
 from ..response_times import ResponseTimes
+from .reachability import Reachability
 
 __all__ = ["ForwardSettings", "Forwarder", "Persisted"]
 
@@ -72,8 +73,29 @@
     retry_s: float = 0.06
 
 
+@attrs.define
+class _Progress:
+    """How far a request has come.
+
+    :param uncertain: an earlier attempt may have been carried out.
+    :param in_attempt: an attempt has begun and has no answer yet.
+    """
+
+    uncertain: bool = False
+    in_attempt: bool = False
+
+    @property
+    def may_have_arrived(self) -> bool:
+        """Whether anything of the request may have left this daemon."""
+        return self.uncertain or self.in_attempt
+
+
 class Forwarder:
-    """Calls the holder, in this daemon or on a peer; falls back to the inbox."""
+    """Calls the holder, in this daemon or on a peer; falls back to the inbox.
+
+    :param reachability: tells whether this daemon is cut off, in which case requests
+        are answered at once; None if it never counts as cut off.
+    """
 
     def __init__(
         self,
@@ -83,7 +105,9 @@
         part: str,
         holder: t.Callable[[], Holder | None],
         settings: ForwardSettings,
+        reachability: Reachability | None = None,
     ) -> None:
+        self._reachability = reachability
         self._lease = lease
         self._peers = peers
         self._store = store
@@ -97,31 +121,52 @@
 
         :param until_s: when the caller stops waiting, on the boot clock.
         """
+        progress = _Progress()
+        if self._reachability is None:
+            return await self._ask(request, until_s, progress)
+        if self._reachability.cut_off:
+            return _cut_off_reply(request, progress)
+        answer = asyncio.ensure_future(self._ask(request, until_s, progress))
+        leaving = asyncio.ensure_future(self._reachability.until_cut_off())
+        try:
+            await asyncio.wait((answer, leaving), return_when=asyncio.FIRST_COMPLETED)
+            if answer.done():
+                return answer.result()
+            return _cut_off_reply(request, progress)
+        finally:
+            answer.cancel()
+            leaving.cancel()
+
+    async def _ask(
+        self, request: pb.CallRequest, until_s: float, progress: _Progress
+    ) -> pb.CallReply:
         began_at_s = boot_s()
         inbox_at_s = began_at_s + self._settings.inbox_after_s
         changes = request.kind in (pb.SUBMIT, pb.CANCEL)
-        uncertain = False
         while True:
-            now_s = boot_s()
-            left_s = max(until_s - now_s, MIN_HOP_S)
+            left_s = max(until_s - boot_s(), MIN_HOP_S)
+            progress.in_attempt = True
             reply = await self._ask_holder(request, left_s)
-            if _is_final(reply, uncertain):
+            progress.in_attempt = False
+            if _is_final(reply, progress.uncertain):
                 return reply
-            uncertain = uncertain or reply.outcome == pb.UNCERTAIN
+            progress.uncertain |= reply.outcome == pb.UNCERTAIN
             now_s = boot_s()
             if changes and now_s >= inbox_at_s and not self._has_healthy_holder():
                 if request.kind == pb.SUBMIT and not _is_job(request.job):
                     return _refused("the body is not a valid job")
+                progress.in_attempt = True
                 persisted = await self._write_to_inbox(request)
+                progress.in_attempt = False
                 if persisted is Persisted.YES:
                     return pb.CallReply(outcome=pb.OK, state="pending")
-                if persisted is Persisted.NO and not uncertain:
+                if persisted is Persisted.NO and not progress.uncertain:
                     return _refused("neither a holder nor the store answers")
-                uncertain = True
+                progress.uncertain = True
             if self._should_give_up(began_at_s, until_s, reply.outcome):
                 break
             await asyncio.sleep(self._settings.retry_s)
-        if uncertain or not changes:
+        if progress.uncertain or not changes:
             return pb.CallReply(outcome=pb.UNCERTAIN, reason="no holder answered")
         if reply.outcome == pb.BEHIND:
             return _refused("the holder knows only an older configuration")
@@ -249,3 +294,14 @@
 
 def _refused(reason: str) -> pb.CallReply:
     return pb.CallReply(outcome=pb.REFUSED, reason=reason, retry_after_s=RETRY_AFTER_S)
+
+
+def _cut_off_reply(request: pb.CallRequest, progress: _Progress) -> pb.CallReply:
+    """Return the answer of a daemon that is cut off.
+
+    A change of which nothing left this daemon is refused: it is certainly not made.
+    """
+    reason = "this daemon is cut off from the store and from other halls"
+    if request.kind in (pb.SUBMIT, pb.CANCEL) and not progress.may_have_arrived:
+        return _refused(reason)
+    return pb.CallReply(outcome=pb.UNCERTAIN, reason=reason)
--- a/src/streamthread/gateway/frontend.py
+++ b/src/streamthread/gateway/frontend.py
@@ -21,6 +21,7 @@
 from .documents import Documents
 from .forwarding import Forwarder
 from .keys import admit
+from .reachability import Reachability
 
 __all__ = ["Frontend"]
 
@@ -85,6 +86,8 @@
     """Serves the callers' port and the readiness port.
 
     :param is_ready: returns whether the platform should send new connections here.
+    :param reachability: tells whether this daemon is cut off: its callers are then to
+        reconnect elsewhere. None if it never counts as cut off.
     """
 
     def __init__(
@@ -94,8 +97,10 @@
         documents: Documents,
         forwarder: Forwarder,
         is_ready: t.Callable[[], bool],
+        reachability: Reachability | None = None,
     ) -> None:
         super().__init__()
+        self._reachability = reachability
         self._callers = callers
         self._readiness = readiness
         self._documents = documents
@@ -165,13 +170,14 @@
         return self._encode(reply)
 
     def _encode(self, reply: _Reply) -> web.Response:
-        """Return the response, which closes its connection during a stop."""
+        """Return the response, which closes its connection if this daemon leaves."""
         headers = {}
+        leaving = self.stopping or self._is_cut_off()
         if reply.retry_after_s:
             headers["Retry-After"] = str(max(1, round(reply.retry_after_s)))
         if reply.status == NOT_ADMITTED_STATUS:
             headers["WWW-Authenticate"] = KEY_CHALLENGE
-        if self.stopping:
+        if leaving:
             headers["Connection"] = "close"
         response = web.Response(
             status=reply.status,
@@ -179,10 +185,13 @@
             headers=headers,
             content_type=JSON_TYPE,
         )
-        if self.stopping:
+        if leaving:
             response.force_close()
         return response
 
+    def _is_cut_off(self) -> bool:
+        return self._reachability is not None and self._reachability.cut_off
+
     async def _answer(self, request: web.BaseRequest, began_at_s: float) -> _Reply:
         manifest = self._documents.manifest
         if manifest is None:
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -125,6 +125,23 @@
             "streamthread_owner_token", "The holder's token, as known here.", token
         )
 
+        yield from self._reachability()
+
+    def _reachability(self) -> t.Iterator[Family]:
+        monitor = self._daemon.reachability
+        if monitor is None:
+            return
+        yield GaugeMetricFamily(
+            "streamthread_cut_off",
+            "1 while this daemon reaches neither store, holder nor other halls.",
+            monitor.cut_off,
+        )
+        yield CounterMetricFamily(
+            "streamthread_times_cut_off",
+            "How often this daemon was cut off.",
+            value=monitor.times_cut_off,
+        )
+
     def _holder(self, holder: Holder) -> t.Iterator[Family]:
         engine = holder.engine
         yield GaugeMetricFamily(
--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -12,6 +12,7 @@
 from streamthread.errors import StoreUnavailableError
 from streamthread.gateway.forwarding import Forwarder
 from streamthread.gateway.forwarding import ForwardSettings
+from streamthread.gateway.reachability import Reachability
 from streamthread.platform.store import Page
 from streamthread.platform.store import TransactResult
 
@@ -177,3 +178,96 @@
         done = pb.CallReply(outcome=pb.OK)
         reply = await _ask(_Peers(behind, behind, done), _Store(), healthy=True)
         assert reply.outcome == pb.OK
+
+
+class _Cut(Reachability):
+    """Is cut off once a test says so."""
+
+    def __init__(self, cut_off: bool = False) -> None:
+        self._event = asyncio.Event()
+        if cut_off:
+            self.leave()
+
+    def leave(self) -> None:
+        self._event.set()
+
+    @property
+    def cut_off(self) -> bool:
+        return self._event.is_set()
+
+    async def until_cut_off(self) -> None:
+        await self._event.wait()
+
+
+class _HangingPeers:
+    """Never answers a call; counts them."""
+
+    def __init__(self, reachability: _Cut) -> None:
+        self._reachability = reachability
+        self.calls = 0
+
+    async def call(self, address: str, request: t.Any, timeout_s: float) -> t.Any:
+        self.calls += 1
+        self._reachability.leave()
+        await asyncio.sleep(NEVER_S)
+
+
+def _forwarder(peers: t.Any, store: t.Any, reachability: _Cut) -> Forwarder:
+    args: t.Any = (_Lease(False), peers, store, "main", lambda: None, SETTINGS)
+    return Forwarder(*args, reachability)
+
+
+class TestCutOff:
+    """Guards against callers that wait at a daemon that reaches nothing."""
+
+    async def test_changes_are_refused_and_nothing_is_sent(self) -> None:
+        reachability = _Cut(cut_off=True)
+        peers = _HangingPeers(reachability)
+        store = _Store()
+        forwarder = _forwarder(peers, store, reachability)
+        for kind in (pb.SUBMIT, pb.CANCEL):
+            request = pb.CallRequest(kind=kind, route="r", job_id="1" * 16, job=BODY)
+            reply = await forwarder.ask(request, boot_s() + NEVER_S)
+            assert reply.outcome == pb.REFUSED and reply.retry_after_s > 0
+        assert not peers.calls and not store.written
+
+    async def test_states_are_uncertain(self) -> None:
+        reachability = _Cut(cut_off=True)
+        forwarder = _forwarder(_HangingPeers(reachability), _Store(), reachability)
+        for kind in (pb.STATE, pb.PENDING):
+            request = pb.CallRequest(kind=kind, route="r", job_id="1" * 16)
+            reply = await forwarder.ask(request, boot_s() + NEVER_S)
+            assert reply.outcome == pb.UNCERTAIN
+
+    async def test_a_call_under_way_is_uncertain_at_once(self) -> None:
+        reachability = _Cut()
+        forwarder = _forwarder(_HangingPeers(reachability), _Store(), reachability)
+        async with asyncio.timeout(SOON_S):
+            reply = await forwarder.ask(SUBMIT, boot_s() + NEVER_S)
+        assert reply.outcome == pb.UNCERTAIN
+
+    async def test_an_inbox_write_under_way_is_uncertain_at_once(self) -> None:
+        reachability = _Cut()
+
+        class Store(_Store):
+            async def transact(self, conditions: t.Any, rows: t.Any) -> t.Any:
+                reachability.leave()
+                await asyncio.sleep(NEVER_S)
+
+        not_holder = pb.CallReply(outcome=pb.NOT_HOLDER)
+        forwarder = _forwarder(_Peers(not_holder), Store(), reachability)
+        async with asyncio.timeout(SOON_S):
+            reply = await forwarder.ask(SUBMIT, boot_s() + NEVER_S)
+        assert reply.outcome == pb.UNCERTAIN
+
+    # Guards against a 504 for a request of which nothing has left the daemon.
+    async def test_a_request_without_a_holder_is_refused_at_once(self) -> None:
+        reachability = _Cut()
+        not_holder = pb.CallReply(outcome=pb.NOT_HOLDER)
+        forwarder = _forwarder(_Peers(not_holder), _Store(), reachability)
+        forwarder._settings = attrs.evolve(SETTINGS, inbox_after_s=NEVER_S)
+        asking = asyncio.ensure_future(forwarder.ask(SUBMIT, boot_s() + NEVER_S))
+        await asyncio.sleep(SETTINGS.retry_s)
+        reachability.leave()
+        async with asyncio.timeout(SOON_S):
+            assert (await asking).outcome == pb.REFUSED
--- a/src/streamthread/gateway/view.py
+++ b/src/streamthread/gateway/view.py
@@ -16,6 +16,7 @@
 from ..unreadable import UnreadableNotes
 from .documents import Documents
 from .frontend import Frontend
+from .reachability import ReachabilityMonitor
 
 __all__ = ["DaemonView"]
 
@@ -24,6 +25,7 @@
     """A read-only view of a daemon's parts.
 
     :param holder: None while another daemon holds the cell.
+    :param reachability: None where the settings tolerate the loss of no hall.
     :param cloud: None if machines cannot be moved.
     :param notes: records input that was unreadable and was skipped.
     :param failures: counts unexpected failures.
@@ -35,6 +37,7 @@
     peers: PeerLinks
     documents: Documents
     frontend: Frontend
+    reachability: ReachabilityMonitor | None
     holder: Holder | None
     store: RowStore
     runner_client: RunnerClient
--- a/src/streamthread/platform/node.py
+++ b/src/streamthread/platform/node.py
@@ -74,6 +74,8 @@
     :param duties_per_s: number of machine orders per second that the cloud service
         accepts from all daemons together; on the wire ``dutyPerS``.
     :param cores: CPU capacity of this daemon, in cores.
+    :param tolerated_halls: how many halls may be lost at once without an outage; on the
+        wire ``faultTolerance.zones``. 0: a lost hall gets no special treatment.
     :param operators_port: port for metrics and operators' queries; 0 lets the operating
         system choose.
     :param peer_ports: first and last port for the traffic between daemons.
@@ -91,6 +93,7 @@
     advice: str = ""
     cores: float = 1.0
     operators_port: int = OPERATORS_PORT
+    tolerated_halls: int = 0
     bounds: Bounds = attrs.field(factory=Bounds)
 
 
@@ -132,6 +135,7 @@
     "platform.reads_per_s",
     "platform.row_bytes",
     "cloud.dutyPerS",
+    "faultTolerance.zones",
 )
 
 
@@ -188,6 +192,7 @@
         duties_per_s=float(cloud.get("dutyPerS", DUTIES_PER_S)),
         advice=value.get("advice") or "",
         cores=_cores(value.get("limits") or {}),
+        tolerated_halls=int(_find(value, "faultTolerance.zones") or 0),
         operators_port=int(value.get("operatorsPort", OPERATORS_PORT)),
         bounds=_decode_bounds(value.get("bounds") or {}),
     )
