Replace a lost holder from another hall, and spread long-running steps

The loss of a hall took the holder, its successor and whole long-running steps with it, and members of the hall delayed announcements to the others.

Candidates in the hall of the lost holder go last, a planned stop names a successor in another hall among those of equal size, and the tasks of a long-running step go to the halls with the fewest of them. In force with faultTolerance.zones above 0. First tries of announcements are given 0.15 s and retries have slots of their own.

--- a/src/streamthread/cell/acquisition_delay.py
+++ b/src/streamthread/cell/acquisition_delay.py
@@ -1,4 +1,9 @@
-"""Delays a daemon's acquisition of a cell so that better candidates go first."""
+"""Delays a daemon's acquisition of a cell so that better candidates go first.
+
+Daemons in the hall of a holder that is gone go last: its whole hall may be lost or cut
+off, and a holder there would be the next one to be replaced. Halls are known only where
+the settings tolerate the loss of a hall.
+"""
 
 import random
 
@@ -20,6 +25,7 @@
     """Spreads the candidates so that one write wins and large machines go first.
 
     :param cores: the CPU cores of this daemon.
+    :param hall: the hall of this daemon; empty where halls make no difference.
     :param rng: a separate random source for each incarnation of a daemon.
     """
 
@@ -30,7 +36,9 @@
         times: LeaseTimes,
         cores: float,
         rng: random.Random,
+        hall: str = "",
     ) -> None:
+        self._hall = hall
         self._members = members
         self._daemon_id = daemon_id
         self._times = times
@@ -48,15 +56,28 @@
             assert owner is not None
             if owner.successor == self._daemon_id:
                 return 0.0
-            return self._stagger_s(owner) + 2 * self._times.stagger_s
+            # A planned stop says nothing of the holder's hall.
+            return self._stagger_s(owner, "") + 2 * self._times.stagger_s
+        lost_hall = self._members.hall_of(owner.address) if owner and self._hall else ""
+        stagger_s = self._stagger_s(owner, lost_hall)
+        if lost_hall == self._hall != "" and self._members.has_peer_outside(lost_hall):
+            stagger_s += self._times.defer_s
         if suspicion is Suspicion.CANNOT_COMMIT:
-            return max(self._stagger_s(owner), self._times.sure_again_s)
-        return self._stagger_s(owner)
+            return max(stagger_s, self._times.sure_again_s)
+        return stagger_s
 
-    def _stagger_s(self, owner: Owner | None) -> float:
-        """Return a random delay, which is longer on small machines."""
+    def _stagger_s(self, owner: Owner | None, lost_hall: str) -> float:
+        """Return a random delay, which is longer on small machines.
+
+        :param lost_hall: daemons do not defer to larger ones in this hall.
+        """
         share = self._size_factor * (1 + self._rng.random()) / 2
         stagger_s = self._times.stagger_s * share
-        if self._members.has_larger_peer(excluding=owner.daemon_id if owner else ""):
+        excluding = owner.daemon_id if owner else ""
+        if self._members.has_larger_peer(excluding, self._deferred_hall(lost_hall)):
             stagger_s += self._times.defer_s
         return stagger_s
+
+    def _deferred_hall(self, lost_hall: str) -> str:
+        """Return the hall whose daemons go after this one whatever their size."""
+        return "" if lost_hall == self._hall else lost_hall
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -75,7 +75,12 @@
             store, part, daemon_id, peers, cores, self.registry.on_peer_report, notes
         )
         delay = AcquisitionDelay(
-            self.members, daemon_id, times, cores, random.Random(incarnation)
+            self.members,
+            daemon_id,
+            times,
+            cores,
+            random.Random(incarnation),
+            peers.contacts.hall,
         )
         self._watch = HolderWatch(store, part, daemon_id, self.registry, peers, times)
         self._writer = OwnerWriter(
--- a/src/streamthread/cell/members.py
+++ b/src/streamthread/cell/members.py
@@ -23,6 +23,16 @@
 
 log = logbook.Logger("streamthread.cell")
 
+FIRST_TRY_S = 0.15
+"""Timeout of the first try of an announcement: a peer answers on a new connection
+within two round trips, 20 ms between the sites. When a hall is lost, a quarter of 300
+members answers nothing; with the full timeout of a call they would occupy the slots and
+delay the announcements to the others by 1.9 s."""
+
+MAX_CONCURRENT_RETRIES = 32
+"""Maximum number of concurrent retries, which are slow if a hall is lost. They have
+slots of their own, so that later announcements do not wait for them."""
+
 RETRY_S = 0.25
 """Pause before another try at the store or at a peer that did not answer."""
 
@@ -68,6 +78,7 @@
         self._on_owner_update = on_owner_update
         self._tasks: set[asyncio.Task[None]] = set()
         self._announce_slots = asyncio.Semaphore(MAX_CONCURRENT_ANNOUNCEMENTS)
+        self._retry_slots = asyncio.Semaphore(MAX_CONCURRENT_RETRIES)
         self.addresses: dict[str, str] = {}
         self._peers_cores: dict[str, float] = {}
 
@@ -117,24 +128,43 @@
             cores=self._cores,
         )
 
-    def has_larger_peer(self, excluding: str) -> bool:
+    def hall_of(self, address: str) -> str:
+        """Return the hall of a peer, or an empty string if it is not known."""
+        return self._peers.contacts.hall_of(address)
+
+    def has_larger_peer(self, excluding: str, excluding_hall: str = "") -> bool:
         """Whether any peer has clearly more CPU cores than this daemon.
 
         :param excluding: a peer to ignore because it seems to have exited.
+        :param excluding_hall: a hall to ignore because it may be lost.
         """
         return any(
             cores > LARGER_FACTOR * self._cores
             for daemon_id, cores in self._peers_cores.items()
-            if daemon_id != excluding
+            if daemon_id != excluding and not self._is_in(daemon_id, excluding_hall)
         )
 
-    def largest(self, daemon_ids: t.Iterable[str]) -> str:
-        """Return the daemon with the most CPU cores, or an empty string if none."""
-        return max(
-            sorted(daemon_ids),
-            key=lambda daemon_id: self._peers_cores.get(daemon_id, 0.0),
-            default="",
-        )
+    def has_peer_outside(self, hall: str) -> bool:
+        """Whether any peer is known to be in another hall than this one."""
+        halls = map(self.hall_of, self.addresses.values())
+        return any(other not in ("", hall) for other in halls)
+
+    def _is_in(self, daemon_id: str, hall: str) -> bool:
+        """Whether a daemon is known to be in a hall."""
+        return bool(hall) and self.hall_of(self.addresses.get(daemon_id, "")) == hall
+
+    def largest(self, daemon_ids: t.Iterable[str], avoid_hall: str = "") -> str:
+        """Return the daemon with the most CPU cores, or an empty string if none.
+
+        :param avoid_hall: among daemons of the same size, those in another hall are
+            preferred.
+        """
+
+        def rank(daemon_id: str) -> tuple[float, bool]:
+            cores = self._peers_cores.get(daemon_id, 0.0)
+            return cores, not self._is_in(daemon_id, avoid_hall)
+
+        return max(sorted(daemon_ids), key=rank, default="")
 
     def announce_soon(self, owner: pb.OwnerNews) -> None:
         """Notify all peers of the cell's holder, without waiting for their answers."""
@@ -147,16 +177,35 @@
     async def _announce(
         self, daemon_id: str, address: str, update: pb.Announcement
     ) -> None:
-        for _ in range(ANNOUNCE_TRIES):
-            try:
-                async with self._announce_slots:
-                    answer = await self._peers.announce(address, update)
-                self.on_announcement(answer)
+        async with self._announce_slots:
+            if await self._announce_once(address, update, FIRST_TRY_S):
                 return
-            except PeerUnavailableError:
-                await asyncio.sleep(RETRY_S)
+        for _ in range(ANNOUNCE_TRIES - 1):
+            await asyncio.sleep(RETRY_S)
+            async with self._retry_slots:
+                if await self._announce_once(address, update, None):
+                    return
         log.info("peer-not-told", extra={"peer": daemon_id, "address": address})
 
+    async def _announce_once(
+        self, address: str, update: pb.Announcement, timeout_s: float | None
+    ) -> bool:
+        """Announce to a peer; return whether it answered.
+
+        :param timeout_s: a shorter timeout than the one of the call, or None.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                answer = await self._peers.announce(address, update)
+        except (PeerUnavailableError, TimeoutError) as error:
+            log.debug(
+                "announcement-unanswered",
+                extra={"address": address, "error": repr(error)},
+            )
+            return False
+        self.on_announcement(answer)
+        return True
+
     def close(self) -> None:
         """Cancel all pending announcements."""
         for task in self._tasks:
--- a/src/streamthread/cell/tests/test_lease.py
+++ b/src/streamthread/cell/tests/test_lease.py
@@ -9,6 +9,7 @@
 
 from streamthread.cell import CellLease
 from streamthread.cell import LeaseTimes
+from streamthread.cell import PeerContacts
 from streamthread.cell.rows import Head
 from streamthread.cell.rows import HEAD_KEY
 from streamthread.cell.rows import Owner
@@ -65,6 +66,7 @@
     """Answers for the old holder, and runs a callback during the call."""
 
     address = "127.0.0.1:2"
+    contacts = PeerContacts()
 
     def __init__(self, healthy: bool, during_call: t.Callable[[], None]) -> None:
         self.healthy = healthy
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -103,6 +103,7 @@
         engine=EngineSettings(
             early_s=early_s,
             stop_effect_ms=int((node.bounds.stop_s + STOP_SLACK_S) * 1000),
+            spreads_over_halls=node.tolerated_halls > 0,
         ),
         duties=duty_settings(node),
     )
@@ -140,7 +141,8 @@
         if node.advice:
             self.advice = AdviceClient(node.advice, CLOUD_TIMEOUT_S, self.notes)
         self.documents = Documents(self.store, self.notes, self.failures)
-        self.contacts = PeerContacts(node.hall)
+        # Halls make no difference where no loss of a hall is to be tolerated.
+        self.contacts = PeerContacts(node.hall if node.tolerated_halls else "")
         self.peers = PeerLinks(
             node.daemon_id, address, self.settings.times.beat_s, self.contacts
         )
@@ -355,11 +357,14 @@
     def _choose_successor(self) -> str:
         """Return the largest follower, or the largest peer if there is no follower.
 
+        Among several of this size, one in another hall is chosen.
+
         If the store is slow, the holder's heartbeats may say that others may acquire
         the cell. Daemons that receive such a heartbeat stop following the holder.
         """
         members = self.lease.members
-        return members.largest(self.endpoint.followers or members.addresses)
+        candidates = self.endpoint.followers or members.addresses
+        return members.largest(candidates, avoid_hall=self.contacts.hall)
 
     async def _hand_over(self) -> None:
         """Release the cell, and remain the holder until the release is written.
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -4,6 +4,7 @@
 orders.
 """
 
+import collections
 import time
 import typing as t
 
@@ -381,12 +382,27 @@
     ) -> list[Attempt]:
         planned = [
             (placement, _next_run(placement.task))
-            for placement in place_step(step, usable, now_s, tickets, max_count)
+            for placement in place_step(
+                step, usable, now_s, tickets, max_count, self._hall_counts(step)
+            )
         ]
         attempts = [self._plan(p.task, p.runner, run) for p, run in planned]
         self._log_placement(step, planned, len(usable))
         return attempts
 
+    def _hall_counts(self, step: StepRun) -> t.Mapping[str, int] | None:
+        """Return how many tasks of a step each hall has; None if it is not spread."""
+        if not self.settings.spreads_over_halls:
+            return None
+        if not step.request.lasting or len(step.tasks) < 2:
+            return None
+        runners = (
+            self.runners.get(attempt.runner_id)
+            for task in step.tasks
+            for attempt in task.attempts
+        )
+        return collections.Counter(r.zone for r in runners if r is not None)
+
     def _account_capacity(self, step: StepRun) -> int:
         """Return how many more tasks of a step its client account may have running."""
         job, request = step.occurrence.job, step.request
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -144,6 +144,7 @@
     now_s: float,
     tickets: t.Collection[str] | None = None,
     max_count: int | None = None,
+    hall_counts: t.Mapping[str, int] | None = None,
 ) -> list[Placement]:
     """Return placements for the step's waiting tasks, as far as capacity is free.
 
@@ -151,6 +152,8 @@
 
     :param tickets: ids of the runners that may run the step; None means all.
     :param max_count: the maximum number of tasks to place; None means no limit.
+    :param hall_counts: how many tasks of the step each hall has; the step is spread
+        over halls. None means that halls make no difference.
     """
     waiting = [task for task in step.waiting() if task.not_before_s <= now_s]
     if not waiting:
@@ -169,7 +172,7 @@
     ]
     if not step.request.lasting:
         suitable = _without_penalized(suitable, now_s)
-    placed = _fill(step, waiting, suitable, now_s)
+    placed = _fill(step, waiting, suitable, now_s, hall_counts)
     if step.request.gang and len(placed) < len(waiting):
         return []
     return placed
@@ -222,6 +225,7 @@
     waiting: t.Sequence[Task],
     runners: t.Sequence[RunnerState],
     now_s: float,
+    hall_counts: t.Mapping[str, int] | None,
 ) -> list[Placement]:
     """Place a step's tasks, each on the fitting runner with the lowest cost.
 
@@ -235,9 +239,11 @@
     if suspects:
         waits_since_s = min(task.waiting_since_s for task in suspects)
         for_probation = probation_runners(job, runners, waits_since_s, clock_s)
-    if step.request.same_rack or suspects or any(task.avoid for task in waiting):
+    spread = hall_counts is not None
+    avoiding = any(task.avoid for task in waiting)
+    if step.request.same_rack or suspects or avoiding or spread:
         return _fill_one_by_one(
-            waiting, open_runners, for_probation, placed_counts, now_s
+            waiting, open_runners, for_probation, placed_counts, now_s, hall_counts
         )
     return _fill_in_order(waiting, open_runners, placed_counts, now_s)
 
@@ -276,21 +282,27 @@
     for_probation: t.Sequence[RunnerState],
     placed_counts: collections.Counter[str],
     now_s: float,
+    hall_counts: t.Mapping[str, int] | None,
 ) -> list[Placement]:
     """Place tasks whose costs differ, counting what earlier ones take.
 
     :param for_probation: the runners for tasks that may cause runner exits.
     """
     planned: collections.Counter[str] = collections.Counter()
+    in_halls = None if hall_counts is None else collections.Counter(hall_counts)
     placed: list[Placement] = []
     for task in waiting:
         usable = for_probation if task.suspect else runners
-        best = _best_runner(task, usable, placed_counts, planned, now_s, placed)
+        best = _best_runner(
+            task, usable, placed_counts, planned, now_s, placed, in_halls
+        )
         if best is None:
             if not task.avoid and not task.suspect:
                 break
             continue
         planned[best.runner_id] += 1
+        if in_halls is not None:
+            in_halls[best.zone] += 1
         placed.append(Placement(task, best))
     return placed
 
@@ -302,11 +314,13 @@
     planned: collections.Counter[str],
     now_s: float,
     placed: t.Sequence[Placement],
+    in_halls: collections.Counter[str] | None,
 ) -> RunnerState | None:
     """Return the runner with capacity for one more task that has the lowest cost.
 
     :param placed_counts: the number of the step's tasks that each runner already has.
     :param planned: the number of tasks that this call adds to each runner.
+    :param in_halls: the number of the step's tasks in each hall, including these.
     """
     request = task.step.request
     cpu = task.step.reserved_cpu
@@ -325,7 +339,8 @@
             request.gpu * (count + 1),
         ):
             continue
-        cost = _cost(task, runner, cpu * count, now_s, placed)
+        beside = 0 if in_halls is None else in_halls[runner.zone]
+        cost = _cost(task, runner, cpu * count, now_s, placed, beside)
         if best is None or cost < best_cost:
             best, best_cost = runner, cost
     return best
@@ -343,12 +358,17 @@
     planned_cpu: int,
     now_s: float,
     placed: t.Sequence[Placement],
+    hall_tasks: int = 0,
 ) -> tuple[t.Any, ...]:
     """Return the cost of a runner, lower being better.
 
-    Runners without recent failures come first, then those near the data, then the
-    fullest. A suspect task goes beside other tasks of its job that are placed with it,
-    and then to the runner with the fewest attempts, where the fewest are lost with it.
+    Runners without recent failures come first, then those near the data, then those in
+    halls with the fewest tasks of the step, then the fullest. A suspect task goes
+    beside other tasks of its job that are placed with it, and then to the runner with
+    the fewest attempts, where the fewest are lost with it.
+
+    :param hall_tasks: the number of the step's tasks in the runner's hall if the step
+        is spread over halls, else 0.
     """
     request = task.step.request
     unhealthy = runner.penalty_until_s > now_s or is_avoided(task, runner)
@@ -357,4 +377,4 @@
     if task.suspect:
         apart = not any(placement.runner is runner for placement in placed)
         return (unhealthy, far, split, apart, len(runner.attempts))
-    return (unhealthy, far, split, runner.free_cpu - planned_cpu)
+    return (unhealthy, far, split, hall_tasks, runner.free_cpu - planned_cpu)
--- a/src/streamthread/scheduler/settings.py
+++ b/src/streamthread/scheduler/settings.py
@@ -40,6 +40,8 @@
     :param most_lost_runners: a task is given up after this many runner exits, at its
         start or later. An exit that the task did not cause, before the task has worked
         for a while, looks the same, and the task is then given up for unrelated exits.
+    :param spreads_over_halls: the tasks of a long-running step are spread over halls,
+        so that the loss of one hall leaves the others at work.
     :param restart_pause_s: the pause before a failed long-running task starts again.
     """
 
@@ -55,4 +57,5 @@
     unsteady_ends: int = 2
     most_crashes: int = 4
     most_lost_runners: int = 8
+    spreads_over_halls: bool = False
     progress: ProgressSettings = attrs.field(factory=ProgressSettings)
--- a/src/streamthread/scheduler/tests/test_placement.py
+++ b/src/streamthread/scheduler/tests/test_placement.py
@@ -8,6 +8,8 @@
 
 from streamthread.platform.callers import JobRequest
 from streamthread.platform.callers import StepRequest
+from streamthread.scheduler import Engine
+from streamthread.scheduler import EngineSettings
 from streamthread.scheduler import Job
 from streamthread.scheduler import RunnerIncarnation
 from streamthread.scheduler import RunnerState
@@ -85,6 +87,65 @@
         assert placement.runner.rack == "r2"
 
 
+def _in_hall(number: int, hall: str, cpu: int = 1000) -> RunnerState:
+    runner: RunnerState = _runner(number, cpu, 1000, ("a",))
+    runner.zone = hall
+    return runner
+
+
+class TestSpreadOverHalls:
+    """Guards against long-running steps that are lost with one hall."""
+
+    RUNNERS = (("h1", 300), ("h1", 400), ("h2", 900), ("h3", 1000))
+
+    def _placed_halls(
+        self, count: int, hall_counts: dict[str, int] | None
+    ) -> collections.Counter[str]:
+        step = StepRequest(count=count, cpu=10, lasting=True)
+        run = _job(step).occurrences[0].steps[0]
+        runners = [_in_hall(n, *shape) for n, shape in enumerate(self.RUNNERS)]
+        placed = place_step(run, runners, time.time(), hall_counts=hall_counts)
+        return collections.Counter(p.runner.zone for p in placed)
+
+    def test_gives_each_hall_as_many_tasks(self) -> None:
+        assert self._placed_halls(6, {}) == {"h1": 2, "h2": 2, "h3": 2}
+
+    def test_counts_the_tasks_that_run_already(self) -> None:
+        assert self._placed_halls(2, {"h1": 1, "h3": 1}) == {"h2": 1, "h1": 1}
+
+    def test_uses_the_fullest_runner_where_halls_make_no_difference(self) -> None:
+        assert self._placed_halls(6, None) == {"h1": 6}
+
+    def test_takes_what_is_there_without_a_choice(self) -> None:
+        step = StepRequest(count=3, cpu=10, lasting=True)
+        run = _job(step).occurrences[0].steps[0]
+        placed = place_step(
+            run, [_in_hall(1, "h1")], time.time(), hall_counts={"h1": 5}
+        )
+        assert len(placed) == 3
+
+    def test_by_the_engine_is_for_long_running_steps_of_several_tasks(self) -> None:
+        for spreads in (True, False):
+            engine = Engine(
+                lambda job: None, EngineSettings(spreads_over_halls=spreads)
+            )
+            for number, shape in enumerate(self.RUNNERS):
+                engine.add_runner(_in_hall(number, *shape))
+            steps = (
+                StepRequest(count=3, cpu=10, lasting=True),
+                StepRequest(count=3, cpu=10),
+            )
+            job = Job("a" * 16, "r", "desk", JobRequest("", steps), b"{}", time.time())
+            job.begin(0)
+            engine.add(job)
+            halls: dict[int, set[str]] = collections.defaultdict(set)
+            for attempt in engine.place_all(time.time(), lambda step: None):
+                runner = engine.runners[attempt.runner_id]
+                halls[attempt.task.step.number].add(runner.zone)
+            assert len(halls[0]) == (3 if spreads else 1)
+            assert len(halls[1]) == 1
+
+
 class TestFailingRunners:
     def test_failed_task_waits_for_another_runner(self) -> None:
         step = StepRequest(count=1, cpu=10)
--- a/tests/cell/test_partitioned_halls.py
+++ b/tests/cell/test_partitioned_halls.py
@@ -138,7 +138,7 @@
     async def test_stays_where_no_hall_may_be_lost(self) -> None:
         cell_halls = running_halls(["a", "b"], {"desk": 1}, tolerated_halls=0)
         async with cell_halls as (cell, halls):
-            holder = await _until_known(cell)
+            holder = await cell.until_ready()
             daemon = next(d for d in cell.daemons if d is not holder)
             halls.cut(daemon.node.hall)
             await _stay_ready([daemon])
