Give up a silent runner once its machine has a later one, and report lost halls

Runs on a machine that restarted under a new runner id waited until their hold had lapsed, although entries name the machine and the birth of its runner.

A silent runner is over once an entry of the same machine with another id and a later birth is listed. The holder also reports halls most of whose runners are silent (hall-lost, hall-back) and sends nothing to their other runners until these have answered; only with faultTolerance.zones above 0. The stand-in's entries name their machines as the platform's do.

--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -106,6 +106,7 @@
             spreads_over_halls=node.tolerated_halls > 0,
         ),
         duties=duty_settings(node),
+        watches_halls=node.tolerated_halls > 0,
     )
 
 
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -187,6 +187,11 @@
         yield GaugeMetricFamily(
             "streamthread_runners_silent", "Runners that do not answer.", silent
         )
+        yield GaugeMetricFamily(
+            "streamthread_halls_lost",
+            "Halls most of whose runners do not answer.",
+            len(holder.outages.lost_since_s),
+        )
         yield GaugeMetricFamily(
             "streamthread_runner_list_age_seconds",
             "Since the store last confirmed which runners there are.",
--- a/src/streamthread/holder/context.py
+++ b/src/streamthread/holder/context.py
@@ -59,11 +59,13 @@
     :param part: the part of the tables that contains the cell's rows.
     :param forget_s: the state of an ended job is available for at least this long.
     :param list_pause_s: pause between two reads of the list of runners.
+    :param watches_halls: whether halls are watched for the loss of most runners.
     """
 
     part: str = "main"
     forget_s: float = 150.0
     list_pause_s: float = 0.1
+    watches_halls: bool = False
     times: LeaseTimes = attrs.field(factory=LeaseTimes)
     links: LinkSettings = attrs.field(factory=LinkSettings)
     orders: OrderSettings = attrs.field(factory=OrderSettings)
--- a/src/streamthread/holder/housekeeping.py
+++ b/src/streamthread/holder/housekeeping.py
@@ -8,6 +8,7 @@
 from ..cell import TABLE_JOBS
 from ..cell import TABLE_RUNS
 from ..clocks import boot_s
+from .hall_watch import HallWatch
 from .inbox import InboxReader
 from .intake import Intake
 from .owner import DutyOwner
@@ -27,9 +28,19 @@
 
 
 class Housekeeping:
-    """The holder's loops that run at intervals and not on updates."""
-
-    def __init__(self, owner: DutyOwner, inbox: InboxReader, intake: Intake) -> None:
+    """The holder's loops that run at intervals and not on updates.
+
+    :param halls: watches for lost halls; None where no loss is to be tolerated.
+    """
+
+    def __init__(
+        self,
+        owner: DutyOwner,
+        inbox: InboxReader,
+        intake: Intake,
+        halls: HallWatch | None = None,
+    ) -> None:
+        self._halls = halls
         self._owner = owner
         self._intake = intake
         self._engine = owner.engine
@@ -40,6 +51,8 @@
         while True:
             await asyncio.sleep(WATCH_RUNS_INTERVAL_S)
             await self._owner.until_trusted()
+            if self._halls is not None:
+                self._halls.check()
             for link in self._owner.links.values():
                 if link.silent and self._engine.request_copies(link.runner.runner_id):
                     self._owner.kick()
--- a/src/streamthread/holder/runner_manager.py
+++ b/src/streamthread/holder/runner_manager.py
@@ -61,6 +61,8 @@
         self._owner = owner
         self._engine = owner.engine
         self._batching = EndBatching(owner.engine.runners.values)
+        # The latest runner that each machine is known to have had, by machine id.
+        self._latest: dict[str, tuple[int, str]] = {}
 
     def add_runner(self, entry: RunnerEntry) -> None:
         """Open a link to a runner that is listed and has none yet."""
@@ -76,10 +78,31 @@
             },
         )
         self._open_link(runner, self._owner.taken.last_hold_at_s)
+        self._find_replaced(entry)
+
+    def _find_replaced(self, entry: RunnerEntry) -> None:
+        """Tell the link of a machine's former runner that there is a later one.
+
+        Start times decide which of two runners is the later one, as entries may be
+        written late.
+        """
+        if not entry.machine_id or entry.born_ms is None:
+            return
+        added = (entry.born_ms, entry.runner_id)
+        known = self._latest.get(entry.machine_id, added)
+        former, latest = sorted((known, added))
+        self._latest[entry.machine_id] = latest
+        former_id, latest_ms = former[1], latest[0]
+        link = self._owner.links.get(former_id)
+        if link is None or former_id == latest[1] or link.runner.born_ms is None:
+            return
+        if link.runner.born_ms < latest_ms:
+            link.on_replaced()
 
     def restart_runner(self, link: RunnerLink, entry: RunnerEntry) -> None:
         """Replace a runner's link, given the entry of the runner's next incarnation."""
         self._restart(link, RunnerState.from_entry(entry), listed=True)
+        self._find_replaced(entry)
 
     def on_restarted(self, link: RunnerLink, born_ms: int) -> None:
         """Handle an answer of the runner's next incarnation under the same id.
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -15,6 +15,7 @@
 from ..cell import TABLE_RUNS
 from ..clocks import boot_s
 from ..errors import NotHolderError
+from ..halls import HallOutages
 from ..loops import Loop
 from ..loops import LoopKeeper
 from ..platform.manifest import AdvicePolicy
@@ -34,6 +35,7 @@
 from .advice import AdviceCache
 from .context import HolderContext
 from .duties import DutyLoop
+from .hall_watch import HallWatch
 from .housekeeping import Housekeeping
 from .inbox import InboxReader
 from .intake import Intake
@@ -66,6 +68,7 @@
 
     :param active: the jobs and the inbox have been read, and requests are answered.
     :param failed: unexpected failures have ended this holder.
+    :param outages: the halls that are lost now.
     """
 
     def __init__(self, context: HolderContext, taken: AcquiredCell) -> None:
@@ -105,7 +108,14 @@
         )
         self.intake = self._open_intake()
         self.inbox = self._open_inbox()
-        self._housekeeping = Housekeeping(self, self.inbox, self.intake)
+        self.outages = HallOutages()
+        watch = HallWatch(self.links, self.outages)
+        self._housekeeping = Housekeeping(
+            self,
+            self.inbox,
+            self.intake,
+            watch if self.settings.watches_halls else None,
+        )
         self._supervisor = LoopKeeper(
             context.failures, (NotHolderError,), self._on_failure
         )
--- a/src/streamthread/holder/tests/test_runner_manager.py
+++ b/src/streamthread/holder/tests/test_runner_manager.py
@@ -3,6 +3,7 @@
 import types
 import typing as t
 
+import attrs
 import pytest
 
 from streamthread.clocks import boot_s
@@ -37,6 +38,7 @@
         )
         self.sender = None
         self.without_tickets: list[str] = []
+        self.exited: list[str] = []
 
     def spawn(self, call: t.Any) -> None:
         call.close()
@@ -44,6 +46,9 @@
     def kick(self) -> None:
         pass
 
+    def on_runner_exit(self, link: RunnerLink, why: str) -> None:
+        self.exited.append(link.runner.runner_id)
+
     def forget_tickets(self, runner_id: str) -> None:
         self.without_tickets.append(runner_id)
 
@@ -88,3 +93,73 @@
         link = owner.links["i-1"]
         expired_at_s = link._last_hold_at_s + LINKS.expiry_bound_s
         assert expired_at_s >= now_s + LINKS.cut_hold_s / SLOWEST_CLOCK
+
+
+class TestReplacedRunner:
+    """Guards against tasks that wait for a lease on a machine that has restarted."""
+
+    @staticmethod
+    def _add(
+        manager: RunnerManager,
+        runner_id: str,
+        born_ms: int | None,
+        machine: str = "m-1",
+    ) -> None:
+        entry = attrs.evolve(
+            _entry(cpu=1_000, born_ms=0),
+            runner_id=runner_id,
+            born_ms=born_ms,
+            machine_id=machine,
+        )
+        manager.add_runner(entry)
+
+    def test_is_over_at_once_if_it_is_silent(
+        self, owner: _Owner, manager: RunnerManager
+    ) -> None:
+        link = owner.links["i-1"]
+        link.runner.silent_at_s = boot_s()
+        self._add(manager, "i-2", BORN_MS + 1)
+        assert link.over and owner.exited == ["i-1"]
+        assert not owner.links["i-2"].over
+
+    def test_is_over_at_its_first_unanswered_call(
+        self, owner: _Owner, manager: RunnerManager
+    ) -> None:
+        link = owner.links["i-1"]
+        self._add(manager, "i-2", BORN_MS + 1)
+        assert not link.over
+        link._on_silence("no answer", hung=True)
+        assert link.over and owner.exited == ["i-1"]
+
+    # Guards against a late write of a former runner that ends the present one.
+    def test_is_the_one_that_started_earlier(
+        self, owner: _Owner, manager: RunnerManager
+    ) -> None:
+        present = owner.links["i-1"]
+        present.runner.silent_at_s = boot_s()
+        self._add(manager, "i-0", BORN_MS - 1)
+        assert not present.over
+        former = owner.links["i-0"]
+        former._on_silence("no answer", hung=True)
+        assert former.over and owner.exited == ["i-0"]
+
+    @pytest.mark.parametrize(
+        ("born_ms", "machine"),
+        [(None, "m-1"), (BORN_MS, "m-1"), (BORN_MS + 1, "m-2"), (BORN_MS + 1, "")],
+    )
+    def test_is_not_assumed_without_start_times_of_one_machine(
+        self, owner: _Owner, manager: RunnerManager, born_ms: int | None, machine: str
+    ) -> None:
+        link = owner.links["i-1"]
+        link.runner.silent_at_s = boot_s()
+        self._add(manager, "i-2", born_ms, machine)
+        assert not link.over
+
+    def test_is_not_the_next_incarnation_under_its_id(
+        self, owner: _Owner, manager: RunnerManager
+    ) -> None:
+        manager.on_restarted(owner.links["i-1"], BORN_MS + 5)
+        present = owner.links["i-1"]
+        present.runner.silent_at_s = boot_s()
+        self._add(manager, "i-2", BORN_MS + 1)
+        assert not present.over
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -157,6 +157,8 @@
         self._confirmed = 0
         self._recorded = 0
         self._recorded_late = False
+        # The machine has a later runner: this one is over as soon as it is silent.
+        self._replaced = False
 
     @property
     def silent(self) -> bool:
@@ -297,6 +299,28 @@
         if self.heard_at_s < sent_at_s:
             self.runner.ready = False
 
+    def await_answer(self, since_s: float) -> None:
+        """Place no more tasks on a runner that has not answered since then.
+
+        :param since_s: when other runners of its hall became silent, on the boot clock.
+        """
+        if self.heard_at_s < since_s:
+            self.runner.ready = False
+
+    def on_replaced(self) -> None:
+        """Handle that a later runner was started on the same machine.
+
+        At most one runner lives on a machine, so that this one has exited with all its
+        runs. It is called until it does not answer: a runner that answers is alive,
+        whatever the entries say.
+        """
+        self._replaced = True
+        self._check_replaced()
+
+    def _check_replaced(self) -> None:
+        if self._replaced and self.silent:
+            self._end("silent, and its machine has a later runner")
+
     async def _on_refusal(self, refusal: Refusal) -> None:
         if refusal is Refusal.FENCED:
             self._owner.on_fenced(self)
@@ -327,6 +351,9 @@
         self._check_expiry()
 
     def _check_expiry(self) -> None:
+        self._check_replaced()
+        if self.over:
+            return
         now_s = boot_s()
         if self.clock.known:
             expired = self.clock.all_expired(now_s)
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -103,6 +103,7 @@
 
     :param clock_zero_s: the monotonic time at which the runner's clock was at 0.
     :param reports_birth: it reports its start time as ``born``.
+    :param machine_id: the machine that its entry names; empty if it names none.
     :param started: the starts carried out by all runners, in a shared list.
     :param ended: the task, run, kind and time of all runners' ended runs, in a shared
         list.
@@ -134,6 +135,7 @@
         self._on_crash = on_crash
         self._clock_zero_s = clock_zero_s
         self.reports_birth = reports_birth
+        self.machine_id = ""
         self.born_ms = int(time.time() * 1000)
         self.runner_id = runner_id
         self.service = service
@@ -172,6 +174,7 @@
                 "labels": list(self.labels),
                 "clockMs": self._clock_ms(),
                 **self._birth_fields(),
+                **({"machine": self.machine_id} if self.machine_id else {}),
             }
         )
 
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -104,6 +104,7 @@
             clock_zero_s=time.monotonic() if runner_id else 0.0,
             reports_birth=self.reports_birth or bool(runner_id),
         )
+        runner.machine_id = machine_id
         await runner.port.open(port)
         self.runners.append(runner)
         await self.write_entry(runner)
--- a/tests/cell/test_lost_halls.py
+++ b/tests/cell/test_lost_halls.py
@@ -1,5 +1,6 @@
 """The hall of the holder is lost with a quarter of the members."""
 
+import json
 import time
 
 from streamthread.gateway import CellDaemon
@@ -7,12 +8,17 @@
 from .partition import running_halls
 from .support import Cell
 from .support import job
+from .support import running_cell
 from .support import until
 
 TAKEOVER_WITHIN_S = 3.5
 """The loss of a heartbeat (0.7 s), the stalled commits (1.5 s), a stagger and the
 replay, and what a busy test machine adds."""
 
+RESTARTED_WITHIN_S = 0.6
+"""The entry of the later runner, a commit and a start, and what a busy test machine
+adds; the hold lapses after a second or more."""
+
 DAEMONS = ["a", "a", "b", "b", "c", "c", "d", "d"]
 
 
@@ -60,3 +66,46 @@
                 d for d in cell.daemons if d.node.daemon_id == old._choose_successor()
             )
             assert chosen.node.hall != old.node.hall
+
+
+class TestLostMachine:
+    # Guards against tasks that wait until their hold has lapsed (3.2 s) although a
+    # later runner of the machine proves that they have ended.
+    async def test_whose_later_runner_is_listed_has_lost_its_runs(self) -> None:
+        async with running_cell({"desk": 2}) as cell:
+            holder = await cell.until_ready()
+            caller = cell.caller()
+            body = job(run_s=60, count=2, longRunning=True, antiAffinity=1)
+            await caller.submit("a" * 16, body)
+            await until(lambda: len(cell.world.started) == 2, "both tasks start")
+            machine = next(iter(cell.world.cloud.machines.values()))
+            runner = machine.runner
+            assert runner is not None and holder.holder is not None
+            # Its connections stay open and nothing answers, as after a power loss.
+            runner.faults.silent = True
+            link = holder.holder.links[runner.runner_id]
+            await until(lambda: link.silent, "the holder notices")
+            began_at_s = time.monotonic()
+            cell.world.cloud.restart(machine, 0.0)
+            await until(lambda: len(cell.world.started) == 3, "the task starts again")
+            assert time.monotonic() - began_at_s < RESTARTED_WITHIN_S
+            assert len(list(cell.world.running())) == 2
+
+
+class TestHallWithoutAnswers:
+    # Guards against operators who learn of a lost hall from each single runner.
+    async def test_is_reported_as_lost_and_as_back(self) -> None:
+        async with running_halls(["a", "b"], {"desk": 6}) as (cell, _):
+            holder = (await cell.until_ready()).holder
+            assert holder is not None
+            dark = cell.world.runners[:3]
+            for runner in dark:
+                entry = json.loads(runner.entry()) | {"zone": "dark"}
+                row = json.dumps(entry).encode()
+                await cell.world.write_bytes("servers", runner.runner_id, row)
+                runner.faults.silent = True
+            await until(lambda: "dark" in holder.outages.lost_since_s, "it is lost")
+            assert set(holder.outages.lost_since_s) == {"dark"}
+            for runner in dark:
+                runner.faults.silent = False
+            await until(lambda: not holder.outages.lost_since_s, "it is back")
