Reset channels that are given up, and refuse no change that has no outcome yet

A daemon that is cut off refused a retry of a job that it had sent to the holder before; the link delivered the job after the partition, and it ran.

Channels to peers are reset when they are given up and when the daemon is cut off. Changes without an outcome are remembered for 10 s and answered with 504.

--- a/src/streamthread/cell/peer.py
+++ b/src/streamthread/cell/peer.py
@@ -199,7 +199,7 @@
         return boot_s() - self._heartbeat_at_s <= within_s
 
     def close(self) -> None:
-        """Close all channels."""
+        """Abort all channels, so that no byte of their calls arrives later."""
         for address, channel in list(self._channels.items()):
             self._drop(address, channel)
 
@@ -215,10 +215,13 @@
         return channel
 
     def _drop(self, address: str, channel: PeerChannel) -> None:
-        """Close a channel; a newer one to the same address stays."""
+        """Abort a channel; a newer one to the same address stays.
+
+        Its calls fail, and no byte of them arrives later.
+        """
         if self._channels.get(address) is channel:
             del self._channels[address]
-        channel.close()
+        channel.abort()
 
     async def call(
         self, address: str, request: pb.CallRequest, timeout_s: float
@@ -279,7 +282,7 @@
                 unused = old
         finally:
             on_old.cancel()
-            unused.close()
+            unused.abort()
 
     async def _responds(self, channel: PeerChannel) -> bool:
         """Whether a peer responds on a channel, as the holder or as another daemon."""
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -189,6 +189,8 @@
             self._peers_elsewhere,
             self._probe_peer,
             random.Random(self.node.daemon_id),
+            # What was sent to peers must not arrive after a refusal by another daemon.
+            on_cut_off=self.peers.close,
             failures=self.failures,
         )
 
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -41,6 +41,14 @@
 """A refused caller is asked to retry after this time."""
 
 
+UNRESOLVED_S = 10.0
+"""How long a request without an outcome is remembered. Callers retry within 3 s."""
+
+MAX_UNRESOLVED = 10_000
+"""Maximum number of these requests; 700 a second for the time that callers retry, and
+three times as many."""
+
+
 class Persisted(enum.Enum):
     """Whether a change is in the inbox.
 
@@ -90,6 +98,33 @@
         return self.uncertain or self.in_attempt
 
 
+class _Unresolved:
+    """The changes that recently ended without an outcome, by kind, route and job."""
+
+    def __init__(self) -> None:
+        self._at_s: dict[tuple[int, str, str], float] = {}
+
+    def add(self, request: pb.CallRequest) -> None:
+        """Remember a request; the oldest ones are forgotten."""
+        key = _key_of(request)
+        self._at_s.pop(key, None)
+        self._at_s[key] = boot_s()
+        while len(self._at_s) > MAX_UNRESOLVED or self._is_oldest_over():
+            del self._at_s[next(iter(self._at_s))]
+
+    def _is_oldest_over(self) -> bool:
+        return boot_s() - next(iter(self._at_s.values())) > UNRESOLVED_S
+
+    def has(self, request: pb.CallRequest) -> bool:
+        """Whether the same change may have been accepted a short time ago."""
+        at_s = self._at_s.get(_key_of(request))
+        return at_s is not None and boot_s() - at_s <= UNRESOLVED_S
+
+
+def _key_of(request: pb.CallRequest) -> tuple[int, str, str]:
+    return int(request.kind), request.route, request.job_id
+
+
 class Forwarder:
     """Calls the holder, in this daemon or on a peer; falls back to the inbox.
 
@@ -108,6 +143,7 @@
         reachability: Reachability | None = None,
     ) -> None:
         self._reachability = reachability
+        self._unresolved = _Unresolved()
         self._lease = lease
         self._peers = peers
         self._store = store
@@ -121,13 +157,23 @@
 
         :param until_s: when the caller stops waiting, on the boot clock.
         """
-        progress = _Progress()
         if self._reachability is None:
-            return await self._ask(request, until_s, progress)
-        if self._reachability.cut_off:
+            return await self._ask(request, until_s, _Progress())
+        reply = await self._ask_unless_cut_off(request, until_s, self._reachability)
+        if reply.outcome == pb.UNCERTAIN and request.kind in (pb.SUBMIT, pb.CANCEL):
+            self._unresolved.add(request)
+        return reply
+
+    async def _ask_unless_cut_off(
+        self, request: pb.CallRequest, until_s: float, reachability: Reachability
+    ) -> pb.CallReply:
+        progress = _Progress()
+        if reachability.cut_off:
+            # An earlier try of the same change may have been accepted.
+            progress.uncertain = self._unresolved.has(request)
             return _cut_off_reply(request, progress)
         answer = asyncio.ensure_future(self._ask(request, until_s, progress))
-        leaving = asyncio.ensure_future(self._reachability.until_cut_off())
+        leaving = asyncio.ensure_future(reachability.until_cut_off())
         try:
             await asyncio.wait((answer, leaving), return_when=asyncio.FIRST_COMPLETED)
             if answer.done():
--- a/src/streamthread/gateway/reachability.py
+++ b/src/streamthread/gateway/reachability.py
@@ -156,6 +156,8 @@
     :param get_contacts: returns the present contacts.
     :param get_peers: returns the hall and the address of each peer in another hall.
     :param probe: probes one peer and returns whether it answered within a time.
+    :param on_cut_off: called when this daemon is cut off, before requests are answered
+        for this reason.
     :param times_cut_off: how often this daemon has been cut off.
     """
 
@@ -166,6 +168,7 @@
         probe: t.Callable[[str, float], t.Awaitable[bool]],
         rng: random.Random,
         settings: ReachabilitySettings | None = None,
+        on_cut_off: t.Callable[[], None] = lambda: None,
         failures: Failures | None = None,
     ) -> None:
         super().__init__()
@@ -174,6 +177,7 @@
         self._probe = probe
         self._rng = rng
         self._settings = settings or ReachabilitySettings()
+        self._on_cut_off = on_cut_off
         self._keeper = LoopKeeper(failures or Failures())
         self._failed_rounds = 0
         self._left = asyncio.Event()
@@ -235,6 +239,7 @@
     def _set(self, verdict: Verdict, contacts: Contacts, peers: int) -> None:
         now_s = boot_s()
         if verdict is Verdict.CUT_OFF and not self.cut_off:
+            self._on_cut_off()
             self._left.set()
             self._left_at_s = now_s
             self.times_cut_off += 1
--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -4,12 +4,14 @@
 import typing as t
 
 import attrs
+import pytest
 
 from streamthread.cell import cell_pb2 as pb
 from streamthread.clocks import boot_s
 from streamthread.errors import OutcomeUnknownError
 from streamthread.errors import PeerUnavailableError
 from streamthread.errors import StoreUnavailableError
+from streamthread.gateway import forwarding
 from streamthread.gateway.forwarding import Forwarder
 from streamthread.gateway.forwarding import ForwardSettings
 from streamthread.gateway.reachability import Reachability
@@ -271,3 +273,28 @@
         reachability.leave()
         async with asyncio.timeout(SOON_S):
             assert (await asking).outcome == pb.REFUSED
+
+    # Guards against a refusal of a job that an earlier try may have handed in.
+    async def test_a_change_without_outcome_is_not_refused_when_it_is_retried(
+        self,
+    ) -> None:
+        reachability = _Cut()
+        forwarder = _forwarder(_HangingPeers(reachability), _Store(), reachability)
+        until_s = boot_s() + NEVER_S
+        for _ in range(2):
+            reply = await forwarder.ask(SUBMIT, until_s)
+            assert reply.outcome == pb.UNCERTAIN
+        other = pb.CallRequest(kind=pb.SUBMIT, route="r", job_id="2" * 16, job=BODY)
+        assert (await forwarder.ask(other, until_s)).outcome == pb.REFUSED
+
+    def test_changes_without_outcome_are_forgotten(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        unresolved = forwarding._Unresolved()
+        monkeypatch.setattr(forwarding, "MAX_UNRESOLVED", 3)
+        requests = [pb.CallRequest(kind=pb.SUBMIT, job_id=f"{n}") for n in range(5)]
+        for request in requests:
+            unresolved.add(request)
+        assert [unresolved.has(r) for r in requests] == [False] * 2 + [True] * 3
+        monkeypatch.setattr(forwarding, "UNRESOLVED_S", -1.0)
+        assert not unresolved.has(requests[-1])
--- a/tests/cell/partition.py
+++ b/tests/cell/partition.py
@@ -32,7 +32,10 @@
 
 
 class Relay:
-    """Relays connections to one address; while it is cut, it holds all bytes back."""
+    """Relays connections to one address; while it is cut, it holds all bytes back.
+
+    Bytes that it holds back are lost if their sender resets the connection meanwhile.
+    """
 
     def __init__(self, target: str, gate: _Gate) -> None:
         self._target = target
@@ -68,6 +71,8 @@
     ) -> None:
         while data := await reader.read(CHUNK_BYTES):
             await self._gate.wait()
+            if reader.exception() is not None:
+                break
             writer.write(data)
             await writer.drain()
         writer.close()
--- a/tests/cell/test_partitioned_halls.py
+++ b/tests/cell/test_partitioned_halls.py
@@ -5,6 +5,7 @@
 import typing as t
 
 import aiohttp
+import attrs
 
 from streamthread.gateway import CellDaemon
 
@@ -21,6 +22,7 @@
 
 RETURNS_WITHIN_S = 1.0
 AT_ONCE_S = 0.2
+NEVER_S = 60.0
 STAYS_S = 0.1
 STAYS_CHECKS = 25
 
@@ -134,6 +136,38 @@
             # The request was sent to the holder, so that it may arrive later.
             assert status == 504
             assert time.monotonic() - began_at_s < LEAVES_WITHIN_S
+            # Guards against a refusal of a job that may have been accepted before.
+            for method, body in (("POST", job()), ("DELETE", b"")):
+                status, _, _ = await caller.call(
+                    method, "f" * 16, body, at=cell.daemons.index(daemon)
+                )
+                assert status == (504 if method == "POST" else 429)
+
+    # Guards against a job that is refused by one daemon of a cut hall, and accepted
+    # when the link delivers what another one had sent.
+    async def test_delivers_nothing_late(self) -> None:
+        async with running_halls(["a", "b", "c"], {"desk": 2}) as (cell, halls):
+            holder = await _until_known(cell)
+            daemon = next(d for d in cell.daemons if d is not holder)
+            caller = cell.caller()
+            # Without the inbox, whose rows the store's client writes.
+            forwarder = daemon.frontend._forwarder
+            forwarder._settings = attrs.evolve(
+                forwarder._settings, inbox_after_s=NEVER_S
+            )
+            # The channel to the holder is open.
+            await caller.submit("a" * 16, job(), at=cell.daemons.index(daemon))
+            halls.cut(daemon.node.hall)
+            status, _, _ = await caller.call(
+                "POST", "f" * 16, job(), at=cell.daemons.index(daemon)
+            )
+            assert status == 504
+            halls.heal(daemon.node.hall)
+            await until(daemon.is_ready, "the daemon returns", RETURNS_WITHIN_S)
+            for _ in range(5):
+                await asyncio.sleep(STAYS_S)
+                state = await caller.state("f" * 16, at=cell.daemons.index(holder))
+                assert state == "410"
 
     async def test_stays_where_no_hall_may_be_lost(self) -> None:
         cell_halls = running_halls(["a", "b"], {"desk": 1}, tolerated_halls=0)
