Notice a cut sooner where the holder is in another hall

Commits seen in heartbeats counted 0.3 s longer in every hall, so that followers left 1.2 to 1.3 s after a cut. They count in the holder's hall alone now, for 0.2 s longer, and rounds of probes follow each other without the check interval.

--- a/src/streamthread/cell/contacts.py
+++ b/src/streamthread/cell/contacts.py
@@ -16,8 +16,8 @@
     """The halls of peers, and when each of them last answered, by address.
 
     :param hall: the hall of this daemon; empty if its settings name none.
-    :param committed_at_s: when heartbeats last showed that the holder's number of
-        confirmed commits has changed, on the boot clock.
+    :param committed_at_s: when heartbeats of a holder that is not known to be in
+        another hall last showed a new commit, on the boot clock.
     """
 
     def __init__(self, hall: str = "") -> None:
@@ -47,8 +47,10 @@
         :param sequence: the number of the holder's confirmed commits.
         """
         self.on_answer(address)
-        if (token, sequence) != self._progress:
-            self._progress = (token, sequence)
+        if (token, sequence) == self._progress:
+            return
+        self._progress = (token, sequence)
+        if self.hall_of(address) in ("", self.hall):
             self.committed_at_s = boot_s()
 
     def hall_of(self, address: str) -> str:
--- a/src/streamthread/cell/tests/test_contacts.py
+++ b/src/streamthread/cell/tests/test_contacts.py
@@ -55,3 +55,12 @@
         assert contacts.committed_at_s == at_s
         contacts.on_heartbeat("p:1", 1, 6)
         assert contacts.committed_at_s > at_s
+
+    # Guards against a daemon that leaves later than needed: heartbeats of a holder in
+    # another hall are contacts by themselves.
+    def test_of_a_holder_in_another_hall_do_not_count(self) -> None:
+        contacts = PeerContacts("a")
+        contacts.on_metadata("p:1", PeerContacts("b").metadata())
+        contacts.on_heartbeat("p:1", 1, 5)
+        assert contacts.committed_at_s < 0
+        assert contacts.last_answer_at_s(["p:1"]) > 0
--- a/src/streamthread/gateway/reachability.py
+++ b/src/streamthread/gateway/reachability.py
@@ -35,11 +35,13 @@
     A daemon leaves after ``suspect_s`` and ``rounds`` times ``probe_s``, which is 0.85
     s with the check interval, or ``commit_age_s`` later in the hall of the holder.
 
-    :param check_s: interval between checks.
+    :param check_s: interval between checks while there is contact.
+    :param recheck_s: pause between rounds of probes.
     :param suspect_s: peers are probed after this time without contact. Heartbeats
         arrive every 0.25 s, up to 50 ms late.
-    :param commit_age_s: how old a commit of the holder may be by the time that the next
-        heartbeat shows it: an idle holder commits every 0.4 s.
+    :param commit_age_s: how much longer a commit of a holder in this hall counts. An
+        idle holder commits every 0.4 s, and its heartbeats show every commit after 0.5
+        s at most, or 0.55 s if one is late.
     :param probe_s: how long a round of probes waits for an answer. A peer answers on a
         new connection within two round trips, 20 ms between the sites.
     :param rounds: number of rounds without an answer after which the daemon is cut off.
@@ -49,8 +51,9 @@
     """
 
     check_s: float = 0.05
+    recheck_s: float = 0.01
     suspect_s: float = 0.4
-    commit_age_s: float = 0.3
+    commit_age_s: float = 0.2
     probe_s: float = 0.2
     rounds: int = 2
     probed: int = 3
@@ -62,8 +65,8 @@
     """When this daemon last had contact outside its hall, all on the boot clock.
 
     :param store_at_s: when the store last answered.
-    :param commit_at_s: when a commit of the holder was last confirmed, as this daemon
-        knows as the holder or from heartbeats.
+    :param commit_at_s: when a commit of a holder in this hall was last confirmed, as
+        this daemon knows as the holder or from heartbeats.
     :param peers_at_s: when a peer in another hall last answered or sent a heartbeat.
     """
 
@@ -199,8 +202,10 @@
 
     async def _watch(self) -> None:
         while True:
-            await self.check()
-            await asyncio.sleep(self._settings.check_s)
+            verdict = await self.check()
+            connected = verdict is Verdict.CONNECTED
+            settings = self._settings
+            await asyncio.sleep(settings.check_s if connected else settings.recheck_s)
 
     async def check(self) -> Verdict:
         """Decide once, and probe peers if that is needed for the next decision."""
@@ -231,7 +236,8 @@
         late_s = boot_s() - began_at_s - settings.probe_s
         if any(answers):
             self._failed_rounds = 0
-        elif late_s <= settings.delay_s:
+            return
+        if late_s <= settings.delay_s:
             self._failed_rounds += 1
         # A refused connection ends a round early; the next one begins when it is due.
         await asyncio.sleep(max(0.0, -late_s))
