--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import random
 import typing as t
 
 import attrs
@@ -13,6 +14,7 @@
 from ..cell import CellEndpoint
 from ..cell import CellLease
 from ..cell import CellPort
+from ..cell import PeerContacts
 from ..cell import PeerLinks
 from ..cell.rows import new_nonce
 from ..clocks import boot_s
@@ -40,6 +42,8 @@
 from .forwarding import ForwardSettings
 from .frontend import Frontend
 from .operators import CellOperators
+from .reachability import Contacts
+from .reachability import ReachabilityMonitor
 from .view import DaemonView
 
 __all__ = ["CellDaemon", "cell_settings"]
@@ -113,8 +117,10 @@
         engine=EngineSettings(
             early_s=early_s,
             stop_effect_ms=int((node.bounds.stop_s + STOP_SLACK_S) * 1000),
+            spreads_over_halls=node.tolerated_halls > 0,
         ),
         duties=duty_settings(node),
+        watches_halls=node.tolerated_halls > 0,
     )
 
 
@@ -171,7 +177,11 @@
             self._cold_halls,
             (node.bounds.cold_excess, node.bounds.cold_slack),
         )
-        self.peers = PeerLinks(node.daemon_id, address, self.settings.times.beat_s)
+        # Halls make no difference where no loss of a hall is to be tolerated.
+        self.contacts = PeerContacts(node.hall if node.tolerated_halls else "")
+        self.peers = PeerLinks(
+            node.daemon_id, address, self.settings.times.beat_s, self.contacts
+        )
         self.holder: Holder | None = None
         self._holder_failures = 0
         self.lease = self._make_lease(address)
@@ -181,9 +191,11 @@
             self.settings.times.beat_s,
             self._on_announcement,
             self.explain,
+            self.contacts,
         )
         self.port = CellPort(self.endpoint, node.ip, node.peer_ports[0])
         self.lines_dropped: t.Callable[[], int] = lambda: 0
+        self.reachability = self._make_reachability()
         self.frontend = self._make_frontend()
         self.operators = CellOperators(self, node.ip, node.operators_port)
 
@@ -211,6 +223,20 @@
             self.failures,
         )
 
+    def _make_reachability(self) -> ReachabilityMonitor | None:
+        """Return the monitor, or None where no loss of a hall is to be tolerated."""
+        if not self.node.tolerated_halls:
+            return None
+        return ReachabilityMonitor(
+            self._recent_contacts,
+            self._peers_elsewhere,
+            self._probe_peer,
+            random.Random(self.node.daemon_id),
+            # What was sent to peers must not arrive after a refusal by another daemon.
+            on_cut_off=self.peers.close,
+            failures=self.failures,
+        )
+
     def _make_frontend(self) -> Frontend:
         forwarder = Forwarder(
             self.lease,
@@ -219,6 +245,7 @@
             self.settings.part,
             lambda: self.holder,
             ForwardSettings(),
+            self.reachability,
         )
         return Frontend(
             self.node.callers,
@@ -226,6 +253,7 @@
             self.documents,
             forwarder,
             self.is_ready,
+            self.reachability,
         )
 
     async def on_start(self) -> None:
@@ -236,10 +264,14 @@
         await self.add_runtime_dependency(self.frontend)
         await self.add_runtime_dependency(self.operators)
         await self.add_runtime_dependency(self.lease)
+        if self.reachability is not None:
+            await self.add_runtime_dependency(self.reachability)
         log.info("started", extra={"hall": self.node.hall, "address": self.node.ip})
 
     def is_ready(self) -> bool:
         """Whether the platform should send new connections here."""
+        if self.reachability is not None and self.reachability.cut_off:
+            return False
         return self.documents.manifest is not None and not self.frontend.stopping
 
     async def on_stop(self) -> None:
@@ -324,6 +356,34 @@
         """Answer an operator's question as the holder."""
         return answer_question(self.holder, self.halls, request)
 
+    # Contacts outside this daemon's hall.
+
+    def _recent_contacts(self) -> Contacts:
+        holder = self.holder
+        own_commit_at_s = holder.log.confirmed_at_s if holder is not None else 0.0
+        elsewhere = (address for _, address in self._peers_elsewhere())
+        return Contacts(
+            store_at_s=max(
+                self.documents.confirmed_at_s, self.lease.registry.confirmed_at_s
+            ),
+            commit_at_s=max(self.contacts.committed_at_s, own_commit_at_s),
+            peers_at_s=self.contacts.last_answer_at_s(elsewhere),
+        )
+
+    def _peers_elsewhere(self) -> list[tuple[str, str]]:
+        """Return the hall and the address of each peer in another hall."""
+        return self.contacts.elsewhere(self.lease.members.addresses.values())
+
+    async def _probe_peer(self, address: str, timeout_s: float) -> bool:
+        """Probe a peer; its answer also names the holder that it knows."""
+        members = self.lease.members
+        update = members.announcement(self.lease.news())
+        answer = await self.peers.probe(address, update, timeout_s)
+        if answer is None:
+            return False
+        members.on_announcement(answer)
+        return True
+
     # A planned stop.
 
     async def planned_stop(self) -> None:
@@ -344,11 +404,14 @@
     def _choose_successor(self) -> str:
         """Return the largest follower, or the largest peer if there is no follower.
 
+        Among several of this size, one in another hall is chosen.
+
         If the store is slow, the holder's heartbeats may say that others may acquire
         the cell. Daemons that receive such a heartbeat stop following the holder.
         """
         members = self.lease.members
-        return members.largest(self.endpoint.followers or members.addresses)
+        candidates = self.endpoint.followers or members.addresses
+        return members.largest(candidates, avoid_hall=self.contacts.hall)
 
     async def _hand_over(self) -> None:
         """Release the cell, and remain the holder until the release is written.
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -27,6 +27,7 @@
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
 from ..response_times import ResponseTimes
+from .reachability import Reachability
 
 __all__ = ["ForwardSettings", "Forwarder", "Persisted"]
 
@@ -40,6 +41,14 @@
 """A refused caller is asked to retry after this time."""
 
 
+UNRESOLVED_S = 10.0
+"""How long a request without an outcome is remembered. Callers retry within 3 s."""
+
+MAX_UNRESOLVED = 10_000
+"""Maximum number of these requests; 700 a second for the time that callers retry, and
+three times as many."""
+
+
 class Persisted(enum.Enum):
     """Whether a change is in the inbox.
 
@@ -72,8 +81,56 @@
     retry_s: float = 0.06
 
 
+@attrs.define
+class _Progress:
+    """How far a request has come.
+
+    :param uncertain: an earlier attempt may have been carried out.
+    :param in_attempt: an attempt has begun and has no answer yet.
+    """
+
+    uncertain: bool = False
+    in_attempt: bool = False
+
+    @property
+    def may_have_arrived(self) -> bool:
+        """Whether anything of the request may have left this daemon."""
+        return self.uncertain or self.in_attempt
+
+
+class _Unresolved:
+    """The changes that recently ended without an outcome, by kind, route and job."""
+
+    def __init__(self) -> None:
+        self._at_s: dict[tuple[int, str, str], float] = {}
+
+    def add(self, request: pb.CallRequest) -> None:
+        """Remember a request; the oldest ones are forgotten."""
+        key = _key_of(request)
+        self._at_s.pop(key, None)
+        self._at_s[key] = boot_s()
+        while len(self._at_s) > MAX_UNRESOLVED or self._is_oldest_over():
+            del self._at_s[next(iter(self._at_s))]
+
+    def _is_oldest_over(self) -> bool:
+        return boot_s() - next(iter(self._at_s.values())) > UNRESOLVED_S
+
+    def has(self, request: pb.CallRequest) -> bool:
+        """Whether the same change may have been accepted a short time ago."""
+        at_s = self._at_s.get(_key_of(request))
+        return at_s is not None and boot_s() - at_s <= UNRESOLVED_S
+
+
+def _key_of(request: pb.CallRequest) -> tuple[int, str, str]:
+    return int(request.kind), request.route, request.job_id
+
+
 class Forwarder:
-    """Calls the holder, in this daemon or on a peer; falls back to the inbox."""
+    """Calls the holder, in this daemon or on a peer; falls back to the inbox.
+
+    :param reachability: tells whether this daemon is cut off, in which case requests
+        are answered at once; None if it never counts as cut off.
+    """
 
     def __init__(
         self,
@@ -83,7 +140,10 @@
         part: str,
         holder: t.Callable[[], Holder | None],
         settings: ForwardSettings,
+        reachability: Reachability | None = None,
     ) -> None:
+        self._reachability = reachability
+        self._unresolved = _Unresolved()
         self._lease = lease
         self._peers = peers
         self._store = store
@@ -97,31 +157,62 @@
 
         :param until_s: when the caller stops waiting, on the boot clock.
         """
+        if self._reachability is None:
+            return await self._ask(request, until_s, _Progress())
+        reply = await self._ask_unless_cut_off(request, until_s, self._reachability)
+        if reply.outcome == pb.UNCERTAIN and request.kind in (pb.SUBMIT, pb.CANCEL):
+            self._unresolved.add(request)
+        return reply
+
+    async def _ask_unless_cut_off(
+        self, request: pb.CallRequest, until_s: float, reachability: Reachability
+    ) -> pb.CallReply:
+        progress = _Progress()
+        if reachability.cut_off:
+            # An earlier try of the same change may have been accepted.
+            progress.uncertain = self._unresolved.has(request)
+            return _cut_off_reply(request, progress)
+        answer = asyncio.ensure_future(self._ask(request, until_s, progress))
+        leaving = asyncio.ensure_future(reachability.until_cut_off())
+        try:
+            await asyncio.wait((answer, leaving), return_when=asyncio.FIRST_COMPLETED)
+            if answer.done():
+                return answer.result()
+            return _cut_off_reply(request, progress)
+        finally:
+            answer.cancel()
+            leaving.cancel()
+
+    async def _ask(
+        self, request: pb.CallRequest, until_s: float, progress: _Progress
+    ) -> pb.CallReply:
         began_at_s = boot_s()
         inbox_at_s = began_at_s + self._settings.inbox_after_s
         changes = request.kind in (pb.SUBMIT, pb.CANCEL)
-        uncertain = False
         while True:
-            now_s = boot_s()
-            left_s = max(until_s - now_s, MIN_HOP_S)
+            left_s = max(until_s - boot_s(), MIN_HOP_S)
+            progress.in_attempt = True
             reply = await self._ask_holder(request, left_s)
-            if _is_final(reply, uncertain):
+            progress.in_attempt = False
+            if _is_final(reply, progress.uncertain):
                 return reply
-            uncertain = uncertain or reply.outcome == pb.UNCERTAIN
+            progress.uncertain |= reply.outcome == pb.UNCERTAIN
             now_s = boot_s()
             if changes and now_s >= inbox_at_s and not self._has_healthy_holder():
                 if request.kind == pb.SUBMIT and not _is_job(request.job):
                     return _refused("the body is not a valid job")
+                progress.in_attempt = True
                 persisted = await self._write_to_inbox(request)
+                progress.in_attempt = False
                 if persisted is Persisted.YES:
                     return pb.CallReply(outcome=pb.OK, state="pending")
-                if persisted is Persisted.NO and not uncertain:
+                if persisted is Persisted.NO and not progress.uncertain:
                     return _refused("neither a holder nor the store answers")
-                uncertain = True
+                progress.uncertain = True
             if self._should_give_up(began_at_s, until_s, reply.outcome):
                 break
             await asyncio.sleep(self._settings.retry_s)
-        if uncertain or not changes:
+        if progress.uncertain or not changes:
             return pb.CallReply(outcome=pb.UNCERTAIN, reason="no holder answered")
         if reply.outcome == pb.BEHIND:
             return _refused("the holder knows only an older configuration")
@@ -249,3 +340,14 @@
 
 def _refused(reason: str) -> pb.CallReply:
     return pb.CallReply(outcome=pb.REFUSED, reason=reason, retry_after_s=RETRY_AFTER_S)
+
+
+def _cut_off_reply(request: pb.CallRequest, progress: _Progress) -> pb.CallReply:
+    """Return the answer of a daemon that is cut off.
+
+    A change of which nothing left this daemon is refused: it is certainly not made.
+    """
+    reason = "this daemon is cut off from the store and from other halls"
+    if request.kind in (pb.SUBMIT, pb.CANCEL) and not progress.may_have_arrived:
+        return _refused(reason)
+    return pb.CallReply(outcome=pb.UNCERTAIN, reason=reason)
--- a/src/streamthread/gateway/hall_report.py
+++ b/src/streamthread/gateway/hall_report.py
@@ -5,9 +5,10 @@
 import typing as t
 
 from ..halls import HallRegistry
+from ..halls import HallState
 from ..holder import Holder
 
-__all__ = ["count_runs", "describe_halls", "list_halls"]
+__all__ = ["count_runs", "describe_halls", "list_halls", "state_of"]
 
 Json = dict[str, t.Any]
 
@@ -20,6 +21,14 @@
     return runs
 
 
+def state_of(hall: str, holder: Holder, halls: HallRegistry) -> HallState:
+    """Return the state of a hall; a lost one that is evacuated counts as evacuated."""
+    state = halls.state(hall)
+    if state is not HallState.EVACUATED and hall in holder.outages.lost_since_s:
+        return HallState.LOST
+    return state
+
+
 def list_halls(holder: Holder, halls: HallRegistry) -> list[str]:
     """Return the halls of all runners and machines, and those that were evacuated."""
     named = {runner.zone for runner in holder.engine.runners.values()}
@@ -38,7 +47,7 @@
     return [
         {
             "hall": hall,
-            "state": halls.state(hall).value,
+            "state": state_of(hall, holder, halls).value,
             "since": _format(in_force[hall].since_s) if hall in in_force else "",
             "version": in_force[hall].version if hall in in_force else 0,
             "runs": runs[hall],
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -18,6 +18,7 @@
 from .account_report import MAX_ACCOUNTS
 from .hall_report import count_runs
 from .hall_report import list_halls
+from .hall_report import state_of
 from .view import DaemonView
 
 __all__ = ["make_registry"]
@@ -138,6 +139,23 @@
             "streamthread_owner_token", "The holder's token, as known here.", token
         )
 
+        yield from self._reachability()
+
+    def _reachability(self) -> t.Iterator[Family]:
+        monitor = self._daemon.reachability
+        if monitor is None:
+            return
+        yield GaugeMetricFamily(
+            "streamthread_cut_off",
+            "1 while this daemon reaches neither store, holder nor other halls.",
+            monitor.cut_off,
+        )
+        yield CounterMetricFamily(
+            "streamthread_times_cut_off",
+            "How often this daemon was cut off.",
+            value=monitor.times_cut_off,
+        )
+
     def _holder(self, holder: Holder) -> t.Iterator[Metric]:
         engine = holder.engine
         yield GaugeMetricFamily(
@@ -183,6 +201,11 @@
         yield GaugeMetricFamily(
             "streamthread_runners_silent", "Runners that do not answer.", silent
         )
+        yield GaugeMetricFamily(
+            "streamthread_halls_lost",
+            "Halls most of whose runners do not answer.",
+            len(holder.outages.lost_since_s),
+        )
         yield GaugeMetricFamily(
             "streamthread_runner_list_age_seconds",
             "Since the store last confirmed which runners there are.",
@@ -206,7 +229,7 @@
         )
         counts = count_runs(holder)
         for name in names:
-            current = halls.state(name)
+            current = state_of(name, holder, halls)
             for each in HallState:
                 state.add_metric([name, each.value], each is current)
             runs.add_metric([name], counts[name])
--- a/src/streamthread/halls/__init__.py
+++ b/src/streamthread/halls/__init__.py
@@ -1,7 +1,10 @@
-"""Decides whether a hall may be used: which halls are evacuated, and which warm up."""
+"""Decides whether a hall may be used, and finds halls that are lost."""
 
 from .evacuations import Evacuation
 from .evacuations import Evacuations
+from .outages import HallCount
+from .outages import HallOutages
+from .outages import OutageSettings
 from .policy import HallPolicy
 from .policy import HallState
 from .policy import OPEN_HALLS
@@ -16,8 +19,11 @@
     "ColdStarts",
     "Evacuation",
     "Evacuations",
+    "HallCount",
+    "HallOutages",
     "HallPolicy",
     "HallRegistry",
     "HallState",
     "OpenHalls",
+    "OutageSettings",
 ]
--- a/src/streamthread/holder/housekeeping.py
+++ b/src/streamthread/holder/housekeeping.py
@@ -11,6 +11,7 @@
 from .hall_watch import HallWatch
 from .inbox import InboxReader
 from .intake import Intake
+from .outage_watch import OutageWatch
 from .owner import DutyOwner
 
 __all__ = ["Housekeeping"]
@@ -28,9 +29,19 @@
 
 
 class Housekeeping:
-    """The holder's loops that run at intervals and not on updates."""
-
-    def __init__(self, owner: DutyOwner, inbox: InboxReader, intake: Intake) -> None:
+    """The holder's loops that run at intervals and not on updates.
+
+    :param outages: watches for lost halls; None where no loss is to be tolerated.
+    """
+
+    def __init__(
+        self,
+        owner: DutyOwner,
+        inbox: InboxReader,
+        intake: Intake,
+        outages: OutageWatch | None = None,
+    ) -> None:
+        self._outages = outages
         self._owner = owner
         self._intake = intake
         self._engine = owner.engine
@@ -42,6 +53,8 @@
         while True:
             await asyncio.sleep(WATCH_RUNS_INTERVAL_S)
             await self._owner.until_trusted()
+            if self._outages is not None:
+                self._outages.check()
             for link in self._owner.links.values():
                 if link.silent and self._engine.request_copies(link.runner.runner_id):
                     self._owner.kick()
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -303,6 +303,14 @@
         if self.heard_at_s < sent_at_s:
             self.runner.ready = False
 
+    def await_answer(self, since_s: float) -> None:
+        """Place no more tasks on a runner that has not answered since then.
+
+        :param since_s: when other runners of its hall became silent, on the boot clock.
+        """
+        if self.heard_at_s < since_s:
+            self.runner.ready = False
+
     async def _on_refusal(self, refusal: Refusal) -> None:
         if refusal is Refusal.FENCED:
             self._owner.on_fenced(self)
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -113,6 +113,7 @@
             reports_birth=self.reports_birth or bool(runner_id),
             zone=self.cloud.machines[machine_id].zone,
         )
+        runner.machine_id = machine_id
         await runner.port.open(port)
         self.runners.append(runner)
         await self.write_entry(runner)
