Count the limits of accounts in overload, forecasts and sizes

The log shows why: the account had used up its limit, so that its 200 open jobs waited for its own runs. They filled the forecast of the pool, others were refused with machines free, and the pool grew to 122 machines of which about a third worked. Change: an account's reservations stay within its limit; a pool is sized for no more of an account than the limit allows; jobs of an account that has used its limit are no burst; an account at its limit has no free runner. The time to return counts the limit, too.

--- a/src/streamthread/capacity/demand.py
+++ b/src/streamthread/capacity/demand.py
@@ -78,23 +78,34 @@
     return total
 
 
-def pool_demand(jobs: t.Iterable[Job], times: RunTimes, now_s: float) -> Demand:
+CpuLimit = t.Callable[[str], float | None]
+"""Returns the cpu that an account may have running at once; None: no limit."""
+
+
+def pool_demand(
+    jobs: t.Iterable[Job],
+    times: RunTimes,
+    now_s: float,
+    cpu_limit_of: CpuLimit = lambda account: None,
+) -> Demand:
     """Return the resources that open jobs need to meet their objectives.
 
     The open work of a job is spread over the time that it has left. This takes fewer
     resources than all of its tasks at once, and more as the job falls behind.
 
     :param now_s: wall time.
+    :param cpu_limit_of: an account whose work needs more than its limit needs its limit
+        only, as no more of it can run.
     """
-    demands = [
-        _occurrence_demand(occurrence, times, now_s)
-        for job in jobs
-        for occurrence in job.occurrences.values()
-    ]
-    long_running = [demand.long_running for demand in demands]
-    work_demand = required_resources(
-        [demand.work for demand in demands if demand.work is not None]
-    )
+    long_running: list[Demand] = []
+    works: dict[str, list[Work]] = {}
+    for job in jobs:
+        for occurrence in job.occurrences.values():
+            demand = _occurrence_demand(occurrence, times, now_s)
+            long_running.append(demand.long_running)
+            if demand.work is not None:
+                works.setdefault(job.account, []).append(demand.work)
+    work_demand = _limited_resources(works, cpu_limit_of)
     return Demand(
         sum(demand.cpu for demand in long_running) + work_demand.cpu,
         sum(demand.memory_mb for demand in long_running) + work_demand.memory_mb,
@@ -102,6 +113,22 @@
     )
 
 
+def _limited_resources(works: dict[str, list[Work]], cpu_limit_of: CpuLimit) -> Demand:
+    """Return the resources for the open work of all accounts, within their limits."""
+    unlimited: list[Work] = []
+    cpu = memory_mb = 0.0
+    for account, own in works.items():
+        limit = cpu_limit_of(account)
+        needed = required_resources(own) if limit is not None else Demand()
+        if limit is None or needed.cpu <= limit:
+            unlimited += own
+            continue
+        cpu += limit
+        memory_mb += needed.memory_mb * limit / needed.cpu
+    rest = required_resources(unlimited)
+    return Demand(cpu + rest.cpu, memory_mb + rest.memory_mb)
+
+
 def required_resources(works: t.Iterable[Work]) -> Demand:
     """Return the smallest constant resources with which all work ends in time.
 
--- a/src/streamthread/capacity/tests/test_demand.py
+++ b/src/streamthread/capacity/tests/test_demand.py
@@ -14,8 +14,13 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from streamthread.capacity.demand import pool_demand
 from streamthread.capacity.demand import required_resources
 from streamthread.capacity.demand import Work
+from streamthread.platform.callers import JobRequest
+from streamthread.platform.callers import StepRequest
+from streamthread.scheduler import Job
+from streamthread.scheduler.learning import RunTimes
 
 CPU_S = 12_000.0
 """Work of a short job: 8 tasks of 0.64 s on 1.5 cores, in 1.6 steps on average."""
@@ -90,3 +95,42 @@
     assert not is_enough(0.99 * needed.cpu, works)
     assert needed.cpu <= sum(work.cpu_s / work.spread_s for work in works) * (1 + 1e-9)
     assert math.isfinite(needed.memory_mb)
+
+
+class TestLimitOfAnAccount:
+    """Guards against pools that grow for work that waits for its account's limit.
+
+    The pattern: one account floods within its weight. Of 122 machines that its pool
+    got, less than a third were used, and the next pool lacked them.
+    """
+
+    @staticmethod
+    def _job(account: str, number: int) -> Job:
+        steps = (StepRequest(count=8, cpu=1_000, memory_mb=100, estimate_ms=1_000),)
+        job = Job(
+            f"{account}-{number}",
+            "r",
+            "desk",
+            JobRequest("", steps),
+            b"",
+            0.0,
+            stretch=1.6,
+            target_s=0.6,
+            account=account,
+        )
+        job.begin(0)
+        return job
+
+    def _demand(self, limits: dict[str, float], **counts: int) -> float:
+        jobs = [
+            self._job(name, n) for name, count in counts.items() for n in range(count)
+        ]
+        return pool_demand(jobs, RunTimes(), 0.0, limits.get).cpu
+
+    def test_bounds_what_its_work_needs(self) -> None:
+        alone = self._demand({}, bob=3)
+        assert self._demand({"ann": 5_000.0}, ann=50, bob=3) == alone + 5_000.0
+
+    def test_changes_nothing_where_it_does_not_bind(self) -> None:
+        limits = {"ann": 1e6, "bob": 1e6}
+        assert self._demand(limits, ann=5, bob=3) == self._demand({}, ann=5, bob=3)
--- a/src/streamthread/holder/forecasts.py
+++ b/src/streamthread/holder/forecasts.py
@@ -94,17 +94,17 @@
         self._open: dict[str, float] = collections.defaultdict(float)
         self._open_within: dict[str, float] = collections.defaultdict(float)
         choice = choose(works, capacity, standing, now_s)
-        self._all = Timeline(capacity, now_s)
-        self._within = Timeline(capacity, now_s)
-        steps = [step for work in works for step in work.steps]
+        self._all = Timeline(capacity, now_s, standing.limits)
+        self._within = Timeline(capacity, now_s, standing.limits)
         for timeline in (self._all, self._within):
-            timeline.reserve_running(steps)
+            for work in works:
+                timeline.reserve_running(work.steps, work.account)
         for work in fair_order(works, standing, capacity.rate):
             self._count(work)
             if choice is None or work.key in choice.chosen:
-                self._all.reserve(work.steps, work.latest_end_s)
+                self._all.reserve(work.steps, work.latest_end_s, work.account)
             if not work.excess:
-                self._within.reserve(work.steps, _worthless_s(work))
+                self._within.reserve(work.steps, _worthless_s(work), work.account)
 
     def _count(self, work: OpenWork) -> None:
         self._open[work.account] += work.work
@@ -119,12 +119,12 @@
         """
         end_s = work.latest_end_s if work.excess else _worthless_s(work)
         timeline = self._all if work.excess else self._within
-        found = timeline.reserve(work.steps, end_s)
+        found = timeline.reserve(work.steps, end_s, work.account)
         if found is None and not self._is_within_share(work, end_s):
             return None
         in_time = found
         if not work.excess:
-            in_time = self._all.reserve(work.steps, work.latest_end_s)
+            in_time = self._all.reserve(work.steps, work.latest_end_s, work.account)
         # What can't be in time runs behind all that is open.
         behind_s = self.at_s + self.backlog(True) / self.rate()
         self._count(work)
@@ -148,12 +148,23 @@
             return False
         share = weights.get(work.account, 0.0) / total
         own = open_work.get(work.account, 0.0) + work.work
+        limit = self.limit_of(work.account)
+        if limit is not None and own > limit * (end_s - self.at_s):
+            return False
         return own <= share * self.capacity.between(self.at_s, end_s)
 
     def backlog(self, excess: bool) -> float:
         """Return the open work that is before excess, or before other work."""
         return sum((self._open if excess else self._open_within).values())
 
+    def backlog_of(self, account: str) -> float:
+        """Return the open work of one account."""
+        return self._open.get(account, 0.0)
+
+    def limit_of(self, account: str) -> float | None:
+        """Return the cpu that an account may have in this pool; None: no limit."""
+        return self._standing.limits.get(account)
+
 
 class Forecasts:
     """Judges new jobs by the open work of their pools and the most they can get.
@@ -201,18 +212,27 @@
         engine = self._engine
         runners = [r for r in engine.runners.values() if r.service == service]
         usable = [runner for runner in runners if runner.usable()]
+        works = engine.choices.open_works(service, now_s)
         profile = _Profile(
-            engine.choices.open_works(service, now_s),
+            works,
             engine.choices.capacity(service, usable, now_s, further),
-            engine.shares.standing(now_s),
+            engine.choices.standing(works, now_s),
             now_s,
         )
         self._profiles[service], self._runners[service] = profile, runners
         return profile
 
     def _has_free_runner(self, job: Job) -> bool:
-        """Whether a task of a step that may begin at once fits on a runner."""
-        first = [step for step in job.request.steps if not step.after]
+        """Whether a task of a step that may begin at once fits on a runner.
+
+        No runner is free for an account that has reached its limit.
+        """
+        accounts = self._engine.accounts
+        first = [
+            step
+            for step in job.request.steps
+            if not step.after and accounts.count_fitting(job, step, 1)
+        ]
         return any(
             runner.usable() and runner.fits(step.cpu, step.memory_mb, step.gpu)
             for runner in self._runners[job.service]
@@ -244,6 +264,10 @@
     end_s = work.latest_end_s if work.excess else _worthless_s(work)
     backlog = profile.backlog(work.excess)
     room_s = (backlog + work.work) / profile.rate() - (end_s - now_s)
+    limit = profile.limit_of(job.account)
+    if limit:
+        own_s = (profile.backlog_of(job.account) + work.work) / limit
+        room_s = max(room_s, own_s - (end_s - now_s))
     room_s = min(MAX_RETRY_S, max(0.0, room_s))
     digest = hashlib.blake2b(job.job_id.encode(), digest_size=2).digest()
     spread_s = max(MIN_SPREAD_S, RETRY_SPREAD * room_s)
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -339,6 +339,9 @@
         if self.duties is None or job.excess:
             # Excess gets only what no pool needs, so it is no burst.
             return
+        if self.engine.accounts.has_used_limit(job.account):
+            # Its jobs wait for the account's own runs to end, so they need no machines.
+            return
         work = job_work(job, self.engine.times)
         if work:
             age_s = max(0.0, time.time() - job.accepted_at_s)
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -166,7 +166,9 @@
     ) -> int:
         """Return the size that the current jobs and arrivals need."""
         sizes = [view for view in views if view.pool == pool] or list(views)
-        demand = pool_demand(jobs, self._engine.times, time.time())
+        demand = pool_demand(
+            jobs, self._engine.times, time.time(), self._engine.accounts.cpu_limit_of
+        )
         arriving_cpu = self._arriving_cpu(pool, now_s)
         cpu = max(demand.cpu, arriving_cpu + _long_running_cpu(jobs))
         cpu = _with_lost_capacity(cpu, [view for view in views if view.pool == pool])
--- a/src/streamthread/scheduler/accounts.py
+++ b/src/streamthread/scheduler/accounts.py
@@ -11,6 +11,9 @@
 
 __all__ = ["AccountUsage", "LimitSource", "Running", "may_see", "over_limit"]
 
+LIMIT_USED_SHARE = 0.9
+"""A limit counts as used from this share on: the rest is less than a job's step."""
+
 LimitSource = t.Callable[[str], Limit | None]
 """Returns the limit on what an account may have running at once; None if unknown."""
 
@@ -100,6 +103,19 @@
         """Return an account's limit on what it may run at once; None if unknown."""
         return self._limit_of(account) if account else None
 
+    def cpu_limit_of(self, account: str) -> float | None:
+        """Return the cpu that an account may have running at once; None: no limit."""
+        limit = self.limit_of(account)
+        return float(limit.cpu) if limit is not None and limit.cpu else None
+
+    def has_used_limit(self, account: str) -> bool:
+        """Whether an account has nearly all the cpu running that its limit allows.
+
+        Its further jobs wait for its own runs to end, not for machines.
+        """
+        limit = self.cpu_limit_of(account)
+        return limit is not None and self.of(account).cpu > LIMIT_USED_SHARE * limit
+
     def count_fitting(self, job: Job, request: StepRequest, max_count: int) -> int:
         """Return how many more runs of a job's step its account may have.
 
--- a/src/streamthread/scheduler/choices.py
+++ b/src/streamthread/scheduler/choices.py
@@ -19,6 +19,7 @@
 from .overload import Choice
 from .overload import choose
 from .overload import OpenWork
+from .overload import Standing
 from .overload import WorkKey
 from .placement import outlook
 from .shares import Shares
@@ -91,10 +92,11 @@
             return None
         jobs = self._jobs_of(service, now_s)
         before = cached.choice if cached is not None else None
+        works = self._open_works(jobs, before)
         choice = choose(
-            self._open_works(jobs, before),
+            works,
             self._capacity(service, jobs, runners, now_s),
-            self._shares.standing(now_s),
+            self.standing(works, now_s),
             now_s,
             overloaded=before is not None,
         )
@@ -106,6 +108,22 @@
         self._grouped_at_s = None
         return self._open_works(self._jobs_of(service, now_s))
 
+    def standing(self, works: t.Iterable[OpenWork], now_s: float) -> Standing:
+        """Return what each account was served, its weight, and what it may have.
+
+        :param works: the open work of the pool.
+        """
+        running: collections.defaultdict[str, float] = collections.defaultdict(float)
+        for work in works:
+            running[work.account] += sum(step.running_cpu for step in work.steps)
+        limits: dict[str, float] = {}
+        for account, cpu in running.items():
+            limit = self._ledger.accounts.limit_of(account)
+            if limit is not None and limit.cpu:
+                elsewhere = self._ledger.accounts.of(account).cpu - cpu
+                limits[account] = max(0.0, limit.cpu - max(0.0, elsewhere))
+        return attrs.evolve(self._shares.standing(now_s), limits=limits)
+
     def work_of(self, occurrence: Occurrence) -> OpenWork:
         """Return the open work of an occurrence."""
         return self._open_work(occurrence, ())
--- a/src/streamthread/scheduler/overload.py
+++ b/src/streamthread/scheduler/overload.py
@@ -70,13 +70,15 @@
 
 @attrs.frozen
 class Standing:
-    """What each account was served, and its weight.
+    """What each account was served, its weight, and what it may have.
 
     :param served: in seconds of the whole pool.
+    :param limits: the cpu that accounts with a limit may have in the pool.
     """
 
     weights: t.Mapping[str, float]
     served: t.Mapping[str, float] = attrs.field(factory=dict)
+    limits: t.Mapping[str, float] = attrs.field(factory=dict)
 
     def ratio(self, account: str, further: float) -> tuple[float, float]:
         """Return what an account has had relative to its weight, for comparisons.
@@ -160,10 +162,11 @@
     open_works = [work for work in works if work.key not in late_keys]
     by_end = sorted(open_works, key=lambda work: (work.latest_end_s, work.key))
     if not overloaded:
-        if len(_fitting(by_end, _timeline(works, capacity, now_s))) == len(by_end):
+        timeline = _timeline(works, capacity, standing.limits, now_s)
+        if len(_fitting(by_end, timeline)) == len(by_end):
             return None
     by_rank = fair_order(open_works, standing, capacity.rate)
-    chosen = _fitting(by_rank, _timeline(works, capacity, now_s))
+    chosen = _fitting(by_rank, _timeline(works, capacity, standing.limits, now_s))
     left_out = [work for work in by_rank if work.key not in chosen]
     if not left_out:
         return None
@@ -178,11 +181,15 @@
 
 
 def _timeline(
-    works: t.Iterable[OpenWork], capacity: Capacity, now_s: float
+    works: t.Iterable[OpenWork],
+    capacity: Capacity,
+    limits: t.Mapping[str, float],
+    now_s: float,
 ) -> Timeline:
     """Return a pool's capacity without what runs take."""
-    timeline = Timeline(capacity, now_s)
-    timeline.reserve_running(step for work in works for step in work.steps)
+    timeline = Timeline(capacity, now_s, limits)
+    for work in works:
+        timeline.reserve_running(work.steps, work.account)
     return timeline
 
 
@@ -191,7 +198,7 @@
     return frozenset(
         work.key
         for work in works
-        if timeline.reserve(work.steps, work.latest_end_s) is not None
+        if timeline.reserve(work.steps, work.latest_end_s, work.account) is not None
     )
 
 
--- a/src/streamthread/scheduler/tests/test_overload.py
+++ b/src/streamthread/scheduler/tests/test_overload.py
@@ -218,3 +218,28 @@
         choose(works, POOL, EVEN, NOW_S)
         took_s.append(time.process_time() - began_s)
     assert took_s[1] < 8 * 4 * took_s[0]
+
+
+class TestLimitOfAnAccount:
+    """Guards against a flood of an account that waits for its limit: its open work
+    must not make other accounts' work, which machines are free for, seem not to fit."""
+
+    LIMITED = Standing({"ann": 9.0, "bob": 1.0}, limits={"ann": 2_500.0})
+
+    def test_leaves_the_rest_of_the_pool_to_others(self) -> None:
+        flood = [work(f"a{n}", "ann", cpu=2_500.0, age_s=1.0) for n in range(20)]
+        others = [work(f"b{n}", "bob", cpu=2_500.0) for n in range(4)]
+        names = chosen(*flood, *others, standing=self.LIMITED)
+        assert {"b0", "b1", "b2", "b3"} <= names
+        assert len(names) == 4 + 2
+
+    def test_does_not_overload_the_pool_alone(self) -> None:
+        assert choose([work("b", "bob")], POOL, self.LIMITED, NOW_S) is None
+
+    def test_includes_what_runs(self) -> None:
+        step = OpenStep(0, (), 1.0, 0.0, running_cpu=2_500.0, running_s=1.5)
+        running = OpenWork(
+            ("r", 0), "ann", (step,), NOW_S, NOW_S + 9, NOW_S, begun=True
+        )
+        names = chosen(running, work("a", "ann", cpu=2_500.0), standing=self.LIMITED)
+        assert names == {"r"}
--- a/src/streamthread/scheduler/timeline.py
+++ b/src/streamthread/scheduler/timeline.py
@@ -104,29 +104,46 @@
 
 
 class Timeline:
-    """What of a pool's capacity is not reserved yet, in slots from now on."""
+    """What of a pool's capacity is not reserved yet, in slots from now on.
 
-    def __init__(self, capacity: Capacity, now_s: float) -> None:
+    :param limits: the cpu that accounts with a limit may have in the pool. Without it,
+        one account's work that must wait for its limit would fill the timeline, and
+        others would seem not to fit while machines are free.
+    """
+
+    def __init__(
+        self,
+        capacity: Capacity,
+        now_s: float,
+        limits: t.Mapping[str, float] | None = None,
+    ) -> None:
         self._now_s = now_s
         self._free = [
             capacity.between(now_s + n * SLOT_S, now_s + (n + 1) * SLOT_S)
             for n in range(SLOTS)
         ]
+        self._limited = {
+            account: [cpu * SLOT_S] * SLOTS for account, cpu in (limits or {}).items()
+        }
 
-    def reserve_running(self, steps: t.Iterable[OpenStep]) -> None:
+    def reserve_running(self, steps: t.Iterable[OpenStep], account: str = "") -> None:
         """Reserve what the runs take, which can't be given to others."""
+        limited = self._limited.get(account)
         for step in steps:
             if step.running_cpu:
-                self._take(0.0, step.running_cpu, step.running_work, SLOTS * SLOT_S)
+                end_s = SLOTS * SLOT_S
+                work = step.running_work
+                self._take(0.0, step.running_cpu, work, end_s, limited)
 
     def reserve(
-        self, steps: t.Sequence[OpenStep], latest_end_s: float
+        self, steps: t.Sequence[OpenStep], latest_end_s: float, account: str = ""
     ) -> Reservation | None:
-        """Reserve capacity for what waits of a job's steps.
+        """Reserve capacity for what waits of a job's steps, within its account's limit.
 
         :return: when it begins and ends, or None if it can't end in time; nothing is
             reserved then.
         """
+        limited = self._limited.get(account)
         taken: list[tuple[int, float]] = []
         ends: dict[int, float] = {}
         start_s: float | None = None
@@ -137,27 +154,34 @@
             end_s = release_s + step.running_s
             if step.waiting_cpu:
                 found = self._take(
-                    release_s, step.waiting_cpu, step.waiting_work, until_s
+                    release_s, step.waiting_cpu, step.waiting_work, until_s, limited
                 )
                 taken += found.taken
                 if not found.complete:
-                    self._give_back(taken)
+                    self._give_back(taken, limited)
                     return None
                 start_s = found.start_s if start_s is None else start_s
                 end_s = max(end_s, found.end_s, found.start_s + step.run_s)
             ends[step.number] = end_s
             if end_s > until_s:
-                self._give_back(taken)
+                self._give_back(taken, limited)
                 return None
         end_s = max(ends.values(), default=0.0)
         return Reservation(self._now_s + (start_s or 0.0), self._now_s + end_s)
 
     def _take(
-        self, release_s: float, cpu: float, work: float, until_s: float
+        self,
+        release_s: float,
+        cpu: float,
+        work: float,
+        until_s: float,
+        limited: list[float] | None,
     ) -> "_Taken":
         """Take capacity from a time on, never more at once than some cpu.
 
         Times count from now.
+
+        :param limited: what the account may still have in each slot; None: no limit.
         """
         found = _Taken(release_s, release_s)
         number = int(release_s / SLOT_S)
@@ -165,10 +189,14 @@
         while work > 0 and number < SLOTS and at_s < until_s:
             slot_end_s = (number + 1) * SLOT_S
             part = min(work, cpu * (slot_end_s - at_s), self._free[number])
+            if limited is not None:
+                part = min(part, limited[number])
             if part > 0:
                 if not found.taken:
                     found.start_s = at_s
                 self._free[number] -= part
+                if limited is not None:
+                    limited[number] -= part
                 found.taken.append((number, part))
                 work -= part
                 found.end_s = at_s + part / cpu
@@ -178,9 +206,13 @@
         found.complete = work <= 1e-6 or number >= SLOTS
         return found
 
-    def _give_back(self, taken: t.Iterable[tuple[int, float]]) -> None:
+    def _give_back(
+        self, taken: t.Iterable[tuple[int, float]], limited: list[float] | None
+    ) -> None:
         for number, part in taken:
             self._free[number] += part
+            if limited is not None:
+                limited[number] += part
 
 
 @attrs.define
