Hold choices longer and reuse them in forecasts

Cause: in a flood the holder's processor limits the starts, at 500 a second where machines for 1,700 were there; choices and forecasts each ordered all open work anew. Change: a choice holds 3 ms for each open job, and a forecast uses the placement's choice.

--- a/src/streamthread/holder/forecasts.py
+++ b/src/streamthread/holder/forecasts.py
@@ -13,7 +13,7 @@
 from ..scheduler import Job
 from ..scheduler import RunnerState
 from ..scheduler.choices import cache_s
-from ..scheduler.overload import choose
+from ..scheduler.overload import Choice
 from ..scheduler.overload import fair_order
 from ..scheduler.overload import OpenWork
 from ..scheduler.overload import Standing
@@ -85,6 +85,7 @@
         works: t.Sequence[OpenWork],
         capacity: Capacity,
         standing: Standing,
+        choice: Choice | None,
         now_s: float,
     ) -> None:
         # What is accepted until then is added.
@@ -93,7 +94,6 @@
         self._standing = standing
         self._open: dict[str, float] = collections.defaultdict(float)
         self._open_within: dict[str, float] = collections.defaultdict(float)
-        choice = choose(works, capacity, standing, now_s)
         self._all = Timeline(capacity, now_s, standing.limits)
         self._within = Timeline(capacity, now_s, standing.limits)
         for timeline in (self._all, self._within):
@@ -101,7 +101,7 @@
                 timeline.reserve_running(work.steps, work.account)
         for work in fair_order(works, standing, capacity.rate):
             self._count(work)
-            if choice is None or work.key in choice.chosen:
+            if choice is None or work.key not in choice.left_out:
                 self._all.reserve(work.steps, work.latest_end_s, work.account)
             if not work.excess:
                 self._within.reserve(work.steps, _worthless_s(work), work.account)
@@ -217,6 +217,7 @@
             works,
             engine.choices.capacity(service, usable, now_s, further),
             engine.choices.standing(works, now_s),
+            engine.choices.current(service),
             now_s,
         )
         self._profiles[service], self._runners[service] = profile, runners
--- a/src/streamthread/scheduler/choices.py
+++ b/src/streamthread/scheduler/choices.py
@@ -31,9 +31,10 @@
 CHOICE_CACHE_S = 0.3
 """How long the choice for a pool holds at least, as long as a step's urgency."""
 
-CHOICE_CACHE_S_PER_JOB = 0.001
-"""It holds at least this long for each open job. A choice among 1,000 takes 40 ms, so
-that choices use at most 4 % of a core."""
+CHOICE_CACHE_S_PER_JOB = 0.003
+"""It holds at least this long for each open job. A choice among 1,000 takes 40 ms on a
+whole core, so that choices use at most 3 % of a holder that has half a core. In a flood
+the holder's processor is what limits the starts: 500 a second."""
 
 ForecastSink = t.Callable[[float], None]
 """Takes by how many seconds a job started later than was forecast."""
@@ -103,6 +104,11 @@
         self._cached[service] = _Cached(now_s, now_s + cache_s(len(jobs)), choice)
         return choice
 
+    def current(self, service: str) -> Choice | None:
+        """Return a pool's last choice, or None if the pool was not overloaded."""
+        cached = self._cached.get(service)
+        return cached.choice if cached is not None else None
+
     def open_works(self, service: str, now_s: float) -> list[OpenWork]:
         """Return the open work of a pool, without long-running tasks."""
         self._grouped_at_s = None
