Hold the crowd to its target, and to the simpler orders

The crowd test asserted 0.64 of the bound, a figure near the measured one, where 0.8 is asked. The old figure stays as a floor.

--- a/src/streamthread/scheduler/tests/test_account_loads.py
+++ b/src/streamthread/scheduler/tests/test_account_loads.py
@@ -5,9 +5,17 @@
 at will, and knows neither steps that wait for each other nor gaps on machines.
 """
 
+import typing as t
+
 import pytest
 
+from streamthread.scheduler import choices
 from streamthread.scheduler import Engine
+from streamthread.scheduler.overload import Choice
+from streamthread.scheduler.overload import fair_order
+from streamthread.scheduler.overload import OpenWork
+from streamthread.scheduler.overload import Standing
+from streamthread.scheduler.timeline import Capacity
 
 from .loads import ACCOUNTS
 from .loads import arrivals
@@ -25,9 +33,16 @@
 """What the other accounts may lose of what they earn; the worst of these is 0.035. In
 the order by latest starts they lose 0.04 to 0.11."""
 
-MIN_CROWD_SHARE = 0.64
-"""Part of the bound that is done in time in a crowd; the worst of these is 0.66. By
-latest starts alone it is 0.44, and by fair queueing without a choice 0.43 to 0.49."""
+MIN_CROWD_SHARE = 0.8
+"""Part of the bound that is to be done in time in a crowd: the target is to fall short
+by less than a fifth."""
+
+REGRESSION_CROWD_SHARE = 0.64
+"""What the choice must not fall back below while the target is not reached; the worst
+seed does 0.66. By latest starts alone it is 0.44, and by fair queueing without a choice
+0.43 to 0.49."""
+
+SEEDS = [1, 2, 3]
 
 
 def largest(outcomes: list[Outcome], skip: float, share: float) -> list[Outcome]:
@@ -59,24 +74,69 @@
     assert all(outcome.ended_s for outcome in flooded.outcomes)
 
 
-@pytest.mark.parametrize("seed", [1, 2, 3])
+def play_crowd(
+    patch: pytest.MonkeyPatch, seed: int, weighted: bool = True
+) -> tuple[Played, float]:
+    """Return how a crowd was played, and which part of the bound was in time."""
+    load = Load(seed, crowd=3.0)
+    outcomes = arrivals(load)
+    weights = load.weights() if weighted else {}
+    played = play(patch, outcomes, weights)
+    return played, played.work_in_time() / bound(outcomes)
+
+
+def order_fairly(
+    works: t.Sequence[OpenWork],
+    capacity: Capacity,
+    standing: Standing,
+    now_s: float,
+    overloaded: bool = False,
+) -> Choice:
+    """Return the order of weighted fair queueing alone; nothing is chosen."""
+    order = fair_order(works, standing, capacity.rate)
+    places = {work.key: place for place, work in enumerate(order)}
+    return Choice(now_s, {}, frozenset(), places)
+
+
+def test_a_crowd_within_weights_reaches_the_target(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards the target for the work that is in time in a crowd, on every seed."""
+    shares = {seed: play_crowd(monkeypatch, seed)[1] for seed in SEEDS}
+    assert min(shares.values()) >= MIN_CROWD_SHARE, shares
+
+
+@pytest.mark.parametrize("seed", SEEDS)
 def test_a_crowd_within_weights(monkeypatch: pytest.MonkeyPatch, seed: int) -> None:
     """Guards against an order in which nearly all jobs become late together.
 
     Neither the largest tenth nor the next fifth of the jobs may be left out for their
     size.
     """
-    load = Load(seed, crowd=3.0)
-    outcomes = arrivals(load)
-    played = play(monkeypatch, outcomes, load.weights())
+    played, share = play_crowd(monkeypatch, seed)
+    outcomes = list(played.outcomes)
     assert not any(outcome.job.excess for outcome in outcomes)
-    assert played.work_in_time() >= MIN_CROWD_SHARE * bound(outcomes)
+    assert share >= REGRESSION_CROWD_SHARE
     whole = played.share_in_time(outcomes)
-    for skip, share in ((0.0, 0.1), (0.1, 0.2)):
-        part = played.share_in_time(largest(outcomes, skip, share))
+    for skip, part_share in ((0.0, 0.1), (0.1, 0.2)):
+        part = played.share_in_time(largest(outcomes, skip, part_share))
         assert part >= whole / 2
 
 
+@pytest.mark.parametrize("seed", SEEDS)
+def test_a_crowd_is_served_better_than_by_simpler_orders(
+    monkeypatch: pytest.MonkeyPatch, seed: int
+) -> None:
+    """Guards against a choice that is no better than the orders that it replaced."""
+    chosen, share = play_crowd(monkeypatch, seed)
+    by_start, start_share = play_crowd(monkeypatch, seed, weighted=False)
+    monkeypatch.setattr(choices, "choose", order_fairly)
+    fair, fair_share = play_crowd(monkeypatch, seed)
+    assert share > max(start_share, fair_share)
+    in_time = [p.share_in_time(p.outcomes) for p in (chosen, by_start, fair)]
+    assert in_time[0] > max(in_time[1:])
+
+
 def test_without_weights_nothing_changes(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards deployments whose configuration gives no account a weight.
 
