Refuse for overload only while the lease is certainly valid

While a refusal for overload waited for the inbox, the cell could be lost, and the next holder could accept an earlier try of the same job: the refusal was false. The lease is checked after the inbox was read; the answer is then uncertain. The new test failed before (REFUSED). Two tries under one id, of which the second is accepted while the first waits, were right already and have a test now.

--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -261,6 +261,9 @@
             return job
         if self._inbox().has_waiting_job(request.job_id, request.account):
             return pb.CallReply(outcome=pb.UNCERTAIN)
+        if not self._is_trusted():
+            # Another daemon may hold the cell by now and have accepted the job.
+            return pb.CallReply(outcome=pb.UNCERTAIN)
         account = request.account
         self.refused_overload[account] = self.refused_overload.get(account, 0) + 1
         log.info(
--- a/src/streamthread/holder/tests/test_forecasts.py
+++ b/src/streamthread/holder/tests/test_forecasts.py
@@ -13,6 +13,7 @@
 from streamthread.holder.inbox import InboxEntry
 from streamthread.platform.manifest import decode_manifest
 from streamthread.platform.manifest import Manifest
+from streamthread.scheduler import Job
 from streamthread.scheduler import RunnerState
 
 from .test_intake import Cell
@@ -181,6 +182,32 @@
         assert reply.outcome == pb.REFUSED
         assert pool.intake.refused_overload["ann"] < 20
 
+    async def test_that_would_be_untrue_as_the_cell_may_be_lost(self) -> None:
+        """Another daemon may have accepted an earlier try while the inbox was read."""
+        pool = _Pool(ann=1.0)
+        await pool.flood(20)
+        refused = dict(pool.intake.refused_overload)
+        pool.inbox.arriving = lambda: setattr(pool, "trusted", False)
+        assert (await pool.submit()).outcome == pb.UNCERTAIN
+        assert pool.intake.refused_overload == refused
+
+    async def test_of_a_job_whose_other_try_was_accepted_meanwhile(self) -> None:
+        """Two tries under one id must not get a refusal and an acceptance."""
+        pool = _Pool(ann=1.0)
+        await pool.flood(20)
+        forecasts = pool.intake._forecasts
+        assert forecasts is not None
+        request = pool.request(pb.SUBMIT, "d" * 16)
+        request.job, request.account, request.pool = BODY, "ann", "desk"
+        request.configuration_version = 1
+
+        def accept_other_try() -> None:
+            pool.further = None
+            assert isinstance(pool.intake._submit_new(request), Job)
+
+        pool.inbox.arriving = accept_other_try
+        assert (await pool.submit(job_id="d" * 16)).outcome == pb.OK
+
 
 class TestPartialFailures:
     async def test_a_new_holder_refuses_as_the_one_before(self) -> None:
