Sum the machines that pools may get once for each list

Each new job went through all machines to find out what its pool may get: 2.7 ms of processor for 18,000 machines.

--- a/src/streamthread/holder/pool_capacity.py
+++ b/src/streamthread/holder/pool_capacity.py
@@ -1,8 +1,11 @@
 """What pools get or may get, from the latest list of machines."""
 
+import collections
 import time
 import typing as t
 
+import attrs
+
 from ..capacity import MachineView
 from ..clocks import boot_s
 from .forecasts import CapacityParts
@@ -22,11 +25,15 @@
     def __init__(self) -> None:
         self._views: tuple[MachineView, ...] = ()
         self._at_s: float | None = None
+        # Sums by pool. They are made when they are first asked for, since every new job
+        # asks, and nobody does where shares are not in force.
+        self._sums: _Sums | None = None
 
     def update(self, views: t.Iterable[MachineView]) -> None:
         """Use the machines as they are now."""
         self._views = tuple(views)
         self._at_s = boot_s()
+        self._sums = None
 
     def arriving(self, pool: str) -> CapacityParts:
         """Return the cpu that is on its way into a pool, and when it will be there.
@@ -35,7 +42,7 @@
         """
         if not self._is_known():
             return ()
-        cpu = sum(view.cpu for view in self._views if _arrives(view, pool))
+        cpu = self._cpu_sums().arriving[pool]
         return ((time.time() + MOVE_S / 2, float(cpu)),) if cpu else ()
 
     def obtainable(self, pool: str) -> CapacityParts | None:
@@ -47,15 +54,39 @@
         if not self._is_known():
             return None
         now_s = time.time()
-        arriving = sum(view.cpu for view in self._views if _arrives(view, pool))
-        idle = sum(
-            view.cpu for view in self._views if view.pool != pool and view.free_to_move
-        )
-        return ((now_s, float(arriving)), (now_s + MOVE_S, float(idle)))
+        sums = self._cpu_sums()
+        idle = sums.all_idle - sums.idle[pool]
+        return ((now_s, float(sums.arriving[pool])), (now_s + MOVE_S, float(idle)))
+
+    def _cpu_sums(self) -> "_Sums":
+        if self._sums is None:
+            self._sums = _Sums.of(self._views)
+        return self._sums
 
     def _is_known(self) -> bool:
         return self._at_s is not None and boot_s() - self._at_s <= MAX_AGE_S
 
 
-def _arrives(view: MachineView, pool: str) -> bool:
-    return view.pool == pool and view.arriving and not view.usable
+@attrs.define
+class _Sums:
+    """Thousandths of a core, by pool.
+
+    :param arriving: what is on its way into a pool.
+    :param idle: what may leave a pool.
+    """
+
+    arriving: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    idle: collections.Counter[str] = attrs.field(factory=collections.Counter)
+    all_idle: int = 0
+
+    @classmethod
+    def of(cls, views: t.Iterable[MachineView]) -> "_Sums":
+        """Return the sums over machines."""
+        sums = cls()
+        for view in views:
+            if view.arriving and not view.usable:
+                sums.arriving[view.pool] += view.cpu
+            if view.free_to_move:
+                sums.idle[view.pool] += view.cpu
+                sums.all_idle += view.cpu
+        return sums
