Bound the cost of choices over all pools, and end outdated ones

Each pool's choice held for 1 ms for each of its own jobs, so that many pools together used many times the 4 % of a core that one uses. The jobs of all pools that choose count now: ten pools of 200 jobs make 20 choices in 2 s, at most.

A choice among 3,000 jobs held for 3 s, also when machines arrived or were lost. It ends after 0.3 s now if the cpu changed by more than a tenth. An overload of long ago decided the order of the next one, since nothing dropped the last choice; it is forgotten after 2 s.

The three new tests failed before; the fourth, on a clock that goes back, passed.

--- a/src/streamthread/scheduler/choices.py
+++ b/src/streamthread/scheduler/choices.py
@@ -25,14 +25,21 @@
 from .timeline import Capacity
 from .timeline import OpenStep
 
-__all__ = ["CHOICE_CACHE_S", "ForecastSink", "PoolChoices", "cache_s"]
+__all__ = ["CHOICE_CACHE_S", "ForecastSink", "PoolChoices", "cache_s", "has_changed"]
 
 CHOICE_CACHE_S = 0.3
 """How long the choice for a pool holds at least, as long as a step's urgency."""
 
 CHOICE_CACHE_S_PER_JOB = 0.001
-"""It holds at least this long for each open job. A choice among 1,000 takes 40 ms, so
-that choices use at most 4 % of a core."""
+"""It holds at least this long for each open job of all pools that choose. A choice
+among 1,000 takes 40 ms, so that choices use at most 4 % of a core."""
+
+CHANGED_SHARE = 0.1
+"""A pool whose cpu changed by more than this part gets a new choice after
+``CHOICE_CACHE_S`` already: it may have lost a hall, or got what it lacked."""
+
+OVERLOAD_GAP_S = 2.0
+"""An overload that has been over for longer than this is forgotten."""
 
 ForecastSink = t.Callable[[float], None]
 """Takes by how many seconds a job started later than was forecast."""
@@ -45,6 +52,14 @@
     at_s: float
     until_s: float
     choice: Choice | None
+    jobs: int
+    cpu: float
+
+    def holds(self, cpu: float, now_s: float) -> bool:
+        """Whether the choice still counts for a pool that has some cpu now."""
+        if not self.at_s <= now_s < self.until_s:
+            return False
+        return now_s - self.at_s < CHOICE_CACHE_S or not has_changed(self.cpu, cpu)
 
 
 class PoolChoices:
@@ -85,12 +100,15 @@
         jobs = self._jobs_of(service, now_s)
         self._shares.rebuild(service, jobs, runners, self._times, now_s)
         cached = self._cached.get(service)
-        if cached is not None and cached.at_s <= now_s < cached.until_s:
+        cpu = float(sum(runner.cpu for runner in runners))
+        if cached is not None and cached.holds(cpu, now_s):
             return cached.choice
         if _fit_together(ready, runners):
             return None
         jobs = self._jobs_of(service, now_s)
-        before = cached.choice if cached is not None else None
+        before = None
+        if cached is not None and now_s - cached.until_s < OVERLOAD_GAP_S:
+            before = cached.choice
         choice = choose(
             self._open_works(jobs, before),
             self._capacity(service, jobs, runners, now_s),
@@ -98,9 +116,21 @@
             now_s,
             overloaded=before is not None,
         )
-        self._cached[service] = _Cached(now_s, now_s + cache_s(len(jobs)), choice)
+        until_s = now_s + cache_s(len(jobs) + self._jobs_elsewhere(service, now_s))
+        self._cached[service] = _Cached(now_s, until_s, choice, len(jobs), cpu)
         return choice
 
+    def _jobs_elsewhere(self, service: str, now_s: float) -> int:
+        """Return the number of jobs among which other pools choose at present.
+
+        The choices of all pools together then use no more than those of one.
+        """
+        return sum(
+            cached.jobs
+            for name, cached in self._cached.items()
+            if name != service and cached.at_s <= now_s < cached.until_s
+        )
+
     def open_works(self, service: str, now_s: float) -> list[OpenWork]:
         """Return the open work of a pool, without long-running tasks."""
         self._grouped_at_s = None
@@ -229,6 +259,11 @@
     return max(CHOICE_CACHE_S, CHOICE_CACHE_S_PER_JOB * jobs)
 
 
+def has_changed(before: float, after: float) -> bool:
+    """Whether the cpu of a pool is so different that its work is judged anew."""
+    return abs(after - before) > CHANGED_SHARE * max(after, before)
+
+
 def _left_s(task: Task, run_s: float) -> float:
     """Return how long a placed task will probably still run."""
     sent_s = max((attempt.sent_at_s for attempt in task.attempts), default=0.0)
--- a/src/streamthread/scheduler/tests/test_overload.py
+++ b/src/streamthread/scheduler/tests/test_overload.py
@@ -2,11 +2,18 @@
 
 import random
 import time
+import typing as t
 
 import hypothesis
 import pytest
 from hypothesis import strategies as st
 
+from streamthread.platform.callers import JobRequest
+from streamthread.platform.callers import StepRequest
+from streamthread.scheduler import choices
+from streamthread.scheduler import Engine
+from streamthread.scheduler import Job
+from streamthread.scheduler import RunnerState
 from streamthread.scheduler.overload import Choice
 from streamthread.scheduler.overload import choose
 from streamthread.scheduler.overload import OpenWork
@@ -218,3 +225,99 @@
         choose(works, POOL, EVEN, NOW_S)
         took_s.append(time.process_time() - began_s)
     assert took_s[1] < 8 * 4 * took_s[0]
+
+
+class TestHowLongAChoiceHolds:
+    """Several pools of one runner, each with more work than can end in time."""
+
+    def engine(
+        self,
+        patch: pytest.MonkeyPatch,
+        pools: t.Sequence[str],
+        jobs: int,
+        machines: int = 1,
+    ) -> tuple[Engine, list[float]]:
+        """Return an engine and the times at which choices are made."""
+        made: list[float] = []
+
+        def note(*args: t.Any, **options: t.Any) -> Choice | None:
+            made.append(args[3])
+            return choose(*args, **options)
+
+        patch.setattr(choices, "choose", note)
+        engine = Engine(lambda job: None, weights=lambda: {"ann": 1e6})
+        step = StepRequest(count=4, cpu=1_000, estimate_ms=1_000)
+        for pool in pools:
+            for number in range(machines):
+                engine.add_runner(self.runner(pool, number))
+            for number in range(jobs):
+                name = f"{pool}-{number}"
+                job = Job(
+                    name,
+                    "r",
+                    pool,
+                    JobRequest("", (step,)),
+                    b"",
+                    NOW_S,
+                    stretch=1.6,
+                    target_s=0.6,
+                    account="ann",
+                )
+                engine.add(job)
+                job.begin(0)
+        return engine, made
+
+    def runner(self, pool: str, number: int) -> RunnerState:
+        name = f"{pool}-{number}"
+        runner = RunnerState(name, pool, "x:1", "z", ("a",), 4_000, 1 << 20, 0)
+        runner.ready = True
+        return runner
+
+    def choose(self, engine: Engine, *at_s: float) -> None:
+        """Ask for the choices of all pools at some times; nothing is placed."""
+        for each_s in at_s:
+            for pool, steps in engine.ready_steps().items():
+                every = engine.runners.values()
+                usable = [r for r in every if r.service == pool and r.usable()]
+                engine.choices.choice(pool, steps, usable, NOW_S + each_s)
+
+    def test_is_bounded_over_all_pools(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards small holders: many pools must not choose as often as one would."""
+        pools = [f"p{number}" for number in range(10)]
+        engine, made = self.engine(monkeypatch, pools, jobs=200)
+        for number in range(21):
+            self.choose(engine, 0.1 * number)
+        assert len(made) <= 2 * len(pools)
+
+    def test_ends_when_machines_arrive_or_are_lost(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards pools with much work against a choice for machines of before."""
+        engine, made = self.engine(monkeypatch, ["p"], jobs=3_000, machines=2)
+        self.choose(engine, 0.0, 0.35)
+        engine.add_runner(self.runner("p", 2))
+        self.choose(engine, 0.36, 0.37)
+        assert [round(s - NOW_S, 2) for s in made] == [0.0, 0.36]
+        engine.runners["p-1"].ready = False
+        self.choose(engine, 0.4, 0.7, 0.8)
+        assert [round(s - NOW_S, 2) for s in made] == [0.0, 0.36, 0.7]
+
+    def test_ends_with_the_overload(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against an order that an overload of long ago still decides."""
+        engine, _ = self.engine(monkeypatch, ["p"], jobs=20)
+        overloaded: list[bool] = []
+
+        def note(*args: t.Any, **options: t.Any) -> Choice | None:
+            overloaded.append(options["overloaded"])
+            return choose(*args, **options)
+
+        monkeypatch.setattr(choices, "choose", note)
+        self.choose(engine, 0.0, 0.4, 60.0)
+        assert overloaded == [False, True, False]
+
+    def test_ends_when_the_clock_goes_back(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        engine, made = self.engine(monkeypatch, ["p"], jobs=20)
+        self.choose(engine, 2.0, 0.0, 0.1, 2.0)
+        assert [round(s - NOW_S, 2) for s in made] == [2.0, 0.0, 2.0]
