Mark excess after a clock step and once weights are known

Only the oldest time of an account's window was compared with the present. After the wall clock had gone back by 2 s, an account at 2.5 jobs a second of a weight of 3 had excess; times ahead no longer count wherever they stand. Jobs that were read before the configuration were marked only when the next job came, so that the first choices of a new holder took a flood for work within the weights; they are marked when the weights are first asked for. Two of the new tests failed before; the one on a clock that goes forward passed.

--- a/src/streamthread/scheduler/shares.py
+++ b/src/streamthread/scheduler/shares.py
@@ -85,6 +85,8 @@
             positive = [weight for weight in (weights or {}).values() if weight > 0]
             self._mean_weight = sum(positive) / len(positive) if positive else 0.0
             self._known_weights = {**(weights or {}), "": self._mean_weight}
+            if weights is not None:
+                self._mark_unmarked()
         return self._mean_weight > 0
 
     def weight_of(self, account: str) -> float:
@@ -136,11 +138,12 @@
         if weight <= 0:
             return True
         window_s = max(WINDOW_S, 1 / weight)
-        window = self._within.get(account)
-        # Times that are far ahead come from a clock that went back since.
-        while window and not at_s - window_s < window[0] <= at_s + window_s:
-            window.popleft()
-        return len(window or ()) + 1 > max(1.0, weight * window_s)
+        window = self._within.get(account, ())
+        # Times ahead come from a clock that went back since.
+        recent = collections.deque(s for s in window if at_s - window_s < s <= at_s)
+        if window:
+            self._within[account] = recent
+        return len(recent) + 1 > max(1.0, weight * window_s)
 
     def withdraw(self, job: Job) -> None:
         """Stop counting a job that was not accepted after all."""
--- a/src/streamthread/scheduler/tests/test_shares.py
+++ b/src/streamthread/scheduler/tests/test_shares.py
@@ -62,6 +62,14 @@
         assert not shares.in_force
         assert not any(marks(shares, (job("ann", n / 99) for n in range(99))))
 
+    @pytest.mark.parametrize("step_s", [-2.0, 2.0])
+    def test_a_clock_that_is_set_punishes_nobody(self, step_s: float) -> None:
+        """Guards accounts within their weight when the wall clock steps."""
+        times_s = [100 + n / 2.5 for n in range(10)]
+        times_s += [times_s[-1] + step_s + n / 2.5 for n in range(1, 20)]
+        found = marks(Shares(lambda: WEIGHTS), (job("ann", s) for s in times_s))
+        assert not any(found)
+
     def test_a_withdrawn_job_does_not_count(self) -> None:
         shares = Shares(lambda: WEIGHTS)
         first, *_ = jobs = [job("ann", n / 10) for n in range(3)]
@@ -95,6 +103,16 @@
         assert shares.would_exceed("ann", 0.5)
         assert [each.excess for each in jobs] == [False, False, False, True, True]
 
+    def test_marks_once_the_configuration_is_read(self) -> None:
+        """Guards the first choices of a holder to which no job comes meanwhile."""
+        known: dict[str, float] | None = None
+        shares = Shares(lambda: known)
+        jobs = [job("ann", n / 10) for n in range(5)]
+        marks(shares, jobs)
+        known = WEIGHTS
+        assert shares.in_force
+        assert [each.excess for each in jobs] == [False, False, False, True, True]
+
     def test_knows_what_was_served(self) -> None:
         shares = Shares(lambda: WEIGHTS)
         engine = Engine(lambda job: None)
