Count the times at which jobs were left in the inbox

Jobs that wait in the inbox for a holder are read at once and were accepted at that instant. An account within its weight thus had excess after a change of holder: 4 of 6 jobs that came at 2 a second with a weight of 2. The entry names the time at which it was left, which becomes the time of acceptance where shares are in force. Older holders ignore the field; entries of older senders have none and are as before. The new test failed before; without weights nothing changes, which another one guards.

--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+import time
 import typing as t
 
 import attrs
@@ -285,6 +286,7 @@
             request.configuration_version,
             request.pool,
             request.account,
+            time.time(),
         )
         row = StoredRow(TABLE_INBOX, self._part, inbox_key(entry), entry.encode())
         condition = Condition(TABLE_INBOX, self._part, row.key, ABSENT)
--- a/src/streamthread/holder/inbox.py
+++ b/src/streamthread/holder/inbox.py
@@ -12,6 +12,7 @@
 
 from ..cell.rows import new_nonce
 from ..clocks import boot_s
+from ..decoding import Amount
 from ..decoding import Count
 from ..decoding import Decoder
 from ..decoding import OWN_ROW_REMEDY
@@ -47,6 +48,8 @@
     :param pool: the pool to which that configuration sends the route's jobs.
     :param account: the client account of the caller in that configuration; empty if the
         route needs no key.
+    :param submitted_at_s: wall time at which the sender left the entry here; 0 if an
+        earlier version left it.
     """
 
     job_id: str
@@ -55,6 +58,7 @@
     configuration_version: int = 0
     pool: str = ""
     account: str = ""
+    submitted_at_s: float = 0.0
 
     @property
     def is_cancel(self) -> bool:
@@ -79,6 +83,7 @@
             row.configuration_version,
             row.pool,
             row.account,
+            row.submitted_at_s,
         )
 
 
@@ -89,6 +94,7 @@
     configuration_version: Count = 0
     pool: str = ""
     account: str = ""
+    submitted_at_s: Amount = 0.0
 
 
 _ENTRIES = Decoder[_EntryRow](_EntryRow, remedy=OWN_ROW_REMEDY)
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -421,6 +421,9 @@
             return False
         try:
             job = new_job(entry.job_id, route, entry.body.encode(), entry.account)
+            if self._engine.shares.in_force and entry.submitted_at_s > 0:
+                # Jobs that are read at once did not come at once, and are no excess.
+                job.accepted_at_s = min(job.accepted_at_s, entry.submitted_at_s)
             self._accept(job)
             job.left_in_inbox = True
         except BadInputError as error:
--- a/src/streamthread/holder/tests/test_forecasts.py
+++ b/src/streamthread/holder/tests/test_forecasts.py
@@ -242,6 +242,35 @@
         assert [job.excess for job in jobs] == marks
         assert (await after.submit("ann")).outcome == pb.REFUSED
 
+    async def test_jobs_that_waited_in_the_inbox_are_no_flood(self) -> None:
+        """Guards accounts within their weight when no holder was there for a while.
+
+        The next holder marks the same jobs again from their times of acceptance.
+        """
+        pool, now_s = _Pool(ann=2.0), time.time()
+        for number in range(6):
+            at_s = now_s - 3.0 + number / 2
+            pool.intake.accept_from_inbox(
+                InboxEntry(
+                    f"{number:016x}", "route", BODY.decode(), 1, "desk", "ann", at_s
+                )
+            )
+        jobs = list(pool.engine.jobs.values())
+        assert len(jobs) == 6
+        assert not any(job.excess for job in jobs)
+        after = _Pool(ann=2.0)
+        for job in sorted(jobs, key=lambda job: job.accepted_at_s):
+            after.engine.add(job)
+        assert not any(job.excess for job in jobs)
+
+    async def test_inbox_jobs_are_accepted_as_before_without_weights(self) -> None:
+        pool, now_s = _Pool(ann=0.0), time.time()
+        entry = InboxEntry(
+            "e" * 16, "route", BODY.decode(), 1, "desk", "ann", now_s - 3.0
+        )
+        pool.intake.accept_from_inbox(entry)
+        assert pool.engine.jobs[entry.job_id].accepted_at_s >= now_s
+
     async def test_new_weights_count_at_once(self) -> None:
         pool = _Pool(ann=1.0)
         accepted = [reply.outcome for reply in await pool.flood(20)].count(pb.OK)
