--- a/src/streamthread/holder/tests/test_forecasts.py
+++ b/src/streamthread/holder/tests/test_forecasts.py
@@ -2,17 +2,21 @@
 
 import json
 import time
+import types
 import typing as t
 
 import pytest
 
 from streamthread.cell import cell_pb2 as pb
 from streamthread.errors import StoreUnavailableError
+from streamthread.holder import forecasts
 from streamthread.holder.forecasts import CapacityParts
 from streamthread.holder.forecasts import Forecasts
+from streamthread.holder.forecasts import RUNNERS_CACHE_S
 from streamthread.holder.inbox import InboxEntry
 from streamthread.platform.manifest import decode_manifest
 from streamthread.platform.manifest import Manifest
+from streamthread.scheduler import Job
 from streamthread.scheduler import RunnerState
 
 from .test_intake import Cell
@@ -132,7 +136,12 @@
         pool = _Pool(ann=0.0)
         assert all(reply.outcome == pb.OK for reply in await pool.flood(30))
 
-    async def test_of_a_job_for_which_a_runner_is_free(self) -> None:
+    async def test_of_a_job_for_which_a_runner_is_free(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against runners that are noticed only with the next forecast."""
+        clock = types.SimpleNamespace(now_s=50.0)
+        monkeypatch.setattr(forecasts, "boot_s", lambda: clock.now_s, raising=False)
         pool = _Pool(ann=1.0)
         pool.further = ()
         await pool.flood(20)
@@ -142,9 +151,21 @@
             )
             runner.ready = True
             pool.engine.add_runner(runner)
-            pool.intake._forecasts._profiles.clear()  # type: ignore[union-attr]
+            clock.now_s += RUNNERS_CACHE_S
             assert (await pool.submit()).outcome == pb.OK
 
+    async def test_costs_nothing_while_runners_are_free(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards pools that are not overloaded against the work of a forecast."""
+        pool = _Pool(ann=9.0)
+        made: list[str] = []
+        monkeypatch.setattr(forecasts, "fair_order", lambda *_: made.append("order"))
+        assert (await pool.submit()).outcome == pb.OK
+        assert made == []
+        await pool.flood(5)
+        assert made
+
     async def test_while_the_machines_are_unknown(self) -> None:
         pool = _Pool(ann=1.0)
         pool.further = None
@@ -181,6 +202,30 @@
         assert reply.outcome == pb.REFUSED
         assert pool.intake.refused_overload["ann"] < 20
 
+    async def test_that_would_be_untrue_as_the_cell_may_be_lost(self) -> None:
+        """Another daemon may have accepted an earlier try while the inbox was read."""
+        pool = _Pool(ann=1.0)
+        await pool.flood(20)
+        refused = dict(pool.intake.refused_overload)
+        pool.inbox.arriving = lambda: setattr(pool, "trusted", False)
+        assert (await pool.submit()).outcome == pb.UNCERTAIN
+        assert pool.intake.refused_overload == refused
+
+    async def test_of_a_job_whose_other_try_was_accepted_meanwhile(self) -> None:
+        """Two tries under one id must not get a refusal and an acceptance."""
+        pool = _Pool(ann=1.0)
+        await pool.flood(20)
+        request = pool.request(pb.SUBMIT, "d" * 16)
+        request.job, request.account, request.pool = BODY, "ann", "desk"
+        request.configuration_version = 1
+
+        def accept_other_try() -> None:
+            pool.further = None
+            assert isinstance(pool.intake._submit_new(request), Job)
+
+        pool.inbox.arriving = accept_other_try
+        assert (await pool.submit(job_id="d" * 16)).outcome == pb.OK
+
 
 class TestPartialFailures:
     async def test_a_new_holder_refuses_as_the_one_before(self) -> None:
@@ -197,6 +242,35 @@
         assert [job.excess for job in jobs] == marks
         assert (await after.submit("ann")).outcome == pb.REFUSED
 
+    async def test_jobs_that_waited_in_the_inbox_are_no_flood(self) -> None:
+        """Guards accounts within their weight when no holder was there for a while.
+
+        The next holder marks the same jobs again from their times of acceptance.
+        """
+        pool, now_s = _Pool(ann=2.0), time.time()
+        for number in range(6):
+            at_s = now_s - 3.0 + number / 2
+            pool.intake.accept_from_inbox(
+                InboxEntry(
+                    f"{number:016x}", "route", BODY.decode(), 1, "desk", "ann", at_s
+                )
+            )
+        jobs = list(pool.engine.jobs.values())
+        assert len(jobs) == 6
+        assert not any(job.excess for job in jobs)
+        after = _Pool(ann=2.0)
+        for job in sorted(jobs, key=lambda job: job.accepted_at_s):
+            after.engine.add(job)
+        assert not any(job.excess for job in jobs)
+
+    async def test_inbox_jobs_are_accepted_as_before_without_weights(self) -> None:
+        pool, now_s = _Pool(ann=0.0), time.time()
+        entry = InboxEntry(
+            "e" * 16, "route", BODY.decode(), 1, "desk", "ann", now_s - 3.0
+        )
+        pool.intake.accept_from_inbox(entry)
+        assert pool.engine.jobs[entry.job_id].accepted_at_s >= now_s
+
     async def test_new_weights_count_at_once(self) -> None:
         pool = _Pool(ann=1.0)
         accepted = [reply.outcome for reply in await pool.flood(20)].count(pb.OK)
