Take back given-up writes before the caller is answered

A daemon that was cut off cancelled the call of a waiting request, but answered its caller at once. The connection of the inbox write was reset only some steps of the event loop later: where the partition ended in between, the row still reached the store, and the job ran. The test that a cut daemon delivers nothing late switched the inbox off, since the client of the store did not reset connections then.

The answer now waits until the cancelled call has ended, for 0.1 s at most, and a write that is given up waits for its reset in the same way.

--- a/src/streamthread/cell/answers.py
+++ b/src/streamthread/cell/answers.py
@@ -27,6 +27,11 @@
 store that is slow for all clients, a write takes twice as long as a read-back."""
 
 
+TAKE_BACK_S = 0.1
+"""How long to wait for the end of a write that was given up. Resetting its connection
+takes a few steps of the event loop."""
+
+
 async def version_written(
     write: t.Awaitable[TransactResult], read_back: ReadBack, times: ResponseTimes
 ) -> int:
@@ -63,12 +68,19 @@
     except OutcomeUnknownError:
         return await read_back() or 0
     finally:
-        answer.cancel()
+        await _take_back(answer)
     if result.committed:
         return result.version
     return await read_back() or 0
 
 
+async def _take_back(answer: "asyncio.Future[TransactResult]") -> None:
+    """Cancel a write that has no answer, and wait until its connection is reset."""
+    if not answer.done():
+        answer.cancel()
+        await asyncio.wait((answer,), timeout=TAKE_BACK_S)
+
+
 async def _is_done(answer: "asyncio.Future[TransactResult]", within_s: float) -> bool:
     await asyncio.wait((answer,), timeout=within_s)
     return answer.done()
--- a/src/streamthread/cell/tests/test_answers.py
+++ b/src/streamthread/cell/tests/test_answers.py
@@ -57,6 +57,25 @@
         write = _answered(NEVER_S, DONE)
         assert await version_written(write, _read_back(0), ResponseTimes()) == 0
 
+    # Guards against a write that is given up and still sent afterwards.
+    async def test_has_taken_back_its_write_when_it_is_cancelled(self) -> None:
+        began, taken_back = asyncio.Event(), False
+
+        async def write() -> TransactResult:
+            nonlocal taken_back
+            began.set()
+            try:
+                return await _answered(NEVER_S, DONE)
+            finally:
+                taken_back = True
+
+        times = ResponseTimes()
+        task = asyncio.ensure_future(version_written(write(), _read_back(0), times))
+        await began.wait()
+        task.cancel()
+        await asyncio.wait((task,))
+        assert task.cancelled() and taken_back
+
     async def test_waits_for_a_store_that_is_slow_for_all_clients(self) -> None:
         write = _answered(MIN_ANSWER_TIMEOUT_S * 3, DONE)
         read_back = _read_back(0, after_s=MIN_ANSWER_TIMEOUT_S * 1.5)
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -41,6 +41,10 @@
 """A refused caller is asked to retry after this time."""
 
 
+TAKE_BACK_S = 0.1
+"""How long a caller's answer waits for the end of a call that was given up. Resetting
+its connection takes a few steps of the event loop."""
+
 UNRESOLVED_S = 10.0
 """How long a request without an outcome is remembered. Callers retry within 3 s."""
 
@@ -180,8 +184,11 @@
                 return answer.result()
             return _cut_off_reply(request, progress)
         finally:
-            answer.cancel()
             leaving.cancel()
+            if not answer.done():
+                # What was not delivered is taken back before the caller is answered.
+                answer.cancel()
+                await asyncio.wait((answer,), timeout=TAKE_BACK_S)
 
     async def _ask(
         self, request: pb.CallRequest, until_s: float, progress: _Progress
--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -262,6 +262,50 @@
             reply = await forwarder.ask(SUBMIT, boot_s() + NEVER_S)
         assert reply.outcome == pb.UNCERTAIN
 
+    # Guards against a write that is still sent once its caller has been answered.
+    async def test_an_inbox_write_is_taken_back_before_the_caller_is_answered(
+        self,
+    ) -> None:
+        reachability = _Cut()
+        taken_back = False
+
+        class Store(_Store):
+            async def transact(self, conditions: t.Any, rows: t.Any) -> t.Any:
+                nonlocal taken_back
+                reachability.leave()
+                try:
+                    await asyncio.sleep(NEVER_S)
+                finally:
+                    taken_back = True
+
+        not_holder = pb.CallReply(outcome=pb.NOT_HOLDER)
+        forwarder = _forwarder(_Peers(not_holder), Store(), reachability)
+        reply = await forwarder.ask(SUBMIT, boot_s() + NEVER_S)
+        assert reply.outcome == pb.UNCERTAIN
+        assert taken_back
+
+    # Guards against an answer that waits for a call that can't be taken back.
+    async def test_the_caller_is_answered_although_a_call_does_not_end(
+        self,
+    ) -> None:
+        reachability = _Cut()
+        end = asyncio.Event()
+
+        class Store(_Store):
+            async def transact(self, conditions: t.Any, rows: t.Any) -> t.Any:
+                reachability.leave()
+                try:
+                    await asyncio.sleep(NEVER_S)
+                finally:
+                    await end.wait()
+
+        not_holder = pb.CallReply(outcome=pb.NOT_HOLDER)
+        forwarder = _forwarder(_Peers(not_holder), Store(), reachability)
+        async with asyncio.timeout(SOON_S):
+            reply = await forwarder.ask(SUBMIT, boot_s() + NEVER_S)
+        end.set()
+        assert reply.outcome == pb.UNCERTAIN
+
     # Guards against a 504 for a request of which nothing has left the daemon.
     async def test_a_request_without_a_holder_is_refused_at_once(self) -> None:
         reachability = _Cut()
--- a/tests/cell/test_partitioned_halls.py
+++ b/tests/cell/test_partitioned_halls.py
@@ -5,7 +5,6 @@
 import typing as t
 
 import aiohttp
-import attrs
 
 from streamthread.gateway import CellDaemon
 
@@ -22,7 +21,6 @@
 
 RETURNS_WITHIN_S = 1.0
 AT_ONCE_S = 0.2
-NEVER_S = 60.0
 STAYS_S = 0.1
 STAYS_CHECKS = 25
 
@@ -150,11 +148,6 @@
             holder = await _until_known(cell)
             daemon = next(d for d in cell.daemons if d is not holder)
             caller = cell.caller()
-            # Without the inbox, whose rows the store's client writes.
-            forwarder = daemon.frontend._forwarder
-            forwarder._settings = attrs.evolve(
-                forwarder._settings, inbox_after_s=NEVER_S
-            )
             # The channel to the holder is open.
             await caller.submit("a" * 16, job(), at=cell.daemons.index(daemon))
             halls.cut(daemon.node.hall)
