Read the operator's table more often only as the holder

Where the settings give evacuateMs, every daemon waited 0.1 of it in one call of the operator's feed, 0.5 s instead of 1 s, so that its view of the evacuations stays young. Only the holder starts runs, and calls of the store are paid for: the others called it twice as often for nothing.

The wait is now chosen before each call, and is the shorter one only while this daemon holds the cell. The tests of the wait of each call and of the settings did not hold before, since the wait was fixed when the daemon was made.

--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -93,13 +93,13 @@
 
 START_SHARE = 0.5
 """A start is valid for this share of the time within which an evacuation must be in
-force, at most: a start sent on the oldest view that is allowed, which is 0.45 of that
-time old, must not be carried out after it."""
+force, at most, so that a view of the evacuations that is up to 0.45 of that time old
+does not shorten it."""
 
 FEED_WAIT_SHARE = 0.1
 """The wait of one call of the operator's feed, as a share of the same time. With 5 s,
-0.5 s: one call that fails after 1.3 s, the next one included, leaves the view younger
-than the 2.25 s that are allowed."""
+0.5 s: one call that fails after 1.3 s, the next one included, leaves the view 1.9 s old.
+Starts on a view that is older than 2.25 s are valid for less than 2.5 s."""
 
 
 def cell_settings(node: NodeSettings) -> CellSettings:
@@ -124,14 +124,16 @@
     )
 
 
-def operator_feed_wait_s(node: NodeSettings) -> float:
+def operator_feed_wait_s(node: NodeSettings, holds: bool) -> float:
     """Return how long one call of the operator's feed waits for a change.
 
     Each call confirms what is known of the evacuations, whose age is bounded where the
-    platform gives `evacuate_s`.
+    platform gives `evacuate_s`. Only the holder starts runs, and calls are paid for.
+
+    :param holds: whether this daemon holds the cell.
     """
     evacuate_s = node.bounds.evacuate_s
-    if evacuate_s is None:
+    if evacuate_s is None or not holds:
         return FEED_WAIT_S
     return min(FEED_WAIT_S, evacuate_s * FEED_WAIT_SHARE)
 
@@ -168,7 +170,10 @@
         if node.advice:
             self.advice = AdviceClient(node.advice, CLOUD_TIMEOUT_S, self.notes)
         self.documents = Documents(
-            self.store, self.notes, self.failures, operator_feed_wait_s(node)
+            self.store,
+            self.notes,
+            self.failures,
+            lambda: operator_feed_wait_s(node, self.holder is not None),
         )
         self.halls = HallRegistry(
             self.documents.evacuations,
--- a/src/streamthread/gateway/documents.py
+++ b/src/streamthread/gateway/documents.py
@@ -50,7 +50,7 @@
 
     :param notes: records unreadable input.
     :param failures: counts unexpected failures.
-    :param feed_wait_s: how long one call waits for a change.
+    :param feed_wait_s: returns how long the next call waits for a change.
     :param confirmed_at_s: when the store last answered, on the boot clock.
     :param evacuations: the halls that the operator has evacuated.
     """
@@ -60,12 +60,13 @@
         store: RowStore,
         notes: UnreadableNotes | None = None,
         failures: Failures | None = None,
-        feed_wait_s: float = FEED_WAIT_S,
+        feed_wait_s: t.Callable[[], float] = lambda: FEED_WAIT_S,
     ) -> None:
         super().__init__()
         self._notes = notes or UnreadableNotes()
         self._supervisor = LoopKeeper(failures or Failures())
-        self._feed = TableFeed(store, OPERATOR_TABLE, "", feed_wait_s)
+        self._feed_wait_s = feed_wait_s
+        self._feed = TableFeed(store, OPERATOR_TABLE, "", FEED_WAIT_S)
         self.manifest: Manifest | None = None
         self.waves: dict[int, Wave] = {}
         self.confirmed_at_s = 0.0
@@ -93,7 +94,7 @@
                 await asyncio.sleep(RETRY_S)
 
     async def _watch_once(self) -> None:
-        update = await self._feed.next()
+        update = await self._feed.next(self._feed_wait_s())
         self.confirmed_at_s = boot_s()
         self.evacuations.apply(update, self._feed.as_of_s)
         for row in update.rows:
--- a/src/streamthread/gateway/tests/test_documents.py
+++ b/src/streamthread/gateway/tests/test_documents.py
@@ -23,6 +23,7 @@
         self.row = StoredRow("op", "", "config", manifest, 1)
         self.full_reads = 0
         self.feeds = 0
+        self.waits_s: list[float] = []
 
     async def read_all(self, table: str, part: str) -> Page:
         self.full_reads += 1
@@ -30,6 +31,7 @@
 
     async def feed(self, table: str, after: int, wait_s: float) -> Page:
         self.feeds += 1
+        self.waits_s.append(wait_s)
         return Page((), after + 1)
 
 
@@ -67,6 +69,19 @@
         await documents._watch_once()
         assert documents.confirmed_at_s > before_s
 
+    async def test_waits_for_a_change_as_long_as_its_daemon_says_now(
+        self, clock: _Clock
+    ) -> None:
+        """Guards against followers that call the store as often as the holder."""
+        waits_s = [1.0, 0.5, 1.0]
+        store = _Store()
+        documents = Documents(
+            t.cast(t.Any, store), feed_wait_s=lambda: waits_s[store.feeds]
+        )
+        for _ in range(4):
+            await documents._watch_once()
+        assert store.waits_s == [1.0, 0.5, 1.0]
+
 
 class _EvacuatingStore(_Store):
     """Returns an evacuation on the first full read; answers feeds as listed."""
--- a/src/streamthread/platform/table_feed.py
+++ b/src/streamthread/platform/table_feed.py
@@ -50,19 +50,23 @@
         self.known_at_s = -math.inf
         self.as_of_s = -math.inf
 
-    async def next(self) -> Update:
+    async def next(self, wait_s: float | None = None) -> Update:
         """Return the next rows, or no rows if the store no longer has the history.
 
         In the latter case, the next call reads the table in full. A call that follows a
         failed one does not wait for a change, so that it ends soon in an outage and
         the end of the outage is noticed.
 
+        :param wait_s: how long this call waits for a change; None: as the others do.
         :raises StoreUnavailableError: nothing was read; call again.
         :raises OutcomeUnknownError: nothing was read; call again.
         """
         if self._after == UNREAD:
             return await self._read_whole()
-        wait_s = 0.0 if self._failed else self._wait_s
+        if wait_s is None:
+            wait_s = self._wait_s
+        if self._failed:
+            wait_s = 0.0
         began_at_s = boot_s()
         try:
             page = await self._store.feed(self._table, self._after, wait_s)
--- a/src/streamthread/platform/tests/test_hall_settings.py
+++ b/src/streamthread/platform/tests/test_hall_settings.py
@@ -30,12 +30,14 @@
     def test_without_one_for_evacuations_change_nothing(self) -> None:
         node = _node()
         assert node.bounds.evacuate_s is None
-        assert operator_feed_wait_s(node) == 1.0
+        assert operator_feed_wait_s(node, holds=True) == 1.0
         assert cell_settings(node).links.start_within_s == 2.5
 
     def test_for_evacuations_limit_the_feed_and_the_starts(self) -> None:
         node = _node(evacuateMs=5000, coldExcess=1.5, coldSlack=5)
-        assert operator_feed_wait_s(node) == 0.5
+        assert operator_feed_wait_s(node, holds=True) == 0.5
+        # Only the holder starts runs, and calls of the store are paid for.
+        assert operator_feed_wait_s(node, holds=False) == 1.0
         assert cell_settings(node).links.start_within_s == 2.5
         assert (node.bounds.cold_excess, node.bounds.cold_slack) == (1.5, 5.0)
         assert cell_settings(_node(evacuateMs=4000)).links.start_within_s == 2.0
