Bound each start by the age of the view of the evacuations

Nothing started once the view was 0.45 of evacuateMs old (2.25 s of 5 s), although a start on such a view can still be carried out in time: one failed call of the feed in a slow store, or just after a takeover, made callers wait. The bound also did not hold where the process was suspended between its look at the halls and the order, since the 2.5 s of a start counted from the order.

A start now carries a deadline of 0.95 of evacuateMs after the time as of which the view is known, 2.5 s after it is sent at most. Starts wait once the view is 0.75 of evacuateMs old, when they are valid for 1 s. The latest is carried out 4.75 s after the acknowledgement, or 4.85 s by a slow clock, as before.

A guard removes the deadline.

--- a/src/streamthread/halls/policy.py
+++ b/src/streamthread/halls/policy.py
@@ -1,6 +1,7 @@
 """The questions about halls that every path of a start asks."""
 
 import enum
+import math
 import typing as t
 from abc import ABC
 from abc import abstractmethod
@@ -35,6 +36,13 @@
     def may_start(self, hall: str) -> bool:
         """Whether nothing that is known forbids to start runs in a hall."""
 
+    def start_within_s(self) -> float:
+        """Return within which time a start that is sent now must be carried out.
+
+        It is negative if that time has passed, and infinite where there is no limit.
+        """
+        return math.inf
+
     @abstractmethod
     def is_warming(self, hall: str) -> bool:
         """Whether work returns to a hall in steps, since its runners are cold."""
--- a/src/streamthread/halls/registry.py
+++ b/src/streamthread/halls/registry.py
@@ -1,5 +1,6 @@
 """The halls' policy from the operator's rows."""
 
+import math
 import typing as t
 
 from ..clocks import boot_s
@@ -12,12 +13,15 @@
 
 __all__ = ["HallRegistry", "max_age_s"]
 
-MAX_AGE_SHARE = 0.45
+MAX_AGE_SHARE = 0.75
 """How old what is known of the operator's table may be for a start, as a share of the
-time within which an evacuation must be in force. A start may be carried out 2.5 s after
-it was sent, and 0.1 s later on a slow clock: with 5 s, the latest is carried out 4.85 s
-after the acknowledgement."""
+time within which an evacuation must be in force. With 5 s, starts on the oldest view
+are valid for 1 s: an order takes 0.24 s to a slow runner."""
 
+START_BY_SHARE = 0.95
+"""Starts are valid until this share of that time after the time as of which the table
+is known. With 5 s, the latest is carried out after 4.75 s, or 0.1 s later by a slow
+clock."""
 
 REFRESH_S = 0.1
 """How long it is remembered which halls are warming: placement asks for each runner."""
@@ -60,6 +64,7 @@
     ) -> None:
         self.evacuations = evacuations
         self._max_age_s = max_age_s(evacuate_s)
+        self._evacuate_s = evacuate_s
         self._pools = pools
         self._cold_halls = cold_halls
         self._tolerance = tolerance
@@ -80,6 +85,16 @@
             return False
         return self._max_age_s is None or self.age_s <= self._max_age_s
 
+    def start_within_s(self) -> float:
+        """Return within which time a start that is sent now must be carried out.
+
+        An evacuation may have been acknowledged just after the time as of which the
+        table is known.
+        """
+        if self._evacuate_s is None:
+            return math.inf
+        return self._evacuate_s * START_BY_SHARE - self.age_s
+
     def may_start(self, hall: str) -> bool:
         """Whether no evacuation of a hall is known."""
         return hall not in self.evacuations.in_force
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -1,6 +1,7 @@
 """The loop that sends hold calls to one incarnation of a runner and reads its lists."""
 
 import asyncio
+import math
 from abc import ABC
 from abc import abstractmethod
 
@@ -359,9 +360,12 @@
         self.over = True
         self._owner.on_runner_exit(self, why)
 
-    def start_deadline_ms(self) -> int:
+    def start_deadline_ms(self, within_s: float = math.inf) -> int:
         """Return the latest time at which a start sent now may be carried out.
 
         The time is on the runner's clock.
+
+        :param within_s: a limit in addition to that of the settings; it may be past.
         """
-        return self.clock.deadline_ms(boot_s(), self._settings.start_within_s)
+        within_s = min(within_s, self._settings.start_within_s)
+        return self.clock.deadline_ms(boot_s(), within_s)
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -266,7 +266,7 @@
             task=task.name,
             run=attempt.run,
             spec=task.step.occurrence.job.request.spec,
-            deadline_ms=link.start_deadline_ms(),
+            deadline_ms=link.start_deadline_ms(self._engine.halls.start_within_s()),
             fencing_token=self._owner.token,
             checkpoint=task.checkpoint,
             ticket=self._owner.ticket_for(attempt),
--- a/src/streamthread/scheduler/tests/test_halls.py
+++ b/src/streamthread/scheduler/tests/test_halls.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from streamthread.clocks import boot_s
 from streamthread.errors import OutcomeUnknownError
 from streamthread.errors import StoreUnavailableError
 from streamthread.halls import HallState
@@ -170,6 +171,15 @@
         assert cell.polls == 3
         assert cell.steps == ["start"]
 
+    async def test_is_valid_for_as_long_as_what_is_known_of_the_halls(self) -> None:
+        """Guards against a start that is carried out after an evacuation, since this
+        process was suspended between the look at the halls and the order."""
+        cell = StartCell()
+        (attempt,) = cell.engine.place_all(time.time(), lambda step: None)
+        cell.halls.start_by_s = boot_s() - 4.0
+        await cell.send(attempt)
+        assert cell.start_limits_s[0] <= -4.0
+
     async def test_of_a_gang_takes_the_whole_gang_along(self) -> None:
         """Guards against a gang that waits forever for the member withdrawn."""
         halls = Halls()
--- a/tools/guards_halls.py
+++ b/tools/guards_halls.py
@@ -38,6 +38,13 @@
         "        return True\n",
         (f"{_CELL}::TestFeed",),
     ),
+    Guard(
+        "starts-on-an-old-view-end-in-time",
+        "halls/registry.py",
+        "        return self._evacuate_s * START_BY_SHARE - self.age_s\n",
+        "        return math.inf\n",
+        (f"{_CELL}::TestFeed",),
+    ),
     Guard(
         "machines-leave-closed-halls",
         "capacity/plan.py",
