Do not refuse a change that a recent try may have handed in

Where the loss of a hall is to be tolerated, a daemon remembers changes that ended without an outcome, and does not refuse them on its own while it is cut off. Once it was connected again, or where the store refused the inbox, a retry of the same job was answered with 429 "not run", although the first try may have been accepted: a refusal that may be false.

These refusals are now 504 for such a change as well. A refusal by the holder is passed on as before, and where no loss of a hall is tolerated nothing is remembered, so that nothing changes.

test_a_change_without_outcome_is_not_refused_after_the_return failed before ("neither a holder nor the store answers"). One line of the daemon's comments is wrapped.

--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -98,8 +98,8 @@
 
 FEED_WAIT_SHARE = 0.1
 """The wait of one call of the operator's feed, as a share of the same time. With 5 s,
-0.5 s: one call that fails after 1.3 s, the next one included, leaves the view 1.9 s old.
-Starts on a view that is older than 2.25 s are valid for less than 2.5 s."""
+0.5 s: one call that fails after 1.3 s, the next one included, leaves the view 1.9 s
+old. Starts on a view that is older than 2.25 s are valid for less than 2.5 s."""
 
 
 def cell_settings(node: NodeSettings) -> CellSettings:
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -213,18 +213,27 @@
                 progress.in_attempt = False
                 if persisted is Persisted.YES:
                     return pb.CallReply(outcome=pb.OK, state="pending")
-                if persisted is Persisted.NO and not progress.uncertain:
+                if persisted is Persisted.NO and not self._may_be_made(
+                    request, progress
+                ):
                     return _refused("neither a holder nor the store answers")
                 progress.uncertain = True
             if self._should_give_up(began_at_s, until_s, reply.outcome):
                 break
             await asyncio.sleep(self._settings.retry_s)
-        if progress.uncertain or not changes:
+        if not changes or self._may_be_made(request, progress):
             return pb.CallReply(outcome=pb.UNCERTAIN, reason="no holder answered")
         if reply.outcome == pb.BEHIND:
             return _refused("the holder knows only an older configuration")
         return _refused("no holder is known")
 
+    def _may_be_made(self, request: pb.CallRequest, progress: _Progress) -> bool:
+        """Whether this try or a recent one without an outcome may have been accepted.
+
+        This daemon must not refuse such a change on its own.
+        """
+        return progress.uncertain or self._unresolved.has(request)
+
     def _should_give_up(
         self, began_at_s: float, until_s: float, outcome: pb.CallOutcome
     ) -> bool:
--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -331,6 +331,21 @@
         other = pb.CallRequest(kind=pb.SUBMIT, route="r", job_id="2" * 16, job=BODY)
         assert (await forwarder.ask(other, until_s)).outcome == pb.REFUSED
 
+    # Guards against a refusal by a daemon that is not cut off any more.
+    async def test_a_change_without_outcome_is_not_refused_after_the_return(
+        self,
+    ) -> None:
+        reachability = _Cut()
+        forwarder = _forwarder(_HangingPeers(reachability), _Store(), reachability)
+        until_s = boot_s() + NEVER_S
+        assert (await forwarder.ask(SUBMIT, until_s)).outcome == pb.UNCERTAIN
+        not_holder = pb.CallReply(outcome=pb.NOT_HOLDER)
+        args: t.Any = (_Peers(not_holder), _Store(_store_down()), _Cut())
+        forwarder._peers, forwarder._store, forwarder._reachability = args
+        assert (await forwarder.ask(SUBMIT, until_s)).outcome == pb.UNCERTAIN
+        other = pb.CallRequest(kind=pb.SUBMIT, route="r", job_id="2" * 16, job=BODY)
+        assert (await forwarder.ask(other, until_s)).outcome == pb.REFUSED
+
     def test_changes_without_outcome_are_forgotten(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
