Count runners that name no hall in none for outages

Where the loss of a hall is to be tolerated, runners whose entries name no hall were counted as one hall. If most of them were silent, this "hall" was reported as lost, and the rest of them got no work until their next answer, although they have nothing in common. They are left out, as they are of evacuations. test_are_not_those_that_name_no_hall failed before.

--- a/src/streamthread/holder/outage_watch.py
+++ b/src/streamthread/holder/outage_watch.py
@@ -29,6 +29,9 @@
         runners: collections.Counter[str] = collections.Counter()
         silent: collections.Counter[str] = collections.Counter()
         for link in self._links.values():
+            if not link.runner.zone:
+                # Runners that name no hall are in none.
+                continue
             runners[link.runner.zone] += 1
             silent[link.runner.zone] += link.silent
         counts = {hall: HallCount(n, silent[hall]) for hall, n in runners.items()}
--- a/src/streamthread/holder/tests/test_outage_watch.py
+++ b/src/streamthread/holder/tests/test_outage_watch.py
@@ -10,7 +10,7 @@
 from streamthread.scheduler import RunnerState
 
 
-def _links(halls: str) -> dict[str, RunnerLink]:
+def _links(halls: t.Sequence[str]) -> dict[str, RunnerLink]:
     unused = t.cast(t.Any, None)
     links: dict[str, RunnerLink] = {}
     for number, hall in enumerate(halls):
@@ -55,3 +55,13 @@
         _silence(links["i-0"])
         OutageWatch(links, HallOutages()).check()
         assert all(links[f"i-{number}"].runner.ready for number in range(1, 8))
+
+    # Guards against an outage of runners that have nothing in common.
+    def test_are_not_those_that_name_no_hall(self) -> None:
+        links = _links(["", "", "", "", "b", "b"])
+        outages = HallOutages()
+        for number in range(3):
+            _silence(links[f"i-{number}"])
+        OutageWatch(links, outages).check()
+        assert not outages.lost_since_s
+        assert links["i-3"].runner.ready
