--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -42,6 +42,10 @@
 """A refused caller is asked to retry after this time."""
 
 
+TAKE_BACK_S = 0.1
+"""How long a caller's answer waits for the end of a call that was given up. Resetting
+its connection takes a few steps of the event loop."""
+
 UNRESOLVED_S = 10.0
 """How long a request without an outcome is remembered. Callers retry within 3 s."""
 
@@ -181,8 +185,11 @@
                 return answer.result()
             return _cut_off_reply(request, progress)
         finally:
-            answer.cancel()
             leaving.cancel()
+            if not answer.done():
+                # What was not delivered is taken back before the caller is answered.
+                answer.cancel()
+                await asyncio.wait((answer,), timeout=TAKE_BACK_S)
 
     async def _ask(
         self, request: pb.CallRequest, until_s: float, progress: _Progress
@@ -207,18 +214,27 @@
                 progress.in_attempt = False
                 if persisted is Persisted.YES:
                     return pb.CallReply(outcome=pb.OK, state="pending")
-                if persisted is Persisted.NO and not progress.uncertain:
+                if persisted is Persisted.NO and not self._may_be_made(
+                    request, progress
+                ):
                     return _refused("neither a holder nor the store answers")
                 progress.uncertain = True
             if self._should_give_up(began_at_s, until_s, reply.outcome):
                 break
             await asyncio.sleep(self._settings.retry_s)
-        if progress.uncertain or not changes:
+        if not changes or self._may_be_made(request, progress):
             return pb.CallReply(outcome=pb.UNCERTAIN, reason="no holder answered")
         if reply.outcome == pb.BEHIND:
             return _refused("the holder knows only an older configuration")
         return _refused("no holder is known")
 
+    def _may_be_made(self, request: pb.CallRequest, progress: _Progress) -> bool:
+        """Whether this try or a recent one without an outcome may have been accepted.
+
+        This daemon must not refuse such a change on its own.
+        """
+        return progress.uncertain or self._unresolved.has(request)
+
     def _should_give_up(
         self, began_at_s: float, until_s: float, outcome: pb.CallOutcome
     ) -> bool:
--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -262,6 +262,50 @@
             reply = await forwarder.ask(SUBMIT, boot_s() + NEVER_S)
         assert reply.outcome == pb.UNCERTAIN
 
+    # Guards against a write that is still sent once its caller has been answered.
+    async def test_an_inbox_write_is_taken_back_before_the_caller_is_answered(
+        self,
+    ) -> None:
+        reachability = _Cut()
+        taken_back = False
+
+        class Store(_Store):
+            async def transact(self, conditions: t.Any, rows: t.Any) -> t.Any:
+                nonlocal taken_back
+                reachability.leave()
+                try:
+                    await asyncio.sleep(NEVER_S)
+                finally:
+                    taken_back = True
+
+        not_holder = pb.CallReply(outcome=pb.NOT_HOLDER)
+        forwarder = _forwarder(_Peers(not_holder), Store(), reachability)
+        reply = await forwarder.ask(SUBMIT, boot_s() + NEVER_S)
+        assert reply.outcome == pb.UNCERTAIN
+        assert taken_back
+
+    # Guards against an answer that waits for a call that can't be taken back.
+    async def test_the_caller_is_answered_although_a_call_does_not_end(
+        self,
+    ) -> None:
+        reachability = _Cut()
+        end = asyncio.Event()
+
+        class Store(_Store):
+            async def transact(self, conditions: t.Any, rows: t.Any) -> t.Any:
+                reachability.leave()
+                try:
+                    await asyncio.sleep(NEVER_S)
+                finally:
+                    await end.wait()
+
+        not_holder = pb.CallReply(outcome=pb.NOT_HOLDER)
+        forwarder = _forwarder(_Peers(not_holder), Store(), reachability)
+        async with asyncio.timeout(SOON_S):
+            reply = await forwarder.ask(SUBMIT, boot_s() + NEVER_S)
+        end.set()
+        assert reply.outcome == pb.UNCERTAIN
+
     # Guards against a 504 for a request of which nothing has left the daemon.
     async def test_a_request_without_a_holder_is_refused_at_once(self) -> None:
         reachability = _Cut()
@@ -287,6 +331,21 @@
         other = pb.CallRequest(kind=pb.SUBMIT, route="r", job_id="2" * 16, job=BODY)
         assert (await forwarder.ask(other, until_s)).outcome == pb.REFUSED
 
+    # Guards against a refusal by a daemon that is not cut off any more.
+    async def test_a_change_without_outcome_is_not_refused_after_the_return(
+        self,
+    ) -> None:
+        reachability = _Cut()
+        forwarder = _forwarder(_HangingPeers(reachability), _Store(), reachability)
+        until_s = boot_s() + NEVER_S
+        assert (await forwarder.ask(SUBMIT, until_s)).outcome == pb.UNCERTAIN
+        not_holder = pb.CallReply(outcome=pb.NOT_HOLDER)
+        args: t.Any = (_Peers(not_holder), _Store(_store_down()), _Cut())
+        forwarder._peers, forwarder._store, forwarder._reachability = args
+        assert (await forwarder.ask(SUBMIT, until_s)).outcome == pb.UNCERTAIN
+        other = pb.CallRequest(kind=pb.SUBMIT, route="r", job_id="2" * 16, job=BODY)
+        assert (await forwarder.ask(other, until_s)).outcome == pb.REFUSED
+
     def test_changes_without_outcome_are_forgotten(
         self, monkeypatch: pytest.MonkeyPatch
     ) -> None:
