--- a/src/streamthread/holder/tests/test_forecasts.py
+++ b/src/streamthread/holder/tests/test_forecasts.py
@@ -160,7 +160,12 @@
         """Guards pools that are not overloaded against the work of a forecast."""
         pool = _Pool(ann=9.0)
         made: list[str] = []
-        monkeypatch.setattr(forecasts, "fair_order", lambda *_: made.append("order"))
+
+        def order(*_: t.Any) -> list[t.Any]:
+            made.append("order")
+            return []
+
+        monkeypatch.setattr(forecasts, "fair_order", order)
         assert (await pool.submit()).outcome == pb.OK
         assert made == []
         await pool.flood(5)
