Play evacuations, lost halls and floods in the soak

Cause: no soak evacuated a hall, switched off or partitioned one, or let an account flood a pool, and all its machines and daemons were in one hall.

Change: with the switch `halls`, machines and daemons lie in three halls; the operator evacuates them once, all at once, in series and again, and halls lose power or are cut off from the platform. With `floods`, one of two further accounts sends eight times its weight. New checks: no start in an evacuated hall after the bound, no order for a machine after one of a newer holder, and the jobs of the account within its weight are done. Link gets a fault that holds bytes back, each daemon a link to the machines' interface, and the stand-in of the cloud records all orders that arrive. The new faults draw from random sources of their own.

--- a/src/streamthread/standins/cell/__init__.py
+++ b/src/streamthread/standins/cell/__init__.py
@@ -1,6 +1,7 @@
 """Small stand-ins for the platform of a cell: store, runners and cloud, with faults."""
 
 from .cloud import CloudStandin
+from .cloud import Duty
 from .cloud import MachineStandin
 from .runner import RunnerStandin
 from .runner import StartedRun
@@ -11,6 +12,7 @@
 __all__ = [
     "CellWorld",
     "CloudStandin",
+    "Duty",
     "MachineStandin",
     "RunnerStandin",
     "StartedRun",
--- a/src/streamthread/standins/cell/cloud.py
+++ b/src/streamthread/standins/cell/cloud.py
@@ -1,6 +1,7 @@
 """A stand-in for the cloud service: it lists and moves machines and runs upkeep."""
 
 import asyncio
+import time
 import typing as t
 
 import attrs
@@ -37,17 +38,23 @@
 
 @attrs.frozen
 class Duty:
-    """An order that the cloud carried out."""
+    """An order for a machine.
+
+    :param at_s: when it arrived, on the monotonic clock.
+    """
 
     kind: str
     machine_id: str
     holder: str
     token: int
+    at_s: float = attrs.field(factory=time.monotonic, eq=False)
 
 
 class CloudStandin:
     """A cloud service with its machines.
 
+    :param received: all orders that arrived, also those that had no effect.
+    :param duties: the orders that were carried out.
     :param end_incarnation: removes a runner's entry when its machine goes down.
     """
 
@@ -59,6 +66,7 @@
         upkeep_s: float = 0.15,
     ) -> None:
         self.machines: dict[str, MachineStandin] = {}
+        self.received: list[Duty] = []
         self.duties: list[Duty] = []
         self.max_down = 0
         self._make_runner = make_runner
@@ -81,6 +89,8 @@
             return web.Response(status=400)
         holder = request.headers["Streamthread-Lease-Holder"]
         token = int(request.headers["Streamthread-Fencing-Token"])
+        kind = request.path.removeprefix("/-/machine-")
+        self.received.append(Duty(kind, machine.machine_id, holder, token))
         if request.path == "/-/machine-move":
             return self._move(machine, body["pool"], holder, token)
         return self._upkeep(machine, int(body["wave"]), holder, token)
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -6,6 +6,8 @@
 import time
 import typing as t
 
+import attrs
+
 from .cloud import CloudStandin
 from .cloud import MachineStandin
 from .runner import RunnerStandin
@@ -16,10 +18,25 @@
 
 SPARE_POOL = "spare"
 
+OPEN_S = float("inf")
+"""When an evacuation is withdrawn that is in force."""
+
 BACK_S = 0.3
 """Time until a runner that a task has crashed is restarted at the same address."""
 
 
+@attrs.define
+class Evacuation:
+    """An evacuation that the operator requested, with times on the monotonic clock.
+
+    :param withdrawn_at_s: when its row began to be removed.
+    """
+
+    hall: str
+    acknowledged_at_s: float
+    withdrawn_at_s: float = OPEN_S
+
+
 class CellWorld:
     """All external services that the daemons of a cell call.
 
@@ -33,6 +50,7 @@
     :param halls: the halls of the machines, which are assigned to them in turn.
     :param evacuate_ms: the bound ``evacuateMs`` of the daemons' settings; None: it is
         left out.
+    :param evacuations: all evacuations that were requested.
     :param crashes: ids of the runners that a task has crashed.
     :param crashed_runs: the task and run number of each run that crashed its runner.
     """
@@ -59,6 +77,7 @@
         self.reports_birth = reports_birth
         self.accounts: list[dict[str, t.Any]] | None = None
         self.evacuate_ms: int | None = None
+        self.evacuations: list[Evacuation] = []
         self._halls = itertools.cycle(halls)
         self._numbers = itertools.count(1)
 
@@ -178,11 +197,40 @@
     async def evacuate(self, hall: str, value: bytes = b"{}") -> None:
         """Request that a hall be evacuated; it is in force when this returns."""
         await self.write_bytes("op", f"evacuate/{hall}", value)
+        if not self.is_evacuated(hall):
+            self.evacuations.append(Evacuation(hall, time.monotonic()))
 
     async def take_back(self, hall: str) -> None:
         """Withdraw the evacuation of a hall."""
+        for evacuation in self.evacuations:
+            if evacuation.hall == hall and evacuation.withdrawn_at_s == OPEN_S:
+                evacuation.withdrawn_at_s = time.monotonic()
         await self.store.drop("op", f"evacuate/{hall}")
 
+    def is_evacuated(self, hall: str) -> bool:
+        """Whether an evacuation of a hall is in force."""
+        return any(
+            evacuation.hall == hall and evacuation.withdrawn_at_s == OPEN_S
+            for evacuation in self.evacuations
+        )
+
+    def lose_power(self, hall: str, for_s: float, keeps_addresses: bool) -> None:
+        """End all runners of a hall; new incarnations start after ``for_s``.
+
+        :param keeps_addresses: they start at the addresses of the former ones. If not,
+            nothing answers at these addresses any more.
+        """
+        for machine in self.cloud.machines.values():
+            runner = machine.runner
+            if machine.zone != hall or machine.state != "up" or runner is None:
+                continue
+            runner.kill()
+            if keeps_addresses:
+                self.cloud.crash(machine, for_s)
+            else:
+                runner.faults.silent = True
+                self.cloud.restart(machine, for_s)
+
     def running_in(self, hall: str) -> list[str]:
         """Return the tasks that are running in a hall."""
         return [
@@ -213,7 +261,9 @@
             return ""
         return str(json.loads(base64.b64decode(row[0]))["state"])
 
-    def node_settings(self, daemon_id: str, ip: str = "127.0.0.1") -> str:
+    def node_settings(
+        self, daemon_id: str, ip: str = "127.0.0.1", zone: str = "here"
+    ) -> str:
         """Return the settings file that the platform would provide for a daemon."""
         bounds = {"graceS": 3, "maxHoldMs": 4000, "leaseMs": 500}
         if self.evacuate_ms is not None:
@@ -221,7 +271,7 @@
         return json.dumps(
             {
                 "node": daemon_id,
-                "zone": "here",
+                "zone": zone,
                 "ip": ip,
                 "portRange": [0, 0],
                 "operatorsPort": 0,
--- a/src/streamthread/standins/proxy.py
+++ b/src/streamthread/standins/proxy.py
@@ -17,6 +17,9 @@
 
 BLOCK_BYTES = 65536
 
+HOLD_POLL_S = 0.01
+"""How often a block that is held back is checked for its delivery."""
+
 
 @attrs.frozen
 class LinkFaults:
@@ -29,6 +32,8 @@
     :param drop_answers: bytes reach the target, but its answers are dropped.
     :param reset_after_bytes: connections are reset after this number of bytes of
         answers; 0: never.
+    :param hold: bytes are held back in both directions, as by a partition. They are
+        delivered once the fault is over, unless their sender has reset the connection.
     :param bytes_per_s: bandwidth of each connection in each direction; 0: unlimited.
     """
 
@@ -39,6 +44,7 @@
     drop_answers: bool = False
     reset_after_bytes: int = 0
     bytes_per_s: float = 0.0
+    hold: bool = False
 
 
 class Link:
@@ -107,6 +113,14 @@
                 self._silent.discard(side)
                 side.close()
 
+    async def _wait_until_released(self, reader: asyncio.StreamReader) -> bool:
+        """Wait while bytes are held back; return whether they may be delivered."""
+        while self.faults.hold:
+            if reader.exception() is not None:
+                return False
+            await asyncio.sleep(HOLD_POLL_S)
+        return reader.exception() is None
+
     def _count(self, size_bytes: int, answers: bool) -> None:
         if answers:
             self.bytes_of_answers += size_bytes
@@ -130,6 +144,9 @@
                     await asyncio.sleep(len(block) / faults.bytes_per_s)
                 if faults.blackhole or (answers and faults.drop_answers):
                     continue
+                if faults.hold and not await self._wait_until_released(reader):
+                    writer.transport.abort()
+                    return
                 if writer in self._silent:
                     continue
                 if answers and faults.half_close:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import itertools
 import json
 import pathlib
 import random
@@ -25,6 +26,8 @@
 from tools.soak_accounts import AccountCalls
 from tools.soak_accounts import check_limits
 from tools.soak_checks import check_crashes
+from tools.soak_checks import check_duties
+from tools.soak_checks import check_evacuations
 from tools.soak_checks import check_jobs
 from tools.soak_checks import check_rooms
 from tools.soak_checks import check_runs
@@ -33,6 +36,10 @@
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
 from tools.soak_faults import Faults
+from tools.soak_floods import Floods
+from tools.soak_halls import EVACUATE_MS
+from tools.soak_halls import HallFaults
+from tools.soak_halls import HALLS
 from tools.soak_restarts import RestartFaults
 from tools.soak_runners import RunnerFaults
 from tools.soak_stops import LastingJobs
@@ -77,6 +84,9 @@
     :param restarts: runners start again under their ids, likewise.
     :param silent_restarts: of these faults, only restarts of silent runners, 3 per
         second.
+    :param halls: machines and daemons in several halls, which are evacuated, lost and
+        partitioned, likewise.
+    :param floods: one of further accounts floods a pool, likewise; needs accounts.
     :param accounts: callers need keys, keys change, and an account has a limit,
         likewise.
     """
@@ -93,6 +103,8 @@
     accounts: bool = False
     restarts: bool = False
     silent_restarts: bool = False
+    halls: bool = False
+    floods: bool = False
 
 
 class Soak(SoakView):
@@ -101,10 +113,11 @@
     def __init__(self, plan: SoakPlan, folder: pathlib.Path, code: str) -> None:
         self.plan = plan
         self.random = random.Random(plan.seed)
-        self.world = CellWorld(POOLS)
+        halls = HALLS if plan.halls else ("here",)
+        self.world = CellWorld(POOLS, halls=halls)
         self.daemons = [
-            Daemon(f"daemon-{n}", self.world, folder, code, plan.runners)
-            for n in range(plan.daemons)
+            Daemon(f"daemon-{n}", self.world, folder, code, plan.runners, hall)
+            for n, hall in zip(range(plan.daemons), itertools.cycle(halls))
         ]
         self.removed: list[Daemon] = []
         self.jobs: dict[str, SubmittedJob] = {}
@@ -127,7 +140,15 @@
         self._accounts: AccountCalls | None = None
         if plan.accounts:
             accounts = random.Random(f"accounts {plan.seed}")
-            self._accounts = AccountCalls(self, accounts, self._faults.write_manifest)
+            write = self._faults.write_manifest
+            self._accounts = AccountCalls(self, accounts, write, plan.floods)
+        self._halls: HallFaults | None = None
+        if plan.halls:
+            self.world.evacuate_ms = EVACUATE_MS
+            self._halls = HallFaults(self, random.Random(f"halls {plan.seed}"))
+        self._floods: Floods | None = None
+        if plan.floods:
+            self._floods = Floods(self, random.Random(f"floods {plan.seed}"))
         self._quiet_at_s = 0.0
         self._session: aiohttp.ClientSession | None = None
 
@@ -137,6 +158,8 @@
         timeout = aiohttp.ClientTimeout(total=5)
         self._session = aiohttp.ClientSession(timeout=timeout)
         try:
+            if self._halls is not None:
+                self._halls.prepare()
             for daemon in self.daemons:
                 await daemon.prepare()
             await asyncio.gather(*(daemon.start() for daemon in self.daemons))
@@ -184,6 +207,9 @@
         if self._restarts is not None:
             until_s = time.monotonic() + self.plan.seconds
             parts.append(self._restarts.play(until_s))
+        for more in (self._halls, self._floods):
+            if more is not None:
+                parts.append(more.play(time.monotonic() + self.plan.seconds))
         await asyncio.gather(*parts)
 
     def spawn(self, call: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
@@ -394,6 +420,10 @@
         self.broken.extend(check_crashes(self.world))
         self.broken.extend(check_rooms(self.world))
         self.broken.extend(check_jobs(self.world, self.jobs))
+        self.broken.extend(check_duties(self.world))
+        self.broken.extend(check_evacuations(self.world))
+        if self._floods is not None:
+            self.broken.extend(self._floods.check())
         if self.plan.accounts:
             self.broken.extend(check_limits(self.world))
         self.broken.extend(self._runs_on())
@@ -433,6 +463,8 @@
                     runners=True,
                     accounts=True,
                     restarts=True,
+                    halls=True,
+                    floods=True,
                 )
                 broken, faults = await run_soak(plan, folder, arguments.daemon_path)
             print(json.dumps({"seed": seed, "broken": broken, "faults": faults}))
--- a/tools/soak_accounts.py
+++ b/tools/soak_accounts.py
@@ -14,7 +14,14 @@
 from tools.soak_daemon import Daemon
 from tools.soak_view import SoakView
 
-__all__ = ["LIMITS", "AccountCalls", "account_of", "check_limits"]
+__all__ = [
+    "FLOOD_PREFIXES",
+    "FLOOD_WEIGHTS",
+    "LIMITS",
+    "AccountCalls",
+    "account_of",
+    "check_limits",
+]
 
 PROBES_PER_S = 3.0
 """How often somebody asks for what is not theirs."""
@@ -37,8 +44,18 @@
 STRANGE_KEY = "strange"
 
 
+FLOOD_WEIGHTS = {"cat": 10, "dan": 2}
+"""Further accounts; the second one floods a pool."""
+
+FLOOD_PREFIXES = {"cat": "00000001", "dan": "00000002"}
+"""The first half of the job ids of these accounts; those of others are random."""
+
+
 def account_of(job_id: str) -> str:
     """Return the account that hands a job in."""
+    for account, prefix in FLOOD_PREFIXES.items():
+        if job_id.startswith(prefix):
+            return account
     return ACCOUNTS[int(job_id, 16) % len(ACCOUNTS)]
 
 
@@ -51,6 +68,7 @@
     """Calls under keys that open nothing, or another account; keys that change.
 
     :param write_manifest: writes the next version of the configuration.
+    :param floods: there are also the accounts of a flood.
     """
 
     def __init__(
@@ -58,7 +76,13 @@
         soak: SoakView,
         choices: random.Random,
         write_manifest: t.Callable[[], t.Awaitable[None]],
+        floods: bool = False,
     ) -> None:
+        self._flood_accounts = [
+            {"name": name, "apiKeys": [lasting_key(name)], "weight": weight}
+            for name, weight in FLOOD_WEIGHTS.items()
+            if floods
+        ]
         self._soak = soak
         self._random = choices
         self._write_manifest = write_manifest
@@ -76,7 +100,7 @@
                 "maximum": {"cpu": cpu, "memMb": 0, "gpu": 0},
             }
             for account, cpu in LIMITS.items()
-        ]
+        ] + self._flood_accounts
 
     def key_for(self, job: SubmittedJob) -> str:
         """Return the key under which a job is handed in, asked for and cancelled."""
@@ -104,7 +128,11 @@
         daemon = self._random.choice(self._soak.daemons)
         method = self._random.choice(["GET", "DELETE", "POST"])
         job_id = f"{self._random.getrandbits(64):016x}"
-        known = [job for job in self._soak.jobs.values() if job.accepted]
+        known = [
+            job
+            for job in self._soak.jobs.values()
+            if job.accepted and account_of(job.job_id) in LIMITS
+        ]
         if known and self._random.random() < 0.5:
             await self._ask_for_another(daemon, method, self._random.choice(known))
             return
@@ -160,7 +188,7 @@
     """Yield a line for each account of which too much ran at once."""
     changes: dict[str, list[tuple[float, int]]] = {name: [] for name in LIMITS}
     for started, end_s, _ in run_spans(world):
-        found = changes[account_of(started.task.split(".")[0])]
+        found = changes.setdefault(account_of(started.task.split(".")[0]), [])
         found.append((started.at_s + OVERLAP_S, TASK_CPU))
         if end_s < OPEN_S:
             found.append((max(end_s, started.at_s + OVERLAP_S), -TASK_CPU))
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -8,6 +8,7 @@
 import attrs
 
 from streamthread.standins.cell import CellWorld
+from streamthread.standins.cell import Duty
 from streamthread.standins.cell import StartedRun
 
 __all__ = [
@@ -15,6 +16,8 @@
     "OVERLAP_S",
     "SubmittedJob",
     "check_crashes",
+    "check_duties",
+    "check_evacuations",
     "check_jobs",
     "check_rooms",
     "check_runs",
@@ -140,6 +143,38 @@
             yield f"BUDGET {task} crashed {count} runners"
 
 
+def check_duties(world: CellWorld) -> t.Iterator[str]:
+    """Yield a line for each order for a machine that came after a newer holder's."""
+    newest: dict[str, Duty] = {}
+    for duty in world.cloud.received:
+        newer = newest.get(duty.machine_id, duty)
+        if duty.token < newer.token:
+            yield (
+                f"ONE {duty.kind} of {duty.machine_id} by {duty.holder}, token"
+                f" {duty.token}, came {duty.at_s - newer.at_s:.2f} s after the"
+                f" {newer.kind} by {newer.holder}, token {newer.token}"
+            )
+        else:
+            newest[duty.machine_id] = duty
+
+
+def check_evacuations(world: CellWorld) -> t.Iterator[str]:
+    """Yield a line for each start in a hall that had been evacuated for too long.
+
+    A start that a runner carried out late by its own fault is not checked. One that a
+    stopped or partitioned daemon has sent is checked: its deadline prevents it.
+    """
+    for evacuation in world.evacuations:
+        end_s = evacuation.acknowledged_at_s + (world.evacuate_ms or 0) / 1000
+        for started in world.started_in(evacuation.hall):
+            if end_s < started.at_s < evacuation.withdrawn_at_s and not started.late:
+                yield (
+                    f"EVACUATED {started.task}/{started.run} was started on"
+                    f" {started.runner_id} in {evacuation.hall},"
+                    f" {started.at_s - end_s:.2f} s too late"
+                )
+
+
 def check_rooms(world: CellWorld) -> t.Iterator[str]:
     """Yield a line for each start over the room of a runner that does not guard it."""
     for runner in world.runners:
--- a/tools/soak_daemon.py
+++ b/tools/soak_daemon.py
@@ -1,4 +1,4 @@
-"""One daemon of the soak: its process, its settings and its way to the store."""
+"""One daemon of the soak: its process, its settings and its links to the platform."""
 
 import asyncio
 import contextlib
@@ -19,10 +19,13 @@
 
 
 class Daemon:
-    """One daemon's process, settings and its way to the store.
+    """One daemon's process, settings and its links to the platform.
 
     :param unasked_ends: how often a process ended without a signal of ours.
     :param may_sleep: its machine can be suspended.
+    :param link: the way to the store; :attr:`cloud_link`: that to the machines'
+        interface.
+    :param zone: the hall that the process is in.
     :param code: a folder with the daemon's package, where it is not the installed one.
     """
 
@@ -33,10 +36,13 @@
         folder: pathlib.Path,
         code: str = "",
         may_sleep: bool = False,
+        zone: str = "here",
     ) -> None:
         self.name = name
+        self.zone = zone
         self._program = "tools.soak_suspend" if may_sleep else "streamthread.gateway"
         self.link = Link()
+        self.cloud_link = Link()
         self.callers = ""
         self.operators = ""
         self.unasked_ends = 0
@@ -49,12 +55,13 @@
         self._reader: asyncio.Task[None] | None = None
 
     async def prepare(self) -> None:
-        """Open the proxy and write the settings."""
-        await self.link.start("127.0.0.1")
-        host, port = self._world.store.port.address.split(":")
-        self.link.set_target(host, int(port))
-        settings = json.loads(self._world.node_settings(self.name))
-        settings["platform"]["address"] = f"127.0.0.1:{self.link.port}"
+        """Open the proxies and write the settings."""
+        settings = json.loads(self._world.node_settings(self.name, zone=self.zone))
+        for name, link in (("platform", self.link), ("cloud", self.cloud_link)):
+            host, port = settings[name]["address"].split(":")
+            await link.start("127.0.0.1")
+            link.set_target(host, int(port))
+            settings[name]["address"] = f"127.0.0.1:{link.port}"
         self._settings.write_text(json.dumps(settings))
 
     async def start(self) -> None:
@@ -122,8 +129,9 @@
             await self._reader
 
     async def close(self) -> None:
-        """End the process and the proxy."""
+        """End the process and the proxies."""
         self.signal(signal.SIGCONT)
         self.signal(signal.SIGKILL)
         await self.ended()
         await self.link.close()
+        await self.cloud_link.close()
