--- a/tests/model/runners.py
+++ b/tests/model/runners.py
@@ -331,6 +331,19 @@
         return incarnation
 
 
+def is_later_incarnation(incarnation: Incarnation, before: Incarnation) -> bool:
+    """Whether an incarnation has replaced a terminated one under the same id."""
+    return (
+        before.terminated
+        and incarnation.runner_id == before.runner_id
+        and incarnation is not before
+    )
+
+
+def address_of(number: int) -> str:
+    return f"127.0.0.1:{7000 + number}"
+
+
 def _act_unless_terminated(
     incarnation: Incarnation, act: t.Callable[[Incarnation, bool], OrderReply]
 ) -> None:
--- a/tests/model/simulation.py
+++ b/tests/model/simulation.py
@@ -16,6 +16,8 @@
 from streamthread.cell.rows import TABLE_HEAD
 from streamthread.gateway.forwarding import Forwarder
 from streamthread.gateway.forwarding import ForwardSettings
+from streamthread.halls import HallPolicy
+from streamthread.halls import OPEN_HALLS
 from streamthread.holder import Holder
 from streamthread.holder.context import CellSettings
 from streamthread.holder.context import HolderContext
@@ -30,10 +32,12 @@
 from .documents import MAX_ATTEMPTS
 from .documents import PART
 from .documents import POOL
+from .runners import address_of
 from .runners import CRASHING_SPEC
 from .runners import FakeRunners
 from .runners import FULL_CPU
 from .runners import Incarnation
+from .runners import is_later_incarnation
 from .runners import LONG_RUNNING_SPEC
 from .runners import Run
 from .schedule import Event
@@ -303,12 +307,21 @@
             None,
             self._read_configuration(),
             CellSettings(),
+            halls=self._make_policy(),
         )
         holder = Holder(context, taken)
         self._holders.append(holder)
         self._tasks.append(asyncio.create_task(holder.run()))
         self.record(f"{daemon_id} holds the cell")
 
+    def _make_policy(self) -> HallPolicy:
+        """Return what the next holder knows of the halls."""
+        return OPEN_HALLS
+
+    def _hall_of(self, number: int) -> str:
+        """Return the hall of a runner."""
+        return "north"
+
     def _read_configuration(self) -> Documents:
         """Return the documents of the next holder, which may not be read yet."""
         read = Documents.with_limit(self._limit_cpu)
@@ -358,15 +371,15 @@
             born_ms=count if keeps_id else None,
             clock_start_ms=FIRST_CLOCKS_MS[count % 3] if keeps_id else None,
         )
-        self._runners.incarnations[_address(number)] = incarnation
+        self._runners.incarnations[address_of(number)] = incarnation
         self._list(number)
 
     def _list(self, number: int) -> None:
-        incarnation = self._runners.incarnations[_address(number)]
+        incarnation = self._runners.incarnations[address_of(number)]
         entry = {
             "service": POOL,
-            "address": _address(number),
-            "zone": "north",
+            "address": address_of(number),
+            "zone": self._hall_of(number),
             "state": "ready",
             "capacity": {"cpu": incarnation.cpu, "memMb": 100},
             "labels": [],
@@ -385,7 +398,7 @@
     ) -> None:
         self.record(f"{run[0]} run {run[1]} begins on {incarnation.runner_id}")
         before = self._started.get(run)
-        if before is not None and not _is_later_incarnation(incarnation, before):
+        if before is not None and not is_later_incarnation(incarnation, before):
             self._add_violation(f"run {run[1]} began on {before.runner_id}, too")
         self._started[run] = incarnation
         job_id = run[0].split(".")[0]
@@ -419,7 +432,7 @@
         numbers = range(len(RATES))
         incarnations = self._runners.incarnations
         number = next(
-            n for n in numbers if incarnations.get(_address(n)) is incarnation
+            n for n in numbers if incarnations.get(address_of(n)) is incarnation
         )
         incarnation.terminate()
         reboot = asyncio.ensure_future(self._reboot(number, RESTART_DELAY_S))
@@ -427,7 +440,7 @@
 
     async def _reboot(self, number: int, for_s: float) -> None:
         """Terminate a runner; its next incarnation starts after a delay."""
-        incarnation = self._runners.incarnations.pop(_address(number))
+        incarnation = self._runners.incarnations.pop(address_of(number))
         incarnation.terminate()
         if not self.schedule.keeps_ids:
             self._unlist(incarnation)
@@ -439,7 +452,7 @@
         for cpu in (FULL_CPU // 3, FULL_CPU):
             incarnation.cpu = cpu
             incarnation.resized_at_s = time.monotonic()
-            if self._runners.incarnations.get(_address(event.runner)) is incarnation:
+            if self._runners.incarnations.get(address_of(event.runner)) is incarnation:
                 self._list(event.runner)
             await asyncio.sleep(event.for_s)
 
@@ -450,7 +463,7 @@
             await self._cancels[event.after_cancel_of % len(self._cancels)].wait()
         await asyncio.sleep(event.after_s)
         self.record(f"{event.kind.value} for {event.for_s}, runner {event.runner}")
-        address = _address(event.runner)
+        address = address_of(event.runner)
         incarnation = self._runners.incarnations.get(address)
         until_s = time.monotonic() + event.for_s
         self._faults_until_s = max(self._faults_until_s, until_s)
@@ -478,20 +491,7 @@
         elif event.kind is EventKind.UNLISTED:
             self._unlist(incarnation)
             await asyncio.sleep(event.for_s)
-            if self._runners.incarnations.get(_address(event.runner)) is incarnation:
+            if self._runners.incarnations.get(address_of(event.runner)) is incarnation:
                 self._list(event.runner)
         elif event.kind is EventKind.REBOOT:
             await self._reboot(event.runner, event.for_s)
-
-
-def _is_later_incarnation(incarnation: Incarnation, before: Incarnation) -> bool:
-    """Whether an incarnation has replaced a terminated one under the same id."""
-    return (
-        before.terminated
-        and incarnation.runner_id == before.runner_id
-        and incarnation is not before
-    )
-
-
-def _address(number: int) -> str:
-    return f"127.0.0.1:{7000 + number}"
