Shorten the soak's faults of halls and floods

Change: power losses and partitions share the choice of daemons, both accounts of a flood submit by one function, and all parts of a play end at one time. A lost or partitioned hall is as likely as an evacuation.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -37,7 +37,6 @@
 from tools.soak_daemon import Daemon
 from tools.soak_faults import Faults
 from tools.soak_floods import Floods
-from tools.soak_halls import EVACUATE_MS
 from tools.soak_halls import HallFaults
 from tools.soak_halls import HALLS
 from tools.soak_restarts import RestartFaults
@@ -144,7 +143,6 @@
             self._accounts = AccountCalls(self, accounts, write, plan.floods)
         self._halls: HallFaults | None = None
         if plan.halls:
-            self.world.evacuate_ms = EVACUATE_MS
             self._halls = HallFaults(self, random.Random(f"halls {plan.seed}"))
         self._floods: Floods | None = None
         if plan.floods:
@@ -185,31 +183,20 @@
             await self.world.close()
 
     async def _play(self) -> None:
-        trouble_until_s = time.monotonic() + self.plan.seconds
-        parts = [
-            self._traffic(),
-            self._faults.play(trouble_until_s, self.plan.faults_per_s),
-        ]
+        until_s = time.monotonic() + self.plan.seconds
+        parts = [self._traffic(), self._faults.play(until_s, self.plan.faults_per_s)]
         if self.plan.stops:
-            until_s = time.monotonic() + self.plan.seconds
             parts.append(self._lasting.submit(until_s))
             parts.append(self._lasting.cancel_groups(until_s, self._stop_faults))
             parts.append(self._stop_faults.play(until_s))
         if self.plan.writer:
-            parts.append(self._writer.play(time.monotonic() + self.plan.seconds))
+            parts.append(self._writer.play(until_s))
         if self.plan.runners:
-            until_s = time.monotonic() + self.plan.seconds
             parts.append(self._runner_faults.play(until_s))
             parts.append(self._runner_faults.submit_in_turns(until_s))
-        if self._accounts is not None:
-            until_s = time.monotonic() + self.plan.seconds
-            parts.append(self._accounts.play(until_s))
-        if self._restarts is not None:
-            until_s = time.monotonic() + self.plan.seconds
-            parts.append(self._restarts.play(until_s))
-        for more in (self._halls, self._floods):
+        for more in (self._accounts, self._restarts, self._halls, self._floods):
             if more is not None:
-                parts.append(more.play(time.monotonic() + self.plan.seconds))
+                parts.append(more.play(until_s))
         await asyncio.gather(*parts)
 
     def spawn(self, call: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
--- a/tools/soak_accounts.py
+++ b/tools/soak_accounts.py
@@ -14,14 +14,7 @@
 from tools.soak_daemon import Daemon
 from tools.soak_view import SoakView
 
-__all__ = [
-    "FLOOD_PREFIXES",
-    "FLOOD_WEIGHTS",
-    "LIMITS",
-    "AccountCalls",
-    "account_of",
-    "check_limits",
-]
+__all__ = ["FLOOD_ACCOUNTS", "LIMITS", "AccountCalls", "account_of", "check_limits"]
 
 PROBES_PER_S = 3.0
 """How often somebody asks for what is not theirs."""
@@ -44,16 +37,14 @@
 STRANGE_KEY = "strange"
 
 
-FLOOD_WEIGHTS = {"cat": 10, "dan": 2}
-"""Further accounts; the second one floods a pool."""
-
-FLOOD_PREFIXES = {"cat": "00000001", "dan": "00000002"}
-"""The first half of the job ids of these accounts; those of others are random."""
+FLOOD_ACCOUNTS = {"cat": ("00000001", 10), "dan": ("00000002", 2)}
+"""Further accounts: the first half of their job ids, which is random in all others, and
+their weights. The second one floods a pool."""
 
 
 def account_of(job_id: str) -> str:
     """Return the account that hands a job in."""
-    for account, prefix in FLOOD_PREFIXES.items():
+    for account, (prefix, _) in FLOOD_ACCOUNTS.items():
         if job_id.startswith(prefix):
             return account
     return ACCOUNTS[int(job_id, 16) % len(ACCOUNTS)]
@@ -80,7 +71,7 @@
     ) -> None:
         self._flood_accounts = [
             {"name": name, "apiKeys": [lasting_key(name)], "weight": weight}
-            for name, weight in FLOOD_WEIGHTS.items()
+            for name, (_, weight) in FLOOD_ACCOUNTS.items()
             if floods
         ]
         self._soak = soak
--- a/tools/soak_floods.py
+++ b/tools/soak_floods.py
@@ -5,16 +5,15 @@
 import time
 import typing as t
 
-from tools.soak_accounts import FLOOD_PREFIXES
-from tools.soak_accounts import FLOOD_WEIGHTS
+from tools.soak_accounts import account_of
+from tools.soak_accounts import FLOOD_ACCOUNTS
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
 from tools.soak_view import SoakView
 
 __all__ = ["Floods"]
 
-FLOOD_FACTOR = 8
-"""The flooding account sends so many times its weight."""
+FLOOD_PER_S = 8 * FLOOD_ACCOUNTS["dan"][1]
 
 FLOOD_S = 4.0
 """How long a flood lasts, and the maximum time before each flood."""
@@ -35,52 +34,49 @@
 
 
 class Floods:
-    """Submits the jobs of a flood, and beside it those of an account within its weight.
-
-    :param choices: determines times, job ids and daemons.
-    """
+    """Submits the jobs of floods, and beside them some within another's weight."""
 
     def __init__(self, soak: SoakView, choices: random.Random) -> None:
         self._soak = soak
         self._random = choices
-        self._within: list[SubmittedJob] = []
 
     async def play(self, until_s: float) -> None:
         """Submit jobs until a time."""
-        await asyncio.gather(self._submit_within(until_s), self._flood(until_s))
-
-    def check(self) -> t.Iterator[str]:
-        """Yield a line for each job within its account's weight that was not done."""
-        for job in self._within:
-            if not job.accepted or "completed" not in job.states:
-                yield f"SHARE {job.job_id}: accepted {job.accepted}, {job.states}"
+        within = self._submit("cat", SMALL_JOB, WITHIN_PER_S, until_s)
+        await asyncio.gather(within, self._flood(until_s))
 
     async def _flood(self, until_s: float) -> None:
         while time.monotonic() < until_s:
             await asyncio.sleep(self._random.uniform(0.0, FLOOD_S))
             self._soak.note("dan floods desk")
             end_s = min(until_s, time.monotonic() + FLOOD_S)
-            while time.monotonic() < end_s:
-                job = self._new_job("dan")
-                self._soak.spawn(self._soak.submit(job, LARGE_JOB, self._any))
-                per_s = FLOOD_FACTOR * FLOOD_WEIGHTS["dan"]
-                await asyncio.sleep(self._random.expovariate(per_s))
+            await self._submit("dan", LARGE_JOB, FLOOD_PER_S, end_s)
 
-    async def _submit_within(self, until_s: float) -> None:
+    async def _submit(
+        self, account: str, body: bytes, per_s: float, until_s: float
+    ) -> None:
         while time.monotonic() < until_s:
-            self._within.append(self._new_job("cat"))
-            self._soak.spawn(self._submit_until_accepted(self._within[-1]))
-            await asyncio.sleep(1 / WITHIN_PER_S)
-
-    async def _submit_until_accepted(self, job: SubmittedJob) -> None:
-        give_up_at_s = time.monotonic() + ACCEPTED_WITHIN_S
+            prefix, _ = FLOOD_ACCOUNTS[account]
+            job_id = f"{prefix}{self._random.getrandbits(32):08x}"
+            job = self._soak.jobs[job_id] = SubmittedJob(job_id, "desk")
+            # Callers of the flood do not insist.
+            insist_s = ACCEPTED_WITHIN_S if account == "cat" else 0.0
+            self._soak.spawn(self._submit_one(job, body, insist_s))
+            await asyncio.sleep(1 / per_s)
+
+    async def _submit_one(
+        self, job: SubmittedJob, body: bytes, insist_s: float
+    ) -> None:
+        give_up_at_s = time.monotonic() + insist_s
+        await self._soak.submit(job, body, self._any)
         while not job.accepted and time.monotonic() < give_up_at_s:
-            await self._soak.submit(job, SMALL_JOB, self._any)
-
-    def _new_job(self, account: str) -> SubmittedJob:
-        job_id = f"{FLOOD_PREFIXES[account]}{self._random.getrandbits(32):08x}"
-        job = self._soak.jobs[job_id] = SubmittedJob(job_id, "desk")
-        return job
+            await self._soak.submit(job, body, self._any)
 
     def _any(self) -> Daemon:
         return self._random.choice(self._soak.daemons)
+
+    def check(self) -> t.Iterator[str]:
+        """Yield a line for each job within its account's weight that was not done."""
+        for job in self._soak.jobs.values():
+            if account_of(job.job_id) == "cat" and "completed" not in job.states:
+                yield f"SHARE {job.job_id}: accepted {job.accepted}, {job.states}"
--- a/tools/soak_halls.py
+++ b/tools/soak_halls.py
@@ -9,7 +9,7 @@
 from tools.soak_daemon import Daemon
 from tools.soak_view import SoakView
 
-__all__ = ["EVACUATE_MS", "HALLS", "HallFaults"]
+__all__ = ["HALLS", "HallFaults"]
 
 HALLS = ("north", "south", "west")
 UNNAMED_HALL = "nowhere"
@@ -35,6 +35,7 @@
 
     def __init__(self, soak: SoakView, choices: random.Random) -> None:
         self._soak = soak
+        self._soak.world.evacuate_ms = EVACUATE_MS
         self._random = choices
 
     def prepare(self) -> None:
@@ -44,10 +45,9 @@
 
     async def play(self, until_s: float) -> None:
         """Begin faults until a time."""
-        kinds = [self._evacuate_some, self._lose_power, self._cut_off]
         while time.monotonic() < until_s:
             await asyncio.sleep(self._random.expovariate(FAULTS_PER_S))
-            (kind,) = self._random.choices(kinds, (4, 2, 2))
+            kind = self._random.choice([self._evacuate_some, self._hit])
             self._soak.spawn(kind(self._random.choice(HALLS)))
 
     async def _evacuate_some(self, hall: str) -> None:
@@ -77,18 +77,14 @@
         await asyncio.sleep(for_s)
         await world.take_back(hall)
 
-    def _daemons_in(self, hall: str) -> list[Daemon] | None:
-        """Return the daemons of a hall; None if a fault must not affect them now."""
-        inside = [daemon for daemon in self._soak.daemons if daemon.zone == hall]
+    async def _hit(self, hall: str) -> None:
+        """A hall loses power or is cut off, unless another fault has its daemons."""
         free = self._soak.free()
-        if any(daemon not in free for daemon in inside) or len(free) == len(inside):
-            return None
-        return inside
-
-    async def _lose_power(self, hall: str) -> None:
-        """All runners and daemons of a hall die at the same time."""
-        daemons = self._daemons_in(hall)
-        if daemons is None:
+        daemons = [daemon for daemon in self._soak.daemons if daemon.zone == hall]
+        if any(daemon not in free for daemon in daemons) or len(free) == len(daemons):
+            return
+        if self._random.random() < 0.5:
+            await self._cut_off(hall, daemons, self._random.uniform(1.0, 6.0))
             return
         off_s = self._random.uniform(0.3, 1.5)
         self._soak.note(f"{hall} loses power for {off_s:.2f} s")
@@ -96,16 +92,12 @@
             self._soak.restart(daemon, signal.SIGKILL, off_s)
         self._soak.world.lose_power(hall, off_s, self._random.random() < 0.5)
 
-    async def _cut_off(self, hall: str) -> None:
+    async def _cut_off(self, hall: str, daemons: list[Daemon], for_s: float) -> None:
         """No bytes pass between a hall and the platform, and its runners are silent.
 
         Daemons reach each other, and those in the hall do not reach its runners, since
         no relay is on these ways.
         """
-        daemons = self._daemons_in(hall)
-        if daemons is None:
-            return
-        for_s = self._random.uniform(1.0, 6.0)
         self._soak.note(f"cut off {hall} for {for_s:.2f} s")
         runners = [r for r in self._soak.world.runners if r.alive and r.zone == hall]
         self._soak.busy |= {daemon.name for daemon in daemons}
