Let the model's virtual time advance with each wait

Cause: after the tests of src in the same process, tests/model/test_halls.py did not end. Timers of asyncio fire up to a nanosecond early; two loops that each wait for the rest of such a time kept each other ready, and virtual time stood still.

Change: each wait of the virtual clock takes a nanosecond at least, and a simulation that takes longer than 300 s fails.

--- a/tests/model/clock.py
+++ b/tests/model/clock.py
@@ -15,6 +15,15 @@
 """How far the virtual wall clock is ahead of the monotonic one."""
 
 
+MIN_WAIT_S = 1e-9
+"""Each wait takes at least the resolution of asyncio's clock. Timers fire early by up
+to this, so that two loops that wait for the rest of the same time could go on for ever.
+"""
+
+MAX_DURATION_S = 300.0
+"""A simulation that takes longer is taken not to end."""
+
+
 class JumpingSelector(selectors.SelectSelector):
     """Advances the virtual clock by the time of each wait, without waiting."""
 
@@ -25,7 +34,8 @@
     def select(self, timeout: float | None = None) -> list[t.Any]:
         """Advance the clock; there is no input or output that could become ready."""
         assert timeout is not None, "all tasks wait and no timer is set"
-        self.now_s += max(0.0, timeout)
+        self.now_s += max(MIN_WAIT_S, timeout)
+        assert self.now_s < BEGAN_AT_S + MAX_DURATION_S, "the simulation does not end"
         return []
 
 
