--- a/tools/soak_accounts.py
+++ b/tools/soak_accounts.py
@@ -14,7 +14,7 @@
 from tools.soak_daemon import Daemon
 from tools.soak_view import SoakView
 
-__all__ = ["LIMITS", "AccountCalls", "account_of", "check_limits"]
+__all__ = ["FLOOD_ACCOUNTS", "LIMITS", "AccountCalls", "account_of", "check_limits"]
 
 PROBES_PER_S = 3.0
 """How often somebody asks for what is not theirs."""
@@ -37,8 +37,16 @@
 STRANGE_KEY = "strange"
 
 
+FLOOD_ACCOUNTS = {"cat": ("00000001", 10), "dan": ("00000002", 2)}
+"""Further accounts: the first half of their job ids, which is random in all others, and
+their weights. The second one floods a pool."""
+
+
 def account_of(job_id: str) -> str:
     """Return the account that hands a job in."""
+    for account, (prefix, _) in FLOOD_ACCOUNTS.items():
+        if job_id.startswith(prefix):
+            return account
     return ACCOUNTS[int(job_id, 16) % len(ACCOUNTS)]
 
 
@@ -51,6 +59,7 @@
     """Calls under keys that open nothing, or another account; keys that change.
 
     :param write_manifest: writes the next version of the configuration.
+    :param floods: there are also the accounts of a flood.
     """
 
     def __init__(
@@ -58,7 +67,13 @@
         soak: SoakView,
         choices: random.Random,
         write_manifest: t.Callable[[], t.Awaitable[None]],
+        floods: bool = False,
     ) -> None:
+        self._flood_accounts = [
+            {"name": name, "apiKeys": [lasting_key(name)], "weight": weight}
+            for name, (_, weight) in FLOOD_ACCOUNTS.items()
+            if floods
+        ]
         self._soak = soak
         self._random = choices
         self._write_manifest = write_manifest
@@ -76,7 +91,7 @@
                 "maximum": {"cpu": cpu, "memMb": 0, "gpu": 0},
             }
             for account, cpu in LIMITS.items()
-        ]
+        ] + self._flood_accounts
 
     def key_for(self, job: SubmittedJob) -> str:
         """Return the key under which a job is handed in, asked for and cancelled."""
@@ -104,7 +119,11 @@
         daemon = self._random.choice(self._soak.daemons)
         method = self._random.choice(["GET", "DELETE", "POST"])
         job_id = f"{self._random.getrandbits(64):016x}"
-        known = [job for job in self._soak.jobs.values() if job.accepted]
+        known = [
+            job
+            for job in self._soak.jobs.values()
+            if job.accepted and account_of(job.job_id) in LIMITS
+        ]
         if known and self._random.random() < 0.5:
             await self._ask_for_another(daemon, method, self._random.choice(known))
             return
@@ -160,7 +179,7 @@
     """Yield a line for each account of which too much ran at once."""
     changes: dict[str, list[tuple[float, int]]] = {name: [] for name in LIMITS}
     for started, end_s, _ in run_spans(world):
-        found = changes[account_of(started.task.split(".")[0])]
+        found = changes.setdefault(account_of(started.task.split(".")[0]), [])
         found.append((started.at_s + OVERLAP_S, TASK_CPU))
         if end_s < OPEN_S:
             found.append((max(end_s, started.at_s + OVERLAP_S), -TASK_CPU))
