--- a/src/streamthread/scheduler/choices.py
+++ b/src/streamthread/scheduler/choices.py
@@ -31,10 +31,9 @@
 CHOICE_CACHE_S = 0.3
 """How long the choice for a pool holds at least, as long as a step's urgency."""
 
-CHOICE_CACHE_S_PER_JOB = 0.003
+CHOICE_CACHE_S_PER_JOB = 0.001
 """It holds at least this long for each open job of all pools that choose. A choice
-among 1,000 takes 40 ms on a whole core, so that choices use at most 3 % of a holder
-that has half a core. In a flood the holder's processor limits the passes."""
+among 1,000 takes 40 ms, so that choices use at most 4 % of a core."""
 
 CHANGED_SHARE = 0.1
 """A pool whose cpu changed by more than this part gets a new choice after
