Split log lines and states out of the engine and the model

Change: scheduler/events.py writes the engine's log lines, scheduler/states.py holds the states; no behaviour changes.

--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -18,7 +18,8 @@
 from .choices import PoolChoices
 from .crashes import Crashes
 from .crashes import describe
-from .crashes import started_last
+from .events import describe_loss
+from .events import log_placement
 from .fleet import RunnerState
 from .fleet import usable_runners
 from .hall_changes import leave_hall
@@ -34,7 +35,6 @@
 from .placement import LargestFreeCapacity
 from .placement import order_steps
 from .placement import place_step
-from .placement import Placement
 from .probation import begin_probation
 from .settings import EngineSettings
 from .shares import Shares
@@ -168,7 +168,7 @@
         attempts = list(runner.attempts.values())
         log.info(
             "runner-over",
-            extra=_describe_loss(runner, why),
+            extra=describe_loss(runner, why),
         )
         self._expire(attempts, runner)
 
@@ -193,7 +193,7 @@
         left = [a for a in before.attempts.values() if not a.ends_with_incarnation]
         log.warning(
             "runner-restarted",
-            extra=_describe_loss(before, "started again")
+            extra=describe_loss(before, "started again")
             | {
                 "born_ms": after.born_ms,
                 "born_before_ms": before.born_ms,
@@ -220,7 +220,7 @@
             return
         log.info(
             "attempts-lapsed",
-            extra=_describe_loss(runner, why),
+            extra=describe_loss(runner, why),
         )
         self._expire(list(runner.attempts.values()), runner)
 
@@ -388,7 +388,7 @@
             last_resort = self._needs_last_resort(step)
             max_count = self._account_capacity(step)
             if not max_count or (not last_resort and not largest.may_fit(step)):
-                self._log_placement(step, [], len(runners))
+                log_placement(step, [], len(runners))
                 continue
             usable = runners
             if last_resort:
@@ -418,7 +418,7 @@
             )
         ]
         attempts = [self._plan(p.task, p.runner, run) for p, run in planned]
-        self._log_placement(step, planned, len(usable))
+        log_placement(step, planned, len(usable))
         return attempts
 
     def _hall_counts(self, step: StepRun) -> t.Mapping[str, int] | None:
@@ -448,33 +448,9 @@
             if largest.may_fit(step) or self._needs_last_resort(step):
                 found.append(step)
             else:
-                self._log_placement(step, [], usable)
+                log_placement(step, [], usable)
         return found
 
-    @staticmethod
-    def _log_placement(
-        step: StepRun, planned: list[tuple[Placement, int]], usable: int
-    ) -> None:
-        """Log where tasks are placed; log only once that a step waits."""
-        if not planned and step.waiting_logged:
-            return
-        left = len(step.waiting())
-        if not planned and not left:
-            return
-        step.waiting_logged = left > 0
-        occurrence = step.occurrence
-        log.info(
-            "tasks-placed" if planned else "tasks-wait",
-            extra={
-                "job": occurrence.job.job_id,
-                "step": f"{occurrence.number}.{step.number}",
-                "runs": [[p.task.index, run, p.runner.runner_id] for p, run in planned],
-                "left": left,
-                "usable_runners": usable,
-                "age_s": round(time.time() - occurrence.due_at_s, 3),
-            },
-        )
-
     def _needs_last_resort(self, step: StepRun) -> bool:
         """Whether long-running tasks have waited so long that any runner will do."""
         if not step.request.lasting:
@@ -500,17 +476,6 @@
         return attempt
 
 
-def _describe_loss(runner: RunnerState, why: str) -> dict[str, t.Any]:
-    """Return the log fields for a runner whose attempts are lost."""
-    last = started_last(runner, boot_s())
-    return {
-        "runner": runner.runner_id,
-        "why": why,
-        "attempts": len(runner.attempts),
-        "just_started": describe(last),
-    }
-
-
 def _next_run(task: Task) -> int:
     """Return the number of a task's next run; gang members share one number."""
     if not task.step.request.gang:
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -1,6 +1,5 @@
 """Jobs, steps and tasks as the holder keeps them in memory."""
 
-import enum
 import time
 import typing as t
 
@@ -13,6 +12,9 @@
 from ..platform.manifest import Route
 from .names import task_name
 from .overload import Choice
+from .states import JobState
+from .states import Phase
+from .states import TaskState
 
 __all__ = [
     "Attempt",
@@ -31,38 +33,6 @@
 ]
 
 
-class JobState(enum.Enum):
-    """The state of a job as reported to callers; the values are on the wire."""
-
-    PENDING = "pending"
-    RUNNING = "running"
-    COMPLETED = "completed"
-    FAILED = "failed"
-    CANCELLED = "cancelled"
-
-
-class TaskState(enum.Enum):
-    """The state of a task."""
-
-    WAITING = "waiting"
-    PLACED = "placed"
-    DONE = "done"
-    FAILED = "failed"
-
-
-class Phase(enum.Enum):
-    """The phase of an attempt."""
-
-    PLANNED = "planned"
-    """Placed, but not yet persisted."""
-    SENT = "sent"
-    """Persisted. The start was sent or may have been sent; its outcome is unknown."""
-    CONFIRMED = "confirmed"
-    """The runner has confirmed that it has the run."""
-    STOPPING = "stopping"
-    """To be stopped. It uses resources until the runner lists it as ended."""
-
-
 @attrs.frozen
 class RunnerIncarnation:
     """One incarnation of a runner.
