Wait for the operator's table only where starts are bounded

Cause: a new holder that can't read the operator's table started nothing, also in deployments that know no evacuations. Change: starts wait for the table only where the settings give evacuateMs.

--- a/src/streamthread/halls/registry.py
+++ b/src/streamthread/halls/registry.py
@@ -80,10 +80,15 @@
         return boot_s() - self.evacuations.as_of_s
 
     def are_known(self) -> bool:
-        """Whether the evacuations have been read, and recently enough."""
-        if not self.evacuations.is_read:
-            return False
-        return self._max_age_s is None or self.age_s <= self._max_age_s
+        """Whether the evacuations have been read, and recently enough.
+
+        Starts wait for that only where the platform bounds them in evacuated halls: a
+        deployment without evacuations would start nothing while a new holder can't read
+        the operator's table.
+        """
+        if self._max_age_s is None:
+            return True
+        return self.evacuations.is_read and self.age_s <= self._max_age_s
 
     def start_within_s(self) -> float:
         """Return within which time a start that is sent now must be carried out.
