--- a/src/streamthread/cell/tests/test_members.py
+++ b/src/streamthread/cell/tests/test_members.py
@@ -76,18 +76,18 @@
         assert members.largest([]) == ""
 
 
+def _with_300_peers(peers: t.Any) -> Members:
+    members = Members(
+        t.cast(t.Any, None), "main", "me", peers, 1.0, lambda update: None
+    )
+    members.addresses = {f"d-{n}": f"127.0.0.1:{n}" for n in range(300)}
+    return members
+
+
 class TestConcurrency:
     async def test_of_announcements_is_limited(self) -> None:
         peers = _SlowPeers()
-        members = Members(
-            t.cast(t.Any, None),
-            "main",
-            "me",
-            t.cast(t.Any, peers),
-            1.0,
-            lambda update: None,
-        )
-        members.addresses = {f"d-{n}": f"127.0.0.1:{n}" for n in range(300)}
+        members = _with_300_peers(peers)
         members.announce_soon(pb.OwnerNews())
         while len(peers.notified) < 300:
             await asyncio.sleep(0)
@@ -100,15 +100,7 @@
 
     async def test_delays_no_announcement_to_others(self) -> None:
         peers = _PeersWithLostHall()
-        members = Members(
-            t.cast(t.Any, None),
-            "main",
-            "me",
-            t.cast(t.Any, peers),
-            1.0,
-            lambda update: None,
-        )
-        members.addresses = {f"d-{n}": f"127.0.0.1:{n}" for n in range(300)}
+        members = _with_300_peers(peers)
         async with asyncio.timeout(SILENCE_S / 2):
             members.announce_soon(pb.OwnerNews())
             while len(peers.notified) < 225:
