Look at free capacity again only after placements

Change: it is made anew only once something has been placed. Result: no decision changes, as nothing else reduces the free capacity within a pass. A queue of 50 jobs that fit nowhere looks at all runners once, 51 times before (test_pass_work.py, which failed first).

--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -381,6 +381,8 @@
     ) -> list[Attempt]:
         runners = usable_runners(self.runners.values(), service)
         largest = LargestFreeCapacity.among(runners)
+        # Placements have reduced the free capacity since it was computed.
+        outdated = False
         placed: list[Attempt] = []
         candidates = self._candidates(steps, largest, len(runners))
         choice = self.choices.choice(service, candidates, runners, now_s)
@@ -397,9 +399,11 @@
                 )
             attempts = self._place_step(step, usable, now_s, tickets(step), max_count)
             placed.extend(attempts)
-            if not attempts:
-                # Free capacity has decreased since it was computed.
+            if attempts:
+                outdated = True
+            elif outdated:
                 largest = LargestFreeCapacity.among(runners)
+                outdated = False
         self.choices.note_placed(placed, runners, now_s)
         return placed
 
