Hand machines of a backlog over to the pool whose turn comes

The pool whose turn came next had 12 of the 134 machines that it needed for 6 s, and its jobs began 2 to 10 s after they were accepted. Change: where accounts have weights, pools are sized for work that can still be in time; late work gets what no pool needs, as excess does. Busy machines above that size get no new tasks while another pool lacks machines, and move once they are idle. Without weights nothing changes.

--- a/src/streamthread/capacity/__init__.py
+++ b/src/streamthread/capacity/__init__.py
@@ -1,7 +1,10 @@
 """Decides how many machines each pool needs, and which machines move."""
 
 from .bursts import PoolArrivals
+from .demand import job_demand
+from .demand import JobDemand
 from .demand import pool_demand
+from .handover import plan_handovers
 from .plan import CapacitySettings
 from .plan import MachineView
 from .plan import Move
@@ -11,10 +14,13 @@
 
 __all__ = [
     "CapacitySettings",
+    "JobDemand",
     "MachineView",
     "Move",
     "PoolArrivals",
     "PoolView",
+    "job_demand",
+    "plan_handovers",
     "plan_moves",
     "pool_demand",
     "target_size",
--- a/src/streamthread/capacity/demand.py
+++ b/src/streamthread/capacity/demand.py
@@ -12,7 +12,16 @@
 from ..scheduler.model import Occurrence
 from ..scheduler.placement import outlook
 
-__all__ = ["Demand", "Work", "job_work", "pool_demand", "required_resources"]
+__all__ = [
+    "Demand",
+    "JobDemand",
+    "OccurrenceDemand",
+    "Work",
+    "job_demand",
+    "job_work",
+    "pool_demand",
+    "required_resources",
+]
 
 LATE_SPREAD_FACTOR = 1.5
 """The open work of a job that can no longer end in time is spread over the length of
@@ -52,11 +61,35 @@
 
 
 @attrs.frozen
-class _OccurrenceDemand:
-    """Needs of one occurrence of a job: constant resources and work with a deadline."""
+class OccurrenceDemand:
+    """Needs of one occurrence of a job: constant resources and work with a deadline.
+
+    :param late: its work can no longer end in time.
+    """
 
     long_running: Demand
     work: Work | None = None
+    late: bool = False
+
+
+@attrs.frozen
+class JobDemand:
+    """What one open job needs.
+
+    :param long_running: some of its tasks run until it is cancelled.
+    :param long_running_cpu: what these use all the time, in thousandths of a core.
+    """
+
+    account: str
+    occurrences: tuple[OccurrenceDemand, ...]
+    long_running: bool = False
+    long_running_cpu: float = 0.0
+
+    @property
+    def late(self) -> bool:
+        """Whether nothing of the job can be done in time any more."""
+        works = [found for found in self.occurrences if found.work is not None]
+        return bool(works) and not self.long_running and all(w.late for w in works)
 
 
 def job_work(job: Job, times: RunTimes) -> float:
@@ -82,29 +115,47 @@
 """Returns the cpu that an account may have running at once; None: no limit."""
 
 
+def job_demand(job: Job, times: RunTimes, now_s: float) -> JobDemand:
+    """Return what an open job needs to meet its objectives.
+
+    :param now_s: wall time.
+    """
+    return JobDemand(
+        job.account,
+        tuple(
+            _occurrence_demand(occurrence, times, now_s)
+            for occurrence in job.occurrences.values()
+        ),
+        any(step.lasting for step in job.request.steps),
+        float(
+            sum(
+                step.cpu * step.count
+                for step in job.request.steps
+                if step.lasting and not step.fills
+            )
+        ),
+    )
+
+
 def pool_demand(
-    jobs: t.Iterable[Job],
-    times: RunTimes,
-    now_s: float,
+    demands: t.Iterable[JobDemand],
     cpu_limit_of: CpuLimit = lambda account: None,
 ) -> Demand:
-    """Return the resources that open jobs need to meet their objectives.
+    """Return the resources that open jobs need together.
 
     The open work of a job is spread over the time that it has left. This takes fewer
     resources than all of its tasks at once, and more as the job falls behind.
 
-    :param now_s: wall time.
     :param cpu_limit_of: an account whose work needs more than its limit needs its limit
         only, as no more of it can run.
     """
     long_running: list[Demand] = []
     works: dict[str, list[Work]] = {}
-    for job in jobs:
-        for occurrence in job.occurrences.values():
-            demand = _occurrence_demand(occurrence, times, now_s)
-            long_running.append(demand.long_running)
-            if demand.work is not None:
-                works.setdefault(job.account, []).append(demand.work)
+    for demand in demands:
+        for occurrence in demand.occurrences:
+            long_running.append(occurrence.long_running)
+            if occurrence.work is not None:
+                works.setdefault(demand.account, []).append(occurrence.work)
     work_demand = _limited_resources(works, cpu_limit_of)
     return Demand(
         sum(demand.cpu for demand in long_running) + work_demand.cpu,
@@ -149,7 +200,7 @@
 
 def _occurrence_demand(
     occurrence: Occurrence, times: RunTimes, now_s: float
-) -> _OccurrenceDemand:
+) -> OccurrenceDemand:
     cpu = memory_mb = work_cpu_s = work_memory_s = 0.0
     machines = 0
     for step in occurrence.steps:
@@ -169,19 +220,11 @@
         work_memory_s += request.memory_mb * count * run_s
     long_running = Demand(cpu, memory_mb, machines)
     if not work_cpu_s and not work_memory_s:
-        return _OccurrenceDemand(long_running)
-    spread_s = _time_left_s(occurrence, times, now_s)
-    return _OccurrenceDemand(long_running, Work(spread_s, work_cpu_s, work_memory_s))
-
-
-def _time_left_s(occurrence: Occurrence, times: RunTimes, now_s: float) -> float:
-    """Return the time over which an occurrence's open work is spread.
-
-    It is not shorter than the longest open chain. An occurrence that can no longer end
-    in time does not get more resources the later it is.
-    """
+        return OccurrenceDemand(long_running)
     open_s, latest_end_s = outlook(occurrence, times)
     left_s = latest_end_s - now_s
-    if left_s < open_s:
-        return max(open_s * LATE_SPREAD_FACTOR, MIN_SPREAD_S)
-    return max(left_s, MIN_SPREAD_S)
+    late = left_s < open_s
+    # What is late does not get more resources the later it is.
+    spread_s = max(open_s * LATE_SPREAD_FACTOR if late else left_s, MIN_SPREAD_S)
+    work = Work(spread_s, work_cpu_s, work_memory_s)
+    return OccurrenceDemand(long_running, work, late)
--- a/src/streamthread/capacity/plan.py
+++ b/src/streamthread/capacity/plan.py
@@ -72,6 +72,9 @@
         present.
     :param closed: its hall may not be used, so it is neither usable nor arriving, and
         moves to the spare pool only.
+    :param handing_over: it gets no new tasks, since another pool needs it once it is
+        idle. It is not usable then.
+    :param used_cpu: what its tasks use.
     """
 
     machine_id: str
@@ -86,6 +89,8 @@
     due: bool = False
     lost_share: float = 0.0
     closed: bool = False
+    handing_over: bool = False
+    used_cpu: int = 0
 
 
 @attrs.frozen
@@ -252,9 +257,15 @@
     machines: t.Sequence[MachineView],
     settings: CapacitySettings,
 ) -> list[MachineView]:
-    """Return the idle machines of pools that are above their target."""
+    """Return the idle machines of pools that are above their target.
+
+    Those that are handed over are above it in any case, and come first.
+    """
     found: list[MachineView] = []
     for pool, missing in shortages.items():
+        found += [
+            m for m in machines if m.pool == pool and m.free_to_move and m.handing_over
+        ]
         idle = [m for m in machines if m.pool == pool and m.free_to_move and m.usable]
         idle.sort(key=lambda machine: (not machine.due, -machine.idle_for_s))
         found += idle[: max(0, -missing)]
--- a/src/streamthread/capacity/tests/test_demand.py
+++ b/src/streamthread/capacity/tests/test_demand.py
@@ -14,6 +14,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from streamthread.capacity.demand import job_demand
 from streamthread.capacity.demand import pool_demand
 from streamthread.capacity.demand import required_resources
 from streamthread.capacity.demand import Work
@@ -125,7 +126,8 @@
         jobs = [
             self._job(name, n) for name, count in counts.items() for n in range(count)
         ]
-        return pool_demand(jobs, RunTimes(), 0.0, limits.get).cpu
+        demands = [job_demand(job, RunTimes(), 0.0) for job in jobs]
+        return pool_demand(demands, limits.get).cpu
 
     def test_bounds_what_its_work_needs(self) -> None:
         alone = self._demand({}, bob=3)
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -282,6 +282,11 @@
         yield CounterMetricFamily(
             "streamthread_machine_moves", "Moves ordered.", holder.duties.moves
         )
+        yield CounterMetricFamily(
+            "streamthread_machines_handed_over",
+            "Busy machines that were emptied for a pool with a shortage.",
+            holder.duties.handovers,
+        )
         yield GaugeMetricFamily(
             "streamthread_machine_list_age_seconds",
             "Since the list of machines was last read.",
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -7,6 +7,7 @@
 
 from ..capacity import MachineView
 from ..capacity import Move
+from ..capacity import plan_handovers
 from ..capacity import plan_moves
 from ..capacity import PoolView
 from ..clocks import boot_s
@@ -21,6 +22,7 @@
 from ..platform.manifest import Pool
 from .context import DutySettings
 from .forecasts import CapacityParts
+from .handovers import Handovers
 from .machines import DutyKind
 from .machines import MachineTable
 from .machines import PendingDuty
@@ -89,11 +91,17 @@
         self._sizes = PoolSizes(owner.engine, settings.capacity)
         self._capacity = PoolCapacity()
         self._registry = WaveRegistry(owner, settings.tick_s)
+        self._handovers = Handovers(self._table, owner.kick)
         self._waves = WavePlanner(owner, self._registry, self._table, settings.upkeep)
         self.moves = 0
         self.upkeeps = 0
         self.aborted = 0
 
+    @property
+    def handovers(self) -> int:
+        """The number of busy machines that were emptied for other pools."""
+        return self._handovers.count
+
     @property
     def machines_age_s(self) -> float:
         """How old the list of machines is, or how long it has been missing."""
@@ -156,6 +164,7 @@
 
         Runners that are emptied get tasks again, as no upkeep can be ordered for them.
         """
+        self._handovers.update(set())
         self._waves.pause()
         self._observe()
 
@@ -234,8 +243,28 @@
             else view
             for view in views.values()
         ]
-        for move in plan_moves(pool_views, machines, self._settings.capacity):
+        moves = plan_moves(pool_views, machines, self._settings.capacity)
+        for move in moves:
             self._begin_move(move)
+        self._hand_over(pool_views, machines, moves)
+
+    def _hand_over(
+        self,
+        pools: t.Sequence[PoolView],
+        machines: t.Sequence[MachineView],
+        moves: t.Sequence[Move],
+    ) -> None:
+        """Place nothing new on busy machines that pools with a shortage need.
+
+        Only where accounts have weights, since pools are sized there for the work that
+        can still be in time.
+        """
+        if not self._owner.engine.shares.in_force:
+            self._handovers.update(set())
+            return
+        self._handovers.update(
+            plan_handovers(pools, machines, moves, self._handovers.may_empty)
+        )
 
     def _wanted_size(self, pool: str, targets: dict[str, int]) -> int:
         """Return a pool's target size, plus one while a machine awaits its upkeep.
--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -276,7 +276,8 @@
         up = machine.state is MachineState.UP and pending is None
         closed = self.is_closed(machine)
         usable = up and not closed and runner is not None and runner.usable()
-        idle = usable and runner is not None and runner.idle
+        handing_over = up and runner is not None and _is_handing_over(runner)
+        idle = (usable or handing_over) and runner is not None and runner.idle
         if closed:
             idle = up and runner is not None and _is_vacant(runner)
         off = self.is_spare(machine.pool)
@@ -301,6 +302,8 @@
             due=due,
             lost_share=_lost_share(cpu, runner) if up and not off else 0.0,
             closed=closed,
+            handing_over=handing_over and not closed,
+            used_cpu=runner.used_cpu if runner is not None else 0,
         )
 
     def _capacity_of(self, machine: Machine) -> tuple[int, int]:
@@ -329,6 +332,13 @@
         return now_s - self._idle_since_s.setdefault(machine_id, now_s)
 
 
+def _is_handing_over(runner: RunnerState) -> bool:
+    """Whether a runner that could be used is kept free for another pool."""
+    return (
+        runner.handing_over and not runner.emptying and runner.usable_as_last_resort()
+    )
+
+
 def _is_vacant(runner: RunnerState) -> bool:
     """Whether a runner of a hall that may not be used answers and has no runs."""
     return runner.ready and runner.idle and not runner.reserved
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -9,6 +9,8 @@
 import logbook
 
 from ..capacity import CapacitySettings
+from ..capacity import job_demand
+from ..capacity import JobDemand
 from ..capacity import MachineView
 from ..capacity import pool_demand
 from ..capacity import PoolArrivals
@@ -16,7 +18,6 @@
 from ..clocks import boot_s
 from ..platform.manifest import Pool
 from ..scheduler import Engine
-from ..scheduler import Job
 
 __all__ = ["PoolSizes"]
 
@@ -40,6 +41,10 @@
     work: float
 
 
+_Demands = collections.defaultdict[str, list[JobDemand]]
+"""What open jobs need, by pool."""
+
+
 class PoolSizes:
     """Tracks each pool's arrivals and its sizes in the recent past.
 
@@ -50,8 +55,9 @@
     (pools of six machines whose turn needs ten, in virtual time).
 
     :param recent_max: the highest size that each pool has needed in the recent past.
-    :param with_excess: the size that each pool needs for all its work, by pool. Targets
-        are for the work within the accounts' weights.
+    :param with_excess: the size that each pool needs for all its work, by pool. Where
+        accounts have weights, targets are for the work within them that can still be in
+        time: what is late already would keep machines from the turn of the next pool.
     """
 
     def __init__(self, engine: Engine, settings: CapacitySettings) -> None:
@@ -106,22 +112,36 @@
         """Return how many machines each pool needs now, without the spare pools."""
         now_s = boot_s()
         self._learn_machine_size(views)
-        jobs: dict[str, list[Job]] = collections.defaultdict(list)
-        excess: dict[str, list[Job]] = collections.defaultdict(list)
-        for job in self._engine.open_jobs():
-            if not job.over:
-                (excess if job.excess else jobs)[job.service].append(job)
+        demands, deferred = self._open_demands()
         self.with_excess = {}
         targets: dict[str, int] = {}
         for name in [pool.name for pool in pools if not pool.is_spare]:
-            if name in excess:
-                all_jobs = jobs[name] + excess[name]
-                wanted = self._wanted(name, all_jobs, views, now_s)
+            if name in deferred:
+                everything = demands[name] + deferred[name]
+                wanted = self._wanted(name, everything, views, now_s)
                 self.with_excess[name] = wanted
-            targets[name] = self._wanted(name, jobs[name], views, now_s)
+            targets[name] = self._wanted(name, demands[name], views, now_s)
             self.recent_max[name] = self._recent_max(name, targets[name], now_s)
         return targets
 
+    def _open_demands(self) -> tuple[_Demands, _Demands]:
+        """Return what the open jobs of each pool need, and what of it is deferred.
+
+        Where accounts have weights, excess and what can't be in time any more get only
+        machines that no pool needs for other work.
+        """
+        weighted = self._engine.shares.in_force
+        now_s = time.time()
+        demands: _Demands = collections.defaultdict(list)
+        deferred: _Demands = collections.defaultdict(list)
+        for job in self._engine.open_jobs():
+            if job.over:
+                continue
+            demand = job_demand(job, self._engine.times, now_s)
+            last = job.excess or (weighted and demand.late)
+            (deferred if last else demands)[job.service].append(demand)
+        return demands, deferred
+
     def retained_machines(self, views: t.Iterable[MachineView]) -> dict[str, int]:
         """Return how many machines each pool keeps out of the spare pool.
 
@@ -160,17 +180,15 @@
     def _wanted(
         self,
         pool: str,
-        jobs: t.Iterable[Job],
+        demands: t.Iterable[JobDemand],
         views: t.Collection[MachineView],
         now_s: float,
     ) -> int:
         """Return the size that the current jobs and arrivals need."""
         sizes = [view for view in views if view.pool == pool] or list(views)
-        demand = pool_demand(
-            jobs, self._engine.times, time.time(), self._engine.accounts.cpu_limit_of
-        )
+        demand = pool_demand(demands, self._engine.accounts.cpu_limit_of)
         arriving_cpu = self._arriving_cpu(pool, now_s)
-        cpu = max(demand.cpu, arriving_cpu + _long_running_cpu(jobs))
+        cpu = max(demand.cpu, arriving_cpu + _long_running_cpu(demands))
         cpu = _with_lost_capacity(cpu, [view for view in views if view.pool == pool])
         wanted = target_size(
             attrs.evolve(demand, cpu=cpu),
@@ -221,13 +239,6 @@
     return min(cpu * full / (full - lost), cpu + lost)
 
 
-def _long_running_cpu(jobs: t.Iterable[Job]) -> float:
+def _long_running_cpu(demands: t.Iterable[JobDemand]) -> float:
     """Return the thousandths of a core that long-running tasks use all the time."""
-    return float(
-        sum(
-            step.cpu * step.count
-            for job in jobs
-            for step in job.request.steps
-            if step.lasting and not step.fills
-        )
-    )
+    return sum(demand.long_running_cpu for demand in demands)
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -27,6 +27,8 @@
     :param heard: the runner has answered a call of this holder, so its runs are known.
     :param reserved: a move or an upkeep was ordered for its machine.
     :param emptying: the runner is to be emptied so that its machine can go into upkeep.
+    :param handing_over: the runner gets no new tasks, since another pool needs its
+        machine once it is idle.
     :param clock_ms: the latest time on the runner's clock that one of its answers
         reported; 0 if there is none.
     :param listed_ms: the runner's clock in its last list; 0 if there is none.
@@ -65,6 +67,7 @@
     heard: bool = False
     reserved: bool = False
     emptying: bool = False
+    handing_over: bool = False
     clock_ms: int = 0
     silent_at_s: float | None = None
     listed_ms: int = 0
@@ -249,7 +252,9 @@
 
     def usable(self) -> bool:
         """Whether the runner may get new tasks."""
-        return self.usable_as_last_resort() and not self.emptying
+        if self.emptying or self.handing_over:
+            return False
+        return self.usable_as_last_resort()
 
     def usable_as_last_resort(self) -> bool:
         """Whether the runner may get long-running tasks that have waited too long.
