Move the placement of a pool's steps out of the engine

Change: placer.py has the part of a pass that concerns one pool. test_pass_work.py replaces FreeCapacity and place_step in the module that now uses them. Result: no behaviour changes.

--- a/src/streamthread/scheduler/tests/test_pass_work.py
+++ b/src/streamthread/scheduler/tests/test_pass_work.py
@@ -9,8 +9,8 @@
 from streamthread.platform.callers import JobRequest
 from streamthread.platform.callers import StepRequest
 from streamthread.scheduler import Engine
-from streamthread.scheduler import engine as module
 from streamthread.scheduler import Job
+from streamthread.scheduler import placer as module
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.placement import FreeCapacity
 
