Look for due occurrences only in jobs that have any left

Cause: each pass looked through all numbers of all open jobs for occurrences that are due, although most jobs have one, which begins at once. Result: the same occurrences begin (12 drawn engines with scheduled jobs and two loads, compared at each pass with a look through all jobs). Of 51 open jobs, a pass looks at the scheduled one (test_pass_work.py, which failed first).

--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -324,17 +324,12 @@
     def begin_due(self, now_s: float) -> float | None:
         """Create the occurrences that are due; return when the next one is due."""
         next_s: float | None = None
-        for job in self.open_jobs():
-            if job.over:
-                continue
-            for number in range(job.times):
-                if number in job.done_times or number in job.occurrences:
-                    continue
-                due_at_s = job.due_at_s(number) - self.settings.early_s
-                if due_at_s > now_s:
-                    next_s = due_at_s if next_s is None else min(next_s, due_at_s)
-                    break
-                job.begin(number)
+        for job in list(self._ledger.unbegun.values()):
+            due_at_s = None if job.over else job.begin_due(now_s, self.settings.early_s)
+            if due_at_s is None:
+                del self._ledger.unbegun[job.job_id]
+            else:
+                next_s = due_at_s if next_s is None else min(next_s, due_at_s)
         return next_s
 
     def ready_steps(self) -> dict[str, list[StepRun]]:
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -31,6 +31,7 @@
     :param changed: called with each job whose progress must be persisted.
     :param jobs: all jobs that are not forgotten, by job id.
     :param open: the jobs that may still have runs, by job id.
+    :param unbegun: the open jobs with occurrences that may not have begun, by job id.
     :param runners: the listed runner incarnations, by runner id.
     :param stops: the runs that are to be stopped.
     :param accounts: the resources in use by each client account.
@@ -48,6 +49,7 @@
         self.accounts = AccountUsage(limit_of, are_limits_known)
         self.jobs: dict[str, Job] = {}
         self.open: dict[str, Job] = {}
+        self.unbegun: dict[str, Job] = {}
         self.runners: dict[str, RunnerState] = {}
         self.counts: dict[str, int] = {}
         self.stops = Stops(stop_effect_ms)
@@ -64,6 +66,7 @@
         if job.over and not job.has_attempts():
             return
         self.open[job.job_id] = job
+        self.unbegun[job.job_id] = job
         for attempt in job.attempts():
             self.accounts.add(attempt)
             self.stops.read_back(attempt)
@@ -87,7 +90,11 @@
     def drop(self, job: Job) -> None:
         """Remove a job that uses no resources."""
         del self.jobs[job.job_id]
+        self._close(job)
+
+    def _close(self, job: Job) -> None:
         self.open.pop(job.job_id, None)
+        self.unbegun.pop(job.job_id, None)
 
     def find_task(self, name: str) -> Task | None:
         """Return a task by its name on the wire if its job is open."""
@@ -119,7 +126,7 @@
                 self._log_job_ended(job)
         if job.over and not job.has_attempts():
             job.occurrences.clear()
-            self.open.pop(job.job_id, None)
+            self._close(job)
 
     @staticmethod
     def _log_job_ended(job: Job) -> None:
--- a/src/streamthread/scheduler/tests/test_incremental_passes.py
+++ b/src/streamthread/scheduler/tests/test_incremental_passes.py
@@ -54,7 +54,20 @@
                 assert list(step.waiting()) == waiting
 
 
+def check_occurrences(engine: Engine, now_s: float) -> None:
+    """Check that what is due has begun, and when something is due next."""
+    next_s: list[float] = []
+    for job in engine.open_jobs():
+        known = job.done_times | set(job.occurrences)
+        missing = [n for n in range(job.times) if n not in known]
+        if missing and not job.over:
+            next_s.append(job.due_at_s(missing[0]) - engine.settings.early_s)
+    assert engine.begin_due(now_s) == min(next_s, default=None)
+    assert min(next_s, default=now_s + 1) > now_s
+
+
 def check(engine: Engine, now_s: float) -> None:
+    check_occurrences(engine, now_s)
     check_steps(engine, now_s)
 
 
--- a/src/streamthread/scheduler/tests/test_pass_work.py
+++ b/src/streamthread/scheduler/tests/test_pass_work.py
@@ -149,3 +149,30 @@
     changed.state = TaskState.PLACED
     engine.place_all(time.time(), lambda step: None)
     assert set(looked_at) <= set(changed.step.tasks)
+
+
+def test_begun_jobs_are_not_looked_at_for_due_occurrences(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a pass that asks each open job for its next occurrence."""
+    engine = _scattered()
+    now_s = time.time()
+    request = JobRequest("", (StepRequest(),), 3, round(now_s * 1000), 1_000)
+    scheduled = Job("scheduled", "r", "desk", request, b"", now_s)
+    engine.add(scheduled)
+    next_s = engine.begin_due(now_s)
+    assert next_s == scheduled.due_at_s(1) - engine.settings.early_s
+    looked_at: list[Job] = []
+
+    def over(job: Job) -> bool:
+        looked_at.append(job)
+        return False
+
+    monkeypatch.setattr(Job, "over", property(over))
+    assert engine.begin_due(now_s) == next_s
+    assert looked_at == [scheduled]
+    assert engine.begin_due(now_s + 2) is None
+    looked_at.clear()
+    assert engine.begin_due(now_s + 2) is None
+    assert not looked_at
+    assert list(scheduled.occurrences) == [0, 1, 2]
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -371,7 +371,7 @@
     ),
     Guard(
         "open-starts-are-stopped",
-        "scheduler/model.py",
+        "scheduler/attempts.py",
         "        return bool(self.seen_at_s) and not self.read_back"
         " and not self.open_starts\n",
         "        return True\n",
