Ask only runners with room whether a step may run there

Change: room comes first. All runners are considered only where their number decides (penalties, tasks that avoid runners, probation). FreeCapacity moves to its own module.

--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -7,6 +7,8 @@
 
 from ..clocks import boot_s
 from .fleet import RunnerState
+from .free_capacity import FreeCapacity
+from .free_capacity import needed
 from .learning import learning_key
 from .learning import RunTimes
 from .model import Occurrence
@@ -51,66 +53,6 @@
 about as long as a task runs."""
 
 
-Resources = tuple[int, int, int]
-"""Cpu in thousandths of a core, memory in MB, and accelerators."""
-
-
-@attrs.frozen
-class FreeCapacity:
-    """What single runners have free at most.
-
-    Most steps of a long queue fit nowhere. This detects that without looking at each
-    runner for each step.
-
-    :param largest: the maximum of each resource that any runner has free.
-    :param maxima: what those runners have free that no other one exceeds in every
-        resource.
-    """
-
-    largest: Resources
-    maxima: tuple[Resources, ...]
-
-    @classmethod
-    def among(cls, runners: t.Iterable[RunnerState]) -> "FreeCapacity":
-        """Return the maxima over runners; without runners, nothing fits.
-
-        Cold runners that may get no start now are left out.
-        """
-        clock_s = boot_s()
-        free = {
-            (runner.free_cpu, runner.free_memory_mb, runner.free_gpu)
-            for runner in runners
-            if runner.cold_until_s <= clock_s or runner.max_starts(clock_s) != 0
-        }
-        if not free:
-            return cls((-1, -1, -1), ())
-        maxima: list[Resources] = []
-        for cpu, memory_mb, gpu in sorted(free, reverse=True):
-            # All of those before have at least as much cpu.
-            if not any(m >= memory_mb and g >= gpu for _, m, g in maxima):
-                maxima.append((cpu, memory_mb, gpu))
-        cpus, memories_mb, gpus = zip(*free, strict=True)
-        return cls((max(cpus), max(memories_mb), max(gpus)), tuple(maxima))
-
-    def may_fit(self, step: StepRun) -> bool:
-        """Whether no single resource is too scarce for one task of a step."""
-        return _is_within(_needed(step), self.largest)
-
-    def fits(self, step: StepRun) -> bool:
-        """Whether some runner has all resources free for one task of a step."""
-        needed = _needed(step)
-        return any(_is_within(needed, free) for free in self.maxima)
-
-
-def _needed(step: StepRun) -> Resources:
-    """Return the resources that one task of a step reserves."""
-    return (step.reserved_cpu, step.request.memory_mb, step.request.gpu)
-
-
-def _is_within(needed: Resources, free: Resources) -> bool:
-    return needed[0] <= free[0] and needed[1] <= free[1] and needed[2] <= free[2]
-
-
 def open_chain_s(occurrence: Occurrence, times: RunTimes, only_open: bool) -> float:
     """Return the expected run time of the longest chain of an occurrence's steps.
 
@@ -222,20 +164,69 @@
         if step.request.gang:
             return []
         waiting = waiting[:max_count]
-    suitable = [
-        runner
-        for runner in runners
-        if has_required_label(step, runner)
-        and (tickets is None or runner.runner_id in tickets)
-    ]
-    if not step.request.lasting:
-        suitable = _without_penalized(suitable, now_s)
-    placed = _fill(step, waiting, suitable, now_s, hall_counts)
+    suitable = _Suitable(step, runners, tickets, now_s)
+    placed = _fill(waiting, suitable, now_s, hall_counts)
     if step.request.gang and len(placed) < len(waiting):
         return []
     return placed
 
 
+@attrs.frozen
+class _Suitable:
+    """The runners on which a step's tasks may be placed.
+
+    :param tickets: ids of the runners that may run the step; None means all.
+    """
+
+    step: StepRun
+    runners: t.Sequence[RunnerState]
+    tickets: t.Collection[str] | None
+    now_s: float
+
+    def with_room(self) -> list[RunnerState]:
+        """Return those with room for one task.
+
+        Most runners of a busy pool have none, so the other questions come after it.
+        """
+        cpu, memory_mb, gpu = needed(self.step)
+        found = self._allowed(
+            [
+                runner
+                for runner in self.runners
+                if runner.used_cpu + cpu <= runner.cpu
+                and runner.used_memory_mb + memory_mb <= runner.memory_mb
+                and runner.used_gpu + gpu <= runner.gpu
+            ]
+        )
+        if self.step.request.lasting:
+            return found
+        healthy = [r for r in found if r.penalty_until_s <= self.now_s]
+        if len(healthy) == len(found) or len(self.all()) == len(self._all_allowed()):
+            return found
+        return healthy
+
+    def all(self) -> list[RunnerState]:
+        """Return those with and without room."""
+        allowed = self._all_allowed()
+        if self.step.request.lasting:
+            return allowed
+        return _without_penalized(allowed, self.now_s)
+
+    def _all_allowed(self) -> list[RunnerState]:
+        return self._allowed(self.runners)
+
+    def _allowed(self, runners: t.Sequence[RunnerState]) -> list[RunnerState]:
+        needs, tickets = self.step.request.requires, self.tickets
+        if not needs and tickets is None:
+            return list(runners)
+        return [
+            runner
+            for runner in runners
+            if has_required_label(self.step, runner)
+            and (tickets is None or runner.runner_id in tickets)
+        ]
+
+
 def _without_penalized(runners: list[RunnerState], now_s: float) -> list[RunnerState]:
     """Exclude runners with a penalty, unless they are more than half of all.
 
@@ -279,9 +270,8 @@
 
 
 def _fill(
-    step: StepRun,
     waiting: t.Sequence[Task],
-    runners: t.Sequence[RunnerState],
+    suitable: _Suitable,
     now_s: float,
     hall_counts: t.Mapping[str, int] | None,
 ) -> list[Placement]:
@@ -289,21 +279,28 @@
 
     Suspect tasks go only to the runners that probation allows for them.
     """
+    step, clock_s = suitable.step, boot_s()
+    fitting = suitable.with_room()
+    if not fitting:
+        return []
+    job = step.occurrence.job
     placed_counts = _count_per_runner(step)
-    job, clock_s = step.occurrence.job, boot_s()
-    open_runners = [runner for runner in runners if accepts_job(job, runner, clock_s)]
     suspects = [task for task in waiting if task.suspect]
+    avoiding = any(task.avoid for task in waiting)
+    spread = hall_counts is not None
+    if not (step.request.same_rack or suspects or avoiding or spread):
+        fitting = [runner for runner in fitting if accepts_job(job, runner, clock_s)]
+        return _fill_in_order(waiting, fitting, placed_counts, now_s)
+    # How many runners there are, with and without room, counts here.
+    runners = suitable.all()
+    open_runners = [runner for runner in runners if accepts_job(job, runner, clock_s)]
     for_probation: list[RunnerState] = []
     if suspects:
         waits_since_s = min(task.waiting_since_s for task in suspects)
         for_probation = probation_runners(job, runners, waits_since_s, clock_s)
-    spread = hall_counts is not None
-    avoiding = any(task.avoid for task in waiting)
-    if step.request.same_rack or suspects or avoiding or spread:
-        return _fill_one_by_one(
-            waiting, open_runners, for_probation, placed_counts, now_s, hall_counts
-        )
-    return _fill_in_order(waiting, open_runners, placed_counts, now_s)
+    return _fill_one_by_one(
+        waiting, open_runners, for_probation, placed_counts, now_s, hall_counts
+    )
 
 
 def _fill_in_order(
@@ -316,11 +313,14 @@
 
     A runner that is the best choice for one task remains the best for the next one
     until it is full.
+
+    :param runners: the runners with room for one task.
     """
     request = waiting[0].step.request
     cpu = waiting[0].step.reserved_cpu
-    fitting = [r for r in runners if r.fits(cpu, request.memory_mb, request.gpu)]
-    fitting.sort(key=lambda runner: _cost(waiting[0], runner, 0, now_s, ()))
+    fitting = sorted(
+        runners, key=lambda runner: _cost(waiting[0], runner, 0, now_s, ())
+    )
     placed: list[Placement] = []
     for runner in fitting:
         left = len(waiting) - len(placed)
--- a/src/streamthread/scheduler/tests/test_incremental_passes.py
+++ b/src/streamthread/scheduler/tests/test_incremental_passes.py
@@ -1,12 +1,19 @@
 """Whether what passes keep between events is what a full computation finds."""
 
+import collections
+import typing as t
+
 import pytest
 
 from streamthread.scheduler import Engine
+from streamthread.scheduler import placement
+from streamthread.scheduler import placer
+from streamthread.scheduler import RunnerState
 from streamthread.scheduler import StepRun
 from streamthread.scheduler import Task
 from streamthread.scheduler import TaskState
 
+from . import reference
 from .drawn import DrawnCell
 from .loads import ACCOUNTS
 from .loads import arrivals
@@ -14,6 +21,8 @@
 from .loads import play
 
 ROUNDS = 200
+MIN_KINDS = 5
+"""Kinds of searches that each drawn engine has to contain at least."""
 
 
 def needs_attempt(task: Task) -> bool:
@@ -71,12 +80,48 @@
     check_steps(engine, now_s)
 
 
+class CheckedSearch:
+    """Compares each search for runners with one that asks all of every runner.
+
+    :param placed: how many tasks found a runner, by what was special about the search.
+    """
+
+    def __init__(self, patch: pytest.MonkeyPatch) -> None:
+        self.placed: collections.Counter[str] = collections.Counter()
+        patch.setattr(placer, "place_step", self._place_step)
+
+    def _place_step(
+        self,
+        step: StepRun,
+        runners: t.Sequence[RunnerState],
+        now_s: float,
+        *limits: t.Any,
+    ) -> list[placement.Placement]:
+        found = placement.place_step(step, runners, now_s, *limits)
+        assert found == reference.place_step(step, runners, now_s, *limits)
+        request = step.request
+        kinds = {
+            "gang": request.gang,
+            "label": request.requires,
+            "limited": request.most_per_runner,
+            "lasting": request.lasting,
+            "advised": limits[0] is not None,
+            "copied": any(task.copy_requested for task in step.tasks),
+            "suspect": any(task.suspect for task in step.tasks),
+            "penalty": any(runner.penalty_until_s > now_s for runner in runners),
+        }
+        self.placed.update({kind: len(found) for kind, is_so in kinds.items() if is_so})
+        return found
+
+
 @pytest.mark.parametrize("seed", range(12))
 def test_drawn_events(monkeypatch: pytest.MonkeyPatch, seed: int) -> None:
     """Guards against an event after which a pass decides on an outdated state."""
+    search = CheckedSearch(monkeypatch)
     cell = DrawnCell(monkeypatch, seed, check)
     cell.play(ROUNDS)
     assert cell.placed > ROUNDS / 4
+    assert len(+search.placed) >= MIN_KINDS
 
 
 @pytest.mark.parametrize(
@@ -91,6 +136,7 @@
         check(engine, now_s)
         return place_all(engine, now_s, tickets)  # type: ignore[arg-type]
 
+    CheckedSearch(monkeypatch)
     monkeypatch.setattr(Engine, "place_all", checked)
     played = play(monkeypatch, arrivals(load), load.weights())
     assert any(outcome.in_time for outcome in played.outcomes)
--- a/src/streamthread/scheduler/tests/test_pass_work.py
+++ b/src/streamthread/scheduler/tests/test_pass_work.py
@@ -10,6 +10,7 @@
 from streamthread.platform.callers import StepRequest
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import placement
 from streamthread.scheduler import placer as module
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler import Task
@@ -176,3 +177,21 @@
     assert engine.begin_due(now_s + 2) is None
     assert not looked_at
     assert list(scheduled.occurrences) == [0, 1, 2]
+
+
+def test_runners_without_room_are_asked_nothing_else(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a search that asks all questions of the runners that are full."""
+    runners = [_runner(number, cpu=0, memory_mb=100) for number in range(50)]
+    runners.append(_runner(50, cpu=2_000, memory_mb=100))
+    asked: list[RunnerState] = []
+
+    def accepts_job(job: Job, runner: RunnerState, now_s: float) -> bool:
+        asked.append(runner)
+        return True
+
+    monkeypatch.setattr(placement, "accepts_job", accepts_job)
+    engine = _engine(runners, [StepRequest(cpu=1_000), StepRequest(cpu=1_000)])
+    assert len(engine.place_all(time.time(), lambda step: None)) == 2
+    assert asked == [runners[-1]] * 2
