Compute an occurrence's chains once per learned run time

Change: one loop computes both chains, and the occurrence keeps the result until one of its tasks is done or a run time is learned. Result: the same values (12 drawn engines and two loads, compared at each pass with a computation from all tasks; the comparison fails if a task that is done does not discard them). Three questions about an occurrence ask for its run times once, 6 times per step before (test_pass_work.py, which failed first).

--- a/src/streamthread/scheduler/learning.py
+++ b/src/streamthread/scheduler/learning.py
@@ -28,12 +28,18 @@
 
 @attrs.define
 class RunTimes:
-    """The mean run time for each key, as `learning_key` returns it."""
+    """The mean run time for each key, as `learning_key` returns it.
+
+    :param version: changes whenever a run time is learned. What was computed from the
+        run times holds as long as it stays the same.
+    """
 
     _means: dict[str, _Mean] = attrs.field(factory=dict)
+    version: int = 0
 
     def learn(self, key: str, took_s: float) -> None:
         """Add the run time of a task that completed."""
+        self.version += 1
         mean = self._means.get(key)
         if mean is None:
             self._means[key] = _Mean(took_s)
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -22,6 +22,7 @@
     "Job",
     "JobState",
     "Occurrence",
+    "Outlook",
     "Phase",
     "RunnerIncarnation",
     "StepRun",
@@ -197,14 +198,35 @@
         self.occurrence.forget_waiting()
 
 
+@attrs.frozen(eq=False)
+class Outlook:
+    """How long an occurrence still takes, and when it has to end.
+
+    :param open_s: the expected length of its longest chain of open steps.
+    :param latest_end_s: the latest wall time at which it may end to meet the job's
+        objective.
+    :param times: the learned run times from which this was computed.
+    :param version: the version that these had.
+    """
+
+    open_s: float
+    latest_end_s: float
+    times: object
+    version: int
+
+
 @attrs.define(eq=False)
 class Occurrence:
-    """One scheduled repetition of a job's steps."""
+    """One scheduled repetition of a job's steps.
+
+    :param outlook: as last computed; None if a step has made progress since.
+    """
 
     job: "Job"
     number: int
     due_at_s: float
     steps: list[StepRun] = attrs.field(factory=list)
+    outlook: Outlook | None = attrs.field(default=None, init=False)
     _waiting_steps: tuple[StepRun, ...] | None = attrs.field(default=None, init=False)
 
     @property
@@ -237,6 +259,7 @@
 
     def forget_progress(self) -> None:
         """Determine anew what depends on which steps are done."""
+        self.outlook = None
         self._waiting_steps = None
 
 
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -12,6 +12,7 @@
 from .learning import learning_key
 from .learning import RunTimes
 from .model import Occurrence
+from .model import Outlook
 from .model import StepRun
 from .model import Task
 from .overload import Choice
@@ -53,34 +54,49 @@
 about as long as a task runs."""
 
 
-def open_chain_s(occurrence: Occurrence, times: RunTimes, only_open: bool) -> float:
-    """Return the expected run time of the longest chain of an occurrence's steps.
+def _chains_s(occurrence: Occurrence, times: RunTimes) -> tuple[float, float]:
+    """Return the expected run times of the longest chains of an occurrence's steps.
 
     Long-running steps count as 0.
 
-    :param only_open: steps that are done count as 0 as well.
+    :return: the longest chain of all steps, and the longest one where steps that are
+        done count as 0 as well.
     """
     ends: list[float] = []
+    open_ends: list[float] = []
     for step in occurrence.steps:
-        step_s = 0.0
-        if not (only_open and step.done) and not step.request.lasting:
-            step_s = times.expect_s(learning_key(step), step.request.estimate_ms)
-        before_s = max((ends[n] for n in step.request.after), default=0.0)
-        ends.append(before_s + step_s)
-    return max(ends, default=0.0)
+        request = step.request
+        end_s = open_end_s = 0.0
+        for number in request.after:
+            end_s = max(end_s, ends[number])
+            open_end_s = max(open_end_s, open_ends[number])
+        if not request.lasting:
+            step_s = times.expect_s(learning_key(step), request.estimate_ms)
+            end_s += step_s
+            if not step.done:
+                open_end_s += step_s
+        ends.append(end_s)
+        open_ends.append(open_end_s)
+    return max(ends, default=0.0), max(open_ends, default=0.0)
 
 
 def outlook(occurrence: Occurrence, times: RunTimes) -> tuple[float, float]:
     """Return how long an occurrence still takes, and when it has to end.
 
+    It is kept until a run time is learned or a task of the occurrence is done.
+
     :return: the length of the longest chain of open steps in seconds, and the latest
         wall time at which the occurrence may end to meet the job's objective.
     """
-    job = occurrence.job
-    chain_s = open_chain_s(occurrence, times, only_open=False)
-    open_s = open_chain_s(occurrence, times, only_open=True)
-    objective_s = job.stretch * chain_s + job.target_s
-    return open_s, occurrence.due_at_s + objective_s
+    known = occurrence.outlook
+    if known is None or known.version != times.version or known.times is not times:
+        job = occurrence.job
+        chain_s, open_s = _chains_s(occurrence, times)
+        objective_s = job.stretch * chain_s + job.target_s
+        latest_end_s = occurrence.due_at_s + objective_s
+        known = Outlook(open_s, latest_end_s, times, times.version)
+        occurrence.outlook = known
+    return known.open_s, known.latest_end_s
 
 
 def urgency(
--- a/src/streamthread/scheduler/tests/test_incremental_passes.py
+++ b/src/streamthread/scheduler/tests/test_incremental_passes.py
@@ -12,6 +12,8 @@
 from streamthread.scheduler import StepRun
 from streamthread.scheduler import Task
 from streamthread.scheduler import TaskState
+from streamthread.scheduler.learning import learning_key
+from streamthread.scheduler.model import Occurrence
 
 from . import reference
 from .drawn import DrawnCell
@@ -75,7 +77,30 @@
     assert min(next_s, default=now_s + 1) > now_s
 
 
+def chain_s(engine: Engine, occurrence: Occurrence, only_open: bool) -> float:
+    """Return the length of the longest chain, from the state of all tasks."""
+    ends: list[float] = []
+    for step in occurrence.steps:
+        step_s = 0.0
+        if not (only_open and is_done(step)) and not step.request.lasting:
+            key = learning_key(step)
+            step_s = engine.times.expect_s(key, step.request.estimate_ms)
+        ends.append(step_s + max((ends[n] for n in step.request.after), default=0.0))
+    return max(ends)
+
+
+def check_outlooks(engine: Engine, now_s: float) -> None:
+    for job in engine.open_jobs():
+        for occurrence in job.occurrences.values():
+            objective_s = job.stretch * chain_s(engine, occurrence, only_open=False)
+            latest_end_s = occurrence.due_at_s + (objective_s + job.target_s)
+            open_s = chain_s(engine, occurrence, only_open=True)
+            found = placement.outlook(occurrence, engine.times)
+            assert found == (open_s, latest_end_s)
+
+
 def check(engine: Engine, now_s: float) -> None:
+    check_outlooks(engine, now_s)
     check_occurrences(engine, now_s)
     check_steps(engine, now_s)
 
--- a/src/streamthread/scheduler/tests/test_pass_work.py
+++ b/src/streamthread/scheduler/tests/test_pass_work.py
@@ -15,6 +15,7 @@
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler import Task
 from streamthread.scheduler import TaskState
+from streamthread.scheduler.learning import RunTimes
 from streamthread.scheduler.placement import FreeCapacity
 
 JOBS = 50
@@ -195,3 +196,29 @@
     engine = _engine(runners, [StepRequest(cpu=1_000), StepRequest(cpu=1_000)])
     assert len(engine.place_all(time.time(), lambda step: None)) == 2
     assert asked == [runners[-1]] * 2
+
+
+def test_chains_are_computed_again_only_after_changes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against computing an occurrence's chains for each question about it."""
+    engine = _scattered()
+    job = next(iter(engine.open_jobs()))
+    occurrence = job.occurrences[0]
+    asked: list[str] = []
+    expect_s = RunTimes.expect_s
+
+    def counted(times: RunTimes, key: str, estimate_ms: float) -> float:
+        asked.append(key)
+        return expect_s(times, key, estimate_ms)
+
+    monkeypatch.setattr(RunTimes, "expect_s", counted)
+    for _ in range(3):
+        assert placement.outlook(occurrence, engine.times)[0] == 0.5
+    assert asked == ["r/0"]
+    engine.times.learn("r/0", 2.0)
+    engine.times.learn("r/0", 2.0)
+    assert placement.outlook(occurrence, engine.times)[0] == 2.0
+    occurrence.steps[0].done_count = len(occurrence.steps[0].tasks)
+    assert placement.outlook(occurrence, engine.times)[0] == 0.0
+    assert asked == ["r/0"] * 3
