Compute the needs of each occurrence once per round of pool sizes

Change: JobDemands keeps what the occurrences of some jobs need. The size for all work adds the excess jobs to the others. Result: the same sizes. Each occurrence is looked at once a round, those within the weights twice before (holder/tests/test_sizes.py, which failed first).

--- a/src/streamthread/capacity/__init__.py
+++ b/src/streamthread/capacity/__init__.py
@@ -1,6 +1,7 @@
 """Decides how many machines each pool needs, and which machines move."""
 
 from .bursts import PoolArrivals
+from .demand import JobDemands
 from .demand import pool_demand
 from .plan import CapacitySettings
 from .plan import MachineView
@@ -11,6 +12,7 @@
 
 __all__ = [
     "CapacitySettings",
+    "JobDemands",
     "MachineView",
     "Move",
     "PoolArrivals",
--- a/src/streamthread/capacity/demand.py
+++ b/src/streamthread/capacity/demand.py
@@ -12,7 +12,14 @@
 from ..scheduler.model import Occurrence
 from ..scheduler.placement import outlook
 
-__all__ = ["Demand", "Work", "job_work", "pool_demand", "required_resources"]
+__all__ = [
+    "Demand",
+    "JobDemands",
+    "Work",
+    "job_work",
+    "pool_demand",
+    "required_resources",
+]
 
 LATE_SPREAD_FACTOR = 1.5
 """The open work of a job that can no longer end in time is spread over the length of
@@ -82,35 +89,75 @@
 """Returns the cpu that an account may have running at once; None: no limit."""
 
 
+@attrs.frozen
+class JobDemands:
+    """What some jobs need.
+
+    :param long_running_cpu: thousandths of a core that their long-running tasks use all
+        the time.
+    """
+
+    _parts: tuple[tuple[str, _OccurrenceDemand], ...] = ()
+    long_running_cpu: float = 0.0
+
+    @classmethod
+    def of(cls, jobs: t.Iterable[Job], times: RunTimes, now_s: float) -> "JobDemands":
+        """Return the needs of jobs.
+
+        :param now_s: wall time.
+        """
+        jobs = tuple(jobs)
+        parts = tuple(
+            (job.account, _occurrence_demand(occurrence, times, now_s))
+            for job in jobs
+            for occurrence in job.occurrences.values()
+        )
+        return cls(parts, float(sum(_long_running_cpu(job) for job in jobs)))
+
+    def __add__(self, other: "JobDemands") -> "JobDemands":
+        return JobDemands(
+            self._parts + other._parts, self.long_running_cpu + other.long_running_cpu
+        )
+
+    def total(self, cpu_limit_of: CpuLimit = lambda account: None) -> Demand:
+        """Return the resources that the jobs need to meet their objectives.
+
+        The open work of a job is spread over the time that it has left. This takes
+        fewer resources than all of its tasks at once, and more as the job falls behind.
+
+        :param cpu_limit_of: an account whose work needs more than its limit needs its
+            limit only, as no more of it can run.
+        """
+        works: dict[str, list[Work]] = {}
+        for account, demand in self._parts:
+            if demand.work is not None:
+                works.setdefault(account, []).append(demand.work)
+        work_demand = _limited_resources(works, cpu_limit_of)
+        long_running = [demand.long_running for _, demand in self._parts]
+        return Demand(
+            sum(demand.cpu for demand in long_running) + work_demand.cpu,
+            sum(demand.memory_mb for demand in long_running) + work_demand.memory_mb,
+            max((demand.machines for demand in long_running), default=0),
+        )
+
+
+def _long_running_cpu(job: Job) -> int:
+    """Return the thousandths of a core that a job's long-running tasks use."""
+    return sum(
+        step.cpu * step.count
+        for step in job.request.steps
+        if step.lasting and not step.fills
+    )
+
+
 def pool_demand(
     jobs: t.Iterable[Job],
     times: RunTimes,
     now_s: float,
     cpu_limit_of: CpuLimit = lambda account: None,
 ) -> Demand:
-    """Return the resources that open jobs need to meet their objectives.
-
-    The open work of a job is spread over the time that it has left. This takes fewer
-    resources than all of its tasks at once, and more as the job falls behind.
-
-    :param now_s: wall time.
-    :param cpu_limit_of: an account whose work needs more than its limit needs its limit
-        only, as no more of it can run.
-    """
-    long_running: list[Demand] = []
-    works: dict[str, list[Work]] = {}
-    for job in jobs:
-        for occurrence in job.occurrences.values():
-            demand = _occurrence_demand(occurrence, times, now_s)
-            long_running.append(demand.long_running)
-            if demand.work is not None:
-                works.setdefault(job.account, []).append(demand.work)
-    work_demand = _limited_resources(works, cpu_limit_of)
-    return Demand(
-        sum(demand.cpu for demand in long_running) + work_demand.cpu,
-        sum(demand.memory_mb for demand in long_running) + work_demand.memory_mb,
-        max((demand.machines for demand in long_running), default=0),
-    )
+    """Return the resources that open jobs need to meet their objectives."""
+    return JobDemands.of(jobs, times, now_s).total(cpu_limit_of)
 
 
 def _limited_resources(works: dict[str, list[Work]], cpu_limit_of: CpuLimit) -> Demand:
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -9,8 +9,8 @@
 import logbook
 
 from ..capacity import CapacitySettings
+from ..capacity import JobDemands
 from ..capacity import MachineView
-from ..capacity import pool_demand
 from ..capacity import PoolArrivals
 from ..capacity import target_size
 from ..clocks import boot_s
@@ -114,11 +114,11 @@
         self.with_excess = {}
         targets: dict[str, int] = {}
         for name in [pool.name for pool in pools if not pool.is_spare]:
+            needs = self._needs(jobs[name])
             if name in excess:
-                all_jobs = jobs[name] + excess[name]
-                wanted = self._wanted(name, all_jobs, views, now_s)
+                wanted = self._wanted(name, needs + self._needs(excess[name]), views)
                 self.with_excess[name] = wanted
-            targets[name] = self._wanted(name, jobs[name], views, now_s)
+            targets[name] = self._wanted(name, needs, views)
             self.recent_max[name] = self._recent_max(name, targets[name], now_s)
         return targets
 
@@ -157,20 +157,17 @@
             history.popleft()
         return max(size for _, size in history)
 
+    def _needs(self, jobs: t.Iterable[Job]) -> JobDemands:
+        return JobDemands.of(jobs, self._engine.times, time.time())
+
     def _wanted(
-        self,
-        pool: str,
-        jobs: t.Iterable[Job],
-        views: t.Collection[MachineView],
-        now_s: float,
+        self, pool: str, needs: JobDemands, views: t.Collection[MachineView]
     ) -> int:
         """Return the size that the current jobs and arrivals need."""
         sizes = [view for view in views if view.pool == pool] or list(views)
-        demand = pool_demand(
-            jobs, self._engine.times, time.time(), self._engine.accounts.cpu_limit_of
-        )
-        arriving_cpu = self._arriving_cpu(pool, now_s)
-        cpu = max(demand.cpu, arriving_cpu + _long_running_cpu(jobs))
+        demand = needs.total(self._engine.accounts.cpu_limit_of)
+        arriving_cpu = self._arriving_cpu(pool, boot_s())
+        cpu = max(demand.cpu, arriving_cpu + needs.long_running_cpu)
         cpu = _with_lost_capacity(cpu, [view for view in views if view.pool == pool])
         wanted = target_size(
             attrs.evolve(demand, cpu=cpu),
@@ -219,15 +216,3 @@
     if not lost or lost >= full:
         return cpu + min(cpu, lost)
     return min(cpu * full / (full - lost), cpu + lost)
-
-
-def _long_running_cpu(jobs: t.Iterable[Job]) -> float:
-    """Return the thousandths of a core that long-running tasks use all the time."""
-    return float(
-        sum(
-            step.cpu * step.count
-            for job in jobs
-            for step in job.request.steps
-            if step.lasting and not step.fills
-        )
-    )
--- a/src/streamthread/holder/tests/test_sizes.py
+++ b/src/streamthread/holder/tests/test_sizes.py
@@ -6,6 +6,7 @@
 import pytest
 
 from streamthread.capacity import CapacitySettings
+from streamthread.capacity import demand
 from streamthread.capacity import MachineView
 from streamthread.holder import sizes
 from streamthread.holder.sizes import PoolSizes
@@ -14,6 +15,8 @@
 from streamthread.platform.manifest import Pool
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler.learning import RunTimes
+from streamthread.scheduler.model import Occurrence
 
 SETTINGS = CapacitySettings()
 VIEWS = [
@@ -120,3 +123,28 @@
     job.excess = True
     assert pool_sizes.targets(POOLS, VIEWS)["one"] == needed["two"]
     assert pool_sizes.with_excess == {"one": needed["one"]}
+
+
+def test_each_job_is_looked_at_once(
+    clock: _Clock, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against computing all needs twice where some of the work is excess."""
+    engine = Engine(lambda job: None)
+    request = JobRequest("", (StepRequest(cpu=4_000, estimate_ms=1_000),))
+    for number in range(4):
+        job = Job(f"{number:016x}", "r", "one", request, b"", clock.now_s)
+        engine.add(job)
+        job.begin(0)
+        job.excess = number == 0
+    looked_at: list[object] = []
+    needs_of = demand._occurrence_demand
+
+    def counted(occurrence: Occurrence, times: RunTimes, now_s: float) -> t.Any:
+        looked_at.append(occurrence)
+        return needs_of(occurrence, times, now_s)
+
+    monkeypatch.setattr(demand, "_occurrence_demand", counted)
+    pool_sizes = PoolSizes(engine, SETTINGS)
+    pool_sizes.targets(POOLS, VIEWS)
+    assert list(pool_sizes.with_excess) == ["one"]
+    assert len(looked_at) == len(set(looked_at)) == 4
