--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -1,19 +1,19 @@
 """Jobs, steps and tasks as the holder keeps them in memory."""
 
-import time
 import typing as t
 
 import attrs
 
 from ..clocks import boot_s
-from ..platform.callers import decode_job
 from ..platform.callers import JobRequest
 from ..platform.callers import StepRequest
-from ..platform.manifest import Route
+from .attempts import Attempt
 from .names import task_name
 from .overload import Choice
 from .states import JobState
 from .states import Phase
+from .states import RunnerIncarnation
+from .states import Stop
 from .states import TaskState
 
 __all__ = [
@@ -22,196 +22,17 @@
     "Job",
     "JobState",
     "Occurrence",
+    "Outlook",
     "Phase",
     "RunnerIncarnation",
     "StepRun",
     "Stop",
     "Task",
     "TaskState",
-    "new_job",
     "task_name",
 ]
 
 
-@attrs.frozen
-class RunnerIncarnation:
-    """One incarnation of a runner.
-
-    What a runner did in one incarnation says nothing about another one under the same
-    id.
-    """
-
-    runner_id: str
-    born_ms: int | None = None
-
-
-@attrs.define(eq=False)
-class Stop:
-    """The stop of one run.
-
-    :param since_s: boot clock time at which this holder decided to stop the run.
-    :param under_way: the stop is queued, or is being sent until the runner answers.
-    :param uncertain: a stop order got no answer and may be carried out seconds later.
-    :param answered_ms: the runner's clock when it last accepted the stop; 0 if it has
-        not yet.
-    """
-
-    reason: str
-    since_s: float
-    under_way: bool = False
-    uncertain: bool = False
-    answered_ms: int = 0
-
-
-@attrs.define(eq=False)
-class Attempt:
-    """One run of one task on one runner.
-
-    :param confirmed_clock_ms: the runner's clock when it last confirmed the run.
-    :param first_confirmed_ms: the runner's clock when it first confirmed the run; 0 if
-        it has not yet.
-    :param began_ms: the runner's clock when the run began; an estimate if the start's
-        answer names no clock, 0 if unknown.
-    :param born_ms: start time of the runner incarnation that the run was meant for;
-        None if unknown.
-    :param read_back: an earlier holder persisted the attempt.
-    :param open_starts: the number of start orders without an answer. Each of them may
-        still be carried out.
-    :param sent_at_s: boot clock time at which the start was first sent; 0 if not by
-        this holder.
-    :param began_at_s: boot clock time at which the run was confirmed; 0 if it is not
-        yet.
-    :param percent: progress as last reported by the runner.
-    :param first_percent: progress in the runner's first report.
-    :param first_seen_at_s: the runner's clock in the first report; 0 if there is none.
-    :param seen_at_s: the runner's clock in the last report.
-    :param listed_at_s: boot clock time at which the last list with the run was read.
-    :param progress_changed_at_s: the runner's clock when the reported progress last
-        changed.
-    :param missing_since_ms: the runner's clock since when its lists do not contain the
-        run; 0 if they contain it.
-    :param unlisted_since_s: boot clock time since when the runner does not list the
-        run, although it is presumed to exist; 0 if it is listed.
-    :param unlisted_logged: the missing listing has been logged.
-    :param blamed: a runner exit has been attributed to this attempt; persisted with it.
-    :param cleared: the run has certainly not crashed its runner, because its start has
-        not been sent yet or the runner has outlived it. It is persisted for tasks to
-        which a runner exit has been attributed before, so that the next holder does not
-        attribute another one to the run.
-    :param suspected: the runner became silent as the run started and has not answered
-        since.
-    :param stop: the state of the stop if the run is to be stopped.
-    :param usage: the value that the runner last reported: the tail latency in ms of a
-        long-running task, or the thousandths of a core that another task used; None if
-        unknown.
-    :param pace_percent: the share of full speed at which the run works; None if unknown
-        because an earlier holder may have changed it.
-    :param pace_open_until_s: boot clock time until which an unanswered pace order may
-        still replace a newer one; 0 if there is none.
-    """
-
-    task: "Task"
-    run: int
-    runner_id: str
-    phase: Phase = Phase.PLANNED
-    born_ms: int | None = None
-    read_back: bool = False
-    confirmed_clock_ms: int = 0
-    first_confirmed_ms: int = 0
-    began_ms: int = 0
-    open_starts: int = 0
-    sent_at_s: float = 0.0
-    began_at_s: float = 0.0
-    percent: float = 0.0
-    first_percent: float = 0.0
-    first_seen_at_s: float = 0.0
-    seen_at_s: float = 0.0
-    listed_at_s: float = 0.0
-    progress_changed_at_s: float = 0.0
-    usage: float | None = None
-    pace_percent: int | None = 100
-    pace_open_until_s: float = 0.0
-    missing_since_ms: int = 0
-    unlisted_since_s: float = 0.0
-    unlisted_logged: bool = False
-    blamed: bool = False
-    cleared: bool = False
-    suspected: bool = False
-    stop: Stop | None = None
-
-    @property
-    def stop_reason(self) -> str:
-        """Why the run is to be stopped; empty if it is not."""
-        return self.stop.reason if self.stop is not None else ""
-
-    @property
-    def must_end(self) -> bool:
-        """Whether the run is no longer needed, or is not known to have started."""
-        task = self.task
-        if task.step.occurrence.job.over or task.state is TaskState.DONE:
-            return True
-        return not self.began_at_s
-
-    def mark_stopping(self, reason: str) -> None:
-        """Mark the run as to be stopped; the caller has the stop sent."""
-        self.phase = Phase.STOPPING
-        self.stop = Stop(reason, boot_s())
-
-    @property
-    def ends_with_incarnation(self) -> bool:
-        """Whether the run is certainly gone when this runner incarnation ends.
-
-        An unanswered order may still be carried out by the next incarnation.
-        """
-        if self.phase is Phase.PLANNED:
-            return True
-        return bool(self.seen_at_s) and not self.read_back and not self.open_starts
-
-    def is_of_other_incarnation(self, born_ms: int | None) -> bool:
-        """Whether the run was meant for a different incarnation of its runner."""
-        return None not in (born_ms, self.born_ms) and born_ms != self.born_ms
-
-    def reset_confirmation(self, born_ms: int | None) -> None:
-        """Discard what an earlier incarnation of the runner reported about the run.
-
-        :param born_ms: start time of the incarnation that is queried from now on.
-        """
-        self.born_ms = born_ms
-        self.confirmed_clock_ms = self.first_confirmed_ms = self.began_ms = 0
-        self.began_at_s = self.listed_at_s = 0.0
-        self.first_seen_at_s = self.seen_at_s = self.progress_changed_at_s = 0.0
-        self.missing_since_ms = 0
-        self.unlisted_since_s = 0.0
-
-    def cancel_stop(self) -> None:
-        """Record that the run continues and is no longer to be stopped."""
-        self.phase = Phase.CONFIRMED
-        self.stop = None
-
-    def pace_unanswered(self, latest_s: float) -> None:
-        """Record that an unanswered pace order may take effect until ``latest_s``."""
-        self.pace_percent = None
-        self.pace_open_until_s = latest_s
-
-    def pace_answered(self, percent: int, sent_at_s: float) -> None:
-        """Record a confirmed pace, which is final if no older order can replace it."""
-        self.pace_percent = percent
-        if sent_at_s > self.pace_open_until_s:
-            self.pace_open_until_s = 0.0
-
-    def note_progress(self, percent: float, now_s: float) -> None:
-        """Record the progress that the runner reported.
-
-        :param now_s: the runner's clock in the report.
-        """
-        if not self.first_seen_at_s:
-            self.first_percent, self.first_seen_at_s = percent, now_s
-        if percent != self.percent or not self.progress_changed_at_s:
-            self.progress_changed_at_s = now_s
-        self.percent = percent
-        self.seen_at_s = now_s
-
-
 @attrs.define(eq=False)
 class Task:
     """One task of one step in one occurrence of its job.
@@ -225,7 +46,6 @@
     :param not_before_s: wall time before which the task is not placed.
     :param waiting_since_s: boot clock time since when the task has no attempt, or since
         when a speculative copy is requested.
-    :param copy_requested: a speculative copy is to run beside the current attempt.
     :param moves: how often an attempt was stopped because it lagged.
     :param crashes: how many runners presumably exited as they started this task, since
         it last worked on a runner for a while. It is persisted so that the next holder
@@ -238,7 +58,7 @@
 
     step: "StepRun"
     index: int
-    state: TaskState = TaskState.WAITING
+    _state: TaskState = TaskState.WAITING
     last_run: int = 0
     failures: int = 0
     checkpoint: str = ""
@@ -246,12 +66,33 @@
     avoid: set[RunnerIncarnation] = attrs.field(factory=set)
     not_before_s: float = 0.0
     waiting_since_s: float = attrs.field(factory=boot_s)
-    copy_requested: bool = False
+    _copy_requested: bool = False
     moves: int = 0
     crashes: int = 0
     later_ends: int = 0
     on_probation: bool = False
 
+    @property
+    def state(self) -> TaskState:
+        """The task's state."""
+        return self._state
+
+    @state.setter
+    def state(self, state: TaskState) -> None:
+        self._state = state
+        self.step.forget_waiting()
+
+    @property
+    def copy_requested(self) -> bool:
+        """Whether a speculative copy is to run beside the current attempt."""
+        return self._copy_requested
+
+    @copy_requested.setter
+    def copy_requested(self, requested: bool) -> None:
+        if requested is not self._copy_requested:
+            self._copy_requested = requested
+            self.step.forget_waiting()
+
     @property
     def suspect(self) -> bool:
         """Whether the task may have caused a runner exit or a recent runner silence."""
@@ -265,9 +106,9 @@
     @property
     def needs_attempt(self) -> bool:
         """Whether the task needs to be placed on a runner."""
-        if self.state is TaskState.WAITING:
+        if self._state is TaskState.WAITING:
             return True
-        return self.copy_requested and self.state is TaskState.PLACED
+        return self._copy_requested and self._state is TaskState.PLACED
 
     @property
     def name(self) -> str:
@@ -306,16 +147,27 @@
     number: int
     request: StepRequest
     tasks: list[Task] = attrs.field(factory=list)
-    done_count: int = 0
+    _done_count: int = 0
     waiting_logged: bool = False
     urgency: tuple[t.Any, ...] | None = None
     urgency_at_s: float = 0.0
     urgency_choice: Choice | None = None
+    _waiting: tuple[Task, ...] | None = attrs.field(default=None, init=False)
+
+    @property
+    def done_count(self) -> int:
+        """The number of tasks that are done."""
+        return self._done_count
+
+    @done_count.setter
+    def done_count(self, count: int) -> None:
+        self._done_count = count
+        self.occurrence.forget_progress()
 
     @property
     def done(self) -> bool:
         """Whether all of the step's tasks are done."""
-        return self.done_count == len(self.tasks)
+        return self._done_count == len(self.tasks)
 
     @property
     def reserved_cpu(self) -> int:
@@ -329,21 +181,53 @@
 
     def has_waiting(self) -> bool:
         """Whether any task needs to be placed."""
-        return any(task.needs_attempt for task in self.tasks)
+        return bool(self.waiting())
+
+    def waiting(self) -> tuple[Task, ...]:
+        """Return the tasks that need to be placed.
+
+        They are kept until the state of a task changes.
+        """
+        if self._waiting is None:
+            self._waiting = tuple(task for task in self.tasks if task.needs_attempt)
+        return self._waiting
 
-    def waiting(self) -> list[Task]:
-        """Return the tasks that need to be placed."""
-        return [task for task in self.tasks if task.needs_attempt]
+    def forget_waiting(self) -> None:
+        """Determine anew which tasks need to be placed."""
+        self._waiting = None
+        self.occurrence.forget_waiting()
+
+
+@attrs.frozen(eq=False)
+class Outlook:
+    """How long an occurrence still takes, and when it has to end.
+
+    :param open_s: the expected length of its longest chain of open steps.
+    :param latest_end_s: the latest wall time at which it may end to meet the job's
+        objective.
+    :param times: the learned run times from which this was computed.
+    :param version: the version that these had.
+    """
+
+    open_s: float
+    latest_end_s: float
+    times: object
+    version: int
 
 
 @attrs.define(eq=False)
 class Occurrence:
-    """One scheduled repetition of a job's steps."""
+    """One scheduled repetition of a job's steps.
+
+    :param outlook: as last computed; None if a step has made progress since.
+    """
 
     job: "Job"
     number: int
     due_at_s: float
     steps: list[StepRun] = attrs.field(factory=list)
+    outlook: Outlook | None = attrs.field(default=None, init=False)
+    _waiting_steps: tuple[StepRun, ...] | None = attrs.field(default=None, init=False)
 
     @property
     def done(self) -> bool:
@@ -358,6 +242,26 @@
             if not step.blocked_by():
                 yield step
 
+    def waiting_steps(self) -> tuple[StepRun, ...]:
+        """Return the ready steps with tasks that need to be placed.
+
+        They are kept until the state of a task changes, or the progress of a step.
+        """
+        if self._waiting_steps is None:
+            self._waiting_steps = tuple(
+                step for step in self.ready_steps() if step.has_waiting()
+            )
+        return self._waiting_steps
+
+    def forget_waiting(self) -> None:
+        """Determine anew which steps have tasks to place."""
+        self._waiting_steps = None
+
+    def forget_progress(self) -> None:
+        """Determine anew what depends on which steps are done."""
+        self.outlook = None
+        self._waiting_steps = None
+
 
 @attrs.define(eq=False)
 class Job:
@@ -405,6 +309,8 @@
     account: str = ""
     excess: bool = False
     start_forecast_s: float | None = None
+    # The occurrences below this number have begun.
+    _begun_count: int = attrs.field(default=0, init=False)
 
     @property
     def times(self) -> int:
@@ -445,6 +351,20 @@
         start_ms = self.request.first_due_ms + number * self.request.interval_ms
         return start_ms / 1000
 
+    def begin_due(self, now_s: float, early_s: float) -> float | None:
+        """Begin the occurrences that are due; return when the next one may begin.
+
+        None means that all have begun. Those that have are not looked at again.
+        """
+        for number in range(self._begun_count, self.times):
+            if number not in self.done_times and number not in self.occurrences:
+                due_at_s = self.due_at_s(number) - early_s
+                if due_at_s > now_s:
+                    return due_at_s
+                self.begin(number)
+            self._begun_count = number + 1
+        return None
+
     def begin(self, number: int) -> Occurrence:
         """Create the steps and tasks of one occurrence."""
         occurrence = Occurrence(self, number, self.due_at_s(number))
@@ -454,23 +374,3 @@
             occurrence.steps.append(step)
         self.occurrences[number] = occurrence
         return occurrence
-
-
-def new_job(job_id: str, route: Route, body: bytes, account: str = "") -> Job:
-    """Return a job that a caller now submits at a route, with or without an account.
-
-    :raises BadInputError: the body is not a valid job.
-    """
-    return Job(
-        job_id=job_id,
-        route=route.name,
-        service=route.service,
-        request=decode_job(body),
-        body=body,
-        accepted_at_s=time.time(),
-        priority=route.priority,
-        max_attempts=route.max_attempts,
-        stretch=route.stretch,
-        target_s=route.target_s,
-        account=account,
-    )
--- a/src/streamthread/scheduler/tests/test_pass_work.py
+++ b/src/streamthread/scheduler/tests/test_pass_work.py
@@ -9,9 +9,13 @@
 from streamthread.platform.callers import JobRequest
 from streamthread.platform.callers import StepRequest
 from streamthread.scheduler import Engine
-from streamthread.scheduler import engine as module
 from streamthread.scheduler import Job
+from streamthread.scheduler import placement
+from streamthread.scheduler import placer as module
 from streamthread.scheduler import RunnerState
+from streamthread.scheduler import Task
+from streamthread.scheduler import TaskState
+from streamthread.scheduler.learning import RunTimes
 from streamthread.scheduler.placement import FreeCapacity
 
 JOBS = 50
@@ -125,3 +129,96 @@
     monkeypatch.setattr(FreeCapacity, "fits", lambda free, step: True)
     assert placed == _placed(_drawn(seed), now_s)
     assert placed
+
+
+def test_tasks_are_looked_at_again_only_after_changes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a pass that looks at all tasks of all open jobs."""
+    engine = _scattered()
+    engine.place_all(time.time(), lambda step: None)
+    looked_at: list[Task] = []
+
+    def needs_attempt(task: Task) -> bool:
+        looked_at.append(task)
+        return task.state is TaskState.WAITING
+
+    monkeypatch.setattr(Task, "needs_attempt", property(needs_attempt))
+    engine.place_all(time.time(), lambda step: None)
+    assert not looked_at
+    job = next(iter(engine.open_jobs()))
+    changed = job.occurrences[0].steps[0].tasks[0]
+    changed.state = TaskState.PLACED
+    engine.place_all(time.time(), lambda step: None)
+    assert set(looked_at) <= set(changed.step.tasks)
+
+
+def test_begun_jobs_are_not_looked_at_for_due_occurrences(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a pass that asks each open job for its next occurrence."""
+    engine = _scattered()
+    now_s = time.time()
+    request = JobRequest("", (StepRequest(),), 3, round(now_s * 1000), 1_000)
+    scheduled = Job("scheduled", "r", "desk", request, b"", now_s)
+    engine.add(scheduled)
+    next_s = engine.begin_due(now_s)
+    assert next_s == scheduled.due_at_s(1) - engine.settings.early_s
+    looked_at: list[Job] = []
+
+    def over(job: Job) -> bool:
+        looked_at.append(job)
+        return False
+
+    monkeypatch.setattr(Job, "over", property(over))
+    assert engine.begin_due(now_s) == next_s
+    assert looked_at == [scheduled]
+    assert engine.begin_due(now_s + 2) is None
+    looked_at.clear()
+    assert engine.begin_due(now_s + 2) is None
+    assert not looked_at
+    assert list(scheduled.occurrences) == [0, 1, 2]
+
+
+def test_runners_without_room_are_asked_nothing_else(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a search that asks all questions of the runners that are full."""
+    runners = [_runner(number, cpu=0, memory_mb=100) for number in range(50)]
+    runners.append(_runner(50, cpu=2_000, memory_mb=100))
+    asked: list[RunnerState] = []
+
+    def accepts_job(job: Job, runner: RunnerState, now_s: float) -> bool:
+        asked.append(runner)
+        return True
+
+    monkeypatch.setattr(placement, "accepts_job", accepts_job)
+    engine = _engine(runners, [StepRequest(cpu=1_000), StepRequest(cpu=1_000)])
+    assert len(engine.place_all(time.time(), lambda step: None)) == 2
+    assert asked == [runners[-1]] * 2
+
+
+def test_chains_are_computed_again_only_after_changes(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against computing an occurrence's chains for each question about it."""
+    engine = _scattered()
+    job = next(iter(engine.open_jobs()))
+    occurrence = job.occurrences[0]
+    asked: list[str] = []
+    expect_s = RunTimes.expect_s
+
+    def counted(times: RunTimes, key: str, estimate_ms: float) -> float:
+        asked.append(key)
+        return expect_s(times, key, estimate_ms)
+
+    monkeypatch.setattr(RunTimes, "expect_s", counted)
+    for _ in range(3):
+        assert placement.outlook(occurrence, engine.times)[0] == 0.5
+    assert asked == ["r/0"]
+    engine.times.learn("r/0", 2.0)
+    engine.times.learn("r/0", 2.0)
+    assert placement.outlook(occurrence, engine.times)[0] == 2.0
+    occurrence.steps[0].done_count = len(occurrence.steps[0].tasks)
+    assert placement.outlook(occurrence, engine.times)[0] == 0.0
+    assert asked == ["r/0"] * 3
