Let submissions use a read of the inbox that is in progress

Cause: if the inbox was last known 2 s ago, a submission waits for a read that begins after it: in a store that takes 0.8 s for up to two reads in a row, and then for up to two commits. Change: InboxReader.refresh waits for the read in progress and reads again only if the inbox is still outdated then. A submission needs no read that began after it: what it guards against, the cancel of the same job that waits unread, is given 2 s either way. Answers on unknown jobs, cancels and refusals for overload still use a read that began after their call. TestRefresh fails without its guard. The double of the inbox in test_intake.py has the new call; its checks are unchanged.

--- a/src/streamthread/holder/inbox.py
+++ b/src/streamthread/holder/inbox.py
@@ -189,6 +189,21 @@
         """Whether rows may have been waiting in the inbox unread for too long."""
         return boot_s() - self._feed.known_at_s > BEHIND_S
 
+    async def refresh(self) -> None:
+        """Read the inbox if its rows may be outdated.
+
+        A read in progress is waited for and usually suffices. In a store that takes
+        0.8 s per read, a read that begins after this call would end after up to 1.6 s,
+        and the two commits that follow would exceed the caller's time.
+
+        :raises StoreUnavailableError: the inbox can't be read.
+        :raises OutcomeUnknownError: the inbox can't be read.
+        """
+        if self.behind and self._current_read is not None:
+            await asyncio.wait((self._current_read,))
+        if self.behind:
+            await self.catch_up()
+
     async def catch_up(self) -> None:
         """Process everything that is in the inbox at the time of this call.
 
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -221,7 +221,7 @@
         if not self._inbox().behind:
             return None
         try:
-            await self._inbox().catch_up()
+            await self._inbox().refresh()
         except (StoreUnavailableError, OutcomeUnknownError):
             return _refuse("the store does not return the inbox")
         return None
--- a/src/streamthread/holder/tests/test_inbox.py
+++ b/src/streamthread/holder/tests/test_inbox.py
@@ -143,6 +143,46 @@
         assert not reader.behind
 
 
+class TestRefresh:
+    # Guards against submissions that wait for two reads of a slow store, one after the
+    # other, and for two commits: their callers stop waiting before.
+    async def test_uses_a_read_in_progress(self) -> None:
+        store = _Store()
+        reader, _ = _reader(store)
+        first = asyncio.ensure_future(reader.catch_up())
+        await _begun(store, 1)
+        second = asyncio.ensure_future(reader.refresh())
+        await asyncio.sleep(0)
+        assert not second.done()
+        store.may_answer.set()
+        await asyncio.gather(first, second)
+        assert store.reads == 1
+
+    async def test_reads_nothing_that_is_up_to_date(self) -> None:
+        store = _Store()
+        store.may_answer.set()
+        reader, _ = _reader(store)
+        await reader.refresh()
+        await reader.refresh()
+        assert store.reads == 1
+
+    # Guards against a submission that is accepted although the inbox was not read.
+    async def test_reads_again_if_the_read_in_progress_fails(self) -> None:
+        store = _Store()
+        store.down = True
+        reader, _ = _reader(store)
+        first = asyncio.ensure_future(reader.catch_up())
+        await _begun(store, 1)
+        second = asyncio.ensure_future(reader.refresh())
+        await asyncio.sleep(0)
+        store.may_answer.set()
+        with pytest.raises(StoreUnavailableError):
+            await first
+        with pytest.raises(StoreUnavailableError):
+            await second
+        assert store.reads == 2
+
+
 class TestCancelWithoutJob:
     def test_waits_for_its_job(self) -> None:
         reader, owner = _reader(_Store())
--- a/src/streamthread/holder/tests/test_intake.py
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -81,6 +81,10 @@
         self.waiting: set[str] = set()
         self.arriving: t.Callable[[], t.Any] = lambda: None
 
+    async def refresh(self) -> None:
+        if self.behind:
+            await self.catch_up()
+
     async def catch_up(self) -> None:
         self.reads += 1
         self.arriving()
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -218,6 +218,14 @@
         "self._commits.tried_for_s() > limit_s",
         ("src/streamthread/holder/tests/test_submissions.py::TestCheckAfterAStall",),
     ),
+    Guard(
+        "submissions-share-a-read-in-progress",
+        "holder/inbox.py",
+        "        if self.behind and self._current_read is not None:\n"
+        "            await asyncio.wait((self._current_read,))\n",
+        "",
+        ("src/streamthread/holder/tests/test_inbox.py::TestRefresh",),
+    ),
     Guard(
         "ends-of-runners-are-laid-to-tasks",
         "scheduler/engine.py",
