--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -207,10 +207,32 @@
     Guard(
         "overdue-hand-ins-are-refused",
         "holder/housekeeping.py",
-        "            self._intake.refuse_overdue()\n",
+        "            self._intake.refuse_overdue(max(0.0, boot_s() - due_at_s))\n",
         "",
         ("tests/cell/test_silent_store.py",),
     ),
+    Guard(
+        "stalls-of-the-loop-are-not-the-stores",
+        "holder/submissions.py",
+        "self._commits.tried_for_s() - self._stalled_s > limit_s",
+        "self._commits.tried_for_s() > limit_s",
+        ("src/streamthread/holder/tests/test_submissions.py::TestCheckAfterAStall",),
+    ),
+    Guard(
+        "submissions-share-a-read-in-progress",
+        "holder/inbox.py",
+        "        if self.behind and self._current_read is not None:\n"
+        "            await asyncio.wait((self._current_read,))\n",
+        "",
+        ("src/streamthread/holder/tests/test_inbox.py::TestRefresh",),
+    ),
+    Guard(
+        "channels-are-verified-when-due",
+        "cell/peer.py",
+        "left_s if 0 < left_s < CALL_CHECK_S else CALL_CHECK_S",
+        "CALL_CHECK_S",
+        ("src/streamthread/cell/tests/test_peer.py::TestChannelInDoubt",),
+    ),
     Guard(
         "ends-of-runners-are-laid-to-tasks",
         "scheduler/engine.py",
