Count runs of an earlier holder as working only after its stops

Cause: a stop is recorded nowhere, and a runner lists the run with percent 100 until the stop takes effect. A holder that took over meanwhile counted the task as at work and stopped another one of its step. It may order duties 0.5 s after the earlier holder's last order (at once after a restart of the same daemon), and a stop takes up to 0.9 s. Change: a run that an earlier holder started counts as working only once its runner lists it later than the longest stop after the runner's first answer to this holder, on the runner's clock. From that answer on, the runner refuses orders of earlier holders.

--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -262,6 +262,7 @@
         self._confirmed = 0
         self.heard_at_s = now_s
         self.runner.heard = True
+        self.runner.fenced_ms = self.runner.fenced_ms or reply.clock_ms
         first = not self.clock.known
         if self.runner.born_ms is None:
             self.runner.born_ms = reply.born_ms
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -25,6 +25,8 @@
     :param ready: the runner may get new tasks: it answered recently, a hold call
         renews its leases, and it is not draining.
     :param heard: the runner has answered a call of this holder, so its runs are known.
+    :param fenced_ms: the runner's clock in its first answer to a hold call of this
+        holder, since when it accepts no order of an earlier holder; 0 if there is none.
     :param reserved: a move or an upkeep was ordered for its machine.
     :param emptying: the runner is to be emptied so that its machine can go into upkeep.
     :param clock_ms: the latest time on the runner's clock that one of its answers
@@ -63,6 +65,7 @@
     draining: bool = False
     ready: bool = False
     heard: bool = False
+    fenced_ms: int = 0
     reserved: bool = False
     emptying: bool = False
     clock_ms: int = 0
--- a/src/streamthread/upkeep/plan.py
+++ b/src/streamthread/upkeep/plan.py
@@ -10,6 +10,7 @@
     "UpkeepSettings",
     "WaveView",
     "count_unavailable",
+    "is_after_earlier_stops",
     "may_stop_long_running",
     "plan_upkeep",
 ]
@@ -122,6 +123,22 @@
     return others_away < limit
 
 
+def is_after_earlier_stops(
+    listed_ms: float, fenced_ms: int, stop_effect_ms: int
+) -> bool:
+    """Whether a run that a list shows was not stopped by an earlier holder.
+
+    A run is listed as before until its stop takes effect. From its first answer to this
+    holder on, a runner accepts no order of an earlier one. All times are measured on
+    the runner's clock.
+
+    :param listed_ms: when the list was made.
+    :param fenced_ms: when the runner first answered this holder; 0 if it has not yet.
+    :param stop_effect_ms: the longest time until a stop takes effect.
+    """
+    return 0 < fenced_ms < listed_ms - stop_effect_ms
+
+
 def count_unavailable(at_work: t.Iterable[bool]) -> int:
     """Return how many tasks are not working.
 
--- a/src/streamthread/upkeep/tests/test_plan.py
+++ b/src/streamthread/upkeep/tests/test_plan.py
@@ -10,6 +10,7 @@
 from streamthread.upkeep import UpkeepSettings
 from streamthread.upkeep import WaveProgress
 from streamthread.upkeep import WaveView
+from streamthread.upkeep.plan import is_after_earlier_stops
 from streamthread.upkeep.plan import may_stop_long_running
 
 due_lists = st.lists(
@@ -84,6 +85,14 @@
         assert not may_stop_long_running(0, 0)
         assert may_stop_long_running(0, None)
 
+    def test_of_an_earlier_holder_works_once_its_stops_have_taken_effect(self) -> None:
+        assert not is_after_earlier_stops(1900, 1000, 1000)
+        assert not is_after_earlier_stops(2000, 1000, 1000)
+        assert is_after_earlier_stops(2001, 1000, 1000)
+
+    def test_does_not_work_before_its_runner_has_answered(self) -> None:
+        assert not is_after_earlier_stops(9000, 0, 1000)
+
 
 class TestProgress:
     def test_survives_encoding_and_decoding(self) -> None:
--- /dev/null
+++ b/tests/model/availability.py
@@ -0,0 +1,48 @@
+"""Checks that orders let no more long-running tasks be away than their step allows."""
+
+import collections
+import typing as t
+
+__all__ = ["MAY_MISS", "Availability"]
+
+MAY_MISS = 1
+"""How many tasks of a step may be away, in the workloads of `schedule.Workload`."""
+
+
+class Availability:
+    """The long-running tasks that orders have ended and that have not begun again.
+
+    Tasks of other kinds are ended by the cancel of their job only, which is allowed.
+
+    :param violations: descriptions of the orders that ended one task too many.
+    """
+
+    def __init__(self, record: t.Callable[[str], None]) -> None:
+        self._record = record
+        self._away: dict[str, set[str]] = collections.defaultdict(set)
+        self._cancelled: set[str] = set()
+        self.violations: list[str] = []
+
+    def note_cancel(self, job_id: str) -> None:
+        """Note that a job's cancel is sent: from now on all of its tasks may end."""
+        self._cancelled.add(job_id)
+
+    def note_started(self, task: str) -> None:
+        """Note that a task runs."""
+        self._away[_step_of(task)].discard(task)
+
+    def note_ended(self, task: str) -> None:
+        """Note that an order which takes effect ends a task that is at work."""
+        if task.split(".")[0] in self._cancelled:
+            return
+        away = self._away[_step_of(task)]
+        others = sorted(away - {task})
+        away.add(task)
+        if len(others) >= MAY_MISS:
+            violation = f"an order ends {task} while {', '.join(others)} are away"
+            self._record(f"VIOLATED: {violation}")
+            self.violations.append(violation)
+
+
+def _step_of(task: str) -> str:
+    return task.rpartition(".")[0]
--- a/tests/model/runners.py
+++ b/tests/model/runners.py
@@ -18,6 +18,7 @@
 from streamthread.platform.runners import RunningTask
 from streamthread.platform.runners import StartOrder
 
+from .availability import Availability
 from .schedule import Outcome
 from .schedule import Outcomes
 
@@ -48,6 +49,14 @@
 FULL_CPU = 1000
 """The cpu of each runner."""
 
+RATES = (1.0, 0.98)
+"""Rates of the runners' clocks. The second clock is as slow as the user documentation
+allows."""
+
+FIRST_CLOCKS_MS = (0, 50_000, 10_000_000)
+"""First clock readings of incarnations with the same id: behind the previous clock or
+ahead of it."""
+
 MAX_HOLD_MS = 10_000
 """The runner shortens longer holds to this."""
 
@@ -75,6 +84,7 @@
     :param running: the current runs, and whether each of them is being stopped.
     :param cpu: its capacity, which may shrink and grow.
     :param resized_at_s: when the capacity last changed.
+    :param stop_duration_s: how long a stop takes.
     """
 
     def __init__(
@@ -93,6 +103,7 @@
             self._clock_zero_s = time.monotonic() - clock_start_ms / 1000 / rate
         self.cpu = FULL_CPU
         self.resized_at_s = 0.0
+        self.stop_duration_s = STOP_DURATION_S
         self._crashed = crashed
         self.running: dict[Run, bool] = {}
         self.terminated = False
@@ -141,7 +152,7 @@
         self._note_ended(run)
         if self.running.get(run) is False:
             self.running[run] = True
-            self._end_later(STOP_DURATION_S, run, EndKind.STOPPED)
+            self._end_later(self.stop_duration_s, run, EndKind.STOPPED)
         return OrderReply(None, self.clock_ms)
 
     def check_token(self, token: int) -> OrderReply:
@@ -225,6 +236,7 @@
     :param incarnations: the current incarnation at each address.
     :param unreachable_until_s: until when each address is unreachable, on the monotonic
         clock.
+    :param availability: checks which long-running tasks are ended by orders.
     """
 
     def __init__(self, outcomes: Outcomes, record: t.Callable[[str], None]) -> None:
@@ -232,12 +244,16 @@
         self._record = record
         self.incarnations: dict[str, Incarnation] = {}
         self.unreachable_until_s: dict[str, float] = {}
+        self.availability = Availability(record)
 
     async def start(self, address, runner_id, order, timeout_s, overdue_s=None):
         sent_at_s = time.monotonic()
 
         def act(incarnation: Incarnation, late: bool = False) -> OrderReply:
-            return incarnation.start(order, sent_at_s, late)
+            reply = incarnation.start(order, sent_at_s, late)
+            if (order.task, order.run) in incarnation.running:
+                self.availability.note_started(order.task)
+            return reply
 
         description = f"{order.task} run {order.run}, token {order.fencing_token}"
         call = self._order("start", description, address, runner_id, timeout_s, act)
@@ -249,7 +265,11 @@
 
     async def stop(self, address, runner_id, task, run, fencing_token, timeout_s):
         def act(incarnation: Incarnation, late: bool = False) -> OrderReply:
-            return incarnation.stop((task, run), fencing_token)
+            works = incarnation.running.get((task, run)) is False
+            reply = incarnation.stop((task, run), fencing_token)
+            if works and reply.refusal is None:
+                self.availability.note_ended(task)
+            return reply
 
         description = f"{task} run {run}, token {fencing_token}"
         return await self._order(
--- a/tests/model/schedule.py
+++ b/tests/model/schedule.py
@@ -77,7 +77,9 @@
 class Workload(enum.Enum):
     """The step of the job that is cancelled."""
 
-    LONG_RUNNING = {"longRunning": True}
+    LONG_RUNNING = {"longRunning": True, "may_miss": 1}
+    SPREAD = {"longRunning": True, "may_miss": 1, "antiAffinity": 1}
+    """Each task runs on a runner of its own."""
     PLAIN = {"estimateMs": 100}
     SPECULATIVE = {"estimateMs": 100, "speculative": True}
     CRASHING = {"estimateMs": 200}
@@ -202,7 +204,11 @@
     return st.lists(st.sampled_from(outcomes), max_size=max_count)
 
 
-ANY_WORKLOAD = (Workload.LONG_RUNNING, *Workload)
+ANY_WORKLOAD = (
+    Workload.LONG_RUNNING,
+    *(workload for workload in Workload if workload is not Workload.SPREAD),
+)
+"""The workloads that fit on two runners in any number."""
 
 ANY_KEEPS_IDS = st.booleans()
 
--- a/tests/model/simulation.py
+++ b/tests/model/simulation.py
@@ -21,6 +21,7 @@
 from streamthread.holder import Holder
 from streamthread.holder.context import CellSettings
 from streamthread.holder.context import HolderContext
+from streamthread.platform.cloud import CloudClient
 from streamthread.platform.documents import RUNNERS_TABLE
 from streamthread.platform.runners import EndKind
 from streamthread.platform.store import StoredRow
@@ -35,10 +36,12 @@
 from .runners import address_of
 from .runners import CRASHING_SPEC
 from .runners import FakeRunners
+from .runners import FIRST_CLOCKS_MS
 from .runners import FULL_CPU
 from .runners import Incarnation
 from .runners import is_later_incarnation
 from .runners import LONG_RUNNING_SPEC
+from .runners import RATES
 from .runners import Run
 from .schedule import Event
 from .schedule import EventKind
@@ -64,10 +67,6 @@
 LEASE_VALIDITY_S = LeaseTimes().max_validity_s
 """A holder that lost the cell may send orders for this long."""
 
-RATES = (1.0, 0.98)
-"""Rates of the runners' clocks. The second clock is as slow as the user documentation
-allows."""
-
 RESTART_DELAY_S = 1.0
 """A runner that a run has crashed restarts after this time."""
 
@@ -77,15 +76,12 @@
 RESIZE_KNOWN_S = 4.5
 """A reduced capacity counts after this time: `contactMs` and one heartbeat."""
 
-FIRST_CLOCKS_MS = (0, 50_000, 10_000_000)
-"""First clock readings of incarnations with the same id: behind the previous clock or
-ahead of it."""
-
 TASK_CPU = 300
 """The cpu of each task; three tasks fit on a runner."""
 
 SPECS = {
     Workload.LONG_RUNNING: LONG_RUNNING_SPEC,
+    Workload.SPREAD: LONG_RUNNING_SPEC,
     Workload.CRASHING: CRASHING_SPEC,
     Workload.CRASHING_SPECULATIVE: CRASHING_SPEC,
 }
@@ -101,6 +97,9 @@
     :param trace: what happened, one line per event.
     """
 
+    _cloud: CloudClient | None = None
+    _runner_count = len(RATES)
+
     def __init__(
         self, schedule: Schedule, limit_cpu: int = 0, read_after_s: float = 0.0
     ) -> None:
@@ -144,7 +143,7 @@
 
     async def execute(self) -> None:
         """Run the schedule and check what is left."""
-        for number in range(len(RATES)):
+        for number in range(self._runner_count):
             self._boot(number)
         await self._acquire_cell(0.0)
         async with asyncio.TaskGroup() as group:
@@ -153,6 +152,7 @@
             for event in self.schedule.events:
                 group.create_task(self._run_event(event))
         await self._wait_for_cleanup()
+        self.violations += self._runners.availability.violations
         self._check_holders()
         self._check_failed_jobs()
         for task in (*self._tasks, *self._reboots):
@@ -234,6 +234,7 @@
         await self._ask(pb.SUBMIT, job_id, plan.isolated_submit, body)
         await asyncio.sleep(plan.cancel_after_s)
         self._check_long_running(job_id)
+        self._runners.availability.note_cancel(job_id)
         cancelled = self._cancels[int(job_id, 16)]
         if not plan.isolated_cancel:
             cancelled.set()
@@ -303,7 +304,7 @@
             daemon_id,
             self._view,
             self._runners,
-            None,
+            self._cloud,
             None,
             self._read_configuration(),
             CellSettings(),
@@ -365,7 +366,7 @@
         keeps_id = self.schedule.keeps_ids
         incarnation = Incarnation(
             f"runner-{number}" if keeps_id else f"runner-{number}-incarnation-{count}",
-            RATES[number],
+            RATES[number % len(RATES)],
             self._on_started,
             self._on_crashed,
             born_ms=count if keeps_id else None,
@@ -429,7 +430,7 @@
         self._crashes[run[0]] += 1
         if self._crashes[run[0]] > MAX_CRASHES:
             self._add_violation(f"{run[0]} has crashed {self._crashes[run[0]]} runners")
-        numbers = range(len(RATES))
+        numbers = range(self._runner_count)
         incarnations = self._runners.incarnations
         number = next(
             n for n in numbers if incarnations.get(address_of(n)) is incarnation
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -9,6 +9,7 @@
 LISTING = f"{LISTING_TESTS}::TestForeignEntries"
 RESTARTS = "src/streamthread/scheduler/tests/test_restarts.py"
 CRASHES = "src/streamthread/scheduler/tests/test_crashes.py"
+WAVES = "tests/model/test_waves.py"
 
 CELL_GUARDS = (
     Guard(
@@ -443,4 +444,11 @@
         "",
         ("src/streamthread/scheduler/tests/test_accounts.py",),
     ),
+    Guard(
+        "earlier-stops-take-effect-first",
+        "upkeep/plan.py",
+        "    return 0 < fenced_ms < listed_ms - stop_effect_ms\n",
+        "    return True\n",
+        (f"{WAVES}::test_counts_tasks_that_an_earlier_holder_stopped_as_away",),
+    ),
 )
