Count long-running tasks as working only after an earlier holder's duties

Cause: the cloud does not refuse the duties of an earlier holder, so that a list which was read before the last of them must have been carried out may show a task whose machine is gone. Operators could not see that a wave waits for an earlier holder's orders. The fake holder of test_duties_and_lease.py names how its cell was acquired, which the duties now read when they are made; its tests are unchanged.

--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -21,7 +21,7 @@
 from .hall_report import state_of
 from .view import DaemonView
 
-__all__ = ["make_registry"]
+__all__ = ["delayed_stops", "make_registry"]
 
 Family = GaugeMetricFamily | CounterMetricFamily | HistogramMetricFamily
 
@@ -295,6 +295,17 @@
             "Moves and upkeeps taken back as the lease was no longer certainly valid.",
             holder.duties.aborted,
         )
+        yield delayed_stops(holder.duties.delayed_stops)
+
+
+def delayed_stops(count: int) -> CounterMetricFamily:
+    """Return the metric of stops that waited for orders of an earlier holder."""
+    return CounterMetricFamily(
+        "streamthread_long_running_stops_delayed",
+        "Stops of long-running tasks for a wave that waited until no order of an "
+        "earlier holder could end others of their step any more.",
+        count,
+    )
 
 
 def make_registry(daemon: DaemonView) -> CollectorRegistry:
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -89,7 +89,13 @@
         self._sizes = PoolSizes(owner.engine, settings.capacity)
         self._capacity = PoolCapacity()
         self._registry = WaveRegistry(owner, settings.tick_s)
-        self._waves = WavePlanner(owner, self._registry, self._table, settings.upkeep)
+        self._waves = WavePlanner(
+            owner,
+            self._registry,
+            self._table,
+            settings.upkeep,
+            owner.taken.exclusive_from_s + MAX_ORDER_LATENCY_S,
+        )
         self.moves = 0
         self.upkeeps = 0
         self.aborted = 0
@@ -149,6 +155,11 @@
         """
         self._sizes.record_job(service, work, at_s)
 
+    @property
+    def delayed_stops(self) -> int:
+        """How many stops of long-running tasks waited for earlier orders."""
+        return self._waves.delayed_stops
+
     # Decisions.
 
     def _stand_by(self) -> None:
--- a/src/streamthread/holder/long_running.py
+++ b/src/streamthread/holder/long_running.py
@@ -2,9 +2,12 @@
 
 A stop is recorded nowhere, and a run is listed as working until its stop takes effect.
 A new holder therefore counts a run that an earlier one started as working only once its
-runner lists it after every stop of an earlier holder must have taken effect.
+runner lists it after every stop of an earlier holder must have taken effect. It counts
+no run before a list that was read after the last duty of an earlier holder must have
+been carried out.
 """
 
+import math
 import typing as t
 
 import logbook
@@ -30,13 +33,21 @@
     """Stops long-running tasks as far as their steps can do without one more.
 
     :param kick: schedules a pass over the queue, which sends the stops.
-    :param delayed: number of runs whose stop waited because an earlier holder may have
-        stopped another task of their step.
+    :param duties_until_s: the time on the boot clock until which duties that an earlier
+        holder ordered may be carried out.
+    :param delayed: number of runs whose stop waited because orders of an earlier holder
+        may still end another task of their step.
     """
 
-    def __init__(self, engine: Engine, kick: t.Callable[[], None]) -> None:
+    def __init__(
+        self,
+        engine: Engine,
+        kick: t.Callable[[], None],
+        duties_until_s: float = -math.inf,
+    ) -> None:
         self._engine = engine
         self._kick = kick
+        self._duties_until_s = duties_until_s
         # The last run of each task, by task name, whose stop waited.
         self._delayed_runs: dict[str, int] = {}
         self.delayed = 0
@@ -70,9 +81,12 @@
         )
 
     def _is_working(self, attempt: Attempt) -> bool:
-        """Whether a run is working and was not stopped by an earlier holder."""
+        """Whether a run is working, and no order of an earlier holder may end it."""
         if not self._is_reported_working(attempt):
             return False
+        if attempt.listed_at_s <= self._duties_until_s:
+            # Its machine may have gone down since.
+            return False
         return not attempt.read_back or is_after_earlier_stops(
             attempt.seen_at_s * 1000,
             self._engine.runners[attempt.runner_id].fenced_ms,
@@ -89,7 +103,7 @@
     def _note_delay(self, attempt: Attempt, unproven: int) -> None:
         """Log and count, once for each run, that its stop waits.
 
-        :param unproven: how many tasks an earlier holder may have stopped.
+        :param unproven: how many other tasks orders of earlier holders may still end.
         """
         name = attempt.task.name
         if self._delayed_runs.get(name) == attempt.run:
--- a/src/streamthread/holder/tests/test_duties_and_lease.py
+++ b/src/streamthread/holder/tests/test_duties_and_lease.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import contextlib
+import math
 import socket
 import types
 import typing as t
@@ -71,6 +72,7 @@
             notes=UnreadableNotes(),
         )
         self.token = 1
+        self.taken = types.SimpleNamespace(exclusive_from_s=-math.inf)
         self.links: dict[str, t.Any] = {}
         self.tasks: list[asyncio.Task[None]] = []
 
--- a/src/streamthread/holder/waves.py
+++ b/src/streamthread/holder/waves.py
@@ -136,7 +136,11 @@
 
 
 class WavePlanner:
-    """Decides for each wave which machines go down now and which are emptied next."""
+    """Decides for each wave which machines go down now and which are emptied next.
+
+    :param duties_until_s: the time on the boot clock until which duties that an earlier
+        holder ordered may be carried out.
+    """
 
     def __init__(
         self,
@@ -144,16 +148,22 @@
         registry: WaveRegistry,
         table: MachineTable,
         settings: UpkeepSettings,
+        duties_until_s: float,
     ) -> None:
         self._engine = owner.engine
         self._documents = owner.context.documents
         self._registry = registry
         self._table = table
         self._settings = settings
-        self._long_running = LongRunningTasks(owner.engine, owner.kick)
+        self._long_running = LongRunningTasks(owner.engine, owner.kick, duties_until_s)
         self._emptying: set[str] = set()
         self._due: set[str] = set()
 
+    @property
+    def delayed_stops(self) -> int:
+        """How many stops of long-running tasks waited for earlier orders."""
+        return self._long_running.delayed
+
     # Due machines.
 
     def is_due(self, machine_id: str) -> bool:
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -10,6 +10,7 @@
 RESTARTS = "src/streamthread/scheduler/tests/test_restarts.py"
 CRASHES = "src/streamthread/scheduler/tests/test_crashes.py"
 WAVES = "tests/model/test_waves.py"
+LONG_RUNNING = "src/streamthread/holder/tests/test_long_running.py"
 
 CELL_GUARDS = (
     Guard(
@@ -451,4 +452,11 @@
         "    return True\n",
         (f"{WAVES}::test_counts_tasks_that_an_earlier_holder_stopped_as_away",),
     ),
+    Guard(
+        "earlier-duties-are-carried-out-first",
+        "holder/long_running.py",
+        "        if attempt.listed_at_s <= self._duties_until_s:\n",
+        "        if not attempt.listed_at_s:\n",
+        (f"{LONG_RUNNING}::TestTasksOfThisHolder",),
+    ),
 )
--- a/tools/references.py
+++ b/tools/references.py
@@ -10,6 +10,7 @@
 
 from streamthread.entry import Entry
 from streamthread.entry.metrics import make_registry
+from streamthread.gateway.metrics import delayed_stops
 from streamthread.holder.queue import pass_interval
 from streamthread.peers import PeerSettings
 from streamthread.providers import memory_platform
@@ -36,7 +37,7 @@
 |---|---|---|---|
 """
 CELL_METRICS_HEAD = """
-## Scheduling passes of a cell's daemon
+## A cell's daemon
 
 Served by the daemon that holds the cell. docs/OPERATIONS.md says when to look at it.
 
@@ -72,7 +73,8 @@
     for family in asyncio.run(_families()):
         if family.name.startswith("streamthread_"):
             lines.append(_metric_row(family))
-    cell_lines = [_metric_row(family) for family in pass_interval().collect()]
+    cell_families = (*pass_interval().collect(), delayed_stops(0))
+    cell_lines = [_metric_row(family) for family in cell_families]
     pages = (METRICS_HEAD, *sorted(lines)), (CELL_METRICS_HEAD, *cell_lines)
     return "".join(head + "\n".join(rows) + "\n" for head, *rows in pages)
 
