--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -9,6 +9,8 @@
 LISTING = f"{LISTING_TESTS}::TestForeignEntries"
 RESTARTS = "src/streamthread/scheduler/tests/test_restarts.py"
 CRASHES = "src/streamthread/scheduler/tests/test_crashes.py"
+WAVES = "tests/model/test_waves.py"
+LONG_RUNNING = "src/streamthread/holder/tests/test_long_running.py"
 
 CELL_GUARDS = (
     Guard(
@@ -479,4 +481,18 @@
         "m.free_to_move and m.usable and m.handing_over",
         ("src/streamthread/capacity/tests/test_handover.py",),
     ),
+    Guard(
+        "earlier-stops-take-effect-first",
+        "upkeep/plan.py",
+        "    return 0 < fenced_ms < listed_ms - stop_effect_ms\n",
+        "    return True\n",
+        (f"{WAVES}::test_counts_tasks_that_an_earlier_holder_stopped_as_away",),
+    ),
+    Guard(
+        "earlier-duties-are-carried-out-first",
+        "holder/long_running.py",
+        "        if attempt.listed_at_s <= self._duties_until_s:\n",
+        "        if not attempt.listed_at_s:\n",
+        (f"{LONG_RUNNING}::TestTasksOfThisHolder",),
+    ),
 )
