Use the list of machines as evidence of lost runners

The runs of a silent runner waited until their hold had lapsed, although the list of machines showed that nothing ran on its machine. The list was not used since rows that cannot be decoded were kept as down in the same table.

The table of machines now keeps each list as it was decoded beside the machines that the duties work with. Runs whose starts may still reach a next incarnation of the same id wait for their hold.

The two guards of machine_evidence.py and the one of duties.py each fail a test without their lines.

--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -21,6 +21,7 @@
 from ..platform.manifest import Pool
 from .context import DutySettings
 from .forecasts import CapacityParts
+from .machine_evidence import LostRunners
 from .machines import DutyKind
 from .machines import MachineTable
 from .machines import PendingDuty
@@ -86,6 +87,7 @@
             self._on_runner_exit,
             owner.context.notes,
         )
+        self._lost_runners = LostRunners(owner, self._table.had_before)
         self._sizes = PoolSizes(owner.engine, settings.capacity)
         self._capacity = PoolCapacity()
         self._registry = WaveRegistry(owner, settings.tick_s)
@@ -129,9 +131,12 @@
                 await asyncio.wait((reading,), timeout=self._settings.list_s)
                 if not reading.done():
                     self._observe()
-            return reading.result()
+            reliable = reading.result()
         finally:
             reading.cancel()
+        if self._table.listed is not None and self._owner.trusted:
+            self._lost_runners.check(self._table.listed)
+        return reliable
 
     def arriving(self, pool: str) -> CapacityParts:
         """Return the cpu that is on its way into a pool, and when it will be there."""
--- a/src/streamthread/holder/machines.py
+++ b/src/streamthread/holder/machines.py
@@ -20,6 +20,7 @@
 from ..unreadable import UnreadableNotes
 from .context import DutySettings
 from .context import ManifestSource
+from .machine_evidence import ListedMachines
 
 __all__ = ["DutyKind", "MachineTable", "PendingDuty"]
 
@@ -62,7 +63,9 @@
         machine has another one, with the runner's id, the time on the boot clock at
         which the list was requested, and the reason.
     :param notes: collects reports of rows that can't be decoded.
-    :param machines: the machines in the cloud's latest list, by machine id.
+    :param machines: the machines in the cloud's latest list, by machine id. Those whose
+        rows can't be decoded are kept as down.
+    :param listed: the latest list as it was read, without such rows; None before one.
     :param pending: duties that the list does not show as ended yet, by machine id.
     """
 
@@ -92,6 +95,7 @@
         # The ids of the present runner and of the one before, by machine id.
         self._hosted: dict[str, tuple[str, str]] = {}
         self.machines: dict[str, Machine] = {}
+        self.listed: ListedMachines | None = None
         self.pending: dict[str, PendingDuty] = {}
 
     def runner_of(self, machine: Machine) -> RunnerState | None:
@@ -147,6 +151,9 @@
             self._notes.clear(Source.MACHINE, machine.machine_id)
             self._report_replaced(machine, now_s)
             self._reconcile(machine, now_s)
+        self.listed = ListedMachines.of(
+            now_s, listed.machines, {row.machine_id for row in listed.unreadable}
+        )
         self._current = True
         return bool(self.machines)
 
@@ -181,6 +188,10 @@
         if present:
             self._on_runner_exit(present, asked_at_s, "its machine has another runner")
 
+    def had_before(self, machine_id: str, runner_id: str) -> bool:
+        """Whether a machine was listed with a runner before its present one."""
+        return runner_id == self._hosted.get(machine_id, ("", ""))[1]
+
     def _reconcile(self, machine: Machine, asked_at_s: float) -> None:
         """Compare a listed machine with the duty ordered for it."""
         runner = self.runner_of(machine)
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -210,19 +210,21 @@
         for attempt in left:
             self._stop_on_next_incarnation(attempt, after)
 
-    def attempts_expired(self, runner_id: str, why: str) -> None:
-        """Handle that all runs on a runner have expired for certain.
+    def attempts_expired(
+        self, runner_id: str, why: str, seen_only: bool = False
+    ) -> bool:
+        """Handle that runs on a runner have ended for certain; return whether any did.
 
-        The runner itself may still be alive.
+        :param seen_only: not those whose starts its next incarnation may still receive.
         """
         runner = self.runners.get(runner_id)
-        if runner is None or not runner.attempts:
-            return
-        log.info(
-            "attempts-lapsed",
-            extra=describe_loss(runner, why),
-        )
-        self._expire(list(runner.attempts.values()), runner)
+        attempts = list(runner.attempts.values()) if runner is not None else []
+        if seen_only:
+            attempts = [a for a in attempts if a.ends_with_incarnation]
+        if runner is not None and attempts:
+            log.info("attempts-lapsed", extra=describe_loss(runner, why))
+            self._expire(attempts, runner)
+        return bool(attempts)
 
     def cold_halls(self) -> set[str]:
         """Return the halls with runners that are cold now."""
--- a/tests/cell/test_lost_halls.py
+++ b/tests/cell/test_lost_halls.py
@@ -19,6 +19,10 @@
 """The entry of the later runner, a commit and a start, and what a busy test machine
 adds; the hold lapses after a second or more."""
 
+LISTED_WITHIN_S = 1.2
+"""The next list of machines (0.5 s), a tick of the duties (0.1 s), a commit and a
+start, and what a busy test machine adds; the hold lapses after 1.7 s or more."""
+
 DAEMONS = ["a", "a", "b", "b", "c", "c", "d", "d"]
 
 
@@ -91,6 +95,36 @@
             assert time.monotonic() - began_at_s < RESTARTED_WITHIN_S
             assert len(list(cell.world.running())) == 2
 
+    # Guards against tasks that wait until their hold has lapsed although the list of
+    # machines shows that nothing runs on their machine.
+    async def test_that_is_listed_as_down_has_lost_its_runs(self) -> None:
+        async with running_cell({"desk": 3}) as cell:
+            holder = (await cell.until_ready()).holder
+            caller = cell.caller()
+            body = job(run_s=60, count=2, longRunning=True, antiAffinity=1)
+            await caller.submit("a" * 16, body)
+            await until(lambda: len(cell.world.started) == 2, "both tasks start")
+            machine = next(
+                machine
+                for machine in cell.world.cloud.machines.values()
+                if machine.runner is not None and machine.runner.running()
+            )
+            runner = machine.runner
+            assert runner is not None and holder is not None
+            attempts = holder.engine.runners[runner.runner_id].attempts
+            await until(
+                lambda: all(a.seen_at_s for a in attempts.values()), "it is listed"
+            )
+            runner.faults.silent = True
+            link = holder.links[runner.runner_id]
+            await until(lambda: link.silent, "the holder notices")
+            # Its entry stays in the store, and no other runner of the machine appears.
+            runner.kill()
+            machine.state = "down"
+            began_at_s = time.monotonic()
+            await until(lambda: len(cell.world.started) == 3, "the task starts again")
+            assert time.monotonic() - began_at_s < LISTED_WITHIN_S
+
 
 class TestHallWithoutAnswers:
     # Guards against operators who learn of a lost hall from each single runner.
--- a/tools/guards_partitions.py
+++ b/tools/guards_partitions.py
@@ -12,7 +12,34 @@
 RETURNS = "src/streamthread/holder/tests/test_machine_restarts.py"
 SUCCESSORS = "src/streamthread/holder/tests/test_runner_manager.py"
 
+EVIDENCE = "src/streamthread/holder/tests/test_machine_evidence.py"
+
 PARTITION_GUARDS = (
+    Guard(
+        "listed-machines-end-silent-runners",
+        "holder/duties.py",
+        "            self._lost_runners.check(self._table.listed)\n",
+        "            pass\n",
+        (
+            "tests/cell/test_lost_halls.py::TestLostMachine"
+            "::test_that_is_listed_as_down_has_lost_its_runs",
+        ),
+    ),
+    Guard(
+        "lists-before-the-silence-prove-nothing",
+        "holder/machine_evidence.py",
+        "    if max(runner.silent_at_s, known_since_s) >= listed.asked_at_s:\n"
+        "        return Evidence.NONE\n",
+        "",
+        (f"{EVIDENCE}::TestEvidence",),
+    ),
+    Guard(
+        "unreadable-machines-prove-nothing",
+        "holder/machine_evidence.py",
+        "        ambiguous = set(unreadable)\n",
+        "        ambiguous: set[str] = set()\n",
+        (f"{EVIDENCE}::TestEvidence",),
+    ),
     Guard(
         "closed-connections-are-reset",
         "platform/connections.py",
