Place unsent starts for silent runners elsewhere

A start that was planned on a runner that fell silent waited for the runner, or for the end of its hold, although nothing of it had been sent.

Where the loss of a hall is tolerated, such a start is withdrawn once its runner may get no tasks, and its task is placed in the next pass. Starts that may have been sent, and those of gangs, wait as before.

A further test has a hall come back whose runs are still in progress: they are kept, and no task is started twice.

How long tasks wait less in a lost hall was not measured.

--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -34,6 +34,7 @@
 from ..platform.store import STORE_TIMEOUT_S
 from ..runners import LinkSettings
 from ..scheduler import EngineSettings
+from ..scheduler.orders import OrderSettings
 from ..unreadable import UnreadableNotes
 from .documents import Documents
 from .documents import FEED_WAIT_S
@@ -127,6 +128,7 @@
             spreads_over_halls=node.tolerated_halls > 0,
         ),
         duties=duty_settings(node),
+        orders=OrderSettings(leaves_silent=node.tolerated_halls > 0),
         watches_halls=node.tolerated_halls > 0,
     )
 
--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -49,12 +49,15 @@
     :param silent_retry_s: the pause before a stop is sent again while its runner
         answers nothing. Without this longer pause, eleven runners that were gone were
         sent 145 stops a second.
+    :param leaves_silent: a start of which nothing was sent is placed elsewhere once its
+        runner may get no tasks any more; it waits for the runner otherwise.
     """
 
     answer_s: float = 0.8
     overdue_s: float = 0.3
     retry_s: float = 0.06
     silent_retry_s: float = 0.25
+    leaves_silent: bool = False
 
 
 @attrs.define
@@ -152,6 +155,8 @@
         """Wait until a start may be sent; return False if that must be asked again."""
         if not await self._is_hall_usable(attempt, link, tries):
             return False
+        if self._is_placed_elsewhere(attempt, link):
+            return False
         if not link.clock.known or link.silent:
             await asyncio.sleep(self._settings.retry_s)
             return False
@@ -163,6 +168,15 @@
         # An evacuation may have been read during the waits.
         return await self._is_hall_usable(attempt, link, tries)
 
+    def _is_placed_elsewhere(self, attempt: Attempt, link: RunnerLink) -> bool:
+        """Withdraw an unsent start; the members of a gang are only placed together."""
+        unsent = attempt.phase is Phase.PLANNED and not attempt.task.step.request.gang
+        if link.runner.ready or not (unsent and self._settings.leaves_silent):
+            return False
+        self._engine.withdraw_attempt(attempt)
+        self._owner.kick()
+        return True
+
     async def _is_hall_usable(
         self, attempt: Attempt, link: RunnerLink, tries: _Tries
     ) -> bool:
--- a/src/streamthread/scheduler/tests/support.py
+++ b/src/streamthread/scheduler/tests/support.py
@@ -68,6 +68,7 @@
         self.on_poll: dict[int, Step] = {}
         self.polls = 0
         self.halls = ClosableHalls(self._on_ask)
+        self.settings = OrderSettings()
         self._replies = list(replies)
         self._answers = list(answers)
         self.engine = Engine(lambda job: None, halls=self.halls)
@@ -108,7 +109,7 @@
         """Send the start of an attempt."""
         client: t.Any = types.SimpleNamespace(start=self._answer_start)
         owner: t.Any = self
-        await OrderSender(client, self.engine, owner, OrderSettings()).start(attempt)
+        await OrderSender(client, self.engine, owner, self.settings).start(attempt)
 
     def close_hall(self) -> None:
         """Evacuate the runner's hall."""
--- a/tests/cell/test_lost_halls.py
+++ b/tests/cell/test_lost_halls.py
@@ -1,9 +1,12 @@
 """The hall of the holder is lost with a quarter of the members."""
 
+import collections
 import json
 import time
 
 from streamthread.gateway import CellDaemon
+from streamthread.holder import Holder
+from streamthread.scheduler import Attempt
 
 from .partition import running_halls
 from .support import Cell
@@ -143,3 +146,49 @@
             for runner in dark:
                 runner.faults.silent = False
             await until(lambda: not holder.outages.lost_since_s, "it is back")
+
+
+def _attempts(holder: Holder) -> list[Attempt]:
+    runners = holder.engine.runners.values()
+    return [attempt for r in runners for attempt in r.attempts.values()]
+
+
+class TestHallThatComesBack:
+    # Guards against runs that are started twice since their hall was away for a moment.
+    async def test_has_its_runs_taken_over(self) -> None:
+        async with running_halls(["a", "b"], {"desk": 6}) as (cell, _):
+            holder = (await cell.until_ready()).holder
+            assert holder is not None
+            body = job(run_s=60, count=6, cpu=9000, longRunning=True)
+            assert await cell.caller().submit("a" * 16, body) == 200
+            await until(lambda: len(cell.world.started) == 6, "all tasks run")
+            dark = cell.world.runners[:3]
+            for runner in dark:
+                entry = json.loads(runner.entry()) | {"zone": "dark"}
+                row = json.dumps(entry).encode()
+                await cell.world.write_bytes("servers", runner.runner_id, row)
+            attempts = _attempts(holder)
+            await until(lambda: all(a.seen_at_s for a in attempts), "all are listed")
+            for runner in dark:
+                runner.faults.silent = True
+            links = [holder.links[runner.runner_id] for runner in dark]
+            await until(lambda: all(link.silent for link in links), "all are silent")
+            watch = holder._housekeeping._outages
+            assert watch is not None
+            watch.check()
+            assert "dark" in holder.outages.lost_since_s
+            # It is back before the next calls, which the hold would not outlast.
+            for runner in dark:
+                runner.faults.silent = False
+            kept = {run for runner in dark for run in runner.runs()}
+            await until(lambda: not holder.outages.lost_since_s, "it is back")
+            await until(lambda: len(_attempts(holder)) == 6, "all tasks have a run")
+            await until(
+                lambda: len(list(cell.world.running())) == 6, "all tasks run again"
+            )
+            assert kept
+            assert kept <= {(a.task.name, a.run) for a in _attempts(holder)}
+            started = collections.Counter(s.task for s in cell.world.started)
+            assert all(started[task] == 1 for task, _ in kept)
+            assert len(cell.world.started) == 6 + 3 - len(kept)
+            assert len(set(cell.world.running())) == 6
--- a/tools/guards_partitions.py
+++ b/tools/guards_partitions.py
@@ -17,7 +17,25 @@
 FORWARDS = "src/streamthread/gateway/tests/test_forwarding.py::TestOverdueHeartbeats"
 LOST_CALLERS = "tests/cell/test_callers_of_lost_halls.py"
 
+SILENT_STARTS = "src/streamthread/scheduler/tests/test_silent_starts.py"
+
 PARTITION_GUARDS = (
+    Guard(
+        "unsent-starts-leave-silent-runners",
+        "scheduler/orders.py",
+        "        if self._is_placed_elsewhere(attempt, link):\n"
+        "            return False\n",
+        "",
+        (SILENT_STARTS,),
+    ),
+    Guard(
+        "sent-starts-stay-with-silent-runners",
+        "scheduler/orders.py",
+        "        unsent = attempt.phase is Phase.PLANNED and not"
+        " attempt.task.step.request.gang\n",
+        "        unsent = True\n",
+        (SILENT_STARTS,),
+    ),
     Guard(
         "overdue-heartbeats-end-forwards",
         "gateway/forwarding.py",
