Test that a lost hall delays no tasks elsewhere

Four of eight runners fall silent at one instant while 24 jobs arrive. The test guards against tasks elsewhere that wait for calls to runners of the lost hall, and against second runs. It passed without a change of the product.

--- a/tests/cell/test_lost_halls.py
+++ b/tests/cell/test_lost_halls.py
@@ -1,13 +1,17 @@
 """The hall of the holder is lost with a quarter of the members."""
 
+import asyncio
 import collections
 import json
 import time
+import typing as t
 
 from streamthread.gateway import CellDaemon
 from streamthread.holder import Holder
 from streamthread.scheduler import Attempt
+from streamthread.standins.cell import RunnerStandin
 
+from .loop_time import LoopTime
 from .partition import running_halls
 from .support import Cell
 from .support import job
@@ -26,6 +30,14 @@
 """The next list of machines (0.5 s), a tick of the duties (0.1 s), a commit and a
 start, and what a busy test machine adds; the hold lapses after 1.7 s or more."""
 
+PAUSE_S = 0.15
+"""Between two jobs, so that at most three run at once where four runners answer."""
+
+RUN_S = 0.4
+PROMPT_S = 0.3
+"""A commit, a start and the report of the end (0.03 s), and what a busy test machine
+adds; an answer to a start is waited for 0.8 s."""
+
 DAEMONS = ["a", "a", "b", "b", "c", "c", "d", "d"]
 
 
@@ -153,6 +165,49 @@
     return [attempt for r in runners for attempt in r.attempts.values()]
 
 
+async def _darken(cell: Cell, runners: t.Sequence[RunnerStandin]) -> None:
+    """Let the entries of runners name the hall "dark"."""
+    for runner in runners:
+        entry = json.loads(runner.entry()) | {"zone": "dark"}
+        row = json.dumps(entry).encode()
+        await cell.world.write_bytes("servers", runner.runner_id, row)
+
+
+class TestOtherHalls:
+    # Guards against tasks elsewhere that wait for calls to runners of a lost hall.
+    async def test_run_their_tasks_as_ever(self) -> None:
+        async with running_halls(["a", "b"], {"desk": 8}) as (cell, _):
+            daemon = await cell.until_ready()
+            at = cell.daemons.index(daemon)
+            assert daemon.holder is not None
+            runners = daemon.holder.engine.runners
+            dark = cell.world.runners[4:8]
+            await _darken(cell, dark)
+            await until(
+                lambda: sum(r.zone == "dark" for r in runners.values()) == 4,
+                "the hall is known",
+            )
+            caller = cell.caller()
+
+            async def run_job(number: int) -> tuple[str, float]:
+                await asyncio.sleep(number * PAUSE_S)
+                job_id = f"{number:02d}" * 8
+                async with LoopTime(stall_cost_s=0.0) as clock:
+                    body = job(run_s=RUN_S, cpu=9000)
+                    assert await caller.submit(job_id, body, at) == 200
+                    await caller.until_state(job_id, "completed", at)
+                    return job_id, clock.elapsed_s()
+
+            for runner in dark:
+                runner.faults.silent = True
+            took_s = dict(await asyncio.gather(*(run_job(n) for n in range(24))))
+            started = collections.Counter(s.task for s in cell.world.started)
+            assert len(started) == 24 and max(started.values()) == 1
+            # Starts that were sent to the lost hall wait until they are void there.
+            late = [s for s in took_s.values() if s > RUN_S + PROMPT_S]
+            assert len(late) <= len(dark), took_s
+
+
 class TestHallThatComesBack:
     # Guards against runs that are started twice since their hall was away for a moment.
     async def test_has_its_runs_taken_over(self) -> None:
@@ -163,10 +218,7 @@
             assert await cell.caller().submit("a" * 16, body) == 200
             await until(lambda: len(cell.world.started) == 6, "all tasks run")
             dark = cell.world.runners[:3]
-            for runner in dark:
-                entry = json.loads(runner.entry()) | {"zone": "dark"}
-                row = json.dumps(entry).encode()
-                await cell.world.write_bytes("servers", runner.runner_id, row)
+            await _darken(cell, dark)
             attempts = _attempts(holder)
             await until(lambda: all(a.seen_at_s for a in attempts), "all are listed")
             for runner in dark:
