--- a/tools/guards_partitions.py
+++ b/tools/guards_partitions.py
@@ -12,7 +12,83 @@
 RETURNS = "src/streamthread/holder/tests/test_machine_restarts.py"
 SUCCESSORS = "src/streamthread/holder/tests/test_runner_manager.py"
 
+EVIDENCE = "src/streamthread/holder/tests/test_machine_evidence.py"
+
+FORWARDS = "src/streamthread/gateway/tests/test_forwarding.py::TestOverdueHeartbeats"
+LOST_CALLERS = "tests/cell/test_callers_of_lost_halls.py"
+
+SILENT_STARTS = "src/streamthread/scheduler/tests/test_silent_starts.py"
+
 PARTITION_GUARDS = (
+    Guard(
+        "unsent-starts-leave-silent-runners",
+        "scheduler/orders.py",
+        "        if self._is_placed_elsewhere(attempt, link):\n"
+        "            return False\n",
+        "",
+        (SILENT_STARTS,),
+    ),
+    Guard(
+        "sent-starts-stay-with-silent-runners",
+        "scheduler/orders.py",
+        "        unsent = attempt.phase is Phase.PLANNED and not"
+        " attempt.task.step.request.gang\n",
+        "        unsent = True\n",
+        (SILENT_STARTS,),
+    ),
+    Guard(
+        "overdue-heartbeats-end-forwards",
+        "gateway/forwarding.py",
+        "                if self._is_holder_overdue():\n"
+        "                    self.given_up += 1\n",
+        "                if False:\n                    self.given_up += 1\n",
+        (FORWARDS, LOST_CALLERS),
+    ),
+    Guard(
+        "overdue-heartbeats-open-the-inbox",
+        "gateway/forwarding.py",
+        "        if self._is_holder_overdue():\n            return True\n",
+        "",
+        (FORWARDS,),
+    ),
+    Guard(
+        "states-are-read-from-the-store",
+        "gateway/forwarding.py",
+        "            if stored is not None:\n                return stored\n",
+        "",
+        (LOST_CALLERS,),
+    ),
+    Guard(
+        "progress-is-read-before-the-definition",
+        "holder/replay.py",
+        "    progress = await _read_value(store, TABLE_RUNS, part, job_id)\n"
+        "    definition = await _read_value(store, TABLE_JOBS, part, job_id)\n",
+        "    definition = await _read_value(store, TABLE_JOBS, part, job_id)\n"
+        "    progress = await _read_value(store, TABLE_RUNS, part, job_id)\n",
+        ("src/streamthread/gateway/tests/test_stored_states.py::TestStoredStates",),
+    ),
+    Guard(
+        "listed-machines-end-silent-runners",
+        "holder/duties.py",
+        "            self._lost_runners.check(self._table.listed)\n",
+        "            pass\n",
+        ("tests/cell/test_lost_halls.py::TestLostMachine",),
+    ),
+    Guard(
+        "lists-before-the-silence-prove-nothing",
+        "holder/machine_evidence.py",
+        "    if max(runner.silent_at_s, known_since_s) >= listed.asked_at_s:\n"
+        "        return Evidence.NONE\n",
+        "",
+        (f"{EVIDENCE}::TestEvidence",),
+    ),
+    Guard(
+        "unreadable-machines-prove-nothing",
+        "holder/machine_evidence.py",
+        "        ambiguous = set(unreadable)\n",
+        "        ambiguous: set[str] = set()\n",
+        (f"{EVIDENCE}::TestEvidence",),
+    ),
     Guard(
         "closed-connections-are-reset",
         "platform/connections.py",
