Keep chosen work chosen once it has begun

Once left out it no longer counted as begun. New work was chosen for all of the pool's room, also where it would end only just in time.

Change: a choice remembers what had begun, and a later one counts it as begun. Begun work is chosen by its latest start within its rank. New work leaves a tenth of each slot and ends earlier by a fifth of its later steps.

--- a/src/streamthread/scheduler/choices.py
+++ b/src/streamthread/scheduler/choices.py
@@ -225,11 +225,13 @@
         """Return the open work of jobs.
 
         :param before: the previous choice. What it left out and ran in a gap is not
-            preferred for having begun.
+            preferred for having begun, unless it had begun before it was left out.
         """
-        left_out = before.left_out if before is not None else {}
+        in_gaps: t.AbstractSet[WorkKey] = frozenset()
+        if before is not None:
+            in_gaps = before.left_out.keys() - before.begun
         works = [
-            self._open_work(occurrence, left_out)
+            self._open_work(occurrence, in_gaps)
             for job in jobs
             if not job.over
             for occurrence in job.occurrences.values()
@@ -237,7 +239,7 @@
         return [work for work in works if work.steps]
 
     def _open_work(
-        self, occurrence: Occurrence, left_out: t.Container[WorkKey]
+        self, occurrence: Occurrence, in_gaps: t.Container[WorkKey]
     ) -> OpenWork:
         job = occurrence.job
         key = (job.job_id, occurrence.number)
@@ -258,7 +260,7 @@
             job.accepted_at_s,
             job.priority,
             job.excess,
-            begun and key not in left_out,
+            begun and key not in in_gaps,
         )
 
     def _open_step(self, step: StepRun) -> OpenStep:
--- a/src/streamthread/scheduler/overload.py
+++ b/src/streamthread/scheduler/overload.py
@@ -33,6 +33,16 @@
 """The part of a pool that is given to promoted work, before all other work of its
 priority."""
 
+SPARE_SHARE = 0.1
+"""The part of a pool that is kept from the reservations of work that has not begun.
+Work that was left out and runs in gaps takes room that chosen steps need soon, and some
+tasks find no room on a single runner. Work that has begun would be lost by that."""
+
+SPREAD_SHARE = 0.2
+"""Work that has not begun is chosen only if it ends earlier than it must by this part
+of the length of its later steps. They wait for the slowest task of the step before, and
+tasks take up to a fifth longer than expected in the loads of the tests."""
+
 
 @attrs.frozen
 class OpenWork:
@@ -59,6 +69,11 @@
         """All of its open work, in thousandths of a core times seconds."""
         return sum(step.waiting_work + step.running_work for step in self.steps)
 
+    @property
+    def latest_start_s(self) -> float:
+        """Wall time at which it must begin, or go on, to meet its objective."""
+        return self.latest_end_s - chain_s(self.steps)
+
     def rank(self, overserved: bool) -> Rank:
         """Return the rank by which work is chosen, the lowest first.
 
@@ -112,12 +127,15 @@
     :param promoted: work that would starve otherwise; it comes first.
     :param chosen: work that ends in time if it comes before all other work.
     :param left_out: all other work, with its place in the order.
+    :param begun: work that has begun, and not only in what others left. It counts as
+        begun in later choices, too, even if it is left out for a while.
     """
 
     at_s: float
     promoted: t.Mapping[WorkKey, int]
     chosen: frozenset[WorkKey]
     left_out: t.Mapping[WorkKey, int]
+    begun: frozenset[WorkKey] = frozenset()
 
     def sort_key(
         self, key: WorkKey, excess: bool, latest_start_s: float
@@ -146,8 +164,10 @@
     """Return the order of a pool's open work, or None if all of it can end in time.
 
     All of it can if it fits in the order of its latest ends. Otherwise work is taken in
-    the order of `fair_order`. It is chosen if it can end in time in
-    what the work before it has left. So what is left out is of the lowest priority,
+    the order of `fair_order`, but what has begun by its latest start within its rank.
+    It is chosen if it can end in time in what the work before it has left; what has not
+    begun must leave ``SPARE_SHARE`` of the pool, and some time by ``SPREAD_SHARE``.
+    So what is left out is of the lowest priority,
     excess, of the account that has had most relative to its weight, and the newest. The
     kind of a job does not matter, and its size only as far as it fits.
 
@@ -157,7 +177,7 @@
     """
     if capacity.rate <= 0:
         return None
-    late = [w for w in works if now_s + chain_s(w.steps) > w.latest_end_s]
+    late = [work for work in works if now_s > work.latest_start_s]
     late_keys = {work.key for work in late}
     open_works = [work for work in works if work.key not in late_keys]
     by_end = sorted(open_works, key=lambda work: (work.latest_end_s, work.key))
@@ -165,8 +185,8 @@
         timeline = _timeline(works, capacity, standing.limits, now_s)
         if len(_fitting(by_end, timeline)) == len(by_end):
             return None
-    by_rank = fair_order(open_works, standing, capacity.rate)
-    chosen = _fitting(by_rank, _timeline(works, capacity, standing.limits, now_s))
+    by_rank = _choice_order(open_works, standing, capacity.rate)
+    chosen = _admitted(by_rank, _timeline(works, capacity, standing.limits, now_s))
     left_out = [work for work in by_rank if work.key not in chosen]
     if not left_out:
         return None
@@ -177,6 +197,7 @@
         _starving(order, capacity.rate, now_s),
         chosen,
         {work.key: place for place, work in enumerate(order)},
+        frozenset(work.key for work in works if work.begun),
     )
 
 
@@ -187,7 +208,7 @@
     now_s: float,
 ) -> Timeline:
     """Return a pool's capacity without what runs take."""
-    timeline = Timeline(capacity, now_s, limits)
+    timeline = Timeline(capacity, now_s, limits, SPARE_SHARE)
     for work in works:
         timeline.reserve_running(work.steps, work.account)
     return timeline
@@ -202,6 +223,44 @@
     )
 
 
+def _admitted(works: t.Iterable[OpenWork], timeline: Timeline) -> frozenset[WorkKey]:
+    """Reserve capacity for work in its order; return what is chosen."""
+    return frozenset(work.key for work in works if _is_admitted(work, timeline))
+
+
+def _is_admitted(work: OpenWork, timeline: Timeline) -> bool:
+    """Whether work can end in time; what has not begun leaves a reserve."""
+    end_s = work.latest_end_s
+    if not work.begun:
+        end_s -= SPREAD_SHARE * _following_s(work.steps)
+    return timeline.reserve(work.steps, end_s, work.account, work.begun) is not None
+
+
+def _following_s(steps: t.Sequence[OpenStep]) -> float:
+    """Return the length of the longest chain without its first step."""
+    numbers = {step.number for step in steps}
+    first = [step.length_s for step in steps if numbers.isdisjoint(step.after)]
+    return chain_s(steps) - min(first, default=0.0)
+
+
+def _choice_order(
+    works: t.Iterable[OpenWork], standing: Standing, rate: float
+) -> list[OpenWork]:
+    """Return work in the order of `fair_order`, but what has begun by latest start.
+
+    Stopping between its steps makes it late, and its runs so far are wasted then.
+    """
+    order = fair_order(works, standing, rate)
+    overserved = standing.overserved(work.account for work in order)
+    return sorted(
+        order,
+        key=lambda work: (
+            work.rank(work.account in overserved),
+            work.latest_start_s if work.begun else 0.0,
+        ),
+    )
+
+
 def fair_order(
     works: t.Iterable[OpenWork], standing: Standing, rate: float
 ) -> list[OpenWork]:
--- a/src/streamthread/scheduler/tests/test_account_loads.py
+++ b/src/streamthread/scheduler/tests/test_account_loads.py
@@ -30,17 +30,17 @@
 
 OTHERS = [f"a{number}" for number in range(ACCOUNTS) if number != FLOODING]
 MAX_LOSS = 0.05
-"""What the other accounts may lose of what they earn; the worst of these is 0.035. In
+"""What the other accounts may lose of what they earn; the worst of these is 0.040. In
 the order by latest starts they lose 0.04 to 0.11."""
 
 MIN_CROWD_SHARE = 0.8
 """Part of the bound that is to be done in time in a crowd: the target is to fall short
 by less than a fifth."""
 
-REGRESSION_CROWD_SHARE = 0.64
+REGRESSION_CROWD_SHARE = 0.68
 """What the choice must not fall back below while the target is not reached; the worst
-seed does 0.66. By latest starts alone it is 0.44, and by fair queueing without a choice
-0.43 to 0.49."""
+seed does 0.695. By latest starts alone it is 0.44, and by fair queueing without a
+choice 0.43 to 0.49."""
 
 SEEDS = [1, 2, 3]
 
--- a/src/streamthread/scheduler/tests/test_overload.py
+++ b/src/streamthread/scheduler/tests/test_overload.py
@@ -4,6 +4,7 @@
 import time
 import typing as t
 
+import attrs
 import hypothesis
 import pytest
 from hypothesis import strategies as st
@@ -80,6 +81,26 @@
         works = [work("a", "ann", begun=True), work("b", "bob", age_s=1.0)]
         assert chosen(*works) == {"a"}
 
+    def test_what_has_begun_is_chosen_by_its_latest_start(self) -> None:
+        """Guards begun work against others that can wait; its runs would be wasted."""
+        works = [
+            work("waits", "ann", begun=True, left_s=3.0),
+            work("urgent", "bob", begun=True, left_s=1.3),
+            work("new", "ann", left_s=2.0),
+        ]
+        assert chosen(*works) == {"waits", "urgent"}
+
+    def test_new_work_that_would_end_only_just_in_time(self) -> None:
+        """Guards against new work that is late if its tasks take longer than the mean.
+
+        It would be stopped between its steps, and its runs so far be wasted.
+        """
+        steps = (OpenStep(0, (), 1.0, 4_000.0), OpenStep(1, (0,), 1.0, 4_000.0))
+        new = attrs.evolve(work("new", left_s=2.1), steps=steps)
+        big = work("big", "bob", cpu=30_000.0, left_s=1.5)
+        assert chosen(new, big) == set()
+        assert chosen(attrs.evolve(new, begun=True), big) == {"new"}
+
     def test_unless_its_account_floods(self) -> None:
         standing = Standing({"ann": 1.0, "bob": 9.0}, {"ann": 0.9, "bob": 0.1})
         works = [work("a", "ann", begun=True), work("b", "bob")]
@@ -113,6 +134,39 @@
     assert found.end_s == pytest.approx(NOW_S + 2.0, abs=0.25)
 
 
+def test_spared_capacity_is_for_some_only() -> None:
+    """Guards begun work: new work must not reserve all that its steps need later."""
+    timeline = Timeline(POOL, NOW_S, spare_share=0.1)
+    steps = (OpenStep(0, (), 1.0, 9_000.0),)
+    assert timeline.reserve(steps, NOW_S + 1.0, may_use_spare=False) is None
+    assert timeline.reserve(steps, NOW_S + 1.0) is not None
+
+
+@pytest.mark.parametrize("begun_before", [True, False])
+def test_work_that_was_left_out_after_it_began_counts_as_begun(
+    begun_before: bool,
+) -> None:
+    """Guards chosen work that seems not to fit for a moment, between its steps.
+
+    What began only in a gap does not count as begun.
+    """
+    engine = Engine(lambda job: None, weights=lambda: {"ann": 1e6})
+    runner = RunnerState("i-1", "desk", "x:1", "z", ("a",), 4_000, 1 << 20, 0)
+    runner.ready = True
+    engine.add_runner(runner)
+    step = StepRequest(count=4, cpu=1_000, estimate_ms=1_000)
+    request = JobRequest("", (step,))
+    job = Job("j", "r", "desk", request, b"", NOW_S, target_s=0.6, account="ann")
+    engine.add(job)
+    job.begin(0)
+    assert engine.place_all(NOW_S, lambda step: None)
+    key = ("j", 0)
+    begun = frozenset({key} if begun_before else ())
+    before = Choice(NOW_S, {}, frozenset(), {key: 0}, begun)
+    (open_work,) = engine.choices._open_works([job], before)
+    assert open_work.begun is begun_before
+
+
 works_drawn = st.lists(
     st.builds(
         work,
--- a/src/streamthread/scheduler/timeline.py
+++ b/src/streamthread/scheduler/timeline.py
@@ -109,6 +109,7 @@
     :param limits: the cpu that accounts with a limit may have in the pool. Without it,
         one account's work that must wait for its limit would fill the timeline, and
         others would seem not to fit while machines are free.
+    :param spare_share: the part of the capacity that only some reservations may use.
     """
 
     def __init__(
@@ -116,12 +117,14 @@
         capacity: Capacity,
         now_s: float,
         limits: t.Mapping[str, float] | None = None,
+        spare_share: float = 0.0,
     ) -> None:
         self._now_s = now_s
         self._free = [
             capacity.between(now_s + n * SLOT_S, now_s + (n + 1) * SLOT_S)
             for n in range(SLOTS)
         ]
+        self._spare = [spare_share * free for free in self._free]
         self._limited = {
             account: [cpu * SLOT_S] * SLOTS for account, cpu in (limits or {}).items()
         }
@@ -136,14 +139,20 @@
                 self._take(0.0, step.running_cpu, work, end_s, limited)
 
     def reserve(
-        self, steps: t.Sequence[OpenStep], latest_end_s: float, account: str = ""
+        self,
+        steps: t.Sequence[OpenStep],
+        latest_end_s: float,
+        account: str = "",
+        may_use_spare: bool = True,
     ) -> Reservation | None:
         """Reserve capacity for what waits of a job's steps, within its account's limit.
 
+        :param may_use_spare: the part that is spared may be used, too.
         :return: when it begins and ends, or None if it can't end in time; nothing is
             reserved then.
         """
         limited = self._limited.get(account)
+        spare = None if may_use_spare else self._spare
         taken: list[tuple[int, float]] = []
         ends: dict[int, float] = {}
         start_s: float | None = None
@@ -154,7 +163,12 @@
             end_s = release_s + step.running_s
             if step.waiting_cpu:
                 found = self._take(
-                    release_s, step.waiting_cpu, step.waiting_work, until_s, limited
+                    release_s,
+                    step.waiting_cpu,
+                    step.waiting_work,
+                    until_s,
+                    limited,
+                    spare,
                 )
                 taken += found.taken
                 if not found.complete:
@@ -176,19 +190,22 @@
         work: float,
         until_s: float,
         limited: list[float] | None,
+        spare: list[float] | None = None,
     ) -> "_Taken":
         """Take capacity from a time on, never more at once than some cpu.
 
         Times count from now.
 
         :param limited: what the account may still have in each slot; None: no limit.
+        :param spare: what is to be left in each slot; None: nothing.
         """
         found = _Taken(release_s, release_s)
         number = int(release_s / SLOT_S)
         at_s = release_s
         while work > 0 and number < SLOTS and at_s < until_s:
             slot_end_s = (number + 1) * SLOT_S
-            part = min(work, cpu * (slot_end_s - at_s), self._free[number])
+            free = self._free[number] - (spare[number] if spare is not None else 0.0)
+            part = min(work, cpu * (slot_end_s - at_s), free)
             if limited is not None:
                 part = min(part, limited[number])
             if part > 0:
