Refuse jobs that their account's limit keeps from being served

Cause: a forecast reserved only what still could end in time, so that accepted late work of an account at its limit did not count, and a job was accepted unjudged whenever a run had ended before the next pass.

Change: a job is refused if all open work of its account, with the job, takes longer than three objectives of the job under the account's limit. A free runner does not count while the pool's last forecast shows such work. The refusal and job-refused say so; Retry-After is when the work will be small enough.

--- a/src/streamthread/holder/forecasts.py
+++ b/src/streamthread/holder/forecasts.py
@@ -137,6 +137,8 @@
         :return: when it will start, or None if it surely can't end in time. Time is its
             objective for excess, and otherwise ``LATE_FACTOR`` times that.
         """
+        if self.exceeds_limit(work):
+            return None
         end_s = work.latest_end_s if work.excess else _worthless_s(work)
         timeline = self._all if work.excess else self._within
         found = timeline.reserve(work.steps, end_s, work.account)
@@ -150,6 +152,18 @@
         self._count(work)
         return in_time.start_s if in_time is not None else behind_s
 
+    def exceeds_limit(self, work: OpenWork) -> bool:
+        """Whether the open work of an account takes too long under its limit.
+
+        All of it counts, also what is late: it was accepted and will run. A further job
+        ends too late to be worth anything, or makes another one end so late.
+        """
+        limit = self.limit_of(work.account)
+        if limit is None:
+            return False
+        own = self.backlog_of(work.account) + work.work
+        return own > limit * (_worthless_s(work) - self.at_s)
+
     def rate(self) -> float:
         """Return the work that the pool can do in a second once all cpu is there."""
         last_s = max(from_s for from_s, _ in self.capacity.parts)
@@ -214,7 +228,8 @@
             return None
         now_s = time.time()
         usable = self._usable_runners(job.service)
-        if _has_free_runner(job, usable, self._engine.accounts):
+        free = _has_free_runner(job, usable, self._engine.accounts)
+        if free and not self._waits_for_limit(job, usable, further, now_s):
             job.start_forecast_s = now_s
             return None
         profile = self._profile(job.service, usable, further, now_s)
@@ -227,6 +242,27 @@
             return None
         return _refuse(job, work, profile, now_s)
 
+    def _waits_for_limit(
+        self,
+        job: Job,
+        usable: t.Sequence[RunnerState],
+        further: CapacityParts,
+        now_s: float,
+    ) -> bool:
+        """Whether a job is behind too much other work for its account's limit.
+
+        Between the end of a run and the next pass, the limit leaves room that belongs
+        to the account's waiting work. A forecast is made only if the last one of the
+        pool says that there is such work.
+        """
+        known = self._profiles.get(job.service)
+        if known is None or known.limit_of(job.account) is None:
+            return False
+        work = self._work_of(job)
+        if not known.exceeds_limit(work):
+            return False
+        return self._profile(job.service, usable, further, now_s).exceeds_limit(work)
+
     def _usable_runners(self, service: str) -> list[RunnerState]:
         """Return a pool's usable runners, those of the last tenth of a second."""
         now_s = boot_s()
@@ -316,7 +352,10 @@
     end_s = work.latest_end_s if work.excess else _worthless_s(work)
     backlog = profile.backlog(work.excess)
     room_s = (backlog + work.work) / profile.rate() - (end_s - now_s)
+    limited = profile.exceeds_limit(work)
     limit = profile.limit_of(job.account)
+    if limited:
+        end_s = _worthless_s(work)
     if limit:
         own_s = (profile.backlog_of(job.account) + work.work) / limit
         room_s = max(room_s, own_s - (end_s - now_s))
@@ -325,11 +364,15 @@
     spread_s = max(MIN_SPREAD_S, RETRY_SPREAD * room_s)
     retry_s = room_s + spread_s * int.from_bytes(digest) / 65_536
     what = "its account's excess" if work.excess else "the job"
+    reason = f"the pool is overloaded: {what} can't end in time"
+    if limited:
+        reason = "the account's accepted jobs use its limit for too long"
     return Refusal(
-        f"the pool is overloaded: {what} can't end in time",
+        reason,
         float(math.ceil(max(MIN_RETRY_S, retry_s))),
         {
             "excess": work.excess,
+            "limited": limited,
             "work": round(work.work),
             "backlog": round(backlog),
             "cpu": round(profile.capacity.rate),
