--- a/src/streamthread/holder/forecasts.py
+++ b/src/streamthread/holder/forecasts.py
@@ -97,6 +97,7 @@
         now_s: float,
         usable_cpu: float,
         further_jobs: int,
+        cpu_limit_of: t.Callable[[str], float | None],
     ) -> None:
         # What is accepted until then is added.
         self.at_s = now_s
@@ -105,6 +106,7 @@
         self.capacity = capacity
         self._usable_cpu = usable_cpu
         self._standing = standing
+        self._cpu_limit_of = cpu_limit_of
         self._open: dict[str, float] = collections.defaultdict(float)
         self._open_within: dict[str, float] = collections.defaultdict(float)
         self._all = Timeline(capacity, now_s, standing.limits)
@@ -156,9 +158,10 @@
         """Whether the open work of an account takes too long under its limit.
 
         All of it counts, also what is late: it was accepted and will run. A further job
-        ends too late to be worth anything, or makes another one end so late.
+        ends too late to be worth anything, or makes another one end so late. The whole
+        limit counts, as what the account has in other pools may end at any time.
         """
-        limit = self.limit_of(work.account)
+        limit = self._cpu_limit_of(work.account)
         if limit is None:
             return False
         own = self.backlog_of(work.account) + work.work
@@ -256,7 +259,7 @@
         pool says that there is such work.
         """
         known = self._profiles.get(job.service)
-        if known is None or known.limit_of(job.account) is None:
+        if known is None or self._engine.accounts.cpu_limit_of(job.account) is None:
             return False
         work = self._work_of(job)
         if not known.exceeds_limit(work):
@@ -296,6 +299,7 @@
             cpu,
             # The profiles of all pools together take no more than that of one.
             self._jobs_elsewhere(service, now_s),
+            self._engine.accounts.cpu_limit_of,
         )
         self._profiles[service] = profile
         return profile
--- a/src/streamthread/holder/tests/test_account_floods.py
+++ b/src/streamthread/holder/tests/test_account_floods.py
@@ -11,6 +11,7 @@
 from streamthread.holder.forecasts import Refusal
 from streamthread.platform.accounts import Limit
 from streamthread.scheduler import Engine
+from streamthread.scheduler.overload import Standing
 from streamthread.scheduler.tests.loads import ACCOUNTS
 from streamthread.scheduler.tests.loads import arrivals
 from streamthread.scheduler.tests.loads import Load
@@ -130,3 +131,21 @@
     assert len(refusals) == len(own) - len(kept)
     assert any(outcome.in_time for outcome in kept)
     assert any(refusal.inputs["limited"] for refusal in refusals)
+
+
+def test_a_limit_that_is_used_in_another_pool_refuses_nothing(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards an account's jobs in one pool from what it has running in another.
+
+    What runs there may end at once, so that it is not certain that the job is too late.
+    """
+    flooding = f"a{FLOODING}"
+    monkeypatch.setattr(
+        "streamthread.scheduler.choices.PoolChoices.standing",
+        lambda choices, works, now_s: Standing({flooding: 1.0}, {}, {flooding: 0.0}),
+    )
+    load = Load(1, usual_s=1.0, load_s=0.0, after_s=0.0)
+    limits = {flooding: Limit(cpu=LIMIT_CPU)}
+    _, refusals = play_with_refusals(monkeypatch, load, limits)
+    assert not any(refusal.inputs["limited"] for refusal in refusals)
