Look up limits only for steps that may fit

Cause: a pass asked for the account's limit for each step of a long queue before it asked whether any runner has the resources for one task. Change: the resources come first. Whether a job is over, and whether a step may fit, ask less of jobs without a finished occurrence and of scarce resources. Of 50 jobs for one place, the limit is asked for 2 (50 before; test_pass_work.py, which failed first).

--- a/src/streamthread/scheduler/free_capacity.py
+++ b/src/streamthread/scheduler/free_capacity.py
@@ -62,7 +62,13 @@
 
     def may_fit(self, step: StepRun) -> bool:
         """Whether no single resource is too scarce for one task of a step."""
-        return _is_within(needed(step), self.largest)
+        cpu, memory_mb, gpu = self.largest
+        request = step.request
+        return (
+            request.memory_mb <= memory_mb
+            and request.gpu <= gpu
+            and step.reserved_cpu <= cpu
+        )
 
     def fits(self, step: StepRun) -> bool:
         """Whether some runner has all resources free for one task of a step."""
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -331,7 +331,9 @@
     @property
     def over(self) -> bool:
         """Whether no further run of the job is needed."""
-        return self.cancelled or self.failed or len(self.done_times) == self.times
+        if self.cancelled or self.failed:
+            return True
+        return bool(self.done_times) and len(self.done_times) == self.times
 
     def attempts(self) -> t.Iterator[Attempt]:
         """Yield the attempts of all tasks."""
--- a/src/streamthread/scheduler/placer.py
+++ b/src/streamthread/scheduler/placer.py
@@ -58,8 +58,11 @@
         choice = self._choices.choice(service, candidates, runners, now_s)
         for step in order_steps(candidates, self._times, now_s, choice):
             last_resort = self._needs_last_resort(step)
+            if not last_resort and not free.may_fit(step):
+                log_placement(step, [], len(runners))
+                continue
             max_count = self._account_capacity(step)
-            if not max_count or (not last_resort and not free.may_fit(step)):
+            if not max_count:
                 log_placement(step, [], len(runners))
                 continue
             allowed = tickets(step)
--- a/src/streamthread/scheduler/tests/test_pass_work.py
+++ b/src/streamthread/scheduler/tests/test_pass_work.py
@@ -222,3 +222,22 @@
     occurrence.steps[0].done_count = len(occurrence.steps[0].tasks)
     assert placement.outlook(occurrence, engine.times)[0] == 0.0
     assert asked == ["r/0"] * 3
+
+
+def test_limits_are_looked_up_only_for_steps_that_may_fit() -> None:
+    """Guards against asking for the account's limit for each job of a long queue."""
+    asked: list[str] = []
+
+    def limit_of(account: str) -> None:
+        asked.append(account)
+
+    engine = Engine(lambda job: None, limit_of=limit_of)
+    engine.add_runner(_runner(0, cpu=1_000, memory_mb=100))
+    request = JobRequest("", (StepRequest(cpu=1_000),))
+    for number in range(JOBS):
+        job = Job(f"{number:016x}", "r", "desk", request, b"", 0.0, account="a")
+        engine.add(job)
+    engine.begin_due(time.time())
+    assert len(engine.place_all(time.time(), lambda step: None)) == 1
+    # The second one finds that the runner is full now.
+    assert len(asked) == 2
