Let no late event loop end a call whose answer may be unread

Cause: the time limit of a call to the store or the cloud is a timer of the event loop. If the loop stood still until after the limit, the timer ends the call in the same turn in which its answer is read, and the answer is thrown away. Change: a call's limit is extended by 0.1 s, once, if the loop is more than 20 ms late when it ends. It stays where something else has moved it, and where the loop runs. What may still be sent, and until when orders are relied on, is decided by the lease and by permits as before.

--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -180,7 +180,8 @@
         """Make one call.
 
         :param timeout_s: maximum time until the answer begins; after that,
-            :data:`SILENCE_S` limits each pause.
+            :data:`SILENCE_S` limits each pause. A tracked call has 0.1 s more if the
+            event loop is late when the time is over.
         :param repeat: the call may be carried out twice, and is sent once more in this
             form, on a new connection, if its answer is overdue; only if calls are
             tracked.
--- a/src/streamthread/platform/inflight.py
+++ b/src/streamthread/platform/inflight.py
@@ -22,6 +22,7 @@
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..response_times import ResponseTimes
+from .overdue import LateLoopGuard
 
 __all__ = [
     "Address",
@@ -155,6 +156,7 @@
         self._second: asyncio.Task[None] | None = None
         # The service had time to answer the first attempt.
         self._overdue = False
+        self._guard: LateLoopGuard | None = None
 
     @contextlib.contextmanager
     def tracked(self, limit: asyncio.Timeout) -> t.Iterator[None]:
@@ -172,10 +174,12 @@
         if self._send_again is not None:
             loop = asyncio.get_running_loop()
             timer = loop.call_later(self._overdue_s, self._on_overdue)
+        self._guard = LateLoopGuard(limit)
         self._flights.add(self._address, self)
         try:
             yield
         finally:
+            self._guard.cancel()
             self._flights.remove(self._address, self)
             if timer is not None:
                 timer.cancel()
@@ -192,6 +196,8 @@
     def on_begun(self) -> None:
         """Handle that the answer to the first attempt has begun."""
         self.attempt.begun = True
+        if self._guard is not None:
+            self._guard.cancel()
         self._cancel_second()
         if not self.attempt.sent_at_s:
             return
--- a/src/streamthread/platform/overdue.py
+++ b/src/streamthread/platform/overdue.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-__all__ = ["OverdueTimer"]
+__all__ = ["LateLoopGuard", "OverdueTimer"]
 
 MAX_LOOP_DELAY_S = 0.02
 """If the event loop runs a timer later than this, it is busy, and answers that have
@@ -44,3 +44,33 @@
         """Let the call go on: its answer has begun, or the call is over."""
         self.expired = False
         self._handle.cancel()
+
+
+class LateLoopGuard:
+    """Extends the time limit of a call once if the event loop is late when it ends.
+
+    An answer that arrived while the loop stood still is unread then, and the call would
+    end without it.
+
+    :param limit: the time limit of the call.
+    """
+
+    def __init__(self, limit: asyncio.Timeout) -> None:
+        self._limit = limit
+        self._loop = asyncio.get_running_loop()
+        now_s = self._loop.time()
+        self._end_at_s = limit.when()
+        self._due_at_s = max(now_s, (self._end_at_s or now_s) - MAX_LOOP_DELAY_S)
+        self._handle = self._loop.call_at(self._due_at_s, self._on_due)
+
+    def _on_due(self) -> None:
+        """Check the loop, shortly before the limit or, if the loop is late, with it."""
+        now_s = self._loop.time()
+        if self._limit.expired() or self._limit.when() != self._end_at_s:
+            return
+        if now_s - self._due_at_s > MAX_LOOP_DELAY_S:
+            self._limit.reschedule(now_s + RECHECK_S)
+
+    def cancel(self) -> None:
+        """Let the limit be: the answer has begun, or the call is over."""
+        self._handle.cancel()
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -233,6 +233,13 @@
         "CALL_CHECK_S",
         ("src/streamthread/cell/tests/test_peer.py::TestChannelInDoubt",),
     ),
+    Guard(
+        "late-loops-end-no-call",
+        "platform/overdue.py",
+        "            self._limit.reschedule(now_s + RECHECK_S)\n",
+        "            return\n",
+        ("src/streamthread/platform/tests/test_late_loop.py",),
+    ),
     Guard(
         "ends-of-runners-are-laid-to-tasks",
         "scheduler/engine.py",
