--- a/src/streamthread/cell/tests/test_peer.py
+++ b/src/streamthread/cell/tests/test_peer.py
@@ -154,7 +154,7 @@
         self._replaced = asyncio.Event()
 
     def on_heartbeat(self) -> None:
-        self._heard_at_s = self._clock.now_s
+        self.heartbeats.heard_at_s = self._clock.now_s
 
     async def _verify(self, address: str) -> None:
         self.verified_at_s.append(self._clock.now_s)
--- a/src/streamthread/gateway/tests/test_stored_states.py
+++ b/src/streamthread/gateway/tests/test_stored_states.py
@@ -15,7 +15,7 @@
 from streamthread.scheduler import encode_definition
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Job
-from streamthread.scheduler.model import new_job
+from streamthread.scheduler import new_job
 
 JOB_ID = "a" * 16
 ROUTE = Route("r", "desk.example", "/jobs/", "desk", max_attempts=3)
--- a/src/streamthread/holder/tests/test_machine_evidence.py
+++ b/src/streamthread/holder/tests/test_machine_evidence.py
@@ -22,9 +22,9 @@
 from streamthread.platform.runners import HoldReply
 from streamthread.platform.runners import RunningTask
 from streamthread.scheduler import Engine
+from streamthread.scheduler import new_job
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
-from streamthread.scheduler.model import new_job
 
 MACHINE = Machine(
     "m-1", "desk", MachineState.UP, "z", ("a", "r"), 1_000, 1_000, 0, "i-1"
