--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -474,20 +474,6 @@
         "",
         ("src/streamthread/scheduler/tests/test_accounts.py",),
     ),
-    Guard(
-        "late-work-takes-no-machines-from-a-turn",
-        "holder/sizes.py",
-        "job.excess or (weighted and demand.late)",
-        "job.excess",
-        ("src/streamthread/holder/tests/test_backlog_sizes.py",),
-    ),
-    Guard(
-        "machines-of-a-backlog-are-handed-over",
-        "capacity/plan.py",
-        "m.free_to_move and m.handing_over",
-        "m.free_to_move and m.usable and m.handing_over",
-        ("src/streamthread/capacity/tests/test_handover.py",),
-    ),
     Guard(
         "earlier-stops-take-effect-first",
         "upkeep/plan.py",
