Hand no machine over while the list of machines can't be read

Cause: a machine that is handed over gets no tasks. While the cloud did not answer, no move could be decided, and the mark stayed until the read of the list had failed. Change: marks are dropped whenever a decision waits for the list.

--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -180,7 +180,6 @@
 
         Runners that are emptied get tasks again, as no upkeep can be ordered for them.
         """
-        self._handovers.update(set())
         self._waves.pause()
         self._observe()
 
@@ -188,8 +187,10 @@
         """Record what pools need and which machines are idle, and decide nothing.
 
         The decisions after an outage of the cloud would otherwise take machines out of
-        pools that needed them just before.
+        pools that needed them just before. Machines that were handed over get tasks
+        again, since no move can be decided for them now.
         """
+        self._handovers.update(set())
         manifest = self._owner.context.documents.manifest
         if manifest is not None and self._table.machines:
             views = self._views()
--- a/src/streamthread/holder/tests/test_machines_unreachable.py
+++ b/src/streamthread/holder/tests/test_machines_unreachable.py
@@ -214,6 +214,19 @@
             assert cell.cloud.moves == []
             await until(lambda: len(cell.cloud.moves) == COUNT - 2)
 
+    # Guards against machines that get no tasks for a move that can't be decided now.
+    @pytest.mark.parametrize("fault", ["refuses", "silent"])
+    async def test_hand_over_no_machine_during_the_outage(self, fault: str) -> None:
+        async with _running() as cell:
+            setattr(cell.cloud, fault, True)
+            await cell.lists(1)
+            machine_id, machine = next(iter(cell.duties._table.machines.items()))
+            runner = cell.duties._table.runner_of(machine)
+            assert runner is not None
+            cell.duties._handovers.update({machine_id})
+            assert runner.handing_over
+            await until(lambda: not runner.handing_over)
+
     # Guards against machines that count as idle since before the outage although they
     # were at work during it.
     async def test_know_which_machines_were_at_work_during_the_outage(self) -> None:
