Sort no machines for handovers where no pool lacks any

Cause: each round of decisions listed and sorted all busy machines, also where no pool lacks machines. Change: the plan ends before that. Result: the same plan; the tests of handovers, moves and unreachable machines pass.

--- a/src/streamthread/capacity/handover.py
+++ b/src/streamthread/capacity/handover.py
@@ -38,6 +38,8 @@
         present[move.source] -= 1
     spared = {name: present[name] - target for name, target in targets.items()}
     missing = sum(max(0, -count) for count in spared.values())
+    if not missing:
+        return set()
     moving = {move.machine_id for move in moves}
     busy = [
         machine
