--- a/review/common/play.py
+++ b/review/common/play.py
@@ -4,6 +4,7 @@
 import logging
 import os
 import pathlib
+import signal
 import tempfile
 import traceback
 import typing as t
@@ -28,6 +29,10 @@
 
 
 async def _within_limit(case: Case, folder: pathlib.Path, record: Record) -> list[str]:
+    this = asyncio.current_task()
+    assert this is not None
+    # The case ends its processes when it is cancelled.
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, this.cancel)
     async with asyncio.timeout(LIMIT_S):
         return await case(folder, record)
 
@@ -41,7 +46,7 @@
     try:
         with tempfile.TemporaryDirectory() as folder:
             broken = asyncio.run(_within_limit(case, pathlib.Path(folder), record))
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.line("could-not-run", shown=True, why=repr(error))
         traceback.print_exc()
         return 2
--- a/review/common/run.sh
+++ b/review/common/run.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
 # Runs the case in the folder $1 with the build of the deploy file, or with the project's
-# own environment where that has not been built. Exit 2: neither is there.
+# own environment where that has not been built, or with an installed package. Exit 2:
+# there is none.
 set -u
 case_dir=$(cd "$1" && pwd)
 review=$(cd "$case_dir/.." && pwd)
@@ -11,6 +12,9 @@
 elif [ -x "$root/.venv/bin/python" ]; then
     python="$root/.venv/bin/python"
     PYTHONPATH="$review"
+elif python3 -c "import streamthread.gateway" 2>/dev/null; then
+    python=python3
+    PYTHONPATH="$review"
 else
     echo "not built: run deploy/build.sh first" >&2
     exit 2
