--- a/review/common/runner.py
+++ b/review/common/runner.py
@@ -18,7 +18,7 @@
 
 from .record import Record
 
-__all__ = ["Ended", "Run", "Runner"]
+__all__ = ["BEGIN_S", "Ended", "Run", "Runner"]
 
 Json = dict[str, t.Any]
 
