Conclude nothing from a truncated list of ended runs

Cause: a runner lists 500 ended runs at once and the others after these have been confirmed. The holder took each answer for the whole list, counted a run in neither list as gone ("run-vanished"), and placed its task again.

Expired leases and ends confirmed unread are ruled out.

Change: the adapter marks an answer whose list of ends has the documented maximum length. From such an answer nothing follows for a run in neither list: it is not gone, and its stop is neither complete nor sent again. The next call is made at once.

All schedules in virtual time check now that no task begins again after a known end as done.

--- a/src/streamthread/holder/long_running.py
+++ b/src/streamthread/holder/long_running.py
@@ -94,9 +94,12 @@
         )
 
     def _is_reported_working(self, attempt: Attempt) -> bool:
-        """Whether a run is working; a report counts only while its runner answers."""
+        """Whether a run is working by the last list of a runner that answers.
+
+        A run that this list does not contain may have ended.
+        """
         runner = self._engine.runners.get(attempt.runner_id)
-        if runner is None or not runner.ready:
+        if runner is None or not runner.ready or attempt.unlisted_since_s:
             return False
         return attempt.phase is Phase.CONFIRMED and attempt.percent >= WORKING_PERCENT
 
--- a/src/streamthread/holder/tests/test_long_running.py
+++ b/src/streamthread/holder/tests/test_long_running.py
@@ -122,6 +122,14 @@
         cell.list_all(FENCED_MS)
         assert cell.move_all() == [True, False, False]
 
+    # Guards against counting a run as working whose end its runner could not list yet.
+    def test_wait_for_runs_that_a_truncated_list_omits(self) -> None:
+        cell = _Cell(read_back=False)
+        cell.list_all(FENCED_MS)
+        truncated = HoldReply(FENCED_MS + EFFECT_MS, (), (), ends_truncated=True)
+        cell.engine.on_hold(cell.runners[1], truncated)
+        assert cell.move_all() == [False, True, False]
+
     # Guards against counting a task as working that has just started again.
     def test_wait_until_the_others_have_started(self) -> None:
         cell = _Cell(read_back=False)
--- a/src/streamthread/platform/runners.py
+++ b/src/streamthread/platform/runners.py
@@ -41,6 +41,10 @@
 REFUSED_STATUS = 409
 """A runner's answer to an order that it refused; the body has the reason."""
 
+MAX_LISTED_ENDS = 500
+"""Maximum number of ended runs in one answer. A runner with more lists the oldest ones,
+and the others only after these have been confirmed."""
+
 EXPECT_HEADER = "Streamthread-Expect-Instance"
 
 
@@ -121,6 +125,8 @@
     :param born_ms: when the runner's incarnation started, in ms since 1970, or None if
         the answer does not say. The runner's clock and the numbers of its ended runs
         start again with each incarnation.
+    :param ends_truncated: the runner may have more ended runs than it lists, so that a
+        run in neither list may have ended.
     """
 
     clock_ms: int
@@ -128,6 +134,7 @@
     ended: tuple[EndedRun, ...]
     remaining_ms: float | None = None
     born_ms: int | None = None
+    ends_truncated: bool = False
 
 
 @attrs.frozen
@@ -354,6 +361,7 @@
         ended=tuple(_ended(row) for row in answer.finished),
         remaining_ms=answer.remaining_ms,
         born_ms=answer.born,
+        ends_truncated=len(answer.finished) >= MAX_LISTED_ENDS,
     )
 
 
--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -158,6 +158,8 @@
         self._confirmed = 0
         self._recorded = 0
         self._recorded_late = False
+        # The runner has more ended runs than the last answer listed.
+        self._ends_truncated = False
         # This process stood still while the last call was pending, so that the estimate
         # of the runner's clock is as late as its answer was read.
         self._read_late = False
@@ -194,8 +196,9 @@
             deadline_ms = self.clock.deadline_ms(boot_s(), extend_s)
             busy = bool(self.runner.attempts)
             wait_s = self._settings.wait_s if busy else self._settings.idle_wait_s
-        if self._recorded_late or self._read_late:
-            # The next call confirms the ends if the same incarnation answers this one.
+        if self._recorded_late or self._read_late or self._ends_truncated:
+            # The next call confirms the ends if the same incarnation answers this one,
+            # and the runner has nothing to wait for while it has ends to list.
             wait_s = 0.0
         asked_at_s = boot_s()
         reply = await self._client.hold(
@@ -284,7 +287,8 @@
         self._recorded = max(self._recorded, listed)
         self._recorded_late = boot_s() - now_s > MAX_RECORDING_S
         self._confirmed = 0 if self._recorded_late else listed
-        if reply.ended:
+        self._ends_truncated = reply.ends_truncated
+        if reply.ended and not reply.ends_truncated:
             await asyncio.sleep(self._owner.pause_after_ends_s())
 
     def _without_recorded(self, reply: HoldReply) -> HoldReply:
@@ -331,6 +335,7 @@
         # The next answer may come from another incarnation, which numbers its ended
         # runs from 1 again.
         self._confirmed = self._recorded = 0
+        self._ends_truncated = False
         if not self.silent:
             self.runner.silent_at_s = now_s
             self.runner.hung = hung
--- a/src/streamthread/runners/tests/test_restarts.py
+++ b/src/streamthread/runners/tests/test_restarts.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+import attrs
 import pytest
 
 from streamthread.clocks import boot_s
@@ -51,6 +52,7 @@
 class _Owner(LinkOwner):
     """Records what a link reports.
 
+    :param pauses: how often the link paused after a list with ends.
     :param recording_s: how long it takes each time until reported ends are durable. An
         extension is sent meanwhile where this is long.
     """
@@ -62,6 +64,7 @@
         self.now_s = boot_s()
         self.restarted_ms: list[int] = []
         self.lists: list[HoldReply] = []
+        self.pauses = 0
 
     def may_extend_s(self, wanted_s: float) -> float:
         return wanted_s
@@ -74,6 +77,7 @@
             await link.extend_once()
 
     def pause_after_ends_s(self) -> float:
+        self.pauses += 1
         return 0.0
 
     def on_ready(self, link: RunnerLink) -> None:
@@ -98,6 +102,10 @@
     return HoldReply(clock_ms, (), ended, born_ms=born_ms)
 
 
+def _truncated(clock_ms: int, *numbers: int) -> HoldReply:
+    return attrs.evolve(_lists(clock_ms, *numbers), ends_truncated=True)
+
+
 def _no_answer() -> NoAnswerError:
     return NoAnswerError("no answer", remedy="it is tried again")
 
@@ -156,6 +164,31 @@
         assert len(owner.lists) == 2
 
 
+class TestTruncatedEnds:
+    """More runs have ended on a runner than it lists in one answer."""
+
+    async def test_are_asked_for_again_at_once(self) -> None:
+        first, second = _truncated(CLOCK_MS, 1, 2), _lists(CLOCK_MS + 1, 3)
+        owner, client = await _run_script([_lists(CLOCK_MS), first, second])
+        assert owner.lists[1:] == [first, second]
+        assert owner.pauses == 1
+        assert client.waits_s[2] == 0.0
+        assert client.confirmed[2:] == [2, 3]
+
+    async def test_remain_truncated_if_they_are_listed_again(self) -> None:
+        """Guards against a list that seems whole once its durable ends are removed."""
+        first = _truncated(CLOCK_MS, 1, 2)
+        extension = _truncated(CLOCK_MS + 1, 1, 2)
+        again = _truncated(CLOCK_MS + 2, 1, 2)
+        owner, client = await _run_script(
+            [first, extension, again, _lists(CLOCK_MS + 3, 3)],
+            recording_s=[2 * MAX_RECORDING_S],
+        )
+        assert [len(reply.ended) for reply in owner.lists] == [2, 0, 1]
+        assert [reply.ends_truncated for reply in owner.lists] == [True, True, False]
+        assert client.confirmed[-2:] == [2, 3]
+
+
 class TestConfirmations:
     """The number of the last recorded end in a hold call.
 
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -33,7 +33,8 @@
         machine once it is idle.
     :param clock_ms: the latest time on the runner's clock that one of its answers
         reported; 0 if there is none.
-    :param listed_ms: the runner's clock in its last list; 0 if there is none.
+    :param listed_ms: the runner's clock in its last list of all ended runs; 0 if there
+        is none.
     :param clock_read_at_s: boot clock time at which ``clock_ms`` was read.
     :param silent_at_s: boot clock time since when the runner has not answered; None if
         it answers.
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -108,7 +108,10 @@
         runner.on_clock(reply.clock_ms)
         for ended in reply.ended:
             self._on_ended(runner, ended, reply.clock_ms)
-        runner.listed_ms = reply.clock_ms
+        if reply.ends_truncated:
+            self._on_truncated(runner, reply)
+        else:
+            runner.listed_ms = reply.clock_ms
         listed = {(row.task, row.run): row for row in reply.running}
         ended_keys = {(row.task, row.run) for row in reply.ended}
         for key, attempt in list(runner.attempts.items()):
@@ -120,6 +123,9 @@
                 self._on_running(attempt, row, reply.clock_ms)
                 self._crashes.clear_if_outlived(attempt, runner)
                 self._ledger.stops.on_listed(attempt, reply.clock_ms)
+            elif reply.ends_truncated:
+                # Its end may follow in the next answer.
+                self._note_unlisted(attempt, reply.clock_ms)
             elif key not in ended_keys:
                 self._ledger.stops.on_missing(attempt)
                 self._on_missing(runner, attempt, reply.clock_ms)
@@ -131,6 +137,20 @@
         runner.stray_runs = len(strays)
         return strays
 
+    def _on_truncated(self, runner: RunnerState, reply: HoldReply) -> None:
+        """Log a list that does not contain all ended runs of a runner."""
+        self._ledger.count("ends-truncated")
+        log.info(
+            "ends-truncated",
+            extra={
+                "runner": runner.runner_id,
+                "clock_ms": reply.clock_ms,
+                "ended": len(reply.ended),
+                "running": len(reply.running),
+                "attempts_left": len(runner.attempts),
+            },
+        )
+
     def _on_running(self, attempt: Attempt, row: RunningTask, clock_ms: int) -> None:
         if attempt.phase is Phase.SENT:
             self.confirm(attempt, 0)
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -204,6 +204,12 @@
         self._advance()
         return sorted(self._runs)
 
+    def finish_runs(self) -> None:
+        """Let all runs end by themselves at this moment."""
+        now_s = time.monotonic()
+        for run in self._runs.values():
+            run.ends_at_s = now_s
+
     def kill(self) -> None:
         """End this incarnation: its runs die, and it refuses all calls from then on."""
         # Runs that have ended unseen, on a silent runner, ended at their own time.
--- a/tests/cell/test_runners.py
+++ b/tests/cell/test_runners.py
@@ -2,6 +2,7 @@
 
 import time
 
+from streamthread.standins.cell.runner import MAX_ENDS
 from streamthread.standins.cell.runner import RunnerStandin
 
 from .support import Cell
@@ -142,3 +143,21 @@
             )
             assert len(runner.running()) == 4
             assert cell.world.ended == []
+
+
+class TestManyEnds:
+    # Guards against tasks that run twice: more runs had ended than a runner lists.
+    async def test_that_exceed_one_list_count_once(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            world, caller = cell.world, cell.caller()
+            job_ids = [f"{number:016x}" for number in range(7)]
+            for job_id in job_ids:
+                body = job(run_s=600, count=100, cpu=20)
+                assert await caller.submit(job_id, body) == 200
+            await until(lambda: len(world.started) == 700, "all tasks run")
+            world.runners[0].finish_runs()
+            for job_id in job_ids:
+                await caller.until_state(job_id, "completed")
+            assert len(world.ended) == len(world.started) == 700 > MAX_ENDS
+            assert {run.run for run in world.started} == {1}
--- a/tests/model/runners.py
+++ b/tests/model/runners.py
@@ -85,6 +85,9 @@
     :param cpu: its capacity, which may shrink and grow.
     :param resized_at_s: when the capacity last changed.
     :param stop_duration_s: how long a stop takes.
+    :param max_listed_ends: how many ended runs it lists at once; None for all.
+    :param noted_done: the runs that a holder knows to have ended as done, each with the
+        time of its end.
     """
 
     def __init__(
@@ -95,8 +98,12 @@
         crashed: t.Callable[["Incarnation", Run], None],
         born_ms: int | None = None,
         clock_start_ms: int | None = None,
+        max_listed_ends: int | None = None,
     ) -> None:
         self.runner_id = runner_id
+        self.max_listed_ends = max_listed_ends
+        self.noted_done: dict[Run, float] = {}
+        self._done_at_s: dict[Run, float] = {}
         self.born_ms = born_ms
         self._clock_zero_s = 0.0
         if clock_start_ms is not None:
@@ -163,6 +170,7 @@
         """Handle a hold call; return whether it is fenced."""
         if self._is_fenced(token):
             return True
+        self._note_done(confirmed)
         self._ended = [ended for ended in self._ended if ended.number > confirmed]
         if deadline_ms is not None:
             self._extend(deadline_ms)
@@ -181,9 +189,25 @@
 
     def listing(self) -> HoldReply:
         rows = tuple(RunningTask(task, run, "", 100.0) for task, run in self.running)
-        return HoldReply(self.clock_ms, rows, tuple(self._ended), born_ms=self.born_ms)
+        limit = self.max_listed_ends
+        return HoldReply(
+            self.clock_ms,
+            rows,
+            tuple(self._ended[:limit]),
+            born_ms=self.born_ms,
+            ends_truncated=limit is not None and len(self._ended) >= limit,
+        )
+
+    def _note_done(self, confirmed: int) -> None:
+        for ended in self._ended:
+            run = (ended.task, ended.run)
+            if ended.number <= confirmed and run in self._done_at_s:
+                self.noted_done[run] = self._done_at_s[run]
 
     def end_all(self, kind: EndKind) -> None:
+        if kind is EndKind.EXPIRED:
+            # No holder has to know the ends before the expiry of the leases.
+            self._done_at_s.clear()
         for run in list(self.running):
             self._end(run, kind)
 
@@ -225,6 +249,8 @@
         if self.running.pop(run, None) is None:
             return
         self._note_ended(run)
+        if kind is EndKind.DONE:
+            self._done_at_s[run] = time.monotonic()
         self._end_count += 1
         self._ended.append(EndedRun(self._end_count, *run, kind, ""))
         self._end_added.set()
--- a/tests/model/schedule.py
+++ b/tests/model/schedule.py
@@ -128,6 +128,7 @@
     :param fault_free_s: before this time, holds and calls of the store succeed.
     :param keeps_ids: a runner's next incarnation has the same id, but its clock and the
         numbers of its ends start anew.
+    :param max_listed_ends: how many ended runs a runner lists at once; None for all.
     """
 
     jobs: list[JobPlan]
@@ -139,6 +140,7 @@
     feeds: list[Outcome]
     events: list[Event]
     keeps_ids: bool = False
+    max_listed_ends: int | None = None
 
     @property
     def size(self) -> int:
--- a/tests/model/simulation.py
+++ b/tests/model/simulation.py
@@ -119,7 +119,9 @@
         self._reboots: list[asyncio.Task[None]] = []
         self._token = 0
         self._incarnation_count = 0
+        self._incarnations: list[Incarnation] = []
         self._started: dict[Run, Incarnation] = {}
+        self._started_at_s: dict[Run, float] = {}
         # The number of runners that each task has crashed.
         self._crashes: collections.Counter[str] = collections.Counter()
         self._plans = {
@@ -155,6 +157,7 @@
         self.violations += self._runners.availability.violations
         self._check_holders()
         self._check_failed_jobs()
+        self._check_done_once()
         for task in (*self._tasks, *self._reboots):
             task.cancel()
         await asyncio.gather(*self._tasks, *self._reboots, return_exceptions=True)
@@ -184,6 +187,17 @@
             if job_id in jobs and jobs[job_id].failed and not crashing:
                 self._add_violation(f"{job_id} failed though it can be done")
 
+    def _check_done_once(self) -> None:
+        """Check that no task began again after a known end as done."""
+        for incarnation in self._incarnations:
+            for (task, run), done_at_s in incarnation.noted_done.items():
+                request = self._plans[task.split(".")[0]].workload.value
+                if "speculative" in request or "longRunning" in request:
+                    continue
+                for (other, number), at_s in self._started_at_s.items():
+                    if other == task and number > run and at_s > done_at_s:
+                        self._add_violation(f"{task} run {number} after run {run}")
+
     def _check_holders(self) -> None:
         """Check that no holder failed for another reason than the loss of the cell."""
         for task in self._tasks:
@@ -371,7 +385,9 @@
             self._on_crashed,
             born_ms=count if keeps_id else None,
             clock_start_ms=FIRST_CLOCKS_MS[count % 3] if keeps_id else None,
+            max_listed_ends=self.schedule.max_listed_ends,
         )
+        self._incarnations.append(incarnation)
         self._runners.incarnations[address_of(number)] = incarnation
         self._list(number)
 
@@ -402,6 +418,7 @@
         if before is not None and not is_later_incarnation(incarnation, before):
             self._add_violation(f"run {run[1]} began on {before.runner_id}, too")
         self._started[run] = incarnation
+        self._started_at_s[run] = time.monotonic()
         job_id = run[0].split(".")[0]
         if not late and sent_at_s > self._last_start_at_s.get(job_id, math.inf):
             self._add_violation(f"run {run[1]} began after the cancel was confirmed")
--- a/tests/model/test_stops.py
+++ b/tests/model/test_stops.py
@@ -151,6 +151,27 @@
     simulate(lost_runner_schedule(gap_s))
 
 
+def many_ends_schedule(*events: Event) -> Schedule:
+    """Return tasks that end at once on runners that list one end at a time."""
+    schedule = cancel_schedule(SETTLED_AT_S, events=events, max_listed_ends=1)
+    job = attrs.evolve(schedule.jobs[0], workload=Workload.PLAIN, count=5)
+    return attrs.evolve(schedule, jobs=[job, job])
+
+
+ANY_TRUNCATED = schedules(REFUSALS, cancel_delays_s=[SETTLED_AT_S])
+
+
+@explore
+@given(ANY_TRUNCATED.map(lambda plan: attrs.evolve(plan, max_listed_ends=1)))
+@example(many_ends_schedule())
+@example(many_ends_schedule(Event(EventKind.KILL, None, 1.55, 0.3, 0)))
+@example(many_ends_schedule(Event(EventKind.UNREACHABLE, None, 1.0, 1.0, 0)))
+def test_no_task_is_done_twice_if_lists_of_ends_are_truncated(
+    schedule: Schedule,
+) -> None:
+    simulate(schedule)
+
+
 @explore
 @given(schedules(REFUSALS, CRASHING_WORKLOADS, [SETTLED_AT_S]))
 def test_a_task_that_crashes_its_runners_is_given_up(schedule: Schedule) -> None:
