Begin the next page of a table after the last row of the answer

Cause: rows of other writers that can't be decoded are left out of a page, and the next page began after the last row that was left. A page with more to come and no such row raised IndexError, or was requested again for ever, so that the list of runners or the operator's rows were never read.

Change: a page says where the next one begins, by the last key of the answer, whether its row can be decoded or not. If that key is unknown, the read fails as a whole and is repeated, as a page that was taken for the last one would hide the rows behind it.

--- a/src/streamthread/platform/store.py
+++ b/src/streamthread/platform/store.py
@@ -11,6 +11,7 @@
 from ..decoding import Decoder
 from ..decoding import LenientDecoder
 from ..errors import BadInputError
+from ..errors import OutcomeUnknownError
 from ..errors import UnreadableError
 from ..unreadable import Source
 from ..unreadable import UnreadableNotes
@@ -94,11 +95,15 @@
 
 @attrs.frozen
 class Page:
-    """The rows as of one moment; ``version`` is the newest one in the whole store."""
+    """The rows as of one moment; ``version`` is the newest one in the whole store.
+
+    :param next_start: the lowest key that the next page may have; empty if this is the
+        last page.
+    """
 
     rows: tuple[StoredRow, ...]
     version: int
-    more: bool = False
+    next_start: str = ""
 
 
 @attrs.frozen
@@ -137,6 +142,10 @@
     more: bool = False
 
 
+class _RowKey(msgspec.Struct):
+    key: str
+
+
 class _WrittenAnswer(msgspec.Struct):
     ver: Count
 
@@ -144,6 +153,7 @@
 _PAGES = Decoder[_PageAnswer](_PageAnswer)
 _PAGES_BY_ROWS = LenientDecoder[_PageByRowsAnswer](_PageByRowsAnswer)
 _ROWS = Decoder[_RowAnswer](_RowAnswer)
+_ROW_KEYS = Decoder[_RowKey](_RowKey)
 _WRITTEN = Decoder[_WrittenAnswer](_WrittenAnswer)
 
 
@@ -205,8 +215,8 @@
         page = await self.read(table, part)
         rows = list(page.rows)
         version = page.version
-        while page.more:
-            page = await self.read(table, part, start=rows[-1].key + "\0")
+        while page.next_start:
+            page = await self.read(table, part, start=page.next_start)
             rows.extend(page.rows)
         return Page(tuple(rows), version)
 
@@ -239,9 +249,9 @@
         :raises OutcomeUnknownError: the answer cannot be decoded.
         """
         if table not in EXTERNAL_TABLES:
-            return _page(self._caller.read(answer, _PAGES))
+            return _page(self._caller.read(answer, _PAGES), answer.url)
         try:
-            return _page(_PAGES.decode(answer.text, answer.url))
+            return _page(_PAGES.decode(answer.text, answer.url), answer.url)
         except UnreadableError:
             return self._page_by_rows(answer)
 
@@ -253,7 +263,9 @@
                 rows.append(_stored_row(_ROWS.convert(value, answer.url)))
             except UnreadableError as error:
                 self._notes.note(Source.ANSWER, error)
-        return Page(tuple(rows), page.ver, page.more)
+        if not page.more:
+            return Page(tuple(rows), page.ver)
+        return Page(tuple(rows), page.ver, _start_after(page.rows, answer.url))
 
     async def _call(
         self,
@@ -297,9 +309,39 @@
     return _encode_row_key(row) | {"value": value}
 
 
-def _page(answer: _PageAnswer) -> Page:
+def _page(answer: _PageAnswer, url: str) -> Page:
     rows = tuple(_stored_row(row) for row in answer.rows)
-    return Page(rows, answer.ver, answer.more)
+    if not answer.more:
+        return Page(rows, answer.ver)
+    if not rows:
+        raise _unfinished(url)
+    return Page(rows, answer.ver, _next_key(rows[-1].key))
+
+
+def _start_after(rows: t.Sequence[t.Any], url: str) -> str:
+    """Return the start of the page that follows these rows, decoded or not.
+
+    :raises OutcomeUnknownError: the key of the last row can't be decoded.
+    """
+    if not rows:
+        raise _unfinished(url)
+    try:
+        return _next_key(_ROW_KEYS.convert(rows[-1], url).key)
+    except UnreadableError as error:
+        raise _unfinished(url) from error
+
+
+def _next_key(key: str) -> str:
+    """Return the lowest key above this one."""
+    return key + "\0"
+
+
+def _unfinished(url: str) -> OutcomeUnknownError:
+    return OutcomeUnknownError(
+        "the page does not say where the next one begins",
+        remedy="the table is read again automatically",
+        location=url,
+    )
 
 
 def _stored_row(row: _RowAnswer) -> StoredRow:
