Keep the reset of the confirmed ends where its guard expects it

The line had no effect: a runner that was silent is called without a wait in any case.

Result: the tests of the guards and of the links pass.

--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -335,7 +335,6 @@
         # The next answer may come from another incarnation, which numbers its ended
         # runs from 1 again.
         self._confirmed = self._recorded = 0
-        self._ends_truncated = False
         if not self.silent:
             self.runner.silent_at_s = now_s
             self.runner.hung = hung
