--- a/src/streamthread/cell/__init__.py
+++ b/src/streamthread/cell/__init__.py
@@ -10,6 +10,8 @@
 from .peer import CellEndpoint
 from .peer import CellPort
 from .peer import PeerLinks
+from .rows import TABLE_BODIES
+from .rows import TABLE_CHUNKS
 from .rows import TABLE_INBOX
 from .rows import TABLE_JOBS
 from .rows import TABLE_RUNS
@@ -17,6 +19,8 @@
 from .times import LeaseTimes
 
 __all__ = [
+    "TABLE_BODIES",
+    "TABLE_CHUNKS",
     "TABLE_INBOX",
     "TABLE_JOBS",
     "TABLE_RUNS",
--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -6,8 +6,10 @@
 import typing as t
 
 import attrs
+import logbook
 
 from ..clocks import boot_s
+from ..errors import BadInputError
 from ..errors import NotHolderError
 from ..errors import StoreUnavailableError
 from ..platform.store import Condition
@@ -23,11 +25,16 @@
 from .rows import TABLE_HEAD
 from .times import LeaseTimes
 
-__all__ = ["CommitLog", "Encode"]
+__all__ = ["CommitLog", "Encode", "OnRefused"]
+
+log = logbook.Logger("streamthread.cell")
 
 Encode = t.Callable[[], bytes | None]
 """Returns a row's value at the time of the commit, or None to delete the row."""
 
+OnRefused = t.Callable[[str, str], None]
+"""Handles a row that can't be written, given its table and its key."""
+
 MAX_ROWS = 90
 """Maximum rows per transaction. The store accepts 100 entries; the margin leaves space
 for the head row."""
@@ -38,6 +45,9 @@
 suspects that it cannot commit. A batch of 600 KB would take 1.4 s there, and the cell
 would move from one such holder to the next."""
 
+DEFAULT_ROW_BYTES = 65_536
+"""Maximum size of a row's value unless the platform's settings name another one."""
+
 SLOW_COMMIT_S = 0.35
 """Commits that take longer count as slow. A commit usually takes 7 ms, and 300 ms in a
 store that is 60 times slower."""
@@ -50,18 +60,25 @@
 reported failing commits 0.25 s to commit, so it must try again within that time."""
 
 
+Changes = tuple[StoredRow, ...]
+"""Rows to write; one without a value is deleted."""
+
+
 @attrs.frozen
 class _Batch:
     """The changes that one transaction carries.
 
-    :param drops: the rows to delete.
     :param done: completes when the transaction is confirmed.
     """
 
-    rows: tuple[StoredRow, ...]
-    drops: tuple[StoredRow, ...]
+    changes: Changes
     done: "asyncio.Future[None]"
 
+    @property
+    def rows(self) -> Changes:
+        """The rows that are written and not deleted."""
+        return tuple(row for row in self.changes if row.value is not None)
+
 
 class CommitLog:
     """Writes the rows of one cell for its holder.
@@ -80,6 +97,10 @@
     :param trying_since_s: since when the current commit has been tried, or None.
     :param sequence: number of confirmed commits.
     :param lost: the log has ended and commits nothing more.
+    :param max_row_bytes: a row with a larger value is not written.
+    :param on_refused: called for each row that can't be written, before those who wait
+        for its commit continue.
+    :param rows_refused: number of these rows.
     """
 
     def __init__(
@@ -91,8 +112,14 @@
         confirmed_at_s: float,
         interval_s: float,
         times: LeaseTimes | None = None,
+        max_row_bytes: int = DEFAULT_ROW_BYTES,
+        on_refused: OnRefused = lambda table, key: None,
     ) -> None:
         self._times = times or LeaseTimes()
+        self._max_row_bytes = max_row_bytes
+        self._on_refused = on_refused
+        # Rows that can't be written, until they are reported.
+        self._refused: list[tuple[str, str]] = []
         self._confirmed_term_s = self._times.trust_s
         # The shortest term that a try of the current commit has sent.
         self._sent_term_s = math.inf
@@ -117,6 +144,7 @@
         self.trying_since_s: float | None = None
         self.sequence = 0
         self.rows_written = 0
+        self.rows_refused = 0
         self.lost = False
 
     def mark(self, table: str, key: str, encode: Encode) -> "asyncio.Future[None]":
@@ -241,20 +269,17 @@
 
     def _next_batch(self) -> _Batch:
         """Remove and return the oldest changes that fit into one transaction."""
-        rows: list[StoredRow] = []
-        drops: list[StoredRow] = []
+        changes: list[StoredRow] = []
         size = 0
-        while self._dirty and len(rows) + len(drops) < MAX_ROWS:
+        while self._dirty and len(changes) < MAX_ROWS:
             if size > MAX_BYTES:
                 break
             (table, key), encode = self._dirty.popitem(last=False)
             self._in_flight.add((table, key))
-            value = encode()
-            if value is None:
-                drops.append(StoredRow(table, self._part, key))
-                continue
-            size += len(value)
-            rows.append(StoredRow(table, self._part, key, value))
+            change = self._encode(table, key, encode)
+            if change is not None:
+                size += len(change.value or b"")
+                changes.append(change)
         done = self._next
         if self._dirty:
             # A later transaction writes the other rows; their waiters stay pending.
@@ -263,12 +288,88 @@
             self._wake.clear()
             self._next = _future()
         self._current = done
-        self.rows_written += len(rows)
-        return _Batch(tuple(rows), tuple(drops), done)
+        batch = _Batch(tuple(changes), done)
+        self.rows_written += len(batch.rows)
+        return batch
+
+    def _encode(self, table: str, key: str, encode: Encode) -> StoredRow | None:
+        """Return a change, or None if its row can't be written.
+
+        A fault in the data of one row must not keep the other rows from being written.
+        """
+        try:
+            value = encode()
+        except Exception:
+            log.exception("row-not-encoded", extra={"table": table, "key": key})
+            self._refuse(table, key)
+            return None
+        if value is not None and len(value) > self._max_row_bytes:
+            log.error(
+                "row-too-large",
+                extra={
+                    "table": table,
+                    "key": key,
+                    "size_bytes": len(value),
+                    "max_bytes": self._max_row_bytes,
+                },
+            )
+            self._refuse(table, key)
+            return None
+        return StoredRow(table, self._part, key, value)
+
+    def _refuse(self, table: str, key: str) -> None:
+        self.rows_refused += 1
+        self._refused.append((table, key))
 
     async def _commit(self, batch: _Batch) -> None:
-        """Try a batch until one try is confirmed.
+        """Commit a batch, without the rows that the store never takes.
+
+        A refusal does not say which row it concerns, so the batch is committed in ever
+        smaller parts.
 
+        :raises NotHolderError: another daemon holds the cell.
+        """
+        parts = [batch.changes]
+        refused_once: set[Changes] = set()
+        while parts:
+            changes = parts.pop(0)
+            try:
+                await self._write(changes)
+            except BadInputError as error:
+                parts[:0] = self._isolate(changes, refused_once, error)
+        self._finish(batch)
+
+    def _isolate(
+        self, changes: Changes, refused_once: set[Changes], error: BadInputError
+    ) -> list[Changes]:
+        """Return the parts to try after a refusal, which finally is of one row.
+
+        A single row is tried again after a commit without it, which shows that the
+        store takes others.
+        """
+        if len(changes) > 1:
+            middle = len(changes) // 2
+            return [changes[:middle], changes[middle:]]
+        if changes not in refused_once:
+            refused_once.add(changes)
+            return [(), changes]
+        (row,) = changes
+        log.error(
+            "row-refused",
+            extra={
+                "table": row.table,
+                "key": row.key,
+                "size_bytes": len(row.value or b""),
+                "why": str(error),
+            },
+        )
+        self._refuse(row.table, row.key)
+        return []
+
+    async def _write(self, changes: Changes) -> None:
+        """Try a transaction until one try is confirmed.
+
+        :raises BadInputError: the store does not take it, and others it does.
         :raises NotHolderError: another daemon holds the cell.
         """
         tries: dict[str, float] = {}
@@ -276,17 +377,17 @@
         self.trying_since_s = boot_s()
         while True:
             began_at_s = boot_s()
-            version = await self._try(batch, tries)
+            version = await self._try(changes, tries)
             if version:
                 self._durations_s.append(boot_s() - began_at_s)
-                self._confirm(batch, version)
+                self._confirm(version)
                 return
             if self.failing_since_s is None and self.tried_for_s() > SLOW_COMMIT_S:
                 self.failing_since_s = began_at_s
             await asyncio.sleep(pause_s)
             pause_s = min(pause_s * 2, RETRY_MAX_S)
 
-    def _confirm(self, batch: _Batch, version: int) -> None:
+    def _confirm(self, version: int) -> None:
         self._confirmed_term_s = self._sent_term_s
         self._sent_term_s = math.inf
         self.head_version = version
@@ -297,14 +398,21 @@
         self.failing_since_s = None
         self.trying_since_s = None
         self.sequence += 1
+
+    def _finish(self, batch: _Batch) -> None:
+        """Report the rows that were not written, and resume those who wait."""
         self._in_flight.clear()
+        refused, self._refused = self._refused, []
+        for table, key in refused:
+            self._on_refused(table, key)
         if not batch.done.done():
             batch.done.set_result(None)
 
-    async def _try(self, batch: _Batch, tries: dict[str, float]) -> int:
+    async def _try(self, changes: Changes, tries: dict[str, float]) -> int:
         """Return the head row's version after the commit, or 0 to try again.
 
         :param tries: when each try of this commit was sent, by its nonce.
+        :raises BadInputError: the store does not take these changes.
         """
         nonce = new_nonce()
         self._effective_at_s = tries[nonce] = boot_s()
@@ -313,16 +421,28 @@
         value = Head(nonce, self._token, term_s).encode()
         head = StoredRow(TABLE_HEAD, self._part, HEAD_KEY, value)
         condition = Condition(TABLE_HEAD, self._part, HEAD_KEY, self.head_version)
-        write = self._store.transact([condition], [*batch.rows, head], batch.drops)
+        puts = [row for row in changes if row.value is not None]
+        drops = [row for row in changes if row.value is None]
+        write = self._store.transact([condition], [*puts, head], drops)
         try:
             return await version_written(
                 write, lambda: self._find_effective_try(tries), self._response_times
             )
         except StoreUnavailableError:
-            if self.failing_since_s is None:
-                self.failing_since_s = self.trying_since_s
+            self._note_failure()
+            return 0
+        except BadInputError as error:
+            if changes:
+                raise
+            # No row of a job is at fault, so another try may succeed.
+            log.error("head-row-refused", extra={"why": str(error)})
+            self._note_failure()
             return 0
 
+    def _note_failure(self) -> None:
+        if self.failing_since_s is None:
+            self.failing_since_s = self.trying_since_s
+
     async def _find_effective_try(self, tries: dict[str, float]) -> int | None:
         """Return the head row's version if one of our tries took effect.
 
--- a/src/streamthread/cell/rows.py
+++ b/src/streamthread/cell/rows.py
@@ -16,6 +16,8 @@
 __all__ = [
     "HEAD_KEY",
     "OWNER_KEY",
+    "TABLE_BODIES",
+    "TABLE_CHUNKS",
     "TABLE_HEAD",
     "TABLE_INBOX",
     "TABLE_JOBS",
@@ -37,9 +39,15 @@
 TABLE_JOBS = "cell-jobs"
 """One row per job: its submission, or how it ended."""
 
+TABLE_BODIES = "cell-bodies"
+"""Rows that each hold a part of a large job's submitted body."""
+
 TABLE_RUNS = "cell-runs"
 """One row per job: its progress."""
 
+TABLE_CHUNKS = "cell-chunks"
+"""Rows that each hold the progress of some tasks of a large job."""
+
 TABLE_MEMBERS = "cell-members"
 """One row per daemon: its address."""
 
--- a/src/streamthread/cell/tests/test_commits.py
+++ b/src/streamthread/cell/tests/test_commits.py
@@ -10,6 +10,7 @@
 from streamthread.cell import LeaseTimes
 from streamthread.cell.rows import HEAD_KEY
 from streamthread.clocks import boot_s
+from streamthread.errors import BadInputError
 from streamthread.errors import NotHolderError
 from streamthread.errors import OutcomeUnknownError
 from streamthread.errors import StoreUnavailableError
@@ -240,3 +241,114 @@
         await first
         assert log.sequence == 1
         running.cancel()
+
+
+class _RefusingStore:
+    """Takes no row with one of these keys, and answers all other commits.
+
+    :param refuses_all: it takes no transaction at all.
+    """
+
+    def __init__(self, *refused: str) -> None:
+        self._refused = refused
+        self.refuses_all = False
+        self.written: list[str] = []
+        self.commits = 0
+
+    async def transact(
+        self,
+        conditions: t.Any,
+        puts: t.Sequence[StoredRow],
+        drops: t.Sequence[StoredRow],
+    ) -> TransactResult:
+        self.commits += 1
+        keys = [row.key for row in (*puts, *drops) if row.key != HEAD_KEY]
+        if self.refuses_all or not set(keys).isdisjoint(self._refused):
+            raise BadInputError("400", remedy="-")
+        self.written += keys
+        return TransactResult(committed=True, version=self.commits + 1)
+
+
+class TestRowsThatCannotBeWritten:
+    """Guards against one row that ends each holder, whichever daemon is next."""
+
+    @staticmethod
+    async def _flush(
+        store: _RefusingStore, rows: t.Mapping[str, t.Callable[[], bytes | None]]
+    ) -> tuple[CommitLog, list[str]]:
+        """Commit rows; return the log and the keys that it reported as refused."""
+        refused: list[str] = []
+        log = CommitLog(
+            t.cast(t.Any, store),
+            "main",
+            1,
+            1,
+            0.0,
+            RENEW_S,
+            max_row_bytes=ROW_BYTES,
+            on_refused=lambda table, key: refused.append(key),
+        )
+        running = asyncio.ensure_future(log.run())
+        for key, encode in rows.items():
+            log.mark("table", key, encode)
+        flushed = asyncio.ensure_future(log.flushed())
+        await asyncio.wait((flushed, running), return_when=asyncio.FIRST_COMPLETED)
+        assert not running.done()
+        running.cancel()
+        return log, refused
+
+    @pytest.mark.parametrize("bad", [("3",), ("0", "8"), ("4", "5", "6")])
+    async def test_do_not_keep_the_others_from_it(self, bad: tuple[str, ...]) -> None:
+        store = _RefusingStore(*bad)
+        rows = {str(number): lambda: b"value" for number in range(9)}
+        log, refused = await self._flush(store, rows)
+        assert sorted(refused) == sorted(bad)
+        assert sorted(store.written) == sorted(rows.keys() - set(bad))
+        assert log.rows_refused == len(bad)
+
+    async def test_may_be_deletions(self) -> None:
+        store = _RefusingStore("bad")
+        _, refused = await self._flush(
+            store, {"bad": lambda: None, "good": lambda: None}
+        )
+        assert (refused, store.written) == (["bad"], ["good"])
+
+    async def test_are_not_sent_if_they_are_too_large(self) -> None:
+        store = _RefusingStore()
+        large, fitting = bytes(ROW_BYTES + 1), bytes(ROW_BYTES)
+        _, refused = await self._flush(
+            store, {"large": lambda: large, "fitting": lambda: fitting}
+        )
+        assert (refused, store.written) == (["large"], ["fitting"])
+        assert store.commits == 1
+
+    async def test_include_those_that_cannot_be_encoded(self) -> None:
+        def fail() -> bytes:
+            raise ValueError("no such character")
+
+        store = _RefusingStore()
+        _, refused = await self._flush(store, {"bad": fail, "good": lambda: b""})
+        assert (refused, store.written) == (["bad"], ["good"])
+
+    async def test_are_not_found_while_the_store_takes_nothing(self) -> None:
+        """A refusal of the head row alone says nothing about other rows."""
+        store = _RefusingStore()
+        store.refuses_all = True
+        refused: list[str] = []
+        log = CommitLog(
+            t.cast(t.Any, store),
+            "main",
+            1,
+            1,
+            0.0,
+            RENEW_S,
+            on_refused=lambda table, key: refused.append(key),
+        )
+        running = asyncio.ensure_future(log.run())
+        log.mark("table", "key", lambda: b"value")
+        while not log.is_degraded():
+            await asyncio.sleep(0.01)
+        store.refuses_all = False
+        await log.flushed()
+        assert (refused, store.written) == ([], ["key"])
+        running.cancel()
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -129,6 +129,7 @@
         ),
         duties=duty_settings(node),
         orders=OrderSettings(leaves_silent=node.tolerated_halls > 0),
+        max_row_bytes=node.store.row_bytes,
         watches_halls=node.tolerated_halls > 0,
     )
 
@@ -253,7 +254,7 @@
 
     def _make_frontend(self) -> Frontend:
         states: StoredStates | None = None
-        settings = ForwardSettings()
+        settings = ForwardSettings(max_row_bytes=self.node.store.row_bytes)
         if self.node.tolerated_halls:
             settings = attrs.evolve(settings, overdue_s=OVERDUE_S)
             states = StoredStates(self.store, self.settings.part, self.documents)
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -13,6 +13,7 @@
 from ..cell import PeerLinks
 from ..cell import TABLE_INBOX
 from ..cell import version_written
+from ..cell.commits import DEFAULT_ROW_BYTES
 from ..clocks import boot_s
 from ..errors import BadInputError
 from ..errors import NotHolderError
@@ -86,6 +87,7 @@
     :param overdue_s: after this time without a heartbeat, calls to the holder are given
         up, changes go to the inbox and states are read from the store; None: calls wait
         for their answers. A heartbeat comes every 0.25 s, up to 50 ms late.
+    :param max_row_bytes: a change that takes a larger row is not left in the inbox.
     """
 
     hop_s: float = 1.0
@@ -93,6 +95,7 @@
     give_up_s: float = 1.6
     retry_s: float = 0.06
     overdue_s: float | None = None
+    max_row_bytes: int = DEFAULT_ROW_BYTES
 
 
 @attrs.define
@@ -230,7 +233,8 @@
                 return stored
             if changes and self._may_use_inbox(inbox_at_s):
                 if request.kind == pb.SUBMIT and not _is_job(request.job):
-                    return _refused("the body is not a valid job")
+                    reason = "the body is not a valid job"
+                    return pb.CallReply(outcome=pb.INVALID, reason=reason)
                 progress.in_attempt = True
                 persisted = await self._write_to_inbox(request)
                 progress.in_attempt = False
@@ -240,7 +244,9 @@
                     request, progress
                 ):
                     if not self._has_healthy_holder():
-                        return _refused("neither a holder nor the store answers")
+                        return _refused(
+                            "no holder answers, nor can the next one be told"
+                        )
                 else:
                     progress.uncertain = True
             if self._should_give_up(began_at_s, until_s, reply.outcome):
@@ -370,14 +376,21 @@
             request.account,
             time.time(),
         )
-        row = StoredRow(TABLE_INBOX, self._part, inbox_key(entry), entry.encode())
+        value = entry.encode()
+        if len(value) > self._settings.max_row_bytes:
+            log.info(
+                "too-large-for-inbox",
+                extra={"job": request.job_id, "size_bytes": len(value)},
+            )
+            return Persisted.NO
+        row = StoredRow(TABLE_INBOX, self._part, inbox_key(entry), value)
         condition = Condition(TABLE_INBOX, self._part, row.key, ABSENT)
         write = self._store.transact([condition], [row])
         try:
             version = await version_written(
                 write, lambda: self._find_written(row), self._response_times
             )
-        except StoreUnavailableError as error:
+        except (StoreUnavailableError, BadInputError) as error:
             log.warning(
                 "inbox-failed", extra={"job": request.job_id, "error": str(error)}
             )
--- a/src/streamthread/gateway/frontend.py
+++ b/src/streamthread/gateway/frontend.py
@@ -258,6 +258,8 @@
         return _Reply(404 if call.kind == pb.SUBMIT else 410)
     if reply.outcome == pb.NOT_ADMITTED:
         return _Reply(NOT_ADMITTED_STATUS, reason=reply.reason)
+    if reply.outcome == pb.INVALID:
+        return _Reply(400, reason=reply.reason)
     if reply.outcome == pb.REFUSED:
         retry_s = reply.retry_after_s or RETRY_AFTER_S
         return _Reply(429, retry_after_s=retry_s, reason=reply.reason)
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -204,6 +204,11 @@
             "Rows in these commits.",
             value=holder.log.rows_written,
         )
+        yield CounterMetricFamily(
+            "streamthread_rows_refused",
+            "Rows that the store never takes, and that were left out of a commit.",
+            value=holder.log.rows_refused,
+        )
         yield GaugeMetricFamily(
             "streamthread_stops_overdue",
             "Runs that go on though they were to be stopped long ago.",
--- a/src/streamthread/holder/context.py
+++ b/src/streamthread/holder/context.py
@@ -6,6 +6,7 @@
 
 from ..capacity import CapacitySettings
 from ..cell import LeaseTimes
+from ..cell.commits import DEFAULT_ROW_BYTES
 from ..halls import HallPolicy
 from ..halls import OPEN_HALLS
 from ..loops import Failures
@@ -61,12 +62,14 @@
     :param part: the part of the tables that contains the cell's rows.
     :param forget_s: the state of an ended job is available for at least this long.
     :param list_pause_s: pause between two reads of the list of runners.
+    :param max_row_bytes: maximum size of a row's value in the store.
     :param watches_halls: whether halls are watched for the loss of most runners.
     """
 
     part: str = "main"
     forget_s: float = 150.0
     list_pause_s: float = 0.1
+    max_row_bytes: int = DEFAULT_ROW_BYTES
     watches_halls: bool = False
     times: LeaseTimes = attrs.field(factory=LeaseTimes)
     links: LinkSettings = attrs.field(factory=LinkSettings)
--- a/src/streamthread/holder/forecasts.py
+++ b/src/streamthread/holder/forecasts.py
@@ -17,6 +17,7 @@
 from ..scheduler.choices import cache_s
 from ..scheduler.choices import CHOICE_CACHE_S
 from ..scheduler.choices import has_changed
+from ..scheduler.intervals import IntervalSet
 from ..scheduler.overload import Choice
 from ..scheduler.overload import fair_order
 from ..scheduler.overload import OpenWork
@@ -316,7 +317,9 @@
         """Return the work of a job that is not accepted yet."""
         shares = self._engine.shares
         excess = shares.would_exceed(job.account, job.accepted_at_s)
-        trial = attrs.evolve(job, occurrences={}, done_times=set(), excess=excess)
+        trial = attrs.evolve(
+            job, occurrences={}, done_times=IntervalSet(), excess=excess
+        )
         return self._engine.choices.work_of(trial.begin(0))
 
 
--- a/src/streamthread/holder/housekeeping.py
+++ b/src/streamthread/holder/housekeeping.py
@@ -5,8 +5,6 @@
 
 import logbook
 
-from ..cell import TABLE_JOBS
-from ..cell import TABLE_RUNS
 from ..clocks import boot_s
 from .hall_watch import HallWatch
 from .inbox import InboxReader
@@ -85,8 +83,8 @@
             await asyncio.sleep(FORGET_INTERVAL_S)
             self._inbox.retry()
             for job in self._engine.forget(time.time() - settings.forget_s):
-                self._owner.log.mark(TABLE_JOBS, job.job_id, lambda: None)
-                self._owner.log.mark(TABLE_RUNS, job.job_id, lambda: None)
+                self._owner.rows.forget(job)
+            self._owner.rows.sweep(self._engine.jobs)
 
     async def drop_orphans(self) -> None:
         """Drop the runs on runners that were never listed here, once they have expired.
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -6,6 +6,8 @@
 
 from ..cell import cell_pb2 as pb
 from ..cell import CommitLog
+from ..cell import TABLE_BODIES
+from ..cell import TABLE_CHUNKS
 from ..cell import TABLE_INBOX
 from ..cell import TABLE_JOBS
 from ..cell import TABLE_RUNS
@@ -14,11 +16,12 @@
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..errors import UnreadableError
-from ..scheduler import encode_definition
+from ..scheduler import Chunk
 from ..scheduler import Engine
 from ..scheduler import Job
 from ..scheduler import JobState
 from ..scheduler import new_job
+from ..scheduler import parse_body_key
 from ..scheduler.accounts import may_see
 from ..scheduler.accounts import over_limit
 from ..unreadable import Source
@@ -29,6 +32,7 @@
 from .inbox import InboxEntry
 from .inbox import InboxOwner
 from .inbox import InboxReader
+from .job_rows import JobRows
 from .pending_cancels import Cancel
 from .pending_cancels import pending_cancel_key
 from .pending_cancels import PendingCancels
@@ -54,6 +58,7 @@
     :param kick: schedules a pass over the queue.
     :param notes: collects reports of jobs that can't be decoded.
     :param forecasts: judges whether a new job can start in time; None accepts all.
+    :param rows: persists the jobs.
     :param refused: number of submissions refused because of their account, by account.
     :param refused_overload: number refused because they could not end in time.
     :param retain_cancels_s: how long the cancel of an unknown job is retained while the
@@ -74,8 +79,10 @@
         retain_cancels_s: float,
         notes: UnreadableNotes | None = None,
         forecasts: Forecasts | None = None,
+        rows: JobRows | None = None,
     ) -> None:
         self._forecasts = forecasts
+        self._rows = rows or JobRows(commits)
         self.refused_overload: dict[str, int] = {}
         self._notes = notes or UnreadableNotes()
         # Accepted jobs with a row that can't be decoded.
@@ -90,7 +97,7 @@
         self._on_accepted = on_accepted
         self._kick = kick
         self._pending_cancels = PendingCancels(retain_cancels_s)
-        self._submissions = Submissions(engine, commits)
+        self._submissions = Submissions(engine, commits, self._rows.withdraw)
         self.refused: dict[str, int] = {}
 
     # Calls.
@@ -207,6 +214,8 @@
             # The id belongs to another account's job, which stays hidden.
             return pb.CallReply(outcome=pb.UNKNOWN_JOB)
         if not await self._submissions.until_durable(job):
+            if job.job_id in self._submissions.rejected:
+                return _reject("the job can't be stored")
             return _refuse("the store does not accept commits")
         await self._until_durable(job)
         return pb.CallReply(outcome=pb.OK, state=job.state.value)
@@ -237,7 +246,7 @@
         try:
             job = new_job(request.job_id, route, request.job, account)
         except BadInputError as error:
-            return pb.CallReply(outcome=pb.REFUSED, reason=str(error))
+            return _reject(str(error))
         refusal = over_limit(job, self._admission.limit_of(account))
         if refusal:
             return self._refuse_for_account(account, refusal)
@@ -289,7 +298,8 @@
         """
         job_id = job.job_id
         self._engine.add(job)
-        self._commits.mark(TABLE_JOBS, job_id, lambda: encode_definition(job))
+        self._submissions.rejected.discard(job_id)
+        self._rows.add(job)
         log.info(
             "job-accepted",
             extra={
@@ -392,6 +402,22 @@
         if isinstance(error, UnreadableError):
             self._notes.note(Source.CELL_ROW, error)
 
+    def on_row_refused(self, table: str, key: str) -> None:
+        """Give up a job of which a row can't be written.
+
+        One that has not been acknowledged is withdrawn. Another one fails: what is not
+        durable must not be started, and no repetition makes it durable.
+        """
+        job_id = _job_id_of_row(table, key)
+        job = self._engine.jobs.get(job_id)
+        if job is None:
+            return
+        log.error("job-not-storable", extra={"job": job_id, "table": table, "key": key})
+        if self._submissions.reject(job):
+            return
+        self._engine.abandon(job, "not-storable")
+        self._kick()
+
     def is_excluded(self, job_id: str) -> bool:
         """Whether a job is excluded because one of its rows can't be decoded."""
         return job_id in self._excluded
@@ -462,6 +488,21 @@
         self._commits.mark(TABLE_INBOX, key, lambda: None)
 
 
+def _job_id_of_row(table: str, key: str) -> str:
+    """Return the id of the job that a row belongs to, or an empty string."""
+    if table in (TABLE_JOBS, TABLE_RUNS):
+        return key
+    if table == TABLE_BODIES:
+        return parse_body_key(key)
+    parsed = Chunk.parse_key(key) if table == TABLE_CHUNKS else None
+    return parsed[0] if parsed is not None else ""
+
+
+def _reject(reason: str) -> pb.CallReply:
+    """Return the answer to a job that will never be accepted as it is."""
+    return pb.CallReply(outcome=pb.INVALID, reason=reason)
+
+
 def _refuse(reason: str) -> pb.CallReply:
     return pb.CallReply(
         outcome=pb.REFUSED, reason=reason, retry_after_s=STORE_RETRY_AFTER_S
--- a/src/streamthread/holder/owner.py
+++ b/src/streamthread/holder/owner.py
@@ -10,6 +10,7 @@
 from ..runners import RunnerLink
 from ..scheduler import Engine
 from .context import HolderContext
+from .job_rows import JobRows
 
 __all__ = ["DutyOwner"]
 
@@ -21,6 +22,7 @@
     """What the duties need from the holder.
 
     :param taken: how the cell was acquired.
+    :param rows: persists the jobs.
     :param links: links to the listed runners, by runner id.
     """
 
@@ -29,6 +31,7 @@
     context: HolderContext
     engine: Engine
     log: CommitLog
+    rows: JobRows
     links: dict[str, RunnerLink]
 
     @property
--- a/src/streamthread/holder/replay.py
+++ b/src/streamthread/holder/replay.py
@@ -6,16 +6,23 @@
 import attrs
 import logbook
 
+from ..cell import TABLE_BODIES
+from ..cell import TABLE_CHUNKS
 from ..cell import TABLE_JOBS
 from ..cell import TABLE_RUNS
 from ..clocks import boot_s
 from ..errors import BadInputError
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
+from ..platform.store import Page
 from ..platform.store import RowStore
+from ..scheduler import body_key
+from ..scheduler import Chunk
 from ..scheduler import decode_row
 from ..scheduler import Job
+from ..scheduler import parse_body_key
 from ..scheduler import restore_progress
+from ..scheduler.codec import has_divided_body
 
 __all__ = ["RETRY_S", "Replayed", "read_job", "read_jobs", "read_with_retry"]
 
@@ -27,16 +34,26 @@
 RETRY_S = 0.1
 """Pause before a failed read of the store is retried."""
 
+MAX_BODY_ROWS = 100
+"""Maximum number of rows read of one body; the largest body takes 16 of 64 KB."""
+
+NO_PROGRESS = b"{}"
+"""Stands for the first row of a job of which only chunks have been written."""
+
 
 @attrs.frozen
 class Replayed:
     """The jobs that were read, and how long the reads took.
 
+    :param chunks: the chunks of each job that have a row, by job id.
     :param unreadable: why a job's rows can't be decoded, by job id.
+    :param unused: the tables and keys of rows that belong to no job.
     """
 
     jobs: tuple[Job, ...]
+    chunks: dict[str, dict[Chunk, bytes]]
     unreadable: dict[str, BadInputError]
+    unused: tuple[tuple[str, str], ...]
     took_s: float
 
 
@@ -46,25 +63,66 @@
     A job whose rows can't be decoded does not affect the others.
     """
     began_at_s = boot_s()
-    definitions = await store.read_all(TABLE_JOBS, part)
-    progress = await store.read_all(TABLE_RUNS, part)
-    values = {row.key: row.value for row in progress.rows}
+    tables = (TABLE_JOBS, TABLE_RUNS, TABLE_CHUNKS, TABLE_BODIES)
+    pages = await asyncio.gather(*(store.read_all(table, part) for table in tables))
+    definitions, progress, chunk_rows, body_rows = (_values(page) for page in pages)
+    chunks, strange = _chunks_by_job(chunk_rows)
+    bodies = _bodies_by_job(body_rows)
     jobs: list[Job] = []
     unreadable: dict[str, BadInputError] = {}
-    for row in definitions.rows:
-        if row.value is None:
-            continue
+    for job_id, value in definitions.items():
+        parts = (progress.get(job_id), chunks.get(job_id, {}), bodies.get(job_id, ()))
         try:
-            jobs.append(_restore_job(row.key, row.value, values.get(row.key)))
+            jobs.append(_restore_job(job_id, value, *parts))
         except BadInputError as error:
-            unreadable[row.key] = error
-    return Replayed(tuple(jobs), unreadable, boot_s() - began_at_s)
+            unreadable[job_id] = error
+    unused = [(TABLE_CHUNKS, key) for key in strange]
+    for table, rows, job_id_of in (
+        (TABLE_CHUNKS, chunk_rows, _job_id_of_chunk),
+        (TABLE_BODIES, body_rows, parse_body_key),
+    ):
+        unused += [(table, key) for key in rows if job_id_of(key) not in definitions]
+    took_s = boot_s() - began_at_s
+    return Replayed(tuple(jobs), chunks, unreadable, tuple(unused), took_s)
+
+
+def _values(page: Page) -> dict[str, bytes]:
+    return {row.key: row.value for row in page.rows if row.value is not None}
+
+
+def _chunks_by_job(
+    rows: t.Mapping[str, bytes],
+) -> tuple[dict[str, dict[Chunk, bytes]], list[str]]:
+    """Return the chunks by job id, and the keys that name no chunk."""
+    found: dict[str, dict[Chunk, bytes]] = {}
+    strange: list[str] = []
+    for key, value in rows.items():
+        parsed = Chunk.parse_key(key)
+        if parsed is None:
+            strange.append(key)
+        else:
+            found.setdefault(parsed[0], {})[parsed[1]] = value
+    return found, strange
+
+
+def _job_id_of_chunk(key: str) -> str:
+    parsed = Chunk.parse_key(key)
+    return parsed[0] if parsed is not None else ""
+
+
+def _bodies_by_job(rows: t.Mapping[str, bytes]) -> dict[str, list[bytes]]:
+    """Return the rows of each job's body in their order, by job id."""
+    found: dict[str, list[bytes]] = {}
+    for key in sorted(rows):
+        found.setdefault(parse_body_key(key), []).append(rows[key])
+    return found
 
 
 async def read_job(store: RowStore, part: str, job_id: str) -> Job | None:
     """Read one job, which the holder may write meanwhile; None if it has no row.
 
     The progress is read first: once a job is over, its definition says how it ended.
+    The tasks of a large job are not read.
 
     :raises BadInputError: one of the job's rows can't be decoded.
     :raises StoreUnavailableError: the store can't be read.
@@ -72,7 +130,15 @@
     """
     progress = await _read_value(store, TABLE_RUNS, part, job_id)
     definition = await _read_value(store, TABLE_JOBS, part, job_id)
-    return None if definition is None else _restore_job(job_id, definition, progress)
+    if definition is None:
+        return None
+    body: list[bytes] = []
+    if has_divided_body(definition):
+        start = body_key(job_id, 0)
+        page = await store.read(TABLE_BODIES, part, start=start, limit=MAX_BODY_ROWS)
+        rows = _bodies_by_job(_values(page))
+        body = rows.get(job_id, [])
+    return _restore_job(job_id, definition, progress, {}, body)
 
 
 async def _read_value(store: RowStore, table: str, part: str, key: str) -> bytes | None:
@@ -80,16 +146,33 @@
     return next((row.value for row in page.rows if row.key == key), None)
 
 
-def _restore_job(job_id: str, definition: bytes, progress: bytes | None) -> Job:
+def _restore_job(
+    job_id: str,
+    definition: bytes,
+    progress: bytes | None,
+    chunks: t.Mapping[Chunk, bytes],
+    body_rows: t.Sequence[bytes],
+) -> Job:
     """Decode a job from its rows.
 
     :raises BadInputError: one of the job's rows can't be decoded.
     """
-    job = decode_row(job_id, definition)
-    job.durable = True
-    if progress is not None and not job.over:
-        restore_progress(job, progress)
-    return job
+    try:
+        job = decode_row(job_id, definition, body_rows)
+        job.durable = True
+        if not job.over and (progress is not None or chunks):
+            restore_progress(job, progress or NO_PROGRESS, chunks)
+        return job
+    except BadInputError:
+        raise
+    except Exception as error:
+        # Whatever a row contains, it must not keep the other jobs from being read.
+        log.exception("job-not-restored", extra={"job": job_id})
+        raise BadInputError(
+            f"the job can't be restored: {error!r}",
+            remedy="its rows are kept for a daemon that can",
+            location=job_id,
+        ) from error
 
 
 async def read_with_retry(
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -11,8 +11,6 @@
 from ..cell import cell_pb2 as pb
 from ..cell import CommitLog
 from ..cell import TABLE_INBOX
-from ..cell import TABLE_JOBS
-from ..cell import TABLE_RUNS
 from ..clocks import boot_s
 from ..errors import NotHolderError
 from ..halls import HallOutages
@@ -23,8 +21,6 @@
 from ..platform.table_feed import TableFeed
 from ..runners import RunnerLink
 from ..scheduler import Attempt
-from ..scheduler import encode_definition
-from ..scheduler import encode_progress
 from ..scheduler import Engine
 from ..scheduler import Job
 from ..scheduler import StepRun
@@ -40,6 +36,7 @@
 from .housekeeping import Housekeeping
 from .inbox import InboxReader
 from .intake import Intake
+from .job_rows import JobRows
 from .lease_validity import LeaseValidity
 from .listing import RunnerListing
 from .outage_watch import OutageWatch
@@ -93,6 +90,7 @@
         )
         self.active = False
         self.log = self._open_log()
+        self.rows = JobRows(self.log, self.settings.max_row_bytes)
         self.lease_validity = LeaseValidity(
             self.log, self.settings.times, self.settings.links.most_hold_s
         )
@@ -143,6 +141,8 @@
             self.taken.acquired_at_s,
             self.settings.times.renew_s,
             self.settings.times,
+            self.settings.max_row_bytes,
+            self._on_row_refused,
         )
 
     def _open_advice(self) -> AdviceCache | None:
@@ -169,6 +169,7 @@
             self.settings.forget_s,
             self.context.notes,
             self.forecasts,
+            self.rows,
         )
 
     def _obtainable(self, pool: str) -> CapacityParts | None:
@@ -252,7 +253,9 @@
         )
         for job in sorted(replayed.jobs, key=lambda job: job.accepted_at_s):
             self.engine.add(job)
+            self.rows.restore(job, replayed.chunks.get(job.job_id, ()))
             self._record_arrival(job)
+        self.rows.delete_unused(replayed.unused)
         for job_id, error in replayed.unreadable.items():
             self.intake.exclude_job(job_id, error)
         log.info(
@@ -316,10 +319,11 @@
     # Persistence.
 
     def _record_progress(self, job: Job) -> None:
-        if job.over:
-            # The row of an ended job without runs holds only how the job ended.
-            self.log.mark(TABLE_JOBS, job.job_id, lambda: encode_definition(job))
-        self.log.mark(TABLE_RUNS, job.job_id, lambda: encode_progress(job))
+        self.rows.record(job)
+
+    def _on_row_refused(self, table: str, key: str) -> None:
+        """Give up the job of which a row can't be written; the others go on."""
+        self.intake.on_row_refused(table, key)
 
     # Jobs.
 
--- a/src/streamthread/holder/submissions.py
+++ b/src/streamthread/holder/submissions.py
@@ -1,6 +1,7 @@
 """New jobs that are not durable yet, and the calls that wait for them."""
 
 import asyncio
+import typing as t
 
 import logbook
 
@@ -28,6 +29,10 @@
 the answer to the commit may be unread. The checks are 0.1 s apart."""
 
 
+MAX_REJECTED = 1000
+"""Number of rejected jobs that are remembered until their callers have been told."""
+
+
 class Submissions:
     """Withdraws new jobs that no transaction has carried to the store.
 
@@ -35,11 +40,21 @@
     a job meanwhile would wait for its whole time limit and then get an unknown outcome.
     A job that waits for the commit after the hanging one has not left this process, so
     it can be refused safely, and its caller told when to retry.
+
+    :param on_withdrawn: called with each job that is withdrawn.
+    :param rejected: ids of jobs that were withdrawn since the store never takes them.
     """
 
-    def __init__(self, engine: Engine, commits: CommitLog) -> None:
+    def __init__(
+        self,
+        engine: Engine,
+        commits: CommitLog,
+        on_withdrawn: t.Callable[[Job], None] = lambda job: None,
+    ) -> None:
         self._engine = engine
         self._commits = commits
+        self._on_withdrawn = on_withdrawn
+        self.rejected: set[str] = set()
         # Jobs with a future that is resolved when the job is withdrawn.
         self._waiting: dict[str, tuple[Job, asyncio.Future[None]]] = {}
         # For how long the current commit had been tried at the last check, and for how
@@ -147,8 +162,28 @@
             return False
         if not self._commits.unmark(TABLE_JOBS, job_id):
             return False
-        self._commits.unmark(TABLE_RUNS, job_id)
-        self._engine.withdraw(job)
-        del self._waiting[job_id]
-        future.set_result(None)
+        self._drop(job)
+        return True
+
+    def reject(self, job: Job) -> bool:
+        """Withdraw a job whose rows the store never takes; return whether it was new.
+
+        A job that has been acknowledged stays.
+        """
+        if job.durable or job.left_in_inbox or job.over:
+            return False
+        self._commits.unmark(TABLE_JOBS, job.job_id)
+        if len(self.rejected) >= MAX_REJECTED:
+            self.rejected.clear()
+        self.rejected.add(job.job_id)
+        self._drop(job)
         return True
+
+    def _drop(self, job: Job) -> None:
+        self._commits.unmark(TABLE_RUNS, job.job_id)
+        self._engine.withdraw(job)
+        self._on_withdrawn(job)
+        known = self._waiting.get(job.job_id)
+        if known is not None and known[0] is job:
+            del self._waiting[job.job_id]
+            known[1].set_result(None)
--- a/src/streamthread/platform/callers.py
+++ b/src/streamthread/platform/callers.py
@@ -97,6 +97,11 @@
     first_due_ms: int = 0
     interval_ms: int = 0
 
+    @property
+    def task_count(self) -> int:
+        """The number of tasks of one occurrence."""
+        return sum(step.count for step in self.steps)
+
 
 class _StepRow(msgspec.Struct, rename="camel"):
     """A step in its wire format; two of its names have two spellings."""
@@ -140,6 +145,11 @@
     :raises BadInputError: the body is not a valid job.
     """
     row = _JOBS.decode(body, "")
+    try:
+        # The parser does not look into fields that it skips.
+        body.decode()
+    except UnicodeDecodeError as error:
+        raise _JOBS.refuse_at("$", "is not UTF-8", "") from error
     steps = tuple(_step(step) for step in row.steps)
     if not steps:
         raise _JOBS.refuse_at("$.steps", "contains no steps", "")
--- a/src/streamthread/platform/store.py
+++ b/src/streamthread/platform/store.py
@@ -12,6 +12,7 @@
 from ..decoding import LenientDecoder
 from ..errors import BadInputError
 from ..errors import OutcomeUnknownError
+from ..errors import StoreUnavailableError
 from ..errors import UnreadableError
 from ..unreadable import Source
 from ..unreadable import UnreadableNotes
@@ -56,6 +57,9 @@
 CONDITION_FAILED_STATUS = 412
 """The answer to a transaction with a condition that is not met."""
 
+INVALID_STATUSES = (400, 413)
+"""The answers to a call whose contents the store never takes."""
+
 HISTORY_GONE_STATUS = 410
 """The feed's answer to a version that is too old to continue from."""
 
@@ -180,6 +184,7 @@
         """Write rows of one part atomically if all conditions are met.
 
         :param drops: the rows to delete.
+        :raises BadInputError: the store never takes these rows; nothing was written.
         :raises StoreUnavailableError: nothing was written.
         :raises OutcomeUnknownError: the transaction may have been committed, or may
             still be committed later.
@@ -195,6 +200,9 @@
         answer = await self._call("POST", _TRANSACT, "transact", body=body)
         if answer.status == CONDITION_FAILED_STATUS:
             return TransactResult(committed=False)
+        if answer.status in INVALID_STATUSES:
+            remedy = "check the rows' sizes and the names of tables and keys"
+            raise BadInputError(_describe(answer), remedy=remedy, location=_TRANSACT)
         _require_ok(answer, _TRANSACT)
         written = self._caller.read(answer, _WRITTEN)
         return TransactResult(committed=True, version=written.ver)
@@ -292,14 +300,17 @@
 
 
 def _require_ok(answer: Answer, path: str) -> None:
+    """:raises StoreUnavailableError: the store refused the call; nothing was done."""
     if answer.status != 200:
-        raise BadInputError(
-            f"the store answered {answer.status}: {answer.text[:MAX_SHOWN_BYTES]!r}",
-            remedy="check the row's size and the table's name",
-            location=path,
+        raise StoreUnavailableError(
+            _describe(answer), remedy="the call is retried automatically", location=path
         )
 
 
+def _describe(answer: Answer) -> str:
+    return f"the store answered {answer.status}: {answer.text[:MAX_SHOWN_BYTES]!r}"
+
+
 def _encode_row_key(row: StoredRow) -> JsonObject:
     return {"table": row.table, "part": row.part, "key": row.key}
 
--- a/src/streamthread/scheduler/__init__.py
+++ b/src/streamthread/scheduler/__init__.py
@@ -1,9 +1,11 @@
 """Jobs in the memory of the holder: what may run, its placement and its outcome."""
 
+from .chunks import Chunk
+from .codec import body_key
 from .codec import decode_row
+from .codec import divide_body
 from .codec import encode_definition
-from .codec import encode_progress
-from .codec import restore_progress
+from .codec import parse_body_key
 from .engine import Engine
 from .fleet import RunnerState
 from .model import Attempt
@@ -15,11 +17,15 @@
 from .model import Task
 from .model import TaskState
 from .outcomes import Stray
+from .progress_codec import encode_chunk
+from .progress_codec import encode_progress
+from .progress_codec import restore_progress
 from .settings import EngineSettings
 from .submission import new_job
 
 __all__ = [
     "Attempt",
+    "Chunk",
     "Engine",
     "EngineSettings",
     "Job",
@@ -31,9 +37,13 @@
     "Stray",
     "Task",
     "TaskState",
+    "body_key",
     "decode_row",
+    "divide_body",
+    "encode_chunk",
     "encode_definition",
     "encode_progress",
     "new_job",
+    "parse_body_key",
     "restore_progress",
 ]
--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -1,12 +1,9 @@
-"""Encodes and decodes the two rows of a job: its submission and its progress.
+"""Encodes and decodes the rows of a job's submission.
 
 The first row is written at submission and rewritten at each change after the job is
 over. Once the job has no runs left, only its end is persisted, so that the next holder
-has less to read.
-
-The second row is rewritten at each change, so it is compact: for a step that has begun,
-one number encodes which tasks are done, and only tasks with more state than that have
-an entry of their own.
+has less to read. A body that does not fit into this row is divided into rows of its
+own, which are written before it and deleted once the job has ended.
 """
 
 import json
@@ -18,24 +15,53 @@
 from ..decoding import Count
 from ..decoding import Decoder
 from ..decoding import OWN_ROW_REMEDY
-from ..errors import UnreadableError
 from ..platform.callers import decode_job
 from ..platform.callers import JobRequest
-from .model import Attempt
+from .intervals import IntervalSet
 from .model import Job
 from .model import JobState
-from .model import Phase
-from .model import StepRun
-from .model import Task
-from .model import TaskState
 
-__all__ = ["decode_row", "encode_definition", "encode_progress", "restore_progress"]
+__all__ = [
+    "body_key",
+    "decode_row",
+    "divide_body",
+    "encode_definition",
+    "has_divided_body",
+    "parse_body_key",
+]
 
 Json = t.Any
 
-READ_BACK = "read-back"
-"""The reason for stopping a run that an earlier holder left: its job is over, its task
-is done, or a runner exit has been attributed to it."""
+
+def divide_body(job: Job, max_row_bytes: int) -> list[bytes]:
+    """Return the rows of a new job's body; none if the row of its submission fits it.
+
+    This decides for good where the body is kept.
+    """
+    job.body_rows = 0
+    if len(encode_definition(job)) <= max_row_bytes:
+        return []
+    starts = range(0, len(job.body), max_row_bytes)
+    job.body_rows = len(starts)
+    return [job.body[start : start + max_row_bytes] for start in starts]
+
+
+def has_divided_body(value: bytes) -> bool:
+    """Whether the row of a submission refers to rows of its body.
+
+    :raises UnreadableError: the row can't be read.
+    """
+    return _JOBS.decode(value, "").body_rows > 0
+
+
+def body_key(job_id: str, number: int) -> str:
+    """Return the key of one row of a body; rows are counted from 0."""
+    return f"{job_id}.{number:04}"
+
+
+def parse_body_key(key: str) -> str:
+    """Return the job id of a row of a body; ids may contain dots."""
+    return key.rpartition(".")[0]
 
 
 def encode_definition(job: Job) -> bytes:
@@ -50,8 +76,11 @@
         "max_attempts": job.max_attempts,
         "stretch": job.stretch,
         "target_s": job.target_s,
-        "body": job.body.decode(),
     }
+    if job.body_rows:
+        value["body_rows"] = job.body_rows
+    else:
+        value["body"] = job.body.decode()
     return _dump(value | _encode_account(job))
 
 
@@ -85,60 +114,25 @@
     stretch: Amount = 1.0
     target_s: Amount = 0.0
     body: str | None = None
+    body_rows: Count = 0
     state: JobState | None = None
     ended_at_s: Amount | None = None
     account: str = ""
 
 
-class _AttemptRow(msgspec.Struct, array_like=True):
-    run: Count
-    runner_id: str
-    born_ms: Count | None = None
-    blamed: bool = False
-    cleared: bool = False
-
-
-class _TaskRow(msgspec.Struct, array_like=True):
-    index: Count
-    last_run: Count
-    failures: Count
-    checkpoint: str
-    attempts: list[_AttemptRow]
-    crashes: Count = 0
-    later_ends: Count = 0
-
-
-class _StepRow(msgspec.Struct, array_like=True):
-    """``done`` is a hexadecimal number in which bit N stands for task N."""
-
-    done: t.Annotated[str, msgspec.Meta(pattern=r"^[0-9a-f]+\Z")]
-    tasks: list[_TaskRow]
-
-
-class _ProgressRow(msgspec.Struct):
-    cancelled: bool = False
-    failed: bool = False
-    begun: bool = False
-    ended_at_s: Amount | None = None
-    done_times: list[Count] = []
-    times: dict[int, list[_StepRow]] = {}
-
-
 _JOBS = Decoder[_JobRow](_JobRow, remedy=OWN_ROW_REMEDY)
-_PROGRESS = Decoder[_ProgressRow](_ProgressRow, remedy=OWN_ROW_REMEDY)
 
 
-def decode_row(job_id: str, value: bytes) -> Job:
+def decode_row(job_id: str, value: bytes, body_rows: t.Sequence[bytes] = ()) -> Job:
     """Decode a job that has not begun or one that is over.
 
-    :raises BadInputError: the row or the job in it can't be read.
+    :param body_rows: the rows of its body, in order.
+    :raises BadInputError: the rows or the job in them can't be read.
     """
     row = _JOBS.decode(value, job_id)
     if row.state is not None:
         return _decode_ended(job_id, row, row.state)
-    if row.body is None:
-        raise _JOBS.refuse_at("$.body", "is missing", job_id)
-    body = row.body.encode()
+    body = _body(job_id, row, body_rows)
     return Job(
         job_id=job_id,
         route=row.route,
@@ -151,9 +145,21 @@
         stretch=row.stretch,
         target_s=row.target_s,
         account=row.account,
+        body_rows=row.body_rows,
     )
 
 
+def _body(job_id: str, row: _JobRow, body_rows: t.Sequence[bytes]) -> bytes:
+    if row.body is not None:
+        return row.body.encode()
+    if not row.body_rows:
+        raise _JOBS.refuse_at("$.body", "is missing", job_id)
+    if len(body_rows) != row.body_rows:
+        message = f"counts {row.body_rows} rows, and there are {len(body_rows)}"
+        raise _JOBS.refuse_at("$.body_rows", message, job_id)
+    return b"".join(body_rows)
+
+
 def _decode_ended(job_id: str, row: _JobRow, state: JobState) -> Job:
     return Job(
         job_id=job_id,
@@ -162,137 +168,10 @@
         request=JobRequest("", ()),
         body=b"",
         accepted_at_s=row.accepted_at_s,
-        done_times={0} if state is JobState.COMPLETED else set(),
+        done_times=IntervalSet([0] if state is JobState.COMPLETED else []),
         begun=True,
         cancelled=state is JobState.CANCELLED,
         failed=state is JobState.FAILED,
         ended_at_s=row.ended_at_s,
         account=row.account,
     )
-
-
-def encode_progress(job: Job) -> bytes:
-    """Encode a job's progress."""
-    value: dict[str, Json] = {}
-    if job.cancelled:
-        value["cancelled"] = True
-    if job.failed:
-        value["failed"] = True
-    if job.begun:
-        value["begun"] = True
-    if job.ended_at_s is not None:
-        value["ended_at_s"] = job.ended_at_s
-    if job.done_times:
-        value["done_times"] = sorted(job.done_times)
-    times = {
-        str(number): [_encode_step(step) for step in occurrence.steps]
-        for number, occurrence in job.occurrences.items()
-    }
-    if times:
-        value["times"] = times
-    return _dump(value)
-
-
-def _encode_step(step: StepRun) -> list[Json]:
-    done = 0
-    entries: list[Json] = []
-    for task in step.tasks:
-        if task.state is TaskState.DONE:
-            done |= 1 << task.index
-        if task.attempts or (task.state is not TaskState.DONE and task.last_run):
-            entries.append(_encode_task(task))
-    return [f"{done:x}", entries]
-
-
-def _encode_task(task: Task) -> list[Json]:
-    attempts = [_encode_attempt(attempt) for attempt in task.attempts]
-    row = [task.index, task.last_run, task.failures, task.checkpoint, attempts]
-    # Trailing zeros, which nearly all tasks have, are omitted: 2 bytes of some 30.
-    if task.later_ends:
-        return [*row, task.crashes, task.later_ends]
-    return [*row, task.crashes] if task.crashes else row
-
-
-def _encode_attempt(attempt: Attempt) -> list[Json]:
-    row: list[Json] = [attempt.run, attempt.runner_id]
-    if attempt.cleared:
-        return [*row, attempt.born_ms, attempt.blamed, True]
-    if attempt.blamed:
-        return [*row, attempt.born_ms, True]
-    return row if attempt.born_ms is None else [*row, attempt.born_ms]
-
-
-def restore_progress(job: Job, value: bytes) -> None:
-    """Restore a job to the progress in its row.
-
-    The start of a persisted attempt may or may not have been sent: the attempt is
-    restored as sent, and the runner is asked. Attempts of a job that is over or a task
-    that is done, and those with an attributed runner exit, are restored as to be
-    stopped: they must not be started any more, and a stop from the previous holder may
-    not have arrived.
-
-    :raises UnreadableError: the row can't be read or does not match this job.
-    """
-    row = _PROGRESS.decode(value, job.job_id)
-    job.cancelled = row.cancelled
-    job.failed = row.failed
-    job.begun = row.begun
-    job.ended_at_s = row.ended_at_s
-    job.done_times = set(row.done_times)
-    for number, steps in row.times.items():
-        if len(steps) != len(job.request.steps):
-            raise _progress_mismatch(job, number, "has a different number of steps")
-        occurrence = job.begin(number)
-        for step, step_row in zip(occurrence.steps, steps, strict=True):
-            _restore_step(step, step_row)
-
-
-def _progress_mismatch(job: Job, number: int, message: str) -> UnreadableError:
-    """Return the error for progress that does not match its job."""
-    return _PROGRESS.refuse_at(f"$.times[{number}]", message, job.job_id)
-
-
-def _restore_step(step: StepRun, row: _StepRow) -> None:
-    job = step.occurrence.job
-    done = int(row.done, 16)
-    if done >> len(step.tasks):
-        raise _progress_mismatch(
-            job, step.occurrence.number, "refers to tasks that do not exist"
-        )
-    for task in step.tasks:
-        if done >> task.index & 1:
-            task.state = TaskState.DONE
-            step.done_count += 1
-    for entry in row.tasks:
-        if entry.index >= len(step.tasks):
-            message = "refers to tasks that do not exist"
-            raise _progress_mismatch(job, step.occurrence.number, message)
-        _restore_task(step.tasks[entry.index], entry, job.over)
-
-
-def _restore_task(task: Task, row: _TaskRow, job_over: bool) -> None:
-    task.last_run = row.last_run
-    task.failures = row.failures
-    task.checkpoint = row.checkpoint
-    task.crashes = row.crashes
-    task.later_ends = row.later_ends
-    task.on_probation = task.lost_runners > 0
-    task.attempts = [
-        Attempt(
-            task,
-            a.run,
-            a.runner_id,
-            Phase.SENT,
-            born_ms=a.born_ms,
-            read_back=True,
-            blamed=a.blamed,
-            cleared=a.cleared,
-            pace_percent=None,
-        )
-        for a in row.attempts
-    ]
-    for attempt in task.attempts:
-        if attempt.blamed or task.state is TaskState.DONE or job_over:
-            attempt.mark_stopping(READ_BACK)
-    if task.attempts and task.state is TaskState.WAITING:
-        task.state = TaskState.PLACED
--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -141,7 +141,7 @@
         else:
             task.crashes = max(0, task.crashes - 1)
         task.on_probation = task.on_probation and task.lost_runners > 0
-        self._ledger.changed(task.step.occurrence.job)
+        self._ledger.task_changed(task)
 
     def clear_crashes(self, task: Task) -> None:
         """Reset a task's counts: a run of it ended or went on without a runner exit."""
@@ -149,7 +149,7 @@
             return
         task.crashes = task.later_ends = 0
         task.on_probation = False
-        self._ledger.changed(task.step.occurrence.job)
+        self._ledger.task_changed(task)
 
     def clear_crashes_if_stable(self, attempt: Attempt) -> None:
         """Reset the counts if the task's runner has listed the run for long enough."""
@@ -168,7 +168,7 @@
             return
         if _is_outlived(attempt, runner):
             attempt.cleared = True
-            self._ledger.changed(attempt.task.step.occurrence.job)
+            self._ledger.task_changed(attempt.task)
 
     # Runner exits.
 
@@ -272,7 +272,7 @@
             task.on_probation or attribution.exact or task.lost_runners > 1
         )
         # The next holder must not count this exit again.
-        self._ledger.changed(task.step.occurrence.job)
+        self._ledger.task_changed(task)
         self._ledger.count("crashed")
         log.info(
             "run-crashed",
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -103,6 +103,11 @@
         self._ledger.stop_all(job, "cancelled")
         self._ledger.changed(job)
 
+    def abandon(self, job: Job, why: str) -> None:
+        """Fail a job that this system can't carry out, and have its runs stopped."""
+        if not job.over:
+            self._outcomes.abandon(job, why)
+
     def withdraw(self, job: Job) -> None:
         """Remove a new job of which no start was sent, as if never submitted."""
         for attempt in list(job.attempts()):
@@ -152,6 +157,7 @@
     def _stop_on_next_incarnation(self, attempt: Attempt, runner: RunnerState) -> None:
         """Stop a run whose start may have reached this incarnation of its runner."""
         attempt.reset_confirmation(runner.born_ms)
+        attempt.task.note_changed()
         runner.add(attempt.task.name, attempt)
         self.stops.request_stop_again(attempt, "runner-restarted")
 
@@ -253,7 +259,7 @@
         The start must be sent only once this is durable.
         """
         attempt.cleared = False
-        self._ledger.changed(attempt.task.step.occurrence.job)
+        self._ledger.task_changed(attempt.task)
 
     def withdraw_attempt(self, attempt: Attempt) -> None:
         """Remove an attempt of which no start was sent; its task is queued again."""
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -54,6 +54,11 @@
         self.counts: dict[str, int] = {}
         self.stops = Stops(stop_effect_ms)
 
+    def task_changed(self, task: Task) -> None:
+        """Report that the progress of a task must be persisted."""
+        task.note_changed()
+        self.changed(task.step.occurrence.job)
+
     def count(self, what: str) -> None:
         """Count one event."""
         self.counts[what] = self.counts.get(what, 0) + 1
@@ -171,9 +176,8 @@
         self.count("lapsed")
         self.remove(attempt, runner)
         self.requeue(attempt.task)
-        job = attempt.task.step.occurrence.job
-        self.changed(job)
-        self.settle_job(job)
+        self.task_changed(attempt.task)
+        self.settle_job(attempt.task.step.occurrence.job)
 
     def remove(self, attempt: Attempt, runner: RunnerState | None) -> None:
         """Remove an attempt from its task, and from its runner if that is known."""
@@ -181,6 +185,7 @@
         task = attempt.task
         if attempt in task.attempts:
             task.attempts.remove(attempt)
+            task.note_changed()
             self.accounts.remove(attempt)
         if runner is not None:
             runner.remove(task.name, attempt)
@@ -189,7 +194,7 @@
         """Remove an attempt of which no start was sent; its task is queued again."""
         self.remove(attempt, self.runners.get(attempt.runner_id))
         self.requeue(attempt.task)
-        self.changed(attempt.task.step.occurrence.job)
+        self.task_changed(attempt.task)
 
     @staticmethod
     def requeue(task: Task) -> None:
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -17,6 +17,7 @@
 from .learning import RunTimes
 from .ledger import Ledger
 from .model import Attempt
+from .model import Job
 from .model import Phase
 from .model import Task
 from .model import TaskState
@@ -26,6 +27,10 @@
 
 log = logbook.Logger("streamthread.scheduler")
 
+MAX_CHECKPOINT_LENGTH = 4000
+"""Maximum number of characters of a checkpoint, which is the limit of the users' pages
+on a job's ``spec``. They name none for checkpoints."""
+
 MAX_END_UNCERTAINTY_MS = 2000
 """The run time of a run is learned only if its end is known this well. Runners list
 ends after 0.5 s at most, and runs at least every 1.5 s; a holder that was stopped for
@@ -63,9 +68,11 @@
         if attempt.phase is not Phase.STOPPING:
             attempt.phase = Phase.CONFIRMED
         attempt.confirmed_clock_ms = clock_ms
-        if not attempt.read_back and not attempt.first_confirmed_ms:
+        new = not attempt.read_back and not attempt.first_confirmed_ms
+        if new and attempt.cleared:
             # It has been started, so its runner has yet to outlive it.
             attempt.cleared = False
+            attempt.task.note_changed()
         attempt.first_confirmed_ms = attempt.first_confirmed_ms or clock_ms
         runner = self._ledger.runners.get(attempt.runner_id)
         if runner is not None:
@@ -96,9 +103,8 @@
         )
         self._ledger.remove(attempt, runner)
         self._ledger.requeue(task)
-        job = task.step.occurrence.job
-        self._ledger.changed(job)
-        self._ledger.settle_job(job)
+        self._ledger.task_changed(task)
+        self._ledger.settle_job(task.step.occurrence.job)
 
     # The two lists: what runs, and what has ended.
 
@@ -161,9 +167,20 @@
         attempt.missing_since_ms = 0
         attempt.unlisted_since_s = 0.0
         self._crashes.clear_crashes_if_stable(attempt)
-        task = attempt.task
-        if row.checkpoint and row.checkpoint != task.checkpoint:
-            task.checkpoint = row.checkpoint
+        self._keep_checkpoint(attempt.task, row.checkpoint)
+
+    def _keep_checkpoint(self, task: Task, checkpoint: str) -> None:
+        """Keep a reported checkpoint; it is persisted with the task's next change.
+
+        One that is too long to be persisted is ignored.
+        """
+        if not checkpoint or checkpoint == task.checkpoint:
+            return
+        if len(checkpoint) > MAX_CHECKPOINT_LENGTH:
+            self._ledger.count("checkpoint-too-long")
+            return
+        task.checkpoint = checkpoint
+        task.note_changed()
 
     def _on_missing(self, runner: RunnerState, attempt: Attempt, clock_ms: int) -> None:
         """Handle a confirmed run that is listed neither as running nor as ended.
@@ -219,8 +236,7 @@
         task = attempt.task
         job = task.step.occurrence.job
         self._ledger.remove(attempt, runner)
-        if ended.checkpoint:
-            task.checkpoint = ended.checkpoint
+        self._keep_checkpoint(task, ended.checkpoint)
         self._ledger.count(f"ended-{ended.kind.value}")
         if ended.kind in (EndKind.DONE, EndKind.FAILED):
             self._crashes.clear_crashes(task)
@@ -232,7 +248,7 @@
                 self._on_failed(attempt, runner)
             else:
                 self._ledger.requeue(task)
-        self._ledger.changed(job)
+        self._ledger.task_changed(task)
         self._ledger.settle_job(job)
 
     def _on_unknown_end(self, ended: EndedRun) -> None:
@@ -245,9 +261,8 @@
             return
         log.info("done-by-other-run", extra={"task": ended.task, "run": ended.run})
         self._mark_done(task)
-        job = task.step.occurrence.job
-        self._ledger.changed(job)
-        self._ledger.settle_job(job)
+        self._ledger.task_changed(task)
+        self._ledger.settle_job(task.step.occurrence.job)
 
     def _on_done(self, attempt: Attempt, before_ms: int, clock_ms: int) -> None:
         """Handle that a run is done.
@@ -299,9 +314,17 @@
         if task.state is TaskState.DONE or job.over:
             return
         self._fail_job(task)
-        self._ledger.changed(job)
+        self._ledger.task_changed(task)
         self._ledger.settle_job(job)
 
+    def abandon(self, job: Job, why: str) -> None:
+        """Fail a job for a reason that concerns none of its tasks."""
+        job.failed = True
+        job.ended_at_s = time.time()
+        self._ledger.stop_all(job, why)
+        log.error("job-abandoned", extra={"job": job.job_id, "why": why})
+        self._ledger.changed(job)
+
     def _fail_job(self, task: Task) -> None:
         """Mark a task as failed, and fail its job unless the job is already over."""
         job = task.step.occurrence.job
--- a/src/streamthread/scheduler/placer.py
+++ b/src/streamthread/scheduler/placer.py
@@ -153,7 +153,7 @@
         if task.suspect:
             begin_probation(task, runner)
         task.copy_requested = False
-        self._ledger.changed(task.step.occurrence.job)
+        self._ledger.task_changed(task)
         return attempt
 
 
--- a/tests/model/test_stops.py
+++ b/tests/model/test_stops.py
@@ -10,6 +10,10 @@
 from hypothesis import settings
 from hypothesis import strategies as st
 
+from streamthread.scheduler import chunks
+from streamthread.scheduler import model
+from streamthread.scheduler import progress_codec
+
 from .clock import virtual_time
 from .schedule import CANCEL_DELAYS_S
 from .schedule import CRASHING_WORKLOADS
@@ -172,6 +176,32 @@
     simulate(schedule)
 
 
+@pytest.fixture
+def chunked(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Divide the progress of each job into one row for each task."""
+    monkeypatch.setattr(chunks, "MAX_UNCHUNKED_TASKS", 0)
+    for module in (chunks, model, progress_codec):
+        monkeypatch.setattr(module, "CHUNK_TASKS", 1)
+
+
+CHUNKED = settings(
+    explore,
+    suppress_health_check=[
+        HealthCheck.too_slow,
+        HealthCheck.function_scoped_fixture,
+    ],
+)
+
+
+@CHUNKED
+@given(schedules(REFUSALS))
+@example(many_ends_schedule(Event(EventKind.KILL, None, 1.55, 0.3, 0)))
+def test_nothing_is_lost_or_left_of_jobs_in_several_rows(
+    chunked: None, schedule: Schedule
+) -> None:
+    simulate(schedule)
+
+
 @explore
 @given(schedules(REFUSALS, CRASHING_WORKLOADS, [SETTLED_AT_S]))
 def test_a_task_that_crashes_its_runners_is_given_up(schedule: Schedule) -> None:
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -63,7 +63,7 @@
     ),
     Guard(
         "over-is-stopped",
-        "scheduler/codec.py",
+        "scheduler/progress_codec.py",
         "if attempt.blamed or task.state is TaskState.DONE or job_over:",
         "if False:",
         ("tests/cell/test_holders.py::TestCancelledJobs",),
@@ -258,7 +258,7 @@
     ),
     Guard(
         "recorded-runs-stay-blamed",
-        "scheduler/codec.py",
+        "scheduler/progress_codec.py",
         "        return [*row, attempt.born_ms, True]\n",
         "        pass\n",
         (f"{RESTARTS}::TestRecordedRuns",),
@@ -339,7 +339,7 @@
     ),
     Guard(
         "crashes-are-recorded",
-        "scheduler/codec.py",
+        "scheduler/progress_codec.py",
         "    return [*row, task.crashes] if task.crashes else row\n",
         "    return row\n",
         (f"{CRASHES}::TestOneTaskAtFault",),
@@ -351,6 +351,30 @@
         "",
         (f"{CRASHES}::TestExitsThatAreNoCrash",),
     ),
+    Guard(
+        "truncated-ends-prove-nothing",
+        "scheduler/outcomes.py",
+        "            elif reply.ends_truncated:\n",
+        "            elif False:\n",
+        ("src/streamthread/scheduler/tests/test_truncated_ends.py",),
+    ),
+    Guard(
+        "rows-refused-for-good-are-left-out",
+        "cell/commits.py",
+        "                parts[:0] = self._isolate(changes, refused_once, error)\n",
+        "                raise\n",
+        ("src/streamthread/cell/tests/test_commits.py::TestRowsThatCannotBeWritten",),
+    ),
+    Guard(
+        "chunks-outlive-what-refers-to-them",
+        "holder/job_rows.py",
+        "        written.add_done_callback(\n"
+        "            functools.partial(self._delete_chunks, job.job_id, unused)\n"
+        "        )\n",
+        "        for chunk in unused:\n"
+        "            self._delete(TABLE_CHUNKS, chunk.key(job.job_id))\n",
+        ("src/streamthread/holder/tests/test_job_rows.py::TestLargeJob",),
+    ),
     Guard(
         "rooms-are-followed",
         "holder/listing.py",
