Pause a job whose placement fails, and place the others

What callers saw: nothing yet; found by asking of each step of a pass what an exception for one job does to all.

Cause: an unexpected exception for one job ended the pass over all pools, and each later pass met it again, with this holder and with the next one. The name of a task with a negative number, from a runner, counted from the end and could mark another task as done.

Change: a job whose tasks can't be begun or placed is paused for 1 s, and for twice as long with each further fault, up to 30 s; it is not failed, since the fault may be ours or pass. A fault in sorting a pool leaves the other pools alone. Each is counted as an unforeseen failure.

--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -113,6 +113,7 @@
         )
         self.forecasts = Forecasts(self.engine, self._obtainable)
         self.engine.choices.arriving = self._arriving
+        self.engine.on_fault = context.failures.note
         self.intake = self._open_intake()
         self.inbox = self._open_inbox()
         self.outages = HallOutages()
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -38,6 +38,13 @@
 
 log = logbook.Logger("streamthread.scheduler")
 
+OnFault = t.Callable[[str, BaseException], None]
+"""Records an unexpected error, given what failed."""
+
+
+def _ignore_fault(name: str, error: BaseException) -> None:
+    """Record no unexpected error."""
+
 
 class Engine:
     """All jobs of a cell, and the resources of its runners.
@@ -49,6 +56,7 @@
         been read. Until then, no task of an account is placed.
     :param halls: says which halls may be used.
     :param weights: returns the weights of the accounts in the newest configuration.
+    :param on_fault: records unexpected errors, which concern one job or one pool.
     """
 
     def __init__(
@@ -83,9 +91,12 @@
         self.stops = self._ledger.stops
         self.shares = Shares(weights)
         self.choices = PoolChoices(self._ledger, self.times, self.shares)
-        self._placer = PoolPlacer(self._ledger, self.times, self.choices, self.settings)
+        self._placer = PoolPlacer(
+            self._ledger, self.times, self.choices, self.settings, self._pause
+        )
         self.restarts = 0
         self.counts = self._ledger.counts
+        self.on_fault: OnFault = _ignore_fault
 
     # Jobs.
 
@@ -333,20 +344,36 @@
         """Create the occurrences that are due; return when the next one is due."""
         next_s: float | None = None
         for job in list(self._ledger.unbegun.values()):
-            due_at_s = None if job.over else job.begin_due(now_s, self.settings.early_s)
+            if job.paused:
+                continue
+            try:
+                due_at_s = self._begin_due(job, now_s)
+            except Exception as error:
+                # The other jobs are due all the same.
+                self._pause(job, error)
+                continue
             if due_at_s is None:
                 del self._ledger.unbegun[job.job_id]
             else:
                 next_s = due_at_s if next_s is None else min(next_s, due_at_s)
         return next_s
 
+    def _begin_due(self, job: Job, now_s: float) -> float | None:
+        return None if job.over else job.begin_due(now_s, self.settings.early_s)
+
+    def _pause(self, job: Job, error: Exception) -> None:
+        """Place nothing of a job for a while, as a fault keeps it from being placed."""
+        job.pause()
+        log.error("job-paused", extra={"job": job.job_id, "pause_s": job.pause_s})
+        self.on_fault("placement", error)
+
     def ready_steps(self) -> dict[str, list[StepRun]]:
         """Return the steps that have tasks to place, by pool."""
         found: dict[str, list[StepRun]] = {}
         for job in self.open_jobs():
             for occurrence in job.occurrences.values():
                 steps = occurrence.waiting_steps()
-                if steps and not job.over:
+                if steps and not job.over and not job.paused:
                     found.setdefault(job.service, []).extend(steps)
         return found
 
@@ -365,5 +392,10 @@
         if not self.halls.are_known():
             return placed
         for service, steps in self.ready_steps().items():
-            placed.extend(self._placer.place(service, steps, now_s, tickets))
+            try:
+                placed.extend(self._placer.place(service, steps, now_s, tickets))
+            except Exception as error:
+                # The other pools are served all the same.
+                log.error("pool-not-served", extra={"pool": service})
+                self.on_fault("placement", error)
         return placed
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -104,7 +104,7 @@
     def find_task(self, name: str) -> Task | None:
         """Return a task by its name on the wire if its job is open."""
         parts = name.split(".")
-        if len(parts) != TASK_NAME_PARTS:
+        if len(parts) != TASK_NAME_PARTS or any("-" in part for part in parts[1:]):
             return None
         job = self.open.get(parts[0])
         if job is None:
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -42,6 +42,13 @@
 """Maximum number of a job's occurrences that are in memory at the same time; together
 they have at most :data:`MAX_TASKS` tasks."""
 
+FIRST_PAUSE_S = 1.0
+"""How long nothing of a job is placed after a fault. Without a pause, a fault that each
+pass meets again would take the time of all passes."""
+
+MAX_PAUSE_S = 30.0
+"""The longest such pause; it doubles with each fault."""
+
 BACKLOG_CHECK_S = 1.0
 """How often a job with this many looks whether one of them is done."""
 
@@ -310,6 +317,9 @@
     :param done_times: the numbers of the occurrences that are done.
     :param changed_chunks: the parts of its progress that have changed since they were
         last recorded; used only if it is chunked.
+    :param paused_until_s: boot clock time until which nothing of the job is placed,
+        because a fault occurred when it was; 0 if none has.
+    :param pause_s: how long the last of these pauses is.
     :param body_rows: the number of rows that contain its body; 0 if the row of its
         submission does.
     :param begun: a runner has confirmed at least one run of the job.
@@ -347,6 +357,8 @@
     start_forecast_s: float | None = None
     changed_chunks: set[Chunk] = attrs.field(factory=set)
     body_rows: int = 0
+    paused_until_s: float = 0.0
+    pause_s: float = 0.0
     chunked: bool = attrs.field(init=False)
     # The occurrences below this number have begun.
     _begun_count: int = attrs.field(default=0, init=False)
@@ -388,6 +400,16 @@
         """Whether any attempt of the job uses resources on a runner."""
         return any(True for _ in self.attempts())
 
+    def pause(self) -> None:
+        """Place nothing of the job for a while, longer with each fault."""
+        self.pause_s = min(max(2 * self.pause_s, FIRST_PAUSE_S), MAX_PAUSE_S)
+        self.paused_until_s = boot_s() + self.pause_s
+
+    @property
+    def paused(self) -> bool:
+        """Whether nothing of the job is placed because of a fault."""
+        return self.paused_until_s > 0 and boot_s() < self.paused_until_s
+
     def due_at_s(self, number: int) -> float:
         """Return the wall time at which an occurrence is due."""
         if self.request.times <= 0:
--- a/src/streamthread/scheduler/placer.py
+++ b/src/streamthread/scheduler/placer.py
@@ -11,6 +11,7 @@
 from .learning import RunTimes
 from .ledger import Ledger
 from .model import Attempt
+from .model import Job
 from .model import StepRun
 from .model import Task
 from .placement import FreeCapacity
@@ -23,7 +24,10 @@
 
 
 class PoolPlacer:
-    """Gives free resources to the steps of a pool, in the order of their urgency."""
+    """Gives free resources to the steps of a pool, in the order of their urgency.
+
+    :param on_fault: called with a job that can't be placed because of a fault.
+    """
 
     def __init__(
         self,
@@ -31,7 +35,9 @@
         times: RunTimes,
         choices: PoolChoices,
         settings: EngineSettings,
+        on_fault: t.Callable[[Job, Exception], None],
     ) -> None:
+        self._on_fault = on_fault
         self._ledger = ledger
         self._times = times
         self._choices = choices
@@ -57,24 +63,15 @@
         candidates = self._candidates(steps, free, len(runners))
         choice = self._choices.choice(service, candidates, runners, now_s)
         for step in order_steps(candidates, self._times, now_s, choice):
-            last_resort = self._needs_last_resort(step)
-            if not last_resort and not free.may_fit(step):
-                log_placement(step, [], len(runners))
-                continue
-            max_count = self._account_capacity(step)
-            if not max_count:
-                log_placement(step, [], len(runners))
+            try:
+                attempts = self._place_next(step, runners, free, now_s, tickets)
+            except Exception as error:
+                # The other jobs are placed all the same.
+                self._on_fault(step.occurrence.job, error)
                 continue
-            allowed = tickets(step)
-            if not last_resort and not free.fits(step):
+            if attempts is None:
                 log_placement(step, [], len(runners))
                 continue
-            usable = runners
-            if last_resort:
-                usable = usable_runners(
-                    self._ledger.runners.values(), service, last_resort=True
-                )
-            attempts = self._place_step(step, usable, now_s, allowed, max_count)
             placed.extend(attempts)
             if attempts:
                 outdated = True
@@ -84,6 +81,31 @@
         self._choices.note_placed(placed, runners, now_s)
         return placed
 
+    def _place_next(
+        self,
+        step: StepRun,
+        runners: t.Sequence[RunnerState],
+        free: FreeCapacity,
+        now_s: float,
+        tickets: t.Callable[[StepRun], t.Collection[str] | None],
+    ) -> list[Attempt] | None:
+        """Place tasks of one step; None if it certainly fits nowhere."""
+        last_resort = self._needs_last_resort(step)
+        if not last_resort and not free.may_fit(step):
+            return None
+        max_count = self._account_capacity(step)
+        if not max_count:
+            return None
+        allowed = tickets(step)
+        if not last_resort and not free.fits(step):
+            return None
+        usable = runners
+        if last_resort:
+            usable = usable_runners(
+                self._ledger.runners.values(), step.occurrence.job.service, True
+            )
+        return self._place_step(step, usable, now_s, allowed, max_count)
+
     def _place_step(
         self,
         step: StepRun,
