Submit large and invalid jobs in the soak

The soak's jobs had 8 tasks at most, and its store took every row, so that it could not see a row that the store refuses, nor a list of ends that is truncated.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -39,6 +39,7 @@
 from tools.soak_floods import Floods
 from tools.soak_halls import HallFaults
 from tools.soak_halls import HALLS
+from tools.soak_large import LargeJobs
 from tools.soak_restarts import RestartFaults
 from tools.soak_runners import RunnerFaults
 from tools.soak_stops import LastingJobs
@@ -86,6 +87,7 @@
     :param halls: machines and daemons in several halls, which are evacuated, lost and
         partitioned, likewise.
     :param floods: one of further accounts floods a pool, likewise; needs accounts.
+    :param large: large and invalid jobs, and many runs that end at once, likewise.
     :param accounts: callers need keys, keys change, and an account has a limit,
         likewise.
     """
@@ -104,6 +106,7 @@
     silent_restarts: bool = False
     halls: bool = False
     floods: bool = False
+    large: bool = False
 
 
 class Soak(SoakView):
@@ -147,6 +150,9 @@
         self._floods: Floods | None = None
         if plan.floods:
             self._floods = Floods(self, random.Random(f"floods {plan.seed}"))
+        self._large: LargeJobs | None = None
+        if plan.large:
+            self._large = LargeJobs(self, random.Random(f"large {plan.seed}"))
         self._quiet_at_s = 0.0
         self._session: aiohttp.ClientSession | None = None
 
@@ -194,7 +200,8 @@
         if self.plan.runners:
             parts.append(self._runner_faults.play(until_s))
             parts.append(self._runner_faults.submit_in_turns(until_s))
-        for more in (self._accounts, self._restarts, self._halls, self._floods):
+        others = (self._accounts, self._restarts, self._halls, self._floods)
+        for more in (*others, self._large):
             if more is not None:
                 parts.append(more.play(until_s))
         await asyncio.gather(*parts)
@@ -452,6 +459,7 @@
                     restarts=True,
                     halls=True,
                     floods=True,
+                    large=True,
                 )
                 broken, faults = await run_soak(plan, folder, arguments.daemon_path)
             print(json.dumps({"seed": seed, "broken": broken, "faults": faults}))
