Refuse large jobs while the open ones have too many tasks

What callers saw: nothing yet. A job of 100,000 tasks takes 50 MB of its holder and 100 MB while all run (measured), daemons have 200 to 552 MB, and each next holder takes over what was accepted: a few such jobs would have ended all daemons in turn.

The soak counts an answer that is not JSON as a 500.

Test: tests/cell/test_large_jobs.py::TestManyLargeJobs; the second job of 100,000 tasks was accepted before.

--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -42,6 +42,15 @@
 
 log = logbook.Logger("streamthread.holder")
 
+MAX_OPEN_TASKS = 120_000
+"""Large jobs are refused while the open jobs would have more tasks than this. A task
+takes 0.5 KB of the holder's memory and 1 KB with a run, and each next holder has to
+take over all of them; the smallest daemons have 200 MB. A single job has 100,000 tasks
+at most."""
+
+TASKS_RETRY_AFTER_S = 5.0
+"""The `retry_after_s` of refusals for the number of open tasks."""
+
 STORE_RETRY_AFTER_S = 1.0
 """The `retry_after_s` of refusals while the store is down; outages last some
 seconds."""
@@ -247,12 +256,25 @@
             job = new_job(request.job_id, route, request.job, account)
         except BadInputError as error:
             return _reject(str(error))
+        if job.chunked and self._count_tasks(job) > MAX_OPEN_TASKS:
+            return pb.CallReply(
+                outcome=pb.REFUSED,
+                reason=f"the open jobs would have more than {MAX_OPEN_TASKS} tasks",
+                retry_after_s=TASKS_RETRY_AFTER_S,
+            )
         refusal = over_limit(job, self._admission.limit_of(account))
         if refusal:
             return self._refuse_for_account(account, refusal)
         overload = self._forecasts.judge(job) if self._forecasts is not None else None
         return overload if overload is not None else self._accept(job)
 
+    def _count_tasks(self, job: Job) -> int:
+        """Return how many tasks the open jobs have with one more job."""
+        return job.request.task_count + sum(
+            max(1, len(other.occurrences)) * other.request.task_count
+            for other in self._engine.open_jobs()
+        )
+
     async def _refuse_for_overload(
         self, request: pb.CallRequest, refusal: Refusal
     ) -> Job | pb.CallReply:
--- a/tests/cell/test_large_jobs.py
+++ b/tests/cell/test_large_jobs.py
@@ -94,6 +94,26 @@
             assert await cell.caller().state(LARGE_ID) == "cancelled"
 
 
+class TestManyLargeJobs:
+    """Guards against jobs that take the memory of each holder in turn."""
+
+    async def test_are_refused_for_now_but_not_small_ones(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            # No runner has room for these.
+            huge = job(run_s=1, count=100_000, cpu=20_000)
+            assert await caller.submit(LARGE_ID, huge) == 200
+            status, _, headers = await caller.call("POST", "b" * 16, huge)
+            assert status == 429 and int(headers["Retry-After"]) >= 1
+            assert await caller.submit("c" * 16, job()) == 200
+            await caller.until_state("c" * 16, "completed")
+            assert await caller.state("b" * 16) == "410"
+            status, _, _ = await caller.call("DELETE", LARGE_ID)
+            assert status == 200
+            assert await caller.submit("b" * 16, huge) == 200
+
+
 class TestLargeBody:
     async def test_is_kept_in_several_rows_until_the_job_ends(self) -> None:
         async with running_cell({"desk": 2}, daemon_count=2) as cell:
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -305,6 +305,9 @@
                 text = await response.read()
                 value = json.loads(text) if text else {}
                 return response.status, str(value.get("state", ""))
+        except json.JSONDecodeError:
+            # A handler has failed.
+            return 500, ""
         except (aiohttp.ClientError, TimeoutError):
             return 0, ""
 
