Let the soak's check of limits know what a task takes

Cause: the check counted 1,500 thousandths of a core for each run, which held for all jobs until there were large ones with tasks of 5; it reported QUOTA for tasks that together take a quarter of the limit. It counts what the task asks for now, and the same as before for all other jobs.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -422,7 +422,7 @@
         if self._floods is not None:
             self.broken.extend(self._floods.check())
         if self.plan.accounts:
-            self.broken.extend(check_limits(self.world))
+            self.broken.extend(check_limits(self.world, self.jobs))
         self.broken.extend(self._runs_on())
         for daemon in [*self.daemons, *self.removed]:
             if daemon.unasked_ends:
--- a/tools/soak_accounts.py
+++ b/tools/soak_accounts.py
@@ -11,6 +11,7 @@
 from tools.soak_checks import OVERLAP_S
 from tools.soak_checks import run_spans
 from tools.soak_checks import SubmittedJob
+from tools.soak_checks import TASK_CPU
 from tools.soak_daemon import Daemon
 from tools.soak_view import SoakView
 
@@ -22,9 +23,6 @@
 ROTATE_S = 2.5
 """An account's second key is replaced by another one in this time on average."""
 
-TASK_CPU = 1500
-"""What each task of the soak takes."""
-
 LIMITS = {"ann": 12 * TASK_CPU, "bob": 0}
 """Processor that an account may have running; 0: no limit. Its jobs ask for some six
 tasks at once, its lasting ones for as many: with four, they wait past a play's end."""
@@ -175,14 +173,18 @@
             yield self._second_keys[account], True
 
 
-def check_limits(world: CellWorld) -> t.Iterator[str]:
+def check_limits(
+    world: CellWorld, jobs: t.Mapping[str, SubmittedJob]
+) -> t.Iterator[str]:
     """Yield a line for each account of which too much ran at once."""
     changes: dict[str, list[tuple[float, int]]] = {name: [] for name in LIMITS}
     for started, end_s, _ in run_spans(world):
-        found = changes.setdefault(account_of(started.task.split(".")[0]), [])
-        found.append((started.at_s + OVERLAP_S, TASK_CPU))
+        job_id = started.task.split(".")[0]
+        cpu = jobs[job_id].task_cpu if job_id in jobs else TASK_CPU
+        found = changes.setdefault(account_of(job_id), [])
+        found.append((started.at_s + OVERLAP_S, cpu))
         if end_s < OPEN_S:
-            found.append((max(end_s, started.at_s + OVERLAP_S), -TASK_CPU))
+            found.append((max(end_s, started.at_s + OVERLAP_S), -cpu))
     for account, limit in LIMITS.items():
         running = most = 0
         most_at_s = 0.0
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -14,6 +14,7 @@
 __all__ = [
     "OPEN_S",
     "OVERLAP_S",
+    "TASK_CPU",
     "SubmittedJob",
     "check_crashes",
     "check_duties",
@@ -48,6 +49,10 @@
 """When a run ends that has not ended."""
 
 
+TASK_CPU = 1500
+"""The cpu of each task of nearly all jobs, in thousandths of a core."""
+
+
 @attrs.define
 class SubmittedJob:
     """What a caller was told of one job.
@@ -57,6 +62,7 @@
     :param lasting_tasks: how many of them never end by themselves, and wait for no
         limit of their account.
     :param crashing: one of its tasks crashes its runners, so that it may fail.
+    :param task_cpu: the cpu of each of its tasks, in thousandths of a core.
     :param cancel_sent: a cancel was sent, whether confirmed or not.
     :param cancelled_at_s: when a cancel was confirmed, on the monotonic clock.
     :param confirmed_by: which daemon confirmed it, and the status.
@@ -70,6 +76,7 @@
     lasting: bool = False
     lasting_tasks: int = 0
     crashing: bool = False
+    task_cpu: int = TASK_CPU
     cancel_sent: bool = False
     cancelled_at_s: float | None = None
     confirmed_by: str = ""
--- a/tools/soak_large.py
+++ b/tools/soak_large.py
@@ -54,7 +54,7 @@
 
     async def _submit(self, steps: list[dict[str, t.Any]]) -> None:
         job_id = f"{self._random.getrandbits(64):016x}"
-        job = self._soak.jobs[job_id] = SubmittedJob(job_id, "desk")
+        job = self._soak.jobs[job_id] = SubmittedJob(job_id, "desk", task_cpu=TASK_CPU)
         spec = json.dumps({"run_s": 0.5, "cpu": TASK_CPU})
         body = json.dumps({"spec": spec, "steps": steps}).encode()
         self._soak.note(f"{job_id} has {sum(step['count'] for step in steps)} tasks")
