Divide the progress of a large wave into rows

What operators would see: once some 5,900 machines of one wave had begun their upkeep, the row with their ids exceeded the store's limit, and each holder ended at it; since a refused row is left out, the next holder would order them again.

Cause: as for jobs, one row that grows with what it describes.

Rows of the version before are read, and divided by the holder that reads them. An earlier version ignores the further rows and orders these upkeeps again, which the cloud answers as done.

--- a/src/streamthread/holder/tests/test_wave_states.py
+++ b/src/streamthread/holder/tests/test_wave_states.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import json
 import types
 import typing as t
 
@@ -12,6 +13,7 @@
 from streamthread.holder.waves import WaveRegistry
 from streamthread.platform.store import Page
 from streamthread.platform.store import StoredRow
+from streamthread.upkeep.progress import MACHINES_PER_ROW
 
 WAVE = 7
 
@@ -66,3 +68,33 @@
         registry.report(registry.progress_of(WAVE), completed=True)
         await asyncio.gather(*second.calls)
         assert second.written
+
+
+class TestLargeWave:
+    """Its progress takes several rows."""
+
+    async def _restore(self, rows: dict[str, bytes]) -> WaveRegistry:
+        registry = WaveRegistry(t.cast(t.Any, _Owner(rows, down=False)), 0.01)
+        await registry.restore()
+        return registry
+
+    async def test_is_continued_by_the_next_holder(self) -> None:
+        rows: dict[str, bytes] = {}
+        registry = await self._restore(rows)
+        registry.progress_of(WAVE)
+        ids = [f"m-{number}" for number in range(2 * MACHINES_PER_ROW + 1)]
+        for machine_id in ids:
+            registry.mark_begun(WAVE, machine_id)
+        assert sorted(rows) == ["7", "7.1", "7.2"]
+        registry = await self._restore(rows)
+        assert all(registry.has_begun(WAVE, machine_id) for machine_id in ids)
+        assert not registry.has_begun(WAVE, "m-x")
+
+    async def test_of_the_earlier_version_is_divided(self) -> None:
+        ids = [f"m-{number}" for number in range(MACHINES_PER_ROW + 1)]
+        rows = {str(WAVE): json.dumps([WAVE, 2.5, ids, "running"]).encode()}
+        await self._restore(rows)
+        assert sorted(rows) == ["7", "7.1"]
+        assert json.loads(rows["7.1"]) == ids[-1:]
+        registry = await self._restore(rows)
+        assert all(registry.has_begun(WAVE, machine_id) for machine_id in ids)
--- a/src/streamthread/holder/waves.py
+++ b/src/streamthread/holder/waves.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import collections
+import functools
 import time
 import typing as t
 
@@ -37,7 +38,8 @@
 log = logbook.Logger("streamthread.duties")
 
 TABLE_WAVES = "cell-waves"
-"""One row per wave, keyed by its number: its progress, for the next holder."""
+"""The rows of each wave, whose keys begin with its number: its progress, for the next
+holder."""
 
 MIN_POOL_MACHINES = 1
 """An urgent wave leaves each pool this many machines, so that its jobs progress."""
@@ -59,22 +61,35 @@
     async def restore(self) -> None:
         """Read the progress that the previous holder recorded."""
         page = await self._owner.read_cell_table(TABLE_WAVES)
+        rows: dict[str, dict[int, bytes]] = {}
         for row in page.rows:
-            if row.value is not None:
-                self._restore(row.value)
+            if row.value is None:
+                continue
+            try:
+                first, number = WaveProgress.parse_key(row.key)
+            except UnreadableError as error:
+                self._owner.context.notes.note(Source.CELL_ROW, error)
+                continue
+            rows.setdefault(first, {})[number] = row.value
+        for values in rows.values():
+            self._restore([values[number] for number in sorted(values)])
 
-    def _restore(self, value: bytes) -> None:
+    def _restore(self, values: list[bytes]) -> None:
         """Restore a wave's progress; if it can't be decoded, the wave starts over.
 
         Upkeeps that had begun are then ordered again, and the cloud answers that they
         are done.
         """
         try:
-            progress = WaveProgress.decode(value)
+            progress = WaveProgress.decode(values[0], values[1:])
         except UnreadableError as error:
             self._owner.context.notes.note(Source.CELL_ROW, error)
             return
         self._waves.setdefault(progress.number, progress)
+        if progress.last_row >= len(values):
+            # An earlier version kept all machines in the first row.
+            for row in range(progress.last_row, -1, -1):
+                self._record(progress, row)
 
     def progress_of(self, number: int) -> WaveProgress:
         """Return a wave's progress; a new wave starts now."""
@@ -93,9 +108,9 @@
     def mark_begun(self, number: int, machine_id: str) -> None:
         """Record that a machine needs no further upkeep for a wave."""
         progress = self._waves.get(number)
-        if progress is not None:
-            progress.begun.add(machine_id)
-            self._record(progress)
+        if progress is not None and machine_id not in progress.begun:
+            progress.begun[machine_id] = None
+            self._record(progress, progress.last_row)
 
     def report(self, progress: WaveProgress, completed: bool) -> None:
         """Write the wave's state for the operator if it has changed."""
@@ -131,8 +146,9 @@
                 log.warning("wave-state-unwritten", extra={"error": str(error)})
                 await asyncio.sleep(self._retry_s)
 
-    def _record(self, progress: WaveProgress) -> None:
-        self._owner.log.mark(TABLE_WAVES, str(progress.number), progress.encode)
+    def _record(self, progress: WaveProgress, row: int = 0) -> None:
+        encode = functools.partial(progress.encode, row)
+        self._owner.log.mark(TABLE_WAVES, progress.key(row), encode)
 
 
 class WavePlanner:
