Keep the cell though the orders of one job fail unexpectedly

What callers saw: nothing yet; found by asking which exception of one job's path reaches what serves all.

Cause: a call that the holder makes beside its loops, such as the start of one task, counted towards releasing the cell if it failed unexpectedly. Eleven tasks of one job whose starts fail were enough, and each next holder sent the same starts.

Change: such a call is recorded as an unforeseen failure, as before; only loops that fail release the cell. They are counted by each holder for itself.

Test: tests/cell/test_faulty_orders.py; before, another job got 504 until the test gave up.

--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -16,6 +16,7 @@
 from ..halls import HallOutages
 from ..loops import Loop
 from ..loops import LoopKeeper
+from ..loops import RecentCount
 from ..platform.manifest import AdvicePolicy
 from ..platform.store import Page
 from ..platform.table_feed import TableFeed
@@ -55,7 +56,7 @@
 """The result of a call that is made while the lease is valid."""
 
 MAX_FAILURES = 10
-"""The cell is released after more unexpected failures than this within
+"""The cell is released after more unexpected failures of loops than this within
 :data:`FAILURES_PERIOD_S`. The next holder rebuilds its memory from the rows, which
 clears a fault in this holder's memory. If a row is the cause, the next holder fails
 too; each holder then keeps the cell for about 15 s, in which runs are extended and
@@ -127,6 +128,10 @@
         self._supervisor = LoopKeeper(
             context.failures, (NotHolderError,), self._on_failure
         )
+        # An order concerns one task or one machine: its failure is no reason to release
+        # the cell, as the next holder sends the same order.
+        self._calls = LoopKeeper(context.failures, (NotHolderError,))
+        self._failed_loops = RecentCount()
         self.failed = False
         self._group: asyncio.TaskGroup | None = None
         self._lost: asyncio.Future[None] | None = None
@@ -231,8 +236,9 @@
             yield "advice", self.advice.run
 
     def _on_failure(self, name: str) -> None:
-        """Release the cell after too many unexpected failures."""
-        if self.context.failures.within(FAILURES_PERIOD_S) > MAX_FAILURES:
+        """Release the cell after too many unexpected failures of its loops."""
+        self._failed_loops.add()
+        if self._failed_loops.within(FAILURES_PERIOD_S) > MAX_FAILURES:
             self.failed = True
             self.give_up(f"too many unexpected failures, the last one in {name}")
 
@@ -276,7 +282,7 @@
         if self._group is None:
             call.close()
             return
-        self._group.create_task(self._supervisor.once(_name_of(call), call))
+        self._group.create_task(self._calls.once(_name_of(call), call))
 
     async def read_cell_table(self, table: str) -> Page:
         """Read one of the cell's tables, retrying until the store answers."""
--- a/src/streamthread/loops.py
+++ b/src/streamthread/loops.py
@@ -14,7 +14,7 @@
 
 from .clocks import boot_s
 
-__all__ = ["Failures", "LoopKeeper"]
+__all__ = ["Failures", "LoopKeeper", "RecentCount"]
 
 log = logbook.Logger("streamthread.loops")
 
@@ -39,7 +39,6 @@
 
     def __init__(self) -> None:
         self.counts: dict[str, int] = {}
-        self._at_s: collections.deque[float] = collections.deque()
 
     def note(self, name: str, error: BaseException) -> None:
         """Count a failure and log it with its traceback.
@@ -47,15 +46,25 @@
         :param name: of the loop or call.
         """
         self.counts[name] = self.counts.get(name, 0) + 1
-        self._at_s.append(boot_s())
         log.error(
             "unforeseen-failure",
             extra={"loop": name, "error": repr(error), "count": self.counts[name]},
             exc_info=(type(error), error, error.__traceback__),
         )
 
+
+class RecentCount:
+    """Counts how often something has happened in the last seconds."""
+
+    def __init__(self) -> None:
+        self._at_s: collections.deque[float] = collections.deque()
+
+    def add(self) -> None:
+        """Count one more."""
+        self._at_s.append(boot_s())
+
     def within(self, period_s: float) -> int:
-        """Return how many there were in the last seconds."""
+        """Return how many there were in the last seconds; older ones are forgotten."""
         oldest_s = boot_s() - period_s
         while self._at_s and self._at_s[0] < oldest_s:
             self._at_s.popleft()
