Name the job of a row beside the other rows of jobs, and document the limits

Reading of the diff: the function that finds a row's job stands in job_rows.py, which knows the tables; two constants stand before what uses them and say what they are; the tests of refused rows share one log. No behaviour changes.

--- a/src/streamthread/cell/tests/test_commits.py
+++ b/src/streamthread/cell/tests/test_commits.py
@@ -269,6 +269,22 @@
         return TransactResult(committed=True, version=self.commits + 1)
 
 
+def _log_of(store: _RefusingStore) -> tuple[CommitLog, list[str]]:
+    """Return a log, and the keys that it reports as refused."""
+    refused: list[str] = []
+    log = CommitLog(
+        t.cast(t.Any, store),
+        "main",
+        1,
+        1,
+        0.0,
+        RENEW_S,
+        max_row_bytes=ROW_BYTES,
+        on_refused=lambda table, key: refused.append(key),
+    )
+    return log, refused
+
+
 class TestRowsThatCannotBeWritten:
     """Guards against one row that ends each holder, whichever daemon is next."""
 
@@ -277,17 +293,7 @@
         store: _RefusingStore, rows: t.Mapping[str, t.Callable[[], bytes | None]]
     ) -> tuple[CommitLog, list[str]]:
         """Commit rows; return the log and the keys that it reported as refused."""
-        refused: list[str] = []
-        log = CommitLog(
-            t.cast(t.Any, store),
-            "main",
-            1,
-            1,
-            0.0,
-            RENEW_S,
-            max_row_bytes=ROW_BYTES,
-            on_refused=lambda table, key: refused.append(key),
-        )
+        log, refused = _log_of(store)
         running = asyncio.ensure_future(log.run())
         for key, encode in rows.items():
             log.mark("table", key, encode)
@@ -334,16 +340,7 @@
         """A refusal of the head row alone says nothing about other rows."""
         store = _RefusingStore()
         store.refuses_all = True
-        refused: list[str] = []
-        log = CommitLog(
-            t.cast(t.Any, store),
-            "main",
-            1,
-            1,
-            0.0,
-            RENEW_S,
-            on_refused=lambda table, key: refused.append(key),
-        )
+        log, refused = _log_of(store)
         running = asyncio.ensure_future(log.run())
         log.mark("table", "key", lambda: b"value")
         while not log.is_degraded():
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -6,22 +6,17 @@
 
 from ..cell import cell_pb2 as pb
 from ..cell import CommitLog
-from ..cell import TABLE_BODIES
-from ..cell import TABLE_CHUNKS
 from ..cell import TABLE_INBOX
-from ..cell import TABLE_JOBS
 from ..cell import TABLE_RUNS
 from ..errors import BadInputError
 from ..errors import NotHolderError
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
 from ..errors import UnreadableError
-from ..scheduler import Chunk
 from ..scheduler import Engine
 from ..scheduler import Job
 from ..scheduler import JobState
 from ..scheduler import new_job
-from ..scheduler import parse_body_key
 from ..scheduler.accounts import may_see
 from ..scheduler.accounts import over_limit
 from ..unreadable import Source
@@ -32,6 +27,7 @@
 from .inbox import InboxEntry
 from .inbox import InboxOwner
 from .inbox import InboxReader
+from .job_rows import job_id_of_row
 from .job_rows import JobRows
 from .pending_cancels import Cancel
 from .pending_cancels import pending_cancel_key
@@ -430,7 +426,7 @@
         One that has not been acknowledged is withdrawn. Another one fails: what is not
         durable must not be started, and no repetition makes it durable.
         """
-        job_id = _job_id_of_row(table, key)
+        job_id = job_id_of_row(table, key)
         job = self._engine.jobs.get(job_id)
         if job is None:
             return
@@ -510,16 +506,6 @@
         self._commits.mark(TABLE_INBOX, key, lambda: None)
 
 
-def _job_id_of_row(table: str, key: str) -> str:
-    """Return the id of the job that a row belongs to, or an empty string."""
-    if table in (TABLE_JOBS, TABLE_RUNS):
-        return key
-    if table == TABLE_BODIES:
-        return parse_body_key(key)
-    parsed = Chunk.parse_key(key) if table == TABLE_CHUNKS else None
-    return parsed[0] if parsed is not None else ""
-
-
 def _reject(reason: str) -> pb.CallReply:
     """Return the answer to a job that will never be accepted as it is."""
     return pb.CallReply(outcome=pb.INVALID, reason=reason)
--- a/src/streamthread/holder/job_rows.py
+++ b/src/streamthread/holder/job_rows.py
@@ -19,8 +19,9 @@
 from ..scheduler import encode_definition
 from ..scheduler import encode_progress
 from ..scheduler import Job
+from ..scheduler import parse_body_key
 
-__all__ = ["JobRows"]
+__all__ = ["JobRows", "job_id_of_row"]
 
 log = logbook.Logger("streamthread.holder")
 
@@ -168,3 +169,13 @@
 
 def _nothing() -> None:
     """Encode a row that is deleted."""
+
+
+def job_id_of_row(table: str, key: str) -> str:
+    """Return the id of the job that a row belongs to, or an empty string."""
+    if table in (TABLE_JOBS, TABLE_RUNS):
+        return key
+    if table == TABLE_BODIES:
+        return parse_body_key(key)
+    parsed = Chunk.parse_key(key) if table == TABLE_CHUNKS else None
+    return parsed[0] if parsed is not None else ""
--- a/src/streamthread/scheduler/chunks.py
+++ b/src/streamthread/scheduler/chunks.py
@@ -14,6 +14,9 @@
 """The progress of a job with at most this many tasks is one row: such a row is written
 at once, and is not much larger than a chunk."""
 
+MAX_DIGITS = 16
+"""Number of digits of the largest count that a caller may send."""
+
 
 @attrs.frozen(order=True)
 class Chunk:
@@ -51,10 +54,6 @@
     return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
 
 
-MAX_DIGITS = 16
-"""Number of digits of the largest count that a caller may send."""
-
-
 def is_chunked(request: JobRequest) -> bool:
     """Whether the progress of a job is divided into chunks.
 
--- a/src/streamthread/scheduler/progress_codec.py
+++ b/src/streamthread/scheduler/progress_codec.py
@@ -44,6 +44,7 @@
 earlier version can't read it, and leaves such a job alone."""
 
 NO_LIMIT = 2**31
+"""Size in bytes of a row that is not stored."""
 
 
 class _AttemptRow(msgspec.Struct, array_like=True):
