Leave no row of a rejected job, and look for a large one in the inbox first

Cause: a new job is rejected if one of its rows is refused, though its other rows may have been committed by then; the next holder would find them and start it. And a job that is refused for the number of open tasks may be in the inbox already, acknowledged by another daemon.

Change: the rows of a rejected job are deleted, and the refusal takes the path of the other refusals for want of room, which reads the inbox first.

Tests: test_intake.py::TestRowThatCannotBeWritten; its first test failed before (no row was deleted).

--- a/src/streamthread/holder/forecasts.py
+++ b/src/streamthread/holder/forecasts.py
@@ -53,9 +53,9 @@
 
 @attrs.frozen
 class Refusal:
-    """Why a job can't start in time, and when there will be room.
+    """Why there is no room for a job now, and when there will be.
 
-    :param inputs: what the forecast was made of, for the log.
+    :param inputs: what the decision was made of, for the log.
     """
 
     reason: str
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -252,12 +252,10 @@
             job = new_job(request.job_id, route, request.job, account)
         except BadInputError as error:
             return _reject(str(error))
-        if job.chunked and self._count_tasks(job) > MAX_OPEN_TASKS:
-            return pb.CallReply(
-                outcome=pb.REFUSED,
-                reason=f"the open jobs would have more than {MAX_OPEN_TASKS} tasks",
-                retry_after_s=TASKS_RETRY_AFTER_S,
-            )
+        tasks = self._count_tasks(job) if job.chunked else 0
+        if tasks > MAX_OPEN_TASKS:
+            reason = f"the open jobs would have more than {MAX_OPEN_TASKS} tasks"
+            return Refusal(reason, TASKS_RETRY_AFTER_S, {"tasks": tasks})
         refusal = over_limit(job, self._admission.limit_of(account))
         if refusal:
             return self._refuse_for_account(account, refusal)
@@ -274,7 +272,7 @@
     async def _refuse_for_overload(
         self, request: pb.CallRequest, refusal: Refusal
     ) -> Job | pb.CallReply:
-        """Refuse a job that can't end in time, unless it is in the inbox.
+        """Refuse a job that there is no room for, unless it is in the inbox.
 
         Another daemon may have acknowledged it, or an earlier try may have left it
         there without an answer. The refusal would be false then, since the job runs.
@@ -432,6 +430,8 @@
             return
         log.error("job-not-storable", extra={"job": job_id, "table": table, "key": key})
         if self._submissions.reject(job):
+            # Its other rows may have been written, and must not be found.
+            self._rows.forget(job)
             return
         self._engine.abandon(job, "not-storable")
         self._kick()
--- a/src/streamthread/holder/tests/test_intake.py
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -315,3 +315,39 @@
         cell.intake.refuse_overdue()
         assert JOB_ID in cell.engine.jobs
         calling.cancel()
+
+
+class TestRowThatCannotBeWritten:
+    """Guards against a rejected job that the next holder finds, and starts."""
+
+    @pytest.mark.parametrize("table", ["cell-jobs", "cell-runs"])
+    async def test_leaves_no_row_of_a_new_job(self, table: str) -> None:
+        cell = Cell()
+        job = cell.add_job()
+        job.durable = False
+        cell.intake.on_row_refused(table, JOB_ID)
+        assert JOB_ID not in cell.engine.jobs
+        for name in ("cell-jobs", "cell-runs"):
+            assert cell.commits.marked[name, JOB_ID]() is None
+
+    async def test_fails_a_job_that_was_acknowledged(self) -> None:
+        cell = Cell()
+        job = cell.add_job()
+        job.durable = True
+        cell.intake.on_row_refused("cell-runs", JOB_ID)
+        assert cell.engine.jobs[JOB_ID].state.value == "failed"
+
+    @pytest.mark.parametrize(
+        ("table", "key"),
+        [
+            ("cell-waves", "1"),
+            ("cell-inbox", JOB_ID),
+            ("cell-jobs", "b"),
+            ("cell-chunks", "x"),
+        ],
+    )
+    async def test_concerns_no_other_job(self, table: str, key: str) -> None:
+        cell = Cell()
+        cell.add_job()
+        cell.intake.on_row_refused(table, key)
+        assert not cell.engine.jobs[JOB_ID].over
