--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -8,6 +8,7 @@
 
 from streamthread.cell import cell_pb2 as pb
 from streamthread.clocks import boot_s
+from streamthread.errors import BadInputError
 from streamthread.errors import OutcomeUnknownError
 from streamthread.errors import PeerUnavailableError
 from streamthread.errors import StoreUnavailableError
@@ -127,6 +128,22 @@
         assert reply.outcome == pb.OK
         assert len(store.written) == 1
 
+    async def test_that_the_inbox_never_takes_is_refused_for_now(self) -> None:
+        """Guards against an exception instead of an answer; a holder may take it."""
+        not_holder = pb.CallReply(outcome=pb.NOT_HOLDER)
+        store = _Store(BadInputError("400", remedy="-"))
+        reply = await _ask(_Peers(not_holder), store)
+        assert reply.outcome == pb.REFUSED and reply.retry_after_s > 0
+
+    async def test_that_does_not_fit_into_the_inbox_is_not_left_there(self) -> None:
+        store = _Store()
+        settings = attrs.evolve(SETTINGS, max_row_bytes=20)
+        peers = _Peers(pb.CallReply(outcome=pb.NOT_HOLDER))
+        args: t.Any = (_Lease(False), peers, store, "main", lambda: None, settings)
+        reply = await Forwarder(*args).ask(SUBMIT, boot_s() + 3.0)
+        assert reply.outcome == pb.REFUSED and reply.retry_after_s > 0
+        assert store.written == []
+
     async def test_whose_inbox_row_may_be_persisted_is_uncertain(self) -> None:
         not_holder = pb.CallReply(outcome=pb.NOT_HOLDER)
         unknown = OutcomeUnknownError("no answer", remedy="-")
