Call what the change already has, and drop state that can be derived

Reading of the whole change; behaviour stays as it is.

- replay.py found the job of a row a second time, and kept keys that name no chunk in a list of their own: it calls job_id_of_row now.
- The size of a row without a setting stood in node.py, twice, and in commits.py: DEFAULT_ROW_BYTES in platform/store.py serves all.
- model.py and progress_codec.py computed a chunk's positions again: Chunk.at and Chunk.positions do.
The model's test patches one constant in place of three.
- Ids of rejected jobs were kept in a bounded set of their own: the job says so.

Result: make check; the tests of rows, chunks, commits, submissions, intake, the platform, forwarding and documents pass, and those named here ran after it: large jobs with daemons, and jobs in several rows in virtual time.

--- a/src/streamthread/cell/commits.py
+++ b/src/streamthread/cell/commits.py
@@ -13,6 +13,7 @@
 from ..errors import NotHolderError
 from ..errors import StoreUnavailableError
 from ..platform.store import Condition
+from ..platform.store import DEFAULT_ROW_BYTES
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
 from ..response_times import ResponseTimes
@@ -45,9 +46,6 @@
 suspects that it cannot commit. A batch of 600 KB would take 1.4 s there, and the cell
 would move from one such holder to the next."""
 
-DEFAULT_ROW_BYTES = 65_536
-"""Maximum size of a row's value unless the platform's settings name another one."""
-
 SLOW_COMMIT_S = 0.35
 """Commits that take longer count as slow. A commit usually takes 7 ms, and 300 ms in a
 store that is 60 times slower."""
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -13,7 +13,6 @@
 from ..cell import PeerLinks
 from ..cell import TABLE_INBOX
 from ..cell import version_written
-from ..cell.commits import DEFAULT_ROW_BYTES
 from ..clocks import boot_s
 from ..errors import BadInputError
 from ..errors import NotHolderError
@@ -26,6 +25,7 @@
 from ..platform.callers import decode_job
 from ..platform.store import ABSENT
 from ..platform.store import Condition
+from ..platform.store import DEFAULT_ROW_BYTES
 from ..platform.store import RowStore
 from ..platform.store import StoredRow
 from ..response_times import ResponseTimes
--- a/src/streamthread/holder/context.py
+++ b/src/streamthread/holder/context.py
@@ -6,7 +6,6 @@
 
 from ..capacity import CapacitySettings
 from ..cell import LeaseTimes
-from ..cell.commits import DEFAULT_ROW_BYTES
 from ..halls import HallPolicy
 from ..halls import OPEN_HALLS
 from ..loops import Failures
@@ -15,6 +14,7 @@
 from ..platform.documents import Wave
 from ..platform.manifest import Manifest
 from ..platform.runners import RunnerClient
+from ..platform.store import DEFAULT_ROW_BYTES
 from ..platform.store import RowStore
 from ..runners import LinkSettings
 from ..scheduler import EngineSettings
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -219,7 +219,7 @@
             # The id belongs to another account's job, which stays hidden.
             return pb.CallReply(outcome=pb.UNKNOWN_JOB)
         if not await self._submissions.until_durable(job):
-            if job.job_id in self._submissions.rejected:
+            if job.rejected:
                 return _reject("the job can't be stored")
             return _refuse("the store does not accept commits")
         await self._until_durable(job)
@@ -314,7 +314,6 @@
         """
         job_id = job.job_id
         self._engine.add(job)
-        self._submissions.rejected.discard(job_id)
         self._rows.add(job)
         log.info(
             "job-accepted",
--- a/src/streamthread/holder/job_rows.py
+++ b/src/streamthread/holder/job_rows.py
@@ -11,7 +11,7 @@
 from ..cell import TABLE_CHUNKS
 from ..cell import TABLE_JOBS
 from ..cell import TABLE_RUNS
-from ..cell.commits import DEFAULT_ROW_BYTES
+from ..platform.store import DEFAULT_ROW_BYTES
 from ..scheduler import body_key
 from ..scheduler import Chunk
 from ..scheduler import divide_body
--- a/src/streamthread/holder/replay.py
+++ b/src/streamthread/holder/replay.py
@@ -23,6 +23,7 @@
 from ..scheduler import parse_body_key
 from ..scheduler import restore_progress
 from ..scheduler.codec import has_divided_body
+from .job_rows import job_id_of_row
 
 __all__ = ["RETRY_S", "Replayed", "read_job", "read_jobs", "read_with_retry"]
 
@@ -66,7 +67,7 @@
     tables = (TABLE_JOBS, TABLE_RUNS, TABLE_CHUNKS, TABLE_BODIES)
     pages = await asyncio.gather(*(store.read_all(table, part) for table in tables))
     definitions, progress, chunk_rows, body_rows = (_values(page) for page in pages)
-    chunks, strange = _chunks_by_job(chunk_rows)
+    chunks = _chunks_by_job(chunk_rows)
     bodies = _bodies_by_job(body_rows)
     jobs: list[Job] = []
     unreadable: dict[str, BadInputError] = {}
@@ -76,38 +77,27 @@
             jobs.append(_restore_job(job_id, value, *parts))
         except BadInputError as error:
             unreadable[job_id] = error
-    unused = [(TABLE_CHUNKS, key) for key in strange]
-    for table, rows, job_id_of in (
-        (TABLE_CHUNKS, chunk_rows, _job_id_of_chunk),
-        (TABLE_BODIES, body_rows, parse_body_key),
-    ):
-        unused += [(table, key) for key in rows if job_id_of(key) not in definitions]
-    took_s = boot_s() - began_at_s
-    return Replayed(tuple(jobs), chunks, unreadable, tuple(unused), took_s)
+    unused = tuple(
+        (table, key)
+        for table, rows in ((TABLE_CHUNKS, chunk_rows), (TABLE_BODIES, body_rows))
+        for key in rows
+        if job_id_of_row(table, key) not in definitions
+    )
+    return Replayed(tuple(jobs), chunks, unreadable, unused, boot_s() - began_at_s)
 
 
 def _values(page: Page) -> dict[str, bytes]:
     return {row.key: row.value for row in page.rows if row.value is not None}
 
 
-def _chunks_by_job(
-    rows: t.Mapping[str, bytes],
-) -> tuple[dict[str, dict[Chunk, bytes]], list[str]]:
-    """Return the chunks by job id, and the keys that name no chunk."""
+def _chunks_by_job(rows: t.Mapping[str, bytes]) -> dict[str, dict[Chunk, bytes]]:
+    """Return the chunks by job id; a key that names no chunk belongs to no job."""
     found: dict[str, dict[Chunk, bytes]] = {}
-    strange: list[str] = []
     for key, value in rows.items():
         parsed = Chunk.parse_key(key)
-        if parsed is None:
-            strange.append(key)
-        else:
+        if parsed is not None:
             found.setdefault(parsed[0], {})[parsed[1]] = value
-    return found, strange
-
-
-def _job_id_of_chunk(key: str) -> str:
-    parsed = Chunk.parse_key(key)
-    return parsed[0] if parsed is not None else ""
+    return found
 
 
 def _bodies_by_job(rows: t.Mapping[str, bytes]) -> dict[str, list[bytes]]:
--- a/src/streamthread/holder/submissions.py
+++ b/src/streamthread/holder/submissions.py
@@ -29,10 +29,6 @@
 the answer to the commit may be unread. The checks are 0.1 s apart."""
 
 
-MAX_REJECTED = 1000
-"""Number of rejected jobs that are remembered until their callers have been told."""
-
-
 class Submissions:
     """Withdraws new jobs that no transaction has carried to the store.
 
@@ -42,7 +38,6 @@
     it can be refused safely, and its caller told when to retry.
 
     :param on_withdrawn: called with each job that is withdrawn.
-    :param rejected: ids of jobs that were withdrawn since the store never takes them.
     """
 
     def __init__(
@@ -54,7 +49,6 @@
         self._engine = engine
         self._commits = commits
         self._on_withdrawn = on_withdrawn
-        self.rejected: set[str] = set()
         # Jobs with a future that is resolved when the job is withdrawn.
         self._waiting: dict[str, tuple[Job, asyncio.Future[None]]] = {}
         # For how long the current commit had been tried at the last check, and for how
@@ -173,9 +167,7 @@
         if job.durable or job.left_in_inbox or job.over:
             return False
         self._commits.unmark(TABLE_JOBS, job.job_id)
-        if len(self.rejected) >= MAX_REJECTED:
-            self.rejected.clear()
-        self.rejected.add(job.job_id)
+        job.rejected = True
         self._drop(job)
         return True
 
--- a/src/streamthread/platform/node.py
+++ b/src/streamthread/platform/node.py
@@ -7,6 +7,7 @@
 
 from ..errors import SettingsError
 from .http import JsonObject
+from .store import DEFAULT_ROW_BYTES
 
 __all__ = [
     "FILE_VARIABLE",
@@ -62,7 +63,7 @@
     address: str
     writes_per_s: float = 800.0
     reads_per_s: float = 2000.0
-    row_bytes: int = 65536
+    row_bytes: int = DEFAULT_ROW_BYTES
 
 
 OPERATORS_PORT = 9464
@@ -217,7 +218,7 @@
         address=value["address"],
         writes_per_s=float(value.get("writes_per_s", 800.0)),
         reads_per_s=float(value.get("reads_per_s", 2000.0)),
-        row_bytes=int(value.get("row_bytes", 65536)),
+        row_bytes=int(value.get("row_bytes", DEFAULT_ROW_BYTES)),
     )
 
 
--- a/src/streamthread/platform/store.py
+++ b/src/streamthread/platform/store.py
@@ -25,6 +25,7 @@
 
 __all__ = [
     "ABSENT",
+    "DEFAULT_ROW_BYTES",
     "MAX_ID_BYTES",
     "STORE_TIMEOUT_S",
     "Condition",
@@ -54,6 +55,9 @@
 """Maximum number of rows per read: 300 KB of jobs take half a second over the slowest
 links, of 5 Mbit/s."""
 
+DEFAULT_ROW_BYTES = 65_536
+"""Maximum size of a row's value unless the platform's settings name another one."""
+
 CONDITION_FAILED_STATUS = 412
 """The answer to a transaction with a condition that is not met."""
 
--- a/src/streamthread/scheduler/chunks.py
+++ b/src/streamthread/scheduler/chunks.py
@@ -29,10 +29,16 @@
     occurrence: int
     number: int
 
+    @classmethod
+    def at(cls, occurrence: int, position: int) -> "Chunk":
+        """Return the chunk of the task at a position among all of an occurrence."""
+        return cls(occurrence, position // CHUNK_TASKS)
+
     @property
-    def first(self) -> int:
-        """The position of its first task among all tasks of the occurrence."""
-        return self.number * CHUNK_TASKS
+    def positions(self) -> slice:
+        """The positions of its tasks among all tasks of the occurrence."""
+        first = self.number * CHUNK_TASKS
+        return slice(first, first + CHUNK_TASKS)
 
     def key(self, job_id: str) -> str:
         """Return the key of its row."""
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -10,7 +10,6 @@
 from ..platform.callers import StepRequest
 from .attempts import Attempt
 from .chunks import Chunk
-from .chunks import CHUNK_TASKS
 from .chunks import is_chunked
 from .intervals import IntervalSet
 from .names import task_name
@@ -129,7 +128,7 @@
         occurrence = self.step.occurrence
         if occurrence.job.chunked:
             position = self.step.first_position + self.index
-            chunk = Chunk(occurrence.number, position // CHUNK_TASKS)
+            chunk = Chunk.at(occurrence.number, position)
             occurrence.job.changed_chunks.add(chunk)
 
     @property
@@ -322,6 +321,7 @@
     :param pause_s: how long the last of these pauses is.
     :param body_rows: the number of rows that contain its body; 0 if the row of its
         submission does.
+    :param rejected: the job was withdrawn, since the store never takes its rows.
     :param begun: a runner has confirmed at least one run of the job.
     :param ended_at_s: wall time at which the job ended, or None.
     :param durable: the submission is persisted, so it may be acknowledged.
@@ -357,6 +357,7 @@
     start_forecast_s: float | None = None
     changed_chunks: set[Chunk] = attrs.field(factory=set)
     body_rows: int = 0
+    rejected: bool = False
     paused_until_s: float = 0.0
     pause_s: float = 0.0
     chunked: bool = attrs.field(init=False)
--- a/src/streamthread/scheduler/progress_codec.py
+++ b/src/streamthread/scheduler/progress_codec.py
@@ -19,7 +19,6 @@
 from ..decoding import OWN_ROW_REMEDY
 from ..errors import UnreadableError
 from .chunks import Chunk
-from .chunks import CHUNK_TASKS
 from .intervals import IntervalSet
 from .model import Attempt
 from .model import Job
@@ -131,7 +130,7 @@
 
     :param max_bytes: if the row would be larger, it contains no checkpoints.
     """
-    tasks = occurrence.tasks[chunk.first : chunk.first + CHUNK_TASKS]
+    tasks = occurrence.tasks[chunk.positions]
 
     def encode(with_checkpoints: bool) -> bytes:
         return _dump(_encode_tasks(tasks, with_checkpoints))
@@ -248,8 +247,7 @@
     for step, row in zip(occurrence.steps, rows, strict=True):
 
         def is_in_chunk(index: int, step: StepRun = step) -> bool:
-            position = step.first_position + index
-            return Chunk(number, position // CHUNK_TASKS) in chunks
+            return Chunk.at(number, step.first_position + index) in chunks
 
         _restore_tasks(job, number, step.tasks, row, is_in_chunk)
 
@@ -260,7 +258,7 @@
         raise _progress_mismatch(job, number, "is an occurrence that does not exist")
     occurrence = job.occurrences.get(number) or job.begin(number)
     row = _CHUNKS.decode(value, chunk.key(job.job_id))
-    tasks = occurrence.tasks[chunk.first : chunk.first + CHUNK_TASKS]
+    tasks = occurrence.tasks[chunk.positions]
     _restore_tasks(job, number, tasks, row)
 
 
--- a/tests/model/test_stops.py
+++ b/tests/model/test_stops.py
@@ -11,8 +11,6 @@
 from hypothesis import strategies as st
 
 from streamthread.scheduler import chunks
-from streamthread.scheduler import model
-from streamthread.scheduler import progress_codec
 
 from .clock import virtual_time
 from .schedule import CANCEL_DELAYS_S
@@ -180,8 +178,7 @@
 def chunked(monkeypatch: pytest.MonkeyPatch) -> None:
     """Divide the progress of each job into one row for each task."""
     monkeypatch.setattr(chunks, "MAX_UNCHUNKED_TASKS", 0)
-    for module in (chunks, model, progress_codec):
-        monkeypatch.setattr(module, "CHUNK_TASKS", 1)
+    monkeypatch.setattr(chunks, "CHUNK_TASKS", 1)
 
 
 CHUNKED = settings(
