--- a/review/platform_2/runner.py
+++ b/review/platform_2/runner.py
@@ -148,6 +148,7 @@
         self.draining = False
         self.highest_token = 0
         self.calls = 0
+        self.refused_tickets = 0
         self._tickets = tickets
         self._started = started
         self._ended = ended
@@ -290,6 +291,7 @@
         if self._tickets is not None and not self._tickets(
             step, self.runner_id, ticket
         ):
+            self.refused_tickets += 1
             return self._refuse("ticket")
         self._extend(body)
         now_s = time.monotonic()
