--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,93 +1,97 @@
-"""Case 7: an accepted job never runs, since its route went before a holder read it."""
+"""Case 7: a job never starts where its policy allows none of the first 30 runners."""
 
 import asyncio
 import pathlib
-import signal
 import sys
 import time
-import typing as t
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 
+from platform_2.advice import AdviceService  # noqa: E402
 from platform_2.cell import Cell  # noqa: E402
 from platform_2.cell import exit_status  # noqa: E402
 from platform_2.cell import Record  # noqa: E402
 from platform_2.cell import Verdict  # noqa: E402
 
 JOB = "5c0e7a21d94b36f8"
-PATH = f"/gato7/{JOB}"
-SERVICE = "dele69a"
+PATH = f"/puxa400/{JOB}"
+SERVICE = "nylo40d"
+RACK_MACHINES = 4
+RACKS = 11
+CRASHED_RACK = "r00"
+GOOD_RACKS = ("r00", "r10")
 WORK_MS = 1000
-FROZEN_S = 4.0
-CALM_S = 25.0
-
-
-def manifest(version: int, prefixes: t.Sequence[str]) -> dict[str, t.Any]:
-    """Return a manifest with a queue for each prefix."""
-    return {
-        "version": version,
-        "routes": [
-            {
-                "name": f"q-{prefix.strip('/')}",
-                "host": "pule25.example",
-                "pathPrefix": prefix,
-                "service": SERVICE,
-                "priority": 0,
-                "maxAttempts": 3,
-                "stretch": 1.6,
-                "targetLatencyMs": 600,
-                "timeoutMs": 3000,
-            }
-            for prefix in prefixes
-        ],
-        "services": [{"name": SERVICE, "rejectsOverload": True}],
-    }
+CALM_S = 20.0
 
 
 async def play(record: Record, scratch: pathlib.Path, trouble: bool) -> Verdict:
-    """Freeze the holder, hand a job in elsewhere, and take its route away."""
-    cell = Cell(scratch, record, lambda task: WORK_MS)
+    """Lose a rack for good, hand a job in, and look whether it ever starts."""
+    racks: dict[str, str] = {}
+    advice = AdviceService(
+        lambda step, runner_id: racks.get(runner_id) in GOOD_RACKS,
+        decide_s=0.02,
+        each_s=0.002,
+        valid_s=10.0,
+    )
+    cell = Cell(scratch, record, lambda task: WORK_MS, advice.holds)
     try:
-        await cell.open(manifest(3, ["/puxa400/", "/gato7/"]))
-        for number in range(8):
-            await cell.add_machine(f"m{number}", SERVICE, f"r{number // 4}")
+        await advice.port.open()
+        cell.advice = advice.port.address
+        await cell.open(
+            {
+                "version": 3,
+                "routes": [
+                    {
+                        "name": "q1",
+                        "host": "pule25.example",
+                        "pathPrefix": "/puxa400/",
+                        "service": SERVICE,
+                        "priority": 0,
+                        "maxAttempts": 3,
+                        "stretch": 1.6,
+                        "targetLatencyMs": 600,
+                        "timeoutMs": 3000,
+                        "advice": {"decide_ms": 20, "each_ms": 2, "valid_ms": 10000},
+                    }
+                ],
+                "services": [{"name": SERVICE, "rejectsOverload": True}],
+            }
+        )
+        for number in range(RACKS * RACK_MACHINES):
+            rack = f"r{number // RACK_MACHINES:02d}"
+            runner = await cell.add_machine(f"m{number:02d}", SERVICE, rack)
+            racks[runner.runner_id] = rack
         await cell.start_daemons(3)
-        holder = await cell.holder()
-        other = next(daemon for daemon in cell.daemons if daemon is not holder)
+        await asyncio.sleep(2.0)
         if trouble:
-            record.note(f"{holder.name}, which holds the cell, freezes")
-            holder.send(signal.SIGSTOP)
-        frozen_at_s = time.monotonic()
+            for machine_id, rack in cell.racks.items():
+                if rack == CRASHED_RACK:
+                    await cell.crash(machine_id)
+            # Everything that the disruption excuses is over by then.
+            await asyncio.sleep(8.0)
         step = {"count": 4, "cpu": 2000, "memMb": 1024, "estimateMs": WORK_MS}
-        body = {"spec": "kept", "steps": [step]}
-        status, _ = await cell.ask("POST", PATH, body, other)
-        if status != 200:
-            raise RuntimeError(f"the job was answered with {status}")
-        await cell.put("op", "config", manifest(4, ["/puxa400/"]))
-        record.note("manifest 4 without the route of the job is acknowledged")
-        if trouble:
-            await asyncio.sleep(max(0.0, frozen_at_s + FROZEN_S - time.monotonic()))
-            holder.send(signal.SIGCONT)
-            record.note(f"{holder.name} wakes")
+        await cell.submit(PATH, {"spec": "advised", "steps": [step]})
         until_s = time.monotonic() + CALM_S
-        while len(cell.started) < 4 and time.monotonic() < until_s:
+        state = ""
+        while state != "completed" and time.monotonic() < until_s:
             await asyncio.sleep(0.5)
-        await asyncio.sleep(WORK_MS / 1000 + 0.5)
-        await cell.submit("/puxa400/5c0e7a21d94b36f9", body)
-        await asyncio.sleep(3.0)
-        others = sum(
-            start.task.startswith("5c0e7a21d94b36f9") for start in cell.started
-        )
-        record.note(f"{others} starts of a job that another route took afterwards")
+            state = await cell.state(PATH)
+        for call in advice.calls:
+            text = f"advice {call.step}: {len(call.asked)} asked, good {call.good}"
+            record.note(text, call.at_s)
         cell.write_runs()
-        mine = sum(start.task.startswith(JOB) for start in cell.started)
-        if not mine:
-            why = f"nothing of the accepted job ran for {CALM_S:.0f} s on idle runners"
+        good = [r for r in cell.runners if r.alive and r.rack in GOOD_RACKS]
+        if not cell.started:
+            why = (
+                f"nothing of the job ran for {CALM_S:.0f} s, though {len(good)} "
+                "runners that its policy allows stand idle"
+            )
             return Verdict(True, why)
-        return Verdict(False, f"{mine} starts of the accepted job")
+        return Verdict(False, f"the job is {state}, {len(cell.started)} starts")
     finally:
         await cell.close()
+        await advice.port.close()
 
 
 if __name__ == "__main__":
--- a/review/platform_2/cell.py
+++ b/review/platform_2/cell.py
@@ -67,7 +67,7 @@
 
     async def start(self) -> None:
         """Start the process and wait until it listens."""
-        self.callers = ""
+        self.callers = self.operators = ""
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
             "-m",
@@ -356,7 +356,7 @@
         until_s = time.monotonic() + START_S
         while time.monotonic() < until_s:
             for daemon in self.daemons:
-                if not daemon.alive:
+                if not daemon.alive or not daemon.operators:
                     continue
                 with contextlib.suppress(aiohttp.ClientError, TimeoutError):
                     url = f"http://{daemon.operators}/status"
--- a/review/platform_2/runner.py
+++ b/review/platform_2/runner.py
@@ -117,6 +117,7 @@
     :param work_ms: returns how long a work item takes.
     :param started: the starts that all runners carried out, in a shared list.
     :param ended: (work item, run, how, runner, time) of all ends, in a shared list.
+    :param listed: the checkpoints in its last list, by run.
     :param tickets: returns whether a ticket is good for a step at a runner now; None if
         starts need no ticket.
     """
@@ -148,6 +149,7 @@
         self.draining = False
         self.highest_token = 0
         self.calls = 0
+        self.listed: dict[tuple[str, int], str] = {}
         self.refused_tickets = 0
         self._tickets = tickets
         self._started = started
@@ -196,6 +198,13 @@
         self.advance()
         return [task for task, _ in self._runs]
 
+    def has_saved_since_listing(self) -> bool:
+        """Whether a run has a newer checkpoint than its last list showed."""
+        self.advance()
+        return any(
+            run.saved != self.listed.get(run.key, "") for run in self._runs.values()
+        )
+
     def clock_ms(self) -> int:
         """Return the steady clock."""
         return int((time.monotonic() - self._zero_s) * 1000)
@@ -249,7 +258,10 @@
     # Calls.
 
     async def _serve(self, request: web.BaseRequest) -> web.StreamResponse:
-        body = await request.json()
+        try:
+            body = await request.json()
+        except ValueError:
+            return web.Response(status=400)
         self.calls += 1
         if not self.alive:
             return web.Response(status=421)
@@ -330,6 +342,7 @@
         if not self.alive:
             return web.Response(status=421)
         now_s = time.monotonic()
+        self.listed = {run.key: run.saved for run in self._runs.values()}
         running = [
             [run.task, run.number, run.saved, self._percent(run, now_s)]
             for run in self._runs.values()
