--- a/review/platform_2/cell.py
+++ b/review/platform_2/cell.py
@@ -482,7 +482,7 @@
                 import shutil
 
                 shutil.copytree(scratch, keep, dirs_exist_ok=True)
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         record.note(f"the case could not run: {error!r}")
         print(f"could not run: {error!r}", file=sys.stderr)
         return 2
@@ -494,5 +494,10 @@
 
 
 async def _limited(play: t.Awaitable[Verdict]) -> Verdict:
+    """Play within the time limit; a stop signal ends the started processes, too."""
+    task = asyncio.ensure_future(play)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, task.cancel)
     async with asyncio.timeout(110):
-        return await play
+        return await task
