--- a/review/7/case.py
+++ b/review/7/case.py
@@ -75,7 +75,7 @@
         jobs: list[str] = []
         began_s = time.monotonic()
         while time.monotonic() - began_s < QUIET_S + BURST_S:
-            job_id = f"{len(jobs) + 1:016x}"
+            job_id = f"5c0e7a21d94b{len(jobs) + 1:03x}a"
             await cell.submit(f"/puxa400/{job_id}", body)
             jobs.append(job_id)
             burst = trouble and time.monotonic() - began_s > QUIET_S
