Record why a job has failed, with the job, in logs and metrics

Cause: of the five paths by which a job comes to be shown as failed, the log told two apart. Which count of runner exits had decided was not logged, and the rows of a failed job did not say why, so that neither a later holder nor another daemon could tell. Change: one function fails a job and takes a cause, which is written with the job, logged as cause of job-failed (a warning now, and also for rows that can't be stored), counted by streamthread_jobs_failed_total and shown by explain. Rows without a cause are read as not-recorded. No decision is changed.

--- a/src/streamthread/gateway/explain.py
+++ b/src/streamthread/gateway/explain.py
@@ -28,6 +28,7 @@
     return {
         "job": job.job_id,
         "state": job.state.value,
+        "failure": job.failure.value if job.failure is not None else None,
         "route": job.route,
         "pool": job.service,
         "account": job.account,
--- a/src/streamthread/gateway/metrics.py
+++ b/src/streamthread/gateway/metrics.py
@@ -196,6 +196,12 @@
             "how",
             engine.counts,
         )
+        yield _counter_family(
+            "streamthread_jobs_failed",
+            "Jobs that have failed with this holder, by cause.",
+            "cause",
+            engine.failures,
+        )
         yield CounterMetricFamily(
             "streamthread_commits", "Commits of this holder.", value=holder.log.sequence
         )
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -432,7 +432,7 @@
             # Its other rows may have been written, and must not be found.
             self._rows.forget(job)
             return
-        self._engine.abandon(job, "not-storable")
+        self._engine.abandon(job)
         self._kick()
 
     def is_excluded(self, job_id: str) -> bool:
--- a/src/streamthread/scheduler/__init__.py
+++ b/src/streamthread/scheduler/__init__.py
@@ -9,6 +9,7 @@
 from .engine import Engine
 from .fleet import RunnerState
 from .model import Attempt
+from .model import FailureCause
 from .model import Job
 from .model import JobState
 from .model import Phase
@@ -28,6 +29,7 @@
     "Chunk",
     "Engine",
     "EngineSettings",
+    "FailureCause",
     "Job",
     "JobState",
     "Phase",
--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -18,6 +18,7 @@
 from ..platform.callers import decode_job
 from ..platform.callers import JobRequest
 from .intervals import IntervalSet
+from .model import FailureCause
 from .model import Job
 from .model import JobState
 
@@ -89,13 +90,15 @@
 
 
 def _encode_ended(job: Job) -> bytes:
-    value = {
+    value: dict[str, Json] = {
         "route": job.route,
         "service": job.service,
         "accepted_at_s": job.accepted_at_s,
         "ended_at_s": job.ended_at_s,
         "state": job.state.value,
     }
+    if job.failure is not None:
+        value["failure"] = job.failure.value
     return _dump(value | _encode_account(job))
 
 
@@ -116,6 +119,7 @@
     body: str | None = None
     body_rows: Count = 0
     state: JobState | None = None
+    failure: str = ""
     ended_at_s: Amount | None = None
     account: str = ""
 
@@ -171,7 +175,7 @@
         done_times=IntervalSet([0] if state is JobState.COMPLETED else []),
         begun=True,
         cancelled=state is JobState.CANCELLED,
-        failed=state is JobState.FAILED,
+        failure=FailureCause.parse(row.failure) if state is JobState.FAILED else None,
         ended_at_s=row.ended_at_s,
         account=row.account,
     )
--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -19,6 +19,7 @@
 from .ledger import Ledger
 from .model import Attempt
 from .model import Blame
+from .model import FailureCause
 from .model import Phase
 from .model import RunnerIncarnation
 from .model import Task
@@ -26,7 +27,7 @@
 from .settings import EngineSettings
 from .stability import PoolStability
 
-__all__ = ["Crashes", "describe", "started_last"]
+__all__ = ["Crashes", "Verdict", "describe", "started_last"]
 
 log = logbook.Logger("streamthread.scheduler")
 
@@ -99,6 +100,14 @@
         )
 
 
+@attrs.frozen
+class Verdict:
+    """A task that is to be given up, and why."""
+
+    task: Task
+    cause: FailureCause
+
+
 class Crashes:
     """Counts runner exits against the tasks that may have caused them."""
 
@@ -172,7 +181,7 @@
 
     # Runner exits.
 
-    def attribute_exit(self, runner: RunnerState) -> list[Task]:
+    def attribute_exit(self, runner: RunnerState) -> list[Verdict]:
         """Attribute a runner exit to tasks; return those to be given up.
 
         An exit for an ordered move or upkeep, or one that the runner announced, is not
@@ -190,9 +199,7 @@
         conclusive = (
             attribution.at_start and attribution.single_confirmed_job and stable
         )
-        return [
-            a.task for a in attribution.blamed if self._is_at_fault(a.task, conclusive)
-        ]
+        return self._verdicts(attribution.blamed, conclusive)
 
     def _attribute(self, runner: RunnerState) -> _Attribution:
         """Return the attempts to which a runner exit is attributed."""
@@ -204,7 +211,7 @@
             return _Attribution(not_outlived, exact)
         return _Attribution(candidates, exact, later=True)
 
-    def attribute_orphan_exit(self, attempt: Attempt) -> list[Task]:
+    def attribute_orphan_exit(self, attempt: Attempt) -> list[Verdict]:
         """Attribute to a run the exit of its runner before this holder took over.
 
         :return: the run's task if it is to be given up.
@@ -217,9 +224,7 @@
         if not self._may_be_at_fault(attempt):
             return []
         self._blame(attempt, _Attribution((attempt,)))
-        return (
-            [attempt.task] if self._is_at_fault(attempt.task, conclusive=False) else []
-        )
+        return self._verdicts([attempt], conclusive=False)
 
     def _candidates(
         self, runner: RunnerState, now_s: float, exact: bool
@@ -289,12 +294,19 @@
             },
         )
 
-    def _is_at_fault(self, task: Task, conclusive: bool) -> bool:
+    def _verdicts(self, blamed: t.Iterable[Attempt], conclusive: bool) -> list[Verdict]:
+        causes = [(a.task, self._cause(a.task, conclusive)) for a in blamed]
+        return [Verdict(task, cause) for task, cause in causes if cause is not None]
+
+    def _cause(self, task: Task, conclusive: bool) -> FailureCause | None:
+        """Return why a task is to be given up, or None."""
         if conclusive and task.crashes >= self._settings.crashes_alone:
-            return True
+            return FailureCause.CRASHES_ALONE
         if task.crashes >= self._settings.most_crashes:
-            return True
-        return task.lost_runners >= self._settings.most_lost_runners
+            return FailureCause.CRASHES
+        if task.lost_runners >= self._settings.most_lost_runners:
+            return FailureCause.LOST_RUNNERS
+        return None
 
 
 def _is_outlived(attempt: Attempt, runner: RunnerState) -> bool:
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -17,6 +17,7 @@
 from .choices import PoolChoices
 from .crashes import Crashes
 from .crashes import describe
+from .crashes import Verdict
 from .events import describe_loss
 from .fleet import RunnerState
 from .hall_changes import leave_hall
@@ -26,7 +27,6 @@
 from .model import Attempt
 from .model import Job
 from .model import StepRun
-from .model import Task
 from .outcomes import Outcomes
 from .outcomes import Stray
 from .placer import PoolPlacer
@@ -96,6 +96,7 @@
         )
         self.restarts = 0
         self.counts = self._ledger.counts
+        self.failures = self._ledger.failures
         self.on_fault: OnFault = _ignore_fault
 
     # Jobs.
@@ -114,10 +115,10 @@
         self._ledger.stop_all(job, "cancelled")
         self._ledger.changed(job)
 
-    def abandon(self, job: Job, why: str) -> None:
-        """Fail a job that this system can't carry out, and have its runs stopped."""
+    def abandon(self, job: Job) -> None:
+        """Fail a job of which a row can't be stored, and have its runs stopped."""
         if not job.over:
-            self._outcomes.abandon(job, why)
+            self._outcomes.abandon(job)
 
     def withdraw(self, job: Job) -> None:
         """Remove a new job of which no start was sent, as if never submitted."""
@@ -152,7 +153,7 @@
         """
         runner.halls = self.halls
         self.runners[runner.runner_id] = runner
-        given_up: list[Task] = []
+        given_up: list[Verdict] = []
         for job in self.open_jobs():
             for attempt in job.attempts():
                 if attempt.runner_id != runner.runner_id:
@@ -162,8 +163,8 @@
                     self._stop_on_next_incarnation(attempt, runner)
                 else:
                     runner.add(attempt.task.name, attempt)
-        for task in given_up:
-            self._outcomes.give_up(task)
+        for verdict in given_up:
+            self._outcomes.give_up(verdict.task, verdict.cause)
 
     def _stop_on_next_incarnation(self, attempt: Attempt, runner: RunnerState) -> None:
         """Stop a run whose start may have reached this incarnation of its runner."""
@@ -189,8 +190,8 @@
         given_up = self._crashes.attribute_exit(runner)
         for attempt in attempts:
             self._ledger.expire(attempt, runner)
-        for task in given_up:
-            self._outcomes.give_up(task)
+        for verdict in given_up:
+            self._outcomes.give_up(verdict.task, verdict.cause)
 
     def runner_restarted(self, before: RunnerState, after: RunnerState) -> None:
         """Replace a runner incarnation with the next one under the same id.
@@ -251,8 +252,8 @@
         """Handle that an attempt on an unknown runner has expired for certain."""
         given_up = self._crashes.attribute_orphan_exit(attempt)
         self._ledger.expire(attempt, None)
-        for task in given_up:
-            self._outcomes.give_up(task)
+        for verdict in given_up:
+            self._outcomes.give_up(verdict.task, verdict.cause)
 
     # Reports from runners.
 
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -10,6 +10,7 @@
 from .accounts import LimitSource
 from .fleet import RunnerState
 from .model import Attempt
+from .model import FailureCause
 from .model import Job
 from .model import Occurrence
 from .model import Task
@@ -36,6 +37,7 @@
     :param stops: the runs that are to be stopped.
     :param accounts: the resources in use by each client account.
     :param counts: how often runs ended, were refused or expired.
+    :param failures: the number of jobs that have failed, by cause.
     """
 
     def __init__(
@@ -52,6 +54,7 @@
         self.unbegun: dict[str, Job] = {}
         self.runners: dict[str, RunnerState] = {}
         self.counts: dict[str, int] = {}
+        self.failures: dict[str, int] = {}
         self.stops = Stops(stop_effect_ms)
 
     def task_changed(self, task: Task) -> None:
@@ -63,6 +66,10 @@
         """Count one event."""
         self.counts[what] = self.counts.get(what, 0) + 1
 
+    def count_failure(self, cause: FailureCause) -> None:
+        """Count a job that has failed."""
+        self.failures[cause.value] = self.failures.get(cause.value, 0) + 1
+
     # Jobs.
 
     def add(self, job: Job) -> None:
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -14,6 +14,7 @@
 from .intervals import IntervalSet
 from .names import task_name
 from .overload import Choice
+from .states import FailureCause
 from .states import JobState
 from .states import Phase
 from .states import RunnerIncarnation
@@ -23,6 +24,7 @@
 __all__ = [
     "Attempt",
     "Blame",
+    "FailureCause",
     "Job",
     "JobState",
     "Occurrence",
@@ -322,6 +324,7 @@
     :param body_rows: the number of rows that contain its body; 0 if the row of its
         submission does.
     :param rejected: the job was withdrawn, since the store never takes its rows.
+    :param failure: why the job has failed; None if it has not.
     :param begun: a runner has confirmed at least one run of the job.
     :param ended_at_s: wall time at which the job ended, or None.
     :param durable: the submission is persisted, so it may be acknowledged.
@@ -348,7 +351,7 @@
     done_times: IntervalSet = attrs.field(factory=IntervalSet)
     begun: bool = False
     cancelled: bool = False
-    failed: bool = False
+    failure: FailureCause | None = None
     ended_at_s: float | None = None
     durable: bool = False
     left_in_inbox: bool = False
@@ -372,6 +375,11 @@
         """The number of occurrences."""
         return max(1, self.request.times)
 
+    @property
+    def failed(self) -> bool:
+        """Whether the job has failed."""
+        return self.failure is not None
+
     @property
     def state(self) -> JobState:
         """The state that is reported to callers."""
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -17,6 +17,7 @@
 from .learning import RunTimes
 from .ledger import Ledger
 from .model import Attempt
+from .model import FailureCause
 from .model import Job
 from .model import Phase
 from .model import Task
@@ -304,46 +305,48 @@
             return
         task.failures += 1
         if task.failures >= job.max_attempts and task.state is not TaskState.DONE:
-            self._fail_job(task)
+            self._fail_task(task, FailureCause.ATTEMPTS)
             return
         self._ledger.requeue(task)
 
-    def give_up(self, task: Task) -> None:
+    def give_up(self, task: Task, cause: FailureCause) -> None:
         """Fail the job of a task to which too many runner exits are attributed."""
         job = task.step.occurrence.job
         if task.state is TaskState.DONE or job.over:
             return
-        self._fail_job(task)
+        self._fail_task(task, cause)
         self._ledger.task_changed(task)
         self._ledger.settle_job(job)
 
-    def abandon(self, job: Job, why: str) -> None:
-        """Fail a job for a reason that concerns none of its tasks."""
-        job.failed = True
-        job.ended_at_s = time.time()
-        self._ledger.stop_all(job, why)
-        log.error("job-abandoned", extra={"job": job.job_id, "why": why})
+    def abandon(self, job: Job) -> None:
+        """Fail a job of which a row can't be stored."""
+        self._fail_job(job, FailureCause.NOT_STORABLE, {})
         self._ledger.changed(job)
 
-    def _fail_job(self, task: Task) -> None:
+    def _fail_task(self, task: Task, cause: FailureCause) -> None:
         """Mark a task as failed, and fail its job unless the job is already over."""
         job = task.step.occurrence.job
         task.state = TaskState.FAILED
         if job.over:
             return
-        job.failed = True
+        details = {
+            "task": task.name,
+            "failures": task.failures,
+            "crashes": task.crashes,
+            "later_ends": task.later_ends,
+            "max_attempts": job.max_attempts,
+        }
+        self._fail_job(job, cause, details)
+
+    def _fail_job(
+        self, job: Job, cause: FailureCause, details: dict[str, t.Any]
+    ) -> None:
+        job.failure = cause
         job.ended_at_s = time.time()
         self._ledger.stop_all(job, "job-failed")
-        log.info(
-            "job-failed",
-            extra={
-                "job": job.job_id,
-                "task": task.name,
-                "failures": task.failures,
-                "crashes": task.crashes,
-                "later_ends": task.later_ends,
-                "max_attempts": job.max_attempts,
-            },
+        self._ledger.count_failure(cause)
+        log.warning(
+            "job-failed", extra={"job": job.job_id, "cause": cause.value, **details}
         )
 
     def note_failure(self, runner: RunnerState) -> None:
--- a/src/streamthread/scheduler/progress_codec.py
+++ b/src/streamthread/scheduler/progress_codec.py
@@ -21,6 +21,7 @@
 from .chunks import Chunk
 from .intervals import IntervalSet
 from .model import Attempt
+from .model import FailureCause
 from .model import Job
 from .model import Occurrence
 from .model import Phase
@@ -77,6 +78,7 @@
 class _ProgressRow(msgspec.Struct):
     cancelled: bool = False
     failed: bool = False
+    failure: str = ""
     begun: bool = False
     ended_at_s: Amount | None = None
     done_times: list[Count] = []
@@ -99,8 +101,9 @@
     value: dict[str, Json] = {}
     if job.cancelled:
         value["cancelled"] = True
-    if job.failed:
+    if job.failure is not None:
         value["failed"] = True
+        value["failure"] = job.failure.value
     if job.begun:
         value["begun"] = True
     if job.ended_at_s is not None:
@@ -208,7 +211,7 @@
     chunks = chunks or {}
     row = _PROGRESS.decode(value, job.job_id)
     job.cancelled = row.cancelled
-    job.failed = row.failed
+    job.failure = FailureCause.parse(row.failure) if row.failed else None
     job.begun = row.begun
     job.ended_at_s = row.ended_at_s
     job.done_times = _done_times(job, row)
--- a/src/streamthread/scheduler/states.py
+++ b/src/streamthread/scheduler/states.py
@@ -4,7 +4,14 @@
 
 import attrs
 
-__all__ = ["JobState", "Phase", "RunnerIncarnation", "Stop", "TaskState"]
+__all__ = [
+    "FailureCause",
+    "JobState",
+    "Phase",
+    "RunnerIncarnation",
+    "Stop",
+    "TaskState",
+]
 
 
 class JobState(enum.Enum):
@@ -17,6 +24,31 @@
     CANCELLED = "cancelled"
 
 
+class FailureCause(enum.Enum):
+    """Why a job has failed; the values are in rows, logs and metrics."""
+
+    ATTEMPTS = "attempts"
+    """The runs of one of its tasks ended as failed as often as its queue allows."""
+    CRASHES_ALONE = "crashes-alone"
+    """Runners exited as a task started that alone had just been started there."""
+    CRASHES = "crashes"
+    """More runners exited as a task started."""
+    LOST_RUNNERS = "lost-runners"
+    """Even more runners exited, as a task started or later."""
+    NOT_STORABLE = "not-storable"
+    """The store never takes one of the job's rows."""
+    NOT_RECORDED = "not-recorded"
+    """The version that failed the job did not record why."""
+
+    @classmethod
+    def parse(cls, value: str) -> "FailureCause":
+        """Return a recorded cause; one that this version does not know is lost."""
+        try:
+            return cls(value)
+        except ValueError:
+            return cls.NOT_RECORDED
+
+
 class TaskState(enum.Enum):
     """The state of a task."""
 
