Let exits that nobody observed prove nothing about a task

Seen by callers: a job that can be done was shown as failed. Cause: what a new holder finds gone, and what a runner hangs with, counts like a crash that was observed right after a start. Holders killed soon after a start raise that count for any task. Fix: such exits still put a task on probation and on stable runners, and from the fourth on hold it back for 1 s, doubled with each further one. It is held back for 600 s only once holders have observed exits right after its starts: two of three where the last is conclusive, two of four, or one after more. The proof is written with the task, so that a next holder continues the pause.

--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -190,7 +190,9 @@
         for attempt in attempts:
             self._ledger.expire(attempt, runner)
         for attempt in attribution.blamed:
-            self.quarantine.judge(attempt.task, attribution.conclusive)
+            if attribution.at_start:
+                self.quarantine.on_observed_exit(attempt.task, attribution.conclusive)
+            self.quarantine.judge(attempt.task)
 
     def runner_restarted(self, before: RunnerState, after: RunnerState) -> None:
         """Replace a runner incarnation with the next one under the same id.
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -73,6 +73,9 @@
         continues the count.
     :param later_ends: the same count for runners that certainly stayed alive after the
         start and exited before the task had worked for a while.
+    :param observed_crashes: how many of the crashes this holder has observed itself.
+    :param crashes_runners: the observed crashes prove that the task causes them. It is
+        persisted, since the next holder has not observed them.
     :param quarantined_until_s: boot clock time until which the task gets no new run,
         since it seems to crash its runners; 0 if it may get one.
     :param needs_stable_runner: the task starts only on a runner that has been up for a
@@ -95,6 +98,8 @@
     moves: int = 0
     crashes: int = 0
     later_ends: int = 0
+    observed_crashes: int = 0
+    crashes_runners: bool = False
     quarantined_until_s: float = 0.0
     needs_stable_runner: bool = False
     on_probation: bool = False
--- a/src/streamthread/scheduler/progress_codec.py
+++ b/src/streamthread/scheduler/progress_codec.py
@@ -63,6 +63,7 @@
     attempts: list[_AttemptRow]
     crashes: Count = 0
     later_ends: Count = 0
+    crashes_runners: bool = False
 
 
 class _TasksRow(msgspec.Struct, array_like=True):
@@ -173,6 +174,8 @@
     checkpoint = task.checkpoint if with_checkpoints else ""
     row = [position, task.last_run, task.failures, checkpoint, attempts]
     # Trailing zeros, which nearly all tasks have, are omitted: 2 bytes of some 30.
+    if task.crashes_runners:
+        return [*row, task.crashes, task.later_ends, True]
     if task.later_ends:
         return [*row, task.crashes, task.later_ends]
     return [*row, task.crashes] if task.crashes else row
@@ -296,6 +299,7 @@
     task.checkpoint = row.checkpoint
     task.crashes = row.crashes
     task.later_ends = row.later_ends
+    task.crashes_runners = row.crashes_runners
     task.on_probation = task.lost_runners > 0
     task.attempts = [
         Attempt(
--- a/src/streamthread/scheduler/quarantine.py
+++ b/src/streamthread/scheduler/quarantine.py
@@ -21,23 +21,26 @@
 log = logbook.Logger("streamthread.scheduler")
 
 FIRST_PAUSE_S = 1.0
-"""The pause after `most_lost_runners` exits that the runners' starts do not explain. It
-doubles with each further one."""
+"""The pause after as many exits as put a task in quarantine, if they prove nothing. It
+doubles with each further exit."""
 
 MAX_PAUSE_S = 600.0
-"""The longest pause, and that of a task whose starts most likely crash the runners.
-Each start after it may cost one more runner."""
+"""The longest pause, and that of a task which certainly crashes its runners. Each start
+after it may cost one more runner."""
+
+MIN_OBSERVED = 2
+"""A single exit at a start may be chance even on a stable runner."""
+
+MAX_DOUBLINGS = 16
 
 
 class QuarantineCause(enum.Enum):
     """Why a task is in quarantine; the values are in logs and metrics."""
 
-    CRASHES_ALONE = "crashes-alone"
-    """Runners exited as it started, the last of them while nothing else explains it."""
-    CRASHES = "crashes"
-    """More runners exited as it started."""
+    CRASHES_RUNNERS = "crashes-runners"
+    """This holder or an earlier one has observed that its starts crash runners."""
     LOST_RUNNERS = "lost-runners"
-    """Even more runners exited, as it started or later."""
+    """Many runners exited while they had the task, and the reason is not known."""
 
 
 @attrs.frozen
@@ -48,21 +51,33 @@
     pause_s: float
 
 
-def judge_exits(
-    task: Task, conclusive: bool, settings: EngineSettings
-) -> Verdict | None:
-    """Return whether the exits that are attributed to a task put it in quarantine.
+def is_proven(task: Task, conclusive: bool, settings: EngineSettings) -> bool:
+    """Return whether an exit that this holder observed at a start proves a task guilty.
 
-    :param conclusive: the last exit can hardly have another cause than the task.
+    Exits that nobody observed are counted, but do not suffice: in a series of exits
+    of runners and holders they happen to any task.
+
+    :param conclusive: the exit can hardly have another cause than the task.
     """
-    if conclusive and task.crashes >= settings.crashes_alone:
-        return Verdict(QuarantineCause.CRASHES_ALONE, MAX_PAUSE_S)
-    if task.crashes >= settings.most_crashes:
-        return Verdict(QuarantineCause.CRASHES, MAX_PAUSE_S)
-    excess = task.lost_runners - settings.most_lost_runners
+    if task.crashes > settings.most_crashes:
+        return True
+    if task.observed_crashes < MIN_OBSERVED:
+        return False
+    least = settings.crashes_alone if conclusive else settings.most_crashes
+    return task.crashes >= least
+
+
+def judge_exits(task: Task, settings: EngineSettings) -> Verdict | None:
+    """Return whether the exits that are attributed to a task put it in quarantine."""
+    if task.crashes_runners:
+        return Verdict(QuarantineCause.CRASHES_RUNNERS, MAX_PAUSE_S)
+    excess = max(
+        task.crashes - settings.most_crashes,
+        task.lost_runners - settings.most_lost_runners,
+    )
     if excess < 0:
         return None
-    pause_s = min(FIRST_PAUSE_S * 2.0 ** min(excess, 32), MAX_PAUSE_S)
+    pause_s = min(FIRST_PAUSE_S * 2.0 ** min(excess, MAX_DOUBLINGS), MAX_PAUSE_S)
     return Verdict(QuarantineCause.LOST_RUNNERS, pause_s)
 
 
@@ -92,13 +107,22 @@
     def __len__(self) -> int:
         return len(self._tasks)
 
-    def judge(self, task: Task, conclusive: bool = False) -> None:
+    def on_observed_exit(self, task: Task, conclusive: bool) -> None:
+        """Note that this holder observed a runner exit at a task's start.
+
+        :param conclusive: the exit can hardly have another cause than the task.
+        """
+        task.observed_crashes += 1
+        if is_proven(task, conclusive, self._settings):
+            task.crashes_runners = True
+
+    def judge(self, task: Task) -> None:
         """Hold a task back if its attributed exits require it.
 
         A run that it still has goes on; the pause applies once it has none.
         """
         task.needs_stable_runner = needs_stable_runner(task, self._settings)
-        verdict = judge_exits(task, conclusive, self._settings)
+        verdict = judge_exits(task, self._settings)
         if verdict is None or task.state is TaskState.DONE:
             return
         self._tasks.add(task)
@@ -126,9 +150,11 @@
                     self.judge(task)
 
     def review(self, task: Task) -> None:
-        """Release a task if its attributed exits no longer require a pause."""
+        """Release a task of which an attributed exit was withdrawn, if possible."""
+        task.observed_crashes = min(task.observed_crashes, task.crashes)
+        task.crashes_runners = False
         task.needs_stable_runner = needs_stable_runner(task, self._settings)
-        if judge_exits(task, False, self._settings) is None:
+        if judge_exits(task, self._settings) is None:
             self._release(task)
 
     def release_due(self) -> None:
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -246,7 +246,7 @@
     Guard(
         "ends-of-runners-are-laid-to-tasks",
         "scheduler/engine.py",
-        "            self.quarantine.judge(attempt.task, attribution.conclusive)\n",
+        "            self.quarantine.judge(attempt.task)\n",
         "            pass\n",
         ("tests/cell/test_crashing_tasks.py::TestTaskThatCrashesRunners",),
     ),
