Start a task alone when the next runner exit may hold it back

Cause: probation keeps the tasks of other jobs apart from a suspect, not those of its own job, since all of them ended with it when the job was failed. Siblings shared each exit. Fix: from two exits on a task starts alone: not where another start is under way, and nothing else starts there for the time of its probation. Members of a gang start together, as they have to. Measured: TestSoundTaskOfTheSameJob failed on the code before (not done within 20 s) and passes; the tests of the scheduler and of crashing tasks pass.

--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -48,6 +48,7 @@
     :param blamed: what the runner's exit was attributed to when its runs expired.
     :param probation_job: the only job whose tasks the runner may get until
         ``probation_until_s`` on the boot clock, because they may crash their runners.
+    :param probation_alone: until then, it may not get other tasks of that job either.
     :param stray_runs: the number of runs there that match no attempt.
     :param born_ms: start time of this incarnation in ms since 1970; None if unknown.
     :param earlier_born_ms: start times of the earlier incarnations under this id.
@@ -85,6 +86,7 @@
     hung: bool = False
     blamed: list[Blame] = attrs.field(factory=list)
     probation_job: Job | None = None
+    probation_alone: bool = False
     probation_until_s: float = 0.0
     stray_runs: int = 0
     failed_at_s: list[float] = attrs.field(factory=list)
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -17,7 +17,10 @@
 from .model import Task
 from .overload import Choice
 from .probation import accepts_job
+from .probation import is_starting
+from .probation import max_on_probation
 from .probation import probation_runners
+from .probation import starts_alone
 
 __all__ = [
     "FreeCapacity",
@@ -371,8 +374,16 @@
     planned: collections.Counter[str] = collections.Counter()
     in_halls = None if hall_counts is None else collections.Counter(hall_counts)
     placed: list[Placement] = []
+    taken: set[str] = set()
     for task in waiting:
         usable = for_probation if task.suspect else runners
+        alone = starts_alone(task)
+        if alone:
+            if len(taken) >= max_on_probation(len(runners)):
+                continue
+            usable = _without_starts(usable, planned)
+        elif taken:
+            usable = [runner for runner in usable if runner.runner_id not in taken]
         best = _best_runner(
             task, usable, placed_counts, planned, now_s, placed, in_halls
         )
@@ -381,12 +392,29 @@
                 break
             continue
         planned[best.runner_id] += 1
+        if alone:
+            taken.add(best.runner_id)
         if in_halls is not None:
             in_halls[best.zone] += 1
         placed.append(Placement(task, best))
     return placed
 
 
+def _without_starts(
+    runners: t.Sequence[RunnerState], planned: t.Mapping[str, int]
+) -> list[RunnerState]:
+    """Return the runners on which a task may start alone.
+
+    :param planned: the number of tasks that are about to be added to each runner.
+    """
+    now_s = boot_s()
+    return [
+        runner
+        for runner in runners
+        if not planned.get(runner.runner_id) and not is_starting(runner, now_s)
+    ]
+
+
 def _best_runner(
     task: Task,
     runners: t.Sequence[RunnerState],
--- a/src/streamthread/scheduler/probation.py
+++ b/src/streamthread/scheduler/probation.py
@@ -14,7 +14,10 @@
     "SIMULTANEOUS_START_S",
     "accepts_job",
     "begin_probation",
+    "is_starting",
+    "max_on_probation",
     "probation_runners",
+    "starts_alone",
 ]
 
 SIMULTANEOUS_START_S = 0.1
@@ -42,11 +45,32 @@
 
 
 def accepts_job(job: Job, runner: RunnerState, now_s: float) -> bool:
-    """Whether a runner may get a job's tasks: no other job has it on probation.
+    """Whether a runner may get a job's tasks: no other task or job has it on probation.
 
     :param now_s: boot clock time.
     """
-    return runner.probation_until_s <= now_s or runner.probation_job is job
+    if runner.probation_until_s <= now_s:
+        return True
+    return runner.probation_job is job and not runner.probation_alone
+
+
+def starts_alone(task: Task) -> bool:
+    """Whether no other task may start with a task, so that an exit concerns it alone.
+
+    The tasks of a job start together until the next exit may put one of them in
+    quarantine. Members of a gang have to start together.
+    """
+    return task.needs_stable_runner and not task.step.request.gang
+
+
+def is_starting(runner: RunnerState, now_s: float) -> bool:
+    """Whether an exit of a runner could be due to a start that is under way there."""
+    return any(_is_starting(attempt, now_s) for attempt in runner.attempts.values())
+
+
+def max_on_probation(runner_count: int) -> int:
+    """Return how many of a pool's runners may be on probation at a time."""
+    return max(1, int(runner_count * MAX_PROBATION_SHARE))
 
 
 def begin_probation(task: Task, runner: RunnerState) -> None:
@@ -58,6 +82,7 @@
     if _has_waited(task.waiting_since_s, now_s):
         return
     runner.probation_job = task.step.occurrence.job
+    runner.probation_alone = starts_alone(task)
     runner.probation_until_s = now_s + PROBATION_S
 
 
@@ -80,7 +105,7 @@
     if _has_waited(waits_since_s, now_s):
         return [r for r in open_runners if not _is_starting_suspects(job, r, now_s)]
     on_probation = sum(runner.probation_until_s > now_s for runner in runners)
-    max_count = max(1, int(len(runners) * MAX_PROBATION_SHARE))
+    max_count = max_on_probation(len(runners))
     return [
         runner
         for runner in open_runners
--- a/tests/cell/test_crashing_tasks.py
+++ b/tests/cell/test_crashing_tasks.py
@@ -43,6 +43,10 @@
     return sum(run.task.startswith(job_id) for run in cell.world.started)
 
 
+def _done(cell: Cell) -> set[str]:
+    return {task for task, _, how, _ in cell.world.ended if how == "done"}
+
+
 class TestTaskThatCrashesRunners:
     async def test_is_held_back_after_a_few_crashes(self) -> None:
         async with running_cell({"desk": 4}) as cell:
@@ -99,6 +103,19 @@
             assert len(cell.world.crashes) <= MAX_CRASHES + 2
 
 
+class TestSoundTaskOfTheSameJob:
+    async def test_completes(self) -> None:
+        """Guards against holding tasks back for exits that a sibling causes."""
+        async with running_cell({"desk": 4}) as cell:
+            await cell.until_ready()
+            caller = cell.caller()
+            assert await caller.submit(CRASHING, _crashing(3, crash=[1])) == 200
+            await until_held_back(cell, CRASHING)
+            sound = {f"{CRASHING}.0.0.0", f"{CRASHING}.0.0.2"}
+            await until(lambda: sound <= _done(cell), "the sound tasks are done")
+            assert len(cell.world.crashes) <= MAX_CRASHES
+
+
 class TestUnrelatedTask:
     async def test_completes_however_often_a_crash_ended_it(self) -> None:
         """Only the task at fault is held back; others lose at most two runs each."""
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -313,7 +313,7 @@
     Guard(
         "trials-run-apart",
         "scheduler/probation.py",
-        "    return runner.probation_until_s <= now_s or runner.probation_job is job\n",
+        "    return runner.probation_job is job and not runner.probation_alone\n",
         "    return True\n",
         (f"{CRASHES}::TestProbation",),
     ),
