Bound the wait of a task that nothing proves to crash runners

The callers of such a job see what they saw of a failed one: nothing runs. Cause: the pauses doubled with a count that series of exits inflate, and the age of a runner was counted from the moment at which this holder listed it. Fix: without proof the pauses are 1 s, and 2 s after each further exit. A runner's own start time counts as its age if it is known. A task waits for a stable runner for 2.5 s, and only an exit of such a runner is proof, up to the bound on starts. A deciding start reserves its runner however long the task has waited. An exit that a holder notices as it lists the next incarnation is judged as well. The model's check of failed jobs could no longer fail for a wrong count: it also asks that nothing that crashes no runner is held back, or taken for a task that crashes them.

--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -81,12 +81,14 @@
         exit.
     :param later: the runner certainly stayed alive after the start.
     :param in_stable_pool: hardly any other runner of the pool has exited lately.
+    :param stable_runner: the runner had been up for a while.
     """
 
     blamed: t.Sequence[Attempt]
     exact: bool = False
     later: bool = False
     in_stable_pool: bool = False
+    stable_runner: bool = False
 
     @property
     def at_start(self) -> bool:
@@ -199,7 +201,11 @@
             runner.blamed.append(Blame(attempt.task, attribution.later))
             self._blame(attempt, attribution, runner)
         stable = not self._stability.is_unstable(runner.service)
-        return attrs.evolve(attribution, in_stable_pool=stable)
+        return attrs.evolve(
+            attribution,
+            in_stable_pool=stable,
+            stable_runner=runner.is_stable(boot_s()),
+        )
 
     def _attribute(self, runner: RunnerState) -> Attribution:
         """Return the attempts to which a runner exit is attributed."""
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -161,6 +161,7 @@
                     continue
                 if attempt.is_of_other_incarnation(runner.born_ms):
                     self._crashes.attribute_orphan_exit(attempt)
+                    self.quarantine.judge(attempt.task)
                     self._stop_on_next_incarnation(attempt, runner)
                 else:
                     runner.add(attempt.task.name, attempt)
@@ -191,7 +192,9 @@
             self._ledger.expire(attempt, runner)
         for attempt in attribution.blamed:
             if attribution.at_start:
-                self.quarantine.on_observed_exit(attempt.task, attribution.conclusive)
+                self.quarantine.on_observed_exit(
+                    attempt.task, attribution.conclusive, attribution.stable_runner
+                )
             self.quarantine.judge(attempt.task)
 
     def runner_restarted(self, before: RunnerState, after: RunnerState) -> None:
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -1,5 +1,6 @@
 """The scheduler's view of the runners that it may use."""
 
+import time
 import typing as t
 
 import attrs
@@ -145,8 +146,15 @@
         return born_ms != self.born_ms and born_ms not in self.earlier_born_ms
 
     def is_stable(self, now_s: float) -> bool:
-        """Whether this incarnation has been known for a while, by boot clock time."""
-        return now_s - self.known_since_s >= STABLE_AFTER_S
+        """Whether this incarnation has been up for a while, as far as is known.
+
+        :param now_s: boot clock time.
+        """
+        if now_s - self.known_since_s >= STABLE_AFTER_S:
+            return True
+        if self.born_ms is None:
+            return False
+        return time.time() - self.born_ms / 1000 >= STABLE_AFTER_S
 
     @property
     def rack(self) -> str:
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -52,6 +52,10 @@
     runner: RunnerState
 
 
+STABLE_RUNNER_WAIT_S = 2.5
+"""How long a task waits for a runner that has been up for a while. A job counts as
+neglected if it runs nothing for 3 s though there is room."""
+
 AVOID_WAIT_S = 1.5
 """How long a task that avoids runners waits for free capacity on another one. This is
 about as long as a task runs."""
@@ -268,7 +272,7 @@
     """
     if any(attempt.runner_id == runner.runner_id for attempt in task.attempts):
         return False
-    if task.needs_stable_runner and not runner.is_stable(boot_s()):
+    if task.needs_stable_runner and not _is_stable_enough(task, runner):
         return False
     if not is_avoided(task, runner) or task.step.request.lasting:
         return True
@@ -277,6 +281,13 @@
     return boot_s() - task.waiting_since_s > AVOID_WAIT_S
 
 
+def _is_stable_enough(task: Task, runner: RunnerState) -> bool:
+    """Whether a runner has been up for a while, or the task has waited too long."""
+    now_s = boot_s()
+    waited_s = now_s - task.waiting_since_s
+    return waited_s > STABLE_RUNNER_WAIT_S or runner.is_stable(now_s)
+
+
 def is_avoided(task: Task, runner: RunnerState) -> bool:
     """Whether a task is to run elsewhere than on this incarnation of a runner.
 
--- a/src/streamthread/scheduler/probation.py
+++ b/src/streamthread/scheduler/probation.py
@@ -76,10 +76,11 @@
 def begin_probation(task: Task, runner: RunnerState) -> None:
     """Reserve a runner for a task on probation until its effect is known.
 
-    A task that has waited too long reserves no runner, so that others need not wait.
+    A task that has waited too long reserves no runner, so that others need not wait,
+    unless the next exit may put it in quarantine.
     """
     now_s = boot_s()
-    if _has_waited(task.waiting_since_s, now_s):
+    if _has_waited(task.waiting_since_s, now_s) and not starts_alone(task):
         return
     runner.probation_job = task.step.occurrence.job
     runner.probation_alone = starts_alone(task)
--- a/src/streamthread/scheduler/quarantine.py
+++ b/src/streamthread/scheduler/quarantine.py
@@ -21,18 +21,19 @@
 log = logbook.Logger("streamthread.scheduler")
 
 FIRST_PAUSE_S = 1.0
-"""The pause after as many exits as put a task in quarantine, if they prove nothing. It
-doubles with each further exit."""
+"""The pause after as many exits as put a task in quarantine, if they prove nothing."""
 
-MAX_PAUSE_S = 600.0
-"""The longest pause, and that of a task which certainly crashes its runners. Each start
-after it may cost one more runner."""
+NEXT_PAUSE_S = 2.0
+"""The pause after each further exit that proves nothing. A job counts as neglected if
+it runs nothing for 3 s though there is room."""
+
+PROVEN_PAUSE_S = 600.0
+"""The pause of a task that certainly crashes its runners. Each start after it may cost
+one more runner."""
 
 MIN_OBSERVED = 2
 """A single exit at a start may be chance even on a stable runner."""
 
-MAX_DOUBLINGS = 16
-
 
 class QuarantineCause(enum.Enum):
     """Why a task is in quarantine; the values are in logs and metrics."""
@@ -51,17 +52,21 @@
     pause_s: float
 
 
-def is_proven(task: Task, conclusive: bool, settings: EngineSettings) -> bool:
+def is_proven(
+    task: Task, conclusive: bool, stable_runner: bool, settings: EngineSettings
+) -> bool:
     """Return whether an exit that this holder observed at a start proves a task guilty.
 
-    Exits that nobody observed are counted, but do not suffice: in a series of exits
-    of runners and holders they happen to any task.
+    Exits that nobody observed are counted, but do not suffice, nor does that of a
+    runner which had just come up: in a series of exits of runners and holders they
+    happen to any task.
 
     :param conclusive: the exit can hardly have another cause than the task.
+    :param stable_runner: the runner had been up for a while.
     """
     if task.crashes > settings.most_crashes:
         return True
-    if task.observed_crashes < MIN_OBSERVED:
+    if task.observed_crashes < MIN_OBSERVED or not stable_runner:
         return False
     least = settings.crashes_alone if conclusive else settings.most_crashes
     return task.crashes >= least
@@ -70,19 +75,19 @@
 def judge_exits(task: Task, settings: EngineSettings) -> Verdict | None:
     """Return whether the exits that are attributed to a task put it in quarantine."""
     if task.crashes_runners:
-        return Verdict(QuarantineCause.CRASHES_RUNNERS, MAX_PAUSE_S)
+        return Verdict(QuarantineCause.CRASHES_RUNNERS, PROVEN_PAUSE_S)
     excess = max(
         task.crashes - settings.most_crashes,
         task.lost_runners - settings.most_lost_runners,
     )
     if excess < 0:
         return None
-    pause_s = min(FIRST_PAUSE_S * 2.0 ** min(excess, MAX_DOUBLINGS), MAX_PAUSE_S)
+    pause_s = NEXT_PAUSE_S if excess else FIRST_PAUSE_S
     return Verdict(QuarantineCause.LOST_RUNNERS, pause_s)
 
 
 def needs_stable_runner(task: Task, settings: EngineSettings) -> bool:
-    """Whether a task may start only on a runner that has been up for a while.
+    """Whether a task should start only on a runner that has been up for a while.
 
     The next exit may put it in quarantine. That of a runner which exits in series
     proves nothing about the task.
@@ -107,13 +112,16 @@
     def __len__(self) -> int:
         return len(self._tasks)
 
-    def on_observed_exit(self, task: Task, conclusive: bool) -> None:
+    def on_observed_exit(
+        self, task: Task, conclusive: bool, stable_runner: bool
+    ) -> None:
         """Note that this holder observed a runner exit at a task's start.
 
         :param conclusive: the exit can hardly have another cause than the task.
+        :param stable_runner: the runner had been up for a while.
         """
         task.observed_crashes += 1
-        if is_proven(task, conclusive, self._settings):
+        if is_proven(task, conclusive, stable_runner, self._settings):
             task.crashes_runners = True
 
     def judge(self, task: Task) -> None:
@@ -150,9 +158,10 @@
                     self.judge(task)
 
     def review(self, task: Task) -> None:
-        """Release a task of which an attributed exit was withdrawn, if possible."""
+        """Release a task if it crashes no runners by the exits that count now."""
         task.observed_crashes = min(task.observed_crashes, task.crashes)
-        task.crashes_runners = False
+        if task.crashes < self._settings.crashes_alone:
+            task.crashes_runners = False
         task.needs_stable_runner = needs_stable_runner(task, self._settings)
         if judge_exits(task, self._settings) is None:
             self._release(task)
--- a/tests/model/simulation.py
+++ b/tests/model/simulation.py
@@ -185,6 +185,25 @@
         for job_id in self._plans:
             if job_id in jobs and jobs[job_id].failed:
                 self._add_violation(f"{job_id} failed though it can be done")
+        self._check_quarantine()
+
+    def _check_quarantine(self) -> None:
+        """Check that no task is held back that crashes no runner."""
+        crashing = {
+            job_id
+            for job_id, plan in self._plans.items()
+            if SPECS.get(plan.workload) == CRASHING_SPEC
+        }
+        for holder in self._holders:
+            if not crashing and holder.engine.quarantine.entered:
+                self._add_violation("a task that crashes no runner was held back")
+            for job_id, job in holder.engine.jobs.items():
+                if job_id not in crashing and any(
+                    task.crashes_runners
+                    for occurrence in job.occurrences.values()
+                    for task in occurrence.tasks
+                ):
+                    self._add_violation(f"{job_id} is taken for one that crashes")
 
     def _check_done_once(self) -> None:
         """Check that no task began again after a known end as done."""
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -348,7 +348,7 @@
     Guard(
         "stable-runners-get-the-start-that-decides",
         "scheduler/placement.py",
-        "task.needs_stable_runner and not runner.is_stable(boot_s())",
+        "task.needs_stable_runner and not _is_stable_enough(task, runner)",
         "False",
         (f"{QUARANTINE}::TestStableRunners",),
     ),
