--- a/src/streamthread/scheduler/quarantine.py
+++ b/src/streamthread/scheduler/quarantine.py
@@ -1,8 +1,8 @@
 """Holds back tasks whose starts seem to crash their runners.
 
 A job does not fail for it: a runner exit is no failed run, and exits of other causes
-look the same. The task waits instead, longer with each further exit, and the other
-tasks of its job go on. What it can damage is bounded as if it had been given up.
+look the same. The task itself waits instead, and the other tasks of its job go on. Only
+exits that prove the task guilty hold it back for long, which bounds what it can damage.
 """
 
 import enum
@@ -180,5 +180,4 @@
         task.quarantined_until_s = 0.0
         if task.state is TaskState.QUARANTINED:
             task.state = TaskState.WAITING
-            task.waiting_since_s = boot_s()
             log.info("task-released", extra={"task": task.name})
--- a/src/streamthread/scheduler/tests/test_quarantine.py
+++ b/src/streamthread/scheduler/tests/test_quarantine.py
@@ -188,6 +188,21 @@
             waited_s += 0.1
             assert waited_s < NEGLECTED_AFTER_S
 
+    def test_are_waited_for_during_a_pause(self, cell: _Cell) -> None:
+        """Guards against a pause and a wait that add up to more than a job may wait."""
+        task = _task(cell)
+        (attempt,) = cell.place()
+        task.later_ends, task.on_probation = SETTINGS.most_lost_runners, True
+        cell.engine.quarantine.judge(task)
+        cell.engine.refuse(attempt, "room")
+        waited_s = 0.0
+        while not _place(cell):
+            for runner in cell.engine.runners.values():
+                runner.known_since_s = cell.now_s
+            cell.now_s += 0.1
+            waited_s += 0.1
+            assert waited_s < NEGLECTED_AFTER_S
+
     def test_are_known_by_their_age_after_a_takeover(self, cell: _Cell) -> None:
         for _ in range(2):
             cell.now_s += 1.0
