Close the server's connections in the test of held links

Cause: the server of TestHeldLink left its side of each connection open. A connection at its end of stream stays open until it is closed, so two writers outlived their event loops, one per case. The garbage collector closed them during whichever test ran then, which failed with "Event loop is closed": once TestDaemon::test_counts_unrequested_exits, which leaves nothing open itself. Change: the server closes its side once it has read the end of stream. What the test asserts is as before.

--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -190,10 +190,14 @@
         received = asyncio.Event()
         ended = asyncio.Event()
 
-        async def serve(reader: asyncio.StreamReader, _: asyncio.StreamWriter) -> None:
+        async def serve(
+            reader: asyncio.StreamReader, answers: asyncio.StreamWriter
+        ) -> None:
             with contextlib.suppress(ConnectionError):
                 while await reader.read(100):
                     received.set()
+            # A connection at its end of stream stays open until it is closed.
+            answers.close()
             ended.set()
 
         server = await asyncio.start_server(serve, "127.0.0.1", 0)
