Ask for the states of jobs during the whole soak

Cause: the soak asked for a job's state only once all faults were over, so that a job that was shown as failed in between was not noticed, and a lasting job's cancel at the end hid what it was shown as before. Change: one caller per daemon asks for the states of accepted jobs from the first fault on until all have ended, in every plan, with random choices of its own. A lasting job and one with a task that crashes its runners may not be shown as completed either. The sound tasks of the latter count as done only where a holder could see the end (run_spans), no longer where the runner was gone before it was confirmed. No check lost strength: the states at the end are asked for as before.

--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -11,12 +11,16 @@
 import socket
 import struct
 import time
+from unittest import mock
 
+import attrs
 import pytest
 from tools.soak import run_soak
+from tools.soak import Soak
 from tools.soak import SoakPlan
 from tools.soak_checks import check_duties
 from tools.soak_checks import check_evacuations
+from tools.soak_checks import check_jobs
 from tools.soak_checks import check_stops
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
@@ -130,6 +134,50 @@
             await world.close()
 
 
+class TestCheckOfJobs:
+    """Guards against a check that overlooks jobs that are shown as ended."""
+
+    @pytest.mark.parametrize(
+        ("state", "job", "broken"),
+        [
+            ("completed", SubmittedJob("job", "desk"), 0),
+            ("failed", SubmittedJob("job", "desk"), 1),
+            ("failed", SubmittedJob("job", "desk", lasting=True), 1),
+            ("failed", SubmittedJob("job", "desk", sound_tasks=0), 1),
+            ("completed", SubmittedJob("job", "desk", lasting=True), 1),
+            ("completed", SubmittedJob("job", "desk", sound_tasks=0), 1),
+            ("cancelled", SubmittedJob("job", "desk", lasting=True), 1),
+            ("cancelled", SubmittedJob("job", "desk", cancel_sent=True), 0),
+        ],
+    )
+    async def test_finds_states_without_a_cause(
+        self, state: str, job: SubmittedJob, broken: int
+    ) -> None:
+        shown = attrs.evolve(job, states={state})
+        assert len(list(check_jobs(CellWorld({}), {"job": shown}))) == broken
+
+
+class TestStateCallers:
+    async def test_records_a_state_shown_during_the_play(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a job that has failed only while nobody waits for its end."""
+        soak = Soak(SoakPlan(1), tmp_path, "")
+        job = soak.jobs["job"] = SubmittedJob("job", "desk", accepted=True)
+        states = ["running", "failed"]
+
+        async def answer(*_: object) -> tuple[int, str]:
+            return 200, states.pop(0) if states else "completed"
+
+        with mock.patch.object(soak, "call", answer):
+            callers = asyncio.create_task(soak._states.play())
+            async with asyncio.timeout(5):
+                while not job.shown:
+                    await asyncio.sleep(0.01)
+            callers.cancel()
+        assert "failed" in job.states
+
+
 class TestCheckOfEvacuations:
     """Guards against a check that overlooks starts, or counts allowed ones."""
 
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import contextlib
 import itertools
 import json
 import pathlib
@@ -32,6 +33,8 @@
 from tools.soak_checks import check_rooms
 from tools.soak_checks import check_runs
 from tools.soak_checks import check_stops
+from tools.soak_checks import done_tasks
+from tools.soak_checks import ENDED
 from tools.soak_checks import gone_by_s
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
@@ -42,6 +45,7 @@
 from tools.soak_large import LargeJobs
 from tools.soak_restarts import RestartFaults
 from tools.soak_runners import RunnerFaults
+from tools.soak_states import StateCallers
 from tools.soak_stops import LastingJobs
 from tools.soak_stops import StopFaults
 from tools.soak_view import SoakView
@@ -153,6 +157,7 @@
         self._large: LargeJobs | None = None
         if plan.large:
             self._large = LargeJobs(self, random.Random(f"large {plan.seed}"))
+        self._states = StateCallers(self, random.Random(f"states {plan.seed}"))
         self._quiet_at_s = 0.0
         self._session: aiohttp.ClientSession | None = None
 
@@ -168,12 +173,18 @@
                 await daemon.prepare()
             await asyncio.gather(*(daemon.start() for daemon in self.daemons))
             await asyncio.sleep(1.0)
-            await self._play()
-            await self._finish_faults()
-            if self._restarts is not None:
-                await self._restarts.check_lasting()
-            await self._lasting.cancel_all(SETTLE_S)
-            await self._settle()
+            states = asyncio.create_task(self._states.play())
+            try:
+                await self._play()
+                await self._finish_faults()
+                if self._restarts is not None:
+                    await self._restarts.check_lasting()
+                await self._lasting.cancel_all(SETTLE_S)
+                await self._settle()
+            finally:
+                states.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await states
             await self._check_configuration()
             if self._accounts is not None:
                 await self._accounts.check_keys()
@@ -361,7 +372,7 @@
                 if status == 410:
                     self.broken.append(f"LOST {job.job_id} is not known")
                     open_jobs.remove(job)
-                if state in ("completed", "failed", "cancelled"):
+                if state in ENDED:
                     job.states.add(state)
                     open_jobs.remove(job)
             await asyncio.sleep(0.1)
@@ -376,8 +387,7 @@
 
     def _done_tasks(self, job: SubmittedJob) -> int:
         prefix = f"{job.job_id}."
-        done = (e[0] for e in self.world.ended if e[2] == "done")
-        return len({task for task in done if task.startswith(prefix)})
+        return sum(task.startswith(prefix) for task in done_tasks(self.world))
 
     async def _check_configuration(self) -> None:
         """Wait until every daemon knows the newest configuration."""
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -12,6 +12,7 @@
 from streamthread.standins.cell import StartedRun
 
 __all__ = [
+    "ENDED",
     "OPEN_S",
     "OVERLAP_S",
     "TASK_CPU",
@@ -23,6 +24,7 @@
     "check_rooms",
     "check_runs",
     "check_stops",
+    "done_tasks",
     "gone_by_s",
     "run_spans",
 ]
@@ -49,6 +51,9 @@
 """When a run ends that has not ended."""
 
 
+ENDED = ("completed", "failed", "cancelled")
+"""The states of jobs that are over."""
+
 TASK_CPU = 1500
 """The cpu of each task of nearly all jobs, in thousandths of a core."""
 
@@ -68,6 +73,7 @@
     :param cancelled_at_s: when a cancel was confirmed, on the monotonic clock.
     :param confirmed_by: which daemon confirmed it, and the status.
     :param states: all that it was shown as.
+    :param shown: when it was first shown so during the play, and by which daemon.
     """
 
     job_id: str
@@ -82,6 +88,7 @@
     cancelled_at_s: float | None = None
     confirmed_by: str = ""
     states: set[str] = attrs.field(factory=set)
+    shown: list[str] = attrs.field(factory=list)
 
 
 def check_runs(world: CellWorld) -> t.Iterator[str]:
@@ -119,6 +126,11 @@
         yield started, end_s, how
 
 
+def done_tasks(world: CellWorld) -> set[str]:
+    """Return the tasks of which a run ended as done where a holder could see it."""
+    return {run.task for run, _, how in run_spans(world) if how == "done"}
+
+
 def check_jobs(world: CellWorld, jobs: t.Mapping[str, SubmittedJob]) -> t.Iterator[str]:
     """Yield a line for each start and each state that no caller's call explains."""
     for started in world.started:
@@ -134,7 +146,13 @@
             yield f"UNASKED {started.task} was cancelled"
     for job in jobs.values():
         if "failed" in job.states:
-            yield f"LOST {job.job_id} failed, and no run of it did so too often"
+            yield (
+                f"LOST {job.job_id} failed, and no run of it did so too often:"
+                f" {job.shown}"
+            )
+        endless = job.lasting or job.sound_tasks is not None
+        if endless and "completed" in job.states:
+            yield f"MIXED {job.job_id} completed, and it never ends: {job.shown}"
         if "cancelled" in job.states and not job.cancel_sent:
             yield f"LOST {job.job_id} was cancelled by nobody"
 
