Soak with runners that exit in series while holders and the store fail

Change: the plan flag `series`, with random choices of its own behind the others. At the end all lasting tasks must run: that check moved from RestartFaults to LastingJobs as it was.

--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -42,6 +42,7 @@
     SoakPlan(8, seconds=8.0, halls=True),
     SoakPlan(9, seconds=6.0, accounts=True, floods=True),
     SoakPlan(10, seconds=6.0, large=True),
+    SoakPlan(11, seconds=6.0, runners=True, series=True),
 )
 REGRESSIONS: tuple[SoakPlan, ...] = (
     # The stand-in's runner reported an expiry only when it was next called, not when
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -45,6 +45,7 @@
 from tools.soak_large import LargeJobs
 from tools.soak_restarts import RestartFaults
 from tools.soak_runners import RunnerFaults
+from tools.soak_series import SeriesFaults
 from tools.soak_states import StateCallers
 from tools.soak_stops import LastingJobs
 from tools.soak_stops import StopFaults
@@ -94,6 +95,8 @@
     :param large: large and invalid jobs, and many runs that end at once, likewise.
     :param accounts: callers need keys, keys change, and an account has a limit,
         likewise.
+    :param series: runners exit in series while holders are killed and the store
+        refuses calls, and lasting jobs, likewise.
     """
 
     seed: int
@@ -111,6 +114,7 @@
     halls: bool = False
     floods: bool = False
     large: bool = False
+    series: bool = False
 
 
 class Soak(SoakView):
@@ -157,6 +161,10 @@
         self._large: LargeJobs | None = None
         if plan.large:
             self._large = LargeJobs(self, random.Random(f"large {plan.seed}"))
+        self._series: SeriesFaults | None = None
+        if plan.series:
+            series = random.Random(f"series {plan.seed}")
+            self._series = SeriesFaults(self, series, self._stop_faults)
         self._states = StateCallers(self, random.Random(f"states {plan.seed}"))
         self._quiet_at_s = 0.0
         self._session: aiohttp.ClientSession | None = None
@@ -177,8 +185,8 @@
             try:
                 await self._play()
                 await self._finish_faults()
-                if self._restarts is not None:
-                    await self._restarts.check_lasting()
+                if self.plan.restarts or self.plan.series:
+                    await self._lasting.check_running()
                 await self._lasting.cancel_all(SETTLE_S)
                 await self._settle()
             finally:
@@ -212,7 +220,7 @@
             parts.append(self._runner_faults.play(until_s))
             parts.append(self._runner_faults.submit_in_turns(until_s))
         others = (self._accounts, self._restarts, self._halls, self._floods)
-        for more in (*others, self._large):
+        for more in (*others, self._large, self._series):
             if more is not None:
                 parts.append(more.play(until_s))
         await asyncio.gather(*parts)
@@ -487,6 +495,7 @@
                     halls=True,
                     floods=True,
                     large=True,
+                    series=True,
                 )
                 broken, faults = await run_soak(plan, folder, arguments.daemon_path)
             print(json.dumps({"seed": seed, "broken": broken, "faults": faults}))
--- a/tools/soak_restarts.py
+++ b/tools/soak_restarts.py
@@ -8,7 +8,7 @@
 from streamthread.standins.cell import RunnerStandin
 from tools.soak_view import SoakView
 
-__all__ = ["RestartFaults"]
+__all__ = ["RestartFaults", "restart_runner"]
 
 FAULTS_PER_S = 0.8
 """How often one of these faults begins."""
@@ -19,9 +19,20 @@
 MOST_IN_SERIES = 4
 """So often at most one runner starts again before another one does."""
 
-LASTING_SOON_S = 15.0
-"""Once nothing goes wrong, all lasting tasks run after so long: what a silent runner
-may still hold lapses within 4.1 s, what an earlier holder left there within 4.2 s."""
+
+def restart_runner(
+    machine: MachineStandin, soak: SoakView, for_s: float, keep_id: bool
+) -> None:
+    """Crash the runner of a machine that is up; it is back after ``for_s``.
+
+    :param keep_id: under its id, if it tells its birth.
+    """
+    runner = machine.runner
+    if machine.state != "up" or runner is None or not runner.alive:
+        return
+    soak.note(f"restart {runner.runner_id}")
+    runner.kill()
+    soak.world.cloud.crash(machine, for_s, keep_id and runner.reports_birth)
 
 
 class RestartFaults:
@@ -66,13 +77,7 @@
             self._begin(machine, for_s)
 
     def _begin(self, machine: MachineStandin, for_s: float) -> None:
-        runner = machine.runner
-        if machine.state != "up" or runner is None or not runner.alive:
-            return
-        self._soak.note(f"restart {runner.runner_id}")
-        runner.kill()
-        keep_id = runner.reports_birth
-        self._soak.world.cloud.crash(machine, for_s, keep_id)
+        restart_runner(machine, self._soak, for_s, keep_id=True)
 
     async def _restart_in_series(self, for_s: float) -> None:
         machine = self._choose()
@@ -93,21 +98,3 @@
         if machine.runner is runner:
             self._begin(machine, for_s)
         runner.faults.silent = False
-
-    async def check_lasting(self) -> None:
-        """Wait until all tasks of lasting jobs run that nobody has cancelled."""
-        give_up_at_s = time.monotonic() + LASTING_SOON_S
-        while missing := self._missing():
-            if time.monotonic() > give_up_at_s:
-                self._soak.broken.append(f"LOST nothing runs of {sorted(missing)}")
-                return
-            await asyncio.sleep(0.1)
-
-    def _missing(self) -> set[str]:
-        wanted = {
-            f"{job.job_id}.0.0.{index}"
-            for job in self._soak.jobs.values()
-            if job.accepted and not job.cancel_sent
-            for index in range(job.lasting_tasks)
-        }
-        return wanted - set(self._soak.world.running())
--- a/tools/soak_stops.py
+++ b/tools/soak_stops.py
@@ -30,11 +30,23 @@
 FOREVER_S = 3600.0
 """How long a lasting task works if nobody stops it."""
 
+LASTING_SOON_S = 15.0
+"""Once nothing goes wrong, all lasting tasks run after so long: what a silent runner
+may still hold lapses within 4.1 s, what an earlier holder left there within 4.2 s."""
+
 
 class LastingJobs:
     """Callers that submit lasting jobs and cancel them, alone and in groups."""
 
-    def __init__(self, soak: SoakView, choices: random.Random) -> None:
+    def __init__(
+        self,
+        soak: SoakView,
+        choices: random.Random,
+        jobs_per_s: float = JOBS_PER_S,
+        life_s: float = LIFE_S,
+    ) -> None:
+        self._jobs_per_s = jobs_per_s
+        self._life_s = life_s
         self._soak = soak
         self._random = choices
         self._live: dict[str, SubmittedJob] = {}
@@ -43,7 +55,7 @@
         """Submit jobs; each is cancelled after a random time."""
         while time.monotonic() < until_s:
             self._soak.spawn(self._one(until_s))
-            gap_s = self._random.expovariate(JOBS_PER_S)
+            gap_s = self._random.expovariate(self._jobs_per_s)
             await asyncio.sleep(min(gap_s, 1.0))
 
     async def cancel_groups(self, until_s: float, faults: "StopFaults") -> None:
@@ -57,6 +69,24 @@
             for job in list(self._live.values()):
                 self._soak.spawn(self._cancel(job))
 
+    async def check_running(self) -> None:
+        """Wait until all tasks of lasting jobs run that nobody has cancelled."""
+        give_up_at_s = time.monotonic() + LASTING_SOON_S
+        while missing := self._missing():
+            if time.monotonic() > give_up_at_s:
+                self._soak.broken.append(f"LOST nothing runs of {sorted(missing)}")
+                return
+            await asyncio.sleep(0.1)
+
+    def _missing(self) -> set[str]:
+        wanted = {
+            f"{job.job_id}.0.0.{index}"
+            for job in self._soak.jobs.values()
+            if job.accepted and not job.cancel_sent
+            for index in range(job.lasting_tasks)
+        }
+        return wanted - set(self._soak.world.running())
+
     async def cancel_all(self, within_s: float) -> None:
         """Cancel what has not been cancelled, until it is confirmed."""
         give_up_at_s = time.monotonic() + within_s
@@ -73,7 +103,7 @@
         job_id = f"{self._random.getrandbits(64):016x}"
         job = SubmittedJob(job_id, self._random.choice(["desk", "audit"]), lasting=True)
         self._soak.jobs[job_id] = job
-        cancel_at_s = time.monotonic() + self._random.expovariate(1 / LIFE_S)
+        cancel_at_s = time.monotonic() + self._random.expovariate(1 / self._life_s)
         body, endless = self._body()
         if not LIMITS.get(account_of(job_id)):
             job.lasting_tasks = endless
@@ -185,12 +215,15 @@
         free = self._soak.free()
         return daemon in free and len(free) >= 2
 
-    async def end_holder(self) -> bool:
-        """Stop or kill the holder and have it start again; False: there is none."""
+    async def end_holder(self, number: signal.Signals | None = None) -> bool:
+        """Stop or kill the holder and have it start again; False: there is none.
+
+        :param number: else SIGTERM or SIGKILL.
+        """
         holder = await self._find_holder()
         if holder is None:
             return False
-        number = self._random.choice([signal.SIGTERM, signal.SIGKILL])
+        number = number or self._random.choice([signal.SIGTERM, signal.SIGKILL])
         pause_s = self._random.uniform(0.0, 1.0)
         self._soak.restart(holder, number, pause_s)
         return True
