--- a/src/streamthread/scheduler/probation.py
+++ b/src/streamthread/scheduler/probation.py
@@ -28,8 +28,8 @@
 PROBATION_S = 0.5
 """How long a runner gets no other tasks after the start of a task on probation. A task
 that crashes its runners has done so by then. Without this interval, if three faulty
-tasks were among nine that arrived together, one of the other tasks was given up in two
-runs out of three."""
+tasks were among nine that arrived together, one of the other tasks was held to be faulty in
+two runs out of three."""
 
 MAX_PROBATION_SHARE = 0.5
 """The maximum share of a pool's runners that are on probation at a time, so that other
@@ -126,7 +126,7 @@
 def _is_starting_suspects(job: Job, runner: RunnerState, now_s: float) -> bool:
     """Whether a runner exit would be attributed to suspects of other jobs as well.
 
-    If they repeatedly start together, tasks beside the faulty one would be given up
+    If they repeatedly start together, tasks beside the faulty one would be held back
     with it.
     """
     return any(
--- a/src/streamthread/scheduler/settings.py
+++ b/src/streamthread/scheduler/settings.py
@@ -25,21 +25,19 @@
         the penalty.
     :param lasting_patience_s: a long-running task that has waited longer than this may
         be placed on a runner that is being emptied.
-    :param crashes_alone: a task is given up after this many runner exits if it alone
-        had just been started on the last of these runners. Two is the minimum that
-        distinguishes the task from those that ran beside it. With two, however, a
-        runner that crashes on its own while the task runs apart is enough to give the
-        task up, and a task to which this happened twice in a row was given up. The
-        third crash costs one more runner for each faulty task.
+    :param crashes_alone: this many runner exits at its starts prove that a task crashes
+        its runners if it alone had just been started on the last of them. Two is the
+        minimum that distinguishes the task from those that ran beside it. With two,
+        however, a runner that exits on its own while the task runs apart would be
+        proof. The third crash costs one more runner for each faulty task.
     :param unsteady_ends: if this many runners of a pool have recently exited on their
         own, ``crashes_alone`` does not suffice, because the third exit may be one of
         these.
-    :param most_crashes: a task is given up after this many crashes in any case. The
+    :param most_crashes: a task is held back after this many crashes in any case. The
         users' documentation allows two more starts after the third crash; one of them
         is reserved for a crash that no holder has observed.
-    :param most_lost_runners: a task is given up after this many runner exits, at its
-        start or later. An exit that the task did not cause, before the task has worked
-        for a while, looks the same, and the task is then given up for unrelated exits.
+    :param most_lost_runners: a task is held back for a moment after this many runner
+        exits, at its start or later.
     :param spreads_over_halls: the tasks of a long-running step are spread over halls,
         so that the loss of one hall leaves the others at work.
     :param restart_pause_s: the pause before a failed long-running task starts again.
