--- a/src/streamthread/scheduler/probation.py
+++ b/src/streamthread/scheduler/probation.py
@@ -28,8 +28,8 @@
 PROBATION_S = 0.5
 """How long a runner gets no other tasks after the start of a task on probation. A task
 that crashes its runners has done so by then. Without this interval, if three faulty
-tasks were among nine that arrived together, one of the other tasks was held to be faulty in
-two runs out of three."""
+tasks were among nine that arrived together, one of the other tasks was taken for a
+faulty one in two runs out of three."""
 
 MAX_PROBATION_SHARE = 0.5
 """The maximum share of a pool's runners that are on probation at a time, so that other
