--- a/src/streamthread/scheduler/tests/test_quarantine.py
+++ b/src/streamthread/scheduler/tests/test_quarantine.py
@@ -45,6 +45,13 @@
     return placed[0]
 
 
+def _crash_twice(cell: _Cell) -> None:
+    """Crash two runners, so that the next start decides about the task."""
+    for _ in range(2):
+        cell.now_s += 1.0
+        cell.crash_faulty_runner(cell.place())
+
+
 def _place(cell: _Cell) -> t.Sequence[Attempt]:
     cell.engine.begin_due(cell.now_s)
     return cell.place()
@@ -166,9 +173,7 @@
 class TestStableRunners:
     def test_get_the_start_that_decides(self, cell: _Cell) -> None:
         """Guards against holding a task back for runners that exit in series."""
-        for _ in range(2):
-            cell.now_s += 1.0
-            cell.crash_faulty_runner(cell.place())
+        _crash_twice(cell)
         for runner in cell.engine.runners.values():
             runner.known_since_s = cell.now_s
         assert not cell.place()
@@ -177,9 +182,7 @@
 
     def test_are_not_waited_for_too_long(self, cell: _Cell) -> None:
         """Guards against a task that never runs in a pool whose runners all exit."""
-        for _ in range(2):
-            cell.now_s += 1.0
-            cell.crash_faulty_runner(cell.place())
+        _crash_twice(cell)
         waited_s = 0.0
         while not cell.place():
             for runner in cell.engine.runners.values():
@@ -204,9 +207,7 @@
             assert waited_s < NEGLECTED_AFTER_S
 
     def test_are_known_by_their_age_after_a_takeover(self, cell: _Cell) -> None:
-        for _ in range(2):
-            cell.now_s += 1.0
-            cell.crash_faulty_runner(cell.place())
+        _crash_twice(cell)
         for runner in cell.engine.runners.values():
             runner.known_since_s = cell.now_s
             runner.born_ms = int((time.time() - STABLE_AFTER_S) * 1000)
@@ -224,9 +225,7 @@
 
     def test_get_nothing_else_while_the_start_decides(self, cell: _Cell) -> None:
         """Guards against attributing the exit to another task that starts there."""
-        for _ in range(2):
-            cell.now_s += 1.0
-            cell.crash_faulty_runner(cell.place())
+        _crash_twice(cell)
         cell.now_s += NEGLECTED_AFTER_S
         (deciding,) = cell.place()
         cell.add_job("f" * 16)
