Count exits as observed that earlier holders observed

Cause: four of its exits had been observed, each by another holder, but the number of observed exits was kept in memory alone. The fourth exit was no proof for a holder that had observed one; the fifth, which nobody observed, led to a pause of 2 s instead of 600 s. Change: the number is in the task's row, in one more field that earlier versions pass over. The guard of recorded crashes matches the new line.

--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -73,9 +73,10 @@
         continues the count.
     :param later_ends: the same count for runners that certainly stayed alive after the
         start and exited before the task had worked for a while.
-    :param observed_crashes: how many of the crashes this holder has observed itself.
-    :param crashes_runners: the observed crashes prove that the task causes them. It is
+    :param observed_crashes: how many of the crashes a holder has observed itself. It is
         persisted, since the next holder has not observed them.
+    :param crashes_runners: the observed crashes prove that the task causes them. It is
+        persisted as well.
     :param quarantined_until_s: boot clock time until which the task gets no new run,
         since it seems to crash its runners; 0 if it may get one.
     :param needs_stable_runner: the task starts only on a runner that has been up for a
--- a/src/streamthread/scheduler/progress_codec.py
+++ b/src/streamthread/scheduler/progress_codec.py
@@ -64,6 +64,7 @@
     crashes: Count = 0
     later_ends: Count = 0
     crashes_runners: bool = False
+    observed_crashes: Count = 0
 
 
 class _TasksRow(msgspec.Struct, array_like=True):
@@ -173,12 +174,16 @@
     attempts = [_encode_attempt(attempt) for attempt in task.attempts]
     checkpoint = task.checkpoint if with_checkpoints else ""
     row = [position, task.last_run, task.failures, checkpoint, attempts]
+    exits = [
+        task.crashes,
+        task.later_ends,
+        task.crashes_runners,
+        task.observed_crashes,
+    ]
     # Trailing zeros, which nearly all tasks have, are omitted: 2 bytes of some 30.
-    if task.crashes_runners:
-        return [*row, task.crashes, task.later_ends, True]
-    if task.later_ends:
-        return [*row, task.crashes, task.later_ends]
-    return [*row, task.crashes] if task.crashes else row
+    while exits and not exits[-1]:
+        exits.pop()
+    return [*row, *exits]
 
 
 def _encode_attempt(attempt: Attempt) -> list[Json]:
@@ -300,6 +305,7 @@
     task.crashes = row.crashes
     task.later_ends = row.later_ends
     task.crashes_runners = row.crashes_runners
+    task.observed_crashes = row.observed_crashes
     task.on_probation = task.lost_runners > 0
     task.attempts = [
         Attempt(
--- a/src/streamthread/scheduler/tests/test_quarantine.py
+++ b/src/streamthread/scheduler/tests/test_quarantine.py
@@ -19,6 +19,7 @@
 from streamthread.scheduler.quarantine import PROVEN_PAUSE_S
 
 from .test_crashes import _Cell
+from .test_crashes import _next_holder
 
 SETTINGS = EngineSettings()
 
@@ -135,6 +136,20 @@
         assert not cell.at_fault.over
 
 
+class TestExitsObservedByEarlierHolders:
+    def test_count_as_observed(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        """Guards against a sixth start of a crashing task after several takeovers."""
+        cell = _Cell(monkeypatch, jobs=1, runners=3)
+        for _ in range(SETTINGS.most_crashes):
+            cell = _next_holder(cell, monkeypatch, runners=3)
+            cell.engine.quarantine.judge(_task(cell))
+            placed = cell.place()
+            # The pool is unstable, so that three exits would not suffice.
+            placed[0].first_confirmed_ms = 0
+            cell.crash_faulty_runner(placed)
+        assert _task(cell).crashes_runners
+
+
 class TestPauses:
     @pytest.mark.parametrize(
         ("crashes", "later_ends", "pause_s"),
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -355,7 +355,7 @@
     Guard(
         "crashes-are-recorded",
         "scheduler/progress_codec.py",
-        "    return [*row, task.crashes] if task.crashes else row\n",
+        "    return [*row, *exits]\n",
         "    return row\n",
         (f"{CRASHES}::TestOneTaskAtFault",),
     ),
