Count no exit as a crash once a runner has survived the task's start

Cause: exits of runners were added up until a task had worked for 2 s. In a series of exits no run works for so long, so that the sum reaches any bound, although runners stay alive after the task's starts again and again. A task that crashes runners does so at each start, some 10 ms after it. Change: a runner that has stayed alive for 500 ms after a start, by its own clock, clears the task of the exits counted at its starts.

--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -35,6 +35,10 @@
 """Measured on the runner's clock. A runner that stayed alive for this long after a
 start was not crashed by that start alone, which takes some 10 ms."""
 
+SURVIVED_MS = 500
+"""Measured on the runner's clock. A task that crashes each runner that starts it leaves
+none alive for this long, even if the runner is slow to exit."""
+
 START_CRASH_WINDOW_S = 0.5
 """A run that crashes its runner does so within some 10 ms. The start, the call that
 meets the closed connection and a busy event loop add up to some 0.3 s."""
@@ -178,11 +182,27 @@
         Without the record, the next holder could not tell an exit that follows from one
         that the start caused.
         """
-        if attempt.cleared or not attempt.task.lost_runners:
+        if not attempt.task.lost_runners:
             return
-        if _is_outlived(attempt, runner):
+        if _is_outlived(attempt, runner) and not attempt.cleared:
             attempt.cleared = True
             self._ledger.task_changed(attempt.task)
+        self._forgive_if_survived(attempt, runner)
+
+    def _forgive_if_survived(self, attempt: Attempt, runner: RunnerState) -> None:
+        """Count no earlier exit as a crash once a runner has survived a task's start.
+
+        What a task does to its runners it does at each start, so the other exits at its
+        starts were chance.
+        """
+        task = attempt.task
+        outlived_ms = runner.outlived_ms(attempt) or 0
+        if not task.crashes or outlived_ms < SURVIVED_MS:
+            return
+        task.crashes = 0
+        task.on_probation = task.on_probation and task.lost_runners > 0
+        self._quarantine.review(task)
+        self._ledger.task_changed(task)
 
     # Runner exits.
 
@@ -198,6 +218,7 @@
         if not attribution.at_start:
             self._stability.record_exit(runner.service, runner.incarnation)
         for attempt in attribution.blamed:
+            self._forgive_if_survived(attempt, runner)
             runner.blamed.append(Blame(attempt.task, attribution.later))
             self._blame(attempt, attribution, runner)
         stable = not self._stability.is_unstable(runner.service)
--- a/src/streamthread/scheduler/tests/test_quarantine.py
+++ b/src/streamthread/scheduler/tests/test_quarantine.py
@@ -13,6 +13,7 @@
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler import Task
 from streamthread.scheduler import TaskState
+from streamthread.scheduler.crashes import SURVIVED_MS
 from streamthread.scheduler.fleet import STABLE_AFTER_S
 from streamthread.scheduler.quarantine import FIRST_PAUSE_S
 from streamthread.scheduler.quarantine import judge_exits
@@ -185,6 +186,48 @@
         assert cell.is_held()
 
 
+class TestSurvivedStarts:
+    """Guards against adding up exits that had other causes than the task."""
+
+    def _run_for(self, cell: _Cell, run_ms: int) -> RunnerState:
+        """Crash two runners; then let one stay alive after the task's start."""
+        _crash_twice(cell)
+        cell.now_s += 1.0
+        (attempt,) = cell.place()
+        runner = cell.engine.runners[attempt.runner_id]
+        cell.now_s += run_ms / 1000
+        cell.list_running(runner, clock_ms=1 + run_ms)
+        return runner
+
+    def test_clear_the_task(self, cell: _Cell) -> None:
+        cell.end(self._run_for(cell, SURVIVED_MS))
+        assert _task(cell).crashes == _task(cell).observed_crashes == 0
+
+    def test_do_not_if_the_runner_exited_soon(self, cell: _Cell) -> None:
+        cell.end(self._run_for(cell, SURVIVED_MS - 1))
+        assert _task(cell).crashes == 2
+
+    def test_clear_the_task_if_only_an_answer_shows_it(self, cell: _Cell) -> None:
+        """Guards against forgetting what the runner's last answer shows."""
+        _crash_twice(cell)
+        cell.now_s += 1.0
+        (attempt,) = cell.place()
+        runner = cell.engine.runners[attempt.runner_id]
+        runner.on_clock(1 + SURVIVED_MS)
+        cell.now_s += 1.0
+        cell.end(runner)
+        assert _task(cell).crashes == 0
+
+    def test_end_a_quarantine(self, cell: _Cell) -> None:
+        """Guards against a copy of the task that keeps it held back."""
+        runner = self._run_for(cell, 1)
+        _task(cell).crashes_runners = True
+        cell.engine.quarantine.judge(_task(cell))
+        cell.list_running(runner, clock_ms=1 + SURVIVED_MS)
+        cell.end(runner)
+        assert len(_place(cell)) == 1
+
+
 class TestStableRunners:
     def test_get_the_start_that_decides(self, cell: _Cell) -> None:
         """Guards against holding a task back for runners that exit in series."""
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -366,6 +366,13 @@
         "",
         (f"{CRASHES}::TestExitsThatAreNoCrash",),
     ),
+    Guard(
+        "survived-starts-clear-tasks",
+        "scheduler/crashes.py",
+        "        if not task.crashes or outlived_ms < SURVIVED_MS:\n",
+        "        if True:\n",
+        (f"{QUARANTINE}::TestSurvivedStarts",),
+    ),
     Guard(
         "truncated-ends-prove-nothing",
         "scheduler/outcomes.py",
