Hold a task back after five exits at its starts, whoever observed them

Cause: the fifth exit counted only if a holder observed it. Holders and runners that exit together left any number of starts to such a task. Change: five exits in a row at a task's starts, none of which a runner has survived, hold it back for 600 s. A runner that answers again, and one that stays alive after a start, still release it.

--- a/src/streamthread/scheduler/quarantine.py
+++ b/src/streamthread/scheduler/quarantine.py
@@ -39,7 +39,8 @@
     """Why a task is in quarantine; the values are in logs and metrics."""
 
     CRASHES_RUNNERS = "crashes-runners"
-    """This holder or an earlier one has observed that its starts crash runners."""
+    """Holders have observed that its starts crash runners, or each of its last starts
+    was followed by an exit."""
     LOST_RUNNERS = "lost-runners"
     """Many runners exited while they had the task, and the reason is not known."""
 
@@ -73,8 +74,12 @@
 
 
 def judge_exits(task: Task, settings: EngineSettings) -> Verdict | None:
-    """Return whether the exits that are attributed to a task put it in quarantine."""
-    if task.crashes_runners:
+    """Return whether the exits that are attributed to a task put it in quarantine.
+
+    A task that no runner has outlived for a while since so many exits may get no
+    further start, whoever observed them.
+    """
+    if task.crashes_runners or task.crashes > settings.most_crashes:
         return Verdict(QuarantineCause.CRASHES_RUNNERS, PROVEN_PAUSE_S)
     excess = max(
         task.crashes - settings.most_crashes,
