Start a task alone on the runner that has been up for longest when the next exit may hold it back

Cause: the exit that decides was that of any runner which had been up for 2 s. Change: among suitable runners the one that has been up for longest is chosen, up to the 10 s for which exits count. Its exit is the least likely to have another cause than the start. Evidence: test_that_have_been_up_longest_come_first fails on the code before and passes.

--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -150,11 +150,17 @@
 
         :param now_s: boot clock time.
         """
-        if now_s - self.known_since_s >= STABLE_AFTER_S:
-            return True
+        return self.up_for_s(now_s) >= STABLE_AFTER_S
+
+    def up_for_s(self, now_s: float) -> float:
+        """Return how long this incarnation has been up, as far as is known.
+
+        :param now_s: boot clock time.
+        """
+        known_for_s = now_s - self.known_since_s
         if self.born_ms is None:
-            return False
-        return time.time() - self.born_ms / 1000 >= STABLE_AFTER_S
+            return known_for_s
+        return max(known_for_s, time.time() - self.born_ms / 1000)
 
     @property
     def rack(self) -> str:
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -21,6 +21,7 @@
 from .probation import max_on_probation
 from .probation import probation_runners
 from .probation import starts_alone
+from .stability import EXIT_WINDOW_S
 
 __all__ = [
     "FreeCapacity",
@@ -488,7 +489,9 @@
     Runners without recent failures come first, then warm ones, then those near the
     data, then those in halls with the fewest tasks of the step, then the fullest. A
     suspect task goes beside other tasks of its job that are placed with it, and then to
-    the runner with the fewest attempts, where the fewest are lost with it.
+    the runner with the fewest attempts, where the fewest are lost with it. One that the
+    next exit may hold back goes to a runner that has been up for long: its exit is the
+    least likely to have another cause.
 
     :param hall_tasks: the number of the step's tasks in the runner's hall if the step
         is spread over halls, else 0.
@@ -500,6 +503,9 @@
     split = bool(request.same_rack and placed and placed[0].runner.rack != runner.rack)
     if task.suspect:
         apart = not any(placement.runner is runner for placement in placed)
-        return (unhealthy, cold, far, split, apart, len(runner.attempts))
+        up_s = 0.0
+        if task.needs_stable_runner:
+            up_s = min(runner.up_for_s(boot_s()), EXIT_WINDOW_S)
+        return (unhealthy, cold, far, split, apart, -up_s, len(runner.attempts))
     free_cpu = runner.free_cpu - planned_cpu
     return (unhealthy, cold, far, split, hall_tasks, free_cpu)
--- a/src/streamthread/scheduler/stability.py
+++ b/src/streamthread/scheduler/stability.py
@@ -3,7 +3,7 @@
 from ..clocks import boot_s
 from .model import RunnerIncarnation
 
-__all__ = ["PoolStability"]
+__all__ = ["EXIT_WINDOW_S", "PoolStability"]
 
 EXIT_WINDOW_S = 10.0
 """How long a runner exit counts. A runner that repeatedly goes down and up does so
--- a/src/streamthread/scheduler/tests/test_quarantine.py
+++ b/src/streamthread/scheduler/tests/test_quarantine.py
@@ -251,6 +251,16 @@
         cell.now_s += STABLE_AFTER_S
         assert len(cell.place()) == 1
 
+    def test_that_have_been_up_longest_come_first(self, cell: _Cell) -> None:
+        """Guards against holding a task back for a runner that exits in series."""
+        _crash_twice(cell)
+        cell.now_s += 1.0
+        runners = list(cell.engine.runners.values())
+        for number, runner in enumerate(runners):
+            runner.known_since_s = cell.now_s - STABLE_AFTER_S - number
+        (attempt,) = cell.place()
+        assert attempt.runner_id == runners[-1].runner_id
+
     def test_are_not_waited_for_too_long(self, cell: _Cell) -> None:
         """Guards against a task that never runs in a pool whose runners all exit."""
         _crash_twice(cell)
