Measure how long a runner was up when it became silent

Callers may see a job that stands still, since a task that crashes nothing is held back for 600 s. Cause: an exit proves a task guilty only if its runner had been up for 2 s. That was asked at the moment at which the exit became known. Where a runner is silent first, that is seconds later, so that runners which had just come up counted as stable, those of a series as well. Change: the age of the runner counts at the start of its silence, by its own birth or the holder's knowledge of it. Evidence: test_quarantine.py::TestStableRunners::test_have_been_up_before_the_start fails on the code before (the task is held back after three exits of runners that were up for 10 ms) and passes. test_are_needed_for_a_proof had overlooked it: its runners come up in the future. It stays as it is. Tests of the scheduler pass.

--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -64,7 +64,7 @@
 def _started_within(
     runner: RunnerState, within_s: float, now_s: float
 ) -> list[Attempt]:
-    silent_at_s = now_s if runner.silent_at_s is None else runner.silent_at_s
+    silent_at_s = _silent_at_s(runner, now_s)
     return [
         attempt
         for attempt in runner.attempts.values()
@@ -72,6 +72,11 @@
     ]
 
 
+def _silent_at_s(runner: RunnerState, now_s: float) -> float:
+    """Return the boot clock time at which a runner became silent, by default now."""
+    return now_s if runner.silent_at_s is None else runner.silent_at_s
+
+
 def describe(attempts: t.Iterable[Attempt]) -> list[list[t.Any]]:
     """Return the names and run numbers of attempts for the log."""
     return [[attempt.task.name, attempt.run] for attempt in attempts]
@@ -225,7 +230,8 @@
         return attrs.evolve(
             attribution,
             in_stable_pool=stable,
-            stable_runner=runner.is_stable(boot_s()),
+            # The exit may be known only seconds after the runner became silent.
+            stable_runner=runner.is_stable(_silent_at_s(runner, boot_s())),
         )
 
     def _attribute(self, runner: RunnerState) -> Attribution:
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -145,22 +145,23 @@
             return False
         return born_ms != self.born_ms and born_ms not in self.earlier_born_ms
 
-    def is_stable(self, now_s: float) -> bool:
-        """Whether this incarnation has been up for a while, as far as is known.
+    def is_stable(self, at_s: float) -> bool:
+        """Whether this incarnation had been up for a while, as far as is known.
 
-        :param now_s: boot clock time.
+        :param at_s: boot clock time, now or earlier.
         """
-        return self.up_for_s(now_s) >= STABLE_AFTER_S
+        return self.up_for_s(at_s) >= STABLE_AFTER_S
 
-    def up_for_s(self, now_s: float) -> float:
-        """Return how long this incarnation has been up, as far as is known.
+    def up_for_s(self, at_s: float) -> float:
+        """Return how long this incarnation had been up, as far as is known.
 
-        :param now_s: boot clock time.
+        :param at_s: boot clock time, now or earlier.
         """
-        known_for_s = now_s - self.known_since_s
+        known_for_s = at_s - self.known_since_s
         if self.born_ms is None:
             return known_for_s
-        return max(known_for_s, time.time() - self.born_ms / 1000)
+        at_wall_s = time.time() - (boot_s() - at_s)
+        return max(known_for_s, at_wall_s - self.born_ms / 1000)
 
     @property
     def rack(self) -> str:
--- a/src/streamthread/scheduler/tests/test_quarantine.py
+++ b/src/streamthread/scheduler/tests/test_quarantine.py
@@ -304,6 +304,21 @@
         assert _task(cell).crashes == SETTINGS.most_crashes
         assert not _task(cell).crashes_runners
 
+    def test_have_been_up_before_the_start(self, cell: _Cell) -> None:
+        """Guards against a proof by runners that had just come up.
+
+        Their exit is known only seconds after they became silent.
+        """
+        for _ in range(SETTINGS.most_crashes):
+            cell.now_s += 1.0
+            for runner in cell.engine.runners.values():
+                runner.known_since_s = cell.now_s
+                runner.born_ms = int(time.time() * 1000)
+            _task(cell).waiting_since_s = cell.now_s - NEGLECTED_AFTER_S
+            cell.crash_faulty_runner(cell.place())
+            assert not _task(cell).crashes_runners
+        assert _task(cell).crashes == SETTINGS.most_crashes
+
     def test_get_nothing_else_while_the_start_decides(self, cell: _Cell) -> None:
         """Guards against attributing the exit to another task that starts there."""
         _crash_twice(cell)
