Hold back a task for long after eight exits that soon follow its starts

Seen by callers: a task that crashes each runner some 0.1 to 0.5 s after its start takes down one runner every 2 s, for as long as its job is open. Cause: exits after 50 ms hold a task back for 2 s at most, however many there are, since a series of exits brings about any number of them. Change: such an exit counts as a late crash where the task alone had just been started and the runner had been up for 10 s, so that it does not exit in a series. Exits of other runners change nothing. The count is in the task's row; 2 s of work, a runner that survives a start for 500 ms and one that answers again reset it. Evidence: two of test_quarantine.py::TestExitsThatFollowStarts fail on the code before (pause 1 s, not 600 s); three show what proves nothing. The guard's test fails without the line. Tests of the scheduler and the model pass.

--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -25,6 +25,7 @@
 from .probation import SIMULTANEOUS_START_S
 from .quarantine import Quarantine
 from .settings import EngineSettings
+from .stability import EXIT_WINDOW_S
 from .stability import PoolStability
 
 __all__ = ["Attribution", "Crashes", "describe", "started_last"]
@@ -91,6 +92,8 @@
     :param later: the runner certainly stayed alive after the start.
     :param in_stable_pool: hardly any other runner of the pool has exited lately.
     :param stable_runner: the runner had been up for a while.
+    :param long_lived_runner: the runner had been up for so long that it does not
+        exit in a series.
     """
 
     blamed: t.Sequence[Attempt]
@@ -98,12 +101,19 @@
     later: bool = False
     in_stable_pool: bool = False
     stable_runner: bool = False
+    long_lived_runner: bool = False
 
     @property
     def at_start(self) -> bool:
         """Whether the start of the blamed attempts explains the exit."""
         return self.exact and bool(self.blamed) and not self.later
 
+    @property
+    def late_crash(self) -> bool:
+        """Whether the blamed attempt presumably caused the exit after its start."""
+        alone = self.exact and len(self.blamed) == 1
+        return self.later and alone and self.long_lived_runner
+
     @property
     def conclusive(self) -> bool:
         """Whether the exit can hardly have another cause than the blamed attempts."""
@@ -157,6 +167,8 @@
 
     def _withdraw_blame(self, blame: Blame) -> None:
         task = blame.task
+        if blame.late_crash:
+            task.late_crashes = max(0, task.late_crashes - 1)
         if blame.later:
             task.later_ends = max(0, task.later_ends - 1)
         else:
@@ -169,7 +181,7 @@
         """Reset a task's counts: a run of it ended or went on without a runner exit."""
         if not task.lost_runners:
             return
-        task.crashes = task.later_ends = 0
+        task.crashes = task.later_ends = task.late_crashes = 0
         task.on_probation = False
         self._quarantine.review(task)
         self._ledger.task_changed(task)
@@ -202,9 +214,10 @@
         """
         task = attempt.task
         outlived_ms = runner.outlived_ms(attempt) or 0
-        if not task.crashes or outlived_ms < SURVIVED_MS:
+        counted = task.crashes or task.late_crashes
+        if not counted or outlived_ms < SURVIVED_MS:
             return
-        task.crashes = 0
+        task.crashes = task.late_crashes = 0
         task.on_probation = task.on_probation and task.lost_runners > 0
         self._quarantine.review(task)
         self._ledger.task_changed(task)
@@ -219,20 +232,21 @@
         """
         if runner.draining or runner.reserved:
             return Attribution(())
-        attribution = self._attribute(runner)
+        silent_at_s = _silent_at_s(runner, boot_s())
+        attribution = attrs.evolve(
+            self._attribute(runner),
+            stable_runner=runner.is_stable(silent_at_s),
+            long_lived_runner=runner.up_for_s(silent_at_s) >= EXIT_WINDOW_S,
+        )
         if not attribution.at_start:
             self._stability.record_exit(runner.service, runner.incarnation)
         for attempt in attribution.blamed:
             self._forgive_if_survived(attempt, runner)
-            runner.blamed.append(Blame(attempt.task, attribution.later))
+            blame = Blame(attempt.task, attribution.later, attribution.late_crash)
+            runner.blamed.append(blame)
             self._blame(attempt, attribution, runner)
         stable = not self._stability.is_unstable(runner.service)
-        return attrs.evolve(
-            attribution,
-            in_stable_pool=stable,
-            # The exit may be known only seconds after the runner became silent.
-            stable_runner=runner.is_stable(_silent_at_s(runner, boot_s())),
-        )
+        return attrs.evolve(attribution, in_stable_pool=stable)
 
     def _attribute(self, runner: RunnerState) -> Attribution:
         """Return the attempts to which a runner exit is attributed."""
@@ -297,6 +311,7 @@
         """
         task = attempt.task
         attempt.blamed = True
+        task.late_crashes += attribution.late_crash
         if attribution.later:
             task.later_ends += 1
         else:
@@ -315,6 +330,7 @@
                 "runner": attempt.runner_id,
                 "crashes": task.crashes,
                 "later_ends": task.later_ends,
+                "late_crashes": task.late_crashes,
                 "just_started": attribution.exact,
                 "read_back": attempt.read_back,
                 "silent_s_after": _silent_s_after(attempt, runner),
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -73,6 +73,9 @@
         continues the count.
     :param later_ends: the same count for runners that certainly stayed alive after the
         start and exited before the task had worked for a while.
+    :param late_crashes: how many of the later ends the task has presumably caused: it
+        alone had just been started there, and the runner had been up for long. It is
+        persisted as well.
     :param observed_crashes: how many of the crashes a holder has observed itself. It is
         persisted, since the next holder has not observed them.
     :param crashes_runners: the observed crashes prove that the task causes them. It is
@@ -99,6 +102,7 @@
     moves: int = 0
     crashes: int = 0
     later_ends: int = 0
+    late_crashes: int = 0
     observed_crashes: int = 0
     crashes_runners: bool = False
     quarantined_until_s: float = 0.0
@@ -168,10 +172,12 @@
     """A runner exit that was attributed to a task.
 
     :param later: the runner certainly stayed alive after the task's start.
+    :param late_crash: the task has presumably caused the exit all the same.
     """
 
     task: Task
     later: bool
+    late_crash: bool
 
 
 @attrs.define(eq=False)
--- a/src/streamthread/scheduler/progress_codec.py
+++ b/src/streamthread/scheduler/progress_codec.py
@@ -65,6 +65,7 @@
     later_ends: Count = 0
     crashes_runners: bool = False
     observed_crashes: Count = 0
+    late_crashes: Count = 0
 
 
 class _TasksRow(msgspec.Struct, array_like=True):
@@ -179,6 +180,7 @@
         task.later_ends,
         task.crashes_runners,
         task.observed_crashes,
+        task.late_crashes,
     ]
     # Trailing zeros, which nearly all tasks have, are omitted: 2 bytes of some 30.
     while exits and not exits[-1]:
@@ -306,6 +308,7 @@
     task.later_ends = row.later_ends
     task.crashes_runners = row.crashes_runners
     task.observed_crashes = row.observed_crashes
+    task.late_crashes = row.late_crashes
     task.on_probation = task.lost_runners > 0
     task.attempts = [
         Attempt(
--- a/src/streamthread/scheduler/quarantine.py
+++ b/src/streamthread/scheduler/quarantine.py
@@ -79,7 +79,8 @@
     A task that no runner has outlived for a while since so many exits may get no
     further start, whoever observed them.
     """
-    if task.crashes_runners or task.crashes > settings.most_crashes:
+    proven = task.crashes_runners or task.crashes > settings.most_crashes
+    if proven or task.late_crashes >= settings.most_lost_runners:
         return Verdict(QuarantineCause.CRASHES_RUNNERS, PROVEN_PAUSE_S)
     excess = max(
         task.crashes - settings.most_crashes,
@@ -152,6 +153,7 @@
                 "pause_s": verdict.pause_s,
                 "crashes": task.crashes,
                 "later_ends": task.later_ends,
+                "late_crashes": task.late_crashes,
             },
         )
 
--- a/src/streamthread/scheduler/settings.py
+++ b/src/streamthread/scheduler/settings.py
@@ -37,7 +37,8 @@
         users' documentation allows two more starts after the third crash; one of them
         is reserved for a crash that no holder has observed.
     :param most_lost_runners: a task is held back for a moment after this many runner
-        exits, at its start or later.
+        exits, at its start or later; for long if it has presumably caused so many later
+        ones.
     :param spreads_over_halls: the tasks of a long-running step are spread over halls,
         so that the loss of one hall leaves the others at work.
     :param restart_pause_s: the pause before a failed long-running task starts again.
--- a/src/streamthread/scheduler/tests/test_quarantine.py
+++ b/src/streamthread/scheduler/tests/test_quarantine.py
@@ -18,6 +18,7 @@
 from streamthread.scheduler.quarantine import FIRST_PAUSE_S
 from streamthread.scheduler.quarantine import judge_exits
 from streamthread.scheduler.quarantine import PROVEN_PAUSE_S
+from streamthread.scheduler.stability import EXIT_WINDOW_S
 
 from .test_crashes import _Cell
 from .test_crashes import _next_holder
@@ -199,6 +200,75 @@
         assert cell.is_held()
 
 
+class TestExitsThatFollowStarts:
+    """Guards against a task that crashes runners for good 0.3 s after each start."""
+
+    def _exit_after_starts(self, cell: _Cell, times: int, up_s: float) -> None:
+        """Let runners exit 0.3 s after the task's starts, which they have outlived.
+
+        :param up_s: how long each had been up before the start.
+        """
+        for _ in range(times):
+            cell.now_s += NEGLECTED_AFTER_S
+            for runner in cell.engine.runners.values():
+                runner.known_since_s = cell.now_s - up_s
+            attempt = next(filter(cell.is_at_fault, _place(cell)))
+            runner = cell.engine.runners[attempt.runner_id]
+            cell.now_s += 0.1
+            cell.list_running(runner, clock_ms=101)
+            cell.now_s += 0.2
+            cell.end(runner)
+
+    def _pause_s(self, cell: _Cell) -> float:
+        return _task(cell).quarantined_until_s - cell.now_s
+
+    def test_hold_the_task_back_if_the_runners_were_long_lived(
+        self, cell: _Cell
+    ) -> None:
+        self._exit_after_starts(cell, SETTINGS.most_lost_runners - 1, EXIT_WINDOW_S)
+        assert not cell.is_held()
+        self._exit_after_starts(cell, 1, EXIT_WINDOW_S)
+        assert self._pause_s(cell) == pytest.approx(PROVEN_PAUSE_S)
+
+    def test_prove_nothing_if_the_runners_had_just_come_up(self, cell: _Cell) -> None:
+        """Guards against holding a task back for runners that exit in series."""
+        times = SETTINGS.most_lost_runners
+        self._exit_after_starts(cell, times, EXIT_WINDOW_S - 1.0)
+        assert self._pause_s(cell) == pytest.approx(FIRST_PAUSE_S)
+
+    def test_prove_nothing_beside_another_start(self, cell: _Cell) -> None:
+        """Guards against holding a task back for the one that starts beside it."""
+        other = Task(_task(cell).step, 1)
+        _task(cell).step.tasks.append(other)
+        _task(cell).step.forget_waiting()
+        times = SETTINGS.most_lost_runners
+        self._exit_after_starts(cell, times, EXIT_WINDOW_S)
+        assert _task(cell).later_ends == other.later_ends == times
+        assert self._pause_s(cell) == pytest.approx(FIRST_PAUSE_S)
+
+    def test_prove_nothing_if_the_runners_answer_again(self, cell: _Cell) -> None:
+        self._exit_after_starts(cell, SETTINGS.most_lost_runners - 1, EXIT_WINDOW_S)
+        cell.now_s += NEGLECTED_AFTER_S
+        (attempt,) = _place(cell)
+        runner = cell.engine.runners[attempt.runner_id]
+        runner.known_since_s = cell.now_s - EXIT_WINDOW_S
+        cell.list_running(runner, clock_ms=101)
+        runner.silent_at_s, runner.ready = cell.now_s, False
+        cell.engine.attempts_expired(runner.runner_id, "test")
+        assert cell.is_held()
+        cell.engine.on_hold(runner, HoldReply(0, (), ()))
+        assert not cell.is_held()
+
+    def test_count_under_an_earlier_holder(
+        self, cell: _Cell, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against as many further starts after each takeover."""
+        self._exit_after_starts(cell, SETTINGS.most_lost_runners - 1, EXIT_WINDOW_S)
+        cell = _next_holder(cell, monkeypatch, runners=3)
+        self._exit_after_starts(cell, 1, EXIT_WINDOW_S)
+        assert self._pause_s(cell) == pytest.approx(PROVEN_PAUSE_S)
+
+
 class TestSurvivedStarts:
     """Guards against adding up exits that had other causes than the task."""
 
@@ -216,6 +286,12 @@
         cell.end(self._run_for(cell, SURVIVED_MS))
         assert _task(cell).crashes == _task(cell).observed_crashes == 0
 
+    def test_clear_the_task_of_late_crashes(self, cell: _Cell) -> None:
+        runner = self._run_for(cell, SURVIVED_MS - 1)
+        _task(cell).later_ends = _task(cell).late_crashes = 1
+        cell.list_running(runner, clock_ms=1 + SURVIVED_MS)
+        assert (_task(cell).later_ends, _task(cell).late_crashes) == (1, 0)
+
     def test_do_not_if_the_runner_exited_soon(self, cell: _Cell) -> None:
         cell.end(self._run_for(cell, SURVIVED_MS - 1))
         assert _task(cell).crashes == 2
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -366,10 +366,17 @@
         "",
         (f"{CRASHES}::TestExitsThatAreNoCrash",),
     ),
+    Guard(
+        "late-crashes-hold-tasks-back",
+        "scheduler/crashes.py",
+        "        task.late_crashes += attribution.late_crash\n",
+        "",
+        (f"{QUARANTINE}::TestExitsThatFollowStarts",),
+    ),
     Guard(
         "survived-starts-clear-tasks",
         "scheduler/crashes.py",
-        "        if not task.crashes or outlived_ms < SURVIVED_MS:\n",
+        "        if not counted or outlived_ms < SURVIVED_MS:\n",
         "        if True:\n",
         (f"{QUARANTINE}::TestSurvivedStarts",),
     ),
