Expire no runs of a runner's next incarnation with the former one's link

Cause: while the store refuses, a holder may not renew leases; each link then waits for 0.1 s and checks whether all runs have expired. If the runner restarts under its id during this wait, the former link still checked, by the former clock, and the runs to expire were looked up by the id: those of the next incarnation. They had begun and went on. Change: a link whose incarnation has exited concludes nothing any more.

--- a/src/streamthread/runners/link.py
+++ b/src/streamthread/runners/link.py
@@ -356,6 +356,9 @@
         self._check_expiry()
 
     def _check_expiry(self) -> None:
+        if self.over:
+            # The next incarnation under this id has runs of its own.
+            return
         now_s = boot_s()
         if self.clock.known:
             expired = self.clock.all_expired(now_s)
--- a/src/streamthread/runners/tests/test_restarts.py
+++ b/src/streamthread/runners/tests/test_restarts.py
@@ -164,6 +164,40 @@
         assert len(owner.lists) == 2
 
 
+class _RestartedOwner(_Owner):
+    """May extend no runs; the runner restarts while the link waits for that.
+
+    :param expired: how often the link reported that all runs have expired.
+    """
+
+    def __init__(self, restarts: bool) -> None:
+        super().__init__()
+        self._restarts = restarts
+        self.link: RunnerLink | None = None
+        self.expired = 0
+
+    def may_extend_s(self, wanted_s: float) -> float:
+        assert self.link is not None
+        self.link.over = self._restarts
+        return 0.0
+
+    def on_all_expired(self, link: RunnerLink) -> None:
+        self.expired += 1
+        link.over = True
+
+
+class TestFormerLink:
+    @pytest.mark.parametrize("restarts", [False, True])
+    async def test_reports_no_expiry_after_a_restart(self, restarts: bool) -> None:
+        """Guards against expiring the runs of the next incarnation under the id."""
+        owner = _RestartedOwner(restarts)
+        runner = RunnerState("i-1", "desk", "x:1", "z", (), 4000, 100, 0)
+        settings = LinkSettings(retry_s=0.0)
+        owner.link = RunnerLink(runner, _Client([]), owner, settings, -1000.0)
+        await owner.link.run()
+        assert owner.expired == (not restarts)
+
+
 class TestTruncatedEnds:
     """More runs have ended on a runner than it lists in one answer."""
 
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -425,6 +425,15 @@
         "        if False:\n",
         (f"{LISTING_TESTS}::TestRestartedRunners",),
     ),
+    Guard(
+        "former-links-conclude-nothing",
+        "runners/link.py",
+        "        if self.over:\n"
+        "            # The next incarnation under this id has runs of its own.\n"
+        "            return\n",
+        "",
+        ("src/streamthread/runners/tests/test_restarts.py::TestFormerLink",),
+    ),
     Guard(
         "silent-runners-confirm-nothing",
         "runners/link.py",
