Count no lapse that the holder itself brings about as an exit of a runner

Cause: a holder whose commits the store refuses may not renew leases, so that the runs on all runners lapse. That was handled like the loss of the runner: tasks that had just been started there had a crash counted against them, until the runner's next answer. If it restarted before, the count stayed. Change: where the runner has answered this holder and is not silent, its runs lapse and nothing is attributed. On a silent runner, and on one that this holder has never heard, exits count as before; they are withdrawn once it answers. Evidence: test_crashes.py::TestExitsThatAreNoCrash::test_runner_that_is_not_silent fails on the code before and passes. Tests of the scheduler, the runners, the holder and the model pass.

--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -189,8 +189,7 @@
     def _expire(self, attempts: t.Sequence[Attempt], runner: RunnerState) -> None:
         """Requeue lost tasks, except those with too many attributed exits."""
         attribution = self._crashes.attribute_exit(runner)
-        for attempt in attempts:
-            self._ledger.expire(attempt, runner)
+        self._ledger.expire_all(attempts, runner)
         for attempt in attribution.blamed:
             if attribution.at_start:
                 self.quarantine.on_observed_exit(
@@ -233,6 +232,9 @@
     ) -> bool:
         """Handle that runs on a runner have ended for certain; return whether any did.
 
+        If the runner has answered and is not silent, their leases have lapsed because
+        the holder could not renew them, which says nothing about the runner.
+
         :param seen_only: not those whose starts its next incarnation may still receive.
         """
         runner = self.runners.get(runner_id)
@@ -241,7 +243,10 @@
             attempts = [a for a in attempts if a.ends_with_incarnation]
         if runner is not None and attempts:
             log.info("attempts-lapsed", extra=describe_loss(runner, why))
-            self._expire(attempts, runner)
+            if runner.heard and runner.silent_at_s is None:
+                self._ledger.expire_all(attempts, runner)
+            else:
+                self._expire(attempts, runner)
         return bool(attempts)
 
     def cold_halls(self) -> set[str]:
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -186,6 +186,13 @@
         self.task_changed(attempt.task)
         self.settle_job(attempt.task.step.occurrence.job)
 
+    def expire_all(
+        self, attempts: t.Iterable[Attempt], runner: RunnerState | None
+    ) -> None:
+        """Remove attempts that have certainly expired; their tasks are queued again."""
+        for attempt in attempts:
+            self.expire(attempt, runner)
+
     def remove(self, attempt: Attempt, runner: RunnerState | None) -> None:
         """Remove an attempt from its task, and from its runner if that is known."""
         self.stops.forget(attempt)
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -225,6 +225,18 @@
         self._crash_two_more_runners(cell)
         assert not cell.is_held()
 
+    def test_runner_that_is_not_silent(self, patch: pytest.MonkeyPatch) -> None:
+        """Guards against counting the lapse of runs that no holder could extend.
+
+        That is no silence of their runner: the store refuses the holder's commits.
+        """
+        cell = _Cell(patch, jobs=1, runners=1)
+        (attempt,) = cell.place()
+        cell.engine.runners[attempt.runner_id].heard = True
+        cell.engine.attempts_expired(attempt.runner_id, "test")
+        assert attempt.task.lost_runners == 0
+        assert attempt.task.state is TaskState.WAITING
+
     def test_run_that_has_worked_for_a_while(self, patch: pytest.MonkeyPatch) -> None:
         cell = _Cell(patch, jobs=1, runners=4)
         for _ in range(8):
