--- a/src/streamthread/gateway/explain.py
+++ b/src/streamthread/gateway/explain.py
@@ -65,7 +65,7 @@
         left_s = max(0.0, task.quarantined_until_s - boot_s())
         return (
             f"in quarantine for {left_s:.0f} s: {task.crashes} runners exited as it "
-            f"started, {task.later_ends} later"
+            f"started, {task.later_ends} later ({task.late_crashes} soon after it)"
         )
     blocking = step.blocked_by()
     if blocking:
