--- a/src/streamthread/cell/takeover.py
+++ b/src/streamthread/cell/takeover.py
@@ -9,6 +9,9 @@
 
 __all__ = ["AcquiredCell", "StalledCommits", "Suspicion"]
 
+FIRST_TOKEN = 1
+"""The fencing token of the first holder of a cell."""
+
 
 class Suspicion(enum.Enum):
     """Why the current holder may be replaced; the values appear in log events."""
@@ -59,6 +62,14 @@
     acquired_at_s: float
     exclusive_from_s: float
 
+    @property
+    def observed_from_s(self) -> float:
+        """The time on the boot clock from which on this holder knows what happens.
+
+        Nothing has happened before the cell's first holder.
+        """
+        return -math.inf if self.owner.token == FIRST_TOKEN else self.acquired_at_s
+
     @property
     def last_hold_at_s(self) -> float:
         """The latest time at which an earlier holder may have extended a run.
--- a/src/streamthread/cell/tests/test_lease.py
+++ b/src/streamthread/cell/tests/test_lease.py
@@ -17,6 +17,7 @@
 from streamthread.cell.rows import TABLE_HEAD
 from streamthread.cell.rows import TABLE_OWNER
 from streamthread.cell.takeover import AcquiredCell
+from streamthread.cell.takeover import FIRST_TOKEN
 from streamthread.cell.takeover import StalledCommits
 from streamthread.cell.takeover import Suspicion
 from streamthread.clocks import boot_s
@@ -201,6 +202,17 @@
         assert acquired is not None
         assert acquired.last_hold_at_s == acquired.acquired_at_s
 
+    @pytest.mark.parametrize(
+        ("token", "observed_from_s"), [(FIRST_TOKEN, -math.inf), (2, 5.0)]
+    )
+    def test_knows_what_happened_before_if_it_is_the_first(
+        self, token: int, observed_from_s: float
+    ) -> None:
+        """Guards against a holder that takes what it has not seen for not happened."""
+        owner = Owner("d-1", "i", "x:1", token)
+        acquired = AcquiredCell(owner, 1, acquired_at_s=5.0, exclusive_from_s=5.0)
+        assert acquired.observed_from_s == observed_from_s
+
     async def test_is_always_past_if_no_other_daemon_held_the_cell(self) -> None:
         lease = _lease(_Store(), _Peers(healthy=False, during_call=lambda: None))
         acquired = await lease._writer.acquire(Suspicion.OWN_EARLIER_INCARNATION)
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -88,6 +88,7 @@
             self.admission.are_limits_known,
             context.halls,
             self.admission.weights,
+            taken.observed_from_s,
         )
         self.active = False
         self.log = self._open_log()
--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -132,11 +132,15 @@
     """Counts runner exits against the tasks that may have caused them."""
 
     def __init__(
-        self, ledger: Ledger, quarantine: Quarantine, settings: EngineSettings
+        self,
+        ledger: Ledger,
+        quarantine: Quarantine,
+        settings: EngineSettings,
+        observed_from_s: float,
     ) -> None:
         self._ledger = ledger
         self._quarantine = quarantine
-        self._stability = PoolStability(settings.unsteady_ends)
+        self._stability = PoolStability(settings.unsteady_ends, observed_from_s)
 
     def suspect(self, runner: RunnerState) -> None:
         """Suspect the runs started last before a runner's silence, until it answers."""
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -4,6 +4,7 @@
 orders.
 """
 
+import math
 import time
 import typing as t
 
@@ -58,6 +59,7 @@
     :param halls: says which halls may be used.
     :param weights: returns the weights of the accounts in the newest configuration.
     :param on_fault: records unexpected errors, which concern one job or one pool.
+    :param observed_from_s: boot clock time from which on all runner exits are known.
     """
 
     def __init__(
@@ -68,6 +70,7 @@
         are_limits_known: t.Callable[[], bool] = lambda: True,
         halls: HallPolicy = OPEN_HALLS,
         weights: WeightSource = dict,
+        observed_from_s: float = -math.inf,
     ) -> None:
         self.halls = halls
         self.settings = settings or EngineSettings()
@@ -76,7 +79,9 @@
             changed, self.settings.stop_effect_ms, limit_of, are_limits_known
         )
         self.quarantine = Quarantine(self.settings)
-        self._crashes = Crashes(self._ledger, self.quarantine, self.settings)
+        self._crashes = Crashes(
+            self._ledger, self.quarantine, self.settings, observed_from_s
+        )
         self._outcomes = Outcomes(
             self._ledger, self.times, self._crashes, self.settings
         )
--- a/src/streamthread/scheduler/stability.py
+++ b/src/streamthread/scheduler/stability.py
@@ -13,12 +13,17 @@
 class PoolStability:
     """Counts, by pool, the runner exits that no task start explains.
 
+    What an earlier holder has counted is not known, so that a pool counts as unstable
+    until it has been observed for as long as an exit counts.
+
     :param unsteady_ends: the number of recent exits from which a pool counts as
         unstable.
+    :param observed_from_s: boot clock time from which on all exits are known.
     """
 
-    def __init__(self, unsteady_ends: int) -> None:
+    def __init__(self, unsteady_ends: int, observed_from_s: float) -> None:
         self._unsteady_ends = unsteady_ends
+        self._observed_from_s = observed_from_s
         self._ended_at_s: dict[str, dict[RunnerIncarnation, float]] = {}
 
     def record_exit(self, pool: str, incarnation: RunnerIncarnation) -> None:
@@ -27,7 +32,9 @@
         self._ended_at_s.setdefault(pool, {}).setdefault(incarnation, boot_s())
 
     def is_unstable(self, pool: str) -> bool:
-        """Whether enough runners of a pool have recently exited on their own."""
+        """Whether enough runners of a pool may have recently exited on their own."""
+        if boot_s() - self._observed_from_s < EXIT_WINDOW_S:
+            return True
         self._forget_old(pool)
         return len(self._ended_at_s.get(pool, ())) >= self._unsteady_ends
 
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -28,6 +28,7 @@
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler import TaskState
 from streamthread.scheduler.fleet import STABLE_AFTER_S
+from streamthread.scheduler.stability import EXIT_WINDOW_S
 
 BODY = b'{"spec":"x","steps":[{"count":1,"cpu":1000,"memMb":1}]}'
 
@@ -37,12 +38,21 @@
 
 
 class _Cell:
-    """An engine in virtual time, its runners, and one faulty task."""
+    """An engine in virtual time, its runners, and one faulty task.
 
-    def __init__(self, patch: pytest.MonkeyPatch, jobs: int, runners: int) -> None:
+    :param observed_s: how long the holder has observed the runners.
+    """
+
+    def __init__(
+        self,
+        patch: pytest.MonkeyPatch,
+        jobs: int,
+        runners: int,
+        observed_s: float = EXIT_WINDOW_S,
+    ) -> None:
         self.now_s = 1000.0
         patch.setattr(time, "clock_gettime", lambda clock: self.now_s)
-        self.engine = Engine(lambda job: None)
+        self.engine = Engine(lambda job: None, observed_from_s=self.now_s - observed_s)
         self.incarnations = 0
         self.starts = 0
         for number in range(jobs):
@@ -119,10 +129,15 @@
                 return
 
 
-def _next_holder(cell: _Cell, patch: pytest.MonkeyPatch, runners: int) -> _Cell:
+def _next_holder(
+    cell: _Cell,
+    patch: pytest.MonkeyPatch,
+    runners: int,
+    observed_s: float = EXIT_WINDOW_S,
+) -> _Cell:
     """Return the next holder's cell with the faulty task's row and new runners."""
     row = encode_progress(cell.at_fault)
-    after = _Cell(patch, jobs=1, runners=runners)
+    after = _Cell(patch, 1, runners, observed_s)
     after.at_fault.occurrences.clear()
     restore_progress(after.at_fault, row)
     return after
@@ -289,6 +304,25 @@
         cell.crash_faulty_runner(cell.place())
         assert cell.is_held()
 
+    def test_pool_that_was_taken_over_requires_one_more_crash(
+        self, patch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a proof by a holder that has not seen other runners exit.
+
+        The holder before it had seen several, and nothing records them.
+        """
+        cell = _Cell(patch, jobs=1, runners=3)
+        for _ in range(2):
+            cell.crash_faulty_runner(cell.place())
+            cell.now_s += 1.0
+        next_one = _next_holder(cell, patch, runners=3, observed_s=0.0)
+        next_one.now_s += 1.0
+        next_one.crash_faulty_runner(next_one.place())
+        assert not next_one.is_held()
+        next_one.now_s += 1.0
+        next_one.crash_faulty_runner(next_one.place())
+        assert next_one.is_held()
+
     def test_exits_under_an_earlier_holder_count(
         self, patch: pytest.MonkeyPatch
     ) -> None:
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -338,6 +338,13 @@
         "self.at_start and self._single_confirmed_job",
         (f"{CRASHES}::TestRunnersThatOutliveStarts",),
     ),
+    Guard(
+        "takeovers-know-no-stable-pool",
+        "scheduler/stability.py",
+        "        if boot_s() - self._observed_from_s < EXIT_WINDOW_S:\n",
+        "        if False:\n",
+        (f"{CRASHES}::TestRunnersThatOutliveStarts",),
+    ),
     Guard(
         "takeovers-keep-the-quarantine",
         "scheduler/engine.py",
