Cancel a soak's crashing job once its holder knows that the other tasks are done

Cause: the fault is the check's. Task 2 of the job crashed three runners 12 to 15 ms after its starts and was held back, as it should be; the soak cancels such a job once its other tasks are done, and counted only those whose end was confirmed to the runner. Three holders started neither of the other two again, so that they knew them as done; at least one of them had ended on a runner that was gone before the confirmation (inferred: the play's stand-ins are not kept). The soak waited for its end for ever. Change: a run of each of the other tasks has ended as done, and by what the holder knows (explain job) only the task that crashes runners is left. That is stricter than before: the holder is asked, too. Evidence: test_soak.py::TestCrashingJobs. done_tasks has no other use.

--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -158,6 +158,35 @@
         assert len(list(check_jobs(CellWorld({}), {"job": shown}))) == broken
 
 
+class TestCrashingJobs:
+    async def test_are_cancelled_once_the_holder_knows_that_the_others_are_done(
+        self, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a job that goes on since its runner exited after the end.
+
+        The end was noted by the holder and could not be confirmed to the runner.
+        """
+        soak = Soak(SoakPlan(1), tmp_path, "")
+        job = SubmittedJob("job", "desk", accepted=True, sound_tasks=1)
+        soak.world.ended.append(("job.0.0.0", 1, "done", 1.0))
+        left = [None, ["job.0.0.0", "job.0.0.1"], ["job.0.0.1"]]
+        cancelled: list[int] = []
+
+        async def tasks_left(*_: object) -> list[str] | None:
+            return left.pop(0)
+
+        async def cancel(*_: object) -> None:
+            cancelled.append(len(left))
+
+        with (
+            mock.patch.object(soak, "tasks_left", tasks_left),
+            mock.patch.object(soak, "cancel", cancel),
+        ):
+            async with asyncio.timeout(5):
+                await soak._cancel_when_sound_tasks_end(job)
+        assert cancelled == [0]
+
+
 class TestStateCallers:
     async def test_records_a_state_shown_during_the_play(
         self, tmp_path: pathlib.Path
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -33,7 +33,6 @@
 from tools.soak_checks import check_rooms
 from tools.soak_checks import check_runs
 from tools.soak_checks import check_stops
-from tools.soak_checks import done_tasks
 from tools.soak_checks import ENDED
 from tools.soak_checks import gone_by_s
 from tools.soak_checks import SubmittedJob
@@ -389,13 +388,34 @@
 
     async def _cancel_when_sound_tasks_end(self, job: SubmittedJob) -> None:
         """Cancel a job once only its task that crashes its runners is left."""
-        while self._done_tasks(job) != job.sound_tasks:
+        crashing = f"{job.job_id}.0.0.{job.sound_tasks}"
+        while self._done_tasks(job) != job.sound_tasks or (
+            await self.tasks_left(job, self._any()) != [crashing]
+        ):
             await asyncio.sleep(0.1)
         await self.cancel(job, self._any)
 
     def _done_tasks(self, job: SubmittedJob) -> int:
+        """Return of how many tasks a run has ended as done.
+
+        Whether the holder has noted such an end before its runner exited, only the
+        holder knows.
+        """
         prefix = f"{job.job_id}."
-        return sum(task.startswith(prefix) for task in done_tasks(self.world))
+        done = {task for task, _, how, _ in self.world.ended if how == "done"}
+        return sum(task.startswith(prefix) for task in done)
+
+    async def tasks_left(self, job: SubmittedJob, daemon: Daemon) -> list[str] | None:
+        """Return a job's tasks that are not done by what the holder knows, if told."""
+        assert self._session is not None
+        url = f"http://{daemon.operators}/explain/job/{job.job_id}"
+        try:
+            async with self._session.get(url) as response:
+                if response.status != 200:
+                    return None
+                return [task["task"] for task in (await response.json())["tasks"]]
+        except (aiohttp.ClientError, TimeoutError):
+            return None
 
     async def _check_configuration(self) -> None:
         """Wait until every daemon knows the newest configuration."""
--- a/tools/soak_checks.py
+++ b/tools/soak_checks.py
@@ -24,7 +24,6 @@
     "check_rooms",
     "check_runs",
     "check_stops",
-    "done_tasks",
     "gone_by_s",
     "run_spans",
 ]
@@ -126,11 +125,6 @@
         yield started, end_s, how
 
 
-def done_tasks(world: CellWorld) -> set[str]:
-    """Return the tasks of which a run ended as done where a holder could see it."""
-    return {run.task for run, _, how in run_spans(world) if how == "done"}
-
-
 def check_jobs(world: CellWorld, jobs: t.Mapping[str, SubmittedJob]) -> t.Iterator[str]:
     """Yield a line for each start and each state that no caller's call explains."""
     for started in world.started:
