Shorten the pause of a task once an exit that proved it guilty is withdrawn

Seen by reading: callers see a job stand still, since a task that crashes nothing is held back for 600 s. Cause: a runner that answers again withdraws the exit that was counted against a task. The proof that this exit gave stayed while three exits were left, although fewer were observed than counted. Where the fifth exit was withdrawn, four were left, which justify 2 s; the pause of 600 s stayed, since a pause was only ended, never shortened. Change: a withdrawn exit that counted as observed takes its observation and the proof with it, and a pause is at most as long as the exits that are left justify. The bound of starts does not rest on the proof: five exits that count hold the task back. Evidence: test_ends_if_the_proof_was_a_runner_that_answers_again and test_is_shorter_once_the_exit_that_decided_is_withdrawn fail on the code before and pass; the scheduler's tests pass.

--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -173,6 +173,8 @@
             task.later_ends = max(0, task.later_ends - 1)
         else:
             task.crashes = max(0, task.crashes - 1)
+        if blame.observed:
+            self._quarantine.on_withdrawn_exit(task)
         task.on_probation = task.on_probation and task.lost_runners > 0
         self._quarantine.review(task)
         self._ledger.task_changed(task)
@@ -242,8 +244,14 @@
             self._stability.record_exit(runner.service, runner.incarnation)
         for attempt in attribution.blamed:
             self._forgive_if_survived(attempt, runner)
-            blame = Blame(attempt.task, attribution.later, attribution.late_crash)
-            runner.blamed.append(blame)
+            runner.blamed.append(
+                Blame(
+                    attempt.task,
+                    attribution.later,
+                    attribution.late_crash,
+                    attribution.at_start,
+                )
+            )
             self._blame(attempt, attribution, runner)
         stable = not self._stability.is_unstable(runner.service)
         return attrs.evolve(attribution, in_stable_pool=stable)
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -173,11 +173,13 @@
 
     :param later: the runner certainly stayed alive after the task's start.
     :param late_crash: the task has presumably caused the exit all the same.
+    :param observed: a holder observed it at the task's start.
     """
 
     task: Task
     later: bool
     late_crash: bool
+    observed: bool
 
 
 @attrs.define(eq=False)
--- a/src/streamthread/scheduler/quarantine.py
+++ b/src/streamthread/scheduler/quarantine.py
@@ -130,6 +130,15 @@
         if is_proven(task, conclusive, stable_runner, self._settings):
             task.crashes_runners = True
 
+    def on_withdrawn_exit(self, task: Task) -> None:
+        """Note that a runner whose exit counted as observed lives on.
+
+        The proof may rest on it. The next observed exit proves the task guilty again if
+        the others suffice.
+        """
+        task.observed_crashes = max(0, task.observed_crashes - 1)
+        task.crashes_runners = False
+
     def judge(self, task: Task) -> None:
         """Hold a task back if its attributed exits require it.
 
@@ -165,13 +174,17 @@
                     self.judge(task)
 
     def review(self, task: Task) -> None:
-        """Release a task if it crashes no runners by the exits that count now."""
+        """Release a task, or shorten its pause, by the exits that count now."""
         task.observed_crashes = min(task.observed_crashes, task.crashes)
         if task.crashes < self._settings.crashes_alone:
             task.crashes_runners = False
         task.needs_stable_runner = needs_stable_runner(task, self._settings)
-        if judge_exits(task, self._settings) is None:
+        verdict = judge_exits(task, self._settings)
+        if verdict is None:
             self._release(task)
+        elif task in self._tasks:
+            latest_s = boot_s() + verdict.pause_s
+            task.quarantined_until_s = min(task.quarantined_until_s, latest_s)
 
     def release_due(self) -> None:
         """Release the tasks whose pause is over or whose job is."""
--- a/src/streamthread/scheduler/tests/test_quarantine.py
+++ b/src/streamthread/scheduler/tests/test_quarantine.py
@@ -17,6 +17,7 @@
 from streamthread.scheduler.fleet import STABLE_AFTER_S
 from streamthread.scheduler.quarantine import FIRST_PAUSE_S
 from streamthread.scheduler.quarantine import judge_exits
+from streamthread.scheduler.quarantine import NEXT_PAUSE_S
 from streamthread.scheduler.quarantine import PROVEN_PAUSE_S
 from streamthread.scheduler.stability import EXIT_WINDOW_S
 
@@ -119,6 +120,37 @@
         cell.engine.on_hold(runner, HoldReply(0, (), ()))
         assert not cell.is_held()
 
+    def _expire_on_silent_runner(self, cell: _Cell) -> RunnerState:
+        """Let the task's run expire on a runner that does not answer now."""
+        (attempt,) = cell.place()
+        runner = cell.engine.runners[attempt.runner_id]
+        runner.silent_at_s, runner.ready = cell.now_s, False
+        cell.engine.attempts_expired(runner.runner_id, "test")
+        return runner
+
+    def test_ends_if_the_proof_was_a_runner_that_answers_again(
+        self, cell: _Cell
+    ) -> None:
+        """Guards against a proof that outlasts the exit that it rests on."""
+        _task(cell).crashes, _task(cell).observed_crashes = 3, 1
+        runner = self._expire_on_silent_runner(cell)
+        assert _task(cell).crashes_runners
+        cell.engine.on_hold(runner, HoldReply(0, (), ()))
+        assert not _task(cell).crashes_runners
+        assert _task(cell).observed_crashes == 1
+        assert not cell.is_held()
+
+    def test_is_shorter_once_the_exit_that_decided_is_withdrawn(
+        self, cell: _Cell
+    ) -> None:
+        """Guards against a long pause for exits that do not justify it."""
+        _task(cell).crashes = SETTINGS.most_crashes
+        runner = self._expire_on_silent_runner(cell)
+        assert cell.is_held()
+        cell.engine.on_hold(runner, HoldReply(0, (), ()))
+        cell.now_s += NEXT_PAUSE_S
+        assert len(_place(cell)) == 1
+
     def test_ends_with_the_job(self, cell: _Cell) -> None:
         _quarantine(cell)
         cell.engine.cancel(cell.at_fault)
