Withdraw the exit of a runner that was only not listed yet

Cause: a new holder drops the runs on runners that it has not listed once they have expired, 10 s after its predecessor's last call. If the store does not return the list meanwhile, or the entries that lapsed in an outage are not back yet, these are the runs of all runners. A crash was counted against each task, and was kept when the runner answered: only exits of listed runners were withdrawn. Change: what was attributed to an unlisted runner is kept by its incarnation, and goes with the runner once it is listed, so that its first answer withdraws it. Another incarnation under the same id withdraws nothing. Evidence: test_crashes.py::TestExitsThatAreNoCrash::test_runner_that_is_listed_late fails for the same incarnation on the code before and passes for both; the tests of crashes and the quarantine pass.

--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -137,6 +137,8 @@
         self._ledger = ledger
         self._quarantine = quarantine
         self._stability = PoolStability(settings.unsteady_ends)
+        # What exits of runners that this holder has never listed were attributed to.
+        self._blamed_unlisted: dict[RunnerIncarnation, list[Blame]] = {}
 
     def suspect(self, runner: RunnerState) -> None:
         """Suspect the runs started last before a runner's silence, until it answers."""
@@ -154,6 +156,13 @@
         """
         return task.lost_runners + sum(a.suspected for a in task.attempts) < 2
 
+    def on_runner_listed(self, runner: RunnerState) -> None:
+        """Keep what was attributed to a runner's exit while it was not listed.
+
+        The list may not have been readable, or the runner's entry had expired.
+        """
+        runner.blamed.extend(self._blamed_unlisted.pop(runner.incarnation, ()))
+
     def on_runner_response(self, runner: RunnerState) -> None:
         """Clear suspicions and withdraw attributed exits, since the runner is alive.
 
@@ -274,6 +283,8 @@
         incarnation = RunnerIncarnation(attempt.runner_id, attempt.born_ms)
         self._stability.record_exit(pool, incarnation)
         if self._may_be_at_fault(attempt):
+            blame = Blame(attempt.task, later=False, late_crash=False, observed=False)
+            self._blamed_unlisted.setdefault(incarnation, []).append(blame)
             self._blame(attempt, Attribution((attempt,)))
 
     def _candidates(
--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -156,6 +156,7 @@
         """
         runner.halls = self.halls
         self.runners[runner.runner_id] = runner
+        self._crashes.on_runner_listed(runner)
         for job in self.open_jobs():
             for attempt in job.attempts():
                 if attempt.runner_id != runner.runner_id:
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -225,6 +225,24 @@
         self._crash_two_more_runners(cell)
         assert not cell.is_held()
 
+    @pytest.mark.parametrize("born_ms", [1, 2])
+    def test_runner_that_is_listed_late(
+        self, patch: pytest.MonkeyPatch, born_ms: int
+    ) -> None:
+        """Guards against counting as an exit that the list could not be read."""
+        cell = _Cell(patch, jobs=1, runners=1)
+        (attempt,) = cell.place()
+        attempt.born_ms = 1
+        del cell.engine.runners[attempt.runner_id]
+        cell.engine.drop_orphan(attempt)
+        assert attempt.task.crashes == 1
+        runner = RunnerState(
+            attempt.runner_id, "desk", "x:1", "z", (), 4000, 100, 0, born_ms=born_ms
+        )
+        cell.engine.add_runner(runner)
+        cell.engine.on_hold(runner, HoldReply(0, (), ()))
+        assert attempt.task.crashes == (born_ms != attempt.born_ms)
+
     def test_runner_that_is_not_silent(self, patch: pytest.MonkeyPatch) -> None:
         """Guards against counting the lapse of runs that no holder could extend.
 
