Attribute the exit that follows a start which was carried out late

Cause: a runner may leave a start unanswered and carry it out seconds later. An exit counted only against runs whose start had first been sent up to 2 s before the runner became silent. A task that crashes its runners was started any number of times where its starts got no answer for longer, also where a later try was confirmed 10 ms before the exit. Change: a run with an unanswered start may have begun until its runner became silent, or until it was confirmed. The exit counts against it as one whose start is not known precisely, which is no proof by itself. Evidence: two of test_crashes.py::TestStartsThatAreCarriedOutLate fail on the code before; the third shows that a run confirmed long before is not concerned.

--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -73,6 +73,20 @@
     ]
 
 
+def _carried_out_late(runner: RunnerState, now_s: float) -> list[Attempt]:
+    """Return the attempts that may have begun shortly before a runner became silent.
+
+    A try to start them got no answer, and may have been carried out seconds later.
+    """
+    silent_at_s = _silent_at_s(runner, now_s)
+    return [
+        attempt
+        for attempt in runner.attempts.values()
+        if attempt.open_starts
+        and silent_at_s - (attempt.began_at_s or silent_at_s) <= STABLE_RUN_S
+    ]
+
+
 def _silent_at_s(runner: RunnerState, now_s: float) -> float:
     """Return the boot clock time at which a runner became silent, by default now."""
     return now_s if runner.silent_at_s is None else runner.silent_at_s
@@ -304,6 +318,7 @@
                 if attempt.read_back and not attempt.seen_at_s
             ]
             found = _started_within(runner, STABLE_RUN_S, now_s) + unknown
+        found += [a for a in _carried_out_late(runner, now_s) if a not in found]
         return [attempt for attempt in found if self._may_be_at_fault(attempt)]
 
     @staticmethod
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -188,6 +188,39 @@
         assert cell.is_held()
 
 
+class TestStartsThatAreCarriedOutLate:
+    """Guards against further starts of a crashing task whose starts got no answer."""
+
+    def test_confirmed_by_a_later_try(self, patch: pytest.MonkeyPatch) -> None:
+        cell = _Cell(patch, jobs=1, runners=2)
+        (attempt,) = cell.place()
+        runner = cell.engine.runners[attempt.runner_id]
+        attempt.sent_at_s, attempt.open_starts = cell.now_s - 3.0, 1
+        cell.now_s += 0.01
+        cell.end(runner)
+        assert attempt.task.crashes == 1
+
+    def test_but_long_ago(self, patch: pytest.MonkeyPatch) -> None:
+        """Guards against attributing an exit to a run that was confirmed before."""
+        cell = _Cell(patch, jobs=1, runners=2)
+        (attempt,) = cell.place()
+        runner = cell.engine.runners[attempt.runner_id]
+        attempt.open_starts = 1
+        cell.now_s += 3.0
+        cell.end(runner)
+        assert attempt.task.lost_runners == 0
+
+    def test_not_answered_at_all(self, patch: pytest.MonkeyPatch) -> None:
+        cell = _Cell(patch, jobs=1, runners=2)
+        (attempt,) = cell.engine.place_all(time.time(), lambda step: None)
+        runner = cell.engine.runners[attempt.runner_id]
+        attempt.phase, attempt.open_starts = Phase.SENT, 1
+        attempt.sent_at_s = cell.now_s
+        cell.now_s += 3.0
+        cell.end(runner)
+        assert attempt.task.crashes == 1
+
+
 class TestExitsThatAreNoCrash:
     def _crash_two_more_runners(self, cell: _Cell) -> None:
         for _ in range(2):
