Bound the wait of a task for a moment in which a runner starts nothing else

Seen in a trial: a task that had lost two runners was never placed in 19 s, with 13 of 16 cores free. Cause: a task that the next exit may hold back starts only on a runner to which nothing was sent in the last 100 ms. In a pool of one runner that gets a start every 50 or 90 ms there is no such moment. The wait for a stable runner is bounded by 2.5 s; this one was not. A task with one exit is placed after 1.1 s. Change: after the same 2.5 s the task starts beside others, if no runner is free of starts. Tests of the scheduler (349) and tests/model (60) pass.

--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -54,8 +54,8 @@
 
 
 STABLE_RUNNER_WAIT_S = 2.5
-"""How long a task waits for a runner that has been up for a while. A job counts as
-neglected if it runs nothing for 3 s though there is room."""
+"""How long a task waits for a runner that has been up for a while and starts nothing
+else. A job counts as neglected if it runs nothing for 3 s though there is room."""
 
 AVOID_WAIT_S = 1.5
 """How long a task that avoids runners waits for free capacity on another one. This is
@@ -284,9 +284,11 @@
 
 def _is_stable_enough(task: Task, runner: RunnerState) -> bool:
     """Whether a runner has been up for a while, or the task has waited too long."""
-    now_s = boot_s()
-    waited_s = now_s - task.waiting_since_s
-    return waited_s > STABLE_RUNNER_WAIT_S or runner.is_stable(now_s)
+    return _has_waited_for_stable_runner(task) or runner.is_stable(boot_s())
+
+
+def _has_waited_for_stable_runner(task: Task) -> bool:
+    return boot_s() - task.waiting_since_s > STABLE_RUNNER_WAIT_S
 
 
 def is_avoided(task: Task, runner: RunnerState) -> bool:
@@ -389,16 +391,25 @@
     taken: set[str] = set()
     for task in waiting:
         usable = for_probation if task.suspect else runners
-        alone = starts_alone(task)
-        if alone:
-            if len(taken) >= max_on_probation(len(runners)):
-                continue
-            usable = _without_starts(usable, planned)
-        elif taken:
+        if taken:
             usable = [runner for runner in usable if runner.runner_id not in taken]
+        alone = starts_alone(task)
+        if alone and len(taken) >= max_on_probation(len(runners)):
+            continue
         best = _best_runner(
-            task, usable, placed_counts, planned, now_s, placed, in_halls
+            task,
+            _without_starts(usable, planned) if alone else usable,
+            placed_counts,
+            planned,
+            now_s,
+            placed,
+            in_halls,
         )
+        if best is None and alone and _has_waited_for_stable_runner(task):
+            # Each runner starts other tasks all the time.
+            best = _best_runner(
+                task, usable, placed_counts, planned, now_s, placed, in_halls
+            )
         if best is None:
             if not task.avoid and not task.suspect:
                 break
--- a/src/streamthread/scheduler/tests/test_quarantine.py
+++ b/src/streamthread/scheduler/tests/test_quarantine.py
@@ -5,7 +5,10 @@
 
 import pytest
 
+from streamthread.platform.runners import EndedRun
+from streamthread.platform.runners import EndKind
 from streamthread.platform.runners import HoldReply
+from streamthread.platform.runners import RunningTask
 from streamthread.scheduler import Attempt
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import EngineSettings
@@ -62,6 +65,16 @@
     return cell.place()
 
 
+def _finish_all_but_newest(cell: _Cell, runner: RunnerState) -> None:
+    *others, newest = sorted(runner.attempts.values(), key=lambda a: a.sent_at_s)
+    ended = [
+        EndedRun(n, a.task.name, a.run, EndKind.DONE, "")
+        for n, a in enumerate(others, 1)
+    ]
+    row = RunningTask(newest.task.name, newest.run, "", 9)
+    cell.engine.on_hold(runner, HoldReply(2, (row,), tuple(ended)))
+
+
 class TestQuarantine:
     def test_ends_after_its_pause(self, cell: _Cell) -> None:
         _quarantine(cell)
@@ -395,6 +408,25 @@
             waited_s += 0.1
             assert waited_s < NEGLECTED_AFTER_S
 
+    def test_may_start_other_tasks_all_the_time(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a task that waits without end for a runner without starts."""
+        cell = _Cell(monkeypatch, jobs=1, runners=1)
+        (runner,) = cell.engine.runners.values()
+        (attempt,) = cell.place()
+        _task(cell).crashes, _task(cell).on_probation = 2, True
+        cell.engine.quarantine.judge(_task(cell))
+        cell.now_s = since_s = cell.now_s + 1.0
+        cell.add_job(f"{1:016x}")
+        cell.place()
+        cell.engine.refuse(attempt, "room")
+        while not any(map(cell.is_at_fault, cell.place())):
+            cell.now_s += 0.05
+            _finish_all_but_newest(cell, runner)
+            cell.add_job(f"{round(cell.now_s * 1000):016x}")
+            assert cell.now_s - since_s < NEGLECTED_AFTER_S
+
     def test_are_known_by_their_age_after_a_takeover(self, cell: _Cell) -> None:
         _crash_twice(cell)
         for runner in cell.engine.runners.values():
