Measure how long a runner outlived a start by one incarnation's clock

Cause: an answer to a start does not tell which incarnation gives it. While the holder has not noticed a restart, the next incarnation, whose clock starts anew, may begin and confirm the run. The difference between the former clock and the time of this confirmation was taken for the time that the runner outlived the start: a clock that had been up for longer showed hours. Change: a clock that was read before the run was confirmed shows nothing. Only an answer after it does. The stand-in of the suspects' starts answered a probe before the start with a later clock than the start; its clock rises now. What the tests ask for is unchanged.

--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -218,13 +218,14 @@
         """Return how long the runner certainly lived after first confirming a run.
 
         The time is measured on the runner's clock. None means that the runner never
-        confirmed the run.
+        confirmed the run. A clock that was read before the confirmation proves nothing:
+        the next incarnation, whose clock starts anew, may have confirmed the run.
         """
-        return (
-            self.clock_ms - attempt.first_confirmed_ms
-            if attempt.first_confirmed_ms
-            else None
-        )
+        if not attempt.first_confirmed_ms:
+            return None
+        if self.clock_read_at_s < attempt.began_at_s:
+            return 0
+        return self.clock_ms - attempt.first_confirmed_ms
 
     def add(self, name: str, attempt: Attempt) -> None:
         """Reserve resources for an attempt."""
--- a/src/streamthread/scheduler/tests/support.py
+++ b/src/streamthread/scheduler/tests/support.py
@@ -156,8 +156,9 @@
         return reply
 
     async def _probe(self) -> bool:
+        # A start is answered at 100.
+        self.runner.on_clock(160 if "start" in self.steps else 40)
         self.steps.append("probe")
-        self.runner.on_clock(160)
         return self._answers.pop(0)
 
     def on_runner_exit(self, link: t.Any, why: str) -> None:
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -188,6 +188,23 @@
         assert cell.is_held()
 
 
+class TestStartsThatTheNextIncarnationAnswers:
+    def test_are_not_outlived(self, patch: pytest.MonkeyPatch) -> None:
+        """Guards against clearing a task by the clocks of two incarnations.
+
+        An answer to a start does not tell which of them it is from.
+        """
+        cell = _Cell(patch, jobs=1, runners=1)
+        (runner,) = cell.engine.runners.values()
+        runner.on_clock(10_000)
+        cell.now_s += 1.0
+        (attempt,) = cell.place()
+        attempt.task.crashes = 2
+        cell.now_s += 0.01
+        cell.end(runner)
+        assert (attempt.task.crashes, attempt.task.later_ends) == (3, 0)
+
+
 class TestStartsThatAreCarriedOutLate:
     """Guards against further starts of a crashing task whose starts got no answer."""
 
