Clear no task by the clock of its runner's next incarnation

Cause: 60 ms after the start of a suspect task its runner is asked once more, and then looked up by its id. If it restarts under the id while the answer is on its way, this is the next incarnation. The difference between its clock and the former one's was taken for the time that the runner survived the start, which clears the task of all crashes. Change: nothing is concluded once the link's incarnation has exited. Evidence: TestRestartDuringTheCheckAfterAStart fails on the code before (no crash is left of two) and passes; the scheduler's tests pass (351).

--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -349,7 +349,10 @@
         if attempt.phase is not Phase.CONFIRMED:
             return
         await asyncio.sleep(SURVIVAL_CHECK_S)
-        if attempt in task.attempts and await link.probe():
+        if attempt not in task.attempts or not await link.probe():
+            return
+        if not link.over:
+            # Otherwise the next incarnation has this id.
             self._engine.clear_if_outlived(attempt)
 
     def _on_exit(self, link: RunnerLink, why: str) -> None:
--- a/src/streamthread/scheduler/tests/test_suspect_starts.py
+++ b/src/streamthread/scheduler/tests/test_suspect_starts.py
@@ -36,6 +36,28 @@
         assert cell.steps == ["start"]
 
 
+class _RestartingCell(StartCell):
+    """The runner restarts under its id while the check after the start is answered."""
+
+    async def _probe(self) -> bool:
+        answer = await super()._probe()
+        if "start" in self.steps:
+            self.links["i-1"].over = True
+            after = self.runner.next_incarnation(2)
+            after.on_clock(10_000)
+            self.engine.runners["i-1"] = after
+        return answer
+
+
+class TestRestartDuringTheCheckAfterAStart:
+    async def test_clears_no_task(self) -> None:
+        """Guards against clearing a task by the next incarnation's clock."""
+        cell = _RestartingCell(lost_runners=2, answers=[True, True])
+        await cell.start()
+        assert cell.steps.count("probe") == 2
+        assert cell.task.lost_runners == 2
+
+
 class TestStartThatAnEarlierHolderRecorded:
     """Guards against crashes that count only against what started beside the task."""
 
