--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -73,6 +73,20 @@
     ]
 
 
+def _carried_out_late(runner: RunnerState, now_s: float) -> list[Attempt]:
+    """Return the attempts that may have begun shortly before a runner became silent.
+
+    A try to start them got no answer, and may have been carried out seconds later.
+    """
+    silent_at_s = _silent_at_s(runner, now_s)
+    return [
+        attempt
+        for attempt in runner.attempts.values()
+        if attempt.open_starts
+        and silent_at_s - (attempt.began_at_s or silent_at_s) <= STABLE_RUN_S
+    ]
+
+
 def _silent_at_s(runner: RunnerState, now_s: float) -> float:
     """Return the boot clock time at which a runner became silent, by default now."""
     return now_s if runner.silent_at_s is None else runner.silent_at_s
@@ -141,6 +155,8 @@
         self._ledger = ledger
         self._quarantine = quarantine
         self._stability = PoolStability(settings.unsteady_ends, observed_from_s)
+        # What exits of runners that this holder has never listed were attributed to.
+        self._blamed_unlisted: dict[RunnerIncarnation, list[Blame]] = {}
 
     def suspect(self, runner: RunnerState) -> None:
         """Suspect the runs started last before a runner's silence, until it answers."""
@@ -158,6 +174,13 @@
         """
         return task.lost_runners + sum(a.suspected for a in task.attempts) < 2
 
+    def on_runner_listed(self, runner: RunnerState) -> None:
+        """Keep what was attributed to a runner's exit while it was not listed.
+
+        The list may not have been readable, or the runner's entry had expired.
+        """
+        runner.blamed.extend(self._blamed_unlisted.pop(runner.incarnation, ()))
+
     def on_runner_response(self, runner: RunnerState) -> None:
         """Clear suspicions and withdraw attributed exits, since the runner is alive.
 
@@ -177,6 +200,8 @@
             task.later_ends = max(0, task.later_ends - 1)
         else:
             task.crashes = max(0, task.crashes - 1)
+        if blame.observed:
+            self._quarantine.on_withdrawn_exit(task)
         task.on_probation = task.on_probation and task.lost_runners > 0
         self._quarantine.review(task)
         self._ledger.task_changed(task)
@@ -246,8 +271,14 @@
             self._stability.record_exit(runner.service, runner.incarnation)
         for attempt in attribution.blamed:
             self._forgive_if_survived(attempt, runner)
-            blame = Blame(attempt.task, attribution.later, attribution.late_crash)
-            runner.blamed.append(blame)
+            runner.blamed.append(
+                Blame(
+                    attempt.task,
+                    attribution.later,
+                    attribution.late_crash,
+                    attribution.at_start,
+                )
+            )
             self._blame(attempt, attribution, runner)
         stable = not self._stability.is_unstable(runner.service)
         return attrs.evolve(attribution, in_stable_pool=stable)
@@ -270,6 +301,8 @@
         incarnation = RunnerIncarnation(attempt.runner_id, attempt.born_ms)
         self._stability.record_exit(pool, incarnation)
         if self._may_be_at_fault(attempt):
+            blame = Blame(attempt.task, later=False, late_crash=False, observed=False)
+            self._blamed_unlisted.setdefault(incarnation, []).append(blame)
             self._blame(attempt, Attribution((attempt,)))
 
     def _candidates(
@@ -289,6 +322,7 @@
                 if attempt.read_back and not attempt.seen_at_s
             ]
             found = _started_within(runner, STABLE_RUN_S, now_s) + unknown
+        found += [a for a in _carried_out_late(runner, now_s) if a not in found]
         return [attempt for attempt in found if self._may_be_at_fault(attempt)]
 
     @staticmethod
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -203,6 +203,56 @@
         assert cell.is_held()
 
 
+class TestStartsThatTheNextIncarnationAnswers:
+    def test_are_not_outlived(self, patch: pytest.MonkeyPatch) -> None:
+        """Guards against clearing a task by the clocks of two incarnations.
+
+        An answer to a start does not tell which of them it is from.
+        """
+        cell = _Cell(patch, jobs=1, runners=1)
+        (runner,) = cell.engine.runners.values()
+        runner.on_clock(10_000)
+        cell.now_s += 1.0
+        (attempt,) = cell.place()
+        attempt.task.crashes = 2
+        cell.now_s += 0.01
+        cell.end(runner)
+        assert (attempt.task.crashes, attempt.task.later_ends) == (3, 0)
+
+
+class TestStartsThatAreCarriedOutLate:
+    """Guards against further starts of a crashing task whose starts got no answer."""
+
+    def test_confirmed_by_a_later_try(self, patch: pytest.MonkeyPatch) -> None:
+        cell = _Cell(patch, jobs=1, runners=2)
+        (attempt,) = cell.place()
+        runner = cell.engine.runners[attempt.runner_id]
+        attempt.sent_at_s, attempt.open_starts = cell.now_s - 3.0, 1
+        cell.now_s += 0.01
+        cell.end(runner)
+        assert attempt.task.crashes == 1
+
+    def test_but_long_ago(self, patch: pytest.MonkeyPatch) -> None:
+        """Guards against attributing an exit to a run that was confirmed before."""
+        cell = _Cell(patch, jobs=1, runners=2)
+        (attempt,) = cell.place()
+        runner = cell.engine.runners[attempt.runner_id]
+        attempt.open_starts = 1
+        cell.now_s += 3.0
+        cell.end(runner)
+        assert attempt.task.lost_runners == 0
+
+    def test_not_answered_at_all(self, patch: pytest.MonkeyPatch) -> None:
+        cell = _Cell(patch, jobs=1, runners=2)
+        (attempt,) = cell.engine.place_all(time.time(), lambda step: None)
+        runner = cell.engine.runners[attempt.runner_id]
+        attempt.phase, attempt.open_starts = Phase.SENT, 1
+        attempt.sent_at_s = cell.now_s
+        cell.now_s += 3.0
+        cell.end(runner)
+        assert attempt.task.crashes == 1
+
+
 class TestExitsThatAreNoCrash:
     def _crash_two_more_runners(self, cell: _Cell) -> None:
         for _ in range(2):
@@ -240,6 +290,24 @@
         self._crash_two_more_runners(cell)
         assert not cell.is_held()
 
+    @pytest.mark.parametrize("born_ms", [1, 2])
+    def test_runner_that_is_listed_late(
+        self, patch: pytest.MonkeyPatch, born_ms: int
+    ) -> None:
+        """Guards against counting as an exit that the list could not be read."""
+        cell = _Cell(patch, jobs=1, runners=1)
+        (attempt,) = cell.place()
+        attempt.born_ms = 1
+        del cell.engine.runners[attempt.runner_id]
+        cell.engine.drop_orphan(attempt)
+        assert attempt.task.crashes == 1
+        runner = RunnerState(
+            attempt.runner_id, "desk", "x:1", "z", (), 4000, 100, 0, born_ms=born_ms
+        )
+        cell.engine.add_runner(runner)
+        cell.engine.on_hold(runner, HoldReply(0, (), ()))
+        assert attempt.task.crashes == (born_ms != attempt.born_ms)
+
     def test_runner_that_is_not_silent(self, patch: pytest.MonkeyPatch) -> None:
         """Guards against counting the lapse of runs that no holder could extend.
 
--- a/src/streamthread/scheduler/tests/test_quarantine.py
+++ b/src/streamthread/scheduler/tests/test_quarantine.py
@@ -5,7 +5,10 @@
 
 import pytest
 
+from streamthread.platform.runners import EndedRun
+from streamthread.platform.runners import EndKind
 from streamthread.platform.runners import HoldReply
+from streamthread.platform.runners import RunningTask
 from streamthread.scheduler import Attempt
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import EngineSettings
@@ -17,6 +20,7 @@
 from streamthread.scheduler.fleet import STABLE_AFTER_S
 from streamthread.scheduler.quarantine import FIRST_PAUSE_S
 from streamthread.scheduler.quarantine import judge_exits
+from streamthread.scheduler.quarantine import NEXT_PAUSE_S
 from streamthread.scheduler.quarantine import PROVEN_PAUSE_S
 from streamthread.scheduler.stability import EXIT_WINDOW_S
 
@@ -61,6 +65,16 @@
     return cell.place()
 
 
+def _finish_all_but_newest(cell: _Cell, runner: RunnerState) -> None:
+    *others, newest = sorted(runner.attempts.values(), key=lambda a: a.sent_at_s)
+    ended = [
+        EndedRun(n, a.task.name, a.run, EndKind.DONE, "")
+        for n, a in enumerate(others, 1)
+    ]
+    row = RunningTask(newest.task.name, newest.run, "", 9)
+    cell.engine.on_hold(runner, HoldReply(2, (row,), tuple(ended)))
+
+
 class TestQuarantine:
     def test_ends_after_its_pause(self, cell: _Cell) -> None:
         _quarantine(cell)
@@ -119,6 +133,37 @@
         cell.engine.on_hold(runner, HoldReply(0, (), ()))
         assert not cell.is_held()
 
+    def _expire_on_silent_runner(self, cell: _Cell) -> RunnerState:
+        """Let the task's run expire on a runner that does not answer now."""
+        (attempt,) = cell.place()
+        runner = cell.engine.runners[attempt.runner_id]
+        runner.silent_at_s, runner.ready = cell.now_s, False
+        cell.engine.attempts_expired(runner.runner_id, "test")
+        return runner
+
+    def test_ends_if_the_proof_was_a_runner_that_answers_again(
+        self, cell: _Cell
+    ) -> None:
+        """Guards against a proof that outlasts the exit that it rests on."""
+        _task(cell).crashes, _task(cell).observed_crashes = 3, 1
+        runner = self._expire_on_silent_runner(cell)
+        assert _task(cell).crashes_runners
+        cell.engine.on_hold(runner, HoldReply(0, (), ()))
+        assert not _task(cell).crashes_runners
+        assert _task(cell).observed_crashes == 1
+        assert not cell.is_held()
+
+    def test_is_shorter_once_the_exit_that_decided_is_withdrawn(
+        self, cell: _Cell
+    ) -> None:
+        """Guards against a long pause for exits that do not justify it."""
+        _task(cell).crashes = SETTINGS.most_crashes
+        runner = self._expire_on_silent_runner(cell)
+        assert cell.is_held()
+        cell.engine.on_hold(runner, HoldReply(0, (), ()))
+        cell.now_s += NEXT_PAUSE_S
+        assert len(_place(cell)) == 1
+
     def test_ends_with_the_job(self, cell: _Cell) -> None:
         _quarantine(cell)
         cell.engine.cancel(cell.at_fault)
@@ -363,6 +408,25 @@
             waited_s += 0.1
             assert waited_s < NEGLECTED_AFTER_S
 
+    def test_may_start_other_tasks_all_the_time(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a task that waits without end for a runner without starts."""
+        cell = _Cell(monkeypatch, jobs=1, runners=1)
+        (runner,) = cell.engine.runners.values()
+        (attempt,) = cell.place()
+        _task(cell).crashes, _task(cell).on_probation = 2, True
+        cell.engine.quarantine.judge(_task(cell))
+        cell.now_s = since_s = cell.now_s + 1.0
+        cell.add_job(f"{1:016x}")
+        cell.place()
+        cell.engine.refuse(attempt, "room")
+        while not any(map(cell.is_at_fault, cell.place())):
+            cell.now_s += 0.05
+            _finish_all_but_newest(cell, runner)
+            cell.add_job(f"{round(cell.now_s * 1000):016x}")
+            assert cell.now_s - since_s < NEGLECTED_AFTER_S
+
     def test_are_known_by_their_age_after_a_takeover(self, cell: _Cell) -> None:
         _crash_twice(cell)
         for runner in cell.engine.runners.values():
