Ask in the soak for jobs that have ended or got no answer as well

Cause: the callers that watch states during a play asked for jobs that were accepted and not shown as ended yet. A job that was completed and then shown as failed, and one whose submission got no answer, were not asked for any more: a state that is not a job's last one could go unnoticed. Change: one question in five concerns any job that may be known; the others concern open ones, as before. Evidence: both cases of test_ask_for_every_job_that_may_be_known fail on the code before (nothing is asked for) and pass.

--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -207,6 +207,22 @@
             callers.cancel()
         assert "failed" in job.states
 
+    @pytest.mark.parametrize(
+        "job",
+        [
+            SubmittedJob("job", "desk", uncertain=True),
+            SubmittedJob("job", "desk", accepted=True, states={"completed"}),
+        ],
+        ids=["no answer", "completed"],
+    )
+    async def test_ask_for_every_job_that_may_be_known(
+        self, job: SubmittedJob, tmp_path: pathlib.Path
+    ) -> None:
+        """Guards against a failed job that is not asked for any more."""
+        soak = Soak(SoakPlan(1), tmp_path, "")
+        soak.jobs["job"] = attrs.evolve(job)
+        assert soak._states._choose() is soak.jobs["job"]
+
 
 class TestCheckOfEvacuations:
     """Guards against a check that overlooks starts, or counts allowed ones."""
--- a/tools/soak_states.py
+++ b/tools/soak_states.py
@@ -14,6 +14,9 @@
 PAUSE_S = 0.05
 """Time between an answer and the next question to the same daemon."""
 
+OPEN_SHARE = 0.8
+"""Share of the questions that concern jobs which have not been shown as ended."""
+
 
 class StateCallers:
     """One caller per daemon, so that a daemon that is stuck delays no other.
@@ -42,8 +45,11 @@
                 job.shown.append(f"{state} by {daemon.name} at {time.time():.2f}")
 
     def _choose(self) -> SubmittedJob | None:
-        """Return a job that has not been shown as ended."""
-        jobs = [
-            job for job in self._soak.jobs.values() if job.accepted and not job.states
+        """Return a job that may be known, most often one not yet shown as ended."""
+        known = [
+            job for job in self._soak.jobs.values() if job.accepted or job.uncertain
         ]
+        open_jobs = [job for job in known if not job.states]
+        often = self._random.random() < OPEN_SHARE
+        jobs = open_jobs if open_jobs and often else known
         return self._random.choice(jobs) if jobs else None
