Keep a job queued that none of the known workers could run

Change: such a job stays queued. The reason goes into its row, so that `get jobs` and `explain job` show it, is written when it changes and not at each decision, and is taken back once a worker fits. With no worker known at all, nothing is said, as before. These updates come behind the starts of the same decision, so that a thousand of them delay no start. Which workers fit is computed once for each size and selector, since such jobs are now looked at in each decision.

--- a/src/streamthread/jobs/decide.py
+++ b/src/streamthread/jobs/decide.py
@@ -14,6 +14,13 @@
 MAX_DISTINCT_FAILURES = 3
 """A job is parked once it has failed on this many distinct workers."""
 
+NO_FITTING_WORKER = "no worker of the pool is large enough or matches its selector"
+"""Why a job waits that none of the known workers could run.
+
+Workers are missing from a snapshot while they restart or move between pools, so that
+such a job stays queued.
+"""
+
 LONG_JOB_S = 60.0
 """Run time in seconds up to which a job may finish on a draining worker.
 
@@ -106,11 +113,13 @@
             for worker in snapshot.workers
         }
         self._team_cores: dict[str, int] = {}
+        self._fitting: dict[tuple[int, int, int, str], frozenset[str]] = {}
         self._running = [job for job in snapshot.jobs if job.state is JobState.STARTED]
         for job in self._running:
             self._occupy(job)
 
     def updates(self) -> list[JobUpdate]:
+        """Return the updates. Those that change only a reason come last."""
         queued = [job for job in self._snapshot.jobs if job.state is JobState.QUEUED]
         queued.sort(key=lambda job: not job.spec.urgent)
         updates = [
@@ -118,9 +127,13 @@
             for job in list(self._running)
             if self._must_checkpoint(job)
         ]
+        reasons: list[JobUpdate] = []
         for job in queued:
-            updates.extend(self._place(job))
-        return updates
+            placed = self._place(job)
+            updates.extend(placed)
+            if not placed:
+                reasons.extend(self._update_reason(job))
+        return updates + reasons
 
     def _must_checkpoint(self, job: Job) -> bool:
         free = self._free.get(job.worker_id)
@@ -132,7 +145,7 @@
         if reason:
             parked = attrs.evolve(job, state=JobState.PARKED, reason=reason)
             return [JobUpdate(parked, reason)]
-        if not self._within_quota(job.spec):
+        if not self._fitting_workers(job.spec) or not self._within_quota(job.spec):
             return []
         free = self._tightest_fit(job)
         if free is not None:
@@ -141,14 +154,37 @@
             return self._preempt_for(job)
         return []
 
-    def _parking_reason(self, job: Job) -> str:
+    @staticmethod
+    def _parking_reason(job: Job) -> str:
         if len(job.failed_on) >= MAX_DISTINCT_FAILURES:
             return f"failed on {len(job.failed_on)} workers: {', '.join(job.failed_on)}"
+        return ""
+
+    def _update_reason(self, job: Job) -> list[JobUpdate]:
+        """Return the update of a waiting job whose reason has changed."""
         if not self._free:
-            return ""
-        if any(_could_ever_run(job.spec, free.facts) for free in self._free.values()):
-            return ""
-        return "no worker of the pool is large enough or matches its selector"
+            return []
+        if not self._fitting_workers(job.spec):
+            reason, cause = NO_FITTING_WORKER, NO_FITTING_WORKER
+        elif job.reason == NO_FITTING_WORKER:
+            reason, cause = "", "a worker of the pool fits, and has no room yet"
+        else:
+            return []
+        if reason == job.reason:
+            return []
+        return [JobUpdate(attrs.evolve(job, reason=reason), cause)]
+
+    def _fitting_workers(self, spec: JobSpec) -> frozenset[str]:
+        """Return the workers that could run a job if nothing else ran there."""
+        shape = (spec.cores, spec.memory_bytes, spec.accelerators, spec.selector)
+        if shape not in self._fitting:
+            selector = Selector.parse(spec.selector)
+            self._fitting[shape] = frozenset(
+                worker.worker_id
+                for worker in self._snapshot.workers
+                if _is_large_enough(spec, worker) and selector.matches(worker.labels)
+            )
+        return self._fitting[shape]
 
     def _within_quota(self, spec: JobSpec) -> bool:
         quota = self._snapshot.quota_cores.get(spec.team)
@@ -180,12 +216,11 @@
             ),
         )
 
-    @staticmethod
-    def _is_open_for(job: Job, free: _FreeCapacity) -> bool:
+    def _is_open_for(self, job: Job, free: _FreeCapacity) -> bool:
         return (
             free.facts.open
             and free.facts.worker_id not in job.failed_on
-            and _could_ever_run(job.spec, free.facts)
+            and free.facts.worker_id in self._fitting_workers(job.spec)
         )
 
     def _start(self, job: Job, free: _FreeCapacity) -> JobUpdate:
@@ -253,12 +288,11 @@
         )
 
 
-def _could_ever_run(spec: JobSpec, worker: WorkerFacts) -> bool:
+def _is_large_enough(spec: JobSpec, worker: WorkerFacts) -> bool:
     return (
         worker.cores >= spec.cores
         and worker.memory_bytes >= spec.memory_bytes
         and worker.accelerators >= spec.accelerators
-        and Selector.parse(spec.selector).matches(worker.labels)
     )
 
 
--- a/src/streamthread/jobs/rows.py
+++ b/src/streamthread/jobs/rows.py
@@ -60,6 +60,7 @@
 
     :param attempt: the number of the latest attempt, or 0 before the first.
     :param worker_id: the worker on which the latest attempt runs or ran.
+    :param reason: why the job is in its state, or what a queued job waits for.
     :param failed_on: the distinct workers on which the job failed.
     :param submitted_ms: the wall-clock time of the submission, which orders the queue.
     """
