Report a task that was lost with its worker as lost

Cause: the interface of the workers had one state, `failed`, for a task that its worker reported as failed and for one that ended with its worker (`MemoryWorkers.end_tasks_on`, used by the stand-in for lost workers and reboots). No reader could count the one without the other.

Change: `TaskState.LOST`. The platform reports it in place of a worker that was lost or restarted, or that let the lease of the task expire; `failed` is a worker's own report. The workers in memory and the stand-in report it, and it passes HTTP as any other state.

A platform that goes on reporting `failed` for lost workers is read as before.

--- a/src/streamthread/jobs/pool_jobs.py
+++ b/src/streamthread/jobs/pool_jobs.py
@@ -149,7 +149,8 @@
         return JobUpdate(attrs.evolve(job, state=JobState.DONE), "done")
     cause = f"{task.state.value} on {task.worker_id}"
     failed_on = job.failed_on
-    if task.state is TaskState.FAILED and task.worker_id not in failed_on:
+    failed = task.state in (TaskState.FAILED, TaskState.LOST)
+    if failed and task.worker_id not in failed_on:
         failed_on = (*failed_on, task.worker_id)
     state = JobState.QUEUED if job.spec.repeat_safe else JobState.PARKED
     ended = attrs.evolve(job, state=state, reason=cause, failed_on=failed_on)
--- a/src/streamthread/providers/memory.py
+++ b/src/streamthread/providers/memory.py
@@ -196,10 +196,10 @@
         )
 
     def end_tasks_on(self, instance_id: str) -> None:
-        """Fail what runs on an instance that stops."""
+        """Report what runs on an instance that stops as lost with it."""
         for task in self._tasks.values():
             if task.worker_id == instance_id:
-                self.finish(task.job_id, task.attempt, TaskState.FAILED)
+                self.finish(task.job_id, task.attempt, TaskState.LOST)
 
     def _report(self, task: Task) -> None:
         self._tasks.put((task.job_id, task.attempt), task)
--- a/src/streamthread/providers/services.py
+++ b/src/streamthread/providers/services.py
@@ -57,12 +57,18 @@
 
 
 class TaskState(enum.Enum):
-    """What a worker reports of a task."""
+    """What a worker reports of a task, or the platform in place of a lost worker.
+
+    FAILED is a worker's own report that the task ended by itself without success. LOST
+    is reported by the platform: the worker was lost or restarted, or let the task's
+    lease expire, before it reported an end. It says nothing of the task itself.
+    """
 
     RUNNING = "running"
     DONE = "done"
     FAILED = "failed"
     STOPPED = "stopped"
+    LOST = "lost"
 
 
 @attrs.frozen
