Park no job for workers that were lost

Cause: a job was parked for good after three distinct workers, and what ran on a worker that was lost or rebooted counted as failed there. Three reboots or one outage end a sound job. The same count kept a job from ever returning to where it was lost, so that it waited for good in a pool of one or two workers, and quarantined the worker for what it had lost; a quarantined worker gets no job whose success could end that.

Change: - Only a worker's own reports of a failure count, for the job and against the worker. They have a new name in the row (`own_failures_on`): the `failed_on` of earlier rows contains lost workers and is not read. `explain job` shows both them and the number of lost attempts. - A job that was lost goes on to another worker. What failed or was lost runs apart as before; of the workers that are left, those with which the job was lost come last, and are no longer excluded. - From the second loss on, attempts start at least 10, 40, 160 and then 600 s apart. That bounds what a job can damage that brings its workers down: one worker at a time, five in ten minutes, then one in ten minutes until it is cancelled. An attempt that ran for longer is followed at once. The time of the start is in the row, so that another holder waits for the rest alone.

A job that may not be repeated is parked when it is lost, as before.

--- a/src/streamthread/entry/reports.py
+++ b/src/streamthread/entry/reports.py
@@ -181,7 +181,8 @@
                 "attempt": job.attempt,
                 "worker": job.worker_id,
                 "reason": job.reason,
-                "failed_on": list(job.failed_on),
+                "failed_on": list(job.own_failures_on),
+                "lost_attempts": job.lost_attempts,
                 "waits_for": _JOB_WAITS.get(job.state, ""),
                 "events": _events(entry, job_id),
             }
--- a/src/streamthread/jobs/decide.py
+++ b/src/streamthread/jobs/decide.py
@@ -12,7 +12,10 @@
 __all__ = ["JobUpdate", "JobsSnapshot", "WorkerFacts", "decide_jobs"]
 
 MAX_DISTINCT_FAILURES = 3
-"""A job is parked once it has failed on this many distinct workers."""
+"""A job is parked once this many distinct workers have reported it as failed.
+
+Attempts that were lost with their workers don't count.
+"""
 
 NO_FITTING_WORKER = "no worker of the pool is large enough or matches its selector"
 """Why a job waits that none of the known workers could run.
@@ -54,11 +57,16 @@
     :param jobs: the jobs that have not ended, in order of submission.
     :param quota_cores: the number of cores that each team may use. A team that is
         absent has no limit.
+    :param paused: the ids of queued jobs that may not start yet, because they were lost
+        with several workers.
+    :param now_ms: the time of the decision, by the hybrid clock.
     """
 
     jobs: tuple[Job, ...]
     workers: tuple[WorkerFacts, ...]
     quota_cores: t.Mapping[str, int] = attrs.field(factory=dict)
+    paused: t.AbstractSet[str] = frozenset()
+    now_ms: int = 0
 
 
 @attrs.frozen
@@ -76,7 +84,8 @@
 class _FreeCapacity:
     """Tracks the free capacity of one worker while a decision is made.
 
-    :param has_failed_jobs: whether a job runs there that has failed before.
+    :param has_failed_jobs: whether a job runs there that has failed before, or was lost
+        with its worker.
     """
 
     facts: WorkerFacts
@@ -145,7 +154,7 @@
         if reason:
             parked = attrs.evolve(job, state=JobState.PARKED, reason=reason)
             return [JobUpdate(parked, reason)]
-        if not self._fitting_workers(job.spec) or not self._within_quota(job.spec):
+        if not self._may_start(job):
             return []
         free = self._tightest_fit(job)
         if free is not None:
@@ -156,10 +165,18 @@
 
     @staticmethod
     def _parking_reason(job: Job) -> str:
-        if len(job.failed_on) >= MAX_DISTINCT_FAILURES:
-            return f"failed on {len(job.failed_on)} workers: {', '.join(job.failed_on)}"
+        failed_on = job.own_failures_on
+        if len(failed_on) >= MAX_DISTINCT_FAILURES:
+            return f"failed on {len(failed_on)} workers: {', '.join(failed_on)}"
         return ""
 
+    def _may_start(self, job: Job) -> bool:
+        return (
+            job.spec.job_id not in self._snapshot.paused
+            and bool(self._fitting_workers(job.spec))
+            and self._within_quota(job.spec)
+        )
+
     def _update_reason(self, job: Job) -> list[JobUpdate]:
         """Return the update of a waiting job whose reason has changed."""
         if not self._free:
@@ -195,9 +212,10 @@
         """Return the open worker with the fewest free cores that fits the job.
 
         Workers on which the job has failed are left out.
-        Jobs that have failed are spread over different workers where possible. When a
-        worker is lost, every job on it is reported as failed. Without the spreading,
-        jobs that only ran next to the cause would be parked along with it.
+        Jobs that have failed or were lost are spread over different workers where
+        possible. When a worker is lost, every job on it is lost. Without the spreading,
+        jobs that only ran next to the cause would be lost along with it each time.
+        Of the workers that are left, those with which the job was lost come last.
         """
         fitting = [
             free
@@ -206,11 +224,12 @@
         ]
         if not fitting:
             return None
-        suspect = bool(job.failed_on)
+        suspect = job.suspect
         return min(
             fitting,
             key=lambda free: (
                 suspect and free.has_failed_jobs,
+                free.facts.worker_id in job.lost_with,
                 free.cores,
                 free.facts.worker_id,
             ),
@@ -219,7 +238,7 @@
     def _is_open_for(self, job: Job, free: _FreeCapacity) -> bool:
         return (
             free.facts.open
-            and free.facts.worker_id not in job.failed_on
+            and free.facts.worker_id not in job.own_failures_on
             and free.facts.worker_id in self._fitting_workers(job.spec)
         )
 
@@ -230,6 +249,7 @@
             attempt=job.attempt + 1,
             worker_id=free.facts.worker_id,
             reason="",
+            started_ms=self._snapshot.now_ms,
         )
         self._occupy(started)
         return JobUpdate(started, f"fits with {free.cores} cores left")
@@ -238,21 +258,29 @@
         free = self._free.get(job.worker_id)
         if free is not None:
             free.add(job.spec, -1)
-            free.has_failed_jobs |= bool(job.failed_on)
+            free.has_failed_jobs |= job.suspect
         team = job.spec.team
         self._team_cores[team] = self._team_cores.get(team, 0) + job.spec.cores
 
     def _preempt_for(self, job: Job) -> list[JobUpdate]:
-        """Start a job where the fewest cores have to be checkpointed for it."""
-        best: list[Job] = []
-        for free in self._free.values():
-            if not self._is_open_for(job, free):
-                continue
-            victims = self._victims(job, free)
-            if victims and (not best or _total_cores(victims) < _total_cores(best)):
-                best = victims
-        if not best:
+        """Start a job where the fewest cores have to be checkpointed for it.
+
+        Workers with which it was lost come last.
+        """
+        choices = [
+            victims
+            for free in self._free.values()
+            if self._is_open_for(job, free) and (victims := self._victims(job, free))
+        ]
+        if not choices:
             return []
+        best = min(
+            choices,
+            key=lambda victims: (
+                victims[0].worker_id in job.lost_with,
+                _total_cores(victims),
+            ),
+        )
         cause = f"urgent job {job.spec.job_id}"
         updates = [self._preempt(victim, cause) for victim in best]
         free = self._free[best[0].worker_id]
--- a/src/streamthread/jobs/rows.py
+++ b/src/streamthread/jobs/rows.py
@@ -61,7 +61,12 @@
     :param attempt: the number of the latest attempt, or 0 before the first.
     :param worker_id: the worker on which the latest attempt runs or ran.
     :param reason: why the job is in its state, or what a queued job waits for.
-    :param failed_on: the distinct workers on which the job failed.
+    :param own_failures_on: the distinct workers that reported an attempt as failed.
+        Rows of an earlier version have ``failed_on`` instead, which counts lost workers
+        as well and is not read.
+    :param lost_attempts: the number of attempts that were lost with their workers.
+    :param lost_with: the workers of the latest losses, the latest one last.
+    :param started_ms: when the latest attempt was decided on, by the hybrid clock.
     :param submitted_ms: the wall-clock time of the submission, which orders the queue.
     """
 
@@ -70,9 +75,17 @@
     attempt: int = 0
     worker_id: str = ""
     reason: str = ""
-    failed_on: tuple[str, ...] = ()
+    own_failures_on: tuple[str, ...] = ()
+    lost_attempts: int = 0
+    lost_with: tuple[str, ...] = ()
+    started_ms: int = 0
     submitted_ms: int = 0
 
+    @property
+    def suspect(self) -> bool:
+        """Return whether the job may have harmed a worker on which it ran."""
+        return bool(self.own_failures_on or self.lost_attempts)
+
     @property
     def ended(self) -> bool:
         """Return whether the job is in a final state."""
--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -198,7 +198,8 @@
             await self._table.commit(pool, jobs, updates)
             jobs.pending_reports.clear()
             if self._table.is_current(pool, jobs) and self._is_due(jobs):
-                updates = decide_jobs(self._snapshots.read(pool, jobs))
+                now_ms = self._recorder.clock.now().physical_ms
+                updates = decide_jobs(self._snapshots.read(pool, jobs, now_ms))
                 await self._table.commit(pool, jobs, updates)
         await self._stop_attempts(jobs)
         await self._start_attempts(pool, jobs)
--- a/src/streamthread/jobs/snapshots.py
+++ b/src/streamthread/jobs/snapshots.py
@@ -27,12 +27,14 @@
         self._catalog = catalog
         self._views = views
 
-    def read(self, pool: str, jobs: PoolJobs) -> JobsSnapshot:
-        """Return the snapshot of a pool's jobs."""
+    def read(self, pool: str, jobs: PoolJobs, now_ms: int) -> JobsSnapshot:
+        """Return the snapshot of a pool's jobs at a time of the hybrid clock."""
         return JobsSnapshot(
             jobs=_in_order_of_submission(jobs),
             workers=tuple(self._workers(pool, jobs)),
             quota_cores=self._quotas(),
+            paused=jobs.paused(),
+            now_ms=now_ms,
         )
 
     def _quotas(self) -> dict[str, int]:
--- a/src/streamthread/jobs/table.py
+++ b/src/streamthread/jobs/table.py
@@ -5,6 +5,7 @@
 
 import cattrs
 
+from ..clocks import boot_s
 from ..errors import NotHolderError
 from ..errors import OutcomeUnknownError
 from ..errors import StoreThrottledError
@@ -106,7 +107,7 @@
     async def _load(self, pool: str, fence: Fence) -> PoolJobs:
         jobs = PoolJobs(fence)
         for row in await self._tables.scan_all(f"job/{pool}/"):
-            _restore(jobs, row)
+            _restore(jobs, row, self._recorder.clock.now().physical_ms)
         await self._attempts.read_reports(jobs)
         # Each report arrives only once, and those of older attempts may have arrived
         # before the jobs were loaded.
@@ -190,16 +191,20 @@
         )
 
 
-def _restore(jobs: PoolJobs, row: Row) -> None:
+def _restore(jobs: PoolJobs, row: Row, now_ms: int) -> None:
     """Load a job as an earlier holder left it. Its latest attempt may still run."""
     job = cattrs.structure(row.value, Job)
     job_id = job.spec.job_id
+    begun_at_s = boot_s() - max(0, now_ms - job.started_ms) / 1000
     jobs.put(job, row.version)
     if job.state is JobState.STARTED:
+        jobs.begun_at_s[job_id] = begun_at_s
         jobs.unconfirmed.add(job_id)
         jobs.outcome_unknown.add(job_id)
     elif job.attempt and job.state is not JobState.DONE:
         jobs.pending_stops[(job_id, job.attempt)] = False
+    if job.lost_with and job.lost_with[-1] == job.worker_id:
+        jobs.pause_after_loss(job, begun_at_s)
 
 
 def _write(pool: str, jobs: PoolJobs, update: JobUpdate) -> Write:
--- a/tools/guards_entry.py
+++ b/tools/guards_entry.py
@@ -219,6 +219,42 @@
         "    return time.monotonic()\n",
         ("tests/test_suspended_machine.py",),
     ),
+    Guard(
+        "unfit-jobs-stay-queued",
+        "jobs/decide.py",
+        "        return [JobUpdate(attrs.evolve(job, reason=reason), cause)]\n",
+        "        job = attrs.evolve(job, state=JobState.PARKED)\n"
+        "        return [JobUpdate(attrs.evolve(job, reason=reason), cause)]\n",
+        ("tests/test_job_fits.py",),
+    ),
+    Guard(
+        "reasons-are-written-once",
+        "jobs/decide.py",
+        "        if reason == job.reason:\n            return []\n",
+        "",
+        ("tests/test_job_fits.py",),
+    ),
+    Guard(
+        "losses-end-no-job",
+        "jobs/pool_jobs.py",
+        "ended = _with_loss(ended, task.worker_id)",
+        "ended = _with_own_failure(ended, task.worker_id)",
+        ("tests/test_job_losses.py::TestJobWhoseWorkersAreLost",),
+    ),
+    Guard(
+        "lost-jobs-are-paused",
+        "jobs/pool_jobs.py",
+        "self.paused_until_s[job.spec.job_id] = begun_at_s + pause_s",
+        "pass",
+        ("src/streamthread/jobs/tests/test_lost_workers.py",),
+    ),
+    Guard(
+        "pauses-outlast-their-holder",
+        "jobs/table.py",
+        "jobs.pause_after_loss(job, begun_at_s)",
+        "pass",
+        ("tests/test_job_losses.py::TestPauses",),
+    ),
     Guard(
         "failed-jobs-go-apart",
         "jobs/decide.py",
