Count a worker as busy while the jobs of its pool are not loaded

Cause: a draining worker is rebooted once nothing runs there. Whether a job does was asked of the jobs in the holder's memory, and a holder that had none took the worker for idle: after a takeover, in the turn before it reads the jobs, and after a commit that failed, which unloads them. It rebooted workers under running jobs. One that may not be repeated was parked for good for that. A conclusion from absence, found while looking for such in jobs/.

Change: `is_busy` is true until the jobs are loaded under the present epoch; the loop of the jobs loads them in its next turn.

Test: tests/test_job_drains.py, a takeover during a wave; the attempt was lost with its worker on the code before, and runs to its end now, after which the worker is rebooted. Guard `jobs-are-loaded-before-reboots`: fails without it.

--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -147,10 +147,17 @@
         return [stored.job for stored in jobs.jobs.values()]
 
     def is_busy(self, instance_id: str) -> bool:
-        """Return whether an attempt may run on an instance of a pool held here."""
-        jobs = self._table.get(self._views.pool_of(instance_id))
+        """Return whether an attempt may run on an instance of a pool held here.
+
+        Any attempt may while the pool's jobs are not loaded: after a change of the
+        holder, or after a commit that failed.
+        """
+        try:
+            jobs = self._table.loaded(self._views.pool_of(instance_id))
+        except NotHolderError:
+            return True
         if jobs is None:
-            return False
+            return True
         return jobs.attempts_on_worker[instance_id] > 0 or bool(jobs.pending_stops)
 
     # The loop.
--- a/tools/guards_entry.py
+++ b/tools/guards_entry.py
@@ -219,6 +219,13 @@
         "    return time.monotonic()\n",
         ("tests/test_suspended_machine.py",),
     ),
+    Guard(
+        "jobs-are-loaded-before-reboots",
+        "jobs/service.py",
+        "            return True\n        return jobs.attempts_on_worker",
+        "            return False\n        return jobs.attempts_on_worker",
+        ("tests/test_job_drains.py",),
+    ),
     Guard(
         "unfit-jobs-stay-queued",
         "jobs/decide.py",
