Quarantine no worker for what failed before its reboot

Cause: reports lag. A report of a failure that arrived after the worker's new boot had been seen counted for the rebooted worker, and three of them closed it until its next reboot: what was true of one incarnation was counted under the id.

Change: a failure counts only if the attempt began in the boot that is the worker's present one.

Tests: TestQuarantineOfAWorker::test_does_not_follow_what_failed_before_a_reboot failed before; test_follows_three_jobs_that_failed asks that a worker which fails its jobs is still quarantined. TestWorkerWhoseTasksWereLost is part of this class now, unchanged in what it asks. Guard `failures-count-in-their-boot`: fails without it.

--- a/src/streamthread/jobs/pool_jobs.py
+++ b/src/streamthread/jobs/pool_jobs.py
@@ -45,6 +45,8 @@
     :param pending_reports: reports of attempts that are not processed yet: those from
         before the jobs were loaded, and those read while the store was down.
     :param begun_at_s: when the attempts of started jobs began, on the boot clock.
+    :param begun_in_boot: the boot of its worker in which the latest attempt of each job
+        began, or None where that is not known.
     :param paused_until_s: until when queued jobs may not start, on the boot clock.
     :param changed: whether something changed since the last decision.
     """
@@ -63,6 +65,7 @@
     pending_stops: dict[tuple[str, int], bool] = attrs.field(factory=dict)
     pending_reports: list[Task] = attrs.field(factory=list)
     begun_at_s: dict[str, float] = attrs.field(factory=dict)
+    begun_in_boot: dict[str, int | None] = attrs.field(factory=dict)
     paused_until_s: dict[str, float] = attrs.field(factory=dict)
     quarantine: Quarantine = attrs.field(factory=Quarantine)
 
@@ -81,6 +84,7 @@
         if job.state is JobState.STARTED:
             self.attempts_on_worker[job.worker_id] += 1
             self.begun_at_s[job_id] = boot_s()
+            self.begun_in_boot[job_id] = self.quarantine.boot_of(job.worker_id)
         if job.state is not JobState.QUEUED:
             self.paused_until_s.pop(job_id, None)
         self._index(self.queued, job_id, job.state is JobState.QUEUED)
@@ -115,7 +119,13 @@
         if after.state is JobState.DONE:
             self.quarantine.record(before.worker_id, job_id, succeeded=True)
         elif after.own_failures_on != before.own_failures_on:
-            self.quarantine.record(before.worker_id, job_id, succeeded=False)
+            self._record_failure(before)
+
+    def _record_failure(self, job: Job) -> None:
+        """Record a failure of a worker unless it may have rebooted since the start."""
+        boot = self.begun_in_boot.get(job.spec.job_id)
+        if boot == self.quarantine.boot_of(job.worker_id):
+            self.quarantine.record(job.worker_id, job.spec.job_id, succeeded=False)
 
     def pause_after_loss(self, job: Job, begun_at_s: float) -> None:
         """Keep a queued job from starting soon if several attempts were lost.
--- a/src/streamthread/jobs/quarantine.py
+++ b/src/streamthread/jobs/quarantine.py
@@ -25,6 +25,10 @@
             self._failed_jobs.pop(worker_id, None)
         self._boots[worker_id] = boot
 
+    def boot_of(self, worker_id: str) -> int | None:
+        """Return a worker's last recorded boot number, or None."""
+        return self._boots.get(worker_id)
+
     def record(self, worker_id: str, job_id: str, succeeded: bool) -> None:
         """Record the result of an attempt. A success clears the worker's failures."""
         if succeeded:
--- a/tests/test_job_losses.py
+++ b/tests/test_job_losses.py
@@ -173,20 +173,50 @@
             assert (await _job(world)).state is JobState.STARTED
 
 
-class TestWorkerWhoseTasksWereLost:
-    async def test_is_not_quarantined(self, clock: FakeClock) -> None:
+class TestQuarantineOfAWorker:
+    async def _world_with_three_jobs_on_i0(self) -> World:
         world = World(1)
         await world.add_pool(POOL, ("i0", "i1"))
-        jobs = world.daemons[0].jobs
         specs = [attrs.evolve(JOB, job_id=f"job-{number}") for number in range(3)]
-        await jobs.submit(POOL, specs)
+        await world.daemons[0].jobs.submit(POOL, specs)
         await world.settle()
         for spec in specs:
             assert (await _job(world, spec.job_id)).worker_id == "i0"
+        return world
+
+    async def _is_open(self, world: World) -> bool:
+        """Return whether a job starts on i0."""
+        pinned = attrs.evolve(JOB, job_id="pinned", selector="instance = i0")
+        await world.daemons[0].jobs.submit(POOL, [pinned])
+        await world.settle()
+        return (await _job(world, "pinned")).state is JobState.STARTED
+
+    def _fail_jobs(self, world: World) -> None:
+        for number in range(3):
+            world.workers.finish(f"job-{number}", 1, TaskState.FAILED)
+
+    async def test_follows_three_jobs_that_failed(self, clock: FakeClock) -> None:
+        world = await self._world_with_three_jobs_on_i0()
+        self._fail_jobs(world)
+        await world.settle()
+        assert not await self._is_open(world)
+
+    async def test_does_not_follow_what_was_lost(self, clock: FakeClock) -> None:
+        world = await self._world_with_three_jobs_on_i0()
         world.workers.end_tasks_on("i0")
         await world.settle()
-        pinned = attrs.evolve(JOB, job_id="pinned", selector="instance = i0")
-        await jobs.submit(POOL, [pinned])
+        assert await self._is_open(world)
+
+    # Reports lag. What failed before a reboot closed the worker after it, for good.
+    async def test_does_not_follow_what_failed_before_a_reboot(
+        self, clock: FakeClock
+    ) -> None:
+        world = await self._world_with_three_jobs_on_i0()
+        rebooted = attrs.evolve(world.membership.find("i0"), boot=2)
+        world.membership.put(rebooted)
+        other = attrs.evolve(JOB, job_id="other", selector="instance = i1")
+        await world.daemons[0].jobs.submit(POOL, [other])
+        await world.settle()
+        self._fail_jobs(world)
         await world.settle()
-        job = await _job(world, "pinned")
-        assert (job.state, job.worker_id) == (JobState.STARTED, "i0")
+        assert await self._is_open(world)
--- a/tools/guards_entry.py
+++ b/tools/guards_entry.py
@@ -226,6 +226,13 @@
         "            return False\n        return jobs.attempts_on_worker",
         ("tests/test_job_drains.py",),
     ),
+    Guard(
+        "failures-count-in-their-boot",
+        "jobs/pool_jobs.py",
+        "if boot == self.quarantine.boot_of(job.worker_id):",
+        "if True:",
+        ("tests/test_job_losses.py::TestQuarantineOfAWorker",),
+    ),
     Guard(
         "unfit-jobs-stay-queued",
         "jobs/decide.py",
