--- a/src/streamthread/jobs/decide.py
+++ b/src/streamthread/jobs/decide.py
@@ -12,7 +12,17 @@
 __all__ = ["JobUpdate", "JobsSnapshot", "WorkerFacts", "decide_jobs"]
 
 MAX_DISTINCT_FAILURES = 3
-"""A job is parked once it has failed on this many distinct workers."""
+"""A job is parked once this many distinct workers have reported it as failed.
+
+Attempts that were lost with their workers don't count.
+"""
+
+NO_FITTING_WORKER = "no worker of the pool is large enough or matches its selector"
+"""Why a job waits that none of the known workers could run.
+
+Workers are missing from a snapshot while they restart or move between pools, so that
+such a job stays queued.
+"""
 
 LONG_JOB_S = 60.0
 """Run time in seconds up to which a job may finish on a draining worker.
@@ -47,11 +57,16 @@
     :param jobs: the jobs that have not ended, in order of submission.
     :param quota_cores: the number of cores that each team may use. A team that is
         absent has no limit.
+    :param paused: the ids of queued jobs that may not start yet, because they were lost
+        with several workers.
+    :param now_ms: the time of the decision, by the hybrid clock.
     """
 
     jobs: tuple[Job, ...]
     workers: tuple[WorkerFacts, ...]
     quota_cores: t.Mapping[str, int] = attrs.field(factory=dict)
+    paused: t.AbstractSet[str] = frozenset()
+    now_ms: int = 0
 
 
 @attrs.frozen
@@ -69,7 +84,8 @@
 class _FreeCapacity:
     """Tracks the free capacity of one worker while a decision is made.
 
-    :param has_failed_jobs: whether a job runs there that has failed before.
+    :param has_failed_jobs: whether a job runs there that has failed before, or was lost
+        with its worker.
     """
 
     facts: WorkerFacts
@@ -106,11 +122,13 @@
             for worker in snapshot.workers
         }
         self._team_cores: dict[str, int] = {}
+        self._fitting: dict[tuple[int, int, int, str], frozenset[str]] = {}
         self._running = [job for job in snapshot.jobs if job.state is JobState.STARTED]
         for job in self._running:
             self._occupy(job)
 
     def updates(self) -> list[JobUpdate]:
+        """Return the updates. Those that change only a reason come last."""
         queued = [job for job in self._snapshot.jobs if job.state is JobState.QUEUED]
         queued.sort(key=lambda job: not job.spec.urgent)
         updates = [
@@ -118,9 +136,13 @@
             for job in list(self._running)
             if self._must_checkpoint(job)
         ]
+        reasons: list[JobUpdate] = []
         for job in queued:
-            updates.extend(self._place(job))
-        return updates
+            placed = self._place(job)
+            updates.extend(placed)
+            if not placed:
+                reasons.extend(self._update_reason(job))
+        return updates + reasons
 
     def _must_checkpoint(self, job: Job) -> bool:
         free = self._free.get(job.worker_id)
@@ -132,7 +154,7 @@
         if reason:
             parked = attrs.evolve(job, state=JobState.PARKED, reason=reason)
             return [JobUpdate(parked, reason)]
-        if not self._within_quota(job.spec):
+        if not self._may_start(job):
             return []
         free = self._tightest_fit(job)
         if free is not None:
@@ -141,14 +163,45 @@
             return self._preempt_for(job)
         return []
 
-    def _parking_reason(self, job: Job) -> str:
-        if len(job.failed_on) >= MAX_DISTINCT_FAILURES:
-            return f"failed on {len(job.failed_on)} workers: {', '.join(job.failed_on)}"
+    @staticmethod
+    def _parking_reason(job: Job) -> str:
+        failed_on = job.own_failures_on
+        if len(failed_on) >= MAX_DISTINCT_FAILURES:
+            return f"failed on {len(failed_on)} workers: {', '.join(failed_on)}"
+        return ""
+
+    def _may_start(self, job: Job) -> bool:
+        return (
+            job.spec.job_id not in self._snapshot.paused
+            and bool(self._fitting_workers(job.spec))
+            and self._within_quota(job.spec)
+        )
+
+    def _update_reason(self, job: Job) -> list[JobUpdate]:
+        """Return the update of a waiting job whose reason has changed."""
         if not self._free:
-            return ""
-        if any(_could_ever_run(job.spec, free.facts) for free in self._free.values()):
-            return ""
-        return "no worker of the pool is large enough or matches its selector"
+            return []
+        if not self._fitting_workers(job.spec):
+            reason, cause = NO_FITTING_WORKER, NO_FITTING_WORKER
+        elif job.reason == NO_FITTING_WORKER:
+            reason, cause = "", "a worker of the pool fits, and has no room yet"
+        else:
+            return []
+        if reason == job.reason:
+            return []
+        return [JobUpdate(attrs.evolve(job, reason=reason), cause)]
+
+    def _fitting_workers(self, spec: JobSpec) -> frozenset[str]:
+        """Return the workers that could run a job if nothing else ran there."""
+        shape = (spec.cores, spec.memory_bytes, spec.accelerators, spec.selector)
+        if shape not in self._fitting:
+            selector = Selector.parse(spec.selector)
+            self._fitting[shape] = frozenset(
+                worker.worker_id
+                for worker in self._snapshot.workers
+                if _is_large_enough(spec, worker) and selector.matches(worker.labels)
+            )
+        return self._fitting[shape]
 
     def _within_quota(self, spec: JobSpec) -> bool:
         quota = self._snapshot.quota_cores.get(spec.team)
@@ -159,9 +212,10 @@
         """Return the open worker with the fewest free cores that fits the job.
 
         Workers on which the job has failed are left out.
-        Jobs that have failed are spread over different workers where possible. When a
-        worker is lost, every job on it is reported as failed. Without the spreading,
-        jobs that only ran next to the cause would be parked along with it.
+        Jobs that have failed or were lost are spread over different workers where
+        possible. When a worker is lost, every job on it is lost. Without the spreading,
+        jobs that only ran next to the cause would be lost along with it each time.
+        Of the workers that are left, those with which the job was lost come last.
         """
         fitting = [
             free
@@ -170,22 +224,22 @@
         ]
         if not fitting:
             return None
-        suspect = bool(job.failed_on)
+        suspect = job.suspect
         return min(
             fitting,
             key=lambda free: (
                 suspect and free.has_failed_jobs,
+                free.facts.worker_id in job.lost_with,
                 free.cores,
                 free.facts.worker_id,
             ),
         )
 
-    @staticmethod
-    def _is_open_for(job: Job, free: _FreeCapacity) -> bool:
+    def _is_open_for(self, job: Job, free: _FreeCapacity) -> bool:
         return (
             free.facts.open
-            and free.facts.worker_id not in job.failed_on
-            and _could_ever_run(job.spec, free.facts)
+            and free.facts.worker_id not in job.own_failures_on
+            and free.facts.worker_id in self._fitting_workers(job.spec)
         )
 
     def _start(self, job: Job, free: _FreeCapacity) -> JobUpdate:
@@ -195,6 +249,7 @@
             attempt=job.attempt + 1,
             worker_id=free.facts.worker_id,
             reason="",
+            started_ms=self._snapshot.now_ms,
         )
         self._occupy(started)
         return JobUpdate(started, f"fits with {free.cores} cores left")
@@ -203,21 +258,29 @@
         free = self._free.get(job.worker_id)
         if free is not None:
             free.add(job.spec, -1)
-            free.has_failed_jobs |= bool(job.failed_on)
+            free.has_failed_jobs |= job.suspect
         team = job.spec.team
         self._team_cores[team] = self._team_cores.get(team, 0) + job.spec.cores
 
     def _preempt_for(self, job: Job) -> list[JobUpdate]:
-        """Start a job where the fewest cores have to be checkpointed for it."""
-        best: list[Job] = []
-        for free in self._free.values():
-            if not self._is_open_for(job, free):
-                continue
-            victims = self._victims(job, free)
-            if victims and (not best or _total_cores(victims) < _total_cores(best)):
-                best = victims
-        if not best:
+        """Start a job where the fewest cores have to be checkpointed for it.
+
+        Workers with which it was lost come last.
+        """
+        choices = [
+            victims
+            for free in self._free.values()
+            if self._is_open_for(job, free) and (victims := self._victims(job, free))
+        ]
+        if not choices:
             return []
+        best = min(
+            choices,
+            key=lambda victims: (
+                victims[0].worker_id in job.lost_with,
+                _total_cores(victims),
+            ),
+        )
         cause = f"urgent job {job.spec.job_id}"
         updates = [self._preempt(victim, cause) for victim in best]
         free = self._free[best[0].worker_id]
@@ -253,12 +316,11 @@
         )
 
 
-def _could_ever_run(spec: JobSpec, worker: WorkerFacts) -> bool:
+def _is_large_enough(spec: JobSpec, worker: WorkerFacts) -> bool:
     return (
         worker.cores >= spec.cores
         and worker.memory_bytes >= spec.memory_bytes
         and worker.accelerators >= spec.accelerators
-        and Selector.parse(spec.selector).matches(worker.labels)
     )
 
 
--- a/src/streamthread/jobs/service.py
+++ b/src/streamthread/jobs/service.py
@@ -147,10 +147,17 @@
         return [stored.job for stored in jobs.jobs.values()]
 
     def is_busy(self, instance_id: str) -> bool:
-        """Return whether an attempt may run on an instance of a pool held here."""
-        jobs = self._table.get(self._views.pool_of(instance_id))
+        """Return whether an attempt may run on an instance of a pool held here.
+
+        Any attempt may while the pool's jobs are not loaded: after a change of the
+        holder, or after a commit that failed.
+        """
+        try:
+            jobs = self._table.loaded(self._views.pool_of(instance_id))
+        except NotHolderError:
+            return True
         if jobs is None:
-            return False
+            return True
         return jobs.attempts_on_worker[instance_id] > 0 or bool(jobs.pending_stops)
 
     # The loop.
@@ -198,7 +205,8 @@
             await self._table.commit(pool, jobs, updates)
             jobs.pending_reports.clear()
             if self._table.is_current(pool, jobs) and self._is_due(jobs):
-                updates = decide_jobs(self._snapshots.read(pool, jobs))
+                now_ms = self._recorder.clock.now().physical_ms
+                updates = decide_jobs(self._snapshots.read(pool, jobs, now_ms))
                 await self._table.commit(pool, jobs, updates)
         await self._stop_attempts(jobs)
         await self._start_attempts(pool, jobs)
