End runs of an earlier holder once their machine has another runner

The users' record has a stopped long-running task of which nothing runs. Cause: a runner that comes back has a new id, and the entry of the former one is gone when the next holder begins. It knows neither that runner nor its machine, so that it waits until all leases have expired that any earlier holder may have renewed (6.2 s after the end of the former lease), and each takeover begins that wait again. The list of machines, which ends the runs of known runners within a second, was not asked. Ruled out: quarantine and probation (the logs have the task once, as run-crashed with read_back, and place it at once after it). Change: the attempt of a long-running task is stored with its runner's machine, in one more field that earlier versions pass over. Its run ends once a list shows another runner there that has answered this holder, and the former one on no machine. Runs of other tasks wait as before: a field in each of their rows would cost more than they win. Evidence: test_machine_evidence.py::TestRunsOfEarlierHolders and test_returning_machines.py fail on the code before and pass; two guards are listed and fail their tests. Tests of the scheduler, the holder, the model and the docs pass.

--- a/src/streamthread/holder/machine_evidence.py
+++ b/src/streamthread/holder/machine_evidence.py
@@ -8,10 +8,18 @@
 from ..platform.cloud import Machine
 from ..platform.cloud import MachineState
 from ..runners import RunnerLink
+from ..scheduler import Attempt
 from ..scheduler import RunnerState
 from .owner import DutyOwner
 
-__all__ = ["Evidence", "LastRunners", "ListedMachines", "LostRunners", "judge"]
+__all__ = [
+    "Evidence",
+    "LastRunners",
+    "ListedMachines",
+    "LostRunners",
+    "is_orphan_over",
+    "judge",
+]
 
 ENDED_STATES = (MachineState.DOWN, MachineState.UPKEEP)
 """States in which nothing runs on a machine that is in them without an order of this
@@ -88,8 +96,29 @@
     return Evidence.ENDED if machine.state in ENDED_STATES else Evidence.NONE
 
 
+def is_orphan_over(
+    attempt: Attempt, listed: ListedMachines, runners: t.Mapping[str, RunnerState]
+) -> bool:
+    """Whether a list proves that the runner of an earlier holder's attempt is over.
+
+    Its machine has another runner, and that one has answered this holder, so that it is
+    the later one. As an entry may name the wrong machine, no other machine may have the
+    runner either.
+
+    :param attempt: one on a runner that is not listed.
+    :param runners: those that are listed, by id.
+    """
+    machine = listed.decoded.get(attempt.machine_id)
+    other = runners.get(machine.runner_id) if machine is not None else None
+    if other is None or not other.heard:
+        return False
+    return all(m.runner_id != attempt.runner_id for m in listed.decoded.values())
+
+
 class LostRunners:
-    """Ends the runs of silent runners that a list of machines proves to be over.
+    """Ends the runs of runners that a list of machines proves to be over.
+
+    These are silent, or were never listed since the holder began.
 
     :param was_listed_before: whether earlier lists showed a runner on a machine that
         has had another one since.
@@ -99,6 +128,7 @@
         self._owner = owner
         self._was_listed_before = was_listed_before
         self._checked_at_s = 0.0
+        self._may_have_orphans = True
 
     def check(self, listed: ListedMachines) -> None:
         """End what one list proves to be over, at once for all runners.
@@ -112,6 +142,22 @@
         found = [pair for pair in found if pair[1] is not Evidence.NONE]
         for link, evidence in sorted(found, key=lambda pair: not _runs_long(pair[0])):
             self._end(link, evidence)
+        if self._may_have_orphans:
+            self._drop_orphans(listed)
+
+    def _drop_orphans(self, listed: ListedMachines) -> None:
+        """Drop the runs that an earlier holder left on runners that are over.
+
+        Only earlier holders leave such runs, so that none come after the last one.
+        """
+        engine = self._owner.engine
+        orphans = engine.orphans()
+        self._may_have_orphans = bool(orphans)
+        over = [a for a in orphans if is_orphan_over(a, listed, engine.runners)]
+        for attempt in over:
+            engine.drop_orphan(attempt)
+        if over:
+            self._owner.kick()
 
     def _silent_links(self) -> list[RunnerLink]:
         return [link for link in self._owner.links.values() if link.silent]
--- a/src/streamthread/holder/tests/test_machine_evidence.py
+++ b/src/streamthread/holder/tests/test_machine_evidence.py
@@ -21,9 +21,12 @@
 from streamthread.platform.manifest import Route
 from streamthread.platform.runners import HoldReply
 from streamthread.platform.runners import RunningTask
+from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Engine
+from streamthread.scheduler import Job
 from streamthread.scheduler import new_job
 from streamthread.scheduler import Phase
+from streamthread.scheduler import restore_progress
 from streamthread.scheduler import RunnerState
 
 MACHINE = Machine(
@@ -217,3 +220,56 @@
         owner.engine.add_runner(other)
         owner.check(_machine(1, runner_id="i-3"))
         assert owner.exited == []
+
+
+class TestRunsOfEarlierHolders:
+    """Guards against long-running tasks that wait though their runner is over."""
+
+    @staticmethod
+    def _take_over(owner: _Owner) -> t.Any:
+        """Return a run that an earlier holder left, and forget its runner i-2."""
+        before = owner.engine.runners["i-2"]
+        (attempt,) = before.attempts.values()
+        job = attempt.task.step.occurrence.job
+        again = Job(
+            job.job_id, job.route, job.service, job.request, job.body, job.accepted_at_s
+        )
+        restore_progress(again, encode_progress(job))
+        owner.engine = Engine(lambda job: None)
+        owner.links.clear()
+        owner.engine.add(again)
+        (attempt,) = again.attempts()
+        return attempt
+
+    @staticmethod
+    def _add_next(owner: _Owner, heard: bool = True) -> None:
+        runner = _runner(3, silent_at_s=None)
+        runner.heard = heard
+        owner.engine.add_runner(runner)
+
+    def test_end_once_the_next_runner_of_the_machine_has_answered(self) -> None:
+        owner = _Owner()
+        attempt = self._take_over(owner)
+        self._add_next(owner)
+        owner.check(_machine(1), _machine(2, runner_id="i-3"))
+        assert attempt.task.attempts == [] and owner.kicks == 1
+
+    @pytest.mark.parametrize(
+        ("heard", "machines"),
+        [
+            (False, [_machine(2, runner_id="i-3")]),
+            (True, [_machine(2)]),
+            (True, [_machine(2, runner_id="")]),
+            (True, [_machine(2, runner_id="i-4")]),
+            (True, [_machine(1, runner_id="i-3")]),
+            (True, [_machine(2, runner_id="i-3"), _machine(1, runner_id="i-2")]),
+        ],
+        ids=["silent", "same", "none", "unknown", "other machine", "wrong machine"],
+    )
+    def test_stay_without_proof(self, heard: bool, machines: list[Machine]) -> None:
+        """Guards against a second run beside one on a runner that is up."""
+        owner = _Owner()
+        attempt = self._take_over(owner)
+        self._add_next(owner, heard)
+        owner.check(*machines)
+        assert attempt.task.attempts == [attempt] and owner.kicks == 0
--- a/src/streamthread/scheduler/attempts.py
+++ b/src/streamthread/scheduler/attempts.py
@@ -26,6 +26,8 @@
         answer names no clock, 0 if unknown.
     :param born_ms: start time of the runner incarnation that the run was meant for;
         None if unknown.
+    :param machine_id: the machine of the runner; empty if unknown. It is persisted for
+        long-running tasks, so that the next holder can tell whether the runner is over.
     :param read_back: an earlier holder persisted the attempt.
     :param open_starts: the number of start orders without an answer. Each of them may
         still be carried out.
@@ -67,6 +69,7 @@
     runner_id: str
     phase: Phase = Phase.PLANNED
     born_ms: int | None = None
+    machine_id: str = ""
     read_back: bool = False
     confirmed_clock_ms: int = 0
     first_confirmed_ms: int = 0
--- a/src/streamthread/scheduler/placer.py
+++ b/src/streamthread/scheduler/placer.py
@@ -168,6 +168,7 @@
             task.last_run,
             runner.runner_id,
             born_ms=runner.born_ms,
+            machine_id=runner.machine_id,
             cleared=task.lost_runners > 0,
         )
         self._ledger.plan(attempt, runner)
--- a/src/streamthread/scheduler/progress_codec.py
+++ b/src/streamthread/scheduler/progress_codec.py
@@ -53,6 +53,7 @@
     born_ms: Count | None = None
     blamed: bool = False
     cleared: bool = False
+    machine_id: str = ""
 
 
 class _TaskRow(msgspec.Struct, array_like=True):
@@ -190,6 +191,9 @@
 
 def _encode_attempt(attempt: Attempt) -> list[Json]:
     row: list[Json] = [attempt.run, attempt.runner_id]
+    if attempt.task.step.request.lasting and attempt.machine_id:
+        marks = [attempt.blamed, attempt.cleared, attempt.machine_id]
+        return [*row, attempt.born_ms, *marks]
     if attempt.cleared:
         return [*row, attempt.born_ms, attempt.blamed, True]
     if attempt.blamed:
@@ -317,6 +321,7 @@
             a.runner_id,
             Phase.SENT,
             born_ms=a.born_ms,
+            machine_id=a.machine_id,
             read_back=True,
             blamed=a.blamed,
             cleared=a.cleared,
--- a/tests/cell/test_returning_machines.py
+++ b/tests/cell/test_returning_machines.py
@@ -6,6 +6,8 @@
 
 import logbook
 
+from streamthread.clocks import boot_s
+
 from .support import job
 from .support import running_cell
 from .support import until
@@ -47,3 +49,29 @@
                     if record.message == "runner-over"
                 }
                 assert ends == {former.runner_id: "its machine has another runner"}
+
+    # Guards against a long-running task that runs nowhere, since its runner and the
+    # holder exited together: the next holder waited until all leases had expired that
+    # an earlier one may have renewed, and the wait began again with each holder.
+    async def test_has_its_long_running_task_started_by_the_next_holder(self) -> None:
+        async with running_cell({"desk": 2}, daemon_count=2) as cell:
+            old = await cell.until_ready()
+            new = next(daemon for daemon in cell.daemons if daemon is not old)
+            body = job(run_s=600.0, longRunning=True)
+            at = cell.daemons.index(new)
+            assert await cell.caller().submit("a" * 16, body, at=at) == 200
+            await until(lambda: len(cell.world.started) == 1, "the task runs")
+            assert old.holder is not None
+            confirmed = next(iter(old.holder.engine.jobs["a" * 16].attempts()))
+            await until(lambda: confirmed.began_at_s, "the run is confirmed")
+            await old.holder.until_durable()
+            # The holder sees nothing of the exit.
+            cell.world.store.faults.refuse = 503
+            await cell.crash_busy_runner()
+            await old.stop()
+            cell.world.store.faults.refuse = 0
+            await until(lambda: len(cell.world.started) == 2, "the task runs again")
+            assert new.holder is not None
+            links = new.holder.context.settings.links
+            expired_at_s = new.holder.taken.last_hold_at_s + links.expiry_bound_s
+            assert boot_s() < expired_at_s
--- a/tools/guards_partitions.py
+++ b/tools/guards_partitions.py
@@ -74,6 +74,23 @@
         "            pass\n",
         ("tests/cell/test_lost_halls.py::TestLostMachine",),
     ),
+    Guard(
+        "listed-machines-end-runs-of-earlier-holders",
+        "holder/machine_evidence.py",
+        "            self._drop_orphans(listed)\n",
+        "            pass\n",
+        (
+            "tests/cell/test_returning_machines.py::TestMachineThatComesBack",
+            f"{EVIDENCE}::TestRunsOfEarlierHolders",
+        ),
+    ),
+    Guard(
+        "runners-that-never-answered-end-no-others",
+        "holder/machine_evidence.py",
+        "    if other is None or not other.heard:\n",
+        "    if other is None:\n",
+        (f"{EVIDENCE}::TestRunsOfEarlierHolders",),
+    ),
     Guard(
         "lists-before-the-silence-prove-nothing",
         "holder/machine_evidence.py",
