Start no task alone beside a start that an earlier holder recorded

Cause: both tasks of the job had two exits counted against them, so that each was to start alone. A holder placed the first on a runner and released the cell before the start was sent. The next holder placed the second on the same runner (20:48.847) before it sent the recorded start (20:48.88): a start counted as under way only while it was planned, or 0.1 s after this holder had sent it. The runner exited 11 ms after both, the third exit for both. Change: a start is under way until its runner has confirmed or refused it, as it is sent again until then. Evidence: test_suspect_starts.py::TestStartThatAnEarlierHolderRecorded::test_has_no_other_task_of_its_job_started_beside_it fails on the code before (the second task is placed) and passes; its guard is listed.

--- a/src/streamthread/scheduler/probation.py
+++ b/src/streamthread/scheduler/probation.py
@@ -142,6 +142,9 @@
 
 
 def _is_starting(attempt: Attempt, now_s: float) -> bool:
-    """Whether a runner exit could be due to this attempt as well as to a new one."""
-    planned = attempt.phase is Phase.PLANNED
-    return planned or attempt.sent_at_s > now_s - SIMULTANEOUS_START_S
+    """Whether a runner exit could be due to this attempt as well as to a new one.
+
+    A start without an answer is sent again, also one that an earlier holder recorded.
+    """
+    pending = attempt.phase in (Phase.PLANNED, Phase.SENT)
+    return pending or attempt.sent_at_s > now_s - SIMULTANEOUS_START_S
--- a/src/streamthread/scheduler/tests/test_suspect_starts.py
+++ b/src/streamthread/scheduler/tests/test_suspect_starts.py
@@ -1,6 +1,13 @@
 """Tests the steps before and after the start of a task that has lost a runner."""
 
+import time
+
+from streamthread.clocks import boot_s
+from streamthread.platform.callers import JobRequest
+from streamthread.platform.callers import StepRequest
 from streamthread.platform.runners import IncarnationEndedError
+from streamthread.scheduler import Job
+from streamthread.scheduler import Phase
 
 from .support import StartCell
 
@@ -53,3 +60,24 @@
         attempt = cell.read_back()
         await cell.send(attempt)
         assert not attempt.sent_at_s
+
+    def test_has_no_other_task_of_its_job_started_beside_it(self) -> None:
+        """Guards against a sound task that is held back with the one beside it."""
+        cell = StartCell()
+        cell.engine.cancel(cell.task.step.occurrence.job)
+        cell.runner.known_since_s = boot_s() - 60.0
+        request = JobRequest("", (StepRequest(count=2, cpu=1, memory_mb=1),))
+        job = Job("b" * 16, "r", "desk", request, b"", time.time())
+        for task in job.begin(0).steps[0].tasks:
+            task.crashes, task.on_probation, task.needs_stable_runner = 2, True, True
+        cell.engine.add(job)
+        cell.engine.place_all(time.time(), lambda step: None)
+        (recorded,) = job.attempts()
+        # The next holder knows no more than this until the runner lists the run.
+        recorded.phase, recorded.read_back = Phase.SENT, True
+        cell.runner.probation_until_s = 0.0
+        cell.engine.place_all(time.time(), lambda step: None)
+        assert list(job.attempts()) == [recorded]
+        cell.engine.confirm(recorded, 100)
+        cell.engine.place_all(time.time(), lambda step: None)
+        assert len(list(job.attempts())) == 2
--- a/tools/guards_cell.py
+++ b/tools/guards_cell.py
@@ -324,6 +324,13 @@
         "open_runners",
         (f"{CRASHES}::TestProbation",),
     ),
+    Guard(
+        "recorded-starts-are-starting",
+        "scheduler/probation.py",
+        "    pending = attempt.phase in (Phase.PLANNED, Phase.SENT)\n",
+        "    pending = attempt.phase is Phase.PLANNED\n",
+        ("src/streamthread/scheduler/tests/test_suspect_starts.py",),
+    ),
     Guard(
         "unreached-starts-are-no-crashes",
         "scheduler/orders.py",
