Record that a start that began nowhere waits only for its stop

Cause: a run whose start was refused each time, as its runner was down, is stopped on the runner's next incarnation. This is not recorded. The next holder reads a run whose start may have been sent, and counts the next exit against it. Change: where no start is under way, the run is recorded as cleared, once for each restart. Evidence: test_restart_before_the_start_of_a_run_that_is_to_be_stopped fails on the code before and passes.

--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -171,7 +171,10 @@
     def _stop_on_next_incarnation(self, attempt: Attempt, runner: RunnerState) -> None:
         """Stop a run whose start may have reached this incarnation of its runner."""
         attempt.reset_confirmation(runner.born_ms)
-        attempt.task.note_changed()
+        if not attempt.open_starts and not attempt.read_back:
+            # Nothing is under way that this incarnation could still carry out.
+            attempt.cleared = True
+        self._ledger.task_changed(attempt.task)
         runner.add(attempt.task.name, attempt)
         self.stops.request_stop_again(attempt, "runner-restarted")
 
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -293,6 +293,26 @@
         cell.engine.on_hold(runner, HoldReply(0, (), ()))
         assert attempt.task.crashes == (born_ms != attempt.born_ms)
 
+    def test_restart_before_the_start_of_a_run_that_is_to_be_stopped(
+        self, patch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against counting an exit against a start that began nowhere.
+
+        The runner restarts twice, and the holder is replaced in between.
+        """
+        cell = _Cell(patch, jobs=1, runners=1)
+        (runner,) = cell.engine.runners.values()
+        runner.born_ms = 1
+        (attempt,) = cell.engine.place_all(time.time(), lambda step: None)
+        # All tries were refused.
+        attempt.phase = Phase.SENT
+        cell.engine.runner_restarted(runner, runner.next_incarnation(2))
+        after = _next_holder(cell, patch, runners=0)
+        after.engine.add_runner(runner.next_incarnation(3))
+        (task,) = after.at_fault.occurrences[0].steps[0].tasks
+        assert [a.run for a in task.attempts] == [attempt.run]
+        assert task.crashes == 0
+
     def test_runner_that_is_not_silent(self, patch: pytest.MonkeyPatch) -> None:
         """Guards against counting the lapse of runs that no holder could extend.
 
