Count the exit of a runner whose silence is noticed after an idle call

Cause: where a hold call to an idle runner gets no answer, the silence is noticed 2.2 s after the call began (1.5 s of waiting and 0.7 s for the answer). Runs counted only if they had been started up to 2.0 s before. Change: the window for a silence that is not known precisely has a constant of its own, 2.5 s. Tests of the scheduler (353) and tests/model (60) pass.

--- a/src/streamthread/scheduler/crashes.py
+++ b/src/streamthread/scheduler/crashes.py
@@ -45,9 +45,11 @@
 meets the closed connection and a busy event loop add up to some 0.3 s."""
 
 STABLE_RUN_S = 2.0
-"""A run that has worked for this long does not crash every runner that starts it. If a
-runner is silent with open connections, the start of its silence is not known more
-precisely than this, since a call takes up to 1.5 s to detect it."""
+"""A run that has worked for this long does not crash every runner that starts it."""
+
+SILENCE_DELAY_S = 2.5
+"""If a runner is silent with open connections, the start of its silence is not known
+more precisely than this: a call to an idle runner takes up to 2.2 s to detect it."""
 
 
 def started_last(runner: RunnerState, now_s: float) -> list[Attempt]:
@@ -83,7 +85,7 @@
         attempt
         for attempt in runner.attempts.values()
         if attempt.open_starts
-        and silent_at_s - (attempt.began_at_s or silent_at_s) <= STABLE_RUN_S
+        and silent_at_s - (attempt.began_at_s or silent_at_s) <= SILENCE_DELAY_S
     ]
 
 
@@ -317,7 +319,7 @@
                 for attempt in runner.attempts.values()
                 if attempt.read_back and not attempt.seen_at_s
             ]
-            found = _started_within(runner, STABLE_RUN_S, now_s) + unknown
+            found = _started_within(runner, SILENCE_DELAY_S, now_s) + unknown
         found += [a for a in _carried_out_late(runner, now_s) if a not in found]
         return [attempt for attempt in found if self._may_be_at_fault(attempt)]
 
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -19,6 +19,7 @@
 from streamthread.platform.runners import EndKind
 from streamthread.platform.runners import HoldReply
 from streamthread.platform.runners import RunningTask
+from streamthread.runners import LinkSettings
 from streamthread.scheduler import Attempt
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Engine
@@ -238,6 +239,17 @@
         assert attempt.task.crashes == 1
 
 
+class TestSilenceThatIsNoticedLate:
+    def test_counts(self, patch: pytest.MonkeyPatch) -> None:
+        """Guards against an exit that counts for nothing while calls get no answer."""
+        settings = LinkSettings()
+        cell = _Cell(patch, jobs=1, runners=1)
+        (attempt,) = cell.place()
+        cell.now_s += settings.idle_wait_s + settings.answer_s + 0.1
+        cell.end(cell.engine.runners[attempt.runner_id], hung=True)
+        assert attempt.task.crashes == 1
+
+
 class TestExitsThatAreNoCrash:
     def _crash_two_more_runners(self, cell: _Cell) -> None:
         for _ in range(2):
