Prepare the start of a suspect in its turn

Cause: the exit of one runner counted once against some 400 tasks. The start of such a task is recorded after its runner has answered a call, and each start made this call at once, outside of the six slots for starts: 3,496 of them got no answer in time. A runner that does not answer one gets no tasks, and its planned starts are withdrawn, so that tasks were placed up to 12 times. A start was also recorded long before it was sent, and an exit counts against the task from then on. Change: the call and the record come in the start's turn, when it holds a slot. Evidence: test_suspect_starts.py::TestStart::test_of_a_suspect_is_prepared_in_its_turn fails on the code before (called and recorded while the slots are taken) and passes. Tests of the scheduler and the runners pass.

--- a/src/streamthread/scheduler/orders.py
+++ b/src/streamthread/scheduler/orders.py
@@ -163,8 +163,6 @@
         await self._owner.until_trusted()
         if not self._is_start_pending(attempt) or link.silent:
             return False
-        if attempt.cleared and not await self._prepare_start(attempt, link):
-            return False
         # An evacuation may have been read during the waits.
         return await self._is_hall_usable(attempt, link, tries)
 
@@ -212,6 +210,12 @@
         async with link.start_slots:
             if waits and not await self._may_start(attempt, link, tries):
                 return None
+            if attempt.cleared:
+                # Not before its turn: an exit counts against the task from then on.
+                if not await self._prepare_start(attempt, link):
+                    return None
+                if not await self._is_hall_usable(attempt, link, tries):
+                    return None
             return await self._try_start(attempt, link, tries)
 
     async def _try_start(
--- a/src/streamthread/scheduler/tests/test_suspect_starts.py
+++ b/src/streamthread/scheduler/tests/test_suspect_starts.py
@@ -1,5 +1,6 @@
 """Tests the steps before and after the start of a task that has lost a runner."""
 
+import asyncio
 import time
 
 from streamthread.clocks import boot_s
@@ -37,6 +38,20 @@
         assert not cell.runner.usable()
         assert not cell.runner.used_cpu
 
+    async def test_of_a_suspect_is_prepared_in_its_turn(self) -> None:
+        """Guards against hundreds of calls to one runner at once."""
+        cell = StartCell(lost_runners=1, answers=[True, True])
+        (attempt,) = cell.engine.place_all(time.time(), lambda step: None)
+        slots = cell.links["i-1"].start_slots
+        await slots.acquire()
+        sending = asyncio.ensure_future(cell.send(attempt))
+        for _ in range(20):
+            await asyncio.sleep(0)
+        assert cell.steps == [] and attempt.cleared
+        slots.release()
+        await sending
+        assert cell.steps == ["probe", "commit", "start", "probe"]
+
     async def test_of_any_other_task_takes_no_further_call(self) -> None:
         cell = StartCell(lost_runners=0)
         await cell.start()
