Let no run that crashes its stand-in runner end as done

The job's task that crashes its runner was listed as done. Cause: the stand-in crashes a runner 10 ms after such a start, by a timer, and ended the run as done after its run time, by the clock. Change: such a run never ends by itself. Evidence: test_standin.py::TestEnds::test_a_run_that_crashes_its_runner_is_never_done fails on the code before and passes.

--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import json
+import math
 import time
 import typing as t
 
@@ -345,11 +346,13 @@
             self.over_capacity.append((task, time.monotonic()))
         self._renew_leases(body)
         now_s = time.monotonic()
-        run_s = float(spec.get("run_s", 0.1))
+        crashes = task.rpartition(".")[2] in spec.get("crash", ())
+        # The crash may come late if the event loop stalls.
+        run_s = math.inf if crashes else float(spec.get("run_s", 0.1))
         self._runs[task, number] = _Run(task, number, spec, now_s + run_s)
         started = StartedRun(task, number, self.runner_id, now_s, late, self.born_ms)
         self._started.append(started)
-        if task.rpartition(".")[2] in spec.get("crash", ()):
+        if crashes:
             asyncio.get_running_loop().call_later(
                 CRASH_DELAY_S, self._crash, (task, number)
             )
--- a/tests/cell/test_standin.py
+++ b/tests/cell/test_standin.py
@@ -56,6 +56,23 @@
         assert runner.running() == []
         assert [how for _, _, how, _ in ended] == ["done"]
 
+    async def test_a_run_that_crashes_its_runner_is_never_done(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        """Guards against a crashing task that is done while the event loop stalls."""
+        ended: list[tuple[str, int, str, float]] = []
+        runner = _runner(ended)
+        order = _start("job.0.0.0", 0.05, 60)
+        assert (
+            runner._try_start({**order, "spec": '{"run_s": 0.05, "crash": ["0"]}'})
+            == ""
+        )
+        stalled_until_s = time.monotonic() + 1.0
+        monkeypatch.setattr(time, "monotonic", lambda: stalled_until_s)
+        runner._advance()
+        assert ended == []
+        assert runner.running() == ["job.0.0.0"]
+
     @pytest.mark.parametrize(("run_s", "how"), [(60, "lapsed"), (0.05, "done")])
     async def test_a_run_that_ended_unseen_does_not_die_with_its_runner(
         self, run_s: float, how: str
