--- a/src/streamthread/scheduler/engine.py
+++ b/src/streamthread/scheduler/engine.py
@@ -196,7 +196,7 @@
         self._expire(attempts, runner)
 
     def _expire(self, attempts: t.Sequence[Attempt], runner: RunnerState) -> None:
-        """Requeue lost tasks, except those with too many attributed exits."""
+        """Requeue lost tasks, and hold back those to which too many exits are due."""
         attribution = self._crashes.attribute_exit(runner)
         self._ledger.expire_all(attempts, runner)
         for attempt in attribution.blamed:
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -44,15 +44,6 @@
 Large tasks find room on a machine more rarely. Without it, the largest tenth of the
 jobs is in time 0.47 to 0.77 times as often as all, with it 0.68 to 0.77 times."""
 
-
-@attrs.frozen
-class Placement:
-    """A task and the runner that is to run it."""
-
-    task: Task
-    runner: RunnerState
-
-
 STABLE_RUNNER_WAIT_S = 2.5
 """How long a task waits for a runner that has been up for a while and starts nothing
 else. A job counts as neglected if it runs nothing for 3 s though there is room."""
@@ -62,6 +53,14 @@
 about as long as a task runs."""
 
 
+@attrs.frozen
+class Placement:
+    """A task and the runner that is to run it."""
+
+    task: Task
+    runner: RunnerState
+
+
 def _chains_s(occurrence: Occurrence, times: RunTimes) -> tuple[float, float]:
     """Return the expected run times of the longest chains of an occurrence's steps.
 
