Keep the judgement of an earlier holder's run private, and wrap a doc comment

Nothing outside of the module uses it. Behaviour is unchanged; make check, the tests of the scheduler, the holder, the cell, the runners, the model and four files of tests/cell pass.

--- a/src/streamthread/holder/machine_evidence.py
+++ b/src/streamthread/holder/machine_evidence.py
@@ -12,14 +12,7 @@
 from ..scheduler import RunnerState
 from .owner import DutyOwner
 
-__all__ = [
-    "Evidence",
-    "LastRunners",
-    "ListedMachines",
-    "LostRunners",
-    "is_orphan_over",
-    "judge",
-]
+__all__ = ["Evidence", "LastRunners", "ListedMachines", "LostRunners", "judge"]
 
 ENDED_STATES = (MachineState.DOWN, MachineState.UPKEEP)
 """States in which nothing runs on a machine that is in them without an order of this
@@ -96,7 +89,7 @@
     return Evidence.ENDED if machine.state in ENDED_STATES else Evidence.NONE
 
 
-def is_orphan_over(
+def _is_orphan_over(
     attempt: Attempt, listed: ListedMachines, runners: t.Mapping[str, RunnerState]
 ) -> bool:
     """Whether a list proves that the runner of an earlier holder's attempt is over.
@@ -153,7 +146,7 @@
         engine = self._owner.engine
         orphans = engine.orphans()
         self._may_have_orphans = bool(orphans)
-        over = [a for a in orphans if is_orphan_over(a, listed, engine.runners)]
+        over = [a for a in orphans if _is_orphan_over(a, listed, engine.runners)]
         for attempt in over:
             engine.drop_orphan(attempt)
         if over:
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -264,9 +264,9 @@
     """Whether a task may be placed on a runner, considering its earlier attempts.
 
     A runner with an attempt of the task is never allowed, nor is one that has just come
-    up if the task needs a stable one. One that the task avoids is
-    allowed for a long-running task, if the task avoids as many runners as there are, or
-    once it has waited for ``AVOID_WAIT_S``.
+    up if the task needs a stable one. One that the task avoids is allowed for a
+    long-running task, if the task avoids as many runners as there are, or once it has
+    waited for ``AVOID_WAIT_S``.
 
     :param runners: the number of runners that are considered for the task.
     """
