Say in an inbox row what its request asks for

Cause: the row of a request in the inbox did not say what the request asks for. An entry with a body counted as a submission, and the daemons stored the body of any call. The next holder knew a job of this id and deleted the row.

A body that is not UTF-8 failed the write.

Change: the row names its kind as its last element. Bodies are read for submissions alone. A row of an unknown kind stays in the inbox, is counted and logged, and affects no known job and no other row. A forwarded call of an unknown kind is no longer answered as a read of the state.

Why it works: nothing is inferred from the body of a row that names its kind. Rows without a kind that hold no valid job are cancels, since only valid jobs were written as submissions.

--- a/src/streamthread/errors.py
+++ b/src/streamthread/errors.py
@@ -91,6 +91,12 @@
         self.field = field
 
 
+class UnknownKindError(UnreadableError):
+    """A record of a kind that this version does not know."""
+
+    kind = "unknown-kind"
+
+
 class NotFoundError(StreamthreadError):
     """The named thing does not exist."""
 
--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -22,6 +22,7 @@
 from ..holder import Holder
 from ..holder.inbox import inbox_key
 from ..holder.inbox import InboxEntry
+from ..holder.inbox import RequestKind
 from ..platform.callers import decode_job
 from ..platform.store import ABSENT
 from ..platform.store import Condition
@@ -60,6 +61,10 @@
 """Interval between checks of the heartbeats while a forwarded call has no answer."""
 
 
+_KINDS = {pb.SUBMIT: RequestKind.SUBMIT, pb.CANCEL: RequestKind.CANCEL}
+"""The changes that can be left in the inbox."""
+
+
 class Persisted(enum.Enum):
     """Whether a change is in the inbox.
 
@@ -368,9 +373,10 @@
     async def _write_to_inbox(self, request: pb.CallRequest) -> Persisted:
         """Write a change to the store's inbox, for the next holder."""
         entry = InboxEntry(
+            _KINDS[request.kind],
             request.job_id,
             request.route,
-            request.job.decode(),
+            request.job.decode() if request.kind == pb.SUBMIT else "",
             request.configuration_version,
             request.pool,
             request.account,
@@ -400,7 +406,7 @@
             return Persisted.UNKNOWN
         log.info(
             "left-in-inbox",
-            extra={"job": request.job_id, "cancel": entry.is_cancel},
+            extra={"job": request.job_id, "kind": entry.kind.value},
         )
         return Persisted.YES
 
--- a/src/streamthread/gateway/frontend.py
+++ b/src/streamthread/gateway/frontend.py
@@ -207,12 +207,14 @@
         if len(job_id.encode()) > MAX_ID_BYTES:
             # No job can have an id of this length.
             return _Reply(400 if request.method == "POST" else 410)
-        body = await request.read()
-        if len(body) > MAX_BODY_BYTES:
-            return _Reply(413)
-        call = _decode_call(request.method, request.path, route, body)
+        call = _decode_call(request.method, job_id, route)
         if call is None:
             return _Reply(404)
+        if call.kind == pb.SUBMIT:
+            # Only submissions have a body that counts.
+            call.job = await request.read()
+            if len(call.job) > MAX_BODY_BYTES:
+                return _Reply(413)
         call.configuration_version = manifest.version
         call.pool = route.service
         call.account = admission.account
@@ -223,18 +225,15 @@
         return attrs.evolve(reply, account=admission.account)
 
 
-def _decode_call(
-    method: str, path: str, route: Route, body: bytes
-) -> pb.CallRequest | None:
+def _decode_call(method: str, job_id: str, route: Route) -> pb.CallRequest | None:
     kind = _KINDS.get(method)
-    job_id = path[len(route.path_prefix) :]
     if kind is None or "/" in job_id:
         return None
     if not job_id:
         if kind != pb.STATE:
             return None
         return pb.CallRequest(kind=pb.PENDING, route=route.name)
-    return pb.CallRequest(kind=kind, route=route.name, job_id=job_id, job=body)
+    return pb.CallRequest(kind=kind, route=route.name, job_id=job_id)
 
 
 def _wait_s(request: web.BaseRequest) -> float:
--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -16,6 +16,8 @@
 from streamthread.gateway.forwarding import Forwarder
 from streamthread.gateway.forwarding import ForwardSettings
 from streamthread.gateway.reachability import Reachability
+from streamthread.holder.inbox import InboxEntry
+from streamthread.holder.inbox import RequestKind
 from streamthread.platform.store import Page
 from streamthread.platform.store import TransactResult
 
@@ -204,6 +206,20 @@
         assert reply.outcome == pb.OK
 
 
+class TestKindOfInboxRow:
+    # Guards against a cancel whose body makes the next holder take it for a job.
+    @pytest.mark.parametrize("body", [b"", b"{}", BODY, b"\xff\xfe", b"x" * 100_000])
+    async def test_of_a_cancel_is_independent_of_its_body(self, body: bytes) -> None:
+        store = _Store()
+        cancel = pb.CallRequest(kind=pb.CANCEL, route="r", job_id="1" * 16, job=body)
+        peers = _Peers(pb.CallReply(outcome=pb.NOT_HOLDER))
+        args: t.Any = (_Lease(False), peers, store, "main", lambda: None, SETTINGS)
+        reply = await Forwarder(*args).ask(cancel, boot_s() + 3.0)
+        assert reply.outcome == pb.OK
+        entry = InboxEntry.decode(store.written[0].value)
+        assert entry.kind is RequestKind.CANCEL and entry.body == ""
+
+
 class _HangingOnce:
     """Does not answer a call; the heartbeats are overdue from then on."""
 
--- a/src/streamthread/holder/inbox.py
+++ b/src/streamthread/holder/inbox.py
@@ -1,7 +1,7 @@
 """Requests that other daemons left in the store while the holder was unreachable."""
 
 import asyncio
-import json
+import enum
 import typing as t
 from abc import ABC
 from abc import abstractmethod
@@ -19,7 +19,9 @@
 from ..errors import BadInputError
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
+from ..errors import UnknownKindError
 from ..errors import UnreadableError
+from ..platform.callers import decode_job
 from ..platform.store import ABSENT
 from ..platform.store import StoredRow
 from ..platform.table_feed import TableFeed
@@ -28,7 +30,7 @@
 from .pending_cancels import PENDING_CANCEL_SUFFIX
 from .replay import RETRY_S
 
-__all__ = ["InboxEntry", "InboxOwner", "InboxReader", "inbox_key"]
+__all__ = ["InboxEntry", "InboxOwner", "InboxReader", "RequestKind", "inbox_key"]
 
 log = logbook.Logger("streamthread.holder")
 
@@ -38,11 +40,18 @@
 A cancel in the inbox has to take effect within 3 s."""
 
 
+class RequestKind(enum.Enum):
+    """What a request in the inbox asks for; the values are those of the rows."""
+
+    SUBMIT = "submit"
+    CANCEL = "cancel"
+
+
 @attrs.frozen
 class InboxEntry:
-    """A submitted job or a cancel, persisted until the holder processes it.
+    """A caller's request, persisted until the holder processes it.
 
-    :param body: the job as it was submitted; empty for a cancel.
+    :param body: the job as it was submitted; empty for other requests.
     :param configuration_version: version of the configuration in which the route was
         found; 0 if the sender did not name one.
     :param pool: the pool to which that configuration sends the route's jobs.
@@ -52,6 +61,7 @@
         earlier version left it.
     """
 
+    kind: RequestKind
     job_id: str
     route: str
     body: str = ""
@@ -60,23 +70,36 @@
     account: str = ""
     submitted_at_s: float = 0.0
 
-    @property
-    def is_cancel(self) -> bool:
-        """Whether the entry is a cancel."""
-        return not self.body
-
     def encode(self) -> bytes:
-        """Encode the entry as a row's value."""
-        return json.dumps(attrs.astuple(self)).encode()
+        """Encode the entry as a row's value.
+
+        Earlier versions ignore the kind, which stands last. They take an entry for a
+        cancel if its body is empty.
+        """
+        return msgspec.json.encode(
+            _EntryRow(
+                self.job_id,
+                self.route,
+                self.body if self.kind is RequestKind.SUBMIT else "",
+                self.configuration_version,
+                self.pool,
+                self.account,
+                self.submitted_at_s,
+                self.kind.value,
+            )
+        )
 
     @classmethod
-    def decode(cls, value: bytes) -> "InboxEntry":
+    def decode(cls, value: bytes, key: str = "") -> "InboxEntry":
         """Decode a row's value.
 
+        :param key: the row's key, for errors.
+        :raises UnknownKindError: the entry is a request of a later version.
         :raises UnreadableError: the value is not an inbox entry.
         """
-        row = _ENTRIES.decode(value, "")
+        row = _ENTRIES.decode(value, key)
         return cls(
+            _kind_of(row, key),
             row.job_id,
             row.route,
             row.body,
@@ -95,6 +118,37 @@
     pool: str = ""
     account: str = ""
     submitted_at_s: Amount = 0.0
+    kind: str | None = None
+
+
+def _kind_of(row: _EntryRow, key: str) -> RequestKind:
+    """Return the kind of a request.
+
+    :raises UnknownKindError: it is a kind of a later version.
+    """
+    if row.kind is None:
+        return _kind_without_record(row.body)
+    try:
+        return RequestKind(row.kind)
+    except ValueError as error:
+        raise UnknownKindError(
+            f"requests of the kind {row.kind!r} are not known here",
+            remedy="the row is kept for a daemon of a later version",
+            key=key,
+            field="$[7]",
+        ) from error
+
+
+def _kind_without_record(body: str) -> RequestKind:
+    """Return the kind of a row that an earlier version wrote.
+
+    It wrote only valid jobs as submissions, and cancels with whatever body they had.
+    """
+    try:
+        decode_job(body.encode())
+    except BadInputError:
+        return RequestKind.CANCEL
+    return RequestKind.SUBMIT
 
 
 _ENTRIES = Decoder[_EntryRow](_EntryRow, remedy=OWN_ROW_REMEDY)
@@ -144,6 +198,10 @@
     def exclude_job(self, job_id: str, error: BadInputError) -> None:
         """Exclude a job with a row that can't be decoded; it may have been accepted."""
 
+    @abstractmethod
+    def keep_unknown_request(self, job_id: str, error: UnknownKindError) -> None:
+        """Note a request of a later version; its row stays in the inbox."""
+
     @abstractmethod
     def delete_row(self, key: str) -> None:
         """Delete a row from the inbox."""
@@ -247,7 +305,10 @@
         if row.value is None or row.version == ABSENT:
             return
         try:
-            entry = InboxEntry.decode(row.value)
+            entry = InboxEntry.decode(row.value, row.key)
+        except UnknownKindError as error:
+            self._owner.keep_unknown_request(job_id_of(row.key), error)
+            return
         except UnreadableError as error:
             self._owner.exclude_job(job_id_of(row.key), error)
             return
@@ -255,19 +316,21 @@
             self._owner.delete_row(row.key)
             return
         self.waiting[row.key] = row
-        if not entry.is_cancel:
+        if entry.kind is RequestKind.SUBMIT:
             self._waiting_jobs[row.key] = entry
 
     def _process(self, entry: InboxEntry) -> bool:
         """Process an entry; return whether its row is no longer needed."""
-        known = self._owner.knows_job(entry.job_id)
-        if not entry.is_cancel and known:
-            self._owner.mark_acknowledged(entry.job_id)
-            return True
-        if not entry.is_cancel:
+        if entry.kind is RequestKind.CANCEL:
+            return self._process_cancel(entry)
+        if not self._owner.knows_job(entry.job_id):
             return self._owner.accept_from_inbox(entry)
+        self._owner.mark_acknowledged(entry.job_id)
+        return True
+
+    def _process_cancel(self, entry: InboxEntry) -> bool:
         cancel = Cancel(entry.job_id, entry.route, entry.account)
-        if not known:
+        if not self._owner.knows_job(entry.job_id):
             may_arrive = self.has_waiting_job(entry.job_id, entry.account)
             return not self._owner.retain_cancel(cancel, may_arrive)
         self._owner.cancel_from_inbox(cancel)
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -12,6 +12,7 @@
 from ..errors import NotHolderError
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
+from ..errors import UnknownKindError
 from ..errors import UnreadableError
 from ..scheduler import Engine
 from ..scheduler import Job
@@ -27,6 +28,7 @@
 from .inbox import InboxEntry
 from .inbox import InboxOwner
 from .inbox import InboxReader
+from .inbox import RequestKind
 from .job_rows import job_id_of_row
 from .job_rows import JobRows
 from .pending_cancels import Cancel
@@ -92,6 +94,8 @@
         self._notes = notes or UnreadableNotes()
         # Accepted jobs with a row that can't be decoded.
         self._excluded: set[str] = set()
+        # Jobs that requests of a later version refer to.
+        self._unknown_requests: set[str] = set()
         self._engine = engine
         self._commits = commits
         self._admission = admission
@@ -126,7 +130,11 @@
                 return await self._submit(request)
             if request.kind == pb.CANCEL:
                 return await self._cancel(request)
-            return await self._report_state(request)
+            if request.kind == pb.STATE:
+                return await self._report_state(request)
+            return pb.CallReply(
+                outcome=pb.UNCERTAIN, reason="the holder does not know this request"
+            )
         except (NotHolderError, StoreUnavailableError, OutcomeUnknownError):
             # Another daemon may know more, or may have accepted the job that this one
             # did not commit.
@@ -180,6 +188,9 @@
     def _report_waiting(self, request: pb.CallRequest) -> pb.CallReply:
         """Report the state of a job that waits in the inbox for its route."""
         if not self._inbox().has_waiting_job(request.job_id, request.account):
+            if request.job_id in self._unknown_requests:
+                reason = "only a later version can tell whether the job exists"
+                return pb.CallReply(outcome=pb.UNCERTAIN, reason=reason)
             return pb.CallReply(outcome=pb.UNKNOWN_JOB)
         cancelled = any(
             may_see(cancel.account, request.account)
@@ -371,7 +382,10 @@
         self._log_unknown_job(job_id, "call")
         cancel = Cancel(job_id, request.route, request.account)
         self._pending_cancels.add(cancel)
-        row = InboxEntry(job_id, request.route, account=request.account).encode()
+        entry = InboxEntry(
+            RequestKind.CANCEL, job_id, request.route, account=request.account
+        )
+        row = entry.encode()
         self._commits.mark(TABLE_INBOX, pending_cancel_key(cancel), lambda: row)
         await self._commits.flushed()
         return self._report_waiting(request)
@@ -417,6 +431,15 @@
         if isinstance(error, UnreadableError):
             self._notes.note(Source.CELL_ROW, error)
 
+    def keep_unknown_request(self, job_id: str, error: UnknownKindError) -> None:
+        """Note a request of a later version; its row stays in the inbox.
+
+        It may have submitted the job, so that this daemon does not report that the job
+        does not exist.
+        """
+        self._unknown_requests.add(job_id)
+        self._notes.note(Source.CELL_ROW, error)
+
     def on_row_refused(self, table: str, key: str) -> None:
         """Give up a job of which a row can't be written.
 
--- a/src/streamthread/holder/tests/test_accounts.py
+++ b/src/streamthread/holder/tests/test_accounts.py
@@ -8,6 +8,7 @@
 from streamthread.cell import cell_pb2 as pb
 from streamthread.holder.admission import AdmissionPolicy
 from streamthread.holder.inbox import InboxEntry
+from streamthread.holder.inbox import RequestKind
 from streamthread.holder.pending_cancels import Cancel
 from streamthread.holder.pending_cancels import pending_cancel_key
 from streamthread.platform.accounts import digest_key
@@ -155,7 +156,7 @@
     def test_inbox_rows_without_an_account_can_be_decoded(self) -> None:
         old = json.dumps([JOB_ID, "route", "{}", 3, "desk"]).encode()
         assert InboxEntry.decode(old).account == ""
-        entry = InboxEntry(JOB_ID, "route", "{}", 3, "desk", "ann")
+        entry = InboxEntry(RequestKind.SUBMIT, JOB_ID, "route", "{}", 3, "desk", "ann")
         assert InboxEntry.decode(entry.encode()) == entry
 
 
@@ -212,7 +213,9 @@
 
     def test_an_acknowledged_job_is_accepted_anyway(self) -> None:
         cell = _Accounts(manifest(1, ann=99))
-        entry = InboxEntry(JOB_ID, "route", BODY.decode(), 1, "desk", "ann")
+        entry = InboxEntry(
+            RequestKind.SUBMIT, JOB_ID, "route", BODY.decode(), 1, "desk", "ann"
+        )
         assert cell.intake.accept_from_inbox(entry)
         assert cell.engine.jobs[JOB_ID].account == "ann"
 
--- a/src/streamthread/holder/tests/test_cancels_by_queue.py
+++ b/src/streamthread/holder/tests/test_cancels_by_queue.py
@@ -9,6 +9,7 @@
 from streamthread.cell import cell_pb2 as pb
 from streamthread.holder.inbox import InboxEntry
 from streamthread.holder.inbox import InboxReader
+from streamthread.holder.inbox import RequestKind
 from streamthread.platform.store import StoredRow
 
 from .test_intake import Cell
@@ -29,7 +30,7 @@
         cell = Cell()
         job = cell.add_job()
         feed: t.Any = None
-        row = InboxEntry(JOB_ID, "other").encode()
+        row = InboxEntry(RequestKind.CANCEL, JOB_ID, "other").encode()
         reader = InboxReader(feed, cell.intake)
         reader.take([StoredRow("cell-inbox", "main", "k", row, 1)])
         assert not job.cancelled
--- a/src/streamthread/holder/tests/test_forecasts.py
+++ b/src/streamthread/holder/tests/test_forecasts.py
@@ -14,6 +14,7 @@
 from streamthread.holder.forecasts import Forecasts
 from streamthread.holder.forecasts import RUNNERS_CACHE_S
 from streamthread.holder.inbox import InboxEntry
+from streamthread.holder.inbox import RequestKind
 from streamthread.platform.manifest import decode_manifest
 from streamthread.platform.manifest import Manifest
 from streamthread.scheduler import Job
@@ -191,7 +192,9 @@
         """Another daemon may have acknowledged it, and it runs."""
         pool = _Pool(ann=1.0)
         await pool.flood(20)
-        entry = InboxEntry("e" * 16, "route", BODY.decode(), 1, "desk", "ann")
+        entry = InboxEntry(
+            RequestKind.SUBMIT, "e" * 16, "route", BODY.decode(), 1, "desk", "ann"
+        )
         pool.inbox.arriving = lambda: pool.intake.accept_from_inbox(entry)
         assert (await pool.submit(job_id=entry.job_id)).outcome == pb.OK
 
@@ -257,7 +260,14 @@
             at_s = now_s - 3.0 + number / 2
             pool.intake.accept_from_inbox(
                 InboxEntry(
-                    f"{number:016x}", "route", BODY.decode(), 1, "desk", "ann", at_s
+                    RequestKind.SUBMIT,
+                    f"{number:016x}",
+                    "route",
+                    BODY.decode(),
+                    1,
+                    "desk",
+                    "ann",
+                    at_s,
                 )
             )
         jobs = list(pool.engine.jobs.values())
@@ -271,7 +281,14 @@
     async def test_inbox_jobs_are_accepted_as_before_without_weights(self) -> None:
         pool, now_s = _Pool(ann=0.0), time.time()
         entry = InboxEntry(
-            "e" * 16, "route", BODY.decode(), 1, "desk", "ann", now_s - 3.0
+            RequestKind.SUBMIT,
+            "e" * 16,
+            "route",
+            BODY.decode(),
+            1,
+            "desk",
+            "ann",
+            now_s - 3.0,
         )
         pool.intake.accept_from_inbox(entry)
         assert pool.engine.jobs[entry.job_id].accepted_at_s >= now_s
--- a/src/streamthread/holder/tests/test_inbox.py
+++ b/src/streamthread/holder/tests/test_inbox.py
@@ -1,15 +1,18 @@
 """Inbox rows are read again on request, and kept while they are needed."""
 
 import asyncio
+import json
 import typing as t
 
 import pytest
 
 from streamthread.errors import BadInputError
 from streamthread.errors import StoreUnavailableError
+from streamthread.errors import UnknownKindError
 from streamthread.holder.inbox import InboxEntry
 from streamthread.holder.inbox import InboxOwner
 from streamthread.holder.inbox import InboxReader
+from streamthread.holder.inbox import RequestKind
 from streamthread.holder.pending_cancels import Cancel
 from streamthread.platform.store import Page
 from streamthread.platform.store import StoredRow
@@ -19,7 +22,8 @@
 
 
 def _row(key: str, version: int, body: str = "") -> StoredRow:
-    value = InboxEntry(JOB_ID, "route", body).encode()
+    kind = RequestKind.SUBMIT if body else RequestKind.CANCEL
+    value = InboxEntry(kind, JOB_ID, "route", body).encode()
     return StoredRow("cell-inbox", "main", key, value, version)
 
 
@@ -53,6 +57,7 @@
         self.dropped: list[str] = []
         self.acknowledged: list[str] = []
         self.excluded: list[str] = []
+        self.unknown: list[str] = []
 
     def knows_job(self, job_id: str) -> bool:
         return job_id in self.jobs
@@ -75,6 +80,9 @@
     def exclude_job(self, job_id: str, error: BadInputError) -> None:
         self.excluded.append(job_id)
 
+    def keep_unknown_request(self, job_id: str, error: UnknownKindError) -> None:
+        self.unknown.append(error.key)
+
     def delete_row(self, key: str) -> None:
         self.dropped.append(key)
 
@@ -208,3 +216,63 @@
         reader.take([_row("job", 2, "body")])
         reader.retry()
         assert owner.may_arrive_calls == [False, True]
+
+
+JOB = '{"steps":[{"count":1,"cpu":100}]}'
+
+
+def _old_row(body: str) -> StoredRow:
+    """Return a row as a version without kinds wrote it."""
+    value = json.dumps([JOB_ID, "route", body, 0, "", "", 0.0]).encode()
+    return StoredRow("cell-inbox", "main", "key", value, 1)
+
+
+class TestKind:
+    # Guards against a cancel that is taken for a submission because it has a body.
+    @pytest.mark.parametrize("body", ["", "{}", JOB, "null", "\x00", "x" * 5000])
+    def test_of_a_cancel_is_independent_of_its_body(self, body: str) -> None:
+        reader, owner = _reader(_Store())
+        owner.jobs.add(JOB_ID)
+        entry = InboxEntry(RequestKind.CANCEL, JOB_ID, "route", body)
+        reader.take([StoredRow("cell-inbox", "main", "key", entry.encode(), 1)])
+        assert owner.cancelled == [JOB_ID] and not owner.acknowledged
+
+    # Guards against a submission that is taken for a cancel because it has no body.
+    def test_of_a_submission_is_independent_of_its_body(self) -> None:
+        reader, owner = _reader(_Store())
+        entry = InboxEntry(RequestKind.SUBMIT, JOB_ID, "route", "")
+        reader.take([StoredRow("cell-inbox", "main", "key", entry.encode(), 1)])
+        assert owner.jobs == {JOB_ID} and not owner.cancelled
+
+    # Guards against a row of a later version that is deleted, or hides its neighbours.
+    def test_that_is_unknown_leaves_the_row_and_others_alone(self) -> None:
+        reader, owner = _reader(_Store())
+        owner.jobs.add(JOB_ID)
+        value = json.dumps([JOB_ID, "route", JOB, 0, "", "", 0.0, "suspend"]).encode()
+        unknown = StoredRow("cell-inbox", "main", f"{JOB_ID}.1", value, 1)
+        cancel = InboxEntry(RequestKind.CANCEL, JOB_ID, "route").encode()
+        known = StoredRow("cell-inbox", "main", f"{JOB_ID}.2", cancel, 2)
+        reader.take([unknown, known])
+        assert owner.unknown == [unknown.key] and owner.dropped == [known.key]
+        assert owner.cancelled == [JOB_ID]
+        assert not owner.acknowledged and not owner.excluded
+
+    # Guards against a cancel of an earlier version that is lost in a rolling upgrade.
+    @pytest.mark.parametrize("body", ["", "{}", "null", "\x00"])
+    def test_of_an_earlier_cancel_follows_from_its_invalid_job(self, body: str) -> None:
+        reader, owner = _reader(_Store())
+        owner.jobs.add(JOB_ID)
+        reader.take([_old_row(body)])
+        assert owner.cancelled == [JOB_ID]
+
+    # Guards against a submission of an earlier version that is lost.
+    def test_of_an_earlier_submission_follows_from_its_job(self) -> None:
+        reader, owner = _reader(_Store())
+        reader.take([_old_row(JOB)])
+        assert owner.jobs == {JOB_ID} and not owner.cancelled
+
+    # Guards against a cancel with a body that an earlier version takes for a job.
+    def test_is_told_to_earlier_versions_by_the_body(self) -> None:
+        cancel = InboxEntry(RequestKind.CANCEL, JOB_ID, "route", "{}").encode()
+        submission = InboxEntry(RequestKind.SUBMIT, JOB_ID, "route", JOB).encode()
+        assert json.loads(cancel)[2] == "" and json.loads(submission)[2] == JOB
--- a/src/streamthread/holder/tests/test_intake.py
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -11,9 +11,11 @@
 from streamthread.cell import TABLE_INBOX
 from streamthread.errors import NotHolderError
 from streamthread.errors import StoreUnavailableError
+from streamthread.errors import UnknownKindError
 from streamthread.holder.admission import AdmissionPolicy
 from streamthread.holder.inbox import InboxEntry
 from streamthread.holder.inbox import InboxReader
+from streamthread.holder.inbox import RequestKind
 from streamthread.holder.intake import Intake
 from streamthread.holder.pending_cancels import Cancel
 from streamthread.platform.manifest import Manifest
@@ -293,7 +295,7 @@
     """
 
     def _read_inbox(self, cell: Cell) -> None:
-        entry = InboxEntry(JOB_ID, "route", BODY.decode())
+        entry = InboxEntry(RequestKind.SUBMIT, JOB_ID, "route", BODY.decode())
         row = StoredRow(TABLE_INBOX, "main", "key", entry.encode(), 1)
         InboxReader(t.cast(t.Any, None), cell.intake).take([row])
         assert cell.commits.is_marked(TABLE_INBOX, "key")
@@ -351,3 +353,33 @@
         cell.add_job()
         cell.intake.on_row_refused(table, key)
         assert not cell.engine.jobs[JOB_ID].over
+
+
+class TestUnknownRequest:
+    """A row or a call of a later version that this one does not know."""
+
+    UNKNOWN = UnknownKindError("unknown", remedy="-", key=f"{JOB_ID}.1", field="$[7]")
+
+    # Guards against "no such job" for one that a later version has acknowledged.
+    async def test_does_not_count_as_an_unknown_job(self) -> None:
+        cell = Cell()
+        cell.commits.may_commit.set()
+        cell.intake.keep_unknown_request(JOB_ID, self.UNKNOWN)
+        assert (await cell.ask(pb.STATE)).outcome == pb.UNCERTAIN
+
+    # Guards against a known job that a row of a later version makes unreachable.
+    async def test_leaves_a_known_job_to_its_callers(self) -> None:
+        cell = Cell()
+        cell.commits.may_commit.set()
+        job = cell.add_job()
+        cell.intake.keep_unknown_request(JOB_ID, self.UNKNOWN)
+        assert (await cell.ask(pb.STATE)).outcome == pb.OK
+        assert (await cell.ask(pb.CANCEL)).outcome == pb.OK
+        assert job.cancelled
+
+    # Guards against a call of an unknown kind that is answered as a read of the state.
+    async def test_that_is_a_call_gets_no_answer_of_another_kind(self) -> None:
+        cell = Cell()
+        cell.commits.may_commit.set()
+        cell.add_job()
+        assert (await cell.ask(t.cast(t.Any, 99))).outcome == pb.UNCERTAIN
--- a/tests/cell/test_cancels_without_job.py
+++ b/tests/cell/test_cancels_without_job.py
@@ -10,6 +10,7 @@
 from streamthread.cell.rows import TABLE_JOBS
 from streamthread.gateway import CellDaemon
 from streamthread.holder.inbox import InboxEntry
+from streamthread.holder.inbox import RequestKind
 from streamthread.platform.manifest import Route
 from streamthread.scheduler import encode_definition
 from streamthread.scheduler import Job
@@ -42,12 +43,12 @@
 
 async def _write_job(cell: Cell, route: str = ROUTE) -> None:
     """Write a job to the inbox, like a daemon that reaches no holder."""
-    entry = InboxEntry(JOB_ID, route, _long_running_job().decode())
+    entry = InboxEntry(RequestKind.SUBMIT, JOB_ID, route, _long_running_job().decode())
     await _put(cell, TABLE_INBOX, f"{JOB_ID}.job", entry.encode())
 
 
 async def _write_cancel(cell: Cell) -> None:
-    entry = InboxEntry(JOB_ID, ROUTE)
+    entry = InboxEntry(RequestKind.CANCEL, JOB_ID, ROUTE)
     await _put(cell, TABLE_INBOX, f"{JOB_ID}.cancel", entry.encode())
 
 
--- a/tests/cell/test_documents.py
+++ b/tests/cell/test_documents.py
@@ -7,6 +7,7 @@
 
 from streamthread.gateway import CellDaemon
 from streamthread.holder.inbox import InboxEntry
+from streamthread.holder.inbox import RequestKind
 from streamthread.platform.node import decode_node
 
 from .support import Cell
@@ -101,7 +102,9 @@
         async with running_cell({"desk": 1}) as cell:
             holder = await cell.until_ready()
             # As if version 2 sent the queue to another pool.
-            entry = InboxEntry("b" * 16, "route-desk", job().decode(), 2, "audit")
+            entry = InboxEntry(
+                RequestKind.SUBMIT, "b" * 16, "route-desk", job().decode(), 2, "audit"
+            )
             value = base64.b64encode(entry.encode()).decode()
             await cell.world.store.put("cell-inbox", "key", value, part="main")
             assert holder.holder is not None
