Give calls for advice the time that their policy asks for

Cause: the time limit of a call was a constant of 2.0 s. A call takes decide_ms, and each_ms for each runner that it names: 2.5 s for 30 runners at 82 ms. A call that was given up was repeated as it was.

Change: the limit follows from the policy, the number of runners and what earlier calls took. After a call without an answer the next one for this step names half as many runners and gets a longer limit for each. A ticket is valid from the earliest moment at which it can have been issued, not from the beginning of its call.

Why it works: no stated duration exceeds the limit, and against a service that is slower than stated the limit grows with each call that is given up.

--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -53,7 +53,7 @@
 log = logbook.Logger("streamthread.gateway")
 
 CLOUD_TIMEOUT_S = 2.0
-"""Timeout until the cloud, or the advice service, begins to answer."""
+"""Timeout until the cloud begins to answer."""
 
 INITIAL_BACKOFF_S = 1.0
 """A daemon that failed as the holder does not acquire the cell again for this time,
@@ -178,7 +178,7 @@
             self.cloud = CloudClient(node.cloud, CLOUD_TIMEOUT_S, self.notes)
         self.advice: AdviceClient | None = None
         if node.advice:
-            self.advice = AdviceClient(node.advice, CLOUD_TIMEOUT_S, self.notes)
+            self.advice = AdviceClient(node.advice, self.notes)
         self.documents = Documents(
             self.store,
             self.notes,
--- a/src/streamthread/holder/advice.py
+++ b/src/streamthread/holder/advice.py
@@ -8,12 +8,15 @@
 import logbook
 
 from ..clocks import boot_s
+from ..errors import NoAnswerError
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
+from ..platform.advice import Advice
 from ..platform.advice import AdviceClient
 from ..platform.manifest import AdvicePolicy
 from ..scheduler import RunnerState
 from ..scheduler import StepRun
+from .advice_times import AdviceTimes
 
 __all__ = ["AdviceCache"]
 
@@ -39,11 +42,14 @@
     """The service's answer for one step.
 
     :param requested: the step is queued for a call, or waits for its answer.
+    :param max_count: the next call names fewer runners than the last one, which was
+        given up without an answer; None: it was answered.
     """
 
     tickets: dict[str, str] = attrs.field(factory=dict)
     valid_until_s: float = 0.0
     requested: bool = False
+    max_count: int | None = None
 
 
 class AdviceCache:
@@ -68,6 +74,7 @@
         self._by_step: dict[StepRun, _StepTickets] = {}
         self._queue: collections.deque[StepRun] = collections.deque()
         self._wake = asyncio.Event()
+        self._times = AdviceTimes()
 
     def request(self, step: StepRun) -> None:
         """Queue a request for a step's tickets, after the requests already queued."""
@@ -135,33 +142,53 @@
         """Request tickets for one step; return False to queue the step again."""
         job = step.occurrence.job
         policy = self._policy(job.route)
-        runners = self._runners(job.service)[:RUNNERS_PER_CALL]
         if policy is None:
             # Without an entry, the step is requested again once its route has a policy.
             self._by_step.pop(step, None)
             return True
-        if not runners:
+        entry = self._by_step.setdefault(step, _StepTickets())
+        count = RUNNERS_PER_CALL if entry.max_count is None else entry.max_count
+        runner_ids = [r.runner_id for r in self._runners(job.service)[:count]]
+        if not runner_ids:
             return False
-        name = f"{job.job_id}.{step.occurrence.number}.{step.number}"
         began_at_s = boot_s()
-        try:
-            advice = await self._client.advise(name, [r.runner_id for r in runners])
-        except (StoreUnavailableError, OutcomeUnknownError) as error:
-            log.warning("advice-unanswered", extra={"step": name, "error": str(error)})
+        advice = await self._ask(step, entry, policy, runner_ids)
+        if advice is None:
             return False
-        entry = self._by_step.setdefault(step, _StepTickets())
+        issued_at_s = min(began_at_s + policy.duration_s(len(runner_ids)), boot_s())
         entry.tickets = {ticket.runner_id: ticket.text for ticket in advice.tickets}
         valid_s = policy.valid_s if advice.valid_s is None else advice.valid_s
-        entry.valid_until_s = began_at_s + valid_s * USABLE_SHARE
+        entry.valid_until_s = issued_at_s + valid_s * USABLE_SHARE
         entry.requested = False
-        log.info(
-            "advice",
-            extra={
-                "step": name,
-                "asked": len(runners),
-                "good": len(entry.tickets),
-                "took_s": round(boot_s() - began_at_s, 4),
-            },
-        )
         self._on_change()
         return True
+
+    async def _ask(
+        self,
+        step: StepRun,
+        entry: _StepTickets,
+        policy: AdvicePolicy,
+        runner_ids: t.Sequence[str],
+    ) -> Advice | None:
+        """Make one call; return None if it was not answered.
+
+        A call that was given up is followed by one for fewer runners.
+        """
+        name = f"{step.occurrence.job.job_id}.{step.occurrence.number}.{step.number}"
+        limit_s = self._times.time_limit_s(policy, len(runner_ids))
+        details = {"step": name, "asked": len(runner_ids), "limit_s": round(limit_s, 3)}
+        began_at_s = boot_s()
+        try:
+            advice = await self._client.advise(name, runner_ids, limit_s)
+        except (StoreUnavailableError, OutcomeUnknownError) as error:
+            if isinstance(error, NoAnswerError):
+                self._times.on_no_answer()
+                entry.max_count = max(1, len(runner_ids) // 2)
+            log.warning("advice-unanswered", extra={**details, "error": str(error)})
+            return None
+        took_s = boot_s() - began_at_s
+        self._times.on_answer(policy, len(runner_ids), took_s)
+        entry.max_count = None
+        details |= {"good": len(advice.tickets), "took_s": round(took_s, 4)}
+        log.info("advice", extra=details)
+        return advice
--- a/src/streamthread/holder/tests/test_advice.py
+++ b/src/streamthread/holder/tests/test_advice.py
@@ -23,7 +23,9 @@
         self.failures = failures
         self.steps: list[str] = []
 
-    async def advise(self, step: str, runner_ids: t.Sequence[str]) -> Advice:
+    async def advise(
+        self, step: str, runner_ids: t.Sequence[str], timeout_s: float
+    ) -> Advice:
         if self.failures:
             self.failures -= 1
             raise StoreUnavailableError("over its rate", remedy="-")
--- a/src/streamthread/platform/advice.py
+++ b/src/streamthread/platform/advice.py
@@ -13,10 +13,10 @@
 from .http import refuse_status
 from .http import ServiceClient
 
-__all__ = ["Advice", "AdviceClient", "Ticket"]
+__all__ = ["MAX_RUNNERS_PER_CALL", "Advice", "AdviceClient", "Ticket"]
 
 MAX_RUNNERS_PER_CALL = 100
-"""A call contains only this many runner ids; further ones are left out."""
+"""The service accepts no more runner ids in one call."""
 
 CONNECTIONS = 1
 """The service accepts one call at a time from each client."""
@@ -61,25 +61,30 @@
     """The client of the advice service.
 
     :param address: ``host:port``.
-    :param timeout_s: maximum time until an answer begins.
     """
 
-    def __init__(
-        self, address: str, timeout_s: float, notes: UnreadableNotes | None = None
-    ) -> None:
+    def __init__(self, address: str, notes: UnreadableNotes | None = None) -> None:
         self._notes = notes or UnreadableNotes()
-        super().__init__(address, timeout_s, CONNECTIONS, self._notes)
+        super().__init__(address, CONNECTIONS, self._notes)
         self.calls = 0
 
-    async def advise(self, step: str, runner_ids: t.Sequence[str]) -> Advice:
+    async def advise(
+        self, step: str, runner_ids: t.Sequence[str], timeout_s: float
+    ) -> Advice:
         """Ask which of the runners may run a step (``ID.K.STEP``).
 
         A row that cannot be decoded permits no runner.
+
+        :param runner_ids: at most :data:`MAX_RUNNERS_PER_CALL`.
+        :param timeout_s: maximum time until the answer begins.
+        :raises NoAnswerError: there was no answer in this time.
+        :raises StoreUnavailableError: the service refused the call for now.
+        :raises OutcomeUnknownError: there was no complete answer.
         """
         self.calls += 1
-        body = {"step": step, "workers": list(runner_ids[:MAX_RUNNERS_PER_CALL])}
+        body = {"step": step, "workers": list(runner_ids)}
         answer = await self._caller.call(
-            "POST", self._url + _ADVISE, body, timeout_s=self._timeout_s
+            "POST", self._url + _ADVISE, body, timeout_s=timeout_s
         )
         refuse_status(answer, self._url + _ADVISE)
         advice = self._caller.read(answer, _ADVICE)
--- a/src/streamthread/platform/cloud.py
+++ b/src/streamthread/platform/cloud.py
@@ -135,7 +135,8 @@
     def __init__(
         self, address: str, timeout_s: float, notes: UnreadableNotes | None = None
     ) -> None:
-        super().__init__(address, timeout_s, CONNECTIONS, notes)
+        self._timeout_s = timeout_s
+        super().__init__(address, CONNECTIONS, notes)
         self.calls: dict[str, int] = {"list": 0, "move": 0, "upkeep": 0}
 
     async def machines(self) -> MachineList:
--- a/src/streamthread/platform/http.py
+++ b/src/streamthread/platform/http.py
@@ -318,7 +318,6 @@
     """Base class for clients of a service with one address.
 
     :param address: ``host:port``.
-    :param timeout_s: maximum time until an answer begins.
     :param connections: maximum number of open connections.
     :param notes: records answers that cannot be decoded.
     """
@@ -326,12 +325,10 @@
     def __init__(
         self,
         address: str,
-        timeout_s: float,
         connections: int,
         notes: UnreadableNotes | None = None,
     ) -> None:
         self._url = f"http://{address}"
-        self._timeout_s = timeout_s
         self._caller = HttpCaller(connections, notes, tracks_calls=True)
 
     async def close(self) -> None:
--- a/src/streamthread/platform/manifest.py
+++ b/src/streamthread/platform/manifest.py
@@ -42,6 +42,8 @@
 class AdvicePolicy:
     """Restricts a queue's steps to the runners that the advice service permits.
 
+    :param decide_s: fixed duration of a call to the service.
+    :param each_s: additional duration for each runner that the call names.
     :param valid_s: how long a ticket is valid.
     """
 
@@ -49,6 +51,10 @@
     each_s: float
     valid_s: float
 
+    def duration_s(self, count: int) -> float:
+        """Return how long a call takes that names this number of runners."""
+        return self.decide_s + self.each_s * count
+
 
 @attrs.frozen
 class Route:
--- a/src/streamthread/platform/store.py
+++ b/src/streamthread/platform/store.py
@@ -176,7 +176,8 @@
         self, address: str, timeout_s: float, notes: UnreadableNotes | None = None
     ) -> None:
         self._notes = notes or UnreadableNotes()
-        super().__init__(address, timeout_s, CONNECTIONS, self._notes)
+        self._timeout_s = timeout_s
+        super().__init__(address, CONNECTIONS, self._notes)
         self.calls: dict[str, int] = {"transact": 0, "read": 0, "feed": 0}
 
     async def transact(
--- a/src/streamthread/standins/cell/__init__.py
+++ b/src/streamthread/standins/cell/__init__.py
@@ -1,5 +1,9 @@
 """Small stand-ins for the platform of a cell: store, runners and cloud, with faults."""
 
+from .advice import AdviceCall
+from .advice import AdviceFaults
+from .advice import AdviceStandin
+from .advice import PolicyFigures
 from .cloud import CloudStandin
 from .cloud import Duty
 from .cloud import MachineStandin
@@ -10,10 +14,14 @@
 from .world import CellWorld
 
 __all__ = [
+    "AdviceCall",
+    "AdviceFaults",
+    "AdviceStandin",
     "CellWorld",
     "CloudStandin",
     "Duty",
     "MachineStandin",
+    "PolicyFigures",
     "RunnerStandin",
     "StartedRun",
     "StoreFaults",
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -29,7 +29,7 @@
 """Time from the start of a task that crashes its runner until the crash."""
 
 POLL_S = 0.01
-"""How often a waiting hold call checks for ended runs."""
+"""How often a waiting hold call checks for ended runs, by default."""
 
 MAX_ENDS = 500
 """Maximum number of ended runs in one answer."""
@@ -37,6 +37,9 @@
 MAX_HOLD_MS = 4000
 """A longer lease is shortened to this; equals `maxHoldMs` in the daemons' settings."""
 
+TicketCheck = t.Callable[[str, str, str], bool]
+"""Returns whether a ticket permits a task on a runner."""
+
 CrashCallback = t.Callable[["RunnerStandin", tuple[str, int]], None]
 """Callback for a runner that a run has crashed."""
 
@@ -117,6 +120,7 @@
         the time of each start.
     :param resized_at_s: when its capacity changed last.
     :param on_crash: called when a task has crashed the runner.
+    :param has_ticket: checks the ticket of each start; None: starts need none.
     """
 
     def __init__(
@@ -133,7 +137,10 @@
         clock_zero_s: float = 0.0,
         reports_birth: bool = True,
         zone: str = "here",
+        has_ticket: TicketCheck | None = None,
     ) -> None:
+        self._has_ticket = has_ticket
+        self.poll_s = POLL_S
         self.zone = zone
         self.cold_left_ms: int | None = None
         self._on_crash = on_crash
@@ -338,6 +345,9 @@
             return "old"
         if body["deadlineMs"] < self._clock_ms():
             return "late"
+        if self._has_ticket is not None:
+            if not self._has_ticket(body.get("ticket", ""), task, self.runner_id):
+                return "ticket"
         spec = json.loads(body["spec"] or "{}")
         used = sum(int(run.spec.get("cpu", 0)) for run in self._runs.values())
         if used + int(spec.get("cpu", 0)) > self.cpu:
@@ -399,7 +409,7 @@
         self._confirm(body["observed"])
         until_s = time.monotonic() + body.get("waitMs", 0) / 1000
         while not self._ends and time.monotonic() < until_s:
-            await asyncio.sleep(POLL_S)
+            await asyncio.sleep(self.poll_s)
             self._advance()
         if not self.alive:
             return web.Response(status=421)
--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -8,6 +8,7 @@
 
 import attrs
 
+from .advice import AdviceStandin
 from .cloud import CloudStandin
 from .cloud import MachineStandin
 from .runner import RunnerStandin
@@ -52,6 +53,8 @@
         left out.
     :param evacuations: all evacuations that were requested.
     :param services: further fields of the services of future manifests, by name.
+    :param advice: the advice service, whose policy holds for all routes; None: any
+        runner may run any step.
     :param crashes: ids of the runners that a task has crashed.
     :param crashed_runs: the task and run number of each run that crashed its runner.
     """
@@ -63,7 +66,9 @@
         keeps_ids: bool = False,
         reports_birth: bool = True,
         halls: t.Sequence[str] = ("here",),
+        advice: AdviceStandin | None = None,
     ) -> None:
+        self.advice = advice
         self.store = StoreStandin()
         self.cloud = CloudStandin(self._make_runner, self._end_incarnation)
         self.started: list[StartedRun] = []
@@ -87,6 +92,8 @@
         """Open all ports and write the first manifest."""
         await self.store.port.open()
         await self.cloud.port.open()
+        if self.advice is not None:
+            await self.advice.port.open()
         await self.write_manifest(1)
         for pool, count in self._pools.items():
             for _ in range(count):
@@ -97,6 +104,8 @@
         for runner in self.runners:
             await runner.port.close()
         await self.cloud.port.close()
+        if self.advice is not None:
+            await self.advice.port.close()
         await self.store.port.close()
 
     async def _add_machine(self, pool: str) -> None:
@@ -131,6 +140,7 @@
             clock_zero_s=time.monotonic() if runner_id else 0.0,
             reports_birth=self.reports_birth or bool(runner_id),
             zone=self.cloud.machines[machine_id].zone,
+            has_ticket=self.advice.is_valid if self.advice is not None else None,
         )
         runner.machine_id = machine_id
         await runner.port.open(port)
@@ -158,6 +168,8 @@
 
         :param more_routes: number of additional routes to the first pool.
         """
+        if self.advice is not None:
+            route.setdefault("advice", self.advice.manifest_row())
         routes = [
             {
                 "name": f"route-{pool}",
@@ -265,6 +277,11 @@
             return ""
         return str(json.loads(base64.b64decode(row[0]))["state"])
 
+    def _advice_address(self) -> dict[str, str]:
+        if self.advice is None:
+            return {}
+        return {"advice": self.advice.port.address}
+
     def node_settings(
         self, daemon_id: str, ip: str = "127.0.0.1", zone: str = "here"
     ) -> str:
@@ -274,6 +291,7 @@
             bounds["evacuateMs"] = self.evacuate_ms
         return json.dumps(
             {
+                **self._advice_address(),
                 "node": daemon_id,
                 "zone": zone,
                 "ip": ip,
--- a/tests/test_unreadable.py
+++ b/tests/test_unreadable.py
@@ -158,7 +158,7 @@
     "machines": (_ask(CloudClient("127.0.0.1:1", 1.0), "machines"), MACHINES),
     "duty": (_refused(MOVE), {"reason": "busy"}),
     "advice": (
-        _ask(AdviceClient("127.0.0.1:1", 1.0), "advise", "a.0.0", ["i-1"]),
+        _ask(AdviceClient("127.0.0.1:1"), "advise", "a.0.0", ["i-1"], 1.0),
         {"good": [["i-1", "ticket"]], "valid_ms": 3000},
     ),
     "hold": (
