Ask about all usable runners of a pool in turn

A job also waited for 0.8 of valid_ms beside a runner that had come after an empty answer.

Cause: each call for advice named the first 30 runners of the pool, a constant, and its answer counted for the step, not for the runners that it named.

Evidence: tests/cell/test_advice.py::TestRunnersOfAPool on the code before: failed with 40 runners of which the last one is permitted ("is pending, not completed"), and with a runner that comes after the answer.

Change: an answer counts for the runners that its call named. All usable runners are asked about in turn, those with room, in the rack of the data and likely to be permitted first, as far as the waiting tasks need them. Steps take turns: those whose call can lead to a start, then those whose runners are all busy, then those that wait for others. A call takes a turn of 0.5 s, or twice its fixed time (docs/design/advice.md).

Why it works: a runner without a valid answer stays a candidate while tasks wait and it has room, so that none is left out, and one that came later is asked about like the others. Each call either adds answers or is followed by a smaller one.

--- a/bench/advice.py
+++ b/bench/advice.py
@@ -9,12 +9,14 @@
 
 import argparse
 import asyncio
+import functools
 import json
 import pathlib
 import statistics
 import tempfile
 import time
 import typing as t
+import zlib
 
 import aiohttp
 import attrs
@@ -115,9 +117,18 @@
         await asyncio.sleep(0.1)
 
 
-async def measure(runners: int, each_ms: float, code: str) -> dict[str, t.Any]:
+def _permits(step: str, runner_id: str, one_in: int) -> bool:
+    """Whether a policy that permits one runner in some permits this one."""
+    return zlib.crc32(f"{step} {runner_id}".encode()) % one_in == 0
+
+
+async def measure(
+    runners: int, each_ms: float, one_in: int, code: str
+) -> dict[str, t.Any]:
     """Play one pool with one policy."""
-    advice = AdviceStandin(figures=PolicyFigures(DECIDE_MS, each_ms))
+    advice = AdviceStandin(
+        functools.partial(_permits, one_in=one_in), PolicyFigures(DECIDE_MS, each_ms)
+    )
     world = CellWorld({"desk": runners}, advice=advice)
     await world.open()
     for runner in world.runners:
@@ -133,7 +144,11 @@
         finally:
             await daemon.close()
             await world.close()
-    found: dict[str, t.Any] = {"runners": runners, "each_ms": each_ms}
+    found: dict[str, t.Any] = {
+        "runners": runners,
+        "each_ms": each_ms,
+        "one_in": one_in,
+    }
     for phase in phases:
         found[phase.name] = _report(world, phase)
     tickets_refused = advice.tickets_refused
@@ -145,10 +160,13 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--daemon-path", default="", help="other code of the daemon")
     parser.add_argument("--runners", type=int, nargs="+", default=RUNNERS)
+    parser.add_argument("--one-in", type=int, default=1, help="runners permitted")
     arguments = parser.parse_args()
     for runners in arguments.runners:
         for each_ms in EACH_MS:
-            found = asyncio.run(measure(runners, each_ms, arguments.daemon_path))
+            found = asyncio.run(
+                measure(runners, each_ms, arguments.one_in, arguments.daemon_path)
+            )
             print(json.dumps(found), flush=True)
 
 
--- a/src/streamthread/holder/advice_times.py
+++ b/src/streamthread/holder/advice_times.py
@@ -1,14 +1,23 @@
-"""How long calls for advice take."""
+"""How long calls for advice take, and how many runners one call may name."""
 
 import attrs
 
+from ..platform.advice import MAX_RUNNERS_PER_CALL
 from ..platform.manifest import AdvicePolicy
 
 __all__ = ["AdviceTimes"]
 
+TURN_S = 0.5
+"""A call names only as many runners as the service can answer for in this time, since
+all other steps wait for it. At high fixed costs a call takes longer."""
+
 OVERHEAD_S = 0.05
 """Duration of a call beside what the policy says: the network and a busy event loop."""
 
+EXTRA_SHARE = 0.5
+"""A call may name more runners than needed if these add no more than this share of its
+fixed duration: a second call would cost the whole of it."""
+
 LIMIT_FACTOR = 2.0
 """A call is given up after this many times its expected duration."""
 
@@ -46,6 +55,26 @@
         """Return when a call for this number of runners is given up."""
         return LIMIT_FACTOR * self.expected_s(policy, count) + LIMIT_SLACK_S
 
+    def max_count(self, policy: AdvicePolicy) -> int:
+        """Return how many runners one call may name.
+
+        A call takes no longer than :data:`TURN_S`, or else twice its fixed time: with
+        fewer runners, most of the service's time would be spent on fixed costs.
+        """
+        if policy.each_s <= 0:
+            return MAX_RUNNERS_PER_CALL
+        within_turn_s = TURN_S / self.slowness - OVERHEAD_S - policy.decide_s
+        count = max(within_turn_s, policy.decide_s) / policy.each_s
+        return int(min(max(1.0, count), MAX_RUNNERS_PER_CALL))
+
+    @staticmethod
+    def extra_count(policy: AdvicePolicy) -> int:
+        """Return how many more runners a call may name than are needed."""
+        if policy.each_s <= 0:
+            return MAX_RUNNERS_PER_CALL
+        extra = EXTRA_SHARE * policy.decide_s / policy.each_s
+        return int(min(extra, MAX_RUNNERS_PER_CALL))
+
     def on_answer(self, policy: AdvicePolicy, count: int, took_s: float) -> None:
         """Record how long an answer took."""
         slowness = max(1.0, took_s / _stated_s(policy, count))
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -25,6 +25,7 @@
 from ..scheduler import Engine
 from ..scheduler import Job
 from ..scheduler import StepRun
+from ..scheduler.fleet import RunnerState
 from ..scheduler.fleet import usable_runners
 from ..scheduler.orders import OrderSender
 from ..scheduler.orders import SenderOwner
@@ -158,10 +159,13 @@
         return AdviceCache(
             self.context.advice,
             self._policy,
-            lambda pool: usable_runners(self.engine.runners.values(), pool),
+            self._usable_runners,
             self.kick,
         )
 
+    def _usable_runners(self, pool: str, last_resort: bool) -> list[RunnerState]:
+        return usable_runners(self.engine.runners.values(), pool, last_resort)
+
     def _open_intake(self) -> Intake:
         return Intake(
             self.engine,
--- a/src/streamthread/holder/tests/test_advice.py
+++ b/src/streamthread/holder/tests/test_advice.py
@@ -45,7 +45,7 @@
     return AdviceCache(
         t.cast(t.Any, client),
         lambda route: policy,
-        lambda pool: [runner, other],
+        lambda pool, last_resort: [runner, other],
         lambda: None,
     )
 
--- a/src/streamthread/holder/tests/test_advice_times.py
+++ b/src/streamthread/holder/tests/test_advice_times.py
@@ -53,7 +53,10 @@
     """Run a cache until a step has tickets."""
     runners, step = _runners(60), _step()
     cache = AdviceCache(
-        t.cast(t.Any, service), lambda route: policy, lambda pool: runners, lambda: None
+        t.cast(t.Any, service),
+        lambda route: policy,
+        lambda pool, last_resort: runners,
+        lambda: None,
     )
     running = asyncio.ensure_future(cache.run())
     try:
--- a/tests/cell/test_advice.py
+++ b/tests/cell/test_advice.py
@@ -52,3 +52,42 @@
         async with _running(4, advice) as cell:
             await cell.caller().submit(JOB_ID, job())
             await until(lambda: _has_started(cell), "the job starts")
+
+
+class TestRunnersOfAPool:
+    # Guards against a job that never starts as none of the first runners may run it.
+    async def test_beyond_the_first_ones_are_asked_about(self) -> None:
+        advice = AdviceStandin(figures=PolicyFigures(decide_ms=20, each_ms=20))
+        async with _running(40, advice) as cell:
+            last = cell.world.runners[-1].runner_id
+            advice.may_run = lambda step, runner_id: runner_id == last
+            await cell.caller().submit(JOB_ID, job(count=2))
+            await cell.caller().until_state(JOB_ID, "completed")
+            assert {run.runner_id for run in cell.world.started} == {last}
+
+    # Guards against a job that waits beside an idle runner that came after an answer.
+    async def test_that_come_later_are_asked_about(self) -> None:
+        advice = AdviceStandin(figures=PolicyFigures(20, 5, valid_ms=60_000))
+        async with _running(4, advice) as cell:
+            first = {runner.runner_id for runner in cell.world.runners}
+            advice.may_run = lambda step, runner_id: runner_id not in first
+            await cell.caller().submit(JOB_ID, job())
+            await until(lambda: len(advice.calls) > 0, "the first runners are denied")
+            await cell.restart(lambda runner: True)
+            await cell.caller().until_state(JOB_ID, "completed")
+
+    # Guards against steps that wait while calls for others hold up the service.
+    async def test_are_found_for_many_steps_that_wait(self) -> None:
+        advice = AdviceStandin(figures=PolicyFigures(decide_ms=10, each_ms=10))
+        async with _running(24, advice) as cell:
+            # One runner in eight is permitted, another one for each job.
+            advice.may_run = lambda step, runner_id: (
+                (int(step[:2], 16) + int(runner_id[2:]) // 2) % 8 == 0
+            )
+            caller = cell.caller()
+            ids = [f"{number:02x}" * 8 for number in range(30)]
+            for job_id in ids:
+                assert await caller.submit(job_id, job(count=2, cpu=4000)) == 200
+            for job_id in ids:
+                await caller.until_state(job_id, "completed")
+            assert advice.tickets_refused == 0
