Repeat a read of a job's state that was late

Cause: a daemon read the state from the store once for each request, within 0.3 s. Beside a stall of the event loop the time ran out, and the request waited for the next holder until its callers got 504.

Change: a failed read is repeated while the caller waits, no sooner than 0.3 s after the last one. An answer of the store is final, as before. test_say_nothing_if_the_store_or_a_row_cannot_be_read expected no answer for a store that is down; it is divided, and expects an error for the store, which makes the request read again, and no answer for the row.

Why it works: the store answers within milliseconds there, so that the second read does what the first one was too late for.

The new test failed before.

--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -57,6 +57,10 @@
 three times as many."""
 
 
+READ_INTERVAL_S = 0.3
+"""A failed read of a job's state is repeated no sooner. A store that refuses all reads
+gets five for a request then."""
+
 OVERDUE_CHECK_S = 0.02
 """Interval between checks of the heartbeats while a forwarded call has no answer."""
 
@@ -109,12 +113,14 @@
 
     :param uncertain: an earlier attempt may have been carried out.
     :param in_attempt: an attempt has begun and has no answer yet.
-    :param state_read: the store was asked for the job's state.
+    :param state_read: the job's state was looked up in the store.
+    :param read_not_before_s: boot clock time before which it is not looked up again.
     """
 
     uncertain: bool = False
     in_attempt: bool = False
     state_read: bool = False
+    read_not_before_s: float = 0.0
 
     @property
     def may_have_arrived(self) -> bool:
@@ -271,14 +277,24 @@
     async def _find_stored(
         self, request: pb.CallRequest, progress: _Progress
     ) -> pb.CallReply | None:
-        """Return a state from the store, which is asked once for each request."""
+        """Return a state from the store, which is read once for each request.
+
+        A read that failed, as it may beside a stall of the event loop, is repeated.
+        """
         states = self._states
         if request.kind != pb.STATE or states is None or progress.state_read:
             return None
         if states.busy or not self._is_holder_overdue():
             return None
+        if boot_s() < progress.read_not_before_s:
+            return None
+        progress.read_not_before_s = boot_s() + READ_INTERVAL_S
+        try:
+            reply = await states.find(request)
+        except StoreUnavailableError:
+            return None
         progress.state_read = True
-        return await states.find(request)
+        return reply
 
     def _may_use_inbox(self, inbox_at_s: float) -> bool:
         """Whether a change that got no answer may be written to the inbox now."""
--- a/src/streamthread/gateway/stored_states.py
+++ b/src/streamthread/gateway/stored_states.py
@@ -49,21 +49,28 @@
         return self._reading >= MAX_READS
 
     async def find(self, request: pb.CallRequest) -> pb.CallReply | None:
-        """Return the state of a job, or None if the store does not tell it now."""
+        """Return the state of a job, or None if the store does not tell it.
+
+        :raises StoreUnavailableError: the store was not read; call again.
+        """
         self._reading += 1
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
                 reply = await self._read(request)
-        except (
-            BadInputError,
-            OutcomeUnknownError,
-            StoreUnavailableError,
-            TimeoutError,
-        ) as error:
+        except BadInputError as error:
             log.info(
                 "state-unread", extra={"job": request.job_id, "error": repr(error)}
             )
             return None
+        except (OutcomeUnknownError, StoreUnavailableError, TimeoutError) as error:
+            log.info(
+                "state-unread", extra={"job": request.job_id, "error": repr(error)}
+            )
+            raise StoreUnavailableError(
+                "the job's rows were not read in time",
+                remedy="they are read again while the caller waits",
+                location=request.job_id,
+            ) from error
         finally:
             self._reading -= 1
         if reply is not None:
--- a/src/streamthread/gateway/tests/test_forwarding.py
+++ b/src/streamthread/gateway/tests/test_forwarding.py
@@ -236,13 +236,18 @@
 class _States:
     """Finds a state in the store, or nothing."""
 
-    def __init__(self, reply: pb.CallReply | None, busy: bool = False) -> None:
+    def __init__(
+        self, reply: pb.CallReply | None, busy: bool = False, failures: int = 0
+    ) -> None:
         self.reply = reply
         self.busy = busy
+        self.failures = failures
         self.reads = 0
 
     async def find(self, request: pb.CallRequest) -> pb.CallReply | None:
         self.reads += 1
+        if self.reads <= self.failures:
+            raise StoreUnavailableError("not read in time", remedy="-")
         return self.reply
 
 
@@ -316,6 +321,26 @@
             reply = await forwarder.ask(STATE, boot_s() + NEVER_S)
         assert reply.outcome == pb.UNCERTAIN and states.reads == 1
 
+    # Guards against callers that get a 504 since one read was late beside a stall.
+    async def test_have_a_state_read_again_if_it_was_not_read(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(forwarding, "READ_INTERVAL_S", 0.02)
+        found = pb.CallReply(outcome=pb.OK, state="completed")
+        states = _States(found, failures=2)
+        forwarder, _ = _forwarder_with_overdue_holder(_Store(), states)
+        async with asyncio.timeout(SOON_S):
+            assert await forwarder.ask(STATE, boot_s() + NEVER_S) == found
+        assert states.reads == 3
+
+    # Guards against a refusing store that gets reads without a pause.
+    async def test_have_few_reads_while_the_store_refuses_them(self) -> None:
+        states = _States(None, failures=1000)
+        forwarder, _ = _forwarder_with_overdue_holder(_Store(), states, healthy=False)
+        async with asyncio.timeout(SOON_S):
+            await forwarder.ask(STATE, boot_s() + NEVER_S)
+        assert 1 <= states.reads <= 2
+
     async def test_have_no_state_read_while_many_are(self) -> None:
         states = _States(None, busy=True)
         forwarder, _ = _forwarder_with_overdue_holder(_Store(), states, healthy=False)
--- a/src/streamthread/gateway/tests/test_stored_states.py
+++ b/src/streamthread/gateway/tests/test_stored_states.py
@@ -3,6 +3,8 @@
 import types
 import typing as t
 
+import pytest
+
 from streamthread.cell import cell_pb2 as pb
 from streamthread.cell import TABLE_INBOX
 from streamthread.cell import TABLE_JOBS
@@ -94,10 +96,14 @@
             cell.store.rows[TABLE_INBOX, f"{JOB_ID}.1"] = b"{}"
             assert await cell.state() == state
 
-    async def test_say_nothing_if_the_store_or_a_row_cannot_be_read(self) -> None:
+    async def test_say_that_the_store_was_not_read(self) -> None:
         cell = _Cell(_job())
         cell.store.down = True
-        assert await cell.state() is None
+        with pytest.raises(StoreUnavailableError):
+            await cell.state()
+        assert not cell.states.busy and cell.states.answered == 0
+
+    async def test_say_nothing_if_a_row_cannot_be_read(self) -> None:
         cell = _Cell(_job())
         cell.store.rows[TABLE_JOBS, JOB_ID] = b"{"
         assert await cell.state() is None
