Decode the parts of an answer that no parser takes as a whole

Other operators reported daemons that ended, or no longer followed a list, because of one odd entry. Here no process ended, but one machine, route, ticket or row that is nested by over 1,000 levels, has half a character in it or is no JSON made the whole list of machines, configuration, answer for advice or page of a table that others write unreadable, again and again.

Cause: parts were decoded one by one, but the parser has to skip each part to find the next one, and its error was that of the whole answer.

Change: where the parser fails, the answer is divided by its texts and brackets alone, and each part is decoded by itself. Tables of our own are still read whole or not at all. An odd entry of a runner, a request of an unknown kind in the inbox and a member's odd address were ignored alone already; tests with daemons cover them and each list that has an odd part, also over a change of the holder.

Why it works: the division needs no stack and looks at no value, so that no part affects where the next one begins.

--- a/src/streamthread/decoding.py
+++ b/src/streamthread/decoding.py
@@ -13,6 +13,8 @@
 import msgspec
 
 from .errors import UnreadableError
+from .json_parts import split_array
+from .json_parts import split_object
 
 __all__ = [
     "OWN_ROW_REMEDY",
@@ -23,6 +25,7 @@
     "LenientDecoder",
     "Name",
     "Number",
+    "PartsDecoder",
     "Text",
     "is_host_port",
 ]
@@ -132,6 +135,53 @@
         return UnreadableError(message, remedy=self._remedy, key=key, field=field)
 
 
+class PartsDecoder(Decoder[T]):
+    """Decodes objects with lists of parts that are decoded one by one.
+
+    A part that the parser can't even skip, such as one that is nested too deeply, is in
+    the list like the others, and fails when it is decoded itself.
+
+    :param kind: a ``msgspec`` struct; the parts are fields of the type
+        ``list[msgspec.Raw]``.
+    """
+
+    def _parse(self, text: bytes | msgspec.Raw) -> T:
+        try:
+            return super()._parse(text)
+        except msgspec.ValidationError:
+            # The text is JSON of another type, whatever its parts are.
+            raise
+        except (msgspec.MsgspecError, RecursionError):
+            return t.cast(T, self._parse_by_parts(bytes(text)))
+
+    def _parse_by_parts(self, text: bytes) -> t.Any:
+        members = split_object(text)
+        values: dict[str, t.Any] = {}
+        for field in msgspec.structs.fields(self._kind):
+            member = members.get(field.encode_name.encode())
+            if member is None:
+                if field.required:
+                    message = f"Object missing required field `{field.encode_name}`"
+                    raise msgspec.ValidationError(message)
+            elif _is_list_of_parts(field.type) and member != b"null":
+                values[field.name] = [msgspec.Raw(p) for p in split_array(member)]
+            else:
+                values[field.name] = _parse_member(field, member)
+        return self._kind(**values)
+
+
+def _parse_member(field: msgspec.structs.FieldInfo, text: bytes) -> t.Any:
+    try:
+        return msgspec.json.decode(text, type=field.type)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        message = f"{error} - at `$.{field.encode_name}`"
+        raise msgspec.ValidationError(message) from error
+
+
+def _is_list_of_parts(kind: t.Any) -> bool:
+    return list[msgspec.Raw] in (kind, *t.get_args(kind))
+
+
 class LenientDecoder(Decoder[T]):
     """Decodes texts with halves of characters in them, too.
 
--- a/src/streamthread/platform/advice.py
+++ b/src/streamthread/platform/advice.py
@@ -7,6 +7,7 @@
 
 from ..decoding import Amount
 from ..decoding import Decoder
+from ..decoding import PartsDecoder
 from ..errors import UnreadableError
 from ..unreadable import Source
 from ..unreadable import UnreadableNotes
@@ -53,7 +54,7 @@
     validMs: Amount | None = None  # noqa: N815
 
 
-_ADVICE = Decoder[_AdviceAnswer](_AdviceAnswer)
+_ADVICE = PartsDecoder[_AdviceAnswer](_AdviceAnswer)
 _TICKETS = Decoder[_TicketRow](_TicketRow)
 
 
--- a/src/streamthread/platform/cloud.py
+++ b/src/streamthread/platform/cloud.py
@@ -8,6 +8,7 @@
 
 from ..decoding import Decoder
 from ..decoding import Name
+from ..decoding import PartsDecoder
 from ..decoding import Text
 from ..errors import OutcomeUnknownError
 from ..errors import UnreadableError
@@ -115,9 +116,9 @@
     reason: t.Literal["fence", "busy", "wave"]
 
 
-_PAGES = Decoder[_MachinesAnswer](_MachinesAnswer)
+_PAGES = PartsDecoder[_MachinesAnswer](_MachinesAnswer)
 _MACHINES = Decoder[_MachineRow](_MachineRow)
-_MACHINE_NAMES = Decoder[_MachineName](_MachineName)
+_MACHINE_NAMES = PartsDecoder[_MachineName](_MachineName)
 _DUTIES = Decoder[_DutyAnswer](_DutyAnswer)
 
 MAX_PAGES = 1000
--- a/src/streamthread/platform/manifest.py
+++ b/src/streamthread/platform/manifest.py
@@ -10,6 +10,7 @@
 from ..decoding import Amount
 from ..decoding import Count
 from ..decoding import Decoder
+from ..decoding import PartsDecoder
 from ..errors import UnreadableError
 from .accounts import Account
 from .accounts import AccountRow
@@ -203,11 +204,11 @@
 MAX_MANIFEST_BYTES = 16 * 1024 * 1024
 """Maximum size of a configuration: 4,450 routes take 1.1 MB."""
 
-_MANIFESTS = Decoder[_ManifestRow](_ManifestRow, MAX_MANIFEST_BYTES)
+_MANIFESTS = PartsDecoder[_ManifestRow](_ManifestRow, MAX_MANIFEST_BYTES)
 _ROUTES = Decoder[_RouteRow](_RouteRow)
 _POOLS = Decoder[_PoolRow](_PoolRow)
 _ACCOUNTS = Decoder[AccountRow](AccountRow)
-_NAMED = Decoder[_Named](_Named)
+_NAMED = PartsDecoder[_Named](_Named)
 
 TEXT_DIGEST_BYTES = 16
 """Length of a text's digest, large enough to rule out accidental collisions."""
--- a/src/streamthread/platform/store.py
+++ b/src/streamthread/platform/store.py
@@ -10,6 +10,7 @@
 from ..decoding import Count
 from ..decoding import Decoder
 from ..decoding import LenientDecoder
+from ..decoding import PartsDecoder
 from ..errors import BadInputError
 from ..errors import OutcomeUnknownError
 from ..errors import StoreUnavailableError
@@ -146,7 +147,7 @@
 
 class _PageByRowsAnswer(msgspec.Struct):
     ver: Count
-    rows: list[t.Any] = []
+    rows: list[msgspec.Raw] = []
     more: bool = False
 
 
@@ -159,9 +160,10 @@
 
 
 _PAGES = Decoder[_PageAnswer](_PageAnswer)
-_PAGES_BY_ROWS = LenientDecoder[_PageByRowsAnswer](_PageByRowsAnswer)
-_ROWS = Decoder[_RowAnswer](_RowAnswer)
-_ROW_KEYS = Decoder[_RowKey](_RowKey)
+_PAGES_BY_ROWS = PartsDecoder[_PageByRowsAnswer](_PageByRowsAnswer)
+_ROWS = PartsDecoder[_RowAnswer](_RowAnswer)
+_LENIENT_ROWS = LenientDecoder[_RowAnswer](_RowAnswer)
+_ROW_KEYS = PartsDecoder[_RowKey](_RowKey)
 _WRITTEN = Decoder[_WrittenAnswer](_WrittenAnswer)
 
 
@@ -271,9 +273,9 @@
     def _page_by_rows(self, answer: Answer) -> Page:
         page = self._caller.read(answer, _PAGES_BY_ROWS)
         rows: list[StoredRow] = []
-        for value in page.rows:
+        for text in page.rows:
             try:
-                rows.append(_stored_row(_ROWS.convert(value, answer.url)))
+                rows.append(_stored_row(_read_row(text, answer.url)))
             except UnreadableError as error:
                 self._notes.note(Source.ANSWER, error)
         if not page.more:
@@ -334,7 +336,18 @@
     return Page(rows, answer.ver, _next_key(rows[-1].key))
 
 
-def _start_after(rows: t.Sequence[t.Any], url: str) -> str:
+def _read_row(text: msgspec.Raw, url: str) -> _RowAnswer:
+    """Decode one row of a table that others write.
+
+    :raises UnreadableError: the row can't be decoded.
+    """
+    try:
+        return _ROWS.decode(text, url)
+    except UnreadableError:
+        return _LENIENT_ROWS.decode(text, url)
+
+
+def _start_after(rows: t.Sequence[msgspec.Raw], url: str) -> str:
     """Return the start of the page that follows these rows, decoded or not.
 
     :raises OutcomeUnknownError: the key of the last row can't be decoded.
@@ -342,7 +355,7 @@
     if not rows:
         raise _unfinished(url)
     try:
-        return _next_key(_ROW_KEYS.convert(rows[-1], url).key)
+        return _next_key(_ROW_KEYS.decode(rows[-1], url).key)
     except UnreadableError as error:
         raise _unfinished(url) from error
 
--- a/src/streamthread/standins/cell/__init__.py
+++ b/src/streamthread/standins/cell/__init__.py
@@ -7,6 +7,7 @@
 from .cloud import CloudStandin
 from .cloud import Duty
 from .cloud import MachineStandin
+from .odd import ODD_PARTS
 from .runner import RunnerStandin
 from .runner import StartedRun
 from .store import StoreFaults
@@ -14,6 +15,7 @@
 from .world import CellWorld
 
 __all__ = [
+    "ODD_PARTS",
     "AdviceCall",
     "AdviceFaults",
     "AdviceStandin",
--- a/src/streamthread/standins/cell/cloud.py
+++ b/src/streamthread/standins/cell/cloud.py
@@ -7,6 +7,7 @@
 import attrs
 from aiohttp import web
 
+from .odd import response_with
 from .port import HttpPort
 from .runner import RunnerStandin
 
@@ -55,6 +56,7 @@
 
     :param received: all orders that arrived, also those that had no effect.
     :param duties: the orders that were carried out.
+    :param odd_part: stands in the list of machines beside them; empty: none.
     :param end_incarnation: removes a runner's entry when its machine goes down.
     """
 
@@ -69,6 +71,7 @@
         self.received: list[Duty] = []
         self.duties: list[Duty] = []
         self.max_down = 0
+        self.odd_part = ""
         self._make_runner = make_runner
         self._end_incarnation = end_incarnation
         self._move_s = move_s
@@ -108,7 +111,8 @@
             }
             for machine in self.machines.values()
         ]
-        return web.json_response({"machines": rows, "nextToken": None})
+        answer = {"machines": rows, "nextToken": None}
+        return response_with(answer, self.odd_part, "machines")
 
     def _move(
         self, machine: MachineStandin, pool: str, holder: str, token: int
--- a/src/streamthread/standins/cell/runner.py
+++ b/src/streamthread/standins/cell/runner.py
@@ -15,6 +15,7 @@
 import attrs
 from aiohttp import web
 
+from .odd import response_with
 from .port import HttpPort
 from .port import PLAY_DEAD_S
 
@@ -87,6 +88,8 @@
     :param stop_s: how long a run takes to stop.
     :param refuse_orders: HTTP status that answers starts and stops, which then have no
         effect; 0: none.
+    :param odd_part: stands in its lists of runs beside them; empty: none.
+    :param odd_lists: the lists in which it stands.
     """
 
     silent: bool = False
@@ -100,6 +103,8 @@
     hide_stopping: bool = False
     stop_s: float = STOP_S
     refuse_orders: int = 0
+    odd_part: str = ""
+    odd_lists: tuple[str, ...] = ("running", "finished")
 
 
 class RunnerStandin:
@@ -418,11 +423,10 @@
             for r in self._runs.values()
             if not (self.faults.hide_stopping and r.stopping_at_s)
         ]
-        return web.json_response(
-            {
-                "clockMs": self._clock_ms(),
-                "running": running,
-                "finished": self._ends[:MAX_ENDS],
-                **self._birth_fields(),
-            }
-        )
+        answer = {
+            "clockMs": self._clock_ms(),
+            "running": running,
+            "finished": self._ends[:MAX_ENDS],
+            **self._birth_fields(),
+        }
+        return response_with(answer, self.faults.odd_part, *self.faults.odd_lists)
--- a/src/streamthread/standins/cell/store.py
+++ b/src/streamthread/standins/cell/store.py
@@ -9,6 +9,7 @@
 import attrs
 from aiohttp import web
 
+from .odd import response_with
 from .port import HttpPort
 from .port import PLAY_DEAD_S
 
@@ -63,6 +64,7 @@
     :param silent_feed: name of a table whose feed gives no answer; empty: none.
     :param silent_read: name of a table whose reads get no answer; empty: none.
     :param refuse_key: no row with this in its key is written; empty: none.
+    :param odd_parts: stand among the rows of each answer, by table.
     """
 
     refuse: int = 0
@@ -76,6 +78,7 @@
     silent_feed: str = ""
     silent_read: str = ""
     refuse_key: str = ""
+    odd_parts: dict[str, str] = attrs.field(factory=dict)
 
 
 class StoreStandin:
@@ -253,14 +256,13 @@
             if rows and size_bytes > MAX_BODY_BYTES:
                 break
             rows.append(row)
-        return web.json_response(
-            {
-                "rows": rows,
-                "more": len(names) > len(rows),
-                "ver": self.version,
-                "now_ms": _now_ms(),
-            }
-        )
+        answer = {
+            "rows": rows,
+            "more": len(names) > len(rows),
+            "ver": self.version,
+            "now_ms": _now_ms(),
+        }
+        return response_with(answer, self.faults.odd_parts.get(table, ""), "rows")
 
     def _row(self, key: Key) -> Json:
         found = self.rows.get(key)
@@ -282,15 +284,15 @@
                 await asyncio.sleep(PLAY_DEAD_S)
             async with self._changed:
                 # Read rows and version together: a change may arrive at the timeout.
-                return web.json_response(
-                    {
-                        "rows": [
-                            self._row(key) for key in self._changed_since(table, after)
-                        ],
-                        "ver": self.version,
-                        "now_ms": _now_ms(),
-                    }
-                )
+                answer = {
+                    "rows": [
+                        self._row(key) for key in self._changed_since(table, after)
+                    ],
+                    "ver": self.version,
+                    "now_ms": _now_ms(),
+                }
+            odd_part = self.faults.odd_parts.get(table, "")
+            return response_with(answer, odd_part, "rows")
         finally:
             self.waiting_feeds -= 1
 
--- a/tests/cell/test_foreign_entries.py
+++ b/tests/cell/test_foreign_entries.py
@@ -1,10 +1,12 @@
 """Foreign rows in the store neither stop a daemon nor remove a runner."""
 
+import base64
 import json
 
 import pytest
 
 from streamthread.holder import service
+from streamthread.standins.cell import ODD_PARTS
 from streamthread.standins.cell.foreign import ENTRY
 from streamthread.standins.cell.foreign import FOREIGN_ENTRIES
 
@@ -145,6 +147,69 @@
             _assert_no_failures(cell)
 
 
+class TestOddParts:
+    """Something that no parser takes stands in each list that the daemons follow."""
+
+    @pytest.mark.parametrize("odd", ODD_PARTS.values(), ids=ODD_PARTS)
+    async def test_of_lists_leave_the_others_in_use(self, odd: str) -> None:
+        pools = {"desk": 2, "audit": 1, "spare": 1}
+        async with running_cell(pools, daemon_count=2) as cell:
+            world = cell.world
+            world.cloud.odd_part = odd
+            world.store.faults.odd_parts = {"servers": odd, "op": odd}
+            first = await cell.until_ready()
+            caller = cell.caller()
+            assert await caller.submit(JOB_ID, job(count=4)) == 200
+            await caller.until_state(JOB_ID, "completed")
+            await world.write_manifest(2, more_routes=1)
+            await world.write_wave(1, list(world.cloud.machines), 2)
+            await until(lambda: world.wave_state(1) == "completed", "the wave is over")
+            await first.stop()
+            await until(lambda: cell.holder() not in (None, first), "a next holder")
+            at = 1 - cell.daemons.index(first)
+            assert await caller.submit(OTHER_ID, job(count=4), at=at) == 200
+            await caller.until_state(OTHER_ID, "completed", at=at)
+            manifest = cell.daemons[at].documents.manifest
+            assert manifest is not None and manifest.version == 2
+            assert cell.daemons[at].notes.counts["answer"] > 0
+            _assert_no_failures(cell)
+
+    # Guards against a configuration that is not in force because of one odd route.
+    @pytest.mark.parametrize("odd", ODD_PARTS.values(), ids=ODD_PARTS)
+    async def test_of_the_configuration_leave_the_rest_in_force(self, odd: str) -> None:
+        async with running_cell(POOLS, daemon_count=2) as cell:
+            await cell.until_ready()
+            row = cell.world.store.rows["op", "", "config"][0]
+            manifest = json.loads(base64.b64decode(row)) | {"version": 5}
+            text = json.dumps(manifest).replace('"routes": [', f'"routes": [{odd}, ')
+            await cell.world.write_bytes("op", "config", text.encode())
+            versions = [daemon.documents for daemon in cell.daemons]
+            await until(
+                lambda: all(d.manifest and d.manifest.version == 5 for d in versions),
+                "the configuration is in force",
+            )
+            caller = cell.caller()
+            assert await caller.submit(JOB_ID, job()) == 200
+            await caller.until_state(JOB_ID, "completed")
+            _assert_no_failures(cell)
+
+    # Guards against a request of a later version that is lost or stops the others.
+    async def test_of_the_inbox_outlast_each_holder(self) -> None:
+        value = json.dumps(["e" * 16, "route-desk", "", 0, "", "", 0.0, "later"])
+        async with running_cell(POOLS, daemon_count=2) as cell:
+            await cell.world.write_bytes("cell-inbox", "odd.row", value.encode(), PART)
+            first = await cell.until_ready()
+            await first.stop()
+            await until(lambda: cell.holder() not in (None, first), "a next holder")
+            at = 1 - cell.daemons.index(first)
+            caller = cell.caller()
+            assert await caller.submit(JOB_ID, job(), at=at) == 200
+            await caller.until_state(JOB_ID, "completed", at=at)
+            assert ("cell-inbox", PART, "odd.row") in cell.world.store.rows
+            assert cell.daemons[at].notes.counts["cell-row"] > 0
+            _assert_no_failures(cell)
+
+
 class TestUnforeseenFailures:
     async def test_of_one_loop_do_not_stop_the_others(
         self, monkeypatch: pytest.MonkeyPatch
