Give each job one call for advice in a round

A play of the soak with policies of advice found lasting tasks without a run and jobs that did not end, while one job with 250 steps got call after call: every step had a turn of its own, in the order of arrival.

Cause: the turns were those of steps. A job with many steps, or an account that floods a queue, held up all other jobs of the service.

Change: start-time fair queueing by job. Each further step of a job waits for the next round; a lower priority waits three rounds longer, and what exceeds an account's share ten rounds.

Why it works: a job waits for one call of each other job at most before its first one, however many steps these have.

--- a/src/streamthread/holder/advice.py
+++ b/src/streamthread/holder/advice.py
@@ -4,6 +4,7 @@
 import functools
 import itertools
 import typing as t
+import weakref
 
 import attrs
 import logbook
@@ -15,6 +16,7 @@
 from ..platform.advice import Advice
 from ..platform.advice import AdviceClient
 from ..platform.manifest import AdvicePolicy
+from ..scheduler import Job
 from ..scheduler import RunnerState
 from ..scheduler import StepRun
 from ..scheduler.free_capacity import needed
@@ -58,8 +60,11 @@
 """For this time, at most, room counts as taken by tasks that have got tickets for it. A
 scheduling pass, which places them, runs every 0.5 s."""
 
-OVERTAKING_CALLS = 10
-"""So many calls of steps with the next higher priority may overtake a step."""
+OVERTAKING_ROUNDS = 3
+"""In so many rounds, steps with the next higher priority overtake a step."""
+
+EXCESS_ROUNDS = 10
+"""In so many rounds, all others overtake what exceeds an account's share."""
 
 OVERTAKING_STEPS = 2
 """So many newer steps may overtake a step with each call that gave it no ticket."""
@@ -73,13 +78,29 @@
 those that may receive it only as a last resort are included."""
 
 
+@attrs.frozen(order=True)
+class _Place:
+    """The place of a step among those that wait for a call; lower ones come first.
+
+    :param round: the jobs get one call each in a round. Each further step of a job
+        waits for the next one, so that a job with many steps does not delay the others.
+    :param number: the order within a round.
+    """
+
+    round: int
+    number: int
+
+
+_FIRST_PLACE = _Place(0, 0)
+
+
 @attrs.define(eq=False)
 class _StepAdvice:
     """What is known about the runners of one step.
 
     :param answers: the last answer about each runner incarnation, also if expired.
     :param rejected: runners that have rejected a ticket.
-    :param turn: the step's place among those that wait for a call; None: it does not.
+    :param place: its place among the steps that wait for a call; None: it does not.
     :param may_have_room: there may be a runner with room for the step's tasks that it
         was not asked about.
     :param looked_at_s: when no runner with room was found to ask about, on the boot
@@ -93,7 +114,7 @@
 
     answers: dict[str, RunnerAnswer] = attrs.field(factory=dict)
     rejected: set[str] = attrs.field(factory=set)
-    turn: int | None = None
+    place: _Place | None = None
     may_have_room: bool = False
     looked_at_s: float = 0.0
     claims: dict[str, int] = attrs.field(factory=dict)
@@ -185,7 +206,10 @@
         # The entries with a turn, and those with claims.
         self._waiting: dict[StepRun, _StepAdvice] = {}
         self._claiming: dict[StepRun, _StepAdvice] = {}
-        self._turns = itertools.count()
+        self._numbers = itertools.count()
+        self._round = 0
+        self._last_rounds: weakref.WeakKeyDictionary[Job, int]
+        self._last_rounds = weakref.WeakKeyDictionary()
         self._max_steps = MAX_STEPS
         self._wake = asyncio.Event()
 
@@ -199,14 +223,20 @@
     def _queue(self, step: StepRun, entry: _StepAdvice) -> None:
         """Give a step a turn unless it has one."""
         entry.may_have_room = True
-        if entry.turn is None:
-            priority = step.occurrence.job.priority
-            entry.turn = next(self._turns) + OVERTAKING_CALLS * priority
+        if entry.place is None:
+            entry.place = self._next_place(step.occurrence.job)
             self._waiting[step] = entry
             self._wake.set()
 
+    def _next_place(self, job: Job) -> _Place:
+        """Return the place of one more step of a job (start-time fair queueing)."""
+        number = max(self._round, self._last_rounds.get(job, 0)) + 1
+        self._last_rounds[job] = number
+        later = OVERTAKING_ROUNDS * job.priority + EXCESS_ROUNDS * job.excess
+        return _Place(number + later, next(self._numbers))
+
     def _unqueue(self, step: StepRun, entry: _StepAdvice) -> None:
-        entry.turn = None
+        entry.place = None
         self._waiting.pop(step, None)
 
     def allowed(self, step: StepRun) -> t.Collection[str] | None:
@@ -293,13 +323,15 @@
         soon under load: a few newer steps overtake it with each call in vain.
         """
         step, entry = call.step, call.entry
-        turn = entry.turn or 0
+        place = entry.place or _FIRST_PLACE
+        self._round = max(self._round, place.round)
         self._unqueue(step, entry)
         answered = await self._fetch(call)
         if not _has_ended(step):
             self._queue(step, entry)
             if answered and not entry.tickets(boot_s()):
-                entry.turn = turn + OVERTAKING_STEPS
+                number = place.number + OVERTAKING_STEPS
+                entry.place = attrs.evolve(place, number=number)
         if not answered:
             await asyncio.sleep(RETRY_S)
 
@@ -472,5 +504,5 @@
     return step.done or step.occurrence.job.over
 
 
-def _turn_of(item: tuple[StepRun, _StepAdvice]) -> int:
-    return item[1].turn or 0
+def _turn_of(item: tuple[StepRun, _StepAdvice]) -> _Place:
+    return item[1].place or _FIRST_PLACE
