Draw policies of advice, bodies and odd parts in the soak

The soak drew no queue with a policy, no body on a GET or DELETE and no odd part in a list. `odd` draws bodies that calls don't need and odd parts among the machines, in tables that others write and in the lists of runners. `advice` gives all queues a policy with drawn figures that denies each step one runner, and makes the service silent, slow or refusing. Half of the seeds by hand have a policy, without the jobs of 250 steps: each step takes a call of its own.

--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -44,6 +44,8 @@
     SoakPlan(9, seconds=6.0, accounts=True, floods=True),
     SoakPlan(10, seconds=6.0, large=True),
     SoakPlan(11, seconds=6.0, runners=True, series=True),
+    SoakPlan(12, seconds=6.0, odd=True),
+    SoakPlan(13, seconds=6.0, odd=True, advice=True),
 )
 REGRESSIONS: tuple[SoakPlan, ...] = (
     # The stand-in's runner reported an expiry only when it was next called, not when
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -26,6 +26,7 @@
 from streamthread.standins.cell import CellWorld
 from tools.soak_accounts import AccountCalls
 from tools.soak_accounts import check_limits
+from tools.soak_advice import AdvicePolicies
 from tools.soak_checks import check_crashes
 from tools.soak_checks import check_duties
 from tools.soak_checks import check_evacuations
@@ -42,6 +43,7 @@
 from tools.soak_halls import HallFaults
 from tools.soak_halls import HALLS
 from tools.soak_large import LargeJobs
+from tools.soak_odd import OddInputs
 from tools.soak_restarts import RestartFaults
 from tools.soak_runners import RunnerFaults
 from tools.soak_series import SeriesFaults
@@ -67,6 +69,9 @@
 RUNS_ON_S = 7.0
 """What still runs so much later is held by a daemon: alone it lapses in 4 s."""
 
+ADVICE_SHARE = 0.5
+"""Share of the seeds whose queues have a policy."""
+
 FAILURES_METRIC = r"streamthread_unforeseen_failures_total\{[^}]*\}"
 """A pattern for the first of them; there is none while no loop has failed."""
 
@@ -96,6 +101,9 @@
         likewise.
     :param series: runners exit in series while holders are killed and the store
         refuses calls, and lasting jobs, likewise.
+    :param odd: calls have bodies that they don't need, and lists have odd parts,
+        likewise.
+    :param advice: the queues have a policy whose figures are drawn, likewise.
     """
 
     seed: int
@@ -114,6 +122,8 @@
     floods: bool = False
     large: bool = False
     series: bool = False
+    odd: bool = False
+    advice: bool = False
 
 
 class Soak(SoakView):
@@ -123,7 +133,11 @@
         self.plan = plan
         self.random = random.Random(plan.seed)
         halls = HALLS if plan.halls else ("here",)
-        self.world = CellWorld(POOLS, halls=halls)
+        self._advice: AdvicePolicies | None = None
+        if plan.advice:
+            self._advice = AdvicePolicies(random.Random(f"advice {plan.seed}"))
+        service = self._advice.service if self._advice is not None else None
+        self.world = CellWorld(POOLS, halls=halls, advice=service)
         self.daemons = [
             Daemon(f"daemon-{n}", self.world, folder, code, plan.runners, hall)
             for n, hall in zip(range(plan.daemons), itertools.cycle(halls))
@@ -164,6 +178,9 @@
         if plan.series:
             series = random.Random(f"series {plan.seed}")
             self._series = SeriesFaults(self, series, self._stop_faults)
+        self._odd: OddInputs | None = None
+        if plan.odd:
+            self._odd = OddInputs(self, random.Random(f"odd {plan.seed}"))
         self._states = StateCallers(self, random.Random(f"states {plan.seed}"))
         self._quiet_at_s = 0.0
         self._session: aiohttp.ClientSession | None = None
@@ -219,9 +236,11 @@
             parts.append(self._runner_faults.play(until_s))
             parts.append(self._runner_faults.submit_in_turns(until_s))
         others = (self._accounts, self._restarts, self._halls, self._floods)
-        for more in (*others, self._large, self._series):
+        for more in (*others, self._large, self._series, self._odd):
             if more is not None:
                 parts.append(more.play(until_s))
+        if self._advice is not None:
+            parts.append(self._advice.play(self, until_s))
         await asyncio.gather(*parts)
 
     def spawn(self, call: t.Coroutine[t.Any, t.Any, t.Any]) -> None:
@@ -316,6 +335,8 @@
         if self._accounts is not None:
             headers["Streamthread-Credential"] = key or self._accounts.key_for(job)
         url = f"http://{daemon.callers}/jobs/{job.job_id}"
+        if self._odd is not None and method != "POST":
+            body = self._odd.body()
         try:
             async with self._session.request(
                 method, url, data=body, headers=headers
@@ -504,6 +525,9 @@
             with tempfile.TemporaryDirectory() as scratch:
                 folder = pathlib.Path(arguments.keep_logs or scratch) / str(seed)
                 folder.mkdir(parents=True, exist_ok=True)
+                # A large job needs a call for each of its 250 steps, which takes the
+                # service longer than jobs may take.
+                advice = random.Random(f"plan {seed}").random() < ADVICE_SHARE
                 plan = SoakPlan(
                     seed,
                     seconds=arguments.seconds,
@@ -514,8 +538,10 @@
                     restarts=True,
                     halls=True,
                     floods=True,
-                    large=True,
+                    large=not advice,
                     series=True,
+                    odd=True,
+                    advice=advice,
                 )
                 broken, faults = await run_soak(plan, folder, arguments.daemon_path)
             print(json.dumps({"seed": seed, "broken": broken, "faults": faults}))
