Count a job's rounds of advice by the calls that it takes up

After a call for what exceeds an account's share, the rest of a flood came before new work of others, as the current round included what excess waits longer.

Evidence: a trial script on (100 looks at one step, then another job; 50 excess steps and one call, then another job): the wrong step was first in both.

Change: the order of turns is a class of its own. A step that leaves it without a call gives its round back, and what a step waits longer does not count for the current round.

Measured: holder/tests/test_advice*.py, with a test for each of the two, and tests/cell/test_advice.py pass.

--- a/src/streamthread/holder/advice.py
+++ b/src/streamthread/holder/advice.py
@@ -2,9 +2,7 @@
 
 import asyncio
 import functools
-import itertools
 import typing as t
-import weakref
 
 import attrs
 import logbook
@@ -16,7 +14,6 @@
 from ..platform.advice import Advice
 from ..platform.advice import AdviceClient
 from ..platform.manifest import AdvicePolicy
-from ..scheduler import Job
 from ..scheduler import RunnerState
 from ..scheduler import StepRun
 from ..scheduler.free_capacity import needed
@@ -28,6 +25,7 @@
 from .advice_choice import RunnerChooser
 from .advice_odds import PolicyOdds
 from .advice_times import AdviceTimes
+from .advice_turns import TurnQueue
 
 __all__ = ["AdviceCache"]
 
@@ -60,15 +58,6 @@
 """For this time, at most, room counts as taken by tasks that have got tickets for it. A
 scheduling pass, which places them, runs every 0.5 s."""
 
-OVERTAKING_ROUNDS = 3
-"""In so many rounds, steps with the next higher priority overtake a step."""
-
-EXCESS_ROUNDS = 10
-"""In so many rounds, all others overtake what exceeds an account's share."""
-
-OVERTAKING_STEPS = 2
-"""So many newer steps may overtake a step with each call that gave it no ticket."""
-
 MAX_STEPS = 2000
 """Above this number of cached steps, those that have ended are dropped."""
 
@@ -78,29 +67,12 @@
 those that may receive it only as a last resort are included."""
 
 
-@attrs.frozen(order=True)
-class _Place:
-    """The place of a step among those that wait for a call; lower ones come first.
-
-    :param round: the jobs get one call each in a round. Each further step of a job
-        waits for the next one, so that a job with many steps does not delay the others.
-    :param number: the order within a round.
-    """
-
-    round: int
-    number: int
-
-
-_FIRST_PLACE = _Place(0, 0)
-
-
 @attrs.define(eq=False)
 class _StepAdvice:
     """What is known about the runners of one step.
 
     :param answers: the last answer about each runner incarnation, also if expired.
     :param rejected: runners that have rejected a ticket.
-    :param place: its place among the steps that wait for a call; None: it does not.
     :param may_have_room: there may be a runner with room for the step's tasks that it
         was not asked about.
     :param looked_at_s: when no runner with room was found to ask about, on the boot
@@ -114,7 +86,6 @@
 
     answers: dict[str, RunnerAnswer] = attrs.field(factory=dict)
     rejected: set[str] = attrs.field(factory=set)
-    place: _Place | None = None
     may_have_room: bool = False
     looked_at_s: float = 0.0
     claims: dict[str, int] = attrs.field(factory=dict)
@@ -203,13 +174,9 @@
         self._times = AdviceTimes()
         self._odds = PolicyOdds()
         self._by_step: dict[StepRun, _StepAdvice] = {}
-        # The entries with a turn, and those with claims.
-        self._waiting: dict[StepRun, _StepAdvice] = {}
+        self._turns = TurnQueue()
+        # The entries with claims.
         self._claiming: dict[StepRun, _StepAdvice] = {}
-        self._numbers = itertools.count()
-        self._round = 0
-        self._last_rounds: weakref.WeakKeyDictionary[Job, int]
-        self._last_rounds = weakref.WeakKeyDictionary()
         self._max_steps = MAX_STEPS
         self._wake = asyncio.Event()
 
@@ -221,23 +188,9 @@
             self._queue(step, self._entry(step))
 
     def _queue(self, step: StepRun, entry: _StepAdvice) -> None:
-        """Give a step a turn unless it has one."""
         entry.may_have_room = True
-        if entry.place is None:
-            entry.place = self._next_place(step.occurrence.job)
-            self._waiting[step] = entry
-            self._wake.set()
-
-    def _next_place(self, job: Job) -> _Place:
-        """Return the place of one more step of a job (start-time fair queueing)."""
-        number = max(self._round, self._last_rounds.get(job, 0)) + 1
-        self._last_rounds[job] = number
-        later = OVERTAKING_ROUNDS * job.priority + EXCESS_ROUNDS * job.excess
-        return _Place(number + later, next(self._numbers))
-
-    def _unqueue(self, step: StepRun, entry: _StepAdvice) -> None:
-        entry.place = None
-        self._waiting.pop(step, None)
+        self._turns.add(step)
+        self._wake.set()
 
     def allowed(self, step: StepRun) -> t.Collection[str] | None:
         """Return the runners that a step has tickets for; None means any runner.
@@ -300,7 +253,7 @@
 
     def _drop(self, step: StepRun) -> None:
         self._by_step.pop(step, None)
-        self._waiting.pop(step, None)
+        self._turns.leave(step)
         self._claiming.pop(step, None)
 
     async def run(self) -> None:
@@ -310,7 +263,7 @@
             call = self._next_call()
             if call is not None:
                 await self._make(call)
-            elif self._waiting:
+            elif self._turns:
                 await asyncio.sleep(LOOK_PAUSE_S)
             else:
                 # Each scheduling pass gives the steps that still wait another turn.
@@ -323,15 +276,12 @@
         soon under load: a few newer steps overtake it with each call in vain.
         """
         step, entry = call.step, call.entry
-        place = entry.place or _FIRST_PLACE
-        self._round = max(self._round, place.round)
-        self._unqueue(step, entry)
+        place = self._turns.take(step)
         answered = await self._fetch(call)
         if not _has_ended(step):
-            self._queue(step, entry)
             if answered and not entry.tickets(boot_s()):
-                number = place.number + OVERTAKING_STEPS
-                entry.place = attrs.evolve(place, number=number)
+                self._turns.keep(step, place)
+            self._queue(step, entry)
         if not answered:
             await asyncio.sleep(RETRY_S)
 
@@ -340,13 +290,13 @@
         self._expire_claims()
         fleet = _Fleet(self._runners)
         in_turn: list[_Turn] = []
-        for step, entry in sorted(self._waiting.items(), key=_turn_of):
+        for step in self._turns.in_order():
             policy = self._policy(step.occurrence.job.route)
             if policy is None or _has_ended(step):
                 # A step whose route has a policy again is requested again.
                 self._drop(step)
             else:
-                in_turn.append(_Turn(step, entry, policy))
+                in_turn.append(_Turn(step, self._entry(step), policy))
         return self._next_with_room(in_turn, fleet) or self._next_ahead(in_turn, fleet)
 
     def _next_with_room(
@@ -379,7 +329,7 @@
                 chosen = self._chooser(turn).ahead(fleet.all(turn.step))
             if chosen:
                 return self._call(turn, chosen)
-            self._unqueue(turn.step, turn.entry)
+            self._turns.leave(turn.step)
         return None
 
     def _chooser(self, turn: _Turn) -> RunnerChooser:
@@ -502,7 +452,3 @@
 
 def _has_ended(step: StepRun) -> bool:
     return step.done or step.occurrence.job.over
-
-
-def _turn_of(item: tuple[StepRun, _StepAdvice]) -> _Place:
-    return item[1].place or _FIRST_PLACE
--- a/src/streamthread/holder/tests/test_advice_after_change.py
+++ b/src/streamthread/holder/tests/test_advice_after_change.py
@@ -23,7 +23,7 @@
         policies.append(None)
         running = asyncio.ensure_future(cache.run())
         async with asyncio.timeout(5):
-            while cache._waiting:
+            while cache._turns:
                 await asyncio.sleep(0)
         policies.append(POLICY)
         assert await _until_allowed(cache, step) == ["i-1"]
--- a/src/streamthread/holder/tests/test_advice_turns.py
+++ b/src/streamthread/holder/tests/test_advice_turns.py
@@ -16,6 +16,7 @@
 from streamthread.holder.advice_choice import RunnerChooser
 from streamthread.holder.advice_times import AdviceTimes
 from streamthread.holder.advice_times import TURN_S
+from streamthread.holder.advice_turns import TurnQueue
 from streamthread.platform.advice import Advice
 from streamthread.platform.advice import MAX_RUNNERS_PER_CALL
 from streamthread.platform.advice import Ticket
@@ -90,7 +91,7 @@
 
 async def _until_idle(cache: AdviceCache) -> None:
     """Wait until no step has runners to ask about."""
-    while cache._waiting or cache._wake.is_set():
+    while cache._turns or cache._wake.is_set():
         await asyncio.sleep(0)
 
 
@@ -285,6 +286,29 @@
         call = cache._next_call()
         assert call is not None and call.step is other
 
+    # Guards against accepted work that waits behind a flood once that has had a call.
+    async def test_of_an_accounts_excess_stay_last(self) -> None:
+        turns = TurnQueue()
+        for _ in range(50):
+            excess = _step()
+            excess.occurrence.job.excess = True
+            turns.add(excess)
+        for _ in range(3):
+            turns.take(turns.in_order()[0])
+        other = _step()
+        turns.add(other)
+        assert turns.in_order()[0] is other
+
+    # Guards against a step that others overtake, as it was looked at without a call.
+    def test_keep_their_turns_if_they_need_no_call(self) -> None:
+        turns, step = TurnQueue(), _step()
+        for _ in range(100):
+            turns.add(step)
+            turns.leave(step)
+        turns.add(step)
+        turns.add(_step())
+        assert turns.in_order()[0] is step
+
     # Guards against steps with room that wait for those that are not ready yet.
     async def test_that_wait_for_others_come_last(self) -> None:
         service = _Service(lambda runner_id: True)
