Take no error of the advice service for a denial

An answer with status 400 or 404 was read like one that permits no runner, and the step did not ask about them again for 10 s. Found by reading the change.

Change: any status but 200 is no answer, and the call is repeated in turn.

Evidence and measured: two of three cases of the new test fail with the client before, all pass now.

--- a/src/streamthread/platform/advice.py
+++ b/src/streamthread/platform/advice.py
@@ -8,6 +8,7 @@
 from ..decoding import Amount
 from ..decoding import Decoder
 from ..decoding import PartsDecoder
+from ..errors import OutcomeUnknownError
 from ..errors import UnreadableError
 from ..unreadable import Source
 from ..unreadable import UnreadableNotes
@@ -88,6 +89,13 @@
             "POST", self._url + _ADVISE, body, timeout_s=timeout_s
         )
         refuse_status(answer, self._url + _ADVISE)
+        if answer.status != 200:
+            # Without an answer about them, no runner is denied.
+            raise OutcomeUnknownError(
+                f"answered with status {answer.status}",
+                remedy="the call is retried automatically",
+                location=self._url + _ADVISE,
+            )
         advice = self._caller.read(answer, _ADVICE)
         valid_ms = advice.validMs if advice.valid_ms is None else advice.valid_ms
         return Advice(
--- a/tests/test_odd_parts.py
+++ b/tests/test_odd_parts.py
@@ -40,12 +40,13 @@
 class _Caller(HttpCaller):
     """Answers each call with the same text."""
 
-    def __init__(self, text: str) -> None:
+    def __init__(self, text: str, status: int = 200) -> None:
         super().__init__(1)
         self._text = text.encode()
+        self._status = status
 
     async def call(self, *args: t.Any, **options: t.Any) -> Answer:
-        return Answer(200, self._text)
+        return Answer(self._status, self._text)
 
 
 def _around(odd: str, *parts: t.Any) -> str:
@@ -108,6 +109,16 @@
         advice = asyncio.run(client.advise("a.0.0", ["i-1"], 1.0))
         assert [ticket.runner_id for ticket in advice.tickets] == ["i-1"]
 
+    # Guards against runners that count as denied by an answer that names none.
+    @pytest.mark.parametrize("status", [400, 404, 500])
+    def test_of_the_advice_service_that_are_errors_deny_nothing(
+        self, status: int
+    ) -> None:
+        client = AdviceClient("127.0.0.1:1")
+        client._caller = _Caller("", status)
+        with pytest.raises(OutcomeUnknownError):
+            asyncio.run(client.advise("a.0.0", ["i-1"], 1.0))
+
 
 class TestConfiguration:
     # Guards against a configuration that is not in force because of one route.
