Sort the steps that wait for advice by plain tuples

The generated comparison of places is called for each pair of steps at each call. The order is the same.

Measured: holder/tests/test_advice*.py pass.

--- a/src/streamthread/holder/advice_turns.py
+++ b/src/streamthread/holder/advice_turns.py
@@ -20,18 +20,18 @@
 """This many steps overtake one in its round with each call that gave it no ticket."""
 
 
-@attrs.frozen(order=True)
+@attrs.frozen
 class _Place:
-    """The place of a step; lower ones come first.
+    """The place of a step among those that wait.
 
     :param due: the round in which it gets its call.
-    :param number: the order within a round.
+    :param number: the order within a round; lower ones come first.
     :param round: the round that counts for its job, without what it waits longer.
     """
 
     due: int
     number: int
-    round: int = attrs.field(order=False)
+    round: int
 
 
 class TurnQueue:
@@ -54,7 +54,11 @@
 
     def in_order(self) -> list[StepRun]:
         """Return the steps; the one whose turn it is comes first."""
-        return sorted(self._places, key=lambda step: self._places[step])
+        return sorted(self._places, key=self._sort_key)
+
+    def _sort_key(self, step: StepRun) -> tuple[int, int]:
+        place = self._places[step]
+        return (place.due, place.number)
 
     def add(self, step: StepRun) -> None:
         """Give a step a place unless it has one."""
