Name the kind in the test of an invalid row of the inbox

Since rows name their kind, such a row is a cancel of an earlier version, which only wrote valid jobs as submissions; it is kept for its job.

The test was wrong about what such a row is. Its row says `submit` now, and all its checks are as they were. A second test writes the row without a kind: the holder goes on, the job that comes is cancelled, and the row is dropped.

--- a/tests/cell/test_holders.py
+++ b/tests/cell/test_holders.py
@@ -159,15 +159,31 @@
             assert holder.holder.intake.knows_job("a" * 16)
 
     async def test_an_invalid_job_row_does_not_stop_the_holder(self) -> None:
+        async with running_cell({"desk": 1}) as cell:
+            daemon = await cell.until_ready()
+            store = cell.world.store
+            bad = ["a" * 16, "route-desk", "no job", 0, "", "", 0.0, "submit"]
+            value = base64.b64encode(json.dumps(bad).encode()).decode()
+            await store.put("cell-inbox", "bad", value, part="main")
+            await until(lambda: not store.keys("cell-inbox"), "the row is dropped")
+            assert cell.holder() is daemon
+            caller = cell.caller()
+            await caller.submit("b" * 16, job())
+            await caller.until_state("b" * 16, "completed")
+
+    async def test_an_invalid_row_without_a_kind_does_not_stop_the_holder(self) -> None:
+        """An earlier version wrote it for a cancel, which is kept for its job."""
         async with running_cell({"desk": 1}) as cell:
             daemon = await cell.until_ready()
             store = cell.world.store
             bad = json.dumps(["a" * 16, "route-desk", "no job"]).encode()
             value = base64.b64encode(bad).decode()
             await store.put("cell-inbox", "bad", value, part="main")
+            caller = cell.caller()
+            await caller.submit("a" * 16, job(run_s=60.0))
+            await caller.until_state("a" * 16, "cancelled")
             await until(lambda: not store.keys("cell-inbox"), "the row is dropped")
             assert cell.holder() is daemon
-            caller = cell.caller()
             await caller.submit("b" * 16, job())
             await caller.until_state("b" * 16, "completed")
 
