--- a/tools/soak_odd.py
+++ b/tools/soak_odd.py
@@ -64,6 +64,8 @@
 
     async def _runner(self, name: str, for_s: float) -> None:
         living = [runner for runner in self._soak.world.runners if runner.alive]
+        if not living:
+            return
         runner = self._random.choice(living)
         self._soak.note(f"odd part {name} in the lists of {runner.runner_id}")
         runner.faults.odd_part = ODD_PARTS[name]
--- a/tools/soak_writer.py
+++ b/tools/soak_writer.py
@@ -53,6 +53,8 @@
 
     async def _write_over(self) -> None:
         living = [runner for runner in self._world.runners if runner.alive]
+        if not living:
+            return
         runner = self._random.choice(living)
         self._note(f"foreign entry over {runner.runner_id}")
         await self._world.write_bytes("servers", runner.runner_id, self._value())
