Count fitting tasks in one place

The choice of runners for advice wrote again how many tasks fit into free resources (RunnerState.count_fitting) and whether they do (is_within of free_capacity). Both serve the placement and the choice now. Runners that were denied for a step are skipped before they become candidates, and no longer filtered out afterwards.

Behaviour is as before.

--- a/src/streamthread/holder/advice_choice.py
+++ b/src/streamthread/holder/advice_choice.py
@@ -6,6 +6,8 @@
 
 from ..scheduler import RunnerState
 from ..scheduler import StepRun
+from ..scheduler.fleet import count_in
+from ..scheduler.free_capacity import is_within
 from ..scheduler.free_capacity import needed
 from ..scheduler.free_capacity import Resources
 from ..scheduler.placement import has_required_label
@@ -79,13 +81,13 @@
         found: list[_Candidate] = []
         for runner in runners:
             answer = self.answers.get(runner.runner_id)
-            if answer is not None and self._holds(answer):
+            if answer is not None and (self._holds(answer) or not answer.ticket):
                 continue
             free = free_beside(runner, self.claims.get(runner.runner_id, NOTHING))
             room = count_fitting(self.step, free, waiting)
             if room and has_required_label(self.step, runner):
                 found.append(self._candidate(runner, answer, room))
-        return self._take((c for c in found if not c.denied), missing)
+        return self._take(found, missing)
 
     def ahead(self, runners: t.Iterable[RunnerState]) -> tuple[str, ...]:
         """Return runners that the step may need later, if its tickets are too few.
@@ -153,15 +155,8 @@
 
 def count_fitting(step: StepRun, free: Resources, max_count: int) -> int:
     """Return how many tasks of a step fit into a runner's free resources."""
-    cpu, memory_mb, gpu = needed(step)
-    if cpu > free[0] or memory_mb > free[1] or gpu > free[2]:
+    wanted = needed(step)
+    if not is_within(wanted, free):
         return 0
     most = step.request.most_per_runner
-    count = min(max_count, most) if most else max_count
-    if cpu:
-        count = min(count, free[0] // cpu)
-    if memory_mb:
-        count = min(count, free[1] // memory_mb)
-    if gpu:
-        count = min(count, free[2] // gpu)
-    return count
+    return count_in(free, wanted, min(max_count, most) if most else max_count)
--- a/src/streamthread/scheduler/fleet.py
+++ b/src/streamthread/scheduler/fleet.py
@@ -16,7 +16,7 @@
 from .model import Job
 from .model import RunnerIncarnation
 
-__all__ = ["RunnerState", "usable_runners"]
+__all__ = ["RunnerState", "count_in", "usable_runners"]
 
 STABLE_AFTER_S = 2.0
 """A runner that goes down and up in series exits again within some 2 s. A task that
@@ -254,14 +254,8 @@
 
     def count_fitting(self, cpu: int, memory_mb: int, gpu: int, max_count: int) -> int:
         """Return how many tasks of one kind fit, at most ``max_count``."""
-        count = max(0, max_count)
-        if cpu:
-            count = min(count, self.free_cpu // cpu)
-        if memory_mb:
-            count = min(count, self.free_memory_mb // memory_mb)
-        if gpu:
-            count = min(count, self.free_gpu // gpu)
-        return max(0, count)
+        free = (self.free_cpu, self.free_memory_mb, self.free_gpu)
+        return count_in(free, (cpu, memory_mb, gpu), max_count)
 
     def max_starts(self, now_s: float) -> int | None:
         """Return how many starts the runner may get now; None means no limit.
@@ -308,6 +302,20 @@
     return boot_s() + entry.cold_left_ms / 1000 if entry.cold_left_ms else 0.0
 
 
+def count_in(
+    free: tuple[int, int, int], needed: tuple[int, int, int], max_count: int
+) -> int:
+    """Return how many tasks fit into resources: cpu, memory and accelerators."""
+    count = max_count
+    if needed[0]:
+        count = min(count, free[0] // needed[0])
+    if needed[1]:
+        count = min(count, free[1] // needed[1])
+    if needed[2]:
+        count = min(count, free[2] // needed[2])
+    return max(0, count)
+
+
 def usable_runners(
     runners: t.Iterable[RunnerState], service: str, last_resort: bool = False
 ) -> list[RunnerState]:
--- a/src/streamthread/scheduler/free_capacity.py
+++ b/src/streamthread/scheduler/free_capacity.py
@@ -8,7 +8,7 @@
 from .fleet import RunnerState
 from .model import StepRun
 
-__all__ = ["FreeCapacity", "Resources", "needed"]
+__all__ = ["FreeCapacity", "Resources", "is_within", "needed"]
 
 Resources = tuple[int, int, int]
 """Cpu in thousandths of a core, memory in MB, and accelerators."""
@@ -73,7 +73,7 @@
     def fits(self, step: StepRun) -> bool:
         """Whether some runner has all resources free for one task of a step."""
         wanted = needed(step)
-        return any(_is_within(wanted, free) for free in self.maxima)
+        return any(is_within(wanted, free) for free in self.maxima)
 
 
 def needed(step: StepRun) -> Resources:
@@ -81,5 +81,6 @@
     return (step.reserved_cpu, step.request.memory_mb, step.request.gpu)
 
 
-def _is_within(needed: Resources, free: Resources) -> bool:
+def is_within(needed: Resources, free: Resources) -> bool:
+    """Whether resources are free."""
     return needed[0] <= free[0] and needed[1] <= free[1] and needed[2] <= free[2]
