Drop a decoding method that nobody calls, and log an unread state once

Decoder.convert was for rows that are parsed with their page; rows of such pages are decoded from their texts now. The two branches of StoredStates.find logged the same line. Behaviour is as before; the tests of gateway and platform pass.

--- a/src/streamthread/decoding.py
+++ b/src/streamthread/decoding.py
@@ -113,16 +113,6 @@
     def _parse(self, text: bytes | msgspec.Raw) -> T:
         return self._decoder.decode(text)
 
-    def convert(self, value: t.Any, key: str) -> T:
-        """Return what was parsed already as the declared type.
-
-        :raises UnreadableError: it is not what the type declares; nothing else.
-        """
-        try:
-            return t.cast(T, msgspec.convert(value, self._kind))
-        except (msgspec.MsgspecError, RecursionError) as error:
-            raise self._error(str(error), key) from error
-
     def _error(self, text: str, key: str) -> UnreadableError:
         """Return the error for what the library says, which may name a field."""
         found = _FIELD.match(text)
--- a/src/streamthread/gateway/stored_states.py
+++ b/src/streamthread/gateway/stored_states.py
@@ -57,15 +57,17 @@
         try:
             async with asyncio.timeout(READ_TIMEOUT_S):
                 reply = await self._read(request)
-        except BadInputError as error:
-            log.info(
-                "state-unread", extra={"job": request.job_id, "error": repr(error)}
-            )
-            return None
-        except (OutcomeUnknownError, StoreUnavailableError, TimeoutError) as error:
+        except (
+            BadInputError,
+            OutcomeUnknownError,
+            StoreUnavailableError,
+            TimeoutError,
+        ) as error:
             log.info(
                 "state-unread", extra={"job": request.job_id, "error": repr(error)}
             )
+            if isinstance(error, BadInputError):
+                return None
             raise StoreUnavailableError(
                 "the job's rows were not read in time",
                 remedy="they are read again while the caller waits",
