--- a/bench/advice.py
+++ b/bench/advice.py
@@ -109,7 +109,7 @@
     }
 
 
-async def _until_ready(session: aiohttp.ClientSession, world: CellWorld) -> None:
+async def _until_ready(world: CellWorld) -> None:
     """Wait until all runners have been called by the holder."""
     give_up_at_s = time.monotonic() + READY_S
     while not all(runner.highest_token for runner in world.runners):
@@ -139,7 +139,7 @@
         await daemon.start()
         try:
             async with aiohttp.ClientSession() as session:
-                await _until_ready(session, world)
+                await _until_ready(world)
                 phases = await _play(session, daemon)
         finally:
             await daemon.close()
