Count a stall of the loop before the late tick does

Cause: LoopTime subtracts a stall of the event loop when its tick runs. After a stall, the tick and the waiting test wake up in the same pass of the loop, and the test may read the elapsed time first, with the whole stall in it.

Change: reading the elapsed time includes the stall that the next tick is going to count. The same quantity is subtracted, only earlier; work and waits count as before.

--- a/tests/cell/loop_time.py
+++ b/tests/cell/loop_time.py
@@ -39,6 +39,7 @@
         self._counts_work = counts_work
         self._began_at_s = time.monotonic()
         self._stalled_s = 0.0
+        self._start_tick()
         self._ticker = asyncio.ensure_future(self._tick())
 
     async def __aenter__(self) -> "LoopTime":
@@ -47,19 +48,29 @@
     async def __aexit__(self, *_: object) -> None:
         self._ticker.cancel()
 
+    def _start_tick(self) -> None:
+        self._due_at_s = time.monotonic() + TICK_S
+        self._worked_s = processor_s()
+
     async def _tick(self) -> None:
         while True:
-            due_at_s = time.monotonic() + TICK_S
-            worked_s = processor_s()
+            self._start_tick()
             await asyncio.sleep(TICK_S)
-            late_s = max(0.0, time.monotonic() - due_at_s)
-            if self._counts_work:
-                late_s = max(0.0, late_s - (processor_s() - worked_s))
-            self._stalled_s += late_s + (self._stall_cost_s if late_s > STALL_S else 0)
+            self._stalled_s += self._stall_s()
+
+    def _stall_s(self) -> float:
+        """Return what the current stall has cost so far, 0 if the tick isn't late."""
+        late_s = max(0.0, time.monotonic() - self._due_at_s)
+        if self._counts_work:
+            late_s = max(0.0, late_s - (processor_s() - self._worked_s))
+        return late_s + (self._stall_cost_s if late_s > STALL_S else 0)
 
     def elapsed_s(self) -> float:
-        """Return the time since the beginning for which the loop ran."""
-        return time.monotonic() - self._began_at_s - self._stalled_s
+        """Return the time since the beginning for which the loop ran.
+
+        After a stall, other tasks may run before the tick that counts it.
+        """
+        return time.monotonic() - self._began_at_s - self._stalled_s - self._stall_s()
 
     async def until(
         self, condition: t.Callable[[], t.Any], what: str, within_s: float
