--- a/bench/progress.py
+++ b/bench/progress.py
@@ -22,6 +22,7 @@
 from streamthread.platform.store import TransactResult
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
@@ -68,7 +69,11 @@
     runner.ready = True
     engine.add_runner(runner)
     step = {"count": tasks, "cpu": 1, "memMb": 1, "estimateMs": 1000}
-    job = new_job("a" * 16, ROUTE, json.dumps({"spec": "", "steps": [step]}).encode())
+    job = new_job(
+        "a" * 16,
+        JobTerms.of_route(ROUTE),
+        json.dumps({"spec": "", "steps": [step]}).encode(),
+    )
     engine.add(job)
     return engine, job
 
--- a/bench/scheduler.py
+++ b/bench/scheduler.py
@@ -15,6 +15,7 @@
 from streamthread.platform.runners import HoldReply
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import RunnerState
 
 JOBS = (50, 500, 5000)
@@ -35,7 +36,9 @@
     step = StepRequest(count=4, cpu=TASK_CPU, memory_mb=1, estimate_ms=500)
     # Every runner is full with one job's tasks before the queue is measured.
     for number in range(jobs + runners):
-        job = Job(f"{number:016x}", "r", "desk", JobRequest("", (step,)), b"", 0.0)
+        job = Job(
+            f"{number:016x}", JobTerms("r", "desk"), JobRequest("", (step,)), b"", 0.0
+        )
         engine.add(job)
     engine.begin_due(time.time())
     return engine
--- a/src/streamthread/capacity/tests/test_demand.py
+++ b/src/streamthread/capacity/tests/test_demand.py
@@ -21,6 +21,7 @@
 from streamthread.platform.callers import JobRequest
 from streamthread.platform.callers import StepRequest
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler.learning import RunTimes
 
 CPU_S = 12_000.0
@@ -110,14 +111,10 @@
         steps = (StepRequest(count=8, cpu=1_000, memory_mb=100, estimate_ms=1_000),)
         job = Job(
             f"{account}-{number}",
-            "r",
-            "desk",
+            JobTerms("r", "desk", stretch=1.6, target_s=0.6, account=account),
             JobRequest("", steps),
             b"",
             0.0,
-            stretch=1.6,
-            target_s=0.6,
-            account=account,
         )
         job.begin(0)
         return job
--- a/src/streamthread/gateway/tests/test_stored_states.py
+++ b/src/streamthread/gateway/tests/test_stored_states.py
@@ -17,6 +17,7 @@
 from streamthread.scheduler import encode_definition
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 
 JOB_ID = "a" * 16
@@ -43,7 +44,9 @@
 
 
 def _job(begun: bool = True, cancelled: bool = False, account: str = "") -> Job:
-    job = new_job(JOB_ID, ROUTE, b'{"spec":"","steps":[{}]}', account)
+    job = new_job(
+        JOB_ID, JobTerms.of_route(ROUTE, account), b'{"spec":"","steps":[{}]}'
+    )
     job.begun = begun
     job.cancelled = cancelled
     return job
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -17,6 +17,7 @@
 from ..scheduler import Engine
 from ..scheduler import Job
 from ..scheduler import JobState
+from ..scheduler import JobTerms
 from ..scheduler import new_job
 from ..scheduler.accounts import may_see
 from ..scheduler.accounts import over_limit
@@ -260,7 +261,9 @@
         if route is None:
             return pb.CallReply(outcome=pb.UNKNOWN_JOB, reason="no such queue")
         try:
-            job = new_job(request.job_id, route, request.job, account)
+            job = new_job(
+                request.job_id, JobTerms.of_route(route, account), request.job
+            )
         except BadInputError as error:
             return _reject(str(error))
         tasks = self._count_tasks(job) if job.chunked else 0
@@ -489,7 +492,11 @@
             )
             return False
         try:
-            job = new_job(entry.job_id, route, entry.body.encode(), entry.account)
+            job = new_job(
+                entry.job_id,
+                JobTerms.of_route(route, entry.account),
+                entry.body.encode(),
+            )
             if self._engine.shares.in_force and entry.submitted_at_s > 0:
                 # Jobs that are read at once did not come at once, and are no excess.
                 job.accepted_at_s = min(job.accepted_at_s, entry.submitted_at_s)
--- a/src/streamthread/holder/tests/test_accounts.py
+++ b/src/streamthread/holder/tests/test_accounts.py
@@ -19,6 +19,7 @@
 from streamthread.scheduler import encode_definition
 from streamthread.scheduler import Job
 from streamthread.scheduler import JobState
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 
 from .test_intake import BODY
@@ -75,7 +76,7 @@
         return await self.intake.answer(request)
 
     def add(self, account: str) -> Job:
-        job = new_job(JOB_ID, CLOSED, BODY, account)
+        job = new_job(JOB_ID, JobTerms.of_route(CLOSED, account), BODY)
         job.durable = True
         self.engine.add(job)
         return job
@@ -144,7 +145,7 @@
         assert reply.outcome == pb.OK
 
     def test_rows_with_and_without_an_account_can_be_decoded(self) -> None:
-        job = new_job(JOB_ID, CLOSED, BODY, "ann")
+        job = new_job(JOB_ID, JobTerms.of_route(CLOSED, "ann"), BODY)
         row = encode_definition(job)
         assert decode_row(JOB_ID, row).account == "ann"
         old = json.loads(row)
--- a/src/streamthread/holder/tests/test_advice.py
+++ b/src/streamthread/holder/tests/test_advice.py
@@ -12,6 +12,7 @@
 from streamthread.platform.callers import StepRequest
 from streamthread.platform.manifest import AdvicePolicy
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler import StepRun
 
@@ -35,7 +36,7 @@
 
 def _step() -> StepRun:
     request = JobRequest("", (StepRequest(),))
-    job = Job("a" * 16, "r", "desk", request, b"", time.time())
+    job = Job("a" * 16, JobTerms("r", "desk"), request, b"", time.time())
     return job.begin(0).steps[0]
 
 
--- a/src/streamthread/holder/tests/test_advice_turns.py
+++ b/src/streamthread/holder/tests/test_advice_turns.py
@@ -24,6 +24,7 @@
 from streamthread.platform.callers import StepRequest
 from streamthread.platform.manifest import AdvicePolicy
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler import StepRun
 
@@ -37,8 +38,8 @@
 
 def _step(count: int = 1, priority: int = 0, **request: t.Any) -> StepRun:
     steps = (StepRequest(count=count, cpu=4, **request),)
-    job = Job("a" * 16, "r", "desk", JobRequest("", steps), b"", time.time())
-    job.priority = priority
+    terms = JobTerms("r", "desk", priority)
+    job = Job("a" * 16, terms, JobRequest("", steps), b"", time.time())
     return job.begin(0).steps[0]
 
 
@@ -254,7 +255,7 @@
     async def test_of_one_job_do_not_delay_others(self) -> None:
         cache = _Pool([_runner(0)], _Service(lambda runner_id: True), POLICY).cache()
         request = JobRequest("", (StepRequest(cpu=4),), times=300)
-        large = Job("c" * 16, "r", "desk", request, b"", time.time())
+        large = Job("c" * 16, JobTerms("r", "desk"), request, b"", time.time())
         for number in range(300):
             cache.request(large.begin(number).steps[0])
         turns: list[t.Any] = []
@@ -315,7 +316,9 @@
         runners = [_runner(number) for number in range(40)]
         cache = _Pool(runners, service, POLICY).cache()
         steps = (StepRequest(cpu=4), StepRequest(cpu=4, count=2, after=(0,)))
-        job = Job("b" * 16, "r", "desk", JobRequest("", steps), b"", time.time())
+        job = Job(
+            "b" * 16, JobTerms("r", "desk"), JobRequest("", steps), b"", time.time()
+        )
         _, blocked = job.begin(0).steps
         ready = _step()
         cache.request(blocked)
--- a/src/streamthread/holder/tests/test_backlog_sizes.py
+++ b/src/streamthread/holder/tests/test_backlog_sizes.py
@@ -12,6 +12,7 @@
 from streamthread.platform.manifest import Pool
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 
 CPU = 16_000
 JOBS = 40
@@ -29,14 +30,10 @@
     for number in range(JOBS):
         job = Job(
             f"{number:016x}",
-            "r",
-            "desk",
+            JobTerms("r", "desk", stretch=1.6, target_s=0.6, account="ann"),
             JobRequest("", (request,)),
             b"",
             time.time() - age_s,
-            stretch=1.6,
-            target_s=0.6,
-            account="ann",
         )
         engine.add(job)
     engine.begin_due(time.time())
--- a/src/streamthread/holder/tests/test_handovers.py
+++ b/src/streamthread/holder/tests/test_handovers.py
@@ -14,6 +14,7 @@
 from streamthread.platform.manifest import Pool
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import RunnerState
 
 MACHINE = Machine(
@@ -39,7 +40,7 @@
         self.runner.ready = self.runner.heard = True
         self.engine.add_runner(self.runner)
         step = StepRequest(count=1, cpu=1_000, memory_mb=1, lasting=lasting)
-        job = Job("00", "r", "desk", JobRequest("", (step,)), b"", 0.0)
+        job = Job("00", JobTerms("r", "desk"), JobRequest("", (step,)), b"", 0.0)
         self.engine.add(job)
         self.engine.begin_due(1.0)
         self.attempts = self.engine.place_all(1.0, lambda step: None)
--- a/src/streamthread/holder/tests/test_intake.py
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -24,6 +24,7 @@
 from streamthread.scheduler import Engine
 from streamthread.scheduler import EngineSettings
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 
 JOB_ID = "a" * 16
@@ -126,7 +127,7 @@
         self.commits.mark("cell-runs", job.job_id, None)
 
     def add_job(self) -> Job:
-        job = new_job(JOB_ID, ROUTE, BODY)
+        job = new_job(JOB_ID, JobTerms.of_route(ROUTE), BODY)
         job.durable = True
         self.engine.add(job)
         return job
--- a/src/streamthread/holder/tests/test_job_rows.py
+++ b/src/streamthread/holder/tests/test_job_rows.py
@@ -29,6 +29,7 @@
 from streamthread.platform.store import TransactResult
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler import TaskState
 from streamthread.scheduler.tests.test_chunks import encode_as_one_row
@@ -101,7 +102,7 @@
 
     def submit(self, request: JobRequest) -> Job:
         body = encode_job(request)
-        job = Job(JOB_ID, "r", "desk", request, body, time.time())
+        job = Job(JOB_ID, JobTerms("r", "desk"), request, body, time.time())
         self.engine.add(job)
         self.rows.add(job)
         return job
--- a/src/streamthread/holder/tests/test_long_running.py
+++ b/src/streamthread/holder/tests/test_long_running.py
@@ -18,6 +18,7 @@
 from streamthread.scheduler import Attempt
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
 from streamthread.unreadable import UnreadableNotes
@@ -51,7 +52,9 @@
             t.cast(t.Any, owner), t.cast(t.Any, None), DutySettings()
         )
         step = StepRequest(count=TASKS, cpu=100, lasting=True, may_miss=1)
-        job = Job("a" * 16, "route", "desk", JobRequest("", (step,)), b"", 0.0)
+        job = Job(
+            "a" * 16, JobTerms("route", "desk"), JobRequest("", (step,)), b"", 0.0
+        )
         step_run = job.begin(0).steps[0]
         self.attempts: list[Attempt] = []
         for number, task in enumerate(step_run.tasks):
--- a/src/streamthread/holder/tests/test_machine_evidence.py
+++ b/src/streamthread/holder/tests/test_machine_evidence.py
@@ -24,6 +24,7 @@
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 from streamthread.scheduler import Phase
 from streamthread.scheduler import restore_progress
@@ -148,7 +149,7 @@
         self.engine.add_runner(runner)
         step = {"count": 1, "cpu": 900, "memMb": 10, "longRunning": lasting}
         body = json.dumps({"spec": "", "steps": [step]}).encode()
-        job = new_job(f"{number}" * 16, ROUTE, body)
+        job = new_job(f"{number}" * 16, JobTerms.of_route(ROUTE), body)
         self.engine.add(job)
         self.engine.begin_due(job.accepted_at_s + 1)
         self.engine.place_all(0.0, lambda step: None)
@@ -232,7 +233,11 @@
         (attempt,) = before.attempts.values()
         job = attempt.task.step.occurrence.job
         again = Job(
-            job.job_id, job.route, job.service, job.request, job.body, job.accepted_at_s
+            job.job_id,
+            job.terms,
+            job.request,
+            job.body,
+            job.accepted_at_s,
         )
         restore_progress(again, encode_progress(job))
         owner.engine = Engine(lambda job: None)
--- a/src/streamthread/holder/tests/test_sizes.py
+++ b/src/streamthread/holder/tests/test_sizes.py
@@ -15,6 +15,7 @@
 from streamthread.platform.manifest import Pool
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler.learning import RunTimes
 from streamthread.scheduler.model import Occurrence
 
@@ -113,7 +114,7 @@
     engine = Engine(lambda job: None)
     step = StepRequest(count=40, cpu=4_000, estimate_ms=1_000)
     request = JobRequest("", (step,))
-    job = Job("a" * 16, "r", "one", request, b"", clock.now_s, stretch=1.6)
+    job = Job("a" * 16, JobTerms("r", "one", stretch=1.6), request, b"", clock.now_s)
     job.begin(0)
     engine.add(job)
     pool_sizes = PoolSizes(engine, SETTINGS)
@@ -132,7 +133,7 @@
     engine = Engine(lambda job: None)
     request = JobRequest("", (StepRequest(cpu=4_000, estimate_ms=1_000),))
     for number in range(4):
-        job = Job(f"{number:016x}", "r", "one", request, b"", clock.now_s)
+        job = Job(f"{number:016x}", JobTerms("r", "one"), request, b"", clock.now_s)
         engine.add(job)
         job.begin(0)
         job.excess = number == 0
--- a/src/streamthread/holder/tests/test_submissions.py
+++ b/src/streamthread/holder/tests/test_submissions.py
@@ -13,6 +13,7 @@
 from streamthread.platform.manifest import Route
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 from streamthread.scheduler import RunnerState
 
@@ -51,7 +52,7 @@
         self.commits = _Commits()
         self.engine = Engine(lambda job: None)
         self.submissions = Submissions(self.engine, t.cast(t.Any, self.commits))
-        self.job = new_job("a", ROUTE, BODY)
+        self.job = new_job("a", JobTerms.of_route(ROUTE), BODY)
         self.engine.add(self.job)
 
     async def wait(self) -> "asyncio.Task[bool]":
@@ -103,7 +104,7 @@
         waiting = await fixture.wait()
         fixture.submissions.withdraw_if_overdue(may_accept=False)
         assert not await waiting
-        fixture.job = new_job("a", ROUTE, BODY)
+        fixture.job = new_job("a", JobTerms.of_route(ROUTE), BODY)
         fixture.engine.add(fixture.job)
         again = await fixture.wait()
         fixture.commits.done.set()
--- a/src/streamthread/scheduler/__init__.py
+++ b/src/streamthread/scheduler/__init__.py
@@ -23,6 +23,8 @@
 from .progress_codec import restore_progress
 from .settings import EngineSettings
 from .submission import new_job
+from .terms import JobTerms
+from .terms import TermsRow
 
 __all__ = [
     "Attempt",
@@ -32,6 +34,7 @@
     "FailureCause",
     "Job",
     "JobState",
+    "JobTerms",
     "Phase",
     "RunnerIncarnation",
     "RunnerState",
@@ -39,6 +42,7 @@
     "Stray",
     "Task",
     "TaskState",
+    "TermsRow",
     "body_key",
     "decode_row",
     "divide_body",
--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -9,8 +9,6 @@
 import json
 import typing as t
 
-import msgspec
-
 from ..decoding import Amount
 from ..decoding import Count
 from ..decoding import Decoder
@@ -21,6 +19,8 @@
 from .model import FailureCause
 from .model import Job
 from .model import JobState
+from .terms import JobTerms
+from .terms import TermsRow
 
 __all__ = [
     "body_key",
@@ -69,20 +69,12 @@
     """Encode the submission, or only how the job ended if it is over without runs."""
     if job.over and not job.has_attempts():
         return _encode_ended(job)
-    value: dict[str, Json] = {
-        "route": job.route,
-        "service": job.service,
-        "accepted_at_s": job.accepted_at_s,
-        "priority": job.priority,
-        "max_attempts": job.max_attempts,
-        "stretch": job.stretch,
-        "target_s": job.target_s,
-    }
+    value = job.terms.encode() | {"accepted_at_s": job.accepted_at_s}
     if job.body_rows:
         value["body_rows"] = job.body_rows
     else:
         value["body"] = job.body.decode()
-    return _dump(value | _encode_account(job))
+    return _dump(value)
 
 
 def _dump(value: dict[str, Json]) -> bytes:
@@ -99,29 +91,20 @@
     }
     if job.failure is not None:
         value["failure"] = job.failure.value
-    return _dump(value | _encode_account(job))
-
-
-def _encode_account(job: Job) -> dict[str, Json]:
-    return {"account": job.account} if job.account else {}
+    if job.account:
+        value["account"] = job.account
+    return _dump(value)
 
 
-class _JobRow(msgspec.Struct):
+class _JobRow(TermsRow, kw_only=True):
     """Either the submission or how the job ended."""
 
-    route: str
-    service: str
     accepted_at_s: Amount
-    priority: int = 0
-    max_attempts: Count = 1
-    stretch: Amount = 1.0
-    target_s: Amount = 0.0
     body: str | None = None
     body_rows: Count = 0
     state: JobState | None = None
     failure: str = ""
     ended_at_s: Amount | None = None
-    account: str = ""
 
 
 _JOBS = Decoder[_JobRow](_JobRow, remedy=OWN_ROW_REMEDY)
@@ -139,16 +122,10 @@
     body = _body(job_id, row, body_rows)
     return Job(
         job_id=job_id,
-        route=row.route,
-        service=row.service,
+        terms=row.terms(),
         request=decode_job(body),
         body=body,
         accepted_at_s=row.accepted_at_s,
-        priority=row.priority,
-        max_attempts=row.max_attempts,
-        stretch=row.stretch,
-        target_s=row.target_s,
-        account=row.account,
         body_rows=row.body_rows,
     )
 
@@ -167,8 +144,7 @@
 def _decode_ended(job_id: str, row: _JobRow, state: JobState) -> Job:
     return Job(
         job_id=job_id,
-        route=row.route,
-        service=row.service,
+        terms=JobTerms(row.route, row.service, account=row.account),
         request=JobRequest("", ()),
         body=b"",
         accepted_at_s=row.accepted_at_s,
@@ -177,5 +153,4 @@
         cancelled=state is JobState.CANCELLED,
         failure=FailureCause.parse(row.failure) if state is JobState.FAILED else None,
         ended_at_s=row.ended_at_s,
-        account=row.account,
     )
--- a/src/streamthread/scheduler/ledger.py
+++ b/src/streamthread/scheduler/ledger.py
@@ -148,8 +148,8 @@
                 "job": job.job_id,
                 "state": job.state.value,
                 "took_s": round(time.time() - job.accepted_at_s, 3),
-                "stretch": job.stretch,
-                "target_s": job.target_s,
+                "stretch": job.terms.stretch,
+                "target_s": job.terms.target_s,
             },
         )
 
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -20,6 +20,7 @@
 from .states import RunnerIncarnation
 from .states import Stop
 from .states import TaskState
+from .terms import JobTerms
 
 __all__ = [
     "Attempt",
@@ -327,12 +328,8 @@
 class Job:
     """One job, from its submission until it is forgotten.
 
-    :param service: the pool whose runners run the job.
+    :param terms: what the job was accepted with.
     :param accepted_at_s: wall time of acceptance, in seconds since 1970.
-    :param priority: steps of jobs with a lower value are placed first.
-    :param max_attempts: the job fails once one of its tasks has failed this often.
-    :param stretch: the job's objective is to end within this multiple of the length of
-        its longest chain of steps, plus ``target_s``.
     :param occurrences: the occurrences whose tasks exist: they are not done, or still
         have attempts.
     :param done_times: the numbers of the occurrences that are done.
@@ -349,8 +346,6 @@
     :param ended_at_s: wall time at which the job ended, or None.
     :param durable: the submission is persisted, so it may be acknowledged.
     :param left_in_inbox: another daemon acknowledged the job and left it in the store.
-    :param account: the client account that submitted the job; empty if its route needed
-        no key.
     :param excess: the account had used up its weight when the job was accepted; set by
         each holder from the jobs that it knows.
     :param start_forecast_s: wall time at which its first run was expected when it was
@@ -358,15 +353,10 @@
     """
 
     job_id: str
-    route: str
-    service: str
+    terms: JobTerms = attrs.field(on_setattr=attrs.setters.frozen)
     request: JobRequest
     body: bytes
     accepted_at_s: float
-    priority: int = 0
-    max_attempts: int = 1
-    stretch: float = 1.0
-    target_s: float = 0.0
     occurrences: dict[int, Occurrence] = attrs.field(factory=dict)
     done_times: IntervalSet = attrs.field(factory=IntervalSet)
     begun: bool = False
@@ -375,7 +365,6 @@
     ended_at_s: float | None = None
     durable: bool = False
     left_in_inbox: bool = False
-    account: str = ""
     excess: bool = False
     start_forecast_s: float | None = None
     changed_chunks: set[Chunk] = attrs.field(factory=set)
@@ -384,11 +373,18 @@
     paused_until_s: float = 0.0
     pause_s: float = 0.0
     chunked: bool = attrs.field(init=False)
+    # Read from the terms once, since each pass over the queue reads them often.
+    route: str = attrs.field(init=False)
+    service: str = attrs.field(init=False)
+    account: str = attrs.field(init=False)
     # The occurrences below this number have begun.
     _begun_count: int = attrs.field(default=0, init=False)
 
     def __attrs_post_init__(self) -> None:
         self.chunked = is_chunked(self.request)
+        self.route = self.terms.route
+        self.service = self.terms.service
+        self.account = self.terms.account
 
     @property
     def times(self) -> int:
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -304,7 +304,7 @@
             self._ledger.requeue(task)
             return
         task.failures += 1
-        if task.failures >= job.max_attempts and task.state is not TaskState.DONE:
+        if task.failures >= job.terms.max_attempts and task.state is not TaskState.DONE:
             self._fail_task(task)
             return
         self._ledger.requeue(task)
@@ -323,7 +323,7 @@
         details = {
             "task": task.name,
             "failures": task.failures,
-            "max_attempts": job.max_attempts,
+            "max_attempts": job.terms.max_attempts,
         }
         self._fail_job(job, FailureCause.ATTEMPTS, details)
 
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -99,7 +99,7 @@
     if known is None or known.version != times.version or known.times is not times:
         job = occurrence.job
         chain_s, open_s = _chains_s(occurrence, times)
-        objective_s = job.stretch * chain_s + job.target_s
+        objective_s = job.terms.stretch * chain_s + job.terms.target_s
         latest_end_s = occurrence.due_at_s + objective_s
         known = Outlook(open_s, latest_end_s, times, times.version)
         occurrence.outlook = known
@@ -121,16 +121,16 @@
     """
     job = step.occurrence.job
     if step.request.lasting:
-        return (job.priority, 0, 0, step.occurrence.due_at_s)
+        return (job.terms.priority, 0, 0, step.occurrence.due_at_s)
     open_s, latest_end_s = outlook(step.occurrence, times)
     latest_start_s = latest_end_s - open_s
     if choice is not None:
         key = (job.job_id, step.occurrence.number)
         lead_s = LARGE_TASK_LEAD_S * step.reserved_cpu / 1000
         place = choice.sort_key(key, job.excess, latest_start_s - lead_s)
-        return (job.priority, 1, *place)
+        return (job.terms.priority, 1, *place)
     lost = now_s > latest_start_s
-    return (job.priority, 1, lost, latest_start_s)
+    return (job.terms.priority, 1, lost, latest_start_s)
 
 
 def order_steps(
--- a/src/streamthread/scheduler/submission.py
+++ b/src/streamthread/scheduler/submission.py
@@ -3,27 +3,21 @@
 import time
 
 from ..platform.callers import decode_job
-from ..platform.manifest import Route
 from .model import Job
+from .terms import JobTerms
 
 __all__ = ["new_job"]
 
 
-def new_job(job_id: str, route: Route, body: bytes, account: str = "") -> Job:
-    """Return a job that a caller now submits at a route, with or without an account.
+def new_job(job_id: str, terms: JobTerms, body: bytes) -> Job:
+    """Return a job that a caller now submits.
 
     :raises BadInputError: the body is not a valid job.
     """
     return Job(
         job_id=job_id,
-        route=route.name,
-        service=route.service,
+        terms=terms,
         request=decode_job(body),
         body=body,
         accepted_at_s=time.time(),
-        priority=route.priority,
-        max_attempts=route.max_attempts,
-        stretch=route.stretch,
-        target_s=route.target_s,
-        account=account,
     )
--- /dev/null
+++ b/src/streamthread/scheduler/terms.py
@@ -0,0 +1,90 @@
+"""What a job was accepted with, and its stored format."""
+
+import typing as t
+
+import attrs
+import msgspec
+
+from ..decoding import Amount
+from ..decoding import Count
+from ..platform.manifest import Route
+
+__all__ = ["JobTerms", "TermsRow"]
+
+
+@attrs.frozen
+class JobTerms:
+    """What a job was accepted with, by the configuration of that time.
+
+    A later configuration may change or remove the route; the terms of its jobs stay.
+    What a later one still decides: which keys may ask about the job, and how much its
+    account may have running at once.
+
+    :param route: name of the route where the job was submitted.
+    :param service: the pool whose runners run the job.
+    :param priority: steps of jobs with a lower value are placed first.
+    :param max_attempts: the job fails once one of its tasks has failed this often.
+    :param stretch: the job's objective is to end within this multiple of the length of
+        its longest chain of steps, plus ``target_s``.
+    :param account: the client account that submitted the job; empty if the route needed
+        no key.
+    """
+
+    route: str
+    service: str
+    priority: int = 0
+    max_attempts: int = 1
+    stretch: float = 1.0
+    target_s: float = 0.0
+    account: str = ""
+
+    @classmethod
+    def of_route(cls, route: Route, account: str = "") -> "JobTerms":
+        """Return the terms of a job that an account submits at a route now."""
+        return cls(
+            route=route.name,
+            service=route.service,
+            priority=route.priority,
+            max_attempts=route.max_attempts,
+            stretch=route.stretch,
+            target_s=route.target_s,
+            account=account,
+        )
+
+    def encode(self) -> dict[str, t.Any]:
+        """Return the fields of :class:`TermsRow`."""
+        fields: dict[str, t.Any] = {
+            "route": self.route,
+            "service": self.service,
+            "priority": self.priority,
+            "max_attempts": self.max_attempts,
+            "stretch": self.stretch,
+            "target_s": self.target_s,
+        }
+        if self.account:
+            fields["account"] = self.account
+        return fields
+
+
+class TermsRow(msgspec.Struct):
+    """The stored format of a job's terms; they may be part of a larger row."""
+
+    route: str
+    service: str
+    priority: int = 0
+    max_attempts: Count = 1
+    stretch: Amount = 1.0
+    target_s: Amount = 0.0
+    account: str = ""
+
+    def terms(self) -> JobTerms:
+        """Return the terms in this row."""
+        return JobTerms(
+            self.route,
+            self.service,
+            self.priority,
+            self.max_attempts,
+            self.stretch,
+            self.target_s,
+            self.account,
+        )
--- a/src/streamthread/scheduler/tests/drawn.py
+++ b/src/streamthread/scheduler/tests/drawn.py
@@ -17,6 +17,7 @@
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 from streamthread.scheduler import restore_progress
 from streamthread.scheduler import RunnerState
@@ -117,16 +118,18 @@
         request = JobRequest("", steps, times, self._clock_ms() + 100, 400)
         job = Job(
             f"{self._jobs:016x}",
-            drawn.choice(("r", "advised")),
-            drawn.choice(POOLS),
+            JobTerms(
+                drawn.choice(("r", "advised")),
+                drawn.choice(POOLS),
+                priority=drawn.choice((0, 0, 1)),
+                max_attempts=drawn.randint(1, 3),
+                stretch=1.6,
+                target_s=0.5,
+                account=drawn.choice(("a", "a", "b", "")),
+            ),
             request,
             b"",
             self.now_s,
-            priority=drawn.choice((0, 0, 1)),
-            max_attempts=drawn.randint(1, 3),
-            stretch=1.6,
-            target_s=0.5,
-            account=drawn.choice(("a", "a", "b", "")),
         )
         self.engine.add(job)
 
@@ -267,19 +270,7 @@
             after.ready = True
             self.engine.add_runner(after)
         for job in before.open_jobs():
-            read = Job(
-                job.job_id,
-                job.route,
-                job.service,
-                job.request,
-                b"",
-                job.accepted_at_s,
-                job.priority,
-                job.max_attempts,
-                job.stretch,
-                job.target_s,
-                account=job.account,
-            )
+            read = Job(job.job_id, job.terms, job.request, b"", job.accepted_at_s)
             restore_progress(read, encode_progress(job))
             self.engine.add(read)
         for attempt in self.engine.orphans():
--- a/src/streamthread/scheduler/tests/loads.py
+++ b/src/streamthread/scheduler/tests/loads.py
@@ -17,6 +17,7 @@
 from streamthread.scheduler import choices
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler import Task
 
@@ -135,14 +136,10 @@
     )
     job = Job(
         f"{account}-{number:05d}",
-        "r",
-        "desk",
+        JobTerms("r", "desk", stretch=STRETCH, target_s=TARGET_S, account=account),
         JobRequest("", steps),
         b"",
         at_s,
-        stretch=STRETCH,
-        target_s=TARGET_S,
-        account=account,
     )
     work = sum(step.cpu * step.count * step.estimate_ms / 1000 for step in steps)
     chain_s = sum(step.estimate_ms / 1000 for step in steps)
--- a/src/streamthread/scheduler/tests/support.py
+++ b/src/streamthread/scheduler/tests/support.py
@@ -14,6 +14,7 @@
 from streamthread.scheduler import Attempt
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.orders import OrderSender
@@ -79,8 +80,7 @@
         self.engine.add_runner(self.runner)
         job = Job(
             "a" * 16,
-            "r",
-            "desk",
+            JobTerms("r", "desk"),
             JobRequest("", (StepRequest(cpu=1, memory_mb=1),)),
             b"",
             time.time(),
--- a/src/streamthread/scheduler/tests/test_accounts.py
+++ b/src/streamthread/scheduler/tests/test_accounts.py
@@ -15,6 +15,7 @@
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 from streamthread.scheduler import Phase
 from streamthread.scheduler import restore_progress
@@ -54,7 +55,7 @@
 
     def add(self, account: str, text: bytes) -> Job:
         self._jobs += 1
-        job = new_job(f"{self._jobs:016x}", ROUTE, text, account)
+        job = new_job(f"{self._jobs:016x}", JobTerms.of_route(ROUTE, account), text)
         self.engine.add(job)
         self.engine.begin_due(NOW_S)
         return job
@@ -163,8 +164,10 @@
 
 class TestOverLimit:
     def test_rejects_a_task_and_a_gang_that_can_never_run(self) -> None:
-        job = new_job("a" * 16, ROUTE, body(count=3), "ann")
-        gang = new_job("b" * 16, ROUTE, body(count=3, gang=True), "ann")
+        job = new_job("a" * 16, JobTerms.of_route(ROUTE, "ann"), body(count=3))
+        gang = new_job(
+            "b" * 16, JobTerms.of_route(ROUTE, "ann"), body(count=3, gang=True)
+        )
         assert not over_limit(job, Limit(cpu=100))
         assert "a task of step 0" in over_limit(job, Limit(cpu=99))
         assert not over_limit(gang, Limit(cpu=300))
--- a/src/streamthread/scheduler/tests/test_any_job.py
+++ b/src/streamthread/scheduler/tests/test_any_job.py
@@ -23,6 +23,7 @@
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 from streamthread.scheduler import restore_progress
 from streamthread.scheduler import RunnerState
@@ -94,7 +95,7 @@
         runner.ready = True
         engine.add_runner(runner)
         try:
-            job = new_job("a" * 16, ROUTE, json.dumps(body).encode())
+            job = new_job("a" * 16, JobTerms.of_route(ROUTE), json.dumps(body).encode())
         except BadInputError:
             return
         engine.add(job)
--- a/src/streamthread/scheduler/tests/test_chunks.py
+++ b/src/streamthread/scheduler/tests/test_chunks.py
@@ -22,6 +22,7 @@
 from streamthread.scheduler import encode_chunk
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 from streamthread.scheduler import restore_progress
 from streamthread.scheduler import TaskState
@@ -38,7 +39,7 @@
 def make_job(counts: t.Sequence[int], times: int = 0) -> Job:
     """Return a job whose first occurrence has begun."""
     steps = tuple(StepRequest(count=count, cpu=1) for count in counts)
-    job = Job("a" * 16, "r", "desk", JobRequest("", steps, times), b"", 1.0)
+    job = Job("a" * 16, JobTerms("r", "desk"), JobRequest("", steps, times), b"", 1.0)
     job.begin(0)
     return job
 
@@ -71,7 +72,7 @@
 
 
 def restored(job: Job, chunks: dict[Chunk, bytes], row: bytes = b"") -> Job:
-    after = Job(job.job_id, job.route, job.service, job.request, b"", 1.0)
+    after = Job(job.job_id, job.terms, job.request, b"", 1.0)
     restore_progress(after, row or encode_progress(job), chunks)
     return after
 
--- a/src/streamthread/scheduler/tests/test_crashes.py
+++ b/src/streamthread/scheduler/tests/test_crashes.py
@@ -24,6 +24,7 @@
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 from streamthread.scheduler import restore_progress
 from streamthread.scheduler import RunnerState
@@ -64,8 +65,8 @@
 
     def add_job(self, job_id: str) -> Job:
         step = StepRequest(count=1, cpu=1000, memory_mb=1)
-        job = Job(job_id, "r", "desk", JobRequest("x", (step,)), BODY, time.time())
-        job.max_attempts = 3
+        terms = JobTerms("r", "desk", max_attempts=3)
+        job = Job(job_id, terms, JobRequest("x", (step,)), BODY, time.time())
         job.begin(0)
         self.engine.add(job)
         return job
@@ -630,7 +631,9 @@
     ) -> None:
         cell = _Cell(patch, jobs=1, runners=2)
         step = StepRequest(count=9, cpu=1000, memory_mb=1, gang=True)
-        gang = Job("9" * 16, "r", "desk", JobRequest("x", (step,)), BODY, time.time())
+        gang = Job(
+            "9" * 16, JobTerms("r", "desk"), JobRequest("x", (step,)), BODY, time.time()
+        )
         gang.begin(0)
         for task in gang.occurrences[0].steps[0].tasks:
             task.on_probation = True
--- a/src/streamthread/scheduler/tests/test_ends_listed_again.py
+++ b/src/streamthread/scheduler/tests/test_ends_listed_again.py
@@ -14,6 +14,7 @@
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
 from streamthread.scheduler import JobState
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
@@ -29,7 +30,7 @@
     engine.add_runner(runner)
     step = {"count": 1, "cpu": 100, "memMb": 10, "longRunning": lasting}
     body = json.dumps({"spec": "", "steps": [step]}).encode()
-    job = new_job("a" * 16, ROUTE, body)
+    job = new_job("a" * 16, JobTerms.of_route(ROUTE), body)
     engine.add(job)
     engine.begin_due(job.accepted_at_s + 1)
     (attempt,) = engine.place_all(0.0, lambda step: None)
--- a/src/streamthread/scheduler/tests/test_engine.py
+++ b/src/streamthread/scheduler/tests/test_engine.py
@@ -23,6 +23,7 @@
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
 from streamthread.scheduler import JobState
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 from streamthread.scheduler import restore_progress
 from streamthread.scheduler import RunnerState
@@ -44,8 +45,8 @@
     @initialize()
     def begin(self) -> None:
         self.engine = Engine(lambda job: None)
-        self.job = Job("a" * 16, "r", "desk", JobRequest("x", STEPS), BODY, time.time())
-        self.job.max_attempts = 3
+        terms = JobTerms("r", "desk", max_attempts=3)
+        self.job = Job("a" * 16, terms, JobRequest("x", STEPS), BODY, time.time())
         self.engine.add(self.job)
         self.engine.begin_due(time.time())
         self.seen: set[tuple[str, int]] = set()
@@ -191,7 +192,9 @@
 class TestTaskNames:
     def test_invalid_names_find_no_task(self) -> None:
         engine = Engine(lambda job: None)
-        job = Job("a" * 16, "r", "desk", JobRequest("x", STEPS), BODY, time.time())
+        job = Job(
+            "a" * 16, JobTerms("r", "desk"), JobRequest("x", STEPS), BODY, time.time()
+        )
         engine.add(job)
         engine.begin_due(time.time())
         good = f"{'a' * 16}.0.0.2"
@@ -202,7 +205,9 @@
 
 def _job_with_attempts() -> Job:
     """Return a job in which each task of the first step has an attempt."""
-    job = Job("a" * 16, "r", "desk", JobRequest("x", STEPS), BODY, time.time())
+    job = Job(
+        "a" * 16, JobTerms("r", "desk"), JobRequest("x", STEPS), BODY, time.time()
+    )
     for task in job.begin(0).steps[0].tasks:
         task.last_run = 1
         task.attempts = [Attempt(task, 1, "i-1")]
--- a/src/streamthread/scheduler/tests/test_failures.py
+++ b/src/streamthread/scheduler/tests/test_failures.py
@@ -18,7 +18,7 @@
 def _fail(cell: _Cell) -> Job:
     """Let every attempt of the cell's only job end as failed."""
     job = cell.at_fault
-    for _ in range(job.max_attempts):
+    for _ in range(job.terms.max_attempts):
         (attempt,) = cell.place()
         runner = cell.engine.runners[attempt.runner_id]
         end = EndedRun(attempt.run, attempt.task.name, attempt.run, EndKind.FAILED, "")
@@ -35,9 +35,7 @@
 
     def test_is_known_to_later_holders(self, monkeypatch: pytest.MonkeyPatch) -> None:
         job = _fail(_Cell(monkeypatch, jobs=1, runners=4))
-        restored = Job(
-            job.job_id, job.route, job.service, job.request, job.body, 1000.0
-        )
+        restored = Job(job.job_id, job.terms, job.request, job.body, 1000.0)
         restore_progress(restored, encode_progress(job))
         assert restored.failure is FailureCause.ATTEMPTS
         ended = decode_row(job.job_id, encode_definition(job))
--- a/src/streamthread/scheduler/tests/test_faulty_jobs.py
+++ b/src/streamthread/scheduler/tests/test_faulty_jobs.py
@@ -12,6 +12,7 @@
 from streamthread.platform.manifest import Route
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 from streamthread.scheduler import placer
 from streamthread.scheduler import RunnerState
@@ -39,7 +40,7 @@
     def _add(self, job_id: str, pool: str) -> Job:
         step = {"count": 1, "cpu": 100, "memMb": 10}
         body = json.dumps({"spec": "", "steps": [step]}).encode()
-        job = new_job(job_id, Route(pool, "x", "/", pool), body)
+        job = new_job(job_id, JobTerms.of_route(Route(pool, "x", "/", pool)), body)
         self.engine.add(job)
         return job
 
--- a/src/streamthread/scheduler/tests/test_halls.py
+++ b/src/streamthread/scheduler/tests/test_halls.py
@@ -14,6 +14,7 @@
 from streamthread.scheduler import Attempt
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.fleet import usable_runners
@@ -52,7 +53,9 @@
 
 
 def _add_job(engine: Engine, step: StepRequest) -> Job:
-    job = Job("a" * 16, "r", "desk", JobRequest("", (step,)), b"", time.time())
+    job = Job(
+        "a" * 16, JobTerms("r", "desk"), JobRequest("", (step,)), b"", time.time()
+    )
     engine.add(job)
     job.begin(0)
     return job
--- a/src/streamthread/scheduler/tests/test_incremental_passes.py
+++ b/src/streamthread/scheduler/tests/test_incremental_passes.py
@@ -92,8 +92,10 @@
 def check_outlooks(engine: Engine, now_s: float) -> None:
     for job in engine.open_jobs():
         for occurrence in job.occurrences.values():
-            objective_s = job.stretch * chain_s(engine, occurrence, only_open=False)
-            latest_end_s = occurrence.due_at_s + (objective_s + job.target_s)
+            objective_s = job.terms.stretch * chain_s(
+                engine, occurrence, only_open=False
+            )
+            latest_end_s = occurrence.due_at_s + (objective_s + job.terms.target_s)
             open_s = chain_s(engine, occurrence, only_open=True)
             found = placement.outlook(occurrence, engine.times)
             assert found == (open_s, latest_end_s)
--- a/src/streamthread/scheduler/tests/test_late_paces.py
+++ b/src/streamthread/scheduler/tests/test_late_paces.py
@@ -15,6 +15,7 @@
 from streamthread.scheduler import Attempt
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.orders import OrderSender
@@ -62,7 +63,9 @@
 class TestPace:
     async def test_carried_out_late_is_corrected(self) -> None:
         step = StepRequest(fills=True)
-        job = Job("a" * 16, "r", "desk", JobRequest("", (step,)), b"", time.time())
+        job = Job(
+            "a" * 16, JobTerms("r", "desk"), JobRequest("", (step,)), b"", time.time()
+        )
         task = job.begin(0).steps[0].tasks[0]
         attempt = Attempt(task, 1, "i-1", Phase.CONFIRMED)
         runner = RunnerState("i-1", "desk", "x:1", "z", ("a",), 9, 9, 0)
--- a/src/streamthread/scheduler/tests/test_overload.py
+++ b/src/streamthread/scheduler/tests/test_overload.py
@@ -14,6 +14,7 @@
 from streamthread.scheduler import choices
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.overload import Choice
 from streamthread.scheduler.overload import choose
@@ -156,7 +157,9 @@
     engine.add_runner(runner)
     step = StepRequest(count=4, cpu=1_000, estimate_ms=1_000)
     request = JobRequest("", (step,))
-    job = Job("j", "r", "desk", request, b"", NOW_S, target_s=0.6, account="ann")
+    job = Job(
+        "j", JobTerms("r", "desk", target_s=0.6, account="ann"), request, b"", NOW_S
+    )
     engine.add(job)
     job.begin(0)
     assert engine.place_all(NOW_S, lambda step: None)
@@ -333,14 +336,10 @@
                 name = f"{pool}-{number}"
                 job = Job(
                     name,
-                    "r",
-                    pool,
+                    JobTerms("r", pool, stretch=1.6, target_s=0.6, account="ann"),
                     JobRequest("", (step,)),
                     b"",
                     NOW_S,
-                    stretch=1.6,
-                    target_s=0.6,
-                    account="ann",
                 )
                 engine.add(job)
                 job.begin(0)
--- a/src/streamthread/scheduler/tests/test_pass_work.py
+++ b/src/streamthread/scheduler/tests/test_pass_work.py
@@ -10,6 +10,7 @@
 from streamthread.platform.callers import StepRequest
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import placement
 from streamthread.scheduler import placer as module
 from streamthread.scheduler import RunnerState
@@ -39,7 +40,9 @@
     for runner in runners:
         engine.add_runner(runner)
     for number, step in enumerate(steps):
-        job = Job(f"{number:016x}", "r", "desk", JobRequest("", (step,)), b"", 0.0)
+        job = Job(
+            f"{number:016x}", JobTerms("r", "desk"), JobRequest("", (step,)), b"", 0.0
+        )
         engine.add(job)
     engine.begin_due(time.time())
     return engine
@@ -160,7 +163,7 @@
     engine = _scattered()
     now_s = time.time()
     request = JobRequest("", (StepRequest(),), 3, round(now_s * 1000), 1_000)
-    scheduled = Job("scheduled", "r", "desk", request, b"", now_s)
+    scheduled = Job("scheduled", JobTerms("r", "desk"), request, b"", now_s)
     engine.add(scheduled)
     next_s = engine.begin_due(now_s)
     assert next_s == scheduled.due_at_s(1) - engine.settings.early_s
@@ -235,7 +238,9 @@
     engine.add_runner(_runner(0, cpu=1_000, memory_mb=100))
     request = JobRequest("", (StepRequest(cpu=1_000),))
     for number in range(JOBS):
-        job = Job(f"{number:016x}", "r", "desk", request, b"", 0.0, account="a")
+        job = Job(
+            f"{number:016x}", JobTerms("r", "desk", account="a"), request, b"", 0.0
+        )
         engine.add(job)
     engine.begin_due(time.time())
     assert len(engine.place_all(time.time(), lambda step: None)) == 1
--- a/src/streamthread/scheduler/tests/test_placement.py
+++ b/src/streamthread/scheduler/tests/test_placement.py
@@ -11,13 +11,16 @@
 from streamthread.scheduler import Engine
 from streamthread.scheduler import EngineSettings
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import RunnerIncarnation
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.placement import place_step
 
 
 def _job(step: StepRequest) -> Job:
-    job = Job("a" * 16, "r", "desk", JobRequest("", (step,)), b"{}", time.time())
+    job = Job(
+        "a" * 16, JobTerms("r", "desk"), JobRequest("", (step,)), b"{}", time.time()
+    )
     job.begin(0)
     return job
 
@@ -135,7 +138,13 @@
                 StepRequest(count=3, cpu=10, lasting=True),
                 StepRequest(count=3, cpu=10),
             )
-            job = Job("a" * 16, "r", "desk", JobRequest("", steps), b"{}", time.time())
+            job = Job(
+                "a" * 16,
+                JobTerms("r", "desk"),
+                JobRequest("", steps),
+                b"{}",
+                time.time(),
+            )
             job.begin(0)
             engine.add(job)
             halls: dict[int, set[str]] = collections.defaultdict(set)
--- a/src/streamthread/scheduler/tests/test_progress.py
+++ b/src/streamthread/scheduler/tests/test_progress.py
@@ -15,6 +15,7 @@
 from streamthread.scheduler import Attempt
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.progress import detect_lag
@@ -26,7 +27,9 @@
 
 def _job(**step: t.Any) -> Job:
     request = JobRequest("", (StepRequest(cpu=1000, memory_mb=1, **step),))
-    return Job("a" * 16, "r", "desk", request, b"{}", time.time(), max_attempts=3)
+    return Job(
+        "a" * 16, JobTerms("r", "desk", max_attempts=3), request, b"{}", time.time()
+    )
 
 
 def _attempt(seen: t.Sequence[tuple[float, float]], **step: t.Any) -> Attempt:
--- a/src/streamthread/scheduler/tests/test_restarts.py
+++ b/src/streamthread/scheduler/tests/test_restarts.py
@@ -14,6 +14,7 @@
 from streamthread.scheduler import encode_progress
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 from streamthread.scheduler import Phase
 from streamthread.scheduler import restore_progress
@@ -40,7 +41,7 @@
         self.engine.add_runner(self.before)
         step = {"count": 3, "cpu": 100, "memMb": 10, "longRunning": True}
         body = json.dumps({"spec": "", "steps": [step]}).encode()
-        self.job: Job = new_job("a" * 16, ROUTE, body)
+        self.job: Job = new_job("a" * 16, JobTerms.of_route(ROUTE), body)
         self.engine.add(self.job)
         self.engine.begin_due(self.job.accepted_at_s + 1)
         self.engine.place_all(0.0, lambda step: None)
--- a/src/streamthread/scheduler/tests/test_shares.py
+++ b/src/streamthread/scheduler/tests/test_shares.py
@@ -8,6 +8,7 @@
 from streamthread.platform.callers import StepRequest
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.shares import Shares
 
@@ -18,7 +19,7 @@
     """Return a job of one task that an account submitted at a time."""
     request = JobRequest("", (StepRequest(cpu=1_000, estimate_ms=1_000),))
     name = job_id or f"{account}-{at_s}"
-    return Job(name, "r", "desk", request, b"", at_s, account=account)
+    return Job(name, JobTerms("r", "desk", account=account), request, b"", at_s)
 
 
 def marks(shares: Shares, jobs: t.Iterable[Job]) -> list[bool]:
--- a/src/streamthread/scheduler/tests/test_stops.py
+++ b/src/streamthread/scheduler/tests/test_stops.py
@@ -13,6 +13,7 @@
 from streamthread.scheduler import Attempt
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.stops import OVERDUE_S
@@ -32,7 +33,9 @@
 
 def _engine_with_runs() -> tuple[Engine, Job]:
     engine = Engine(lambda job: None)
-    job = Job("a" * 16, "r", "desk", JobRequest("x", STEPS), b"{}", time.time())
+    job = Job(
+        "a" * 16, JobTerms("r", "desk"), JobRequest("x", STEPS), b"{}", time.time()
+    )
     runner = RunnerState("i-1", "desk", "x:1", "z", ("a", "r"), 4000, 100, 0)
     runner.ready = True
     engine.add_runner(runner)
--- a/src/streamthread/scheduler/tests/test_suspect_starts.py
+++ b/src/streamthread/scheduler/tests/test_suspect_starts.py
@@ -8,6 +8,7 @@
 from streamthread.platform.callers import StepRequest
 from streamthread.platform.runners import IncarnationEndedError
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 
 from .support import StartCell
@@ -104,7 +105,7 @@
         cell.engine.cancel(cell.task.step.occurrence.job)
         cell.runner.known_since_s = boot_s() - 60.0
         request = JobRequest("", (StepRequest(count=2, cpu=1, memory_mb=1),))
-        job = Job("b" * 16, "r", "desk", request, b"", time.time())
+        job = Job("b" * 16, JobTerms("r", "desk"), request, b"", time.time())
         for task in job.begin(0).steps[0].tasks:
             task.crashes, task.on_probation, task.needs_stable_runner = 2, True, True
         cell.engine.add(job)
--- a/src/streamthread/scheduler/tests/test_truncated_ends.py
+++ b/src/streamthread/scheduler/tests/test_truncated_ends.py
@@ -18,6 +18,7 @@
 from streamthread.scheduler import EngineSettings
 from streamthread.scheduler import Job
 from streamthread.scheduler import JobState
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
@@ -40,7 +41,7 @@
         self.engine.add_runner(self.runner)
         step = {"count": tasks, "cpu": 10, "memMb": 10}
         body = json.dumps({"spec": "", "steps": [step]}).encode()
-        self.job: Job = new_job("a" * 16, ROUTE, body)
+        self.job: Job = new_job("a" * 16, JobTerms.of_route(ROUTE), body)
         self.engine.add(self.job)
         self.engine.begin_due(self.job.accepted_at_s + 1)
         self.attempts = self.engine.place_all(0.0, lambda step: None)
--- a/src/streamthread/scheduler/tests/test_unlisted_runs.py
+++ b/src/streamthread/scheduler/tests/test_unlisted_runs.py
@@ -11,6 +11,7 @@
 from streamthread.scheduler import Attempt
 from streamthread.scheduler import Engine
 from streamthread.scheduler import EngineSettings
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
@@ -27,7 +28,7 @@
         self.engine.add_runner(self.runner)
         step = {"count": 1, "cpu": 100, "memMb": 10}
         body = json.dumps({"spec": "", "steps": [step]}).encode()
-        job = new_job("a" * 16, ROUTE, body)
+        job = new_job("a" * 16, JobTerms.of_route(ROUTE), body)
         self.engine.add(job)
         self.engine.begin_due(job.accepted_at_s + 1)
         (self.attempt,) = self.engine.place_all(0.0, lambda step: None)
--- a/src/streamthread/scheduler/tests/test_unreached_starts.py
+++ b/src/streamthread/scheduler/tests/test_unreached_starts.py
@@ -14,6 +14,7 @@
 from streamthread.platform.runners import OrderReply
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.model import Task
 from streamthread.scheduler.orders import OrderSender
@@ -65,7 +66,9 @@
     runner.ready = True
     engine.add_runner(runner)
     step = StepRequest(cpu=1, memory_mb=1)
-    job = Job("a" * 16, "r", "desk", JobRequest("", (step,)), b"", time.time())
+    job = Job(
+        "a" * 16, JobTerms("r", "desk"), JobRequest("", (step,)), b"", time.time()
+    )
     job.begin(0)
     engine.add(job)
     (attempt,) = engine.place_all(time.time(), lambda step: None)
--- a/src/streamthread/scheduler/tests/test_warming.py
+++ b/src/streamthread/scheduler/tests/test_warming.py
@@ -12,6 +12,7 @@
 from streamthread.platform.documents import RunnerEntry
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import RunnerState
 
 
@@ -33,7 +34,9 @@
 
 
 def _place(engine: Engine, step: StepRequest) -> list[str]:
-    job = Job("a" * 16, "r", "desk", JobRequest("", (step,)), b"", time.time())
+    job = Job(
+        "a" * 16, JobTerms("r", "desk"), JobRequest("", (step,)), b"", time.time()
+    )
     engine.add(job)
     job.begin(0)
     placed = engine.place_all(time.time(), lambda step: None)
--- a/src/streamthread/sharing/tests/test_sharing.py
+++ b/src/streamthread/sharing/tests/test_sharing.py
@@ -9,6 +9,7 @@
 from streamthread.platform.callers import StepRequest
 from streamthread.scheduler import Attempt
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
 from streamthread.sharing import next_pace
@@ -49,7 +50,9 @@
 
 
 def _attempt(step: StepRequest, usage: float | None) -> Attempt:
-    job = Job("a" * 16, "r", "desk", JobRequest("", (step,)), b"", time.time())
+    job = Job(
+        "a" * 16, JobTerms("r", "desk"), JobRequest("", (step,)), b"", time.time()
+    )
     task = job.begin(0).steps[0].tasks[0]
     attempt = Attempt(task, 1, "i-1", Phase.CONFIRMED)
     attempt.usage = usage
--- a/tests/cell/support.py
+++ b/tests/cell/support.py
@@ -14,6 +14,7 @@
 from streamthread.platform.callers import StepRequest
 from streamthread.platform.node import decode_node
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import TaskState
 from streamthread.standins.cell import CellWorld
 from streamthread.standins.cell import RunnerStandin
@@ -174,7 +175,9 @@
         """Return a job for the pool "desk", as the holder has it in memory."""
         body = job()
         request = JobRequest("", (StepRequest(cpu=100, memory_mb=10),))
-        accepted = Job(job_id, "route-desk", "desk", request, body, time.time())
+        accepted = Job(
+            job_id, JobTerms("route-desk", "desk"), request, body, time.time()
+        )
         accepted.begin(0)
         return accepted
 
--- a/tests/cell/test_cancels_without_job.py
+++ b/tests/cell/test_cancels_without_job.py
@@ -14,6 +14,7 @@
 from streamthread.platform.manifest import Route
 from streamthread.scheduler import encode_definition
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import new_job
 
 from .support import Caller
@@ -187,7 +188,7 @@
         stretch=1.6,
         target_s=0.6,
     )
-    accepted = new_job(JOB_ID, route, _long_running_job())
+    accepted = new_job(JOB_ID, JobTerms.of_route(route), _long_running_job())
     await _put(cell, TABLE_HEAD, HEAD_KEY, Head("another", 99).encode())
     await _put(cell, TABLE_JOBS, JOB_ID, encode_definition(accepted))
 
--- a/tests/test_suspensions.py
+++ b/tests/test_suspensions.py
@@ -39,6 +39,7 @@
 from streamthread.scheduler import Attempt
 from streamthread.scheduler import Engine
 from streamthread.scheduler import Job
+from streamthread.scheduler import JobTerms
 from streamthread.scheduler import Phase
 from streamthread.scheduler import RunnerState
 from streamthread.scheduler.learning import learning_key
@@ -182,7 +183,7 @@
         """Start a run, which the runner confirms."""
         self.jobs += 1
         request = JobRequest("", (StepRequest(cpu=1, memory_mb=1),))
-        job = Job(f"{self.jobs:016x}", "r", "desk", request, b"", time.time())
+        job = Job(f"{self.jobs:016x}", JobTerms("r", "desk"), request, b"", time.time())
         job.begin(0)
         self.engine.add(job)
         (attempt,) = self.engine.place_all(time.time(), lambda step: None)
