Keep the advice policy of a job whose route was removed

What callers saw: a job was accepted on a queue with advice, its route was removed while the first step ran, and the second step never started.

Cause: the policy was looked up in the present configuration by the name of the job's route, at each decision. No route meant that any runner may run the step.

Change: the policy is one of the terms of a job, recorded in its row and in the inbox, also if there is none. AdmissionPolicy.advice_of reads it there. Only for rows of earlier versions, which have no such field, the present policy of the route applies.

Why it works: tickets are requested and attached by what the job was accepted with, by each holder that replays its row.

--- a/src/streamthread/holder/admission.py
+++ b/src/streamthread/holder/admission.py
@@ -2,8 +2,11 @@
 
 import typing as t
 
+import msgspec
+
 from ..cell import cell_pb2 as pb
 from ..platform.accounts import Limit
+from ..platform.manifest import AdvicePolicy
 from ..platform.manifest import Manifest
 from ..platform.manifest import Route
 from ..scheduler import Job
@@ -124,6 +127,17 @@
             return None
         return JobTerms(entry.route, entry.pool, account=account)
 
+    def advice_of(self, job: Job) -> AdvicePolicy | None:
+        """Return the advice policy of a job, or None if any runner may run its steps.
+
+        Only for a job of an earlier version, which recorded no policy, this is the
+        present one of its route.
+        """
+        if job.terms.advice is not msgspec.UNSET:
+            return job.terms.advice
+        route = self.route(job.route)
+        return route.advice if route is not None else None
+
     def _knows_account(self, account: str) -> bool:
         """Whether this daemon's configuration has an account; "" needs none."""
         manifest = self.manifest
--- a/src/streamthread/holder/advice.py
+++ b/src/streamthread/holder/advice.py
@@ -14,6 +14,7 @@
 from ..platform.advice import Advice
 from ..platform.advice import AdviceClient
 from ..platform.manifest import AdvicePolicy
+from ..scheduler import Job
 from ..scheduler import RunnerState
 from ..scheduler import StepRun
 from ..scheduler.free_capacity import needed
@@ -155,7 +156,7 @@
     that have runners with room go first, then those whose runners are all busy, then
     those that wait for other steps.
 
-    :param policy: returns a route's policy, or None if any runner may run its steps.
+    :param policy: returns a job's policy, or None if any runner may run its steps.
     :param runners: returns the runners of a pool.
     :param on_change: called when tickets have arrived.
     """
@@ -163,7 +164,7 @@
     def __init__(
         self,
         client: AdviceClient,
-        policy: t.Callable[[str], AdvicePolicy | None],
+        policy: t.Callable[[Job], AdvicePolicy | None],
         runners: PoolRunners,
         on_change: t.Callable[[], None],
     ) -> None:
@@ -184,7 +185,7 @@
 
     def request(self, step: StepRun) -> None:
         """Give a step a turn, after those that have one already."""
-        if self._policy(step.occurrence.job.route) is not None:
+        if self._policy(step.occurrence.job) is not None:
             self._queue(step, self._entry(step))
 
     def _queue(self, step: StepRun, entry: _StepAdvice) -> None:
@@ -197,7 +198,7 @@
 
         This is asked by each scheduling pass that may have room for the step.
         """
-        if self._policy(step.occurrence.job.route) is None:
+        if self._policy(step.occurrence.job) is None:
             return None
         entry = self._entry(step)
         entry.claims = {}
@@ -291,7 +292,7 @@
         fleet = _Fleet(self._runners)
         in_turn: list[_Turn] = []
         for step in self._turns.in_order():
-            policy = self._policy(step.occurrence.job.route)
+            policy = self._policy(step.occurrence.job)
             if policy is None or _has_ended(step):
                 # A step whose route has a policy again is requested again.
                 self._drop(step)
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -17,7 +17,6 @@
 from ..loops import Loop
 from ..loops import LoopKeeper
 from ..loops import RecentCount
-from ..platform.manifest import AdvicePolicy
 from ..platform.store import Page
 from ..platform.table_feed import TableFeed
 from ..runners import RunnerLink
@@ -158,7 +157,7 @@
             return None
         return AdviceCache(
             self.context.advice,
-            self._policy,
+            self.admission.advice_of,
             self._usable_runners,
             self.kick,
         )
@@ -402,10 +401,6 @@
         if self.advice is not None:
             self.advice.reject(attempt.task.step, attempt.runner_id)
 
-    def _policy(self, route: str) -> AdvicePolicy | None:
-        found = self.admission.route(route)
-        return found.advice if found is not None else None
-
     # Runners.
 
     def is_excluded(self, job_id: str) -> bool:
--- a/src/streamthread/holder/tests/test_advice.py
+++ b/src/streamthread/holder/tests/test_advice.py
@@ -45,7 +45,7 @@
     other = RunnerState("i-2", "desk", "x:2", "z", ("a",), 1, 1, 0)
     return AdviceCache(
         t.cast(t.Any, client),
-        lambda route: policy,
+        lambda job: policy,
         lambda pool, last_resort: [runner, other],
         lambda: None,
     )
--- a/src/streamthread/holder/tests/test_advice_after_change.py
+++ b/src/streamthread/holder/tests/test_advice_after_change.py
@@ -18,7 +18,7 @@
         client, step = _Client(), _step()
         policies: list[AdvicePolicy | None] = [POLICY]
         cache: AdviceCache = _cache(client)
-        cache._policy = lambda route: policies[-1]
+        cache._policy = lambda job: policies[-1]
         cache.request(step)
         policies.append(None)
         running = asyncio.ensure_future(cache.run())
--- a/src/streamthread/holder/tests/test_advice_times.py
+++ b/src/streamthread/holder/tests/test_advice_times.py
@@ -54,7 +54,7 @@
     runners, step = _runners(60), _step()
     cache = AdviceCache(
         t.cast(t.Any, service),
-        lambda route: policy,
+        lambda job: policy,
         lambda pool, last_resort: runners,
         lambda: None,
     )
--- a/src/streamthread/holder/tests/test_advice_turns.py
+++ b/src/streamthread/holder/tests/test_advice_turns.py
@@ -74,7 +74,7 @@
     def cache(self) -> AdviceCache:
         return AdviceCache(
             t.cast(t.Any, self.service),
-            lambda route: self.policy,
+            lambda job: self.policy,
             lambda pool, last_resort: self.runners,
             lambda: None,
         )
--- a/src/streamthread/holder/tests/test_intake.py
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -19,6 +19,7 @@
 from streamthread.holder.inbox import RequestKind
 from streamthread.holder.intake import Intake
 from streamthread.holder.pending_cancels import Cancel
+from streamthread.platform.manifest import AdvicePolicy
 from streamthread.platform.manifest import Manifest
 from streamthread.platform.manifest import Route
 from streamthread.platform.store import StoredRow
@@ -322,7 +323,8 @@
 
 
 class TestTermsOfAJobInTheInbox:
-    TERMS = JobTerms("route", "vault", 2, 5, 1.4, 0.3)
+    POLICY = AdvicePolicy(0.02, 0.002, 4.0)
+    TERMS = JobTerms("route", "vault", 2, 5, 1.4, 0.3, advice=POLICY)
 
     def _accept(
         self, manifest: Manifest | None, version: int, terms: JobTerms | None
--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -17,6 +17,7 @@
 from ..decoding import OWN_ROW_REMEDY
 from ..platform.callers import decode_job
 from ..platform.callers import JobRequest
+from ..platform.manifest import AdvicePolicy
 from .intervals import IntervalSet
 from .model import FailureCause
 from .model import Job
@@ -111,6 +112,7 @@
     stretch: Amount = 1.0
     target_s: Amount = 0.0
     account: str = ""
+    advice: AdvicePolicy | msgspec.UnsetType | None = msgspec.UNSET
     body: str | None = None
     body_rows: Count = 0
     state: JobState | None = None
@@ -133,7 +135,16 @@
     body = _body(job_id, row, body_rows)
     return Job(
         job_id=job_id,
-        terms=msgspec.convert(row, JobTerms, from_attributes=True),
+        terms=JobTerms(
+            route=row.route,
+            service=row.service,
+            priority=row.priority,
+            max_attempts=row.max_attempts,
+            stretch=row.stretch,
+            target_s=row.target_s,
+            account=row.account,
+            advice=row.advice,
+        ),
         request=decode_job(body),
         body=body,
         accepted_at_s=row.accepted_at_s,
--- a/src/streamthread/scheduler/terms.py
+++ b/src/streamthread/scheduler/terms.py
@@ -1,9 +1,11 @@
 """What a job was accepted with."""
 
 import attrs
+import msgspec
 
 from ..decoding import Amount
 from ..decoding import Count
+from ..platform.manifest import AdvicePolicy
 from ..platform.manifest import Route
 
 __all__ = ["JobTerms"]
@@ -27,6 +29,9 @@
         its longest chain of steps, plus ``target_s``.
     :param account: the client account that submitted the job; empty if the route needed
         no key.
+    :param advice: restricts the steps to runners that the advice service permits; None
+        if any runner may run them. UNSET if an earlier version, which did not record
+        it, accepted the job: then the present policy of the route applies.
     """
 
     route: str
@@ -36,6 +41,7 @@
     stretch: Amount = 1.0
     target_s: Amount = 0.0
     account: str = ""
+    advice: AdvicePolicy | msgspec.UnsetType | None = msgspec.UNSET
 
     @classmethod
     def of_route(cls, route: Route, account: str = "") -> "JobTerms":
@@ -48,4 +54,5 @@
             stretch=route.stretch,
             target_s=route.target_s,
             account=account,
+            advice=route.advice,
         )
--- a/tests/cell/support.py
+++ b/tests/cell/support.py
@@ -16,6 +16,7 @@
 from streamthread.scheduler import Job
 from streamthread.scheduler import JobTerms
 from streamthread.scheduler import TaskState
+from streamthread.standins.cell import AdviceStandin
 from streamthread.standins.cell import CellWorld
 from streamthread.standins.cell import RunnerStandin
 from streamthread.standins.cell.world import BACK_S
@@ -194,9 +195,10 @@
     keeps_ids: bool = False,
     halls: t.Sequence[str] = ("here",),
     evacuate_ms: int | None = None,
+    advice: AdviceStandin | None = None,
 ) -> t.AsyncIterator[Cell]:
     """Run the stand-in platform and daemons until the block ends."""
-    world = CellWorld(pools, cpu, keeps_ids, halls=halls)
+    world = CellWorld(pools, cpu, keeps_ids, halls=halls, advice=advice)
     world.evacuate_ms = evacuate_ms
     await world.open()
     daemons = [
