Compare all terms of a route before an older configuration accepts a job

Cause: a holder with an older configuration than the sender accepted a job if its own configuration sent the route to the same pool. The job then had the older attempts, objective and advice policy.

Change: the daemon that takes a call states the terms of the job by its configuration (CallRequest.terms). A holder with an older configuration accepts the job only if its own route gives the same ones, and otherwise answers BEHIND, as for another pool, until it has read the newer one. Where terms are missing or can't be read, as in a rolling upgrade, pools alone are compared as before. The row in the inbox takes its terms from the same field.

Evidence: found by reading, no run of the daemons has shown it. Of holder/tests/test_intake.py::TestOlderConfiguration, the two tests with other terms fail with the comparison taken out and pass with it.

--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -112,14 +112,12 @@
 class _Progress:
     """How far a request has come.
 
-    :param terms: what a submitted job is accepted with if it is left in the inbox.
     :param uncertain: an earlier attempt may have been carried out.
     :param in_attempt: an attempt has begun and has no answer yet.
     :param state_read: the job's state was looked up in the store.
     :param read_not_before_s: boot clock time before which it is not looked up again.
     """
 
-    terms: JobTerms | None = None
     uncertain: bool = False
     in_attempt: bool = False
     state_read: bool = False
@@ -191,31 +189,22 @@
         self._settings = settings
         self._response_times = ResponseTimes()
 
-    async def ask(
-        self, request: pb.CallRequest, until_s: float, terms: JobTerms | None = None
-    ) -> pb.CallReply:
+    async def ask(self, request: pb.CallRequest, until_s: float) -> pb.CallReply:
         """Return the holder's answer, or UNCERTAIN if none came in time.
 
         :param until_s: when the caller stops waiting, on the boot clock.
-        :param terms: what a submitted job is accepted with if it is left in the inbox.
         """
-        progress = _Progress(terms)
         if self._reachability is None:
-            return await self._ask(request, until_s, progress)
-        reply = await self._ask_unless_cut_off(
-            request, until_s, self._reachability, progress
-        )
+            return await self._ask(request, until_s, _Progress())
+        reply = await self._ask_unless_cut_off(request, until_s, self._reachability)
         if reply.outcome == pb.UNCERTAIN and request.kind in (pb.SUBMIT, pb.CANCEL):
             self._unresolved.add(request)
         return reply
 
     async def _ask_unless_cut_off(
-        self,
-        request: pb.CallRequest,
-        until_s: float,
-        reachability: Reachability,
-        progress: _Progress,
+        self, request: pb.CallRequest, until_s: float, reachability: Reachability
     ) -> pb.CallReply:
+        progress = _Progress()
         if reachability.cut_off:
             # An earlier try of the same change may have been accepted.
             progress.uncertain = self._unresolved.has(request)
@@ -259,7 +248,7 @@
                     reason = "the body is not a valid job"
                     return pb.CallReply(outcome=pb.INVALID, reason=reason)
                 progress.in_attempt = True
-                persisted = await self._write_to_inbox(request, progress.terms)
+                persisted = await self._write_to_inbox(request)
                 progress.in_attempt = False
                 if persisted is Persisted.YES:
                     return pb.CallReply(outcome=pb.OK, state="pending")
@@ -398,9 +387,7 @@
         finally:
             answer.cancel()
 
-    async def _write_to_inbox(
-        self, request: pb.CallRequest, terms: JobTerms | None
-    ) -> Persisted:
+    async def _write_to_inbox(self, request: pb.CallRequest) -> Persisted:
         """Write a change to the store's inbox, for the next holder."""
         entry = InboxEntry(
             _KINDS[request.kind],
@@ -411,7 +398,7 @@
             request.pool,
             request.account,
             time.time(),
-            terms,
+            JobTerms.decode(request.terms) if request.terms else None,
         )
         value = entry.encode()
         if len(value) > self._settings.max_row_bytes:
@@ -453,7 +440,6 @@
 def _is_final(reply: pb.CallReply, uncertain: bool) -> bool:
     """Whether a caller may get this answer.
 
-    :param terms: what a submitted job is accepted with if it is left in the inbox.
     :param uncertain: an earlier attempt may have been accepted, so a refusal of this
         attempt does not prove that the request was refused.
     """
--- a/src/streamthread/gateway/frontend.py
+++ b/src/streamthread/gateway/frontend.py
@@ -216,16 +216,14 @@
             call.job = await request.read()
             if len(call.job) > MAX_BODY_BYTES:
                 return _Reply(413)
+            call.terms = JobTerms.of_route(route, admission.account).encode()
         call.configuration_version = manifest.version
         call.pool = route.service
         call.account = admission.account
         call.key_digest = admission.digest
         call.checks_keys = True
         until_s = began_at_s + _wait_s(request) - ANSWER_MARGIN_S
-        terms = None
-        if call.kind == pb.SUBMIT:
-            terms = JobTerms.of_route(route, admission.account)
-        reply = _encode_reply(call, await self._forwarder.ask(call, until_s, terms))
+        reply = _encode_reply(call, await self._forwarder.ask(call, until_s))
         return attrs.evolve(reply, account=admission.account)
 
 
--- a/src/streamthread/holder/admission.py
+++ b/src/streamthread/holder/admission.py
@@ -2,9 +2,11 @@
 
 import typing as t
 
+import logbook
 import msgspec
 
 from ..cell import cell_pb2 as pb
+from ..errors import UnreadableError
 from ..platform.accounts import Limit
 from ..platform.manifest import AdvicePolicy
 from ..platform.manifest import Manifest
@@ -18,6 +20,8 @@
 
 __all__ = ["AdmissionPolicy"]
 
+log = logbook.Logger("streamthread.holder")
+
 
 class AdmissionPolicy:
     """Judges requests by the newer of the sender's configuration and this daemon's."""
@@ -49,6 +53,22 @@
         """Return whether this daemon has read a configuration."""
         return self.manifest is not None
 
+    @staticmethod
+    def terms_of_sender(request: pb.CallRequest) -> JobTerms | None:
+        """Return the terms that a request states, or None if it states none.
+
+        Those of a later version may be of another format.
+        """
+        if not request.terms:
+            return None
+        try:
+            return JobTerms.decode(request.terms)
+        except UnreadableError as error:
+            log.warning(
+                "terms-unreadable", extra={"job": request.job_id, "error": str(error)}
+            )
+            return None
+
     def limit_of(self, account: str) -> Limit | None:
         """Return what an account may have running at once; None if it is unknown."""
         manifest = self.manifest
@@ -85,24 +105,33 @@
         return "" if route is None else None
 
     def is_behind(
-        self, route: Route | None, version: int, pool: str, account: str
+        self,
+        route: Route | None,
+        version: int,
+        pool: str,
+        account: str,
+        terms: JobTerms | None = None,
     ) -> bool:
         """Whether this daemon's configuration is too old to judge a sender's request.
 
-        An older configuration is sufficient if it sends the route to the same pool and
-        contains the account.
+        An older configuration is sufficient if it contains the account, and the route
+        with the same pool and terms.
 
         :param route: the route in this daemon's configuration.
         :param version: version of the configuration in which the sender found the
             route.
         :param pool: the pool to which that configuration sends the route's jobs.
         :param account: the account of the caller's key in that configuration.
+        :param terms: the terms of the route's jobs in that configuration; None if the
+            sender did not state them.
         """
         manifest = self.manifest
         if manifest is not None and manifest.version >= version:
             return False
         if route is None or route.service != pool:
             return True
+        if terms is not None and terms != JobTerms.of_route(route, account):
+            return True
         return not self._knows_account(account)
 
     def terms_of(self, entry: InboxEntry) -> JobTerms | None:
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -256,7 +256,8 @@
         """Accept a new job, or return the reason for a refusal."""
         route = self._admission.route(request.route)
         version, account = request.configuration_version, request.account
-        if self._admission.is_behind(route, version, request.pool, account):
+        sent = self._admission.terms_of_sender(request)
+        if self._admission.is_behind(route, version, request.pool, account, sent):
             return pb.CallReply(outcome=pb.BEHIND)
         if route is None:
             return pb.CallReply(outcome=pb.UNKNOWN_JOB, reason="no such queue")
--- a/src/streamthread/holder/tests/test_intake.py
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -239,6 +239,43 @@
         assert (await cell.ask(pb.CANCEL)).state == "cancelled"
 
 
+class TestOlderConfiguration:
+    """The sender has a newer configuration with the same pool for the route."""
+
+    def _request(self, terms: bytes) -> pb.CallRequest:
+        return pb.CallRequest(
+            kind=pb.SUBMIT,
+            route=ROUTE.name,
+            job_id=JOB_ID,
+            job=BODY,
+            configuration_version=2,
+            pool=ROUTE.service,
+            terms=terms,
+        )
+
+    async def _outcome(self, terms: bytes) -> pb.CallOutcome:
+        cell = Cell()
+        cell.commits.may_commit.set()
+        return (await cell.intake.answer(self._request(terms))).outcome
+
+    # Guards against a job that is accepted with terms of an older configuration.
+    @pytest.mark.parametrize(
+        "change", [{"advice": AdvicePolicy(0.02, 0.002, 4.0)}, {"max_attempts": 3}]
+    )
+    async def test_does_not_accept_a_job_with_other_terms(self, change: t.Any) -> None:
+        terms = attrs.evolve(JobTerms.of_route(ROUTE), **change)
+        assert await self._outcome(terms.encode()) == pb.BEHIND
+
+    # Guards against calls that wait for each change of the configuration.
+    async def test_accepts_a_job_with_the_same_terms(self) -> None:
+        assert await self._outcome(JobTerms.of_route(ROUTE).encode()) == pb.OK
+
+    # Guards against refused jobs in a rolling upgrade.
+    @pytest.mark.parametrize("terms", [b"", b"[]", b'{"route":1}', b"\xff"])
+    async def test_compares_pools_if_it_knows_no_terms(self, terms: bytes) -> None:
+        assert await self._outcome(terms) == pb.OK
+
+
 class TestSubmission:
     async def test_does_not_read_the_inbox_while_its_feed_answers(self) -> None:
         cell = Cell()
--- a/src/streamthread/scheduler/terms.py
+++ b/src/streamthread/scheduler/terms.py
@@ -5,11 +5,15 @@
 
 from ..decoding import Amount
 from ..decoding import Count
+from ..decoding import Decoder
+from ..decoding import OWN_ROW_REMEDY
 from ..platform.manifest import AdvicePolicy
 from ..platform.manifest import Route
 
 __all__ = ["JobTerms"]
 
+_ENCODER = msgspec.json.Encoder()
+
 
 @attrs.frozen
 class JobTerms:
@@ -56,3 +60,18 @@
             account=account,
             advice=route.advice,
         )
+
+    def encode(self) -> bytes:
+        """Encode the terms for another daemon."""
+        return _ENCODER.encode(self)
+
+    @classmethod
+    def decode(cls, value: bytes) -> "JobTerms":
+        """Decode what another daemon sent.
+
+        :raises UnreadableError: these are no terms of a job.
+        """
+        return _TERMS.decode(value, "terms")
+
+
+_TERMS = Decoder[JobTerms](JobTerms, remedy=OWN_ROW_REMEDY)
