Hide jobs of removed routes from callers without a key

What callers saw: once the route of an account's job was removed, anyone who knew the job's id got its state, and could cancel it, without a key on any public route.

Cause: a job whose route is unknown may be asked for on any route, as the route may have been renamed, and a caller without an account may see every job, as the job's route may have needed no key. Together they open the job to all.

Change: on a route of another name, a job of an account is shown to this account alone. All checks of calls, cancels and stored states share it.

Evidence: holder/tests/test_accounts.py::TestJobsOfRemovedRoutes, two of five failed before; all pass.

--- a/src/streamthread/holder/admission.py
+++ b/src/streamthread/holder/admission.py
@@ -176,16 +176,17 @@
         """Whether a request for a job's id, on a route and account, means this job.
 
         The job's route may have been renamed since. A job of another route or of
-        another account does not match.
+        another account does not match. On a route that may be the renamed one, callers
+        without an account see no job of an account: other routes are public, too.
         """
-        return self._is_same_queue(job.route, route) and may_see(account, job.account)
+        if route == job.route:
+            return may_see(account, job.account)
+        return self._may_be_renamed(job.route, route) and job.account in ("", account)
 
     def covers(self, cancel: Cancel, job: Job) -> bool:
         """Whether a cancel applies to a job that has its id."""
         return self.refers_to(job, cancel.route, cancel.account)
 
-    def _is_same_queue(self, route: str, other: str) -> bool:
+    def _may_be_renamed(self, route: str, other: str) -> bool:
         """Whether two names may mean one route; an unknown name counts as renamed."""
-        if route == other:
-            return True
         return self.route(route) is None or self.route(other) is None
--- a/src/streamthread/holder/tests/test_accounts.py
+++ b/src/streamthread/holder/tests/test_accounts.py
@@ -129,6 +129,34 @@
         assert len(keys) == 3
 
 
+class TestJobsOfRemovedRoutes:
+    """The route of a job was removed; the caller uses another one, which is public."""
+
+    def _cell(self, account: str) -> tuple[_Accounts, Job]:
+        cell = _Accounts(manifest(1, is_public=True, ann=["a1"]))
+        job = cell.add(account)
+        job.route = "removed"
+        return cell, job
+
+    # Guards against a caller without a key who learns of a job, or cancels it.
+    @pytest.mark.parametrize("kind", [pb.STATE, pb.CANCEL])
+    async def test_are_hidden_from_callers_without_an_account(
+        self, kind: pb.CallKind
+    ) -> None:
+        cell, job = self._cell("ann")
+        assert (await cell.call(kind, "")).outcome == pb.UNKNOWN_JOB
+        assert not job.cancelled
+
+    @pytest.mark.parametrize("owner", ["", "ann"])
+    async def test_are_visible_to_their_own_account(self, owner: str) -> None:
+        cell, _ = self._cell(owner)
+        assert (await cell.call(pb.STATE, "ann", version=1)).outcome == pb.OK
+
+    async def test_without_an_account_are_visible_to_all(self) -> None:
+        cell, _ = self._cell("")
+        assert (await cell.call(pb.STATE, "")).outcome == pb.OK
+
+
 class TestRollingChange:
     @pytest.mark.parametrize("kind", [pb.STATE, pb.CANCEL, pb.SUBMIT])
     async def test_jobs_without_an_account_are_visible_to_callers(
