Accept with the sender's newer terms instead of waiting for them

Change: such a holder takes the terms that the sender states, provided that its own configuration has the route with the same pool and the account, as was asked before. A sender that is behind the holder has no say: the holder's own route counts, as before.

--- a/src/streamthread/holder/admission.py
+++ b/src/streamthread/holder/admission.py
@@ -53,21 +53,21 @@
         """Return whether this daemon has read a configuration."""
         return self.manifest is not None
 
-    @staticmethod
-    def terms_of_sender(request: pb.CallRequest) -> JobTerms | None:
-        """Return the terms that a request states, or None if it states none.
+    def terms_for(self, request: pb.CallRequest, route: Route) -> JobTerms:
+        """Return the terms of a new job by the newer one of the two configurations.
 
-        Those of a later version may be of another format.
+        :param route: the route in this daemon's configuration.
         """
-        if not request.terms:
-            return None
-        try:
-            return JobTerms.decode(request.terms)
-        except UnreadableError as error:
-            log.warning(
-                "terms-unreadable", extra={"job": request.job_id, "error": str(error)}
-            )
-            return None
+        if request.terms and self.version < request.configuration_version:
+            try:
+                return JobTerms.decode(request.terms)
+            except UnreadableError as error:
+                # A later version may state them in another format.
+                log.warning(
+                    "terms-unreadable",
+                    extra={"job": request.job_id, "error": str(error)},
+                )
+        return JobTerms.of_route(route, request.account)
 
     def limit_of(self, account: str) -> Limit | None:
         """Return what an account may have running at once; None if it is unknown."""
@@ -105,33 +105,24 @@
         return "" if route is None else None
 
     def is_behind(
-        self,
-        route: Route | None,
-        version: int,
-        pool: str,
-        account: str,
-        terms: JobTerms | None = None,
+        self, route: Route | None, version: int, pool: str, account: str
     ) -> bool:
         """Whether this daemon's configuration is too old to judge a sender's request.
 
-        An older configuration is sufficient if it contains the account, and the route
-        with the same pool and terms.
+        An older configuration is sufficient if it sends the route to the same pool and
+        contains the account.
 
         :param route: the route in this daemon's configuration.
         :param version: version of the configuration in which the sender found the
             route.
         :param pool: the pool to which that configuration sends the route's jobs.
         :param account: the account of the caller's key in that configuration.
-        :param terms: the terms of the route's jobs in that configuration; None if the
-            sender did not state them.
         """
         manifest = self.manifest
         if manifest is not None and manifest.version >= version:
             return False
         if route is None or route.service != pool:
             return True
-        if terms is not None and terms != JobTerms.of_route(route, account):
-            return True
         return not self._knows_account(account)
 
     def terms_of(self, entry: InboxEntry) -> JobTerms | None:
--- a/src/streamthread/holder/intake.py
+++ b/src/streamthread/holder/intake.py
@@ -17,7 +17,6 @@
 from ..scheduler import Engine
 from ..scheduler import Job
 from ..scheduler import JobState
-from ..scheduler import JobTerms
 from ..scheduler import new_job
 from ..scheduler.accounts import may_see
 from ..scheduler.accounts import over_limit
@@ -256,15 +255,13 @@
         """Accept a new job, or return the reason for a refusal."""
         route = self._admission.route(request.route)
         version, account = request.configuration_version, request.account
-        sent = self._admission.terms_of_sender(request)
-        if self._admission.is_behind(route, version, request.pool, account, sent):
+        if self._admission.is_behind(route, version, request.pool, account):
             return pb.CallReply(outcome=pb.BEHIND)
         if route is None:
             return pb.CallReply(outcome=pb.UNKNOWN_JOB, reason="no such queue")
         try:
-            job = new_job(
-                request.job_id, JobTerms.of_route(route, account), request.job
-            )
+            terms = self._admission.terms_for(request, route)
+            job = new_job(request.job_id, terms, request.job)
         except BadInputError as error:
             return _reject(str(error))
         tasks = self._count_tasks(job) if job.chunked else 0
