Replace all routes by new ones in the soak

Cause: the soak's configurations changed keys, objectives and the number of routes, and never removed a route that an accepted job had come by.

Change: in half of the configurations of a plan with `new_routes`, all routes have new names under the same hosts and paths, while holders are killed, frozen and stopped.

--- a/src/streamthread/standins/cell/world.py
+++ b/src/streamthread/standins/cell/world.py
@@ -52,6 +52,7 @@
     :param evacuate_ms: the bound ``evacuateMs`` of the daemons' settings; None: it is
         left out.
     :param evacuations: all evacuations that were requested.
+    :param route_suffix: ends the names of the routes of future manifests.
     :param services: further fields of the services of future manifests, by name.
     :param advice: the advice service, whose policy holds for all routes; None: any
         runner may run any step.
@@ -72,6 +73,7 @@
         self.store = StoreStandin()
         self.cloud = CloudStandin(self._make_runner, self._end_incarnation)
         self.started: list[StartedRun] = []
+        self.route_suffix = ""
         self.ended: list[tuple[str, int, str, float]] = []
         self.runners: list[RunnerStandin] = []
         self.crashes: list[str] = []
@@ -172,7 +174,7 @@
             route.setdefault("advice", self.advice.manifest_row())
         routes = [
             {
-                "name": f"route-{pool}",
+                "name": f"route-{pool}{self.route_suffix}",
                 "host": f"{pool}.example",
                 "pathPrefix": "/jobs/",
                 "service": pool,
--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -46,6 +46,7 @@
     SoakPlan(11, seconds=6.0, runners=True, series=True),
     SoakPlan(12, seconds=6.0, odd=True),
     SoakPlan(13, seconds=6.0, odd=True, advice=True),
+    SoakPlan(14, seconds=6.0, faults_per_s=1.5, advice=True, new_routes=True),
 )
 REGRESSIONS: tuple[SoakPlan, ...] = (
     # The stand-in's runner reported an expiry only when it was next called, not when
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -104,6 +104,8 @@
     :param odd: calls have bodies that they don't need, and lists have odd parts,
         likewise.
     :param advice: the queues have a policy whose figures are drawn, likewise.
+    :param new_routes: some configurations have new routes in place of all others,
+        likewise.
     """
 
     seed: int
@@ -124,6 +126,7 @@
     series: bool = False
     odd: bool = False
     advice: bool = False
+    new_routes: bool = False
 
 
 class Soak(SoakView):
@@ -148,7 +151,10 @@
         self.faults: list[str] = []
         self._tasks: set[asyncio.Task[t.Any]] = set()
         self.busy: set[str] = set()
-        self._faults = Faults(self, plan.first_faults)
+        new_routes = None
+        if plan.new_routes:
+            new_routes = random.Random(f"routes {plan.seed}")
+        self._faults = Faults(self, plan.first_faults, new_routes)
         more = random.Random(f"stops {plan.seed}")
         self._lasting = LastingJobs(self, more)
         self._stop_faults = StopFaults(self, more)
@@ -542,6 +548,7 @@
                     series=True,
                     odd=True,
                     advice=advice,
+                    new_routes=True,
                 )
                 broken, faults = await run_soak(plan, folder, arguments.daemon_path)
             print(json.dumps({"seed": seed, "broken": broken, "faults": faults}))
--- a/tools/soak_faults.py
+++ b/tools/soak_faults.py
@@ -1,6 +1,7 @@
 """Faults of the soak: of daemons, of the store, of runners and of the configuration."""
 
 import asyncio
+import random
 import signal
 import time
 import typing as t
@@ -18,15 +19,25 @@
 MORE_ROUTES = 1000
 """What a large change of the configuration adds: some 200 KB."""
 
+NEW_ROUTES_SHARE = 0.5
+"""Share of the configurations that have new routes, in plans with such changes."""
+
 
 class Faults:
     """Begins faults at random times; each ends by itself.
 
     :param first_only: only those of the time when a seed was found.
+    :param new_routes: chooses the configurations that have new routes; None: none has.
     """
 
-    def __init__(self, soak: SoakView, first_only: bool) -> None:
+    def __init__(
+        self,
+        soak: SoakView,
+        first_only: bool,
+        new_routes: random.Random | None = None,
+    ) -> None:
         self._soak = soak
+        self._new_routes = new_routes
         self._first_only = first_only
         self._more_routes = 0
 
@@ -178,6 +189,13 @@
         """Write the next version of the configuration."""
         version = self.newest_version() + 1
         self._soak.note("manifest")
+        if (
+            self._new_routes is not None
+            and self._new_routes.random() < NEW_ROUTES_SHARE
+        ):
+            # Under the same hosts and paths, so that callers find their jobs.
+            self._soak.note("new routes")
+            self._soak.world.route_suffix = f"-{version}"
         await self._soak.world.write_manifest(
             version, self._more_routes, targetLatencyMs=600 + version
         )
