Start all members of a gang with the same checkpoint

What callers saw: nothing that they are told, but work: the members of a gang that starts again brought the checkpoint that each had saved itself, though all members must bring the same one.

Cause: a start brings the checkpoint of its task, and each member's was kept by itself. The last one of a member whose runner crashed is known to nobody, so that the members differ.

Change: when a gang is placed, all members get the one that was reported last; any member's is valid for all. It is persisted with their next run, before its starts are sent, so that the next holder repeats the starts with it.

--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -62,7 +62,10 @@
     :param last_run: the highest run number used so far.
     :param failures: how often a runner reported that a run failed; not counted for a
         long-running task.
-    :param checkpoint: the newest checkpoint that a runner reported.
+    :param checkpoint: the newest checkpoint that a runner reported, or with which the
+        last run of a gang started.
+    :param checkpoint_at_s: boot clock time at which it was reported; 0 if it was
+        reported to an earlier holder, or never.
     :param avoid: runner incarnations on which the task failed or lagged, or which
         became silent while they had the task.
     :param not_before_s: wall time before which the task is not placed.
@@ -95,6 +98,7 @@
     last_run: int = 0
     failures: int = 0
     checkpoint: str = ""
+    checkpoint_at_s: float = 0.0
     attempts: list[Attempt] = attrs.field(factory=list)
     avoid: set[RunnerIncarnation] = attrs.field(factory=set)
     not_before_s: float = 0.0
--- a/src/streamthread/scheduler/outcomes.py
+++ b/src/streamthread/scheduler/outcomes.py
@@ -181,6 +181,7 @@
             self._ledger.count("checkpoint-too-long")
             return
         task.checkpoint = checkpoint
+        task.checkpoint_at_s = boot_s()
         task.note_changed()
 
     def _on_missing(self, runner: RunnerState, attempt: Attempt, clock_ms: int) -> None:
--- a/src/streamthread/scheduler/placer.py
+++ b/src/streamthread/scheduler/placer.py
@@ -120,6 +120,8 @@
                 step, usable, now_s, tickets, max_count, self._hall_counts(step)
             )
         ]
+        if step.request.gang and planned:
+            _share_checkpoint(step)
         attempts = [self._plan(p.task, p.runner, run) for p, run in planned]
         log_placement(step, planned, len(usable))
         return attempts
@@ -185,3 +187,15 @@
     if not task.step.request.gang:
         return task.last_run + 1
     return max(member.last_run for member in task.step.tasks) + 1
+
+
+def _share_checkpoint(step: StepRun) -> None:
+    """Give all members of a gang the checkpoint that was reported last.
+
+    They start with the same one, and any member's is valid for all. It is persisted
+    with their next run, so that a later holder repeats the starts with it, too.
+    """
+    newest = max(step.tasks, key=lambda task: (task.checkpoint_at_s, task.checkpoint))
+    for task in step.tasks:
+        task.checkpoint = newest.checkpoint
+        task.checkpoint_at_s = newest.checkpoint_at_s
