Judge no job by the capacity of a pool that has none

Cause: the open work is put in the order of its accounts' turns, in which what an account gets is divided by the pool's cpu, before it was asked whether that is 0.

Change: it is asked first, and the job is accepted, as it was for a pool without open work. A pool gets machines for the work that it has, so that one whose jobs are refused while it is empty would stay empty.

Evidence: holder/tests/test_forecasts.py::TestPoolWithoutMachines and the property test TestAnyPool failed before (float division by zero) and pass.

--- a/src/streamthread/holder/forecasts.py
+++ b/src/streamthread/holder/forecasts.py
@@ -224,7 +224,11 @@
         engine.choices.on_forecast_error = self.errors.observe
 
     def judge(self, job: Job) -> Refusal | None:
-        """Return why a new job is refused, or None; its start is forecast then."""
+        """Return why a new job is refused, or None; its start is forecast then.
+
+        For a pool that has no machine and gets none for now, nothing is forecast. Its
+        jobs are accepted, since a pool gets machines for the work that it has.
+        """
         if not self._engine.shares.in_force or not _is_forecast(job):
             return None
         further = self._capacity(job.service)
@@ -237,7 +241,7 @@
             job.start_forecast_s = now_s
             return None
         profile = self._profile(job.service, usable, further, now_s)
-        if profile.capacity.rate <= 0:
+        if profile is None:
             return None
         work = self._work_of(job)
         start_s = profile.add(work)
@@ -265,7 +269,8 @@
         work = self._work_of(job)
         if not known.exceeds_limit(work):
             return False
-        return self._profile(job.service, usable, further, now_s).exceeds_limit(work)
+        profile = self._profile(job.service, usable, further, now_s)
+        return profile is not None and profile.exceeds_limit(work)
 
     def _usable_runners(self, service: str) -> list[RunnerState]:
         """Return a pool's usable runners, those of the last tenth of a second."""
@@ -284,16 +289,20 @@
         usable: t.Sequence[RunnerState],
         further: CapacityParts,
         now_s: float,
-    ) -> _Profile:
+    ) -> _Profile | None:
+        """Return what is left of a pool's capacity, or None if it has none at all."""
         cpu = float(sum(runner.cpu for runner in usable))
         known = self._profiles.get(service)
         if known is not None and known.holds(cpu, now_s):
             return known
         engine = self._engine
+        capacity = engine.choices.capacity(service, usable, now_s, further)
+        if capacity.rate <= 0:
+            return None
         works = engine.choices.open_works(service, now_s)
         profile = _Profile(
             works,
-            engine.choices.capacity(service, usable, now_s, further),
+            capacity,
             engine.choices.standing(works, now_s),
             engine.choices.current(service),
             now_s,
--- a/src/streamthread/holder/tests/test_forecasts.py
+++ b/src/streamthread/holder/tests/test_forecasts.py
@@ -1,11 +1,15 @@
 """Which new jobs are refused in an overload, and what a refusal promises."""
 
+import asyncio
 import json
 import time
 import types
 import typing as t
 
 import pytest
+from hypothesis import given
+from hypothesis import settings
+from hypothesis import strategies as st
 
 from streamthread.cell import cell_pb2 as pb
 from streamthread.errors import StoreUnavailableError
@@ -15,10 +19,12 @@
 from streamthread.holder.forecasts import RUNNERS_CACHE_S
 from streamthread.holder.inbox import InboxEntry
 from streamthread.holder.inbox import RequestKind
+from streamthread.platform.accounts import Limit
 from streamthread.platform.manifest import decode_manifest
 from streamthread.platform.manifest import Manifest
 from streamthread.scheduler import Job
 from streamthread.scheduler import RunnerState
+from streamthread.scheduler.accounts import AccountUsage
 
 from .test_intake import Cell
 
@@ -56,11 +62,12 @@
         self.further: CapacityParts | None = ()
         self.engine.shares = type(self.engine.shares)(self._weights)
         self.engine.choices._shares = self.engine.shares
-        self.intake._forecasts = Forecasts(self.engine, lambda pool: self.further)
+        self.forecasts = Forecasts(self.engine, lambda pool: self.further)
+        self.intake._forecasts = self.forecasts
         self.count = 0
-        runner = RunnerState("i-1", "desk", "x:1", "z", ("a",), CPU, 1 << 20, 0)
-        runner.ready = True
-        self.engine.add_runner(runner)
+        self.runner = RunnerState("i-1", "desk", "x:1", "z", ("a",), CPU, 1 << 20, 0)
+        self.runner.ready = True
+        self.engine.add_runner(self.runner)
 
     def _weights(self) -> dict[str, float]:
         accounts = self.documents.manifest.accounts.values()
@@ -331,3 +338,41 @@
     buckets = pool.intake._forecasts.errors.buckets()
     assert buckets[-1] == ("+Inf", 1.0)
     assert pool.intake._forecasts.errors.sum_s == pytest.approx(0.0, abs=0.2)
+
+
+class TestPoolWithoutMachines:
+    # Guards against a submission that fails with an exception, which callers get as a
+    # 500.
+    async def test_accepts_jobs(self) -> None:
+        pool = _Pool(ann=1.0, bob=1.0)
+        pool.runner.ready = False
+        # The first job comes while the machines are not known.
+        pool.further = None
+        assert (await pool.submit()).outcome == pb.OK
+        pool.further = ()
+        replies = [await pool.submit(name) for name in ("ann", "bob", "ann", "bob")]
+        assert [reply.outcome for reply in replies] == [pb.OK] * 4
+
+
+class TestAnyPool:
+    # Guards against the same in other states of pools, accounts and limits.
+    @settings(max_examples=150, deadline=None)
+    @given(st.data())
+    def test_answers_each_job(self, data: st.DataObject) -> None:
+        asyncio.run(self._submit(data))
+
+    async def _submit(self, data: st.DataObject) -> None:
+        cpu = st.sampled_from([0.0, 1.0, 4_000.0])
+        parts = st.lists(st.tuples(cpu, cpu), max_size=2).map(tuple)
+        weight = st.sampled_from([0.0, 1.0, 90.0])
+        pool = _Pool(ann=data.draw(weight), bob=data.draw(weight))
+        limit = Limit(cpu=data.draw(st.sampled_from([0, 500, 4_000])))
+        pool.engine.accounts = AccountUsage(lambda account: limit, lambda: True)
+        for _ in range(12):
+            pool.runner.ready = data.draw(st.booleans())
+            pool.further = data.draw(st.none() | parts)
+            pool.forecasts._runners_at_s = None
+            name = data.draw(st.sampled_from(["", "ann", "bob", "removed"]))
+            reply = await pool.submit(name)
+            assert reply.outcome in (pb.OK, pb.REFUSED)
+            assert reply.outcome == pb.OK or reply.reason
