Wait for the holder that a late acquisition replaced

Cause: a daemon that gives up an unanswered acquisition finds an owner row that names it if the store carries the write out later. It took this for its own earlier life, after which nobody else can send orders, though the row had replaced another holder, whose lease may be valid still.

Change: a row that names this incarnation under a token that it never held is `own-late-acquisition`. The new holder then waits for as long as the lease of the one before may be valid. Rows of earlier incarnations, and of the daemon's own earlier holding, mean no wait, as before.

Evidence: found by reading, no run of the daemons has shown it. cell/tests/test_lease.py::TestOwnRow failed before (no bound) and passes.

--- a/src/streamthread/cell/acquisition_delay.py
+++ b/src/streamthread/cell/acquisition_delay.py
@@ -20,6 +20,9 @@
 MAX_DELAY_FACTOR = 4.0
 """Maximum multiple of the normal delay; the smallest machines have half a core."""
 
+OWN_ROW = (Suspicion.OWN_EARLIER_INCARNATION, Suspicion.OWN_LATE_ACQUISITION)
+"""Suspicions under which the others leave the cell to this daemon."""
+
 
 class AcquisitionDelay:
     """Spreads the candidates so that one write wins and large machines go first.
@@ -50,7 +53,7 @@
 
         :param owner: the holder to replace, if there was one.
         """
-        if suspicion is Suspicion.OWN_EARLIER_INCARNATION:
+        if suspicion in OWN_ROW:
             return 0.0
         if suspicion is Suspicion.RELEASED:
             assert owner is not None
--- a/src/streamthread/cell/lease.py
+++ b/src/streamthread/cell/lease.py
@@ -82,7 +82,9 @@
             random.Random(incarnation),
             peers.contacts.hall,
         )
-        self._watch = HolderWatch(store, part, daemon_id, self.registry, peers, times)
+        self._watch = HolderWatch(
+            store, part, daemon_id, self.registry, peers, times, self._has_held
+        )
         self._writer = OwnerWriter(
             store,
             part,
@@ -94,6 +96,8 @@
             lambda: self.stopping,
         )
         self.holding = False
+        # The highest fencing token under which this incarnation has held the cell.
+        self._held_token = 0
         self.stopping = False
         self.takeovers = 0
 
@@ -105,6 +109,13 @@
     def _as_owner(self, token: int) -> Owner:
         return Owner(self._daemon_id, self._incarnation, self.address, token)
 
+    def _has_held(self, owner: Owner) -> bool:
+        """Whether this daemon has held the cell as an owner that names it.
+
+        An earlier incarnation that the row names counts as a holder.
+        """
+        return owner.incarnation != self._incarnation or owner.token <= self._held_token
+
     def _on_owner(self, owner: Owner) -> None:
         mine = (self._daemon_id, self._incarnation)
         if self.holding and (owner.daemon_id, owner.incarnation) != mine:
@@ -159,6 +170,7 @@
 
     async def _hold(self, acquired: AcquiredCell) -> None:
         self.takeovers += 1
+        self._held_token = acquired.owner.token
         self.holding = True
         self.members.announce_soon(self.news())
         try:
--- a/src/streamthread/cell/takeover.py
+++ b/src/streamthread/cell/takeover.py
@@ -21,8 +21,11 @@
     # The store names no holder.
     VACANT = "vacant"
     RELEASED = "released"
-    # The owner row names this daemon, which does not hold the cell now.
+    # The owner row names this daemon, which held the cell before and does not now.
     OWN_EARLIER_INCARNATION = "own-earlier-life"
+    # The owner row names this daemon, which never held the cell under that token: an
+    # acquisition took effect after it was given up. Another holder may still be active.
+    OWN_LATE_ACQUISITION = "own-late-acquisition"
     # The holder's port is closed.
     PROCESS_GONE = "process-gone"
     # No heartbeat arrives, and the commits have stalled.
--- a/src/streamthread/cell/tests/test_lease.py
+++ b/src/streamthread/cell/tests/test_lease.py
@@ -21,6 +21,7 @@
 from streamthread.cell.takeover import StalledCommits
 from streamthread.cell.takeover import Suspicion
 from streamthread.clocks import boot_s
+from streamthread.errors import OutcomeUnknownError
 from streamthread.platform.store import ABSENT
 from streamthread.platform.store import Condition
 from streamthread.platform.store import Page
@@ -37,6 +38,8 @@
         self.rows: dict[tuple[str, str], StoredRow] = {}
         self.version = 0
         self.read_s = 0.0
+        self.delays_writes = False
+        self.delayed: list[t.Callable[[], t.Awaitable[t.Any]]] = []
         self.put(TABLE_OWNER, OWNER_KEY, OLD.encode())
         self.put(TABLE_HEAD, HEAD_KEY, Head("x", 1).encode())
 
@@ -54,6 +57,10 @@
         conditions: t.Sequence[Condition],
         puts: t.Sequence[StoredRow],
     ) -> TransactResult:
+        if self.delays_writes:
+            self.delays_writes = False
+            self.delayed.append(lambda: self.transact(conditions, puts))
+            raise OutcomeUnknownError("no answer", remedy="-")
         for condition in conditions:
             row = self.rows.get((condition.table, condition.key))
             if condition.version != (row.version if row else ABSENT):
@@ -229,3 +236,40 @@
         acquired = await lease._writer.acquire(Suspicion.SILENT, watch.stalled_commits)
         assert acquired is not None
         assert acquired.exclusive_from_s < began_at_s + lease.times.max_validity_s + 0.2
+
+
+class TestOwnRow:
+    """The owner row names this daemon, which does not hold the cell."""
+
+    # Guards against two holders that send orders at the same time, after an acquisition
+    # that was given up took effect later: the holder that it replaced is unaware of it.
+    async def test_of_a_late_acquisition_does_not_end_an_earlier_holder(self) -> None:
+        store = _Store()
+        store.delays_writes = True
+        lease = _lease(store, _Peers(healthy=True, during_call=lambda: None))
+        assert await lease._writer.acquire(Suspicion.PROCESS_GONE) is None
+        await store.delayed[0]()
+        lease.registry.adopt(store.rows[TABLE_OWNER, OWNER_KEY])
+        suspicion = await lease._watch.observe()
+        assert suspicion is Suspicion.OWN_LATE_ACQUISITION
+        acquired = await lease._writer.acquire(suspicion)
+        assert acquired is not None and acquired.owner.token == OLD.token + 2
+        bound_s = acquired.acquired_at_s + lease.times.max_validity_s
+        assert acquired.exclusive_from_s >= bound_s
+
+    # Guards against a daemon that waits for orders that only itself can have sent.
+    @pytest.mark.parametrize("incarnation", ["n-0", "n-1"])
+    async def test_of_an_earlier_holding_ends_its_orders(
+        self, incarnation: str
+    ) -> None:
+        store = _Store()
+        lease = _lease(store, _Peers(healthy=True, during_call=lambda: None))
+        if incarnation == "n-1":
+            acquired = await lease._writer.acquire(Suspicion.PROCESS_GONE)
+            assert acquired is not None
+            await lease._hold(acquired)
+        else:
+            owner = Owner("me", incarnation, "127.0.0.1:1", 5)
+            store.put(TABLE_OWNER, OWNER_KEY, owner.encode())
+            lease.registry.adopt(store.rows[TABLE_OWNER, OWNER_KEY])
+        assert await lease._watch.observe() is Suspicion.OWN_EARLIER_INCARNATION
--- a/src/streamthread/cell/watch.py
+++ b/src/streamthread/cell/watch.py
@@ -1,6 +1,7 @@
 """Watches the cell's holder, and reports when and why it may be replaced."""
 
 import asyncio
+import typing as t
 
 import attrs
 import logbook
@@ -53,6 +54,8 @@
 class HolderWatch:
     """Follows the current holder of the cell.
 
+    :param has_held: whether this daemon, or an earlier incarnation of it, has held the
+        cell as the given owner.
     :param stalled_commits: evidence from the last suspicion that the holder's commits
         have stalled.
     :param suspected_at_s: when the current suspicion arose, on the boot clock.
@@ -66,10 +69,12 @@
         registry: OwnerRegistry,
         peers: PeerLinks,
         times: LeaseTimes,
+        has_held: t.Callable[[Owner], bool],
     ) -> None:
         self._store = store
         self._part = part
         self._daemon_id = daemon_id
+        self._has_held = has_held
         self._registry = registry
         self._peers = peers
         self._times = times
@@ -109,7 +114,9 @@
         if owner.released:
             return Suspicion.RELEASED
         if owner.daemon_id == self._daemon_id:
-            return Suspicion.OWN_EARLIER_INCARNATION
+            if self._has_held(owner):
+                return Suspicion.OWN_EARLIER_INCARNATION
+            return Suspicion.OWN_LATE_ACQUISITION
         try:
             await self._peers.follow(
                 owner.address,
