Decode the terms of a job from its row by their own type

Cause: the type of a job's row repeated the fields of the terms, and so did its decoding, so that a new one had to be added in three places.

Change: the terms are decoded from the same bytes by JobTerms, whose decoder ignores the other fields. The rows are the same.

--- a/src/streamthread/gateway/forwarding.py
+++ b/src/streamthread/gateway/forwarding.py
@@ -398,7 +398,7 @@
             request.pool,
             request.account,
             time.time(),
-            JobTerms.decode(request.terms) if request.terms else None,
+            self._terms_of(request),
         )
         value = entry.encode()
         if len(value) > self._settings.max_row_bytes:
@@ -428,6 +428,13 @@
         )
         return Persisted.YES
 
+    @staticmethod
+    def _terms_of(request: pb.CallRequest) -> JobTerms | None:
+        """Return the terms of a submitted job, None for other requests."""
+        if not request.terms:
+            return None
+        return JobTerms.decode(request.terms, request.job_id)
+
     async def _find_written(self, row: StoredRow) -> int | None:
         """Return a row's version, 0 if it is not there, or None if this is unknown."""
         try:
--- a/src/streamthread/holder/admission.py
+++ b/src/streamthread/holder/admission.py
@@ -60,7 +60,7 @@
         """
         if request.terms and self.version < request.configuration_version:
             try:
-                return JobTerms.decode(request.terms)
+                return JobTerms.decode(request.terms, request.job_id)
             except UnreadableError as error:
                 # A later version may state them in another format.
                 log.warning(
--- a/src/streamthread/scheduler/codec.py
+++ b/src/streamthread/scheduler/codec.py
@@ -17,7 +17,6 @@
 from ..decoding import OWN_ROW_REMEDY
 from ..platform.callers import decode_job
 from ..platform.callers import JobRequest
-from ..platform.manifest import AdvicePolicy
 from .intervals import IntervalSet
 from .model import FailureCause
 from .model import Job
@@ -102,17 +101,9 @@
 
 
 class _JobRow(msgspec.Struct):
-    """Either the submission or how the job ended."""
+    """Either the submission or how the job ended, beside the terms of the job."""
 
-    route: str
-    service: str
     accepted_at_s: Amount
-    priority: int = 0
-    max_attempts: Count = 1
-    stretch: Amount = 1.0
-    target_s: Amount = 0.0
-    account: str = ""
-    advice: AdvicePolicy | msgspec.UnsetType | None = msgspec.UNSET
     body: str | None = None
     body_rows: Count = 0
     state: JobState | None = None
@@ -130,21 +121,13 @@
     :raises BadInputError: the rows or the job in them can't be read.
     """
     row = _JOBS.decode(value, job_id)
+    terms = JobTerms.decode(value, job_id)
     if row.state is not None:
-        return _decode_ended(job_id, row, row.state)
+        return _decode_ended(job_id, terms, row, row.state)
     body = _body(job_id, row, body_rows)
     return Job(
         job_id=job_id,
-        terms=JobTerms(
-            route=row.route,
-            service=row.service,
-            priority=row.priority,
-            max_attempts=row.max_attempts,
-            stretch=row.stretch,
-            target_s=row.target_s,
-            account=row.account,
-            advice=row.advice,
-        ),
+        terms=terms,
         request=decode_job(body),
         body=body,
         accepted_at_s=row.accepted_at_s,
@@ -163,10 +146,10 @@
     return b"".join(body_rows)
 
 
-def _decode_ended(job_id: str, row: _JobRow, state: JobState) -> Job:
+def _decode_ended(job_id: str, terms: JobTerms, row: _JobRow, state: JobState) -> Job:
     return Job(
         job_id=job_id,
-        terms=JobTerms(row.route, row.service, account=row.account),
+        terms=terms,
         request=JobRequest("", ()),
         body=b"",
         accepted_at_s=row.accepted_at_s,
--- a/src/streamthread/scheduler/terms.py
+++ b/src/streamthread/scheduler/terms.py
@@ -12,18 +12,16 @@
 
 __all__ = ["JobTerms"]
 
-_ENCODER = msgspec.json.Encoder()
-
 
 @attrs.frozen
 class JobTerms:
     """What a job was accepted with, by the configuration of that time.
 
-    It is also the format in which the terms are stored; the types are checked there.
+    A later configuration may change or remove the route; the terms of its jobs stay. A
+    later one still decides which keys may ask about a job, as a removed key must lose
+    effect at once, and how much its account may have running, as that protects others.
 
-    A later configuration may change or remove the route; the terms of its jobs stay.
-    What a later one still decides: which keys may ask about the job, and how much its
-    account may have running at once.
+    Rows and calls contain the fields as they are; decoding checks their types.
 
     :param route: name of the route where the job was submitted.
     :param service: the pool whose runners run the job.
@@ -63,15 +61,16 @@
 
     def encode(self) -> bytes:
         """Encode the terms for another daemon."""
-        return _ENCODER.encode(self)
+        return msgspec.json.encode(self)
 
     @classmethod
-    def decode(cls, value: bytes) -> "JobTerms":
-        """Decode what another daemon sent.
+    def decode(cls, value: bytes, job_id: str) -> "JobTerms":
+        """Decode what a daemon encoded; there may be other fields beside the terms.
 
-        :raises UnreadableError: these are no terms of a job.
+        :param job_id: for errors.
+        :raises UnreadableError: the value contains no terms of a job.
         """
-        return _TERMS.decode(value, "terms")
+        return _TERMS.decode(value, job_id)
 
 
 _TERMS = Decoder[JobTerms](JobTerms, remedy=OWN_ROW_REMEDY)
