Let a job's terms be an ordinary attribute

Cause: a frozen attribute of an attrs class makes each assignment to any attribute of its objects pass a hook, also in the constructor.

--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -357,7 +357,7 @@
     """
 
     job_id: str
-    terms: JobTerms = attrs.field(on_setattr=attrs.setters.frozen)
+    terms: JobTerms
     request: JobRequest
     body: bytes
     accepted_at_s: float
