Read the priority of a job's terms once, too

Cause: each pass over the queue compares the priorities of all steps that wait, which took two look-ups each.

--- a/src/streamthread/holder/advice_turns.py
+++ b/src/streamthread/holder/advice_turns.py
@@ -67,7 +67,7 @@
         job = step.occurrence.job
         number = max(self._round, self._last_rounds.get(job, 0)) + 1
         self._last_rounds[job] = number
-        later = PRIORITY_ROUNDS * job.terms.priority + EXCESS_ROUNDS * job.excess
+        later = PRIORITY_ROUNDS * job.priority + EXCESS_ROUNDS * job.excess
         self._places[step] = _Place(number + later, next(self._numbers), number)
 
     def leave(self, step: StepRun) -> None:
--- a/src/streamthread/scheduler/choices.py
+++ b/src/streamthread/scheduler/choices.py
@@ -258,7 +258,7 @@
             occurrence.due_at_s,
             latest_end_s,
             job.accepted_at_s,
-            job.terms.priority,
+            job.priority,
             job.excess,
             begun and key not in in_gaps,
         )
--- a/src/streamthread/scheduler/model.py
+++ b/src/streamthread/scheduler/model.py
@@ -381,6 +381,7 @@
     route: str = attrs.field(init=False)
     service: str = attrs.field(init=False)
     account: str = attrs.field(init=False)
+    priority: int = attrs.field(init=False)
     # The occurrences below this number have begun.
     _begun_count: int = attrs.field(default=0, init=False)
 
@@ -389,6 +390,7 @@
         self.route = self.terms.route
         self.service = self.terms.service
         self.account = self.terms.account
+        self.priority = self.terms.priority
 
     @property
     def times(self) -> int:
--- a/src/streamthread/scheduler/placement.py
+++ b/src/streamthread/scheduler/placement.py
@@ -121,16 +121,16 @@
     """
     job = step.occurrence.job
     if step.request.lasting:
-        return (job.terms.priority, 0, 0, step.occurrence.due_at_s)
+        return (job.priority, 0, 0, step.occurrence.due_at_s)
     open_s, latest_end_s = outlook(step.occurrence, times)
     latest_start_s = latest_end_s - open_s
     if choice is not None:
         key = (job.job_id, step.occurrence.number)
         lead_s = LARGE_TASK_LEAD_S * step.reserved_cpu / 1000
         place = choice.sort_key(key, job.excess, latest_start_s - lead_s)
-        return (job.terms.priority, 1, *place)
+        return (job.priority, 1, *place)
     lost = now_s > latest_start_s
-    return (job.terms.priority, 1, lost, latest_start_s)
+    return (job.priority, 1, lost, latest_start_s)
 
 
 def order_steps(
