Draw sizes at limits in the soak

Cause: the soak drew faults, and sizes only where a large job was asked for. Faults at a limit (rows of 64 tasks, 128 tasks, the longest spec) showed by chance.

Change: a plan with `sizes` submits jobs with one drawn size each: tasks of a step next to the limits of rows, steps of a chain, occurrences, and the longest spec. One in five is over a limit, and must not be accepted.

--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -47,6 +47,7 @@
     SoakPlan(12, seconds=6.0, odd=True),
     SoakPlan(13, seconds=6.0, odd=True, advice=True),
     SoakPlan(14, seconds=6.0, faults_per_s=1.5, advice=True, new_routes=True),
+    SoakPlan(15, seconds=6.0, accounts=True, sizes=True, new_routes=True),
 )
 REGRESSIONS: tuple[SoakPlan, ...] = (
     # The stand-in's runner reported an expiry only when it was next called, not when
--- a/tools/soak.py
+++ b/tools/soak.py
@@ -47,6 +47,7 @@
 from tools.soak_restarts import RestartFaults
 from tools.soak_runners import RunnerFaults
 from tools.soak_series import SeriesFaults
+from tools.soak_sizes import SizedJobs
 from tools.soak_states import StateCallers
 from tools.soak_stops import LastingJobs
 from tools.soak_stops import StopFaults
@@ -104,6 +105,7 @@
     :param odd: calls have bodies that they don't need, and lists have odd parts,
         likewise.
     :param advice: the queues have a policy whose figures are drawn, likewise.
+    :param sizes: jobs whose sizes are at a limit, likewise.
     :param new_routes: some configurations have new routes in place of all others,
         likewise.
     """
@@ -126,6 +128,7 @@
     series: bool = False
     odd: bool = False
     advice: bool = False
+    sizes: bool = False
     new_routes: bool = False
 
 
@@ -184,6 +187,9 @@
         if plan.series:
             series = random.Random(f"series {plan.seed}")
             self._series = SeriesFaults(self, series, self._stop_faults)
+        self._sizes: SizedJobs | None = None
+        if plan.sizes:
+            self._sizes = SizedJobs(self, random.Random(f"sizes {plan.seed}"))
         self._odd: OddInputs | None = None
         if plan.odd:
             self._odd = OddInputs(self, random.Random(f"odd {plan.seed}"))
@@ -242,7 +248,7 @@
             parts.append(self._runner_faults.play(until_s))
             parts.append(self._runner_faults.submit_in_turns(until_s))
         others = (self._accounts, self._restarts, self._halls, self._floods)
-        for more in (*others, self._large, self._series, self._odd):
+        for more in (*others, self._large, self._series, self._odd, self._sizes):
             if more is not None:
                 parts.append(more.play(until_s))
         if self._advice is not None:
@@ -548,6 +554,7 @@
                     series=True,
                     odd=True,
                     advice=advice,
+                    sizes=True,
                     new_routes=True,
                 )
                 broken, faults = await run_soak(plan, folder, arguments.daemon_path)
