--- a/src/streamthread/holder/tests/test_intake.py
+++ b/src/streamthread/holder/tests/test_intake.py
@@ -275,7 +275,7 @@
         assert await self._terms(sent) == JobTerms.of_route(ROUTE)
 
     # Guards against a job with the terms of a sender that is behind.
-    async def test_of_the_sender_counts_for_nothing(self) -> None:
+    async def test_of_the_sender_is_ignored(self) -> None:
         cell = Cell()
         cell.documents.manifest = Manifest(3, (ROUTE,), {}, 0)
         cell.commits.may_commit.set()
