--- a/tools/soak_floods.py
+++ b/tools/soak_floods.py
@@ -1,15 +1,13 @@
 """Floods in the soak: one account sends eight times its weight, another one less."""
 
 import asyncio
-import random
 import time
 import typing as t
 
 from tools.soak_accounts import account_of
 from tools.soak_accounts import FLOOD_ACCOUNTS
 from tools.soak_checks import SubmittedJob
-from tools.soak_daemon import Daemon
-from tools.soak_view import SoakView
+from tools.soak_view import SoakPart
 
 __all__ = ["Floods"]
 
@@ -33,13 +31,9 @@
 "steps": [{"count": 1, "cpu": 1500, "memMb": 100}]}"""
 
 
-class Floods:
+class Floods(SoakPart):
     """Submits the jobs of floods, and beside them some within another's weight."""
 
-    def __init__(self, soak: SoakView, choices: random.Random) -> None:
-        self._soak = soak
-        self._random = choices
-
     async def play(self, until_s: float) -> None:
         """Submit jobs until a time."""
         within = self._submit("cat", SMALL_JOB, WITHIN_PER_S, until_s)
@@ -72,9 +66,6 @@
         while not job.accepted and time.monotonic() < give_up_at_s:
             await self._soak.submit(job, body, self._any)
 
-    def _any(self) -> Daemon:
-        return self._random.choice(self._soak.daemons)
-
     def check(self) -> t.Iterator[str]:
         """Yield a line for each job within its account's weight that was not done."""
         for job in self._soak.jobs.values():
--- a/tools/soak_odd.py
+++ b/tools/soak_odd.py
@@ -1,11 +1,10 @@
 """Odd inputs of the soak: bodies on every verb, and odd parts in each list."""
 
 import asyncio
-import random
 import time
 
 from streamthread.standins.cell import ODD_PARTS
-from tools.soak_view import SoakView
+from tools.soak_view import SoakPart
 
 __all__ = ["OddInputs"]
 
@@ -27,13 +26,9 @@
 """What calls carry that need no body."""
 
 
-class OddInputs:
+class OddInputs(SoakPart):
     """Draws bodies, and places odd parts in the lists that the daemons follow."""
 
-    def __init__(self, soak: SoakView, choices: random.Random) -> None:
-        self._soak = soak
-        self._random = choices
-
     def body(self) -> bytes:
         """Return the body of a call that needs none."""
         return self._random.choice(BODIES)
--- a/tools/soak_runners.py
+++ b/tools/soak_runners.py
@@ -2,15 +2,13 @@
 
 import asyncio
 import json
-import random
 import time
 
 from streamthread.standins.cell import RunnerStandin
 from tools.soak_checks import SubmittedJob
-from tools.soak_daemon import Daemon
 from tools.soak_suspend import SUSPEND_SIGNAL
 from tools.soak_suspend import SUSPENDED_S
-from tools.soak_view import SoakView
+from tools.soak_view import SoakPart
 
 __all__ = ["RunnerFaults"]
 
@@ -33,13 +31,9 @@
 """Whose turn it is, one after the other; in the last one it is nobody's."""
 
 
-class RunnerFaults:
+class RunnerFaults(SoakPart):
     """Jobs that crash their runners, rooms that shrink, machines that sleep."""
 
-    def __init__(self, soak: SoakView, choices: random.Random) -> None:
-        self._soak = soak
-        self._random = choices
-
     async def play(self, until_s: float) -> None:
         """Begin faults until a time."""
         for runner in self._soak.world.runners:
@@ -76,9 +70,6 @@
         body = json.dumps({"spec": json.dumps(spec), "steps": [step]}).encode()
         await self._soak.submit(job, body, self._any)
 
-    def _any(self) -> Daemon:
-        return self._random.choice(self._soak.daemons)
-
     async def _shrink(self, for_s: float) -> None:
         """A runner's room shrinks for a while, with what runs there."""
         living = [runner for runner in self._soak.world.runners if runner.alive]
--- a/tools/soak_series.py
+++ b/tools/soak_series.py
@@ -10,10 +10,10 @@
 from streamthread.standins.cell import MachineStandin
 from tools.soak_checks import SubmittedJob
 from tools.soak_checks import TASK_CPU
-from tools.soak_daemon import Daemon
 from tools.soak_restarts import restart_runner
 from tools.soak_stops import LastingJobs
 from tools.soak_stops import StopFaults
+from tools.soak_view import SoakPart
 from tools.soak_view import SoakView
 
 __all__ = ["SeriesFaults"]
@@ -52,14 +52,13 @@
 """Most of the lasting ones are cancelled only at the end."""
 
 
-class SeriesFaults:
+class SeriesFaults(SoakPart):
     """Runners that exit in series while holders are killed and the store refuses."""
 
     def __init__(
         self, soak: SoakView, choices: random.Random, holders: StopFaults
     ) -> None:
-        self._soak = soak
-        self._random = choices
+        super().__init__(soak, choices)
         self._holders = holders
         self._pool = choices.choice(POOLS)
         self._lasting = LastingJobs(soak, choices, JOBS_PER_S, LIFE_S)
@@ -84,9 +83,6 @@
             self._soak.spawn(self._soak.submit(job, body, self._any))
             await asyncio.sleep(min(1.0, self._random.expovariate(JOBS_PER_S)))
 
-    def _any(self) -> Daemon:
-        return self._random.choice(self._soak.daemons)
-
     async def _begin_series(self, until_s: float) -> None:
         others = [self._kill_holder, self._refuse_store]
         while time.monotonic() < until_s:
--- a/tools/soak_states.py
+++ b/tools/soak_states.py
@@ -1,13 +1,12 @@
 """Callers of the soak that ask for the states of jobs while faults go on."""
 
 import asyncio
-import random
 import time
 
 from tools.soak_checks import ENDED
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
-from tools.soak_view import SoakView
+from tools.soak_view import SoakPart
 
 __all__ = ["StateCallers"]
 
@@ -18,16 +17,12 @@
 """Share of the questions that concern jobs which have not been shown as ended."""
 
 
-class StateCallers:
+class StateCallers(SoakPart):
     """One caller per daemon, so that a daemon that is stuck delays no other.
 
     They end when they are cancelled.
     """
 
-    def __init__(self, soak: SoakView, choices: random.Random) -> None:
-        self._soak = soak
-        self._random = choices
-
     async def play(self) -> None:
         """Ask without end."""
         daemons = list(self._soak.daemons)
--- a/tools/soak_stops.py
+++ b/tools/soak_stops.py
@@ -13,6 +13,7 @@
 from tools.soak_accounts import LIMITS
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
+from tools.soak_view import SoakPart
 from tools.soak_view import SoakView
 
 __all__ = ["LastingJobs", "StopFaults", "neglected_tasks"]
@@ -57,7 +58,7 @@
     return sorted(task for task, at_s in due_at_s.items() if now_s > at_s + NEGLECTED_S)
 
 
-class LastingJobs:
+class LastingJobs(SoakPart):
     """Callers that submit lasting jobs and cancel them, alone and in groups."""
 
     def __init__(
@@ -67,10 +68,9 @@
         jobs_per_s: float = JOBS_PER_S,
         life_s: float = LIFE_S,
     ) -> None:
+        super().__init__(soak, choices)
         self._jobs_per_s = jobs_per_s
         self._life_s = life_s
-        self._soak = soak
-        self._random = choices
         self._live: dict[str, SubmittedJob] = {}
 
     async def submit(self, until_s: float) -> None:
@@ -138,9 +138,6 @@
         if cancel_at_s < until_s:
             await self._cancel(job)
 
-    def _any(self) -> Daemon:
-        return self._random.choice(self._soak.daemons)
-
     def _body(self) -> tuple[bytes, int]:
         """Return a job, and how many of its tasks never end by themselves."""
         # Lasting tasks that fail by themselves are started again.
@@ -158,13 +155,9 @@
         await self._soak.cancel(job, self._any)
 
 
-class StopFaults:
+class StopFaults(SoakPart):
     """Faults of orders, of runners' entries and of holders, one after the other."""
 
-    def __init__(self, soak: SoakView, choices: random.Random) -> None:
-        self._soak = soak
-        self._random = choices
-
     async def play(self, until_s: float) -> None:
         """Begin faults until a time."""
         kinds = [
--- a/tools/soak_view.py
+++ b/tools/soak_view.py
@@ -10,7 +10,7 @@
 from tools.soak_checks import SubmittedJob
 from tools.soak_daemon import Daemon
 
-__all__ = ["SoakView"]
+__all__ = ["SoakPart", "SoakView"]
 
 
 class SoakView(ABC):
@@ -83,3 +83,18 @@
 
         :param name: a pattern.
         """
+
+
+class SoakPart:
+    """A part of a run that makes choices of its own.
+
+    :param choices: its random source, so that other parts do not change its choices.
+    """
+
+    def __init__(self, soak: SoakView, choices: random.Random) -> None:
+        self._soak = soak
+        self._random = choices
+
+    def _any(self) -> Daemon:
+        """Return one of the daemons that are there."""
+        return self._random.choice(self._soak.daemons)
