--- a/src/streamthread/cli/__init__.py
+++ b/src/streamthread/cli/__init__.py
@@ -11,6 +11,7 @@
 import sys
 import typing as t
 
+from ..build import add_version_option
 from ..errors import BadInputError
 from ..errors import ConflictError
 from ..errors import leaf_errors
@@ -59,6 +60,7 @@
 
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="streamthread", description=__doc__)
+    add_version_option(parser)
     parser.add_argument("--server", default=DEFAULT_SERVER, help="an entry's URL")
     parser.add_argument("--output", choices=("text", "json"), default="text")
     subparsers = parser.add_subparsers(required=True, metavar="VERB")
--- a/src/streamthread/cli/run.py
+++ b/src/streamthread/cli/run.py
@@ -6,8 +6,11 @@
 import pathlib
 import typing as t
 
+import attrs
+import logbook
 from mode import Service
 
+from ..build import running_build
 from ..entry import Entry
 from ..entry.logs import event_sink
 from ..entry.logs import start_logging
@@ -32,6 +35,8 @@
     "run_upstreams",
 ]
 
+log = logbook.Logger("streamthread.entry")
+
 CUT_OFF_STATUS = 5
 
 
@@ -47,6 +52,7 @@
     else:
         settings = load_settings(pathlib.Path(arguments.settings))
     start_logging(settings.daemon_id, arguments.log_level)
+    log.info("starting", extra=attrs.asdict(running_build()))
     return asyncio.run(_serve_entry(settings))
 
 
--- a/src/streamthread/gateway/main.py
+++ b/src/streamthread/gateway/main.py
@@ -8,8 +8,11 @@
 import sys
 import typing as t
 
+import attrs
 import logbook
 
+from ..build import add_version_option
+from ..build import running_build
 from ..errors import leaf_errors
 from ..errors import SettingsError
 from ..errors import StreamthreadError
@@ -72,6 +75,7 @@
         print(f"{node.daemon_id}: the settings are valid")
         return 0
     handler = start_cell_logging(node.daemon_id, arguments.log_level)
+    log.info("starting", extra=attrs.asdict(running_build()))
     return asyncio.run(_serve(node, settings, handler))
 
 
@@ -106,6 +110,7 @@
 def main(argv: t.Sequence[str] | None = None) -> int:
     """Parse the command line and run."""
     parser = argparse.ArgumentParser(prog="streamthread cell", description=__doc__)
+    add_version_option(parser)
     add_arguments(parser)
     try:
         return run_cell(parser.parse_args(argv))
