Grow a pool until a policy permits one of its machines

Callers saw: an accepted job of a queue with advice never starts, without any disturbance.

Cause: pools are sized by the work that waits, and idle machines go to the spare pool whichever policies permit them. The advice service can be asked about runners of the pool alone, and does not change its answers.

Change: while a step whose turn has come can start on none of its runners, all of which were asked about, the pool doubles; a gang counts as a whole. Without a further machine for 10 s the search ends, and begins again after 60 s.

A look at the coverage takes 5 ms for 500 waiting steps and 300 runners, twice a second.

--- a/src/streamthread/holder/advice.py
+++ b/src/streamthread/holder/advice.py
@@ -24,6 +24,8 @@
 from .advice_choice import NOTHING
 from .advice_choice import RunnerAnswer
 from .advice_choice import RunnerChooser
+from .advice_coverage import Coverage
+from .advice_coverage import step_coverage
 from .advice_odds import PolicyOdds
 from .advice_times import AdviceTimes
 from .advice_turns import TurnQueue
@@ -236,6 +238,26 @@
             if answer is not None and answer.ticket and not step.done:
                 self._queue(step, entry)
 
+    def coverage(self) -> dict[str, Coverage]:
+        """Return by pool what is known of the waiting step that lacks most.
+
+        Pools without a waiting step are left out.
+        """
+        by_id = functools.cache(self._runners_by_id)
+        found: dict[str, Coverage] = {}
+        for step, entry in self._by_step.items():
+            job = step.occurrence.job
+            worst = found.get(job.service, Coverage.PERMITTED)
+            if worst is Coverage.DENIED or not _may_start(step):
+                continue
+            if self._policy(job) is not None:
+                state = step_coverage(step, by_id(job.service), entry.answers)
+                found[job.service] = max(worst, state)
+        return found
+
+    def _runners_by_id(self, pool: str) -> dict[str, RunnerState]:
+        return {runner.runner_id: runner for runner in self._runners(pool, True)}
+
     # Turns.
 
     def _entry(self, step: StepRun) -> _StepAdvice:
@@ -451,5 +473,10 @@
         return advice
 
 
+def _may_start(step: StepRun) -> bool:
+    """Whether a step has tasks whose turn has come."""
+    return not _has_ended(step) and step.has_waiting() and not step.blocked_by()
+
+
 def _has_ended(step: StepRun) -> bool:
     return step.done or step.occurrence.job.over
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -28,6 +28,8 @@
 from .machines import MachineTable
 from .machines import PendingDuty
 from .owner import DutyOwner
+from .policy_search import PolicySearch
+from .policy_search import PoolCount
 from .pool_capacity import PoolCapacity
 from .sizes import PoolSizes
 from .waves import WavePlanner
@@ -45,6 +47,10 @@
 """An order is decided anew if it takes longer to open a connection for it: the first
 packet was lost, and the next one is sent after a second."""
 
+POLICY_SEARCH_S = 0.5
+"""Interval between looks at the coverage of policies; one takes 5 ms for 500 waiting
+steps and 300 runners."""
+
 
 def _of_open_halls(views: t.Collection[MachineView]) -> t.Collection[MachineView]:
     """Return the machines by which pools are sized: those of halls that may be used.
@@ -92,6 +98,8 @@
         self._lost_runners = LostRunners(owner, self._table.had_before)
         self._sizes = PoolSizes(owner.engine, settings.capacity)
         self._capacity = PoolCapacity()
+        self._policy_search = PolicySearch()
+        self._searched_at_s = 0.0
         self._registry = WaveRegistry(owner, settings.tick_s)
         self._handovers = Handovers(self._table, owner.kick)
         self._waves = WavePlanner(
@@ -244,12 +252,18 @@
             _of_open_halls(views.values())
         )
         recent_max = self._sizes.recent_max
+        self._update_policy_search(views.values())
+        searched = self._policy_search.sizes()
         pool_views = [
             PoolView(
                 pool.name,
                 pool.is_spare,
-                self._wanted_size(pool.name, targets),
-                max(retained_machines.get(pool.name, 0), recent_max.get(pool.name, 0)),
+                max(self._wanted_size(pool.name, targets), searched.get(pool.name, 0)),
+                max(
+                    retained_machines.get(pool.name, 0),
+                    recent_max.get(pool.name, 0),
+                    searched.get(pool.name, 0),
+                ),
                 self._sizes.with_excess.get(pool.name, 0),
             )
             for pool in pools
@@ -265,6 +279,20 @@
             self._begin_move(move)
         self._hand_over(pool_views, machines, moves)
 
+    def _update_policy_search(self, views: t.Collection[MachineView]) -> None:
+        """Size the pools that lack a machine which a policy permits."""
+        now_s = boot_s()
+        if now_s - self._searched_at_s < POLICY_SEARCH_S:
+            return
+        self._searched_at_s = now_s
+        coverage = self._owner.policy_coverage()
+        counts: dict[str, PoolCount] = {}
+        for pool in coverage:
+            usable = sum(view.pool == pool and view.usable for view in views)
+            arriving = sum(view.pool == pool and view.arriving for view in views)
+            counts[pool] = PoolCount(usable + arriving, arriving)
+        self._policy_search.update(coverage, counts, now_s)
+
     def _hand_over(
         self,
         pools: t.Sequence[PoolView],
--- a/src/streamthread/holder/owner.py
+++ b/src/streamthread/holder/owner.py
@@ -9,6 +9,7 @@
 from ..platform.store import Page
 from ..runners import RunnerLink
 from ..scheduler import Engine
+from .advice_coverage import Coverage
 from .context import HolderContext
 from .job_rows import JobRows
 
@@ -59,6 +60,13 @@
     async def read_cell_table(self, table: str) -> Page:
         """Read one of the cell's tables, retrying until the store answers."""
 
+    @abstractmethod
+    def policy_coverage(self) -> dict[str, Coverage]:
+        """Return by pool whether policies permit the runners that waiting steps need.
+
+        Pools without a waiting step that has a policy are left out.
+        """
+
     @abstractmethod
     def spawn(self, call: t.Coroutine[t.Any, t.Any, None]) -> None:
         """Run a coroutine concurrently for as long as the cell is held."""
--- a/src/streamthread/holder/service.py
+++ b/src/streamthread/holder/service.py
@@ -30,6 +30,7 @@
 from ..scheduler.orders import SenderOwner
 from .admission import AdmissionPolicy
 from .advice import AdviceCache
+from .advice_coverage import Coverage
 from .context import HolderContext
 from .duties import DutyLoop
 from .forecasts import CapacityParts
@@ -385,6 +386,13 @@
         """Return the ids of the runners that may run a step; None means all."""
         return None if self.advice is None else self.advice.allowed(step)
 
+    def policy_coverage(self) -> dict[str, Coverage]:
+        """Return by pool whether policies permit the runners that waiting steps need.
+
+        Pools without a waiting step that has a policy are left out.
+        """
+        return {} if self.advice is None else self.advice.coverage()
+
     def ticket_for(self, attempt: Attempt) -> str:
         """Return the ticket that a start must carry, or an empty string."""
         if self.advice is None:
--- a/src/streamthread/holder/tests/test_duties_and_lease.py
+++ b/src/streamthread/holder/tests/test_duties_and_lease.py
@@ -84,6 +84,9 @@
     def releasing(self) -> bool:
         return self.lease_validity.releasing
 
+    def policy_coverage(self) -> dict[str, t.Any]:
+        return {}
+
     async def until_trusted(self) -> None:
         await self.lease_validity.until_trusted()
 
--- a/src/streamthread/holder/tests/test_machines_unreachable.py
+++ b/src/streamthread/holder/tests/test_machines_unreachable.py
@@ -111,6 +111,9 @@
         self._decide()
         self.decisions.append(self.duties.moves - before)
 
+    def policy_coverage(self) -> dict[str, t.Any]:
+        return {}
+
     async def until_trusted(self) -> None:
         return
 
--- a/tests/cell/test_advice.py
+++ b/tests/cell/test_advice.py
@@ -3,6 +3,8 @@
 import contextlib
 import typing as t
 
+import pytest
+
 from streamthread.gateway import CellDaemon
 from streamthread.platform.node import decode_node
 from streamthread.standins.cell import AdviceStandin
@@ -17,9 +19,15 @@
 
 
 @contextlib.asynccontextmanager
-async def _running(runners: int, advice: AdviceStandin) -> t.AsyncIterator[Cell]:
-    """Run a daemon and a pool of runners whose starts need tickets."""
-    world = CellWorld({"desk": runners}, advice=advice)
+async def _running(
+    runners: int, advice: AdviceStandin, spare: int = 0
+) -> t.AsyncIterator[Cell]:
+    """Run a daemon and a pool of runners whose starts need tickets.
+
+    :param spare: the number of machines in a spare pool.
+    """
+    pools = {"desk": runners, "spare": spare} if spare else {"desk": runners}
+    world = CellWorld(pools, advice=advice)
     await world.open()
     daemon = CellDaemon(decode_node(world.node_settings("daemon-0")))
     cell = Cell(world, [daemon])
@@ -91,3 +99,29 @@
             for job_id in ids:
                 await caller.until_state(job_id, "completed")
             assert advice.tickets_refused == 0
+
+
+def _machine_of(cell: Cell, runner_id: str) -> str:
+    """Return the machine on which a runner is now."""
+    for machine in cell.world.cloud.machines.values():
+        if machine.runner is not None and machine.runner.runner_id == runner_id:
+            return machine.machine_id
+    return ""
+
+
+class TestMachinesOfSparePools:
+    # Guards against a job that never starts as the permitted machines are switched off.
+    @pytest.mark.parametrize("gang", [False, True])
+    async def test_are_tried_if_the_pool_has_no_permitted_one(self, gang: bool) -> None:
+        advice = AdviceStandin(figures=PolicyFigures(decide_ms=5, each_ms=1))
+        async with _running(2, advice, spare=6) as cell:
+            permitted = ["m-15"] if not gang else ["m-13", "m-15"]
+            assert set(permitted) <= set(cell.world.cloud.machines)
+            advice.may_run = lambda step, runner_id: (
+                _machine_of(cell, runner_id) in permitted
+            )
+            count = len(permitted)
+            await cell.caller().submit(JOB_ID, job(count=count, cpu=16000, gang=gang))
+            await cell.caller().until_state(JOB_ID, "completed")
+            ran_on = {run.runner_id for run in cell.world.started}
+            assert len(ran_on) == count
