Use the time of a move that the platform states

move_s was read from the settings and not used: two constants of 1.5 and 1.9 s stood in its place, so that with longer moves pools grew too late in a burst, and jobs were judged by machines that could not be there in time.

Change: it is a setting of the capacity decisions, 1.5 s unless stated. Nothing changes for a platform that states 1.5 s.

Measured: with move_s 20 the size of a pool in a rising burst, with 0.5, 1.5 and 6 the time of what it may get: the three tests fail before, as there is no such setting.

--- a/src/streamthread/capacity/plan.py
+++ b/src/streamthread/capacity/plan.py
@@ -44,6 +44,8 @@
         this time. A moving machine is missing for 1.5 s, and the first burst is
         detected just then, so not all of them may leave at once.
     :param burst_machines: arrivals that need fewer machines than this are not a burst.
+    :param move_s: how long a machine takes from one pool to another; stated by the
+        platform.
     """
 
     least_machines: int = 2
@@ -55,6 +57,7 @@
     cold_s: float = 30.0
     cold_leave_s: float = 3.0
     burst_machines: float = 1.0
+    move_s: float = 1.5
 
 
 @attrs.frozen
--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -149,10 +149,12 @@
 
 
 def duty_settings(node: NodeSettings) -> DutySettings:
-    """Return the settings for ordering machines, from the platform's rate limit."""
+    """Return the settings for ordering machines, from what the platform states."""
     defaults = DutySettings()
     max_moves = int(node.duties_per_s * defaults.tick_s * MOVE_BURST_FACTOR)
-    capacity = attrs.evolve(defaults.capacity, most_moves=max(1, max_moves))
+    capacity = attrs.evolve(
+        defaults.capacity, most_moves=max(1, max_moves), move_s=node.bounds.move_s
+    )
     return attrs.evolve(defaults, capacity=capacity)
 
 
--- a/src/streamthread/gateway/tests/test_daemon.py
+++ b/src/streamthread/gateway/tests/test_daemon.py
@@ -17,6 +17,12 @@
         assert settings.links.hold_s <= 2.0
         assert settings.engine.early_s < 0.1
 
+    # Guards against figures that are read and not used.
+    def test_include_the_times_of_duties(self) -> None:
+        bounds = Bounds(move_s=7.0, upkeep_s=40.0)
+        duties = cell_settings(attrs.evolve(NODE, bounds=bounds)).duties
+        assert duties.capacity.move_s == 7.0
+
     def test_runs_of_a_lost_runner_are_held_little_longer_than_an_outage(self) -> None:
         bounds = Bounds(most_hold_s=10.0)
         settings = cell_settings(attrs.evolve(NODE, bounds=bounds))
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -97,7 +97,7 @@
         )
         self._lost_runners = LostRunners(owner, self._table.had_before)
         self._sizes = PoolSizes(owner.engine, settings.capacity)
-        self._capacity = PoolCapacity()
+        self._capacity = PoolCapacity(settings.capacity.move_s)
         self._policy_search = PolicySearch()
         self._searched_at_s = 0.0
         self._registry = WaveRegistry(owner, settings.tick_s)
--- a/src/streamthread/holder/pool_capacity.py
+++ b/src/streamthread/holder/pool_capacity.py
@@ -12,17 +12,18 @@
 
 __all__ = ["PoolCapacity"]
 
-MOVE_S = 1.5
-"""How long a machine takes from one pool to another."""
-
 MAX_AGE_S = 3.0
 """Machines are unknown once they were last looked at longer ago than this."""
 
 
 class PoolCapacity:
-    """The machines as they were when the duties were last decided."""
+    """The machines as they were when the duties were last decided.
+
+    :param move_s: how long a machine takes from one pool to another.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, move_s: float) -> None:
+        self._move_s = move_s
         self._views: tuple[MachineView, ...] = ()
         self._at_s: float | None = None
         # Sums by pool. They are made when they are first asked for, since every new job
@@ -43,7 +44,7 @@
         if not self._is_known():
             return ()
         cpu = self._cpu_sums().arriving[pool]
-        return ((time.time() + MOVE_S / 2, float(cpu)),) if cpu else ()
+        return ((time.time() + self._move_s / 2, float(cpu)),) if cpu else ()
 
     def obtainable(self, pool: str) -> CapacityParts | None:
         """Return the most cpu that a pool gets or may get; None if it is unknown.
@@ -56,7 +57,8 @@
         now_s = time.time()
         sums = self._cpu_sums()
         idle = sums.all_idle - sums.idle[pool]
-        return ((now_s, float(sums.arriving[pool])), (now_s + MOVE_S, float(idle)))
+        arriving = float(sums.arriving[pool])
+        return ((now_s, arriving), (now_s + self._move_s, float(idle)))
 
     def _cpu_sums(self) -> "_Sums":
         if self._sums is None:
--- a/src/streamthread/holder/sizes.py
+++ b/src/streamthread/holder/sizes.py
@@ -23,9 +23,8 @@
 
 log = logbook.Logger("streamthread.duties")
 
-FORECAST_S = 1.9
-"""Arrivals are forecast for this time: a move takes 1.5 s, and the moved machine's
-runner is listed and in use some tenths of a second later."""
+LISTING_S = 0.4
+"""After a move, the machine's runner is listed and in use this much later."""
 
 SIZES_LOG_INTERVAL_S = 1.0
 """Interval between log lines with the sizes; one per second is enough to follow a
@@ -49,7 +48,7 @@
     """Tracks each pool's arrivals and its sizes in the recent past.
 
     Machines that a pool needed recently are not returned to the spare pool, from which
-    they would come back in 1.5 s and at the price of two moves. A pool that lacks
+    they would come back only later and at the price of two moves. A pool that lacks
     machines now may still take them. Where demand alternates between pools, the next
     pool thus has what it needs 2 s after its turn began, not 3 s, with 4 % fewer moves
     (pools of six machines whose turn needs ten, in virtual time).
@@ -205,7 +204,7 @@
         if arrivals is None:
             return 0.0
         arrivals.settle(now_s)
-        return arrivals.forecast(now_s, FORECAST_S)
+        return arrivals.forecast(now_s, self._settings.move_s + LISTING_S)
 
     def log_sizes(
         self, targets: dict[str, int], views: t.Collection[MachineView]
--- a/src/streamthread/holder/tests/test_pool_capacity.py
+++ b/src/streamthread/holder/tests/test_pool_capacity.py
@@ -1,7 +1,10 @@
 """What pools may get is known without a pass over all machines for each job."""
 
+import time
 import typing as t
 
+import pytest
+
 from streamthread.capacity import MachineView
 from streamthread.holder.pool_capacity import PoolCapacity
 
@@ -30,7 +33,7 @@
 
 
 def test_counts_what_arrives_and_what_is_idle_elsewhere() -> None:
-    capacity = PoolCapacity()
+    capacity = PoolCapacity(1.5)
     assert capacity.obtainable("one") is None
     capacity.update(VIEWS)
     found = [capacity.obtainable(pool) for pool in ("one", "two", "none")]
@@ -45,7 +48,7 @@
 
     Where nobody asks, the machines are not gone through at all.
     """
-    capacity = PoolCapacity()
+    capacity = PoolCapacity(1.5)
     capacity.update(())
     views = capacity._views = _Views(VIEWS)
     assert views.passes == 0
@@ -53,3 +56,15 @@
         capacity.obtainable("one")
         capacity.arriving("two")
     assert views.passes == 1
+
+
+# Guards against refusals by a move time that the platform does not have.
+def test_counts_on_machines_after_the_stated_time_of_a_move() -> None:
+    for move_s in (0.5, 1.5, 6.0):
+        capacity = PoolCapacity(move_s)
+        capacity.update(VIEWS)
+        before_s = time.time()
+        (here_s, _), (moved_s, _) = capacity.obtainable("one") or ()
+        assert moved_s - here_s == pytest.approx(move_s)
+        ((arriving_s, _),) = capacity.arriving("one")
+        assert arriving_s - before_s == pytest.approx(move_s / 2, abs=0.2)
--- a/src/streamthread/holder/tests/test_sizes.py
+++ b/src/streamthread/holder/tests/test_sizes.py
@@ -149,3 +149,17 @@
     pool_sizes.targets(POOLS, VIEWS)
     assert list(pool_sizes.with_excess) == ["one"]
     assert len(looked_at) == len(set(looked_at)) == 4
+
+
+# Guards against pools that grow too late where moves take longer than usual.
+def test_arrivals_are_forecast_for_the_stated_time_of_a_move(clock: _Clock) -> None:
+    wanted: list[int] = []
+    for move_s in (1.5, 20.0):
+        settings = attrs.evolve(SETTINGS, move_s=move_s)
+        pool_sizes = PoolSizes(Engine(lambda job: None), settings)
+        pool_sizes.targets(POOLS, VIEWS)
+        for gap_s in (0.5, 0.4, 0.3, 0.2, 0.15, *[0.1] * 10, *[0.05] * 20):
+            clock.now_s += gap_s
+            pool_sizes.record_job("one", 3_000.0, clock.now_s)
+        wanted.append(pool_sizes.targets(POOLS, VIEWS)["one"])
+    assert wanted[1] > wanted[0]
