Pace waves by the duration of an upkeep that the platform states

upkeep_s was read from the settings and not used: a wave was paced by constants that hold for 2 s. With longer upkeep it begins to press too late.

Nothing changes for a platform that states 2 s.

The tests fail before, as there is no such parameter.

--- a/src/streamthread/gateway/daemon.py
+++ b/src/streamthread/gateway/daemon.py
@@ -155,7 +155,8 @@
     capacity = attrs.evolve(
         defaults.capacity, most_moves=max(1, max_moves), move_s=node.bounds.move_s
     )
-    return attrs.evolve(defaults, capacity=capacity)
+    upkeep = attrs.evolve(defaults.upkeep, upkeep_s=node.bounds.upkeep_s)
+    return attrs.evolve(defaults, capacity=capacity, upkeep=upkeep)
 
 
 class CellDaemon(Service, DaemonView):
--- a/src/streamthread/gateway/tests/test_daemon.py
+++ b/src/streamthread/gateway/tests/test_daemon.py
@@ -22,6 +22,7 @@
         bounds = Bounds(move_s=7.0, upkeep_s=40.0)
         duties = cell_settings(attrs.evolve(NODE, bounds=bounds)).duties
         assert duties.capacity.move_s == 7.0
+        assert duties.upkeep.upkeep_s == 40.0
 
     def test_runs_of_a_lost_runner_are_held_little_longer_than_an_outage(self) -> None:
         bounds = Bounds(most_hold_s=10.0)
--- a/src/streamthread/holder/waves.py
+++ b/src/streamthread/holder/waves.py
@@ -219,12 +219,14 @@
         if not remaining_ids:
             return None
         remaining_s = progress.first_seen_s + wave.duration_s - time.time()
-        urgent = presses(len(remaining_ids), wave.most_at_once, remaining_s)
+        left, most = len(remaining_ids), wave.most_at_once
+        upkeep_s = self._settings.upkeep_s
+        urgent = presses(left, most, remaining_s, upkeep_s)
         due = tuple(self._due_machine(views[m]) for m in remaining_ids if m in views)
         return plan_upkeep(
             WaveView(
                 due,
-                paced_slots(len(remaining_ids), wave.most_at_once, remaining_s) - down,
+                paced_slots(left, most, remaining_s, upkeep_s) - down,
                 self._releasable(views.values(), targets, urgent),
             ),
             self._settings,
--- a/src/streamthread/upkeep/plan.py
+++ b/src/streamthread/upkeep/plan.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from .pacing import DEFAULT_UPKEEP_S
+
 __all__ = [
     "DueMachine",
     "UpkeepPlan",
@@ -22,9 +24,11 @@
 
     :param emptying_ahead: how many machines beyond the free slots are emptied in
         advance, because emptying takes as long as the tasks run.
+    :param upkeep_s: duration of an upkeep; stated by the platform.
     """
 
     emptying_ahead: int = 1
+    upkeep_s: float = DEFAULT_UPKEEP_S
 
 
 @attrs.frozen
