Let a stand-in's port be another one if its number is taken

A runner of the stand-in that restarts at its address found the port in use, as another process had got it in the 0.3 s between: the exception ended the restart, and the machine never came back. The runner listens on any port then, as a real one may that comes back under another address.

tests/cell/test_standin.py::TestPort failed before with EADDRINUSE.

--- a/src/streamthread/standins/cell/port.py
+++ b/src/streamthread/standins/cell/port.py
@@ -1,6 +1,7 @@
 """An HTTP port on loopback; the operating system chooses its number."""
 
 import asyncio
+import errno
 import typing as t
 
 from aiohttp import web
@@ -46,13 +47,24 @@
         return len(silent)
 
     async def open(self, port: int = 0) -> None:
-        """Listen on a port, which may have been used before; 0: any port."""
+        """Listen on a port that was used before, or on another one if it is taken.
+
+        :param port: 0: any port.
+        """
         await self._runner.setup()
-        site = web.TCPSite(self._runner, "127.0.0.1", port, reuse_address=True)
-        await site.start()
+        try:
+            await self._listen(port)
+        except OSError as error:
+            if not port or error.errno != errno.EADDRINUSE:
+                raise
+            await self._listen(0)
         host, number = self._runner.addresses[0][:2]
         self.address = f"{host}:{number}"
 
+    async def _listen(self, port: int) -> None:
+        site = web.TCPSite(self._runner, "127.0.0.1", port, reuse_address=True)
+        await site.start()
+
     def reset_connections(self) -> None:
         """Abort all open connections, as the end of a process does."""
         for transport in self._open:
--- a/tests/cell/test_standin.py
+++ b/tests/cell/test_standin.py
@@ -5,7 +5,9 @@
 import time
 import typing as t
 
+import aiohttp
 import pytest
+from aiohttp import web
 
 from streamthread.errors import OutcomeUnknownError
 from streamthread.platform.runners import Refusal
@@ -13,6 +15,7 @@
 from streamthread.standins.cell import CellWorld
 from streamthread.standins.cell import RunnerStandin
 from streamthread.standins.cell import StoreStandin
+from streamthread.standins.cell.port import HttpPort
 from streamthread.standins.cell.runner import StartedRun
 
 from .support import until
@@ -171,3 +174,23 @@
             store._set(("op", "", "config"), "value")
         answer = json.loads(t.cast(bytes, (await feed).body))
         assert answer["ver"] == 0 or len(answer["rows"]) == 1
+
+
+class TestPort:
+    # Guards against machines that never come back as another process took their port.
+    async def test_is_another_one_if_it_is_taken(self) -> None:
+        async def answer(request: web.BaseRequest) -> web.StreamResponse:
+            return web.Response(text="here")
+
+        first, second = HttpPort(answer), HttpPort(answer)
+        await first.open()
+        try:
+            await second.open(int(first.address.rpartition(":")[2]))
+            assert second.address != first.address
+            async with aiohttp.ClientSession() as session:
+                for port in (first, second):
+                    async with session.get(f"http://{port.address}/") as reply:
+                        assert await reply.text() == "here"
+        finally:
+            await first.close()
+            await second.close()
