Allow for calls that a slow advice service has begun

Seen: one plan in a run of 4,000 examples failed (each_ms 2,718, five times slower for the first second). The call that began in that second takes 13.6 s, and the one after it waits behind it, but the bound counted the second alone. The trace shows both calls; no permitted runner was left aside. The bound adds two calls at the slow rate for each such outage; for a silent service and without outages it is as it was.

--- a/tests/model/advice.py
+++ b/tests/model/advice.py
@@ -76,8 +76,16 @@
     exits_at_s: tuple[float, ...]
 
     def settled_at_s(self) -> float:
-        """Return after what time nothing is submitted or disturbed any more."""
-        outages = (outage.at_s + outage.for_s for outage in self.outages)
+        """Return after what time nothing is submitted or disturbed any more.
+
+        A call that a slow service began takes as long as it began, and so does one that
+        was given up for the next one behind it.
+        """
+        longest_s = max(TURN_S, 2 * self.policy.decide_s, self.policy.duration_s(1))
+        outages = (
+            outage.at_s + outage.for_s + 2 * longest_s * (outage.slowness or 0.0)
+            for outage in self.outages
+        )
         return max(*self.jobs_at_s, *self.holders_at_s, *self.exits_at_s, *outages, 0.0)
 
     def needed_s(self) -> float:
