Deny up to three runners of each step in the soak

The soak's policies denied each step one runner, at most, as a pool could be left with none that is permitted, which no holder mended.

Drawn by a generator of its own, so that earlier seeds choose their figures and faults as they did. A machine that moves gets a new runner, so that a permitted one can always be had.

--- a/tools/soak.py
+++ b/tools/soak.py
@@ -141,7 +141,10 @@
         halls = HALLS if plan.halls else ("here",)
         self._advice: AdvicePolicies | None = None
         if plan.advice:
-            self._advice = AdvicePolicies(random.Random(f"advice {plan.seed}"))
+            self._advice = AdvicePolicies(
+                random.Random(f"advice {plan.seed}"),
+                random.Random(f"denials {plan.seed}"),
+            )
         service = self._advice.service if self._advice is not None else None
         self.world = CellWorld(POOLS, halls=halls, advice=service)
         self.daemons = [
--- a/tools/soak_advice.py
+++ b/tools/soak_advice.py
@@ -1,6 +1,7 @@
 """Policies of the soak: an advice service with drawn figures, and its faults."""
 
 import asyncio
+import collections
 import random
 import time
 
@@ -17,28 +18,38 @@
 
 VALID_MS = (1_500.0, 5_000.0, 20_000.0)
 
+DENIED = (1, 1, 2, 3)
+"""How many runners a step is denied. A pool that shrank may have no more than two."""
+
 FAULTS_PER_S = 0.3
 """How often a fault of the service begins."""
 
 
 class AdvicePolicies:
-    """Lets each step run on all runners but one, at most.
+    """Denies each step the first runners asked about, and permits all others.
+
+    The answers do not change. Since a machine that moves gets a new runner, a permitted
+    one can always be had.
 
-    The one that is denied stays so. A policy that denies several may allow none of the
-    machines that a pool has left, which no holder can mend.
+    :param denials: draws how many runners are denied.
     """
 
-    def __init__(self, choices: random.Random) -> None:
+    def __init__(self, choices: random.Random, denials: random.Random) -> None:
         self._random = choices
-        self._denied: dict[str, str] = {}
+        self._denied: collections.defaultdict[str, set[str]]
+        self._denied = collections.defaultdict(set)
         figures = PolicyFigures(
             choices.choice(DECIDE_MS), choices.choice(EACH_MS), choices.choice(VALID_MS)
         )
+        self._denied_count = denials.choice(DENIED)
         self.service = AdviceStandin(self._may_run, figures)
 
     def _may_run(self, step: str, runner_id: str) -> bool:
         """Return the answer for a step and a runner, which does not change."""
-        return self._denied.setdefault(step, runner_id) != runner_id
+        denied = self._denied[step]
+        if len(denied) < self._denied_count:
+            denied.add(runner_id)
+        return runner_id not in denied
 
     async def play(self, soak: SoakView, until_s: float) -> None:
         """Begin faults of the service until a time."""
