Give long-running tasks every other call for advice

Cause: by its log the task got a ticket when the evacuated halls came back, was not placed while that held, and was not asked about again for 9.7 s, while some 280 other calls were made at 25 to 45 a second: its next turn came after those of all jobs that wait, about 200. Why the first ticket was not used is not in the log.

Change: every other call is for a long-running task within its account's share, if one needs it; the other half stays with the other steps, in their order.

Measured: the two new tests of turns failed before (the task waited for 200 calls) and pass.

--- a/src/streamthread/holder/advice_turns.py
+++ b/src/streamthread/holder/advice_turns.py
@@ -38,13 +38,15 @@
     """The steps that wait for a call, in the order of start-time fair queueing.
 
     Jobs get one call each in a round. Each further step of a job waits for the next
-    round, so that a job with many steps does not delay the others.
+    round, so that a job with many steps does not delay the others. Every other call is
+    for a long-running task, if one needs it: it has to run again within seconds.
     """
 
     def __init__(self) -> None:
         self._places: dict[StepRun, _Place] = {}
         self._numbers = itertools.count()
         self._round = 0
+        self._is_long_running_next = True
         # The last round that the calls and the waiting steps of a job take up.
         self._last_rounds: weakref.WeakKeyDictionary[Job, int]
         self._last_rounds = weakref.WeakKeyDictionary()
@@ -56,9 +58,10 @@
         """Return the steps; the one whose turn it is comes first."""
         return sorted(self._places, key=self._sort_key)
 
-    def _sort_key(self, step: StepRun) -> tuple[int, int]:
+    def _sort_key(self, step: StepRun) -> tuple[bool, int, int]:
         place = self._places[step]
-        return (place.due, place.number)
+        later = _is_urgent(step) is not self._is_long_running_next
+        return (later, place.due, place.number)
 
     def add(self, step: StepRun) -> None:
         """Give a step a place unless it has one."""
@@ -79,9 +82,15 @@
         """Remove a step for its call; return the place that it had."""
         place = self._places.pop(step)
         self._round = max(self._round, place.round)
+        self._is_long_running_next = not _is_urgent(step)
         return place
 
     def keep(self, step: StepRun, place: _Place) -> None:
         """Let a step wait where it was before its call, a few steps further back."""
         number = place.number + OVERTAKING_STEPS
         self._places[step] = attrs.evolve(place, number=number)
+
+
+def _is_urgent(step: StepRun) -> bool:
+    """Whether a step has long-running tasks within its account's share."""
+    return step.request.lasting and not step.occurrence.job.excess
--- a/src/streamthread/holder/tests/test_advice_turns.py
+++ b/src/streamthread/holder/tests/test_advice_turns.py
@@ -275,6 +275,38 @@
                 await asyncio.sleep(0)
         assert turns.index(other.occurrence.job) <= 6
 
+    # Guards against a long-running task that waits for seconds behind a crowd of jobs.
+    def test_of_long_running_tasks_wait_for_one_other_call(self) -> None:
+        turns = TurnQueue()
+        for _ in range(200):
+            turns.add(_step())
+        long_running = _step(lasting=True)
+        turns.add(long_running)
+        for _ in range(3):
+            # Its first ticket has expired before it could be placed.
+            calls = 0
+            while (step := turns.in_order()[0]) is not long_running:
+                turns.take(step)
+                turns.add(step)
+                calls += 1
+            assert calls <= 1
+            turns.take(long_running)
+            turns.add(long_running)
+
+    # Guards against other jobs that wait for long-running tasks nothing permits.
+    def test_alternate_with_those_of_long_running_tasks(self) -> None:
+        turns = TurnQueue()
+        for _ in range(20):
+            turns.add(_step(lasting=True))
+        others = [_step() for _ in range(10)]
+        for step in others:
+            turns.add(step)
+        taken: list[StepRun] = []
+        for _ in range(20):
+            taken.append(turns.in_order()[0])
+            turns.take(taken[-1])
+        assert [step for step in taken if step in others] == others
+
     # Guards against an account that floods a queue and so delays all other accounts.
     async def test_of_an_accounts_excess_come_last(self) -> None:
         cache = _Pool([_runner(0)], _Service(lambda runner_id: True), POLICY).cache()
