Leave a flood's excess out of the search for machines; read the change again

Excess gets only machines that no pool needs, but a search took them as a shortage: AdviceCache.coverage leaves it out; the test failed before. The build took a module with the stable interface of a later Python for one that runs here, and would have ended with a ValueError on a tag of another interpreter: four tags are tested, with the two new ones failing before by reading. The rest is how the code reads: the sizes of a pool are named one by one, times of waves have their meaning, the simulation's runs are a list.

Tests of the build, advice, duties, waves and policies pass; mypy and ruff, too.

--- a/deploy/build.py
+++ b/deploy/build.py
@@ -29,6 +29,9 @@
 NEXT = TARGET / "next"
 PREVIOUS = TARGET / "previous"
 
+MINOR = sys.version_info.minor
+"""The minor version of this Python 3."""
+
 SHOWN_PROBLEMS = 5
 """How many problems an error lists."""
 
@@ -172,17 +175,20 @@
 def _suits(tag: str) -> bool:
     """Whether a distribution with this tag runs here."""
     python, abi, where = tag.split("-")
-    if not (where == "any" or where.endswith(f"_{platform.machine()}")):
+    if where != "any" and not where.endswith((platform.machine(), "universal2")):
         return False
-    return python.startswith("py") or abi == "abi3" or python == _this_tag()
-
-
-def _this_tag() -> str:
-    return f"cp{sys.version_info.major}{sys.version_info.minor}"
+    if python.startswith("py"):
+        return True
+    version = re.fullmatch(r"cp3(\d+)", python)
+    if version is None:
+        return False
+    # Modules with the stable interface run on later versions, too.
+    minor = int(version[1])
+    return minor == MINOR or (abi == "abi3" and minor < MINOR)
 
 
 def _this_python() -> str:
-    return f"{_this_tag()} on {platform.machine()}"
+    return f"cp3{MINOR} on {platform.machine()}"
 
 
 def _is_damaged(path: importlib.metadata.PackagePath) -> bool:
--- a/src/streamthread/holder/advice.py
+++ b/src/streamthread/holder/advice.py
@@ -241,7 +241,8 @@
     def coverage(self) -> dict[str, Coverage]:
         """Return by pool what is known of the waiting step that lacks most.
 
-        Pools without a waiting step are left out.
+        Pools without a waiting step are left out. So is what exceeds an account's
+        share, which gets only machines that no pool needs.
         """
         by_id = functools.cache(self._runners_by_id)
         found: dict[str, Coverage] = {}
@@ -250,7 +251,7 @@
             worst = found.get(job.service, Coverage.PERMITTED)
             if worst is Coverage.DENIED or not _may_start(step):
                 continue
-            if self._policy(job) is not None:
+            if self._policy(job) is not None and not job.excess:
                 state = step_coverage(step, by_id(job.service), entry.answers)
                 found[job.service] = max(worst, state)
         return found
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -254,20 +254,14 @@
         recent_max = self._sizes.recent_max
         self._update_policy_search(views.values())
         searched = self._policy_search.sizes()
-        pool_views = [
-            PoolView(
-                pool.name,
-                pool.is_spare,
-                max(self._wanted_size(pool.name, targets), searched.get(pool.name, 0)),
-                max(
-                    retained_machines.get(pool.name, 0),
-                    recent_max.get(pool.name, 0),
-                    searched.get(pool.name, 0),
-                ),
-                self._sizes.with_excess.get(pool.name, 0),
-            )
-            for pool in pools
-        ]
+        pool_views: list[PoolView] = []
+        for pool in pools:
+            name = pool.name
+            least = searched.get(name, 0)
+            target = max(self._wanted_size(name, targets), least)
+            kept = max(retained_machines.get(name, 0), recent_max.get(name, 0), least)
+            excess = self._sizes.with_excess.get(name, 0)
+            pool_views.append(PoolView(name, pool.is_spare, target, kept, excess))
         machines = [
             self._table.view(self._table.machines[view.machine_id], view.due)
             if view.due
--- a/src/streamthread/holder/tests/test_policy_search.py
+++ b/src/streamthread/holder/tests/test_policy_search.py
@@ -16,7 +16,9 @@
 from streamthread.holder.policy_search import PoolCount
 from streamthread.scheduler import RunnerState
 
+from .test_advice_turns import _Pool
 from .test_advice_turns import _runner
+from .test_advice_turns import _Service
 from .test_advice_turns import _step
 
 PERMITTED = RunnerAnswer("ticket", 0.0)
@@ -63,6 +65,20 @@
         assert step_coverage(_step(), {}, {"i-9": PERMITTED}) is Coverage.DENIED
 
 
+class TestCoverageOfPools:
+    # Guards against machines that other pools need and a flood's excess takes.
+    def test_leaves_out_what_exceeds_a_share(self) -> None:
+        service = _Service(lambda runner_id: False)
+        cache = _Pool([_runner(0)], service).cache()
+        step = _step()
+        cache.request(step)
+        assert cache.coverage() == {"desk": Coverage.UNKNOWN}
+        cache._by_step[step].answers["i-0"] = DENIED
+        assert cache.coverage() == {"desk": Coverage.DENIED}
+        step.occurrence.job.excess = True
+        assert cache.coverage() == {}
+
+
 @attrs.define
 class _Fleet:
     """A pool and a spare pool in virtual time, whose machines are asked about.
--- a/src/streamthread/upkeep/pacing.py
+++ b/src/streamthread/upkeep/pacing.py
@@ -8,7 +8,7 @@
 """Duration of an upkeep, unless the platform states another one."""
 
 EMPTYING_S = 2.5
-"""Emptying a machine takes as long as its tasks."""
+"""How long it takes until the tasks of a machine have ended that is emptied."""
 
 LATENCY_S = 0.5
 """Ordering an upkeep takes this time, and observing its end as well."""
@@ -38,6 +38,7 @@
     :param left: the number of machines that have not begun their upkeep.
     :param max_at_once: how many machines may be down at the same time.
     :param remaining_s: the time until the wave should be complete.
+    :param upkeep_s: duration of one upkeep.
     """
     rounds = math.ceil(left / max(1, max_at_once))
     return remaining_s <= (rounds + SPARE_ROUNDS) * _round_s(upkeep_s)
--- a/tests/model/advice.py
+++ b/tests/model/advice.py
@@ -153,8 +153,9 @@
         self._began_at_s = time.monotonic()
         self._lives = 0
         self._kick = asyncio.Event()
-        self._runs: collections.defaultdict[str, dict[Attempt, int]]
-        self._runs = collections.defaultdict(dict)
+        self._ends = 0
+        self._runs: collections.defaultdict[str, list[Attempt]]
+        self._runs = collections.defaultdict(list)
         self._spawned: set[asyncio.Task[None]] = set()
         self.service = AdviceService(plan, self._began_at_s)
         self.engine = Engine(lambda job: None)
@@ -267,25 +268,20 @@
             ticket = self.advice.ticket(attempt.task.step, attempt.runner_id)
             assert ticket, "a start needs a ticket"
             self.engine.confirm(attempt, 0)
-            self._runs[attempt.runner_id][attempt] = len(self._runs) + 1
+            self._runs[attempt.runner_id].append(attempt)
             self._spawn(self._after(self._plan.run_s, self._end_of(attempt)))
 
     def _end_of(self, attempt: Attempt) -> t.Callable[[], None]:
-        def end() -> None:
-            runs = self._runs.get(attempt.runner_id, {})
-            if runs.pop(attempt, None) is None:
-                return
-            runner = self.engine.runners[attempt.runner_id]
-            self._ends += 1
-            running = [
-                RunningTask(other.task.name, other.run, "", 50) for other in runs
-            ]
-            ended = EndedRun(
-                self._ends, attempt.task.name, attempt.run, EndKind.DONE, ""
-            )
-            now_ms = int(self._now_s() * 1000)
-            self.engine.on_hold(runner, HoldReply(now_ms, tuple(running), (ended,)))
-
-        return end
-
-    _ends = 0
+        return lambda: self._end(attempt)
+
+    def _end(self, attempt: Attempt) -> None:
+        """Let a run end, unless its runner has exited."""
+        runs = self._runs[attempt.runner_id]
+        if attempt not in runs:
+            return
+        runs.remove(attempt)
+        self._ends += 1
+        running = [RunningTask(other.task.name, other.run, "", 50) for other in runs]
+        ended = EndedRun(self._ends, attempt.task.name, attempt.run, EndKind.DONE, "")
+        reply = HoldReply(int(self._now_s() * 1000), tuple(running), (ended,))
+        self.engine.on_hold(self.engine.runners[attempt.runner_id], reply)
--- a/tests/test_build.py
+++ b/tests/test_build.py
@@ -231,7 +231,13 @@
 
     # Guards against a build folder that was carried over from another machine.
     @pytest.mark.parametrize(
-        "tag", ["cp39-cp39-manylinux_2_17_any", "py3-none-manylinux2014_vax"]
+        "tag",
+        [
+            "cp39-cp39-any",
+            "cp399-abi3-any",
+            "pp310-pypy310_pp73-any",
+            "py3-none-manylinux2014_vax",
+        ],
     )
     async def test_for_another_python_or_machine_is_replaced(
         self, built: Project, tag: str
