--- a/tests/cell/test_soak.py
+++ b/tests/cell/test_soak.py
@@ -100,6 +100,24 @@
         restarts=True,
         silent_restarts=True,
     ),
+    # A long-running task had no run for 9 s: its next call for advice came after those
+    # of some 200 jobs that waited.
+    SoakPlan(
+        260007,
+        seconds=8.0,
+        stops=True,
+        writer=True,
+        runners=True,
+        accounts=True,
+        restarts=True,
+        halls=True,
+        floods=True,
+        series=True,
+        odd=True,
+        advice=True,
+        sizes=True,
+        new_routes=True,
+    ),
 )
 
 
