--- a/src/streamthread/capacity/__init__.py
+++ b/src/streamthread/capacity/__init__.py
@@ -6,6 +6,7 @@
 from .demand import pool_demand
 from .handover import plan_handovers
 from .plan import CapacitySettings
+from .plan import count_present
 from .plan import MachineView
 from .plan import Move
 from .plan import plan_moves
@@ -19,6 +20,7 @@
     "Move",
     "PoolArrivals",
     "PoolView",
+    "count_present",
     "job_demand",
     "plan_handovers",
     "plan_moves",
--- a/src/streamthread/capacity/plan.py
+++ b/src/streamthread/capacity/plan.py
@@ -13,6 +13,7 @@
     "MachineView",
     "Move",
     "PoolView",
+    "count_present",
     "plan_moves",
     "target_size",
 ]
@@ -150,7 +151,7 @@
     """
     spares = [pool.name for pool in pools if pool.is_spare]
     shortages = {
-        pool.name: pool.target - _present(pool.name, machines)
+        pool.name: pool.target - count_present(pool.name, machines)
         for pool in pools
         if not pool.is_spare
     }
@@ -195,7 +196,7 @@
     leaving = collections.Counter(move.source for move in moves)
     shortages: dict[str, int] = {}
     for pool in wanting:
-        present = _present(pool.name, machines)
+        present = count_present(pool.name, machines)
         present += incoming[pool.name] - leaving[pool.name]
         shortages[pool.name] = pool.with_excess - present
     kept = {name: -missing for name, missing in shortages.items()}
@@ -225,7 +226,7 @@
     """
     leaving = collections.Counter(move.source for move in moves)
     may_leave = {
-        pool.name: _present(pool.name, machines)
+        pool.name: count_present(pool.name, machines)
         - max(pool.keep, pool.with_excess)
         - leaving[pool.name]
         for pool in pools
@@ -239,7 +240,8 @@
     return found
 
 
-def _present(pool: str, machines: t.Iterable[MachineView]) -> int:
+def count_present(pool: str, machines: t.Iterable[MachineView]) -> int:
+    """Return how many machines of a pool are usable or on their way into it."""
     return sum(
         machine.pool == pool and (machine.usable or machine.arriving)
         for machine in machines
--- a/src/streamthread/holder/duties.py
+++ b/src/streamthread/holder/duties.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from ..capacity import count_present
 from ..capacity import MachineView
 from ..capacity import Move
 from ..capacity import plan_handovers
@@ -280,11 +281,13 @@
             return
         self._searched_at_s = now_s
         coverage = self._owner.policy_coverage()
-        counts: dict[str, PoolCount] = {}
-        for pool in coverage:
-            usable = sum(view.pool == pool and view.usable for view in views)
-            arriving = sum(view.pool == pool and view.arriving for view in views)
-            counts[pool] = PoolCount(usable + arriving, arriving)
+        counts = {
+            pool: PoolCount(
+                count_present(pool, views),
+                sum(view.pool == pool and view.arriving for view in views),
+            )
+            for pool in coverage
+        }
         self._policy_search.update(coverage, counts, now_s)
 
     def _hand_over(
--- a/src/streamthread/holder/policy_search.py
+++ b/src/streamthread/holder/policy_search.py
@@ -70,12 +70,13 @@
         """Begin, continue and end searches.
 
         :param coverage: by pool, that of the waiting step which lacks most.
+        :param counts: the machines of these pools.
         :param now_s: boot clock time.
         """
         for pool in [pool for pool in self._searches if pool not in coverage]:
             del self._searches[pool]
         for pool, found in coverage.items():
-            self._update_pool(pool, found, counts.get(pool, PoolCount(0, 0)), now_s)
+            self._update_pool(pool, found, counts[pool], now_s)
 
     def _update_pool(
         self, pool: str, coverage: Coverage, count: PoolCount, now_s: float
--- a/src/streamthread/sources.py
+++ b/src/streamthread/sources.py
@@ -7,7 +7,7 @@
 import hashlib
 import pathlib
 
-__all__ = ["digest_sources"]
+__all__ = ["NOT_INSTALLED", "digest_sources"]
 
 DIGEST_DIGITS = 12
 """How many hexadecimal digits of a digest are shown."""
--- a/tests/model/advice.py
+++ b/tests/model/advice.py
@@ -110,7 +110,6 @@
         self._plan = plan
         self._began_at_s = began_at_s
         self._busy_until_s = began_at_s
-        self.calls = 0
 
     def permits(self, step: str, runner_id: str) -> bool:
         """Return the answer for a step and a machine, which does not change."""
@@ -130,7 +129,6 @@
         self, step: str, runner_ids: t.Sequence[str], timeout_s: float
     ) -> Advice:
         """Answer like the client of the service."""
-        self.calls += 1
         slowness = self._slowness()
         begins_s = max(time.monotonic(), self._busy_until_s)
         duration_s = self._plan.policy.duration_s(len(runner_ids))
